--- a/src/main/java/craneslip/Crowd.java
+++ b/src/main/java/laneflow/Crowd.java
@@ -1,4 +1,4 @@
-package craneslip;
+package laneflow;
 
 /** The siblings' jobs on one zone's workers of one kind. */
 final class Crowd {
--- a/src/main/java/craneslip/Dispatch.java
+++ b/src/main/java/laneflow/Dispatch.java
@@ -1,4 +1,4 @@
-package craneslip;
+package laneflow;
 
 import java.util.List;
 
--- a/src/main/java/craneslip/Job.java
+++ b/src/main/java/laneflow/Job.java
@@ -1,7 +1,7 @@
-package craneslip;
+package laneflow;
 
-import craneslip.Dispatch.JobClass;
-import craneslip.Dispatch.Request;
+import laneflow.Dispatch.JobClass;
+import laneflow.Dispatch.Request;
 import java.util.Arrays;
 
 /** A request's record, from its arrival until nothing of it is out: facts, on which {@link Logic} decides. */
--- a/src/main/java/craneslip/Jobs.java
+++ b/src/main/java/laneflow/Jobs.java
@@ -1,4 +1,4 @@
-package craneslip;
+package laneflow;
 
 import org.agrona.collections.Long2ObjectHashMap;
 
--- a/src/main/java/craneslip/Kind.java
+++ b/src/main/java/laneflow/Kind.java
@@ -1,4 +1,4 @@
-package craneslip;
+package laneflow;
 
 /** What is seen of one kind of worker. */
 final class Kind {
--- a/src/main/java/craneslip/Logic.java
+++ b/src/main/java/laneflow/Logic.java
@@ -1,6 +1,6 @@
-package craneslip;
+package laneflow;
 
-import craneslip.Job.Attempt;
+import laneflow.Job.Attempt;
 import java.util.ArrayDeque;
 import java.util.Arrays;
 import java.util.List;
--- a/src/main/java/craneslip/Outstanding.java
+++ b/src/main/java/laneflow/Outstanding.java
@@ -1,6 +1,6 @@
-package craneslip;
+package laneflow;
 
-import craneslip.Job.Attempt;
+import laneflow.Job.Attempt;
 import java.util.Arrays;
 
 /** This dispatcher's attempts out at one worker, with their sums. */
--- a/src/main/java/craneslip/SendLog.java
+++ b/src/main/java/laneflow/SendLog.java
@@ -1,4 +1,4 @@
-package craneslip;
+package laneflow;
 
 /** Sends with their work, in order, summed over the time since some instant; older ones are dropped. */
 final class SendLog {
--- a/src/main/java/craneslip/wire/Codes.java
+++ b/src/main/java/laneflow/wire/Codes.java
@@ -1,9 +1,9 @@
-package craneslip.wire;
+package laneflow.wire;
 
-import craneslip.Dispatch.ListKind;
-import craneslip.Dispatch.Note;
-import craneslip.Dispatch.Outcome;
-import craneslip.Dispatch.State;
+import laneflow.Dispatch.ListKind;
+import laneflow.Dispatch.Note;
+import laneflow.Dispatch.Outcome;
+import laneflow.Dispatch.State;
 
 /** The wire's numbers, and what they mean in the interface's words. */
 final class Codes {
--- a/src/main/java/craneslip/wire/Record.java
+++ b/src/main/java/laneflow/wire/Record.java
@@ -1,4 +1,4 @@
-package craneslip.wire;
+package laneflow.wire;
 
 import java.nio.ByteBuffer;
 import java.nio.ByteOrder;
--- a/src/main/java/craneslip/wire/Reply.java
+++ b/src/main/java/laneflow/wire/Reply.java
@@ -1,4 +1,4 @@
-package craneslip.wire;
+package laneflow.wire;
 
 import java.io.IOException;
 import java.io.OutputStream;
--- a/src/main/java/craneslip/wire/SettingsReader.java
+++ b/src/main/java/laneflow/wire/SettingsReader.java
@@ -1,17 +1,17 @@
-package craneslip.wire;
+package laneflow.wire;
 
 import com.google.gson.JsonArray;
 import com.google.gson.JsonElement;
 import com.google.gson.JsonObject;
 import com.google.gson.JsonParseException;
 import com.google.gson.JsonParser;
-import craneslip.Dispatch.Effect;
-import craneslip.Dispatch.Group;
-import craneslip.Dispatch.JobClass;
-import craneslip.Dispatch.ReportSource;
-import craneslip.Dispatch.Settings;
-import craneslip.Dispatch.Tenant;
-import craneslip.Dispatch.WeightSource;
+import laneflow.Dispatch.Effect;
+import laneflow.Dispatch.Group;
+import laneflow.Dispatch.JobClass;
+import laneflow.Dispatch.ReportSource;
+import laneflow.Dispatch.Settings;
+import laneflow.Dispatch.Tenant;
+import laneflow.Dispatch.WeightSource;
 
 /** Reads the settings text into {@link Settings}: unknown keys are skipped, absent ones keep defaults. */
 final class SettingsReader {
--- a/src/main/java/craneslip/wire/WireException.java
+++ b/src/main/java/laneflow/wire/WireException.java
@@ -1,4 +1,4 @@
-package craneslip.wire;
+package laneflow.wire;
 
 /** Input that can't be read: a frame cut short or inconsistent, or settings that make no sense. */
 public final class WireException extends Exception {
--- a/src/main/java/craneslip/wire/WireHost.java
+++ b/src/main/java/laneflow/wire/WireHost.java
@@ -1,13 +1,13 @@
-package craneslip.wire;
+package laneflow.wire;
 
-import craneslip.Dispatch;
-import craneslip.Dispatch.ListKind;
-import craneslip.Dispatch.LoadReport;
-import craneslip.Dispatch.Note;
-import craneslip.Dispatch.Outcome;
-import craneslip.Dispatch.Request;
-import craneslip.Dispatch.Worker;
-import craneslip.Logic;
+import laneflow.Dispatch;
+import laneflow.Dispatch.ListKind;
+import laneflow.Dispatch.LoadReport;
+import laneflow.Dispatch.Note;
+import laneflow.Dispatch.Outcome;
+import laneflow.Dispatch.Request;
+import laneflow.Dispatch.Worker;
+import laneflow.Logic;
 import java.io.IOException;
 import java.io.InputStream;
 import java.io.OutputStream;
--- a/src/test/java/example/EmbedExample.java
+++ b/src/test/java/example/EmbedExample.java
@@ -1,12 +1,12 @@
 package example;
 
-import craneslip.Dispatch;
-import craneslip.Dispatch.ListKind;
-import craneslip.Dispatch.Outcome;
-import craneslip.Dispatch.Request;
-import craneslip.Dispatch.Settings;
-import craneslip.Dispatch.Worker;
-import craneslip.Logic;
+import laneflow.Dispatch;
+import laneflow.Dispatch.ListKind;
+import laneflow.Dispatch.Outcome;
+import laneflow.Dispatch.Request;
+import laneflow.Dispatch.Settings;
+import laneflow.Dispatch.Worker;
+import laneflow.Logic;
 import java.util.List;
 
 /** A dispatcher with one worker and one request; the actions would go to the host's sockets and timers. */
--- a/src/test/java/craneslip/Checker.java
+++ b/src/test/java/laneflow/Checker.java
@@ -1,10 +1,10 @@
-package craneslip;
+package laneflow;
 
-import craneslip.Dispatch.Effect;
-import craneslip.Dispatch.Group;
-import craneslip.Dispatch.JobClass;
-import craneslip.Dispatch.Settings;
-import craneslip.Dispatch.Worker;
+import laneflow.Dispatch.Effect;
+import laneflow.Dispatch.Group;
+import laneflow.Dispatch.JobClass;
+import laneflow.Dispatch.Settings;
+import laneflow.Dispatch.Worker;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
--- a/src/test/java/craneslip/EffectTest.java
+++ b/src/test/java/laneflow/EffectTest.java
@@ -1,13 +1,13 @@
-package craneslip;
+package laneflow;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
-import craneslip.Dispatch.Effect;
-import craneslip.Dispatch.Group;
-import craneslip.Dispatch.ListKind;
-import craneslip.Dispatch.Outcome;
-import craneslip.Dispatch.Settings;
-import craneslip.Dispatch.Worker;
+import laneflow.Dispatch.Effect;
+import laneflow.Dispatch.Group;
+import laneflow.Dispatch.ListKind;
+import laneflow.Dispatch.Outcome;
+import laneflow.Dispatch.Settings;
+import laneflow.Dispatch.Worker;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.stream.Stream;
--- a/src/test/java/craneslip/GuardTest.java
+++ b/src/test/java/laneflow/GuardTest.java
@@ -1,18 +1,18 @@
-package craneslip;
+package laneflow;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertNotEquals;
 import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import craneslip.Dispatch.Effect;
-import craneslip.Dispatch.JobClass;
-import craneslip.Dispatch.ListKind;
-import craneslip.Dispatch.Outcome;
-import craneslip.Dispatch.ReportSource;
-import craneslip.Dispatch.Request;
-import craneslip.Dispatch.Settings;
-import craneslip.Dispatch.State;
+import laneflow.Dispatch.Effect;
+import laneflow.Dispatch.JobClass;
+import laneflow.Dispatch.ListKind;
+import laneflow.Dispatch.Outcome;
+import laneflow.Dispatch.ReportSource;
+import laneflow.Dispatch.Request;
+import laneflow.Dispatch.Settings;
+import laneflow.Dispatch.State;
 import java.util.List;
 import org.junit.jupiter.api.Test;
 
--- a/src/test/java/craneslip/PropertyTest.java
+++ b/src/test/java/laneflow/PropertyTest.java
@@ -1,4 +1,4 @@
-package craneslip;
+package laneflow;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
--- a/src/test/java/craneslip/Rig.java
+++ b/src/test/java/laneflow/Rig.java
@@ -1,14 +1,14 @@
-package craneslip;
-
-import craneslip.Dispatch.Effect;
-import craneslip.Dispatch.JobClass;
-import craneslip.Dispatch.ListKind;
-import craneslip.Dispatch.LoadReport;
-import craneslip.Dispatch.Outcome;
-import craneslip.Dispatch.Request;
-import craneslip.Dispatch.Settings;
-import craneslip.Dispatch.State;
-import craneslip.Dispatch.Worker;
+package laneflow;
+
+import laneflow.Dispatch.Effect;
+import laneflow.Dispatch.JobClass;
+import laneflow.Dispatch.ListKind;
+import laneflow.Dispatch.LoadReport;
+import laneflow.Dispatch.Outcome;
+import laneflow.Dispatch.Request;
+import laneflow.Dispatch.Settings;
+import laneflow.Dispatch.State;
+import laneflow.Dispatch.Worker;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.PriorityQueue;
--- a/src/test/java/craneslip/SourceTest.java
+++ b/src/test/java/laneflow/SourceTest.java
@@ -1,4 +1,4 @@
-package craneslip;
+package laneflow;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
@@ -13,7 +13,7 @@
 
 /** What the project promises of its own text. */
 class SourceTest {
-    private static final Path MODULE = Path.of("src/main/java/craneslip/Logic.java");
+    private static final Path MODULE = Path.of("src/main/java/laneflow/Logic.java");
 
     @Test
     void moduleStaysWithinItsSize() throws IOException {
--- a/src/test/java/craneslip/wire/Hex.java
+++ b/src/test/java/laneflow/wire/Hex.java
@@ -1,4 +1,4 @@
-package craneslip.wire;
+package laneflow.wire;
 
 import java.io.ByteArrayInputStream;
 import java.io.ByteArrayOutputStream;
