Serve the platform's HTTP/1.1 on XNIO round the unchanged module

Seen: the module had only the simulator's adapter. Added: the core (request and call tables, one deadline heap, destination set), the loop, the HTTP front, endpoint calls, discovery watch, drain on SIGTERM, counters.

The clock is monotonic but begins at Unix time, and endpoint numbers are hashes of their names, since shares of a cold endpoint's budget must come out alike at all schedulers.

Conclusion: a base to build Gearman on.

--- a/src/main/java/laneflow/Main.java
+++ b/src/main/java/laneflow/Main.java
@@ -1,29 +1,49 @@
 package laneflow;
 
-import laneflow.wire.WireException;
-import laneflow.wire.WireHost;
 import java.io.FileDescriptor;
 import java.io.FileInputStream;
 import java.io.FileOutputStream;
 import java.io.IOException;
+import java.nio.file.Path;
+import laneflow.wire.WireException;
+import laneflow.wire.WireHost;
 
-/** The command line: {@code benchlink} serves the simulator's wire on standard input and output. */
+/**
+ * The command line: {@code serve} is the real scheduler, {@code benchlink} serves the simulator's wire on
+ * standard input and output.
+ */
 public final class Main {
+    private static final String USAGE = "usage: java -jar laneflow.jar serve | benchlink";
+
     private Main() {
     }
 
     /** Runs the command; exits with 2 on a wrong call and 1 on input that can't be read. */
     public static void main(String[] args) {
-        if (args.length != 1 || !args[0].equals("benchlink")) {
-            System.err.println("usage: java -jar laneflow.jar benchlink");
-            System.exit(2);
-        }
+        // XNIO logs through JBoss Logging, which does not look for SLF4J by itself.
+        System.setProperty("org.jboss.logging.provider", "slf4j");
         try {
-            FileInputStream in = new FileInputStream(FileDescriptor.in);
-            new WireHost(in, new FileOutputStream(FileDescriptor.out)).run();
-        } catch (WireException | IOException e) {
-            System.err.println("laneflow: " + e.getMessage());
-            System.exit(1);
+            if (args.length == 1 && args[0].equals("benchlink")) {
+                FileInputStream in = new FileInputStream(FileDescriptor.in);
+                new WireHost(in, new FileOutputStream(FileDescriptor.out)).run();
+            } else if (args.length == 1 && args[0].equals("serve")) {
+                String config = System.getenv("ROUTER_CONFIG");
+                if (config == null) {
+                    fail("ROUTER_CONFIG names no configuration", 2);
+                }
+                Serve.run(Path.of(config));
+            } else {
+                fail(USAGE, 2);
+            }
+        } catch (WireException | IOException | IllegalArgumentException e) {
+            fail("laneflow: " + e.getMessage(), 1);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
         }
     }
+
+    private static void fail(String message, int status) {
+        System.err.println(message);
+        System.exit(status);
+    }
 }
--- /dev/null
+++ b/src/main/java/laneflow/Serve.java
@@ -0,0 +1,105 @@
+package laneflow;
+
+import java.io.IOException;
+import java.nio.file.Path;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import laneflow.core.Counters;
+import laneflow.core.Scheduler;
+import laneflow.http.Config;
+import laneflow.http.DiscoveryWatch;
+import laneflow.http.HttpCarrier;
+import laneflow.http.HttpFront;
+import laneflow.net.Loop;
+import laneflow.wire.WireException;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** The real scheduler: the core, its fronts and carriers on one loop, from the start to the last answer. */
+public final class Serve {
+    private static final Logger LOG = LoggerFactory.getLogger(Serve.class);
+    /** After a SIGTERM clients keep coming for up to 0.4 s. */
+    private static final long ACCEPT_ON = 550_000;
+    /** Until then what has come in counts as taken. */
+    private static final long STAY_ON = 750_000;
+    private static final long LOOK_AGAIN = 5_000;
+    private static final long LONGEST_DRAIN_S = 30;
+
+    private final Loop loop;
+    private final Counters counters = new Counters();
+    private final Scheduler scheduler;
+    private final HttpFront front;
+    private final CountDownLatch drained = new CountDownLatch(1);
+    private boolean stopping;
+
+    /** Starts to serve; returns once clients are let in. */
+    public Serve(Config config) throws IOException, InterruptedException {
+        loop = new Loop(config.sockets);
+        scheduler = new Scheduler(config.settings, config.seed, loop, loop.deadlines(), counters);
+        HttpCarrier carrier = new HttpCarrier(loop, scheduler, config.connIdle);
+        front = new HttpFront(loop, scheduler, config.classNames);
+        loop.call(() -> {
+            scheduler.start(carrier, config.known.entries);
+            if (config.discovery != null) {
+                new DiscoveryWatch(loop, scheduler, carrier, config).begin();
+            }
+        });
+        front.listen(Loop.address(config.listen));
+    }
+
+    /** Runs the command until a signal ends it. */
+    static void run(Path config) throws IOException, WireException, InterruptedException {
+        Serve serve = new Serve(Config.read(config));
+        // The machine ends when its hooks have returned: this one waits until all that was taken is answered.
+        Runtime.getRuntime().addShutdownHook(new Thread(serve::stop, "drain"));
+        serve.drained.await();
+    }
+
+    public HttpFront front() {
+        return front;
+    }
+
+    public Loop loop() {
+        return loop;
+    }
+
+    public Scheduler scheduler() {
+        return scheduler;
+    }
+
+    /** Answers all that was and is still taken, then ends. */
+    public void stop() {
+        try {
+            loop.call(this::drain);
+            if (!drained.await(LONGEST_DRAIN_S, TimeUnit.SECONDS)) {
+                LOG.warn("not all answered: {}", scheduler.open());
+            }
+            String[] line = new String[1];
+            loop.call(() -> line[0] = counters.line());
+            LOG.info("{}", line[0]);
+            loop.stop();
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    private void drain() {
+        if (stopping) {
+            return;
+        }
+        stopping = true;
+        LOG.info("stopping, {} open", scheduler.open());
+        front.drain();
+        long now = loop.micros();
+        loop.deadlines().at(now + ACCEPT_ON, front::stopAccepting);
+        loop.deadlines().at(now + STAY_ON, this::drainedYet);
+    }
+
+    private void drainedYet() {
+        if (scheduler.open() == 0 && front.busy() == 0) {
+            drained.countDown();
+        } else {
+            loop.deadlines().at(loop.micros() + LOOK_AGAIN, this::drainedYet);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/laneflow/core/Carrier.java
@@ -0,0 +1,16 @@
+package laneflow.core;
+
+/** How outbound calls reach an endpoint. Ends are told by {@link Scheduler#ended}, exactly once a call. */
+public interface Carrier {
+    /** Sends the call's request; before its first byte {@link Scheduler#mayBegin} is asked. */
+    void open(OutboundCall call);
+
+    /** Nobody waits for this call any more; its end is not to be told. */
+    void close(OutboundCall call);
+
+    /** Asks an endpoint for its load; {@link Scheduler#probed} tells. */
+    void probe(Endpoint endpoint);
+
+    /** Closes idle connections to an endpoint. */
+    void closeIdle(Endpoint endpoint);
+}
--- /dev/null
+++ b/src/main/java/laneflow/core/DestinationSet.java
@@ -0,0 +1,105 @@
+package laneflow.core;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import laneflow.Dispatch.State;
+import laneflow.Dispatch.Worker;
+
+/**
+ * The endpoints that may be called, by name, as their sources (discovery, connected workers, a file) tell of
+ * them. A whole list speaks for its own source only, so the module is told of changes.
+ */
+public final class DestinationSet {
+    private final Map<String, Endpoint> byName = new HashMap<>();
+    private final Map<Long, Endpoint> byId = new HashMap<>();
+
+    /** One line of a list. */
+    public static final class Entry {
+        public String name;
+        public String dial = "";
+        public int zone;
+        public int kind;
+        public int cell;
+        public State state = State.READY;
+        public double weight = 1;
+        public long startedAt;
+        public long classes = -1;
+    }
+
+    /** Takes a list in and returns what has changed, as the module reads it. */
+    List<Worker> apply(Carrier carrier, boolean whole, List<Entry> entries, long now) {
+        List<Worker> changes = new ArrayList<>();
+        Map<String, Entry> listed = new HashMap<>();
+        for (Entry entry : entries) {
+            listed.put(entry.name, entry);
+            Endpoint endpoint = byName.get(entry.name);
+            if (endpoint == null) {
+                if (entry.state == State.GONE) {
+                    continue;
+                }
+                endpoint = new Endpoint(entry.name, carrier);
+                byName.put(entry.name, endpoint);
+                byId.put(endpoint.id, endpoint);
+            }
+            if (endpoint.carrier != carrier) {
+                continue;
+            }
+            endpoint.dial = entry.dial.isEmpty() ? endpoint.dial : entry.dial;
+            endpoint.zone = entry.zone;
+            endpoint.kind = entry.kind;
+            endpoint.cell = entry.cell;
+            endpoint.weight = entry.weight;
+            endpoint.startedAt = entry.startedAt;
+            endpoint.classes = entry.classes;
+            changes.add(state(endpoint, entry.state, now));
+        }
+        if (whole) {
+            for (Endpoint endpoint : byName.values()) {
+                if (endpoint.carrier == carrier && !listed.containsKey(endpoint.name)
+                        && endpoint.state != State.GONE) {
+                    changes.add(state(endpoint, State.GONE, now));
+                }
+            }
+        }
+        return changes;
+    }
+
+    private Worker state(Endpoint endpoint, State state, long now) {
+        if (state == State.READY) {
+            endpoint.drainToldAt = Long.MAX_VALUE;
+        } else if (endpoint.state == State.READY) {
+            endpoint.drainToldAt = now;
+        }
+        endpoint.state = state;
+        Worker worker = new Worker();
+        worker.id = endpoint.id;
+        worker.zone = endpoint.zone;
+        worker.kind = endpoint.kind;
+        worker.cell = endpoint.cell;
+        worker.weight = endpoint.weight;
+        worker.startedAt = Clock.seconds(endpoint.startedAt);
+        worker.state = state;
+        return worker;
+    }
+
+    Endpoint get(long id) {
+        return byId.get(id);
+    }
+
+    /** Forgets an endpoint that will not come back under this name. */
+    void forget(Endpoint endpoint) {
+        byName.remove(endpoint.name);
+        byId.remove(endpoint.id);
+    }
+
+    /** The endpoint of that name, or null. */
+    public Endpoint get(String name) {
+        return byName.get(name);
+    }
+
+    public int size() {
+        return byName.size();
+    }
+}
--- /dev/null
+++ b/src/main/java/laneflow/core/Endpoint.java
@@ -0,0 +1,47 @@
+package laneflow.core;
+
+import java.nio.charset.StandardCharsets;
+import laneflow.Dispatch.State;
+
+/** A worker, as the destination set holds it. */
+public final class Endpoint {
+    public final String name;
+    /** The module's number for it: drawn from its name, and so the same at every scheduler. */
+    public final long id;
+    public final Carrier carrier;
+    /** Where its carrier finds it; the core does not read this. */
+    public String dial = "";
+    public int zone;
+    public int kind;
+    public int cell;
+    public double weight = 1;
+    /** Its last start on the loop's clock; 0: long ago. */
+    public long startedAt;
+    /** The classes it runs, a bit each. */
+    public long classes = -1;
+    State state = State.READY;
+    /** When this scheduler was told that it drains or is gone. */
+    long drainToldAt = Long.MAX_VALUE;
+    /** What its carrier keeps about it. */
+    public Object attachment;
+
+    public Endpoint(String name, Carrier carrier) {
+        this.name = name;
+        this.carrier = carrier;
+        // FNV-1a: shares of a cold endpoint's budget follow from the number, so all schedulers must agree.
+        long hash = 0xcbf29ce484222325L;
+        for (byte b : name.getBytes(StandardCharsets.UTF_8)) {
+            hash = (hash ^ b & 0xff) * 0x100000001b3L;
+        }
+        this.id = hash;
+    }
+
+    public State state() {
+        return state;
+    }
+
+    @Override
+    public String toString() {
+        return name;
+    }
+}
--- /dev/null
+++ b/src/main/java/laneflow/core/OutboundCall.java
@@ -0,0 +1,24 @@
+package laneflow.core;
+
+/** One attempt of a request at one endpoint. */
+public final class OutboundCall {
+    public final Request request;
+    public final Endpoint endpoint;
+    final int number;
+    final long sentAt;
+    long handle;
+    /** What its carrier keeps about it. */
+    public Object attachment;
+
+    OutboundCall(Request request, Endpoint endpoint, int number, long sentAt) {
+        this.request = request;
+        this.endpoint = endpoint;
+        this.number = number;
+        this.sentAt = sentAt;
+    }
+
+    /** A mark that is void once the call has ended. */
+    public long handle() {
+        return handle;
+    }
+}
--- /dev/null
+++ b/src/main/java/laneflow/core/Scheduler.java
@@ -0,0 +1,362 @@
+package laneflow.core;
+
+import java.util.ArrayDeque;
+import java.util.List;
+import java.util.Locale;
+import laneflow.Dispatch;
+import laneflow.Dispatch.Effect;
+import laneflow.Dispatch.JobClass;
+import laneflow.Dispatch.ListKind;
+import laneflow.Dispatch.LoadReport;
+import laneflow.Dispatch.Note;
+import laneflow.Dispatch.Outcome;
+import laneflow.Dispatch.Settings;
+import laneflow.Dispatch.State;
+import laneflow.Logic;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * The core: the life of every request, whichever wire it came on. It reports events to the module, carries
+ * out the module's actions, and holds the rules itself whatever is asked of it: one final answer, one
+ * outbound call at a time, no call to an endpoint later than the grace after the word of its drain, no
+ * repeat of what may have run. Not thread-safe: one thread owns it.
+ */
+public final class Scheduler {
+    private static final Logger LOG = LoggerFactory.getLogger(Scheduler.class);
+
+    private final Settings settings;
+    private final Clock clock;
+    private final Deadlines deadlines;
+    private final Counters counters;
+    private final Dispatch module;
+    private final DestinationSet destinations = new DestinationSet();
+    private final SlotTable<Request> requests = new SlotTable<>();
+    private final SlotTable<OutboundCall> calls = new SlotTable<>();
+    /** Events that came up while the module was at work: it must not be called from its own actions. */
+    private final ArrayDeque<Runnable> events = new ArrayDeque<>();
+    private final Dispatch.Request told = new Dispatch.Request();
+    private boolean atWork;
+    private Runnable onAnswer = () -> { };
+
+    public Scheduler(Settings settings, long seed, Clock clock, Deadlines deadlines, Counters counters) {
+        this.settings = settings;
+        this.clock = clock;
+        this.deadlines = deadlines;
+        this.counters = counters;
+        module = new Logic(settings, seed, new Doer());
+    }
+
+    /** Starts with the list of endpoints last held, or an empty one. */
+    public void start(Carrier carrier, List<DestinationSet.Entry> known) {
+        event(() -> module.start(now()));
+        List<Dispatch.Worker> workers = destinations.apply(carrier, true, known, clock.micros());
+        event(() -> module.list(now(), ListKind.CACHED, workers));
+    }
+
+    /** A source's word on its endpoints: changes, or all that it has. */
+    public void list(Carrier carrier, boolean whole, List<DestinationSet.Entry> entries) {
+        List<Dispatch.Worker> changes = destinations.apply(carrier, whole, entries, clock.micros());
+        if (!changes.isEmpty()) {
+            event(() -> module.list(now(), ListKind.CHANGES, changes));
+        }
+    }
+
+    /** An endpoint is gone for good: its name will not be used again. */
+    public void remove(Endpoint endpoint) {
+        DestinationSet.Entry entry = new DestinationSet.Entry();
+        entry.name = endpoint.name;
+        entry.zone = endpoint.zone;
+        entry.state = State.GONE;
+        list(endpoint.carrier, false, List.of(entry));
+        destinations.forget(endpoint);
+    }
+
+    public DestinationSet destinations() {
+        return destinations;
+    }
+
+    public Settings settings() {
+        return settings;
+    }
+
+    public Counters counters() {
+        return counters;
+    }
+
+    /** Requests taken that have no answer yet. */
+    public int open() {
+        return requests.size();
+    }
+
+    /** Called after every final answer. */
+    public void onAnswer(Runnable call) {
+        onAnswer = call;
+    }
+
+    // ---- from fronts ----
+
+    /** Takes a request in; the answer may come before this returns. */
+    public void submit(Request request) {
+        request.handle = requests.add(request);
+        counters.add(request.front.name() + ".taken");
+        // The module answers in time by itself; this catches what would otherwise stay without an answer.
+        request.backstop = deadlines.at(request.deadline, () -> overdue(request));
+        event(() -> {
+            request.fill(told);
+            module.request(now(), told);
+        });
+    }
+
+    /** The client has left: its request is withdrawn. */
+    public void withdraw(Request request) {
+        if (request.answered) {
+            return;
+        }
+        counters.add(request.front.name() + ".withdrawn");
+        close(request);
+        event(() -> module.abandoned(now(), request.handle));
+    }
+
+    private void overdue(Request request) {
+        if (request.answered) {
+            return;
+        }
+        counters.add("core.overdue");
+        OutboundCall call = request.out;
+        if (call != null) {
+            call.endpoint.carrier.close(call);
+            ended(call, Outcome.TIMEOUT, null, null);
+        }
+        if (!request.answered) {
+            event(() -> module.abandoned(now(), request.handle));
+            answerFailed(request);
+        }
+    }
+
+    // ---- from carriers ----
+
+    /** Whether a call's first byte may go out now: not once its endpoint's drain has been known too long. */
+    public boolean mayBegin(OutboundCall call) {
+        boolean may = calls.get(call.handle) == call && mayBegin(call.endpoint);
+        if (!may) {
+            counters.add("core.kept.drain");
+        }
+        return may;
+    }
+
+    private boolean mayBegin(Endpoint endpoint) {
+        return endpoint.drainToldAt == Long.MAX_VALUE
+                || clock.micros() < endpoint.drainToldAt + (long) (settings.drainGrace * 1e6);
+    }
+
+    /** The endpoint has started on it. */
+    public void started(OutboundCall call) {
+        note(call, Note.STARTED, 0);
+    }
+
+    /** The endpoint has done a part of it. */
+    public void progress(OutboundCall call, long done, long of) {
+        note(call, Note.PROGRESS, of > 0 ? Math.min(1, Math.max(0, (double) done / of)) : 0);
+        if (!call.request.answered) {
+            call.request.front.progress(call.request.tag, done, of);
+        }
+    }
+
+    private void note(OutboundCall call, Note note, double share) {
+        if (calls.get(call.handle) == call) {
+            event(() -> module.note(now(), call.request.handle, call.number, call.endpoint.id, note, share));
+        }
+    }
+
+    /** How a call ended; the result only where it was served. One that has ended already is passed over. */
+    public void ended(OutboundCall call, Outcome outcome, byte[] result, LoadReport report) {
+        if (calls.get(call.handle) != call) {
+            return;
+        }
+        Request request = call.request;
+        release(call);
+        counters.add("call." + outcome.name().toLowerCase(Locale.ROOT));
+        if (!outcome.neverRan) {
+            request.mayHaveRun(call.sentAt);
+        }
+        boolean over = request.answered;
+        if (outcome == Outcome.OK && !over) {
+            over = true;
+            counters.add(request.front.name() + ".served");
+            close(request);
+            request.front.served(request.tag, result);
+            onAnswer.run();
+        }
+        tell(call, outcome, over, report);
+    }
+
+    /** How a probe ended. */
+    public void probed(Endpoint endpoint, double took, Outcome outcome, LoadReport report) {
+        event(() -> module.probed(now(), endpoint.id, took, outcome, report));
+    }
+
+    private void release(OutboundCall call) {
+        calls.remove(call.handle);
+        if (call.request.out == call) {
+            call.request.out = null;
+        }
+    }
+
+    private void tell(OutboundCall call, Outcome outcome, boolean over, LoadReport report) {
+        long id = call.request.handle;
+        event(() -> module.outcome(now(), id, call.number, call.endpoint.id, outcome, over, report));
+    }
+
+    // ---- answers ----
+
+    private void close(Request request) {
+        request.answered = true;
+        deadlines.cancel(request.backstop);
+        requests.remove(request.handle);
+    }
+
+    private void answerFailed(Request request) {
+        close(request);
+        counters.add(request.front.name() + ".failed");
+        request.front.failed(request.tag);
+        onAnswer.run();
+    }
+
+    // ---- the module's turn ----
+
+    private double now() {
+        return Clock.seconds(clock.micros());
+    }
+
+    private void event(Runnable event) {
+        events.add(event);
+        if (atWork) {
+            return;
+        }
+        atWork = true;
+        try {
+            for (Runnable next = events.poll(); next != null; next = events.poll()) {
+                next.run();
+            }
+        } finally {
+            atWork = false;
+        }
+    }
+
+    private final class Doer implements Dispatch.Actions {
+        @Override
+        public void send(long id, long worker, double timeout) {
+            Request request = requests.get(id);
+            Endpoint endpoint = destinations.get(worker);
+            if (request == null || endpoint == null) {
+                counters.add("core.kept.unknown");
+                event(() -> module.outcome(now(), id, request == null ? 0 : request.calls++, worker,
+                        Outcome.MOOT, request == null, null));
+                return;
+            }
+            OutboundCall call = new OutboundCall(request, endpoint, request.calls++, clock.micros());
+            String kept = forbids(request, endpoint);
+            if (kept != null) {
+                counters.add("core.kept." + kept);
+                LOG.warn("{} to {} not sent: {}", request.payload.requestId(), endpoint, kept);
+                tell(call, Outcome.MOOT, false, null);
+                return;
+            }
+            request.out = call;
+            call.handle = calls.add(call);
+            counters.add("call.sent");
+            endpoint.carrier.open(call);
+        }
+
+        /** What speaks against this call, whatever the module wants; null if nothing does. */
+        private String forbids(Request request, Endpoint endpoint) {
+            if (request.out != null) {
+                return "second_call";
+            }
+            if (!mayBegin(endpoint)) {
+                return "drain";
+            }
+            if (clock.micros() >= request.deadline || request.calls > settings.maxAttempts) {
+                return "spent";
+            }
+            return mayRepeat(request) ? null : "effect";
+        }
+
+        private boolean mayRepeat(Request request) {
+            JobClass type = settings.classes[request.jobClass];
+            return !request.mayHaveRun() || type.effect == Effect.SAFE || type.effect == Effect.KEYED
+                    && clock.micros() < request.firstMayHaveRun() + (long) (type.window * 1e6);
+        }
+
+        @Override
+        public void refuse(long id, double retryAfter) {
+            Request request = requests.get(id);
+            if (request == null) {
+                return;
+            }
+            // A refusal asks the client back: what may have run must not be asked for again.
+            if (!mayRepeat(request)) {
+                counters.add("core.kept.refusal");
+                answerFailed(request);
+                return;
+            }
+            close(request);
+            counters.add(request.front.name() + ".refused");
+            request.front.failFast(request.tag, retryAfter);
+            onAnswer.run();
+        }
+
+        @Override
+        public void fail(long id) {
+            Request request = requests.get(id);
+            if (request != null) {
+                answerFailed(request);
+            }
+        }
+
+        @Override
+        public void cancel(long id, int number) {
+            // An answered request is off the table, but the call of one that was withdrawn is still out.
+            calls.forEach(call -> {
+                if (call.request.handle == id && call.number == number) {
+                    call.endpoint.carrier.close(call);
+                    ended(call, Outcome.CANCELLED, null, null);
+                }
+            });
+        }
+
+        @Override
+        public void probe(long worker) {
+            Endpoint endpoint = destinations.get(worker);
+            if (endpoint != null) {
+                counters.add("probe.sent");
+                endpoint.carrier.probe(endpoint);
+            }
+        }
+
+        @Override
+        public void closeIdle(long worker) {
+            Endpoint endpoint = destinations.get(worker);
+            if (endpoint != null) {
+                endpoint.carrier.closeIdle(endpoint);
+            }
+        }
+
+        @Override
+        public void wake(double delay, long token) {
+            long at = clock.micros() + (long) Math.ceil(delay * 1e6);
+            deadlines.at(at, () -> event(() -> module.timer(now(), token)));
+        }
+
+        @Override
+        public void watchList() {
+            // The sources of the destination set watch by themselves.
+        }
+
+        @Override
+        public void log(String line) {
+            LOG.info(line);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/laneflow/http/HttpException.java
@@ -0,0 +1,13 @@
+package laneflow.http;
+
+/** Bytes that are not HTTP/1.1 as we speak it; the status is what a client gets for it. */
+final class HttpException extends Exception {
+    private static final long serialVersionUID = 1L;
+
+    final int status;
+
+    HttpException(int status, String message) {
+        super(message);
+        this.status = status;
+    }
+}
--- /dev/null
+++ b/src/main/java/laneflow/http/Loads.java
@@ -0,0 +1,43 @@
+package laneflow.http;
+
+import com.google.gson.JsonElement;
+import com.google.gson.JsonObject;
+import java.util.Map;
+import laneflow.Dispatch.LoadReport;
+import laneflow.wire.ReportFields;
+
+/** Load reports as endpoints write them: an object, or {@code name=value,name=value}. */
+final class Loads {
+    private Loads() {
+    }
+
+    /** A report, or null if there is none that can be read. */
+    static LoadReport read(JsonElement from) {
+        if (from == null || !from.isJsonObject()) {
+            return null;
+        }
+        LoadReport report = new LoadReport();
+        JsonObject object = from.getAsJsonObject();
+        for (Map.Entry<String, JsonElement> field : object.entrySet()) {
+            if (field.getValue().isJsonPrimitive() && field.getValue().getAsJsonPrimitive().isNumber()) {
+                ReportFields.put(report, field.getKey(), field.getValue().getAsDouble());
+            }
+        }
+        return report;
+    }
+
+    /** A report, or null if there is none that can be read. */
+    static LoadReport read(String text) {
+        if (text == null) {
+            return null;
+        }
+        LoadReport report = new LoadReport();
+        for (String pair : text.split(",")) {
+            String[] parts = pair.strip().split("=", 2);
+            if (parts.length == 2 && parts[1].matches("[0-9]{1,9}(\\.[0-9]{1,12})?([eE][-+]?[0-9]{1,2})?")) {
+                ReportFields.put(report, parts[0], Double.parseDouble(parts[1]));
+            }
+        }
+        return report;
+    }
+}
--- /dev/null
+++ b/src/main/java/laneflow/net/Link.java
@@ -0,0 +1,172 @@
+package laneflow.net;
+
+import java.io.IOException;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+import org.xnio.IoFuture;
+import org.xnio.IoUtils;
+import org.xnio.StreamConnection;
+import org.xnio.conduits.StreamSinkConduit;
+import org.xnio.conduits.StreamSourceConduit;
+
+/** One connection in the loop's table, with a ring a direction. */
+public final class Link {
+    private static final Logger LOG = LoggerFactory.getLogger(Link.class);
+    /** Reads in a row before others have their turn. */
+    private static final int READS = 8;
+
+    public final Ring in;
+    public final Ring out;
+    private final Loop loop;
+    private final LinkHandler handler;
+    private final boolean accepted;
+    private final Runnable onClose;
+    private long handle;
+    private StreamConnection connection;
+    private StreamSourceConduit source;
+    private StreamSinkConduit sink;
+    private IoFuture<StreamConnection> opening;
+    private boolean closed;
+    private boolean closeWhenFlushed;
+    private boolean readsHeld;
+
+    Link(Loop loop, LinkHandler handler, int inLimit, int outLimit, boolean accepted, Runnable onClose) {
+        this.loop = loop;
+        this.handler = handler;
+        this.accepted = accepted;
+        this.onClose = onClose;
+        in = new Ring(inLimit);
+        out = new Ring(outLimit);
+    }
+
+    void handle(long given) {
+        handle = given;
+    }
+
+    /** Its number in the loop's table, void once it has closed. */
+    public long handle() {
+        return handle;
+    }
+
+    public boolean isOpen() {
+        return connection != null && !closed;
+    }
+
+    public boolean isClosed() {
+        return closed;
+    }
+
+    boolean isAccepted() {
+        return accepted;
+    }
+
+    void opening(IoFuture<StreamConnection> future) {
+        opening = future;
+    }
+
+    void attach(StreamConnection up) {
+        connection = up;
+        opening = null;
+        source = up.getSourceChannel().getConduit();
+        sink = up.getSinkChannel().getConduit();
+        up.getSourceChannel().getReadSetter().set(channel -> loop.turn(this::readable));
+        up.getSinkChannel().getWriteSetter().set(channel -> loop.turn(this::writable));
+        source.resumeReads();
+    }
+
+    private void readable() {
+        try {
+            for (int i = 0; i < READS && !closed && !readsHeld; i++) {
+                int got = in.readFrom(source);
+                if (got > 0) {
+                    handler.received(this);
+                } else if (got < 0) {
+                    broken();
+                    return;
+                } else {
+                    break;
+                }
+            }
+        } catch (IOException e) {
+            LOG.debug("read: {}", e.getMessage());
+            broken();
+            return;
+        }
+        // A peer that sends on and on is not read further than the ring holds.
+        if (!closed && !readsHeld && in.isFull()) {
+            holdReads();
+        }
+    }
+
+    /** Stops reading until {@link #resumeReads}. */
+    public void holdReads() {
+        if (!closed && !readsHeld) {
+            readsHeld = true;
+            source.suspendReads();
+        }
+    }
+
+    /** Goes on reading. */
+    public void resumeReads() {
+        if (!closed && readsHeld) {
+            readsHeld = false;
+            source.resumeReads();
+        }
+    }
+
+    private void writable() {
+        flush();
+    }
+
+    /** Writes what it can now and the rest when the other side takes more. */
+    public void flush() {
+        if (closed || connection == null) {
+            return;
+        }
+        try {
+            while (!out.isEmpty()) {
+                if (out.writeTo(sink) == 0) {
+                    sink.resumeWrites();
+                    return;
+                }
+            }
+            sink.suspendWrites();
+        } catch (IOException e) {
+            LOG.debug("write: {}", e.getMessage());
+            // The owner is at work now and may have more to do with it: it is told later.
+            loop.later(this::broken);
+            return;
+        }
+        if (closeWhenFlushed) {
+            close();
+        }
+        handler.flushed(this);
+    }
+
+    /** Closes once all is written. */
+    public void closeWhenFlushed() {
+        closeWhenFlushed = true;
+        flush();
+    }
+
+    private void broken() {
+        if (!closed) {
+            close();
+            handler.broken(this);
+        }
+    }
+
+    /** Closes at once; nothing more is told of it. */
+    public void close() {
+        if (closed) {
+            return;
+        }
+        closed = true;
+        if (opening != null) {
+            opening.cancel();
+        }
+        IoUtils.safeClose(connection);
+        loop.closed(this);
+        onClose.run();
+    }
+}
--- /dev/null
+++ b/src/main/java/laneflow/net/LinkHandler.java
@@ -0,0 +1,22 @@
+package laneflow.net;
+
+/** What the owner of a connection is told. */
+public interface LinkHandler {
+    /** The connection is up; told of opened ones only. */
+    default void opened(Link link) {
+    }
+
+    /** It did not come up. */
+    default void notOpened(Link link) {
+    }
+
+    /** Bytes have come in; what is not taken from the ring stays there. */
+    void received(Link link);
+
+    /** All that was put into the outgoing ring is written, and the connection closed if that was asked. */
+    default void flushed(Link link) {
+    }
+
+    /** The other side has ended or broken it; it is closed already, and what it had sent was told before. */
+    void broken(Link link);
+}
--- /dev/null
+++ b/src/main/java/laneflow/net/Loop.java
@@ -0,0 +1,266 @@
+package laneflow.net;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.UnknownHostException;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Function;
+import laneflow.core.Clock;
+import laneflow.core.Deadlines;
+import laneflow.core.SlotTable;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+import org.xnio.IoFuture;
+import org.xnio.IoUtils;
+import org.xnio.OptionMap;
+import org.xnio.Options;
+import org.xnio.StreamConnection;
+import org.xnio.Xnio;
+import org.xnio.XnioExecutor;
+import org.xnio.XnioIoThread;
+import org.xnio.XnioWorker;
+import org.xnio.channels.AcceptingChannel;
+
+/**
+ * The one I/O thread: its turns, its clock, its table of connections, its deadlines. Everything the program
+ * owns is touched on this thread only, so nothing is locked.
+ */
+public final class Loop implements Clock {
+    private static final Logger LOG = LoggerFactory.getLogger(Loop.class);
+    /** Descriptors the virtual machine holds for itself: the jar, selectors, standard streams. */
+    private static final int OWN_DESCRIPTORS = 64;
+    private static final int BACKLOG = 512;
+
+    private final Deadlines deadlines = new Deadlines();
+    private final SlotTable<Link> links = new SlotTable<>();
+    private final XnioWorker worker;
+    private final XnioIoThread thread;
+    private final int maxLinks;
+    private final long origin;
+    private boolean inTurn;
+    private long now;
+    private long armedFor = Long.MAX_VALUE;
+    private XnioExecutor.Key armed;
+
+    /** A loop that holds no more descriptors than that, its own included. */
+    public Loop(int descriptors) throws IOException {
+        maxLinks = Math.max(16, descriptors - OWN_DESCRIPTORS);
+        worker = Xnio.getInstance().createWorker(OptionMap.builder()
+                .set(Options.WORKER_NAME, "loop")
+                .set(Options.WORKER_IO_THREADS, 1)
+                .set(Options.WORKER_TASK_CORE_THREADS, 1)
+                .set(Options.WORKER_TASK_MAX_THREADS, 1)
+                .getMap());
+        thread = worker.getIoThread();
+        origin = System.currentTimeMillis() * 1000 - System.nanoTime() / 1000;
+    }
+
+    @Override
+    public long micros() {
+        return now;
+    }
+
+    public Deadlines deadlines() {
+        return deadlines;
+    }
+
+    // ---- turns ----
+
+    /** Runs on the loop's thread as part of its present turn: the first one of a turn reads the clock. */
+    void turn(Runnable event) {
+        if (!inTurn) {
+            inTurn = true;
+            now = Math.max(now, origin + System.nanoTime() / 1000);
+            // Tasks run before the next wait for I/O: that is where this turn ends.
+            thread.execute(this::endTurn);
+        }
+        try {
+            event.run();
+        } catch (RuntimeException e) {
+            // A fault in the handling of one event must not take all other requests along.
+            LOG.error("event failed", e);
+        }
+    }
+
+    private void endTurn() {
+        inTurn = false;
+        long next = deadlines.next();
+        if (next < armedFor) {
+            if (armed != null) {
+                armed.remove();
+            }
+            armedFor = next;
+            long delay = Math.max(0, next - (origin + System.nanoTime() / 1000));
+            armed = thread.executeAfter(this::due, delay, TimeUnit.MICROSECONDS);
+        }
+    }
+
+    private void due() {
+        armedFor = Long.MAX_VALUE;
+        armed = null;
+        turn(() -> deadlines.runDue(now));
+    }
+
+    /** Runs a call on the loop's thread, in a turn; from any thread. */
+    public void execute(Runnable call) {
+        thread.execute(() -> turn(call));
+    }
+
+    /** Runs a call soon, when what is at work now has come to its end. */
+    public void later(Runnable call) {
+        thread.execute(() -> turn(call));
+    }
+
+    /** Runs a call on the loop's thread and waits for it. */
+    public void call(Runnable call) throws InterruptedException {
+        CountDownLatch done = new CountDownLatch(1);
+        thread.execute(() -> {
+            turn(call);
+            done.countDown();
+        });
+        done.await();
+    }
+
+    // ---- connections ----
+
+    /** An address in figures: there are no names to look up. */
+    public static InetSocketAddress address(String text) {
+        int colon = text.lastIndexOf(':');
+        String host = colon < 0 ? "" : text.substring(0, colon);
+        if (host.startsWith("[") && host.endsWith("]")) {
+            host = host.substring(1, host.length() - 1);
+        }
+        if (!host.matches("[0-9.]+|[0-9a-fA-F:.]+")) {
+            throw new IllegalArgumentException("'" + text + "' is not an address and port in figures");
+        }
+        try {
+            int port = Integer.parseInt(text.substring(colon + 1));
+            return new InetSocketAddress(InetAddress.getByName(host), port);
+        } catch (UnknownHostException | NumberFormatException e) {
+            throw new IllegalArgumentException("'" + text + "' is not an address and port in figures");
+        }
+    }
+
+    /** A listening socket. */
+    public final class Listener {
+        private final AcceptingChannel<StreamConnection> channel;
+        private final Function<Listener, LinkHandler> handlers;
+        private final int inLimit;
+        private final int outLimit;
+        private boolean full;
+
+        private Listener(InetSocketAddress at, int inLimit, int outLimit,
+                Function<Listener, LinkHandler> handlers) throws IOException {
+            this.handlers = handlers;
+            this.inLimit = inLimit;
+            this.outLimit = outLimit;
+            channel = worker.createStreamConnectionServer(at, accepting -> turn(this::accept),
+                    OptionMap.builder().set(Options.TCP_NODELAY, true).set(Options.REUSE_ADDRESSES, true)
+                            .set(Options.BACKLOG, BACKLOG).getMap());
+            channel.resumeAccepts();
+        }
+
+        private void accept() {
+            try {
+                while (true) {
+                    if (links.size() >= maxLinks) {
+                        // Further clients wait in the backlog until a connection closes.
+                        full = true;
+                        channel.suspendAccepts();
+                        return;
+                    }
+                    StreamConnection connection = channel.accept();
+                    if (connection == null) {
+                        return;
+                    }
+                    Link[] link = new Link[1];
+                    LinkHandler handler = handlers.apply(this);
+                    link[0] = new Link(Loop.this, handler, inLimit, outLimit, true, this::room);
+                    link[0].handle(links.add(link[0]));
+                    link[0].attach(connection);
+                    handler.opened(link[0]);
+                }
+            } catch (IOException e) {
+                LOG.warn("accept: {}", e.getMessage());
+            }
+        }
+
+        private void room() {
+            if (full && channel.isOpen()) {
+                full = false;
+                channel.resumeAccepts();
+            }
+        }
+
+        public InetSocketAddress address() {
+            return channel.getLocalAddress(InetSocketAddress.class);
+        }
+
+        public void close() {
+            IoUtils.safeClose(channel);
+        }
+    }
+
+    /** Listens there; for each connection the function gives its handler. */
+    public Listener listen(InetSocketAddress at, int inLimit, int outLimit,
+            Function<Listener, LinkHandler> handlers) throws IOException {
+        return new Listener(at, inLimit, outLimit, handlers);
+    }
+
+    /** True if another connection may be opened. */
+    public boolean hasRoom() {
+        return links.size() < maxLinks;
+    }
+
+    /** Opens a connection; the handler hears when it is up, or that it did not come up. */
+    public Link connect(InetSocketAddress to, int inLimit, int outLimit, LinkHandler handler) {
+        Link link = new Link(this, handler, inLimit, outLimit, false, () -> { });
+        link.handle(links.add(link));
+        IoFuture<StreamConnection> future = thread.openStreamConnection(to, null,
+                OptionMap.create(Options.TCP_NODELAY, true));
+        link.opening(future);
+        future.addNotifier((done, none) -> later(() -> connected(link, handler, future)), null);
+        return link;
+    }
+
+    private void connected(Link link, LinkHandler handler, IoFuture<StreamConnection> future) {
+        boolean up = future.getStatus() == IoFuture.Status.DONE;
+        if (link.isClosed()) {
+            // Given up while it came up: nobody else would close it.
+            if (up) {
+                IoUtils.safeClose(result(future));
+            }
+        } else if (up) {
+            link.attach(result(future));
+            handler.opened(link);
+        } else {
+            link.close();
+            handler.notOpened(link);
+        }
+    }
+
+    private static StreamConnection result(IoFuture<StreamConnection> future) {
+        try {
+            return future.get();
+        } catch (IOException e) {
+            throw new IllegalStateException(e);
+        }
+    }
+
+    void closed(Link link) {
+        links.remove(link.handle());
+    }
+
+    public int links() {
+        return links.size();
+    }
+
+    /** Ends the thread and all connections. */
+    public void stop() throws InterruptedException {
+        call(() -> links.forEach(Link::close));
+        worker.shutdownNow();
+        worker.awaitTermination(5, TimeUnit.SECONDS);
+    }
+}
--- /dev/null
+++ b/src/main/java/laneflow/net/Ring.java
@@ -0,0 +1,137 @@
+package laneflow.net;
+
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import org.xnio.conduits.StreamSinkConduit;
+import org.xnio.conduits.StreamSourceConduit;
+
+/** A ring of bytes, one for each direction of a connection; it grows by doubling up to its limit. */
+public final class Ring {
+    private static final int FIRST = 2048;
+
+    private final int limit;
+    private byte[] bytes = new byte[FIRST];
+    private ByteBuffer view = ByteBuffer.wrap(bytes);
+    private int head;
+    private int size;
+
+    /** A ring that never holds more than this, a power of two. */
+    public Ring(int limit) {
+        if (Integer.bitCount(limit) != 1 || limit < FIRST) {
+            throw new IllegalArgumentException("limit " + limit);
+        }
+        this.limit = limit;
+    }
+
+    public int size() {
+        return size;
+    }
+
+    public boolean isEmpty() {
+        return size == 0;
+    }
+
+    public boolean isFull() {
+        return size == limit;
+    }
+
+    /** The byte that far behind the first one. */
+    public byte at(int offset) {
+        return bytes[head + offset & bytes.length - 1];
+    }
+
+    /** Where this byte first stands at or behind an offset, or -1. */
+    public int find(byte wanted, int from) {
+        for (int i = from; i < size; i++) {
+            if (at(i) == wanted) {
+                return i;
+            }
+        }
+        return -1;
+    }
+
+    /** Copies out the first bytes and drops them. */
+    public void take(byte[] to, int offset, int length) {
+        int first = Math.min(length, bytes.length - head);
+        System.arraycopy(bytes, head, to, offset, first);
+        System.arraycopy(bytes, 0, to, offset + first, length - first);
+        skip(length);
+    }
+
+    /** Drops the first bytes. */
+    public void skip(int length) {
+        if (length > size) {
+            throw new IllegalArgumentException(length + " of " + size);
+        }
+        head = head + length & bytes.length - 1;
+        size -= length;
+        if (size == 0) {
+            head = 0;
+            if (bytes.length > FIRST) {
+                // One large message must not keep its room for as long as the connection lives.
+                use(new byte[FIRST]);
+            }
+        }
+    }
+
+    /** Appends; false, with nothing appended, if it would go past the limit. */
+    public boolean put(byte[] from) {
+        return put(from, 0, from.length);
+    }
+
+    public boolean put(byte[] from, int offset, int length) {
+        if (size + length > limit) {
+            return false;
+        }
+        while (size + length > bytes.length) {
+            grow();
+        }
+        int tail = head + size & bytes.length - 1;
+        int first = Math.min(length, bytes.length - tail);
+        System.arraycopy(from, offset, bytes, tail, first);
+        System.arraycopy(from, offset + first, bytes, 0, length - first);
+        size += length;
+        return true;
+    }
+
+    /** Reads once from the conduit; what it returned, or 0 if there is no room. */
+    int readFrom(StreamSourceConduit conduit) throws IOException {
+        if (size == bytes.length && size < limit) {
+            grow();
+        }
+        int tail = head + size & bytes.length - 1;
+        int room = Math.min(bytes.length - size, bytes.length - tail);
+        if (room == 0) {
+            return 0;
+        }
+        view.clear().position(tail).limit(tail + room);
+        int got = conduit.read(view);
+        size += Math.max(0, got);
+        return got;
+    }
+
+    /** Writes once to the conduit; how many bytes it took. */
+    int writeTo(StreamSinkConduit conduit) throws IOException {
+        int length = Math.min(size, bytes.length - head);
+        view.clear().position(head).limit(head + length);
+        int put = conduit.write(view);
+        if (put > 0) {
+            skip(put);
+        }
+        return put;
+    }
+
+    private void grow() {
+        byte[] larger = new byte[bytes.length * 2];
+        int first = Math.min(size, bytes.length - head);
+        System.arraycopy(bytes, head, larger, 0, first);
+        System.arraycopy(bytes, 0, larger, first, size - first);
+        head = 0;
+        use(larger);
+    }
+
+    private void use(byte[] room) {
+        bytes = room;
+        view = ByteBuffer.wrap(bytes);
+    }
+}
--- /dev/null
+++ b/src/main/java/laneflow/wire/ReportFields.java
@@ -0,0 +1,24 @@
+package laneflow.wire;
+
+import laneflow.Dispatch.LoadReport;
+
+/** The names of a load report's values: the settings' own and those that site files use. */
+public final class ReportFields {
+    private ReportFields() {
+    }
+
+    /** Puts one value into the report; a name nobody knows is passed over. */
+    public static void put(LoadReport report, String field, double value) {
+        switch (field) {
+            case "x0": report.freeSlots = value; break;
+            case "x1": report.freeMemory = value; break;
+            case "q": case "queue": report.queue = value; break;
+            case "rif": case "inflight": report.inFlight = value; break;
+            case "busy": case "util": report.busy = value; break;
+            case "lat_ms": case "latency_ms": report.serviceTime = value / 1000; break;
+            case "rate": case "qps": report.rate = value; break;
+            case "fail_rate": case "eps": report.errorRate = value; break;
+            default: break;
+        }
+    }
+}
--- a/src/main/java/laneflow/wire/SettingsReader.java
+++ b/src/main/java/laneflow/wire/SettingsReader.java
@@ -14,10 +14,10 @@
 import laneflow.Dispatch.WeightSource;
 
 /** Reads the settings text into {@link Settings}: unknown keys are skipped, absent ones keep defaults. */
-final class SettingsReader {
+public final class SettingsReader {
     /** The settings, and the names of the report's values in their order. */
-    final Settings settings = new Settings();
-    final String[] reportFields;
+    public final Settings settings = new Settings();
+    public final String[] reportFields;
 
     private SettingsReader(JsonObject root) throws WireException {
         Settings s = settings;
@@ -48,7 +48,8 @@
         }
     }
 
-    static SettingsReader read(String text) throws WireException {
+    /** Reads them, or says what makes no sense. */
+    public static SettingsReader read(String text) throws WireException {
         try {
             JsonElement root = JsonParser.parseString(text);
             if (!root.isJsonObject()) {
--- a/src/main/java/laneflow/wire/WireHost.java
+++ b/src/main/java/laneflow/wire/WireHost.java
@@ -220,26 +220,12 @@
         for (int i = 0; i < n; i++) {
             double value = record.f32();
             if (i < fields.length) {
-                put(fields[i], value);
+                ReportFields.put(report, fields[i], value);
             }
         }
         return report;
     }
 
-    private void put(String field, double value) {
-        switch (field) {
-            case "x0": report.freeSlots = value; break;
-            case "x1": report.freeMemory = value; break;
-            case "q": report.queue = value; break;
-            case "rif": report.inFlight = value; break;
-            case "busy": report.busy = value; break;
-            case "lat_ms": report.serviceTime = value / 1000; break;
-            case "rate": report.rate = value; break;
-            case "fail_rate": report.errorRate = value; break;
-            default: break;
-        }
-    }
-
     /** A list's entries, in objects that are reused when its number comes again. */
     private void readList() throws WireException {
         int number = record.u8();
