--- a/src/main/java/laneflow/Dispatch.java
+++ b/src/main/java/laneflow/Dispatch.java
@@ -152,6 +152,8 @@
         public double weight = 1;
         /** When it last started; 0: long ago. */
         public double startedAt;
+        /** The classes it can run, a bit each; all where nobody says. */
+        public long classes = -1;
     }
 
     /** A client's request. */
--- a/src/main/java/laneflow/Job.java
+++ b/src/main/java/laneflow/Job.java
@@ -8,6 +8,8 @@
 final class Job {
     long id;
     JobClass type;
+    /** Its class as a bit of {@link Dispatch.Worker#classes}. */
+    long classBit;
     double arrivedAt;
     double lastCall;
     double hint;
--- a/src/main/java/laneflow/Logic.java
+++ b/src/main/java/laneflow/Logic.java
@@ -319,7 +319,7 @@
     }
 
     private static boolean runs(View view, Job job) {
-        return job.type.kind < 0 || job.type.kind == view.kind;
+        return (job.type.kind < 0 || job.type.kind == view.kind) && (view.classes & job.classBit) != 0;
     }
 
     /** A job that runs anywhere spares the kinds that some class depends on, while others have room. */
@@ -717,6 +717,7 @@
         view.peers = kindOf(entry);
         view.crowd = crowds.computeIfAbsent((long) entry.kind << 32 | entry.zone, key -> new Crowd());
         view.cell = entry.cell;
+        view.classes = entry.classes;
         view.startedAt = Math.max(view.startedAt, entry.startedAt);
         view.warmAt = view.startedAt > 0 ? view.startedAt + settings.coldFor : Double.NEGATIVE_INFINITY;
         if (entry.state != view.state) {
@@ -827,6 +828,7 @@
         Job job = jobs.open(request.id);
         double call = request.deadline - LAST_CALL_TICKS * settings.tick;
         job.open(request, settings.classes[request.jobClass], now, call, hint);
+        job.classBit = 1L << request.jobClass;
         return job;
     }
 
@@ -864,6 +866,7 @@
         private int kind;
         private Kind peers;
         private int cell;
+        private long classes;
         private State state;
         private double startedAt;
         private double warmAt;
--- a/src/main/java/laneflow/Main.java
+++ b/src/main/java/laneflow/Main.java
@@ -13,7 +13,7 @@
  * standard input and output.
  */
 public final class Main {
-    private static final String USAGE = "usage: java -jar laneflow.jar serve | benchlink";
+    private static final String USAGE = "usage: java -jar laneflow.jar serve [--gearman FILE] | benchlink";
 
     private Main() {
     }
@@ -26,12 +26,8 @@
             if (args.length == 1 && args[0].equals("benchlink")) {
                 FileInputStream in = new FileInputStream(FileDescriptor.in);
                 new WireHost(in, new FileOutputStream(FileDescriptor.out)).run();
-            } else if (args.length == 1 && args[0].equals("serve")) {
-                String config = System.getenv("ROUTER_CONFIG");
-                if (config == null) {
-                    fail("ROUTER_CONFIG names no configuration", 2);
-                }
-                Serve.run(Path.of(config));
+            } else if (args.length >= 1 && args[0].equals("serve")) {
+                serve(args);
             } else {
                 fail(USAGE, 2);
             }
@@ -42,6 +38,22 @@
         }
     }
 
+    private static void serve(String[] args) throws IOException, WireException, InterruptedException {
+        String config = System.getenv("ROUTER_CONFIG");
+        Path gearman = null;
+        for (int i = 1; i < args.length; i += 2) {
+            if (args[i].equals("--gearman") && i + 1 < args.length) {
+                gearman = Path.of(args[i + 1]);
+            } else {
+                fail(USAGE, 2);
+            }
+        }
+        if (config == null) {
+            fail("ROUTER_CONFIG names no configuration", 2);
+        }
+        Serve.run(Path.of(config), gearman);
+    }
+
     private static void fail(String message, int status) {
         System.err.println(message);
         System.exit(status);
--- a/src/main/java/laneflow/Serve.java
+++ b/src/main/java/laneflow/Serve.java
@@ -2,10 +2,13 @@
 
 import java.io.IOException;
 import java.nio.file.Path;
+import java.util.List;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import laneflow.core.Counters;
 import laneflow.core.Scheduler;
+import laneflow.gearman.GearmanConfig;
+import laneflow.gearman.GearmanFront;
 import laneflow.http.Config;
 import laneflow.http.DiscoveryWatch;
 import laneflow.http.HttpCarrier;
@@ -29,11 +32,13 @@
     private final Counters counters = new Counters();
     private final Scheduler scheduler;
     private final HttpFront front;
+    /** Null where the Gearman front is off. */
+    private final GearmanFront gearman;
     private final CountDownLatch drained = new CountDownLatch(1);
     private boolean stopping;
 
-    /** Starts to serve; returns once clients are let in. */
-    public Serve(Config config) throws IOException, InterruptedException {
+    /** Starts to serve; returns once clients are let in. The Gearman file may be null: that front is off. */
+    public Serve(Config config, GearmanConfig gearmanConfig) throws IOException, InterruptedException {
         loop = new Loop(config.sockets);
         scheduler = new Scheduler(config.settings, config.seed, loop, loop.deadlines(), counters);
         HttpCarrier carrier = new HttpCarrier(loop, scheduler, config.connIdle);
@@ -45,11 +50,21 @@
             }
         });
         front.listen(Loop.address(config.listen));
+        if (gearmanConfig != null) {
+            gearman = new GearmanFront(loop, scheduler, gearmanConfig, config.seed);
+            gearman.listen(Loop.address(gearmanConfig.listen));
+        } else {
+            gearman = null;
+        }
     }
 
     /** Runs the command until a signal ends it. */
-    static void run(Path config) throws IOException, WireException, InterruptedException {
-        Serve serve = new Serve(Config.read(config));
+    static void run(Path configFile, Path gearmanFile)
+            throws IOException, WireException, InterruptedException {
+        Config config = Config.read(configFile);
+        GearmanConfig gearman = gearmanFile == null ? null : GearmanConfig.read(gearmanFile, config.settings,
+                List.of(config.classNames), config.zones);
+        Serve serve = new Serve(config, gearman);
         // The machine ends when its hooks have returned: this one waits until all that was taken is answered.
         Runtime.getRuntime().addShutdownHook(new Thread(serve::stop, "drain"));
         serve.drained.await();
@@ -59,6 +74,10 @@
         return front;
     }
 
+    public GearmanFront gearman() {
+        return gearman;
+    }
+
     public Loop loop() {
         return loop;
     }
@@ -90,13 +109,17 @@
         stopping = true;
         LOG.info("stopping, {} open", scheduler.open());
         front.drain();
+        if (gearman != null) {
+            gearman.drain();
+            loop.deadlines().at(loop.micros() + ACCEPT_ON, gearman::stopAccepting);
+        }
         long now = loop.micros();
         loop.deadlines().at(now + ACCEPT_ON, front::stopAccepting);
         loop.deadlines().at(now + STAY_ON, this::drainedYet);
     }
 
     private void drainedYet() {
-        if (scheduler.open() == 0 && front.busy() == 0) {
+        if (scheduler.open() == 0 && front.busy() == 0 && (gearman == null || gearman.busy() == 0)) {
             drained.countDown();
         } else {
             loop.deadlines().at(loop.micros() + LOOK_AGAIN, this::drainedYet);
--- a/src/main/java/laneflow/core/DestinationSet.java
+++ b/src/main/java/laneflow/core/DestinationSet.java
@@ -81,6 +81,7 @@
         worker.weight = endpoint.weight;
         worker.startedAt = Clock.seconds(endpoint.startedAt);
         worker.state = state;
+        worker.classes = endpoint.classes;
         return worker;
     }
 
--- a/src/main/java/laneflow/core/Front.java
+++ b/src/main/java/laneflow/core/Front.java
@@ -14,6 +14,10 @@
     /** Not served, and it may have had its effect. */
     void failed(long tag);
 
+    /** An endpoint has started on it. */
+    default void started(long tag) {
+    }
+
     /** An endpoint's word on how much is done. */
     default void progress(long tag, long done, long of) {
     }
--- a/src/main/java/laneflow/core/Scheduler.java
+++ b/src/main/java/laneflow/core/Scheduler.java
@@ -153,6 +153,9 @@
     /** The endpoint has started on it. */
     public void started(OutboundCall call) {
         note(call, Note.STARTED, 0);
+        if (!call.request.answered) {
+            call.request.front.started(call.request.tag);
+        }
     }
 
     /** The endpoint has done a part of it. */
--- /dev/null
+++ b/src/main/java/laneflow/gearman/GearmanFront.java
@@ -0,0 +1,285 @@
+package laneflow.gearman;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.SplittableRandom;
+import laneflow.Dispatch.Effect;
+import laneflow.core.Front;
+import laneflow.core.Payload;
+import laneflow.core.Request;
+import laneflow.core.Scheduler;
+import laneflow.core.SlotTable;
+import laneflow.net.Loop;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * The Gearman front: its clients' jobs are requests of the core like any other, and its workers are endpoints
+ * that the core may send any front's requests to.
+ */
+public final class GearmanFront implements Front {
+    private static final Logger LOG = LoggerFactory.getLogger(GearmanFront.class);
+    /** A packet of the greatest size must fit whole. */
+    private static final int IN_RING = 128 * 1024;
+    private static final int OUT_RING = 1 << 20;
+    private static final int MOST_DATA = 64 * 1024;
+
+    final Loop loop;
+    final Scheduler scheduler;
+    final GearmanConfig config;
+    final GearmanCarrier carrier;
+    private final SplittableRandom random;
+    private final SlotTable<Peer> peers = new SlotTable<>();
+    private final SlotTable<Job> jobs = new SlotTable<>();
+    private final Map<String, Long> byHandle = new HashMap<>();
+    private final Map<String, Job> byUnique = new HashMap<>();
+    private Loop.Listener listener;
+    private boolean draining;
+    private long handles;
+
+    public GearmanFront(Loop loop, Scheduler scheduler, GearmanConfig config, long seed) {
+        this.loop = loop;
+        this.scheduler = scheduler;
+        this.config = config;
+        random = new SplittableRandom(seed);
+        carrier = new GearmanCarrier(this);
+    }
+
+    public void listen(InetSocketAddress at) throws IOException {
+        listener = loop.listen(at, IN_RING, OUT_RING, from -> new Peer(this));
+        LOG.info("Gearman clients and workers at {}", listener.address());
+    }
+
+    public InetSocketAddress address() {
+        return listener.address();
+    }
+
+    /** Takes no further jobs; those taken are still answered. */
+    public void drain() {
+        draining = true;
+    }
+
+    /** Lets nobody in any more. */
+    public void stopAccepting() {
+        draining = true;
+        listener.close();
+    }
+
+    /** Connections with answers not written yet. */
+    public int busy() {
+        int[] busy = new int[1];
+        peers.forEach(peer -> busy[0] += peer.isWritten() ? 0 : 1);
+        return busy[0];
+    }
+
+    long add(Peer peer) {
+        return peers.add(peer);
+    }
+
+    void remove(Peer peer, long slot) {
+        peers.remove(slot);
+        jobs.forEach(job -> leave(job, peer));
+    }
+
+    /** A client that leaves withdraws what nobody else waits for. */
+    private void leave(Job job, Peer peer) {
+        if (job.clients.remove(peer) && job.clients.isEmpty() && !job.background) {
+            end(job);
+            scheduler.withdraw(job.request);
+        }
+    }
+
+    // ---- clients ----
+
+    void submit(Peer client, int type, String name, String unique, byte[] data) {
+        GearmanConfig.Function function = config.functions.get(name);
+        if (function == null) {
+            scheduler.counters().add("gearman.bad_request");
+            client.error("UNKNOWN_FUNCTION", "no function of that name is mapped here");
+            return;
+        }
+        if (data.length > MOST_DATA) {
+            scheduler.counters().add("gearman.bad_request");
+            client.error("TOO_LARGE", "a job holds 64 KiB at most");
+            return;
+        }
+        if (draining) {
+            client.error("SHUTTING_DOWN", "no further jobs are taken");
+            return;
+        }
+        boolean background = type == Packet.SUBMIT_JOB_BG || type == Packet.SUBMIT_JOB_HIGH_BG
+                || type == Packet.SUBMIT_JOB_LOW_BG;
+        Job same = unique.isEmpty() ? null : byUnique.get(name + '\0' + unique);
+        if (same != null) {
+            // The same job again, while it is at work: one run answers all who asked for it.
+            client.send(Packet.JOB_CREATED, same.handle);
+            if (!background) {
+                same.clients.add(client);
+            }
+            return;
+        }
+        Job job = new Job("H:laneflow:" + ++handles, function, unique, background);
+        if (!background) {
+            job.clients.add(client);
+        }
+        long slot = jobs.add(job);
+        byHandle.put(job.handle, slot);
+        if (!unique.isEmpty()) {
+            byUnique.put(name + '\0' + unique, job);
+        }
+        // Before the core hears of it: its answer may come at once and must not overtake this.
+        client.send(Packet.JOB_CREATED, job.handle);
+        job.request = request(job, slot, data);
+        job.request.urgency = type == Packet.SUBMIT_JOB_HIGH || type == Packet.SUBMIT_JOB_HIGH_BG ? 1
+                : type == Packet.SUBMIT_JOB_LOW || type == Packet.SUBMIT_JOB_LOW_BG ? -1 : 0;
+        scheduler.submit(job.request);
+    }
+
+    /** The job in the words of the platform's wire too: an HTTP endpoint may be the one to run it. */
+    private Request request(Job job, long slot, byte[] data) {
+        GearmanConfig.Function function = job.function;
+        String id = hex(random.nextLong());
+        boolean keyed = scheduler.settings().classes[function.jobClass()].effect == Effect.KEYED;
+        String repeatKey = !keyed ? null : job.unique.matches("[!-~]{1,128}") ? job.unique : id;
+        long key = job.unique.isEmpty() ? 0 : hash(job.unique);
+        String target = "/" + config.className(function) + (key == 0 ? "" : "?key=" + hex(key));
+        Payload payload = new Payload("POST", target, id, repeatKey, data);
+        Request request = new Request(this, slot, payload, function.jobClass(),
+                loop.micros() + function.deadline());
+        request.hint = function.hint();
+        request.slots = function.slots();
+        request.key = key;
+        return request;
+    }
+
+    private static long hash(String text) {
+        long hash = 0xcbf29ce484222325L;
+        for (byte b : text.getBytes(StandardCharsets.UTF_8)) {
+            hash = (hash ^ b & 0xff) * 0x100000001b3L;
+        }
+        return hash;
+    }
+
+    private static String hex(long number) {
+        return String.format("%016x", number);
+    }
+
+    void status(Peer client, String handle) {
+        Long slot = byHandle.get(handle);
+        Job job = slot == null ? null : jobs.get(slot);
+        client.send(Packet.STATUS_RES, handle, job == null ? 0 : 1, job != null && job.running ? 1 : 0,
+                job == null ? 0 : job.done, job == null ? 0 : job.of);
+    }
+
+    /** The job that a request of this front stands for, or null. */
+    Job job(Request request) {
+        return request.front == this ? jobs.get(request.tag) : null;
+    }
+
+    // ---- answers ----
+
+    @Override
+    public String name() {
+        return "gearman";
+    }
+
+    @Override
+    public void served(long tag, byte[] result) {
+        Job job = jobs.get(tag);
+        for (Peer client : ended(job)) {
+            client.send(Packet.WORK_COMPLETE, job.handle, result);
+        }
+    }
+
+    /** The protocol has one word for both: a client can't be told when to come back. */
+    @Override
+    public void failFast(long tag, double retryAfter) {
+        failed(tag);
+    }
+
+    @Override
+    public void failed(long tag) {
+        Job job = jobs.get(tag);
+        for (Peer client : ended(job)) {
+            if (job.exception != null && client.wantsExceptions) {
+                client.send(Packet.WORK_EXCEPTION, job.handle, job.exception);
+            }
+            client.send(Packet.WORK_FAIL, job.handle);
+        }
+    }
+
+    @Override
+    public void started(long tag) {
+        Job job = jobs.get(tag);
+        if (job != null) {
+            job.running = true;
+        }
+    }
+
+    @Override
+    public void progress(long tag, long done, long of) {
+        Job job = jobs.get(tag);
+        if (job != null) {
+            job.done = done;
+            job.of = of;
+            for (Peer client : new ArrayList<>(job.clients)) {
+                client.send(Packet.WORK_STATUS, job.handle, done, of);
+            }
+        }
+    }
+
+    private List<Peer> ended(Job job) {
+        List<Peer> clients = job == null ? List.of() : new ArrayList<>(job.clients);
+        if (job != null) {
+            end(job);
+        }
+        return clients;
+    }
+
+    private void end(Job job) {
+        job.clients.clear();
+        jobs.remove(byHandle.remove(job.handle));
+        byUnique.remove(job.function.name() + '\0' + job.unique, job);
+    }
+
+    // ---- admin ----
+
+    /** Answers one line of the text protocol. */
+    String admin(String line) {
+        switch (line.strip()) {
+            case "status":
+                return functions() + ".\n";
+            case "workers":
+                StringBuilder all = new StringBuilder();
+                peers.forEach(peer -> all.append(peer.describe()));
+                return all + ".\n";
+            case "version":
+                String version = GearmanFront.class.getPackage().getImplementationVersion();
+                return "OK " + (version == null ? "laneflow" : version) + "\n";
+            default:
+                return "ERR UNKNOWN_COMMAND Unknown+server+command\n";
+        }
+    }
+
+    private String functions() {
+        StringBuilder all = new StringBuilder();
+        for (String name : config.functions.keySet()) {
+            int[] count = new int[3];
+            jobs.forEach(job -> {
+                if (job.function.name().equals(name)) {
+                    count[0]++;
+                    count[1] += job.running ? 1 : 0;
+                }
+            });
+            peers.forEach(peer -> count[2] += peer.worker.can(name) ? 1 : 0);
+            all.append(name).append('\t').append(count[0]).append('\t').append(count[1]).append('\t')
+                    .append(count[2]).append('\n');
+        }
+        return all.toString();
+    }
+}
--- /dev/null
+++ b/src/main/java/laneflow/gearman/Peer.java
@@ -0,0 +1,190 @@
+package laneflow.gearman;
+
+import java.nio.charset.StandardCharsets;
+import laneflow.net.Link;
+import laneflow.net.LinkHandler;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** One connection of the Gearman front: a client, a worker, an operator at the text protocol, or all. */
+final class Peer implements LinkHandler {
+    private static final Logger LOG = LoggerFactory.getLogger(Peer.class);
+    private static final int MOST_LINE = 1024;
+
+    private final GearmanFront front;
+    private Link link;
+    private long slot;
+    private String clientId = "-";
+    Worker worker;
+    boolean wantsExceptions;
+
+    Peer(GearmanFront front) {
+        this.front = front;
+    }
+
+    @Override
+    public void opened(Link up) {
+        link = up;
+        slot = front.add(this);
+        worker = new Worker(front, this, "gearman-" + Long.toHexString(slot));
+    }
+
+    boolean isWritten() {
+        return link.out.isEmpty();
+    }
+
+    void send(int type, Object... arguments) {
+        if (link.isClosed()) {
+            return;
+        }
+        if (!link.out.put(Packet.response(type, arguments))) {
+            // It does not read what it asked for: its answers must not fill the memory.
+            LOG.warn("{} does not read its answers", clientId);
+            front.scheduler.counters().add("gearman.slow_reader");
+            link.close();
+            front.loop.later(() -> broken(link));
+            return;
+        }
+        link.flush();
+    }
+
+    void error(String code, String text) {
+        send(Packet.ERROR, code, text);
+    }
+
+    /** Its line in the answer to 'workers'; nothing if it is none. */
+    String describe() {
+        return worker.isWorker() ? link.handle() + " - " + clientId + " : " + worker.functions() + "\n" : "";
+    }
+
+    @Override
+    public void received(Link from) {
+        try {
+            while (!link.in.isEmpty() && !link.isClosed()) {
+                if (link.in.at(0) != 0) {
+                    if (!line()) {
+                        return;
+                    }
+                    continue;
+                }
+                Packet packet = Packet.read(link.in);
+                if (packet == null) {
+                    return;
+                }
+                take(packet);
+            }
+        } catch (Packet.Malformed e) {
+            // Where the next packet begins is not known any more.
+            front.scheduler.counters().add("gearman.malformed");
+            LOG.debug("{}: {}", clientId, e.getMessage());
+            error("MALFORMED", e.getMessage());
+            link.holdReads();
+            link.closeWhenFlushed();
+            front.loop.later(() -> broken(link));
+        }
+    }
+
+    private boolean line() throws Packet.Malformed {
+        int end = link.in.find((byte) '\n', 0);
+        if (end < 0) {
+            if (link.in.size() > MOST_LINE) {
+                throw new Packet.Malformed("neither a packet nor a line");
+            }
+            return false;
+        }
+        byte[] line = new byte[end + 1];
+        link.in.take(line, 0, line.length);
+        String answer = front.admin(new String(line, StandardCharsets.UTF_8));
+        link.out.put(answer.getBytes(StandardCharsets.UTF_8));
+        link.flush();
+        return true;
+    }
+
+    private void take(Packet packet) throws Packet.Malformed {
+        byte[][] args;
+        switch (packet.type) {
+            case Packet.SUBMIT_JOB:
+            case Packet.SUBMIT_JOB_BG:
+            case Packet.SUBMIT_JOB_HIGH:
+            case Packet.SUBMIT_JOB_HIGH_BG:
+            case Packet.SUBMIT_JOB_LOW:
+            case Packet.SUBMIT_JOB_LOW_BG:
+                args = packet.arguments(3);
+                front.submit(this, packet.type, Packet.text(args[0]), Packet.text(args[1]), args[2]);
+                break;
+            case Packet.GET_STATUS:
+                front.status(this, Packet.text(packet.data()));
+                break;
+            case Packet.ECHO_REQ:
+                send(Packet.ECHO_RES, (Object) packet.data());
+                break;
+            case Packet.OPTION_REQ:
+                option(Packet.text(packet.data()));
+                break;
+            case Packet.SET_CLIENT_ID:
+                clientId = Packet.text(packet.data()).replaceAll("\\s", "_");
+                break;
+            case Packet.CAN_DO:
+                worker.canDo(Packet.text(packet.data()), 0);
+                break;
+            case Packet.CAN_DO_TIMEOUT:
+                args = packet.arguments(2);
+                if (!Packet.text(args[1]).matches("[0-9]{1,6}")) {
+                    throw new Packet.Malformed("a time-out that is no number of seconds");
+                }
+                worker.canDo(Packet.text(args[0]), Integer.parseInt(Packet.text(args[1])));
+                break;
+            case Packet.CANT_DO:
+                worker.cantDo(Packet.text(packet.data()));
+                break;
+            case Packet.RESET_ABILITIES:
+                worker.reset();
+                break;
+            case Packet.PRE_SLEEP:
+                worker.preSleep();
+                break;
+            case Packet.GRAB_JOB:
+                worker.grab(false);
+                break;
+            case Packet.GRAB_JOB_UNIQ:
+                worker.grab(true);
+                break;
+            case Packet.WORK_STATUS:
+            case Packet.WORK_DATA:
+            case Packet.WORK_WARNING:
+            case Packet.WORK_COMPLETE:
+            case Packet.WORK_EXCEPTION:
+                args = packet.arguments(2);
+                work(packet.type, args[0], args[1]);
+                break;
+            case Packet.WORK_FAIL:
+                work(packet.type, packet.data(), new byte[0]);
+                break;
+            default:
+                front.scheduler.counters().add("gearman.unsupported");
+                error("UNSUPPORTED", "packet type " + packet.type + " is not served here");
+                break;
+        }
+    }
+
+    private void option(String name) {
+        if (name.equals("exceptions")) {
+            wantsExceptions = true;
+            send(Packet.OPTION_RES, name);
+        } else {
+            error("UNKNOWN_OPTION", "option '" + name + "' is unknown");
+        }
+    }
+
+    private void work(int type, byte[] handle, byte[] said) throws Packet.Malformed {
+        if (!worker.work(type, Packet.text(handle), said)) {
+            error("JOB_NOT_FOUND", "this worker has no such job");
+        }
+    }
+
+    @Override
+    public void broken(Link gone) {
+        worker.gone();
+        front.remove(this, slot);
+    }
+}
--- /dev/null
+++ b/src/main/java/laneflow/gearman/Worker.java
@@ -0,0 +1,307 @@
+package laneflow.gearman;
+
+import java.io.ByteArrayOutputStream;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import laneflow.Dispatch.LoadReport;
+import laneflow.Dispatch.Outcome;
+import laneflow.Dispatch.State;
+import laneflow.core.Deadlines.Deadline;
+import laneflow.core.DestinationSet.Entry;
+import laneflow.core.Endpoint;
+import laneflow.core.OutboundCall;
+import laneflow.core.Scheduler;
+
+/** The worker's side of a connection: an endpoint with one slot, from its first ability to its leaving. */
+final class Worker {
+    /** The longest result taken, all its parts together. */
+    private static final int MOST_RESULT = 512 * 1024;
+
+    private final GearmanFront front;
+    private final Scheduler scheduler;
+    private final Peer peer;
+    private final String name;
+    /** Functions and their time limits in seconds, 0 for none. */
+    private final Map<String, Integer> abilities = new LinkedHashMap<>();
+    /** Calls that wait to be grabbed. */
+    private final List<OutboundCall> queue = new ArrayList<>();
+    private final ByteArrayOutputStream data = new ByteArrayOutputStream();
+    private final Deadline limit;
+    private final Deadline grace;
+    private boolean listed;
+    private boolean asleep;
+    /** The handle of the job at work, also once nobody waits for it any more; null if there is none. */
+    private String handle;
+    private String lastHandle = "";
+    private OutboundCall call;
+
+    Worker(GearmanFront front, Peer peer, String name) {
+        this.front = front;
+        this.scheduler = front.scheduler;
+        this.peer = peer;
+        this.name = name;
+        limit = front.loop.deadlines().create(() -> finish(Outcome.TIMEOUT, null));
+        grace = front.loop.deadlines().create(() -> handBack(true));
+    }
+
+    boolean can(String function) {
+        return abilities.containsKey(function);
+    }
+
+    boolean isWorker() {
+        return listed;
+    }
+
+    String functions() {
+        return String.join(" ", abilities.keySet());
+    }
+
+    // ---- abilities ----
+
+    void canDo(String function, int seconds) {
+        // A function that no class stands for is never asked of it.
+        if (front.config.functions.containsKey(function)) {
+            abilities.put(function, seconds);
+            front.loop.deadlines().cancel(grace);
+            list();
+        }
+    }
+
+    void cantDo(String function) {
+        if (abilities.remove(function) != null) {
+            list();
+            if (abilities.isEmpty()) {
+                drains();
+            } else {
+                handBack(false);
+            }
+        }
+    }
+
+    void reset() {
+        abilities.clear();
+        if (listed) {
+            list();
+            drains();
+        }
+    }
+
+    /**
+     * Without abilities it drains. Clients of the protocol reset before they name their abilities anew: what
+     * waits here is given back only when the grace is over, and until then only a named function is assigned.
+     */
+    private void drains() {
+        long within = (long) (scheduler.settings().drainGrace * 1e6);
+        front.loop.deadlines().set(grace, front.loop.micros() + within);
+    }
+
+    private void list() {
+        if (!listed) {
+            listed = true;
+            front.carrier.add(name, this);
+        }
+        Entry entry = new Entry();
+        entry.name = name;
+        entry.zone = front.config.zone;
+        entry.kind = -1;
+        entry.state = abilities.isEmpty() ? State.DRAINING : State.READY;
+        entry.classes = 0;
+        for (String function : abilities.keySet()) {
+            entry.classes |= 1L << front.config.functions.get(function).jobClass();
+        }
+        scheduler.list(front.carrier, false, List.of(entry));
+    }
+
+    private void handBack(boolean all) {
+        for (OutboundCall waiting : new ArrayList<>(queue)) {
+            if (queue.contains(waiting) && (all || function(waiting) == null)) {
+                queue.remove(waiting);
+                scheduler.ended(waiting, Outcome.MOOT, null, report());
+            }
+        }
+    }
+
+    // ---- calls ----
+
+    /** The function under which it can run the call's request, or null. */
+    private String function(OutboundCall of) {
+        Job job = front.job(of.request);
+        if (job != null) {
+            return can(job.function.name()) ? job.function.name() : null;
+        }
+        for (String function : abilities.keySet()) {
+            if (front.config.functions.get(function).jobClass() == of.request.jobClass) {
+                return function;
+            }
+        }
+        return null;
+    }
+
+    void offer(OutboundCall offered) {
+        if (function(offered) == null) {
+            // Another function of the same class: it was never sent, and another worker may have it.
+            front.loop.later(() -> scheduler.ended(offered, Outcome.MOOT, null, null));
+            return;
+        }
+        int at = queue.size();
+        while (at > 0 && queue.get(at - 1).request.urgency < offered.request.urgency) {
+            at--;
+        }
+        queue.add(at, offered);
+        if (asleep) {
+            asleep = false;
+            peer.send(Packet.NOOP);
+        }
+    }
+
+    /** Nobody waits for this call any more; what has been assigned runs on, unheard. */
+    void drop(OutboundCall given) {
+        queue.remove(given);
+        if (call == given) {
+            call = null;
+            front.loop.deadlines().cancel(limit);
+        }
+    }
+
+    void preSleep() {
+        asleep = queue.isEmpty();
+        if (!asleep) {
+            peer.send(Packet.NOOP);
+        }
+    }
+
+    void grab(boolean withUnique) {
+        asleep = false;
+        OutboundCall next = handle == null ? next() : null;
+        if (next == null) {
+            peer.send(Packet.NO_JOB);
+            return;
+        }
+        Job job = front.job(next.request);
+        String function = function(next);
+        call = next;
+        handle = job != null ? job.handle : "H:laneflow:c" + Long.toHexString(next.handle());
+        data.reset();
+        int seconds = abilities.get(function);
+        if (seconds > 0) {
+            front.loop.deadlines().set(limit, front.loop.micros() + seconds * 1_000_000L);
+        }
+        byte[] body = next.request.payload.body();
+        if (withUnique) {
+            String unique = job != null ? job.unique : next.request.payload.requestId();
+            peer.send(Packet.JOB_ASSIGN_UNIQ, handle, function, unique, body);
+        } else {
+            peer.send(Packet.JOB_ASSIGN, handle, function, body);
+        }
+        scheduler.started(next);
+    }
+
+    /** The first call waiting that it can run now, under the rule on drains. */
+    private OutboundCall next() {
+        for (OutboundCall waiting : queue) {
+            if (function(waiting) != null && scheduler.mayBegin(waiting)) {
+                queue.remove(waiting);
+                return waiting;
+            }
+        }
+        return null;
+    }
+
+    // ---- words on the job at work ----
+
+    /** False if it speaks of a job that it does not have. */
+    boolean work(int type, String of, byte[] said) throws Packet.Malformed {
+        if (!of.equals(handle)) {
+            // An exception ends a job here; the failure that libraries send behind it says nothing new.
+            return type == Packet.WORK_FAIL && of.equals(lastHandle);
+        }
+        switch (type) {
+            case Packet.WORK_STATUS:
+                status(said);
+                break;
+            case Packet.WORK_DATA:
+            case Packet.WORK_WARNING:
+                append(said);
+                break;
+            case Packet.WORK_COMPLETE:
+                append(said);
+                over(Outcome.OK);
+                break;
+            case Packet.WORK_EXCEPTION:
+                Job job = call == null ? null : front.job(call.request);
+                if (job != null) {
+                    job.exception = said;
+                }
+                over(Outcome.ERROR);
+                break;
+            default:
+                over(Outcome.ERROR);
+                break;
+        }
+        return true;
+    }
+
+    private void status(byte[] said) throws Packet.Malformed {
+        String[] parts = Packet.text(said).split("\0", 2);
+        if (parts.length < 2 || !parts[0].matches("[0-9]{1,15}") || !parts[1].matches("[0-9]{1,15}")) {
+            throw new Packet.Malformed("a status that is no part of a whole");
+        }
+        if (call != null) {
+            scheduler.progress(call, Long.parseLong(parts[0]), Long.parseLong(parts[1]));
+        }
+    }
+
+    private void append(byte[] said) {
+        if (call != null && data.size() + said.length > MOST_RESULT) {
+            finish(Outcome.ERROR, null);
+        } else if (call != null) {
+            data.writeBytes(said);
+        }
+    }
+
+    private void over(Outcome outcome) {
+        lastHandle = handle;
+        handle = null;
+        finish(outcome, outcome == Outcome.OK ? data.toByteArray() : null);
+    }
+
+    /** Tells how the call at work ended; the worker may be at it still. */
+    private void finish(Outcome outcome, byte[] result) {
+        front.loop.deadlines().cancel(limit);
+        OutboundCall ended = call;
+        call = null;
+        if (ended != null) {
+            scheduler.ended(ended, outcome, result, report());
+        }
+    }
+
+    /** What its connection shows of its load: it has one slot. */
+    private LoadReport report() {
+        LoadReport report = new LoadReport();
+        report.freeSlots = handle == null ? 1 : 0;
+        report.queue = queue.size();
+        return report;
+    }
+
+    /** Its connection has ended: what it was assigned it may have run, what waits for it never ran. */
+    void gone() {
+        front.loop.deadlines().cancel(grace);
+        if (!listed) {
+            return;
+        }
+        listed = false;
+        front.carrier.remove(name);
+        Endpoint endpoint = scheduler.destinations().get(name);
+        if (endpoint != null) {
+            scheduler.remove(endpoint);
+        }
+        handle = null;
+        finish(Outcome.RESET, null);
+        for (OutboundCall waiting : new ArrayList<>(queue)) {
+            queue.remove(waiting);
+            scheduler.ended(waiting, Outcome.CONNECT_FAILED, null, null);
+        }
+    }
+}
--- a/src/main/java/laneflow/http/Config.java
+++ b/src/main/java/laneflow/http/Config.java
@@ -32,7 +32,7 @@
     public final double connIdle;
     /** The destination set last held. */
     public final Listing known;
-    private final List<String> zones;
+    public final List<String> zones;
     private final List<String> kinds;
 
     /** A list in discovery's form. */
--- a/src/main/java/laneflow/net/Loop.java
+++ b/src/main/java/laneflow/net/Loop.java
@@ -259,6 +259,9 @@
 
     /** Ends the thread and all connections. */
     public void stop() throws InterruptedException {
+        if (worker.isShutdown()) {
+            return;
+        }
         call(() -> links.forEach(Link::close));
         worker.shutdownNow();
         worker.awaitTermination(5, TimeUnit.SECONDS);
--- /dev/null
+++ b/src/test/java/laneflow/gearman/GearmanStoryTest.java
@@ -0,0 +1,313 @@
+package laneflow.gearman;
+
+import static org.junit.jupiter.api.Assertions.assertArrayEquals;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import laneflow.net.Stand;
+import laneflow.net.Stand.Endpoint;
+import laneflow.net.Stand.Peer;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+
+/** Stories of the Gearman front, with stand-in clients and workers. */
+@Timeout(30)
+class GearmanStoryTest {
+    private static void send(Peer peer, int type, Object... args) throws IOException {
+        peer.write(Packet.request(type, args));
+    }
+
+    /** The next packet's arguments; it must be of this type. */
+    private static String[] expect(Peer peer, int type) throws IOException {
+        ByteBuffer head = ByteBuffer.wrap(peer.read(Packet.HEADER));
+        assertEquals(0x00524553, head.getInt());
+        int got = head.getInt();
+        String data = new String(peer.read(head.getInt()), StandardCharsets.UTF_8);
+        assertEquals(type, got, data);
+        return data.split("\0", -1);
+    }
+
+    /** A worker with these abilities, asleep. */
+    private static Peer worker(Stand stand, String... functions) throws IOException {
+        Peer worker = stand.gearman();
+        for (String function : functions) {
+            send(worker, Packet.CAN_DO, function);
+        }
+        send(worker, Packet.GRAB_JOB);
+        expect(worker, Packet.NO_JOB);
+        send(worker, Packet.PRE_SLEEP);
+        // Packets are taken in order: the echo comes when the worker is listed and asleep.
+        send(worker, Packet.ECHO_REQ, "there");
+        assertEquals("there", expect(worker, Packet.ECHO_RES)[0]);
+        return worker;
+    }
+
+    private static String[] grab(Peer worker) throws IOException {
+        expect(worker, Packet.NOOP);
+        send(worker, Packet.GRAB_JOB);
+        return expect(worker, Packet.JOB_ASSIGN);
+    }
+
+    private static String submit(Peer client, int type, String function, String unique, String data)
+            throws IOException {
+        send(client, type, function, unique, data);
+        return expect(client, Packet.JOB_CREATED)[0];
+    }
+
+    @Test
+    void aJobGoesTheWholeWayAndItsClientHearsOfIt() throws Exception {
+        try (Stand stand = new Stand(null); Peer client = stand.gearman()) {
+            Peer worker = worker(stand, "check");
+            String handle = submit(client, Packet.SUBMIT_JOB, "check", "u1", "basket\0of two");
+            expect(worker, Packet.NOOP);
+            send(worker, Packet.GRAB_JOB_UNIQ);
+            assertArrayEquals(new String[] {handle, "check", "u1", "basket", "of two"},
+                    expect(worker, Packet.JOB_ASSIGN_UNIQ));
+            send(worker, Packet.WORK_STATUS, handle, 1, 4);
+            assertArrayEquals(new String[] {handle, "1", "4"}, expect(client, Packet.WORK_STATUS));
+            send(client, Packet.GET_STATUS, handle);
+            assertArrayEquals(new String[] {handle, "1", "1", "1", "4"}, expect(client, Packet.STATUS_RES));
+            // The same unique while it runs joins it; both clients are answered.
+            Peer other = stand.gearman();
+            assertEquals(handle, submit(other, Packet.SUBMIT_JOB_HIGH, "check", "u1", "basket\0of two"));
+            send(worker, Packet.WORK_DATA, handle, "pri");
+            send(worker, Packet.WORK_COMPLETE, handle, "ced");
+            assertArrayEquals(new String[] {handle, "priced"}, expect(client, Packet.WORK_COMPLETE));
+            assertArrayEquals(new String[] {handle, "priced"}, expect(other, Packet.WORK_COMPLETE));
+            assertEquals(1, stand.counter("call.sent"));
+            send(client, Packet.GET_STATUS, handle);
+            assertEquals("0", expect(client, Packet.STATUS_RES)[1]);
+        }
+    }
+
+    @Test
+    void aWorkerThatVanishesMayHaveRunItsJob() throws Exception {
+        try (Stand stand = new Stand(null); Peer client = stand.gearman()) {
+            Peer first = worker(stand, "capture", "check");
+            String handle = submit(client, Packet.SUBMIT_JOB, "capture", "", "pay");
+            assertEquals(handle, grab(first)[0]);
+            Peer second = worker(stand, "capture", "check");
+            first.reset();
+            assertEquals(handle, expect(client, Packet.WORK_FAIL)[0]);
+            assertEquals(1, stand.counter("call.sent"));
+            // What is safe to repeat goes on to the other worker.
+            String again = submit(client, Packet.SUBMIT_JOB, "check", "", "");
+            assertEquals(again, grab(second)[0]);
+            Peer third = worker(stand, "check");
+            second.reset();
+            assertEquals(again, grab(third)[0]);
+            send(third, Packet.WORK_COMPLETE, again, "ok");
+            expect(client, Packet.WORK_COMPLETE);
+        }
+    }
+
+    @Test
+    void aJobThatWaitsAtAVanishedWorkerNeverRan() throws Exception {
+        try (Stand stand = new Stand(null); Peer client = stand.gearman()) {
+            Peer first = worker(stand, "capture");
+            String handle = submit(client, Packet.SUBMIT_JOB, "capture", "", "pay");
+            expect(first, Packet.NOOP);
+            Peer second = worker(stand, "capture");
+            first.reset();
+            assertEquals(handle, grab(second)[0]);
+            send(second, Packet.WORK_EXCEPTION, handle, "no funds");
+            send(second, Packet.WORK_FAIL, handle);
+            assertEquals(handle, expect(client, Packet.WORK_FAIL)[0]);
+            assertEquals(1, stand.counter("gearman.failed"));
+        }
+    }
+
+    @Test
+    void aClientThatLeavesWhileItsJobIsQueuedWithdrawsIt() throws Exception {
+        try (Stand stand = new Stand(null)) {
+            Peer worker = worker(stand, "capture");
+            Peer client = stand.gearman();
+            submit(client, Packet.SUBMIT_JOB, "capture", "", "pay");
+            expect(worker, Packet.NOOP);
+            client.close();
+            stand.await("gearman.withdrawn", 1);
+            send(worker, Packet.GRAB_JOB);
+            expect(worker, Packet.NO_JOB);
+            // A background job stays when its client has gone.
+            Peer leaving = stand.gearman();
+            send(worker, Packet.PRE_SLEEP);
+            submit(leaving, Packet.SUBMIT_JOB_BG, "capture", "", "pay");
+            leaving.close();
+            String[] job = grab(worker);
+            send(worker, Packet.WORK_COMPLETE, job[0], "");
+            stand.await("gearman.served", 1);
+        }
+    }
+
+    @Test
+    void aJobNobodyGrabsFailsByItsDeadline() throws Exception {
+        try (Stand stand = new Stand(null); Peer client = stand.gearman()) {
+            Peer worker = worker(stand, "hasty");
+            long from = System.nanoTime();
+            String handle = submit(client, Packet.SUBMIT_JOB, "hasty", "", "pay");
+            assertEquals(handle, expect(client, Packet.WORK_FAIL)[0]);
+            assertTrue(System.nanoTime() - from < 350_000_000L);
+            expect(worker, Packet.NOOP);
+            send(worker, Packet.GRAB_JOB);
+            expect(worker, Packet.NO_JOB);
+            // No worker at all: refused at once.
+            submit(client, Packet.SUBMIT_JOB, "check", "", "");
+            expect(client, Packet.WORK_FAIL);
+            assertEquals(1, stand.counter("gearman.refused"));
+        }
+    }
+
+    @Test
+    void aDrainingWorkerIsAssignedNothingAfterItsGrace() throws Exception {
+        try (Stand stand = new Stand(null); Peer client = stand.gearman()) {
+            Peer worker = worker(stand, "capture");
+            String handle = submit(client, Packet.SUBMIT_JOB, "capture", "", "pay");
+            expect(worker, Packet.NOOP);
+            long from = System.nanoTime();
+            send(worker, Packet.RESET_ABILITIES);
+            // Half a second later what waits there is given back unstarted, and nobody else has the ability.
+            assertEquals(handle, expect(client, Packet.WORK_FAIL)[0]);
+            assertTrue(System.nanoTime() - from > 400_000_000L);
+            send(worker, Packet.GRAB_JOB);
+            expect(worker, Packet.NO_JOB);
+            assertEquals(1, stand.counter("call.moot"));
+            // Abilities named anew within the grace, as libraries do at every start, lose nothing.
+            send(worker, Packet.CAN_DO, "capture");
+            send(worker, Packet.PRE_SLEEP);
+            send(worker, Packet.ECHO_REQ, "");
+            expect(worker, Packet.ECHO_RES);
+            String next = submit(client, Packet.SUBMIT_JOB, "capture", "", "pay");
+            expect(worker, Packet.NOOP);
+            send(worker, Packet.RESET_ABILITIES);
+            send(worker, Packet.CAN_DO_TIMEOUT, "capture", "1");
+            send(worker, Packet.GRAB_JOB);
+            assertEquals(next, expect(worker, Packet.JOB_ASSIGN)[0]);
+            // The worker's own time limit ends the wait, and the job may have run.
+            assertEquals(next, expect(client, Packet.WORK_FAIL)[0]);
+            assertEquals(1, stand.counter("call.timeout"));
+        }
+    }
+
+    @Test
+    void bothFrontsReachBothKindsOfEndpoints() throws Exception {
+        Endpoint endpoint = new Endpoint("e1");
+        try (Stand stand = new Stand(null, endpoint); Peer client = stand.gearman()) {
+            String handle = submit(client, Packet.SUBMIT_JOB, "post", "till-7", "points");
+            Peer call = endpoint.accept();
+            String sent = call.message();
+            assertTrue(sent.startsWith("POST /points-post?key=") && sent.endsWith("points"), sent);
+            assertTrue(sent.contains("Idempotency-Key: till-7\r\n"), sent);
+            String id = sent.substring(sent.indexOf("Req-Id: ") + 8, sent.indexOf("\r\nReq-Deadline"));
+            call.says("{'id':'" + id + "','state':'done','result':'posted'}");
+            assertArrayEquals(new String[] {handle, "posted"}, expect(client, Packet.WORK_COMPLETE));
+        }
+        try (Stand stand = new Stand(null); Peer client = stand.http()) {
+            Peer worker = worker(stand, "capture");
+            client.post("card-capture", "1", "", "pay");
+            String[] job = grab(worker);
+            assertEquals("pay", job[2]);
+            send(worker, Packet.WORK_COMPLETE, job[0], "paid");
+            assertTrue(client.message().endsWith("\r\n\r\npaid"));
+        }
+    }
+
+    /** One day in small, over either wire: the counts of what the rules speak of must be the same. */
+    @Test
+    void theSameDayOverBothWiresGivesTheSameCounts() throws Exception {
+        List<List<Long>> counts = new ArrayList<>();
+        for (boolean gearman : new boolean[] {true, false}) {
+            String front = gearman ? "gearman" : "http";
+            try (Stand stand = new Stand(null)) {
+                Peer one = ask(stand, gearman, "check", "basket-check");
+                one.close();
+                Peer worker = worker(stand, "check", "capture", "post");
+                Peer served = ask(stand, gearman, "capture", "card-capture");
+                send(worker, Packet.WORK_COMPLETE, grab(worker)[0], "");
+                stand.await(front + ".served", 1);
+                send(worker, Packet.PRE_SLEEP);
+                Peer failed = ask(stand, gearman, "post", "points-post");
+                send(worker, Packet.WORK_FAIL, grab(worker)[0]);
+                stand.await("call.error", 1);
+                Peer other = worker(stand, "capture");
+                Peer left = ask(stand, gearman, "capture", "card-capture");
+                expect(other, Packet.NOOP);
+                left.close();
+                stand.await(front + ".withdrawn", 1);
+                Peer lost = ask(stand, gearman, "capture", "card-capture");
+                send(other, Packet.GRAB_JOB);
+                expect(other, Packet.JOB_ASSIGN);
+                other.reset();
+                stand.await("call.reset", 1);
+                List<Long> these = new ArrayList<>();
+                for (String name : new String[] {"taken", "served", "refused", "failed", "withdrawn"}) {
+                    these.add(stand.counter(front + "." + name));
+                }
+                for (String name : new String[] {"call.sent", "call.ok", "call.error", "call.reset",
+                    "call.cancelled", "call.timeout", "core.kept.drain", "core.kept.effect",
+                    "core.kept.second_call", "core.kept.refusal", "core.kept.spent", "core.overdue"}) {
+                    these.add(stand.counter(name));
+                }
+                counts.add(these);
+                served.close();
+                failed.close();
+                lost.close();
+            }
+        }
+        assertEquals(List.of(5L, 1L, 2L, 1L, 1L, 4L, 1L, 1L, 1L, 1L, 0L, 0L, 0L, 0L, 0L, 0L, 0L), counts.get(0));
+        assertEquals(counts.get(0), counts.get(1));
+    }
+
+    private static Peer ask(Stand stand, boolean gearman, String function, String jobClass) throws Exception {
+        Peer client = gearman ? stand.gearman() : stand.http();
+        if (gearman) {
+            submit(client, Packet.SUBMIT_JOB, function, "", "");
+        } else {
+            long before = stand.counter("http.taken");
+            client.post(jobClass, "1", "", "");
+            stand.await("http.taken", before + 1);
+        }
+        return client;
+    }
+
+    @Test
+    void whatIsNotServedGetsAnErrorAndWhatIsNoPacketIsCutOff() throws Exception {
+        try (Stand stand = new Stand(null); Peer client = stand.gearman()) {
+            send(client, 36, "check\0u\0" + 1 + "\0x");
+            assertEquals("UNSUPPORTED", expect(client, Packet.ERROR)[0]);
+            send(client, Packet.SUBMIT_JOB, "nothing", "", "");
+            assertEquals("UNKNOWN_FUNCTION", expect(client, Packet.ERROR)[0]);
+            send(client, Packet.SUBMIT_JOB, "check", "", "x".repeat(65537));
+            assertEquals("TOO_LARGE", expect(client, Packet.ERROR)[0]);
+            send(client, Packet.WORK_COMPLETE, "H:x:1", "");
+            assertEquals("JOB_NOT_FOUND", expect(client, Packet.ERROR)[0]);
+            send(client, Packet.OPTION_REQ, "exceptions");
+            assertEquals("exceptions", expect(client, Packet.OPTION_RES)[0]);
+            Peer worker = worker(stand, "check");
+            send(worker, Packet.SET_CLIENT_ID, "till 4");
+            // A packet in pieces is a packet.
+            byte[] bytes = Packet.request(Packet.SUBMIT_JOB, "check", "", "");
+            client.write(new String(bytes, 0, 5, StandardCharsets.ISO_8859_1));
+            send(worker, Packet.ECHO_REQ, "");
+            client.write(new String(bytes, 5, bytes.length - 5, StandardCharsets.ISO_8859_1));
+            String handle = expect(client, Packet.JOB_CREATED)[0];
+            assertEquals("capture\t0\t0\t0\ncheck\t1\t0\t1\nhasty\t0\t0\t0\npost\t0\t0\t0\n.\n",
+                    stand.gearman().write("status\n").readTo(".\n"));
+            assertTrue(stand.gearman().write("workers\n").readTo(".\n").contains(" - till_4 : check\n"));
+            assertTrue(stand.gearman().write("version\n").readTo("\n").startsWith("OK "));
+            assertTrue(stand.gearman().write("shutdown\n").readTo("\n").startsWith("ERR "));
+            expect(worker, Packet.ECHO_RES);
+            send(worker, Packet.GRAB_JOB);
+            expect(worker, Packet.NOOP);
+            assertEquals(handle, expect(worker, Packet.JOB_ASSIGN)[0]);
+            client.write("\0XYZ12345678");
+            assertEquals("MALFORMED", expect(client, Packet.ERROR)[0]);
+            assertTrue(client.ended());
+            stand.await("gearman.withdrawn", 1);
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/laneflow/http/HttpStoryTest.java
@@ -0,0 +1,203 @@
+package laneflow.http;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import laneflow.net.Stand;
+import laneflow.net.Stand.Endpoint;
+import laneflow.net.Stand.Peer;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+
+/** Stories of the platform's front, one for each failure met. */
+@Timeout(30)
+class HttpStoryTest {
+    @Test
+    void aRequestPassesThroughUnchangedHoweverItIsSplit() throws Exception {
+        Endpoint endpoint = new Endpoint("e1");
+        try (Stand stand = new Stand(null, endpoint); Peer client = stand.http()) {
+            String body = "x".repeat(40000);
+            client.write("POST /points-post?key=7f&a=%20b HTTP/1.1\r\nHost: o\r\nReq-").write("Id: 9b1f\r\n")
+                    .write("Idempotency-Key: 5c0f\r\nContent-Length: 40000\r\n\r\n" + body.substring(0, 10));
+            client.write(body.substring(10));
+            Peer call = endpoint.accept();
+            String sent = call.message();
+            assertTrue(sent.startsWith("POST /points-post?key=7f&a=%20b HTTP/1.1\r\n"), sent);
+            assertTrue(sent.contains("Req-Id: 9b1f\r\n") && sent.contains("Idempotency-Key: 5c0f\r\n"), sent);
+            assertTrue(sent.endsWith("\r\n\r\n" + body));
+            call.says("{'id':'9b1f','state':'started'}", "{'id':'9b1f','state':'done','result':'a\\nb'}");
+            assertTrue(client.message().endsWith("\r\n\r\na\nb"));
+            // The same connections serve the next one, two messages at once included.
+            client.post("basket-check", "1", "", "").post("basket-check", "2", "", "");
+            for (String id : new String[] {"1", "2"}) {
+                assertTrue(call.message().contains("Req-Id: " + id + "\r\n"));
+                call.says("{'id':'" + id + "','state':'done','result':'r" + id + "'}");
+                assertTrue(client.message().endsWith("r" + id));
+            }
+            assertEquals(1, stand.counter("endpoint.connects"));
+        }
+    }
+
+    @Test
+    void aConnectionThatBreaksBehindTheLastByteMayHaveRunIt() throws Exception {
+        Endpoint one = new Endpoint("e1");
+        Endpoint two = new Endpoint("e2", one);
+        try (Stand stand = new Stand(null, one, two); Peer client = stand.http()) {
+            client.post("card-capture", "1", "", "pay");
+            Peer call = one.accept();
+            call.message();
+            call.reset();
+            assertTrue(client.message().startsWith("HTTP/1.1 500 "));
+            assertEquals(1, stand.counter("call.sent"));
+            client.post("basket-check", "2", "", "");
+            // What is safe goes to the other one, since the first is under suspicion.
+            Peer again = one.accept();
+            again.message();
+            again.says("{'id':'2','state':'done','result':'ok'}");
+            assertTrue(client.message().endsWith("ok"));
+        }
+    }
+
+    @Test
+    void noEndpointMeansFailFastWithATimeToComeBack() throws Exception {
+        Endpoint closed = new Endpoint("e1");
+        closed.close();
+        try (Stand stand = new Stand(null, closed); Peer client = stand.http()) {
+            client.post("card-capture", "1", "", "pay");
+            String answer = client.message();
+            assertTrue(answer.startsWith("HTTP/1.1 503 "), answer);
+            assertTrue(answer.contains("\r\nRetry-After: "), answer);
+            assertEquals(1, stand.counter("call.connect_failed"));
+        }
+    }
+
+    @Test
+    void aDeclinedCallNeverRanAndBadBytesAreAFailedCall() throws Exception {
+        Endpoint endpoint = new Endpoint("e1");
+        try (Stand stand = new Stand(null, endpoint); Peer client = stand.http()) {
+            client.post("card-capture", "1", "", "pay");
+            Peer call = endpoint.accept();
+            call.message();
+            call.write("HTTP/1.1 503 Busy\r\nSrv-Declined: 1\r\nSrv-Load: util=1,queue=3,x0=0\r\n"
+                    + "Content-Length: 0\r\n\r\n");
+            assertTrue(client.message().startsWith("HTTP/1.1 503 "));
+            stand.await("call.full", 1);
+            for (String garbage : new String[] {"HTTP/9 what\r\n\r\n", "HTTP/1.1 200 OK\r\n"
+                    + "Transfer-Encoding: chunked\r\n\r\n3\r\n{]\n\r\n", "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"}) {
+                Endpoint other = new Endpoint("e2");
+                try (Stand next = new Stand(null, other); Peer nextClient = next.http()) {
+                    nextClient.post("card-capture", "1", "", "pay");
+                    Peer bad = other.accept();
+                    bad.message();
+                    bad.write(garbage);
+                    assertTrue(nextClient.message().startsWith("HTTP/1.1 500 "), garbage);
+                }
+            }
+        }
+    }
+
+    @Test
+    void whatIsNoHttpGets400AndTooMuch413() throws Exception {
+        try (Stand stand = new Stand(null)) {
+            String[][] cases = {{"what\r\n\r\n", "400"}, {"POST /x HTTP/1.1\r\nNo colon\r\n\r\n", "400"},
+                {"POST /x HTTP/1.1\r\nContent-Length: 1\r\nTransfer-Encoding: chunked\r\n\r\n", "400"},
+                {"POST /basket-check HTTP/1.1\r\nReq-Id: 1\r\nContent-Length: 65537\r\n\r\n", "413"}};
+            for (String[] each : cases) {
+                try (Peer client = stand.http()) {
+                    String answer = client.write(each[0]).message();
+                    assertTrue(answer.startsWith("HTTP/1.1 " + each[1]), answer);
+                    assertTrue(client.ended());
+                }
+            }
+            try (Peer client = stand.http()) {
+                assertTrue(client.post("no-class", "1", "", "").message().startsWith("HTTP/1.1 400"));
+                client.post("basket-check", "1", "Req-Deadline-Ms: soon\r\n", "");
+                assertTrue(client.message().startsWith("HTTP/1.1 400"));
+                assertTrue(client.write("GET /health/ready HTTP/1.1\r\n\r\n").message().endsWith("ok\n"));
+                client.write("GET /counters HTTP/1.1\r\n\r\n");
+                assertTrue(client.message().contains("http.malformed 4\n"));
+            }
+        }
+    }
+
+    @Test
+    void aClientThatLeavesWithdrawsItsRequest() throws Exception {
+        Endpoint endpoint = new Endpoint("e1");
+        try (Stand stand = new Stand(null, endpoint)) {
+            Peer client = stand.http();
+            client.post("basket-check", "1", "", "");
+            Peer call = endpoint.accept();
+            call.message();
+            client.close();
+            assertTrue(call.ended());
+            assertEquals(1, stand.counter("http.withdrawn"));
+        }
+    }
+
+    @Test
+    void aSilentEndpointIsAnsweredForBeforeTheClientGivesUp() throws Exception {
+        Endpoint endpoint = new Endpoint("e1");
+        try (Stand stand = new Stand(null, endpoint); Peer client = stand.http()) {
+            long from = System.nanoTime();
+            client.post("card-capture", "1", "Req-Deadline-Ms: 300\r\n", "");
+            Peer call = endpoint.accept();
+            assertTrue(call.message().contains("Req-Deadline-Ms: "));
+            assertTrue(client.message().startsWith("HTTP/1.1 500 "));
+            assertTrue(System.nanoTime() - from < 350_000_000L);
+            assertTrue(call.ended());
+        }
+    }
+
+    @Test
+    void discoveryIsFollowedThroughItsTroubles() throws Exception {
+        Endpoint discovery = new Endpoint("d");
+        Endpoint one = new Endpoint("e1");
+        Endpoint two = new Endpoint("e2");
+        try (Stand stand = new Stand(discovery, one); Peer client = stand.http()) {
+            Peer watch = discovery.accept();
+            assertTrue(watch.readTo("\r\n\r\n").startsWith("GET /registry/instances?watch=1&after=1 "));
+            watch.says(Stand.list(2, false, one.host("Terminating"), two.host("Ready")).replace('"', '\''));
+            stand.await("discovery.lists", 1);
+            client.post("basket-check", "1", "", "");
+            Peer call = two.accept();
+            call.message();
+            call.says("{'id':'1','state':'done','result':''}");
+            client.message();
+            // The watch has ended: it is begun again behind what was heard, and a whole list drops the rest.
+            Peer next = discovery.accept();
+            assertTrue(next.readTo("\r\n\r\n").contains("after=2 "));
+            next.says("no list at all");
+            Peer third = discovery.accept();
+            assertTrue(third.readTo("\r\n\r\n").contains("after=0 "));
+            third.says(Stand.list(9, true).replace('"', '\''));
+            stand.await("discovery.lists", 2);
+            assertTrue(client.post("basket-check", "2", "", "").message().startsWith("HTTP/1.1 503 "));
+        }
+    }
+
+    @Test
+    void aPlannedStopAnswersAllThatWasTaken() throws Exception {
+        Endpoint endpoint = new Endpoint("e1");
+        try (Stand stand = new Stand(null, endpoint); Peer client = stand.http(); Peer idle = stand.http()) {
+            idle.write("GET /health/ready HTTP/1.1\r\n\r\n").message();
+            client.post("card-capture", "1", "", "");
+            Peer call = endpoint.accept();
+            call.message();
+            Thread stop = new Thread(stand.serve::stop);
+            stop.start();
+            assertTrue(idle.ended());
+            // New connections are still let in and answered.
+            try (Peer late = stand.http()) {
+                String answer = late.write("GET /health/ready HTTP/1.1\r\n\r\n").message();
+                assertTrue(answer.contains("Connection: close\r\n"));
+                assertTrue(late.ended());
+            }
+            call.says("{'id':'1','state':'done','result':'paid'}");
+            String answer = client.message();
+            assertTrue(answer.contains("Connection: close\r\n") && answer.endsWith("paid"), answer);
+            stop.join(5000);
+            assertFalse(stop.isAlive());
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/laneflow/net/Stand.java
@@ -0,0 +1,224 @@
+package laneflow.net;
+
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import laneflow.Serve;
+import laneflow.gearman.GearmanConfig;
+import laneflow.http.Config;
+
+/** The program on loopback sockets, and scripted peers that speak exactly what a story has them speak. */
+public final class Stand implements AutoCloseable {
+    private static final int PATIENCE_MS = 5000;
+    private static final String SETTINGS = "{'areas':['celje-1'],'shapes':['mid'],'classes':["
+            + "{'name':'basket-check','aim':0.2,'hardLimit':5,'semantics':'pure','worth':2},"
+            + "{'name':'card-capture','aim':0.15,'hardLimit':6,'semantics':'side_effect','worth':8},"
+            + "{'name':'points-post','aim':0.25,'hardLimit':6,'semantics':'token','group':'all',"
+            + "'dedupWindow':10,'worth':2}],'familyInfo':{'classStretch':[2,2,2],'tellsStart':true},"
+            + "'limits':{'cancel':true,'connectTimeout':0.25,'connIdle':10,'maxAttempts':5,'maxRetryAfter':2,"
+            + "'retryAfter':true},'reporting':{'fields':['busy','q','rate','x0'],'source':'answers'},"
+            + "'rules':{'stopSendingWithin':0.5},'tick':0.005}";
+    private static final String GEARMAN = "listen = '127.0.0.1:0'\n[functions.check]\nclass = 'basket-check'\n"
+            + "[functions.capture]\nclass = 'card-capture'\n[functions.post]\nclass = 'points-post'\n"
+            + "[functions.hasty]\nclass = 'card-capture'\ndeadline_ms = 300\n";
+
+    public final Serve serve;
+    private final List<AutoCloseable> open = new ArrayList<>();
+
+    /** The program with these endpoints known, and discovery there unless it is null. */
+    public Stand(Endpoint discovery, Endpoint... known) throws Exception {
+        List<String> hosts = new ArrayList<>();
+        for (Endpoint endpoint : known) {
+            hosts.add(endpoint.host("Ready"));
+            open.add(endpoint);
+        }
+        String text = "{'listen':'127.0.0.1:0','seed':'7','limits':{'sockets':1024},'settings':" + SETTINGS
+                + ",'known':" + list(1, true, hosts.toArray(new String[0]))
+                + (discovery == null ? "" : ",'discovery':'" + discovery.dial() + "'") + "}";
+        Config config = Config.parse(text.replace('\'', '"'));
+        serve = new Serve(config, GearmanConfig.parse(GEARMAN, config.settings,
+                List.of(config.classNames), config.zones));
+    }
+
+    /** A list in discovery's form. */
+    public static String list(int seq, boolean whole, String... hosts) {
+        return ("{'seq':" + seq + ",'whole':" + whole + ",'hosts':[" + String.join(",", hosts) + "]}")
+                .replace('\'', '"');
+    }
+
+    /** A client of the platform's front. */
+    public Peer http() throws IOException {
+        return peer(serve.front().address());
+    }
+
+    /** A connection to the Gearman front. */
+    public Peer gearman() throws IOException {
+        return peer(serve.gearman().address());
+    }
+
+    private Peer peer(InetSocketAddress at) throws IOException {
+        Peer peer = new Peer(new Socket(at.getAddress(), at.getPort()));
+        open.add(peer);
+        return peer;
+    }
+
+    /** What a counter stands at, as of now. */
+    public long counter(String name) throws InterruptedException {
+        long[] value = new long[1];
+        serve.loop().call(() -> value[0] = serve.scheduler().counters().get(name));
+        return value[0];
+    }
+
+    /** Waits until a counter has come that far. */
+    public void await(String name, long least) throws InterruptedException {
+        long end = System.nanoTime() + PATIENCE_MS * 1_000_000L;
+        while (counter(name) < least) {
+            if (System.nanoTime() > end) {
+                throw new AssertionError(name + " stands at " + counter(name));
+            }
+            Thread.yield();
+        }
+    }
+
+    @Override
+    public void close() throws Exception {
+        for (AutoCloseable each : open) {
+            each.close();
+        }
+        serve.loop().stop();
+    }
+
+    /** An endpoint, or discovery: it accepts when the story says so. */
+    public static final class Endpoint implements AutoCloseable {
+        public final String name;
+        private final ServerSocket server;
+
+        /** One that listens where another does. */
+        public Endpoint(String name, Endpoint other) {
+            this.name = name;
+            server = other.server;
+        }
+
+        public Endpoint(String name) throws IOException {
+            this.name = name;
+            server = new ServerSocket(0, 50, InetAddress.getByName("127.0.0.1"));
+            server.setSoTimeout(PATIENCE_MS);
+        }
+
+        public String dial() {
+            return "127.0.0.1:" + server.getLocalPort();
+        }
+
+        public String host(String health) {
+            return "{'host':'" + name + "','dial':'" + dial() + "','site':'celje-1','class':'mid','block':0,"
+                    + "'health':'" + health + "','share':1.0,'born_ms':0}";
+        }
+
+        public Peer accept() throws IOException {
+            return new Peer(server.accept());
+        }
+
+        @Override
+        public void close() throws IOException {
+            server.close();
+        }
+    }
+
+    /** One end of a connection, read and written as the story goes. */
+    public static final class Peer implements AutoCloseable {
+        public final Socket socket;
+        private final InputStream in;
+
+        Peer(Socket socket) throws IOException {
+            this.socket = socket;
+            in = socket.getInputStream();
+            socket.setSoTimeout(PATIENCE_MS);
+            socket.setTcpNoDelay(true);
+        }
+
+        public Peer write(byte[] bytes) throws IOException {
+            socket.getOutputStream().write(bytes);
+            return this;
+        }
+
+        public Peer write(String text) throws IOException {
+            return write(text.getBytes(StandardCharsets.ISO_8859_1));
+        }
+
+        /** So many bytes. */
+        public byte[] read(int count) throws IOException {
+            byte[] bytes = in.readNBytes(count);
+            if (bytes.length < count) {
+                throw new IOException("ended after " + Arrays.toString(bytes));
+            }
+            return bytes;
+        }
+
+        /** Up to that text, which is read too. */
+        public String readTo(String end) throws IOException {
+            StringBuilder text = new StringBuilder();
+            while (text.indexOf(end) < 0) {
+                int next = in.read();
+                if (next < 0) {
+                    throw new IOException("ended after " + text);
+                }
+                text.append((char) next);
+            }
+            return text.toString();
+        }
+
+        /** A message with its body, by its length. */
+        public String message() throws IOException {
+            String head = readTo("\r\n\r\n");
+            int at = head.indexOf("Content-Length: ") + 16;
+            int length = at < 16 ? 0 : Integer.parseInt(head.substring(at, head.indexOf('\r', at)));
+            return head + new String(read(length), StandardCharsets.ISO_8859_1);
+        }
+
+        /** True if the other side has ended or reset it, and sent nothing before. */
+        public boolean ended() throws IOException {
+            try {
+                return in.read() < 0;
+            } catch (java.net.SocketTimeoutException e) {
+                return false;
+            } catch (IOException e) {
+                return true;
+            }
+        }
+
+        /** Hands in a job. */
+        public Peer post(String jobClass, String id, String more, String body) throws IOException {
+            return write("POST /" + jobClass + "?key=7f HTTP/1.1\r\nHost: o\r\nReq-Id: " + id + "\r\nReq-Kind: "
+                    + jobClass + "\r\n" + more + "Content-Length: " + body.length() + "\r\n\r\n" + body);
+        }
+
+        /** Answers a call with these words, as an endpoint does. */
+        public Peer says(String... lines) throws IOException {
+            // In one piece: with the last chunk behind it the connection is free for the next call.
+            StringBuilder all = new StringBuilder("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+            for (String line : lines) {
+                String text = line.replace('\'', '"') + "\n";
+                all.append(Integer.toHexString(text.length())).append("\r\n").append(text).append("\r\n");
+            }
+            return write(all + "0\r\n\r\n");
+        }
+
+        /** Breaks the connection: the other side sees a reset. */
+        public void reset() throws IOException {
+            socket.setSoLinger(true, 0);
+            socket.close();
+        }
+
+        @Override
+        public void close() throws IOException {
+            socket.close();
+        }
+    }
+}
