Let the split packet's story wait for the worker's echo before the rest

At fault: the story, which sent the echo and the packet's second half on two connections and took their order for granted. The echo is now awaited between.

--- a/src/test/java/laneflow/gearman/GearmanStoryTest.java
+++ b/src/test/java/laneflow/gearman/GearmanStoryTest.java
@@ -293,6 +293,7 @@
             byte[] bytes = Packet.request(Packet.SUBMIT_JOB, "check", "", "");
             client.write(new String(bytes, 0, 5, StandardCharsets.ISO_8859_1));
             send(worker, Packet.ECHO_REQ, "");
+            expect(worker, Packet.ECHO_RES);
             client.write(new String(bytes, 5, bytes.length - 5, StandardCharsets.ISO_8859_1));
             String handle = expect(client, Packet.JOB_CREATED)[0];
             assertEquals("capture\t0\t0\t0\ncheck\t1\t0\t1\nhasty\t0\t0\t0\npost\t0\t0\t0\n.\n",
@@ -300,9 +301,8 @@
             assertTrue(stand.gearman().write("workers\n").readTo(".\n").contains(" - till_4 : check\n"));
             assertTrue(stand.gearman().write("version\n").readTo("\n").startsWith("OK "));
             assertTrue(stand.gearman().write("shutdown\n").readTo("\n").startsWith("ERR "));
-            expect(worker, Packet.ECHO_RES);
-            send(worker, Packet.GRAB_JOB);
             expect(worker, Packet.NOOP);
+            send(worker, Packet.GRAB_JOB);
             assertEquals(handle, expect(worker, Packet.JOB_ASSIGN)[0]);
             client.write("\0XYZ12345678");
             assertEquals("MALFORMED", expect(client, Packet.ERROR)[0]);
