--- a/src/main/java/laneflow/Main.java
+++ b/src/main/java/laneflow/Main.java
@@ -5,15 +5,18 @@
 import java.io.FileOutputStream;
 import java.io.IOException;
 import java.nio.file.Path;
+import java.util.List;
+import laneflow.importer.Importer;
 import laneflow.wire.WireException;
 import laneflow.wire.WireHost;
 
 /**
- * The command line: {@code serve} is the real scheduler, {@code benchlink} serves the simulator's wire on
- * standard input and output.
+ * The command line: {@code serve} is the real scheduler, {@code import} makes a destination set of a balancer
+ * file, {@code benchlink} serves the simulator's wire on standard input and output.
  */
 public final class Main {
-    private static final String USAGE = "usage: java -jar laneflow.jar serve [--gearman FILE] | benchlink";
+    private static final String USAGE = "usage: java -jar laneflow.jar COMMAND\n"
+            + "  serve [--gearman FILE] [--destinations FILE]\n  " + Importer.USAGE + "\n  benchlink";
 
     private Main() {
     }
@@ -28,6 +31,8 @@
                 new WireHost(in, new FileOutputStream(FileDescriptor.out)).run();
             } else if (args.length >= 1 && args[0].equals("serve")) {
                 serve(args);
+            } else if (args.length >= 1 && args[0].equals("import")) {
+                System.exit(Importer.run(List.of(args).subList(1, args.length), System.out, System.err));
             } else {
                 fail(USAGE, 2);
             }
@@ -41,9 +46,12 @@
     private static void serve(String[] args) throws IOException, WireException, InterruptedException {
         String config = System.getenv("ROUTER_CONFIG");
         Path gearman = null;
+        Path destinations = null;
         for (int i = 1; i < args.length; i += 2) {
             if (args[i].equals("--gearman") && i + 1 < args.length) {
                 gearman = Path.of(args[i + 1]);
+            } else if (args[i].equals("--destinations") && i + 1 < args.length) {
+                destinations = Path.of(args[i + 1]);
             } else {
                 fail(USAGE, 2);
             }
@@ -51,7 +59,7 @@
         if (config == null) {
             fail("ROUTER_CONFIG names no configuration", 2);
         }
-        Serve.run(Path.of(config), gearman);
+        Serve.run(Path.of(config), gearman, destinations);
     }
 
     private static void fail(String message, int status) {
--- a/src/main/java/laneflow/Serve.java
+++ b/src/main/java/laneflow/Serve.java
@@ -59,9 +59,9 @@
     }
 
     /** Runs the command until a signal ends it. */
-    static void run(Path configFile, Path gearmanFile)
+    static void run(Path configFile, Path gearmanFile, Path destinations)
             throws IOException, WireException, InterruptedException {
-        Config config = Config.read(configFile);
+        Config config = Config.read(configFile, destinations);
         GearmanConfig gearman = gearmanFile == null ? null : GearmanConfig.read(gearmanFile, config.settings,
                 List.of(config.classNames), config.zones);
         Serve serve = new Serve(config, gearman);
--- a/src/main/java/laneflow/http/Config.java
+++ b/src/main/java/laneflow/http/Config.java
@@ -67,8 +67,22 @@
                 ? listing(root.getAsJsonObject("known")) : new Listing();
     }
 
-    public static Config read(Path file) throws IOException, WireException {
-        return parse(Files.readString(file));
+    /** Reads the file; a destination set beside it, unless null, stands in for discovery. */
+    public static Config read(Path file, Path destinations) throws IOException, WireException {
+        JsonObject root = object(Files.readString(file), "the configuration");
+        if (destinations != null) {
+            root.add("known", object(Files.readString(destinations), destinations.toString()));
+            root.remove("discovery");
+        }
+        return parse(root.toString());
+    }
+
+    private static JsonObject object(String text, String what) throws WireException {
+        try {
+            return JsonParser.parseString(text).getAsJsonObject();
+        } catch (JsonParseException | IllegalStateException e) {
+            throw new WireException(what + " can't be read: " + e.getMessage());
+        }
     }
 
     public static Config parse(String text) throws WireException {
@@ -109,7 +123,7 @@
             throw new WireException("a host without a name");
         }
         entry.dial = text(from, "dial", "");
-        entry.zone = index(zones, from.get("site"));
+        entry.zone = from.has("site") ? index(zones, from.get("site")) : settings.zone;
         entry.kind = index(kinds, from.get("class"));
         entry.cell = from.has("block") ? from.get("block").getAsInt() : 0;
         entry.weight = from.has("share") ? from.get("share").getAsDouble() : 1;
--- a/src/test/java/laneflow/http/HttpStoryTest.java
+++ b/src/test/java/laneflow/http/HttpStoryTest.java
@@ -4,15 +4,23 @@
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import laneflow.importer.Importer;
 import laneflow.net.Stand;
 import laneflow.net.Stand.Endpoint;
 import laneflow.net.Stand.Peer;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.io.TempDir;
 
 /** Stories of the platform's front, one for each failure met. */
 @Timeout(30)
 class HttpStoryTest {
+    @TempDir
+    private Path folder;
+
     @Test
     void aRequestPassesThroughUnchangedHoweverItIsSplit() throws Exception {
         Endpoint endpoint = new Endpoint("e1");
@@ -200,4 +208,20 @@
             assertFalse(stop.isAlive());
         }
     }
+
+    @Test
+    void anImportedDestinationSetIsLoaded() throws Exception {
+        Endpoint endpoint = new Endpoint("t1");
+        Path conf = Files.writeString(folder.resolve("httpd.conf"),
+                "BalancerMember balancer://tills http://" + endpoint.dial() + " route=t1\n");
+        Path set = folder.resolve("set.json");
+        assertEquals(0, Importer.run(List.of(conf.toString(), "-o", set.toString()), System.out, System.err));
+        try (Stand stand = new Stand(set); Peer client = stand.http()) {
+            client.post("card-capture", "1", "", "pay");
+            Peer call = endpoint.accept();
+            call.message();
+            call.says("{'id':'1','state':'done','result':'paid'}");
+            assertTrue(client.message().endsWith("paid"));
+        }
+    }
 }
--- a/src/test/java/laneflow/net/Stand.java
+++ b/src/test/java/laneflow/net/Stand.java
@@ -7,6 +7,8 @@
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.List;
@@ -25,6 +27,8 @@
             + "'limits':{'cancel':true,'connectTimeout':0.25,'connIdle':10,'maxAttempts':5,'maxRetryAfter':2,"
             + "'retryAfter':true},'reporting':{'fields':['busy','q','rate','x0'],'source':'answers'},"
             + "'rules':{'stopSendingWithin':0.5},'tick':0.005}";
+    private static final String OWN = ",'listen':'127.0.0.1:0','seed':'7','limits':{'sockets':1024},'settings':"
+            + SETTINGS + "}";
     private static final String GEARMAN = "listen = '127.0.0.1:0'\n[functions.check]\nclass = 'basket-check'\n"
             + "[functions.capture]\nclass = 'card-capture'\n[functions.post]\nclass = 'points-post'\n"
             + "[functions.hasty]\nclass = 'card-capture'\ndeadline_ms = 300\n";
@@ -39,14 +43,36 @@
             hosts.add(endpoint.host("Ready"));
             open.add(endpoint);
         }
-        String text = "{'listen':'127.0.0.1:0','seed':'7','limits':{'sockets':1024},'settings':" + SETTINGS
-                + ",'known':" + list(1, true, hosts.toArray(new String[0]))
-                + (discovery == null ? "" : ",'discovery':'" + discovery.dial() + "'") + "}";
-        Config config = Config.parse(text.replace('\'', '"'));
-        serve = new Serve(config, GearmanConfig.parse(GEARMAN, config.settings,
+        Path file = Files.createTempFile("stand", ".json");
+        try {
+            Files.writeString(file, json("{'known':" + list(1, true, hosts.toArray(new String[0]))
+                    + (discovery == null ? "" : ",'discovery':'" + discovery.dial() + "'") + OWN));
+            serve = serve(Config.read(file, null));
+        } finally {
+            Files.delete(file);
+        }
+    }
+
+    /** The program with a destination set from a file. */
+    public Stand(Path destinations) throws Exception {
+        Path file = Files.createTempFile("stand", ".json");
+        try {
+            Files.writeString(file, json("{'discovery':'127.0.0.1:1'" + OWN));
+            serve = serve(Config.read(file, destinations));
+        } finally {
+            Files.delete(file);
+        }
+    }
+
+    private static Serve serve(Config config) throws Exception {
+        return new Serve(config, GearmanConfig.parse(GEARMAN, config.settings,
                 List.of(config.classNames), config.zones));
     }
 
+    private static String json(String text) {
+        return text.replace('\'', '"');
+    }
+
     /** A list in discovery's form. */
     public static String list(int seq, boolean whole, String... hosts) {
         return ("{'seq':" + seq + ",'whole':" + whole + ",'hosts':[" + String.join(",", hosts) + "]}")
