Keep half the descriptors for outbound calls; close idle clients first

Seen by reading, then by a story with 80 descriptors: clients and calls drew on one limit, so idle clients (kept for 120 s) could leave every call without a descriptor and each request would end in a failed connect (Loop.accept and Loop.hasRoom, both against links.size()). Now each direction has its half, and a client that comes in when its half is full takes the place of the longest idle one. A client whose answers do not fit its ring is cut off, where HttpFront.answer dropped the result of put. The core's rules get tests with a clock of their own.

--- a/src/main/java/laneflow/gearman/GearmanFront.java
+++ b/src/main/java/laneflow/gearman/GearmanFront.java
@@ -51,7 +51,7 @@
     }
 
     public void listen(InetSocketAddress at) throws IOException {
-        listener = loop.listen(at, IN_RING, OUT_RING, from -> new Peer(this));
+        listener = loop.listen(at, IN_RING, OUT_RING, () -> false, () -> new Peer(this));
         LOG.info("Gearman clients and workers at {}", listener.address());
     }
 
--- a/src/main/java/laneflow/http/HttpFront.java
+++ b/src/main/java/laneflow/http/HttpFront.java
@@ -46,7 +46,7 @@
     }
 
     public void listen(InetSocketAddress at) throws IOException {
-        listener = loop.listen(at, IN_RING, OUT_RING, from -> new Client());
+        listener = loop.listen(at, IN_RING, OUT_RING, this::closeLongestIdle, Client::new);
         LOG.info("clients at {}", listener.address());
     }
 
@@ -54,6 +54,22 @@
         return listener.address();
     }
 
+    /** Idle connections must not keep clients out that have something to ask. */
+    private boolean closeLongestIdle() {
+        Client[] longest = new Client[1];
+        clients.forEach(client -> {
+            if (client.isIdle() && (longest[0] == null || client.idleSince < longest[0].idleSince)) {
+                longest[0] = client;
+            }
+        });
+        if (longest[0] == null) {
+            return false;
+        }
+        scheduler.counters().add("http.idle_closed");
+        longest[0].closeIfIdle();
+        return true;
+    }
+
     /** From now on each answer closes its connection; idle ones close at once. */
     public void drain() {
         draining = true;
@@ -118,17 +134,29 @@
         private boolean owes;
         private boolean reading;
         private Deadline idle;
+        private long idleSince;
 
         @Override
         public void opened(Link up) {
             link = up;
             slot = clients.add(this);
-            idle = loop.deadlines().create(() -> {
-                scheduler.counters().add("http.idle_closed");
-                drop();
-                link.close();
-            });
-            loop.deadlines().set(idle, loop.micros() + IDLE);
+            idle = loop.deadlines().create(this::idleTooLong);
+            alive();
+        }
+
+        private void idleTooLong() {
+            if (owes) {
+                alive();
+                return;
+            }
+            scheduler.counters().add("http.idle_closed");
+            drop();
+            link.close();
+        }
+
+        private void alive() {
+            idleSince = loop.micros();
+            loop.deadlines().set(idle, idleSince + IDLE);
         }
 
         boolean isIdle() {
@@ -177,7 +205,7 @@
         public void head(HttpHead received) throws HttpException {
             head = received;
             body.reset();
-            loop.deadlines().set(idle, loop.micros() + IDLE);
+            alive();
             String length = head.header("content-length");
             if (length != null && Long.parseLong(length) > MOST_BODY) {
                 throw new HttpException(413, "body too long");
@@ -296,12 +324,17 @@
         }
 
         void answer(int status, String reason, String headers, byte[] content) {
-            boolean close = draining || head == null || !head.keepsAlive();
+            boolean close = draining || listener.isFull() || head == null || !head.keepsAlive();
             String text = "HTTP/1.1 " + status + " " + reason + "\r\n" + headers
                     + "Content-Length: " + content.length + "\r\n"
                     + (close ? "Connection: close\r\n\r\n" : "\r\n");
-            link.out.put(ascii(text));
-            link.out.put(content);
+            if (!link.out.put(ascii(text)) || !link.out.put(content)) {
+                // It asks on and on and reads nothing: its answers must not fill the memory.
+                scheduler.counters().add("http.slow_reader");
+                drop();
+                link.close();
+                return;
+            }
             if (close) {
                 // Until it is written out it stays owed: the program must not end before.
                 owes = true;
@@ -310,7 +343,7 @@
             }
             owes = false;
             reader.next();
-            loop.deadlines().set(idle, loop.micros() + IDLE);
+            alive();
             link.flush();
             if (!link.in.isEmpty() && !reading) {
                 received(link);
--- a/src/main/java/laneflow/net/Link.java
+++ b/src/main/java/laneflow/net/Link.java
@@ -20,7 +20,6 @@
     private final Loop loop;
     private final LinkHandler handler;
     private final boolean accepted;
-    private final Runnable onClose;
     private long handle;
     private StreamConnection connection;
     private StreamSourceConduit source;
@@ -30,11 +29,10 @@
     private boolean closeWhenFlushed;
     private boolean readsHeld;
 
-    Link(Loop loop, LinkHandler handler, int inLimit, int outLimit, boolean accepted, Runnable onClose) {
+    Link(Loop loop, LinkHandler handler, int inLimit, int outLimit, boolean accepted) {
         this.loop = loop;
         this.handler = handler;
         this.accepted = accepted;
-        this.onClose = onClose;
         in = new Ring(inLimit);
         out = new Ring(outLimit);
     }
@@ -167,6 +165,5 @@
         }
         IoUtils.safeClose(connection);
         loop.closed(this);
-        onClose.run();
     }
 }
--- a/src/main/java/laneflow/net/Loop.java
+++ b/src/main/java/laneflow/net/Loop.java
@@ -4,9 +4,12 @@
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.UnknownHostException;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
-import java.util.function.Function;
+import java.util.function.BooleanSupplier;
+import java.util.function.Supplier;
 import laneflow.core.Clock;
 import laneflow.core.Deadlines;
 import laneflow.core.SlotTable;
@@ -37,7 +40,10 @@
     private final SlotTable<Link> links = new SlotTable<>();
     private final XnioWorker worker;
     private final XnioIoThread thread;
-    private final int maxLinks;
+    /** Most connections of either direction: clients must not leave calls without a descriptor. */
+    private final int mostEachWay;
+    private final List<Listener> listeners = new ArrayList<>();
+    private int accepted;
     private final long origin;
     private boolean inTurn;
     private long now;
@@ -46,7 +52,7 @@
 
     /** A loop that holds no more descriptors than that, its own included. */
     public Loop(int descriptors) throws IOException {
-        maxLinks = Math.max(16, descriptors - OWN_DESCRIPTORS);
+        mostEachWay = Math.max(8, (descriptors - OWN_DESCRIPTORS) / 2);
         worker = Xnio.getInstance().createWorker(OptionMap.builder()
                 .set(Options.WORKER_NAME, "loop")
                 .set(Options.WORKER_IO_THREADS, 1)
@@ -146,14 +152,16 @@
     /** A listening socket. */
     public final class Listener {
         private final AcceptingChannel<StreamConnection> channel;
-        private final Function<Listener, LinkHandler> handlers;
+        private final Supplier<LinkHandler> handlers;
         private final int inLimit;
         private final int outLimit;
+        private final BooleanSupplier makeRoom;
         private boolean full;
 
-        private Listener(InetSocketAddress at, int inLimit, int outLimit,
-                Function<Listener, LinkHandler> handlers) throws IOException {
+        private Listener(InetSocketAddress at, int inLimit, int outLimit, BooleanSupplier makeRoom,
+                Supplier<LinkHandler> handlers) throws IOException {
             this.handlers = handlers;
+            this.makeRoom = makeRoom;
             this.inLimit = inLimit;
             this.outLimit = outLimit;
             channel = worker.createStreamConnectionServer(at, accepting -> turn(this::accept),
@@ -165,7 +173,7 @@
         private void accept() {
             try {
                 while (true) {
-                    if (links.size() >= maxLinks) {
+                    if (accepted >= mostEachWay && !makeRoom.getAsBoolean()) {
                         // Further clients wait in the backlog until a connection closes.
                         full = true;
                         channel.suspendAccepts();
@@ -175,12 +183,12 @@
                     if (connection == null) {
                         return;
                     }
-                    Link[] link = new Link[1];
-                    LinkHandler handler = handlers.apply(this);
-                    link[0] = new Link(Loop.this, handler, inLimit, outLimit, true, this::room);
-                    link[0].handle(links.add(link[0]));
-                    link[0].attach(connection);
-                    handler.opened(link[0]);
+                    accepted++;
+                    LinkHandler handler = handlers.get();
+                    Link link = new Link(Loop.this, handler, inLimit, outLimit, true);
+                    link.handle(links.add(link));
+                    link.attach(connection);
+                    handler.opened(link);
                 }
             } catch (IOException e) {
                 LOG.warn("accept: {}", e.getMessage());
@@ -194,6 +202,11 @@
             }
         }
 
+        /** True while clients wait because there is no room for them. */
+        public boolean isFull() {
+            return full;
+        }
+
         public InetSocketAddress address() {
             return channel.getLocalAddress(InetSocketAddress.class);
         }
@@ -203,20 +216,25 @@
         }
     }
 
-    /** Listens there; for each connection the function gives its handler. */
-    public Listener listen(InetSocketAddress at, int inLimit, int outLimit,
-            Function<Listener, LinkHandler> handlers) throws IOException {
-        return new Listener(at, inLimit, outLimit, handlers);
+    /**
+     * Listens there; each connection gets a handler of its own. Where there are too many, makeRoom may close
+     * one that is idle, and tells whether it did.
+     */
+    public Listener listen(InetSocketAddress at, int inLimit, int outLimit, BooleanSupplier makeRoom,
+            Supplier<LinkHandler> handlers) throws IOException {
+        Listener listener = new Listener(at, inLimit, outLimit, makeRoom, handlers);
+        execute(() -> listeners.add(listener));
+        return listener;
     }
 
     /** True if another connection may be opened. */
     public boolean hasRoom() {
-        return links.size() < maxLinks;
+        return links.size() - accepted < mostEachWay;
     }
 
     /** Opens a connection; the handler hears when it is up, or that it did not come up. */
     public Link connect(InetSocketAddress to, int inLimit, int outLimit, LinkHandler handler) {
-        Link link = new Link(this, handler, inLimit, outLimit, false, () -> { });
+        Link link = new Link(this, handler, inLimit, outLimit, false);
         link.handle(links.add(link));
         IoFuture<StreamConnection> future = thread.openStreamConnection(to, null,
                 OptionMap.create(Options.TCP_NODELAY, true));
@@ -251,6 +269,10 @@
 
     void closed(Link link) {
         links.remove(link.handle());
+        if (link.isAccepted()) {
+            accepted--;
+            listeners.forEach(Listener::room);
+        }
     }
 
     public int links() {
--- /dev/null
+++ b/src/test/java/laneflow/core/SchedulerTest.java
@@ -0,0 +1,226 @@
+package laneflow.core;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertSame;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.List;
+import laneflow.Dispatch.Effect;
+import laneflow.Dispatch.Group;
+import laneflow.Dispatch.JobClass;
+import laneflow.Dispatch.Outcome;
+import laneflow.Dispatch.Settings;
+import laneflow.Dispatch.State;
+import laneflow.core.DestinationSet.Entry;
+import org.junit.jupiter.api.Test;
+
+/** The core's rules, with a clock that the test sets, and a front and a carrier that write down. */
+class SchedulerTest implements Front, Carrier {
+    private static final int SAFE = 0;
+    private static final int KEYED = 1;
+    private static final int UNSAFE = 2;
+
+    private long now = 1_000_000_000L;
+    private final Deadlines deadlines = new Deadlines();
+    private final Counters counters = new Counters();
+    private final List<OutboundCall> calls = new ArrayList<>();
+    private final List<OutboundCall> closed = new ArrayList<>();
+    private final List<String> answers = new ArrayList<>();
+    private final Scheduler scheduler = new Scheduler(settings(), 7, () -> now, deadlines, counters);
+
+    private static Settings settings() {
+        Settings settings = new Settings();
+        settings.classes = new JobClass[3];
+        for (Effect effect : Effect.values()) {
+            JobClass type = settings.classes[effect.ordinal()] = new JobClass();
+            type.effect = effect;
+            type.group = Group.ALL;
+            type.window = 10;
+            type.stretch = 2;
+        }
+        settings.maxAttempts = 5;
+        settings.mayCancel = true;
+        settings.retryAfter = true;
+        settings.maxRetryAfter = 2;
+        settings.drainGrace = 0.5;
+        settings.tellsStart = true;
+        return settings;
+    }
+
+    private static Entry entry(String name, State state) {
+        Entry entry = new Entry();
+        entry.name = name;
+        entry.state = state;
+        return entry;
+    }
+
+    private void endpoints(String... names) {
+        List<Entry> entries = new ArrayList<>();
+        for (String name : names) {
+            entries.add(entry(name, State.READY));
+        }
+        scheduler.start(this, entries);
+    }
+
+    private Request submit(int jobClass) {
+        Request request = new Request(this, answers.size(), new Payload("", "", "r", null, new byte[0]), jobClass,
+                now + 5_000_000);
+        scheduler.submit(request);
+        return request;
+    }
+
+    private void pass(long micros) {
+        now += micros;
+        deadlines.runDue(now);
+    }
+
+    @Test
+    void aCallThatComesUpAfterTheGraceMustNotBegin() {
+        endpoints("a");
+        submit(UNSAFE);
+        assertTrue(scheduler.mayBegin(calls.get(0)));
+        scheduler.list(this, false, List.of(entry("a", State.DRAINING)));
+        pass(499_000);
+        assertTrue(scheduler.mayBegin(calls.get(0)));
+        // A second word of the same drain does not start the grace again.
+        scheduler.list(this, false, List.of(entry("a", State.GONE)));
+        pass(1_000);
+        assertFalse(scheduler.mayBegin(calls.get(0)));
+        assertEquals(1, counters.get("core.kept.drain"));
+    }
+
+    @Test
+    void whatMayHaveRunIsRepeatedOnlyAsItsClassAllows() {
+        endpoints("a", "b", "c", "d", "e");
+        submit(UNSAFE);
+        scheduler.ended(calls.get(0), Outcome.CONNECT_FAILED, null, null);
+        assertEquals(2, calls.size());
+        scheduler.ended(calls.get(1), Outcome.RESET, null, null);
+        assertEquals(List.of("failed"), answers);
+        submit(SAFE);
+        scheduler.ended(calls.get(2), Outcome.RESET, null, null);
+        assertEquals(4, calls.size());
+        // The first call's end told again changes nothing.
+        scheduler.ended(calls.get(2), Outcome.OK, new byte[0], null);
+        scheduler.ended(calls.get(3), Outcome.OK, new byte[0], null);
+        scheduler.ended(calls.get(3), Outcome.OK, new byte[0], null);
+        assertEquals(List.of("failed", "served"), answers);
+        assertEquals(0, scheduler.open());
+    }
+
+    @Test
+    void everyRequestIsAnsweredOnceBeforeItsDeadline() {
+        endpoints("a");
+        submit(UNSAFE);
+        submit(KEYED);
+        pass(4_999_000);
+        assertEquals(List.of("failed", "refused"), answers);
+        assertEquals(calls.size(), closed.size());
+        pass(10_000_000);
+        assertEquals(2, answers.size());
+        assertEquals(0, counters.get("core.overdue"));
+    }
+
+    @Test
+    void aWithdrawnRequestIsOwedNothing() {
+        endpoints("a");
+        Request request = submit(UNSAFE);
+        scheduler.withdraw(request);
+        assertEquals(calls, closed);
+        scheduler.ended(calls.get(0), Outcome.OK, new byte[0], null);
+        pass(10_000_000);
+        assertEquals(List.of(), answers);
+        assertEquals(1, counters.get("http.withdrawn"));
+    }
+
+    @Test
+    void aWholeListSpeaksForItsOwnSourceOnly() {
+        endpoints("a");
+        Carrier other = new SchedulerTest();
+        scheduler.list(other, false, List.of(entry("w", State.READY)));
+        scheduler.list(this, true, List.of(entry("b", State.READY)));
+        assertEquals(State.GONE, scheduler.destinations().get("a").state());
+        assertEquals(State.READY, scheduler.destinations().get("w").state());
+        // Nobody takes over another source's name.
+        scheduler.list(other, false, List.of(entry("b", State.GONE)));
+        assertEquals(State.READY, scheduler.destinations().get("b").state());
+    }
+
+    @Test
+    void handlesOfWhatHasLeftFindNothing() {
+        SlotTable<String> table = new SlotTable<>();
+        long first = table.add("x");
+        assertSame("x", table.remove(first));
+        long second = table.add("y");
+        assertEquals((int) first, (int) second);
+        assertNull(table.get(first));
+        assertNull(table.remove(first));
+        assertSame("y", table.get(second));
+        assertNull(table.get(0));
+    }
+
+    @Test
+    void deadlinesRunInOrderHoweverTheyAreMoved() {
+        List<Integer> ran = new ArrayList<>();
+        List<Deadlines.Deadline> all = new ArrayList<>();
+        for (int i = 0; i < 200; i++) {
+            int number = i;
+            all.add(deadlines.at(i * 37 % 200, () -> ran.add(number * 37 % 200)));
+        }
+        List<Integer> wanted = new ArrayList<>();
+        for (int at = 0; at < 200; at++) {
+            wanted.add(at);
+        }
+        for (int i = 0; i < 200; i += 3) {
+            deadlines.cancel(all.get(i));
+            wanted.remove(Integer.valueOf(i * 37 % 200));
+        }
+        assertEquals((long) wanted.get(0), deadlines.next());
+        deadlines.runDue(200);
+        assertEquals(wanted, ran);
+        assertEquals(Long.MAX_VALUE, deadlines.next());
+    }
+
+    @Override
+    public String name() {
+        return "http";
+    }
+
+    @Override
+    public void served(long tag, byte[] result) {
+        answers.add("served");
+    }
+
+    @Override
+    public void failFast(long tag, double retryAfter) {
+        answers.add("refused");
+    }
+
+    @Override
+    public void failed(long tag) {
+        answers.add("failed");
+    }
+
+    @Override
+    public void open(OutboundCall call) {
+        calls.add(call);
+    }
+
+    @Override
+    public void close(OutboundCall call) {
+        closed.add(call);
+    }
+
+    @Override
+    public void probe(Endpoint endpoint) {
+        throw new AssertionError("no probes in these settings");
+    }
+
+    @Override
+    public void closeIdle(Endpoint endpoint) {
+        throw new AssertionError("no such rule in these settings");
+    }
+}
--- a/src/test/java/laneflow/http/HttpStoryTest.java
+++ b/src/test/java/laneflow/http/HttpStoryTest.java
@@ -224,4 +224,23 @@
             assertTrue(client.message().endsWith("paid"));
         }
     }
+
+    @Test
+    void idleClientsLeaveRoomForOthersAndForCalls() throws Exception {
+        Endpoint endpoint = new Endpoint("e1");
+        // 64 descriptors are the machine's own: 16 are left, half of them for clients.
+        try (Stand stand = new Stand(null, 80, endpoint)) {
+            Peer[] idle = new Peer[12];
+            for (int i = 0; i < idle.length; i++) {
+                idle[i] = stand.http();
+                assertTrue(idle[i].write("GET /health/ready HTTP/1.1\r\n\r\n").message().endsWith("ok\n"));
+            }
+            assertTrue(idle[0].ended());
+            idle[11].post("basket-check", "1", "", "");
+            Peer call = endpoint.accept();
+            call.message();
+            call.says("{'id':'1','state':'done','result':'priced'}");
+            assertTrue(idle[11].message().endsWith("priced"));
+        }
+    }
 }
--- a/src/test/java/laneflow/net/Stand.java
+++ b/src/test/java/laneflow/net/Stand.java
@@ -38,6 +38,11 @@
 
     /** The program with these endpoints known, and discovery there unless it is null. */
     public Stand(Endpoint discovery, Endpoint... known) throws Exception {
+        this(discovery, 1024, known);
+    }
+
+    /** The same with so many descriptors. */
+    public Stand(Endpoint discovery, int sockets, Endpoint... known) throws Exception {
         List<String> hosts = new ArrayList<>();
         for (Endpoint endpoint : known) {
             hosts.add(endpoint.host("Ready"));
@@ -46,7 +51,7 @@
         Path file = Files.createTempFile("stand", ".json");
         try {
             Files.writeString(file, json("{'known':" + list(1, true, hosts.toArray(new String[0]))
-                    + (discovery == null ? "" : ",'discovery':'" + discovery.dial() + "'") + OWN));
+                    + (discovery == null ? "" : ",'discovery':'" + discovery.dial() + "'") + OWN).replace("1024", "" + sockets));
             serve = serve(Config.read(file, null));
         } finally {
             Files.delete(file);
