Forget endpoints that are gone; one hash for names; keep-alive for peers

Seen by reading: DestinationSet kept every endpoint that ever was, and releases bring new names. They are dropped after the module has heard of the change; calls still out hold their endpoint, so the drain rule holds for them. A refusal of a keyed request of a group other than all that may have run now becomes a failure in the core too (rule 2), as the module has it.

--- a/src/main/java/laneflow/core/DestinationSet.java
+++ b/src/main/java/laneflow/core/DestinationSet.java
@@ -89,10 +89,10 @@
         return byId.get(id);
     }
 
-    /** Forgets an endpoint that will not come back under this name. */
-    void forget(Endpoint endpoint) {
-        byName.remove(endpoint.name);
-        byId.remove(endpoint.id);
+    /** Drops the endpoints that are gone; calls still out hold on to theirs. */
+    void forgetGone() {
+        byName.values().removeIf(endpoint -> endpoint.state == State.GONE);
+        byId.values().removeIf(endpoint -> endpoint.state == State.GONE);
     }
 
     /** The endpoint of that name, or null. */
--- a/src/main/java/laneflow/core/Endpoint.java
+++ b/src/main/java/laneflow/core/Endpoint.java
@@ -22,18 +22,21 @@
     State state = State.READY;
     /** When this scheduler was told that it drains or is gone. */
     long drainToldAt = Long.MAX_VALUE;
-    /** What its carrier keeps about it. */
-    public Object attachment;
 
     public Endpoint(String name, Carrier carrier) {
         this.name = name;
         this.carrier = carrier;
-        // FNV-1a: shares of a cold endpoint's budget follow from the number, so all schedulers must agree.
+        // Shares of a cold endpoint's budget follow from the number, so all schedulers must agree on it.
+        this.id = number(name);
+    }
+
+    /** A number drawn from a text, the same everywhere: FNV-1a. */
+    public static long number(String text) {
         long hash = 0xcbf29ce484222325L;
-        for (byte b : name.getBytes(StandardCharsets.UTF_8)) {
+        for (byte b : text.getBytes(StandardCharsets.UTF_8)) {
             hash = (hash ^ b & 0xff) * 0x100000001b3L;
         }
-        this.id = hash;
+        return hash;
     }
 
     public State state() {
--- a/src/main/java/laneflow/core/Scheduler.java
+++ b/src/main/java/laneflow/core/Scheduler.java
@@ -5,13 +5,13 @@
 import java.util.Locale;
 import laneflow.Dispatch;
 import laneflow.Dispatch.Effect;
+import laneflow.Dispatch.Group;
 import laneflow.Dispatch.JobClass;
 import laneflow.Dispatch.ListKind;
 import laneflow.Dispatch.LoadReport;
 import laneflow.Dispatch.Note;
 import laneflow.Dispatch.Outcome;
 import laneflow.Dispatch.Settings;
-import laneflow.Dispatch.State;
 import laneflow.Logic;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -59,19 +59,11 @@
         List<Dispatch.Worker> changes = destinations.apply(carrier, whole, entries, clock.micros());
         if (!changes.isEmpty()) {
             event(() -> module.list(now(), ListKind.CHANGES, changes));
+            // Replaced endpoints come under new names: kept, the old ones would pile up with every release.
+            event(destinations::forgetGone);
         }
     }
 
-    /** An endpoint is gone for good: its name will not be used again. */
-    public void remove(Endpoint endpoint) {
-        DestinationSet.Entry entry = new DestinationSet.Entry();
-        entry.name = endpoint.name;
-        entry.zone = endpoint.zone;
-        entry.state = State.GONE;
-        list(endpoint.carrier, false, List.of(entry));
-        destinations.forget(endpoint);
-    }
-
     public DestinationSet destinations() {
         return destinations;
     }
@@ -299,7 +291,9 @@
                 return;
             }
             // A refusal asks the client back: what may have run must not be asked for again.
-            if (!mayRepeat(request)) {
+            JobClass type = settings.classes[request.jobClass];
+            boolean apart = type.effect == Effect.KEYED && type.group != Group.ALL && request.mayHaveRun();
+            if (apart || !mayRepeat(request)) {
                 counters.add("core.kept.refusal");
                 answerFailed(request);
                 return;
--- a/src/main/java/laneflow/gearman/GearmanFront.java
+++ b/src/main/java/laneflow/gearman/GearmanFront.java
@@ -2,13 +2,13 @@
 
 import java.io.IOException;
 import java.net.InetSocketAddress;
-import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.SplittableRandom;
 import laneflow.Dispatch.Effect;
+import laneflow.core.Endpoint;
 import laneflow.core.Front;
 import laneflow.core.Payload;
 import laneflow.core.Request;
@@ -146,7 +146,7 @@
         String id = hex(random.nextLong());
         boolean keyed = scheduler.settings().classes[function.jobClass()].effect == Effect.KEYED;
         String repeatKey = !keyed ? null : job.unique.matches("[!-~]{1,128}") ? job.unique : id;
-        long key = job.unique.isEmpty() ? 0 : hash(job.unique);
+        long key = job.unique.isEmpty() ? 0 : Endpoint.number(job.unique);
         String target = "/" + config.className(function) + (key == 0 ? "" : "?key=" + hex(key));
         Payload payload = new Payload("POST", target, id, repeatKey, data);
         Request request = new Request(this, slot, payload, function.jobClass(),
@@ -157,14 +157,6 @@
         return request;
     }
 
-    private static long hash(String text) {
-        long hash = 0xcbf29ce484222325L;
-        for (byte b : text.getBytes(StandardCharsets.UTF_8)) {
-            hash = (hash ^ b & 0xff) * 0x100000001b3L;
-        }
-        return hash;
-    }
-
     private static String hex(long number) {
         return String.format("%016x", number);
     }
--- a/src/main/java/laneflow/gearman/Packet.java
+++ b/src/main/java/laneflow/gearman/Packet.java
@@ -44,8 +44,8 @@
     static final int HEADER = 12;
     /** The longest data of a packet: a job's 64 KiB with its names. */
     static final int MOST = 64 * 1024 + 1024;
-    private static final int REQUEST = 0x00524551;
-    private static final int RESPONSE = 0x00524553;
+    static final int REQUEST = 0x00524551;
+    static final int RESPONSE = 0x00524553;
 
     final int type;
     private final byte[] data;
@@ -123,12 +123,8 @@
         return encode(RESPONSE, type, arguments);
     }
 
-    /** A packet to the server, as clients and workers write it. */
-    static byte[] request(int type, Object... arguments) {
-        return encode(REQUEST, type, arguments);
-    }
-
-    private static byte[] encode(int magic, int type, Object... arguments) {
+    /** A packet in either direction. */
+    static byte[] encode(int magic, int type, Object... arguments) {
         ByteArrayOutputStream data = new ByteArrayOutputStream();
         for (int i = 0; i < arguments.length; i++) {
             if (i > 0) {
--- a/src/main/java/laneflow/gearman/Worker.java
+++ b/src/main/java/laneflow/gearman/Worker.java
@@ -10,7 +10,6 @@
 import laneflow.Dispatch.State;
 import laneflow.core.Deadlines.Deadline;
 import laneflow.core.DestinationSet.Entry;
-import laneflow.core.Endpoint;
 import laneflow.core.OutboundCall;
 import laneflow.core.Scheduler;
 
@@ -293,10 +292,11 @@
         }
         listed = false;
         front.carrier.remove(name);
-        Endpoint endpoint = scheduler.destinations().get(name);
-        if (endpoint != null) {
-            scheduler.remove(endpoint);
-        }
+        Entry entry = new Entry();
+        entry.name = name;
+        entry.zone = front.config.zone;
+        entry.state = State.GONE;
+        scheduler.list(front.carrier, false, List.of(entry));
         handle = null;
         finish(Outcome.RESET, null);
         for (OutboundCall waiting : new ArrayList<>(queue)) {
--- a/src/main/java/laneflow/net/Loop.java
+++ b/src/main/java/laneflow/net/Loop.java
@@ -166,7 +166,7 @@
             this.outLimit = outLimit;
             channel = worker.createStreamConnectionServer(at, accepting -> turn(this::accept),
                     OptionMap.builder().set(Options.TCP_NODELAY, true).set(Options.REUSE_ADDRESSES, true)
-                            .set(Options.BACKLOG, BACKLOG).getMap());
+                            .set(Options.KEEP_ALIVE, true).set(Options.BACKLOG, BACKLOG).getMap());
             channel.resumeAccepts();
         }
 
--- a/src/test/java/laneflow/core/SchedulerTest.java
+++ b/src/test/java/laneflow/core/SchedulerTest.java
@@ -142,7 +142,7 @@
         Carrier other = new SchedulerTest();
         scheduler.list(other, false, List.of(entry("w", State.READY)));
         scheduler.list(this, true, List.of(entry("b", State.READY)));
-        assertEquals(State.GONE, scheduler.destinations().get("a").state());
+        assertNull(scheduler.destinations().get("a"));
         assertEquals(State.READY, scheduler.destinations().get("w").state());
         // Nobody takes over another source's name.
         scheduler.list(other, false, List.of(entry("b", State.GONE)));
--- a/src/test/java/laneflow/gearman/GearmanStoryTest.java
+++ b/src/test/java/laneflow/gearman/GearmanStoryTest.java
@@ -19,13 +19,13 @@
 @Timeout(30)
 class GearmanStoryTest {
     private static void send(Peer peer, int type, Object... args) throws IOException {
-        peer.write(Packet.request(type, args));
+        peer.write(Packet.encode(Packet.REQUEST, type, args));
     }
 
     /** The next packet's arguments; it must be of this type. */
     private static String[] expect(Peer peer, int type) throws IOException {
         ByteBuffer head = ByteBuffer.wrap(peer.read(Packet.HEADER));
-        assertEquals(0x00524553, head.getInt());
+        assertEquals(Packet.RESPONSE, head.getInt());
         int got = head.getInt();
         String data = new String(peer.read(head.getInt()), StandardCharsets.UTF_8);
         assertEquals(type, got, data);
@@ -290,7 +290,7 @@
             Peer worker = worker(stand, "check");
             send(worker, Packet.SET_CLIENT_ID, "till 4");
             // A packet in pieces is a packet.
-            byte[] bytes = Packet.request(Packet.SUBMIT_JOB, "check", "", "");
+            byte[] bytes = Packet.encode(Packet.REQUEST, Packet.SUBMIT_JOB, "check", "", "");
             client.write(new String(bytes, 0, 5, StandardCharsets.ISO_8859_1));
             send(worker, Packet.ECHO_REQ, "");
             expect(worker, Packet.ECHO_RES);
