--- a/src/main/java/laneflow/gearman/Worker.java
+++ b/src/main/java/laneflow/gearman/Worker.java
@@ -29,6 +29,7 @@
     private final ByteArrayOutputStream data = new ByteArrayOutputStream();
     private final Deadline limit;
     private final Deadline grace;
+    private final Deadline wake;
     private boolean listed;
     private boolean asleep;
     /** The handle of the job at work, also once nobody waits for it any more; null if there is none. */
@@ -42,7 +43,8 @@
         this.peer = peer;
         this.name = name;
         limit = front.loop.deadlines().create(() -> finish(Outcome.TIMEOUT, null));
-        grace = front.loop.deadlines().create(() -> handBack(true));
+        grace = front.loop.deadlines().create(() -> handBack(Outcome.MOOT, true));
+        wake = front.loop.deadlines().create(() -> handBack(Outcome.CONNECT_FAILED, true));
     }
 
     boolean can(String function) {
@@ -74,7 +76,7 @@
             if (abilities.isEmpty()) {
                 drains();
             } else {
-                handBack(false);
+                handBack(Outcome.MOOT, false);
             }
         }
     }
@@ -92,6 +94,7 @@
      * waits here is given back only when the grace is over, and until then only a named function is assigned.
      */
     private void drains() {
+        front.loop.deadlines().cancel(wake);
         long within = (long) (scheduler.settings().drainGrace * 1e6);
         front.loop.deadlines().set(grace, front.loop.micros() + within);
     }
@@ -113,11 +116,12 @@
         scheduler.list(front.carrier, false, List.of(entry));
     }
 
-    private void handBack(boolean all) {
+    /** Gives back what waits here: all of it, or what it has no function for. */
+    private void handBack(Outcome outcome, boolean all) {
         for (OutboundCall waiting : new ArrayList<>(queue)) {
             if (queue.contains(waiting) && (all || function(waiting) == null)) {
                 queue.remove(waiting);
-                scheduler.ended(waiting, Outcome.MOOT, null, report());
+                scheduler.ended(waiting, outcome, null, null);
             }
         }
     }
@@ -150,11 +154,18 @@
         }
         queue.add(at, offered);
         if (asleep) {
-            asleep = false;
-            peer.send(Packet.NOOP);
+            wake();
         }
     }
 
+    /** Woken it comes within the time that a connection has to come up: a vanished machine says nothing. */
+    private void wake() {
+        asleep = false;
+        long within = (long) (scheduler.settings().connectTimeout * 1e6);
+        front.loop.deadlines().set(wake, front.loop.micros() + within);
+        peer.send(Packet.NOOP);
+    }
+
     /** Nobody waits for this call any more; what has been assigned runs on, unheard. */
     void drop(OutboundCall given) {
         queue.remove(given);
@@ -167,12 +178,13 @@
     void preSleep() {
         asleep = queue.isEmpty();
         if (!asleep) {
-            peer.send(Packet.NOOP);
+            wake();
         }
     }
 
     void grab(boolean withUnique) {
         asleep = false;
+        front.loop.deadlines().cancel(wake);
         OutboundCall next = handle == null ? next() : null;
         if (next == null) {
             peer.send(Packet.NO_JOB);
@@ -287,6 +299,7 @@
     /** Its connection has ended: what it was assigned it may have run, what waits for it never ran. */
     void gone() {
         front.loop.deadlines().cancel(grace);
+        front.loop.deadlines().cancel(wake);
         if (!listed) {
             return;
         }
--- a/src/test/java/laneflow/gearman/GearmanStoryTest.java
+++ b/src/test/java/laneflow/gearman/GearmanStoryTest.java
@@ -122,6 +122,20 @@
         }
     }
 
+    @Test
+    void aWorkerThatDoesNotComeForItsJobLosesItToAnother() throws Exception {
+        try (Stand stand = new Stand(null); Peer client = stand.gearman()) {
+            Peer silent = worker(stand, "slow");
+            String handle = submit(client, Packet.SUBMIT_JOB, "slow", "", "pay");
+            expect(silent, Packet.NOOP);
+            Peer other = worker(stand, "slow");
+            assertEquals(handle, grab(other)[0]);
+            send(other, Packet.WORK_COMPLETE, handle, "paid");
+            assertArrayEquals(new String[] {handle, "paid"}, expect(client, Packet.WORK_COMPLETE));
+            assertEquals(1, stand.counter("call.connect_failed"));
+        }
+    }
+
     @Test
     void aClientThatLeavesWhileItsJobIsQueuedWithdrawsIt() throws Exception {
         try (Stand stand = new Stand(null)) {
@@ -296,7 +310,7 @@
             expect(worker, Packet.ECHO_RES);
             client.write(new String(bytes, 5, bytes.length - 5, StandardCharsets.ISO_8859_1));
             String handle = expect(client, Packet.JOB_CREATED)[0];
-            assertEquals("capture\t0\t0\t0\ncheck\t1\t0\t1\nhasty\t0\t0\t0\npost\t0\t0\t0\n.\n",
+            assertEquals("capture\t0\t0\t0\ncheck\t1\t0\t1\nhasty\t0\t0\t0\npost\t0\t0\t0\nslow\t0\t0\t0\n.\n",
                     stand.gearman().write("status\n").readTo(".\n"));
             assertTrue(stand.gearman().write("workers\n").readTo(".\n").contains(" - till_4 : check\n"));
             assertTrue(stand.gearman().write("version\n").readTo("\n").startsWith("OK "));
--- a/src/test/java/laneflow/net/Stand.java
+++ b/src/test/java/laneflow/net/Stand.java
@@ -24,14 +24,14 @@
             + "{'name':'card-capture','aim':0.15,'hardLimit':6,'semantics':'side_effect','worth':8},"
             + "{'name':'points-post','aim':0.25,'hardLimit':6,'semantics':'token','group':'all',"
             + "'dedupWindow':10,'worth':2}],'familyInfo':{'classStretch':[2,2,2],'tellsStart':true},"
-            + "'limits':{'cancel':true,'connectTimeout':0.25,'connIdle':10,'maxAttempts':5,'maxRetryAfter':2,"
+            + "'limits':{'cancel':true,'connectTimeout':1,'connIdle':10,'maxAttempts':5,'maxRetryAfter':2,"
             + "'retryAfter':true},'reporting':{'fields':['busy','q','rate','x0'],'source':'answers'},"
             + "'rules':{'stopSendingWithin':0.5},'tick':0.005}";
     private static final String OWN = ",'listen':'127.0.0.1:0','seed':'7','limits':{'sockets':1024},'settings':"
             + SETTINGS + "}";
     private static final String GEARMAN = "listen = '127.0.0.1:0'\n[functions.check]\nclass = 'basket-check'\n"
             + "[functions.capture]\nclass = 'card-capture'\n[functions.post]\nclass = 'points-post'\n"
-            + "[functions.hasty]\nclass = 'card-capture'\ndeadline_ms = 300\n";
+            + "[functions.hasty]\nclass = 'card-capture'\ndeadline_ms = 300\n[functions.slow]\nclass = 'points-post'\ncost_ms = 3000\n";
 
     public final Serve serve;
     private final List<AutoCloseable> open = new ArrayList<>();
