--- a/src/main/java/laneflow/Serve.java
+++ b/src/main/java/laneflow/Serve.java
@@ -47,6 +47,9 @@
             scheduler.start(carrier, config.known.entries);
             if (config.discovery != null) {
                 new DiscoveryWatch(loop, scheduler, carrier, config).begin();
+                // Begun with nothing known, it would refuse all that comes before discovery's first word.
+                front.readyWhen(() -> scheduler.destinations().size() > 0
+                        || counters.get("discovery.lists") > 0);
             }
         });
         front.listen(Loop.address(config.listen));
--- a/src/main/java/laneflow/http/HttpFront.java
+++ b/src/main/java/laneflow/http/HttpFront.java
@@ -7,6 +7,7 @@
 import java.util.HashMap;
 import java.util.Locale;
 import java.util.Map;
+import java.util.function.BooleanSupplier;
 import laneflow.core.Deadlines.Deadline;
 import laneflow.core.Front;
 import laneflow.core.Payload;
@@ -33,6 +34,7 @@
     private final Scheduler scheduler;
     private final Map<String, Integer> classes = new HashMap<>();
     private final SlotTable<Client> clients = new SlotTable<>();
+    private BooleanSupplier ready = () -> true;
     private Loop.Listener listener;
     private boolean draining;
 
@@ -45,6 +47,11 @@
         }
     }
 
+    /** Until this holds no clients are asked for. */
+    public void readyWhen(BooleanSupplier condition) {
+        ready = condition;
+    }
+
     public void listen(InetSocketAddress at) throws IOException {
         listener = loop.listen(at, IN_RING, OUT_RING, this::closeLongestIdle, Client::new);
         LOG.info("clients at {}", listener.address());
@@ -248,7 +255,9 @@
         }
 
         private void get(String path) {
-            if (path.equals("/health/ready") || path.equals("/health/live")) {
+            if (path.equals("/health/ready") && !ready.getAsBoolean()) {
+                answer(503, "Service Unavailable", "", ascii("no destination set yet\n"));
+            } else if (path.equals("/health/ready") || path.equals("/health/live")) {
                 answer(200, "OK", "", ascii("ok\n"));
             } else if (path.equals("/counters")) {
                 answer(200, "OK", "", ascii(scheduler.counters().text()));
--- a/src/test/java/laneflow/http/HttpStoryTest.java
+++ b/src/test/java/laneflow/http/HttpStoryTest.java
@@ -184,6 +184,21 @@
         }
     }
 
+    @Test
+    void withNothingKnownItIsReadyOnceDiscoveryHasSpoken() throws Exception {
+        Endpoint discovery = new Endpoint("d");
+        try (Stand stand = new Stand(discovery); Peer client = stand.http()) {
+            Peer watch = discovery.accept();
+            watch.readTo("\r\n\r\n");
+            client.write("GET /health/ready HTTP/1.1\r\n\r\n");
+            assertTrue(client.message().startsWith("HTTP/1.1 503 "));
+            watch.says(Stand.list(2, true).replace('"', '\''));
+            stand.await("discovery.lists", 1);
+            client.write("GET /health/ready HTTP/1.1\r\n\r\n");
+            assertTrue(client.message().startsWith("HTTP/1.1 200 "));
+        }
+    }
+
     @Test
     void aPlannedStopAnswersAllThatWasTaken() throws Exception {
         Endpoint endpoint = new Endpoint("e1");
@@ -216,7 +231,7 @@
                 "BalancerMember balancer://tills http://" + endpoint.dial() + " route=t1\n");
         Path set = folder.resolve("set.json");
         assertEquals(0, Importer.run(List.of(conf.toString(), "-o", set.toString()), System.out, System.err));
-        try (Stand stand = new Stand(set); Peer client = stand.http()) {
+        try (Stand stand = Stand.loading(set); Peer client = stand.http()) {
             client.post("card-capture", "1", "", "pay");
             Peer call = endpoint.accept();
             call.message();
--- a/src/test/java/laneflow/net/Stand.java
+++ b/src/test/java/laneflow/net/Stand.java
@@ -59,16 +59,20 @@
     }
 
     /** The program with a destination set from a file. */
-    public Stand(Path destinations) throws Exception {
+    public static Stand loading(Path destinations) throws Exception {
         Path file = Files.createTempFile("stand", ".json");
         try {
             Files.writeString(file, json("{'discovery':'127.0.0.1:1'" + OWN));
-            serve = serve(Config.read(file, destinations));
+            return new Stand(serve(Config.read(file, destinations)));
         } finally {
             Files.delete(file);
         }
     }
 
+    private Stand(Serve serve) {
+        this.serve = serve;
+    }
+
     private static Serve serve(Config config) throws Exception {
         return new Serve(config, GearmanConfig.parse(GEARMAN, config.settings,
                 List.of(config.classNames), config.zones));
