--- a/src/main/java/laneflow/core/Deadlines.java
+++ b/src/main/java/laneflow/core/Deadlines.java
@@ -19,10 +19,6 @@
             this.action = action;
         }
 
-        public boolean isSet() {
-            return index >= 0;
-        }
-
         private boolean before(Deadline other) {
             return at < other.at || at == other.at && order < other.order;
         }
--- a/src/main/java/laneflow/core/Request.java
+++ b/src/main/java/laneflow/core/Request.java
@@ -36,10 +36,6 @@
         this.deadline = deadline;
     }
 
-    public long handle() {
-        return handle;
-    }
-
     boolean mayHaveRun() {
         return mayHaveRunAt < Long.MAX_VALUE;
     }
--- a/src/main/java/laneflow/core/Scheduler.java
+++ b/src/main/java/laneflow/core/Scheduler.java
@@ -37,7 +37,6 @@
     private final ArrayDeque<Runnable> events = new ArrayDeque<>();
     private final Dispatch.Request told = new Dispatch.Request();
     private boolean atWork;
-    private Runnable onAnswer = () -> { };
 
     public Scheduler(Settings settings, long seed, Clock clock, Deadlines deadlines, Counters counters) {
         this.settings = settings;
@@ -81,11 +80,6 @@
         return requests.size();
     }
 
-    /** Called after every final answer. */
-    public void onAnswer(Runnable call) {
-        onAnswer = call;
-    }
-
     // ---- from fronts ----
 
     /** Takes a request in; the answer may come before this returns. */
@@ -181,7 +175,6 @@
             counters.add(request.front.name() + ".served");
             close(request);
             request.front.served(request.tag, result);
-            onAnswer.run();
         }
         tell(call, outcome, over, report);
     }
@@ -215,7 +208,6 @@
         close(request);
         counters.add(request.front.name() + ".failed");
         request.front.failed(request.tag);
-        onAnswer.run();
     }
 
     // ---- the module's turn ----
@@ -301,7 +293,6 @@
             close(request);
             counters.add(request.front.name() + ".refused");
             request.front.failFast(request.tag, retryAfter);
-            onAnswer.run();
         }
 
         @Override
--- a/src/main/java/laneflow/http/Config.java
+++ b/src/main/java/laneflow/http/Config.java
@@ -21,7 +21,6 @@
     private static final int SOCKETS = 1024;
     private static final double CONN_IDLE = 10;
 
-    public final String name;
     public final String listen;
     /** Discovery's address, or null where there is none. */
     public final String discovery;
@@ -57,7 +56,6 @@
         }
         JsonObject limits = from.has("limits") ? from.getAsJsonObject("limits") : new JsonObject();
         connIdle = limits.has("connIdle") ? limits.get("connIdle").getAsDouble() : CONN_IDLE;
-        name = text(root, "name", "laneflow");
         listen = text(root, "listen", null);
         discovery = text(root, "discovery", null);
         seed = seed(text(root, "seed", "0"));
--- a/src/main/java/laneflow/net/Link.java
+++ b/src/main/java/laneflow/net/Link.java
@@ -46,10 +46,6 @@
         return handle;
     }
 
-    public boolean isOpen() {
-        return connection != null && !closed;
-    }
-
     public boolean isClosed() {
         return closed;
     }
--- a/src/main/java/laneflow/net/Loop.java
+++ b/src/main/java/laneflow/net/Loop.java
@@ -109,12 +109,7 @@
         turn(() -> deadlines.runDue(now));
     }
 
-    /** Runs a call on the loop's thread, in a turn; from any thread. */
-    public void execute(Runnable call) {
-        thread.execute(() -> turn(call));
-    }
-
-    /** Runs a call soon, when what is at work now has come to its end. */
+    /** Runs a call soon, in a turn, when what is at work now has come to its end; from any thread. */
     public void later(Runnable call) {
         thread.execute(() -> turn(call));
     }
@@ -223,7 +218,7 @@
     public Listener listen(InetSocketAddress at, int inLimit, int outLimit, BooleanSupplier makeRoom,
             Supplier<LinkHandler> handlers) throws IOException {
         Listener listener = new Listener(at, inLimit, outLimit, makeRoom, handlers);
-        execute(() -> listeners.add(listener));
+        later(() -> listeners.add(listener));
         return listener;
     }
 
@@ -275,10 +270,6 @@
         }
     }
 
-    public int links() {
-        return links.size();
-    }
-
     /** Ends the thread and all connections. */
     public void stop() throws InterruptedException {
         if (worker.isShutdown()) {
