--- a/src/main/java/laneflow/core/Scheduler.java
+++ b/src/main/java/laneflow/core/Scheduler.java
@@ -181,6 +181,7 @@
 
     /** How a probe ended. */
     public void probed(Endpoint endpoint, double took, Outcome outcome, LoadReport report) {
+        counters.add("probe." + outcome.name().toLowerCase(Locale.ROOT));
         event(() -> module.probed(now(), endpoint.id, took, outcome, report));
     }
 
--- a/src/test/java/laneflow/http/HttpStoryTest.java
+++ b/src/test/java/laneflow/http/HttpStoryTest.java
@@ -184,6 +184,25 @@
         }
     }
 
+    @Test
+    void aSilentWatchIsBegunAgainAndTheListStaysInUse() throws Exception {
+        Endpoint discovery = new Endpoint("d");
+        Endpoint endpoint = new Endpoint("e1");
+        try (Stand stand = new Stand(discovery, endpoint); Peer client = stand.http()) {
+            Peer silent = discovery.accept();
+            silent.readTo("\r\n\r\n");
+            // Nothing comes, not even an empty line: the next watch begins without a word from the first.
+            Peer next = discovery.accept();
+            assertTrue(next.readTo("\r\n\r\n").contains("after=1 "));
+            assertTrue(silent.ended());
+            client.post("basket-check", "1", "", "");
+            Peer call = endpoint.accept();
+            call.message();
+            call.says("{'id':'1','state':'done','result':'priced'}");
+            assertTrue(client.message().endsWith("priced"));
+        }
+    }
+
     @Test
     void withNothingKnownItIsReadyOnceDiscoveryHasSpoken() throws Exception {
         Endpoint discovery = new Endpoint("d");
@@ -199,6 +218,25 @@
         }
     }
 
+    @Test
+    void aProbeThatIsSlowHoldsNoRequestUp() throws Exception {
+        Endpoint endpoint = new Endpoint("e1");
+        try (Stand stand = Stand.probing(endpoint); Peer client = stand.http()) {
+            client.post("card-capture", "1", "", "pay");
+            Peer probe = endpoint.accept();
+            assertTrue(probe.message().startsWith("GET /stats HTTP/1.1\r\n"));
+            Peer call = endpoint.accept();
+            call.message();
+            call.says("{'id':'1','state':'done','result':'paid'}");
+            assertTrue(client.message().endsWith("paid"));
+            probe.write("HTTP/1.1 200 OK\r\nContent-Length: 15\r\n\r\nutil=0.5,x0=3.0");
+            stand.await("probe.ok", 1);
+            // The probe's connection, kept last, serves the next call; its report is fresh, so no probe again.
+            client.post("card-capture", "2", "", "pay");
+            assertTrue(probe.message().contains("Req-Id: 2\r\n"));
+        }
+    }
+
     @Test
     void aPlannedStopAnswersAllThatWasTaken() throws Exception {
         Endpoint endpoint = new Endpoint("e1");
