SIGHUP reads the configuration again and follows discovery to its new address

Exit 129 is the virtual machine's own end on an unhandled SIGHUP; the log shows no fault before it. At fault: Serve.run, which installs a hook for SIGTERM only, and DiscoveryWatch, which knew one address for its whole life.

Now Hangup installs a handler before clients are let in. The file is read on a thread of its own, one reading after the other; the loop gets the address only. The new watch starts at once and asks for the whole list; the former one is heard until then or until it ends. What can't be read changes nothing.

--- /dev/null
+++ b/src/main/java/laneflow/Hangup.java
@@ -0,0 +1,29 @@
+package laneflow;
+
+import java.lang.reflect.Proxy;
+
+/** The hang-up signal, which asks a service to read its configuration again. */
+final class Hangup {
+    private Hangup() {
+    }
+
+    /**
+     * Runs this at each SIGHUP, on a thread of the signal's own. Java has no other interface to signals, and
+     * the compiler warns of this one wherever it is named.
+     */
+    static void handle(Runnable then) {
+        try {
+            Class<?> signal = Class.forName("sun.misc.Signal");
+            Class<?> handler = Class.forName("sun.misc.SignalHandler");
+            Object own = Proxy.newProxyInstance(Hangup.class.getClassLoader(), new Class<?>[] {handler},
+                    (proxy, method, args) -> {
+                        then.run();
+                        return null;
+                    });
+            Object hangup = signal.getConstructor(String.class).newInstance("HUP");
+            signal.getMethod("handle", signal, handler).invoke(null, hangup, own);
+        } catch (ReflectiveOperationException e) {
+            throw new IllegalStateException("SIGHUP can't be handled", e);
+        }
+    }
+}
--- a/src/main/java/laneflow/Serve.java
+++ b/src/main/java/laneflow/Serve.java
@@ -3,7 +3,10 @@
 import java.io.IOException;
 import java.nio.file.Path;
 import java.util.List;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
 import java.util.concurrent.TimeUnit;
 import laneflow.core.Counters;
 import laneflow.core.Scheduler;
@@ -34,6 +37,8 @@
     private final HttpFront front;
     /** Null where the Gearman front is off. */
     private final GearmanFront gearman;
+    /** Null where no discovery is named. */
+    private final DiscoveryWatch watch;
     private final CountDownLatch drained = new CountDownLatch(1);
     private boolean stopping;
 
@@ -43,10 +48,11 @@
         scheduler = new Scheduler(config.settings, config.seed, loop, loop.deadlines(), counters);
         HttpCarrier carrier = new HttpCarrier(loop, scheduler, config.connIdle);
         front = new HttpFront(loop, scheduler, config.classNames);
+        watch = config.discovery == null ? null : new DiscoveryWatch(loop, scheduler, carrier, config);
         loop.call(() -> {
             scheduler.start(carrier, config.known.entries);
-            if (config.discovery != null) {
-                new DiscoveryWatch(loop, scheduler, carrier, config).begin();
+            if (watch != null) {
+                watch.begin();
                 // Begun with nothing known, it would refuse all that comes before discovery's first word.
                 front.readyWhen(() -> scheduler.destinations().size() > 0
                         || counters.get("discovery.lists") > 0);
@@ -67,12 +73,40 @@
         Config config = Config.read(configFile, destinations);
         GearmanConfig gearman = gearmanFile == null ? null : GearmanConfig.read(gearmanFile, config.settings,
                 List.of(config.classNames), config.zones);
+        // Without a handler the machine ends on SIGHUP, and all that is open with it. Files are read off the
+        // loop, one after the other: the last reading is of the newest file, however close signals come.
+        ExecutorService reader = Executors.newSingleThreadExecutor(task -> {
+            Thread thread = new Thread(task, "reload");
+            thread.setDaemon(true);
+            return thread;
+        });
+        CompletableFuture<Serve> serving = new CompletableFuture<>();
+        Hangup.handle(() -> reader.execute(() -> serving.join().reload(configFile, destinations)));
         Serve serve = new Serve(config, gearman);
+        serving.complete(serve);
         // The machine ends when its hooks have returned: this one waits until all that was taken is answered.
         Runtime.getRuntime().addShutdownHook(new Thread(serve::stop, "drain"));
         serve.drained.await();
     }
 
+    /**
+     * Reads the configuration again, on the caller's thread, and follows discovery to where it is now. What
+     * can't be read changes nothing, and no open request is touched.
+     */
+    public void reload(Path configFile, Path destinations) {
+        try {
+            String discovery = Config.read(configFile, destinations).discovery;
+            if (watch == null || discovery == null) {
+                LOG.warn("read again: there is no discovery to follow, nothing changes");
+                return;
+            }
+            Loop.address(discovery);
+            loop.later(() -> watch.follow(discovery));
+        } catch (IOException | WireException | RuntimeException e) {
+            LOG.warn("the configuration stays as it was: {}", e.getMessage());
+        }
+    }
+
     public HttpFront front() {
         return front;
     }
--- a/src/test/java/laneflow/http/HttpStoryTest.java
+++ b/src/test/java/laneflow/http/HttpStoryTest.java
@@ -188,14 +188,14 @@
     void aSilentWatchIsBegunAgainAndTheListStaysInUse() throws Exception {
         Endpoint discovery = new Endpoint("d");
         Endpoint endpoint = new Endpoint("e1");
-        try (Stand stand = new Stand(discovery, endpoint); Peer client = stand.http()) {
+        try (Stand stand = new Stand(discovery, endpoint)) {
             Peer silent = discovery.accept();
             silent.readTo("\r\n\r\n");
             // Nothing comes, not even an empty line: the next watch begins without a word from the first.
             Peer next = discovery.accept();
             assertTrue(next.readTo("\r\n\r\n").contains("after=1 "));
             assertTrue(silent.ended());
-            client.post("basket-check", "1", "", "");
+            Peer client = stand.http().post("basket-check", "1", "", "");
             Peer call = endpoint.accept();
             call.message();
             call.says("{'id':'1','state':'done','result':'priced'}");
@@ -203,6 +203,45 @@
         }
     }
 
+    @Test
+    void aMovedDiscoveryIsFollowedAndItsOldAddressHeardUntilTheNewOneSpeaks() throws Exception {
+        Endpoint first = new Endpoint("d1");
+        Endpoint second = new Endpoint("d2");
+        Endpoint third = new Endpoint("d3");
+        Endpoint one = new Endpoint("e1");
+        Path file = folder.resolve("config.json");
+        try (Stand stand = new Stand(first, one); Peer client = stand.http()) {
+            Peer old = first.accept();
+            old.readTo("\r\n\r\n");
+            client.post("card-capture", "1", "", "pay");
+            Peer call = one.accept();
+            call.message();
+            // Half a file, and one that names no address: what runs stays as it is.
+            for (String bad : new String[] {"{\"disco", stand.config("discovery.svc")}) {
+                stand.serve.reload(Files.writeString(file, bad), null);
+            }
+            assertEquals(0, stand.counter("discovery.moves"));
+            stand.serve.reload(Files.writeString(file, stand.config(second.dial())), null);
+            Peer silent = second.accept();
+            assertTrue(silent.readTo("\r\n\r\n").contains("after=0 "));
+            old.write(Stand.watching(Stand.list(8, false, one.host("Terminating"))));
+            stand.await("discovery.lists", 1);
+            // Moved again before it has spoken: only the latest counts, and the oldest is still heard.
+            stand.serve.reload(Files.writeString(file, stand.config(third.dial())), null);
+            assertTrue(silent.ended());
+            Peer now = third.accept();
+            now.readTo("\r\n\r\n");
+            // A list of lower number: another address counts as it likes.
+            now.write(Stand.watching(Stand.list(3, true, one.host("Ready"))));
+            stand.await("discovery.lists", 2);
+            assertTrue(old.ended());
+            call.says("{'id':'1','state':'done','result':'paid'}");
+            assertTrue(client.message().endsWith("paid"));
+            client.post("basket-check", "2", "", "");
+            assertTrue(call.message().contains("Req-Id: 2\r\n"));
+        }
+    }
+
     @Test
     void withNothingKnownItIsReadyOnceDiscoveryHasSpoken() throws Exception {
         Endpoint discovery = new Endpoint("d");
--- a/src/test/java/laneflow/net/Stand.java
+++ b/src/test/java/laneflow/net/Stand.java
@@ -101,6 +101,17 @@
                 .replace('\'', '"');
     }
 
+    /** A configuration that names this discovery. */
+    public static String config(String discovery) {
+        return json("{'discovery':'" + discovery + "'" + OWN);
+    }
+
+    /** A watch's answer that goes on behind this line. */
+    public static String watching(String line) {
+        return "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+                + Integer.toHexString(line.length() + 1) + "\r\n" + line + "\n\r\n";
+    }
+
     /** A client of the platform's front. */
     public Peer http() throws IOException {
         return peer(serve.front().address());
