A deadline on each client's message, strict framing, and bad clients give way first

Checked: descriptors stood at the clients' half, 0 kept for refused accepts; isIdle spared what had sent half a head, so such connections were never closed for others (at fault: HttpFront.isIdle, IDLE of 120 s). The ids of open requests and differing classes were passed on (HttpFront.take). HttpHead stripped vertical tabs before it looked for control bytes. The accept listener ran before HttpFront knew its Listener: it begins in a turn of its own now.

Client (one connection), JobReader (message to request) and HttpFront (who gives way, open ids) are apart now. A last answer ends the sending, passes over what still comes for 1 s and 256 KiB, then closes: closing with input unread reset the connection. A new connection is read in the turn that accepts it, 32 at most in a row. Gearman has the same deadline on packets and makes room alike.

Tests: a table of messages that go no further, an answer to a body of 60 MB, silent and dripping clients and a kept one, an id that comes again, 40 silent connections on 16 descriptors; half a Gearman packet.

--- a/src/main/java/laneflow/gearman/GearmanFront.java
+++ b/src/main/java/laneflow/gearman/GearmanFront.java
@@ -51,10 +51,26 @@
     }
 
     public void listen(InetSocketAddress at) throws IOException {
-        listener = loop.listen(at, IN_RING, OUT_RING, () -> false, () -> new Peer(this));
+        listener = loop.listen(at, IN_RING, OUT_RING, this::makeRoom, () -> new Peer(this));
+        listener.begin();
         LOG.info("Gearman clients and workers at {}", listener.address());
     }
 
+    /** Those that have not yet sent a whole packet give way, the one that came first before others. */
+    private boolean makeRoom() {
+        Peer[] first = new Peer[1];
+        peers.forEach(peer -> {
+            if (peer.isBegun() && (first[0] == null || peer.since() < first[0].since())) {
+                first[0] = peer;
+            }
+        });
+        if (first[0] != null) {
+            scheduler.counters().add("gearman.gave_way");
+            first[0].leave();
+        }
+        return first[0] != null;
+    }
+
     public InetSocketAddress address() {
         return listener.address();
     }
--- a/src/main/java/laneflow/gearman/Peer.java
+++ b/src/main/java/laneflow/gearman/Peer.java
@@ -1,6 +1,7 @@
 package laneflow.gearman;
 
 import java.nio.charset.StandardCharsets;
+import laneflow.core.Deadlines.Deadline;
 import laneflow.net.Link;
 import laneflow.net.LinkHandler;
 import org.slf4j.Logger;
@@ -10,16 +11,25 @@
 final class Peer implements LinkHandler {
     private static final Logger LOG = LoggerFactory.getLogger(Peer.class);
     private static final int MOST_LINE = 1024;
+    /**
+     * From the connection's coming up to its first whole packet, and from any later one's first byte to its
+     * last: no byte extends it. Between packets a worker may be silent for as long as it likes.
+     */
+    private static final long MESSAGE = 2_000_000;
 
     private final GearmanFront front;
     private Link link;
     private long slot;
     private String clientId = "-";
+    private final Deadline timer;
+    private boolean begun = true;
+    private long since;
     Worker worker;
     boolean wantsExceptions;
 
     Peer(GearmanFront front) {
         this.front = front;
+        timer = front.loop.deadlines().create(this::late);
     }
 
     @Override
@@ -27,6 +37,37 @@
         link = up;
         slot = front.add(this);
         worker = new Worker(front, this, "gearman-" + Long.toHexString(slot));
+        expect();
+    }
+
+    private void expect() {
+        begun = true;
+        since = front.loop.micros();
+        front.loop.deadlines().set(timer, since + MESSAGE);
+    }
+
+    private void whole() {
+        begun = false;
+        front.loop.deadlines().cancel(timer);
+    }
+
+    private void late() {
+        front.scheduler.counters().add("gearman.slow_packet");
+        leave();
+    }
+
+    /** True while a packet has begun, or the first one is awaited. */
+    boolean isBegun() {
+        return begun;
+    }
+
+    long since() {
+        return since;
+    }
+
+    void leave() {
+        link.close();
+        broken(link);
     }
 
     boolean isWritten() {
@@ -63,23 +104,27 @@
             while (!link.in.isEmpty() && !link.isClosed()) {
                 if (link.in.at(0) != 0) {
                     if (!line()) {
-                        return;
+                        break;
                     }
+                    whole();
                     continue;
                 }
                 Packet packet = Packet.read(link.in);
                 if (packet == null) {
-                    return;
+                    break;
                 }
+                whole();
                 take(packet);
             }
+            if (!link.in.isEmpty() && !link.isClosed() && !begun) {
+                expect();
+            }
         } catch (Packet.Malformed e) {
             // Where the next packet begins is not known any more.
             front.scheduler.counters().add("gearman.malformed");
             LOG.debug("{}: {}", clientId, e.getMessage());
             error("MALFORMED", e.getMessage());
-            link.holdReads();
-            link.closeWhenFlushed();
+            link.endWhenFlushed();
             front.loop.later(() -> broken(link));
         }
     }
@@ -184,6 +229,7 @@
 
     @Override
     public void broken(Link gone) {
+        whole();
         worker.gone();
         front.remove(this, slot);
     }
--- /dev/null
+++ b/src/main/java/laneflow/http/Client.java
@@ -0,0 +1,254 @@
+package laneflow.http;
+
+import java.io.ByteArrayOutputStream;
+import java.nio.charset.StandardCharsets;
+import laneflow.core.Deadlines.Deadline;
+import laneflow.core.Request;
+import laneflow.net.Link;
+import laneflow.net.LinkHandler;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** One client's connection to the platform's front: its messages one after the other, and their answers. */
+final class Client implements LinkHandler, HttpReader.Sink {
+    private static final Logger LOG = LoggerFactory.getLogger(Client.class);
+    /**
+     * From a connection's coming up to its first whole message, and from any later message's first byte to
+     * its last. No byte extends it: heads without end and bodies in drops would fill the clients' part.
+     */
+    private static final long MESSAGE = 2_000_000;
+    /** A usual client has asked by then. */
+    private static final long NEW = 200_000;
+    /** How long a kept connection may be idle between messages. */
+    private static final long IDLE = 120_000_000;
+    /** How long a client may leave an answer unread. */
+    private static final long UNREAD = 10_000_000;
+
+    private final HttpFront front;
+    private final HttpReader reader = new HttpReader(false, this);
+    private final ByteArrayOutputStream body = new ByteArrayOutputStream();
+    private final Deadline timer;
+    private Link link;
+    private long slot;
+    private HttpHead head;
+    private Request request;
+    /** A message has begun; at first one is awaited as if it had. */
+    private boolean begun = true;
+    /** From a message's end to its answer, also where the core is not asked. */
+    private boolean owes;
+    private boolean reading;
+    private long since;
+
+    Client(HttpFront front) {
+        this.front = front;
+        timer = front.loop.deadlines().create(this::late);
+    }
+
+    @Override
+    public void opened(Link up) {
+        link = up;
+        slot = front.add(this);
+        expect(MESSAGE);
+    }
+
+    private void expect(long within) {
+        since = front.loop.micros();
+        front.loop.deadlines().set(timer, since + within);
+    }
+
+    /** Its time is over: with something to answer it hears so, else it is closed. */
+    private void late() {
+        if (begun && reader.isInside(link.in)) {
+            front.count("http.slow_request");
+            refuse(408, "Request Timeout", "message not ended in time");
+            return;
+        }
+        front.count(begun ? "http.silent" : link.out.isEmpty() ? "http.idle_closed" : "http.slow_reader");
+        leave();
+    }
+
+    // ---- what the front may do with it ----
+
+    /** The connection holds a request whose answer is not wholly written, or one that is coming in. */
+    boolean isBusy() {
+        return !link.isEnded() && (owes || !link.out.isEmpty() || reader.isInside(link.in));
+    }
+
+    boolean isIdle() {
+        return !begun && !isBusy();
+    }
+
+    /**
+     * How soon it gives way when there is no room, the lowest first: what has its answer, what has said
+     * nothing whole for a while, what is kept idle, what has only just come. Above that it does not. In a
+     * flood the newest are mostly clients whose request is on its way.
+     */
+    int rank() {
+        if (link.isEnded()) {
+            return 0;
+        }
+        if (owes || !link.out.isEmpty()) {
+            return Integer.MAX_VALUE;
+        }
+        return !begun ? 2 : front.loop.micros() - since > NEW ? 1 : 3;
+    }
+
+    long since() {
+        return since;
+    }
+
+    /** Closes it with nothing more said. */
+    void leave() {
+        drop();
+        link.close();
+    }
+
+    private void drop() {
+        front.remove(slot);
+        front.loop.deadlines().cancel(timer);
+    }
+
+    // ---- messages ----
+
+    @Override
+    public void received(Link from) {
+        // An answer given while reading must not read on from within itself.
+        if (reading) {
+            return;
+        }
+        reading = true;
+        try {
+            while (!owes && !link.in.isEmpty() && !link.isClosed()) {
+                reader.read(link.in);
+                if (!reader.isDone()) {
+                    break;
+                }
+                finishMessage();
+            }
+        } catch (HttpException e) {
+            // Where a message that can't be read ends is not known: nothing behind it can be read either.
+            front.count("http.malformed");
+            LOG.debug("{}: {}", e.status, e.getMessage());
+            refuse(e.status, "Bad Request", e.getMessage());
+        } finally {
+            reading = false;
+        }
+        if (!begun && !owes && reader.isInside(link.in)) {
+            begun = true;
+            expect(MESSAGE);
+        }
+    }
+
+    @Override
+    public void head(HttpHead received) throws HttpException {
+        head = received;
+        body.reset();
+        String length = head.header("content-length");
+        if (length != null && Long.parseLong(length) > HttpFront.MOST_BODY) {
+            throw new HttpException(413, "body too long");
+        }
+        if ("100-continue".equalsIgnoreCase(head.header("expect"))) {
+            link.out.put(ascii("HTTP/1.1 100 Continue\r\n\r\n"));
+            link.flush();
+        }
+    }
+
+    @Override
+    public void body(byte[] bytes) throws HttpException {
+        if (body.size() + bytes.length > HttpFront.MOST_BODY) {
+            throw new HttpException(413, "body too long");
+        }
+        body.writeBytes(bytes);
+    }
+
+    @Override
+    public void end() {
+        owes = true;
+        // From here on the request's own deadline runs.
+        front.loop.deadlines().cancel(timer);
+    }
+
+    private void finishMessage() {
+        if (head.first.equals("GET")) {
+            int query = head.second.indexOf('?');
+            front.get(this, query < 0 ? head.second : head.second.substring(0, query));
+        } else if (!head.first.equals("POST")) {
+            answer(405, "Method Not Allowed", "", new byte[0]);
+        } else {
+            try {
+                request = front.take(slot, head, body.toByteArray());
+            } catch (HttpException e) {
+                front.count("http.bad_request");
+                answer(e.status, "Bad Request", "", ascii(e.getMessage() + "\n"));
+                return;
+            }
+            front.submit(request);
+        }
+    }
+
+    // ---- answers ----
+
+    static byte[] ascii(String text) {
+        return text.getBytes(StandardCharsets.US_ASCII);
+    }
+
+    /** The last answer on a connection on which nothing further can be read. */
+    private void refuse(int status, String reason, String why) {
+        head = null;
+        answer(status, reason, "", ascii(why + "\n"));
+    }
+
+    /** The request's answer. */
+    void answer(int status, String reason, String headers, byte[] content) {
+        if (request != null) {
+            front.close(request);
+            request = null;
+        }
+        boolean last = front.isLeaving() || head == null || !head.keepsAlive();
+        String text = "HTTP/1.1 " + status + " " + reason + "\r\n" + headers
+                + "Content-Length: " + content.length + "\r\n"
+                + (last ? "Connection: close\r\n\r\n" : "\r\n");
+        if (!link.out.put(ascii(text)) || !link.out.put(content)) {
+            // It asks on and on and reads nothing: its answers must not fill the memory.
+            front.count("http.slow_reader");
+            leave();
+            return;
+        }
+        if (last) {
+            // Until it is written out it stays owed: the program must not end before.
+            owes = true;
+            expect(UNREAD);
+            link.endWhenFlushed();
+            return;
+        }
+        owes = false;
+        begun = false;
+        reader.next();
+        expect(UNREAD);
+        link.flush();
+        if (!link.in.isEmpty() && !reading) {
+            received(link);
+        }
+        link.resumeReads();
+    }
+
+    @Override
+    public void flushed(Link on) {
+        if (on.isEnded()) {
+            // The link closes it within its own time.
+            front.loop.deadlines().cancel(timer);
+        } else if (!owes && !begun) {
+            expect(IDLE);
+        }
+    }
+
+    @Override
+    public void broken(Link gone) {
+        drop();
+        if (request != null) {
+            Request left = request;
+            request = null;
+            front.withdraw(left);
+        }
+    }
+}
--- a/src/main/java/laneflow/http/HttpHead.java
+++ b/src/main/java/laneflow/http/HttpHead.java
@@ -4,10 +4,14 @@
 import java.util.HashMap;
 import java.util.Locale;
 import java.util.Map;
+import java.util.Set;
 
 /** The start line and the headers of one message. */
 final class HttpHead {
     private static final int MOST_HEADERS = 100;
+    /** Besides all that begin with req-. */
+    private static final Set<String> ONCE = Set.of("content-length", "transfer-encoding", "host",
+            "idempotency-key", "srv-declined", "srv-load");
 
     /** The three parts of the start line. */
     final String first;
@@ -45,17 +49,18 @@
             throw new HttpException(400, "header line");
         }
         String name = line.substring(0, colon).toLowerCase(Locale.ROOT);
-        String value = line.substring(colon + 1).strip();
-        for (int i = 0; i < value.length(); i++) {
-            if (value.charAt(i) < ' ' && value.charAt(i) != '\t') {
+        // Looked at before blanks are cut off: a coding behind a vertical tab is no coding to a proxy, and
+        // one to the server behind it.
+        for (int i = colon + 1; i < line.length(); i++) {
+            if (line.charAt(i) < ' ' && line.charAt(i) != '\t' || line.charAt(i) == 127) {
                 throw new HttpException(400, "header value");
             }
         }
+        String value = cut(line, colon + 1);
         String before = headers.put(name, value);
-        if (before != null && !before.equals(value)) {
-            // Two lengths or codings that differ are how requests are smuggled past a proxy.
-            if (name.equals("content-length") || name.equals("transfer-encoding")
-                    || name.startsWith("req-")) {
+        if (before != null) {
+            // Two lengths or codings, alike or not, are how requests are smuggled past a proxy.
+            if (name.startsWith("req-") || ONCE.contains(name)) {
                 throw new HttpException(400, "header twice");
             }
             headers.put(name, before + ", " + value);
@@ -65,6 +70,23 @@
         }
     }
 
+    /** Cuts off blanks and tabs, and nothing else that might pass for white space. */
+    private static String cut(String line, int from) {
+        int start = from;
+        int end = line.length();
+        while (start < end && blank(line.charAt(start))) {
+            start++;
+        }
+        while (end > start && blank(line.charAt(end - 1))) {
+            end--;
+        }
+        return line.substring(start, end);
+    }
+
+    private static boolean blank(char c) {
+        return c == ' ' || c == '\t';
+    }
+
     private static boolean version(String text) {
         return text.equals("HTTP/1.1") || text.equals("HTTP/1.0");
     }
@@ -81,7 +103,7 @@
 
     private static boolean target(String text) {
         for (int i = 0; i < text.length(); i++) {
-            if (text.charAt(i) <= ' ' || text.charAt(i) == 127) {
+            if (text.charAt(i) <= ' ' || text.charAt(i) >= 127) {
                 return false;
             }
         }
--- a/src/main/java/laneflow/http/HttpReader.java
+++ b/src/main/java/laneflow/http/HttpReader.java
@@ -7,6 +7,7 @@
 final class HttpReader {
     static final int MOST_HEAD = 16 * 1024;
     private static final int MOST_LINE = 256;
+    private static final int MOST_TRAILERS = 32;
 
     /** What is told of a message, in order. */
     interface Sink {
@@ -24,6 +25,7 @@
     private State state = State.HEAD;
     private int scanned;
     private long left;
+    private int trailers;
 
     HttpReader(boolean response, Sink sink) {
         this.response = response;
@@ -34,6 +36,7 @@
     void next() {
         state = State.HEAD;
         scanned = 0;
+        trailers = 0;
     }
 
     boolean isDone() {
@@ -103,7 +106,8 @@
         String coding = head.header("transfer-encoding");
         String length = head.header("content-length");
         if (coding != null) {
-            if (!coding.equalsIgnoreCase("chunked") || length != null) {
+            boolean old = (response ? head.first : head.third).equals("HTTP/1.0");
+            if (!coding.equalsIgnoreCase("chunked") || length != null || old) {
                 throw new HttpException(400, "transfer coding");
             }
             state = State.CHUNK_SIZE;
@@ -187,6 +191,8 @@
         }
         if (line.isEmpty()) {
             finish();
+        } else if (++trailers > MOST_TRAILERS) {
+            throw new HttpException(431, "too many trailers");
         }
         return true;
     }
--- /dev/null
+++ b/src/main/java/laneflow/http/JobReader.java
@@ -0,0 +1,128 @@
+package laneflow.http;
+
+import java.util.HashMap;
+import java.util.Map;
+import laneflow.Dispatch.JobClass;
+import laneflow.core.Front;
+import laneflow.core.Payload;
+import laneflow.core.Request;
+
+/** Makes a request of a whole message; what makes none is an {@link HttpException} and comes no further. */
+final class JobReader {
+    private static final int MOST_ID = 128;
+    private static final double MOST_WAIT_MS = 3_600_000;
+
+    private final Map<String, Integer> numbers = new HashMap<>();
+    private final JobClass[] classes;
+
+    /** For these classes, in the settings' order. */
+    JobReader(String[] names, JobClass[] classes) {
+        this.classes = classes;
+        for (int i = 0; i < names.length; i++) {
+            numbers.put(names[i], i);
+        }
+    }
+
+    /** A message's request, for this front under this mark. */
+    Request read(Front front, long tag, HttpHead head, byte[] body, long now) throws HttpException {
+        String target = head.second;
+        int query = target.indexOf('?');
+        Integer jobClass = numbers.get(className(head, query < 0 ? target : target.substring(0, query)));
+        if (jobClass == null) {
+            throw new HttpException(400, "class unknown");
+        }
+        String id = head.header(Names.ID);
+        if (id == null || !word(id)) {
+            throw new HttpException(400, "no Req-Id, or one that is no word");
+        }
+        double wait = number(head.header(Names.DEADLINE), Names.DEADLINE, classes[jobClass].deadline * 1000);
+        Payload payload = new Payload(head.first, target, id, head.header(Names.REPEAT_KEY), body);
+        Request request = new Request(front, tag, payload, jobClass,
+                now + (long) (Math.min(wait, MOST_WAIT_MS) * 1000));
+        request.hint = number(head.header(Names.COST), Names.COST, Double.NaN) / 1e6;
+        request.retry = "1".equals(head.header(Names.RETRY));
+        request.key = query < 0 ? 0 : key(target, query + 1);
+        extras(request, head.header(Names.EXTRA));
+        return request;
+    }
+
+    /** The path's first part; a header that says otherwise would have two programs read two classes. */
+    private static String className(HttpHead head, String path) throws HttpException {
+        int end = path.indexOf('/', 1);
+        String first = path.isEmpty() || path.charAt(0) != '/' ? ""
+                : path.substring(1, end < 0 ? path.length() : end);
+        String told = head.header(Names.CLASS);
+        if (told != null && !told.equals(first)) {
+            throw new HttpException(400, "class of header and path differ");
+        }
+        return first;
+    }
+
+    private static boolean word(String text) {
+        for (int i = 0; i < text.length(); i++) {
+            if (text.charAt(i) <= ' ' || text.charAt(i) >= 127) {
+                return false;
+            }
+        }
+        return !text.isEmpty() && text.length() <= MOST_ID;
+    }
+
+    private static double number(String text, String what, double absent) throws HttpException {
+        return text == null ? absent : number(text, what);
+    }
+
+    /** Digits, and behind a point some more: no sign, no exponent, nothing that overflows. */
+    private static double number(String text, String what) throws HttpException {
+        int digits = 0;
+        int point = -1;
+        for (int i = 0; i < text.length(); i++) {
+            char c = text.charAt(i);
+            if (c == '.' && point < 0 && digits > 0) {
+                point = i;
+            } else if (c >= '0' && c <= '9') {
+                digits++;
+            } else {
+                throw new HttpException(400, "bad " + what);
+            }
+        }
+        if (digits == 0 || point == text.length() - 1 || digits > 18) {
+            throw new HttpException(400, "bad " + what);
+        }
+        return Double.parseDouble(text);
+    }
+
+    /** What the request concerns, as a number. */
+    private static long key(String target, int from) {
+        for (int at = from; at >= from && at < target.length();) {
+            int end = target.indexOf('&', at);
+            String pair = target.substring(at, end < 0 ? target.length() : end);
+            if (pair.startsWith("key=")) {
+                try {
+                    return Long.parseUnsignedLong(pair.substring(4), 16);
+                } catch (NumberFormatException e) {
+                    return pair.hashCode();
+                }
+            }
+            at = end < 0 ? target.length() : end + 1;
+        }
+        return 0;
+    }
+
+    private static void extras(Request to, String text) throws HttpException {
+        if (text == null || text.isEmpty()) {
+            return;
+        }
+        for (String pair : text.split(",")) {
+            String[] parts = pair.strip().split("=", 2);
+            if (parts.length < 2) {
+                throw new HttpException(400, "bad " + Names.EXTRA);
+            }
+            double value = number(parts[1], Names.EXTRA);
+            if ((parts[0].equals("slots") || parts[0].equals("width")) && value > 0) {
+                to.slots = value;
+            } else if (parts[0].equals("memory") || parts[0].equals("mem")) {
+                to.memory = value;
+            }
+        }
+    }
+}
--- a/src/main/java/laneflow/net/Link.java
+++ b/src/main/java/laneflow/net/Link.java
@@ -1,6 +1,7 @@
 package laneflow.net;
 
 import java.io.IOException;
+import laneflow.core.Deadlines.Deadline;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import org.xnio.IoFuture;
@@ -14,6 +15,9 @@
     private static final Logger LOG = LoggerFactory.getLogger(Link.class);
     /** Reads in a row before others have their turn. */
     private static final int READS = 8;
+    /** What an ended connection still sends is passed over for so long, and up to so much. */
+    private static final long LINGER = 1_000_000;
+    private static final int MOST_PASSED_OVER = 256 * 1024;
 
     public final Ring in;
     public final Ring out;
@@ -26,7 +30,9 @@
     private StreamSinkConduit sink;
     private IoFuture<StreamConnection> opening;
     private boolean closed;
-    private boolean closeWhenFlushed;
+    private boolean endWhenFlushed;
+    private Deadline linger;
+    private int passedOver;
     private boolean readsHeld;
 
     Link(Loop loop, LinkHandler handler, int inLimit, int outLimit, boolean accepted) {
@@ -68,11 +74,13 @@
         source.resumeReads();
     }
 
-    private void readable() {
+    void readable() {
         try {
             for (int i = 0; i < READS && !closed && !readsHeld; i++) {
                 int got = in.readFrom(source);
-                if (got > 0) {
+                if (got > 0 && linger != null) {
+                    passOver(got);
+                } else if (got > 0) {
                     handler.received(this);
                 } else if (got < 0) {
                     broken();
@@ -87,7 +95,7 @@
             return;
         }
         // A peer that sends on and on is not read further than the ring holds.
-        if (!closed && !readsHeld && in.isFull()) {
+        if (!closed && !readsHeld && linger == null && in.isFull()) {
             holdReads();
         }
     }
@@ -131,18 +139,49 @@
             loop.later(this::broken);
             return;
         }
-        if (closeWhenFlushed) {
-            close();
+        if (endWhenFlushed && linger == null) {
+            end();
         }
         handler.flushed(this);
     }
 
-    /** Closes once all is written. */
-    public void closeWhenFlushed() {
-        closeWhenFlushed = true;
+    /** Bytes that the other side still sends are not kept; past a measure they are not read either. */
+    private void passOver(int got) {
+        in.skip(in.size());
+        passedOver += got;
+        if (passedOver > MOST_PASSED_OVER) {
+            holdReads();
+        }
+    }
+
+    private void end() {
+        try {
+            sink.terminateWrites();
+            sink.flush();
+        } catch (IOException e) {
+            LOG.debug("end: {}", e.getMessage());
+            loop.later(this::broken);
+            return;
+        }
+        in.skip(in.size());
+        linger = loop.deadlines().at(loop.micros() + LINGER, this::broken);
+        resumeReads();
+    }
+
+    /**
+     * Ends the sending once all is written, and closes when the other side has ended too or some time has
+     * passed. Closed at once, with input unread, the connection would be reset and the answer might be lost.
+     */
+    public void endWhenFlushed() {
+        endWhenFlushed = true;
         flush();
     }
 
+    /** All has been sent, and nothing more is read from it. */
+    public boolean isEnded() {
+        return linger != null;
+    }
+
     private void broken() {
         if (!closed) {
             close();
@@ -156,6 +195,9 @@
             return;
         }
         closed = true;
+        if (linger != null) {
+            loop.deadlines().cancel(linger);
+        }
         if (opening != null) {
             opening.cancel();
         }
--- a/src/main/java/laneflow/net/LinkHandler.java
+++ b/src/main/java/laneflow/net/LinkHandler.java
@@ -13,7 +13,7 @@
     /** Bytes have come in; what is not taken from the ring stays there. */
     void received(Link link);
 
-    /** All that was put into the outgoing ring is written, and the connection closed if that was asked. */
+    /** All that was put into the outgoing ring is written, and the sending ended if that was asked. */
     default void flushed(Link link) {
     }
 
--- a/src/main/java/laneflow/net/Loop.java
+++ b/src/main/java/laneflow/net/Loop.java
@@ -35,6 +35,8 @@
     /** Descriptors the virtual machine holds for itself: the jar, selectors, standard streams. */
     private static final int OWN_DESCRIPTORS = 64;
     private static final int BACKLOG = 512;
+    /** Connections taken in a row: a flood of them must not hold up those that are open. */
+    private static final int ACCEPTS = 32;
 
     private final Deadlines deadlines = new Deadlines();
     private final SlotTable<Link> links = new SlotTable<>();
@@ -162,12 +164,19 @@
             channel = worker.createStreamConnectionServer(at, accepting -> turn(this::accept),
                     OptionMap.builder().set(Options.TCP_NODELAY, true).set(Options.REUSE_ADDRESSES, true)
                             .set(Options.KEEP_ALIVE, true).set(Options.BACKLOG, BACKLOG).getMap());
-            channel.resumeAccepts();
+        }
+
+        /** Lets clients in from now on. */
+        public void begin() {
+            later(() -> {
+                listeners.add(this);
+                channel.resumeAccepts();
+            });
         }
 
         private void accept() {
             try {
-                while (true) {
+                for (int i = 0; i < ACCEPTS; i++) {
                     if (accepted >= mostEachWay && !makeRoom.getAsBoolean()) {
                         // Further clients wait in the backlog until a connection closes.
                         full = true;
@@ -184,6 +193,8 @@
                     link.handle(links.add(link));
                     link.attach(connection);
                     handler.opened(link);
+                    // Mostly it has asked already: unread it would look like one that says nothing.
+                    link.readable();
                 }
             } catch (IOException e) {
                 LOG.warn("accept: {}", e.getMessage());
@@ -212,14 +223,12 @@
     }
 
     /**
-     * Listens there; each connection gets a handler of its own. Where there are too many, makeRoom may close
-     * one that is idle, and tells whether it did.
+     * Listens there once it is begun; each connection gets a handler of its own. Where there are too many,
+     * makeRoom may close one, and tells whether it did.
      */
     public Listener listen(InetSocketAddress at, int inLimit, int outLimit, BooleanSupplier makeRoom,
             Supplier<LinkHandler> handlers) throws IOException {
-        Listener listener = new Listener(at, inLimit, outLimit, makeRoom, handlers);
-        later(() -> listeners.add(listener));
-        return listener;
+        return new Listener(at, inLimit, outLimit, makeRoom, handlers);
     }
 
     /** True if another connection may be opened. */
--- a/src/test/java/laneflow/gearman/GearmanStoryTest.java
+++ b/src/test/java/laneflow/gearman/GearmanStoryTest.java
@@ -324,4 +324,17 @@
             stand.await("gearman.withdrawn", 1);
         }
     }
+
+    @Test
+    void whoSaysNothingOrHalfAPacketIsCutOffAndASilentWorkerIsNot() throws Exception {
+        try (Stand stand = new Stand(null); Peer silent = stand.gearman(); Peer half = stand.gearman()) {
+            Peer worker = worker(stand, "check");
+            half.write(new byte[] {0, 'R', 'E', 'Q', 0});
+            assertTrue(silent.ended());
+            assertTrue(half.ended());
+            assertEquals(2, stand.counter("gearman.slow_packet"));
+            String handle = submit(stand.gearman(), Packet.SUBMIT_JOB, "check", "", "");
+            assertEquals(handle, grab(worker)[0]);
+        }
+    }
 }
--- a/src/test/java/laneflow/http/HttpStoryTest.java
+++ b/src/test/java/laneflow/http/HttpStoryTest.java
@@ -4,6 +4,7 @@
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.List;
@@ -106,26 +107,107 @@
     }
 
     @Test
-    void whatIsNoHttpGets400AndTooMuch413() throws Exception {
-        try (Stand stand = new Stand(null)) {
+    void whatIsNoHttpGets400AndTooMuch413AndGoesNoFurther() throws Exception {
+        Endpoint endpoint = new Endpoint("e1");
+        try (Stand stand = new Stand(null, endpoint)) {
+            String post = "POST /basket-check HTTP/1.1\r\nReq-Id: 1\r\n";
             String[][] cases = {{"what\r\n\r\n", "400"}, {"POST /x HTTP/1.1\r\nNo colon\r\n\r\n", "400"},
-                {"POST /x HTTP/1.1\r\nContent-Length: 1\r\nTransfer-Encoding: chunked\r\n\r\n", "400"},
-                {"POST /basket-check HTTP/1.1\r\nReq-Id: 1\r\nContent-Length: 65537\r\n\r\n", "413"}};
+                {post + "Content-Length: 65537\r\n\r\n", "413"},
+                {post + "Content-Length: 1\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n", "400"},
+                {post + "Content-Length: 1\r\nTransfer-Encoding : chunked\r\n\r\n0\r\n\r\n", "400"},
+                {post + "TRANSFER-ENCODING:\tChunked\r\nContent-Length: 1\r\n\r\n0\r\n\r\n", "400"},
+                {post + "Transfer-Encoding: \u000bchunked\r\n\r\n0\r\n\r\n", "400"},
+                {post + "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n", "400"},
+                {post + "Content-Length: 1\r\nContent-Length: 1\r\n\r\nx", "400"},
+                {post + "Content-Length: 1\r\nContent-Length: 2\r\n\r\nx", "400"},
+                {post + "Content-Length: -1\r\n\r\n", "400"}, {post + "Content-Length: +1\r\n\r\nx", "400"},
+                {post + "Content-Length: 99999999999999999999\r\n\r\n", "400"},
+                {post + "Transfer-Encoding: chunked\r\n\r\nfffffffff\r\n", "400"},
+                {post + "X: a\r\n b\r\n\r\n", "400"}, {post + "X: a\rb\r\n\r\n", "400"},
+                {post + "X: a\u0001b\r\n\r\n", "400"}, {post + "Req-Id: 1\r\n\r\n", "400"},
+                {"POST /basket-check\u0001 HTTP/1.1\r\nReq-Id: 1\r\n\r\n", "400"},
+                {post + "Req-Kind: card-capture\r\n\r\n", "400"}, {post + "Req-Deadline-Ms: soon\r\n\r\n", "400"},
+                {post + "Req-Deadline-Ms: -5\r\n\r\n", "400"},
+                {"POST /basket-check HTTP/1.1\r\nContent-Length: 0\r\n\r\n", "400"},
+                {"POST /no-class HTTP/1.1\r\nReq-Id: 1\r\nReq-Kind: no-class\r\n\r\n", "400"}};
             for (String[] each : cases) {
                 try (Peer client = stand.http()) {
                     String answer = client.write(each[0]).message();
-                    assertTrue(answer.startsWith("HTTP/1.1 " + each[1]), answer);
-                    assertTrue(client.ended());
+                    assertTrue(answer.startsWith("HTTP/1.1 " + each[1]), each[0] + answer);
                 }
             }
-            try (Peer client = stand.http()) {
-                assertTrue(client.post("no-class", "1", "", "").message().startsWith("HTTP/1.1 400"));
-                client.post("basket-check", "1", "Req-Deadline-Ms: soon\r\n", "");
-                assertTrue(client.message().startsWith("HTTP/1.1 400"));
-                assertTrue(client.write("GET /health/ready HTTP/1.1\r\n\r\n").message().endsWith("ok\n"));
-                client.write("GET /counters HTTP/1.1\r\n\r\n");
-                assertTrue(client.message().contains("http.malformed 4\n"));
+            assertEquals(0, stand.counter("http.taken"));
+        }
+    }
+
+    @Test
+    void whatIsTooLongIsAnsweredThoughItsBytesGoOnComing() throws Exception {
+        try (Stand stand = new Stand(null); Peer client = stand.http()) {
+            client.write("POST /basket-check HTTP/1.1\r\nReq-Id: 1\r\nContent-Length: 60000000\r\n\r\n");
+            // Closed with these unread, the connection would be reset and the answer lost on its way.
+            client.write(new byte[200_000]);
+            assertTrue(client.message().startsWith("HTTP/1.1 413 "));
+            assertEquals(-1, client.socket.getInputStream().read());
+            client.write(new byte[50_000]);
+        }
+    }
+
+    @Test
+    void whoSaysNothingOrHalfAMessageIsEndedAndAKeptConnectionIsNot() throws Exception {
+        try (Stand stand = new Stand(null); Peer kept = stand.http(); Peer silent = stand.http();
+                Peer slow = stand.http(); Peer later = stand.http()) {
+            kept.write("GET /health/ready HTTP/1.1\r\n\r\n").message();
+            later.write("GET /health/ready HTTP/1.1\r\n\r\n").message();
+            // An empty line behind a body is no message begun.
+            kept.write("\r\n");
+            later.write("GET /hea");
+            long from = System.nanoTime();
+            Thread drops = new Thread(() -> {
+                try {
+                    for (slow.write("POST / HTTP/1.1\r\n"); true; Thread.sleep(100)) {
+                        slow.write("X: y\r\n");
+                    }
+                } catch (IOException | InterruptedException e) {
+                    // Cut off: that is what the story waits for.
+                }
+            });
+            drops.start();
+            assertTrue(silent.ended());
+            assertTrue(slow.message().startsWith("HTTP/1.1 408 "));
+            assertTrue(later.message().startsWith("HTTP/1.1 408 "));
+            assertTrue(System.nanoTime() - from < 3_000_000_000L);
+            assertTrue(kept.write("GET /health/ready HTTP/1.1\r\n\r\n").message().endsWith("ok\n"));
+            drops.interrupt();
+            drops.join();
+        }
+    }
+
+    @Test
+    void anOpenRequestsIdAgainIsAnErrorAndNeverASecondCall() throws Exception {
+        Endpoint endpoint = new Endpoint("e1");
+        try (Stand stand = new Stand(null, endpoint); Peer client = stand.http(); Peer other = stand.http()) {
+            client.post("card-capture", "1", "", "pay");
+            Peer call = endpoint.accept();
+            call.message();
+            assertTrue(other.post("card-capture", "1", "", "pay").message().startsWith("HTTP/1.1 409 "));
+            call.says("{'id':'1','state':'done','result':'paid'}");
+            assertTrue(client.message().endsWith("paid"));
+            assertEquals(1, stand.counter("call.sent"));
+        }
+    }
+
+    @Test
+    void silentConnectionsKeepNobodyOut() throws Exception {
+        Endpoint endpoint = new Endpoint("e1");
+        try (Stand stand = new Stand(null, 80, endpoint)) {
+            for (int i = 0; i < 40; i++) {
+                stand.http();
             }
+            Peer client = stand.http().post("basket-check", "1", "", "");
+            Peer call = endpoint.accept();
+            call.message();
+            call.says("{'id':'1','state':'done','result':'priced'}");
+            assertTrue(client.message().endsWith("priced"));
         }
     }
 
