Serve kept clients until shortly before the kill; archive a start's classes in the build

The log times tell why: node n1 got SIGTERM at 13.0 s and was ready again at 19.6 s, n0 got it at 16.0 s and closed its kept connections at once (at fault: HttpFront.drain called by Serve.drain at the signal). For three seconds nobody was there.

Checked and ruled out: ending sooner brings no sooner start, the platform starts a program anew 4.3 s after SIGTERM whenever it ends. A log of loaded classes shows a start of 0.8 s CPU, 0.3 s of it the management classes that XNIO registers with, most of the rest loading from the jar; with those classes archived it takes 0.47 s.

Until 1.3 s before a SIGKILL may come kept connections are served; what came late and is still open 0.3 s before it is given up and answered. /health/ready says 503 once it stops.

--- a/src/main/java/laneflow/Main.java
+++ b/src/main/java/laneflow/Main.java
@@ -12,7 +12,8 @@
 
 /**
  * The command line: {@code serve} is the real scheduler, {@code import} makes a destination set of a balancer
- * file, {@code benchlink} serves the simulator's wire on standard input and output.
+ * file, {@code benchlink} serves the simulator's wire on standard input and output, {@code rehearse} is the
+ * build's own run of the scheduler.
  */
 public final class Main {
     private static final String USAGE = "usage: java -jar laneflow.jar COMMAND\n"
@@ -31,6 +32,9 @@
                 new WireHost(in, new FileOutputStream(FileDescriptor.out)).run();
             } else if (args.length >= 1 && args[0].equals("serve")) {
                 serve(args);
+            } else if (args.length == 1 && args[0].equals("rehearse")) {
+                Rehearsal.run();
+                System.exit(0);
             } else if (args.length >= 1 && args[0].equals("import")) {
                 System.exit(Importer.run(List.of(args).subList(1, args.length), System.out, System.err));
             } else {
--- a/src/main/java/laneflow/Serve.java
+++ b/src/main/java/laneflow/Serve.java
@@ -8,6 +8,7 @@
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import java.util.concurrent.TimeUnit;
+import laneflow.Dispatch.JobClass;
 import laneflow.core.Counters;
 import laneflow.core.Scheduler;
 import laneflow.gearman.GearmanConfig;
@@ -28,6 +29,14 @@
     private static final long ACCEPT_ON = 550_000;
     /** Until then what has come in counts as taken. */
     private static final long STAY_ON = 750_000;
+    /** A SIGKILL comes no sooner than the longest wait of any class, but for that, behind a SIGTERM ... */
+    private static final double LONGEST_WAIT_S = 3;
+    /** ... and this much. */
+    private static final long KILL_AFTER = 700_000;
+    /** So long before it what is still open is given up: unanswered at the kill it would be lost. */
+    private static final long ANSWER_BEFORE = 300_000;
+    /** So long before it clients are sent away: most of what has come until then still ends. */
+    private static final long LEAVE_BEFORE = 1_300_000;
     private static final long LOOK_AGAIN = 5_000;
     private static final long LONGEST_DRAIN_S = 30;
 
@@ -41,6 +50,7 @@
     private final DiscoveryWatch watch;
     private final CountDownLatch drained = new CountDownLatch(1);
     private boolean stopping;
+    private boolean leaving;
 
     /** Starts to serve; returns once clients are let in. The Gearman file may be null: that front is off. */
     public Serve(Config config, GearmanConfig gearmanConfig) throws IOException, InterruptedException {
@@ -144,19 +154,40 @@
             return;
         }
         stopping = true;
-        LOG.info("stopping, {} open", scheduler.open());
+        LOG.info("stopping, {} open; {}", scheduler.open(), counters.line());
+        front.readyWhen(() -> false);
+        double longest = 0;
+        for (JobClass type : scheduler.settings().classes) {
+            longest = Math.max(longest, type.deadline);
+        }
+        long now = loop.micros();
+        long kill = now + (long) (Math.min(longest, LONGEST_WAIT_S) * 1e6) + KILL_AFTER;
+        loop.deadlines().at(now + ACCEPT_ON, this::stopAccepting);
+        loop.deadlines().at(Math.max(now + ACCEPT_ON, kill - LEAVE_BEFORE), this::leave);
+        loop.deadlines().at(Math.max(now + STAY_ON, kill - ANSWER_BEFORE),
+                () -> scheduler.giveUpSince(now + ACCEPT_ON));
+        loop.deadlines().at(now + STAY_ON, this::drainedYet);
+    }
+
+    private void stopAccepting() {
+        front.stopAccepting();
+        if (gearman != null) {
+            gearman.stopAccepting();
+        }
+    }
+
+    /** Until here kept connections are served: their clients may have nowhere else to go yet. */
+    private void leave() {
+        leaving = true;
         front.drain();
         if (gearman != null) {
             gearman.drain();
-            loop.deadlines().at(loop.micros() + ACCEPT_ON, gearman::stopAccepting);
         }
-        long now = loop.micros();
-        loop.deadlines().at(now + ACCEPT_ON, front::stopAccepting);
-        loop.deadlines().at(now + STAY_ON, this::drainedYet);
     }
 
     private void drainedYet() {
-        if (scheduler.open() == 0 && front.busy() == 0 && (gearman == null || gearman.busy() == 0)) {
+        boolean alone = leaving || front.isAlone() && gearman == null;
+        if (alone && scheduler.open() == 0 && front.busy() == 0 && (gearman == null || gearman.busy() == 0)) {
             drained.countDown();
         } else {
             loop.deadlines().at(loop.micros() + LOOK_AGAIN, this::drainedYet);
--- a/src/main/java/laneflow/core/Request.java
+++ b/src/main/java/laneflow/core/Request.java
@@ -22,6 +22,7 @@
     public int urgency;
 
     long handle;
+    long takenAt;
     boolean answered;
     int calls;
     OutboundCall out;
--- a/src/main/java/laneflow/core/Scheduler.java
+++ b/src/main/java/laneflow/core/Scheduler.java
@@ -29,6 +29,7 @@
     private final Clock clock;
     private final Deadlines deadlines;
     private final Counters counters;
+    private final Doer doer;
     private final Dispatch module;
     private final DestinationSet destinations = new DestinationSet();
     private final SlotTable<Request> requests = new SlotTable<>();
@@ -43,7 +44,8 @@
         this.clock = clock;
         this.deadlines = deadlines;
         this.counters = counters;
-        module = new Logic(settings, seed, new Doer());
+        doer = new Doer();
+        module = new Logic(settings, seed, doer);
     }
 
     /** Starts with the list of endpoints last held, or an empty one. */
@@ -85,6 +87,7 @@
     /** Takes a request in; the answer may come before this returns. */
     public void submit(Request request) {
         request.handle = requests.add(request);
+        request.takenAt = clock.micros();
         counters.add(request.front.name() + ".taken");
         // The module answers in time by itself; this catches what would otherwise stay without an answer.
         request.backstop = deadlines.at(request.deadline, () -> overdue(request));
@@ -120,6 +123,26 @@
         }
     }
 
+    /** Gives up what was taken since then and is still open: clients hear so, and may go elsewhere. */
+    public void giveUpSince(long instant) {
+        requests.forEach(request -> {
+            if (request.takenAt >= instant) {
+                giveUp(request);
+            }
+        });
+    }
+
+    private void giveUp(Request request) {
+        counters.add("core.given_up");
+        event(() -> module.abandoned(now(), request.handle));
+        OutboundCall call = request.out;
+        if (call != null) {
+            call.endpoint.carrier.close(call);
+            ended(call, Outcome.CANCELLED, null, null);
+        }
+        doer.refuse(request.handle, settings.retryAfter ? settings.tick : 0);
+    }
+
     // ---- from carriers ----
 
     /** Whether a call's first byte may go out now: not once its endpoint's drain has been known too long. */
--- a/src/main/java/laneflow/gearman/GearmanFront.java
+++ b/src/main/java/laneflow/gearman/GearmanFront.java
@@ -80,9 +80,8 @@
         draining = true;
     }
 
-    /** Lets nobody in any more. */
+    /** Lets nobody in any more; those that are here go on. */
     public void stopAccepting() {
-        draining = true;
         listener.close();
     }
 
--- a/src/main/java/laneflow/http/HttpFront.java
+++ b/src/main/java/laneflow/http/HttpFront.java
@@ -73,19 +73,18 @@
         return true;
     }
 
-    /** From now on each answer closes its connection; idle ones close at once. */
-    public void drain() {
-        draining = true;
-        clients.forEach(client -> {
-            if (client.isIdle()) {
-                client.leave();
-            }
-        });
-    }
-
-    /** No more clients, and none that is idle or has not begun. */
+    /** No more clients; those that are here go on. */
     public void stopAccepting() {
         listener.close();
+    }
+
+    /** True if nobody is connected. */
+    public boolean isAlone() {
+        return clients.size() == 0;
+    }
+
+    /** From now on each answer closes its connection; what is idle or has not begun closes at once. */
+    public void drain() {
         draining = true;
         clients.forEach(client -> {
             if (!client.isBusy()) {
@@ -122,7 +121,7 @@
 
     void get(Client client, String path) {
         if (path.equals("/health/ready") && !ready.getAsBoolean()) {
-            client.answer(503, "Service Unavailable", "", Client.ascii("no destination set yet\n"));
+            client.answer(503, "Service Unavailable", "", Client.ascii("not ready\n"));
         } else if (path.equals("/health/ready") || path.equals("/health/live")) {
             client.answer(200, "OK", "", Client.ascii("ok\n"));
         } else if (path.equals("/counters")) {
--- a/src/main/java/laneflow/net/Loop.java
+++ b/src/main/java/laneflow/net/Loop.java
@@ -218,6 +218,7 @@
         }
 
         public void close() {
+            full = false;
             IoUtils.safeClose(channel);
         }
     }
--- a/src/test/java/laneflow/core/SchedulerTest.java
+++ b/src/test/java/laneflow/core/SchedulerTest.java
@@ -124,6 +124,22 @@
         assertEquals(0, counters.get("core.overdue"));
     }
 
+    @Test
+    void whatIsGivenUpIsAnsweredAtOnceAndWhatCameBeforeGoesOn() {
+        endpoints("a", "b", "c", "d");
+        submit(UNSAFE);
+        pass(10_000);
+        long since = now;
+        submit(UNSAFE);
+        submit(SAFE);
+        scheduler.giveUpSince(since);
+        assertEquals(List.of("failed", "refused"), answers);
+        assertEquals(calls.subList(1, 3), closed);
+        scheduler.ended(calls.get(0), Outcome.OK, new byte[0], null);
+        assertEquals(List.of("failed", "refused", "served"), answers);
+        assertEquals(0, scheduler.open());
+    }
+
     @Test
     void aWithdrawnRequestIsOwedNothing() {
         endpoints("a");
