--- a/src/main/java/laneflow/Serve.java
+++ b/src/main/java/laneflow/Serve.java
@@ -163,7 +163,12 @@
         long now = loop.micros();
         long kill = now + (long) (Math.min(longest, LONGEST_WAIT_S) * 1e6) + KILL_AFTER;
         loop.deadlines().at(now + ACCEPT_ON, this::stopAccepting);
-        loop.deadlines().at(Math.max(now + ACCEPT_ON, kill - LEAVE_BEFORE), this::leave);
+        // Who has just taken over another's clients may be the last of its zone: they have nobody else yet.
+        // Others send theirs away early, so that they are at home elsewhere before the next one stops.
+        boolean last = scheduler.hasTakenOver();
+        counters.add(last ? "stop.as_last" : "stop.early");
+        long leaveAt = last ? Math.max(now + ACCEPT_ON, kill - LEAVE_BEFORE) : now + ACCEPT_ON;
+        loop.deadlines().at(leaveAt, this::leave);
         loop.deadlines().at(Math.max(now + STAY_ON, kill - ANSWER_BEFORE),
                 () -> scheduler.giveUpSince(now + ACCEPT_ON));
         loop.deadlines().at(now + STAY_ON, this::drainedYet);
@@ -176,7 +181,7 @@
         }
     }
 
-    /** Until here kept connections are served: their clients may have nowhere else to go yet. */
+    /** Until here kept connections are served on. */
     private void leave() {
         leaving = true;
         front.drain();
--- a/src/main/java/laneflow/core/Scheduler.java
+++ b/src/main/java/laneflow/core/Scheduler.java
@@ -37,6 +37,7 @@
     /** Events that came up while the module was at work: it must not be called from its own actions. */
     private final ArrayDeque<Runnable> events = new ArrayDeque<>();
     private final Dispatch.Request told = new Dispatch.Request();
+    private final Arrivals arrivals = new Arrivals();
     private boolean atWork;
 
     public Scheduler(Settings settings, long seed, Clock clock, Deadlines deadlines, Counters counters) {
@@ -88,6 +89,7 @@
     public void submit(Request request) {
         request.handle = requests.add(request);
         request.takenAt = clock.micros();
+        arrivals.add(request.takenAt);
         counters.add(request.front.name() + ".taken");
         // The module answers in time by itself; this catches what would otherwise stay without an answer.
         request.backstop = deadlines.at(request.deadline, () -> overdue(request));
@@ -123,6 +125,11 @@
         }
     }
 
+    /** True if requests have grown much of late, as where a sibling is away and its clients came here. */
+    public boolean hasTakenOver() {
+        return arrivals.surge(clock.micros());
+    }
+
     /** Gives up what was taken since then and is still open: clients hear so, and may go elsewhere. */
     public void giveUpSince(long instant) {
         requests.forEach(request -> {
--- a/src/main/java/laneflow/net/Loop.java
+++ b/src/main/java/laneflow/net/Loop.java
@@ -95,7 +95,7 @@
     private void endTurn() {
         inTurn = false;
         long next = deadlines.next();
-        if (next < armedFor) {
+        if (next < armedFor && !worker.isShutdown()) {
             if (armed != null) {
                 armed.remove();
             }
--- a/src/test/java/laneflow/core/SchedulerTest.java
+++ b/src/test/java/laneflow/core/SchedulerTest.java
@@ -140,6 +140,24 @@
         assertEquals(0, scheduler.open());
     }
 
+    @Test
+    void aSurgeIsSeenAndEvenOrFewRequestsAreNone() {
+        Arrivals arrivals = new Arrivals();
+        long at = now;
+        for (; at < now + 9_000_000; at += 50_000) {
+            arrivals.add(at);
+        }
+        assertFalse(arrivals.surge(at));
+        for (; at < now + 11_500_000; at += 25_000) {
+            arrivals.add(at);
+        }
+        assertTrue(arrivals.surge(at));
+        // Long gone, and then a handful.
+        at += 30_000_000;
+        arrivals.add(at);
+        assertFalse(arrivals.surge(at));
+    }
+
     @Test
     void aWithdrawnRequestIsOwedNothing() {
         endpoints("a");
--- a/src/test/java/laneflow/http/HttpStoryTest.java
+++ b/src/test/java/laneflow/http/HttpStoryTest.java
@@ -438,10 +438,17 @@
             client.post("card-capture", "1", "", "");
             Peer call = endpoint.accept();
             call.message();
+            // As where another scheduler's clients have just come: they have nobody else yet.
+            Peer busy = stand.http();
+            for (int i = 0; i < 25; i++) {
+                busy.post("card-capture", "x", "Req-Deadline-Ms: 0\r\n", "").message();
+            }
+            busy.close();
+            Thread.sleep(500);
             long from = System.nanoTime();
             Thread stop = new Thread(stand.serve::stop);
             stop.start();
-            // New connections are still let in, and kept ones served: there may be nobody else yet.
+            // New connections are still let in, and kept ones served.
             try (Peer late = stand.http()) {
                 assertTrue(late.write("GET /health/live HTTP/1.1\r\n\r\n").message().endsWith("ok\n"));
                 call.says("{'id':'1','state':'done','result':'paid'}");
@@ -464,6 +471,17 @@
         }
     }
 
+    @Test
+    void aPlannedStopOfOneThatTookNobodyOverSendsItsClientsAwayEarly() throws Exception {
+        try (Stand stand = new Stand(null); Peer idle = stand.http()) {
+            idle.write("GET /health/ready HTTP/1.1\r\n\r\n").message();
+            long from = System.nanoTime();
+            new Thread(stand.serve::stop).start();
+            assertTrue(idle.ended());
+            assertTrue(System.nanoTime() - from < 1_500_000_000L);
+        }
+    }
+
     @Test
     void anImportedDestinationSetIsLoaded() throws Exception {
         Endpoint endpoint = new Endpoint("t1");
