--- a/src/main/java/laneflow/Hangup.java
+++ b/src/main/java/laneflow/Hangup.java
@@ -9,9 +9,10 @@
 
     /**
      * Runs this at each SIGHUP, on a thread of the signal's own. Java has no other interface to signals, and
-     * the compiler warns of this one wherever it is named.
+     * the compiler warns of this one wherever it is named. False where the signal is ignored, as it is for
+     * what nohup starts: no handler can change that.
      */
-    static void handle(Runnable then) {
+    static boolean handle(Runnable then) {
         try {
             Class<?> signal = Class.forName("sun.misc.Signal");
             Class<?> handler = Class.forName("sun.misc.SignalHandler");
@@ -21,7 +22,8 @@
                         return null;
                     });
             Object hangup = signal.getConstructor(String.class).newInstance("HUP");
-            signal.getMethod("handle", signal, handler).invoke(null, hangup, own);
+            Object before = signal.getMethod("handle", signal, handler).invoke(null, hangup, own);
+            return before != handler.getField("SIG_IGN").get(null);
         } catch (ReflectiveOperationException e) {
             throw new IllegalStateException("SIGHUP can't be handled", e);
         }
--- a/src/main/java/laneflow/Serve.java
+++ b/src/main/java/laneflow/Serve.java
@@ -91,7 +91,9 @@
             return thread;
         });
         CompletableFuture<Serve> serving = new CompletableFuture<>();
-        Hangup.handle(() -> reader.execute(() -> serving.join().reload(configFile, destinations)));
+        if (!Hangup.handle(() -> reader.execute(() -> serving.join().reload(configFile, destinations)))) {
+            LOG.warn("SIGHUP is ignored, as under nohup: a moved discovery will not be followed");
+        }
         Serve serve = new Serve(config, gearman);
         serving.complete(serve);
         // The machine ends when its hooks have returned: this one waits until all that was taken is answered.
