--- a/src/main/java/laneflow/http/HttpHead.java
+++ b/src/main/java/laneflow/http/HttpHead.java
@@ -26,23 +26,46 @@
     }
 
     static HttpHead parse(byte[] bytes, boolean response) throws HttpException {
-        String[] lines = new String(bytes, StandardCharsets.ISO_8859_1).split("\r?\n", -1);
-        String[] start = lines[0].split(" ", response ? 3 : -1);
-        boolean sound = response
-                ? start.length >= 2 && version(start[0]) && start[1].matches("[1-5][0-9][0-9]")
-                : start.length == 3 && version(start[2]) && token(start[0]) && target(start[1]);
-        if (!sound) {
-            throw new HttpException(400, "start line");
-        }
-        HttpHead head = new HttpHead(start[0], start[1], start.length > 2 ? start[2] : "");
-        for (int i = 1; i < lines.length; i++) {
-            if (!lines[i].isEmpty()) {
-                head.add(lines[i]);
+        // Every message comes through here: patterns compiled anew for each took much of a cold start's time.
+        String text = new String(bytes, StandardCharsets.ISO_8859_1);
+        HttpHead head = null;
+        for (int at = 0; at < text.length();) {
+            int end = text.indexOf('\n', at);
+            int next = end < 0 ? text.length() : end + 1;
+            end = end < 0 ? text.length() : end;
+            String line = text.substring(at, end > at && text.charAt(end - 1) == '\r' ? end - 1 : end);
+            if (head == null) {
+                head = start(line, response);
+            } else if (!line.isEmpty()) {
+                head.add(line);
             }
+            at = next;
+        }
+        if (head == null) {
+            throw new HttpException(400, "start line");
         }
         return head;
     }
 
+    private static HttpHead start(String line, boolean response) throws HttpException {
+        int one = line.indexOf(' ');
+        int two = line.indexOf(' ', one + 1);
+        String first = one < 0 ? line : line.substring(0, one);
+        String second = one < 0 ? "" : line.substring(one + 1, two < 0 ? line.length() : two);
+        String third = one < 0 || two < 0 ? "" : line.substring(two + 1);
+        boolean sound = response ? version(first) && status(second)
+                : version(third) && token(first) && target(second);
+        if (!sound) {
+            throw new HttpException(400, "start line");
+        }
+        return new HttpHead(first, second, third);
+    }
+
+    private static boolean status(String text) {
+        return text.length() == 3 && text.charAt(0) >= '1' && text.charAt(0) <= '5'
+                && HttpReader.isNumber(text, 3);
+    }
+
     private void add(String line) throws HttpException {
         int colon = line.indexOf(':');
         if (colon < 1 || !token(line.substring(0, colon))) {
--- a/src/main/java/laneflow/http/HttpReader.java
+++ b/src/main/java/laneflow/http/HttpReader.java
@@ -8,6 +8,8 @@
     static final int MOST_HEAD = 16 * 1024;
     private static final int MOST_LINE = 256;
     private static final int MOST_TRAILERS = 32;
+    private static final int MOST_DIGITS = 9;
+    private static final int MOST_HEX = 7;
 
     /** What is told of a message, in order. */
     interface Sink {
@@ -112,7 +114,7 @@
             }
             state = State.CHUNK_SIZE;
         } else if (length != null) {
-            if (!length.matches("[0-9]{1,9}")) {
+            if (!isNumber(length, MOST_DIGITS)) {
                 throw new HttpException(400, "content length");
             }
             left = Long.parseLong(length);
@@ -133,6 +135,16 @@
         }
     }
 
+    /** Digits, and no more than so many: no sign, no blank, nothing that overflows. */
+    static boolean isNumber(String text, int most) {
+        for (int i = 0; i < text.length(); i++) {
+            if (text.charAt(i) < '0' || text.charAt(i) > '9') {
+                return false;
+            }
+        }
+        return !text.isEmpty() && text.length() <= most;
+    }
+
     private boolean body(Ring in, State then) throws HttpException {
         int length = (int) Math.min(left, in.size());
         if (length == 0) {
@@ -164,14 +176,27 @@
         }
         int end = line.indexOf(';');
         String size = (end < 0 ? line : line.substring(0, end)).strip();
-        if (!size.matches("[0-9a-fA-F]{1,7}")) {
-            throw new HttpException(400, "chunk size");
-        }
-        left = Integer.parseInt(size, 16);
+        left = hex(size);
         state = left == 0 ? State.TRAILER : State.CHUNK;
         return true;
     }
 
+    private static int hex(String size) throws HttpException {
+        int value = 0;
+        for (int i = 0; i < size.length(); i++) {
+            char c = size.charAt(i);
+            int digit = c < 128 ? Character.digit(c, 16) : -1;
+            if (digit < 0) {
+                throw new HttpException(400, "chunk size");
+            }
+            value = value << 4 | digit;
+        }
+        if (size.isEmpty() || size.length() > MOST_HEX) {
+            throw new HttpException(400, "chunk size");
+        }
+        return value;
+    }
+
     private boolean chunkEnd(Ring in) throws HttpException {
         String line = line(in);
         if (line == null) {
