The decision module has a package of its own, laneflow.decision

Need: command line, assembly and decisions shared one package, and the subsystems to come would have grown into it.

--- a/src/main/java/laneflow/Serve.java
+++ b/src/main/java/laneflow/Serve.java
@@ -9,7 +9,7 @@
 import java.util.concurrent.Executors;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
-import laneflow.Dispatch.JobClass;
+import laneflow.decision.Dispatch.JobClass;
 import laneflow.core.Counters;
 import laneflow.core.Scheduler;
 import laneflow.gearman.GearmanConfig;
--- a/src/main/java/laneflow/core/DestinationSet.java
+++ b/src/main/java/laneflow/core/DestinationSet.java
@@ -4,8 +4,8 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import laneflow.Dispatch.State;
-import laneflow.Dispatch.Worker;
+import laneflow.decision.Dispatch.State;
+import laneflow.decision.Dispatch.Worker;
 
 /**
  * The endpoints that may be called, by name, as their sources (discovery, connected workers, a file) tell of
--- a/src/main/java/laneflow/core/Endpoint.java
+++ b/src/main/java/laneflow/core/Endpoint.java
@@ -1,7 +1,7 @@
 package laneflow.core;
 
 import java.nio.charset.StandardCharsets;
-import laneflow.Dispatch.State;
+import laneflow.decision.Dispatch.State;
 
 /** A worker, as the destination set holds it. */
 public final class Endpoint {
--- a/src/main/java/laneflow/core/Request.java
+++ b/src/main/java/laneflow/core/Request.java
@@ -1,6 +1,6 @@
 package laneflow.core;
 
-import laneflow.Dispatch;
+import laneflow.decision.Dispatch;
 import laneflow.core.Deadlines.Deadline;
 
 /** A client's request, from its arrival to its one final answer. */
--- a/src/main/java/laneflow/Crowd.java
+++ b/src/main/java/laneflow/decision/Crowd.java
@@ -1,4 +1,4 @@
-package laneflow;
+package laneflow.decision;
 
 /** The siblings' jobs on one zone's workers of one kind. */
 final class Crowd {
--- a/src/main/java/laneflow/Doubt.java
+++ b/src/main/java/laneflow/decision/Doubt.java
@@ -1,4 +1,4 @@
-package laneflow;
+package laneflow.decision;
 
 /** What speaks against a worker, or a zone as a whole: failures without a sign of life between. */
 final class Doubt {
--- a/src/main/java/laneflow/Job.java
+++ b/src/main/java/laneflow/decision/Job.java
@@ -1,7 +1,7 @@
-package laneflow;
+package laneflow.decision;
 
-import laneflow.Dispatch.JobClass;
-import laneflow.Dispatch.Request;
+import laneflow.decision.Dispatch.JobClass;
+import laneflow.decision.Dispatch.Request;
 import java.util.Arrays;
 
 /** A request's record, from its arrival until nothing of it is out: facts, on which {@link Logic} decides. */
--- a/src/main/java/laneflow/Jobs.java
+++ b/src/main/java/laneflow/decision/Jobs.java
@@ -1,4 +1,4 @@
-package laneflow;
+package laneflow.decision;
 
 import org.agrona.collections.Long2ObjectHashMap;
 
--- a/src/main/java/laneflow/Kind.java
+++ b/src/main/java/laneflow/decision/Kind.java
@@ -1,4 +1,4 @@
-package laneflow;
+package laneflow.decision;
 
 /** What is seen of one kind of worker. */
 final class Kind {
--- a/src/main/java/laneflow/Logic.java
+++ b/src/main/java/laneflow/decision/Logic.java
@@ -1,6 +1,6 @@
-package laneflow;
+package laneflow.decision;
 
-import laneflow.Job.Attempt;
+import laneflow.decision.Job.Attempt;
 import java.util.ArrayDeque;
 import java.util.Arrays;
 import java.util.List;
--- a/src/main/java/laneflow/Outstanding.java
+++ b/src/main/java/laneflow/decision/Outstanding.java
@@ -1,6 +1,6 @@
-package laneflow;
+package laneflow.decision;
 
-import laneflow.Job.Attempt;
+import laneflow.decision.Job.Attempt;
 import java.util.Arrays;
 
 /** This dispatcher's attempts out at one worker, with their sums. */
--- a/src/main/java/laneflow/Pool.java
+++ b/src/main/java/laneflow/decision/Pool.java
@@ -1,4 +1,4 @@
-package laneflow;
+package laneflow.decision;
 
 import java.util.Arrays;
 
--- a/src/main/java/laneflow/SendLog.java
+++ b/src/main/java/laneflow/decision/SendLog.java
@@ -1,4 +1,4 @@
-package laneflow;
+package laneflow.decision;
 
 /** Sends with their work, in order, summed over the time since some instant; older ones are dropped. */
 final class SendLog {
--- a/src/main/java/laneflow/gearman/GearmanCarrier.java
+++ b/src/main/java/laneflow/gearman/GearmanCarrier.java
@@ -2,7 +2,7 @@
 
 import java.util.HashMap;
 import java.util.Map;
-import laneflow.Dispatch.Outcome;
+import laneflow.decision.Dispatch.Outcome;
 import laneflow.core.Carrier;
 import laneflow.core.Endpoint;
 import laneflow.core.OutboundCall;
--- a/src/main/java/laneflow/gearman/GearmanConfig.java
+++ b/src/main/java/laneflow/gearman/GearmanConfig.java
@@ -10,7 +10,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
-import laneflow.Dispatch.Settings;
+import laneflow.decision.Dispatch.Settings;
 
 /** Where the Gearman front listens, and what each function is to the scheduler. */
 public final class GearmanConfig {
--- a/src/main/java/laneflow/gearman/GearmanFront.java
+++ b/src/main/java/laneflow/gearman/GearmanFront.java
@@ -7,7 +7,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.SplittableRandom;
-import laneflow.Dispatch.Effect;
+import laneflow.decision.Dispatch.Effect;
 import laneflow.core.Endpoint;
 import laneflow.core.Front;
 import laneflow.core.Payload;
--- a/src/main/java/laneflow/http/Answer.java
+++ b/src/main/java/laneflow/http/Answer.java
@@ -13,8 +13,8 @@
 import java.nio.ByteBuffer;
 import java.nio.charset.CharacterCodingException;
 import java.nio.charset.StandardCharsets;
-import laneflow.Dispatch.LoadReport;
-import laneflow.Dispatch.Outcome;
+import laneflow.decision.Dispatch.LoadReport;
+import laneflow.decision.Dispatch.Outcome;
 import laneflow.core.OutboundCall;
 import laneflow.core.Scheduler;
 
--- a/src/main/java/laneflow/http/EndpointConnection.java
+++ b/src/main/java/laneflow/http/EndpointConnection.java
@@ -2,8 +2,8 @@
 
 import java.nio.charset.StandardCharsets;
 import java.util.Arrays;
-import laneflow.Dispatch.Outcome;
-import laneflow.Dispatch.State;
+import laneflow.decision.Dispatch.Outcome;
+import laneflow.decision.Dispatch.State;
 import laneflow.core.Deadlines.Deadline;
 import laneflow.core.Endpoint;
 import laneflow.core.OutboundCall;
--- a/src/main/java/laneflow/http/HttpCarrier.java
+++ b/src/main/java/laneflow/http/HttpCarrier.java
@@ -3,7 +3,7 @@
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.List;
-import laneflow.Dispatch.Effect;
+import laneflow.decision.Dispatch.Effect;
 import laneflow.core.Carrier;
 import laneflow.core.Endpoint;
 import laneflow.core.OutboundCall;
--- a/src/main/java/laneflow/http/JobReader.java
+++ b/src/main/java/laneflow/http/JobReader.java
@@ -2,7 +2,7 @@
 
 import java.util.HashMap;
 import java.util.Map;
-import laneflow.Dispatch.JobClass;
+import laneflow.decision.Dispatch.JobClass;
 import laneflow.core.Front;
 import laneflow.core.Payload;
 import laneflow.core.Request;
--- a/src/main/java/laneflow/http/Loads.java
+++ b/src/main/java/laneflow/http/Loads.java
@@ -3,7 +3,7 @@
 import com.google.gson.JsonElement;
 import com.google.gson.JsonObject;
 import java.util.Map;
-import laneflow.Dispatch.LoadReport;
+import laneflow.decision.Dispatch.LoadReport;
 import laneflow.wire.ReportFields;
 
 /** Load reports as endpoints write them: an object, or {@code name=value,name=value}. */
--- a/src/main/java/laneflow/wire/Codes.java
+++ b/src/main/java/laneflow/wire/Codes.java
@@ -1,9 +1,9 @@
 package laneflow.wire;
 
-import laneflow.Dispatch.ListKind;
-import laneflow.Dispatch.Note;
-import laneflow.Dispatch.Outcome;
-import laneflow.Dispatch.State;
+import laneflow.decision.Dispatch.ListKind;
+import laneflow.decision.Dispatch.Note;
+import laneflow.decision.Dispatch.Outcome;
+import laneflow.decision.Dispatch.State;
 
 /** The wire's numbers, and what they mean in the interface's words. */
 final class Codes {
--- a/src/main/java/laneflow/wire/ReportFields.java
+++ b/src/main/java/laneflow/wire/ReportFields.java
@@ -1,6 +1,6 @@
 package laneflow.wire;
 
-import laneflow.Dispatch.LoadReport;
+import laneflow.decision.Dispatch.LoadReport;
 
 /** The names of a load report's values: the settings' own and those that site files use. */
 public final class ReportFields {
--- a/src/main/java/laneflow/wire/SettingsReader.java
+++ b/src/main/java/laneflow/wire/SettingsReader.java
@@ -5,13 +5,13 @@
 import com.google.gson.JsonObject;
 import com.google.gson.JsonParseException;
 import com.google.gson.JsonParser;
-import laneflow.Dispatch.Effect;
-import laneflow.Dispatch.Group;
-import laneflow.Dispatch.JobClass;
-import laneflow.Dispatch.ReportSource;
-import laneflow.Dispatch.Settings;
-import laneflow.Dispatch.Tenant;
-import laneflow.Dispatch.WeightSource;
+import laneflow.decision.Dispatch.Effect;
+import laneflow.decision.Dispatch.Group;
+import laneflow.decision.Dispatch.JobClass;
+import laneflow.decision.Dispatch.ReportSource;
+import laneflow.decision.Dispatch.Settings;
+import laneflow.decision.Dispatch.Tenant;
+import laneflow.decision.Dispatch.WeightSource;
 
 /** Reads the settings text into {@link Settings}: unknown keys are skipped, absent ones keep defaults. */
 public final class SettingsReader {
--- a/src/main/java/laneflow/wire/WireHost.java
+++ b/src/main/java/laneflow/wire/WireHost.java
@@ -1,13 +1,13 @@
 package laneflow.wire;
 
-import laneflow.Dispatch;
-import laneflow.Dispatch.ListKind;
-import laneflow.Dispatch.LoadReport;
-import laneflow.Dispatch.Note;
-import laneflow.Dispatch.Outcome;
-import laneflow.Dispatch.Request;
-import laneflow.Dispatch.Worker;
-import laneflow.Logic;
+import laneflow.decision.Dispatch;
+import laneflow.decision.Dispatch.ListKind;
+import laneflow.decision.Dispatch.LoadReport;
+import laneflow.decision.Dispatch.Note;
+import laneflow.decision.Dispatch.Outcome;
+import laneflow.decision.Dispatch.Request;
+import laneflow.decision.Dispatch.Worker;
+import laneflow.decision.Logic;
 import java.io.IOException;
 import java.io.InputStream;
 import java.io.OutputStream;
--- a/src/test/java/example/EmbedExample.java
+++ b/src/test/java/example/EmbedExample.java
@@ -1,12 +1,12 @@
 package example;
 
-import laneflow.Dispatch;
-import laneflow.Dispatch.ListKind;
-import laneflow.Dispatch.Outcome;
-import laneflow.Dispatch.Request;
-import laneflow.Dispatch.Settings;
-import laneflow.Dispatch.Worker;
-import laneflow.Logic;
+import laneflow.decision.Dispatch;
+import laneflow.decision.Dispatch.ListKind;
+import laneflow.decision.Dispatch.Outcome;
+import laneflow.decision.Dispatch.Request;
+import laneflow.decision.Dispatch.Settings;
+import laneflow.decision.Dispatch.Worker;
+import laneflow.decision.Logic;
 import java.util.List;
 
 /** A dispatcher with one worker and one request; the actions would go to the host's sockets and timers. */
--- a/src/test/java/laneflow/SourceTest.java
+++ b/src/test/java/laneflow/SourceTest.java
@@ -13,7 +13,7 @@
 
 /** What the project promises of its own text. */
 class SourceTest {
-    private static final Path MODULE = Path.of("src/main/java/laneflow/Logic.java");
+    private static final Path MODULE = Path.of("src/main/java/laneflow/decision/Logic.java");
 
     @Test
     void moduleStaysWithinItsSize() throws IOException {
--- a/src/test/java/laneflow/core/SchedulerTest.java
+++ b/src/test/java/laneflow/core/SchedulerTest.java
@@ -8,12 +8,12 @@
 
 import java.util.ArrayList;
 import java.util.List;
-import laneflow.Dispatch.Effect;
-import laneflow.Dispatch.Group;
-import laneflow.Dispatch.JobClass;
-import laneflow.Dispatch.Outcome;
-import laneflow.Dispatch.Settings;
-import laneflow.Dispatch.State;
+import laneflow.decision.Dispatch.Effect;
+import laneflow.decision.Dispatch.Group;
+import laneflow.decision.Dispatch.JobClass;
+import laneflow.decision.Dispatch.Outcome;
+import laneflow.decision.Dispatch.Settings;
+import laneflow.decision.Dispatch.State;
 import laneflow.core.DestinationSet.Entry;
 import org.junit.jupiter.api.Test;
 
--- a/src/test/java/laneflow/Checker.java
+++ b/src/test/java/laneflow/decision/Checker.java
@@ -1,10 +1,10 @@
-package laneflow;
+package laneflow.decision;
 
-import laneflow.Dispatch.Effect;
-import laneflow.Dispatch.Group;
-import laneflow.Dispatch.JobClass;
-import laneflow.Dispatch.Settings;
-import laneflow.Dispatch.Worker;
+import laneflow.decision.Dispatch.Effect;
+import laneflow.decision.Dispatch.Group;
+import laneflow.decision.Dispatch.JobClass;
+import laneflow.decision.Dispatch.Settings;
+import laneflow.decision.Dispatch.Worker;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
--- a/src/test/java/laneflow/EffectTest.java
+++ b/src/test/java/laneflow/decision/EffectTest.java
@@ -1,13 +1,13 @@
-package laneflow;
+package laneflow.decision;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
-import laneflow.Dispatch.Effect;
-import laneflow.Dispatch.Group;
-import laneflow.Dispatch.ListKind;
-import laneflow.Dispatch.Outcome;
-import laneflow.Dispatch.Settings;
-import laneflow.Dispatch.Worker;
+import laneflow.decision.Dispatch.Effect;
+import laneflow.decision.Dispatch.Group;
+import laneflow.decision.Dispatch.ListKind;
+import laneflow.decision.Dispatch.Outcome;
+import laneflow.decision.Dispatch.Settings;
+import laneflow.decision.Dispatch.Worker;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.stream.Stream;
--- a/src/test/java/laneflow/GuardTest.java
+++ b/src/test/java/laneflow/decision/GuardTest.java
@@ -1,18 +1,18 @@
-package laneflow;
+package laneflow.decision;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertNotEquals;
 import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import laneflow.Dispatch.Effect;
-import laneflow.Dispatch.JobClass;
-import laneflow.Dispatch.ListKind;
-import laneflow.Dispatch.Outcome;
-import laneflow.Dispatch.ReportSource;
-import laneflow.Dispatch.Request;
-import laneflow.Dispatch.Settings;
-import laneflow.Dispatch.State;
+import laneflow.decision.Dispatch.Effect;
+import laneflow.decision.Dispatch.JobClass;
+import laneflow.decision.Dispatch.ListKind;
+import laneflow.decision.Dispatch.Outcome;
+import laneflow.decision.Dispatch.ReportSource;
+import laneflow.decision.Dispatch.Request;
+import laneflow.decision.Dispatch.Settings;
+import laneflow.decision.Dispatch.State;
 import java.util.List;
 import org.junit.jupiter.api.Test;
 
--- a/src/test/java/laneflow/PropertyTest.java
+++ b/src/test/java/laneflow/decision/PropertyTest.java
@@ -1,4 +1,4 @@
-package laneflow;
+package laneflow.decision;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
--- a/src/test/java/laneflow/Rig.java
+++ b/src/test/java/laneflow/decision/Rig.java
@@ -1,14 +1,14 @@
-package laneflow;
-
-import laneflow.Dispatch.Effect;
-import laneflow.Dispatch.JobClass;
-import laneflow.Dispatch.ListKind;
-import laneflow.Dispatch.LoadReport;
-import laneflow.Dispatch.Outcome;
-import laneflow.Dispatch.Request;
-import laneflow.Dispatch.Settings;
-import laneflow.Dispatch.State;
-import laneflow.Dispatch.Worker;
+package laneflow.decision;
+
+import laneflow.decision.Dispatch.Effect;
+import laneflow.decision.Dispatch.JobClass;
+import laneflow.decision.Dispatch.ListKind;
+import laneflow.decision.Dispatch.LoadReport;
+import laneflow.decision.Dispatch.Outcome;
+import laneflow.decision.Dispatch.Request;
+import laneflow.decision.Dispatch.Settings;
+import laneflow.decision.Dispatch.State;
+import laneflow.decision.Dispatch.Worker;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.PriorityQueue;
--- a/src/test/java/laneflow/wire/WireHostTest.java
+++ b/src/test/java/laneflow/wire/WireHostTest.java
@@ -125,7 +125,7 @@
         String wrongClass = ask(3, REQUEST_ID).replace(REQUEST_ID + "0000", REQUEST_ID + "0900");
         String reply = answer(batch(1, start(3), wrongClass));
         assertTrue(reply.contains("44"), reply);
-        assertTrue(reply.contains(hexOf("class 9 is out of range at laneflow.Logic.request")), reply);
+        assertTrue(reply.contains(hexOf("class 9 is out of range at laneflow.decision.Logic.request")), reply);
     }
 
     @ParameterizedTest
@@ -161,12 +161,12 @@
                 + " \"rules\": {\"lateShedding\": true, \"spareAttempts\": 3, \"repeatRatio\": 0.1, \"resendSpan\": 5.0,"
                 + " \"closeOnDrainWithin\": 0.3},"
                 + " \"reporting\": {\"source\": \"probe\", \"fields\": [\"x0\", \"lat_ms\"]}}");
-        assertEquals(laneflow.Dispatch.Group.ZONE, read.settings.classes[0].group);
+        assertEquals(laneflow.decision.Dispatch.Group.ZONE, read.settings.classes[0].group);
         assertEquals(1.5, read.settings.classes[0].stretch);
         assertEquals(2, read.settings.classes[0].kind);
         assertEquals(1, read.settings.classes[0].worth);
         assertEquals(3, read.settings.classes[1].stretch);
-        assertEquals(laneflow.Dispatch.ReportSource.PROBES, read.settings.reports);
+        assertEquals(laneflow.decision.Dispatch.ReportSource.PROBES, read.settings.reports);
         assertFalse(read.settings.headBlocks);
         assertFalse(read.settings.mayProbe);
         assertEquals("lat_ms", read.reportFields[1]);
