GRAB_JOB_ALL is served, so that libgearman's own workers get jobs

Cause: behind PRE_SLEEP a stock worker asks with GRAB_JOB_ALL only. The front answered ERROR, the worker asked again for ever, and its clients heard WORK_FAIL.

JOB_ASSIGN_ALL names function, unique and an empty reducer. A story plays the stock worker's exact order of packets: several CAN_DO, asking before sleeping, sleeping again before grabbing.

Measured: the story hangs without the change (ERROR instead of NO_JOB) and passes with it.

--- a/src/main/java/laneflow/gearman/Packet.java
+++ b/src/main/java/laneflow/gearman/Packet.java
@@ -40,6 +40,8 @@
     static final int SUBMIT_JOB_HIGH_BG = 32;
     static final int SUBMIT_JOB_LOW = 33;
     static final int SUBMIT_JOB_LOW_BG = 34;
+    static final int GRAB_JOB_ALL = 39;
+    static final int JOB_ASSIGN_ALL = 40;
 
     static final int HEADER = 12;
     /** The longest data of a packet: a job's 64 KiB with its names. */
--- a/src/main/java/laneflow/gearman/Peer.java
+++ b/src/main/java/laneflow/gearman/Peer.java
@@ -189,10 +189,14 @@
                 worker.preSleep();
                 break;
             case Packet.GRAB_JOB:
-                worker.grab(false);
+                worker.grab(Packet.JOB_ASSIGN);
                 break;
             case Packet.GRAB_JOB_UNIQ:
-                worker.grab(true);
+                worker.grab(Packet.JOB_ASSIGN_UNIQ);
+                break;
+            case Packet.GRAB_JOB_ALL:
+                // What libgearman's workers ask with, from their first word on.
+                worker.grab(Packet.JOB_ASSIGN_ALL);
                 break;
             case Packet.WORK_STATUS:
             case Packet.WORK_DATA:
--- a/src/main/java/laneflow/gearman/Worker.java
+++ b/src/main/java/laneflow/gearman/Worker.java
@@ -182,7 +182,8 @@
         }
     }
 
-    void grab(boolean withUnique) {
+    /** Assigns what waits in the form asked for: each has one argument more than the one before. */
+    void grab(int form) {
         asleep = false;
         front.loop.deadlines().cancel(wake);
         OutboundCall next = handle == null ? next() : null;
@@ -200,11 +201,14 @@
             front.loop.deadlines().set(limit, front.loop.micros() + seconds * 1_000_000L);
         }
         byte[] body = next.request.payload.body();
-        if (withUnique) {
-            String unique = job != null ? job.unique : next.request.payload.requestId();
-            peer.send(Packet.JOB_ASSIGN_UNIQ, handle, function, unique, body);
+        String unique = job != null ? job.unique : next.request.payload.requestId();
+        if (form == Packet.JOB_ASSIGN_ALL) {
+            // The fourth names a reducer: there is none, jobs of SUBMIT_REDUCE_JOB are not taken.
+            peer.send(form, handle, function, unique, "", body);
+        } else if (form == Packet.JOB_ASSIGN_UNIQ) {
+            peer.send(form, handle, function, unique, body);
         } else {
-            peer.send(Packet.JOB_ASSIGN, handle, function, body);
+            peer.send(form, handle, function, body);
         }
         scheduler.started(next);
     }
--- a/src/test/java/laneflow/gearman/GearmanStoryTest.java
+++ b/src/test/java/laneflow/gearman/GearmanStoryTest.java
@@ -230,6 +230,33 @@
         }
     }
 
+    /** The order of packets of libgearman's own worker: it asks before it sleeps, and with GRAB_JOB_ALL only. */
+    @Test
+    void aStockWorkerIsServed() throws Exception {
+        try (Stand stand = new Stand(null); Peer client = stand.gearman(); Peer worker = stand.gearman()) {
+            send(worker, Packet.CAN_DO, "check");
+            send(worker, Packet.CAN_DO, "post");
+            send(worker, Packet.CAN_DO, "check");
+            for (int i = 0; i < 2; i++) {
+                send(worker, Packet.GRAB_JOB_ALL);
+                expect(worker, Packet.NO_JOB);
+                send(worker, Packet.PRE_SLEEP);
+                String unique = i == 0 ? "u1" : "";
+                String handle = submit(client, Packet.SUBMIT_JOB, i == 0 ? "check" : "post", unique, "a\0b");
+                expect(worker, Packet.NOOP);
+                // Another sleep before it grabs: it is woken again, not left asleep with a job waiting.
+                send(worker, Packet.PRE_SLEEP);
+                expect(worker, Packet.NOOP);
+                send(worker, Packet.GRAB_JOB_ALL);
+                assertArrayEquals(new String[] {handle, i == 0 ? "check" : "post", unique, "", "a", "b"},
+                        expect(worker, Packet.JOB_ASSIGN_ALL));
+                send(worker, Packet.WORK_COMPLETE, handle, "done");
+                assertArrayEquals(new String[] {handle, "done"}, expect(client, Packet.WORK_COMPLETE));
+            }
+            assertEquals(0, stand.counter("gearman.unsupported"));
+        }
+    }
+
     /** One day in small, over either wire: the counts of what the rules speak of must be the same. */
     @Test
     void theSameDayOverBothWiresGivesTheSameCounts() throws Exception {
