--- a/src/main/java/laneflow/Serve.java
+++ b/src/main/java/laneflow/Serve.java
@@ -79,7 +79,7 @@
     }
 
     /** Runs the command until a signal ends it. */
-    static void run(Path configFile, Path gearmanFile, Path destinations)
+    public static void run(Path configFile, Path gearmanFile, Path destinations)
             throws IOException, WireException, InterruptedException {
         Config config = Config.read(configFile, destinations);
         GearmanConfig gearman = gearmanFile == null ? null : GearmanConfig.read(gearmanFile, config.settings,
--- /dev/null
+++ b/src/main/java/laneflow/cli/BenchlinkCommand.java
@@ -0,0 +1,19 @@
+package laneflow.cli;
+
+import java.io.FileDescriptor;
+import java.io.FileInputStream;
+import java.io.FileOutputStream;
+import java.util.concurrent.Callable;
+import laneflow.wire.WireHost;
+import picocli.CommandLine.Command;
+
+/** The same decisions on the simulator's wire; here for its help, Main calls it without options directly. */
+@Command(name = "benchlink", mixinStandardHelpOptions = true,
+        description = "Serves the simulator's wire on standard input and output.")
+final class BenchlinkCommand implements Callable<Integer> {
+    @Override
+    public Integer call() throws Exception {
+        new WireHost(new FileInputStream(FileDescriptor.in), new FileOutputStream(FileDescriptor.out)).run();
+        return 0;
+    }
+}
--- /dev/null
+++ b/src/main/java/laneflow/cli/Cli.java
@@ -0,0 +1,58 @@
+package laneflow.cli;
+
+import java.io.IOException;
+import java.io.PrintWriter;
+import laneflow.importer.Importer;
+import laneflow.wire.WireException;
+import picocli.CommandLine;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.IVersionProvider;
+import picocli.CommandLine.Model.CommandSpec;
+import picocli.CommandLine.ParameterException;
+import picocli.CommandLine.Spec;
+
+/**
+ * The command line. Exit codes: 0 done, 1 the input or the state of things does not allow it, 2 a wrong call or
+ * a configuration that can't be used. A mistyped word is answered with the nearest one.
+ */
+@Command(name = "laneflow", mixinStandardHelpOptions = true, versionProvider = Cli.Version.class,
+        description = "Job scheduler and protocol translator: old clients reach new servers.",
+        subcommands = {ServeCommand.class, BenchlinkCommand.class})
+public final class Cli implements Runnable {
+    @Spec
+    private CommandSpec spec;
+
+    /** Runs the command named there and returns the exit code. */
+    public static int run(String... args) {
+        return line().execute(args);
+    }
+
+    static CommandLine line() {
+        CommandLine line = new CommandLine(new Cli());
+        line.addSubcommand(new Importer(System.out, System.err));
+        line.setExecutionExceptionHandler((e, at, parsed) -> {
+            if (!(e instanceof IOException || e instanceof WireException || e instanceof IllegalArgumentException)) {
+                throw e;
+            }
+            PrintWriter err = at.getErr();
+            err.println("laneflow: " + e.getMessage());
+            err.flush();
+            return 1;
+        });
+        return line;
+    }
+
+    @Override
+    public void run() {
+        throw new ParameterException(spec.commandLine(), "a command is missing");
+    }
+
+    /** The version that the jar's manifest holds. */
+    static final class Version implements IVersionProvider {
+        @Override
+        public String[] getVersion() {
+            String version = Cli.class.getPackage().getImplementationVersion();
+            return new String[] {"laneflow " + (version == null ? "(not from a jar)" : version)};
+        }
+    }
+}
--- a/src/main/java/laneflow/importer/Importer.java
+++ b/src/main/java/laneflow/importer/Importer.java
@@ -5,6 +5,7 @@
 import com.google.gson.JsonObject;
 import java.io.IOException;
 import java.io.PrintStream;
+import java.io.PrintWriter;
 import java.nio.charset.CharacterCodingException;
 import java.nio.file.Files;
 import java.nio.file.NoSuchFileException;
@@ -16,89 +17,73 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.TreeSet;
+import java.util.concurrent.Callable;
+import picocli.CommandLine;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Model.CommandSpec;
+import picocli.CommandLine.Option;
+import picocli.CommandLine.ParameterException;
+import picocli.CommandLine.Parameters;
+import picocli.CommandLine.Spec;
 
 /**
  * The command {@code import}: reads an Apache balancer or a mod_jk worker file and writes its members as a
  * destination set in discovery's form, which {@code serve --destinations} loads.
  */
-public final class Importer {
-    /** How it is called. */
-    public static final String USAGE = "import FILE [-o OUT] [--balancer NAME] [--zone ZONE] [--ajp-as-http]"
-            + " [--address NAME=ADDRESS]...";
-
-    private final Map<String, String> addresses = new HashMap<>();
+@Command(name = "import", mixinStandardHelpOptions = true,
+        description = "Makes a destination set of an Apache balancer or a mod_jk worker file.")
+public final class Importer implements Callable<Integer> {
     private final PrintStream out;
     private final PrintStream notes;
+    @Spec
+    private CommandSpec spec;
+    @Parameters(paramLabel = "FILE", description = "The Apache configuration or workers.properties.")
     private String file;
+    @Option(names = "-o", paramLabel = "OUT", description = "Where the set is written; else standard output.")
     private String target;
+    @Option(names = "--balancer", paramLabel = "NAME", description = "The one to take where there are several.")
     private String balancer;
+    @Option(names = "--zone", paramLabel = "ZONE", description = "The zone of its members.")
     private String zone;
+    @Option(names = "--ajp-as-http", description = "Call the members' AJP ports by HTTP.")
     private boolean ajpAsHttp;
+    @Option(names = "--address", paramLabel = "NAME=ADDRESS", description = "A host's address; none is looked up.")
+    private Map<String, String> addresses = new HashMap<>();
 
-    private Importer(PrintStream out, PrintStream notes) {
+    /** The command, writing there. */
+    public Importer(PrintStream out, PrintStream notes) {
         this.out = out;
         this.notes = notes;
     }
 
     /** Runs the command; 0 if a set was written, 1 if the file can't be taken over, 2 on a wrong call. */
     public static int run(List<String> args, PrintStream out, PrintStream notes) {
-        Importer importer = new Importer(out, notes);
-        if (!importer.options(args)) {
-            notes.println("usage: java -jar laneflow.jar " + USAGE);
-            return 2;
-        }
+        return new CommandLine(new Importer(out, notes)).setOut(new PrintWriter(out, true))
+                .setErr(new PrintWriter(notes, true)).execute(args.toArray(new String[0]));
+    }
+
+    @Override
+    public Integer call() {
+        addresses.forEach((name, address) -> {
+            if (!isAddress(address)) {
+                throw new ParameterException(spec.commandLine(), "'" + address + "' is no address");
+            }
+        });
         try {
-            importer.write(importer.convert());
+            write(convert());
             return 0;
         } catch (ImportException e) {
             notes.println(e.getMessage());
         } catch (NoSuchFileException e) {
             notes.println(e.getFile() + ": there is no such file");
         } catch (CharacterCodingException e) {
-            notes.println(importer.file + ": not a text in UTF-8");
+            notes.println(file + ": not a text in UTF-8");
         } catch (IOException e) {
-            notes.println(importer.file + ": " + e.getMessage());
+            notes.println(file + ": " + e.getMessage());
         }
         return 1;
     }
 
-    private boolean options(List<String> args) {
-        for (int i = 0; i < args.size(); i++) {
-            String arg = args.get(i);
-            if (arg.equals("--ajp-as-http")) {
-                ajpAsHttp = true;
-            } else if (!arg.startsWith("-")) {
-                if (file != null) {
-                    return false;
-                }
-                file = arg;
-            } else if (i + 1 == args.size() || !option(arg, args.get(++i))) {
-                return false;
-            }
-        }
-        return file != null;
-    }
-
-    private boolean option(String name, String value) {
-        switch (name) {
-            case "-o":
-                target = value;
-                return true;
-            case "--balancer":
-                balancer = value;
-                return true;
-            case "--zone":
-                zone = value;
-                return true;
-            case "--address":
-                String[] pair = value.split("=", 2);
-                addresses.put(pair[0], pair[pair.length - 1]);
-                return pair.length == 2 && isAddress(pair[1]);
-            default:
-                return false;
-        }
-    }
-
     private JsonObject convert() throws IOException, ImportException {
         List<String> lines = Files.readAllLines(Path.of(file));
         boolean jk = file.endsWith(".properties")
