--- a/src/main/java/laneflow/cli/Cli.java
+++ b/src/main/java/laneflow/cli/Cli.java
@@ -12,7 +12,7 @@
 import picocli.CommandLine.Spec;
 
 /**
- * The command line. Exit codes: 0 done, 1 the input or the state of things does not allow it, 2 a wrong call or
+ * The command line. Exit codes: 0 done, 1 the input or the state of things forbids it, 2 a wrong call or
  * a configuration that can't be used. A mistyped word is answered with the nearest one.
  */
 @Command(name = "laneflow", mixinStandardHelpOptions = true, versionProvider = Cli.Version.class,
@@ -31,7 +31,8 @@
         CommandLine line = new CommandLine(new Cli());
         line.addSubcommand(new Importer(System.out, System.err));
         line.setExecutionExceptionHandler((e, at, parsed) -> {
-            if (!(e instanceof IOException || e instanceof WireException || e instanceof IllegalArgumentException)) {
+            if (!(e instanceof IOException || e instanceof WireException
+                    || e instanceof IllegalArgumentException)) {
                 throw e;
             }
             PrintWriter err = at.getErr();
--- a/src/main/java/laneflow/cli/ServeCommand.java
+++ b/src/main/java/laneflow/cli/ServeCommand.java
@@ -17,7 +17,7 @@
     private CommandSpec spec;
     @Option(names = "--gearman", paramLabel = "FILE", description = "The Gearman front's own file.")
     private Path gearman;
-    @Option(names = "--destinations", paramLabel = "FILE", description = "A destination set in place of discovery.")
+    @Option(names = "--destinations", paramLabel = "FILE", description = "A set in place of discovery.")
     private Path destinations;
 
     @Override
--- a/src/main/java/laneflow/importer/Importer.java
+++ b/src/main/java/laneflow/importer/Importer.java
@@ -41,13 +41,13 @@
     private String file;
     @Option(names = "-o", paramLabel = "OUT", description = "Where the set is written; else standard output.")
     private String target;
-    @Option(names = "--balancer", paramLabel = "NAME", description = "The one to take where there are several.")
+    @Option(names = "--balancer", paramLabel = "NAME", description = "The one of several.")
     private String balancer;
     @Option(names = "--zone", paramLabel = "ZONE", description = "The zone of its members.")
     private String zone;
     @Option(names = "--ajp-as-http", description = "Call the members' AJP ports by HTTP.")
     private boolean ajpAsHttp;
-    @Option(names = "--address", paramLabel = "NAME=ADDRESS", description = "A host's address; none is looked up.")
+    @Option(names = "--address", paramLabel = "NAME=ADDRESS", description = "A host's address.")
     private Map<String, String> addresses = new HashMap<>();
 
     /** The command, writing there. */
