--- a/src/main/java/laneflow/Main.java
+++ b/src/main/java/laneflow/Main.java
@@ -28,7 +28,7 @@
                 FileInputStream in = new FileInputStream(FileDescriptor.in);
                 new WireHost(in, new FileOutputStream(FileDescriptor.out)).run();
             } else if (args.length == 1 && args[0].equals("serve") && config != null) {
-                Serve.run(Path.of(config), null, null);
+                Serve.run(() -> Setup.platform(Path.of(config), null, null));
             } else if (args.length == 1 && args[0].equals("rehearse")) {
                 Rehearsal.run();
                 System.exit(0);
--- a/src/main/java/laneflow/Serve.java
+++ b/src/main/java/laneflow/Serve.java
@@ -1,8 +1,6 @@
 package laneflow;
 
 import java.io.IOException;
-import java.nio.file.Path;
-import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.ExecutorService;
@@ -53,8 +51,15 @@
     private boolean stopping;
     private boolean leaving;
 
-    /** Starts to serve; returns once clients are let in. The Gearman file may be null: that front is off. */
-    public Serve(Config config, GearmanConfig gearmanConfig) throws IOException, InterruptedException {
+    /** Where a start, and a SIGHUP again, read from. */
+    public interface Source {
+        Setup read() throws IOException, WireException;
+    }
+
+    /** Starts to serve; returns once clients are let in. */
+    public Serve(Setup setup) throws IOException, InterruptedException {
+        Config config = setup.config();
+        GearmanConfig gearmanConfig = setup.gearman();
         loop = new Loop(config.sockets);
         scheduler = new Scheduler(config.settings, config.seed, loop, loop.deadlines(), counters);
         HttpCarrier carrier = new HttpCarrier(loop, scheduler, config.connIdle);
@@ -79,11 +84,8 @@
     }
 
     /** Runs the command until a signal ends it. */
-    public static void run(Path configFile, Path gearmanFile, Path destinations)
-            throws IOException, WireException, InterruptedException {
-        Config config = Config.read(configFile, destinations);
-        GearmanConfig gearman = gearmanFile == null ? null : GearmanConfig.read(gearmanFile, config.settings,
-                List.of(config.classNames), config.zones);
+    public static void run(Source source) throws IOException, WireException, InterruptedException {
+        Setup setup = source.read();
         // Without a handler the machine ends on SIGHUP, and all that is open with it. Files are read off the
         // loop, one after the other: the last reading is of the newest file, however close signals come.
         ExecutorService reader = Executors.newSingleThreadExecutor(task -> {
@@ -92,10 +94,10 @@
             return thread;
         });
         CompletableFuture<Serve> serving = new CompletableFuture<>();
-        if (!Hangup.handle(() -> reader.execute(() -> serving.join().reload(configFile, destinations)))) {
+        if (!Hangup.handle(() -> reader.execute(() -> serving.join().reload(source)))) {
             LOG.warn("SIGHUP is ignored, as under nohup: a moved discovery will not be followed");
         }
-        Serve serve = new Serve(config, gearman);
+        Serve serve = new Serve(setup);
         serving.complete(serve);
         // The machine ends when its hooks have returned: this one waits until all that was taken is answered.
         Runtime.getRuntime().addShutdownHook(new Thread(serve::stop, "drain"));
@@ -106,9 +108,9 @@
      * Reads the configuration again, on the caller's thread, and follows discovery to where it is now. What
      * can't be read changes nothing, and no open request is touched.
      */
-    public void reload(Path configFile, Path destinations) {
+    public void reload(Source source) {
         try {
-            String discovery = Config.read(configFile, destinations).discovery;
+            String discovery = source.read().config().discovery;
             if (watch == null || discovery == null) {
                 LOG.warn("read again: there is no discovery to follow, nothing changes");
                 return;
--- /dev/null
+++ b/src/main/java/laneflow/Setup.java
@@ -0,0 +1,62 @@
+package laneflow;
+
+import com.google.gson.JsonObject;
+import java.io.IOException;
+import java.nio.file.Path;
+import java.util.List;
+import laneflow.config.Findings;
+import laneflow.config.OperatorFile;
+import laneflow.durable.DurableConfig;
+import laneflow.gearman.GearmanConfig;
+import laneflow.http.Config;
+import laneflow.wire.WireException;
+
+/** All that a scheduler is told at its start; null stands for a front or a subsystem that is off. */
+public record Setup(Config config, GearmanConfig gearman, DurableConfig durable) {
+
+    /** The platform's file, with a Gearman file and a destination set beside it, each unless null. */
+    public static Setup platform(Path file, Path gearman, Path destinations)
+            throws IOException, WireException {
+        Config config = Config.read(file, destinations);
+        return new Setup(config, gearman == null ? null : GearmanConfig.read(gearman, config.settings,
+                List.of(config.classNames), config.zones), null);
+    }
+
+    /**
+     * The operators' file, and the platform's unless null: what that names, it decides. All that is wrong
+     * with the operators' file is told at once, in a {@link laneflow.config.ConfigException}.
+     */
+    public static Setup operators(Path file, Path platform, Path destinations)
+            throws IOException, WireException {
+        OperatorFile operators = OperatorFile.read(file);
+        Findings findings = operators.findings();
+        JsonObject all = operators.platform();
+        if (platform != null) {
+            all = operators.under(Config.object(platform));
+        }
+        if (destinations != null) {
+            Config.fixDestinations(all, destinations);
+        }
+        JsonObject settings = all.getAsJsonObject("settings");
+        if (!all.has("listen")) {
+            findings.add("", "listen", "is missing");
+        }
+        if (settings == null || !settings.has("classes")) {
+            findings.add("", "classes", "no [classes.NAME]");
+            findings.raise();
+        }
+        Config config = Config.parse(all.toString());
+        List<String> classes = List.of(config.classNames);
+        GearmanConfig gearman = operators.gearman() == null ? null
+                : GearmanConfig.read(operators.gearman(), config.settings, classes, config.zones);
+        DurableConfig durable = operators.durable() == null ? null
+                : DurableConfig.read(operators.durable(), config.settings, classes);
+        if (gearman != null && durable == null) {
+            gearman.functions.values().stream().filter(GearmanConfig.Function::durable).forEach(function ->
+                    findings.add("gearman.functions." + function.name(), "durable",
+                            "is true, but there is no [durable] that says where such jobs are kept"));
+        }
+        findings.raise();
+        return new Setup(config, gearman, durable);
+    }
+}
--- a/src/main/java/laneflow/cli/Cli.java
+++ b/src/main/java/laneflow/cli/Cli.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.io.PrintWriter;
+import laneflow.config.ConfigException;
 import laneflow.importer.Importer;
 import laneflow.wire.WireException;
 import picocli.CommandLine;
@@ -36,9 +37,10 @@
                 throw e;
             }
             PrintWriter err = at.getErr();
-            err.println("laneflow: " + e.getMessage());
+            boolean config = e instanceof ConfigException;
+            err.println(config ? e.getMessage() : "laneflow: " + e.getMessage());
             err.flush();
-            return 1;
+            return config ? 2 : 1;
         });
         return line;
     }
--- a/src/main/java/laneflow/cli/ServeCommand.java
+++ b/src/main/java/laneflow/cli/ServeCommand.java
@@ -3,6 +3,7 @@
 import java.nio.file.Path;
 import java.util.concurrent.Callable;
 import laneflow.Serve;
+import laneflow.Setup;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Model.CommandSpec;
 import picocli.CommandLine.Option;
@@ -11,10 +12,14 @@
 
 /** One scheduler. */
 @Command(name = "serve", mixinStandardHelpOptions = true,
-        description = "Runs one scheduler until a signal ends it. ROUTER_CONFIG names the platform's file.")
+        description = "Runs one scheduler until a signal ends it. It reads the platform's file, "
+            + "named by ROUTER_CONFIG, or the operators', or both.")
 final class ServeCommand implements Callable<Integer> {
     @Spec
     private CommandSpec spec;
+    @Option(names = "--config", paramLabel = "FILE", description = "The operators' file, as "
+            + "deploy/laneflow.toml; what ROUTER_CONFIG's file names too, that decides.")
+    private Path config;
     @Option(names = "--gearman", paramLabel = "FILE", description = "The Gearman front's own file.")
     private Path gearman;
     @Option(names = "--destinations", paramLabel = "FILE", description = "A set in place of discovery.")
@@ -22,11 +27,17 @@
 
     @Override
     public Integer call() throws Exception {
-        String config = System.getenv("ROUTER_CONFIG");
-        if (config == null) {
-            throw new ParameterException(spec.commandLine(), "ROUTER_CONFIG names no configuration");
+        String named = System.getenv("ROUTER_CONFIG");
+        Path platform = named == null ? null : Path.of(named);
+        if (platform == null && config == null) {
+            throw new ParameterException(spec.commandLine(),
+                    "ROUTER_CONFIG names no configuration, and there is no --config");
         }
-        Serve.run(Path.of(config), gearman, destinations);
+        if (gearman != null && config != null) {
+            throw new ParameterException(spec.commandLine(), "--gearman's file is a table of --config's");
+        }
+        Serve.run(() -> config == null ? Setup.platform(platform, gearman, destinations)
+                : Setup.operators(config, platform, destinations));
         return 0;
     }
 }
--- /dev/null
+++ b/src/main/java/laneflow/config/OperatorFile.java
@@ -0,0 +1,220 @@
+package laneflow.config;
+
+import com.google.gson.JsonArray;
+import com.google.gson.JsonElement;
+import com.google.gson.JsonObject;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.Map;
+
+/**
+ * The operators' own file, {@code deploy/laneflow.toml}: what the platform's file says of a scheduler in the
+ * operators' words, and the tables of the subsystems. This class reads the first part and writes it in the
+ * platform's form, so that one reader makes settings of both; the tables are left to their subsystems.
+ */
+public final class OperatorFile {
+    private static final double HOUR_MS = 3_600_000;
+    private static final String NAME = "[A-Za-z0-9_.-]{1,64}";
+
+    private final Table root;
+    private final JsonObject platform = new JsonObject();
+    private final Table gearman;
+    private final Table durable;
+
+    private OperatorFile(Table root) {
+        this.root = root;
+        gearman = root.table("gearman");
+        durable = root.table("durable");
+        top();
+        root.close();
+    }
+
+    /** Reads the file; what is wrong with it waits in {@link #findings}. */
+    public static OperatorFile read(Path file) throws IOException {
+        return parse(Files.readString(file), file.toString());
+    }
+
+    /** Reads a text that goes by that name. */
+    public static OperatorFile parse(String text, String name) {
+        return new OperatorFile(Table.parse(text, new Findings(name)));
+    }
+
+    public Findings findings() {
+        return root.findings();
+    }
+
+    /** The table of the Gearman front, or null where it is off. */
+    public Table gearman() {
+        return gearman;
+    }
+
+    /** The table of durable jobs, or null where they are off. */
+    public Table durable() {
+        return durable;
+    }
+
+    /** What is said of the scheduler, in the platform's form. */
+    public JsonObject platform() {
+        return platform;
+    }
+
+    /** The platform's file decides what it names; the rest is taken from here. */
+    public JsonObject under(JsonObject named) {
+        return merge(named, platform);
+    }
+
+    private static JsonObject merge(JsonObject first, JsonObject second) {
+        JsonObject all = first.deepCopy();
+        for (Map.Entry<String, JsonElement> entry : second.entrySet()) {
+            JsonElement there = all.get(entry.getKey());
+            if (there == null) {
+                all.add(entry.getKey(), entry.getValue());
+            } else if (there.isJsonObject() && entry.getValue().isJsonObject()) {
+                all.add(entry.getKey(), merge(there.getAsJsonObject(), entry.getValue().getAsJsonObject()));
+            }
+        }
+        return all;
+    }
+
+    private void top() {
+        JsonObject settings = new JsonObject();
+        for (String key : new String[] {"name", "seed"}) {
+            String text = root.text(key, null);
+            if (text != null) {
+                platform.addProperty(key, text);
+            }
+        }
+        for (String key : new String[] {"listen", "discovery"}) {
+            String text = root.text(key, null);
+            if (text != null && !text.matches("[0-9.]+:[0-9]{1,5}|\\[[0-9a-fA-F:.]+\\]:[0-9]{1,5}")) {
+                root.wrong(key, "'" + text + "' is not an address and port in figures");
+            } else if (text != null) {
+                platform.addProperty(key, text);
+            }
+        }
+        List<String> zones = root.texts("zones");
+        String zone = root.text("zone", zones.isEmpty() ? null : zones.get(0));
+        if (zone != null && !zones.contains(zone)) {
+            root.wrong("zone", "'" + zone + "' is none of the zones " + zones);
+        }
+        if (!zones.isEmpty()) {
+            JsonArray areas = new JsonArray();
+            zones.forEach(areas::add);
+            settings.add("areas", areas);
+            settings.addProperty("az", Math.max(0, zones.indexOf(zone)));
+        }
+        limits(settings);
+        rules(settings);
+        classes(settings);
+        endpoints(zones);
+        JsonArray fields = new JsonArray();
+        List.of("busy", "q", "rate", "x0").forEach(fields::add);
+        JsonObject reporting = new JsonObject();
+        reporting.add("fields", fields);
+        reporting.addProperty("source", root.word("load_reports", "answers", "answers", "none"));
+        settings.add("reporting", reporting);
+        platform.add("settings", settings);
+    }
+
+    private void limits(JsonObject settings) {
+        Table from = root.table("limits");
+        if (from == null) {
+            return;
+        }
+        JsonObject own = new JsonObject();
+        own.addProperty("sockets", from.whole("sockets", 1024, 96, 1 << 20));
+        platform.add("limits", own);
+        JsonObject to = new JsonObject();
+        to.addProperty("cancel", from.flag("cancel", true));
+        to.addProperty("probes", from.flag("probes", false));
+        to.addProperty("connectTimeout", from.number("connect_timeout_ms", 1000, 1, HOUR_MS) / 1000);
+        to.addProperty("connIdle", from.number("endpoint_idle_ms", 10_000, 10, HOUR_MS) / 1000);
+        to.addProperty("maxAttempts", from.whole("attempts", 5, 1, 5));
+        to.addProperty("retryAfter", from.flag("retry_after", true));
+        to.addProperty("maxRetryAfter", from.number("longest_retry_after_ms", 2000, 0, HOUR_MS) / 1000);
+        settings.add("limits", to);
+        from.close();
+    }
+
+    private void rules(JsonObject settings) {
+        JsonObject to = new JsonObject();
+        Table from = root.table("rules");
+        // Left out, a drain must not be without its grace.
+        to.addProperty("stopSendingWithin", from == null ? 0.5
+                : from.number("drain_grace_ms", 500, 0, 500) / 1000);
+        if (from != null) {
+            to.addProperty("coldFrom", from.number("cold_share", 1, 0.01, 1));
+            to.addProperty("cold", from.number("cold_ms", 0, 0, HOUR_MS) / 1000);
+            to.addProperty("tipMultiple", from.number("fall_multiple", 1, 1, 100));
+            to.addProperty("fall", from.number("fall_ms", 0, 0, HOUR_MS) / 1000);
+            from.close();
+        }
+        settings.add("rules", to);
+    }
+
+    private void classes(JsonObject settings) {
+        Map<String, Table> tables = root.tables("classes");
+        JsonArray classes = new JsonArray();
+        JsonArray stretches = new JsonArray();
+        tables.forEach((name, from) -> {
+            JsonObject to = new JsonObject();
+            if (!name.matches(NAME)) {
+                from.wrong("", "is no name of a class: letters, digits, '_', '.' and '-'");
+            }
+            to.addProperty("name", name);
+            double aim = from.number("aim_ms", 200, 1, HOUR_MS);
+            double deadline = from.number("deadline_ms", 5000, 1, HOUR_MS);
+            if (deadline < aim) {
+                from.wrong("deadline_ms", "is under aim_ms: nothing would be served in time");
+            }
+            to.addProperty("aim", aim / 1000);
+            to.addProperty("hardLimit", deadline / 1000);
+            to.addProperty("worth", from.number("worth", 1, 0, 1e6));
+            String repeat = from.word("repeat", "never", "safe", "keyed", "never");
+            to.addProperty("semantics", repeat.equals("safe") ? "pure" : repeat.equals("keyed") ? "token"
+                    : "side_effect");
+            double window = from.number("window_ms", 0, 0, HOUR_MS);
+            if (repeat.equals("keyed") && window == 0) {
+                from.wrong("window_ms", "is missing: how long endpoints drop a repeat of the key");
+            }
+            to.addProperty("dedupWindow", window / 1000);
+            to.addProperty("group", "all");
+            stretches.add(from.number("stretch", 2, 0, 100));
+            classes.add(to);
+            from.close();
+        });
+        if (!tables.isEmpty()) {
+            settings.add("classes", classes);
+            JsonObject info = new JsonObject();
+            info.add("classStretch", stretches);
+            info.addProperty("tellsStart", true);
+            settings.add("familyInfo", info);
+        }
+    }
+
+    private void endpoints(List<String> zones) {
+        JsonArray hosts = new JsonArray();
+        root.tables("endpoints").forEach((name, from) -> {
+            JsonObject to = new JsonObject();
+            to.addProperty("host", name);
+            to.addProperty("dial", from.text("dial"));
+            String zone = from.text("zone", zones.isEmpty() ? null : zones.get(0));
+            if (zone != null && !zones.contains(zone)) {
+                from.wrong("zone", "'" + zone + "' is none of the zones " + zones);
+            }
+            to.addProperty("site", zone);
+            boolean ready = from.word("state", "ready", "ready", "draining").equals("ready");
+            to.addProperty("health", ready ? "Ready" : "Terminating");
+            to.addProperty("share", from.number("weight", 1, 0, 1e6));
+            hosts.add(to);
+            from.close();
+        });
+        JsonObject known = new JsonObject();
+        known.addProperty("seq", 0);
+        known.addProperty("whole", true);
+        known.add("hosts", hosts);
+        platform.add("known", known);
+    }
+}
--- a/src/main/java/laneflow/gearman/GearmanConfig.java
+++ b/src/main/java/laneflow/gearman/GearmanConfig.java
@@ -1,21 +1,22 @@
 package laneflow.gearman;
 
-import com.electronwill.nightconfig.core.Config;
-import com.electronwill.nightconfig.core.UnmodifiableConfig;
-import com.electronwill.nightconfig.core.io.ParsingException;
-import com.electronwill.nightconfig.toml.TomlParser;
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
+import laneflow.config.Findings;
+import laneflow.config.Table;
 import laneflow.decision.Dispatch.Settings;
 
 /** Where the Gearman front listens, and what each function is to the scheduler. */
 public final class GearmanConfig {
-    /** One function of the protocol. */
-    public record Function(String name, int jobClass, long deadline, double hint, double slots) {
+    private static final double HOUR_MS = 3_600_000;
+
+    /** One function of the protocol; background jobs of a durable one outlive the process. */
+    public record Function(String name, int jobClass, long deadline, double hint, double slots,
+            boolean durable) {
     }
 
     public final String listen;
@@ -25,70 +26,62 @@
 
     private final List<String> classes;
 
-    private GearmanConfig(UnmodifiableConfig from, Settings settings, List<String> classes,
-            List<String> zones) {
+    private GearmanConfig(Table from, Settings settings, List<String> classes, List<String> zones) {
         this.classes = classes;
-        listen = text(from, "listen");
-        String zoneName = from.get("zone");
+        listen = from.text("listen");
+        String zoneName = from.text("zone", null);
         zone = zoneName == null ? settings.zone : zones.indexOf(zoneName);
         if (zone < 0) {
-            throw new IllegalArgumentException("zone '" + zoneName + "' is none of " + zones);
+            from.wrong("zone", "'" + zoneName + "' is none of " + zones);
         }
-        UnmodifiableConfig all = from.get("functions");
-        if (all == null || all.isEmpty()) {
-            throw new IllegalArgumentException("no [functions.NAME]");
+        Map<String, Table> all = from.tables("functions");
+        if (all.isEmpty()) {
+            from.wrong("functions", "no [functions.NAME]");
         }
-        for (UnmodifiableConfig.Entry entry : all.entrySet()) {
-            UnmodifiableConfig one = entry.getValue();
-            String className = text(one, "class");
+        all.forEach((name, one) -> {
+            String className = one.text("class");
             int jobClass = classes.indexOf(className);
             if (jobClass < 0) {
-                throw new IllegalArgumentException("function '" + entry.getKey() + "': class '" + className
-                        + "' is none of " + classes);
+                one.wrong("class", "'" + className + "' is none of " + classes);
             }
-            double wait = number(one, "deadline_ms", settings.classes[jobClass].deadline * 1000);
-            if (wait <= 0) {
-                throw new IllegalArgumentException("function '" + entry.getKey() + "': deadline_ms " + wait);
-            }
-            functions.put(entry.getKey(), new Function(entry.getKey(), jobClass, (long) (wait * 1000),
-                    number(one, "cost_ms", Double.NaN) / 1000, number(one, "slots", 1)));
-        }
+            double wait = one.number("deadline_ms", jobClass < 0 ? 1
+                    : settings.classes[jobClass].deadline * 1000, 1, HOUR_MS);
+            double cost = one.number("cost_ms", Double.NaN, 0, HOUR_MS) / 1000;
+            functions.put(name, new Function(name, jobClass, (long) (wait * 1000), cost,
+                    one.number("slots", 1, 0.01, 1024), one.flag("durable", false)));
+            one.close();
+        });
+        from.close();
     }
 
     String className(Function function) {
         return classes.get(function.jobClass());
     }
 
-    /** Reads the file against the scheduler's settings. */
+    /** Reads a table against the scheduler's settings; what is wrong becomes findings of the table's. */
+    public static GearmanConfig read(Table from, Settings settings, List<String> classes,
+            List<String> zones) {
+        return new GearmanConfig(from, settings, classes, zones);
+    }
+
+    /** Reads a file of its own. */
     public static GearmanConfig read(Path file, Settings settings, List<String> classes, List<String> zones)
             throws IOException {
-        try {
-            return parse(Files.readString(file), settings, classes, zones);
-        } catch (IllegalArgumentException e) {
-            throw new IllegalArgumentException(file + ": " + e.getMessage());
-        }
+        return parse(Files.readString(file), file.toString(), settings, classes, zones);
     }
 
     public static GearmanConfig parse(String text, Settings settings, List<String> classes,
             List<String> zones) {
-        try {
-            Config config = new TomlParser().parse(text);
-            return new GearmanConfig(config, settings, classes, zones);
-        } catch (ParsingException | ClassCastException e) {
-            throw new IllegalArgumentException(e.getMessage());
-        }
-    }
-
-    private static String text(UnmodifiableConfig from, String key) {
-        String value = from.get(key);
-        if (value == null) {
-            throw new IllegalArgumentException("'" + key + "' is missing");
-        }
-        return value;
+        return parse(text, "the Gearman file", settings, classes, zones);
     }
 
-    private static double number(UnmodifiableConfig from, String key, double absent) {
-        Number value = from.get(key);
-        return value == null ? absent : value.doubleValue();
+    private static GearmanConfig parse(String text, String name, Settings settings, List<String> classes,
+            List<String> zones) {
+        Findings findings = new Findings(name);
+        Table table = Table.parse(text, findings);
+        findings.raise();
+        GearmanConfig config = read(table, settings, classes, zones);
+        findings.raise();
+        return config;
     }
 }
--- a/src/main/java/laneflow/http/Config.java
+++ b/src/main/java/laneflow/http/Config.java
@@ -67,14 +67,24 @@
 
     /** Reads the file; a destination set beside it, unless null, stands in for discovery. */
     public static Config read(Path file, Path destinations) throws IOException, WireException {
-        JsonObject root = object(Files.readString(file), "the configuration");
+        JsonObject root = object(file);
         if (destinations != null) {
-            root.add("known", object(Files.readString(destinations), destinations.toString()));
-            root.remove("discovery");
+            fixDestinations(root, destinations);
         }
         return parse(root.toString());
     }
 
+    /** The file's object, as it stands. */
+    public static JsonObject object(Path file) throws IOException, WireException {
+        return object(Files.readString(file), "the configuration");
+    }
+
+    /** Puts a destination set in place of discovery. */
+    public static void fixDestinations(JsonObject root, Path destinations) throws IOException, WireException {
+        root.add("known", object(Files.readString(destinations), destinations.toString()));
+        root.remove("discovery");
+    }
+
     private static JsonObject object(String text, String what) throws WireException {
         try {
             return JsonParser.parseString(text).getAsJsonObject();
--- /dev/null
+++ b/src/test/java/laneflow/config/OperatorFileTest.java
@@ -0,0 +1,80 @@
+package laneflow.config;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import laneflow.Setup;
+import laneflow.decision.Dispatch.Effect;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+/** The operators' file: what it sets, who decides where two speak, and that nothing wrong is passed over. */
+class OperatorFileTest {
+    private static final Path OURS = Path.of("deploy/laneflow.toml");
+    @TempDir
+    private Path folder;
+
+    private Path write(String name, String text) throws IOException {
+        return Files.writeString(folder.resolve(name), text);
+    }
+
+    private String wrong(String text) throws IOException {
+        Path file = write("x.toml", text);
+        return assertThrows(ConfigException.class, () -> Setup.operators(file, null, null)).getMessage()
+                .replace(file + ": ", "");
+    }
+
+    @Test
+    void theFileOfTheRepositoryIsWhole() throws Exception {
+        Setup setup = Setup.operators(OURS, null, null);
+        assertEquals("127.0.0.1:8081", setup.config().listen);
+        assertEquals(3, setup.config().known.entries.size());
+        assertEquals(Effect.UNSAFE, setup.config().settings.classes[1].effect);
+        assertEquals(10, setup.config().settings.classes[2].window);
+        assertEquals(0.5, setup.config().settings.drainGrace);
+        assertTrue(setup.gearman().functions.get("points_post").durable());
+        assertEquals(3000, setup.durable().classes[2].leaseMs);
+        assertEquals(5000, setup.durable().classes[0].leaseMs);
+    }
+
+    @Test
+    void thePlatformsFileDecidesWhatItNames() throws Exception {
+        Path platform = write("p.json", "{\"listen\":\"127.0.0.1:7\",\"settings\":{\"classes\":["
+                + "{\"name\":\"card-capture\",\"semantics\":\"side_effect\"},{\"name\":\"points-post\"},"
+                + "{\"name\":\"basket-check\",\"semantics\":\"pure\"}]}}");
+        Setup setup = Setup.operators(OURS, platform, null);
+        assertEquals("127.0.0.1:7", setup.config().listen);
+        assertEquals("card-capture", setup.config().classNames[0]);
+        assertEquals(2, setup.gearman().functions.get("basket_check").jobClass());
+        assertEquals(3, setup.config().known.entries.size());
+    }
+
+    @Test
+    void allThatIsWrongIsNamedAtOnce() throws Exception {
+        String said = wrong("listen = 'here'\nlisten2 = 1\nzones = ['a']\n[limits]\nsockets = '9'\nattempts = 6\n"
+                + "[classes.c]\naim_ms = 9\ndeadline_ms = 3\nrepeat = 'keyed'\nworht = 1\n"
+                + "[endpoints.e]\nzone = 'b'\n[gearman]\nlisten = '127.0.0.1:1'\n"
+                + "[gearman.functions.f]\nclass = 'd'\ndurable = 1\n[durable]\ndir = 'x'\nstore_mib = 0\n"
+                + "[durable.classes.z]\n");
+        for (String line : new String[] {"listen: 'here' is not an address", "listen2: is unknown here; known are",
+            "[limits] sockets: must be a whole number", "[limits] attempts: 6 is not between 1 and 5",
+            "[classes.c] deadline_ms: is under aim_ms", "[classes.c] window_ms: is missing",
+            "[classes.c] worht: is unknown", "[endpoints.e] dial: is missing", "[endpoints.e] zone: 'b' is none of",
+            "[gearman.functions.f] class: 'd' is none of [c]", "[gearman.functions.f] durable: must be true or",
+            "[durable] store_mib: 0 is not between 1 and", "[durable.classes.z] 'z' is none of"}) {
+            assertTrue(said.contains(line), line + "\n--- not in\n" + said);
+        }
+    }
+
+    @Test
+    void whatIsMissingOrNoTomlIsSaidInWords() throws Exception {
+        assertTrue(wrong("listen = ").contains("is no TOML: "));
+        assertTrue(wrong("zones = ['a']").contains("listen: is missing\n"));
+        assertTrue(wrong("listen = '127.0.0.1:1'\n[classes.c]\n[gearman]\nlisten = 'x:1'\n[gearman.functions.f]\n"
+                + "class = 'c'\ndurable = true\n").contains("there is no [durable]"));
+    }
+}
--- a/src/test/java/laneflow/http/HttpStoryTest.java
+++ b/src/test/java/laneflow/http/HttpStoryTest.java
@@ -8,6 +8,7 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.List;
+import laneflow.Setup;
 import laneflow.importer.Importer;
 import laneflow.net.Stand;
 import laneflow.net.Stand.Endpoint;
@@ -22,6 +23,10 @@
     @TempDir
     private Path folder;
 
+    private static void reload(Stand stand, Path file) {
+        stand.serve.reload(() -> Setup.platform(file, null, null));
+    }
+
     @Test
     void aRequestPassesThroughUnchangedHoweverItIsSplit() throws Exception {
         Endpoint endpoint = new Endpoint("e1");
@@ -372,16 +377,16 @@
             call.message();
             // Half a file, and one that names no address: what runs stays as it is.
             for (String bad : new String[] {"{\"disco", stand.config("discovery.svc")}) {
-                stand.serve.reload(Files.writeString(file, bad), null);
+                reload(stand, Files.writeString(file, bad));
             }
             assertEquals(0, stand.counter("discovery.moves"));
-            stand.serve.reload(Files.writeString(file, stand.config(second.dial())), null);
+            reload(stand, Files.writeString(file, stand.config(second.dial())));
             Peer silent = second.accept();
             assertTrue(silent.readTo("\r\n\r\n").contains("after=0 "));
             old.write(Stand.watching(Stand.list(8, false, one.host("Terminating"))));
             stand.await("discovery.lists", 1);
             // Moved again before it has spoken: only the latest counts, and the oldest is still heard.
-            stand.serve.reload(Files.writeString(file, stand.config(third.dial())), null);
+            reload(stand, Files.writeString(file, stand.config(third.dial())));
             assertTrue(silent.ended());
             Peer now = third.accept();
             now.readTo("\r\n\r\n");
--- a/src/test/java/laneflow/net/Stand.java
+++ b/src/test/java/laneflow/net/Stand.java
@@ -13,6 +13,7 @@
 import java.util.Arrays;
 import java.util.List;
 import laneflow.Serve;
+import laneflow.Setup;
 import laneflow.gearman.GearmanConfig;
 import laneflow.http.Config;
 
@@ -87,8 +88,8 @@
     }
 
     private static Serve serve(Config config) throws Exception {
-        return new Serve(config, GearmanConfig.parse(GEARMAN, config.settings,
-                List.of(config.classNames), config.zones));
+        return new Serve(new Setup(config, GearmanConfig.parse(GEARMAN, config.settings,
+                List.of(config.classNames), config.zones), null));
     }
 
     private static String json(String text) {
