Room is made for a client that has come, and never by closing the newest

The listener made room before it asked the backlog, so each time the backlog ran empty one connection was closed for nobody (34 gave way where 33 had to). Connections accepted in one turn have one instant, and among these the lowest slot was closed, which a newcomer may have taken again: the client with a request on its way. Ruled out: the accept batch of 32 and lost read events (the client saw the close).

Change: the connection is accepted first and parked where no room can be made; among those of one instant the earlier one gives way, on both fronts.

--- a/src/main/java/laneflow/gearman/GearmanFront.java
+++ b/src/main/java/laneflow/gearman/GearmanFront.java
@@ -41,6 +41,7 @@
     private Loop.Listener listener;
     private boolean draining;
     private long handles;
+    private long came;
 
     public GearmanFront(Loop loop, Scheduler scheduler, GearmanConfig config, long seed) {
         this.loop = loop;
@@ -51,7 +52,7 @@
     }
 
     public void listen(InetSocketAddress at) throws IOException {
-        listener = loop.listen(at, IN_RING, OUT_RING, this::makeRoom, () -> new Peer(this));
+        listener = loop.listen(at, IN_RING, OUT_RING, this::makeRoom, () -> new Peer(this, ++came));
         listener.begin();
         LOG.info("Gearman clients and workers at {}", listener.address());
     }
@@ -60,7 +61,7 @@
     private boolean makeRoom() {
         Peer[] first = new Peer[1];
         peers.forEach(peer -> {
-            if (peer.isBegun() && (first[0] == null || peer.since() < first[0].since())) {
+            if (peer.isBegun() && (first[0] == null || peer.before(first[0]))) {
                 first[0] = peer;
             }
         });
--- a/src/main/java/laneflow/gearman/Peer.java
+++ b/src/main/java/laneflow/gearman/Peer.java
@@ -24,11 +24,14 @@
     private final Deadline timer;
     private boolean begun = true;
     private long since;
+    /** Its place among those that came in one turn, and so at one instant. */
+    private final long order;
     Worker worker;
     boolean wantsExceptions;
 
-    Peer(GearmanFront front) {
+    Peer(GearmanFront front, long order) {
         this.front = front;
+        this.order = order;
         timer = front.loop.deadlines().create(this::late);
     }
 
@@ -61,8 +64,8 @@
         return begun;
     }
 
-    long since() {
-        return since;
+    boolean before(Peer other) {
+        return since != other.since ? since < other.since : order < other.order;
     }
 
     void leave() {
--- a/src/main/java/laneflow/http/Client.java
+++ b/src/main/java/laneflow/http/Client.java
@@ -38,9 +38,12 @@
     private boolean owes;
     private boolean reading;
     private long since;
+    /** Its place among those that came in one turn, and so at one instant. */
+    private final long order;
 
-    Client(HttpFront front) {
+    Client(HttpFront front, long order) {
         this.front = front;
+        this.order = order;
         timer = front.loop.deadlines().create(this::late);
     }
 
@@ -93,8 +96,11 @@
         return !begun ? 2 : front.loop.micros() - since > NEW ? 1 : 3;
     }
 
-    long since() {
-        return since;
+    /** True if it gives way before the other one: by rank, and in a rank who is in it for longer. */
+    boolean before(Client other) {
+        int by = Integer.compare(rank(), other.rank());
+        by = by != 0 ? by : Long.compare(since, other.since);
+        return by != 0 ? by < 0 : order < other.order;
     }
 
     /** Closes it with nothing more said. */
--- a/src/main/java/laneflow/http/HttpFront.java
+++ b/src/main/java/laneflow/http/HttpFront.java
@@ -31,6 +31,7 @@
     private BooleanSupplier ready = () -> true;
     private Loop.Listener listener;
     private boolean draining;
+    private long came;
 
     /** A front for these classes, in the settings' order. */
     public HttpFront(Loop loop, Scheduler scheduler, String[] classNames) {
@@ -45,7 +46,7 @@
     }
 
     public void listen(InetSocketAddress at) throws IOException {
-        listener = loop.listen(at, IN_RING, OUT_RING, this::makeRoom, () -> new Client(this));
+        listener = loop.listen(at, IN_RING, OUT_RING, this::makeRoom, () -> new Client(this, ++came));
         // Not before it is known here: a client that is heard at once would find no listener.
         listener.begin();
         LOG.info("clients at {}", listener.address());
@@ -59,9 +60,7 @@
     private boolean makeRoom() {
         Client[] first = new Client[1];
         clients.forEach(client -> {
-            int rank = client.rank();
-            if (rank < Integer.MAX_VALUE && (first[0] == null || rank < first[0].rank()
-                    || rank == first[0].rank() && client.since() < first[0].since())) {
+            if (client.rank() < Integer.MAX_VALUE && (first[0] == null || client.before(first[0]))) {
                 first[0] = client;
             }
         });
--- a/src/main/java/laneflow/net/Loop.java
+++ b/src/main/java/laneflow/net/Loop.java
@@ -154,6 +154,8 @@
         private final int outLimit;
         private final BooleanSupplier makeRoom;
         private boolean full;
+        /** Accepted, but for want of room not let in yet. */
+        private StreamConnection parked;
 
         private Listener(InetSocketAddress at, int inLimit, int outLimit, BooleanSupplier makeRoom,
                 Supplier<LinkHandler> handlers) throws IOException {
@@ -176,17 +178,21 @@
 
         private void accept() {
             try {
-                for (int i = 0; i < ACCEPTS; i++) {
+                for (int i = 0; i < ACCEPTS && channel.isOpen(); i++) {
+                    // Room is made for a client that is there: asked for one that may come, it would close
+                    // one more than need be each time that the backlog runs empty.
+                    StreamConnection connection = parked != null ? parked : channel.accept();
+                    parked = null;
+                    if (connection == null) {
+                        return;
+                    }
                     if (accepted >= mostEachWay && !makeRoom.getAsBoolean()) {
-                        // Further clients wait in the backlog until a connection closes.
+                        // It and those behind it in the backlog wait until a connection closes.
+                        parked = connection;
                         full = true;
                         channel.suspendAccepts();
                         return;
                     }
-                    StreamConnection connection = channel.accept();
-                    if (connection == null) {
-                        return;
-                    }
                     accepted++;
                     LinkHandler handler = handlers.get();
                     Link link = new Link(Loop.this, handler, inLimit, outLimit, true);
@@ -205,6 +211,8 @@
             if (full && channel.isOpen()) {
                 full = false;
                 channel.resumeAccepts();
+                // Nothing need come in behind the one that waits here already.
+                later(this::accept);
             }
         }
 
@@ -219,6 +227,8 @@
 
         public void close() {
             full = false;
+            IoUtils.safeClose(parked);
+            parked = null;
             IoUtils.safeClose(channel);
         }
     }
--- a/src/test/java/laneflow/http/HttpStoryTest.java
+++ b/src/test/java/laneflow/http/HttpStoryTest.java
@@ -285,6 +285,8 @@
             call.message();
             call.says("{'id':'1','state':'done','result':'priced'}");
             assertTrue(client.message().endsWith("priced"));
+            // No more made way than came, and none of the last ones.
+            assertEquals(33, stand.counter("http.gave_way"));
         }
     }
 
