--- a/src/main/java/laneflow/Serve.java
+++ b/src/main/java/laneflow/Serve.java
@@ -45,6 +45,8 @@
     private final HttpFront front;
     /** Null where the Gearman front is off. */
     private final GearmanFront gearman;
+    /** Null where durable jobs are off. */
+    private final Durability durability;
     /** Null where no discovery is named. */
     private final DiscoveryWatch watch;
     private final CountDownLatch drained = new CountDownLatch(1);
@@ -65,6 +67,7 @@
         HttpCarrier carrier = new HttpCarrier(loop, scheduler, config.connIdle);
         front = new HttpFront(loop, scheduler, config.classNames);
         watch = config.discovery == null ? null : new DiscoveryWatch(loop, scheduler, carrier, config);
+        durability = setup.durable() == null ? null : new Durability(setup.durable(), loop, scheduler);
         loop.call(() -> {
             scheduler.start(carrier, config.known.entries);
             if (watch != null) {
@@ -74,12 +77,15 @@
                         || counters.get("discovery.lists") > 0);
             }
         });
+        gearman = gearmanConfig == null ? null : new GearmanFront(loop, scheduler, gearmanConfig,
+                config.seed);
+        if (durability != null) {
+            // Before anybody is let in: the same key must find the job that it had.
+            durability.begin(front, gearman);
+        }
         front.listen(Loop.address(config.listen));
-        if (gearmanConfig != null) {
-            gearman = new GearmanFront(loop, scheduler, gearmanConfig, config.seed);
+        if (gearman != null) {
             gearman.listen(Loop.address(gearmanConfig.listen));
-        } else {
-            gearman = null;
         }
     }
 
@@ -122,6 +128,14 @@
         }
     }
 
+    /** Ends at once, as a machine does that loses its power: nothing more is answered or written. */
+    public void halt() throws InterruptedException {
+        loop.stop();
+        if (durability != null) {
+            durability.close();
+        }
+    }
+
     public HttpFront front() {
         return front;
     }
@@ -152,6 +166,9 @@
             }
             String[] line = new String[1];
             loop.call(() -> line[0] = counters.line());
+            if (durability != null) {
+                durability.close();
+            }
             LOG.info("{}", line[0]);
             loop.stop();
         } catch (InterruptedException e) {
@@ -179,10 +196,20 @@
         long leaveAt = last ? Math.max(now + ACCEPT_ON, kill - LEAVE_BEFORE) : now + ACCEPT_ON;
         loop.deadlines().at(leaveAt, this::leave);
         loop.deadlines().at(Math.max(now + STAY_ON, kill - ANSWER_BEFORE),
-                () -> scheduler.giveUpSince(now + ACCEPT_ON));
+                () -> giveUp(now + ACCEPT_ON));
+        if (durability != null) {
+            durability.drain();
+        }
         loop.deadlines().at(now + STAY_ON, this::drainedYet);
     }
 
+    private void giveUp(long since) {
+        if (durability != null) {
+            durability.letGo();
+        }
+        scheduler.giveUpSince(since);
+    }
+
     private void stopAccepting() {
         front.stopAccepting();
         if (gearman != null) {
@@ -201,7 +228,9 @@
 
     private void drainedYet() {
         boolean alone = leaving || front.isAlone() && gearman == null;
-        if (alone && scheduler.open() == 0 && front.busy() == 0 && (gearman == null || gearman.busy() == 0)) {
+        boolean owed = durability != null && durability.isOwed();
+        if (alone && !owed && scheduler.open() == 0 && front.busy() == 0 && (gearman == null
+                || gearman.busy() == 0)) {
             drained.countDown();
         } else {
             loop.deadlines().at(loop.micros() + LOOK_AGAIN, this::drainedYet);
--- a/src/main/java/laneflow/core/Counters.java
+++ b/src/main/java/laneflow/core/Counters.java
@@ -11,6 +11,11 @@
         counts.merge(name, 1L, Long::sum);
     }
 
+    /** Puts a counter to a value. */
+    public void set(String name, long value) {
+        counts.put(name, value);
+    }
+
     public long get(String name) {
         return counts.getOrDefault(name, 0L);
     }
--- a/src/main/java/laneflow/core/Front.java
+++ b/src/main/java/laneflow/core/Front.java
@@ -1,5 +1,7 @@
 package laneflow.core;
 
+import laneflow.decision.Dispatch.Outcome;
+
 /** Where requests come from. For each one exactly one of the answers is called, unless it was withdrawn. */
 public interface Front {
     /** The name under which its requests are counted. */
@@ -18,6 +20,30 @@
     default void started(long tag) {
     }
 
+    /**
+     * Whether its calls go out under leases: then each is handed to {@link #lease} first, and goes out with
+     * {@link Scheduler#open}.
+     */
+    default boolean leases() {
+        return false;
+    }
+
+    /** A call is to go out: it does once {@link Scheduler#open} is called, or ends unsent. */
+    default void lease(OutboundCall call) {
+    }
+
+    /** Under leases: a call has ended, and the request may go on. */
+    default void callEnded(OutboundCall call, Outcome outcome) {
+    }
+
+    /** Under leases: an endpoint's word on a call that had ended already. */
+    default void late(OutboundCall call, Outcome outcome, byte[] result) {
+    }
+
+    /** Under leases: the endpoint is at it still. */
+    default void heard(OutboundCall call) {
+    }
+
     /** An endpoint's word on how much is done. */
     default void progress(long tag, long done, long of) {
     }
--- /dev/null
+++ b/src/main/java/laneflow/core/Keeper.java
@@ -0,0 +1,70 @@
+package laneflow.core;
+
+import java.util.List;
+import java.util.function.Consumer;
+
+/**
+ * Who keeps jobs beyond their client's connection, as the fronts see it. Fronts have none where durable jobs
+ * are off. Answers come on the loop, at once or later.
+ */
+public interface Keeper {
+    /**
+     * A job to be kept.
+     *
+     * @param function the Gearman function, or empty
+     * @param key what marks the same job handed in again, or empty
+     * @param exact the same key with another body is a mistake, not the same job
+     */
+    record Submission(int jobClass, String function, String key, boolean exact, Payload payload, double hint,
+            double slots, double memory, long subject, int urgency) {
+    }
+
+    /** What became of a submission. */
+    enum Taken {
+        /** It is on disk. */
+        YES,
+        /** No room: fail-fast. */
+        FULL,
+        /** The key belongs to another job. */
+        OTHER,
+        /** The store takes nothing more until a restart. */
+        BROKEN
+    }
+
+    /** The word on a submission: the job's id, or when to come back, in seconds. */
+    record Word(Taken taken, long id, double comeBack) {
+    }
+
+    /** One attempt, for whoever asks. Times are Unix time in milliseconds. */
+    record Try(int number, String endpoint, long leasedMs, long endMs, String known) {
+    }
+
+    /** A job as it stands; the result is null unless it is done. */
+    record View(long id, String jobClass, String state, String reason, long acceptedMs, long changedMs,
+            List<Try> attempts, byte[] result, boolean ended, boolean atWork, long done, long of) {
+    }
+
+    /** What became of a wish to cancel. */
+    enum Cancelled { YES, UNKNOWN, BEGUN, BUSY }
+
+    /** Whether HTTP clients may hand in jobs of this class to be kept. */
+    boolean takes(int jobClass);
+
+    /** Takes a job on; the word comes when it is on disk, or will not be. */
+    void submit(Submission submission, Consumer<Word> answer);
+
+    /** Looks a job up; null where there is none. */
+    void view(long id, Consumer<View> answer);
+
+    /** A job's state as the loop knows it, its result left out; null where there is none. */
+    View peek(long id);
+
+    /** Cancels a job that has not begun. */
+    void cancel(long id, Consumer<Cancelled> answer);
+
+    /**
+     * A word on an attempt that came by another way than its call, as after a restart; false: no such
+     * attempt.
+     */
+    boolean late(long id, int lease, boolean served, byte[] result);
+}
--- a/src/main/java/laneflow/core/OutboundCall.java
+++ b/src/main/java/laneflow/core/OutboundCall.java
@@ -7,6 +7,8 @@
     final int number;
     final long sentAt;
     long handle;
+    /** The number of its lease, from 1; 0 where it has none. */
+    public int lease;
     /** What its carrier keeps about it. */
     public Object attachment;
 
--- a/src/main/java/laneflow/core/Request.java
+++ b/src/main/java/laneflow/core/Request.java
@@ -20,6 +20,10 @@
     public boolean retry;
     /** Which of several waiting at one endpoint goes first: the higher. */
     public int urgency;
+    /** The name by which a wire with functions knows the job, or null: any function of its class will do. */
+    public String function;
+    /** The name by which such a wire tells the job from others of its function, or null. */
+    public String unique;
 
     long handle;
     long takenAt;
@@ -46,6 +50,14 @@
         return mayHaveRunAt;
     }
 
+    /**
+     * Before it is submitted: another scheduler, or this one before a restart, sent it then, and it may
+     * have run.
+     */
+    public void ranAt(long instant) {
+        mayHaveRun(instant);
+    }
+
     void mayHaveRun(long sentAt) {
         mayHaveRunAt = Math.min(mayHaveRunAt, sentAt);
     }
--- a/src/main/java/laneflow/core/Scheduler.java
+++ b/src/main/java/laneflow/core/Scheduler.java
@@ -89,7 +89,10 @@
     public void submit(Request request) {
         request.handle = requests.add(request);
         request.takenAt = clock.micros();
-        arrivals.add(request.takenAt);
+        if (!request.front.leases()) {
+            // Durable jobs come as there is room for them: they show nothing of who is away.
+            arrivals.add(request.takenAt);
+        }
         counters.add(request.front.name() + ".taken");
         // The module answers in time by itself; this catches what would otherwise stay without an answer.
         request.backstop = deadlines.at(request.deadline, () -> overdue(request));
@@ -157,18 +160,59 @@
         boolean may = calls.get(call.handle) == call && mayBegin(call.endpoint);
         if (!may) {
             counters.add("core.kept.drain");
+        } else if (!mayRepeat(call.request)) {
+            // The key's window closed while the connection came up or the call waited to be grabbed.
+            counters.add("core.kept.effect");
+            may = false;
         }
         return may;
     }
 
+    /** Sends a call whose lease is on record; false if it has ended meanwhile. */
+    public boolean open(OutboundCall call) {
+        boolean out = calls.get(call.handle) == call;
+        if (out) {
+            call.endpoint.carrier.open(call);
+        }
+        return out;
+    }
+
+    /**
+     * A call's lease has run out. What must not run twice is listened to on: its endpoint's late word is all
+     * that can still settle it.
+     */
+    public void expire(OutboundCall call) {
+        if (calls.get(call.handle) == call) {
+            counters.add("lease.expired");
+            if (settings.classes[call.request.jobClass].effect != Effect.UNSAFE) {
+                call.endpoint.carrier.close(call);
+            }
+            ended(call, Outcome.TIMEOUT, null, null);
+        }
+    }
+
+    /** The endpoint is at it still. */
+    public void heard(OutboundCall call) {
+        if (calls.get(call.handle) == call && call.request.front.leases()) {
+            call.request.front.heard(call);
+        }
+    }
+
     private boolean mayBegin(Endpoint endpoint) {
         return endpoint.drainToldAt == Long.MAX_VALUE
                 || clock.micros() < endpoint.drainToldAt + (long) (settings.drainGrace * 1e6);
     }
 
+    private boolean mayRepeat(Request request) {
+        JobClass type = settings.classes[request.jobClass];
+        return !request.mayHaveRun() || type.effect == Effect.SAFE || type.effect == Effect.KEYED
+                && clock.micros() < request.firstMayHaveRun() + (long) (type.window * 1e6);
+    }
+
     /** The endpoint has started on it. */
     public void started(OutboundCall call) {
         note(call, Note.STARTED, 0);
+        heard(call);
         if (!call.request.answered) {
             call.request.front.started(call.request.tag);
         }
@@ -177,6 +221,7 @@
     /** The endpoint has done a part of it. */
     public void progress(OutboundCall call, long done, long of) {
         note(call, Note.PROGRESS, of > 0 ? Math.min(1, Math.max(0, (double) done / of)) : 0);
+        heard(call);
         if (!call.request.answered) {
             call.request.front.progress(call.request.tag, done, of);
         }
@@ -190,15 +235,21 @@
 
     /** How a call ended; the result only where it was served. One that has ended already is passed over. */
     public void ended(OutboundCall call, Outcome outcome, byte[] result, LoadReport report) {
+        Request request = call.request;
         if (calls.get(call.handle) != call) {
+            if (request.front.leases()) {
+                request.front.late(call, outcome, result);
+            }
             return;
         }
-        Request request = call.request;
         release(call);
         counters.add("call." + outcome.name().toLowerCase(Locale.ROOT));
         if (!outcome.neverRan) {
             request.mayHaveRun(call.sentAt);
         }
+        if (request.front.leases()) {
+            request.front.callEnded(call, outcome);
+        }
         boolean over = request.answered;
         if (outcome == Outcome.OK && !over) {
             over = true;
@@ -284,7 +335,11 @@
             request.out = call;
             call.handle = calls.add(call);
             counters.add("call.sent");
-            endpoint.carrier.open(call);
+            if (request.front.leases()) {
+                request.front.lease(call);
+            } else {
+                endpoint.carrier.open(call);
+            }
         }
 
         /** What speaks against this call, whatever the module wants; null if nothing does. */
@@ -301,12 +356,6 @@
             return mayRepeat(request) ? null : "effect";
         }
 
-        private boolean mayRepeat(Request request) {
-            JobClass type = settings.classes[request.jobClass];
-            return !request.mayHaveRun() || type.effect == Effect.SAFE || type.effect == Effect.KEYED
-                    && clock.micros() < request.firstMayHaveRun() + (long) (type.window * 1e6);
-        }
-
         @Override
         public void refuse(long id, double retryAfter) {
             Request request = requests.get(id);
--- /dev/null
+++ b/src/main/java/laneflow/durable/DurableJobs.java
@@ -0,0 +1,701 @@
+package laneflow.durable;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
+import java.util.function.Consumer;
+import java.util.function.LongSupplier;
+import laneflow.core.Clock;
+import laneflow.core.Counters;
+import laneflow.core.Deadlines;
+import laneflow.core.Front;
+import laneflow.core.Keeper;
+import laneflow.core.OutboundCall;
+import laneflow.core.Payload;
+import laneflow.core.Request;
+import laneflow.core.Scheduler;
+import laneflow.decision.Dispatch.JobClass;
+import laneflow.decision.Dispatch.Outcome;
+import laneflow.durable.decision.Attempt;
+import laneflow.durable.decision.Attempt.Known;
+import laneflow.durable.decision.Quota;
+import laneflow.durable.decision.Settlement;
+import laneflow.durable.decision.Settlement.Verdict;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * Durable jobs, from the word of acceptance to the end of their retention. To the core this is one more
+ * front: each job that is at work is a request of the core's, decided on by the same module under the same
+ * rules. What is added: nothing is acknowledged that is not on disk, and no call goes out whose lease is
+ * not.
+ *
+ * <p>A lease is an attempt's number, endpoint and time. It ends with the call's outcome, or runs out; words
+ * that come later count by its number. What then becomes of the job is {@link Settlement}'s to say, from
+ * what is recorded alone, so it is the same whether this process decides or the next one.
+ *
+ * <p>Everything here happens on the loop's thread; the disk belongs to {@link Journal}.
+ */
+public final class DurableJobs implements Front, Keeper {
+    private static final Logger LOG = LoggerFactory.getLogger(DurableJobs.class);
+    /** Attempts that may have run, over a job's whole life; the core's rule holds it within one request. */
+    private static final int MOST_ATTEMPTS = 5;
+    private static final long SWEEP = 1_000_000;
+    private static final int MOST_DROPS = 500;
+    private static final long LEASE_FIRST = 1_000_000;
+    private static final long STORE_PAUSE = 1_000_000;
+    private static final long FIRST_BACKOFF = 50_000;
+    private static final long LONGEST_BACKOFF = 5_000_000;
+    /** How often it is looked whether live requests are refused. */
+    private static final long LOOK = 100_000;
+    /** Above this part of the store's room nothing is accepted: leases and results must still find some. */
+    private static final double FULL_PART = 0.85;
+
+    private final Clock clock;
+    private final Deadlines deadlines;
+    private final Scheduler scheduler;
+    private final DurableConfig config;
+    private final Journal journal;
+    private final LongSupplier wall;
+    private final Counters counters;
+    private final Table table;
+    private final Quota quota;
+    private final Lane[] lanes;
+    private final Deadlines.Deadline pump;
+    private long latestMs;
+    private long refusedBefore;
+    private long lookedAt;
+    private long storeFullUntil;
+    private boolean draining;
+    private boolean letGo;
+    private boolean pumping;
+
+    /** @param wall Unix time in milliseconds */
+    public DurableJobs(Clock clock, Deadlines deadlines, Scheduler scheduler, DurableConfig config,
+            Journal journal,
+            LongSupplier wall, long seed) {
+        this.clock = clock;
+        this.deadlines = deadlines;
+        this.scheduler = scheduler;
+        this.config = config;
+        this.journal = journal;
+        this.wall = wall;
+        counters = scheduler.counters();
+        table = new Table(seed);
+        quota = new Quota(config);
+        lanes = new Lane[config.classes.length];
+        for (int i = 0; i < lanes.length; i++) {
+            lanes[i] = new Lane(config.mostAtWork);
+        }
+        pump = deadlines.create(this::pump);
+    }
+
+    // ---- the start ----
+
+    /** Takes over what the store holds; once, before anything else. */
+    public void recover(List<JobRow> rows, long storedLatestMs) {
+        long now = wall.getAsLong();
+        latestMs = storedLatestMs;
+        if (now < latestMs) {
+            LOG.warn("the wall clock shows {} ms less than the store's latest entry: windows count as over",
+                    latestMs - now);
+        }
+        int[] found = new int[State.values().length];
+        int orphans = 0;
+        // The first ones must not begin before it is known whose window closes first.
+        pumping = true;
+        List<Held> over = new ArrayList<>();
+        for (JobRow row : rows) {
+            Held job = new Held(row, config.classNames.indexOf(row.jobClass()));
+            table.add(job);
+            found[job.state.number]++;
+            orphans += job.jobClass < 0 ? 1 : 0;
+            if (job.state.isEnd()) {
+                over.add(job);
+                continue;
+            }
+            if (job.jobClass >= 0) {
+                quota.add(job.jobClass, row.bodyBytes());
+            }
+            // Its call died with the process that made it: it may have run.
+            for (Attempt attempt : row.attempts()) {
+                if (attempt.known() == Known.OUT) {
+                    job.know(attempt.number(), Known.MAY_HAVE_RUN);
+                }
+            }
+            job.state = State.QUEUED;
+            if (job.jobClass >= 0) {
+                settle(job, false);
+            }
+        }
+        pumping = false;
+        over.sort((a, b) -> Long.compare(a.changedMs, b.changedMs));
+        over.forEach(table::end);
+        if (orphans > 0) {
+            LOG.error("{} jobs are of classes that the settings no longer name: they are kept and not run",
+                    orphans);
+        }
+        LOG.info("durable jobs: {} found, {} queued, {} were at work, {} ended", rows.size(),
+                found[State.QUEUED.number], found[State.RUNNING.number], over.size());
+        counters.set("durable.recovered", found[State.QUEUED.number] + found[State.RUNNING.number]);
+        deadlines.at(clock.micros() + SWEEP, this::sweep);
+        pump();
+    }
+
+    // ---- taking on ----
+
+    @Override
+    public boolean takes(int jobClass) {
+        return config.classes[jobClass].respondAsync;
+    }
+
+    @Override
+    public void submit(Submission given, Consumer<Word> answer) {
+        Held same = table.get(given.key());
+        if (same != null) {
+            boolean other = given.exact() && RowCodec.sum(given.payload().body()) != same.row.bodySum();
+            counters.add(other ? "durable.key_conflict" : "durable.same");
+            if (!other && same.waiters != null) {
+                // Handed in again before the first is on disk: both hear when it is.
+                same.waiters.add(answer);
+            } else {
+                answer.accept(new Word(other ? Taken.OTHER : Taken.YES, same.id(), 0));
+            }
+            return;
+        }
+        byte[] body = given.payload().body();
+        if (journal.broken() != null) {
+            turnDown(answer, Taken.BROKEN, 0);
+            return;
+        }
+        if (clock.micros() < storeFullUntil || journal.usedBytes() > FULL_PART * config.storeBytes) {
+            turnDown(answer, Taken.FULL, Math.max(1, quota.comeBack()));
+            return;
+        }
+        if (!quota.admits(given.jobClass(), body.length)) {
+            turnDown(answer, Taken.FULL, quota.comeBack());
+            return;
+        }
+        long now = wall.getAsLong();
+        Payload payload = given.payload();
+        JobRow row = new JobRow(table.newId(now), config.classNames.get(given.jobClass()), given.function(),
+                given.key(), payload.target(), payload.requestId(), payload.repeatKey(), given.hint(),
+                given.slots(), given.memory(), given.subject(), given.urgency(), now, RowCodec.sum(body),
+                body.length, body, State.QUEUED, List.of(), now);
+        Held job = new Held(row, given.jobClass());
+        job.waiters = new ArrayList<>(1);
+        job.waiters.add(answer);
+        if (!journal.write(Op.accept(row), failure -> accepted(job, failure))) {
+            turnDown(answer, Taken.FULL, quota.comeBack());
+            return;
+        }
+        table.add(job);
+        quota.add(job.jobClass, body.length);
+    }
+
+    private void turnDown(Consumer<Word> answer, Taken why, double comeBack) {
+        counters.add("durable.turned_down");
+        answer.accept(new Word(why, 0, comeBack));
+    }
+
+    private void accepted(Held job, StoreException failure) {
+        List<Consumer<Word>> waiters = job.waiters;
+        job.waiters = null;
+        if (failure == null) {
+            counters.add("durable.accepted");
+            see(job.row.acceptedMs());
+            waiters.forEach(waiter -> waiter.accept(new Word(Taken.YES, job.id(), 0)));
+            queue(job);
+            return;
+        }
+        table.remove(job);
+        quota.remove(clock.micros(), job.jobClass, job.row.bodyBytes());
+        storeTrouble(failure);
+        boolean full = failure.kind == StoreException.Kind.FULL;
+        waiters.forEach(waiter -> turnDown(waiter, full ? Taken.FULL : Taken.BROKEN, full ? 1 : 0));
+    }
+
+    private void storeTrouble(StoreException failure) {
+        counters.add(failure.kind == StoreException.Kind.FULL ? "durable.store_full"
+                : "durable.store_broken");
+        storeFullUntil = clock.micros() + STORE_PAUSE;
+        for (Lane lane : lanes) {
+            lane.pacer.hold(storeFullUntil);
+        }
+    }
+
+    /** The latest instant on record. */
+    private void see(long ms) {
+        latestMs = Math.max(latestMs, ms);
+    }
+
+    // ---- going out ----
+
+    private void queue(Held job) {
+        job.state = State.QUEUED;
+        if (!job.inQueue) {
+            lanes[job.jobClass].add(job, clock.micros());
+        }
+        pump();
+    }
+
+    /** Starts what there is room for. */
+    private void pump() {
+        // A start may end at once and come back here.
+        if (pumping || draining || journal.broken() != null) {
+            return;
+        }
+        pumping = true;
+        long now = clock.micros();
+        lookAtLive(now);
+        long again = Long.MAX_VALUE;
+        for (Lane lane : lanes) {
+            while (lane.pacer.room(now, lane.atWork)) {
+                Held job = lane.next(now);
+                if (job == null) {
+                    break;
+                }
+                start(lane, job);
+            }
+            if (!lane.isEmpty()) {
+                again = Math.min(again, lane.atWork > 0 ? now + LOOK : Math.max(now + 1000,
+                        lane.nextAt(now)));
+            }
+        }
+        pumping = false;
+        if (again < Long.MAX_VALUE) {
+            deadlines.set(pump, again);
+        }
+    }
+
+    private void lookAtLive(long now) {
+        if (now - lookedAt >= LOOK) {
+            long refused = counters.get("http.refused") + counters.get("gearman.refused");
+            if (refused > refusedBefore) {
+                for (Lane lane : lanes) {
+                    lane.pacer.liveRefused(now);
+                }
+            }
+            refusedBefore = refused;
+            lookedAt = now;
+        }
+    }
+
+    private void start(Lane lane, Held job) {
+        long nowMs = wall.getAsLong();
+        if (job.untilMs < Long.MAX_VALUE && (nowMs >= job.untilMs || nowMs < latestMs)) {
+            // Its window closed while it waited for its turn.
+            settle(job, false);
+            return;
+        }
+        lane.atWork++;
+        JobRow row = job.row;
+        Payload payload = new Payload("POST", row.target(), row.requestId(), row.repeatKey(), row.body());
+        long now = clock.micros();
+        // Its lease runs out first: the request's deadline must not end it in the lease's place.
+        Request request = new Request(this, job.id(), payload, job.jobClass,
+                now + config.classes[job.jobClass].longestMs * 1000 + LEASE_FIRST);
+        request.hint = row.hint();
+        request.slots = row.slots();
+        request.memory = row.memory();
+        request.key = row.subject();
+        request.urgency = row.urgency();
+        request.function = row.function().isEmpty() ? null : row.function();
+        // A Gearman job's key is made of its function and its unique.
+        request.unique = row.function().isEmpty() || row.key().isEmpty() ? null
+                : row.key().substring("gearman/".length() + row.function().length() + 1);
+        for (Attempt attempt : job.attempts) {
+            if (attempt.mayHaveRun()) {
+                request.ranAt(now - (nowMs - attempt.leasedMs()) * 1000);
+            }
+        }
+        job.request = request;
+        job.call = null;
+        scheduler.submit(request);
+    }
+
+    @Override
+    public boolean leases() {
+        return true;
+    }
+
+    /** The lease goes to disk, and only then the call's first byte out. */
+    @Override
+    public void lease(OutboundCall call) {
+        Held job = table.get(call.request.tag);
+        if (job == null || job.request != call.request || draining
+                || job.attempts.stream().filter(Attempt::mayHaveRun).count() >= MOST_ATTEMPTS) {
+            scheduler.ended(call, Outcome.MOOT, null, null);
+            return;
+        }
+        long nowMs = Math.max(wall.getAsLong(), latestMs);
+        Attempt attempt = new Attempt(job.attempts.size() + 1, call.endpoint.name, nowMs,
+                nowMs + config.classes[job.jobClass].leaseMs, Known.OUT);
+        job.attempts.add(attempt);
+        call.lease = attempt.number();
+        job.call = call;
+        job.opened = false;
+        job.heard = false;
+        job.state = State.RUNNING;
+        job.changedMs = nowMs;
+        Op op = Op.move(job.id(), State.RUNNING, job.attempts, nowMs);
+        if (!journal.write(op, failure -> leased(job, call, failure))) {
+            unleased(job, call);
+        }
+    }
+
+    private void leased(Held job, OutboundCall call, StoreException failure) {
+        if (failure != null) {
+            storeTrouble(failure);
+            unleased(job, call);
+            return;
+        }
+        see(job.attempt(call.lease).leasedMs());
+        if (job.call != call || letGo) {
+            return;
+        }
+        long now = clock.micros();
+        job.opened = true;
+        job.leasedAt = now;
+        job.openedAt = now;
+        job.recordedAt = now;
+        if (job.lease == null) {
+            job.lease = deadlines.create(() -> scheduler.expire(job.call));
+        }
+        deadlines.set(job.lease, now + config.classes[job.jobClass].leaseMs * 1000);
+        counters.add("lease.given");
+        scheduler.open(call);
+    }
+
+    private void unleased(Held job, OutboundCall call) {
+        job.know(call.lease, Known.NEVER_RAN);
+        scheduler.ended(call, Outcome.MOOT, null, null);
+    }
+
+    // ---- at work ----
+
+    @Override
+    public void heard(OutboundCall call) {
+        Held job = table.get(call.request.tag);
+        if (job == null || job.call != call || !job.opened) {
+            return;
+        }
+        long now = clock.micros();
+        if (!job.heard) {
+            job.heard = true;
+            lanes[job.jobClass].pacer.started(now, now - job.openedAt);
+        }
+        DurableConfig.OfClass of = config.classes[job.jobClass];
+        long until = Math.min(now + of.leaseMs * 1000, job.leasedAt + of.longestMs * 1000);
+        deadlines.set(job.lease, until);
+        // On disk it need not be exact: a third of a lease late only makes the record read shorter.
+        if (now - job.recordedAt > of.leaseMs * 1000 / 3) {
+            job.recordedAt = now;
+            Attempt attempt = job.attempt(call.lease);
+            long nowMs = wall.getAsLong();
+            job.attempts.set(call.lease - 1, attempt.until(nowMs + (until - now) / 1000));
+            journal.write(Op.move(job.id(), State.RUNNING, job.attempts, nowMs), this::noted);
+        }
+    }
+
+    /** A record that nobody waits for: without it the next process knows less, and never something false. */
+    private void noted(StoreException failure) {
+        if (failure != null) {
+            storeTrouble(failure);
+        }
+    }
+
+    @Override
+    public void progress(long tag, long done, long of) {
+        Held job = table.get(tag);
+        if (job != null) {
+            job.done = done;
+            job.of = of;
+        }
+    }
+
+    @Override
+    public void callEnded(OutboundCall call, Outcome outcome) {
+        Held job = table.get(call.request.tag);
+        if (job == null || letGo || job.call != call || call.lease == 0) {
+            return;
+        }
+        if (job.lease != null) {
+            deadlines.cancel(job.lease);
+        }
+        Known known = !job.opened || outcome.neverRan ? Known.NEVER_RAN : outcome == Outcome.OK ? Known.DONE
+                : outcome == Outcome.ERROR ? Known.SAID_FAILED : Known.MAY_HAVE_RUN;
+        job.know(call.lease, known);
+        job.call = null;
+        if (known == Known.NEVER_RAN) {
+            // Unrecorded, a crash would leave it as one that may have run.
+            journal.write(Op.move(job.id(), State.RUNNING, job.attempts, wall.getAsLong()), this::noted);
+        }
+    }
+
+    /** A word on an attempt that had ended: it counts by its lease. */
+    @Override
+    public void late(OutboundCall call, Outcome outcome, byte[] result) {
+        if (outcome == Outcome.OK || outcome == Outcome.ERROR) {
+            late(call.request.tag, call.lease, outcome == Outcome.OK, result);
+        }
+    }
+
+    @Override
+    public boolean late(long id, int lease, boolean served, byte[] result) {
+        Held job = table.get(id);
+        Attempt attempt = job == null ? null : job.attempt(lease);
+        if (attempt == null || !attempt.mayHaveRun() || job.state == State.DONE || job.ending == State.DONE
+                || letGo) {
+            counters.add("lease.late_passed_over");
+            return attempt != null;
+        }
+        counters.add("lease.late");
+        if (job.isAtWork()) {
+            // A newer lease is out: its word decides, and this one counts only if that has no success to
+            // tell.
+            if (served) {
+                job.lateLease = lease;
+                job.lateResult = result;
+            }
+            return true;
+        }
+        job.know(lease, served ? Known.DONE : Known.SAID_FAILED);
+        if (served) {
+            end(job, State.DONE, "served, told when its lease had run out", result);
+        } else if (job.state.isEnd() || job.ending != null) {
+            settle(job, false);
+        }
+        return true;
+    }
+
+    // ---- answers of the core ----
+
+    @Override
+    public String name() {
+        return "durable";
+    }
+
+    private Held over(long tag) {
+        Held job = table.get(tag);
+        if (job == null || job.request == null || letGo) {
+            return null;
+        }
+        job.request = null;
+        job.call = null;
+        lanes[job.jobClass].atWork--;
+        return job;
+    }
+
+    @Override
+    public void served(long tag, byte[] result) {
+        Held job = over(tag);
+        if (job != null) {
+            lanes[job.jobClass].pacer.served();
+            end(job, State.DONE, "served", result);
+            pump();
+        }
+    }
+
+    @Override
+    public void failFast(long tag, double retryAfter) {
+        Held job = over(tag);
+        if (job != null) {
+            // The time to come back is for clients, who wait anyway; here the pauses double instead.
+            lanes[job.jobClass].pacer.refused(clock.micros());
+            settle(job, true);
+            pump();
+        }
+    }
+
+    @Override
+    public void failed(long tag) {
+        Held job = over(tag);
+        if (job != null) {
+            settle(job, true);
+            pump();
+        }
+    }
+
+    // ---- the end, or again ----
+
+    /** At work nowhere: what becomes of it is decided from the record. */
+    private void settle(Held job, boolean backoff) {
+        if (job.lateResult != null) {
+            job.know(job.lateLease, Known.DONE);
+            end(job, State.DONE, "served, told when its lease had run out", job.lateResult);
+            return;
+        }
+        JobClass type = scheduler.settings().classes[job.jobClass];
+        long nowMs = wall.getAsLong();
+        Verdict verdict = Settlement.decide(type.effect, job.attempts, (long) (type.window * 1000), nowMs,
+                latestMs,
+                MOST_ATTEMPTS);
+        switch (verdict.kind()) {
+            case AGAIN:
+                job.untilMs = verdict.untilMs();
+                job.reason = job.attempts.isEmpty() ? "" : "again: " + verdict.reason();
+                if (backoff) {
+                    long pause = Math.min(LONGEST_BACKOFF, FIRST_BACKOFF << Math.min(10, job.refusals++));
+                    job.notBefore = clock.micros() + pause;
+                }
+                if (job.state == State.RUNNING) {
+                    journal.write(Op.move(job.id(), State.QUEUED, job.attempts, nowMs), this::noted);
+                }
+                queue(job);
+                break;
+            case UNKNOWN:
+                end(job, State.UNKNOWN, verdict.reason(), null);
+                break;
+            default:
+                end(job, State.FAILED, verdict.reason(), null);
+                break;
+        }
+    }
+
+    private void end(Held job, State state, String reason, byte[] result) {
+        job.ending = state;
+        job.reason = reason;
+        long nowMs = wall.getAsLong();
+        Op op = Op.end(job.id(), state, job.attempts, result, nowMs);
+        if (!journal.write(op, failure -> ended(job, state, nowMs, result, failure))) {
+            deadlines.at(clock.micros() + STORE_PAUSE, () -> end(job, state, reason, result));
+        }
+    }
+
+    private void ended(Held job, State state, long nowMs, byte[] result, StoreException failure) {
+        if (failure != null) {
+            storeTrouble(failure);
+            if (failure.kind == StoreException.Kind.FULL && job.ending == state) {
+                // It has happened, whether there is room to say so or not: asked again until there is.
+                deadlines.at(clock.micros() + STORE_PAUSE, () -> end(job, state, job.reason, result));
+            }
+            return;
+        }
+        see(nowMs);
+        boolean first = !job.state.isEnd();
+        job.state = state;
+        job.changedMs = nowMs;
+        if (job.ending == state) {
+            job.ending = null;
+        }
+        counters.add("durable." + state.name().toLowerCase(Locale.ROOT));
+        if (first) {
+            quota.remove(clock.micros(), job.jobClass, job.row.bodyBytes());
+            job.row = withoutBody(job.row);
+        }
+        table.end(job);
+    }
+
+    private static JobRow withoutBody(JobRow row) {
+        return new JobRow(row.id(), row.jobClass(), row.function(), row.key(), row.target(), row.requestId(),
+                row.repeatKey(), row.hint(), row.slots(), row.memory(), row.subject(), row.urgency(),
+                row.acceptedMs(), row.bodySum(), row.bodyBytes(), null, row.state(), List.of(),
+                row.changedMs());
+    }
+
+    /** Drops what has been kept for long enough, a bounded number a turn. */
+    private void sweep() {
+        long nowMs = wall.getAsLong();
+        for (int i = 0; i < MOST_DROPS; i++) {
+            Held job = table.endedBefore(nowMs - config.retentionMs);
+            if (job == null) {
+                break;
+            }
+            if (journal.write(Op.drop(job.id(), nowMs), this::noted)) {
+                table.remove(job);
+                counters.add("durable.dropped");
+            }
+        }
+        deadlines.at(clock.micros() + SWEEP, this::sweep);
+    }
+
+    // ---- asking and cancelling ----
+
+    @Override
+    public View peek(long id) {
+        Held job = table.get(id);
+        return job == null || job.waiters != null ? null : view(job, null);
+    }
+
+    @Override
+    public void view(long id, Consumer<View> answer) {
+        Held job = table.get(id);
+        if (job == null || job.waiters != null) {
+            answer.accept(null);
+        } else if (job.state != State.DONE) {
+            answer.accept(view(job, null));
+        } else if (!journal.result(id, result -> answer.accept(view(job, result)))) {
+            answer.accept(view(job, null));
+        }
+    }
+
+    private View view(Held job, byte[] result) {
+        List<Try> tries = new ArrayList<>();
+        for (Attempt attempt : job.attempts) {
+            tries.add(new Try(attempt.number(), attempt.endpoint(), attempt.leasedMs(), attempt.endMs(),
+                    RowCodec.word(attempt.known())));
+        }
+        return new View(job.id(), job.row.jobClass(), job.state.name().toLowerCase(Locale.ROOT), job.reason,
+                job.row.acceptedMs(), job.changedMs, tries, result, job.state.isEnd(),
+                job.isAtWork() && job.opened, job.done, job.of);
+    }
+
+    @Override
+    public void cancel(long id, Consumer<Cancelled> answer) {
+        Held job = table.get(id);
+        if (job == null || job.waiters != null) {
+            answer.accept(Cancelled.UNKNOWN);
+        } else if (job.state != State.QUEUED || job.ending != null || job.isAtWork() || job.mayHaveRun()
+                || job.jobClass < 0) {
+            answer.accept(Cancelled.BEGUN);
+        } else {
+            job.ending = State.CANCELLED;
+            job.reason = "cancelled";
+            long nowMs = wall.getAsLong();
+            boolean asked = journal.write(Op.end(id, State.CANCELLED, job.attempts, null, nowMs), failure -> {
+                ended(job, State.CANCELLED, nowMs, null, failure);
+                answer.accept(failure == null ? Cancelled.YES : Cancelled.BUSY);
+            });
+            if (!asked) {
+                job.ending = null;
+                queue(job);
+                answer.accept(Cancelled.BUSY);
+            }
+        }
+    }
+
+    // ---- a planned end ----
+
+    /** Begins no further jobs; what is at work goes on, and jobs are still taken on. */
+    public void drain() {
+        draining = true;
+    }
+
+    /** Leaves what is still at work to the record: whoever opens the store next settles it. */
+    public void letGo() {
+        letGo = true;
+        List<Request> out = new ArrayList<>();
+        table.forEach(job -> {
+            if (job.request != null) {
+                out.add(job.request);
+            }
+        });
+        if (!out.isEmpty()) {
+            LOG.info("durable jobs: {} are at work still and stay under their leases", out.size());
+        }
+        out.forEach(scheduler::withdraw);
+    }
+
+    /** Words of acceptance that are owed still. */
+    public int owed() {
+        int[] owed = new int[1];
+        table.forEach(job -> owed[0] += job.waiters == null ? 0 : 1);
+        return owed[0];
+    }
+
+    /** Jobs held, ended ones included. */
+    public int size() {
+        return table.size();
+    }
+}
--- /dev/null
+++ b/src/main/java/laneflow/durable/Held.java
@@ -0,0 +1,85 @@
+package laneflow.durable;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.function.Consumer;
+import laneflow.core.Deadlines.Deadline;
+import laneflow.core.Keeper.Word;
+import laneflow.core.OutboundCall;
+import laneflow.core.Request;
+import laneflow.durable.decision.Attempt;
+
+/**
+ * A job in memory: its row, and while it is at work its request, its lease and what its endpoint has said.
+ */
+final class Held {
+    /** What was taken on; its body is left out once the job has ended. */
+    JobRow row;
+    /** By number, or -1 where the settings no longer name its class. */
+    final int jobClass;
+    State state;
+    String reason = "";
+    long changedMs;
+    final List<Attempt> attempts;
+    /** Those who wait for the word that it is on disk; null once it is. */
+    List<Consumer<Word>> waiters;
+    /** The end that is on its way to disk, or null. */
+    State ending;
+    /** Instants are microseconds on the loop. */
+    long notBefore;
+    /** No attempt may begin later than that: a key's window. */
+    long untilMs = Long.MAX_VALUE;
+    int refusals;
+    /** It waits in its lane's queue. */
+    boolean inQueue;
+    /** It waits for the end of its retention. */
+    boolean retired;
+    Request request;
+    OutboundCall call;
+    Deadline lease;
+    long leasedAt;
+    long openedAt;
+    long recordedAt;
+    boolean opened;
+    boolean heard;
+    long done;
+    long of;
+    /** A result of an older lease that came while a newer one was out: it counts if the newer one fails. */
+    int lateLease;
+    byte[] lateResult;
+
+    Held(JobRow row, int jobClass) {
+        this.row = row;
+        this.jobClass = jobClass;
+        state = row.state();
+        changedMs = row.changedMs();
+        attempts = new ArrayList<>(row.attempts());
+    }
+
+    long id() {
+        return row.id();
+    }
+
+    boolean isAtWork() {
+        return request != null;
+    }
+
+    /** An attempt by its lease's number, or null. */
+    Attempt attempt(int number) {
+        return number >= 1 && number <= attempts.size() ? attempts.get(number - 1) : null;
+    }
+
+    void know(int number, Attempt.Known known) {
+        attempts.set(number - 1, attempts.get(number - 1).with(known));
+    }
+
+    /** True if some attempt may have run. */
+    boolean mayHaveRun() {
+        return attempts.stream().anyMatch(Attempt::mayHaveRun);
+    }
+
+    @Override
+    public String toString() {
+        return Store.hex(id());
+    }
+}
--- a/src/main/java/laneflow/gearman/GearmanFront.java
+++ b/src/main/java/laneflow/gearman/GearmanFront.java
@@ -10,6 +10,7 @@
 import laneflow.decision.Dispatch.Effect;
 import laneflow.core.Endpoint;
 import laneflow.core.Front;
+import laneflow.core.Keeper;
 import laneflow.core.Payload;
 import laneflow.core.Request;
 import laneflow.core.Scheduler;
@@ -27,6 +28,8 @@
     /** A packet of the greatest size must fit whole. */
     private static final int IN_RING = 128 * 1024;
     private static final int OUT_RING = 1 << 20;
+    /** Handles of kept jobs: with an id for clients, with a lease's number behind it for workers. */
+    static final String KEPT = "H:laneflow:d";
     private static final int MOST_DATA = 64 * 1024;
 
     final Loop loop;
@@ -38,6 +41,8 @@
     private final SlotTable<Job> jobs = new SlotTable<>();
     private final Map<String, Long> byHandle = new HashMap<>();
     private final Map<String, Job> byUnique = new HashMap<>();
+    /** Null where durable jobs are off. */
+    Keeper keeper;
     private Loop.Listener listener;
     private boolean draining;
     private long handles;
@@ -76,6 +81,11 @@
         return listener.address();
     }
 
+    /** Background jobs of durable functions go there. */
+    public void keepIn(Keeper given) {
+        keeper = given;
+    }
+
     /** Takes no further jobs; those taken are still answered. */
     public void drain() {
         draining = true;
@@ -128,8 +138,14 @@
             client.error("SHUTTING_DOWN", "no further jobs are taken");
             return;
         }
+        int urgency = type == Packet.SUBMIT_JOB_HIGH || type == Packet.SUBMIT_JOB_HIGH_BG ? 1
+                : type == Packet.SUBMIT_JOB_LOW || type == Packet.SUBMIT_JOB_LOW_BG ? -1 : 0;
         boolean background = type == Packet.SUBMIT_JOB_BG || type == Packet.SUBMIT_JOB_HIGH_BG
                 || type == Packet.SUBMIT_JOB_LOW_BG;
+        if (background && function.durable() && keeper != null) {
+            keep(client, function, unique, data, urgency);
+            return;
+        }
         Job same = unique.isEmpty() ? null : byUnique.get(name + '\0' + unique);
         if (same != null) {
             // The same job again, while it is at work: one run answers all who asked for it.
@@ -151,25 +167,52 @@
         // Before the core hears of it: its answer may come at once and must not overtake this.
         client.send(Packet.JOB_CREATED, job.handle);
         job.request = request(job, slot, data);
-        job.request.urgency = type == Packet.SUBMIT_JOB_HIGH || type == Packet.SUBMIT_JOB_HIGH_BG ? 1
-                : type == Packet.SUBMIT_JOB_LOW || type == Packet.SUBMIT_JOB_LOW_BG ? -1 : 0;
+        job.request.urgency = urgency;
         scheduler.submit(job.request);
     }
 
+    /** Hands a job to whoever keeps it; the client hears of it once it is on disk. */
+    private void keep(Peer client, GearmanConfig.Function function, String unique, byte[] data, int urgency) {
+        Peer.Owed word = client.owe();
+        String key = unique.isEmpty() ? "" : "gearman/" + function.name() + "/" + unique;
+        keeper.submit(new Keeper.Submission(function.jobClass(), function.name(), key, false,
+                payload(function, unique, data), function.hint(), function.slots(), 0, subject(unique),
+                urgency),
+                said -> {
+                    if (said.taken() == Keeper.Taken.YES) {
+                        word.is(Packet.JOB_CREATED, KEPT + hex(said.id()));
+                    } else if (said.taken() == Keeper.Taken.FULL) {
+                        word.is(Packet.ERROR, "QUEUE_FULL", "come back in "
+                                + Math.ceil(said.comeBack() * 1000)
+                                / 1000 + " s");
+                    } else {
+                        word.is(Packet.ERROR, "STORE_FAILED", "no durable job is taken on until a restart");
+                    }
+                });
+    }
+
+    private static long subject(String unique) {
+        return unique.isEmpty() ? 0 : Endpoint.number(unique);
+    }
+
     /** The job in the words of the platform's wire too: an HTTP endpoint may be the one to run it. */
-    private Request request(Job job, long slot, byte[] data) {
-        GearmanConfig.Function function = job.function;
+    private Payload payload(GearmanConfig.Function function, String unique, byte[] data) {
         String id = hex(random.nextLong());
         boolean keyed = scheduler.settings().classes[function.jobClass()].effect == Effect.KEYED;
-        String repeatKey = !keyed ? null : job.unique.matches("[!-~]{1,128}") ? job.unique : id;
-        long key = job.unique.isEmpty() ? 0 : Endpoint.number(job.unique);
+        String repeatKey = !keyed ? null : unique.matches("[!-~]{1,128}") ? unique : id;
+        long key = subject(unique);
         String target = "/" + config.className(function) + (key == 0 ? "" : "?key=" + hex(key));
-        Payload payload = new Payload("POST", target, id, repeatKey, data);
-        Request request = new Request(this, slot, payload, function.jobClass(),
+        return new Payload("POST", target, id, repeatKey, data);
+    }
+
+    private Request request(Job job, long slot, byte[] data) {
+        GearmanConfig.Function function = job.function;
+        Request request = new Request(this, slot, payload(function, job.unique, data), function.jobClass(),
                 loop.micros() + function.deadline());
         request.hint = function.hint();
         request.slots = function.slots();
-        request.key = key;
+        request.key = subject(job.unique);
+        request.function = function.name();
         return request;
     }
 
@@ -177,7 +220,41 @@
         return String.format("%016x", number);
     }
 
+    /**
+     * The id of a kept job and the number of a lease, of a worker's handle; null if it is none of that
+     * kind.
+     */
+    static long[] lease(String handle) {
+        int point = handle.indexOf('.');
+        if (!handle.startsWith(KEPT) || point < 0) {
+            return null;
+        }
+        try {
+            return new long[] {Long.parseUnsignedLong(handle.substring(KEPT.length(), point), 16),
+                Integer.parseInt(handle.substring(point + 1))};
+        } catch (NumberFormatException e) {
+            return null;
+        }
+    }
+
+    /** A client's handle of a kept job as its id, or 0. */
+    private static long kept(String handle) {
+        boolean is = handle.startsWith(KEPT) && handle.length() == KEPT.length() + 16;
+        try {
+            return is ? Long.parseUnsignedLong(handle.substring(KEPT.length()), 16) : 0;
+        } catch (NumberFormatException e) {
+            return 0;
+        }
+    }
+
     void status(Peer client, String handle) {
+        Keeper.View view = keeper == null ? null : keeper.peek(kept(handle));
+        if (view != null) {
+            boolean open = !view.ended();
+            client.send(Packet.STATUS_RES, handle, open ? 1 : 0, open && view.atWork() ? 1 : 0, view.done(),
+                    view.of());
+            return;
+        }
         Long slot = byHandle.get(handle);
         Job job = slot == null ? null : jobs.get(slot);
         client.send(Packet.STATUS_RES, handle, job == null ? 0 : 1, job != null && job.running ? 1 : 0,
--- a/src/main/java/laneflow/gearman/Peer.java
+++ b/src/main/java/laneflow/gearman/Peer.java
@@ -1,6 +1,7 @@
 package laneflow.gearman;
 
 import java.nio.charset.StandardCharsets;
+import java.util.ArrayDeque;
 import laneflow.core.Deadlines.Deadline;
 import laneflow.net.Link;
 import laneflow.net.LinkHandler;
@@ -11,6 +12,8 @@
 final class Peer implements LinkHandler {
     private static final Logger LOG = LoggerFactory.getLogger(Peer.class);
     private static final int MOST_LINE = 1024;
+    /** Answers that wait for the disk, at one connection. */
+    private static final int MOST_OWED = 4096;
     /**
      * From the connection's coming up to its first whole packet, and from any later one's first byte to its
      * last: no byte extends it. Between packets a worker may be silent for as long as it likes.
@@ -26,6 +29,8 @@
     private long since;
     /** Its place among those that came in one turn, and so at one instant. */
     private final long order;
+    /** Answers in the order of what was asked, as long as the first one is not known yet. */
+    private final ArrayDeque<Owed> owed = new ArrayDeque<>();
     Worker worker;
     boolean wantsExceptions;
 
@@ -74,22 +79,63 @@
     }
 
     boolean isWritten() {
-        return link.out.isEmpty();
+        return link.out.isEmpty() && owed.isEmpty();
     }
 
     void send(int type, Object... arguments) {
+        put(Packet.response(type, arguments));
+    }
+
+    /** A packet of which the words come later; what is sent meanwhile waits behind it, in order. */
+    final class Owed {
+        private byte[] packet;
+
+        void is(int type, Object... arguments) {
+            packet = Packet.response(type, arguments);
+            while (!owed.isEmpty() && owed.peek().packet != null) {
+                write(owed.poll().packet);
+            }
+            if (owed.size() < MOST_OWED / 2) {
+                link.resumeReads();
+            }
+            link.flush();
+        }
+    }
+
+    /** Keeps a place for a packet. A client that asks on and on meanwhile is not read further for a while. */
+    Owed owe() {
+        Owed place = new Owed();
+        owed.add(place);
+        if (owed.size() >= MOST_OWED) {
+            link.holdReads();
+        }
+        return place;
+    }
+
+    private void put(byte[] packet) {
+        if (!owed.isEmpty()) {
+            Owed place = new Owed();
+            place.packet = packet;
+            owed.add(place);
+            return;
+        }
+        write(packet);
+        if (!link.isClosed()) {
+            link.flush();
+        }
+    }
+
+    private void write(byte[] packet) {
         if (link.isClosed()) {
             return;
         }
-        if (!link.out.put(Packet.response(type, arguments))) {
+        if (!link.out.put(packet)) {
             // It does not read what it asked for: its answers must not fill the memory.
             LOG.warn("{} does not read its answers", clientId);
             front.scheduler.counters().add("gearman.slow_reader");
             link.close();
             front.loop.later(() -> broken(link));
-            return;
         }
-        link.flush();
     }
 
     void error(String code, String text) {
@@ -143,8 +189,7 @@
         byte[] line = new byte[end + 1];
         link.in.take(line, 0, line.length);
         String answer = front.admin(new String(line, StandardCharsets.UTF_8));
-        link.out.put(answer.getBytes(StandardCharsets.UTF_8));
-        link.flush();
+        put(answer.getBytes(StandardCharsets.UTF_8));
         return true;
     }
 
--- a/src/main/java/laneflow/gearman/Worker.java
+++ b/src/main/java/laneflow/gearman/Worker.java
@@ -36,13 +36,15 @@
     private String handle;
     private String lastHandle = "";
     private OutboundCall call;
+    /** The call of the job at work, where its lease has run out; null if there is none such. */
+    private OutboundCall outlived;
 
     Worker(GearmanFront front, Peer peer, String name) {
         this.front = front;
         this.scheduler = front.scheduler;
         this.peer = peer;
         this.name = name;
-        limit = front.loop.deadlines().create(() -> finish(Outcome.TIMEOUT, null));
+        limit = front.loop.deadlines().create(this::overLimit);
         grace = front.loop.deadlines().create(() -> handBack(Outcome.MOOT, true));
         wake = front.loop.deadlines().create(() -> handBack(Outcome.CONNECT_FAILED, true));
     }
@@ -130,9 +132,8 @@
 
     /** The function under which it can run the call's request, or null. */
     private String function(OutboundCall of) {
-        Job job = front.job(of.request);
-        if (job != null) {
-            return can(job.function.name()) ? job.function.name() : null;
+        if (of.request.function != null) {
+            return can(of.request.function) ? of.request.function : null;
         }
         for (String function : abilities.keySet()) {
             if (front.config.functions.get(function).jobClass() == of.request.jobClass) {
@@ -170,6 +171,8 @@
     void drop(OutboundCall given) {
         queue.remove(given);
         if (call == given) {
+            // Under a lease its late word still counts.
+            outlived = given.lease > 0 ? given : null;
             call = null;
             front.loop.deadlines().cancel(limit);
         }
@@ -194,14 +197,18 @@
         Job job = front.job(next.request);
         String function = function(next);
         call = next;
-        handle = job != null ? job.handle : "H:laneflow:c" + Long.toHexString(next.handle());
+        outlived = null;
+        handle = job != null ? job.handle : next.lease > 0
+                ? String.format("%s%016x.%d", GearmanFront.KEPT, next.request.tag, next.lease)
+                : "H:laneflow:c" + Long.toHexString(next.handle());
         data.reset();
         int seconds = abilities.get(function);
         if (seconds > 0) {
             front.loop.deadlines().set(limit, front.loop.micros() + seconds * 1_000_000L);
         }
         byte[] body = next.request.payload.body();
-        String unique = job != null ? job.unique : next.request.payload.requestId();
+        String unique = job != null ? job.unique : next.request.unique != null ? next.request.unique
+                : next.request.payload.requestId();
         if (form == Packet.JOB_ASSIGN_ALL) {
             // The fourth names a reducer: there is none, jobs of SUBMIT_REDUCE_JOB are not taken.
             peer.send(form, handle, function, unique, "", body);
@@ -230,7 +237,7 @@
     boolean work(int type, String of, byte[] said) throws Packet.Malformed {
         if (!of.equals(handle)) {
             // An exception ends a job here; the failure that libraries send behind it says nothing new.
-            return type == Packet.WORK_FAIL && of.equals(lastHandle);
+            return type == Packet.WORK_FAIL && of.equals(lastHandle) || late(type, of, said);
         }
         switch (type) {
             case Packet.WORK_STATUS:
@@ -258,6 +265,14 @@
         return true;
     }
 
+    /** A word on a lease of another connection, as of a worker that outlived a scheduler. */
+    private boolean late(int type, String of, byte[] said) {
+        long[] lease = front.keeper == null ? null : GearmanFront.lease(of);
+        boolean ends = type == Packet.WORK_COMPLETE || type == Packet.WORK_FAIL;
+        return lease != null && ends
+                && front.keeper.late(lease[0], (int) lease[1], type == Packet.WORK_COMPLETE, said);
+    }
+
     private void status(byte[] said) throws Packet.Malformed {
         String[] parts = Packet.text(said).split("\0", 2);
         if (parts.length < 2 || !parts[0].matches("[0-9]{1,15}") || !parts[1].matches("[0-9]{1,15}")) {
@@ -271,9 +286,12 @@
     private void append(byte[] said) {
         if (call != null && data.size() + said.length > MOST_RESULT) {
             finish(Outcome.ERROR, null);
-        } else if (call != null) {
+        } else if (call != null || outlived != null && data.size() + said.length <= MOST_RESULT) {
             data.writeBytes(said);
         }
+        if (call != null) {
+            scheduler.heard(call);
+        }
     }
 
     private void over(Outcome outcome) {
@@ -282,11 +300,19 @@
         finish(outcome, outcome == Outcome.OK ? data.toByteArray() : null);
     }
 
+    /** It takes longer than it said it would; under a lease a late word still counts. */
+    private void overLimit() {
+        OutboundCall slow = call;
+        finish(Outcome.TIMEOUT, null);
+        outlived = slow != null && slow.lease > 0 ? slow : null;
+    }
+
     /** Tells how the call at work ended; the worker may be at it still. */
     private void finish(Outcome outcome, byte[] result) {
         front.loop.deadlines().cancel(limit);
-        OutboundCall ended = call;
+        OutboundCall ended = call != null ? call : outlived;
         call = null;
+        outlived = null;
         if (ended != null) {
             scheduler.ended(ended, outcome, result, report());
         }
--- a/src/main/java/laneflow/http/Client.java
+++ b/src/main/java/laneflow/http/Client.java
@@ -178,10 +178,15 @@
         if (head.first.equals("GET")) {
             int query = head.second.indexOf('?');
             front.get(this, query < 0 ? head.second : head.second.substring(0, query));
+        } else if (head.first.equals("DELETE") && front.kept() != null && KeptJobs.isPath(head.second)) {
+            front.kept().delete(this, head.second);
         } else if (!head.first.equals("POST")) {
             answer(405, "Method Not Allowed", "", new byte[0]);
         } else {
             try {
+                if (front.keeps(this, slot, head, body.toByteArray())) {
+                    return;
+                }
                 request = front.take(slot, head, body.toByteArray());
             } catch (HttpException e) {
                 front.count("http.bad_request");
@@ -206,6 +211,10 @@
 
     /** The request's answer. */
     void answer(int status, String reason, String headers, byte[] content) {
+        if (link.isClosed()) {
+            // It left before the disk had spoken.
+            return;
+        }
         if (request != null) {
             front.close(request);
             request = null;
--- a/src/main/java/laneflow/http/HttpFront.java
+++ b/src/main/java/laneflow/http/HttpFront.java
@@ -7,6 +7,7 @@
 import java.util.Set;
 import java.util.function.BooleanSupplier;
 import laneflow.core.Front;
+import laneflow.core.Keeper;
 import laneflow.core.Request;
 import laneflow.core.Scheduler;
 import laneflow.core.SlotTable;
@@ -30,6 +31,9 @@
     private final Set<String> open = new HashSet<>();
     private BooleanSupplier ready = () -> true;
     private Loop.Listener listener;
+    private final String[] classNames;
+    /** Null where durable jobs are off. */
+    private KeptJobs kept;
     private boolean draining;
     private long came;
 
@@ -37,6 +41,7 @@
     public HttpFront(Loop loop, Scheduler scheduler, String[] classNames) {
         this.loop = loop;
         this.scheduler = scheduler;
+        this.classNames = classNames;
         jobs = new JobReader(classNames, scheduler.settings().classes);
     }
 
@@ -118,8 +123,32 @@
         return draining || listener.isFull();
     }
 
+    /** Jobs of clients that ask so are kept there. */
+    public void keepIn(Keeper keeper) {
+        kept = new KeptJobs(keeper);
+    }
+
+    KeptJobs kept() {
+        return kept;
+    }
+
+    /** Hands a message's job to whoever keeps it, if it asks so; the answer comes when it is on disk. */
+    boolean keeps(Client client, long slot, HttpHead head, byte[] body) throws HttpException {
+        if (kept == null || head.header("prefer") == null) {
+            return false;
+        }
+        Request asked = jobs.read(this, slot, head, body, loop.micros());
+        boolean wants = kept.wants(head, asked);
+        if (wants) {
+            kept.submit(client, asked, classNames[asked.jobClass]);
+        }
+        return wants;
+    }
+
     void get(Client client, String path) {
-        if (path.equals("/health/ready") && !ready.getAsBoolean()) {
+        if (kept != null && KeptJobs.isPath(path)) {
+            kept.get(client, path);
+        } else if (path.equals("/health/ready") && !ready.getAsBoolean()) {
             client.answer(503, "Service Unavailable", "", Client.ascii("not ready\n"));
         } else if (path.equals("/health/ready") || path.equals("/health/live")) {
             client.answer(200, "OK", "", Client.ascii("ok\n"));
--- /dev/null
+++ b/src/test/java/laneflow/durable/DecisionTest.java
@@ -0,0 +1,129 @@
+package laneflow.durable;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.List;
+import laneflow.decision.Dispatch.Effect;
+import laneflow.durable.decision.Attempt;
+import laneflow.durable.decision.Attempt.Known;
+import laneflow.durable.decision.Pacer;
+import laneflow.durable.decision.Settlement;
+import laneflow.durable.decision.Settlement.Kind;
+import laneflow.durable.decision.Settlement.Verdict;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+import net.jqwik.api.constraints.Size;
+import org.junit.jupiter.api.Test;
+
+/** The decisions on durable jobs, by cases and over records drawn at random. */
+class DecisionTest {
+    private static final long WINDOW = 10_000;
+
+    private static List<Attempt> attempts(long at, Known... known) {
+        List<Attempt> all = new ArrayList<>();
+        for (Known one : known) {
+            all.add(new Attempt(all.size() + 1, "e", at, at + 500, one));
+        }
+        return all;
+    }
+
+    private static Verdict decide(Effect effect, long nowMs, List<Attempt> attempts) {
+        return Settlement.decide(effect, attempts, WINDOW, nowMs, 1000, 5);
+    }
+
+    @Test
+    void whatNeverRanGoesBackWhateverItIs() {
+        for (Effect effect : Effect.values()) {
+            assertEquals(Kind.AGAIN, decide(effect, 1000, List.of()).kind());
+            // Also by a clock that went back, and as often as it takes.
+            Known[] never = new Known[9];
+            java.util.Arrays.fill(never, Known.NEVER_RAN);
+            assertEquals(Kind.AGAIN, decide(effect, 0, attempts(1000, never)).kind());
+        }
+    }
+
+    @Test
+    void aCaptureThatMayHaveRunIsNeverSentAgain() {
+        assertEquals(Kind.UNKNOWN, decide(Effect.UNSAFE, 1000, attempts(1000, Known.MAY_HAVE_RUN)).kind());
+        assertEquals(Kind.UNKNOWN, decide(Effect.UNSAFE, 1000, attempts(1000, Known.OUT)).kind());
+        assertEquals(Kind.FAILED, decide(Effect.UNSAFE, 1000, attempts(1000, Known.SAID_FAILED)).kind());
+        assertEquals(Kind.UNKNOWN, decide(Effect.UNSAFE, 1000,
+                attempts(1000, Known.MAY_HAVE_RUN, Known.SAID_FAILED)).kind());
+    }
+
+    @Test
+    void aKeyGoesAgainInsideTheWindowOfItsEarliestAttempt() {
+        List<Attempt> two = attempts(1000, Known.NEVER_RAN, Known.MAY_HAVE_RUN);
+        two.add(new Attempt(3, "e", 9000, 9500, Known.MAY_HAVE_RUN));
+        Verdict inside = decide(Effect.KEYED, 10_999, two);
+        assertEquals(Kind.AGAIN, inside.kind());
+        assertEquals(11_000, inside.untilMs());
+        assertEquals(Kind.UNKNOWN, decide(Effect.KEYED, 11_000, two).kind());
+        // A clock behind what is on record can't tell how old that is.
+        assertEquals(Kind.UNKNOWN, decide(Effect.KEYED, 999, two).kind());
+        assertEquals(Kind.UNKNOWN, Settlement.decide(Effect.KEYED, two, WINDOW, 10_000, 10_001, 5).kind());
+    }
+
+    @Test
+    void attemptsAreCountedOverTheWholeLife() {
+        Known[] five = {Known.MAY_HAVE_RUN, Known.MAY_HAVE_RUN, Known.OUT, Known.SAID_FAILED, Known.MAY_HAVE_RUN};
+        assertEquals(Kind.FAILED, decide(Effect.SAFE, 1000, attempts(1000, five)).kind());
+        assertEquals(Kind.UNKNOWN, decide(Effect.KEYED, 1000, attempts(1000, five)).kind());
+    }
+
+    /** Over any record: what may have run goes again only if it is safe, or keyed and inside its window. */
+    @Property(tries = 2000)
+    void nothingUnsafeGoesAgain(@ForAll Effect effect, @ForAll @Size(max = 7) List<Known> known,
+            @ForAll @IntRange(max = 40_000) int nowMs, @ForAll @IntRange(max = 40_000) int latestMs) {
+        List<Attempt> all = new ArrayList<>();
+        for (Known one : known) {
+            int n = all.size() + 1;
+            all.add(new Attempt(n, "e", 1000L * n, 1000L * n + 500, one));
+        }
+        boolean ran = all.stream().anyMatch(Attempt::mayHaveRun);
+        long first = all.stream().filter(Attempt::mayHaveRun).mapToLong(Attempt::leasedMs).min().orElse(0);
+        Verdict verdict = Settlement.decide(effect, all, WINDOW, nowMs, latestMs, 5);
+        assertEquals(verdict, Settlement.decide(effect, all, WINDOW, nowMs, latestMs, 5));
+        if (verdict.kind() == Kind.AGAIN && ran) {
+            assertTrue(effect == Effect.SAFE || effect == Effect.KEYED && nowMs >= latestMs
+                    && nowMs < first + WINDOW && verdict.untilMs() == first + WINDOW);
+        }
+        assertTrue(ran || verdict.kind() == Kind.AGAIN);
+    }
+
+    @Test
+    void thePaceGrowsWithServiceAndGivesWay() {
+        Pacer pacer = new Pacer(64);
+        assertTrue(pacer.room(0, 0));
+        assertFalse(pacer.room(0, 1));
+        for (int i = 0; i < 40; i++) {
+            pacer.served();
+        }
+        assertEquals(41, pacer.window());
+        // A queue seen at an endpoint takes a fifth off, once for all that was sent before it.
+        pacer.started(1_000_000, 60_000);
+        pacer.started(1_000_001, 900_000);
+        assertEquals(32, pacer.window());
+        pacer.liveRefused(1_300_000);
+        assertEquals(16, pacer.window());
+        // From now on one more for each round of served ones.
+        for (int i = 0; i < 16; i++) {
+            pacer.served();
+        }
+        assertEquals(16, pacer.window(), 1);
+        pacer.refused(2_000_000);
+        assertFalse(pacer.room(2_000_001, 0));
+        assertTrue(pacer.room(2_020_000, 0));
+        pacer.refused(2_020_000);
+        assertFalse(pacer.room(2_059_999, 0));
+        for (int i = 0; i < 100; i++) {
+            pacer.refused(3_000_000 + i * 10_000_000L);
+        }
+        assertEquals(1, pacer.window());
+        assertEquals(2_000_000, pacer.pausedUntil() - 993_000_000L);
+    }
+}
--- /dev/null
+++ b/src/test/java/laneflow/durable/StoreTest.java
@@ -0,0 +1,370 @@
+package laneflow.durable;
+
+import static org.junit.jupiter.api.Assertions.assertArrayEquals;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.sql.Connection;
+import java.sql.DriverManager;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import laneflow.durable.decision.Attempt;
+import laneflow.durable.decision.Attempt.Known;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.io.TempDir;
+
+/** The store under the failures of disks, and the journal under those of the store. */
+@Timeout(60)
+class StoreTest {
+    @TempDir
+    private Path folder;
+
+    private static JobRow row(long id, int size) {
+        byte[] body = "b".repeat(size).getBytes(StandardCharsets.UTF_8);
+        return new JobRow(id, "basket-check", "check", "k" + id, "/basket-check", "r" + id, null, Double.NaN, 1, 0, 5,
+                -1, 100, RowCodec.sum(body), size, body, State.QUEUED, List.of(), 100);
+    }
+
+    private Store open() throws IOException {
+        return Store.open(folder, 1L << 30);
+    }
+
+    private static List<JobRow> all(Store store) throws IOException {
+        List<JobRow> rows = new ArrayList<>();
+        store.read(true, rows::add);
+        return rows;
+    }
+
+    private void fill(int jobs) throws IOException {
+        try (Store store = open()) {
+            for (int i = 1; i <= jobs; i++) {
+                store.write(List.of(Op.accept(row(i, 300))));
+            }
+        }
+    }
+
+    /** The files as a power loss at this moment would leave them. */
+    private Path snapshot(String name) throws IOException {
+        Path to = Files.createDirectory(folder.resolve(name));
+        for (String file : new String[] {"jobs.db", "jobs.db-wal", "witness"}) {
+            if (Files.exists(folder.resolve(file))) {
+                Files.copy(folder.resolve(file), to.resolve(file));
+            }
+        }
+        return to;
+    }
+
+    @Test
+    void whatIsWrittenIsReadAgain() throws Exception {
+        Attempt attempt = new Attempt(1, "till-1", 200, 700, Known.DONE);
+        try (Store store = open()) {
+            store.write(List.of(Op.accept(row(1, 10)), Op.accept(row(2, 0)), Op.accept(row(3, 5))));
+            store.write(List.of(Op.move(1, State.RUNNING, List.of(attempt.with(Known.OUT)), 200)));
+            store.write(List.of(Op.end(1, State.DONE, List.of(attempt), new byte[] {0, -1}, 300), Op.drop(3, 300)));
+        }
+        try (Store store = open()) {
+            List<JobRow> rows = all(store);
+            assertEquals(2, rows.size());
+            assertEquals(State.DONE, rows.get(0).state());
+            assertEquals(List.of(attempt), rows.get(0).attempts());
+            assertTrue(Double.isNaN(rows.get(0).hint()) && rows.get(0).repeatKey() == null);
+            assertArrayEquals(new byte[] {0, -1}, store.result(1));
+            assertNull(store.result(2));
+            assertEquals(300, store.latestMs());
+            assertEquals(3, store.commits());
+        }
+    }
+
+    @Test
+    void aSecondProcessIsRefusedInWords() throws Exception {
+        try (Store store = open()) {
+            assertEquals(0, store.commits());
+            StoreException e = assertThrows(StoreException.class, this::open);
+            assertEquals(StoreException.Kind.HELD, e.kind);
+            assertTrue(e.getMessage().contains("held by process " + ProcessHandle.current().pid()), e.getMessage());
+        }
+        open().close();
+    }
+
+    @Test
+    void aNewerFormatIsRefusedInWords() throws Exception {
+        fill(1);
+        try (Connection db = DriverManager.getConnection("jdbc:sqlite:" + folder.resolve("jobs.db"))) {
+            db.createStatement().execute("PRAGMA user_version=9");
+        }
+        StoreException e = assertThrows(StoreException.class, this::open);
+        assertEquals(StoreException.Kind.FORMAT, e.kind);
+        assertTrue(e.getMessage().contains("format 9, this build reads up to 1"), e.getMessage());
+    }
+
+    @Test
+    void acknowledgedCommitsThatAreMissingAreNoticed() throws Exception {
+        Path torn;
+        try (Store store = open()) {
+            for (int i = 1; i <= 20; i++) {
+                store.write(List.of(Op.accept(row(i, 300))));
+            }
+            torn = snapshot("torn");
+        }
+        // The log's end is torn off: SQLite by itself goes on as if the last commits had never been.
+        Path log = torn.resolve("jobs.db-wal");
+        byte[] bytes = Files.readAllBytes(log);
+        Files.write(log, java.util.Arrays.copyOf(bytes, bytes.length - 5000));
+        StoreException e = assertThrows(StoreException.class, () -> Store.open(torn, 1L << 30));
+        assertEquals(StoreException.Kind.DAMAGED, e.kind);
+        assertTrue(e.getMessage().contains("acknowledged commits are missing"), e.getMessage());
+        assertTrue(Store.acceptLoss(torn) > 0);
+        try (Store store = Store.open(torn, 1L << 30)) {
+            assertTrue(all(store).size() < 20);
+        }
+    }
+
+    @Test
+    void aCommitThatWasNeverAcknowledgedMayBeTornOff() throws Exception {
+        Path before;
+        try (Store store = open()) {
+            store.write(List.of(Op.accept(row(1, 300))));
+            before = snapshot("before");
+            store.write(List.of(Op.accept(row(2, 300))));
+            byte[] log = Files.readAllBytes(folder.resolve("jobs.db-wal"));
+            // Killed within the second commit: half of it is in the log, and the witness speaks of the first.
+            Files.write(before.resolve("jobs.db-wal"), java.util.Arrays.copyOf(log, log.length - 3000));
+        }
+        try (Store store = Store.open(before, 1L << 30)) {
+            assertEquals(1, all(store).size());
+            List<String> damage = new ArrayList<>();
+            store.verify(damage::add);
+            assertEquals(List.of(), damage);
+        }
+    }
+
+    @Test
+    void aFlippedBitIsNamedAndNeverReadAsWritten() throws Exception {
+        fill(50);
+        Path file = folder.resolve("jobs.db");
+        byte[] sound = Files.readAllBytes(file);
+        String text = new String(sound, StandardCharsets.ISO_8859_1);
+        int noticed = 0;
+        // In a body, in a key, in a request's id, and in a page's own structure. Pages also hold remains of
+        // cells that have moved, so every place is flipped where the text stands.
+        for (String at : new String[] {"b".repeat(200), "basket-checkcheckk7", "r33", ""}) {
+            byte[] flipped = sound.clone();
+            for (int i = text.indexOf(at, 4096 * 2); !at.isEmpty() && i >= 0; i = text.indexOf(at, i + 300)) {
+                flipped[i + at.length() - 1] ^= 4;
+            }
+            flipped[4096 * 3 + 3] ^= at.isEmpty() ? 4 : 0;
+            Files.write(file, flipped);
+            List<String> damage = new ArrayList<>();
+            try (Store store = open()) {
+                store.verify(damage::add);
+                assertFalse(damage.isEmpty(), "flipped: " + at);
+                StoreException e = assertThrows(StoreException.class, () -> all(store));
+                assertEquals(StoreException.Kind.DAMAGED, e.kind, e.getMessage());
+                noticed++;
+            } catch (StoreException e) {
+                assertEquals(StoreException.Kind.DAMAGED, e.kind, e.getMessage());
+                noticed++;
+            }
+        }
+        assertEquals(4, noticed);
+        Files.write(file, sound);
+        try (Store store = open()) {
+            assertEquals(50, all(store).size());
+        }
+    }
+
+    @Test
+    void aFullStoreSaysSoAndGoesOnOnceThereIsRoom() throws Exception {
+        try (Store store = Store.open(folder, 200 * 4096)) {
+            int taken = 0;
+            StoreException full = null;
+            while (full == null && taken < 1000) {
+                try {
+                    store.write(List.of(Op.accept(row(++taken, 3000))));
+                } catch (StoreException e) {
+                    full = e;
+                }
+            }
+            assertEquals(StoreException.Kind.FULL, full.kind, full.getMessage());
+            assertEquals(taken - 1, all(store).size());
+            List<Op> drops = new ArrayList<>();
+            for (int i = 1; i < 20; i++) {
+                drops.add(Op.drop(i, 5));
+            }
+            store.write(drops);
+            store.write(List.of(Op.accept(row(5000, 3000))));
+            long used = store.usedBytes();
+            store.compact();
+            assertTrue(store.usedBytes() <= used && Files.size(folder.resolve("jobs.db")) <= 200 * 4096);
+            assertEquals(taken - 20 + 1, all(store).size());
+        }
+    }
+
+    // ---- the journal ----
+
+    /** A disk that does as it is told. */
+    private static final class Faulty implements Journal.Disk {
+        private final List<Op> written = new ArrayList<>();
+        private volatile StoreException.Kind fails;
+        private int asked;
+
+        @Override
+        public void write(List<Op> ops) throws StoreException {
+            asked++;
+            boolean takesOn = ops.stream().anyMatch(op -> op.kind() == Op.Kind.ACCEPT);
+            if (fails == StoreException.Kind.BROKEN || fails == StoreException.Kind.FULL && takesOn) {
+                throw new StoreException(fails, "as told");
+            }
+            written.addAll(ops);
+        }
+
+        @Override
+        public byte[] result(long id) {
+            return null;
+        }
+
+        @Override
+        public long usedBytes() {
+            return 0;
+        }
+
+        @Override
+        public void tidy() {
+        }
+
+        @Override
+        public void close() {
+        }
+    }
+
+    private static String word(BlockingQueue<String> words) throws InterruptedException {
+        return String.valueOf(words.poll(10, TimeUnit.SECONDS));
+    }
+
+    @Test
+    void aFailedSyncIsNeverAskedAgain() throws Exception {
+        Faulty disk = new Faulty();
+        BlockingQueue<String> words = new LinkedBlockingQueue<>();
+        try (Journal journal = new Journal(disk, Runnable::run, 16)) {
+            journal.write(Op.accept(row(1, 1)), failure -> words.add("1 " + (failure == null)));
+            assertEquals("1 true", word(words));
+            disk.fails = StoreException.Kind.BROKEN;
+            journal.write(Op.accept(row(2, 1)), failure -> words.add("2 " + failure.kind));
+            assertEquals("2 BROKEN", word(words));
+            // It would go through now; nothing may be believed of such a disk.
+            disk.fails = null;
+            journal.write(Op.accept(row(3, 1)), failure -> words.add("3 " + failure.kind));
+            assertEquals("3 BROKEN", word(words));
+            assertEquals(StoreException.Kind.BROKEN, journal.broken().kind);
+        }
+        assertEquals(2, disk.asked);
+        assertEquals(1, disk.written.size());
+    }
+
+    @Test
+    void aFullDiskTurnsDownAcceptancesAndStillRecordsEnds() throws Exception {
+        Faulty disk = new Faulty();
+        BlockingQueue<String> words = new LinkedBlockingQueue<>();
+        disk.fails = StoreException.Kind.FULL;
+        try (Journal journal = new Journal(disk, Runnable::run, 16)) {
+            journal.write(Op.accept(row(1, 1)), failure -> words.add("1 " + failure.kind));
+            journal.write(Op.end(7, State.DONE, List.of(), new byte[0], 5), failure -> words.add("7 " + failure));
+            assertEquals("1 FULL", word(words));
+            assertEquals("7 null", word(words));
+            disk.fails = null;
+            journal.write(Op.accept(row(1, 1)), failure -> words.add("1 " + failure));
+            assertEquals("1 null", word(words));
+            assertNull(journal.broken());
+        }
+    }
+
+    @Test
+    void aQueueWithoutRoomIsToldAtOnce() throws Exception {
+        Faulty disk = new Faulty();
+        BlockingQueue<Runnable> held = new LinkedBlockingQueue<>();
+        java.util.concurrent.CountDownLatch stuck = new java.util.concurrent.CountDownLatch(1);
+        Journal journal = new Journal(disk, news -> {
+            try {
+                stuck.await();
+            } catch (InterruptedException e) {
+                held.add(news);
+            }
+        }, 16);
+        int taken = 0;
+        while (taken < 100 && journal.write(Op.accept(row(taken + 1, 1)), failure -> { })) {
+            taken++;
+        }
+        assertTrue(taken >= 8 && taken < 20, taken + " taken");
+        // What must be recorded of jobs at work still finds room.
+        assertTrue(journal.write(Op.move(1, State.QUEUED, List.of(), 1), failure -> { }));
+        stuck.countDown();
+        journal.close();
+        assertEquals(taken + 1, disk.written.size());
+    }
+
+    /** Processes that write and compact are killed at random moments; what they acknowledged must be there. */
+    @Test
+    void aKillAtAnyMomentLeavesWhatWasAcknowledged() throws Exception {
+        java.util.Random random = new java.util.Random(7);
+        long acknowledged = 0;
+        for (int i = 0; i < 6; i++) {
+            Path said = folder.resolve("said");
+            Files.deleteIfExists(said);
+            Process process = new ProcessBuilder(Path.of(System.getProperty("java.home"), "bin", "java").toString(),
+                    "-cp", System.getProperty("java.class.path"), Writer.class.getName(), folder.toString(),
+                    String.valueOf(acknowledged)).redirectOutput(said.toFile())
+                    .redirectError(ProcessBuilder.Redirect.INHERIT).start();
+            long end = System.nanoTime() + 20_000_000_000L;
+            while (Files.size(said) < 100 + random.nextInt(4000) && System.nanoTime() < end) {
+                Thread.sleep(1);
+            }
+            process.destroyForcibly().waitFor();
+            List<String> lines = Files.readAllLines(said);
+            for (String line : lines.subList(0, Math.max(0, lines.size() - 1))) {
+                acknowledged = Math.max(acknowledged, Long.parseLong(line));
+            }
+            try (Store store = open()) {
+                List<JobRow> rows = all(store);
+                long last = rows.isEmpty() ? 0 : rows.get(rows.size() - 1).id();
+                assertTrue(last >= acknowledged, last + " of " + acknowledged);
+                acknowledged = last;
+                List<String> damage = new ArrayList<>();
+                store.verify(damage::add);
+                assertEquals(List.of(), damage);
+            }
+        }
+        assertTrue(acknowledged > 50, acknowledged + " acknowledged");
+    }
+
+    /** Accepts jobs, drops older ones, compacts now and then, and says which commits returned. */
+    static final class Writer {
+        private Writer() {
+        }
+
+        public static void main(String[] args) throws IOException {
+            try (Store store = Store.open(Path.of(args[0]), 1L << 30)) {
+                for (long id = Long.parseLong(args[1]) + 1; id < 1_000_000; id++) {
+                    store.write(List.of(Op.accept(row(id, 2000)), Op.drop(id - 100, 5)));
+                    System.out.write((id + "\n").getBytes(StandardCharsets.US_ASCII));
+                    System.out.flush();
+                    if (id % 40 == 0) {
+                        store.compact();
+                    } else if (id % 7 == 0) {
+                        store.tidy();
+                    }
+                }
+            }
+        }
+    }
+}
--- a/src/test/java/laneflow/net/Stand.java
+++ b/src/test/java/laneflow/net/Stand.java
@@ -14,6 +14,9 @@
 import java.util.List;
 import laneflow.Serve;
 import laneflow.Setup;
+import laneflow.config.Findings;
+import laneflow.config.Table;
+import laneflow.durable.DurableConfig;
 import laneflow.gearman.GearmanConfig;
 import laneflow.http.Config;
 
@@ -83,6 +86,25 @@
         }
     }
 
+    /** The program with durable jobs kept in that folder, and Gearman functions kcheck, kcapture and kpost. */
+    public static Stand keeping(Path folder, String durable, Endpoint... known) throws Exception {
+        List<String> hosts = new ArrayList<>();
+        for (Endpoint endpoint : known) {
+            hosts.add(endpoint.host("Ready"));
+        }
+        Config config = Config.parse(json("{'known':" + list(1, true, hosts.toArray(new String[0])) + OWN));
+        Findings findings = new Findings("the stand's file");
+        String functions = "listen = '127.0.0.1:0'\n[functions.kcheck]\nclass = 'basket-check'\ndurable = true\n"
+                + "[functions.kcapture]\nclass = 'card-capture'\ndurable = true\n[functions.kpost]\n"
+                + "class = 'points-post'\ndurable = true\n";
+        List<String> classes = List.of(config.classNames);
+        Setup setup = new Setup(config, GearmanConfig.read(Table.parse(functions, findings), config.settings,
+                classes, config.zones), DurableConfig.read(Table.parse("dir = '" + folder + "'\n" + durable,
+                findings), config.settings, classes));
+        findings.raise();
+        return new Stand(new Serve(setup));
+    }
+
     private Stand(Serve serve) {
         this.serve = serve;
     }
@@ -152,7 +174,7 @@
         for (AutoCloseable each : open) {
             each.close();
         }
-        serve.loop().stop();
+        serve.halt();
     }
 
     /** An endpoint, or discovery: it accepts when the story says so. */
