--- a/src/main/java/laneflow/Durability.java
+++ b/src/main/java/laneflow/Durability.java
@@ -34,6 +34,7 @@
         Store store = Store.open(config.dir, config.storeBytes);
         store.read(false, rows::add);
         latestMs = store.latestMs();
+        LOG.info("durable jobs: store opened and read in {} ms", (System.nanoTime() - openedAt) / 1_000_000);
         journal = new Journal(store, loop::later, QUEUE);
         jobs = new DurableJobs(loop, loop.deadlines(), scheduler, config, journal, System::currentTimeMillis,
                 new SecureRandom().nextLong());
--- a/src/main/java/laneflow/durable/DurableJobs.java
+++ b/src/main/java/laneflow/durable/DurableJobs.java
@@ -21,6 +21,7 @@
 import laneflow.durable.decision.Quota;
 import laneflow.durable.decision.Settlement;
 import laneflow.durable.decision.Settlement.Verdict;
+import org.HdrHistogram.Histogram;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -590,6 +591,11 @@
     /** Drops what has been kept for long enough, a bounded number a turn. */
     private void sweep() {
         counters.set("durable.commits", journal.batches());
+        Histogram took = journal.tookSince();
+        if (took.getTotalCount() > 0) {
+            counters.set("durable.commit_p50_us", took.getValueAtPercentile(50));
+            counters.set("durable.commit_p99_us", took.getValueAtPercentile(99));
+        }
         counters.set("durable.open", quota.jobs());
         counters.set("durable.held_bytes", quota.bytes());
         counters.set("durable.store_bytes", journal.usedBytes());
--- a/src/main/java/laneflow/durable/Journal.java
+++ b/src/main/java/laneflow/durable/Journal.java
@@ -6,6 +6,8 @@
 import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
+import org.HdrHistogram.Histogram;
+import org.HdrHistogram.Recorder;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -25,6 +27,7 @@
     private static final int ACCEPT_PART = 2;
     private static final long IDLE_MS = 200;
     /** Ops between two looks at the store's size: what they hold is far from the part kept free. */
+    private static final long LONGEST_US = 60_000_000;
     private static final int LOOK_EVERY = 16;
 
     private final Disk store;
@@ -37,6 +40,7 @@
     private volatile long batches;
     private volatile long written;
     private volatile boolean closing;
+    private final Recorder took = new Recorder(LONGEST_US, 2);
     private int sinceLooked;
 
     /** What the journal asks of a store; tests have it fail. */
@@ -144,6 +148,11 @@
         return written;
     }
 
+    /** How long commits took since this was last asked, microseconds; empty if there were none. */
+    Histogram tookSince() {
+        return took.getIntervalHistogram();
+    }
+
     // ---- on its own thread ----
 
     private void run() {
@@ -215,7 +224,9 @@
             return broken;
         }
         try {
+            long from = System.nanoTime();
             store.write(writes.stream().map(Entry::op).toList());
+            took.recordValue(Math.min(LONGEST_US, (System.nanoTime() - from) / 1000));
             batches++;
             written += writes.size();
             sinceLooked += writes.size();
--- a/src/main/java/laneflow/lab/DurableMeasure.java
+++ b/src/main/java/laneflow/lab/DurableMeasure.java
@@ -216,6 +216,9 @@
                 thread.join();
             }
         }
+        Thread.sleep(1000);
+        say("the commits among that: p50 %.3f ms, p99 %.3f ms", counter("durable.commit_p50_us") / 1e3,
+                counter("durable.commit_p99_us") / 1e3);
         say("acknowledgements: p50 %.3f ms, p90 %.3f ms, p99.9 %.3f ms", took.getValueAtPercentile(50) / 1e6,
                 took.getValueAtPercentile(90) / 1e6, took.getValueAtPercentile(99.9) / 1e6);
         return took.getValueAtPercentile(99) / 1e6;
@@ -312,7 +315,7 @@
         private int unknown;
         private int unknownWrong;
         private int keyChanged;
-        private long late;
+        private int late;
 
         boolean broken() {
             return lost + unsettled + unsafeTwice + keyedOutside + falseDone + unknownWrong + keyChanged > 0;
@@ -430,7 +433,6 @@
             Thread.sleep(open.isEmpty() ? 0 : 100);
         }
         verdict.unsettled = open.size();
-        verdict.late = counter("lease.late");
         Map<String, List<Ledger.Line>> ran = ledgers();
         for (String name : acked.keySet()) {
             judge(name, found.get(name), ran.getOrDefault(name, List.of()), verdict);
@@ -459,6 +461,8 @@
                 line.event().equals("start")).map(Ledger.Line::ms).sorted()
                 .toList();
         String state = job.get("state").getAsString();
+        verdict.late += job.has("reason")
+                && job.get("reason").getAsString().contains("its lease had run out") ? 1 : 0;
         boolean done = lines.stream().anyMatch(line -> line.event().equals("done"));
         if (state.equals("done") && !done) {
             verdict.falseDone++;
