--- a/src/main/java/laneflow/durable/DurableJobs.java
+++ b/src/main/java/laneflow/durable/DurableJobs.java
@@ -428,6 +428,11 @@
                 : outcome == Outcome.ERROR ? Known.SAID_FAILED : Known.MAY_HAVE_RUN;
         job.know(call.lease, known);
         job.call = null;
+        if (known == Known.MAY_HAVE_RUN && outcome == Outcome.TIMEOUT) {
+            // Its late word is listened for, and not for ever: a silent endpoint would hold a descriptor.
+            deadlines.at(clock.micros() + config.classes[job.jobClass].longestMs * 1000,
+                    () -> call.endpoint.carrier.close(call));
+        }
         if (known == Known.NEVER_RAN) {
             // Unrecorded, a crash would leave it as one that may have run.
             journal.write(Op.move(job.id(), State.RUNNING, job.attempts, wall.getAsLong()), this::noted);
@@ -446,7 +451,8 @@
     public boolean late(long id, int lease, boolean served, byte[] result) {
         Held job = table.get(id);
         Attempt attempt = job == null ? null : job.attempt(lease);
-        if (attempt == null || !attempt.mayHaveRun() || job.state == State.DONE || job.ending == State.DONE
+        if (attempt == null || job.jobClass < 0 || !attempt.mayHaveRun() || job.state == State.DONE
+                || job.ending == State.DONE
                 || letGo) {
             counters.add("lease.late_passed_over");
             return attempt != null;
@@ -605,10 +611,12 @@
             if (job == null) {
                 break;
             }
-            if (journal.write(Op.drop(job.id(), nowMs), this::noted)) {
-                table.remove(job);
-                counters.add("durable.dropped");
+            if (!journal.write(Op.drop(job.id(), nowMs), this::noted)) {
+                table.keep(job);
+                break;
             }
+            table.remove(job);
+            counters.add("durable.dropped");
         }
         deadlines.at(clock.micros() + SWEEP, this::sweep);
     }
--- a/src/main/java/laneflow/durable/Table.java
+++ b/src/main/java/laneflow/durable/Table.java
@@ -70,6 +70,11 @@
         return !ended.isEmpty() && ended.peek().changedMs < wallMs ? ended.poll() : null;
     }
 
+    /** It could not be dropped yet: it is the next one again. */
+    void keep(Held job) {
+        ended.addFirst(job);
+    }
+
     void forEach(Consumer<Held> call) {
         byId.values().forEach(call);
     }
--- a/src/test/java/laneflow/core/SchedulerTest.java
+++ b/src/test/java/laneflow/core/SchedulerTest.java
@@ -258,4 +258,20 @@
     public void closeIdle(Endpoint endpoint) {
         throw new AssertionError("no such rule in these settings");
     }
+
+    @Test
+    void aKeysWindowIsLookedAtAgainBeforeTheFirstByte() {
+        endpoints("e1", "e2");
+        Request request = new Request(this, 0, new Payload("", "", "r", "k", new byte[0]), KEYED,
+                now + 60_000_000);
+        scheduler.submit(request);
+        scheduler.ended(calls.get(0), Outcome.RESET, null, null);
+        OutboundCall again = calls.get(1);
+        now += 9_900_000;
+        assertTrue(scheduler.mayBegin(again));
+        // Its connection comes up, or its worker grabs it, when endpoints no longer drop a repeat.
+        now += 100_000;
+        assertFalse(scheduler.mayBegin(again));
+        assertEquals(1, counters.get("core.kept.effect"));
+    }
 }
--- a/src/test/java/laneflow/durable/DurableStoryTest.java
+++ b/src/test/java/laneflow/durable/DurableStoryTest.java
@@ -140,6 +140,31 @@
         }
     }
 
+    @Test
+    void anHttpEndpointsLateWordIsListenedForAndNotForEver() throws Exception {
+        Endpoint endpoint = new Endpoint("e1");
+        String limits = "[classes.card-capture]\nlease_ms = 300\nlongest_ms = 600\n";
+        try (Stand stand = Stand.keeping(folder, limits, endpoint); Peer http = stand.http()) {
+            String id = place(async(http, "card-capture", "k1", "pay").message());
+            Peer call = endpoint.accept();
+            String sent = call.message();
+            until(http, id, "unknown");
+            int at = sent.indexOf("Req-Id: ") + 8;
+            call.says("{'id':'" + sent.substring(at, sent.indexOf('\r', at)) + "','state':'done','result':'paid'}");
+            assertTrue(until(http, id, "done").contains("\"result\":\"paid\""));
+            // Kept, the connection would carry the next call too.
+            call.close();
+            Thread.sleep(60);
+            id = place(async(http, "card-capture", "k2", "pay").message());
+            Peer silent = endpoint.accept();
+            silent.message();
+            until(http, id, "unknown");
+            assertTrue(silent.ended());
+            assertEquals(2, stand.counter("call.sent"));
+        }
+        endpoint.close();
+    }
+
     @Test
     void aWordOnAnOlderLeaseWaitsForTheNewerOnes() throws Exception {
         for (boolean newerServes : new boolean[] {true, false}) {
