Destination sets streamed in versions: acknowledged, turned down, taken back, kept

Need: settings are pushed to every scheduler by hand, and nobody can say who runs what. A control service streams whole destination sets over one long HTTP/1.1 exchange with xDS's state-of-the-world words in JSON lines. A newer version that makes sense is adopted in one turn; else it is turned down with every finding and its path. Versions are ordered by number and digest, so any order of messages ends at the same one. A version that makes service worse than chance and bound allow goes back, its figures in the NACK; a burst is not blamed for refusals. The last good one is kept in a file that a kill leaves old or new.

--- a/src/main/java/laneflow/Rehearsal.java
+++ b/src/main/java/laneflow/Rehearsal.java
@@ -25,7 +25,7 @@
 
     /** Starts, refuses one request, and ends. */
     static void run() throws IOException, WireException, InterruptedException {
-        Serve serve = new Serve(new Setup(Config.parse(CONFIG), null, null));
+        Serve serve = new Serve(new Setup(Config.parse(CONFIG), null, null, null));
         Hangup.handle(() -> { });
         InetSocketAddress at = serve.front().address();
         try (Socket client = new Socket(at.getAddress(), at.getPort())) {
--- a/src/main/java/laneflow/Serve.java
+++ b/src/main/java/laneflow/Serve.java
@@ -87,6 +87,9 @@
         if (gearman != null) {
             gearman.listen(Loop.address(gearmanConfig.listen));
         }
+        if (setup.control() != null) {
+            Streaming.begin(setup, loop, scheduler, carrier, front);
+        }
     }
 
     /** Runs the command until a signal ends it. */
--- a/src/main/java/laneflow/Setup.java
+++ b/src/main/java/laneflow/Setup.java
@@ -6,20 +6,21 @@
 import java.util.List;
 import laneflow.config.Findings;
 import laneflow.config.OperatorFile;
+import laneflow.control.ControlConfig;
 import laneflow.durable.DurableConfig;
 import laneflow.gearman.GearmanConfig;
 import laneflow.http.Config;
 import laneflow.wire.WireException;
 
 /** All that a scheduler is told at its start; null stands for a front or a subsystem that is off. */
-public record Setup(Config config, GearmanConfig gearman, DurableConfig durable) {
+public record Setup(Config config, GearmanConfig gearman, DurableConfig durable, ControlConfig control) {
 
     /** The platform's file, with a Gearman file and a destination set beside it, each unless null. */
     public static Setup platform(Path file, Path gearman, Path destinations)
             throws IOException, WireException {
         Config config = Config.read(file, destinations);
         return new Setup(config, gearman == null ? null : GearmanConfig.read(gearman, config.settings,
-                List.of(config.classNames), config.zones), null);
+                List.of(config.classNames), config.zones), null, null);
     }
 
     /**
@@ -56,7 +57,8 @@
                     findings.add("gearman.functions." + function.name(), "durable",
                             "is true, but there is no [durable] that says where such jobs are kept"));
         }
+        ControlConfig control = operators.control() == null ? null : ControlConfig.read(operators.control());
         findings.raise();
-        return new Setup(config, gearman, durable);
+        return new Setup(config, gearman, durable, control);
     }
 }
--- a/src/main/java/laneflow/config/OperatorFile.java
+++ b/src/main/java/laneflow/config/OperatorFile.java
@@ -22,11 +22,13 @@
     private final JsonObject platform = new JsonObject();
     private final Table gearman;
     private final Table durable;
+    private final Table control;
 
     private OperatorFile(Table root) {
         this.root = root;
         gearman = root.table("gearman");
         durable = root.table("durable");
+        control = root.table("control");
         top();
         root.close();
     }
@@ -55,6 +57,11 @@
         return durable;
     }
 
+    /** The table of streamed configuration, or null where it is off. */
+    public Table control() {
+        return control;
+    }
+
     /** What is said of the scheduler, in the platform's form. */
     public JsonObject platform() {
         return platform;
--- a/src/main/java/laneflow/http/Config.java
+++ b/src/main/java/laneflow/http/Config.java
@@ -21,6 +21,8 @@
     private static final int SOCKETS = 1024;
     private static final double CONN_IDLE = 10;
 
+    /** The scheduler's name, the same after a restart. */
+    public final String name;
     public final String listen;
     /** Discovery's address, or null where there is none. */
     public final String discovery;
@@ -56,6 +58,7 @@
         }
         JsonObject limits = from.has("limits") ? from.getAsJsonObject("limits") : new JsonObject();
         connIdle = limits.has("connIdle") ? limits.get("connIdle").getAsDouble() : CONN_IDLE;
+        name = text(root, "name", "");
         listen = text(root, "listen", null);
         discovery = text(root, "discovery", null);
         seed = seed(text(root, "seed", "0"));
--- a/src/main/java/laneflow/http/HttpFront.java
+++ b/src/main/java/laneflow/http/HttpFront.java
@@ -2,10 +2,14 @@
 
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.util.HashMap;
 import java.util.HashSet;
 import java.util.Locale;
+import java.util.Map;
 import java.util.Set;
 import java.util.function.BooleanSupplier;
+import java.util.function.Supplier;
 import laneflow.core.Front;
 import laneflow.core.Keeper;
 import laneflow.core.Request;
@@ -32,6 +36,7 @@
     private BooleanSupplier ready = () -> true;
     private Loop.Listener listener;
     private final String[] classNames;
+    private final Map<String, Supplier<String>> reports = new HashMap<>();
     /** Null where durable jobs are off. */
     private KeptJobs kept;
     private boolean draining;
@@ -128,6 +133,11 @@
         kept = new KeptJobs(keeper);
     }
 
+    /** Answers GET on that path with what the supplier says then, as JSON. */
+    public void report(String path, Supplier<String> text) {
+        reports.put(path, text);
+    }
+
     KeptJobs kept() {
         return kept;
     }
@@ -146,7 +156,11 @@
     }
 
     void get(Client client, String path) {
-        if (kept != null && KeptJobs.isPath(path)) {
+        Supplier<String> report = reports.get(path);
+        if (report != null) {
+            client.answer(200, "OK", "Content-Type: application/json\r\n",
+                    report.get().getBytes(StandardCharsets.UTF_8));
+        } else if (kept != null && KeptJobs.isPath(path)) {
             kept.get(client, path);
         } else if (path.equals("/health/ready") && !ready.getAsBoolean()) {
             client.answer(503, "Service Unavailable", "", Client.ascii("not ready\n"));
--- /dev/null
+++ b/src/main/java/laneflow/http/LineStream.java
@@ -0,0 +1,150 @@
+package laneflow.http;
+
+import java.io.ByteArrayOutputStream;
+import java.nio.charset.StandardCharsets;
+import laneflow.core.Deadlines.Deadline;
+import laneflow.net.Link;
+import laneflow.net.LinkHandler;
+import laneflow.net.Loop;
+
+/**
+ * One long HTTP/1.1 exchange with lines both ways: a POST whose body goes on for as long as the stream
+ * lasts, a chunk a line, and an answer that does the same. An empty line is a sign of life. It ends once,
+ * whatever ends it, and is not begun anew here. On the loop's thread.
+ */
+public final class LineStream implements LinkHandler, HttpReader.Sink {
+    private static final int IN_RING = 1 << 20;
+    private static final int OUT_RING = 1 << 20;
+
+    /** Who reads the lines. */
+    public interface Reader {
+        /** The other side has answered 200. */
+        void up();
+
+        /** A line that is not empty. */
+        void line(String text);
+
+        /** It is over; told once, and nothing after it. */
+        void over(String why);
+    }
+
+    private final Loop loop;
+    private final Reader reader;
+    private final HttpReader http = new HttpReader(true, this);
+    private final ByteArrayOutputStream line = new ByteArrayOutputStream();
+    private final Deadline timer;
+    private final String head;
+    private final long silence;
+    private final int mostLine;
+    private Link link;
+    private boolean over;
+
+    /**
+     * Begins one.
+     *
+     * @param headers further header lines, each with its end
+     * @param connect microseconds within which it must be up
+     * @param silence microseconds without a byte after which it counts as dead
+     * @param mostLine bytes of the longest line taken
+     */
+    public LineStream(Loop loop, String address, String path, String headers, long connect, long silence,
+            int mostLine, Reader reader) {
+        this.loop = loop;
+        this.reader = reader;
+        this.silence = silence;
+        this.mostLine = mostLine;
+        head = "POST " + path + " HTTP/1.1\r\nHost: " + address + "\r\nContent-Type: application/x-ndjson\r\n"
+                + headers + "Transfer-Encoding: chunked\r\n\r\n";
+        timer = loop.deadlines().create(() -> end("nothing was heard in time"));
+        loop.deadlines().set(timer, loop.micros() + connect);
+        link = loop.connect(Loop.address(address), IN_RING, OUT_RING, this);
+    }
+
+    /** Sends a line; false if it can't take it, and then it is over. */
+    public boolean send(String text) {
+        byte[] bytes = (text + "\n").getBytes(StandardCharsets.UTF_8);
+        String size = Integer.toHexString(bytes.length) + "\r\n";
+        if (over || !link.out.put(size.getBytes(StandardCharsets.US_ASCII)) || !link.out.put(bytes)
+                || !link.out.put("\r\n".getBytes(StandardCharsets.US_ASCII))) {
+            loop.later(() -> end("it does not read what it is sent"));
+            return false;
+        }
+        link.flush();
+        return true;
+    }
+
+    /** Closes it; nothing more is told. */
+    public void close() {
+        over = true;
+        loop.deadlines().cancel(timer);
+        link.close();
+    }
+
+    private void end(String why) {
+        if (!over) {
+            close();
+            reader.over(why);
+        }
+    }
+
+    @Override
+    public void opened(Link opened) {
+        loop.deadlines().set(timer, loop.micros() + silence);
+        link.out.put(head.getBytes(StandardCharsets.US_ASCII));
+        link.flush();
+    }
+
+    @Override
+    public void notOpened(Link gone) {
+        end("no connection");
+    }
+
+    @Override
+    public void received(Link from) {
+        loop.deadlines().set(timer, loop.micros() + silence);
+        try {
+            http.read(link.in);
+            if (http.isDone()) {
+                end("it was ended by the other side");
+            }
+        } catch (HttpException e) {
+            end(e.getMessage());
+        }
+    }
+
+    @Override
+    public void broken(Link gone) {
+        end("the connection broke");
+    }
+
+    @Override
+    public void head(HttpHead received) throws HttpException {
+        if (received.status() != 200) {
+            throw new HttpException(received.status(), "answered " + received.status());
+        }
+        reader.up();
+    }
+
+    @Override
+    public void body(byte[] bytes) throws HttpException {
+        for (int i = 0; i < bytes.length && !over; i++) {
+            if (bytes[i] != '\n') {
+                line.write(bytes[i]);
+                if (line.size() > mostLine) {
+                    throw new HttpException(400, "a line of more than " + mostLine + " bytes");
+                }
+                continue;
+            }
+            String text = line.toString(StandardCharsets.UTF_8).strip();
+            line.reset();
+            if (!text.isEmpty()) {
+                reader.line(text);
+            }
+        }
+    }
+
+    @Override
+    public void end() {
+        // Told once the reader has returned.
+    }
+}
--- /dev/null
+++ b/src/test/java/laneflow/control/ControlStoryTest.java
@@ -0,0 +1,223 @@
+package laneflow.control;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import com.google.gson.JsonObject;
+import com.google.gson.JsonParser;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import laneflow.net.Stand;
+import laneflow.net.Stand.Endpoint;
+import laneflow.net.Stand.Peer;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.io.TempDir;
+
+/** Stories of streamed versions against a scripted control service. */
+@Timeout(30)
+class ControlStoryTest {
+    @TempDir
+    private Path folder;
+
+    private String control(Endpoint service, String more) {
+        return "addresses = ['" + service.dial() + "']\nlongest_backoff_ms = 50\nlast_good_dir = '" + folder + "'\n"
+                + more;
+    }
+
+    /** Takes a stream in: its head, then an answer that goes on. */
+    private static Peer stream(Endpoint service) throws IOException {
+        Peer peer = service.accept();
+        assertTrue(peer.readTo("\r\n\r\n").startsWith("POST /v3/discovery:stream HTTP/1.1\r\n"));
+        peer.write("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+        return peer;
+    }
+
+    private static JsonObject word(Peer peer) throws IOException {
+        int size = Integer.parseInt(peer.readTo("\r\n").strip(), 16);
+        String text = new String(peer.read(size + 2));
+        return JsonParser.parseString(text).getAsJsonObject();
+    }
+
+    private static void say(Peer peer, String text) throws IOException {
+        String line = text.replace('\'', '"') + "\n";
+        peer.write(Integer.toHexString(line.length()) + "\r\n" + line + "\r\n");
+    }
+
+    private static String version(String version, String nonce, String... resources) {
+        return "{'type_url':'" + DestinationType.URL + "','version_info':'" + version + "','nonce':'" + nonce
+                + "','resources':[" + String.join(",", resources) + "]}";
+    }
+
+    private static String resource(Endpoint endpoint) {
+        return "{'name':'" + endpoint.name + "','dial':'" + endpoint.dial() + "','zone':'celje-1'}";
+    }
+
+    private static String detail(JsonObject word) {
+        return word.getAsJsonObject("error_detail").get("message").getAsString();
+    }
+
+    private static JsonObject ask(Peer peer, String line) throws IOException {
+        say(peer, line);
+        return word(peer);
+    }
+
+    private static void serves(Stand stand, Endpoint endpoint, String id) throws Exception {
+        try (Peer client = stand.http()) {
+            client.post("basket-check", id, "", "");
+            Peer call = endpoint.accept();
+            assertTrue(call.message().contains("Req-Id: " + id + "\r\n"));
+            call.says("{'id':'" + id + "','state':'done','result':'priced'}");
+            assertTrue(client.message().endsWith("priced"));
+            // Kept, the connection would carry the next story's call too.
+            call.close();
+        }
+    }
+
+    @Test
+    void versionsAreAcknowledgedOrTurnedDownWithEveryReason() throws Exception {
+        Endpoint service = new Endpoint("control");
+        Endpoint one = new Endpoint("e1");
+        Endpoint two = new Endpoint("e2");
+        Files.writeString(folder.resolve("token"), "s3cret\n");
+        try (Stand stand = Stand.streaming(control(service, "token_file = '" + folder.resolve("token")
+                + "'\nallowed_endpoints = ['127.0.0.0/8']\n")); Peer http = stand.http()) {
+            Peer peer = service.accept();
+            assertTrue(peer.readTo("\r\n\r\n").contains("Authorization: Bearer s3cret\r\n"));
+            peer.write("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+            JsonObject first = word(peer);
+            assertEquals("n3", first.getAsJsonObject("node").get("id").getAsString());
+            assertEquals("", first.get("version_info").getAsString());
+            JsonObject ack = ask(peer, version("1-aa", "x1", resource(one)));
+            assertEquals("1-aa", ack.get("version_info").getAsString());
+            assertEquals("x1", ack.get("response_nonce").getAsString());
+            assertFalse(ack.has("error_detail"));
+            serves(stand, one, "1");
+            // Nonsense in form and in sense, each value by its path, and traffic goes on.
+            String bad = detail(ask(peer, version("2-aa", "x2", "{'name':'a b','dial':'tills:80','zone':'x'}",
+                    "{'name':'c','dial':'10.0.0.1:80','weight':-1,'colour':'red'}", "7", resource(one), resource(one))));
+            for (String finding : new String[] {"resources[0].name: is no name", "resources[0].dial: 'tills:80' is not",
+                "resources[0].zone: 'x' is none of", "resources[1].dial: 10.0.0.1:80 is in none of the allowed",
+                "resources[1].weight: must be a number", "resources[1].colour: is unknown",
+                "resources[2]: must be an object", "resources[4].name: 'e1' is resources[3]'s too"}) {
+                assertTrue(bad.contains(finding), finding + "\n--- not in\n" + bad);
+            }
+            JsonObject none = ask(peer, version("3-aa", "x3", resource(one).replace("}", ",'state':'draining'}")));
+            assertEquals("resources: no live endpoint in zone celje-1", detail(none));
+            assertEquals("1-aa", none.get("version_info").getAsString());
+            assertEquals("x3", none.get("response_nonce").getAsString());
+            assertTrue(detail(ask(peer, version("4-aa", "x4", resource(one).replace("}", ",'weight':0}"))))
+                    .contains("all weights of live endpoints"));
+            // The same again gets the same answer; older and repeated ones have theirs.
+            assertEquals("resources: no live endpoint in zone celje-1",
+                    detail(ask(peer, version("3-aa", "x5", resource(one)))));
+            assertFalse(ask(peer, version("1-aa", "x6", resource(one))).has("error_detail"));
+            assertFalse(ask(peer, version("9-bb", "x7", resource(two))).has("error_detail"));
+            assertTrue(detail(ask(peer, version("8-cc", "x8", resource(one)))).contains("9-bb runs, which is newer"));
+            assertTrue(detail(ask(peer, version("seven", "x9", resource(one)))).contains("is no version"));
+            assertTrue(detail(ask(peer, "{'type_url':'other','nonce':'y'}")).contains("not taken here"));
+            serves(stand, two, "2");
+            String report = http.write("GET /config HTTP/1.1\r\n\r\n").message();
+            assertTrue(report.contains("\"version\":\"9-bb\"") && report.contains("no live endpoint")
+                    || report.contains("all weights"), report);
+            assertFalse(report.contains("s3cret"));
+            assertEquals(2, stand.counter("config.adopted"));
+        }
+    }
+
+    @Test
+    void theLastGoodVersionRunsWhileNobodySpeaks() throws Exception {
+        Endpoint service = new Endpoint("control");
+        Endpoint one = new Endpoint("e1");
+        try (Stand stand = Stand.streaming(control(service, "silence_ms = 300\n"))) {
+            Peer peer = stream(service);
+            word(peer);
+            ask(peer, version("5-aa", "x", resource(one)));
+            for (int i = 0; i < 1000 && !Files.exists(folder.resolve("destinations.last-good")); i++) {
+                Thread.sleep(5);
+            }
+            // It accepts and says nothing more: the stream is begun anew, and the version runs on.
+            assertTrue(peer.ended());
+            Peer again = stream(service);
+            assertEquals("5-aa", word(again).get("version_info").getAsString());
+            serves(stand, one, "1");
+            // Half a line, then the end; then one that flaps.
+            again.write("20\r\n{\"type_url\":");
+            again.close();
+            for (int i = 0; i < 5; i++) {
+                service.accept().close();
+            }
+            serves(stand, one, "2");
+            Peer garbled = stream(service);
+            word(garbled);
+            say(garbled, "{'type_url':");
+            assertTrue(garbled.ended());
+            assertEquals("5-aa", word(stream(service)).get("version_info").getAsString());
+        }
+        // Started anew with no service at all.
+        service.close();
+        try (Stand stand = Stand.streaming(control(service, ""))) {
+            serves(stand, one, "3");
+            assertTrue(stand.http().write("GET /config HTTP/1.1\r\n\r\n").message().contains("last-good"));
+        }
+    }
+
+    @Test
+    void aVersionThatBreaksServiceIsTakenBackAndNotTriedAgain() throws Exception {
+        Endpoint service = new Endpoint("control");
+        Endpoint good = new Endpoint("e1");
+        Endpoint dead = new Endpoint("e2");
+        dead.close();
+        try (Stand stand = Stand.streaming(control(service, "probation_ms = 1500\n")); Peer client = stand.http()) {
+            Peer peer = stream(service);
+            word(peer);
+            ask(peer, version("1-aa", "x1", resource(good)));
+            Thread answering = new Thread(() -> {
+                try (Peer call = good.accept()) {
+                    for (int i = 0; i < 120; i++) {
+                        String sent = call.message();
+                        int at = sent.indexOf("Req-Id: ") + 8;
+                        call.says("{'id':'" + sent.substring(at, sent.indexOf('\r', at))
+                                + "','state':'done','result':'r'}");
+                    }
+                } catch (IOException e) {
+                    // The set without it closes its connection.
+                    return;
+                }
+            });
+            answering.start();
+            for (int i = 0; i < 100; i++) {
+                client.post("basket-check", "a" + i, "", "");
+                assertTrue(client.message().startsWith("HTTP/1.1 200 "));
+            }
+            assertFalse(ask(peer, version("2-bb", "x2", resource(dead))).has("error_detail"));
+            int refused = 0;
+            for (int i = 0; i < 100; i++) {
+                client.post("basket-check", "b" + i, "", "");
+                refused += client.message().startsWith("HTTP/1.1 503 ") ? 1 : 0;
+            }
+            assertTrue(refused > 50, refused + " refused");
+            JsonObject back = word(peer);
+            assertEquals("1-aa", back.get("version_info").getAsString());
+            assertTrue(detail(back).contains("2-bb was taken back: "), detail(back));
+            assertTrue(detail(ask(peer, version("2-bb", "x3", resource(dead)))).contains("went from"));
+            stand.await("config.taken_back", 1);
+        }
+    }
+
+    @Test
+    void aVersionHeldBackIsTakenOnceTheShareReachesThisOne() throws Exception {
+        Endpoint service = new Endpoint("control");
+        Endpoint one = new Endpoint("e1");
+        try (Stand stand = Stand.streaming(control(service, ""))) {
+            Peer peer = stream(service);
+            word(peer);
+            String offered = version("1-aa", "x1", resource(one));
+            String held = offered.replace("'resources'", "'rollout':{'share':0.0,'seed':5},'resources'");
+            assertTrue(detail(ask(peer, held)).contains("held back: n3 stands at 0."));
+            assertFalse(ask(peer, held.replace("0.0", "1.0")).has("error_detail"));
+        }
+    }
+}
--- a/src/test/java/laneflow/net/Stand.java
+++ b/src/test/java/laneflow/net/Stand.java
@@ -16,6 +16,7 @@
 import laneflow.Setup;
 import laneflow.config.Findings;
 import laneflow.config.Table;
+import laneflow.control.ControlConfig;
 import laneflow.durable.DurableConfig;
 import laneflow.gearman.GearmanConfig;
 import laneflow.http.Config;
@@ -100,7 +101,16 @@
         List<String> classes = List.of(config.classNames);
         Setup setup = new Setup(config, GearmanConfig.read(Table.parse(functions, findings), config.settings,
                 classes, config.zones), DurableConfig.read(Table.parse("dir = '" + folder + "'\n" + durable,
-                findings), config.settings, classes));
+                findings), config.settings, classes), null);
+        findings.raise();
+        return new Stand(new Serve(setup));
+    }
+
+    /** The program with its destination set streamed; the table of streamed configuration in TOML. */
+    public static Stand streaming(String control) throws Exception {
+        Config config = Config.parse(json("{'name':'n3'" + OWN));
+        Findings findings = new Findings("the stand's file");
+        Setup setup = new Setup(config, null, null, ControlConfig.read(Table.parse(control, findings)));
         findings.raise();
         return new Stand(new Serve(setup));
     }
@@ -111,7 +121,7 @@
 
     private static Serve serve(Config config) throws Exception {
         return new Serve(new Setup(config, GearmanConfig.parse(GEARMAN, config.settings,
-                List.of(config.classNames), config.zones), null));
+                List.of(config.classNames), config.zones), null, null));
     }
 
     private static String json(String text) {
