--- a/src/main/java/laneflow/control/ControlClient.java
+++ b/src/main/java/laneflow/control/ControlClient.java
@@ -149,6 +149,7 @@
     @Override
     public void line(String text) {
         JsonObject message;
+        long began = System.nanoTime();
         try {
             message = JsonParser.parseString(text).getAsJsonObject();
         } catch (JsonParseException | IllegalStateException e) {
@@ -158,7 +159,14 @@
             over("a line that is no JSON object");
             return;
         }
+        long before = since;
         take(message);
+        if (since != before) {
+            // From the line's first look to the set's last change: what the loop was held for.
+            long took = (System.nanoTime() - began) / 1000;
+            counters.set("config.adopt_us", took);
+            counters.set("config.adopt_most_us", Math.max(took, counters.get("config.adopt_most_us")));
+        }
     }
 
     private void take(JsonObject message) {
@@ -217,7 +225,6 @@
 
     /** All of it in this turn: what comes in later sees the new set, what is open goes on. */
     private void adopt(Version offered, JsonArray resources, DestinationType.Read read) {
-        long began = System.nanoTime();
         calm = start == null ? null : sinceStart();
         track.accept(offered);
         before = running;
@@ -226,7 +233,6 @@
         since = wall.getAsLong();
         scheduler.list(carrier, true, read.entries());
         counters.add("config.adopted");
-        counters.set("config.adopt_us", (System.nanoTime() - began) / 1000);
         LOG.info("config type={} version={} verdict=adopted from={} endpoints={}", DestinationType.URL,
                 offered, from,
                 read.entries().size());
--- a/src/main/java/laneflow/lab/LiveLoad.java
+++ b/src/main/java/laneflow/lab/LiveLoad.java
@@ -5,6 +5,7 @@
 import java.io.InputStream;
 import java.net.InetAddress;
 import java.net.Socket;
+import java.net.SocketTimeoutException;
 import java.nio.charset.StandardCharsets;
 import java.util.concurrent.atomic.AtomicLong;
 
@@ -21,6 +22,7 @@
     private final long aimNanos;
     private final AtomicLong asked = new AtomicLong();
     private final AtomicLong inTime = new AtomicLong();
+    private final AtomicLong timedOut = new AtomicLong();
 
     LiveLoad(int port, String jobClass, int connections, int perSecond, long aimMs) {
         this.port = port;
@@ -46,6 +48,11 @@
         return asked.get() == 0 ? 0 : (double) inTime.get() / asked.get();
     }
 
+    /** Requests that were taken and had no answer in ten seconds. */
+    long timedOut() {
+        return timedOut.get();
+    }
+
     private void ask(int first, long from, long count) {
         Socket socket = null;
         InputStream in = null;
@@ -72,6 +79,9 @@
                 if (served && System.nanoTime() - at <= aimNanos) {
                     inTime.incrementAndGet();
                 }
+            } catch (SocketTimeoutException e) {
+                timedOut.incrementAndGet();
+                socket = null;
             } catch (IOException e) {
                 socket = null;
             } catch (InterruptedException e) {
--- /dev/null
+++ b/src/main/java/laneflow/lab/StandInControl.java
@@ -0,0 +1,153 @@
+package laneflow.lab;
+
+import com.google.gson.JsonObject;
+import com.google.gson.JsonParser;
+import java.io.BufferedInputStream;
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+
+/**
+ * A stand-in control service: it holds the streams of all schedulers, sends each the same lines, and writes
+ * down what each answered to which nonce and when. It has no opinion of its own: the measurement knows what
+ * is right.
+ */
+final class StandInControl implements AutoCloseable {
+    private final ServerSocket server;
+    private final Map<String, Socket> streams = new ConcurrentHashMap<>();
+    /** By scheduler and nonce. */
+    private final Map<String, Reply> replies = new ConcurrentHashMap<>();
+    private volatile String newest;
+
+    /** What a scheduler said to a response; the error is null for an ACK. */
+    record Reply(String version, String error, long nanos) {
+    }
+
+    StandInControl() throws IOException {
+        server = new ServerSocket(0, 64, InetAddress.getLoopbackAddress());
+        Thread thread = new Thread(this::accept, "control");
+        thread.setDaemon(true);
+        thread.start();
+    }
+
+    String address() {
+        return "127.0.0.1:" + server.getLocalPort();
+    }
+
+    private void accept() {
+        while (!server.isClosed()) {
+            try {
+                Socket socket = server.accept();
+                Thread thread = new Thread(() -> serve(socket), "stream");
+                thread.setDaemon(true);
+                thread.start();
+            } catch (IOException e) {
+                return;
+            }
+        }
+    }
+
+    private void serve(Socket socket) {
+        String name = null;
+        try (socket) {
+            socket.setTcpNoDelay(true);
+            InputStream in = new BufferedInputStream(socket.getInputStream());
+            while (!line(in).isEmpty()) {
+                // The head holds nothing that is wanted here.
+                continue;
+            }
+            socket.getOutputStream().write("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+                    .getBytes(StandardCharsets.US_ASCII));
+            while (true) {
+                int size = Integer.parseInt(line(in), 16);
+                JsonObject said = JsonParser.parseString(new String(in.readNBytes(size),
+                        StandardCharsets.UTF_8))
+                        .getAsJsonObject();
+                line(in);
+                long now = System.nanoTime();
+                String nonce = said.get("response_nonce").getAsString();
+                if (name == null) {
+                    name = said.getAsJsonObject("node").get("id").getAsString();
+                    streams.put(name, socket);
+                    if (newest != null) {
+                        send(socket, newest);
+                    }
+                    continue;
+                }
+                JsonObject error = said.getAsJsonObject("error_detail");
+                replies.putIfAbsent(name + " " + nonce, new Reply(said.get("version_info").getAsString(),
+                        error == null ? null : error.get("message").getAsString(), now));
+            }
+        } catch (IOException | NumberFormatException e) {
+            if (name != null) {
+                streams.remove(name, socket);
+            }
+        }
+    }
+
+    private static String line(InputStream in) throws IOException {
+        StringBuilder line = new StringBuilder();
+        for (int next = in.read(); next != '\n'; next = in.read()) {
+            if (next < 0) {
+                throw new IOException("ended");
+            }
+            if (next != '\r') {
+                line.append((char) next);
+            }
+        }
+        return line.toString();
+    }
+
+    private static void send(Socket socket, String text) throws IOException {
+        byte[] bytes = (text + "\n").getBytes(StandardCharsets.UTF_8);
+        synchronized (socket) {
+            socket.getOutputStream().write((Integer.toHexString(bytes.length) + "\r\n")
+                    .getBytes(StandardCharsets.US_ASCII));
+            socket.getOutputStream().write(bytes);
+            socket.getOutputStream().write("\r\n".getBytes(StandardCharsets.US_ASCII));
+        }
+    }
+
+    int streams() {
+        return streams.size();
+    }
+
+    boolean has(String scheduler) {
+        return streams.containsKey(scheduler);
+    }
+
+    /** Its process has been killed: the next stream under that name is a new one. */
+    void forget(String scheduler) {
+        streams.remove(scheduler);
+    }
+
+    /** Sends a line to all; one that comes later is sent the newest that was to be kept. */
+    void publish(String text, boolean keep) {
+        newest = keep ? text : newest;
+        streams.forEach((name, socket) -> {
+            try {
+                send(socket, text);
+            } catch (IOException e) {
+                streams.remove(name, socket);
+            }
+        });
+    }
+
+    /** What that scheduler answered, or null as long as it has not. */
+    Reply reply(String scheduler, String nonce) {
+        return replies.get(scheduler + " " + nonce);
+    }
+
+    @Override
+    public void close() throws IOException {
+        server.close();
+        for (Socket socket : streams.values()) {
+            socket.close();
+        }
+    }
+}
