--- a/src/main/java/laneflow/control/DestinationType.java
+++ b/src/main/java/laneflow/control/DestinationType.java
@@ -8,6 +8,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.regex.Pattern;
 import laneflow.core.DestinationSet.Entry;
 import laneflow.decision.Dispatch.State;
 import laneflow.net.Loop;
@@ -22,6 +23,8 @@
     private static final Set<String> KEYS = Set.of("name", "dial", "zone", "state", "weight", "born_ms");
     private static final double MOST_WEIGHT = 1e6;
     private static final int MOST_FINDINGS = 50;
+    /** Compiled once: a large set has thousands of names, read within one turn of the loop. */
+    private static final Pattern NAME = Pattern.compile("[A-Za-z0-9_.:-]{1,128}");
 
     private final List<String> zones;
     private final List<AddressRange> allowed;
@@ -67,7 +70,7 @@
         }
         Entry entry = new Entry();
         entry.name = text(from, "name", null, path, findings);
-        if (entry.name != null && !entry.name.matches("[A-Za-z0-9_.:-]{1,128}")) {
+        if (entry.name != null && !NAME.matcher(entry.name).matches()) {
             findings.add(path + ".name: is no name: letters, digits, '_', '.', ':' and '-'");
         }
         entry.dial = text(from, "dial", null, path, findings);
--- a/src/main/java/laneflow/net/Loop.java
+++ b/src/main/java/laneflow/net/Loop.java
@@ -10,6 +10,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
 import java.util.function.Supplier;
+import java.util.regex.Pattern;
 import laneflow.core.Clock;
 import laneflow.core.Deadlines;
 import laneflow.core.SlotTable;
@@ -35,6 +36,7 @@
     /** Descriptors the virtual machine holds for itself: the jar, selectors, standard streams. */
     private static final int OWN_DESCRIPTORS = 64;
     private static final int BACKLOG = 512;
+    private static final Pattern FIGURES = Pattern.compile("[0-9.]+|[0-9a-fA-F:.]+");
     /** Connections taken in a row: a flood of them must not hold up those that are open. */
     private static final int ACCEPTS = 32;
 
@@ -135,7 +137,7 @@
         if (host.startsWith("[") && host.endsWith("]")) {
             host = host.substring(1, host.length() - 1);
         }
-        if (!host.matches("[0-9.]+|[0-9a-fA-F:.]+")) {
+        if (!FIGURES.matcher(host).matches()) {
             throw new IllegalArgumentException("'" + text + "' is not an address and port in figures");
         }
         try {
