--- a/src/test/java/laneflow/gearman/GearmanStoryTest.java
+++ b/src/test/java/laneflow/gearman/GearmanStoryTest.java
@@ -1,11 +1,12 @@
 package laneflow.gearman;
 
+import static laneflow.gearman.Gearman.expect;
+import static laneflow.gearman.Gearman.send;
 import static org.junit.jupiter.api.Assertions.assertArrayEquals;
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.io.IOException;
-import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
@@ -18,20 +19,6 @@
 /** Stories of the Gearman front, with stand-in clients and workers. */
 @Timeout(30)
 class GearmanStoryTest {
-    private static void send(Peer peer, int type, Object... args) throws IOException {
-        peer.write(Packet.encode(Packet.REQUEST, type, args));
-    }
-
-    /** The next packet's arguments; it must be of this type. */
-    private static String[] expect(Peer peer, int type) throws IOException {
-        ByteBuffer head = ByteBuffer.wrap(peer.read(Packet.HEADER));
-        assertEquals(Packet.RESPONSE, head.getInt());
-        int got = head.getInt();
-        String data = new String(peer.read(head.getInt()), StandardCharsets.UTF_8);
-        assertEquals(type, got, data);
-        return data.split("\0", -1);
-    }
-
     /** A worker with these abilities, asleep. */
     private static Peer worker(Stand stand, String... functions) throws IOException {
         Peer worker = stand.gearman();
