--- a/src/main/java/laneflow/durable/DurableJobs.java
+++ b/src/main/java/laneflow/durable/DurableJobs.java
@@ -67,6 +67,8 @@
     private long refusedBefore;
     private long lookedAt;
     private long storeFullUntil;
+    /** Jobs whose word of acceptance waits for the disk. */
+    private int owed;
     private boolean draining;
     private boolean letGo;
     private boolean pumping;
@@ -190,6 +192,7 @@
             turnDown(answer, Taken.FULL, quota.comeBack());
             return;
         }
+        owed++;
         table.add(job);
         quota.add(job.jobClass, body.length);
     }
@@ -202,6 +205,7 @@
     private void accepted(Held job, StoreException failure) {
         List<Consumer<Word>> waiters = job.waiters;
         job.waiters = null;
+        owed--;
         if (failure == null) {
             counters.add("durable.accepted");
             see(job.row.acceptedMs());
@@ -699,11 +703,9 @@
         out.forEach(scheduler::withdraw);
     }
 
-    /** Words of acceptance that are owed still. */
+    /** Jobs whose word of acceptance is owed still; asked every few milliseconds at a planned end. */
     public int owed() {
-        int[] owed = new int[1];
-        table.forEach(job -> owed[0] += job.waiters == null ? 0 : 1);
-        return owed[0];
+        return owed;
     }
 
     /** Jobs held, ended ones included. */
--- a/src/main/java/laneflow/durable/Journal.java
+++ b/src/main/java/laneflow/durable/Journal.java
@@ -38,7 +38,6 @@
     private volatile StoreException broken;
     private volatile long usedBytes;
     private volatile long batches;
-    private volatile long written;
     private volatile boolean closing;
     private final Recorder took = new Recorder(LONGEST_US, 2);
     private int sinceLooked;
@@ -65,11 +64,7 @@
     }
 
     /** A journal on that store; the loop runs what it is handed on its own thread. */
-    public Journal(Store store, Consumer<Runnable> loop, int capacity) {
-        this(disk(store), loop, capacity);
-    }
-
-    Journal(Disk store, Consumer<Runnable> loop, int capacity) {
+    public Journal(Disk store, Consumer<Runnable> loop, int capacity) {
         this.store = store;
         this.loop = loop;
         this.capacity = capacity;
@@ -84,35 +79,6 @@
         thread.start();
     }
 
-    static Disk disk(Store store) {
-        return new Disk() {
-            @Override
-            public void write(List<Op> ops) throws StoreException {
-                store.write(ops);
-            }
-
-            @Override
-            public byte[] result(long id) throws StoreException {
-                return store.result(id);
-            }
-
-            @Override
-            public long usedBytes() throws StoreException {
-                return store.usedBytes();
-            }
-
-            @Override
-            public void tidy() throws StoreException {
-                store.tidy();
-            }
-
-            @Override
-            public void close() {
-                store.close();
-            }
-        };
-    }
-
     // ---- from the loop ----
 
     /** Has an op written; null is told once it is on disk, else why not. False: no room in the queue. */
@@ -143,11 +109,6 @@
         return batches;
     }
 
-    /** Ops written since the start. */
-    public long written() {
-        return written;
-    }
-
     /** How long commits took since this was last asked, microseconds; empty if there were none. */
     Histogram tookSince() {
         return took.getIntervalHistogram();
@@ -228,7 +189,6 @@
             store.write(writes.stream().map(Entry::op).toList());
             took.recordValue(Math.min(LONGEST_US, (System.nanoTime() - from) / 1000));
             batches++;
-            written += writes.size();
             sinceLooked += writes.size();
             if (sinceLooked >= LOOK_EVERY) {
                 // Two queries: not worth asking behind each commit.
--- a/src/main/java/laneflow/durable/Store.java
+++ b/src/main/java/laneflow/durable/Store.java
@@ -34,7 +34,7 @@
  *
  * <p>Not thread-safe: one thread owns it. Blocks on the disk.
  */
-public final class Store implements AutoCloseable {
+public final class Store implements Journal.Disk {
     /** The form of the tables; 0 before there are any. */
     static final int FORMAT = 1;
     private static final int PAGE = 4096;
@@ -167,6 +167,7 @@
     // ---- writing ----
 
     /** Writes all of them or none; they are on disk when this returns. */
+    @Override
     public void write(List<Op> ops) throws StoreException {
         if (broken != null) {
             throw broken;
@@ -353,6 +354,7 @@
     }
 
     /** A job's result, or null where there is none. */
+    @Override
     public byte[] result(long id) throws StoreException {
         try (PreparedStatement query = db.prepareStatement("SELECT sum, body FROM result WHERE id=?")) {
             query.setLong(1, id);
@@ -380,6 +382,7 @@
     }
 
     /** Bytes of the database in use; what is free in its file is not counted. */
+    @Override
     public long usedBytes() throws StoreException {
         try {
             return (number("PRAGMA page_count") - number("PRAGMA freelist_count")) * PAGE;
@@ -415,7 +418,8 @@
     }
 
     /** Gives back a part of the free room, as much as takes a few milliseconds. */
-    void tidy() throws StoreException {
+    @Override
+    public void tidy() throws StoreException {
         try {
             run("PRAGMA incremental_vacuum(200)");
         } catch (SQLException e) {
