--- a/src/main/java/laneflow/Durability.java
+++ b/src/main/java/laneflow/Durability.java
@@ -54,6 +54,10 @@
         rows.clear();
     }
 
+    List<String> adopt(DurableConfig read) {
+        return jobs.adopt(read);
+    }
+
     void drain() {
         jobs.drain();
     }
--- a/src/main/java/laneflow/Serve.java
+++ b/src/main/java/laneflow/Serve.java
@@ -16,6 +16,7 @@
 import laneflow.http.DiscoveryWatch;
 import laneflow.http.HttpCarrier;
 import laneflow.http.HttpFront;
+import laneflow.http.OperatorPort;
 import laneflow.net.Loop;
 import laneflow.wire.WireException;
 import org.slf4j.Logger;
@@ -47,6 +48,8 @@
     private final GearmanFront gearman;
     /** Null where durable jobs are off. */
     private final Durability durability;
+    /** Null where no configuration is streamed. */
+    private final Streaming streaming;
     /** Null where no discovery is named. */
     private final DiscoveryWatch watch;
     private final CountDownLatch drained = new CountDownLatch(1);
@@ -88,7 +91,10 @@
             gearman.listen(Loop.address(gearmanConfig.listen));
         }
         if (setup.control() != null) {
-            Streaming.begin(setup, loop, scheduler, carrier, front);
+            streaming = Streaming.begin(setup, new Streaming.Parts(loop, scheduler, carrier, front, gearman,
+                    durability));
+        } else {
+            streaming = null;
         }
     }
 
@@ -147,6 +153,11 @@
         return gearman;
     }
 
+    /** Where operators ask, or null where that is the clients' port. */
+    public OperatorPort operators() {
+        return streaming == null ? null : streaming.port();
+    }
+
     public Loop loop() {
         return loop;
     }
--- a/src/main/java/laneflow/Setup.java
+++ b/src/main/java/laneflow/Setup.java
@@ -1,9 +1,13 @@
 package laneflow;
 
+import com.google.gson.JsonArray;
 import com.google.gson.JsonObject;
 import java.io.IOException;
 import java.nio.file.Path;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
+import laneflow.config.ConfigException;
 import laneflow.config.Findings;
 import laneflow.config.OperatorFile;
 import laneflow.control.ControlConfig;
@@ -11,9 +15,19 @@
 import laneflow.gearman.GearmanConfig;
 import laneflow.http.Config;
 import laneflow.wire.WireException;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /** All that a scheduler is told at its start; null stands for a front or a subsystem that is off. */
-public record Setup(Config config, GearmanConfig gearman, DurableConfig durable, ControlConfig control) {
+public record Setup(Config config, GearmanConfig gearman, DurableConfig durable, ControlConfig control,
+        Map<String, String> fixed) {
+    private static final Logger LOG = LoggerFactory.getLogger(Setup.class);
+    private static final String PLATFORM = "the platform's file decides this here";
+
+    /** Nothing of the stream's types is decided elsewhere. */
+    public Setup(Config config, GearmanConfig gearman, DurableConfig durable, ControlConfig control) {
+        this(config, gearman, durable, control, Map.of());
+    }
 
     /** The platform's file, with a Gearman file and a destination set beside it, each unless null. */
     public static Setup platform(Path file, Path gearman, Path destinations)
@@ -29,11 +43,39 @@
      */
     public static Setup operators(Path file, Path platform, Path destinations)
             throws IOException, WireException {
-        OperatorFile operators = OperatorFile.read(file);
+        OperatorFile plain = OperatorFile.read(file);
+        Map<String, JsonArray> streamed = plain.control() == null || !plain.findings().isEmpty() ? Map.of()
+                : KeptSettings.read(ControlConfig.read(plain.control()));
+        if (!streamed.isEmpty()) {
+            try {
+                return operators(OperatorFile.read(file, streamed), platform, destinations);
+            } catch (ConfigException e) {
+                LOG.error("the last good versions do not fit the file: it is used alone. {}", e.getMessage());
+            }
+        }
+        return operators(OperatorFile.read(file), platform, destinations);
+    }
+
+    private static Setup operators(OperatorFile operators, Path platform, Path destinations)
+            throws IOException, WireException {
         Findings findings = operators.findings();
         JsonObject all = operators.platform();
+        Map<String, String> fixed = new HashMap<>();
         if (platform != null) {
-            all = operators.under(Config.object(platform));
+            JsonObject named = Config.object(platform);
+            JsonObject settings = named.has("settings") ? named.getAsJsonObject("settings")
+                    : new JsonObject();
+            if (settings.has("classes")) {
+                fixed.put("classes", PLATFORM);
+            }
+            if (settings.has("limits") || named.has("limits") || named.has("listen")) {
+                fixed.put("limits", PLATFORM);
+            }
+            all = operators.under(named);
+        }
+        if (all.has("discovery")) {
+            // Two sources of one set would undo each other's changes.
+            fixed.put("destinations", "discovery names the endpoints here");
         }
         if (destinations != null) {
             Config.fixDestinations(all, destinations);
@@ -59,6 +101,6 @@
         }
         ControlConfig control = operators.control() == null ? null : ControlConfig.read(operators.control());
         findings.raise();
-        return new Setup(config, gearman, durable, control);
+        return new Setup(config, gearman, durable, control, fixed);
     }
 }
--- a/src/main/java/laneflow/config/Findings.java
+++ b/src/main/java/laneflow/config/Findings.java
@@ -9,15 +9,30 @@
  */
 public final class Findings {
     private final String file;
+    private final boolean paths;
     private final List<String> all = new ArrayList<>();
 
     /** Findings on that file. */
     public Findings(String file) {
+        this(file, false);
+    }
+
+    private Findings(String file, boolean paths) {
         this.file = file;
+        this.paths = paths;
+    }
+
+    /** Findings on a message: each begins with the path to its value. */
+    public static Findings paths() {
+        return new Findings("", true);
     }
 
     /** Notes what is wrong with a key of a table; the empty text is the file's own top. */
     public void add(String table, String key, String what) {
+        if (paths) {
+            all.add(table + (table.isEmpty() || key.isEmpty() ? "" : ".") + key + ": " + what);
+            return;
+        }
         String place = (table.isEmpty() ? "" : "[" + table + "] ") + (key.isEmpty() ? "" : key + ": ");
         all.add(file + ": " + place + what);
     }
--- a/src/main/java/laneflow/config/OperatorFile.java
+++ b/src/main/java/laneflow/config/OperatorFile.java
@@ -38,6 +38,38 @@
         return parse(Files.readString(file), file.toString());
     }
 
+    /**
+     * The same file with streamed resources in the place of what it says of them, by type: classes, limits,
+     * functions, durable.
+     */
+    public static OperatorFile read(Path file, Map<String, JsonArray> streamed) throws IOException {
+        Table root = Table.parse(Files.readString(file), new Findings(file
+                + " under the last good versions"));
+        streamed.forEach((type, resources) -> lay(root, type, resources));
+        return new OperatorFile(root);
+    }
+
+    private static void lay(Table root, String type, JsonArray resources) {
+        JsonObject named = new JsonObject();
+        JsonObject only = new JsonObject();
+        for (JsonElement resource : resources) {
+            only = resource.getAsJsonObject().deepCopy();
+            named.add(only.remove("name").getAsString(), only);
+        }
+        if (type.equals("functions")) {
+            if (root.has("gearman")) {
+                root.table("gearman").put("functions", named);
+            }
+        } else if (type.equals("classes")) {
+            root.put("classes", named);
+        } else {
+            if (only.has("listen")) {
+                root.put("listen", only.remove("listen"));
+            }
+            root.put(type, only);
+        }
+    }
+
     /** Reads a text that goes by that name. */
     public static OperatorFile parse(String text, String name) {
         return new OperatorFile(Table.parse(text, new Findings(name)));
@@ -127,9 +159,13 @@
 
     private void limits(JsonObject settings) {
         Table from = root.table("limits");
-        if (from == null) {
-            return;
+        if (from != null) {
+            limits(from, platform, settings);
         }
+    }
+
+    /** Reads a table of limits into the platform's form: the scheduler's own, and those of its settings. */
+    public static void limits(Table from, JsonObject platform, JsonObject settings) {
         JsonObject own = new JsonObject();
         own.addProperty("sockets", from.whole("sockets", 1024, 96, 1 << 20));
         platform.add("limits", own);
@@ -165,42 +201,50 @@
         Map<String, Table> tables = root.tables("classes");
         JsonArray classes = new JsonArray();
         JsonArray stretches = new JsonArray();
-        tables.forEach((name, from) -> {
-            JsonObject to = new JsonObject();
-            if (!name.matches(NAME)) {
-                from.wrong("", "is no name of a class: letters, digits, '_', '.' and '-'");
-            }
-            to.addProperty("name", name);
-            double aim = from.number("aim_ms", 200, 1, HOUR_MS);
-            double deadline = from.number("deadline_ms", 5000, 1, HOUR_MS);
-            if (deadline < aim) {
-                from.wrong("deadline_ms", "is under aim_ms: nothing would be served in time");
-            }
-            to.addProperty("aim", aim / 1000);
-            to.addProperty("hardLimit", deadline / 1000);
-            to.addProperty("worth", from.number("worth", 1, 0, 1e6));
-            String repeat = from.word("repeat", "never", "safe", "keyed", "never");
-            to.addProperty("semantics", repeat.equals("safe") ? "pure" : repeat.equals("keyed") ? "token"
-                    : "side_effect");
-            double window = from.number("window_ms", 0, 0, HOUR_MS);
-            if (repeat.equals("keyed") && window == 0) {
-                from.wrong("window_ms", "is missing: how long endpoints drop a repeat of the key");
-            }
-            to.addProperty("dedupWindow", window / 1000);
-            to.addProperty("group", "all");
-            stretches.add(from.number("stretch", 2, 0, 100));
-            classes.add(to);
-            from.close();
-        });
+        tables.forEach((name, from) -> classOf(name, from, classes, stretches));
         if (!tables.isEmpty()) {
             settings.add("classes", classes);
-            JsonObject info = new JsonObject();
-            info.add("classStretch", stretches);
-            info.addProperty("tellsStart", true);
-            settings.add("familyInfo", info);
+            settings.add("familyInfo", familyInfo(stretches));
         }
     }
 
+    /** What the platform's form says of all classes together. */
+    public static JsonObject familyInfo(JsonArray stretches) {
+        JsonObject info = new JsonObject();
+        info.add("classStretch", stretches);
+        info.addProperty("tellsStart", true);
+        return info;
+    }
+
+    /** Reads a class's table into the platform's form, its stretch apart. */
+    public static void classOf(String name, Table from, JsonArray classes, JsonArray stretches) {
+        JsonObject to = new JsonObject();
+        if (!name.matches(NAME)) {
+            from.wrong("", "is no name of a class: letters, digits, '_', '.' and '-'");
+        }
+        to.addProperty("name", name);
+        double aim = from.number("aim_ms", 200, 1, HOUR_MS);
+        double deadline = from.number("deadline_ms", 5000, 1, HOUR_MS);
+        if (deadline < aim) {
+            from.wrong("deadline_ms", "is under aim_ms: nothing would be served in time");
+        }
+        to.addProperty("aim", aim / 1000);
+        to.addProperty("hardLimit", deadline / 1000);
+        to.addProperty("worth", from.number("worth", 1, 0, 1e6));
+        String repeat = from.word("repeat", "never", "safe", "keyed", "never");
+        to.addProperty("semantics", repeat.equals("safe") ? "pure" : repeat.equals("keyed") ? "token"
+                : "side_effect");
+        double window = from.number("window_ms", 0, 0, HOUR_MS);
+        if (repeat.equals("keyed") && window == 0) {
+            from.wrong("window_ms", "is missing: how long endpoints drop a repeat of the key");
+        }
+        to.addProperty("dedupWindow", window / 1000);
+        to.addProperty("group", "all");
+        stretches.add(from.number("stretch", 2, 0, 100));
+        classes.add(to);
+        from.close();
+    }
+
     private void endpoints(List<String> zones) {
         JsonArray hosts = new JsonArray();
         root.tables("endpoints").forEach((name, from) -> {
--- a/src/main/java/laneflow/config/Table.java
+++ b/src/main/java/laneflow/config/Table.java
@@ -6,6 +6,8 @@
 import com.electronwill.nightconfig.core.io.ParsingMode;
 import com.electronwill.nightconfig.toml.TomlFormat;
 import com.electronwill.nightconfig.toml.TomlParser;
+import com.google.gson.JsonElement;
+import com.google.gson.JsonObject;
 import java.io.StringReader;
 import java.util.ArrayList;
 import java.util.HashSet;
@@ -44,6 +46,40 @@
         return new Table(config, "", findings);
     }
 
+    /** A JSON object as a table, so that one reader serves files and messages; the path leads to it. */
+    public static Table of(JsonObject from, String path, Findings findings) {
+        return new Table(plain(from), path, findings);
+    }
+
+    private static Config plain(JsonObject from) {
+        Config config = TomlFormat.newConfig(LinkedHashMap::new);
+        from.entrySet().forEach(entry -> config.set(List.of(entry.getKey()), plain(entry.getValue())));
+        return config;
+    }
+
+    private static Object plain(JsonElement value) {
+        if (value.isJsonObject()) {
+            return plain(value.getAsJsonObject());
+        }
+        if (value.isJsonArray()) {
+            List<Object> all = new ArrayList<>();
+            value.getAsJsonArray().forEach(one -> all.add(plain(one)));
+            return all;
+        }
+        if (value.isJsonPrimitive() && value.getAsJsonPrimitive().isNumber()) {
+            String text = value.getAsString();
+            return text.matches("-?[0-9]{1,18}") ? (Object) Long.parseLong(text)
+                    : (Object) value.getAsDouble();
+        }
+        return value.isJsonPrimitive() && value.getAsJsonPrimitive().isBoolean()
+                ? (Object) value.getAsBoolean() : value.isJsonNull() ? null : value.getAsString();
+    }
+
+    /** Puts a value in the place of the key's, as if the file had said so. */
+    public void put(String key, JsonElement value) {
+        ((Config) from).set(List.of(key), plain(value));
+    }
+
     public Findings findings() {
         return findings;
     }
--- a/src/main/java/laneflow/control/ControlClient.java
+++ b/src/main/java/laneflow/control/ControlClient.java
@@ -4,36 +4,43 @@
 import com.google.gson.JsonElement;
 import com.google.gson.JsonObject;
 import com.google.gson.JsonParseException;
-import com.google.gson.JsonParser;
-import java.io.IOException;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.SplittableRandom;
 import java.util.concurrent.Executor;
+import java.util.concurrent.RejectedExecutionException;
+import java.util.function.BooleanSupplier;
 import java.util.function.LongSupplier;
 import laneflow.control.decision.Probation;
-import laneflow.control.decision.Probation.Counts;
+import laneflow.control.decision.Probation.Verdict;
 import laneflow.control.decision.Rollout;
-import laneflow.control.decision.Track;
 import laneflow.control.decision.Track.Kind;
 import laneflow.control.decision.Track.Word;
+import laneflow.control.decision.Trial;
 import laneflow.control.decision.Version;
-import laneflow.core.Carrier;
 import laneflow.core.Counters;
 import laneflow.core.Deadlines.Deadline;
 import laneflow.core.Scheduler;
 import laneflow.http.LineStream;
 import laneflow.net.Loop;
+import org.HdrHistogram.Histogram;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
 /**
- * Configuration streamed from a control service in versions: destination sets, each acknowledged, or turned
- * down with every reason. A version is adopted whole within one turn of the loop. While no service speaks,
- * the last good version runs on for as long as it takes. On the loop's thread, but for the file of the last
- * good version.
+ * Configuration streamed from a control service in versions of several types, each acknowledged, or turned
+ * down with every reason. A line is read and checked on a thread of its own, one line after the other, and
+ * adopted whole within one turn of the loop. While no service speaks, the last good versions run on for as
+ * long as it takes. On the loop's thread, but for the reading and the files.
  */
 public final class ControlClient implements LineStream.Reader {
+    /** A type of messages that carries the control group's counts; it is not acknowledged. */
+    public static final String GROUP = ResourceType.PREFIX + "group";
+    /** The type of this scheduler's own counts, told to the service now and then. */
+    public static final String FIGURES = ResourceType.PREFIX + "figures";
     private static final Logger LOG = LoggerFactory.getLogger(ControlClient.class);
     private static final String PATH = "/v3/discovery:stream";
     private static final long CONNECT = 1_000_000;
@@ -42,82 +49,116 @@
     private static final int FAILED_PRECONDITION = 9;
     /** Longer reasons are cut: they are for people, and go over the wire and into the log. */
     private static final int MOST_REASON = 4000;
+    /** Lines that wait to be read; with more, or more bytes than two longest lines, no more is taken in. */
+    private static final int MOST_WAITING = 256;
+    /** Microseconds: others have their turns there. */
+    private static final long BETWEEN_STEPS = 100;
+    /** Header texts of states of the settings that requests still open may have come under. */
+    private static final int MOST_STAMPS = 4096;
+    private static final String[] COUNTS = {"requests", "failed", "connect_errors", "refused"};
 
     private final Loop loop;
     private final Scheduler scheduler;
-    private final Carrier carrier;
     private final ControlConfig config;
-    private final DestinationType type;
+    private final Map<String, TypeRun> types = new LinkedHashMap<>();
+    /** Types that the platform's file decides here, by their names on the stream. */
+    private final Map<String, String> fixed = new LinkedHashMap<>();
+    private final String[] classNames;
     private final String name;
     private final String token;
-    private final LastGood lastGood;
-    private final Executor disk;
+    private final Executor reading;
     private final LongSupplier wall;
     private final SplittableRandom random;
     private final Counters counters;
-    private final Track track = new Track();
+    private final History history;
+    private final Trial trial;
     private final Deadline again;
-    private final Deadline judge;
+    private final Deadline look;
+    private final Deadline tell;
+    private final ArrayDeque<byte[]> waiting = new ArrayDeque<>();
+    private final Map<Integer, String> stamps = new LinkedHashMap<>();
+    private final Histogram adoptions = new Histogram(3);
+    private long waitingBytes;
+    private long longestStep;
+    private boolean busy;
+    private boolean held;
+    /** Which stream it is: what was read of an earlier one is passed over. */
+    private int generation;
     private LineStream stream;
+    private boolean isUp;
     private int next;
     private int failures;
     private String streamAt = "";
-    private String from = "";
-    private String nonce = "";
-    private long since;
-    /** What runs, and what ran before it; null where there was none. */
-    private JsonArray running;
-    private JsonArray before;
-    private Counts calm;
-    private Counts start;
-    private long startAt;
+    private long[][] group;
+
+    /** What the client is given besides its settings. */
+    public record Surroundings(String name, String token, List<String> classNames, Executor reading,
+            Executor disk, LongSupplier wall, long seed) {
+    }
 
     /**
-     * A client that has not begun.
+     * A client that has not begun. Executors run one task after the other; what blocks is run there.
      *
-     * @param lastGood null where none is kept
-     * @param disk runs what blocks
-     * @param wall Unix time in milliseconds
+     * @param types what is taken, in the order in which it is asked for, with their files or nulls
      */
-    public ControlClient(Loop loop, Scheduler scheduler, Carrier carrier, ControlConfig config,
-            List<String> zones,
-            String name, String token, LastGood lastGood, Executor disk, LongSupplier wall, long seed) {
+    public ControlClient(Loop loop, Scheduler scheduler, ControlConfig config, Surroundings around,
+            Map<ResourceType, LastGood> types) {
         this.loop = loop;
         this.scheduler = scheduler;
-        this.carrier = carrier;
         this.config = config;
-        this.name = name;
-        this.token = token;
-        this.lastGood = lastGood;
-        this.disk = disk;
-        this.wall = wall;
-        type = new DestinationType(zones, config.allowed);
-        random = new SplittableRandom(seed);
+        name = around.name();
+        token = around.token();
+        reading = around.reading();
+        wall = around.wall();
+        classNames = around.classNames().toArray(new String[0]);
+        random = new SplittableRandom(around.seed());
         counters = scheduler.counters();
+        history = new History(config.folder, around.disk(), wall);
+        types.forEach((type, file) -> this.types.put(type.url(), new TypeRun(type, file, around.disk())));
+        trial = new Trial(classNames, Math.max(1, config.probation), config.bound, loop.micros(),
+                scheduler.tallies());
         again = loop.deadlines().create(this::connect);
-        judge = loop.deadlines().create(this::judge);
+        look = loop.deadlines().create(this::look);
+        tell = loop.deadlines().create(this::tellFigures);
+    }
+
+    /** A type that something else decides here: it is turned down with that reason. */
+    public void fix(String type, String reason) {
+        fixed.put(ResourceType.PREFIX + type, reason);
     }
 
-    /** Runs what the file holds until the service speaks; before {@link #begin}. */
-    public void startFrom(LastGood.Kept kept) {
-        DestinationType.Read read = type.read(kept.resources().getAsJsonArray("resources"));
-        if (!read.findings().isEmpty()) {
-            LOG.warn("config type={} version={} verdict=passed_over from=last-good reason={}",
-                    DestinationType.URL,
-                    kept.version(), read.findings().get(0));
+    /** Runs what a type's file holds until the service speaks; before {@link #begin}. */
+    public void startFrom(String type, LastGood.Kept kept) {
+        TypeRun run = types.get(ResourceType.PREFIX + type);
+        JsonArray resources = kept.resources().getAsJsonArray("resources");
+        ResourceType.Reading read = run.type.read(resources);
+        if (!read.findings.isEmpty()) {
+            history.add(run.type.url(), kept.version().toString(), "passed_over", "last-good",
+                    read.findings.get(0));
             return;
         }
-        track.startAt(kept.version());
-        running = kept.resources().getAsJsonArray("resources");
-        from = "last-good";
-        since = kept.adoptedMs();
-        scheduler.list(carrier, true, read.entries());
-        LOG.info("config type={} version={} verdict=running from=last-good age_s={}", DestinationType.URL,
-                kept.version(), (wall.getAsLong() - kept.adoptedMs()) / 1000);
+        run.startAt(kept, read);
+        history.add(run.type.url(), kept.version().toString(), "running", "last-good",
+                "age_s=" + (wall.getAsLong() - kept.adoptedMs()) / 1000);
+        stamp();
     }
 
     public void begin() {
+        if (config.probation > 0) {
+            look();
+        }
+        if (config.figures > 0) {
+            tellFigures();
+        }
         connect();
+        reading.execute(() -> warm(new Warmup()));
+    }
+
+    /** A part, and the next behind the lines that wait by then. */
+    private void warm(Warmup warmup) {
+        if (warmup.part()) {
+            reading.execute(() -> warm(warmup));
+        }
     }
 
     // ---- the stream ----
@@ -126,18 +167,28 @@
         String address = config.addresses.get(next++ % config.addresses.size());
         counters.add("config.streams");
         String headers = token == null ? "" : "Authorization: Bearer " + token + "\r\n";
-        stream = new LineStream(loop, address, PATH, headers, CONNECT, config.silence, config.mostLine, this);
+        generation++;
+        waiting.clear();
+        waitingBytes = 0;
+        held = false;
         streamAt = address;
+        types.values().forEach(run -> run.nonce = "");
+        stream = new LineStream(loop, address, PATH, headers, CONNECT, config.silence, config.mostLine, this);
     }
 
     @Override
     public void up() {
-        JsonObject first = request(track.running());
-        stream.send(first.toString());
+        isUp = true;
+        for (TypeRun run : types.values()) {
+            JsonObject first = request(run);
+            first.addProperty("incremental", true);
+            stream.send(first.toString());
+        }
     }
 
     @Override
     public void over(String why) {
+        isUp = false;
         // Full jitter: schedulers that lost one service together must not come back to it together.
         long cap = Math.min(config.longestBackoff, FIRST_BACKOFF << Math.min(20, failures++));
         long wait = (long) (random.nextDouble() * cap);
@@ -147,225 +198,382 @@
     }
 
     @Override
-    public void line(String text) {
-        JsonObject message;
-        long began = System.nanoTime();
+    public void line(byte[] text) {
+        waiting.add(text);
+        waitingBytes += text.length;
+        if (waiting.size() > MOST_WAITING || waitingBytes > 2L * config.mostLine) {
+            held = true;
+            stream.hold();
+        }
+        readNext();
+    }
+
+    /** One line is read at a time: what it leads to holds before the next one is looked at. */
+    private void readNext() {
+        if (busy || waiting.isEmpty()) {
+            return;
+        }
+        busy = true;
+        byte[] text = waiting.poll();
+        waitingBytes -= text.length;
+        if (held && waiting.size() < MOST_WAITING / 2 && waitingBytes <= config.mostLine) {
+            held = false;
+            stream.resume();
+        }
+        int of = generation;
+        reading.execute(() -> {
+            Message message;
+            try {
+                message = Message.read(text);
+            } catch (JsonParseException | IllegalStateException | StackOverflowError e) {
+                message = null;
+            }
+            Message read = message;
+            back(() -> take(of, read));
+        });
+    }
+
+    private void back(Runnable call) {
         try {
-            message = JsonParser.parseString(text).getAsJsonObject();
-        } catch (JsonParseException | IllegalStateException e) {
+            loop.later(call);
+        } catch (RejectedExecutionException e) {
+            LOG.debug("the loop has ended: what was read is nobody's any more");
+        }
+    }
+
+    private void done() {
+        busy = false;
+        readNext();
+    }
+
+    private void take(int of, Message message) {
+        if (of != generation || !isUp) {
+            done();
+            return;
+        }
+        if (message == null) {
             // Where a line is cut nothing says which answer it would want: the stream begins anew.
             counters.add("config.garbled");
             stream.close();
             over("a line that is no JSON object");
+            done();
             return;
         }
-        long before = since;
-        take(message);
-        if (since != before) {
-            // From the line's first look to the set's last change: what the loop was held for.
-            long took = (System.nanoTime() - began) / 1000;
-            counters.set("config.adopt_us", took);
-            counters.set("config.adopt_most_us", Math.max(took, counters.get("config.adopt_most_us")));
+        if (message.type.equals(GROUP)) {
+            takeGroup(message.all);
+            done();
+            return;
         }
-    }
-
-    private void take(JsonObject message) {
-        nonce = text(message, "nonce");
-        if (!text(message, "type_url").equals(DestinationType.URL)) {
-            nack(text(message, "type_url"), INVALID_ARGUMENT, "this type is not taken here; taken is "
-                    + DestinationType.URL);
+        TypeRun run = types.get(message.type);
+        if (run == null) {
+            String why = fixed.get(message.type);
+            nack(null, message.type, message.nonce, why != null ? FAILED_PRECONDITION : INVALID_ARGUMENT,
+                    why != null ? why : "this type is not taken here; taken are "
+                    + String.join(", ", types.keySet()));
+            done();
             return;
         }
+        // Only what makes sense shows that the service is well.
+        failures = 0;
+        run.nonce = message.nonce;
         Version offered;
+        Version from;
         try {
-            offered = Version.parse(text(message, "version_info"));
+            offered = Version.parse(message.version);
+            from = message.from == null ? null : Version.parse(message.from);
         } catch (IllegalArgumentException e) {
-            nack(DestinationType.URL, INVALID_ARGUMENT, "version_info: " + e.getMessage());
+            nack(run, INVALID_ARGUMENT, "version_info: " + e.getMessage());
+            done();
             return;
         }
-        Word word = track.whole(offered);
+        Word word = from == null ? run.track.whole(offered) : run.track.change(from, offered);
+        String heldBack = word.kind() == Kind.LOOK ? heldBack(message.all) : null;
         if (word.isAck()) {
-            ack(offered);
-        } else if (word.kind() != Kind.LOOK) {
-            nack(DestinationType.URL, FAILED_PRECONDITION, word.reason());
+            ack(run, offered);
+        } else if (word.kind() == Kind.WHOLE_WANTED) {
+            wantWhole(run, word.reason());
+        } else if (word.kind() != Kind.LOOK || heldBack != null) {
+            nack(run, FAILED_PRECONDITION, heldBack != null ? heldBack : word.reason());
         } else {
-            look(offered, message);
+            check(of, run, offered, message);
+            return;
         }
-        // Only what makes sense shows that the service is well.
-        failures = 0;
+        done();
     }
 
-    private void look(Version offered, JsonObject message) {
-        JsonElement held = message.get("rollout");
-        if (held != null && held.isJsonObject()) {
-            JsonObject rollout = held.getAsJsonObject();
-            double share = number(rollout, "share", 1);
-            double place = Rollout.place(name, (long) number(rollout, "seed", 0));
-            if (place >= share) {
-                nack(DestinationType.URL, FAILED_PRECONDITION, "held back: " + name + " stands at " + place
-                        + ", the share is " + share);
-                return;
-            }
+    /** Why this scheduler does not take part in it yet, or null. */
+    private String heldBack(JsonObject message) {
+        JsonElement given = message.get("rollout");
+        if (given == null || !given.isJsonObject()) {
+            return null;
         }
-        JsonElement resources = message.get("resources");
-        if (resources == null || !resources.isJsonArray()) {
-            refuse(offered, "resources: must be a list");
-            return;
+        JsonObject rollout = given.getAsJsonObject();
+        double share = Message.number(rollout, "share", 1);
+        double place = Rollout.place(name, (long) Message.number(rollout, "seed", 0));
+        return place < share ? null : "held back: " + name + " stands at " + place + ", the share is "
+                + share;
+    }
+
+    private void check(int of, TypeRun run, Version offered, Message message) {
+        JsonArray runs = run.running;
+        reading.execute(() -> {
+            List<String> findings = new ArrayList<>();
+            JsonArray resources = null;
+            ResourceType.Reading read = null;
+            try {
+                resources = message.resources(runs, findings);
+                String digest = findings.isEmpty() ? Message.digestFinding(offered.digest(), resources)
+                        : null;
+                if (digest != null) {
+                    findings.add(digest);
+                }
+                read = findings.isEmpty() ? run.type.read(resources) : null;
+                findings.addAll(read == null ? List.of() : read.findings);
+            } catch (RuntimeException | StackOverflowError e) {
+                // A reader's fault must end in an answer: without one, every later line would wait.
+                LOG.error("a {} could not be read", run.type.name(), e);
+                findings.add("resources: can't be read: " + e);
+            }
+            JsonArray whole = resources;
+            ResourceType.Reading sound = read;
+            back(() -> checked(of, run, offered, whole, sound, findings));
+        });
+    }
+
+    private void checked(int of, TypeRun run, Version offered, JsonArray resources,
+            ResourceType.Reading read, List<String> findings) {
+        if (findings.isEmpty()) {
+            steps(read::prepare, () -> decided(of, run, offered, resources, read, findings));
+        } else {
+            decided(of, run, offered, resources, read, findings);
         }
-        DestinationType.Read read = type.read(resources.getAsJsonArray());
-        if (!read.findings().isEmpty()) {
-            refuse(offered, String.join("\n", read.findings()));
-            return;
+    }
+
+    /** A step a turn, and I/O between them, until one says false: a large set must not hold the loop. */
+    private void steps(BooleanSupplier step, Runnable then) {
+        long began = System.nanoTime();
+        boolean more = step.getAsBoolean();
+        longestStep = Math.max(longestStep, (System.nanoTime() - began) / 1000);
+        counters.set("config.step_most_us", longestStep);
+        loop.deadlines().at(loop.micros() + BETWEEN_STEPS, more ? () -> steps(step, then) : then);
+    }
+
+    private void decided(int of, TypeRun run, Version offered, JsonArray resources,
+            ResourceType.Reading read, List<String> findings) {
+        // Meanwhile the stream may have ended, or what ran been taken back.
+        if (of == generation && isUp && run.track.whole(offered).kind() == Kind.LOOK) {
+            if (findings.isEmpty()) {
+                adopt(run, offered, resources, read);
+                ack(run, offered);
+                // Before the next line: what is left over is nobody's to speak for but this one's.
+                steps(read::tidy, this::done);
+                return;
+            } else {
+                String reason = String.join("\n", findings);
+                run.track.refuse(offered, reason);
+                history.add(run.type.url(), offered.toString(), "refused", streamAt, reason);
+                nack(run, INVALID_ARGUMENT, reason);
+            }
+        } else if (of == generation && isUp) {
+            nack(run, FAILED_PRECONDITION, run.track.whole(offered).reason());
         }
-        adopt(offered, resources.getAsJsonArray(), read);
-        ack(offered);
+        done();
     }
 
     // ---- adopting and taking back ----
 
-    /** All of it in this turn: what comes in later sees the new set, what is open goes on. */
-    private void adopt(Version offered, JsonArray resources, DestinationType.Read read) {
-        calm = start == null ? null : sinceStart();
-        track.accept(offered);
-        before = running;
-        running = resources;
-        from = streamAt;
-        since = wall.getAsLong();
-        scheduler.list(carrier, true, read.entries());
+    /** All of it in this turn: what comes in later sees the new state, what is open goes on. */
+    private void adopt(TypeRun run, Version offered, JsonArray resources, ResourceType.Reading read) {
+        long began = System.nanoTime();
+        boolean first = !run.hasGood();
+        run.adopt(offered, resources, read, streamAt, wall.getAsLong());
+        long took = (System.nanoTime() - began) / 1000;
+        adoptions.recordValue(took);
+        counters.set("config.adopt_p99_us", adoptions.getValueAtPercentile(99));
+        counters.set("config.adopt_most_us", adoptions.getMaxValue());
         counters.add("config.adopted");
-        LOG.info("config type={} version={} verdict=adopted from={} endpoints={}", DestinationType.URL,
-                offered, from,
-                read.entries().size());
-        start = now();
-        startAt = loop.micros();
-        if (config.probation > 0 && calm != null && before != null) {
-            loop.deadlines().set(judge, loop.micros() + config.probation);
+        history.add(run.type.url(), offered.toString(), "adopted", streamAt, String.join(";", run.later));
+        stamp();
+        if (config.probation > 0 && !first) {
+            trial.adopted(loop.micros(), scheduler.tallies(), group);
         } else {
-            keep();
+            run.settle();
         }
     }
 
-    private void refuse(Version offered, String reason) {
-        track.refuse(offered, reason);
-        nack(DestinationType.URL, INVALID_ARGUMENT, reason);
-        LOG.warn("config type={} version={} verdict=refused from={} reason={}", DestinationType.URL, offered,
-                streamAt,
-                reason.replace('\n', ';'));
+    private void look() {
+        long now = loop.micros();
+        boolean running = trial.isRunning();
+        Probation.Finding finding = trial.look(now, scheduler.tallies(), group);
+        if (running && finding.verdict() == Verdict.TAKE_BACK) {
+            takeBack(finding.figures());
+        } else if (running && finding.verdict() == Verdict.KEEP) {
+            types.values().stream().filter(run -> run.track.isOnTrial()).forEach(run -> {
+                run.settle();
+                history.add(run.type.url(), run.track.running().toString(), "settled", run.from,
+                        finding.figures());
+            });
+        }
+        loop.deadlines().set(look, trial.nextLook(now));
     }
 
-    private void judge() {
-        Probation.Finding finding = Probation.judge(calm, sinceStart(), null, null, config.bound);
-        if (finding.verdict() != Probation.Verdict.TAKE_BACK) {
-            keep();
-            return;
+    /** All that is on trial goes: which of several broke service can't be told. */
+    private void takeBack(String figures) {
+        for (TypeRun run : types.values()) {
+            if (!run.track.isOnTrial()) {
+                continue;
+            }
+            Version broken = run.track.running();
+            run.takeBack(figures);
+            counters.add("config.taken_back");
+            history.add(run.type.url(), broken.toString(), "taken_back", run.from, figures);
+            nack(run, FAILED_PRECONDITION, "version " + broken + " was taken back: " + figures);
         }
-        Version broken = track.running();
-        Version back = track.takeBack(finding.figures());
-        running = before;
-        since = wall.getAsLong();
-        scheduler.list(carrier, true, type.read(running).entries());
-        counters.add("config.taken_back");
-        start = now();
-        startAt = loop.micros();
-        LOG.warn("config type={} version={} verdict=taken_back to={} reason={}", DestinationType.URL, broken,
-                back,
-                finding.figures());
-        nack(DestinationType.URL, FAILED_PRECONDITION, "version " + broken + " was taken back: "
-                + finding.figures());
-    }
-
-    /** What runs is good: the next start may begin with it. */
-    private void keep() {
-        if (lastGood == null) {
+        stamp();
+    }
+
+    // ---- counts ----
+
+    private void takeGroup(JsonObject message) {
+        JsonElement classes = message.get("classes");
+        if (classes == null || !classes.isJsonObject()) {
+            counters.add("config.bad_group");
             return;
         }
-        JsonObject all = new JsonObject();
-        all.add("resources", running);
-        LastGood.Kept kept = new LastGood.Kept(DestinationType.URL, track.running(), since, all);
-        disk.execute(() -> {
-            try {
-                lastGood.write(kept);
-            } catch (IOException e) {
-                LOG.error("the last good configuration could not be kept: {}", e.getMessage());
+        long[][] given = new long[classNames.length][COUNTS.length];
+        for (int i = 0; i < classNames.length; i++) {
+            JsonElement one = classes.getAsJsonObject().get(classNames[i]);
+            for (int k = 0; k < COUNTS.length && one != null && one.isJsonObject(); k++) {
+                given[i][k] = (long) Message.number(one.getAsJsonObject(), COUNTS[k], 0);
             }
-        });
-    }
-
-    private Counts now() {
-        long taken = counters.get("http.taken") + counters.get("gearman.taken");
-        long failed = counters.get("http.failed") + counters.get("gearman.failed");
-        long refused = counters.get("http.refused") + counters.get("gearman.refused");
-        return new Counts(taken, failed, counters.get("call.connect_failed"), refused, 0);
+        }
+        group = given;
     }
 
-    private Counts sinceStart() {
-        Counts now = now();
-        double seconds = Math.max(1e-3, (loop.micros() - startAt) / 1e6);
-        long requests = now.requests() - start.requests();
-        return new Counts(requests, now.failed() - start.failed(),
-                now.connectErrors() - start.connectErrors(),
-                now.refused() - start.refused(), requests / seconds);
+    private void tellFigures() {
+        if (isUp) {
+            JsonObject classes = new JsonObject();
+            for (int i = 0; i < classNames.length; i++) {
+                JsonObject one = new JsonObject();
+                for (int k = 0; k < COUNTS.length; k++) {
+                    one.addProperty(COUNTS[k], scheduler.tallies()[i][k]);
+                }
+                classes.add(classNames[i], one);
+            }
+            JsonObject message = node();
+            message.addProperty("type_url", FIGURES);
+            message.add("classes", classes);
+            stream.send(message.toString());
+        }
+        loop.deadlines().set(tell, loop.micros() + config.figures);
     }
 
     // ---- words ----
 
-    private JsonObject request(Version version) {
+    private JsonObject node() {
         JsonObject request = new JsonObject();
         JsonObject node = new JsonObject();
         node.addProperty("id", name);
         request.add("node", node);
-        request.addProperty("type_url", DestinationType.URL);
-        request.addProperty("version_info", version.equals(Version.NONE) ? "" : version.toString());
-        request.addProperty("response_nonce", nonce);
         return request;
     }
 
-    private void ack(Version offered) {
+    private JsonObject request(TypeRun run) {
+        JsonObject request = node();
+        Version runs = run.track.running();
+        request.addProperty("type_url", run.type.url());
+        request.addProperty("version_info", runs.equals(Version.NONE) ? "" : runs.toString());
+        request.addProperty("response_nonce", run.nonce);
+        return request;
+    }
+
+    private void ack(TypeRun run, Version offered) {
         counters.add("config.acked");
-        stream.send(request(offered).toString());
+        JsonObject request = request(run);
+        if (!run.later.isEmpty()) {
+            // No word of xDS says so; silence would have the service believe that all of it runs.
+            request.add("restart_needed", TypeRun.words(run.later));
+        }
+        stream.send(request.toString());
     }
 
-    private void nack(String url, int code, String reason) {
+    private void wantWhole(TypeRun run, String reason) {
         counters.add("config.nacked");
-        JsonObject request = request(track.running());
+        JsonObject request = request(run);
+        JsonArray all = new JsonArray();
+        all.add("*");
+        request.add("resource_names_subscribe", all);
+        request.add("error_detail", detail(FAILED_PRECONDITION, reason));
+        stream.send(request.toString());
+    }
+
+    private void nack(TypeRun run, int code, String reason) {
+        nack(run, run.type.url(), run.nonce, code, reason);
+    }
+
+    private void nack(TypeRun run, String url, String nonce, int code, String reason) {
+        if (!isUp) {
+            // The next stream begins with what runs.
+            return;
+        }
+        counters.add("config.nacked");
+        JsonObject request = run == null ? node() : request(run);
         request.addProperty("type_url", url);
+        if (run == null) {
+            request.addProperty("version_info", "");
+        }
+        request.addProperty("response_nonce", nonce);
+        request.add("error_detail", detail(code, reason));
+        stream.send(request.toString());
+    }
+
+    private static JsonObject detail(int code, String reason) {
         JsonObject detail = new JsonObject();
         detail.addProperty("code", code);
         detail.addProperty("message", reason.length() > MOST_REASON ? reason.substring(0, MOST_REASON)
                 : reason);
-        request.add("error_detail", detail);
-        stream.send(request.toString());
+        return detail;
+    }
+
+    // ---- reports ----
+
+    /** From now on requests come under another state of the settings. */
+    private void stamp() {
+        int epoch = scheduler.retuned();
+        if (!config.tellVersions) {
+            return;
+        }
+        StringBuilder all = new StringBuilder();
+        types.values().forEach(run -> {
+            if (!run.track.running().equals(Version.NONE)) {
+                all.append(all.isEmpty() ? "" : " ").append(run.type.name()).append('=')
+                        .append(run.track.running());
+            }
+        });
+        stamps.put(epoch, all.toString());
+        if (stamps.size() > MOST_STAMPS) {
+            stamps.remove(stamps.keySet().iterator().next());
+        }
+    }
+
+    /** The versions that a request of that epoch came under; empty where there were none. */
+    public String versions(int epoch) {
+        return stamps.getOrDefault(epoch, "");
     }
 
     /** What runs here, for whoever asks. */
     public String report() {
         JsonObject all = new JsonObject();
         all.addProperty("scheduler", name);
-        JsonObject one = new JsonObject();
-        one.addProperty("version", track.running().toString());
-        one.addProperty("since_ms", since);
-        one.addProperty("from", from);
-        Map.Entry<Version, String> last = track.lastRefused();
-        if (last != null) {
-            JsonObject refused = new JsonObject();
-            refused.addProperty("version", last.getKey().toString());
-            refused.addProperty("reason", last.getValue());
-            one.add("last_refused", refused);
-        }
-        JsonObject types = new JsonObject();
-        types.add(DestinationType.URL, one);
-        all.add("types", types);
+        all.addProperty("stream", isUp ? streamAt : "");
+        JsonObject each = new JsonObject();
+        types.forEach((url, run) -> each.add(url, run.report()));
+        all.add("types", each);
         return all + "\n";
     }
 
-    private static String text(JsonObject from, String key) {
-        JsonElement value = from.get(key);
-        return value != null && value.isJsonPrimitive() ? value.getAsString() : "";
-    }
-
-    private static double number(JsonObject from, String key, double absent) {
-        JsonElement value = from.get(key);
-        boolean is = value != null && value.isJsonPrimitive() && value.getAsJsonPrimitive().isNumber();
-        return is ? value.getAsDouble() : absent;
+    /** The last changes of what runs, for whoever asks. */
+    public String history() {
+        return history.report();
     }
 }
--- a/src/main/java/laneflow/control/ControlConfig.java
+++ b/src/main/java/laneflow/control/ControlConfig.java
@@ -23,6 +23,12 @@
     /** The growth of a share of requests that ends badly which takes a version back. */
     public final double bound;
     public final int mostLine;
+    /** Where operators ask what runs, or null: at the clients' port. */
+    public final String listen;
+    /** Answers to clients carry the versions that their requests came under. */
+    public final boolean tellVersions;
+    /** Microseconds between two words of this scheduler's counts to the service; 0: none. */
+    public final long figures;
 
     private ControlConfig(Table from) {
         addresses = from.texts("addresses");
@@ -53,6 +59,16 @@
         probation = from.whole("probation_ms", 30_000, 0, 3_600_000) * 1000;
         bound = from.number("worse_by", 0.02, 0.001, 1);
         mostLine = (int) from.whole("most_line_kib", 8192, 1, 65_536) * 1024;
+        listen = from.text("listen", null);
+        try {
+            if (listen != null) {
+                Loop.address(listen);
+            }
+        } catch (IllegalArgumentException e) {
+            from.wrong("listen", e.getMessage());
+        }
+        tellVersions = from.flag("tell_versions", false);
+        figures = from.whole("figures_ms", 1000, 0, 3_600_000) * 1000;
         from.close();
     }
 
--- a/src/main/java/laneflow/control/DestinationType.java
+++ b/src/main/java/laneflow/control/DestinationType.java
@@ -4,96 +4,131 @@
 import com.google.gson.JsonElement;
 import com.google.gson.JsonObject;
 import java.util.ArrayList;
-import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
-import java.util.Map;
 import java.util.Set;
-import java.util.regex.Pattern;
 import laneflow.core.DestinationSet.Entry;
+import laneflow.core.Replacement;
 import laneflow.decision.Dispatch.State;
 import laneflow.net.Loop;
 
 /**
- * Destination sets as a type of the stream: what a whole one must be, in form and in sense. All findings
- * come at once, each with the path to its value. No I/O.
+ * Destination sets as a type of the stream: what a whole one must be in sense, once its form is right. A set
+ * that would leave a zone without a live endpoint, or a class without one that runs it, is none. No I/O.
  */
-public final class DestinationType {
+public final class DestinationType implements ResourceType {
     /** The type's name on the stream. */
-    public static final String URL = "type.laneflow/destinations";
-    private static final Set<String> KEYS = Set.of("name", "dial", "zone", "state", "weight", "born_ms");
-    private static final double MOST_WEIGHT = 1e6;
-    private static final int MOST_FINDINGS = 50;
-    /** Compiled once: a large set has thousands of names, read within one turn of the loop. */
-    private static final Pattern NAME = Pattern.compile("[A-Za-z0-9_.:-]{1,128}");
+    public static final String URL = PREFIX + "destinations";
 
+    /** Who puts sets to work. */
+    public interface Adopter {
+        /** The set, whole, with the names of all that are in it; to be prepared and adopted. */
+        Replacement replacement(List<Entry> entries, Set<String> named);
+    }
+
+    private final Form form = new Form("destinations");
     private final List<String> zones;
+    private final List<String> classes;
     private final List<AddressRange> allowed;
+    private final boolean othersRun;
+    private final Adopter adopter;
 
-    /** A set that was read, and what is wrong with it; it may be used only if that is nothing. */
-    public record Read(List<Entry> entries, List<String> findings) {
-    }
-
-    public DestinationType(List<String> zones, List<AddressRange> allowed) {
+    /**
+     * The type for these zones and classes.
+     *
+     * @param allowed ranges that endpoints may lie in
+     * @param othersRun true where classes may also be run by who is in no set, as Gearman workers are
+     * @param adopter puts a sound set to work, on the loop's thread
+     */
+    public DestinationType(List<String> zones, List<String> classes, List<AddressRange> allowed,
+            boolean othersRun, Adopter adopter) {
         this.zones = zones;
+        this.classes = classes;
         this.allowed = allowed;
+        this.othersRun = othersRun;
+        this.adopter = adopter;
+    }
+
+    @Override
+    public String name() {
+        return "destinations";
+    }
+
+    @Override
+    public boolean isReadAtStart() {
+        return false;
     }
 
-    /** Reads a set. */
-    public Read read(JsonArray resources) {
-        List<String> findings = new ArrayList<>();
+    @Override
+    public Reading read(JsonArray resources) {
+        List<String> findings = form.findings(resources);
         List<Entry> entries = new ArrayList<>();
-        Map<String, Integer> names = new HashMap<>();
-        for (int i = 0; i < resources.size() && findings.size() < MOST_FINDINGS; i++) {
-            String path = "resources[" + i + "]";
-            if (!resources.get(i).isJsonObject()) {
-                findings.add(path + ": must be an object");
-                continue;
-            }
-            Entry entry = entry(resources.get(i).getAsJsonObject(), path, findings);
-            Integer before = names.putIfAbsent(entry.name, i);
-            if (before != null && entry.name != null) {
-                findings.add(path + ".name: '" + entry.name + "' is resources[" + before + "]'s too");
+        if (findings.isEmpty()) {
+            for (int i = 0; i < resources.size() && findings.size() < Form.MOST_FINDINGS; i++) {
+                entries.add(entry(resources.get(i).getAsJsonObject(), "resources[" + i + "]", findings));
             }
-            entries.add(entry);
         }
         if (findings.isEmpty()) {
             sense(entries, findings);
         }
-        return new Read(entries, findings);
+        Set<String> named = new HashSet<>();
+        entries.forEach(entry -> named.add(entry.name));
+        return new Reading(findings, entries.size()) {
+            private Replacement next;
+            private Replacement last;
+
+            @Override
+            public boolean prepare() {
+                next = next == null ? adopter.replacement(entries, named) : next;
+                return next.step();
+            }
+
+            @Override
+            public List<String> adopt() {
+                next = next == null ? adopter.replacement(entries, named) : next;
+                next.adopt();
+                last = next;
+                next = null;
+                return List.of();
+            }
+
+            @Override
+            public boolean tidy() {
+                return last != null && last.tidy();
+            }
+        };
     }
 
     private Entry entry(JsonObject from, String path, List<String> findings) {
-        for (String key : from.keySet()) {
-            if (!KEYS.contains(key)) {
-                findings.add(path + "." + key + ": is unknown");
-            }
-        }
         Entry entry = new Entry();
-        entry.name = text(from, "name", null, path, findings);
-        if (entry.name != null && !NAME.matcher(entry.name).matches()) {
-            findings.add(path + ".name: is no name: letters, digits, '_', '.', ':' and '-'");
-        }
-        entry.dial = text(from, "dial", null, path, findings);
+        entry.name = from.get("name").getAsString();
+        entry.dial = from.get("dial").getAsString();
         dial(entry.dial, path, findings);
-        String zone = text(from, "zone", zones.isEmpty() ? "" : zones.get(0), path, findings);
-        entry.zone = Math.max(0, zones.indexOf(zone));
-        if (zone != null && !zones.isEmpty() && !zones.contains(zone)) {
-            findings.add(path + ".zone: '" + zone + "' is none of " + zones);
+        if (from.has("zone") && !zones.isEmpty()) {
+            entry.zone = zones.indexOf(from.get("zone").getAsString());
+            if (entry.zone < 0) {
+                findings.add(path + ".zone: " + from.get("zone") + " is none of " + zones);
+            }
         }
-        String state = text(from, "state", "ready", path, findings);
-        if (state != null && !state.equals("ready") && !state.equals("draining")) {
-            findings.add(path + ".state: '" + state + "' is neither ready nor draining");
+        boolean draining = from.has("state") && from.get("state").getAsString().equals("draining");
+        entry.state = draining ? State.DRAINING : State.READY;
+        entry.weight = from.has("weight") ? from.get("weight").getAsDouble() : 1;
+        entry.startedAt = from.has("born_ms") ? (long) (from.get("born_ms").getAsDouble() * 1000) : 0;
+        if (from.has("classes")) {
+            entry.classes = 0;
+            for (JsonElement name : from.getAsJsonArray("classes")) {
+                int at = classes.indexOf(name.getAsString());
+                if (at < 0) {
+                    findings.add(path + ".classes: " + name + " is none of " + classes);
+                } else {
+                    entry.classes |= 1L << at;
+                }
+            }
         }
-        entry.state = "ready".equals(state) ? State.READY : State.DRAINING;
-        entry.weight = number(from, "weight", 1, MOST_WEIGHT, path, findings);
-        entry.startedAt = (long) (number(from, "born_ms", 0, 1e14, path, findings) * 1000);
         return entry;
     }
 
     private void dial(String dial, String path, List<String> findings) {
-        if (dial == null) {
-            return;
-        }
         try {
             var address = Loop.address(dial);
             if (address.getPort() == 0) {
@@ -106,35 +141,7 @@
         }
     }
 
-    private static String text(JsonObject from, String key, String absent, String path,
-            List<String> findings) {
-        JsonElement value = from.get(key);
-        if (value == null && absent != null) {
-            return absent;
-        }
-        if (value == null || !value.isJsonPrimitive() || !value.getAsJsonPrimitive().isString()) {
-            findings.add(path + "." + key + (value == null ? ": is missing" : ": must be a text"));
-            return null;
-        }
-        return value.getAsString();
-    }
-
-    private static double number(JsonObject from, String key, double absent, double most, String path,
-            List<String> findings) {
-        JsonElement value = from.get(key);
-        if (value == null) {
-            return absent;
-        }
-        boolean number = value.isJsonPrimitive() && value.getAsJsonPrimitive().isNumber();
-        double is = number ? value.getAsDouble() : Double.NaN;
-        if (!(is >= 0 && is <= most)) {
-            findings.add(path + "." + key + ": must be a number from 0 to " + (long) most);
-            return absent;
-        }
-        return is;
-    }
-
-    /** Well formed and no sense: such a set would stop a zone, or everything. */
+    /** Well formed and no sense: such a set would stop a zone, a class, or everything. */
     private void sense(List<Entry> entries, List<String> findings) {
         for (int zone = 0; zone < Math.max(1, zones.size()); zone++) {
             int at = zone;
@@ -146,5 +153,12 @@
                 findings.add("resources: all weights of live endpoints in " + name + " are 0");
             }
         }
+        for (int i = 0; i < classes.size() && !othersRun && findings.isEmpty(); i++) {
+            long bit = 1L << i;
+            if (entries.stream().noneMatch(entry -> entry.state == State.READY
+                    && (entry.classes & bit) != 0)) {
+                findings.add("resources: no live endpoint runs class " + classes.get(i));
+            }
+        }
     }
 }
--- a/src/main/java/laneflow/control/decision/Probation.java
+++ b/src/main/java/laneflow/control/decision/Probation.java
@@ -16,7 +16,9 @@
     /** Fewer requests than that on either side tell nothing. */
     public static final int LEAST = 50;
     /** One-sided, a false alarm in about 700 looks. */
-    private static final double Z = 3.0;
+    public static final double Z = 3.0;
+    /** Looks before the end are many, and each may be wrong by chance. */
+    public static final double EARLY_Z = 4.0;
     /** A load so many times the one before explains refusals. */
     private static final double GROWN = 1.2;
 
@@ -49,6 +51,12 @@
      */
     public static Finding judge(Counts before, Counts after, Counts controlBefore, Counts controlAfter,
             double bound) {
+        return judge(before, after, controlBefore, controlAfter, bound, Z);
+    }
+
+    /** The same, with so many standard deviations between chance and blame. */
+    public static Finding judge(Counts before, Counts after, Counts controlBefore, Counts controlAfter,
+            double bound, double z) {
         if (before.requests() < LEAST || after.requests() < LEAST) {
             return new Finding(Verdict.TOO_EARLY, after.requests() + " requests since, " + before.requests()
                     + " before");
@@ -56,7 +64,7 @@
         boolean control = controlBefore != null && controlAfter != null && controlBefore.requests() >= LEAST
                 && controlAfter.requests() >= LEAST;
         double common = control ? Math.max(0, controlAfter.bad() - controlBefore.bad()) : 0;
-        if (worse(before.bad() + common, before.requests(), after.bad(), after.requests(), bound)) {
+        if (worse(before.bad() + common, before.requests(), after.bad(), after.requests(), bound, z)) {
             return new Finding(Verdict.TAKE_BACK, figures("failures and connect errors", before.bad(),
                     after.bad(),
                     common, control));
@@ -64,8 +72,7 @@
         double shed = control ? Math.max(0, controlAfter.refusedShare() - controlBefore.refusedShare()) : 0;
         boolean grown = !control && after.perSecond() > GROWN * before.perSecond();
         if (!grown && worse(before.refusedShare() + shed, before.requests(), after.refusedShare(),
-                after.requests(),
-                bound)) {
+                after.requests(), bound, z)) {
             return new Finding(Verdict.TAKE_BACK, figures("refusals", before.refusedShare(),
                     after.refusedShare(),
                     shed, control));
@@ -75,14 +82,15 @@
                 : "");
     }
 
-    private static boolean worse(double was, long wasOf, double is, long isOf, double bound) {
+    private static boolean worse(double was, long wasOf, double is, long isOf, double bound,
+            double z) {
         double grown = is - was;
         if (grown <= bound) {
             return false;
         }
         double pooled = Math.min(1, (was * wasOf + is * isOf) / (wasOf + isOf));
         double deviation = Math.sqrt(pooled * (1 - pooled) * (1.0 / wasOf + 1.0 / isOf));
-        return grown > Z * deviation;
+        return grown > z * deviation;
     }
 
     private static String figures(String what, double was, double is, double common, boolean control) {
--- a/src/main/java/laneflow/control/decision/Track.java
+++ b/src/main/java/laneflow/control/decision/Track.java
@@ -1,6 +1,8 @@
 package laneflow.control.decision;
 
+import java.util.ArrayList;
 import java.util.LinkedHashMap;
+import java.util.List;
 import java.util.Map;
 
 /**
@@ -15,7 +17,10 @@
     private static final int MOST_REFUSED = 256;
 
     private Version running = Version.NONE;
-    private Version before = Version.NONE;
+    /** The last one that has stood its trial: what runs again where a later one has not. */
+    private Version good = Version.NONE;
+    /** Adopted behind that one, and on trial. */
+    private final List<Version> onTrial = new ArrayList<>();
     private final Map<Version, String> refused = new LinkedHashMap<>() {
         private static final long serialVersionUID = 1L;
 
@@ -89,8 +94,19 @@
             // Each version is whole, so one that was never seen is not missed; that it happened is counted.
             gaps++;
         }
-        before = running;
         running = offered;
+        onTrial.add(offered);
+    }
+
+    /** What runs has stood its trial. */
+    public void settle() {
+        good = running;
+        onTrial.clear();
+    }
+
+    /** True if something runs that has not stood its trial. */
+    public boolean isOnTrial() {
+        return !onTrial.isEmpty();
     }
 
     /** What was looked at is turned down, and not looked at again. */
@@ -98,17 +114,21 @@
         refused.put(offered, reason);
     }
 
-    /** What runs has broken something: the one before runs again, and this one is not tried twice. */
+    /**
+     * What is on trial has broken something: the last good one runs again, and none of those adopted since
+     * is tried twice. Which of several it was can't be told, and a new number costs the service little.
+     */
     public Version takeBack(String reason) {
-        refused.put(running, reason);
-        running = before;
+        onTrial.forEach(version -> refused.put(version, reason));
+        onTrial.clear();
+        running = good;
         return running;
     }
 
     /** At the start, from the file of the last good ones. */
     public void startAt(Version lastGood) {
         running = lastGood;
-        before = lastGood;
+        good = lastGood;
     }
 
     public Version running() {
--- a/src/main/java/laneflow/core/DestinationSet.java
+++ b/src/main/java/laneflow/core/DestinationSet.java
@@ -26,6 +26,21 @@
         public double weight = 1;
         public long startedAt;
         public long classes = -1;
+
+        /** The same in another state. */
+        Entry in(State other) {
+            Entry copy = new Entry();
+            copy.name = name;
+            copy.dial = dial;
+            copy.zone = zone;
+            copy.kind = kind;
+            copy.cell = cell;
+            copy.state = other;
+            copy.weight = weight;
+            copy.startedAt = startedAt;
+            copy.classes = classes;
+            return copy;
+        }
     }
 
     /** Takes a list in and returns what has changed, as the module reads it. */
@@ -46,6 +61,10 @@
             if (endpoint.carrier != carrier) {
                 continue;
             }
+            if (entry.state == State.GONE) {
+                changes.add(state(endpoint, State.GONE, now));
+                continue;
+            }
             endpoint.dial = entry.dial.isEmpty() ? endpoint.dial : entry.dial;
             endpoint.zone = entry.zone;
             endpoint.kind = entry.kind;
@@ -66,6 +85,17 @@
         return changes;
     }
 
+    /** The endpoints of one source. */
+    List<Endpoint> of(Carrier carrier) {
+        List<Endpoint> all = new ArrayList<>();
+        for (Endpoint endpoint : byName.values()) {
+            if (endpoint.carrier == carrier) {
+                all.add(endpoint);
+            }
+        }
+        return all;
+    }
+
     private Worker state(Endpoint endpoint, State state, long now) {
         if (state == State.READY) {
             endpoint.drainToldAt = Long.MAX_VALUE;
@@ -89,10 +119,15 @@
         return byId.get(id);
     }
 
-    /** Drops the endpoints that are gone; calls still out hold on to theirs. */
-    void forgetGone() {
-        byName.values().removeIf(endpoint -> endpoint.state == State.GONE);
-        byId.values().removeIf(endpoint -> endpoint.state == State.GONE);
+    /** Drops those of them that are gone; calls still out hold on to theirs. */
+    void forgetGone(List<Worker> changes) {
+        for (Worker change : changes) {
+            Endpoint endpoint = change.state == State.GONE ? byId.get(change.id) : null;
+            if (endpoint != null && endpoint.state == State.GONE) {
+                byId.remove(endpoint.id);
+                byName.remove(endpoint.name);
+            }
+        }
     }
 
     /** The endpoint of that name, or null. */
--- a/src/main/java/laneflow/core/Endpoint.java
+++ b/src/main/java/laneflow/core/Endpoint.java
@@ -39,6 +39,13 @@
         return hash;
     }
 
+    /** True if an entry says nothing new of it. */
+    boolean isAs(DestinationSet.Entry entry) {
+        return state == entry.state && dial.equals(entry.dial) && zone == entry.zone && kind == entry.kind
+                && cell == entry.cell && weight == entry.weight && startedAt == entry.startedAt
+                && classes == entry.classes;
+    }
+
     public State state() {
         return state;
     }
--- a/src/main/java/laneflow/core/Request.java
+++ b/src/main/java/laneflow/core/Request.java
@@ -1,6 +1,7 @@
 package laneflow.core;
 
 import laneflow.decision.Dispatch;
+import laneflow.decision.Dispatch.JobClass;
 import laneflow.core.Deadlines.Deadline;
 
 /** A client's request, from its arrival to its one final answer. */
@@ -25,6 +26,11 @@
     /** The name by which such a wire tells the job from others of its function, or null. */
     public String unique;
 
+    /** What held when it came: a version adopted since is for those that come later. */
+    JobClass type;
+    int mostCalls;
+    int epoch;
+
     long handle;
     long takenAt;
     boolean answered;
@@ -62,6 +68,11 @@
         mayHaveRunAt = Math.min(mayHaveRunAt, sentAt);
     }
 
+    /** Which state of the settings it came under; see {@link Scheduler#retuned}. */
+    public int epoch() {
+        return epoch;
+    }
+
     void fill(Dispatch.Request to) {
         to.id = handle;
         to.jobClass = jobClass;
--- a/src/main/java/laneflow/core/Scheduler.java
+++ b/src/main/java/laneflow/core/Scheduler.java
@@ -3,6 +3,7 @@
 import java.util.ArrayDeque;
 import java.util.List;
 import java.util.Locale;
+import java.util.Set;
 import laneflow.decision.Dispatch;
 import laneflow.decision.Dispatch.Effect;
 import laneflow.decision.Dispatch.Group;
@@ -24,6 +25,12 @@
  */
 public final class Scheduler {
     private static final Logger LOG = LoggerFactory.getLogger(Scheduler.class);
+    /** What {@link #tallies} counts of each class. */
+    public static final int TAKEN = 0;
+    public static final int FAILED = 1;
+    public static final int CONNECT_FAILED = 2;
+    public static final int REFUSED = 3;
+    public static final int TALLIES = 4;
 
     private final Settings settings;
     private final Clock clock;
@@ -39,6 +46,8 @@
     private final Dispatch.Request told = new Dispatch.Request();
     private final Arrivals arrivals = new Arrivals();
     private boolean atWork;
+    private int epoch;
+    private final long[][] tallies;
 
     public Scheduler(Settings settings, long seed, Clock clock, Deadlines deadlines, Counters counters) {
         this.settings = settings;
@@ -47,6 +56,7 @@
         this.counters = counters;
         doer = new Doer();
         module = new Logic(settings, seed, doer);
+        tallies = new long[settings.classes.length][TALLIES];
     }
 
     /** Starts with the list of endpoints last held, or an empty one. */
@@ -62,10 +72,33 @@
         if (!changes.isEmpty()) {
             event(() -> module.list(now(), ListKind.CHANGES, changes));
             // Replaced endpoints come under new names: kept, the old ones would pile up with every release.
-            event(destinations::forgetGone);
+            event(() -> destinations.forgetGone(changes));
         }
     }
 
+    /**
+     * A whole set of a source, to be prepared in steps and then adopted at once.
+     *
+     * @param named the names of all entries
+     */
+    public Replacement replacement(Carrier carrier, List<DestinationSet.Entry> entries, Set<String> named) {
+        return new Replacement(this, destinations, carrier, entries, named);
+    }
+
+    /**
+     * What may change of the settings has changed; requests that are open keep what they came under. Returns
+     * the number that those to come carry ({@link Request#epoch}).
+     */
+    public int retuned() {
+        event(module::retuned);
+        return ++epoch;
+    }
+
+    /** Counts by class since the start; the array is the core's own and changes. */
+    public long[][] tallies() {
+        return tallies;
+    }
+
     public DestinationSet destinations() {
         return destinations;
     }
@@ -89,11 +122,15 @@
     public void submit(Request request) {
         request.handle = requests.add(request);
         request.takenAt = clock.micros();
+        request.type = settings.classes[request.jobClass];
+        request.mostCalls = settings.maxAttempts;
+        request.epoch = epoch;
         if (!request.front.leases()) {
             // Durable jobs come as there is room for them: they show nothing of who is away.
             arrivals.add(request.takenAt);
         }
         counters.add(request.front.name() + ".taken");
+        tallies[request.jobClass][TAKEN]++;
         // The module answers in time by itself; this catches what would otherwise stay without an answer.
         request.backstop = deadlines.at(request.deadline, () -> overdue(request));
         event(() -> {
@@ -184,7 +221,7 @@
     public void expire(OutboundCall call) {
         if (calls.get(call.handle) == call) {
             counters.add("lease.expired");
-            if (settings.classes[call.request.jobClass].effect != Effect.UNSAFE) {
+            if (call.request.type.effect != Effect.UNSAFE) {
                 call.endpoint.carrier.close(call);
             }
             ended(call, Outcome.TIMEOUT, null, null);
@@ -204,7 +241,7 @@
     }
 
     private boolean mayRepeat(Request request) {
-        JobClass type = settings.classes[request.jobClass];
+        JobClass type = request.type;
         return !request.mayHaveRun() || type.effect == Effect.SAFE || type.effect == Effect.KEYED
                 && clock.micros() < request.firstMayHaveRun() + (long) (type.window * 1e6);
     }
@@ -244,6 +281,9 @@
         }
         release(call);
         counters.add("call." + outcome.name().toLowerCase(Locale.ROOT));
+        if (outcome == Outcome.CONNECT_FAILED) {
+            tallies[request.jobClass][CONNECT_FAILED]++;
+        }
         if (!outcome.neverRan) {
             request.mayHaveRun(call.sentAt);
         }
@@ -289,6 +329,7 @@
     private void answerFailed(Request request) {
         close(request);
         counters.add(request.front.name() + ".failed");
+        tallies[request.jobClass][FAILED]++;
         request.front.failed(request.tag);
     }
 
@@ -350,7 +391,7 @@
             if (!mayBegin(endpoint)) {
                 return "drain";
             }
-            if (clock.micros() >= request.deadline || request.calls > settings.maxAttempts) {
+            if (clock.micros() >= request.deadline || request.calls > request.mostCalls) {
                 return "spent";
             }
             return mayRepeat(request) ? null : "effect";
@@ -363,7 +404,7 @@
                 return;
             }
             // A refusal asks the client back: what may have run must not be asked for again.
-            JobClass type = settings.classes[request.jobClass];
+            JobClass type = request.type;
             boolean apart = type.effect == Effect.KEYED && type.group != Group.ALL && request.mayHaveRun();
             if (apart || !mayRepeat(request)) {
                 counters.add("core.kept.refusal");
@@ -372,6 +413,7 @@
             }
             close(request);
             counters.add(request.front.name() + ".refused");
+            tallies[request.jobClass][REFUSED]++;
             request.front.failFast(request.tag, retryAfter);
         }
 
--- a/src/main/java/laneflow/decision/Dispatch.java
+++ b/src/main/java/laneflow/decision/Dispatch.java
@@ -16,7 +16,9 @@
  * (or an empty one) comes before the first request. The same settings, seed and events give the same actions.
  *
  * <p><b>Ownership.</b> Values passed in are read before the method returns and may be reused by the host
- * afterwards, but for {@link Settings}, which must not change.
+ * afterwards, but for {@link Settings}: of these only {@code maxAttempts}, {@code retryAfter},
+ * {@code maxRetryAfter}, and the entries of {@code classes} as wholes, may change, between two events and
+ * with {@link #retuned} behind it. A request keeps what it came under; no class changes its effect or kind.
  *
  * <p><b>Misuse.</b> A request id already open, and outcomes, notes, timers or probe results for things
  * unknown, are ignored. A class out of range is an {@link IllegalArgumentException};
@@ -197,6 +199,9 @@
     /** Discovery's view of the workers; entries are empty for {@link ListKind#FAILED}. */
     void list(double now, ListKind kind, List<Worker> entries);
 
+    /** Settings that may change have changed: they hold for the requests that come from now on. */
+    void retuned();
+
     /** A request has arrived; exactly one final answer is owed. */
     void request(double now, Request request);
 
--- a/src/main/java/laneflow/decision/Job.java
+++ b/src/main/java/laneflow/decision/Job.java
@@ -2,6 +2,7 @@
 
 import laneflow.decision.Dispatch.JobClass;
 import laneflow.decision.Dispatch.Request;
+import laneflow.decision.Dispatch.Settings;
 import java.util.Arrays;
 
 /** A request's record, from its arrival until nothing of it is out: facts, on which {@link Logic} decides. */
@@ -15,6 +16,10 @@
     double hint;
     double slots;
     double memory;
+    /** The limits under which it came: others may hold for those that come later. */
+    int mostAttempts;
+    boolean toldWhen;
+    double longestRetryAfter;
     /** Reports it still waits for. */
     int awaited;
     boolean live;
@@ -29,9 +34,12 @@
     int attempts;
     int outstanding;
 
-    void open(Request request, JobClass jobClass, double now, double call, double work) {
+    void open(Request request, Settings settings, double now, double call, double work) {
         id = request.id;
-        type = jobClass;
+        type = settings.classes[request.jobClass];
+        mostAttempts = settings.maxAttempts;
+        toldWhen = settings.retryAfter;
+        longestRetryAfter = settings.maxRetryAfter;
         arrivedAt = now;
         lastCall = call;
         hint = work;
--- a/src/main/java/laneflow/decision/Logic.java
+++ b/src/main/java/laneflow/decision/Logic.java
@@ -118,9 +118,7 @@
         Arrays.setAll(pools, zone -> new Pool(random.nextInt()));
         slack = new double[settings.classes.length];
         Arrays.fill(slack, Double.POSITIVE_INFINITY);
-        for (JobClass type : settings.classes) {
-            topWorth = Math.max(topWorth, type.worth);
-        }
+        retuned();
     }
 
     // ---- events ----
@@ -160,6 +158,14 @@
         index();
     }
 
+    @Override
+    public void retuned() {
+        topWorth = 0;
+        for (JobClass type : settings.classes) {
+            topWorth = Math.max(topWorth, type.worth);
+        }
+    }
+
     @Override
     public void request(double at, Request request) {
         clock(at);
@@ -483,7 +489,7 @@
 
     /** What follows an attempt that did not serve the request. */
     private void next(Job job) {
-        if (job.streaming || now >= job.lastCall || job.attempts >= settings.maxAttempts || !mayRepeat(job)
+        if (job.streaming || now >= job.lastCall || job.attempts >= job.mostAttempts || !mayRepeat(job)
                 || !withinBudget()) {
             finish(job);
         } else {
@@ -496,7 +502,7 @@
     private void finish(Job job) {
         end(job);
         if (mayRefuse(job)) {
-            out.refuse(job.id, settings.retryAfter ? comeBack(job) : 0);
+            out.refuse(job.id, job.toldWhen ? comeBack(job) : 0);
         } else {
             out.fail(job.id);
         }
@@ -514,8 +520,8 @@
                 return settings.tick;
             }
         }
-        double part = home < 0 ? settings.maxRetryAfter : Math.max(settings.tick, RETRY_PART * patience(job));
-        return Math.min(settings.maxRetryAfter, part);
+        double part = home < 0 ? job.longestRetryAfter : Math.max(settings.tick, RETRY_PART * patience(job));
+        return Math.min(job.longestRetryAfter, part);
     }
 
     private void end(Job job) {
@@ -853,7 +859,7 @@
         meanHint += HINT_GAIN * (hint - meanHint);
         Job job = jobs.open(request.id);
         double call = request.deadline - LAST_CALL_TICKS * settings.tick;
-        job.open(request, settings.classes[request.jobClass], now, call, hint);
+        job.open(request, settings, now, call, hint);
         job.classBit = 1L << request.jobClass;
         return job;
     }
--- a/src/main/java/laneflow/durable/DurableConfig.java
+++ b/src/main/java/laneflow/durable/DurableConfig.java
@@ -1,6 +1,7 @@
 package laneflow.durable;
 
 import java.nio.file.Path;
+import java.util.ArrayList;
 import java.util.List;
 import laneflow.config.Table;
 import laneflow.decision.Dispatch.Settings;
@@ -27,13 +28,13 @@
     /** The most that the store may take on disk, bytes. */
     public final long storeBytes;
     /** Open jobs and the bytes of their bodies, all classes together; bodies are held in memory. */
-    public final long mostJobs;
-    public final long mostBytes;
+    public long mostJobs;
+    public long mostBytes;
     /** How long an ended job and its result can be asked for. */
-    public final long retentionMs;
+    public long retentionMs;
     /** The most durable jobs at work in the core at a time. */
-    public final int mostAtWork;
-    /** By number of class. */
+    public int mostAtWork;
+    /** By number of class; entries are replaced as wholes, and a job keeps the one it came under. */
     public final OfClass[] classes;
     public final List<String> classNames;
 
@@ -71,6 +72,43 @@
         from.close();
     }
 
+    private DurableConfig(DurableConfig other) {
+        classNames = other.classNames;
+        dir = other.dir;
+        storeBytes = other.storeBytes;
+        mostJobs = other.mostJobs;
+        mostBytes = other.mostBytes;
+        retentionMs = other.retentionMs;
+        mostAtWork = other.mostAtWork;
+        classes = other.classes.clone();
+    }
+
+    /** The same, on which later versions do not tell. */
+    public DurableConfig copy() {
+        return new DurableConfig(this);
+    }
+
+    /**
+     * Takes over what may change while jobs are open, and tells what waits for a restart. On the thread of
+     * the jobs' owner.
+     */
+    public List<String> adopt(DurableConfig other) {
+        List<String> later = new ArrayList<>();
+        if (!dir.equals(other.dir)) {
+            later.add("dir: " + other.dir + " from the next start on, " + dir + " until then");
+        }
+        if (storeBytes != other.storeBytes) {
+            later.add("store_mib: " + other.storeBytes / MIB + " from the next start on, " + storeBytes / MIB
+                    + " until then");
+        }
+        mostJobs = other.mostJobs;
+        mostBytes = other.mostBytes;
+        retentionMs = other.retentionMs;
+        mostAtWork = other.mostAtWork;
+        System.arraycopy(other.classes, 0, classes, 0, classes.length);
+        return later;
+    }
+
     /** Reads the table; what is wrong becomes findings of the table's. */
     public static DurableConfig read(Table from, Settings settings, List<String> classNames) {
         return new DurableConfig(from, settings, classNames);
--- a/src/main/java/laneflow/durable/DurableJobs.java
+++ b/src/main/java/laneflow/durable/DurableJobs.java
@@ -109,7 +109,7 @@
         pumping = true;
         List<Held> over = new ArrayList<>();
         for (JobRow row : rows) {
-            Held job = new Held(row, config.classNames.indexOf(row.jobClass()));
+            Held job = held(row);
             table.add(job);
             found[job.state.number]++;
             orphans += job.jobClass < 0 ? 1 : 0;
@@ -145,6 +145,21 @@
         pump();
     }
 
+    private Held held(JobRow row) {
+        int jobClass = config.classNames.indexOf(row.jobClass());
+        return new Held(row, jobClass, jobClass < 0 ? null : config.classes[jobClass]);
+    }
+
+    /** A version of the settings: it holds for what comes from now on. Returns what waits for a restart. */
+    public List<String> adopt(DurableConfig other) {
+        List<String> later = config.adopt(other);
+        for (Lane lane : lanes) {
+            lane.pacer.most(config.mostAtWork);
+        }
+        pump();
+        return later;
+    }
+
     // ---- taking on ----
 
     @Override
@@ -185,7 +200,7 @@
                 given.key(), payload.target(), payload.requestId(), payload.repeatKey(), given.hint(),
                 given.slots(), given.memory(), given.subject(), given.urgency(), now, RowCodec.sum(body),
                 body.length, body, State.QUEUED, List.of(), "", now);
-        Held job = new Held(row, given.jobClass());
+        Held job = held(row);
         job.waiters = new ArrayList<>(1);
         job.waiters.add(answer);
         if (!journal.write(Op.accept(row), failure -> accepted(job, failure))) {
@@ -299,7 +314,7 @@
         long now = clock.micros();
         // Its lease runs out first: the request's deadline must not end it in the lease's place.
         Request request = new Request(this, job.id(), payload, job.jobClass,
-                now + config.classes[job.jobClass].longestMs * 1000 + LEASE_FIRST);
+                now + job.terms.longestMs * 1000 + LEASE_FIRST);
         request.hint = row.hint();
         request.slots = row.slots();
         request.memory = row.memory();
@@ -335,7 +350,7 @@
         }
         long nowMs = Math.max(wall.getAsLong(), latestMs);
         Attempt attempt = new Attempt(job.attempts.size() + 1, call.endpoint.name, nowMs,
-                nowMs + config.classes[job.jobClass].leaseMs, Known.OUT);
+                nowMs + job.terms.leaseMs, Known.OUT);
         job.attempts.add(attempt);
         call.lease = attempt.number();
         job.call = call;
@@ -367,7 +382,7 @@
         if (job.lease == null) {
             job.lease = deadlines.create(() -> scheduler.expire(job.call));
         }
-        deadlines.set(job.lease, now + config.classes[job.jobClass].leaseMs * 1000);
+        deadlines.set(job.lease, now + job.terms.leaseMs * 1000);
         counters.add("lease.given");
         scheduler.open(call);
     }
@@ -434,7 +449,7 @@
         job.call = null;
         if (known == Known.MAY_HAVE_RUN && outcome == Outcome.TIMEOUT) {
             // Its late word is listened for, and not for ever: a silent endpoint would hold a descriptor.
-            deadlines.at(clock.micros() + config.classes[job.jobClass].longestMs * 1000,
+            deadlines.at(clock.micros() + job.terms.longestMs * 1000,
                     () -> call.endpoint.carrier.close(call));
         }
         if (known == Known.NEVER_RAN) {
--- a/src/main/java/laneflow/durable/Held.java
+++ b/src/main/java/laneflow/durable/Held.java
@@ -17,6 +17,8 @@
     JobRow row;
     /** By number, or -1 where the settings no longer name its class. */
     final int jobClass;
+    /** What held for its class when it came, or when it was taken over; null where it has no class. */
+    final DurableConfig.OfClass terms;
     State state;
     String reason;
     long changedMs;
@@ -48,7 +50,8 @@
     int lateLease;
     byte[] lateResult;
 
-    Held(JobRow row, int jobClass) {
+    Held(JobRow row, int jobClass, DurableConfig.OfClass terms) {
+        this.terms = terms;
         this.row = row;
         this.jobClass = jobClass;
         state = row.state();
--- a/src/main/java/laneflow/durable/decision/Pacer.java
+++ b/src/main/java/laneflow/durable/decision/Pacer.java
@@ -16,7 +16,7 @@
     private static final long FIRST_PAUSE = 20_000;
     private static final long LONGEST_PAUSE = 2_000_000;
 
-    private final int most;
+    private int most;
     private double window = 1;
     private boolean doubling = true;
     private long shrunkAt = Long.MIN_VALUE / 2;
@@ -28,6 +28,12 @@
         this.most = most;
     }
 
+    /** From now on never more than this. */
+    public void most(int given) {
+        most = given;
+        window = Math.min(window, most);
+    }
+
     /** Whether another may begin beside so many. */
     public boolean room(long now, int atWork) {
         return now >= pausedUntil && atWork < (int) window;
--- a/src/main/java/laneflow/gearman/GearmanConfig.java
+++ b/src/main/java/laneflow/gearman/GearmanConfig.java
@@ -3,6 +3,7 @@
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
@@ -14,7 +15,11 @@
 public final class GearmanConfig {
     private static final double HOUR_MS = 3_600_000;
 
-    /** One function of the protocol; background jobs of a durable one outlive the process. */
+    /**
+     * One function of the protocol; background jobs of a durable one outlive the process.
+     *
+     * @param deadline microseconds, or 0: its class's, whatever that is when a job comes
+     */
     public record Function(String name, int jobClass, long deadline, double hint, double slots,
             boolean durable) {
     }
@@ -44,8 +49,7 @@
             if (jobClass < 0) {
                 one.wrong("class", "'" + className + "' is none of " + classes);
             }
-            double wait = one.number("deadline_ms", jobClass < 0 ? 1
-                    : settings.classes[jobClass].deadline * 1000, 1, HOUR_MS);
+            double wait = one.number("deadline_ms", 0, 1, HOUR_MS);
             double cost = one.number("cost_ms", Double.NaN, 0, HOUR_MS) / 1000;
             functions.put(name, new Function(name, jobClass, (long) (wait * 1000), cost,
                     one.number("slots", 1, 0.01, 1024), one.flag("durable", false)));
@@ -54,6 +58,42 @@
         from.close();
     }
 
+    private GearmanConfig(GearmanConfig other) {
+        classes = other.classes;
+        listen = other.listen;
+        zone = other.zone;
+        functions.putAll(other.functions);
+    }
+
+    /** The same, on which later versions do not tell. */
+    public GearmanConfig copy() {
+        return new GearmanConfig(this);
+    }
+
+    /**
+     * Takes over the functions of another reading, as far as jobs and workers that are here allow; tells
+     * what waits for a restart. On the loop's thread.
+     */
+    List<String> adopt(GearmanConfig other) {
+        List<String> later = new ArrayList<>();
+        if (!listen.equals(other.listen) || zone != other.zone) {
+            later.add("listen and zone: from the next start on");
+        }
+        other.functions.forEach((name, next) -> {
+            Function now = functions.get(name);
+            if (now != null && (now.jobClass() != next.jobClass() || now.durable() != next.durable())) {
+                // Workers are listed by class, and a durable job must be found by the one that took it on.
+                later.add("functions." + name + ": class and durable from the next start on");
+                next = new Function(name, now.jobClass(), next.deadline(), next.hint(), next.slots(),
+                        now.durable());
+            }
+            functions.put(name, next);
+        });
+        functions.keySet().stream().filter(name -> !other.functions.containsKey(name)).forEach(name ->
+                later.add("functions." + name + ": is mapped until the next start"));
+        return later;
+    }
+
     String className(Function function) {
         return classes.get(function.jobClass());
     }
--- a/src/main/java/laneflow/gearman/GearmanFront.java
+++ b/src/main/java/laneflow/gearman/GearmanFront.java
@@ -205,10 +205,22 @@
         return new Payload("POST", target, id, repeatKey, data);
     }
 
+    private long deadline(GearmanConfig.Function function) {
+        return function.deadline() > 0 ? function.deadline()
+                : (long) (scheduler.settings().classes[function.jobClass()].deadline * 1e6);
+    }
+
+    /** A version of the functions: workers that have named new ones already get their jobs at once. */
+    public List<String> adopt(GearmanConfig other) {
+        List<String> later = config.adopt(other);
+        peers.forEach(peer -> peer.worker.functionsChanged());
+        return later;
+    }
+
     private Request request(Job job, long slot, byte[] data) {
         GearmanConfig.Function function = job.function;
         Request request = new Request(this, slot, payload(function, job.unique, data), function.jobClass(),
-                loop.micros() + function.deadline());
+                loop.micros() + deadline(function));
         request.hint = function.hint();
         request.slots = function.slots();
         request.key = subject(job.unique);
--- a/src/main/java/laneflow/gearman/Worker.java
+++ b/src/main/java/laneflow/gearman/Worker.java
@@ -17,6 +17,7 @@
 final class Worker {
     /** The longest result taken, all its parts together. */
     private static final int MOST_RESULT = 512 * 1024;
+    private static final int MOST_UNMAPPED = 1000;
 
     private final GearmanFront front;
     private final Scheduler scheduler;
@@ -24,6 +25,8 @@
     private final String name;
     /** Functions and their time limits in seconds, 0 for none. */
     private final Map<String, Integer> abilities = new LinkedHashMap<>();
+    /** What it has named that no class stands for here; a later version may map it. */
+    private final Map<String, Integer> unmapped = new LinkedHashMap<>();
     /** Calls that wait to be grabbed. */
     private final List<OutboundCall> queue = new ArrayList<>();
     private final ByteArrayOutputStream data = new ByteArrayOutputStream();
@@ -64,6 +67,9 @@
     // ---- abilities ----
 
     void canDo(String function, int seconds) {
+        if (!front.config.functions.containsKey(function) && unmapped.size() < MOST_UNMAPPED) {
+            unmapped.put(function, seconds);
+        }
         // A function that no class stands for is never asked of it.
         if (front.config.functions.containsKey(function)) {
             abilities.put(function, seconds);
@@ -72,7 +78,15 @@
         }
     }
 
+    /** What it has named before may be mapped by now. */
+    void functionsChanged() {
+        List<String> named = new ArrayList<>(unmapped.keySet());
+        named.removeIf(function -> !front.config.functions.containsKey(function));
+        named.forEach(function -> canDo(function, unmapped.remove(function)));
+    }
+
     void cantDo(String function) {
+        unmapped.remove(function);
         if (abilities.remove(function) != null) {
             list();
             if (abilities.isEmpty()) {
@@ -85,6 +99,7 @@
 
     void reset() {
         abilities.clear();
+        unmapped.clear();
         if (listed) {
             list();
             drains();
--- a/src/main/java/laneflow/http/Client.java
+++ b/src/main/java/laneflow/http/Client.java
@@ -197,6 +197,11 @@
         }
     }
 
+    /** Which state of the settings its request came under. */
+    int epoch() {
+        return request == null ? 0 : request.epoch();
+    }
+
     // ---- answers ----
 
     static byte[] ascii(String text) {
--- a/src/main/java/laneflow/http/HttpFront.java
+++ b/src/main/java/laneflow/http/HttpFront.java
@@ -9,6 +9,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.function.BooleanSupplier;
+import java.util.function.IntFunction;
 import java.util.function.Supplier;
 import laneflow.core.Front;
 import laneflow.core.Keeper;
@@ -39,6 +40,7 @@
     private final Map<String, Supplier<String>> reports = new HashMap<>();
     /** Null where durable jobs are off. */
     private KeptJobs kept;
+    private IntFunction<String> versions;
     private boolean draining;
     private long came;
 
@@ -138,6 +140,11 @@
         reports.put(path, text);
     }
 
+    /** Answers carry what this says of the epoch that their requests came under, unless it is empty. */
+    public void tellVersions(IntFunction<String> of) {
+        versions = of;
+    }
+
     KeptJobs kept() {
         return kept;
     }
@@ -222,6 +229,8 @@
     private void answer(long tag, int status, String reason, String headers, byte[] body) {
         Client client = clients.get(tag);
         if (client != null) {
+            String under = versions == null ? "" : versions.apply(client.epoch());
+            headers = under.isEmpty() ? headers : headers + "Config-Version: " + under + "\r\n";
             client.answer(status, reason, headers, body);
         }
     }
--- a/src/main/java/laneflow/http/LineStream.java
+++ b/src/main/java/laneflow/http/LineStream.java
@@ -21,8 +21,8 @@
         /** The other side has answered 200. */
         void up();
 
-        /** A line that is not empty. */
-        void line(String text);
+        /** A line that is not empty, without its end, in UTF-8. */
+        void line(byte[] text);
 
         /** It is over; told once, and nothing after it. */
         void over(String why);
@@ -73,6 +73,19 @@
         return true;
     }
 
+    /** Reads no more until {@link #resume}: what came is not yet worked off. Silence is not counted then. */
+    public void hold() {
+        loop.deadlines().cancel(timer);
+        link.holdReads();
+    }
+
+    public void resume() {
+        if (!over) {
+            loop.deadlines().set(timer, loop.micros() + silence);
+            link.resumeReads();
+        }
+    }
+
     /** Closes it; nothing more is told. */
     public void close() {
         over = true;
@@ -127,20 +140,34 @@
 
     @Override
     public void body(byte[] bytes) throws HttpException {
-        for (int i = 0; i < bytes.length && !over; i++) {
-            if (bytes[i] != '\n') {
-                line.write(bytes[i]);
-                if (line.size() > mostLine) {
-                    throw new HttpException(400, "a line of more than " + mostLine + " bytes");
+        for (int from = 0; from < bytes.length && !over;) {
+            int end = from;
+            while (end < bytes.length && bytes[end] != '\n') {
+                end++;
+            }
+            // By pieces, not bytes: a large set must not hold the loop.
+            line.write(bytes, from, end - from);
+            if (line.size() > mostLine) {
+                throw new HttpException(400, "a line of more than " + mostLine + " bytes");
+            }
+            from = end + 1;
+            if (end < bytes.length) {
+                byte[] text = line.toByteArray();
+                line.reset();
+                if (!isBlank(text)) {
+                    reader.line(text);
                 }
-                continue;
             }
-            String text = line.toString(StandardCharsets.UTF_8).strip();
-            line.reset();
-            if (!text.isEmpty()) {
-                reader.line(text);
+        }
+    }
+
+    private static boolean isBlank(byte[] text) {
+        for (byte b : text) {
+            if (b > ' ' || b < 0) {
+                return false;
             }
         }
+        return true;
     }
 
     @Override
--- /dev/null
+++ b/src/main/java/laneflow/http/OperatorPort.java
@@ -0,0 +1,137 @@
+package laneflow.http;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.function.Supplier;
+import laneflow.core.Deadlines.Deadline;
+import laneflow.net.Link;
+import laneflow.net.LinkHandler;
+import laneflow.net.Loop;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * A listener for operators, apart from the clients' port: GET on a few paths, an answer a connection, nothing
+ * that changes anything. It takes few connections, each for a short time, so that it keeps no client out. On
+ * the loop's thread.
+ */
+public final class OperatorPort {
+    private static final Logger LOG = LoggerFactory.getLogger(OperatorPort.class);
+    private static final int MOST = 8;
+    private static final long WITHIN = 2_000_000;
+    private static final int IN_RING = 32 * 1024;
+    private static final int OUT_RING = 1 << 20;
+
+    private final Loop loop;
+    private final Map<String, Supplier<String>> reports = new TreeMap<>();
+    private Loop.Listener listener;
+    private int open;
+
+    public OperatorPort(Loop loop) {
+        this.loop = loop;
+    }
+
+    /** Answers GET on that path with what the supplier says then, as JSON. */
+    public void report(String path, Supplier<String> text) {
+        reports.put(path, text);
+    }
+
+    public void listen(InetSocketAddress at) throws IOException {
+        listener = loop.listen(at, IN_RING, OUT_RING, () -> false, Asker::new);
+        listener.begin();
+        LOG.info("operators at {}", listener.address());
+    }
+
+    public InetSocketAddress address() {
+        return listener.address();
+    }
+
+    /** One who asks. */
+    private final class Asker implements LinkHandler, HttpReader.Sink {
+        private final HttpReader reader = new HttpReader(false, this);
+        private final Deadline timer = loop.deadlines().create(this::late);
+        private Link link;
+        private HttpHead head;
+        private boolean answered;
+
+        @Override
+        public void opened(Link up) {
+            link = up;
+            open++;
+            loop.deadlines().set(timer, loop.micros() + WITHIN);
+            if (open > MOST) {
+                answer(503, "Service Unavailable", "too many ask at once\n");
+            }
+        }
+
+        private void late() {
+            link.close();
+            over();
+        }
+
+        private void over() {
+            loop.deadlines().cancel(timer);
+            open--;
+        }
+
+        @Override
+        public void received(Link from) {
+            if (answered) {
+                return;
+            }
+            try {
+                reader.read(link.in);
+                if (reader.isDone()) {
+                    finish();
+                }
+            } catch (HttpException e) {
+                answer(e.status, "Bad Request", e.getMessage() + "\n");
+            }
+        }
+
+        private void finish() {
+            int query = head.second.indexOf('?');
+            Supplier<String> report = reports.get(query < 0 ? head.second : head.second.substring(0, query));
+            if (!head.first.equals("GET")) {
+                answer(405, "Method Not Allowed", "only GET\n");
+            } else if (report == null) {
+                answer(404, "Not Found", "known are " + String.join(", ", reports.keySet()) + "\n");
+            } else {
+                answer(200, "OK", report.get());
+            }
+        }
+
+        private void answer(int status, String reason, String text) {
+            answered = true;
+            byte[] body = text.getBytes(StandardCharsets.UTF_8);
+            link.out.put(("HTTP/1.1 " + status + " " + reason + "\r\nContent-Type: "
+                    + (status == 200 ? "application/json" : "text/plain") + "\r\nContent-Length: "
+                    + body.length + "\r\nConnection: close\r\n\r\n").getBytes(StandardCharsets.US_ASCII));
+            link.out.put(body);
+            link.endWhenFlushed();
+        }
+
+        @Override
+        public void head(HttpHead received) {
+            head = received;
+        }
+
+        @Override
+        public void body(byte[] bytes) throws HttpException {
+            throw new HttpException(413, "no body is wanted here");
+        }
+
+        @Override
+        public void end() {
+            // Answered once the reader has returned.
+        }
+
+        @Override
+        public void broken(Link gone) {
+            over();
+        }
+    }
+}
--- a/src/main/java/laneflow/lab/Crew.java
+++ b/src/main/java/laneflow/lab/Crew.java
@@ -35,7 +35,8 @@
     Process start(String name, int heapMb, Class<?> main, String... args) throws IOException {
         List<String> line = new ArrayList<>(List.of(Path.of(System.getProperty("java.home"), "bin",
                 "java").toString(),
-                "-XX:+UseSerialGC", "-Xmx" + heapMb + "m", "-Xshare:auto", "-cp", classPath, main.getName()));
+                "-XX:+UseSerialGC", "-XX:+AlwaysPreTouch", "-Xms" + heapMb + "m", "-Xmx" + heapMb + "m",
+                        "-Xshare:auto", "-cp", classPath, main.getName()));
         line.addAll(List.of(args));
         File log = folder.resolve(name + ".log").toFile();
         Process process = new ProcessBuilder(line).redirectErrorStream(true)
--- a/src/main/java/laneflow/lab/StandInNodes.java
+++ b/src/main/java/laneflow/lab/StandInNodes.java
@@ -18,6 +18,7 @@
  */
 final class StandInNodes {
     private static final int MOST_QUEUED = 16;
+    private static final int HANGS_MS = 2000;
 
     private final Ledger ledger;
     private final SplittableRandom seeds;
@@ -72,6 +73,11 @@
                 String id = header(head, "Req-Id");
                 String body = new String(in.readNBytes(Integer.parseInt(header(head, "Content-Length"))),
                         StandardCharsets.UTF_8);
+                if (body.startsWith("hang")) {
+                    // Accepted, and no word ever: the scheduler's deadline is all that ends it.
+                    Thread.sleep(HANGS_MS);
+                    return;
+                }
                 if (free.getQueueLength() >= MOST_QUEUED) {
                     write(socket, "HTTP/1.1 503 Full\r\nSrv-Declined: 1\r\nContent-Length: 0\r\n\r\n");
                     continue;
--- a/src/test/java/laneflow/control/TrackTest.java
+++ b/src/test/java/laneflow/control/TrackTest.java
@@ -48,6 +48,7 @@
         Track track = new Track();
         assertEquals(Kind.LOOK, track.whole(version(4, "aa")).kind());
         track.accept(version(4, "aa"));
+        track.settle();
         assertTrue(track.whole(version(4, "aa")).isAck());
         assertEquals(Kind.OLDER, track.whole(version(2, "ff")).kind());
         assertEquals("version 4-aa runs, of the same number", track.whole(version(4, "a9")).reason());
@@ -66,6 +67,14 @@
         assertEquals(Kind.REFUSED, track.whole(version(6, "cc")).kind());
         assertEquals("failures went up", track.lastRefused().getValue());
         assertEquals(Kind.LOOK, track.whole(version(7, "dd")).kind());
+        // Two on trial together go together, to the last that has stood its trial.
+        track.accept(version(7, "dd"));
+        track.accept(version(8, "ee"));
+        assertTrue(track.isOnTrial());
+        assertEquals(version(4, "aa"), track.takeBack("again"));
+        assertEquals("again", track.whole(version(7, "dd")).reason());
+        assertEquals("again", track.whole(version(8, "ee")).reason());
+        assertFalse(track.isOnTrial());
         assertEquals(version(12, "0f"), Version.parse("12-0f"));
         assertEquals(Version.NONE, Version.parse("0"));
         for (String none : new String[] {"", "-1", "01", "1-G", "x"}) {
