--- a/src/main/java/laneflow/cli/ConfigCommand.java
+++ b/src/main/java/laneflow/cli/ConfigCommand.java
@@ -152,7 +152,7 @@
     }
 
     @Command(name = "diff", mixinStandardHelpOptions = true,
-            description = "Tells two states of a type apart, resource by resource; exit code 1 if they differ.")
+            description = "Tells two states of a type apart by resources; exit code 1 if they differ.")
     int diff(@Parameters(paramLabel = "FROM",
     description = "A message of the stream, its resources, or a file of a last good version.") Path from,
             @Parameters(paramLabel = "TO") Path to) throws IOException {
