Trials compare with the usual state; stories of streamed settings, changes and bad services

The time of a kept trial is the usual state now, and behind a version that was taken back the state before it stays it.

--- a/src/main/java/laneflow/control/decision/Trial.java
+++ b/src/main/java/laneflow/control/decision/Trial.java
@@ -22,9 +22,12 @@
     private final String[] classes;
     private final long length;
     private final double bound;
-    /** The time to compare with begins there: between one and two lengths ago while no trial runs. */
+    /** The usual state is counted from there: between one and two lengths ago while no trial runs. */
     private Snapshot calmFrom;
     private Snapshot calmNext;
+    /** What is compared with where that time is too short yet, as behind a version that was taken back. */
+    private Snapshot usualFrom;
+    private Snapshot usualTo;
     private Snapshot begun;
     private long ends;
 
@@ -54,6 +57,10 @@
     public void adopted(long now, long[][] own, long[][] group) {
         if (begun == null) {
             begun = new Snapshot(now, copy(own), copy(group));
+            if (usualTo == null || now - calmFrom.at >= length) {
+                usualFrom = calmFrom;
+                usualTo = begun;
+            }
         }
         ends = Math.min(now + length, begun.at + MOST_LENGTHS * length);
     }
@@ -71,32 +78,31 @@
         }
         boolean last = now >= ends;
         Snapshot is = new Snapshot(now, own, group);
-        Finding worst = new Finding(Verdict.TOO_EARLY, "");
-        for (int i = -1; i < classes.length; i++) {
-            Finding found = Probation.judge(counts(calmFrom, begun, i, false), counts(begun, is, i, false),
-                    counts(calmFrom, begun, i, true), counts(begun, is, i, true), bound,
+        Finding all = new Finding(Verdict.TOO_EARLY, "");
+        for (int i = classes.length - 1; i >= -1; i--) {
+            Finding found = Probation.judge(counts(usualFrom, usualTo, i, false), counts(begun, is, i, false),
+                    counts(usualFrom, usualTo, i, true), counts(begun, is, i, true), bound,
                     last ? Probation.Z : Probation.EARLY_Z);
             if (found.verdict() == Verdict.TAKE_BACK) {
                 long began = begun.at;
-                end(now, own, group);
+                begun = null;
+                // What broke is nobody's usual state: until there is a new one, the former is.
+                calmFrom = new Snapshot(now, copy(own), copy(group));
+                calmNext = calmFrom;
                 return new Finding(Verdict.TAKE_BACK, (i < 0 ? "" : classes[i] + ": ") + found.figures()
                         + String.format(Locale.ROOT, ", %.1f s after the first that is on trial",
                         (now - began) / 1e6));
             }
-            worst = found.figures().isEmpty() ? worst : found;
+            all = i < 0 ? found : all;
         }
         if (last) {
             // With too few requests to tell it is kept: nothing speaks against it.
-            end(now, own, group);
-            return new Finding(Verdict.KEEP, worst.figures());
+            calmFrom = begun;
+            calmNext = new Snapshot(now, copy(own), copy(group));
+            begun = null;
+            return new Finding(Verdict.KEEP, all.figures());
         }
-        return new Finding(Verdict.TOO_EARLY, worst.figures());
-    }
-
-    private void end(long now, long[][] own, long[][] group) {
-        begun = null;
-        calmFrom = new Snapshot(now, copy(own), copy(group));
-        calmNext = calmFrom;
+        return new Finding(Verdict.TOO_EARLY, all.figures());
     }
 
     private void roll(long now, long[][] own, long[][] group) {
--- a/src/main/java/laneflow/lab/ConfigMeasure.java
+++ b/src/main/java/laneflow/lab/ConfigMeasure.java
@@ -145,7 +145,8 @@
         }
         out.printf(Locale.ROOT, "config: versions=%d acked=%d nacked=%d wrong_verdicts=%d mixed_answers=%d"
                 + " checked_answers=%d across=%d lost=%d disagree=%d service_before=%.2f"
-                + " service_loss_points=%.2f adopt_p99_ms=%.2f adopt_most_ms=%.2f step_most_ms=%.2f converge_p99_ms=%.1f"
+                + " service_loss_points=%.2f adopt_p99_ms=%.2f adopt_most_ms=%.2f step_most_ms=%.2f"
+                + " converge_p99_ms=%.1f"
                 + " rollback_ms=%.0f file_damaged=%d%n", number, acked, nacked, wrong, mixed, checked, across,
                 lost, disagree, before * 100, (before - during[0]) * 100, adoptUs / 1e3, adoptMostUs / 1e3,
                         stepMostUs / 1e3,
--- a/src/test/java/laneflow/control/ControlStoryTest.java
+++ b/src/test/java/laneflow/control/ControlStoryTest.java
@@ -1,5 +1,13 @@
 package laneflow.control;
 
+import static laneflow.control.Service.stream;
+import static laneflow.control.Service.word;
+import static laneflow.control.Service.say;
+import static laneflow.control.Service.begun;
+import static laneflow.control.Service.ask;
+import static laneflow.control.Service.version;
+import static laneflow.control.Service.resource;
+import static laneflow.control.Service.detail;
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
@@ -27,53 +35,6 @@
                 + more;
     }
 
-    /** Takes a stream in: its head, then an answer that goes on. */
-    private static Peer stream(Endpoint service) throws IOException {
-        Peer peer = service.accept();
-        assertTrue(peer.readTo("\r\n\r\n").startsWith("POST /v3/discovery:stream HTTP/1.1\r\n"));
-        peer.write("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
-        return peer;
-    }
-
-    private static JsonObject word(Peer peer) throws IOException {
-        int size = Integer.parseInt(peer.readTo("\r\n").strip(), 16);
-        String text = new String(peer.read(size + 2));
-        return JsonParser.parseString(text).getAsJsonObject();
-    }
-
-    private static void say(Peer peer, String text) throws IOException {
-        String line = text.replace('\'', '"') + "\n";
-        peer.write(Integer.toHexString(line.length()) + "\r\n" + line + "\r\n");
-    }
-
-    private static String version(String version, String nonce, String... resources) {
-        return "{'type_url':'" + DestinationType.URL + "','version_info':'" + version + "','nonce':'" + nonce
-                + "','resources':[" + String.join(",", resources) + "]}";
-    }
-
-    private static String resource(Endpoint endpoint) {
-        return "{'name':'" + endpoint.name + "','dial':'" + endpoint.dial() + "','zone':'celje-1'}";
-    }
-
-    private static String detail(JsonObject word) {
-        return word.getAsJsonObject("error_detail").get("message").getAsString();
-    }
-
-    /** What each type begins a stream with; the word on destinations. */
-    private static JsonObject begun(Peer peer) throws IOException {
-        JsonObject destinations = word(peer);
-        for (String type : new String[] {"classes", "limits"}) {
-            assertEquals("type.laneflow/" + type, word(peer).get("type_url").getAsString());
-        }
-        assertEquals(DestinationType.URL, destinations.get("type_url").getAsString());
-        return destinations;
-    }
-
-    private static JsonObject ask(Peer peer, String line) throws IOException {
-        say(peer, line);
-        return word(peer);
-    }
-
     private static void serves(Stand stand, Endpoint endpoint, String id) throws Exception {
         try (Peer client = stand.http()) {
             client.post("basket-check", id, "", "");
--- /dev/null
+++ b/src/test/java/laneflow/control/ControlTypesStoryTest.java
@@ -0,0 +1,368 @@
+package laneflow.control;
+
+import static laneflow.control.Service.ask;
+import static laneflow.control.Service.begun;
+import static laneflow.control.Service.detail;
+import static laneflow.control.Service.resource;
+import static laneflow.control.Service.say;
+import static laneflow.control.Service.state;
+import static laneflow.control.Service.stream;
+import static laneflow.control.Service.version;
+import static laneflow.control.Service.word;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import com.google.gson.JsonObject;
+import com.google.gson.JsonParser;
+import java.io.IOException;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.Arrays;
+import java.util.List;
+import laneflow.Setup;
+import laneflow.cli.CliRun;
+import laneflow.control.decision.Version;
+import laneflow.gearman.Gearman;
+import laneflow.net.Stand;
+import laneflow.net.Stand.Endpoint;
+import laneflow.net.Stand.Peer;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.io.TempDir;
+
+/** Stories of streamed settings, changes, and services that misbehave. */
+@Timeout(40)
+class ControlTypesStoryTest {
+    private static final String CHECK = "{'name':'basket-check','aim_ms':200,'repeat':'safe'}";
+    private static final String CAPTURE = "{'name':'card-capture','aim_ms':150,'deadline_ms':6000}";
+    private static final String POST = "{'name':'points-post','aim_ms':250,'repeat':'keyed','window_ms':10000}";
+    @TempDir
+    private Path folder;
+
+    private String control(Endpoint service, String more) {
+        return "addresses = ['" + service.dial() + "']\nlongest_backoff_ms = 50\nfigures_ms = 0\n" + more;
+    }
+
+    private static String call(Peer endpoint) throws IOException {
+        String sent = endpoint.message();
+        int at = sent.indexOf("Req-Id: ") + 8;
+        return sent.substring(at, sent.indexOf('\r', at));
+    }
+
+    private static String report(Stand stand) throws Exception {
+        try (Peer http = stand.http()) {
+            return http.write("GET /config HTTP/1.1\r\n\r\n").message();
+        }
+    }
+
+    @Test
+    void aRequestKeepsTheClassesThatItCameUnder() throws Exception {
+        Endpoint service = new Endpoint("control");
+        Endpoint till = new Endpoint("e1");
+        Endpoint other = new Endpoint("e2");
+        try (Stand stand = Stand.streaming(control(service, "tell_versions = true\nprobation_ms = 0\n"))) {
+            Peer peer = stream(service);
+            begun(peer);
+            ask(peer, version("1-aa", "x1", resource(till), resource(other).replace("}", ",'state':'draining'}")));
+            Peer before = stand.http().post("card-capture", "old", "", "");
+            Peer beforeCall = till.accept();
+            assertEquals("old", call(beforeCall));
+            ask(peer, version("2-aa", "x2", resource(till), resource(other)));
+            // From here on a capture waits for 300 ms; the one that is open keeps its six seconds.
+            JsonObject ack = ask(peer, state("classes", "7-cc", CHECK, POST.replace("10000", "12000"),
+                    CAPTURE.replace("6000", "300"), "{'name':'sweep'}"));
+            assertFalse(ack.has("error_detail"));
+            String waits = ack.getAsJsonArray("restart_needed").toString();
+            assertTrue(waits.contains("points-post: repeat and window_ms") && waits.contains("sweep: is a class from"),
+                    waits);
+            long from = System.nanoTime();
+            Peer after = stand.http().post("card-capture", "new", "", "");
+            assertEquals("new", call(other.accept()));
+            String failed = after.message();
+            long tookMs = (System.nanoTime() - from) / 1_000_000;
+            assertTrue(failed.startsWith("HTTP/1.1 500 "), failed);
+            assertTrue(tookMs >= 250 && tookMs < 3000, tookMs + " ms");
+            assertTrue(failed.contains("Config-Version: destinations=2-aa classes=7-cc\r\n"), failed);
+            beforeCall.says("{'id':'old','state':'done','result':'paid'}");
+            String served = before.message();
+            assertTrue(served.startsWith("HTTP/1.1 200 ") && served.endsWith("paid"), served);
+            assertTrue(served.contains("Config-Version: destinations=1-aa\r\n"), served);
+        }
+    }
+
+    @Test
+    void settingsThatMakeNoSenseAreTurnedDownWithEveryReason() throws Exception {
+        Endpoint service = new Endpoint("control");
+        try (Stand stand = Stand.streaming(control(service, ""))) {
+            Peer peer = stream(service);
+            begun(peer);
+            String said = detail(ask(peer, state("classes", "1-aa", CHECK.replace("200", "9000"),
+                    CAPTURE.replace("}", ",'repeat':'safe'}"))));
+            for (String finding : new String[] {"resources[0].deadline_ms: is under aim_ms",
+                "resources[1].repeat: 'card-capture' must not run twice here",
+                "resources: class 'points-post' is missing"}) {
+                assertTrue(said.contains(finding), finding + "\n--- not in\n" + said);
+            }
+            said = detail(ask(peer, state("classes", "2-aa", CHECK.replace("200", "'fast'"),
+                    POST.replace("window", "widow"), CHECK)));
+            for (String finding : new String[] {"resources[0].aim_ms: \"fast\" - ", "resources[1].widow_ms: is unknown",
+                "resources[2].name: 'basket-check' is resources[0]'s too"}) {
+                assertTrue(said.contains(finding), finding + "\n--- not in\n" + said);
+            }
+            said = detail(ask(peer, state("limits", "1-aa", "{'name':'limits','sockets':1048576,'listen':'tills:80'}")));
+            assertTrue(said.contains("resources[0].listen: 'tills:80' is not"), said);
+            // As much as the schema allows is more than this process may have of one or the other.
+            assertTrue(said.contains("resources[0].sockets: 1048576 "), said);
+            assertTrue(detail(ask(peer, state("functions", "1-aa", "{'name':'f','class':'c'}")))
+                    .contains("not taken here; taken are"));
+            JsonObject ack = ask(peer, state("limits", "2-aa", "{'name':'limits','sockets':512,'attempts':2,"
+                    + "'retry_after':false}"));
+            assertEquals("sockets: 512 from the next start on, 1024 until then",
+                    ack.getAsJsonArray("restart_needed").get(0).getAsString());
+            assertTrue(report(stand).contains("512 from the next start on"));
+            // Nobody is there, and the refusal names no time any more.
+            Peer client = stand.http().post("basket-check", "1", "", "");
+            String refused = client.message();
+            assertTrue(refused.startsWith("HTTP/1.1 503 ") && !refused.contains("Retry-After"), refused);
+        }
+    }
+
+    @Test
+    void aFunctionThatAVersionMapsIsServedByAWorkerThatNamedItBefore() throws Exception {
+        Endpoint service = new Endpoint("control");
+        try (Stand stand = Stand.streaming(control(service, "probation_ms = 0\n"),
+                "[functions.check]\nclass = 'basket-check'\n", null)) {
+            Peer peer = stream(service);
+            begun(peer, "classes", "limits", "functions");
+            Peer worker = Gearman.worker(stand, "check", "sum");
+            Gearman.sleep(worker);
+            Peer client = stand.gearman();
+            Gearman.send(client, 7, "sum", "", "1 2");
+            assertEquals("UNKNOWN_FUNCTION", Gearman.expect(client, Gearman.ERROR)[0]);
+            JsonObject ack = ask(peer, state("functions", "1-aa", "{'name':'sum','class':'points-post'}"));
+            assertEquals("functions.check: is mapped until the next start",
+                    ack.getAsJsonArray("restart_needed").get(0).getAsString());
+            Gearman.send(client, 7, "sum", "", "1 2");
+            Gearman.expect(client, Gearman.CREATED);
+            String[] job = Gearman.grab(worker);
+            assertEquals("sum", job[1]);
+            Gearman.send(worker, Gearman.COMPLETE, job[0], "3");
+            assertEquals("3", Gearman.expect(client, Gearman.COMPLETE)[1]);
+        }
+    }
+
+    private static String change(String from, String to, String resources, String removed) {
+        return "{'type_url':'" + DestinationType.URL + "','system_version_info':'" + to + "','from_version':'" + from
+                + "','nonce':'" + to + "','resources':[" + resources + "],'removed_resources':[" + removed + "]}";
+    }
+
+    @Test
+    void changesAreAppliedToWhatRunsAndToNothingElse() throws Exception {
+        Endpoint service = new Endpoint("control");
+        Endpoint one = new Endpoint("e1");
+        Endpoint two = new Endpoint("e2");
+        try (Stand stand = Stand.streaming(control(service, "probation_ms = 0\n"))) {
+            Peer peer = stream(service);
+            assertTrue(begun(peer).get("incremental").getAsBoolean());
+            ask(peer, version("1-aa", "x1", resource(one)));
+            JsonObject whole = ask(peer, change("9-ff", "10-aa", "", "'e1'"));
+            assertEquals("*", whole.getAsJsonArray("resource_names_subscribe").get(0).getAsString());
+            assertTrue(detail(whole).contains("a change from version 9-ff, and 1-aa runs"));
+            String added = "{'name':'e2','resource':" + resource(two) + "}";
+            String twoAlone = Message.digest(JsonParser.parseString("[" + resource(two).replace('\'', '"') + "]")
+                    .getAsJsonArray());
+            // What it would lead to is not what the service means by that version.
+            assertTrue(detail(ask(peer, change("1-aa", "2-" + twoAlone, added, ""))).contains("its digest is not"));
+            assertTrue(detail(ask(peer, change("1-aa", "3-aa", "{'name':'e3','resource':" + resource(two)
+                    + "},{'name':'e4'}", "'e7'"))).contains("removed_resources: \"e7\" is not there\n"
+                    + "resources[0].name: is not its resource's name\nresources[1].resource: must be an object"));
+            assertEquals("5-" + twoAlone, ask(peer, change("1-aa", "5-" + twoAlone, added, "'e1'"))
+                    .get("version_info").getAsString());
+            try (Peer client = stand.http().post("basket-check", "1", "", ""); Peer call = two.accept()) {
+                assertEquals("1", call(call));
+                call.says("{'id':'1','state':'done','result':'r'}");
+                assertTrue(client.message().startsWith("HTTP/1.1 200 "));
+            }
+        }
+    }
+
+    @Test
+    void twoServicesThatDisagreeEndAtOneVersion() throws Exception {
+        Endpoint first = new Endpoint("control");
+        Endpoint second = new Endpoint("other");
+        Endpoint till = new Endpoint("e1");
+        try (Stand stand = Stand.streaming("addresses = ['" + first.dial() + "', '" + second.dial()
+                + "']\nlongest_backoff_ms = 20\nfigures_ms = 0\nprobation_ms = 0\n")) {
+            Peer peer = stream(first);
+            begun(peer);
+            assertEquals("5-aa", ask(peer, version("5-aa", "x", resource(till))).get("version_info").getAsString());
+            peer.close();
+            Peer other = stream(second);
+            assertEquals("5-aa", begun(other).get("version_info").getAsString());
+            assertEquals("5-bb", ask(other, version("5-bb", "x", resource(till))).get("version_info").getAsString());
+            other.close();
+            Peer again = stream(first);
+            begun(again);
+            JsonObject word = ask(again, version("5-aa", "y", resource(till)));
+            assertEquals("5-bb", word.get("version_info").getAsString());
+            assertTrue(detail(word).contains("of the same number"));
+        }
+    }
+
+    @Test
+    void aLineWithoutEndEndsTheStreamAndFillsNothing() throws Exception {
+        Endpoint service = new Endpoint("control");
+        Endpoint till = new Endpoint("e1");
+        try (Stand stand = Stand.streaming(control(service, "most_line_kib = 256\n"))) {
+            Peer peer = stream(service);
+            begun(peer);
+            ask(peer, version("1-aa", "x", resource(till)));
+            byte[] filler = new byte[1 << 16];
+            Arrays.fill(filler, (byte) 'x');
+            int sent = 0;
+            try {
+                for (; sent < 800; sent++) {
+                    peer.write("10000\r\n").write(filler).write("\r\n");
+                }
+            } catch (IOException e) {
+                // Cut off, as it has to be.
+                assertTrue(sent < 800);
+            }
+            assertTrue(sent < 800, "50 MB were taken");
+            assertEquals("1-aa", begun(stream(service)).get("version_info").getAsString());
+        }
+    }
+
+    @Test
+    void eachOfManyLinesHasItsAnswerInOrder() throws Exception {
+        Endpoint service = new Endpoint("control");
+        Endpoint till = new Endpoint("e1");
+        try (Stand stand = Stand.streaming(control(service, "probation_ms = 0\n"))) {
+            Peer peer = stream(service);
+            begun(peer);
+            int lines = 1200;
+            Thread writing = new Thread(() -> {
+                try {
+                    for (int i = 1; i <= lines; i++) {
+                        say(peer, version(i + "-aa", "n" + i, resource(till)));
+                    }
+                } catch (IOException e) {
+                    throw new IllegalStateException(e);
+                }
+            });
+            writing.start();
+            for (int i = 1; i <= lines; i++) {
+                assertEquals("n" + i, word(peer).get("response_nonce").getAsString());
+            }
+            writing.join();
+            assertEquals(lines, stand.counter("config.adopted"));
+        }
+    }
+
+    @Test
+    void anEndpointLeftOutGetsNothingNewAndWhatItHasGoesOn() throws Exception {
+        Endpoint service = new Endpoint("control");
+        Endpoint one = new Endpoint("e1");
+        Endpoint two = new Endpoint("e2");
+        try (Stand stand = Stand.streaming(control(service, "probation_ms = 0\n"),
+                "[functions.kpost]\nclass = 'points-post'\ndurable = true\n", folder.resolve("jobs"))) {
+            Peer peer = stream(service);
+            begun(peer, "classes", "limits", "functions", "durable");
+            ask(peer, version("1-aa", "x", resource(one)));
+            // A durable job is at work there while its endpoint drains and is then left out.
+            Peer client = stand.gearman();
+            String handle = Gearman.keep(client, "kpost", "u1", "b");
+            assertFalse(handle.isEmpty());
+            Peer call = one.accept();
+            String id = call(call);
+            ask(peer, version("2-aa", "x", resource(one).replace("}", ",'state':'draining'}"), resource(two)));
+            ask(peer, state("durable", "1-aa", "{'name':'durable','dir':'" + folder.resolve("jobs")
+                    + "','most_at_work':1,'classes':{'points-post':{'lease_ms':60000,'longest_ms':60000}}}"));
+            ask(peer, version("3-aa", "x", resource(two)));
+            try (Peer http = stand.http().post("basket-check", "9", "", ""); Peer other = two.accept()) {
+                assertEquals("9", call(other));
+                other.says("{'id':'9','state':'done','result':'r'}");
+                assertTrue(http.message().startsWith("HTTP/1.1 200 "));
+            }
+            call.says("{'id':'" + id + "','state':'done','result':'posted'}");
+            stand.await("durable.done", 1);
+            assertEquals(0, stand.counter("core.kept.drain"));
+        }
+    }
+
+    @Test
+    void whatWaitedForARestartHoldsAfterIt() throws Exception {
+        Path file = folder.resolve("laneflow.toml");
+        String text = "listen = '127.0.0.1:0'\nzones = ['celje-1']\n[limits]\nsockets = 1024\n[classes.check]\n"
+                + "aim_ms = 200\n[control]\naddresses = ['127.0.0.1:1']\nlast_good_dir = '" + folder + "'\n";
+        Files.writeString(file, text);
+        JsonObject limits = new JsonObject();
+        limits.add("resources", JsonParser.parseString("[{'name':'limits','sockets':512,'attempts':3}]"));
+        new LastGood(folder, "limits").write(new LastGood.Kept("type.laneflow/limits", new Version(4, "aa"), 1, limits));
+        JsonObject classes = new JsonObject();
+        classes.add("resources", JsonParser.parseString("[{'name':'check','aim_ms':100},{'name':'sweep'}]"));
+        new LastGood(folder, "classes").write(new LastGood.Kept("type.laneflow/classes", new Version(2, "aa"), 1,
+                classes));
+        Setup setup = Setup.operators(file, null, null);
+        assertEquals(512, setup.config().sockets);
+        assertEquals(3, setup.config().settings.maxAttempts);
+        assertEquals(List.of("check", "sweep"), List.of(setup.config().classNames));
+        assertEquals(0.1, setup.config().settings.classes[0].aim, 1e-9);
+        // Kept by another build, and none for this one: the file is used alone, and says nothing of it.
+        classes.add("resources", JsonParser.parseString("[{'name':'check','colour':1}]"));
+        new LastGood(folder, "classes").write(new LastGood.Kept("type.laneflow/classes", new Version(3, "aa"), 1,
+                classes));
+        assertEquals(List.of("check"), List.of(Setup.operators(file, null, null).config().classNames));
+        // The platform's file decides what it names.
+        Path platform = folder.resolve("platform.json");
+        Files.writeString(platform, "{\"settings\":{\"classes\":[{\"name\":\"c\",\"semantics\":\"pure\"}]},"
+                + "\"discovery\":\"127.0.0.1:1\"}");
+        assertEquals(java.util.Set.of("classes", "destinations"),
+                Setup.operators(file, platform, null).fixed().keySet());
+    }
+
+    @Test
+    void operatorsAskAtAPortOfTheirOwn() throws Exception {
+        Endpoint service = new Endpoint("control");
+        Endpoint till = new Endpoint("e1");
+        Path kept = folder.resolve("kept");
+        try (Stand stand = Stand.streaming(control(service, "probation_ms = 0\nlisten = '127.0.0.1:0'\nlast_good_dir = '"
+                + kept + "'\n"))) {
+            Peer peer = stream(service);
+            begun(peer);
+            ask(peer, version("1-aa", "x", resource(till)));
+            ask(peer, version("2-aa", "x", "7"));
+            assertTrue(report(stand).startsWith("HTTP/1.1 404 "));
+            var at = stand.serve.operators().address();
+            String address = "127.0.0.1:" + at.getPort();
+            try (Socket socket = new Socket(at.getAddress(), at.getPort())) {
+                socket.getOutputStream().write("POST /config HTTP/1.1\r\nContent-Length: 0\r\n\r\n"
+                        .getBytes(StandardCharsets.US_ASCII));
+                assertTrue(new String(socket.getInputStream().readAllBytes()).startsWith("HTTP/1.1 405 "));
+            }
+            CliRun show = CliRun.of("config", "show", address);
+            assertEquals(0, show.code(), show.text());
+            assertTrue(show.text().contains("destinations   1-aa") && show.text().contains("turned down 2-aa: resources[0]"),
+                    show.text());
+            CliRun history = CliRun.of("config", "history", address);
+            assertTrue(history.text().contains("adopted       1-aa") && history.text().contains("refused       2-aa"),
+                    history.text());
+            assertEquals(1, CliRun.of("config", "show", "127.0.0.1:1").code());
+            for (int i = 0; i < 2000 && !Files.exists(kept.resolve("destinations.last-good")); i++) {
+                Thread.sleep(2);
+            }
+            Path other = folder.resolve("other.json");
+            Files.writeString(other, "[" + resource(till).replace('\'', '"').replace("}", ",\"weight\":2}")
+                    + ",{\"name\":\"e9\",\"dial\":\"127.0.0.1:9\"}]");
+            CliRun diff = CliRun.of("config", "diff", kept.resolve("destinations.last-good").toString(), other.toString());
+            assertEquals(1, diff.code());
+            assertTrue(diff.text().contains("~ e1.weight: null -> 2") && diff.text().contains("+ {\"name\":\"e9\""),
+                    diff.text());
+        }
+        CliRun folderHistory = CliRun.of("config", "history", kept.toString());
+        assertTrue(folderHistory.text().contains("adopted       1-aa"), folderHistory.text());
+    }
+}
--- a/src/test/java/laneflow/net/Stand.java
+++ b/src/test/java/laneflow/net/Stand.java
@@ -115,6 +115,19 @@
         return new Stand(new Serve(setup));
     }
 
+    /** The same with a Gearman front that has these functions, and durable jobs in that folder unless null. */
+    public static Stand streaming(String control, String functions, Path durable) throws Exception {
+        Config config = Config.parse(json("{'name':'n3'" + OWN));
+        Findings findings = new Findings("the stand's file");
+        List<String> classes = List.of(config.classNames);
+        Setup setup = new Setup(config, GearmanConfig.parse("listen = '127.0.0.1:0'\n" + functions,
+                config.settings, classes, config.zones), durable == null ? null : DurableConfig.read(
+                Table.parse("dir = '" + durable + "'\n", findings), config.settings, classes),
+                ControlConfig.read(Table.parse(control, findings)));
+        findings.raise();
+        return new Stand(new Serve(setup));
+    }
+
     private Stand(Serve serve) {
         this.serve = serve;
     }
