--- a/src/main/java/laneflow/Serve.java
+++ b/src/main/java/laneflow/Serve.java
@@ -82,6 +82,9 @@
         });
         gearman = gearmanConfig == null ? null : new GearmanFront(loop, scheduler, gearmanConfig,
                 config.seed);
+        if (gearman != null) {
+            carrier.mostBody(gearmanConfig.mostBody);
+        }
         if (durability != null) {
             // Before anybody is let in: the same key must find the job that it had.
             durability.begin(front, gearman);
@@ -114,6 +117,10 @@
         }
         Serve serve = new Serve(setup);
         serving.complete(serve);
+        if (serve.gearman != null) {
+            // As with SIGTERM: the hook below answers what was taken before the machine ends.
+            serve.gearman.endWith(() -> new Thread(() -> System.exit(0), "shutdown").start());
+        }
         // The machine ends when its hooks have returned: this one waits until all that was taken is answered.
         Runtime.getRuntime().addShutdownHook(new Thread(serve::stop, "drain"));
         serve.drained.await();
--- a/src/main/java/laneflow/config/OperatorFile.java
+++ b/src/main/java/laneflow/config/OperatorFile.java
@@ -159,9 +159,9 @@
 
     private void limits(JsonObject settings) {
         Table from = root.table("limits");
-        if (from != null) {
-            limits(from, platform, settings);
-        }
+        // Left out, it is as an empty one: no retries and no cancelling is nobody's wish.
+        limits(from != null ? from : Table.of(new JsonObject(), "limits", root.findings()), platform,
+                settings);
     }
 
     /** Reads a table of limits into the platform's form: the scheduler's own, and those of its settings. */
--- a/src/main/java/laneflow/gearman/GearmanConfig.java
+++ b/src/main/java/laneflow/gearman/GearmanConfig.java
@@ -4,6 +4,7 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
@@ -14,6 +15,8 @@
 /** Where the Gearman front listens, and what each function is to the scheduler. */
 public final class GearmanConfig {
     private static final double HOUR_MS = 3_600_000;
+    private static final int MOST_NAMED = 10_000;
+    private static final int MOST_NAME = 512;
 
     /**
      * One function of the protocol; background jobs of a durable one outlive the process.
@@ -28,6 +31,19 @@
     /** The zone that connected workers count to. */
     public final int zone;
     public final Map<String, Function> functions = new TreeMap<>();
+    /** Functions that no table names are of this class; below 0: they are refused. */
+    public final int unmapped;
+    /**
+     * The most jobs that wait of a function and priority where no client's 'maxqueue' says otherwise; 0:
+     * any.
+     */
+    public final int mostQueued;
+    /** The longest body of a job or a result, bytes. */
+    public final int mostBody;
+    /** Whether 'shutdown' on the text protocol ends the scheduler. */
+    public final boolean mayShutdown;
+    /** Functions that clients and workers have named, of {@link #unmapped}'s class. */
+    private final Map<String, Function> named = new HashMap<>();
 
     private final List<String> classes;
 
@@ -39,8 +55,16 @@
         if (zone < 0) {
             from.wrong("zone", "'" + zoneName + "' is none of " + zones);
         }
+        String other = from.text("unmapped_class", null);
+        unmapped = other == null ? -1 : classes.indexOf(other);
+        if (other != null && unmapped < 0) {
+            from.wrong("unmapped_class", "'" + other + "' is none of " + classes);
+        }
+        mostQueued = (int) from.whole("most_queued", 0, 0, 10_000_000);
+        mostBody = (int) from.whole("most_body_kib", 1024, 1, 65_536) * 1024;
+        mayShutdown = from.flag("shutdown", false);
         Map<String, Table> all = from.tables("functions");
-        if (all.isEmpty()) {
+        if (all.isEmpty() && other == null) {
             from.wrong("functions", "no [functions.NAME]");
         }
         all.forEach((name, one) -> {
@@ -62,6 +86,10 @@
         classes = other.classes;
         listen = other.listen;
         zone = other.zone;
+        unmapped = other.unmapped;
+        mostQueued = other.mostQueued;
+        mostBody = other.mostBody;
+        mayShutdown = other.mayShutdown;
         functions.putAll(other.functions);
     }
 
@@ -94,6 +122,26 @@
         return later;
     }
 
+    /** What a name stands for, or null where it is refused. */
+    Function function(String name) {
+        Function mapped = functions.get(name);
+        if (mapped == null && unmapped >= 0) {
+            mapped = named.get(name);
+            if (mapped == null && named.size() < MOST_NAMED && !name.isEmpty()
+                    && name.length() <= MOST_NAME) {
+                mapped = new Function(name, unmapped, 0, Double.NaN, 1, false);
+                named.put(name, mapped);
+            }
+        }
+        return mapped;
+    }
+
+    /** Forgets a name that was made known by being said; false where a table maps it. */
+    boolean forget(String name) {
+        named.remove(name);
+        return !functions.containsKey(name);
+    }
+
     String className(Function function) {
         return classes.get(function.jobClass());
     }
--- a/src/main/java/laneflow/gearman/GearmanFront.java
+++ b/src/main/java/laneflow/gearman/GearmanFront.java
@@ -3,10 +3,14 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
+import java.security.MessageDigest;
+import java.security.NoSuchAlgorithmException;
 import java.util.HashMap;
+import java.util.HexFormat;
 import java.util.List;
 import java.util.Map;
 import java.util.SplittableRandom;
+import java.util.function.Consumer;
 import laneflow.decision.Dispatch.Effect;
 import laneflow.core.Endpoint;
 import laneflow.core.Front;
@@ -15,6 +19,7 @@
 import laneflow.core.Request;
 import laneflow.core.Scheduler;
 import laneflow.core.SlotTable;
+import laneflow.gearman.decision.Queues;
 import laneflow.net.Loop;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -25,12 +30,9 @@
  */
 public final class GearmanFront implements Front {
     private static final Logger LOG = LoggerFactory.getLogger(GearmanFront.class);
-    /** A packet of the greatest size must fit whole. */
-    private static final int IN_RING = 128 * 1024;
-    private static final int OUT_RING = 1 << 20;
+    private static final int LEAST_RING = 1 << 20;
     /** Handles of kept jobs: with an id for clients, with a lease's number behind it for workers. */
     static final String KEPT = "H:laneflow:d";
-    private static final int MOST_DATA = 64 * 1024;
 
     final Loop loop;
     final Scheduler scheduler;
@@ -39,8 +41,14 @@
     private final SplittableRandom random;
     private final SlotTable<Peer> peers = new SlotTable<>();
     private final SlotTable<Job> jobs = new SlotTable<>();
-    private final Map<String, Long> byHandle = new HashMap<>();
-    private final Map<String, Job> byUnique = new HashMap<>();
+    private final Map<String, Job> byHandle = new HashMap<>();
+    private final Map<String, Job> byKey = new HashMap<>();
+    /** Jobs by what their clients call unique, of all functions: a status is asked by that alone. */
+    private final Map<String, List<Job>> byUnique = new HashMap<>();
+    final Queues queues;
+    final AdminText text = new AdminText(this);
+    /** Null where operators may not end the program. */
+    Runnable ending;
     /** Null where durable jobs are off. */
     Keeper keeper;
     private Loop.Listener listener;
@@ -54,10 +62,15 @@
         this.config = config;
         random = new SplittableRandom(seed);
         carrier = new GearmanCarrier(this);
+        queues = new Queues(config.mostQueued);
+        config.functions.keySet().forEach(queues::row);
     }
 
     public void listen(InetSocketAddress at) throws IOException {
-        listener = loop.listen(at, IN_RING, OUT_RING, this::makeRoom, () -> new Peer(this, ++came));
+        // A packet of the greatest size must fit whole, and going out another one behind it.
+        int in = Integer.highestOneBit(config.mostBody + Packet.NAMES + Packet.HEADER) << 1;
+        listener = loop.listen(at, in, Math.max(LEAST_RING, 2 * in), this::makeRoom, () -> new Peer(this,
+                ++came));
         listener.begin();
         LOG.info("Gearman clients and workers at {}", listener.address());
     }
@@ -109,7 +122,9 @@
 
     void remove(Peer peer, long slot) {
         peers.remove(slot);
-        jobs.forEach(job -> leave(job, peer));
+        List<Job> waited = new ArrayList<>(peer.waiting);
+        peer.waiting.clear();
+        waited.forEach(job -> leave(job, peer));
     }
 
     /** A client that leaves withdraws what nobody else waits for. */
@@ -122,55 +137,97 @@
 
     // ---- clients ----
 
-    void submit(Peer client, int type, String name, String unique, byte[] data) {
-        GearmanConfig.Function function = config.functions.get(name);
+    void submit(Peer client, int type, String name, String unique, String reducer, byte[] data) {
+        GearmanConfig.Function function = config.function(name);
         if (function == null) {
             scheduler.counters().add("gearman.bad_request");
             client.error("UNKNOWN_FUNCTION", "no function of that name is mapped here");
             return;
         }
-        if (data.length > MOST_DATA) {
+        if (data.length > config.mostBody) {
             scheduler.counters().add("gearman.bad_request");
-            client.error("TOO_LARGE", "a job holds 64 KiB at most");
+            client.error("TOO_LARGE", "a job holds " + config.mostBody / 1024 + " KiB at most");
             return;
         }
         if (draining) {
             client.error("SHUTTING_DOWN", "no further jobs are taken");
             return;
         }
-        int urgency = type == Packet.SUBMIT_JOB_HIGH || type == Packet.SUBMIT_JOB_HIGH_BG ? 1
-                : type == Packet.SUBMIT_JOB_LOW || type == Packet.SUBMIT_JOB_LOW_BG ? -1 : 0;
+        int priority = priority(type);
         boolean background = type == Packet.SUBMIT_JOB_BG || type == Packet.SUBMIT_JOB_HIGH_BG
-                || type == Packet.SUBMIT_JOB_LOW_BG;
+                || type == Packet.SUBMIT_JOB_LOW_BG || type == Packet.SUBMIT_REDUCE_JOB_BG;
         if (background && function.durable() && keeper != null) {
-            keep(client, function, unique, data, urgency);
+            keep(client, function, unique, data, Queues.NORMAL - priority);
             return;
         }
-        Job same = unique.isEmpty() ? null : byUnique.get(name + '\0' + unique);
+        String key = key(name, unique, data);
+        Job same = key == null ? null : byKey.get(key);
         if (same != null) {
-            // The same job again, while it is at work: one run answers all who asked for it.
-            client.send(Packet.JOB_CREATED, same.handle);
-            if (!background) {
-                same.clients.add(client);
-            }
+            join(client, same, background);
+            return;
+        }
+        if (!queues.admits(name, priority)) {
+            scheduler.counters().add("gearman.queue_full");
+            client.error("QUEUE_FULL", "as many jobs of this function and priority wait as may");
             return;
         }
-        Job job = new Job("H:laneflow:" + ++handles, function, unique, background);
+        Job job = new Job("H:laneflow:" + ++handles, function, unique, key, reducer, priority, background);
         if (!background) {
             job.clients.add(client);
+            client.waiting.add(job);
         }
-        long slot = jobs.add(job);
-        byHandle.put(job.handle, slot);
-        if (!unique.isEmpty()) {
-            byUnique.put(name + '\0' + unique, job);
+        job.slot = jobs.add(job);
+        byHandle.put(job.handle, job);
+        if (key != null) {
+            byKey.put(key, job);
+            byUnique.computeIfAbsent(unique, none -> new ArrayList<>(1)).add(job);
         }
+        queues.queued(name, priority);
         // Before the core hears of it: its answer may come at once and must not overtake this.
         client.send(Packet.JOB_CREATED, job.handle);
-        job.request = request(job, slot, data);
-        job.request.urgency = urgency;
+        job.request = request(job, data);
+        job.request.urgency = Queues.NORMAL - priority;
         scheduler.submit(job.request);
     }
 
+    private static int priority(int type) {
+        return type == Packet.SUBMIT_JOB_HIGH || type == Packet.SUBMIT_JOB_HIGH_BG ? Queues.HIGH
+                : type == Packet.SUBMIT_JOB_LOW || type == Packet.SUBMIT_JOB_LOW_BG ? Queues.LOW
+                : Queues.NORMAL;
+    }
+
+    /**
+     * The same job again, while it is at work: one run answers all who asked for it. Once somebody handed it
+     * in as a background job it is run whoever leaves.
+     */
+    private void join(Peer client, Job same, boolean background) {
+        scheduler.counters().add("gearman.joined");
+        client.send(Packet.JOB_CREATED, same.handle);
+        if (background) {
+            same.background = true;
+        } else if (client.waiting.add(same)) {
+            same.clients.add(client);
+        }
+    }
+
+    /**
+     * What marks the same job: its unique, or with "-" its data. By a digest: jobs of one mark are merged.
+     */
+    private static String key(String function, String unique, byte[] data) {
+        if (unique.isEmpty() || unique.equals("-") && data.length == 0) {
+            return null;
+        }
+        if (!unique.equals("-")) {
+            return function + '\0' + unique;
+        }
+        try {
+            byte[] sum = MessageDigest.getInstance("SHA-256").digest(data);
+            return function + "\0-\0" + HexFormat.of().formatHex(sum);
+        } catch (NoSuchAlgorithmException e) {
+            throw new IllegalStateException("every Java platform has SHA-256", e);
+        }
+    }
+
     /** Hands a job to whoever keeps it; the client hears of it once it is on disk. */
     private void keep(Peer client, GearmanConfig.Function function, String unique, byte[] data, int urgency) {
         Peer.Owed word = client.owe();
@@ -213,13 +270,15 @@
     /** A version of the functions: workers that have named new ones already get their jobs at once. */
     public List<String> adopt(GearmanConfig other) {
         List<String> later = config.adopt(other);
+        config.functions.keySet().forEach(queues::row);
         peers.forEach(peer -> peer.worker.functionsChanged());
         return later;
     }
 
-    private Request request(Job job, long slot, byte[] data) {
+    private Request request(Job job, byte[] data) {
         GearmanConfig.Function function = job.function;
-        Request request = new Request(this, slot, payload(function, job.unique, data), function.jobClass(),
+        Request request = new Request(this, job.slot, payload(function, job.unique, data),
+                function.jobClass(),
                 loop.micros() + deadline(function));
         request.hint = function.hint();
         request.slots = function.slots();
@@ -267,12 +326,26 @@
                     view.of());
             return;
         }
-        Long slot = byHandle.get(handle);
-        Job job = slot == null ? null : jobs.get(slot);
+        Job job = byHandle.get(handle);
         client.send(Packet.STATUS_RES, handle, job == null ? 0 : 1, job != null && job.running ? 1 : 0,
                 job == null ? 0 : job.done, job == null ? 0 : job.of);
     }
 
+    /** The same by a unique, of whatever function; with how many clients wait for it. */
+    void statusOf(Peer client, String unique) {
+        List<Job> all = byUnique.get(unique);
+        Job job = all == null ? null : all.get(all.size() - 1);
+        client.send(Packet.STATUS_RES_UNIQUE, unique, job == null ? 0 : 1, job != null && job.running ? 1 : 0,
+                job == null ? 0 : job.done, job == null ? 0 : job.of, job == null ? 0 : job.clients.size());
+    }
+
+    /** What a worker says while it works, to all who wait. */
+    void said(Job job, int type, byte[] said) {
+        for (Peer client : new ArrayList<>(job.clients)) {
+            client.send(type, job.handle, said);
+        }
+    }
+
     /** The job that a request of this front stands for, or null. */
     Job job(Request request) {
         return request.front == this ? jobs.get(request.tag) : null;
@@ -314,7 +387,11 @@
     public void started(long tag) {
         Job job = jobs.get(tag);
         if (job != null) {
-            job.running = true;
+            job.attempts++;
+            if (!job.running) {
+                job.running = true;
+                queues.started(job.function.name(), job.priority);
+            }
         }
     }
 
@@ -339,44 +416,50 @@
     }
 
     private void end(Job job) {
+        job.clients.forEach(client -> client.waiting.remove(job));
         job.clients.clear();
-        jobs.remove(byHandle.remove(job.handle));
-        byUnique.remove(job.function.name() + '\0' + job.unique, job);
-    }
-
-    // ---- admin ----
-
-    /** Answers one line of the text protocol. */
-    String admin(String line) {
-        switch (line.strip()) {
-            case "status":
-                return functions() + ".\n";
-            case "workers":
-                StringBuilder all = new StringBuilder();
-                peers.forEach(peer -> all.append(peer.describe()));
-                return all + ".\n";
-            case "version":
-                String version = GearmanFront.class.getPackage().getImplementationVersion();
-                return "OK " + (version == null ? "laneflow" : version) + "\n";
-            default:
-                return "ERR UNKNOWN_COMMAND Unknown+server+command\n";
+        jobs.remove(job.slot);
+        byHandle.remove(job.handle);
+        queues.ended(job.function.name(), job.priority, job.running);
+        if (job.key != null) {
+            byKey.remove(job.key, job);
+            byUnique.computeIfPresent(job.unique, (unique, all) -> {
+                all.remove(job);
+                return all.isEmpty() ? null : all;
+            });
         }
     }
 
-    private String functions() {
-        StringBuilder all = new StringBuilder();
-        for (String name : config.functions.keySet()) {
-            int[] count = new int[3];
-            jobs.forEach(job -> {
-                if (job.function.name().equals(name)) {
-                    count[0]++;
-                    count[1] += job.running ? 1 : 0;
-                }
-            });
-            peers.forEach(peer -> count[2] += peer.worker.can(name) ? 1 : 0);
-            all.append(name).append('\t').append(count[0]).append('\t').append(count[1]).append('\t')
-                    .append(count[2]).append('\n');
+    // ---- for operators ----
+
+    void eachPeer(Consumer<Peer> action) {
+        peers.forEach(action);
+    }
+
+    void eachJob(Consumer<Job> action) {
+        jobs.forEach(action);
+    }
+
+    /** What became of a wish to cancel. */
+    enum Cancelled { YES, NO_SUCH_JOB, BEGUN }
+
+    /** Takes back a job that no endpoint has begun; whoever waits for it hears that it failed. */
+    Cancelled cancel(String handle) {
+        Job job = byHandle.get(handle);
+        if (job == null) {
+            return Cancelled.NO_SUCH_JOB;
+        }
+        if (job.attempts > 0) {
+            return Cancelled.BEGUN;
         }
-        return all.toString();
+        List<Peer> clients = ended(job);
+        scheduler.withdraw(job.request);
+        clients.forEach(client -> client.send(Packet.WORK_FAIL, job.handle));
+        return Cancelled.YES;
+    }
+
+    /** Called where an operator's word ends the program; null: such words are refused. */
+    public void endWith(Runnable end) {
+        ending = config.mayShutdown ? end : null;
     }
 }
--- a/src/main/java/laneflow/gearman/Packet.java
+++ b/src/main/java/laneflow/gearman/Packet.java
@@ -30,6 +30,7 @@
     static final int SUBMIT_JOB_HIGH = 21;
     static final int SET_CLIENT_ID = 22;
     static final int CAN_DO_TIMEOUT = 23;
+    static final int ALL_YOURS = 24;
     static final int WORK_EXCEPTION = 25;
     static final int OPTION_REQ = 26;
     static final int OPTION_RES = 27;
@@ -40,12 +41,18 @@
     static final int SUBMIT_JOB_HIGH_BG = 32;
     static final int SUBMIT_JOB_LOW = 33;
     static final int SUBMIT_JOB_LOW_BG = 34;
+    static final int SUBMIT_JOB_SCHED = 35;
+    static final int SUBMIT_JOB_EPOCH = 36;
+    static final int SUBMIT_REDUCE_JOB = 37;
+    static final int SUBMIT_REDUCE_JOB_BG = 38;
     static final int GRAB_JOB_ALL = 39;
     static final int JOB_ASSIGN_ALL = 40;
+    static final int GET_STATUS_UNIQUE = 41;
+    static final int STATUS_RES_UNIQUE = 42;
 
     static final int HEADER = 12;
-    /** The longest data of a packet: a job's 64 KiB with its names. */
-    static final int MOST = 64 * 1024 + 1024;
+    /** What a job's names may add to its data. */
+    static final int NAMES = 2048;
     static final int REQUEST = 0x00524551;
     static final int RESPONSE = 0x00524553;
 
@@ -66,8 +73,15 @@
         }
     }
 
-    /** Takes the next packet off the ring; null if it is not wholly there. */
-    static Packet read(Ring in) throws Malformed {
+    /**
+     * The bytes of data that the packet at the ring's head announces; below 0 where that is not known yet.
+     */
+    static long announced(Ring in) {
+        return in.size() < HEADER ? -1 : number(in, 8) & 0xffffffffL;
+    }
+
+    /** Takes the next packet off the ring, of so much data at most; null if it is not wholly there. */
+    static Packet read(Ring in, int most) throws Malformed {
         if (in.size() < HEADER) {
             return null;
         }
@@ -75,7 +89,7 @@
             throw new Malformed("no request's magic");
         }
         int size = number(in, 8);
-        if (size < 0 || size > MOST) {
+        if (size < 0 || size > most) {
             throw new Malformed("packet of " + (size & 0xffffffffL) + " bytes");
         }
         if (in.size() < HEADER + size) {
--- a/src/main/java/laneflow/gearman/Peer.java
+++ b/src/main/java/laneflow/gearman/Peer.java
@@ -2,6 +2,8 @@
 
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayDeque;
+import java.util.LinkedHashSet;
+import java.util.Set;
 import laneflow.core.Deadlines.Deadline;
 import laneflow.net.Link;
 import laneflow.net.LinkHandler;
@@ -19,6 +21,9 @@
      * last: no byte extends it. Between packets a worker may be silent for as long as it likes.
      */
     private static final long MESSAGE = 2_000_000;
+    /** Longer packets may take longer, at so many bytes a second. */
+    private static final int PLAIN = 64 * 1024;
+    private static final int LEAST_RATE = 256 * 1024;
 
     private final GearmanFront front;
     private Link link;
@@ -26,12 +31,15 @@
     private String clientId = "-";
     private final Deadline timer;
     private boolean begun = true;
+    private boolean allowed;
     private long since;
     /** Its place among those that came in one turn, and so at one instant. */
     private final long order;
     /** Answers in the order of what was asked, as long as the first one is not known yet. */
     private final ArrayDeque<Owed> owed = new ArrayDeque<>();
     Worker worker;
+    /** Foreground jobs that it waits for. */
+    final Set<Job> waiting = new LinkedHashSet<>();
     boolean wantsExceptions;
 
     Peer(GearmanFront front, long order) {
@@ -54,7 +62,16 @@
         front.loop.deadlines().set(timer, since + MESSAGE);
     }
 
+    /** A large packet has the time that its announced length takes at the least rate. */
+    private void allow(long bytes) {
+        if (bytes > PLAIN && !allowed && link.in.at(0) == 0) {
+            allowed = true;
+            front.loop.deadlines().set(timer, since + MESSAGE + bytes * 1_000_000 / LEAST_RATE);
+        }
+    }
+
     private void whole() {
+        allowed = false;
         begun = false;
         front.loop.deadlines().cancel(timer);
     }
@@ -142,9 +159,9 @@
         send(Packet.ERROR, code, text);
     }
 
-    /** Its line in the answer to 'workers'; nothing if it is none. */
+    /** Its line in the answer to 'workers', where stock servers list every connection. */
     String describe() {
-        return worker.isWorker() ? link.handle() + " - " + clientId + " : " + worker.functions() + "\n" : "";
+        return link.handle() + " " + link.peer() + " " + clientId + " :" + worker.functions() + "\n";
     }
 
     @Override
@@ -158,15 +175,18 @@
                     whole();
                     continue;
                 }
-                Packet packet = Packet.read(link.in);
+                Packet packet = Packet.read(link.in, front.config.mostBody + Packet.NAMES);
                 if (packet == null) {
                     break;
                 }
                 whole();
                 take(packet);
             }
-            if (!link.in.isEmpty() && !link.isClosed() && !begun) {
-                expect();
+            if (!link.in.isEmpty() && !link.isClosed()) {
+                if (!begun) {
+                    expect();
+                }
+                allow(Packet.announced(link.in));
             }
         } catch (Packet.Malformed e) {
             // Where the next packet begins is not known any more.
@@ -188,7 +208,7 @@
         }
         byte[] line = new byte[end + 1];
         link.in.take(line, 0, line.length);
-        String answer = front.admin(new String(line, StandardCharsets.UTF_8));
+        String answer = front.text.answer(new String(line, StandardCharsets.UTF_8));
         put(answer.getBytes(StandardCharsets.UTF_8));
         return true;
     }
@@ -203,7 +223,19 @@
             case Packet.SUBMIT_JOB_LOW:
             case Packet.SUBMIT_JOB_LOW_BG:
                 args = packet.arguments(3);
-                front.submit(this, packet.type, Packet.text(args[0]), Packet.text(args[1]), args[2]);
+                front.submit(this, packet.type, Packet.text(args[0]), Packet.text(args[1]), "", args[2]);
+                break;
+            case Packet.SUBMIT_REDUCE_JOB:
+            case Packet.SUBMIT_REDUCE_JOB_BG:
+                args = packet.arguments(4);
+                front.submit(this, packet.type, Packet.text(args[0]), Packet.text(args[1]),
+                        Packet.text(args[2]), args[3]);
+                break;
+            case Packet.GET_STATUS_UNIQUE:
+                front.statusOf(this, Packet.text(packet.data()));
+                break;
+            case Packet.ALL_YOURS:
+                // A worker that serves this server alone: nothing follows from it here.
                 break;
             case Packet.GET_STATUS:
                 front.status(this, Packet.text(packet.data()));
--- a/src/main/java/laneflow/gearman/Worker.java
+++ b/src/main/java/laneflow/gearman/Worker.java
@@ -12,11 +12,10 @@
 import laneflow.core.DestinationSet.Entry;
 import laneflow.core.OutboundCall;
 import laneflow.core.Scheduler;
+import laneflow.gearman.decision.Passing;
 
 /** The worker's side of a connection: an endpoint with one slot, from its first ability to its leaving. */
 final class Worker {
-    /** The longest result taken, all its parts together. */
-    private static final int MOST_RESULT = 512 * 1024;
     private static final int MOST_UNMAPPED = 1000;
 
     private final GearmanFront front;
@@ -61,18 +60,22 @@
     }
 
     String functions() {
-        return String.join(" ", abilities.keySet());
+        StringBuilder all = new StringBuilder();
+        abilities.keySet().forEach(function -> all.append(' ').append(function));
+        return all.toString();
     }
 
     // ---- abilities ----
 
     void canDo(String function, int seconds) {
-        if (!front.config.functions.containsKey(function) && unmapped.size() < MOST_UNMAPPED) {
+        if (front.config.function(function) == null && unmapped.size() < MOST_UNMAPPED) {
             unmapped.put(function, seconds);
         }
         // A function that no class stands for is never asked of it.
-        if (front.config.functions.containsKey(function)) {
-            abilities.put(function, seconds);
+        if (front.config.function(function) != null) {
+            if (abilities.put(function, seconds) == null) {
+                front.queues.worker(function, 1);
+            }
             front.loop.deadlines().cancel(grace);
             list();
         }
@@ -81,13 +84,14 @@
     /** What it has named before may be mapped by now. */
     void functionsChanged() {
         List<String> named = new ArrayList<>(unmapped.keySet());
-        named.removeIf(function -> !front.config.functions.containsKey(function));
+        named.removeIf(function -> front.config.function(function) == null);
         named.forEach(function -> canDo(function, unmapped.remove(function)));
     }
 
     void cantDo(String function) {
         unmapped.remove(function);
         if (abilities.remove(function) != null) {
+            front.queues.worker(function, -1);
             list();
             if (abilities.isEmpty()) {
                 drains();
@@ -98,7 +102,7 @@
     }
 
     void reset() {
-        abilities.clear();
+        forgetAbilities();
         unmapped.clear();
         if (listed) {
             list();
@@ -116,6 +120,11 @@
         front.loop.deadlines().set(grace, front.loop.micros() + within);
     }
 
+    private void forgetAbilities() {
+        abilities.keySet().forEach(function -> front.queues.worker(function, -1));
+        abilities.clear();
+    }
+
     private void list() {
         if (!listed) {
             listed = true;
@@ -128,7 +137,7 @@
         entry.state = abilities.isEmpty() ? State.DRAINING : State.READY;
         entry.classes = 0;
         for (String function : abilities.keySet()) {
-            entry.classes |= 1L << front.config.functions.get(function).jobClass();
+            entry.classes |= 1L << front.config.function(function).jobClass();
         }
         scheduler.list(front.carrier, false, List.of(entry));
     }
@@ -151,7 +160,7 @@
             return can(of.request.function) ? of.request.function : null;
         }
         for (String function : abilities.keySet()) {
-            if (front.config.functions.get(function).jobClass() == of.request.jobClass) {
+            if (front.config.function(function).jobClass() == of.request.jobClass) {
                 return function;
             }
         }
@@ -225,8 +234,7 @@
         String unique = job != null ? job.unique : next.request.unique != null ? next.request.unique
                 : next.request.payload.requestId();
         if (form == Packet.JOB_ASSIGN_ALL) {
-            // The fourth names a reducer: there is none, jobs of SUBMIT_REDUCE_JOB are not taken.
-            peer.send(form, handle, function, unique, "", body);
+            peer.send(form, handle, function, unique, job != null ? job.reducer : "", body);
         } else if (form == Packet.JOB_ASSIGN_UNIQ) {
             peer.send(form, handle, function, unique, body);
         } else {
@@ -260,7 +268,9 @@
                 break;
             case Packet.WORK_DATA:
             case Packet.WORK_WARNING:
-                append(said);
+                if (!passOn(type, said)) {
+                    append(said);
+                }
                 break;
             case Packet.WORK_COMPLETE:
                 append(said);
@@ -298,10 +308,20 @@
         }
     }
 
+    /** Where it can't be said twice, the clients hear it now. */
+    private boolean passOn(int type, byte[] said) {
+        Job job = call == null ? null : front.job(call.request);
+        if (job == null || !Passing.passesOn(scheduler.settings().classes[call.request.jobClass].effect)) {
+            return false;
+        }
+        front.said(job, type, said);
+        return true;
+    }
+
     private void append(byte[] said) {
-        if (call != null && data.size() + said.length > MOST_RESULT) {
+        if (call != null && data.size() + said.length > front.config.mostBody) {
             finish(Outcome.ERROR, null);
-        } else if (call != null || outlived != null && data.size() + said.length <= MOST_RESULT) {
+        } else if (call != null || outlived != null && data.size() + said.length <= front.config.mostBody) {
             data.writeBytes(said);
         }
         if (call != null) {
@@ -345,6 +365,7 @@
     void gone() {
         front.loop.deadlines().cancel(grace);
         front.loop.deadlines().cancel(wake);
+        forgetAbilities();
         if (!listed) {
             return;
         }
@@ -359,7 +380,8 @@
         finish(Outcome.RESET, null);
         for (OutboundCall waiting : new ArrayList<>(queue)) {
             queue.remove(waiting);
-            scheduler.ended(waiting, Outcome.CONNECT_FAILED, null, null);
+            // Not a connect that failed: three of those make a zone suspect, and workers leave as they like.
+            scheduler.ended(waiting, Outcome.MOOT, null, null);
         }
     }
 }
--- a/src/main/java/laneflow/http/EndpointConnection.java
+++ b/src/main/java/laneflow/http/EndpointConnection.java
@@ -18,7 +18,6 @@
 final class EndpointConnection implements LinkHandler {
     private static final Logger LOG = LoggerFactory.getLogger(EndpointConnection.class);
     private static final int IN_RING = 64 * 1024;
-    private static final int OUT_RING = 128 * 1024;
     /** What may come behind the last line, an empty chunk, comes within this time or not at all. */
     private static final long TAIL = 1_000_000;
     /**
@@ -113,7 +112,7 @@
                 carrier.loop.later(() -> finish(Outcome.MOOT));
                 return;
             }
-            link = carrier.loop.connect(Loop.address(dial), IN_RING, OUT_RING, this);
+            link = carrier.loop.connect(Loop.address(dial), IN_RING, carrier.outRing(), this);
             expect(carrier.connectTimeout);
         } catch (IllegalArgumentException e) {
             LOG.warn("{}: {}", endpoint, e.getMessage());
--- a/src/main/java/laneflow/http/HttpCarrier.java
+++ b/src/main/java/laneflow/http/HttpCarrier.java
@@ -27,6 +27,10 @@
     /** Idle connections to all endpoints, the longest idle first. */
     private final ArrayDeque<EndpointConnection> idle = new ArrayDeque<>();
 
+    /** What a call may hold besides its body. */
+    private static final int HEAD = 16 * 1024;
+    private int outRing = 128 * 1024;
+
     /** @param idleSeconds after which endpoints close idle connections themselves */
     public HttpCarrier(Loop loop, Scheduler scheduler, double idleSeconds) {
         this.loop = loop;
@@ -35,6 +39,15 @@
         connectTimeout = (long) (scheduler.settings().connectTimeout * 1e6);
     }
 
+    /** Requests of another front may be longer than this wire's own. */
+    public void mostBody(int bytes) {
+        outRing = Math.max(outRing, Integer.highestOneBit(bytes + HEAD) << 1);
+    }
+
+    int outRing() {
+        return outRing;
+    }
+
     @Override
     public void open(OutboundCall call) {
         take(call.endpoint, !mayRepeat(call)).begin(call);
--- a/src/main/java/laneflow/net/Link.java
+++ b/src/main/java/laneflow/net/Link.java
@@ -1,6 +1,7 @@
 package laneflow.net;
 
 import java.io.IOException;
+import java.net.InetSocketAddress;
 import laneflow.core.Deadlines.Deadline;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -52,6 +53,12 @@
         return handle;
     }
 
+    /** The other side's address in figures; "-" where it is not known. */
+    public String peer() {
+        InetSocketAddress at = connection == null ? null : connection.getPeerAddress(InetSocketAddress.class);
+        return at == null ? "-" : at.getAddress().getHostAddress();
+    }
+
     public boolean isClosed() {
         return closed;
     }
--- /dev/null
+++ b/src/test/java/laneflow/gearman/ConformanceTest.java
@@ -0,0 +1,44 @@
+package laneflow.gearman;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.List;
+import laneflow.lab.Conformance;
+import laneflow.net.Stand;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+
+/** The cases of the protocol against the front in this process; {@code lab conformance} plays them at another. */
+@Timeout(120)
+class ConformanceTest {
+    private static final String LOCAL = "listen = '127.0.0.1:0'\n"
+            + Conformance.FUNCTIONS.replace("[gearman.functions", "[functions");
+
+    @Test
+    void everyCaseGoesAsWritten() throws Exception {
+        try (Stand stand = Stand.gearman(LOCAL)) {
+            int port = stand.serve.gearman().address().getPort();
+            Conformance.Result result = Conformance.play(port, "");
+            assertEquals(List.of(), result.failures());
+            assertTrue(result.played() > 60, result.played() + " cases");
+            assertEquals(0, stand.counter("core.overdue"));
+        }
+    }
+
+    /** A case that is not kept is seen: the runner does not pass what differs. */
+    @Test
+    void aCaseThatIsNotKeptFails() throws Exception {
+        try (Stand stand = Stand.gearman(LOCAL)) {
+            int port = stand.serve.gearman().address().getPort();
+            for (String[] lines : new String[][] {{"c> ECHO_REQ a", "c< ECHO_RES b"}, {"c> ECHO_REQ a", "c< NO_JOB"},
+                {"c> ECHO_REQ a", "c< ECHO_RES a|b"}, {"c: version", "c= ERR*"}, {"c: status", "c* none*"},
+                {"c> GRAB_JOB", "c!"}}) {
+                String wrong = Conformance.play(new Conformance.Case("wrong", List.of(lines)), port);
+                assertTrue(wrong != null && wrong.startsWith("'" + lines[1] + "' "), wrong);
+            }
+            assertNull(Conformance.play(new Conformance.Case("right", List.of("c> ECHO_REQ a", "c< ECHO_RES a")), port));
+        }
+    }
+}
--- a/src/test/java/laneflow/net/Stand.java
+++ b/src/test/java/laneflow/net/Stand.java
@@ -115,6 +115,13 @@
         return new Stand(new Serve(setup));
     }
 
+    /** The program with a Gearman front of that table, and nothing else known. */
+    public static Stand gearman(String table) throws Exception {
+        Config config = Config.parse(json("{'name':'n3'" + OWN));
+        return new Stand(new Serve(new Setup(config, GearmanConfig.parse(table, config.settings,
+                List.of(config.classNames), config.zones), null, null)));
+    }
+
     /** The same with a Gearman front that has these functions, and durable jobs in that folder unless null. */
     public static Stand streaming(String control, String functions, Path durable) throws Exception {
         Config config = Config.parse(json("{'name':'n3'" + OWN));
