--- a/src/main/java/laneflow/gearman/AdminText.java
+++ b/src/main/java/laneflow/gearman/AdminText.java
@@ -14,7 +14,8 @@
     private static final String END = ".\n";
     private static final String OK = "OK\n";
     private static final String UNKNOWN = "ERR UNKNOWN_COMMAND Unknown+server+command\n";
-    private static final String MISSING = "ERR INCOMPLETE_ARGS An+incomplete+set+of+arguments+was+sent+to+this+command\n";
+    private static final String MISSING = "ERR INCOMPLETE_ARGS"
+            + " An+incomplete+set+of+arguments+was+sent+to+this+command\n";
 
     private final GearmanFront front;
 
