--- a/src/main/java/laneflow/core/DestinationSet.java
+++ b/src/main/java/laneflow/core/DestinationSet.java
@@ -26,6 +26,8 @@
         public double weight = 1;
         public long startedAt;
         public long classes = -1;
+        /** Numbers of functions by {@link Endpoint#number}, in ascending order; null: any function. */
+        public long[] abilities;
 
         /** The same in another state. */
         Entry in(State other) {
@@ -39,6 +41,7 @@
             copy.weight = weight;
             copy.startedAt = startedAt;
             copy.classes = classes;
+            copy.abilities = abilities;
             return copy;
         }
     }
@@ -72,6 +75,7 @@
             endpoint.weight = entry.weight;
             endpoint.startedAt = entry.startedAt;
             endpoint.classes = entry.classes;
+            endpoint.abilities = entry.abilities;
             changes.add(state(endpoint, entry.state, now));
         }
         if (whole) {
@@ -112,6 +116,7 @@
         worker.startedAt = Clock.seconds(endpoint.startedAt);
         worker.state = state;
         worker.classes = endpoint.classes;
+        worker.abilities = endpoint.abilities;
         return worker;
     }
 
--- a/src/main/java/laneflow/core/Endpoint.java
+++ b/src/main/java/laneflow/core/Endpoint.java
@@ -1,6 +1,7 @@
 package laneflow.core;
 
 import java.nio.charset.StandardCharsets;
+import java.util.Arrays;
 import laneflow.decision.Dispatch.State;
 
 /** A worker, as the destination set holds it. */
@@ -19,6 +20,8 @@
     public long startedAt;
     /** The classes it runs, a bit each. */
     public long classes = -1;
+    /** The functions it runs, by number; null: any of its classes. */
+    public long[] abilities;
     State state = State.READY;
     /** When this scheduler was told that it drains or is gone. */
     long drainToldAt = Long.MAX_VALUE;
@@ -43,7 +46,7 @@
     boolean isAs(DestinationSet.Entry entry) {
         return state == entry.state && dial.equals(entry.dial) && zone == entry.zone && kind == entry.kind
                 && cell == entry.cell && weight == entry.weight && startedAt == entry.startedAt
-                && classes == entry.classes;
+                && classes == entry.classes && Arrays.equals(abilities, entry.abilities);
     }
 
     public State state() {
--- a/src/main/java/laneflow/core/Request.java
+++ b/src/main/java/laneflow/core/Request.java
@@ -83,5 +83,6 @@
         to.slots = slots;
         to.memory = memory;
         to.retry = retry;
+        to.ability = function == null ? 0 : Endpoint.number(function);
     }
 }
--- a/src/main/java/laneflow/decision/Dispatch.java
+++ b/src/main/java/laneflow/decision/Dispatch.java
@@ -156,6 +156,8 @@
         public double startedAt;
         /** The classes it can run, a bit each; all where nobody says. */
         public long classes = -1;
+        /** The abilities that it has, in ascending order; null: whatever a request of its classes needs. */
+        public long[] abilities;
     }
 
     /** A client's request. */
@@ -171,6 +173,8 @@
         public double hint = Double.NaN;
         public double slots = 1;
         public double memory;
+        /** What a worker must have among its abilities to run it; 0: nothing. */
+        public long ability;
         /** The client has tried before, where clients say so. */
         public boolean retry;
     }
--- a/src/main/java/laneflow/decision/Job.java
+++ b/src/main/java/laneflow/decision/Job.java
@@ -11,6 +11,8 @@
     JobClass type;
     /** Its class as a bit of {@link Dispatch.Worker#classes}. */
     long classBit;
+    /** What a worker must be able to do, or 0. */
+    long ability;
     double arrivedAt;
     double lastCall;
     double hint;
@@ -45,6 +47,7 @@
         hint = work;
         slots = request.slots;
         memory = request.memory;
+        ability = request.ability;
         awaited = 0;
         live = true;
         streaming = false;
--- a/src/main/java/laneflow/decision/Logic.java
+++ b/src/main/java/laneflow/decision/Logic.java
@@ -329,7 +329,9 @@
     }
 
     private static boolean runs(View view, Job job) {
-        return (job.type.kind < 0 || job.type.kind == view.kind) && (view.classes & job.classBit) != 0;
+        return (job.type.kind < 0 || job.type.kind == view.kind) && (view.classes & job.classBit) != 0
+                && (job.ability == 0 || view.abilities == null
+                || Arrays.binarySearch(view.abilities, job.ability) >= 0);
     }
 
     /** A job that runs anywhere spares the kinds that some class depends on, while others have room. */
@@ -750,6 +752,7 @@
         view.crowd = crowds.computeIfAbsent((long) entry.kind << 32 | entry.zone, key -> new Crowd());
         view.cell = entry.cell;
         view.classes = entry.classes;
+        view.abilities = entry.abilities;
         view.startedAt = Math.max(view.startedAt, entry.startedAt);
         view.warmAt = view.startedAt > 0 ? view.startedAt + settings.coldFor : Double.NEGATIVE_INFINITY;
         if (entry.state != view.state) {
@@ -899,6 +902,7 @@
         private Kind peers;
         private int cell;
         private long classes;
+        private long[] abilities;
         private State state;
         private double startedAt;
         private double warmAt;
--- a/src/main/java/laneflow/gearman/Worker.java
+++ b/src/main/java/laneflow/gearman/Worker.java
@@ -10,6 +10,7 @@
 import laneflow.decision.Dispatch.State;
 import laneflow.core.Deadlines.Deadline;
 import laneflow.core.DestinationSet.Entry;
+import laneflow.core.Endpoint;
 import laneflow.core.OutboundCall;
 import laneflow.core.Scheduler;
 import laneflow.gearman.decision.Passing;
@@ -139,6 +140,8 @@
         for (String function : abilities.keySet()) {
             entry.classes |= 1L << front.config.function(function).jobClass();
         }
+        // Which of a class's functions it has: sent to one that has not, a job would come back unbegun.
+        entry.abilities = abilities.keySet().stream().mapToLong(Endpoint::number).sorted().toArray();
         scheduler.list(front.carrier, false, List.of(entry));
     }
 
--- a/src/main/java/laneflow/lab/Measure.java
+++ b/src/main/java/laneflow/lab/Measure.java
@@ -17,11 +17,14 @@
     private boolean large;
 
     /** What can be measured. */
-    enum What { durable, config }
+    enum What { durable, config, gearman }
 
     @Override
     public Integer call() throws Exception {
-        return what == What.durable ? DurableMeasure.run(seed, large, System.out)
-                : ConfigMeasure.run(seed, large, System.out);
+        switch (what) {
+            case durable: return DurableMeasure.run(seed, large, System.out);
+            case config: return ConfigMeasure.run(seed, large, System.out);
+            default: return GearmanMeasure.run(seed, large, System.out);
+        }
     }
 }
--- a/src/test/java/laneflow/gearman/GearmanStoryTest.java
+++ b/src/test/java/laneflow/gearman/GearmanStoryTest.java
@@ -351,4 +351,38 @@
             assertEquals(handle, grab(worker)[0]);
         }
     }
+
+    /** Of many workers of one class only those with a job's function are asked, and nobody else is woken. */
+    @Test
+    void aJobGoesStraightToAWorkerThatHasItsFunction() throws Exception {
+        int count = 30;
+        try (Stand stand = Stand.gearman("listen = '127.0.0.1:0'\nunmapped_class = 'basket-check'\n")) {
+            Peer[] workers = new Peer[count];
+            for (int i = 0; i < count; i++) {
+                workers[i] = worker(stand, "f" + i, "g" + i);
+                send(workers[i], Packet.ECHO_REQ, "");
+                expect(workers[i], Packet.ECHO_RES);
+            }
+            Peer client = stand.gearman();
+            for (int i = 0; i < count; i++) {
+                String handle = submit(client, Packet.SUBMIT_JOB, (i % 2 == 0 ? "f" : "g") + i, "", "x");
+                assertEquals(handle, grab(workers[i])[0]);
+                send(workers[i], Packet.WORK_COMPLETE, handle, "r");
+                expect(client, Packet.WORK_COMPLETE);
+            }
+            assertEquals(count, stand.counter("call.sent"));
+            assertEquals(0, stand.counter("call.moot"));
+            // Taken back it is not asked any more; what nobody has is refused at once and sent to nobody.
+            send(workers[3], Packet.CANT_DO, "g3");
+            send(workers[3], Packet.ECHO_REQ, "");
+            expect(workers[3], Packet.ECHO_RES);
+            String handle = submit(client, Packet.SUBMIT_JOB, "g3", "", "x");
+            assertEquals(handle, expect(client, Packet.WORK_FAIL)[0]);
+            assertEquals(count, stand.counter("call.sent"));
+            // An HTTP client's job needs no function: any worker of its class will do.
+            Peer http = stand.http().post("basket-check", "1", "", "x");
+            stand.await("call.sent", count + 1);
+            http.close();
+        }
+    }
 }
