--- a/src/test/java/laneflow/control/ControlTypesStoryTest.java
+++ b/src/test/java/laneflow/control/ControlTypesStoryTest.java
@@ -22,6 +22,8 @@
 import java.nio.file.Path;
 import java.util.Arrays;
 import java.util.List;
+import java.util.Set;
+import java.util.TreeSet;
 import laneflow.Setup;
 import laneflow.cli.CliRun;
 import laneflow.control.decision.Version;
@@ -296,6 +298,72 @@
         }
     }
 
+    /** The store's jobs are there before the first version is: they wait for it, and each runs once. */
+    @Test
+    void aVersionAdoptedDuringRecoveryIsWhereTheJobsGo() throws Exception {
+        Path jobs = folder.resolve("jobs");
+        try (Stand stand = Stand.keeping(jobs, "")) {
+            Peer client = stand.gearman();
+            for (int i = 0; i < 5; i++) {
+                Gearman.keep(client, "kcapture", "u" + i, "job " + i);
+            }
+        }
+        Endpoint service = new Endpoint("control");
+        Endpoint till = new Endpoint("e1");
+        try (Stand stand = Stand.streaming(control(service, "probation_ms = 0\n"),
+                "[functions.kcapture]\nclass = 'card-capture'\ndurable = true\n", jobs)) {
+            assertEquals(5, stand.counter("durable.recovered"));
+            Peer peer = stream(service);
+            begun(peer, "classes", "limits", "functions", "durable");
+            ask(peer, version("1-aa", "x", resource(till)));
+            Set<String> ran = new TreeSet<>();
+            for (int i = 0; i < 5; i++) {
+                try (Peer call = till.accept()) {
+                    String sent = call.message();
+                    int at = sent.indexOf("Req-Id: ") + 8;
+                    assertTrue(ran.add(sent.substring(sent.length() - 5)), sent);
+                    // Another version in the middle of it, with the same endpoint in another order of keys.
+                    ask(peer, version((i + 2) + "-aa", "x", resource(till)));
+                    call.says("{'id':'" + sent.substring(at, sent.indexOf('\r', at)) + "','state':'done','result':'r'}");
+                    stand.await("durable.done", i + 1);
+                }
+            }
+            assertEquals(5, ran.size());
+        }
+    }
+
+    /** A data centre is lost: the service says nothing more, an endpoint is gone, and clients go on asking. */
+    @Test
+    void silenceWhileAnEndpointIsLostLeavesTheOtherServing() throws Exception {
+        Endpoint service = new Endpoint("control");
+        Endpoint lost = new Endpoint("e1");
+        Endpoint left = new Endpoint("e2");
+        try (Stand stand = Stand.streaming(control(service, "silence_ms = 150\nprobation_ms = 0\n"))) {
+            Peer peer = stream(service);
+            begun(peer);
+            ask(peer, version("1-aa", "x", resource(lost), resource(left)));
+            lost.close();
+            try (Peer client = stand.http()) {
+                Peer call = null;
+                for (int i = 0; i < 20; i++) {
+                    client.post("basket-check", "q" + i, "", "");
+                    // One kept connection carries them all: nothing else is at work here.
+                    call = call == null ? left.accept() : call;
+                    assertEquals("q" + i, call(call));
+                    call.says("{'id':'q" + i + "','state':'done','result':'r'}");
+                    assertTrue(client.message().startsWith("HTTP/1.1 200 "));
+                    if (i == 10) {
+                        // Begun anew, and silent again.
+                        assertTrue(peer.ended());
+                        assertEquals("1-aa", begun(stream(service)).get("version_info").getAsString());
+                    }
+                }
+            }
+            assertTrue(report(stand).contains("\"version\":\"1-aa\""));
+            assertTrue(stand.counter("config.streams") >= 2);
+        }
+    }
+
     @Test
     void whatWaitedForARestartHoldsAfterIt() throws Exception {
         Path file = folder.resolve("laneflow.toml");
@@ -323,7 +391,7 @@
         Path platform = folder.resolve("platform.json");
         Files.writeString(platform, "{\"settings\":{\"classes\":[{\"name\":\"c\",\"semantics\":\"pure\"}]},"
                 + "\"discovery\":\"127.0.0.1:1\"}");
-        assertEquals(java.util.Set.of("classes", "destinations"),
+        assertEquals(Set.of("classes", "destinations"),
                 Setup.operators(file, platform, null).fixed().keySet());
     }
 
--- a/src/test/java/laneflow/core/SchedulerTest.java
+++ b/src/test/java/laneflow/core/SchedulerTest.java
@@ -111,6 +111,36 @@
         assertEquals(0, scheduler.open());
     }
 
+    /** What a version changes holds for requests that come behind it; one that is open keeps what it came under. */
+    @Test
+    void aRequestKeepsTheLimitsThatItCameUnder() {
+        endpoints("a", "b", "c", "d", "e");
+        Settings settings = scheduler.settings();
+        submit(SAFE);
+        int epoch = scheduler.retuned();
+        settings.maxAttempts = 1;
+        JobClass other = new JobClass();
+        other.effect = Effect.SAFE;
+        other.group = Group.ALL;
+        other.stretch = 2;
+        settings.classes[SAFE] = other;
+        assertEquals(epoch + 1, scheduler.retuned());
+        // It has five attempts, as when it came.
+        scheduler.ended(calls.get(0), Outcome.RESET, null, null);
+        assertEquals(2, calls.size());
+        scheduler.ended(calls.get(1), Outcome.RESET, null, null);
+        assertEquals(3, calls.size());
+        assertTrue(calls.get(2).request.type != other);
+        // The one behind it has one.
+        Request next = submit(SAFE);
+        assertEquals(epoch + 1, next.epoch());
+        assertTrue(next.type == other);
+        assertEquals(4, calls.size());
+        scheduler.ended(calls.get(3), Outcome.RESET, null, null);
+        assertEquals(4, calls.size());
+        assertEquals(List.of("refused"), answers);
+    }
+
     @Test
     void everyRequestIsAnsweredOnceBeforeItsDeadline() {
         endpoints("a");
