--- a/src/main/java/laneflow/KeptSettings.java
+++ b/src/main/java/laneflow/KeptSettings.java
@@ -5,8 +5,10 @@
 import java.nio.file.Files;
 import java.util.LinkedHashMap;
 import java.util.Map;
+import laneflow.config.ConfigException;
 import laneflow.control.ControlConfig;
 import laneflow.control.LastGood;
+import laneflow.wire.WireException;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -34,6 +36,21 @@
         return all;
     }
 
+    /** Reads a setup under what was kept. */
+    interface Reading {
+        Setup read() throws IOException, WireException;
+    }
+
+    /** What was read, or null where what was kept does not fit the operators' file. */
+    static Setup unless(Reading reading) throws IOException, WireException {
+        try {
+            return reading.read();
+        } catch (ConfigException e) {
+            LOG.error("the last good versions do not fit the file: it is used alone. {}", e.getMessage());
+            return null;
+        }
+    }
+
     /** What a file holds, or null. */
     static LastGood.Kept read(LastGood file) {
         try {
--- a/src/main/java/laneflow/Setup.java
+++ b/src/main/java/laneflow/Setup.java
@@ -7,7 +7,6 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import laneflow.config.ConfigException;
 import laneflow.config.Findings;
 import laneflow.config.OperatorFile;
 import laneflow.control.ControlConfig;
@@ -15,13 +14,10 @@
 import laneflow.gearman.GearmanConfig;
 import laneflow.http.Config;
 import laneflow.wire.WireException;
-import org.slf4j.Logger;
-import org.slf4j.LoggerFactory;
 
 /** All that a scheduler is told at its start; null stands for a front or a subsystem that is off. */
 public record Setup(Config config, GearmanConfig gearman, DurableConfig durable, ControlConfig control,
         Map<String, String> fixed) {
-    private static final Logger LOG = LoggerFactory.getLogger(Setup.class);
     private static final String PLATFORM = "the platform's file decides this here";
 
     /** Nothing of the stream's types is decided elsewhere. */
@@ -47,10 +43,10 @@
         Map<String, JsonArray> streamed = plain.control() == null || !plain.findings().isEmpty() ? Map.of()
                 : KeptSettings.read(ControlConfig.read(plain.control()));
         if (!streamed.isEmpty()) {
-            try {
-                return operators(OperatorFile.read(file, streamed), platform, destinations);
-            } catch (ConfigException e) {
-                LOG.error("the last good versions do not fit the file: it is used alone. {}", e.getMessage());
+            Setup under = KeptSettings.unless(() ->
+                    operators(OperatorFile.read(file, streamed), platform, destinations));
+            if (under != null) {
+                return under;
             }
         }
         return operators(OperatorFile.read(file), platform, destinations);
