One wait for a process's port, in Crew; five class comments mended

Change: Crew.awaitPort serves the quickstart, the suite and both measurements; it also ends at once where the process has died.

--- a/src/main/java/laneflow/core/Replacement.java
+++ b/src/main/java/laneflow/core/Replacement.java
@@ -7,11 +7,10 @@
 import laneflow.decision.Dispatch.State;
 
 /**
- * A whole set in the place of what a source told before, prepared in steps of a turn each,
-         so that the turn in
- * which it comes to hold costs what has changed of live endpoints and not what the set holds. Until then no
- * request sees any of it: what is new is known as draining, and what changes or leaves is only noted. Between
- * its first step and {@link #adopt} nobody else may speak for the source.
+ * A whole set in the place of what a source told before, prepared in steps of a turn each, so that the turn
+ * in which it comes to hold costs what has changed of live endpoints and not what the set holds. Until then
+ * no request sees any of it: what is new is known as draining, and what changes or leaves is only noted.
+ * Between its first step and {@link #adopt} nobody else may speak for the source.
  */
 public final class Replacement {
     /** Endpoints looked at in one step. */
--- a/src/main/java/laneflow/gearman/AdminText.java
+++ b/src/main/java/laneflow/gearman/AdminText.java
@@ -6,9 +6,8 @@
 import org.slf4j.LoggerFactory;
 
 /**
- * The text protocol: one line asked,
-         an answer in the forms that tools of the protocol parse. Lists end with a
- * line that holds a dot alone. On the loop's thread.
+ * The text protocol: one line asked, an answer in the forms that tools of the protocol parse. Lists end
+ * with a line that holds a dot alone. On the loop's thread.
  */
 final class AdminText {
     private static final String END = ".\n";
--- a/src/main/java/laneflow/gearman/decision/Queues.java
+++ b/src/main/java/laneflow/gearman/decision/Queues.java
@@ -5,10 +5,9 @@
 import java.util.TreeMap;
 
 /**
- * How many jobs of each function wait, by priority,
-         and how many run; and whether another may be taken. Limits
- * are those of the protocol's {@code maxqueue}: a job is turned away where as many of its function and
- * priority wait already. Counting is by changes: nothing here grows with jobs or workers. No I/O.
+ * How many jobs of each function wait, by priority, and how many run; and whether another may be taken.
+ * Limits are those of the protocol's {@code maxqueue}: a job is turned away where as many of its function
+ * and priority wait already. Counting is by changes: nothing here grows with jobs or workers. No I/O.
  */
 public final class Queues {
     public static final int HIGH = 0;
--- a/src/main/java/laneflow/lab/ConfigMeasure.java
+++ b/src/main/java/laneflow/lab/ConfigMeasure.java
@@ -167,13 +167,7 @@
         Path file = folder.resolve(name + ".toml");
         settings(file, name, ports[i], control, "probation_ms = 0\n");
         Process process = crew.start(name, 128, Main.class, "serve", "--config", file.toString());
-        await(() -> {
-            try (Socket socket = new Socket(InetAddress.getLoopbackAddress(), ports[i])) {
-                return true;
-            } catch (IOException e) {
-                return false;
-            }
-        }, name);
+        crew.awaitPort(process, name, ports[i]);
         return process;
     }
 
--- a/src/main/java/laneflow/lab/Conformance.java
+++ b/src/main/java/laneflow/lab/Conformance.java
@@ -25,10 +25,9 @@
 import picocli.CommandLine.Option;
 
 /**
- * {@code lab conformance}: the cases of gearman-cases.txt,
-         played against a scheduler of its own over loopback.
- * Its codec is independent of the front's, as {@link Wire}'s is. The last line counts the cases that passed;
- * exit code 1 where one did not.
+ * {@code lab conformance}: the cases of gearman-cases.txt, played against a scheduler of its own over
+ * loopback. Its codec is independent of the front's, as {@link Wire}'s is. The last line counts the cases
+ * that passed; exit code 1 where one did not.
  */
 @Command(name = "conformance", mixinStandardHelpOptions = true,
         description = "Plays the cases of the Gearman protocol; exit code 1 if one fails.")
@@ -100,18 +99,9 @@
                     + "[classes.basket-check]\naim_ms = 200\ndeadline_ms = 5000\nrepeat = \"safe\"\n"
                     + "[classes.card-capture]\naim_ms = 150\ndeadline_ms = 6000\n"
                     + "[gearman]\nlisten = \"127.0.0.1:" + port + "\"\n" + FUNCTIONS);
-            crew.start("scheduler", 128, Main.class, "serve", "--config", file.toString());
-            long end = System.nanoTime() + 20_000_000_000L;
-            while (true) {
-                try (Socket socket = new Socket(InetAddress.getLoopbackAddress(), port)) {
-                    break;
-                } catch (IOException e) {
-                    if (System.nanoTime() > end) {
-                        throw new IOException("the scheduler did not start: " + crew.log("scheduler"), e);
-                    }
-                    Thread.sleep(10);
-                }
-            }
+            Process scheduler = crew.start("scheduler", 128, Main.class, "serve", "--config",
+                    file.toString());
+            crew.awaitPort(scheduler, "scheduler", port);
             Result result = play(port, only);
             result.failures().forEach(out::println);
             out.println("conformance: " + result.passed() + "/" + result.played());
--- a/src/main/java/laneflow/lab/Crew.java
+++ b/src/main/java/laneflow/lab/Crew.java
@@ -4,6 +4,7 @@
 import java.io.IOException;
 import java.net.InetAddress;
 import java.net.ServerSocket;
+import java.net.Socket;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
@@ -45,6 +46,18 @@
         return process;
     }
 
+    /** Waits until a process that was started under that name listens there. */
+    void awaitPort(Process process, String name, int port) throws IOException, InterruptedException {
+        for (int i = 0; i < 2000 && process.isAlive(); i++) {
+            try (Socket socket = new Socket(InetAddress.getLoopbackAddress(), port)) {
+                return;
+            } catch (IOException e) {
+                Thread.sleep(10);
+            }
+        }
+        throw new IOException(name + " did not come up at port " + port + ": " + log(name));
+    }
+
     String log(String name) throws IOException {
         return Files.readString(folder.resolve(name + ".log"));
     }
--- a/src/main/java/laneflow/lab/GearmanMeasure.java
+++ b/src/main/java/laneflow/lab/GearmanMeasure.java
@@ -21,13 +21,12 @@
 import org.HdrHistogram.ConcurrentHistogram;
 
 /**
- * {@code lab measure gearman}: a scheduler as a process,
-         a thousand stand-in workers with two of 200 functions
- * each, and clients that ask one job after the other. First with workers that fail, vanish, and half of them
- * at once; what each client was told is held against the workers' ledger. Then without failures, for the
- * cost of a job. The suite of the protocol's cases is played too. Exit code 1 for a job without an answer,
-         one
- * that must not run twice and did, an answer that is not what happened, or a case that fails.
+ * {@code lab measure gearman}: a scheduler as a process, a thousand stand-in workers with two of 200
+ * functions each, and clients that ask one job after the other. First with workers that fail, vanish, and
+ * half of them at once; what each client was told is held against the workers' ledger. Then without
+ * failures, for the cost of a job. The suite of the protocol's cases is played too. Exit code 1 for a job
+ * without an answer, one that must not run twice and did, an answer that is not what happened, or a case
+ * that fails.
  */
 final class GearmanMeasure {
     private static final int FUNCTIONS = 200;
@@ -77,7 +76,7 @@
         int http = Crew.port();
         Process scheduler = crew.start("scheduler", 256, Main.class, "serve", "--config",
                 settings(http).toString());
-        awaitPort(http);
+        crew.awaitPort(scheduler, "scheduler", http);
         long before = liveBytes(scheduler);
         // Failures: a share of jobs fail or lose their worker, and once half of the workers vanish.
         Process crowd = crowd("rough", 10, 0.02, 0.02, seconds / 2 * 1000L + 2000, seconds + 5);
@@ -151,17 +150,6 @@
         return at < 0 ? -1 : Long.parseLong(log.substring(at + 6).strip()) / (double) Math.max(1, runs);
     }
 
-    private static void awaitPort(int at) throws IOException, InterruptedException {
-        for (int i = 0; i < 2000; i++) {
-            try (Socket socket = new Socket(InetAddress.getLoopbackAddress(), at)) {
-                return;
-            } catch (IOException e) {
-                Thread.sleep(10);
-            }
-        }
-        throw new IOException("nothing came up at port " + at);
-    }
-
     /** Until so many workers are connected, by the text protocol. */
     private void awaitWorkers(int wanted) throws IOException, InterruptedException {
         int there = -1;
--- a/src/main/java/laneflow/lab/Quickstart.java
+++ b/src/main/java/laneflow/lab/Quickstart.java
@@ -56,7 +56,7 @@
         }
         Path file = Files.writeString(folder.resolve("laneflow.toml"), text);
         Process scheduler = crew.start("scheduler", 128, Main.class, "serve", "--config", file.toString());
-        ready(scheduler, http, crew);
+        crew.awaitPort(scheduler, "scheduler", http);
         ledgers.add(folder.resolve("worker").toString());
         crew.start("worker", 64, StandInWorker.class, "" + gearman, ledgers.get(3), "9", "30", "0", "0",
                 "basket_check,card_capture,points_post", "30");
@@ -104,18 +104,6 @@
         return served == 19 ? 0 : 1;
     }
 
-    private static void ready(Process scheduler, int port, Crew crew) throws IOException,
-            InterruptedException {
-        for (int i = 0; i < 1000 && scheduler.isAlive(); i++) {
-            try (Socket socket = new Socket(InetAddress.getLoopbackAddress(), port)) {
-                return;
-            } catch (IOException e) {
-                Thread.sleep(10);
-            }
-        }
-        throw new IOException("the scheduler did not start: " + crew.log("scheduler"));
-    }
-
     private static String post(Socket socket, InputStream in, String jobClass, String name, String headers)
             throws IOException {
         socket.setSoTimeout(10_000);
