--- a/src/main/java/laneflow/Serve.java
+++ b/src/main/java/laneflow/Serve.java
@@ -18,6 +18,7 @@
 import laneflow.http.HttpFront;
 import laneflow.http.OperatorPort;
 import laneflow.net.Loop;
+import laneflow.ops.Operations;
 import laneflow.wire.WireException;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -52,6 +53,8 @@
     private final Streaming streaming;
     /** Null where no discovery is named. */
     private final DiscoveryWatch watch;
+    /** Null where no second address is named. */
+    private final Operations operations;
     private final CountDownLatch drained = new CountDownLatch(1);
     private boolean stopping;
     private boolean leaving;
@@ -63,6 +66,11 @@
 
     /** Starts to serve; returns once clients are let in. */
     public Serve(Setup setup) throws IOException, InterruptedException {
+        this(setup, Surroundings.NONE);
+    }
+
+    /** The same with what the environment names. */
+    public Serve(Setup setup, Surroundings around) throws IOException, InterruptedException {
         Config config = setup.config();
         GearmanConfig gearmanConfig = setup.gearman();
         loop = new Loop(config.sockets);
@@ -75,11 +83,12 @@
             scheduler.start(carrier, config.known.entries);
             if (watch != null) {
                 watch.begin();
-                // Begun with nothing known, it would refuse all that comes before discovery's first word.
-                front.readyWhen(() -> scheduler.destinations().size() > 0
-                        || counters.get("discovery.lists") > 0);
             }
+            front.readyWhen(this::isReady);
         });
+        String ops = around.ops() != null ? around.ops() : config.ops;
+        operations = ops == null ? null : new Operations(loop, scheduler, front, around.scratch(),
+                this::serves, () -> stopping);
         gearman = gearmanConfig == null ? null : new GearmanFront(loop, scheduler, gearmanConfig,
                 config.seed);
         if (gearman != null) {
@@ -90,6 +99,9 @@
             durability.begin(front, gearman);
         }
         front.listen(Loop.address(config.listen));
+        if (operations != null) {
+            operations.listen(Loop.address(ops));
+        }
         if (gearman != null) {
             gearman.listen(Loop.address(gearmanConfig.listen));
         }
@@ -101,6 +113,16 @@
         }
     }
 
+    /** Begun with nothing known, it would refuse all that comes before discovery's first word. */
+    private boolean serves() {
+        return !stopping && (watch == null || scheduler.destinations().size() > 0
+                || counters.get("discovery.lists") > 0);
+    }
+
+    private boolean isReady() {
+        return serves() && (operations == null || !operations.isDrained());
+    }
+
     /** Runs the command until a signal ends it. */
     public static void run(Source source) throws IOException, WireException, InterruptedException {
         Setup setup = source.read();
@@ -115,7 +137,7 @@
         if (!Hangup.handle(() -> reader.execute(() -> serving.join().reload(source)))) {
             LOG.warn("SIGHUP is ignored, as under nohup: a moved discovery will not be followed");
         }
-        Serve serve = new Serve(setup);
+        Serve serve = new Serve(setup, Surroundings.of(System.getenv()));
         serving.complete(serve);
         if (serve.gearman != null) {
             // As with SIGTERM: the hook below answers what was taken before the machine ends.
@@ -165,6 +187,11 @@
         return streaming == null ? null : streaming.port();
     }
 
+    /** The second address, or null. */
+    public Operations operations() {
+        return operations;
+    }
+
     public Loop loop() {
         return loop;
     }
@@ -203,7 +230,6 @@
         }
         stopping = true;
         LOG.info("stopping, {} open; {}", scheduler.open(), counters.line());
-        front.readyWhen(() -> false);
         double longest = 0;
         for (JobClass type : scheduler.settings().classes) {
             longest = Math.max(longest, type.deadline);
--- /dev/null
+++ b/src/main/java/laneflow/Surroundings.java
@@ -0,0 +1,28 @@
+package laneflow;
+
+import java.nio.file.Path;
+import java.util.Map;
+
+/**
+ * What the environment of the process names besides its configuration.
+ *
+ * @param ops the second address, or null
+ * @param scratch the folder that the process after this one finds as this one left it, or null
+ * @param passed true if the clients' listening socket is descriptor 0
+ */
+public record Surroundings(String ops, Path scratch, boolean passed) {
+    public static final Surroundings NONE = new Surroundings(null, null, false);
+
+    /** Those of this process. */
+    static Surroundings of(Map<String, String> environment) {
+        String folder = environment.get("TMPDIR");
+        return new Surroundings(named(environment, "ROUTER_OPS"),
+                folder == null || folder.isEmpty() ? null : Path.of(folder),
+                named(environment, "ROUTER_PASSED_SOCKET") != null);
+    }
+
+    private static String named(Map<String, String> environment, String name) {
+        String value = environment.get(name);
+        return value == null || value.isEmpty() ? null : value;
+    }
+}
--- a/src/main/java/laneflow/core/DestinationSet.java
+++ b/src/main/java/laneflow/core/DestinationSet.java
@@ -1,11 +1,15 @@
 package laneflow.core;
 
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
+import java.util.TreeSet;
 import laneflow.decision.Dispatch.State;
 import laneflow.decision.Dispatch.Worker;
+import org.agrona.collections.LongHashSet;
 
 /**
  * The endpoints that may be called, by name, as their sources (discovery, connected workers, a file) tell of
@@ -14,6 +18,10 @@
 public final class DestinationSet {
     private final Map<String, Endpoint> byName = new HashMap<>();
     private final Map<Long, Endpoint> byId = new HashMap<>();
+    /** The numbers of all that were ever listed: operators may speak of those that are gone. */
+    private final LongHashSet everListed = new LongHashSet();
+    /** The names of those that operators have set down, listed now or not. */
+    private final TreeSet<String> down = new TreeSet<>();
 
     /** One line of a list. */
     public static final class Entry {
@@ -58,6 +66,8 @@
                     continue;
                 }
                 endpoint = new Endpoint(entry.name, carrier);
+                endpoint.down = down.contains(entry.name);
+                everListed.add(endpoint.id);
                 byName.put(entry.name, endpoint);
                 byId.put(endpoint.id, endpoint);
             }
@@ -120,6 +130,28 @@
         return worker;
     }
 
+    /** True if an endpoint of that name was ever listed, or is set down. */
+    public boolean hasListed(String name) {
+        return everListed.contains(Endpoint.number(name)) || down.contains(name);
+    }
+
+    /** The names of the endpoints that are set down, in order. */
+    public Set<String> down() {
+        return Collections.unmodifiableSet(down);
+    }
+
+    void down(String name, boolean is) {
+        if (is) {
+            down.add(name);
+        } else {
+            down.remove(name);
+        }
+        Endpoint endpoint = byName.get(name);
+        if (endpoint != null) {
+            endpoint.down = is;
+        }
+    }
+
     Endpoint get(long id) {
         return byId.get(id);
     }
--- a/src/main/java/laneflow/core/Scheduler.java
+++ b/src/main/java/laneflow/core/Scheduler.java
@@ -76,6 +76,18 @@
         }
     }
 
+    /** Operators want nothing more sent there, whatever lists say; repeats change nothing. */
+    public void setDown(String name) {
+        destinations.down(name, true);
+        event(() -> module.setDown(now(), Endpoint.number(name)));
+    }
+
+    /** The endpoint is to be used again. */
+    public void setUp(String name) {
+        destinations.down(name, false);
+        event(() -> module.setUp(now(), Endpoint.number(name)));
+    }
+
     /**
      * A whole set of a source, to be prepared in steps and then adopted at once.
      *
@@ -236,8 +248,13 @@
     }
 
     private boolean mayBegin(Endpoint endpoint) {
-        return endpoint.drainToldAt == Long.MAX_VALUE
-                || clock.micros() < endpoint.drainToldAt + (long) (settings.drainGrace * 1e6);
+        return !endpoint.down && (endpoint.drainToldAt == Long.MAX_VALUE
+                || clock.micros() < endpoint.drainToldAt + (long) (settings.drainGrace * 1e6));
+    }
+
+    /** True if operators want nothing sent there: what was about to go there goes elsewhere. */
+    public boolean isDown(Endpoint endpoint) {
+        return endpoint.down;
     }
 
     private boolean mayRepeat(Request request) {
--- a/src/main/java/laneflow/decision/Dispatch.java
+++ b/src/main/java/laneflow/decision/Dispatch.java
@@ -203,6 +203,12 @@
     /** Discovery's view of the workers; entries are empty for {@link ListKind#FAILED}. */
     void list(double now, ListKind kind, List<Worker> entries);
 
+    /** Operators want nothing more sent to that worker, whatever lists say, until it is set up. */
+    void setDown(double now, long worker);
+
+    /** Operators have that worker back, cold unless a list tells of a start since it was set down. */
+    void setUp(double now, long worker);
+
     /** Settings that may change have changed: they hold for the requests that come from now on. */
     void retuned();
 
--- a/src/main/java/laneflow/decision/Logic.java
+++ b/src/main/java/laneflow/decision/Logic.java
@@ -158,6 +158,28 @@
         index();
     }
 
+    @Override
+    public void setDown(double at, long worker) {
+        clock(at);
+        View view = views.computeIfAbsent(worker, View::new);
+        view.downAt = view.down ? view.downAt : now;
+        view.down = true;
+        index();
+        out.closeIdle(worker);
+    }
+
+    @Override
+    public void setUp(double at, long worker) {
+        clock(at);
+        View view = views.get(worker);
+        if (view != null && view.down) {
+            view.down = false;
+            view.backAt = now;
+            view.forgetReport();
+            admit(view);
+        }
+    }
+
     @Override
     public void retuned() {
         topWorth = 0;
@@ -623,7 +645,7 @@
         if (now >= view.warmAt) {
             return true;
         }
-        double age = Math.max(0, now - view.startedAt);
+        double age = Math.max(0, now - view.coldSince());
         double share = settings.coldShare + (1 - settings.coldShare) * age / settings.coldFor;
         double budget = COLD_SAFETY * settings.fallMultiple * share * view.peers.capacity()
                 * settings.fallWithin;
@@ -754,7 +776,6 @@
         view.classes = entry.classes;
         view.abilities = entry.abilities;
         view.startedAt = Math.max(view.startedAt, entry.startedAt);
-        view.warmAt = view.startedAt > 0 ? view.startedAt + settings.coldFor : Double.NEGATIVE_INFINITY;
         if (entry.state != view.state) {
             view.state = entry.state;
             closeIdle(view);
@@ -766,16 +787,22 @@
                 && entry.weight > 0) {
             view.crowd.reported(view.peers.sizeSeen / entry.weight - 1, now);
         }
-        if (entry.state == State.READY && !view.indexed && entry.zone >= 0 && entry.zone < pools.length) {
-            pools[entry.zone].add(view);
+        admit(view);
+    }
+
+    private void admit(View view) {
+        double since = view.coldSince();
+        view.warmAt = since > 0 ? since + settings.coldFor : Double.NEGATIVE_INFINITY;
+        if (view.isEligible() && !view.indexed && view.zone >= 0 && view.zone < pools.length) {
+            pools[view.zone].add(view);
         }
     }
 
-    /** Drops from the pools those that drain or are gone; forgets the gone with nothing out. */
+    /** Drops from the pools those that drain, are gone or set down; forgets the gone with nothing out. */
     private void index() {
         for (Pool pool : pools) {
             for (int i = pool.count - 1; i >= 0; i--) {
-                if (pool.ready[i].state != State.READY) {
+                if (!pool.ready[i].isEligible()) {
                     pool.remove(pool.ready[i]);
                 }
             }
@@ -785,7 +812,7 @@
 
     /** Not while its cold budget is partly spent: a list that flaps would let it be spent twice. */
     private boolean forgettable(View view) {
-        return view.state == State.GONE && view.ownCount == 0
+        return view.state == State.GONE && view.ownCount == 0 && !view.down && now >= view.warmAt
                 && view.coldLog.since(now - settings.fallWithin) == 0;
     }
 
@@ -903,7 +930,10 @@
         private int cell;
         private long classes;
         private long[] abilities;
-        private State state;
+        private State state = State.GONE; // Until a list names it.
+        private boolean down; // By operators.
+        private double downAt = Double.NEGATIVE_INFINITY; // When they last set it down,
+        private double backAt = Double.NEGATIVE_INFINITY; // and up.
         private double startedAt;
         private double warmAt;
         private int listRound;
@@ -928,6 +958,15 @@
             this.id = id;
         }
 
+        boolean isEligible() {
+            return state == State.READY && !down;
+        }
+
+        /** Lists are late: set down to be restarted, and not told of a start since, it counts as cold. */
+        double coldSince() {
+            return startedAt > downAt ? startedAt : Math.max(startedAt, backAt);
+        }
+
         void waited(Attempt attempt, double now) {
             double wait = attempt.startedAt - attempt.sentAt;
             peers.waited(wait, attempt.queueWait, now);
--- a/src/main/java/laneflow/http/Client.java
+++ b/src/main/java/laneflow/http/Client.java
@@ -109,6 +109,19 @@
         link.close();
     }
 
+    /** Closes it unless a request is there, or about to be read, or it has only just come. */
+    void leaveUnlessBusy(long young) {
+        if (begun && front.loop.micros() - since < young) {
+            return;
+        }
+        if (!isBusy()) {
+            link.look();
+        }
+        if (!link.isClosed() && !isBusy()) {
+            leave();
+        }
+    }
+
     private void drop() {
         front.remove(slot);
         front.loop.deadlines().cancel(timer);
--- a/src/main/java/laneflow/http/Config.java
+++ b/src/main/java/laneflow/http/Config.java
@@ -24,6 +24,8 @@
     /** The scheduler's name, the same after a restart. */
     public final String name;
     public final String listen;
+    /** The second address, where on-call staff call in; null where there is none. */
+    public final String ops;
     /** Discovery's address, or null where there is none. */
     public final String discovery;
     public final long seed;
@@ -60,6 +62,7 @@
         connIdle = limits.has("connIdle") ? limits.get("connIdle").getAsDouble() : CONN_IDLE;
         name = text(root, "name", "");
         listen = text(root, "listen", null);
+        ops = text(root, "ops", null);
         discovery = text(root, "discovery", null);
         seed = seed(text(root, "seed", "0"));
         JsonObject own = root.has("limits") ? root.getAsJsonObject("limits") : new JsonObject();
--- a/src/main/java/laneflow/http/EndpointConnection.java
+++ b/src/main/java/laneflow/http/EndpointConnection.java
@@ -155,6 +155,11 @@
         answer = new Answer(carrier.scheduler, call);
         reader = new HttpReader(true, answer);
         held = null;
+        if (carrier.scheduler.isDown(endpoint)) {
+            // Set down while the connection came up: nothing has been written, and the job goes elsewhere.
+            finish(Outcome.MOOT);
+            return;
+        }
         if (call == null) {
             link.out.put(ascii("GET /stats HTTP/1.1\r\nHost: " + dial + "\r\n\r\n"));
         } else if (!carrier.scheduler.mayBegin(call)) {
@@ -285,7 +290,8 @@
     private void rest() {
         if (link == null || link.isClosed() || !up || answer == null || answer.outcome() == null
                 || !answer.keepsAlive() || held != null || !link.out.isEmpty()
-                || reader.isDone() && (!link.in.isEmpty() || endpoint.state() != State.READY)) {
+                || reader.isDone() && (!link.in.isEmpty() || endpoint.state() != State.READY
+                || carrier.scheduler.isDown(endpoint))) {
             shut();
         } else if (reader.isDone()) {
             restedAt = carrier.loop.micros();
--- a/src/main/java/laneflow/http/HttpFront.java
+++ b/src/main/java/laneflow/http/HttpFront.java
@@ -3,8 +3,10 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.List;
 import java.util.Locale;
 import java.util.Map;
 import java.util.Set;
@@ -96,12 +98,25 @@
 
     /** From now on each answer closes its connection; what is idle or has not begun closes at once. */
     public void drain() {
-        draining = true;
-        clients.forEach(client -> {
-            if (!client.isBusy()) {
-                client.leave();
-            }
-        });
+        sendAway(true);
+        closeIdle(0);
+    }
+
+    /** While this holds each answer closes its connection. */
+    public void sendAway(boolean away) {
+        draining = away;
+    }
+
+    /**
+     * Closes what is idle, and what has not begun and is older than that; a request that is there already is
+     * read, not cut off.
+     */
+    public void closeIdle(long young) {
+        List<Client> all = new ArrayList<>();
+        clients.forEach(all::add);
+        for (Client client : all) {
+            client.leaveUnlessBusy(young);
+        }
     }
 
     /** Connections whose answer is not wholly written yet, or on which a request is coming in. */
--- a/src/main/java/laneflow/net/Link.java
+++ b/src/main/java/laneflow/net/Link.java
@@ -24,7 +24,8 @@
     public final Ring out;
     private final Loop loop;
     private final LinkHandler handler;
-    private final boolean accepted;
+    /** Who accepted it; null where it was opened here. */
+    private final Loop.Listener listener;
     private long handle;
     private StreamConnection connection;
     private StreamSourceConduit source;
@@ -36,10 +37,10 @@
     private int passedOver;
     private boolean readsHeld;
 
-    Link(Loop loop, LinkHandler handler, int inLimit, int outLimit, boolean accepted) {
+    Link(Loop loop, LinkHandler handler, int inLimit, int outLimit, Loop.Listener listener) {
         this.loop = loop;
         this.handler = handler;
-        this.accepted = accepted;
+        this.listener = listener;
         in = new Ring(inLimit);
         out = new Ring(outLimit);
     }
@@ -63,8 +64,8 @@
         return closed;
     }
 
-    boolean isAccepted() {
-        return accepted;
+    Loop.Listener listener() {
+        return listener;
     }
 
     void opening(IoFuture<StreamConnection> future) {
@@ -81,6 +82,13 @@
         source.resumeReads();
     }
 
+    /** Reads what is there already: before it closes a connection, its owner looks once more. */
+    public void look() {
+        if (!closed && connection != null && linger == null) {
+            readable();
+        }
+    }
+
     void readable() {
         try {
             for (int i = 0; i < READS && !closed && !readsHeld; i++) {
--- a/src/main/java/laneflow/net/Loop.java
+++ b/src/main/java/laneflow/net/Loop.java
@@ -47,7 +47,9 @@
     /** Most connections of either direction: clients must not leave calls without a descriptor. */
     private final int mostEachWay;
     private final List<Listener> listeners = new ArrayList<>();
+    /** Taken by listeners that share one part; those with a part of their own count for themselves. */
     private int accepted;
+    private int outbound;
     private final long origin;
     private boolean inTurn;
     private long now;
@@ -155,14 +157,18 @@
         private final int inLimit;
         private final int outLimit;
         private final BooleanSupplier makeRoom;
+        /** Most connections of its own, apart from all others'; 0: it shares the loop's part. */
+        private final int reserved;
+        private int own;
         private boolean full;
         /** Accepted, but for want of room not let in yet. */
         private StreamConnection parked;
 
-        private Listener(InetSocketAddress at, int inLimit, int outLimit, BooleanSupplier makeRoom,
-                Supplier<LinkHandler> handlers) throws IOException {
+        private Listener(InetSocketAddress at, int inLimit, int outLimit, int reserved,
+                BooleanSupplier makeRoom, Supplier<LinkHandler> handlers) throws IOException {
             this.handlers = handlers;
             this.makeRoom = makeRoom;
+            this.reserved = reserved;
             this.inLimit = inLimit;
             this.outLimit = outLimit;
             channel = worker.createStreamConnectionServer(at, accepting -> turn(this::accept),
@@ -188,16 +194,17 @@
                     if (connection == null) {
                         return;
                     }
-                    if (accepted >= mostEachWay && !makeRoom.getAsBoolean()) {
+                    if (!hasRoom() && !makeRoom.getAsBoolean()) {
                         // It and those behind it in the backlog wait until a connection closes.
                         parked = connection;
                         full = true;
                         channel.suspendAccepts();
                         return;
                     }
-                    accepted++;
+                    own++;
+                    accepted += reserved > 0 ? 0 : 1;
                     LinkHandler handler = handlers.get();
-                    Link link = new Link(Loop.this, handler, inLimit, outLimit, true);
+                    Link link = new Link(Loop.this, handler, inLimit, outLimit, this);
                     link.handle(links.add(link));
                     link.attach(connection);
                     handler.opened(link);
@@ -209,6 +216,16 @@
             }
         }
 
+        private boolean hasRoom() {
+            return reserved > 0 ? own < reserved : accepted < mostEachWay;
+        }
+
+        private void left() {
+            own--;
+            accepted -= reserved > 0 ? 0 : 1;
+            listeners.forEach(Listener::room);
+        }
+
         private void room() {
             if (full && channel.isOpen()) {
                 full = false;
@@ -241,18 +258,28 @@
      */
     public Listener listen(InetSocketAddress at, int inLimit, int outLimit, BooleanSupplier makeRoom,
             Supplier<LinkHandler> handlers) throws IOException {
-        return new Listener(at, inLimit, outLimit, makeRoom, handlers);
+        return new Listener(at, inLimit, outLimit, 0, makeRoom, handlers);
+    }
+
+    /**
+     * The same with a part of its own, so that nobody else's connections shut it, nor its own anybody's. Such
+     * parts come out of what the virtual machine leaves of its descriptors, and are small.
+     */
+    public Listener listenApart(InetSocketAddress at, int inLimit, int outLimit, int most,
+            BooleanSupplier makeRoom, Supplier<LinkHandler> handlers) throws IOException {
+        return new Listener(at, inLimit, outLimit, most, makeRoom, handlers);
     }
 
     /** True if another connection may be opened. */
     public boolean hasRoom() {
-        return links.size() - accepted < mostEachWay;
+        return outbound < mostEachWay;
     }
 
     /** Opens a connection; the handler hears when it is up, or that it did not come up. */
     public Link connect(InetSocketAddress to, int inLimit, int outLimit, LinkHandler handler) {
-        Link link = new Link(this, handler, inLimit, outLimit, false);
+        Link link = new Link(this, handler, inLimit, outLimit, null);
         link.handle(links.add(link));
+        outbound++;
         IoFuture<StreamConnection> future = thread.openStreamConnection(to, null,
                 OptionMap.create(Options.TCP_NODELAY, true));
         link.opening(future);
@@ -286,9 +313,10 @@
 
     void closed(Link link) {
         links.remove(link.handle());
-        if (link.isAccepted()) {
-            accepted--;
-            listeners.forEach(Listener::room);
+        if (link.listener() != null) {
+            link.listener().left();
+        } else {
+            outbound--;
         }
     }
 
--- /dev/null
+++ b/src/main/java/laneflow/ops/BanFile.java
@@ -0,0 +1,75 @@
+package laneflow.ops;
+
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.NoSuchFileException;
+import java.nio.file.Path;
+import java.nio.file.StandardCopyOption;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Set;
+import java.util.TreeSet;
+import java.util.zip.CRC32;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * The names of the endpoints that are set down, for the process that comes next: a line with the format's
+ * version, a line a name, and a line with a checksum of those before it. Written aside and renamed into
+ * place, so that whoever reads finds a whole one. It blocks, so it is called off the loop.
+ */
+public final class BanFile {
+    private static final Logger LOG = LoggerFactory.getLogger(BanFile.class);
+    private static final String FORMAT = "laneflow-set-down 1";
+    private static final long MOST = 4 << 20;
+
+    private final Path file;
+
+    public BanFile(Path folder) {
+        file = folder.resolve("laneflow-set-down");
+    }
+
+    /** The names; none where the file is missing or can't be used, which is logged and stops no start. */
+    public Set<String> read() {
+        try {
+            if (Files.size(file) > MOST) {
+                throw new IOException("it is too long");
+            }
+            return parse(Files.readString(file));
+        } catch (NoSuchFileException e) {
+            return Set.of();
+        } catch (IOException e) {
+            LOG.warn("{} is passed over, endpoints set down before are up again: {}", file, e.toString());
+            return Set.of();
+        }
+    }
+
+    private static Set<String> parse(String text) throws IOException {
+        int last = text.lastIndexOf('\n', text.length() - 2) + 1;
+        String body = text.substring(0, last);
+        if (!text.substring(last).equals(checksum(body) + "\n")) {
+            throw new IOException("its checksum is wrong");
+        }
+        List<String> lines = new ArrayList<>(body.lines().toList());
+        if (lines.isEmpty() || !lines.remove(0).equals(FORMAT)) {
+            throw new IOException("it is of another format");
+        }
+        return new TreeSet<>(lines);
+    }
+
+    /** Puts these names in the place of those before. */
+    public void write(Set<String> names) throws IOException {
+        StringBuilder body = new StringBuilder(FORMAT).append('\n');
+        names.forEach(name -> body.append(name).append('\n'));
+        Path aside = file.resolveSibling(file.getFileName() + "." + ProcessHandle.current().pid());
+        Files.writeString(aside, body + checksum(body.toString()) + "\n");
+        Files.move(aside, file, StandardCopyOption.ATOMIC_MOVE, StandardCopyOption.REPLACE_EXISTING);
+    }
+
+    private static String checksum(String body) {
+        CRC32 crc = new CRC32();
+        crc.update(body.getBytes(StandardCharsets.UTF_8));
+        return "crc32 " + Long.toHexString(crc.getValue());
+    }
+}
--- a/src/test/java/laneflow/decision/GuardTest.java
+++ b/src/test/java/laneflow/decision/GuardTest.java
@@ -167,6 +167,72 @@
         assertEquals(1, rig.ask(6).sentTo(6));
     }
 
+    // ---- workers that operators set down ----
+
+    @Test
+    void workerSetDownGetsNothingWhateverListsSay() {
+        Rig rig = new Rig(Rig.settings(Effect.SAFE)).workers(0, 1, 2).ask(1);
+        long out = rig.sentTo(1);
+        rig.logic.setDown(rig.now, out);
+        rig.logic.setDown(rig.now, out);
+        // What is out there goes on, and its retry goes elsewhere.
+        rig.ends(1, 0, Outcome.FULL);
+        assertEquals(3 - out, rig.sentTo(1));
+        rig.ends(1, 1, Outcome.OK);
+        for (State state : new State[] {State.READY, State.DRAINING, State.GONE, State.READY}) {
+            rig.logic.list(rig.now, ListKind.CHANGES, List.of(Rig.worker(out, 0, state, rig.now)));
+            rig.logic.list(rig.now, ListKind.WHOLE, List.of(Rig.worker(1, 0), Rig.worker(2, 0)));
+            for (int i = 0; i < 10; i++) {
+                long id = rig.actions.size() + 100;
+                assertEquals(3 - out, rig.ask(id).sentTo(id), state.toString());
+                rig.ends(id, 0, Outcome.OK);
+            }
+        }
+        assertTrue(rig.actions.stream().anyMatch(a -> a.what().equals("close") && a.worker() == out));
+    }
+
+    @Test
+    void allSetDownIsRefusedAtOnceAndAWorkerNotListedYetStaysOut() {
+        Settings settings = Rig.settings(Effect.SAFE);
+        settings.coldShare = 1;
+        Rig rig = new Rig(settings);
+        rig.logic.setDown(rig.now, 1);
+        rig.workers(0, 1);
+        assertEquals("refuse", rig.ask(5).answers(5));
+        rig.logic.setUp(rig.now, 1);
+        assertEquals(1, rig.ask(6).sentTo(6));
+    }
+
+    @Test
+    void workerSetUpGetsWorkAtOnceButNoMoreThanAColdOne() {
+        Settings settings = Rig.settings(Effect.SAFE);
+        Rig rig = new Rig(settings).workers(0, 1);
+        // Under suspicion when it went down: its restart has ended that.
+        rig.ask(1).ends(1, 0, Outcome.OK, Rig.free(4)).ask(2).ends(2, 0, Outcome.CONNECT_FAILED);
+        rig.logic.setDown(rig.now, 1);
+        rig.pass(3);
+        rig.logic.setUp(rig.now, 1);
+        int sent = 0;
+        for (long id = 10; id < 40; id++) {
+            Request r = rig.request(id);
+            r.hint = 0.05;
+            rig.logic.request(rig.now, r);
+            sent += rig.sends(id).size();
+        }
+        assertTrue(sent > 0);
+        assertTrue(sent * 0.05 <= settings.fallMultiple * settings.coldShare * 4 * settings.fallWithin, "" + sent);
+        // Long warm: an equal share again.
+        for (long id = 10; id < 40; id++) {
+            if (rig.sends(id).size() > 0) {
+                rig.ends(id, 0, Outcome.OK, Rig.free(4));
+            }
+        }
+        rig.pass(settings.coldFor);
+        Request r = rig.request(99);
+        rig.logic.request(rig.now, r);
+        assertEquals(1, rig.sentTo(99));
+    }
+
     // ---- cold workers ----
 
     private static double workToCold(Settings settings, double age, double seconds) {
--- a/src/test/java/laneflow/net/Stand.java
+++ b/src/test/java/laneflow/net/Stand.java
@@ -14,6 +14,7 @@
 import java.util.List;
 import laneflow.Serve;
 import laneflow.Setup;
+import laneflow.Surroundings;
 import laneflow.config.Findings;
 import laneflow.config.Table;
 import laneflow.control.ControlConfig;
@@ -63,6 +64,23 @@
         }
     }
 
+    /** The program with a second address, few descriptors, and that folder left to the next one. */
+    public static Stand operated(Path folder, Endpoint... known) throws Exception {
+        List<String> hosts = new ArrayList<>();
+        for (Endpoint endpoint : known) {
+            hosts.add(endpoint.host("Ready"));
+        }
+        Config config = Config.parse(json("{'known':" + list(1, true, hosts.toArray(new String[0])) + OWN)
+                .replace("1024", "160"));
+        return new Stand(new Serve(new Setup(config, null, null, null),
+                new Surroundings("127.0.0.1:0", folder, false)));
+    }
+
+    /** A caller at the second address. */
+    public Peer operator() throws IOException {
+        return peer(serve.operations().address());
+    }
+
     /** The program with a destination set from a file. */
     public static Stand loading(Path destinations) throws Exception {
         Path file = Files.createTempFile("stand", ".json");
--- /dev/null
+++ b/src/test/java/laneflow/ops/OpsStoryTest.java
@@ -0,0 +1,178 @@
+package laneflow.ops;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Set;
+import java.util.stream.Stream;
+import laneflow.net.Stand;
+import laneflow.net.Stand.Endpoint;
+import laneflow.net.Stand.Peer;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.io.TempDir;
+
+/** Stories of the second address: who calls it, and what each call does to the program. */
+@Timeout(60)
+class OpsStoryTest {
+    @TempDir
+    private Path folder;
+
+    private static String call(Stand stand, String line) throws Exception {
+        try (Peer caller = stand.operator()) {
+            String answer = caller.write(line + "\n").readTo("\n").strip();
+            assertTrue(caller.ended());
+            return answer;
+        }
+    }
+
+    @Test
+    void eachCallIsAnsweredOrToldWhatIsWrong() throws Exception {
+        try (Stand stand = Stand.operated(folder, new Endpoint("e1"))) {
+            assertEquals("done", call(stand, "check"));
+            assertEquals("done", call(stand, "check\r"));
+            for (String bad : new String[] {"", "checks", "check now", "set-down", "set-down e1 e2", "set-up e9",
+                    "set-down e9", "drain-on 3", "ch\u0001eck", "x".repeat(400)}) {
+                assertTrue(call(stand, bad).startsWith("error "), bad);
+            }
+            // A piece of a call, then another; and half a call that is left changes nothing.
+            try (Peer caller = stand.operator(); Peer half = stand.operator()) {
+                half.write("drain-on").close();
+                caller.write("che").write("ck").write("\n");
+                assertEquals("done\n", caller.readTo("\n"));
+            }
+            try (Peer client = stand.http()) {
+                client.write("GET /health/ready HTTP/1.1\r\nHost: o\r\n\r\n");
+                assertTrue(client.message().startsWith("HTTP/1.1 200 "));
+            }
+        }
+    }
+
+    @Test
+    void silentCallersAndAllClientsShutItToNobody() throws Exception {
+        try (Stand stand = Stand.operated(folder, new Endpoint("e1"))) {
+            List<Peer> silent = new ArrayList<>();
+            for (int i = 0; i < 3 * OpsPort.MOST; i++) {
+                silent.add(stand.operator());
+                if (i % 2 == 0) {
+                    silent.get(i).write("set-do");
+                }
+            }
+            // Every connection that clients may hold is taken by requests at work.
+            List<Peer> clients = new ArrayList<>();
+            for (int i = 0; i < 60; i++) {
+                clients.add(stand.http().post("basket-check", "r" + i, "", ""));
+            }
+            for (int i = 0; i < 2 * OpsPort.MOST; i++) {
+                assertEquals("done", call(stand, "check"));
+            }
+            for (Peer peer : silent) {
+                peer.close();
+            }
+        }
+    }
+
+    @Test
+    void aWorkerSetDownGetsNothingUntilItIsSetUpAndTheNextProcessKnows() throws Exception {
+        Endpoint one = new Endpoint("e1");
+        Endpoint two = new Endpoint("e2");
+        try (Stand stand = Stand.operated(folder, one, two)) {
+            assertEquals("done", call(stand, "set-down e1"));
+            assertEquals("done", call(stand, "set-down e1"));
+            try (Peer client = stand.http()) {
+                for (int i = 0; i < 6; i++) {
+                    client.post("basket-check", "r" + i, "", "");
+                    served(i == 0 ? two.accept() : null, client, "r" + i);
+                }
+            }
+        }
+        assertEquals(Set.of("e1"), new BanFile(folder).read());
+        try (Stand next = Stand.operated(folder, one); Peer client = next.http()) {
+            client.post("basket-check", "n1", "", "");
+            assertTrue(client.message().startsWith("HTTP/1.1 503 "));
+            assertEquals("done", call(next, "set-up e1"));
+            client.post("basket-check", "n2", "", "");
+            served(one.accept(), client, "n2");
+        }
+        assertEquals(Set.of(), new BanFile(folder).read());
+    }
+
+    private Peer kept;
+
+    private void served(Peer call, Peer client, String id) throws Exception {
+        kept = call != null ? call : kept;
+        assertTrue(kept.message().contains("Req-Id: " + id + "\r\n"));
+        kept.says("{'id':'" + id + "','state':'done','result':'ok'}");
+        assertTrue(client.message().endsWith("ok"));
+    }
+
+    @Test
+    void aDamagedFileIsPassedOver() throws Exception {
+        Path file = folder.resolve("laneflow-set-down");
+        new BanFile(folder).write(Set.of("e1", "e2"));
+        assertEquals(Set.of("e1", "e2"), new BanFile(folder).read());
+        byte[] good = Files.readAllBytes(file);
+        for (int i = 0; i < good.length; i++) {
+            byte[] bad = good.clone();
+            bad[i] ^= 4;
+            Files.write(file, bad);
+            assertEquals(Set.of(), new BanFile(folder).read(), "byte " + i);
+            Files.write(file, Stream.of(good).map(b -> new String(b, StandardCharsets.US_ASCII)).findFirst()
+                    .orElseThrow().substring(0, i).getBytes(StandardCharsets.US_ASCII));
+            assertEquals(Set.of(), new BanFile(folder).read(), "cut at " + i);
+        }
+        try (Stand stand = Stand.operated(folder, new Endpoint("e1"))) {
+            assertEquals("done", call(stand, "check"));
+        }
+    }
+
+    @Test
+    void aDrainSendsClientsAwayWithoutCuttingARequestAndIsUndone() throws Exception {
+        Endpoint endpoint = new Endpoint("e1");
+        try (Stand stand = Stand.operated(folder, endpoint); Peer idle = stand.http(); Peer slow = stand.http();
+                Peer half = stand.http()) {
+            idle.write("GET /health/ready HTTP/1.1\r\nHost: o\r\n\r\n");
+            assertTrue(idle.message().startsWith("HTTP/1.1 200 "));
+            // Not repeatable: what has no head for 250 ms is sent elsewhere else.
+            slow.post("card-capture", "1", "", "");
+            Peer call = endpoint.accept();
+            call.message();
+            half.write("POST /basket-check HTTP/1.1\r\nHost: o\r\nReq-Id: 2\r\nReq-Kind: bas");
+            long began = System.nanoTime();
+            assertEquals("done", call(stand, "drain-on"));
+            assertEquals("done", call(stand, "drain-on"));
+            try (Peer front = stand.http()) {
+                front.write("GET /health/ready HTTP/1.1\r\nHost: o\r\n\r\n");
+                assertTrue(front.message().startsWith("HTTP/1.1 503 "));
+                assertTrue(front.ended());
+            }
+            assertTrue(idle.ended());
+            call.says("{'id':'1','state':'done','result':'ok'}");
+            assertTrue(slow.message().contains("Connection: close\r\n"));
+            half.write("ket-check\r\nContent-Length: 0\r\n\r\n");
+            call.message();
+            call.says("{'id':'2','state':'done','result':'ok'}");
+            assertTrue(half.message().contains("Connection: close\r\n"));
+            assertTrue(slow.ended() && half.ended());
+            assertTrue(System.nanoTime() - began < 2_000_000_000L);
+            assertEquals("done", call(stand, "check"));
+            assertEquals("done", call(stand, "drain-off"));
+            assertEquals("done", call(stand, "drain-off"));
+            try (Peer client = stand.http(); Peer front = stand.http()) {
+                front.write("GET /health/ready HTTP/1.1\r\nHost: o\r\n\r\n");
+                assertTrue(front.message().startsWith("HTTP/1.1 200 "));
+                // Kept again, also past the times of the drain: no timer of it is left.
+                Thread.sleep(700);
+                client.post("basket-check", "3", "", "");
+                call.message();
+                call.says("{'id':'3','state':'done','result':'ok'}");
+                assertTrue(!client.message().contains("Connection: close"));
+            }
+        }
+    }
+}
