--- a/src/main/java/laneflow/Serve.java
+++ b/src/main/java/laneflow/Serve.java
@@ -87,8 +87,8 @@
             front.readyWhen(this::isReady);
         });
         String ops = around.ops() != null ? around.ops() : config.ops;
-        operations = ops == null ? null : new Operations(loop, scheduler, front, around.scratch(),
-                this::serves, () -> stopping);
+        operations = ops == null && !around.passed() ? null : new Operations(loop, scheduler, front,
+                around.scratch(), around.passed(), new Part());
         gearman = gearmanConfig == null ? null : new GearmanFront(loop, scheduler, gearmanConfig,
                 config.seed);
         if (gearman != null) {
@@ -98,8 +98,13 @@
             // Before anybody is let in: the same key must find the job that it had.
             durability.begin(front, gearman);
         }
-        front.listen(Loop.address(config.listen));
-        if (operations != null) {
+        if (around.passed()) {
+            front.listenPassed();
+            operations.begin(front);
+        } else {
+            front.listen(Loop.address(config.listen));
+        }
+        if (ops != null) {
             operations.listen(Loop.address(ops));
         }
         if (gearman != null) {
@@ -119,8 +124,35 @@
                 || counters.get("discovery.lists") > 0);
     }
 
+    /** Where another process serves in its place, the scheduler stays ready whichever of them is asked. */
     private boolean isReady() {
-        return serves() && (operations == null || !operations.isDrained());
+        return (serves() || operations != null && operations.isSuperseded())
+                && (operations == null || !operations.isDrained());
+    }
+
+    /** What its operations see of it. */
+    private final class Part implements Operations.Served {
+        @Override
+        public boolean serves() {
+            return Serve.this.serves();
+        }
+
+        @Override
+        public boolean stops() {
+            return stopping;
+        }
+
+        @Override
+        public void end() {
+            if (!stopping) {
+                exit();
+            }
+        }
+    }
+
+    /** As with SIGTERM: the hook answers what was taken before the machine ends. */
+    private void exit() {
+        new Thread(() -> System.exit(0), "shutdown").start();
     }
 
     /** Runs the command until a signal ends it. */
@@ -140,8 +172,7 @@
         Serve serve = new Serve(setup, Surroundings.of(System.getenv()));
         serving.complete(serve);
         if (serve.gearman != null) {
-            // As with SIGTERM: the hook below answers what was taken before the machine ends.
-            serve.gearman.endWith(() -> new Thread(() -> System.exit(0), "shutdown").start());
+            serve.gearman.endWith(serve::exit);
         }
         // The machine ends when its hooks have returned: this one waits until all that was taken is answered.
         Runtime.getRuntime().addShutdownHook(new Thread(serve::stop, "drain"));
@@ -240,7 +271,9 @@
         // Who has just taken over another's clients may be the last of its zone: they have nobody else yet.
         // Others send theirs away early, so that they are at home elsewhere before the next one stops.
         counters.add(last ? "stop.as_last" : "stop.early");
-        long leaveAt = last ? Math.max(now + ACCEPT_ON, kill - LEAVE_BEFORE) : now + ACCEPT_ON;
+        // Where another process has taken over, clients leave with their answers, and there is time for it.
+        boolean slowly = last || operations != null && operations.isSuperseded();
+        long leaveAt = slowly ? Math.max(now + ACCEPT_ON, kill - LEAVE_BEFORE) : now + ACCEPT_ON;
         loop.deadlines().at(leaveAt, this::leave);
         loop.deadlines().at(Math.max(now + STAY_ON, kill - ANSWER_BEFORE),
                 () -> giveUp(now + ACCEPT_ON));
--- a/src/main/java/laneflow/core/Scheduler.java
+++ b/src/main/java/laneflow/core/Scheduler.java
@@ -82,6 +82,11 @@
         event(() -> module.setDown(now(), Endpoint.number(name)));
     }
 
+    /** This process is that part of the scheduler; the rest is another process's that it takes over from. */
+    public void share(double part) {
+        event(() -> module.share(now(), part));
+    }
+
     /** The endpoint is to be used again. */
     public void setUp(String name) {
         destinations.down(name, false);
--- a/src/main/java/laneflow/decision/Dispatch.java
+++ b/src/main/java/laneflow/decision/Dispatch.java
@@ -209,6 +209,9 @@
     /** Operators have that worker back, cold unless a list tells of a start since it was set down. */
     void setUp(double now, long worker);
 
+    /** Another process works under this dispatcher's number: this one's part of what both may do. */
+    void share(double now, double part);
+
     /** Settings that may change have changed: they hold for the requests that come from now on. */
     void retuned();
 
--- a/src/main/java/laneflow/decision/Logic.java
+++ b/src/main/java/laneflow/decision/Logic.java
@@ -103,6 +103,7 @@
     private double meanHint = 1; // Of the jobs seen here: the best guess for the siblings' jobs.
     private double topWorth;
     private final double[] slack; // Mean wait that each class's jobs can bear.
+    private double part = 1; // Of this dispatcher's budgets, while another process works under its number.
     private double now = Double.NEGATIVE_INFINITY;
 
     /** A dispatcher with these settings and this seed; actions go to {@code out}. */
@@ -180,6 +181,12 @@
         }
     }
 
+    @Override
+    public void share(double at, double of) {
+        clock(at);
+        part = of;
+    }
+
     @Override
     public void retuned() {
         topWorth = 0;
@@ -654,7 +661,7 @@
         long parts = (long) Math.max(1, Math.min(settings.dispatchers, budget / (COLD_JOBS * meanHint)));
         long first = (view.id * 0x9E3779B97F4A7C15L ^ Double.doubleToLongBits(view.startedAt)) >>> 16;
         return (settings.me * SPREAD + first) % settings.dispatchers < parts
-                && view.coldLog.since(now - settings.fallWithin) + coldCost(job) <= budget / parts;
+                && view.coldLog.since(now - settings.fallWithin) + coldCost(job) <= part * budget / parts;
     }
 
     /**
--- a/src/main/java/laneflow/http/Client.java
+++ b/src/main/java/laneflow/http/Client.java
@@ -109,9 +109,9 @@
         link.close();
     }
 
-    /** Closes it unless a request is there, or about to be read, or it has only just come. */
-    void leaveUnlessBusy(long young) {
-        if (begun && front.loop.micros() - since < young) {
+    /** Closes it unless a request is there, or about to be read, or it has come or been used only just. */
+    void leaveUnlessBusy(long young, long unused) {
+        if (front.loop.micros() - since < (begun ? young : unused)) {
             return;
         }
         if (!isBusy()) {
--- a/src/main/java/laneflow/http/HttpFront.java
+++ b/src/main/java/laneflow/http/HttpFront.java
@@ -66,6 +66,21 @@
         LOG.info("clients at {}", listener.address());
     }
 
+    /** Takes clients from the listening socket that was passed to this process, once told to. */
+    public void listenPassed() throws IOException {
+        listener = loop.listenPassed(IN_RING, OUT_RING, this::makeRoom, () -> new Client(this, ++came));
+        LOG.info("clients at {}, a socket that was passed", listener.address());
+    }
+
+    /** Takes clients from a socket that was passed, or leaves them to other processes. */
+    public void accept(boolean on) {
+        if (on) {
+            listener.begin();
+        } else {
+            listener.pause();
+        }
+    }
+
     public InetSocketAddress address() {
         return listener.address();
     }
@@ -99,7 +114,7 @@
     /** From now on each answer closes its connection; what is idle or has not begun closes at once. */
     public void drain() {
         sendAway(true);
-        closeIdle(0);
+        closeIdle(0, 0);
     }
 
     /** While this holds each answer closes its connection. */
@@ -108,14 +123,14 @@
     }
 
     /**
-     * Closes what is idle, and what has not begun and is older than that; a request that is there already is
-     * read, not cut off.
+     * Closes what has not begun since then, and what has been idle for so long; a request that is there
+     * already is read, not cut off.
      */
-    public void closeIdle(long young) {
+    public void closeIdle(long young, long unused) {
         List<Client> all = new ArrayList<>();
         clients.forEach(all::add);
         for (Client client : all) {
-            client.leaveUnlessBusy(young);
+            client.leaveUnlessBusy(young, unused);
         }
     }
 
--- a/src/main/java/laneflow/net/Loop.java
+++ b/src/main/java/laneflow/net/Loop.java
@@ -4,6 +4,7 @@
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.UnknownHostException;
+import java.nio.channels.ServerSocketChannel;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CountDownLatch;
@@ -26,6 +27,7 @@
 import org.xnio.XnioIoThread;
 import org.xnio.XnioWorker;
 import org.xnio.channels.AcceptingChannel;
+import org.xnio.nio.PassedServer;
 
 /**
  * The one I/O thread: its turns, its clock, its table of connections, its deadlines. Everything the program
@@ -45,7 +47,8 @@
     private final XnioWorker worker;
     private final XnioIoThread thread;
     /** Most connections of either direction: clients must not leave calls without a descriptor. */
-    private final int mostEachWay;
+    private final int most;
+    private int mostEachWay;
     private final List<Listener> listeners = new ArrayList<>();
     /** Taken by listeners that share one part; those with a part of their own count for themselves. */
     private int accepted;
@@ -58,7 +61,8 @@
 
     /** A loop that holds no more descriptors than that, its own included. */
     public Loop(int descriptors) throws IOException {
-        mostEachWay = Math.max(8, (descriptors - OWN_DESCRIPTORS) / 2);
+        most = Math.max(8, (descriptors - OWN_DESCRIPTORS) / 2);
+        mostEachWay = most;
         worker = Xnio.getInstance().createWorker(OptionMap.builder()
                 .set(Options.WORKER_NAME, "loop")
                 .set(Options.WORKER_IO_THREADS, 1)
@@ -159,11 +163,25 @@
         private final BooleanSupplier makeRoom;
         /** Most connections of its own, apart from all others'; 0: it shares the loop's part. */
         private final int reserved;
+        private final boolean isPassed;
         private int own;
+        private boolean paused;
         private boolean full;
         /** Accepted, but for want of room not let in yet. */
         private StreamConnection parked;
 
+        private Listener(ServerSocketChannel passed, int inLimit, int outLimit, BooleanSupplier makeRoom,
+                Supplier<LinkHandler> handlers) throws IOException {
+            this.handlers = handlers;
+            this.makeRoom = makeRoom;
+            this.reserved = 0;
+            this.inLimit = inLimit;
+            this.outLimit = outLimit;
+            isPassed = true;
+            channel = PassedServer.on(worker, passed, accepting -> turn(this::accept),
+                    OptionMap.create(Options.TCP_NODELAY, true, Options.KEEP_ALIVE, true));
+        }
+
         private Listener(InetSocketAddress at, int inLimit, int outLimit, int reserved,
                 BooleanSupplier makeRoom, Supplier<LinkHandler> handlers) throws IOException {
             this.handlers = handlers;
@@ -171,6 +189,7 @@
             this.reserved = reserved;
             this.inLimit = inLimit;
             this.outLimit = outLimit;
+            isPassed = false;
             channel = worker.createStreamConnectionServer(at, accepting -> turn(this::accept),
                     OptionMap.builder().set(Options.TCP_NODELAY, true).set(Options.REUSE_ADDRESSES, true)
                             .set(Options.KEEP_ALIVE, true).set(Options.BACKLOG, BACKLOG).getMap());
@@ -179,11 +198,22 @@
         /** Lets clients in from now on. */
         public void begin() {
             later(() -> {
-                listeners.add(this);
-                channel.resumeAccepts();
+                if (!listeners.contains(this)) {
+                    listeners.add(this);
+                }
+                paused = false;
+                if (!full) {
+                    channel.resumeAccepts();
+                }
             });
         }
 
+        /** Leaves those that come from now on to whoever else listens there; who is in already is let in. */
+        public void pause() {
+            paused = true;
+            channel.suspendAccepts();
+        }
+
         private void accept() {
             try {
                 for (int i = 0; i < ACCEPTS && channel.isOpen(); i++) {
@@ -229,7 +259,9 @@
         private void room() {
             if (full && channel.isOpen()) {
                 full = false;
-                channel.resumeAccepts();
+                if (!paused) {
+                    channel.resumeAccepts();
+                }
                 // Nothing need come in behind the one that waits here already.
                 later(this::accept);
             }
@@ -244,7 +276,12 @@
             return channel.getLocalAddress(InetSocketAddress.class);
         }
 
+        /** A passed one stays open, unread: closing it would detach the process's log. */
         public void close() {
+            if (isPassed) {
+                pause();
+                return;
+            }
             full = false;
             IoUtils.safeClose(parked);
             parked = null;
@@ -270,6 +307,21 @@
         return new Listener(at, inLimit, outLimit, most, makeRoom, handlers);
     }
 
+    /** Clients come from the listening socket that is this process's descriptor 0; not before it is begun. */
+    public Listener listenPassed(int inLimit, int outLimit, BooleanSupplier makeRoom,
+            Supplier<LinkHandler> handlers) throws IOException {
+        if (!(System.inheritedChannel() instanceof ServerSocketChannel passed)) {
+            throw new IOException("descriptor 0 is no listening socket, though one was said to be passed");
+        }
+        return new Listener(passed, inLimit, outLimit, makeRoom, handlers);
+    }
+
+    /** Connections come up only within that part of the descriptors: the rest is another process's. */
+    public void share(double part) {
+        mostEachWay = (int) (part * most);
+        listeners.forEach(Listener::room);
+    }
+
     /** True if another connection may be opened. */
     public boolean hasRoom() {
         return outbound < mostEachWay;
--- a/src/main/java/laneflow/ops/BanFile.java
+++ b/src/main/java/laneflow/ops/BanFile.java
@@ -8,6 +8,7 @@
 import java.nio.file.StandardCopyOption;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 import java.util.Set;
 import java.util.TreeSet;
 import java.util.zip.CRC32;
@@ -32,16 +33,21 @@
 
     /** The names; none where the file is missing or can't be used, which is logged and stops no start. */
     public Set<String> read() {
+        return find().orElse(Set.of());
+    }
+
+    /** The names, if there is a file that can be used. */
+    Optional<Set<String>> find() {
         try {
             if (Files.size(file) > MOST) {
                 throw new IOException("it is too long");
             }
-            return parse(Files.readString(file));
+            return Optional.of(parse(Files.readString(file)));
         } catch (NoSuchFileException e) {
-            return Set.of();
+            return Optional.empty();
         } catch (IOException e) {
-            LOG.warn("{} is passed over, endpoints set down before are up again: {}", file, e.toString());
-            return Set.of();
+            LOG.warn("{} is passed over, what was set down is not known from it: {}", file, e.toString());
+            return Optional.empty();
         }
     }
 
--- a/src/main/java/laneflow/ops/Drain.java
+++ b/src/main/java/laneflow/ops/Drain.java
@@ -1,6 +1,5 @@
 package laneflow.ops;
 
-import laneflow.core.Deadlines;
 import laneflow.core.Deadlines.Deadline;
 import laneflow.http.HttpFront;
 import laneflow.net.Loop;
@@ -18,42 +17,63 @@
     /** A connection that is younger may have its first request on the way. */
     private static final long YOUNG = 250_000;
 
+    /** Handed over, connections in use leave with their next answer: one idle for so long has none soon. */
+    private static final long UNUSED = 500_000;
+    /** So long the other process's clients may still be on their way here. */
+    private static final long SETTLED = 1_000_000;
+
     private final Loop loop;
     private final HttpFront front;
     private final Deadline timer;
-    private boolean on;
+    private boolean ordered;
+    private boolean handed;
+    private long since;
 
     public Drain(Loop loop, HttpFront front) {
         this.loop = loop;
         this.front = front;
-        Deadlines deadlines = loop.deadlines();
-        timer = deadlines.create(this::closeIdle);
+        timer = loop.deadlines().create(this::closeIdle);
     }
 
-    /** Begins; one that is on goes on as it is. */
-    public void on() {
-        if (!on) {
-            on = true;
-            front.sendAway(true);
-            loop.deadlines().set(timer, loop.micros() + IDLE_FROM);
+    /** Operators want it, or no more; where it is so already, it goes on as it is. */
+    public void ordered(boolean on) {
+        if (ordered != on) {
+            ordered = on;
+            changed();
         }
     }
 
-    private void closeIdle() {
-        front.closeIdle(YOUNG);
-        loop.deadlines().set(timer, loop.micros() + AGAIN);
+    /** Another process takes the clients, or no more. There is time, so none is closed that is in use. */
+    void handed(boolean on) {
+        if (handed != on) {
+            handed = on;
+            changed();
+        }
     }
 
-    /** Undoes every part. */
-    public void off() {
-        if (on) {
-            on = false;
+    /** Either begins anew with its first wait; without both every part is undone. */
+    private void changed() {
+        since = loop.micros();
+        front.sendAway(ordered || handed);
+        if (ordered || handed) {
+            loop.deadlines().set(timer, since + IDLE_FROM);
+        } else {
             loop.deadlines().cancel(timer);
-            front.sendAway(false);
         }
     }
 
-    public boolean isOn() {
-        return on;
+    private void closeIdle() {
+        front.closeIdle(ordered ? YOUNG : SETTLED, ordered ? 0 : UNUSED);
+        loop.deadlines().set(timer, loop.micros() + AGAIN);
+    }
+
+    /** True while operators want clients sent away. */
+    public boolean isOrdered() {
+        return ordered;
+    }
+
+    /** True once nobody comes any more that was on the way when it began. */
+    boolean isOver(long now) {
+        return now - since > SETTLED;
     }
 }
--- a/src/main/java/laneflow/ops/Operations.java
+++ b/src/main/java/laneflow/ops/Operations.java
@@ -3,6 +3,8 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.Set;
 import java.util.TreeSet;
 import java.util.concurrent.ExecutorService;
@@ -29,35 +31,65 @@
     private final BooleanSupplier stops;
     /** Null where there is no folder that the next process can read. */
     private final BanFile bans;
+    /** Null where no process can come to take this one's place. */
+    private final Succession succession;
+    /** Orders on workers so far. */
+    private int changes;
     private final ExecutorService writer = Executors.newSingleThreadExecutor(task -> {
         Thread thread = new Thread(task, "set-down");
         thread.setDaemon(true);
         return thread;
     });
 
+    /** What a scheduler is to its operations. */
+    public interface Served {
+        /** Clients can be served, but for a drain. */
+        boolean serves();
+
+        /** The process is on its way to its end. */
+        boolean stops();
+
+        /** Another process has all its clients: it may end. */
+        void end();
+    }
+
     /**
-     * Listens there, and applies what was set down before.
+     * Applies what was set down before.
      *
      * @param folder outlives this process, or null
-     * @param serves tells whether clients can be served, but for a drain
-     * @param stops tells whether the process is on its way to its end
+     * @param passed whether another process may be started beside it on the same listening socket
      */
-    public Operations(Loop loop, Scheduler scheduler, HttpFront front, Path folder, BooleanSupplier serves,
-            BooleanSupplier stops) throws InterruptedException {
+    public Operations(Loop loop, Scheduler scheduler, HttpFront front, Path folder, boolean passed,
+            Served served) throws InterruptedException {
         this.loop = loop;
         this.scheduler = scheduler;
-        this.stops = stops;
+        stops = served::stops;
         drain = new Drain(loop, front);
         bans = folder == null ? null : new BanFile(folder);
+        succession = folder == null || !passed ? null : new Succession(loop, scheduler, front, drain, this,
+                folder, served::serves, served::end);
         port = new OpsPort(loop);
-        port.add("check", (words, answer) ->
-                answer.accept(serves.getAsBoolean() ? "done" : "error it can't serve yet, or not any more"));
+        port.add("check", (words, answer) -> answer.accept(served.serves()
+                && (succession == null || succession.isInPlace()) ? "done"
+                : "error it can't serve yet, or not any more"));
         port.add("set-down ID", (words, answer) -> setDown(words[1], answer));
         port.add("set-up ID", (words, answer) -> setUp(words[1], answer));
-        port.add("drain-on", (words, answer) -> drainOn(answer));
-        port.add("drain-off", (words, answer) -> drainOff(answer));
+        port.add("drain-on", (words, answer) -> drain(true, answer));
+        port.add("drain-off", (words, answer) -> drain(false, answer));
         Set<String> before = bans == null ? Set.of() : bans.read();
         loop.call(() -> before.forEach(scheduler::setDown));
+        if (succession != null) {
+            succession.meet();
+        }
+    }
+
+    /** Takes the place of the process that serves already, if there is one; else clients come at once. */
+    public void begin(HttpFront front) {
+        if (succession != null) {
+            succession.begin();
+        } else {
+            front.accept(true);
+        }
     }
 
     public void listen(InetSocketAddress at) throws IOException {
@@ -68,9 +100,14 @@
         return port.address();
     }
 
-    /** True while clients are sent away. */
+    /** True while operators want clients sent away. */
     public boolean isDrained() {
-        return drain.isOn();
+        return drain.isOrdered();
+    }
+
+    /** True once another process of this scheduler takes the clients. */
+    public boolean isSuperseded() {
+        return succession != null && succession.isSuperseded();
     }
 
     private void setDown(String name, Consumer<String> answer) {
@@ -81,7 +118,7 @@
         LOG.info("{} is set down", name);
         scheduler.counters().add("ops.set_down");
         scheduler.setDown(name);
-        keep(answer);
+        keep("set-down " + name, answer);
     }
 
     private void setUp(String name, Consumer<String> answer) {
@@ -92,48 +129,90 @@
         LOG.info("{} is set up", name);
         scheduler.counters().add("ops.set_up");
         scheduler.setUp(name);
-        keep(answer);
+        keep("set-up " + name, answer);
     }
 
     /** Answers once the next process would find it too. What holds here holds whether or not that works. */
-    private void keep(Consumer<String> answer) {
-        if (bans == null) {
-            answer.accept("done");
-            return;
-        }
+    private void keep(String order, Consumer<String> answer) {
+        changes++;
         Set<String> names = new TreeSet<>(scheduler.destinations().down());
         writer.execute(() -> {
             String said = "done";
             try {
-                bans.write(names);
+                if (bans != null) {
+                    bans.write(names);
+                }
             } catch (IOException e) {
                 LOG.warn("what is set down is not kept for the next process: {}", e.toString());
                 said = "done for this process only: it could not be written down";
             }
             String text = said;
-            loop.later(() -> answer.accept(text));
+            loop.later(() -> spread(order, text, answer));
         });
     }
 
-    private void drainOn(Consumer<String> answer) {
+    /** Where another process serves beside this one, it holds only once that one has it too. */
+    private void spread(String order, String text, Consumer<String> answer) {
+        if (succession == null) {
+            answer.accept(text);
+        } else {
+            succession.ordered(order, all -> answer.accept(all ? text
+                    : "error it holds here, but the other process of the upgrade has not confirmed it"));
+        }
+    }
+
+    private void drain(boolean on, Consumer<String> answer) {
         if (stops.getAsBoolean()) {
             answer.accept("error the process is about to end, its clients are sent away already");
             return;
         }
-        LOG.info("drained: clients are sent away");
-        scheduler.counters().add("ops.drain_on");
-        drain.on();
-        answer.accept("done");
+        ordered(on);
+        spread(on ? "drain-on" : "drain-off", "done", answer);
     }
 
-    private void drainOff(Consumer<String> answer) {
-        if (stops.getAsBoolean()) {
-            answer.accept("error the process is about to end");
-            return;
+    private void ordered(boolean on) {
+        LOG.info(on ? "drained: clients are sent away" : "back to work");
+        scheduler.counters().add(on ? "ops.drain_on" : "ops.drain_off");
+        drain.ordered(on);
+    }
+
+    // ---- between the processes of an upgrade ----
+
+    /** What another process of this scheduler was ordered. */
+    void obey(String order) {
+        String[] words = order.split(" ");
+        changes++;
+        if (words[0].equals("set-down") && words.length == 2) {
+            scheduler.setDown(words[1]);
+        } else if (words[0].equals("set-up") && words.length == 2) {
+            scheduler.setUp(words[1]);
+        } else if (words[0].equals("drain-on") || words[0].equals("drain-off")) {
+            ordered(words[0].equals("drain-on"));
+        }
+    }
+
+    /** Reads again what is set down, behind whatever is being written; without a good file all stays. */
+    void recall() {
+        int asOf = changes;
+        writer.execute(() -> bans.find().ifPresent(names -> loop.later(() -> {
+            if (changes != asOf) {
+                // Ordered meanwhile, it is not in what was read.
+                recall();
+                return;
+            }
+            Set<String> before = new TreeSet<>(scheduler.destinations().down());
+            before.stream().filter(name -> !names.contains(name)).forEach(scheduler::setUp);
+            names.stream().filter(name -> !before.contains(name)).forEach(scheduler::setDown);
+        })));
+    }
+
+    /** What holds now, as orders. */
+    List<String> orders() {
+        List<String> all = new ArrayList<>();
+        scheduler.destinations().down().forEach(name -> all.add("set-down " + name));
+        if (drain.isOrdered()) {
+            all.add("drain-on");
         }
-        LOG.info("back to work");
-        scheduler.counters().add("ops.drain_off");
-        drain.off();
-        answer.accept("done");
+        return all;
     }
 }
--- a/src/test/java/laneflow/net/Stand.java
+++ b/src/test/java/laneflow/net/Stand.java
@@ -76,6 +76,20 @@
                 new Surroundings("127.0.0.1:0", folder, false)));
     }
 
+    /** A configuration of the platform's form with these endpoints known. */
+    public static String knowing(Endpoint... known) {
+        List<String> hosts = new ArrayList<>();
+        for (Endpoint endpoint : known) {
+            hosts.add(endpoint.host("Ready"));
+        }
+        return json("{'known':" + list(1, true, hosts.toArray(new String[0])) + OWN);
+    }
+
+    /** A connection to a process that the story has started itself. */
+    public static Peer peer(String host, int port) throws IOException {
+        return new Peer(new Socket(host, port));
+    }
+
     /** A caller at the second address. */
     public Peer operator() throws IOException {
         return peer(serve.operations().address());
--- /dev/null
+++ b/src/test/java/laneflow/ops/UpgradeStoryTest.java
@@ -0,0 +1,261 @@
+package laneflow.ops;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.BufferedReader;
+import java.io.IOException;
+import java.io.InputStreamReader;
+import java.net.ServerSocket;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import laneflow.net.Stand;
+import laneflow.net.Stand.Endpoint;
+import laneflow.net.Stand.Peer;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.io.TempDir;
+
+/** Upgrades with real processes on one passed socket, each of them killed at each step. */
+@Timeout(90)
+class UpgradeStoryTest {
+    @TempDir
+    private Path folder;
+    private Process platform;
+    private BufferedReader says;
+    private int port;
+    private Endpoint endpoint;
+    private final List<Started> started = new ArrayList<>();
+
+    private record Started(ProcessHandle handle, int ops) {
+        void kill() throws Exception {
+            handle.destroyForcibly();
+            ended();
+        }
+
+        void ended() throws Exception {
+            handle.onExit().get(15, TimeUnit.SECONDS);
+        }
+    }
+
+    @BeforeEach
+    void begin() throws Exception {
+        endpoint = new Endpoint("e1");
+        Path config = folder.resolve("config.json");
+        // One that has a job out looks full to the module: the other is for what comes meanwhile.
+        Files.writeString(config, Stand.knowing(endpoint, new Endpoint("e2", endpoint)));
+        Path script = Path.of(getClass().getResource("platform.pl").toURI());
+        ProcessBuilder builder = new ProcessBuilder("perl", script.toString(),
+                ProcessHandle.current().info().command().orElseThrow(), "-XX:TieredStopAtLevel=1", "-Xmx72m",
+                "-cp", System.getProperty("java.class.path"), "laneflow.Main", "serve");
+        builder.environment().put("ROUTER_CONFIG", config.toString());
+        builder.environment().put("TMPDIR", folder.toString());
+        builder.redirectError(folder.resolve("log").toFile());
+        platform = builder.start();
+        says = new BufferedReader(new InputStreamReader(platform.getInputStream(), StandardCharsets.US_ASCII));
+        port = Integer.parseInt(says.readLine().substring(5));
+    }
+
+    @AfterEach
+    void end() throws Exception {
+        started.forEach(each -> each.handle.destroyForcibly());
+        platform.getOutputStream().close();
+        platform.waitFor();
+        endpoint.close();
+    }
+
+    /** Starts one, and waits until it says that it can serve. */
+    private Started start() throws Exception {
+        Started one = launch();
+        await(() -> call(one, "check").equals("done"));
+        return one;
+    }
+
+    private Started launch() throws Exception {
+        int ops;
+        try (ServerSocket free = new ServerSocket(0)) {
+            ops = free.getLocalPort();
+        }
+        platform.getOutputStream().write(("start 127.0.0.1:" + ops + "\n").getBytes(StandardCharsets.US_ASCII));
+        platform.getOutputStream().flush();
+        long pid = Long.parseLong(says.readLine().substring(4));
+        Started one = new Started(ProcessHandle.of(pid).orElseThrow(), ops);
+        started.add(one);
+        return one;
+    }
+
+    private interface Condition {
+        boolean holds() throws Exception;
+    }
+
+    private void await(Condition condition) throws Exception {
+        long end = System.nanoTime() + 20_000_000_000L;
+        while (true) {
+            try {
+                if (condition.holds()) {
+                    return;
+                }
+            } catch (IOException e) {
+                // Not listening yet.
+                Thread.onSpinWait();
+            }
+            if (System.nanoTime() > end) {
+                throw new AssertionError(Files.readString(folder.resolve("log")));
+            }
+            Thread.sleep(20);
+        }
+    }
+
+    private String call(Started one, String line) throws IOException {
+        try (Peer caller = Stand.peer("127.0.0.1", one.ops)) {
+            return caller.write(line + "\n").readTo("\n").strip();
+        }
+    }
+
+    private void setDown(Started one) throws IOException {
+        assertEquals("done", call(one, "set-down e1"));
+        assertEquals("done", call(one, "set-down e2"));
+    }
+
+    private void setUp(Started one) throws IOException {
+        assertEquals("done", call(one, "set-up e1"));
+        assertEquals("done", call(one, "set-up e2"));
+    }
+
+    private Peer client() throws IOException {
+        return Stand.peer("127.0.0.1", port);
+    }
+
+    private boolean ready() throws IOException {
+        try (Peer client = client()) {
+            client.write("GET /health/ready HTTP/1.1\r\nHost: o\r\n\r\n");
+            return client.message().startsWith("HTTP/1.1 200 ");
+        }
+    }
+
+    /** How many requests the process that takes new clients has taken. */
+    private String counters() throws IOException {
+        try (Peer client = client()) {
+            return client.write("GET /counters HTTP/1.1\r\nHost: o\r\n\r\n").message();
+        }
+    }
+
+    private void serves(Peer client, String id, boolean last) throws IOException {
+        client.post("card-capture", id, "", "");
+        try (Peer call = endpoint.accept()) {
+            call.message();
+            call.says("{'id':'" + id + "','state':'done','result':'ok'}");
+            String answer = client.message();
+            assertTrue(answer.endsWith("ok"), answer);
+            assertEquals(last, answer.contains("Connection: close\r\n"), answer);
+        }
+    }
+
+    @Test
+    void clientsGoOverWithNothingLostAndBansHoldInBoth() throws Exception {
+        Started old = start();
+        assertTrue(ready());
+        setDown(old);
+        setUp(old);
+        Peer kept = client();
+        serves(kept, "k1", false);
+        Peer open = client().post("card-capture", "o1", "", "");
+        Peer call = endpoint.accept();
+        call.message();
+
+        Started young = start();
+        assertTrue(ready());
+        // The old one's clients are served, and sent away with the answer.
+        serves(kept, "k2", true);
+        assertTrue(kept.ended());
+        Peer fresh = client();
+        serves(fresh, "f1", false);
+        assertTrue(counters().contains("http.served 1") || counters().contains("http.served=1"), counters());
+        // Told to the old one, it holds in the new one, and the other way round.
+        setDown(old);
+        fresh.post("card-capture", "f2", "", "");
+        assertTrue(fresh.message().startsWith("HTTP/1.1 503 "));
+        setUp(young);
+        serves(fresh, "f3", false);
+        setDown(old);
+        assertEquals("done", call(young, "drain-on"));
+        assertFalse(ready());
+        assertEquals("done", call(old, "drain-off"));
+        assertTrue(ready());
+
+        old.handle.destroy();
+        // It ends once its last request is answered, and what it was told lives on.
+        call.says("{'id':'o1','state':'done','result':'late'}");
+        assertTrue(open.message().endsWith("late"));
+        old.ended();
+        Peer last = client().post("card-capture", "l1", "", "");
+        assertTrue(last.message().startsWith("HTTP/1.1 503 "));
+        Started third = start();
+        Peer next = client().post("card-capture", "n1", "", "");
+        assertTrue(next.message().startsWith("HTTP/1.1 503 "));
+        young.ended();
+        setUp(third);
+        serves(client(), "n2", false);
+    }
+
+    @Test
+    void aNewOneKilledAtAnyStepLeavesTheOldOneInPlace() throws Exception {
+        Started old = start();
+        Peer open = client().post("card-capture", "o1", "", "");
+        Peer call = endpoint.accept();
+        call.message();
+        for (int millis : new int[] {0, 150, 300}) {
+            Started young = launch();
+            Thread.sleep(millis);
+            young.kill();
+            assertTrue(ready());
+        }
+        Started young = start();
+        young.kill();
+        // What it had not accepted waits in the queue for the old one.
+        Peer client = client();
+        serves(client, "c1", false);
+        assertEquals("done", call(old, "check"));
+        call.says("{'id':'o1','state':'done','result':'ok'}");
+        assertTrue(open.message().endsWith("ok"));
+        // And the next one takes over as if nothing had been.
+        start();
+        serves(client, "c2", true);
+        old.ended();
+    }
+
+    @Test
+    void anOldOneKilledLeavesTheNewOneInPlaceWithItsOrders() throws Exception {
+        Started old = start();
+        setDown(old);
+        Started young = launch();
+        old.kill();
+        await(() -> call(young, "check").equals("done"));
+        Peer client = client().post("card-capture", "c1", "", "");
+        assertTrue(client.message().startsWith("HTTP/1.1 503 "));
+        setUp(young);
+        serves(client, "c2", false);
+    }
+
+    @Test
+    void leftoversStopNoStart() throws Exception {
+        Files.writeString(folder.resolve("laneflow-handover"), "no socket");
+        Files.writeString(folder.resolve("laneflow-set-down"), "no such format");
+        Started one = start();
+        assertTrue(ready());
+        one.kill();
+        // Its socket is left without anybody behind it.
+        assertTrue(Files.exists(folder.resolve("laneflow-handover")));
+        Started next = start();
+        assertTrue(ready());
+        start();
+        next.ended();
+    }
+}
