Discovery: a watch begun anew waits longer each time, by chance from the seed

Why: at a release most schedulers start at one moment with discovery short of room; each came back every 200 ms. Now 0.2 s, doubled to 1.6 s, each half to one and a half times as long, from the configuration's seed; a line that comes resets it. A watch that falls silent or does not come up waits like one that breaks. Rejected: a random first wait (the agent answers at once and at no cost, and the list is needed for the first request); more than 1.6 s (news counts as told after 6 s).

--- a/src/main/java/laneflow/http/DiscoveryWatch.java
+++ b/src/main/java/laneflow/http/DiscoveryWatch.java
@@ -2,6 +2,7 @@
 
 import java.io.ByteArrayOutputStream;
 import java.nio.charset.StandardCharsets;
+import java.util.SplittableRandom;
 import laneflow.core.Carrier;
 import laneflow.core.Deadlines.Deadline;
 import laneflow.core.Scheduler;
@@ -24,13 +25,23 @@
     private static final long SILENCE = 4_500_000;
     /** The agent is on this machine: a connection that is not up within that time never will be. */
     private static final long CONNECT = 500_000;
+    /**
+     * The wait before the next watch: doubled with each one that tells nothing, and half to one and a half
+     * times as long by chance. When many schedulers start at one moment, or discovery is short of room, they
+     * must not come back all at once, nor again and again.
+     */
     private static final long AGAIN = 200_000;
+    /** With the time for a connection it stays well within the 6 s after which news counts as told. */
+    private static final long LONGEST_AGAIN = 1_600_000;
 
     private final Loop loop;
     private final Scheduler scheduler;
     private final Carrier carrier;
     private final Config config;
     private final Deadline timer;
+    private final SplittableRandom random;
+    /** Watches in a row that have told nothing. */
+    private int vain;
     private String address;
     /** The list's version as this address counts; another may count differently. */
     private long seq;
@@ -45,7 +56,24 @@
         this.config = config;
         address = config.discovery;
         seq = config.known.seq;
-        timer = loop.deadlines().create(this::begin);
+        random = new SplittableRandom(config.seed);
+        timer = loop.deadlines().create(this::due);
+    }
+
+    private void due() {
+        if (current.link.isClosed()) {
+            begin();
+        } else {
+            // Not up in time, or silent.
+            current.over();
+        }
+    }
+
+    /** The wait before the next watch. */
+    private long pause() {
+        long wait = Math.min(LONGEST_AGAIN, AGAIN << Math.min(vain, 10));
+        vain++;
+        return (long) (wait * (0.5 + random.nextDouble()));
     }
 
     /** Begins a watch, in place of the one there is. */
@@ -72,6 +100,7 @@
         }
         address = to;
         seq = 0;
+        vain = 0;
         begin();
     }
 
@@ -92,7 +121,7 @@
         private void over() {
             link.close();
             if (this == current) {
-                loop.deadlines().set(timer, loop.micros() + AGAIN);
+                loop.deadlines().set(timer, loop.micros() + pause());
             } else if (this == former) {
                 former = null;
             }
@@ -104,6 +133,13 @@
             }
         }
 
+        /** It speaks: the next watch need not wait long. */
+        private void speaks() {
+            if (this == current) {
+                vain = 0;
+            }
+        }
+
         @Override
         public void opened(Link opened) {
             alive();
@@ -166,6 +202,7 @@
         private void endLine() throws HttpException {
             String text = line.toString(StandardCharsets.UTF_8).strip();
             line.reset();
+            speaks();
             if (text.isEmpty()) {
                 return;
             }
--- a/src/test/java/laneflow/http/HttpStoryTest.java
+++ b/src/test/java/laneflow/http/HttpStoryTest.java
@@ -517,4 +517,34 @@
             assertTrue(idle[11].message().endsWith("priced"));
         }
     }
+
+    @Test
+    void discoveryShortOfRoomIsNotAskedAgainAndAgain() throws Exception {
+        Endpoint discovery = new Endpoint("d");
+        try (Stand stand = new Stand(discovery, new Endpoint("e1"))) {
+            long began = System.nanoTime();
+            List<Long> waits = new java.util.ArrayList<>();
+            for (int i = 0; i < 5; i++) {
+                Peer watch = discovery.accept();
+                watch.readTo("\r\n\r\n");
+                waits.add((System.nanoTime() - began) / 1_000_000);
+                began = System.nanoTime();
+                watch.write("HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n");
+                watch.close();
+            }
+            // 0.2, 0.4, 0.8 and 1.6 s, each half to one and a half times.
+            for (int i = 1; i < 5; i++) {
+                assertTrue(waits.get(i) >= 95L << i - 1 && waits.get(i) < (100L << i - 1) * 3 + 1000, "" + waits);
+            }
+            // Once it speaks, a watch that breaks is begun anew soon.
+            Peer watch = discovery.accept();
+            watch.readTo("\r\n\r\n");
+            watch.write(Stand.watching(Stand.list(2, true)));
+            stand.await("discovery.lists", 1);
+            watch.reset();
+            began = System.nanoTime();
+            discovery.accept();
+            assertTrue(System.nanoTime() - began < 1_300_000_000L);
+        }
+    }
 }
