--- a/src/main/java/laneflow/Serve.java
+++ b/src/main/java/laneflow/Serve.java
@@ -88,7 +88,8 @@
         });
         String ops = around.ops() != null ? around.ops() : config.ops;
         operations = ops == null && !around.passed() ? null : new Operations(loop, scheduler, front,
-                around.scratch(), around.passed(), new Part());
+                around.scratch(), around.passed(),
+                new Operations.Served(this::serves, () -> stopping, this::replaced));
         gearman = gearmanConfig == null ? null : new GearmanFront(loop, scheduler, gearmanConfig,
                 config.seed);
         if (gearman != null) {
@@ -130,23 +131,10 @@
                 && (operations == null || !operations.isDrained());
     }
 
-    /** What its operations see of it. */
-    private final class Part implements Operations.Served {
-        @Override
-        public boolean serves() {
-            return Serve.this.serves();
-        }
-
-        @Override
-        public boolean stops() {
-            return stopping;
-        }
-
-        @Override
-        public void end() {
-            if (!stopping) {
-                exit();
-            }
+    /** Another process has all its clients. */
+    private void replaced() {
+        if (!stopping) {
+            exit();
         }
     }
 
--- a/src/main/java/laneflow/ops/Handover.java
+++ b/src/main/java/laneflow/ops/Handover.java
@@ -36,6 +36,8 @@
     private static final long CONFIRM = 500_000;
     /** An order has so long to be confirmed: its caller is owed an answer within a second. */
     private static final long HELD = 700_000;
+    /** One whose elder is gone looks again so much later: it may be it that was let go, while it hung. */
+    private static final long SEEK = 300_000;
 
     /** The way to another process. */
     interface Pipe {
@@ -55,9 +57,12 @@
         /** What this process is of its scheduler now: its limits follow from that. */
         void is(Role role);
 
-        /** Further starts are to find this process. */
+        /** Further starts are to find this process, whoever they would have found. */
         void settle();
 
+        /** Who is there is met; if nobody is, further starts are to find this process. */
+        void seek();
+
         /** Carries out what the other process was ordered. */
         void obey(String order);
 
@@ -96,6 +101,8 @@
     private Other elder;
     private Other younger;
     private boolean serving;
+    private boolean placed;
+    private long seekAt = Long.MAX_VALUE;
     private long saidAt;
     private int told;
     private final Map<Integer, Pending> pending = new LinkedHashMap<>();
@@ -108,8 +115,13 @@
 
     /** An elder is there. */
     void met(long now, Pipe pipe) {
+        if (elder != null) {
+            pipe.close();
+            return;
+        }
         elder = new Other(pipe, now);
         pipe.send(HELLO);
+        tell();
     }
 
     /** True until the elder has told what it knows, or is gone. */
@@ -126,7 +138,7 @@
         host.accept(true);
         tell();
         if (elder == null) {
-            host.settle();
+            seekAt = Math.min(seekAt, now);
         } else {
             offer(now);
         }
@@ -142,7 +154,8 @@
 
     /** True once callers may rely on this process: it takes clients, and the elder has had time to stop. */
     boolean isInPlace(long now) {
-        return serving && (elder == null || elder.stage == Stage.HANDED || now - elder.since > CONFIRM);
+        placed |= serving && (elder == null || elder.stage == Stage.HANDED || now - elder.since > CONFIRM);
+        return placed;
     }
 
     // ---- the elder's side ----
@@ -201,6 +214,7 @@
                 return;
             }
             other.stage = Stage.KNOWN;
+            host.recall();
             other.pipe.send(HELLO);
             host.orders().forEach(order -> other.pipe.send("order " + order));
             other.pipe.send("known");
@@ -238,9 +252,7 @@
             }
         } else {
             elder = null;
-            if (serving) {
-                host.settle();
-            }
+            seekAt = now + SEEK;
         }
         tell();
     }
@@ -258,6 +270,10 @@
                 other.pipe.send("alive");
             }
         }
+        if (serving && elder == null && now >= seekAt) {
+            seekAt = Long.MAX_VALUE;
+            host.seek();
+        }
         saidAt = now - saidAt >= ALIVE ? now : saidAt;
         for (Map.Entry<Integer, Pending> each : new ArrayList<>(pending.entrySet())) {
             if (now > each.getValue().until) {
--- a/src/main/java/laneflow/ops/Meeting.java
+++ b/src/main/java/laneflow/ops/Meeting.java
@@ -10,6 +10,7 @@
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.nio.file.attribute.BasicFileAttributes;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import java.util.function.BiConsumer;
@@ -29,6 +30,8 @@
     private final Path place;
     private final Consumer<Runnable> loop;
     private ServerSocketChannel server;
+    /** What the place held when it was taken: another process may have taken it since. */
+    private Object taken;
 
     /** @param loop runs what it is given on the thread that owns the handover */
     Meeting(Path folder, Consumer<Runnable> loop) {
@@ -55,6 +58,29 @@
         }
     }
 
+    /** Looks, off the loop, whether another process has the place, and tells; null: nobody. */
+    void seek(Consumer<SocketPipe> then) {
+        Object own = server == null ? null : taken;
+        daemon(() -> {
+            Object there = key();
+            SocketPipe found = there == null || there.equals(own) ? null : connect();
+            loop.accept(() -> then.accept(found));
+        }, "handover-seek").start();
+    }
+
+    /** True if starts to come find this process. */
+    boolean isSettled() {
+        return server != null && taken != null && taken.equals(key());
+    }
+
+    private Object key() {
+        try {
+            return Files.readAttributes(place, BasicFileAttributes.class).fileKey();
+        } catch (IOException e) {
+            return null;
+        }
+    }
+
     /** From now on starts to come find this process; each is told of. */
     void settle(Consumer<SocketPipe> come) {
         close();
@@ -63,6 +89,7 @@
             ServerSocketChannel opened = ServerSocketChannel.open(StandardProtocolFamily.UNIX);
             server = opened;
             opened.bind(UnixDomainSocketAddress.of(place));
+            taken = key();
             daemon(() -> accept(opened, come), "handover").start();
         } catch (IOException | RuntimeException e) {
             LOG.warn("an upgrade will not find this process, {} can't be used: {}", place, e.toString());
--- a/src/main/java/laneflow/ops/Operations.java
+++ b/src/main/java/laneflow/ops/Operations.java
@@ -41,17 +41,14 @@
         return thread;
     });
 
-    /** What a scheduler is to its operations. */
-    public interface Served {
-        /** Clients can be served, but for a drain. */
-        boolean serves();
-
-        /** The process is on its way to its end. */
-        boolean stops();
-
-        /** Another process has all its clients: it may end. */
-        void end();
-    }
+    /**
+     * What a scheduler is to its operations; no interface, which the platform's path would load.
+     *
+     * @param serves whether clients can be served, but for a drain
+     * @param stops whether the process is on its way to its end
+     * @param end called when another process has all its clients: it may end
+     */
+    public record Served(BooleanSupplier serves, BooleanSupplier stops, Runnable end) { }
 
     /**
      * Applies what was set down before.
@@ -63,13 +60,13 @@
             Served served) throws InterruptedException {
         this.loop = loop;
         this.scheduler = scheduler;
-        stops = served::stops;
+        stops = served.stops();
         drain = new Drain(loop, front);
         bans = folder == null ? null : new BanFile(folder);
         succession = folder == null || !passed ? null : new Succession(loop, scheduler, front, drain, this,
-                folder, served::serves, served::end);
+                folder, served.serves(), served.end());
         port = new OpsPort(loop);
-        port.add("check", (words, answer) -> answer.accept(served.serves()
+        port.add("check", (words, answer) -> answer.accept(served.serves().getAsBoolean()
                 && (succession == null || succession.isInPlace()) ? "done"
                 : "error it can't serve yet, or not any more"));
         port.add("set-down ID", (words, answer) -> setDown(words[1], answer));
--- a/src/main/java/laneflow/ops/Succession.java
+++ b/src/main/java/laneflow/ops/Succession.java
@@ -152,6 +152,19 @@
                 : 1 - NEWER_SENDS);
     }
 
+    @Override
+    public void seek() {
+        meeting.seek(pipe -> {
+            if (pipe != null) {
+                LOG.info("another process serves too: this one is met with it again");
+                handover.met(loop.micros(), pipe);
+                pipe.read(this::line, this::gone);
+            } else if (!meeting.isSettled()) {
+                settle();
+            }
+        });
+    }
+
     @Override
     public void settle() {
         meeting.settle(pipe -> {
--- a/src/test/java/laneflow/ops/HandoverTest.java
+++ b/src/test/java/laneflow/ops/HandoverTest.java
@@ -42,6 +42,16 @@
         @Override
         public void settle() {
             settled++;
+            place = this;
+        }
+
+        @Override
+        public void seek() {
+            if (place != null && place != this && !place.dead && !place.hangs) {
+                connect(this, place);
+            } else if (place != this) {
+                settle();
+            }
         }
 
         @Override
@@ -96,6 +106,8 @@
         }
     }
 
+    /** Who starts find. */
+    private Process place;
     /** Where both write down what is ordered. */
     private final TreeSet<String> file = new TreeSet<>();
     private long now = 1_000_000;
@@ -170,6 +182,7 @@
         assertEquals(Handover.Role.NEWER, young.role);
         assertEquals(Handover.Role.OLDER, old.role);
         assertEquals(1, young.settled);
+        assertEquals(young, place);
     }
 
     @Test
@@ -201,6 +214,7 @@
     @Test
     void aYoungerThatDiesOrHangsPutsTheElderBack() {
         for (boolean hangs : new boolean[] {true, false}) {
+            place = null;
             Process old = new Process();
             Process young = new Process();
             old.handover.serving(now);
@@ -214,7 +228,7 @@
             pass(Handover.SILENCE + 200_000, old, young);
             assertTrue(old.accepts && !old.away && !old.handover.isSuperseded());
             assertEquals(Handover.Role.ALONE, old.role);
-            assertEquals(2, old.settled);
+            assertEquals(old, place);
         }
     }
 
@@ -270,10 +284,12 @@
             Random random = new Random(seed);
             ends.clear();
             file.clear();
+            place = null;
             Process old = new Process();
             Process young = new Process();
             Process[] both = {old, young};
             old.handover.serving(now);
+            old.handover.tick(now);
             connect(young, old);
             TreeSet<String> held = new TreeSet<>();
             int killed = -1;
@@ -281,7 +297,7 @@
                 int what = random.nextInt(12);
                 Process one = both[random.nextInt(2)];
                 if (what < 6) {
-                    deliver(ends.get(random.nextInt(2)));
+                    deliver(ends.get(random.nextInt(ends.size())));
                 } else if (what < 8) {
                     now += random.nextInt(200_000);
                     if (!one.dead && !one.hangs) {
@@ -317,6 +333,11 @@
                 }
             }
             assertTrue(taken, "seed " + seed);
+            if (!old.dead && !young.dead) {
+                // One has taken the other's place, also where either was let go while it hung.
+                assertTrue(old.handover.isSuperseded() && !old.accepts && young.accepts, "seed " + seed);
+                assertEquals(old.down, young.down, "seed " + seed);
+            }
             if (killed >= 0 && !both[1 - killed].dead) {
                 assertEquals(Handover.Role.ALONE, both[1 - killed].role, "seed " + seed);
                 assertFalse(both[1 - killed].away, "seed " + seed);
--- a/src/test/java/laneflow/ops/UpgradeStoryTest.java
+++ b/src/test/java/laneflow/ops/UpgradeStoryTest.java
@@ -258,4 +258,30 @@
         start();
         next.ended();
     }
+
+    @Test
+    void aNewOneThatHangsIsLetGoAndMetAgainOnceItGoesOn() throws Exception {
+        Started old = start();
+        Peer open = client().post("card-capture", "o1", "", "");
+        Peer call = endpoint.accept();
+        call.message();
+        Started young = start();
+        signal("STOP", young);
+        // Whom the new one has accepted hangs with it; who comes now is taken by the old one.
+        await(() -> Files.readString(folder.resolve("log")).contains("clients are taken here again"));
+        assertTrue(ready());
+        setDown(old);
+        signal("CONT", young);
+        await(() -> Files.readString(folder.resolve("log")).contains("met with it again"));
+        await(() -> call(young, "set-up e1").equals("done"));
+        assertEquals("done", call(young, "set-up e2"));
+        call.says("{'id':'o1','state':'done','result':'ok'}");
+        assertTrue(open.message().endsWith("ok"));
+        old.ended();
+        serves(client(), "c1", false);
+    }
+
+    private static void signal(String name, Started to) throws Exception {
+        assertEquals(0, new ProcessBuilder("kill", "-" + name, "" + to.handle.pid()).start().waitFor());
+    }
 }
