Connections counted by part, one path for calls on workers, one maker of daemon threads

What: Loop.Part counts any part of the descriptors (clients, calls, a listener's own), in place of a count with exceptions for listeners that have their own; one constructor of Listener in place of two. Operations.worker and carryOut serve set-down and set-up, for callers and for the other process alike. net.Threads makes the daemon threads that Serve, Streaming, Meeting and Operations each made. Succession takes its parts from one place. The tests' Stand builds its list of endpoints by knowing().

--- a/src/main/java/laneflow/Serve.java
+++ b/src/main/java/laneflow/Serve.java
@@ -4,7 +4,6 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.ExecutorService;
-import java.util.concurrent.Executors;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
 import laneflow.decision.Dispatch.JobClass;
@@ -18,6 +17,7 @@
 import laneflow.http.HttpFront;
 import laneflow.http.OperatorPort;
 import laneflow.net.Loop;
+import laneflow.net.Threads;
 import laneflow.ops.Operations;
 import laneflow.wire.WireException;
 import org.slf4j.Logger;
@@ -148,11 +148,7 @@
         Setup setup = source.read();
         // Without a handler the machine ends on SIGHUP, and all that is open with it. Files are read off the
         // loop, one after the other: the last reading is of the newest file, however close signals come.
-        ExecutorService reader = Executors.newSingleThreadExecutor(task -> {
-            Thread thread = new Thread(task, "reload");
-            thread.setDaemon(true);
-            return thread;
-        });
+        ExecutorService reader = Threads.inOrder("reload");
         CompletableFuture<Serve> serving = new CompletableFuture<>();
         if (!Hangup.handle(() -> reader.execute(() -> serving.join().reload(source)))) {
             LOG.warn("SIGHUP is ignored, as under nohup: a moved discovery will not be followed");
--- a/src/main/java/laneflow/Streaming.java
+++ b/src/main/java/laneflow/Streaming.java
@@ -27,6 +27,7 @@
 import laneflow.http.HttpFront;
 import laneflow.http.OperatorPort;
 import laneflow.net.Loop;
+import laneflow.net.Threads;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -100,11 +101,8 @@
     /** One task after the other, with a bound: a disk that hangs must not fill the memory. */
     private static ExecutorService thread(String name) {
         return new ThreadPoolExecutor(1, 1, 0, TimeUnit.SECONDS, new ArrayBlockingQueue<>(MOST_QUEUED),
-                task -> {
-                    Thread thread = new Thread(task, name);
-                    thread.setDaemon(true);
-                    return thread;
-                }, (task, executor) -> LOG.error("{}: too much waits already, a task is dropped", name));
+                task -> Threads.daemon(task, name),
+                (task, executor) -> LOG.error("{}: too much waits already, a task is dropped", name));
     }
 
     /** Adopting, with the parts that run. */
--- a/src/main/java/laneflow/net/Loop.java
+++ b/src/main/java/laneflow/net/Loop.java
@@ -17,6 +17,7 @@
 import laneflow.core.SlotTable;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
+import org.xnio.ChannelListener;
 import org.xnio.IoFuture;
 import org.xnio.IoUtils;
 import org.xnio.OptionMap;
@@ -47,12 +48,10 @@
     private final XnioWorker worker;
     private final XnioIoThread thread;
     /** Most connections of either direction: clients must not leave calls without a descriptor. */
-    private final int most;
-    private int mostEachWay;
+    private final int mostEachWay;
+    private final Part accepted;
+    private final Part outbound;
     private final List<Listener> listeners = new ArrayList<>();
-    /** Taken by listeners that share one part; those with a part of their own count for themselves. */
-    private int accepted;
-    private int outbound;
     private final long origin;
     private boolean inTurn;
     private long now;
@@ -61,8 +60,9 @@
 
     /** A loop that holds no more descriptors than that, its own included. */
     public Loop(int descriptors) throws IOException {
-        most = Math.max(8, (descriptors - OWN_DESCRIPTORS) / 2);
-        mostEachWay = most;
+        mostEachWay = Math.max(8, (descriptors - OWN_DESCRIPTORS) / 2);
+        accepted = new Part(mostEachWay);
+        outbound = new Part(mostEachWay);
         worker = Xnio.getInstance().createWorker(OptionMap.builder()
                 .set(Options.WORKER_NAME, "loop")
                 .set(Options.WORKER_IO_THREADS, 1)
@@ -154,6 +154,20 @@
         }
     }
 
+    /** A part of the descriptors: connections that are open in it, and how many may be. */
+    private static final class Part {
+        private int most;
+        private int open;
+
+        private Part(int most) {
+            this.most = most;
+        }
+
+        private boolean hasRoom() {
+            return open < most;
+        }
+    }
+
     /** A listening socket. */
     public final class Listener {
         private final AcceptingChannel<StreamConnection> channel;
@@ -161,38 +175,28 @@
         private final int inLimit;
         private final int outLimit;
         private final BooleanSupplier makeRoom;
-        /** Most connections of its own, apart from all others'; 0: it shares the loop's part. */
-        private final int reserved;
+        private final Part part;
         private final boolean isPassed;
-        private int own;
         private boolean paused;
         private boolean full;
         /** Accepted, but for want of room not let in yet. */
         private StreamConnection parked;
 
-        private Listener(ServerSocketChannel passed, int inLimit, int outLimit, BooleanSupplier makeRoom,
-                Supplier<LinkHandler> handlers) throws IOException {
-            this.handlers = handlers;
-            this.makeRoom = makeRoom;
-            this.reserved = 0;
-            this.inLimit = inLimit;
-            this.outLimit = outLimit;
-            isPassed = true;
-            channel = PassedServer.on(worker, passed, accepting -> turn(this::accept),
-                    OptionMap.create(Options.TCP_NODELAY, true, Options.KEEP_ALIVE, true));
-        }
-
-        private Listener(InetSocketAddress at, int inLimit, int outLimit, int reserved,
-                BooleanSupplier makeRoom, Supplier<LinkHandler> handlers) throws IOException {
+        /** On the passed socket, unless it is null. */
+        private Listener(ServerSocketChannel passed, InetSocketAddress at, int inLimit, int outLimit,
+                Part part, BooleanSupplier makeRoom, Supplier<LinkHandler> handlers) throws IOException {
             this.handlers = handlers;
             this.makeRoom = makeRoom;
-            this.reserved = reserved;
+            this.part = part;
             this.inLimit = inLimit;
             this.outLimit = outLimit;
-            isPassed = false;
-            channel = worker.createStreamConnectionServer(at, accepting -> turn(this::accept),
-                    OptionMap.builder().set(Options.TCP_NODELAY, true).set(Options.REUSE_ADDRESSES, true)
-                            .set(Options.KEEP_ALIVE, true).set(Options.BACKLOG, BACKLOG).getMap());
+            isPassed = passed != null;
+            ChannelListener<AcceptingChannel<StreamConnection>> heard = accepting -> turn(this::accept);
+            OptionMap options = OptionMap.builder().set(Options.TCP_NODELAY, true)
+                    .set(Options.REUSE_ADDRESSES, true).set(Options.KEEP_ALIVE, true)
+                    .set(Options.BACKLOG, BACKLOG).getMap();
+            channel = isPassed ? PassedServer.on(worker, passed, heard, options)
+                    : worker.createStreamConnectionServer(at, heard, options);
         }
 
         /** Lets clients in from now on. */
@@ -224,15 +228,14 @@
                     if (connection == null) {
                         return;
                     }
-                    if (!hasRoom() && !makeRoom.getAsBoolean()) {
+                    if (!part.hasRoom() && !makeRoom.getAsBoolean()) {
                         // It and those behind it in the backlog wait until a connection closes.
                         parked = connection;
                         full = true;
                         channel.suspendAccepts();
                         return;
                     }
-                    own++;
-                    accepted += reserved > 0 ? 0 : 1;
+                    part.open++;
                     LinkHandler handler = handlers.get();
                     Link link = new Link(Loop.this, handler, inLimit, outLimit, this);
                     link.handle(links.add(link));
@@ -246,13 +249,8 @@
             }
         }
 
-        private boolean hasRoom() {
-            return reserved > 0 ? own < reserved : accepted < mostEachWay;
-        }
-
         private void left() {
-            own--;
-            accepted -= reserved > 0 ? 0 : 1;
+            part.open--;
             listeners.forEach(Listener::room);
         }
 
@@ -295,7 +293,7 @@
      */
     public Listener listen(InetSocketAddress at, int inLimit, int outLimit, BooleanSupplier makeRoom,
             Supplier<LinkHandler> handlers) throws IOException {
-        return new Listener(at, inLimit, outLimit, 0, makeRoom, handlers);
+        return new Listener(null, at, inLimit, outLimit, accepted, makeRoom, handlers);
     }
 
     /**
@@ -304,7 +302,7 @@
      */
     public Listener listenApart(InetSocketAddress at, int inLimit, int outLimit, int most,
             BooleanSupplier makeRoom, Supplier<LinkHandler> handlers) throws IOException {
-        return new Listener(at, inLimit, outLimit, most, makeRoom, handlers);
+        return new Listener(null, at, inLimit, outLimit, new Part(most), makeRoom, handlers);
     }
 
     /** Clients come from the listening socket that is this process's descriptor 0; not before it is begun. */
@@ -313,25 +311,25 @@
         if (!(System.inheritedChannel() instanceof ServerSocketChannel passed)) {
             throw new IOException("descriptor 0 is no listening socket, though one was said to be passed");
         }
-        return new Listener(passed, inLimit, outLimit, makeRoom, handlers);
+        return new Listener(passed, null, inLimit, outLimit, accepted, makeRoom, handlers);
     }
 
     /** Connections come up only within that part of the descriptors: the rest is another process's. */
     public void share(double part) {
-        mostEachWay = (int) (part * most);
+        accepted.most = outbound.most = (int) (part * mostEachWay);
         listeners.forEach(Listener::room);
     }
 
     /** True if another connection may be opened. */
     public boolean hasRoom() {
-        return outbound < mostEachWay;
+        return outbound.hasRoom();
     }
 
     /** Opens a connection; the handler hears when it is up, or that it did not come up. */
     public Link connect(InetSocketAddress to, int inLimit, int outLimit, LinkHandler handler) {
         Link link = new Link(this, handler, inLimit, outLimit, null);
         link.handle(links.add(link));
-        outbound++;
+        outbound.open++;
         IoFuture<StreamConnection> future = thread.openStreamConnection(to, null,
                 OptionMap.create(Options.TCP_NODELAY, true));
         link.opening(future);
@@ -368,7 +366,7 @@
         if (link.listener() != null) {
             link.listener().left();
         } else {
-            outbound--;
+            outbound.open--;
         }
     }
 
--- a/src/main/java/laneflow/ops/Meeting.java
+++ b/src/main/java/laneflow/ops/Meeting.java
@@ -12,9 +12,10 @@
 import java.nio.file.Path;
 import java.nio.file.attribute.BasicFileAttributes;
 import java.util.concurrent.ExecutorService;
-import java.util.concurrent.Executors;
+import java.util.concurrent.TimeUnit;
 import java.util.function.BiConsumer;
 import java.util.function.Consumer;
+import laneflow.net.Threads;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -39,12 +40,6 @@
         this.loop = loop;
     }
 
-    private static Thread daemon(Runnable task, String name) {
-        Thread thread = new Thread(task, name);
-        thread.setDaemon(true);
-        return thread;
-    }
-
     /** A way to the process that is there, or null. */
     SocketPipe connect() {
         if (!Files.exists(place)) {
@@ -61,7 +56,7 @@
     /** Looks, off the loop, whether another process has the place, and tells; null: nobody. */
     void seek(Consumer<SocketPipe> then) {
         Object own = server == null ? null : taken;
-        daemon(() -> {
+        Threads.daemon(() -> {
             Object there = key();
             SocketPipe found = there == null || there.equals(own) ? null : connect();
             loop.accept(() -> then.accept(found));
@@ -90,7 +85,7 @@
             server = opened;
             opened.bind(UnixDomainSocketAddress.of(place));
             taken = key();
-            daemon(() -> accept(opened, come), "handover").start();
+            Threads.daemon(() -> accept(opened, come), "handover").start();
         } catch (IOException | RuntimeException e) {
             LOG.warn("an upgrade will not find this process, {} can't be used: {}", place, e.toString());
         }
@@ -122,8 +117,7 @@
     /** One connection to another process. */
     final class SocketPipe implements Handover.Pipe {
         private final SocketChannel channel;
-        private final ExecutorService writer =
-                Executors.newSingleThreadExecutor(task -> daemon(task, "handover-write"));
+        private final ExecutorService writer = Threads.inOrder("handover-write");
 
         private SocketPipe(SocketChannel channel) {
             this.channel = channel;
@@ -131,7 +125,7 @@
 
         /** Begins to read; lines and, once, the end are told on the loop. */
         void read(BiConsumer<SocketPipe, String> line, Consumer<SocketPipe> end) {
-            daemon(() -> {
+            Threads.daemon(() -> {
                 try {
                     StringBuilder text = new StringBuilder();
                     ByteBuffer bytes = ByteBuffer.allocate(MOST_LINE);
@@ -170,9 +164,9 @@
         @Override
         public void close() {
             writer.shutdown();
-            daemon(() -> {
+            Threads.daemon(() -> {
                 try {
-                    writer.awaitTermination(1, java.util.concurrent.TimeUnit.SECONDS);
+                    writer.awaitTermination(1, TimeUnit.SECONDS);
                     channel.close();
                 } catch (IOException | InterruptedException e) {
                     LOG.debug("handover: {}", e.toString());
--- a/src/main/java/laneflow/ops/Operations.java
+++ b/src/main/java/laneflow/ops/Operations.java
@@ -8,12 +8,12 @@
 import java.util.Set;
 import java.util.TreeSet;
 import java.util.concurrent.ExecutorService;
-import java.util.concurrent.Executors;
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import laneflow.core.Scheduler;
 import laneflow.http.HttpFront;
 import laneflow.net.Loop;
+import laneflow.net.Threads;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -35,11 +35,7 @@
     private final Succession succession;
     /** Orders on workers so far. */
     private int changes;
-    private final ExecutorService writer = Executors.newSingleThreadExecutor(task -> {
-        Thread thread = new Thread(task, "set-down");
-        thread.setDaemon(true);
-        return thread;
-    });
+    private final ExecutorService writer = Threads.inOrder("set-down");
 
     /**
      * What a scheduler is to its operations; no interface, which the platform's path would load.
@@ -69,8 +65,8 @@
         port.add("check", (words, answer) -> answer.accept(served.serves().getAsBoolean()
                 && (succession == null || succession.isInPlace()) ? "done"
                 : "error it can't serve yet, or not any more"));
-        port.add("set-down ID", (words, answer) -> setDown(words[1], answer));
-        port.add("set-up ID", (words, answer) -> setUp(words[1], answer));
+        port.add("set-down ID", (words, answer) -> worker(true, words[1], answer));
+        port.add("set-up ID", (words, answer) -> worker(false, words[1], answer));
         port.add("drain-on", (words, answer) -> drain(true, answer));
         port.add("drain-off", (words, answer) -> drain(false, answer));
         Set<String> before = bans == null ? Set.of() : bans.read();
@@ -107,31 +103,28 @@
         return succession != null && succession.isSuperseded();
     }
 
-    private void setDown(String name, Consumer<String> answer) {
+    private void worker(boolean down, String name, Consumer<String> answer) {
         if (!scheduler.destinations().hasListed(name)) {
             answer.accept("error no worker " + name + " was ever listed here");
             return;
         }
-        LOG.info("{} is set down", name);
-        scheduler.counters().add("ops.set_down");
-        scheduler.setDown(name);
-        keep("set-down " + name, answer);
+        LOG.info("{} is set {}", name, down ? "down" : "up");
+        scheduler.counters().add(down ? "ops.set_down" : "ops.set_up");
+        carryOut(down, name);
+        keep((down ? "set-down " : "set-up ") + name, answer);
     }
 
-    private void setUp(String name, Consumer<String> answer) {
-        if (!scheduler.destinations().hasListed(name)) {
-            answer.accept("error no worker " + name + " was ever listed here");
-            return;
+    private void carryOut(boolean down, String name) {
+        changes++;
+        if (down) {
+            scheduler.setDown(name);
+        } else {
+            scheduler.setUp(name);
         }
-        LOG.info("{} is set up", name);
-        scheduler.counters().add("ops.set_up");
-        scheduler.setUp(name);
-        keep("set-up " + name, answer);
     }
 
     /** Answers once the next process would find it too. What holds here holds whether or not that works. */
     private void keep(String order, Consumer<String> answer) {
-        changes++;
         Set<String> names = new TreeSet<>(scheduler.destinations().down());
         writer.execute(() -> {
             String said = "done";
@@ -178,11 +171,8 @@
     /** What another process of this scheduler was ordered. */
     void obey(String order) {
         String[] words = order.split(" ");
-        changes++;
-        if (words[0].equals("set-down") && words.length == 2) {
-            scheduler.setDown(words[1]);
-        } else if (words[0].equals("set-up") && words.length == 2) {
-            scheduler.setUp(words[1]);
+        if (words.length == 2 && (words[0].equals("set-down") || words[0].equals("set-up"))) {
+            carryOut(words[0].equals("set-down"), words[1]);
         } else if (words[0].equals("drain-on") || words[0].equals("drain-off")) {
             ordered(words[0].equals("drain-on"));
         }
--- a/src/main/java/laneflow/ops/Succession.java
+++ b/src/main/java/laneflow/ops/Succession.java
@@ -141,15 +141,17 @@
             if (now != Handover.Role.ALONE) {
                 scheduler.share(0.5);
             }
-            loop.share(now == Handover.Role.ALONE ? 1 : now == Handover.Role.NEWER ? NEWER_LINKS
-                    : 1 - NEWER_LINKS);
+            loop.share(part(NEWER_LINKS));
             loop.deadlines().set(settled, loop.micros() + (long) (scheduler.settings().fallWithin * 1e6));
         }
     }
 
     private void settled() {
-        scheduler.share(role == Handover.Role.ALONE ? 1 : role == Handover.Role.NEWER ? NEWER_SENDS
-                : 1 - NEWER_SENDS);
+        scheduler.share(part(NEWER_SENDS));
+    }
+
+    private double part(double newer) {
+        return role == Handover.Role.ALONE ? 1 : role == Handover.Role.NEWER ? newer : 1 - newer;
     }
 
     @Override
--- a/src/test/java/laneflow/net/Stand.java
+++ b/src/test/java/laneflow/net/Stand.java
@@ -66,12 +66,7 @@
 
     /** The program with a second address, few descriptors, and that folder left to the next one. */
     public static Stand operated(Path folder, Endpoint... known) throws Exception {
-        List<String> hosts = new ArrayList<>();
-        for (Endpoint endpoint : known) {
-            hosts.add(endpoint.host("Ready"));
-        }
-        Config config = Config.parse(json("{'known':" + list(1, true, hosts.toArray(new String[0])) + OWN)
-                .replace("1024", "160"));
+        Config config = Config.parse(knowing(known).replace("1024", "160"));
         return new Stand(new Serve(new Setup(config, null, null, null),
                 new Surroundings("127.0.0.1:0", folder, false)));
     }
@@ -121,11 +116,7 @@
 
     /** The program with durable jobs kept in that folder, and Gearman functions kcheck, kcapture and kpost. */
     public static Stand keeping(Path folder, String durable, Endpoint... known) throws Exception {
-        List<String> hosts = new ArrayList<>();
-        for (Endpoint endpoint : known) {
-            hosts.add(endpoint.host("Ready"));
-        }
-        Config config = Config.parse(json("{'known':" + list(1, true, hosts.toArray(new String[0])) + OWN));
+        Config config = Config.parse(knowing(known));
         Findings findings = new Findings("the stand's file");
         String functions = "listen = '127.0.0.1:0'\n[functions.kcheck]\nclass = 'basket-check'\ndurable = true\n"
                 + "[functions.kcapture]\nclass = 'card-capture'\ndurable = true\n[functions.kpost]\n"
