Module: a list that moves a worker out of all zones amid a job holds nobody up

Seen, in a test that lists a worker under an unknown zone while a job is out there: the note of its start and its outcome ended in ArrayIndexOutOfBounds (Logic.note, Logic.judge: pools[view.zone]). The attempt was settled by then, the job was not: its client heard nothing until its deadline. Discovery names a zone by text, and one that the settings don't name is read as -1, so one renamed site is enough. Ruled out: the placement path, which guards its zones (admit).

Such a worker's zone is now the last pool, which stays empty. Before: an exception for -1, 1 and 200; after: answered at once, and the worker is used again when it is back in a zone.

--- a/src/main/java/laneflow/decision/Logic.java
+++ b/src/main/java/laneflow/decision/Logic.java
@@ -89,7 +89,7 @@
     private final Jobs jobs = new Jobs();
     private final Long2ObjectHashMap<Kind> kinds = new Long2ObjectHashMap<>();
     private final Long2ObjectHashMap<Crowd> crowds = new Long2ObjectHashMap<>();
-    private final Pool[] pools; // The ready workers of each zone.
+    private final Pool[] pools; // The ready workers of each zone; the last, for no zone, stays empty.
     private final ArrayDeque<Job> held = new ArrayDeque<>(); // Wait for reports, in order of arrival.
     private final Calls calls = new Calls();
     /** Requests taken and further attempts made, as far back as their budget looks. */
@@ -115,7 +115,7 @@
         this.settings = settings;
         this.out = out;
         this.random = new SplittableRandom(seed);
-        pools = new Pool[settings.zones];
+        pools = new Pool[settings.zones + 1];
         Arrays.setAll(pools, zone -> new Pool(random.nextInt()));
         slack = new double[settings.classes.length];
         Arrays.fill(slack, Double.POSITIVE_INFINITY);
@@ -772,10 +772,11 @@
             view.forgetReport();
         }
         view.listRound = listRound;
-        if (view.indexed && entry.zone != view.zone) {
+        int zone = entry.zone >= 0 && entry.zone < settings.zones ? entry.zone : settings.zones;
+        if (view.indexed && zone != view.zone) {
             pools[view.zone].remove(view);
         }
-        view.zone = entry.zone;
+        view.zone = zone;
         view.kind = entry.kind;
         view.peers = kindOf(entry);
         view.crowd = crowds.computeIfAbsent((long) entry.kind << 32 | entry.zone, key -> new Crowd());
@@ -800,7 +801,7 @@
     private void admit(View view) {
         double since = view.coldSince();
         view.warmAt = since > 0 ? since + settings.coldFor : Double.NEGATIVE_INFINITY;
-        if (view.isEligible() && !view.indexed && view.zone >= 0 && view.zone < pools.length) {
+        if (view.isEligible() && !view.indexed && view.zone < settings.zones) {
             pools[view.zone].add(view);
         }
     }
