Module: one absurd cost hint or load report no longer decides for all other jobs

Seen, in tests on the module: a load report of x0 = Infinity (JSON 1e999) or 1e300 shut its kind of worker out, 0 of 20 jobs placed behind it, and for good, since the most slots ever told are kept (Kind.slotsSeen, Logic.View.take); 1e9 and below zero spoil the crowd's mean and lift the cold budget. Req-Cost may hold eighteen digits: one such client put the mean hint (Logic.open) up by 2e10 s, which 0.98 a request takes some 1,200 requests to forget; every wait is reckoned with that mean. Ruled out: Req-Deadline-Ms (bounded in JobReader) and progress shares (clamped in Answer).

A hint counts for no more than its class's longest wait; a report that tells of more than 4,096 slots or waiting jobs, or of fewer than none, is passed over. Behind each spoilt value 20 of 20 are placed now, and cold budgets hold.

--- a/src/main/java/laneflow/decision/Logic.java
+++ b/src/main/java/laneflow/decision/Logic.java
@@ -21,6 +21,7 @@
     private static final double REPORT_AGE = 1;
     /** Seconds that a report is held to be older than its arrival: it was taken before and came late. */
     private static final double REPORT_STALE = 0.5;
+    private static final double MOST_TOLD = 4096; // Slots or waiting jobs that a report may tell of.
     private static final double MEAN_AGE = 6; // Seconds unheard in which a mean has lost half its weight.
     private static final double IN_TIME = 0.9; // Share of a job's aim to fill: hints and speeds are guesses.
     /** Four times the square of the mean excess of a normal draw, in its spreads: 4 x 0.4 x 0.4. */
@@ -893,7 +894,10 @@
     }
 
     private Job open(Request request) {
-        double hint = request.hint > 0 ? request.hint : meanHint;
+        // No worker ends in time what runs longer than its class waits: as told, one absurd hint would spoil the
+        // mean for hundreds of jobs, and all workers would look full.
+        double longest = settings.classes[request.jobClass].deadline;
+        double hint = request.hint > 0 ? Math.min(request.hint, longest) : meanHint;
         meanHint += HINT_GAIN * (hint - meanHint);
         Job job = jobs.open(request.id);
         double call = request.deadline - LAST_CALL_TICKS * settings.tick;
@@ -1005,7 +1009,8 @@
         }
 
         void take(LoadReport report, double now) {
-            if (Double.isNaN(report.freeSlots)) {
+            // What no worker can have is spoilt: kept as the most seen it would blind its kind for good.
+            if (!(report.freeSlots >= 0 && report.freeSlots <= MOST_TOLD) || report.queue > MOST_TOLD) {
                 return;
             }
             peers.slotsSeen = Math.max(peers.slotsSeen, report.freeSlots);
--- a/src/test/java/laneflow/decision/SpoiltInputTest.java
+++ b/src/test/java/laneflow/decision/SpoiltInputTest.java
@@ -1,16 +1,80 @@
 package laneflow.decision;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.util.List;
 import laneflow.decision.Dispatch.Effect;
 import laneflow.decision.Dispatch.ListKind;
+import laneflow.decision.Dispatch.LoadReport;
 import laneflow.decision.Dispatch.Outcome;
+import laneflow.decision.Dispatch.Request;
 import laneflow.decision.Dispatch.Settings;
+import laneflow.decision.Dispatch.State;
 import org.junit.jupiter.api.Test;
 
 /** What one peer says, however absurd, must not decide what becomes of everybody else's jobs. */
 class SpoiltInputTest {
+    /** Two workers of four slots, of which siblings have three, as the reports of twenty jobs have shown. */
+    private static Rig inService(Settings settings) {
+        Rig rig = new Rig(settings).workers(0, 1, 2);
+        rig.ask(1).pass(0.1).ends(1, 0, Outcome.OK, Rig.free(4)).pass(1);
+        for (long id = 2; id <= 20; id++) {
+            rig.ask(id).pass(1).ends(id, 0, Outcome.OK, Rig.free(1)).pass(1);
+        }
+        return rig;
+    }
+
+    private static int served(Rig rig, long from, int count) {
+        int sent = 0;
+        for (long id = from; id < from + count; id++) {
+            rig.ask(id).pass(0.5);
+            if (!rig.sends(id).isEmpty()) {
+                sent++;
+                rig.ends(id, 0, Outcome.OK, Rig.free(1));
+            }
+            rig.pass(0.5);
+        }
+        return sent;
+    }
+
+    @Test
+    void oneAbsurdCostHintShutsNobodyElseOut() {
+        Rig rig = inService(Rig.settings(Effect.SAFE));
+        assertEquals(20, served(rig, 100, 20));
+        Request absurd = rig.request(200);
+        absurd.hint = 1e12;
+        rig.logic.request(rig.now, absurd);
+        rig.pass(0.1);
+        if (!rig.sends(200).isEmpty()) {
+            rig.ends(200, 0, Outcome.OK, Rig.free(1));
+        }
+        rig.pass(1);
+        assertEquals(20, served(rig, 300, 20));
+    }
+
+    @Test
+    void aSpoiltReportNeitherShutsAKindOutNorLiftsItsColdBudget() {
+        double[] spoilt = {Double.POSITIVE_INFINITY, 1e300, 1e9, -1, -1e300};
+        for (double value : spoilt) {
+            for (boolean queue : new boolean[] {false, true}) {
+                Settings settings = Rig.settings(Effect.SAFE);
+                Rig rig = inService(settings);
+                LoadReport report = Rig.free(queue ? 1 : value);
+                report.queue = queue ? value : Double.NaN;
+                rig.ask(50).pass(0.1).ends(50, 0, Outcome.OK, report).pass(5);
+                assertEquals(20, served(rig, 100, 20), "after " + value);
+                rig.logic.list(rig.now, ListKind.WHOLE, List.of(Rig.worker(3, 0, State.READY, rig.now)));
+                int toCold = 0;
+                for (long id = 400; id < 440; id++) {
+                    toCold += rig.ask(id).sends(id).size();
+                }
+                double most = settings.fallMultiple * settings.coldShare * 4 * settings.fallWithin;
+                assertTrue(toCold <= most, "after " + value + " a cold worker was sent " + toCold);
+            }
+        }
+    }
+
     /** A list may move a worker to where no zone is while a job is out there: the job goes on as any other. */
     @Test
     void aWorkerThatLeavesAllZonesAmidAJobHoldsUpNobody() {
