Module: a dispatcher that starts empty takes its first hint as the mean, and what a cold worker has still left

The mean hint began at 1 s (Logic.meanHint) where jobs are of 0.3 s: cold workers of an unknown kind stayed idle for some 10 s longer, as no job seemed to fit their budget. It begins with the first hint now. And a dispatcher that is killed forgets what it sent to a cold worker within the last fall_ms (Logic.coldBudgetAllows): four, all killed and started again 0.4 s later, spent their parts twice. Each uses six tenths of its part, so four are left: the first fall_ms after a start use no more than that.

Ruled out: parts that dispatchers of different means reckon differently (each holds some two mean jobs by its own count, so an estimate too high sends less).

--- a/src/main/java/laneflow/decision/Logic.java
+++ b/src/main/java/laneflow/decision/Logic.java
@@ -52,6 +52,8 @@
     static final double UNKNOWN_CAPACITY = 0.5;
     /** Share of the cold budget used: hints are rough, and capacity is guessed from slots, not cores. */
     private static final double COLD_SAFETY = 0.6;
+    /** What the safe share leaves of it: all that may be used while sends of before a restart still count. */
+    private static final double COLD_AFRESH = 1 / COLD_SAFETY - 1;
     private static final double COLD_JOBS = 2; // Mean jobs that a part of a cold budget holds at least.
     /** Any large prime: dispatchers of neighbouring numbers, maybe of one zone, share different workers. */
     private static final long SPREAD = 7919;
@@ -101,10 +103,11 @@
     private double callArmed = Double.POSITIVE_INFINITY;
     private int listRound;
     private boolean askPending;
-    private double meanHint = 1; // Of the jobs seen here: the best guess for the siblings' jobs.
+    private double meanHint; // Of the jobs seen here, 0 before the first: the best guess for the siblings' jobs.
     private double topWorth;
     private final double[] slack; // Mean wait that each class's jobs can bear.
     private double part = 1; // Of this dispatcher's budgets, while another process works under its number.
+    private double startedAt = Double.NEGATIVE_INFINITY;
     private double now = Double.NEGATIVE_INFINITY;
 
     /** A dispatcher with these settings and this seed; actions go to {@code out}. */
@@ -128,6 +131,7 @@
     @Override
     public void start(double at) {
         clock(at);
+        startedAt = now;
         if (settings.listMustBeAsked) {
             out.watchList();
         }
@@ -661,8 +665,9 @@
         budget *= 1 + even * (view.zone == settings.zone ? settings.zones - 1 : -1) / 2;
         long parts = (long) Math.max(1, Math.min(settings.dispatchers, budget / (COLD_JOBS * meanHint)));
         long first = (view.id * 0x9E3779B97F4A7C15L ^ Double.doubleToLongBits(view.startedAt)) >>> 16;
+        double mine = part * budget / parts * (now < startedAt + settings.fallWithin ? COLD_AFRESH : 1);
         return (settings.me * SPREAD + first) % settings.dispatchers < parts
-                && view.coldLog.since(now - settings.fallWithin) + coldCost(job) <= part * budget / parts;
+                && view.coldLog.since(now - settings.fallWithin) + coldCost(job) <= mine;
     }
 
     /**
@@ -698,7 +703,6 @@
     private void judge(View view, Outcome outcome) {
         Pool pool = pools[view.zone];
         pool.fullShare += OTHERS_GAIN * ((outcome == Outcome.FULL ? 1 : 0) - pool.fullShare);
-        Doubt zone = pool.doubt;
         if (outcome == Outcome.OK || outcome == Outcome.FULL) {
             view.fullUntil = outcome == Outcome.FULL ? now + FULL_HOLD : view.fullUntil;
             if (outcome == Outcome.FULL && !view.peers.tellsQueue) {
@@ -706,14 +710,14 @@
                 view.taken((1 + FULL_QUEUE) * view.peers.slots(), now);
             }
             view.doubt.clear();
-            zone.clear();
+            pool.doubt.clear();
         } else if (outcome == Outcome.RESET || outcome == Outcome.TIMEOUT) {
             // One connection that breaks or falls silent says little of its worker; of a dead one all do.
             accuse(view.doubt, CONNECTIONS_LOST);
         } else if (outcome == Outcome.CONNECT_FAILED || outcome == Outcome.ERROR) {
             accuse(view.doubt, 1);
             if (outcome == Outcome.CONNECT_FAILED) {
-                accuse(zone, ZONE_FAILURES);
+                accuse(pool.doubt, ZONE_FAILURES);
             }
         }
     }
@@ -897,8 +901,9 @@
         // No worker ends in time what runs longer than its class waits: as told, one absurd hint would spoil the
         // mean for hundreds of jobs, and all workers would look full.
         double longest = settings.classes[request.jobClass].deadline;
-        double hint = request.hint > 0 ? Math.min(request.hint, longest) : meanHint;
-        meanHint += HINT_GAIN * (hint - meanHint);
+        double hint = request.hint > 0 ? Math.min(request.hint, longest) : meanHint > 0 ? meanHint : 1;
+        // The mean begins with the first one: any guess in its place keeps cold workers idle.
+        meanHint += (meanHint > 0 ? HINT_GAIN : 1) * (hint - meanHint);
         Job job = jobs.open(request.id);
         double call = request.deadline - LAST_CALL_TICKS * settings.tick;
         job.open(request, settings, now, call, hint);
