Every order of a few events on core and module; a ban holds for calls to endpoints that left the set

Each rule's check is seen to speak on a run broken on purpose; the shortest order is printed.

It found [capture, gone, down, up]: an endpoint gone is dropped from the set while a call to it is still coming up; set down behind that, DestinationSet.down marked no object, and the call began at a worker set down (Endpoint.down). The grace of the drain had not run out, so no rule was broken, but the ban is to hold at once. Ruled out: Logic, which had no say any more. The ban is asked by name now, and the flag is gone.

--- a/src/main/java/laneflow/core/DestinationSet.java
+++ b/src/main/java/laneflow/core/DestinationSet.java
@@ -66,7 +66,6 @@
                     continue;
                 }
                 endpoint = new Endpoint(entry.name, carrier);
-                endpoint.down = down.contains(entry.name);
                 everListed.add(endpoint.id);
                 byName.put(entry.name, endpoint);
                 byId.put(endpoint.id, endpoint);
@@ -146,10 +145,11 @@
         } else {
             down.remove(name);
         }
-        Endpoint endpoint = byName.get(name);
-        if (endpoint != null) {
-            endpoint.down = is;
-        }
+    }
+
+    /** By name: a call may hold on to an endpoint that has left the set, and been listed anew, meanwhile. */
+    boolean isDown(Endpoint endpoint) {
+        return down.contains(endpoint.name);
     }
 
     Endpoint get(long id) {
--- a/src/main/java/laneflow/core/Endpoint.java
+++ b/src/main/java/laneflow/core/Endpoint.java
@@ -23,8 +23,6 @@
     /** The functions it runs, by number; null: any of its classes. */
     public long[] abilities;
     State state = State.READY;
-    /** Operators want nothing more sent to it. */
-    boolean down;
     /** When this scheduler was told that it drains or is gone. */
     long drainToldAt = Long.MAX_VALUE;
 
--- a/src/main/java/laneflow/core/Scheduler.java
+++ b/src/main/java/laneflow/core/Scheduler.java
@@ -253,13 +253,13 @@
     }
 
     private boolean mayBegin(Endpoint endpoint) {
-        return !endpoint.down && (endpoint.drainToldAt == Long.MAX_VALUE
+        return !isDown(endpoint) && (endpoint.drainToldAt == Long.MAX_VALUE
                 || clock.micros() < endpoint.drainToldAt + (long) (settings.drainGrace * 1e6));
     }
 
     /** True if operators want nothing sent there: what was about to go there goes elsewhere. */
     public boolean isDown(Endpoint endpoint) {
-        return endpoint.down;
+        return destinations.isDown(endpoint);
     }
 
     private boolean mayRepeat(Request request) {
--- /dev/null
+++ b/src/test/java/laneflow/core/OrdersTest.java
@@ -0,0 +1,110 @@
+package laneflow.core;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotNull;
+import static org.junit.jupiter.api.Assertions.assertNull;
+
+import java.util.ArrayList;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Set;
+import laneflow.core.World.Broken;
+import laneflow.core.World.Violation;
+import org.junit.jupiter.api.Test;
+
+/**
+ * Every order of a few events, up to a length, on the real core and module: no sampling. Each order is played from
+ * the beginning, and at its end all time left is let pass. How many there were is asserted, so that a search which
+ * finds nothing to play does not pass; and each rule's check is seen to speak where it is broken on purpose.
+ */
+class OrdersTest {
+    private static final String END = "end";
+    private long orders;
+
+    /** The shortest order of these events that breaks a rule, and which; null if there is none that long. */
+    private String search(Broken broken, int longest, List<String> first, String... kinds) {
+        Set<String> all = new LinkedHashSet<>(List.of(kinds));
+        String found = null;
+        for (int length = first.size() + 1; length <= longest && found == null; length++) {
+            orders = 0;
+            found = extend(broken, length, all, new ArrayList<>(first));
+        }
+        return found;
+    }
+
+    private String extend(Broken broken, int length, Set<String> kinds, List<String> order) {
+        World world = new World(broken);
+        try {
+            order.forEach(world::play);
+            if (order.size() == length) {
+                orders++;
+                world.play(END);
+                world.play(END);
+                return null;
+            }
+        } catch (Violation e) {
+            return order + " breaks " + e.getMessage();
+        } catch (RuntimeException e) {
+            throw new AssertionError(order + " ends in a fault", e);
+        }
+        for (String event : world.possible(kinds)) {
+            order.add(event);
+            String found = extend(broken, length, kinds, order);
+            order.remove(order.size() - 1);
+            if (found != null) {
+                return found;
+            }
+        }
+        return null;
+    }
+
+    private void holds(int longest, long count, List<String> first, String... kinds) {
+        assertNull(search(Broken.NOTHING, longest, first, kinds));
+        assertEquals(count, orders, "orders of length " + longest);
+    }
+
+    private void speaks(String rule, Broken broken, int longest, String... kinds) {
+        speaks(rule, broken, longest, List.of(), kinds);
+    }
+
+    private void speaks(String rule, Broken broken, int longest, List<String> first, String... kinds) {
+        String found = search(broken, longest, first, kinds);
+        assertNotNull(found, broken + " is not seen");
+        assertEquals(rule, found.substring(found.indexOf(" breaks ") + 8, found.lastIndexOf(": ")), found);
+    }
+
+    @Test
+    void callsMayEndInEveryWayAndOrder() {
+        holds(7, 69_922, List.of("capture 0"), "safe", "up", "refused", "ok", "full", "reset", "silent");
+    }
+
+    @Test
+    void wordsMayComeLateAndClientsLeaveAtAnyTime() {
+        holds(8, 179_163, List.of("capture 0", "up 0"), "safe", "up", "started", "reset", "late", "leave", "tick", END);
+    }
+
+    @Test
+    void drainsAndBansMayComeAtAnyTime() {
+        holds(7, 207_236, List.of("capture 0"), "up", "refused", "reset", "drain", "gone", "back", "down", "again", "grace");
+    }
+
+    @Test
+    void schedulersMayStartEmptyAtAnyTime() {
+        holds(8, 132_265, List.of("safe 0", "up 0", "report 0", "burst 0"), "restart", "up", "report", "grace", "burst");
+    }
+
+    @Test
+    void everyRulesCheckSpeaksWhereItIsBroken() {
+        String[] ends = {"safe", "capture", "up", "refused", "ok", "full", "reset"};
+        speaks("one answer", Broken.ANSWERS_TWICE, 4, ends);
+        speaks("in time", Broken.ANSWER_LOST, 5, ends);
+        speaks("at once", Broken.ANSWER_WAITS, 5, ends);
+        speaks("no repeat", Broken.RUN_TOLD_AS_NEVER, 5, "capture", "up", "reset");
+        speaks("true answers", Broken.REFUSAL_OF_A_RUN, 5, ends);
+        speaks("armed", Broken.TIMERS_LOST, 4, ends);
+        speaks("nothing left", Broken.CLOSE_NOT_HEARD, 4, "capture", "up", "leave", END);
+        speaks("drains", Broken.GRACE_NOT_ASKED, 5, "capture", "up", "drain", "grace");
+        speaks("bans", Broken.GRACE_NOT_ASKED, 5, "capture", "up", "down");
+        speaks("cold budget", Broken.COLD_TENFOLD, 6, List.of("safe 0", "up 0", "report 0", "burst 0"), "up");
+    }
+}
