Core: no call outlives its request's deadline where cancelling is off

Seen, in a test with limits.cancel = false and an endpoint that says nothing: the request was answered at its last call, its call stayed out, and with it the connection, a descriptor and a place in the module's books, for as long as the peer was silent. A vanished machine is silent for ever. Scheduler.close called the backstop off with a call still out. Ruled out: with cancelling on (the platform) the module cancels it. The backstop stays armed until the call has ended. Before: none of two calls closed behind the deadline; after: both, and no deadline is left armed.

--- a/src/main/java/laneflow/core/Scheduler.java
+++ b/src/main/java/laneflow/core/Scheduler.java
@@ -166,11 +166,11 @@
         event(() -> module.abandoned(now(), request.handle));
     }
 
+    /** No call outlives its request's deadline: with cancelling off, a silent endpoint would hold it for ever. */
     private void overdue(Request request) {
-        if (request.answered) {
-            return;
+        if (!request.answered) {
+            counters.add("core.overdue");
         }
-        counters.add("core.overdue");
         OutboundCall call = request.out;
         if (call != null) {
             call.endpoint.carrier.close(call);
@@ -333,6 +333,9 @@
         if (call.request.out == call) {
             call.request.out = null;
         }
+        if (call.request.answered) {
+            deadlines.cancel(call.request.backstop);
+        }
     }
 
     private void tell(OutboundCall call, Outcome outcome, boolean over, LoadReport report) {
@@ -344,7 +347,9 @@
 
     private void close(Request request) {
         request.answered = true;
-        deadlines.cancel(request.backstop);
+        if (request.out == null) {
+            deadlines.cancel(request.backstop);
+        }
         requests.remove(request.handle);
     }
 
--- a/src/test/java/laneflow/core/SchedulerTest.java
+++ b/src/test/java/laneflow/core/SchedulerTest.java
@@ -170,6 +170,21 @@
         assertEquals(0, scheduler.open());
     }
 
+    /** A silent endpoint must not hold a connection, and its place in the module's books, for ever. */
+    @Test
+    void noCallOutlivesItsRequestsDeadlineThoughCancellingIsOff() {
+        scheduler.settings().mayCancel = false;
+        endpoints("a", "b");
+        submit(UNSAFE);
+        scheduler.withdraw(submit(SAFE));
+        assertEquals(List.of(), closed);
+        pass(5_000_000);
+        assertEquals(List.of("failed"), answers);
+        assertEquals(List.copyOf(calls), List.copyOf(closed));
+        assertEquals(Long.MAX_VALUE, deadlines.next());
+        assertEquals(0, counters.get("core.overdue"));
+    }
+
     @Test
     void aSurgeIsSeenAndEvenOrFewRequestsAreNone() {
         Arrivals arrivals = new Arrivals();
