HTTP: a probe that is never answered ends, and gives its connection back

Seen, in a story with an endpoint that takes GET /stats and says nothing, or begins its answer: the probe had no limit once its connection was up (EndpointConnection.expectHead armed one for calls alone, and a head called any off). Every 0.5 s the module asks again, on a new connection: a silent endpoint cost two descriptors a second. Ruled out: calls, which have 250 ms or their client's deadline. A probe has 2 s now.

--- a/src/main/java/laneflow/http/EndpointConnection.java
+++ b/src/main/java/laneflow/http/EndpointConnection.java
@@ -33,6 +33,8 @@
      * without a head by then is on a connection that has fallen silent.
      */
     private static final long HEAD = 250_000;
+    /** A probe has ended by then: unanswered for ever, each would keep a descriptor that calls need. */
+    private static final long PROBE = 2_000_000;
 
     private final HttpCarrier carrier;
     final Endpoint endpoint;
@@ -204,7 +206,9 @@
 
     /** A job that must not run twice waits as long as its client: it may be at work however silent it is. */
     private void expectHead() {
-        if (call != null && carrier.mayRepeat(call)) {
+        if (call == null) {
+            expect(PROBE);
+        } else if (carrier.mayRepeat(call)) {
             expect(HEAD);
         }
     }
@@ -240,7 +244,7 @@
             finish(Outcome.MOOT);
         } else if (answer.outcome() != null) {
             finish(answer.outcome());
-        } else if (answer.hasHead()) {
+        } else if (answer.hasHead() && call != null) {
             carrier.loop.deadlines().cancel(timer);
         }
     }
--- a/src/test/java/laneflow/http/HttpStoryTest.java
+++ b/src/test/java/laneflow/http/HttpStoryTest.java
@@ -437,6 +437,26 @@
         }
     }
 
+    /** Half open: the endpoint takes the probe, or begins its answer, and then nothing comes any more. */
+    @Test
+    void aProbeThatIsNeverAnsweredGivesItsConnectionBack() throws Exception {
+        for (String begun : new String[] {"", "HTTP/1.1 200 OK\r\nContent-Length: 15\r\n\r\nutil"}) {
+            Endpoint endpoint = new Endpoint("e1");
+            try (Stand stand = Stand.probing(endpoint); Peer client = stand.http()) {
+                client.post("card-capture", "1", "", "pay");
+                Peer probe = endpoint.accept();
+                probe.message();
+                probe.write(begun);
+                Peer call = endpoint.accept();
+                call.message();
+                call.says("{'id':'1','state':'done','result':'paid'}");
+                assertTrue(client.message().endsWith("paid"));
+                stand.await("probe.timeout", 1);
+                assertTrue(probe.ended());
+            }
+        }
+    }
+
     @Test
     void aPlannedStopAnswersAllThatWasTaken() throws Exception {
         Endpoint endpoint = new Endpoint("e1");
