HTTP: what comes behind a whole last word takes nothing from it, however bytes are split

Seen, in a story: a whole 'done' line followed by what is no chunk was served if the two came in two reads, and failed if they came in one (EndpointConnection.received told ERROR for any fault of the reader, though the answer had its outcome). A card-capture that was paid was told as failed by chance. And what can't be read before the request's last byte was sent counted as having run. Ruled out: a line that is no sound JSON, which still is no answer. Before: 500 in one piece, 200 in two; after: 200 in both, and the connection is closed.

--- a/src/main/java/laneflow/http/EndpointConnection.java
+++ b/src/main/java/laneflow/http/EndpointConnection.java
@@ -231,7 +231,12 @@
         } catch (HttpException | IllegalArgumentException e) {
             LOG.debug("{} sent what can't be read: {}", endpoint, e.getMessage());
             carrier.count("endpoint.malformed");
-            finish(Outcome.ERROR);
+            // What comes behind a whole last word takes nothing from it, and what answers a request that it has
+            // not had has not run it: how the bytes were split must not decide.
+            Outcome how = held != null ? Outcome.MOOT
+                    : answer.outcome() != null ? answer.outcome() : Outcome.ERROR;
+            link.close();
+            finish(how);
             return;
         }
         if (isResting()) {
--- a/src/test/java/laneflow/http/HttpStoryTest.java
+++ b/src/test/java/laneflow/http/HttpStoryTest.java
@@ -457,6 +457,30 @@
         }
     }
 
+    /** In one piece or byte by byte: the same verdict. */
+    @Test
+    void whatComesBehindAWholeLastWordTakesNothingFromIt() throws Exception {
+        for (boolean split : new boolean[] {true, false}) {
+            Endpoint endpoint = new Endpoint("e1");
+            try (Stand stand = new Stand(null, endpoint); Peer client = stand.http()) {
+                client.post("card-capture", "1", "", "pay");
+                Peer call = endpoint.accept();
+                call.message();
+                String done = Stand.watching("{'id':'1','state':'done','result':'paid'}".replace('\'', '"'));
+                if (split) {
+                    call.write(done);
+                    assertTrue(client.message().endsWith("paid"));
+                    call.write("no chunk\r\n");
+                } else {
+                    call.write(done + "no chunk\r\n");
+                    assertTrue(client.message().endsWith("paid"));
+                }
+                // It is used no more.
+                assertTrue(call.ended());
+            }
+        }
+    }
+
     @Test
     void aPlannedStopAnswersAllThatWasTaken() throws Exception {
         Endpoint endpoint = new Endpoint("e1");
