Gearman: what waits at a worker that is awake and comes for nothing more goes elsewhere

Seen, in a story: a worker that ends a job and then vanishes without a word is neither asleep nor at work. A call offered to it waited for its client's deadline, 6 s, as only a worker woken by NOOP had a limit (Worker.wake). That is a request kept waiting for a worker that will not come. Ruled out: one that sleeps, and one at work, which have their limits. Awake and at no job a worker now has limits.connectTimeout to come for what waits; nothing extends it.

--- a/src/main/java/laneflow/core/Deadlines.java
+++ b/src/main/java/laneflow/core/Deadlines.java
@@ -19,6 +19,11 @@
             this.action = action;
         }
 
+        /** True while it has yet to run. */
+        public boolean isSet() {
+            return index >= 0;
+        }
+
         private boolean before(Deadline other) {
             return at < other.at || at == other.at && order < other.order;
         }
--- a/src/main/java/laneflow/gearman/Worker.java
+++ b/src/main/java/laneflow/gearman/Worker.java
@@ -183,20 +183,34 @@
         queue.add(at, offered);
         if (asleep) {
             wake();
+        } else {
+            awaitGrab();
         }
     }
 
-    /** Woken it comes within the time that a connection has to come up: a vanished machine says nothing. */
     private void wake() {
         asleep = false;
-        long within = (long) (scheduler.settings().connectTimeout * 1e6);
-        front.loop.deadlines().set(wake, front.loop.micros() + within);
+        awaitGrab();
         peer.send(Packet.NOOP);
     }
 
+    /**
+     * Awake and at no job it comes for what waits within the time that a connection has to come up: a vanished
+     * machine says nothing, and what waits there would wait for its client's deadline. Nothing extends it.
+     */
+    private void awaitGrab() {
+        if (handle == null && !queue.isEmpty() && !wake.isSet()) {
+            long within = (long) (scheduler.settings().connectTimeout * 1e6);
+            front.loop.deadlines().set(wake, front.loop.micros() + within);
+        }
+    }
+
     /** Nobody waits for this call any more; what has been assigned runs on, unheard. */
     void drop(OutboundCall given) {
         queue.remove(given);
+        if (queue.isEmpty()) {
+            front.loop.deadlines().cancel(wake);
+        }
         if (call == given) {
             // Under a lease its late word still counts.
             outlived = given.lease > 0 ? given : null;
@@ -336,6 +350,7 @@
         lastHandle = handle;
         handle = null;
         finish(outcome, outcome == Outcome.OK ? data.toByteArray() : null);
+        awaitGrab();
     }
 
     /** It takes longer than it said it would; under a lease a late word still counts. */
--- a/src/test/java/laneflow/gearman/GearmanStoryTest.java
+++ b/src/test/java/laneflow/gearman/GearmanStoryTest.java
@@ -123,6 +123,25 @@
         }
     }
 
+    /** Its machine is gone amid its work, and no connection breaks: what waits there must not wait for its deadline. */
+    @Test
+    void aWorkerThatIsAwakeAndComesForNothingMoreLosesWhatWaitsThere() throws Exception {
+        try (Stand stand = new Stand(null); Peer client = stand.gearman()) {
+            Peer worker = worker(stand, "capture");
+            String first = submit(client, Packet.SUBMIT_JOB, "capture", "", "pay");
+            assertEquals(first, grab(worker)[0]);
+            send(worker, Packet.WORK_COMPLETE, first, "paid");
+            expect(client, Packet.WORK_COMPLETE);
+            // No PRE_SLEEP, no GRAB_JOB, no word: the class itself would wait 6 s.
+            long from = System.nanoTime();
+            String second = submit(client, Packet.SUBMIT_JOB, "capture", "", "pay");
+            assertEquals(second, expect(client, Packet.WORK_FAIL)[0]);
+            assertTrue(System.nanoTime() - from < 3_000_000_000L);
+            assertEquals(1, stand.counter("call.connect_failed"));
+            assertEquals(1, stand.counter("gearman.refused"));
+        }
+    }
+
     @Test
     void aClientThatLeavesWhileItsJobIsQueuedWithdrawsIt() throws Exception {
         try (Stand stand = new Stand(null)) {
