Removed what no decision reads; a call for a request that has just left is settled under its own number

In the place of the time-out send tells the attempt's number. Seen, in a test whose carrier tells ends while the module is at work: for a request that has just left Scheduler.Doer.send told attempt 0 as never sent, whichever it was; the module's true attempt stayed in its books, and its endpoint got nothing more (of two endpoints one was used for 40 jobs, both are now). Ruled out: today's carriers, which tell ends in a turn of their own; the fault waited for the next one.

--- a/src/main/java/laneflow/control/SettingTypes.java
+++ b/src/main/java/laneflow/control/SettingTypes.java
@@ -162,7 +162,6 @@
         next.group = from.group;
         next.window = from.window;
         next.kind = from.kind;
-        next.priority = from.priority;
         next.stream = from.stream;
         classes[at] = next;
     }
--- a/src/main/java/laneflow/core/Request.java
+++ b/src/main/java/laneflow/core/Request.java
@@ -18,7 +18,6 @@
     public double slots = 1;
     public double memory;
     public long key;
-    public boolean retry;
     /** Which of several waiting at one endpoint goes first: the higher. */
     public int urgency;
     /** The name by which a wire with functions knows the job, or null: any function of its class will do. */
@@ -76,13 +75,10 @@
     void fill(Dispatch.Request to) {
         to.id = handle;
         to.jobClass = jobClass;
-        to.tenant = 0;
-        to.key = key;
         to.deadline = Clock.seconds(deadline);
         to.hint = hint;
         to.slots = slots;
         to.memory = memory;
-        to.retry = retry;
         to.ability = function == null ? 0 : Endpoint.number(function);
     }
 }
--- a/src/main/java/laneflow/core/Scheduler.java
+++ b/src/main/java/laneflow/core/Scheduler.java
@@ -383,16 +383,16 @@
 
     private final class Doer implements Dispatch.Actions {
         @Override
-        public void send(long id, long worker, double timeout) {
+        public void send(long id, int attempt, long worker) {
             Request request = requests.get(id);
             Endpoint endpoint = destinations.get(worker);
             if (request == null || endpoint == null) {
                 counters.add("core.kept.unknown");
-                event(() -> module.outcome(now(), id, request == null ? 0 : request.calls++, worker,
-                        Outcome.MOOT, request == null, null));
+                event(() -> module.outcome(now(), id, attempt, worker, Outcome.MOOT, request == null, null));
                 return;
             }
-            OutboundCall call = new OutboundCall(request, endpoint, request.calls++, clock.micros());
+            OutboundCall call = new OutboundCall(request, endpoint, attempt, clock.micros());
+            request.calls++;
             String kept = forbids(request, endpoint);
             if (kept != null) {
                 counters.add("core.kept." + kept);
@@ -490,10 +490,5 @@
         public void watchList() {
             // The sources of the destination set watch by themselves.
         }
-
-        @Override
-        public void log(String line) {
-            LOG.info(line);
-        }
     }
 }
--- a/src/main/java/laneflow/decision/Dispatch.java
+++ b/src/main/java/laneflow/decision/Dispatch.java
@@ -21,9 +21,8 @@
  * with {@link #retuned} behind it. A request keeps what it came under; no class changes its effect or kind.
  *
  * <p><b>Misuse.</b> A request id already open, and outcomes, notes, timers or probe results for things
- * unknown, are ignored. A class out of range is an {@link IllegalArgumentException};
- * an unknown tenant counts as none. Settings no decision can be made from are refused
- * by the constructor with the same exception.
+ * unknown, are ignored. A class out of range is an {@link IllegalArgumentException}. Settings no decision
+ * can be made from are refused by the constructor with the same exception.
  */
 public interface Dispatch {
 
@@ -77,22 +76,12 @@
         public double window;
         /** The only worker kind that runs the class, or -1. */
         public int kind = -1;
-        public int priority;
         public boolean stream;
     }
 
-    /** A tenant's part of the service. */
-    final class Tenant {
-        public double share;
-        /** Requests a second within its share, over all dispatchers; 0: not stated. */
-        public double quota;
-    }
-
     /**
      * What a dispatcher is told at its start. The defaults are the careful choice where a key is absent.
-     * A dispatcher need not use all of it. Not used now: prices, tenants, second copies, the grace,
-     * the connect time-out, priorities, head blocking, and of reports all but free slots,
-     * memory and queue.
+     * A dispatcher need not use all of it. Not used now: second copies, the grace, the connect time-out.
      */
     final class Settings {
         public int zone;
@@ -100,11 +89,7 @@
         public int me;
         public int dispatchers = 1;
         public JobClass[] classes = {};
-        public Tenant[] tenants = {};
-        public double overShareWorth = 1;
-        public boolean worthByWork;
         public boolean listMustBeAsked;
-        public double askWithin;
         public ReportSource reports = ReportSource.NONE;
         public WeightSource weights = WeightSource.NONE;
         public boolean mayProbe;
@@ -137,11 +122,6 @@
         public double closeOnDrain;
         /** The shortest time between two events' clocks. */
         public double tick = 0.001;
-        /** Prices in points of service, for each unit. */
-        public double crossPrice;
-        public double wastePrice;
-        public double probePrice;
-        public double lateFailPrice;
     }
 
     /** One worker in a list. */
@@ -164,9 +144,6 @@
     final class Request {
         public long id;
         public int jobClass;
-        public int tenant;
-        /** What it is about; 0: nothing in particular. */
-        public long key;
         /** The instant at which its client gives up. */
         public double deadline;
         /** Expected running time on a standard core; NaN where it is not known. */
@@ -175,8 +152,6 @@
         public double memory;
         /** What a worker must have among its abilities to run it; 0: nothing. */
         public long ability;
-        /** The client has tried before, where clients say so. */
-        public boolean retry;
     }
 
     /** A worker's word on its load; NaN where it does not say. */
@@ -184,16 +159,10 @@
         public double freeSlots = Double.NaN;
         public double freeMemory = Double.NaN;
         public double queue = Double.NaN;
-        public double inFlight = Double.NaN;
-        public double busy = Double.NaN;
-        /** Recent service time without waiting, seconds. */
-        public double serviceTime = Double.NaN;
-        public double rate = Double.NaN;
-        public double errorRate = Double.NaN;
 
         /** Back to saying nothing. */
         public void clear() {
-            freeSlots = freeMemory = queue = inFlight = busy = serviceTime = rate = errorRate = Double.NaN;
+            freeSlots = freeMemory = queue = Double.NaN;
         }
     }
 
@@ -244,8 +213,8 @@
 
     /** What the dispatcher asks of its host. */
     interface Actions {
-        /** Sends the request's next attempt, numbered from 0; timeout 0: until its client gives up. */
-        void send(long request, long worker, double timeout);
+        /** Sends the request's next attempt, numbered from 0; it may take until its client gives up. */
+        void send(long request, int attempt, long worker);
 
         /** Final answer: not served, safe to try again, after that many seconds if above 0. */
         void refuse(long request, double retryAfter);
@@ -267,8 +236,5 @@
 
         /** Subscribes to changes of the list, where it must be asked. */
         void watchList();
-
-        /** One line for whoever reads the logs. */
-        void log(String line);
     }
 }
--- a/src/main/java/laneflow/decision/Logic.java
+++ b/src/main/java/laneflow/decision/Logic.java
@@ -520,7 +520,7 @@
         if (now < view.warmAt) {
             view.coldLog.add(now, coldCost(job));
         }
-        out.send(job.id, view.id, 0);
+        out.send(job.id, attempt.number, view.id);
     }
 
     /** What follows an attempt that did not serve the request. */
--- a/src/main/java/laneflow/http/JobReader.java
+++ b/src/main/java/laneflow/http/JobReader.java
@@ -40,7 +40,6 @@
         Request request = new Request(front, tag, payload, jobClass,
                 now + (long) (Math.min(wait, MOST_WAIT_MS) * 1000));
         request.hint = number(head.header(Names.COST), Names.COST, Double.NaN) / 1e6;
-        request.retry = "1".equals(head.header(Names.RETRY));
         request.key = query < 0 ? 0 : key(target, query + 1);
         extras(request, head.header(Names.EXTRA));
         return request;
--- a/src/main/java/laneflow/http/Names.java
+++ b/src/main/java/laneflow/http/Names.java
@@ -5,7 +5,6 @@
     static final String ID = "req-id";
     static final String CLASS = "req-kind";
     static final String DEADLINE = "req-deadline-ms";
-    static final String RETRY = "req-retry";
     static final String COST = "req-cost";
     static final String EXTRA = "req-extra";
     static final String REPEAT_KEY = "idempotency-key";
--- a/src/main/java/laneflow/wire/Codes.java
+++ b/src/main/java/laneflow/wire/Codes.java
@@ -24,7 +24,6 @@
     static final int FAIL = 66;
     static final int FAULT = 68;
     static final int WATCH_LIST = 69;
-    static final int LOG = 70;
     static final int WAKE = 71;
     static final int CLOSE_IDLE = 72;
     static final int REFUSE = 73;
@@ -36,7 +35,6 @@
     static final int LIST_ENTRY = 24;
     static final int LIST_NUMBERS = 16;
     static final int OPTION_HINT = 1;
-    static final int OPTION_RETRY = 2;
 
     private Codes() {
     }
--- a/src/main/java/laneflow/wire/Reply.java
+++ b/src/main/java/laneflow/wire/Reply.java
@@ -26,8 +26,9 @@
         out.flush();
     }
 
-    void send(int instance, long request, double timeout, long worker) {
-        head(Codes.SEND, 26, instance).putLong(request).putDouble(timeout);
+    /** No time-out: an attempt may take until its client gives up. */
+    void send(int instance, long request, long worker) {
+        head(Codes.SEND, 26, instance).putLong(request).putDouble(0);
         worker(worker);
     }
 
@@ -61,10 +62,6 @@
         head(Codes.WATCH_LIST, 5, instance).put((byte) 1);
     }
 
-    void log(int instance, String line) {
-        text(Codes.LOG, instance, line);
-    }
-
     void fault(int instance, String line) {
         text(Codes.FAULT, instance, line);
     }
--- a/src/main/java/laneflow/wire/ReportFields.java
+++ b/src/main/java/laneflow/wire/ReportFields.java
@@ -13,11 +13,6 @@
             case "x0": report.freeSlots = value; break;
             case "x1": report.freeMemory = value; break;
             case "q": case "queue": report.queue = value; break;
-            case "rif": case "inflight": report.inFlight = value; break;
-            case "busy": case "util": report.busy = value; break;
-            case "lat_ms": case "latency_ms": report.serviceTime = value / 1000; break;
-            case "rate": case "qps": report.rate = value; break;
-            case "fail_rate": case "eps": report.errorRate = value; break;
             default: break;
         }
     }
--- a/src/main/java/laneflow/wire/SettingsReader.java
+++ b/src/main/java/laneflow/wire/SettingsReader.java
@@ -10,7 +10,6 @@
 import laneflow.decision.Dispatch.JobClass;
 import laneflow.decision.Dispatch.ReportSource;
 import laneflow.decision.Dispatch.Settings;
-import laneflow.decision.Dispatch.Tenant;
 import laneflow.decision.Dispatch.WeightSource;
 
 /** Reads the settings text into {@link Settings}: unknown keys are skipped, absent ones keep defaults. */
@@ -25,16 +24,12 @@
         s.zones = Math.max(1, array(root, "areas").size());
         s.me = integer(root, "slotNo", 0);
         s.dispatchers = Math.max(1, integer(root, "siblings", 1));
-        s.overShareWorth = number(root, "overShareWorth", 1);
-        s.worthByWork = text(root, "worthBy", "request").equals("work");
         s.listMustBeAsked = text(root, "discovery", "push").equals("ask");
         s.weights = weights(text(root, "weightSource", "none"));
         s.tick = number(root, "tick", s.tick);
         classes(root);
-        tenants(root);
         limits(object(root, "limits"));
         rules(object(root, "rules"));
-        prices(object(root, "deductions"));
         JsonObject info = object(root, "familyInfo");
         s.tellsStart = flag(info, "tellsStart", false);
         s.progressEvery = number(info, "progress", 0);
@@ -83,23 +78,10 @@
             to.window = number(from, "dedupWindow", 0);
             to.stream = flag(from, "stream", false);
             to.kind = (int) at(info, "classKind", i, -1);
-            to.priority = (int) at(info, "classPriority", i, 0);
             settings.classes[i] = to;
         }
     }
 
-    private void tenants(JsonObject root) {
-        JsonArray tenants = array(root, "customers");
-        settings.tenants = new Tenant[tenants.size()];
-        for (int i = 0; i < tenants.size(); i++) {
-            JsonObject from = tenants.get(i).getAsJsonObject();
-            Tenant to = new Tenant();
-            to.share = number(from, "portion", 0);
-            to.quota = number(from, "quotaPerS", 0);
-            settings.tenants[i] = to;
-        }
-    }
-
     private void limits(JsonObject from) {
         Settings s = settings;
         s.mayCancel = flag(from, "cancel", false);
@@ -113,7 +95,6 @@
 
     private void rules(JsonObject from) {
         Settings s = settings;
-        s.askWithin = number(from, "askWithin", 0);
         s.drainGrace = number(from, "stopSendingWithin", 0);
         s.coldShare = number(from, "coldFrom", s.coldShare);
         s.coldFor = number(from, "cold", 0);
@@ -126,13 +107,6 @@
         s.closeOnDrain = number(from, "closeOnDrainWithin", 0);
     }
 
-    private void prices(JsonObject from) {
-        settings.crossPrice = number(from, "crossZone", 0);
-        settings.wastePrice = number(from, "waste", 0);
-        settings.probePrice = number(from, "probe", 0);
-        settings.lateFailPrice = number(from, "lateFail", 0);
-    }
-
     private static Effect effect(String word) throws WireException {
         switch (word) {
             case "pure": return Effect.SAFE;
--- a/src/main/java/laneflow/wire/WireHost.java
+++ b/src/main/java/laneflow/wire/WireHost.java
@@ -198,8 +198,13 @@
     private void readRequest() throws WireException {
         request.id = record.u64();
         request.jobClass = record.u16();
-        request.tenant = record.more() ? record.u32() : 0;
-        request.key = record.more() ? record.u64() : 0;
+        // The tenant and what the request is about: nothing is decided by them.
+        if (record.more()) {
+            record.u32();
+        }
+        if (record.more()) {
+            record.u64();
+        }
         request.deadline = record.f64();
         double hint = record.more() ? record.f64() : Double.NaN;
         double slots = record.more() ? record.f32() : 1;
@@ -207,7 +212,6 @@
         request.memory = record.more() ? record.f32() : 0;
         int options = record.more() ? record.u16() : 0;
         request.hint = (options & Codes.OPTION_HINT) != 0 ? hint : Double.NaN;
-        request.retry = (options & Codes.OPTION_RETRY) != 0;
     }
 
     private LoadReport readReport(String[] fields) throws WireException {
@@ -267,8 +271,8 @@
         }
 
         @Override
-        public void send(long id, long worker, double timeout) {
-            reply.send(number, id, timeout, worker);
+        public void send(long id, int attempt, long worker) {
+            reply.send(number, id, worker);
         }
 
         @Override
@@ -305,10 +309,5 @@
         public void watchList() {
             reply.watchList(number);
         }
-
-        @Override
-        public void log(String line) {
-            reply.log(number, line);
-        }
     }
 }
--- a/src/test/java/example/EmbedExample.java
+++ b/src/test/java/example/EmbedExample.java
@@ -40,7 +40,7 @@
     }
 
     @Override
-    public void send(long request, long worker, double timeout) {
+    public void send(long request, int attempt, long worker) {
         done.append("send ").append(request).append(" to ").append(worker);
     }
 
@@ -71,8 +71,4 @@
     @Override
     public void watchList() {
     }
-
-    @Override
-    public void log(String line) {
-    }
 }
--- a/src/test/java/laneflow/core/SchedulerTest.java
+++ b/src/test/java/laneflow/core/SchedulerTest.java
@@ -29,6 +29,7 @@
     private final List<OutboundCall> calls = new ArrayList<>();
     private final List<OutboundCall> closed = new ArrayList<>();
     private final List<String> answers = new ArrayList<>();
+    private Runnable onOpen = () -> { };
     private final Scheduler scheduler = new Scheduler(settings(), 7, () -> now, deadlines, counters);
 
     private static Settings settings() {
@@ -185,6 +186,28 @@
         assertEquals(0, counters.get("core.overdue"));
     }
 
+    /** What the module sends on for a request that left while it was at work must not stay in its books. */
+    @Test
+    void aCallForARequestThatHasJustLeftIsSettledUnderItsOwnNumber() {
+        endpoints("a", "b");
+        Request leaving = submit(SAFE);
+        onOpen = () -> {
+            scheduler.ended(calls.get(0), Outcome.CONNECT_FAILED, null, null);
+            scheduler.withdraw(leaving);
+        };
+        submit(SAFE);
+        assertEquals(1, counters.get("core.kept.unknown"));
+        scheduler.ended(calls.get(1), Outcome.OK, new byte[0], null);
+        pass(9_000_000);
+        java.util.Set<String> used = new java.util.HashSet<>();
+        for (int i = 2; i < 42; i++) {
+            submit(SAFE);
+            used.add(calls.get(i).endpoint.name);
+            scheduler.ended(calls.get(i), Outcome.OK, new byte[0], null);
+        }
+        assertEquals(java.util.Set.of("a", "b"), used);
+    }
+
     @Test
     void aSurgeIsSeenAndEvenOrFewRequestsAreNone() {
         Arrivals arrivals = new Arrivals();
@@ -287,6 +310,9 @@
     @Override
     public void open(OutboundCall call) {
         calls.add(call);
+        Runnable now = onOpen;
+        onOpen = () -> { };
+        now.run();
     }
 
     @Override
--- a/src/test/java/laneflow/decision/GuardTest.java
+++ b/src/test/java/laneflow/decision/GuardTest.java
@@ -954,9 +954,7 @@
         rig.logic.probed(rig.now, 99, 0, Outcome.OK, Rig.free(2));
         rig.logic.timer(rig.now, 12345);
         rig.logic.abandoned(rig.now, 77);
-        Request tenant = rig.request(6);
-        tenant.tenant = 40;
-        rig.logic.request(rig.now - 50, tenant);
+        rig.logic.request(rig.now - 50, rig.request(6));
         assertEquals(1, rig.sends(6).size());
         Request wrong = rig.request(7);
         wrong.jobClass = 9;
--- a/src/test/java/laneflow/decision/RandomDay.java
+++ b/src/test/java/laneflow/decision/RandomDay.java
@@ -66,11 +66,6 @@
         settings.furtherFree = random.nextInt(4);
         settings.furtherShare = 0.2 * random.nextDouble();
         settings.closeOnDrain = random.nextBoolean() ? 0 : 0.3;
-        settings.tenants = new Dispatch.Tenant[random.nextInt(3)];
-        for (int i = 0; i < settings.tenants.length; i++) {
-            settings.tenants[i] = new Dispatch.Tenant();
-            settings.tenants[i].quota = random.nextInt(10);
-        }
         classes(kinds);
         double[] capacity = new double[kinds];
         java.util.Arrays.fill(capacity, 4);
@@ -141,7 +136,6 @@
         Request r = new Request();
         r.id = ids++;
         r.jobClass = random.nextInt(settings.classes.length);
-        r.tenant = random.nextInt(3);
         r.deadline = now + settings.classes[r.jobClass].deadline * (0.2 + 0.8 * random.nextDouble());
         r.hint = hintless || random.nextInt(5) == 0 ? Double.NaN : 0.05 + random.nextDouble();
         r.slots = 1 + random.nextInt(2);
@@ -216,10 +210,13 @@
     }
 
     @Override
-    public void send(long id, long worker, double timeout) {
+    public void send(long id, int number, long worker) {
         trace.append("send ").append(id).append(' ').append(worker).append(' ').append(now).append('\n');
         checker.sent(now, id, worker);
         int attempt = attempts.merge(id, 1, Integer::sum) - 1;
+        if (attempt != number) {
+            throw new AssertionError("attempt " + attempt + " is told as " + number);
+        }
         out.add(new long[] {id, attempt});
         double took = random.nextInt(6) == 0 ? 30 : 0.01 + hints.get(id) * (0.7 + 0.6 * random.nextDouble());
         Outcome[] all = Outcome.values();
@@ -282,9 +279,4 @@
     public void watchList() {
         trace.append("watch\n");
     }
-
-    @Override
-    public void log(String line) {
-        trace.append(line).append('\n');
-    }
 }
--- a/src/test/java/laneflow/decision/Rig.java
+++ b/src/test/java/laneflow/decision/Rig.java
@@ -180,8 +180,8 @@
     }
 
     @Override
-    public void send(long request, long worker, double timeout) {
-        note("send", request, worker, timeout);
+    public void send(long request, int attempt, long worker) {
+        note("send", request, worker, attempt);
     }
 
     @Override
@@ -218,9 +218,4 @@
     public void watchList() {
         note("watch", 0, 0, 0);
     }
-
-    @Override
-    public void log(String line) {
-        note("log " + line, 0, 0, 0);
-    }
 }
