--- a/src/main/java/laneflow/core/Deadlines.java
+++ b/src/main/java/laneflow/core/Deadlines.java
@@ -7,6 +7,7 @@
     private Deadline[] heap = new Deadline[64];
     private int count;
     private long sequence;
+    private final Owner owner = new Owner();
 
     /** One deadline: it may be set, moved and called off any number of times. */
     public static final class Deadline {
@@ -43,6 +44,7 @@
 
     /** Sets or moves it. */
     public void set(Deadline deadline, long micros) {
+        assert owner.isHere() : "deadlines are their loop's own";
         cancel(deadline);
         deadline.at = micros;
         deadline.order = sequence++;
--- a/src/main/java/laneflow/core/Scheduler.java
+++ b/src/main/java/laneflow/core/Scheduler.java
@@ -45,6 +45,7 @@
     private final ArrayDeque<Runnable> events = new ArrayDeque<>();
     private final Dispatch.Request told = new Dispatch.Request();
     private final Arrivals arrivals = new Arrivals();
+    private final Owner owner = new Owner();
     private boolean atWork;
     private int epoch;
     private final long[][] tallies;
@@ -367,6 +368,7 @@
     }
 
     private void event(Runnable event) {
+        assert owner.isHere() : "the core is its loop's own";
         events.add(event);
         if (atWork) {
             return;
--- a/src/test/java/laneflow/core/SchedulerTest.java
+++ b/src/test/java/laneflow/core/SchedulerTest.java
@@ -252,6 +252,23 @@
         assertEquals(State.READY, scheduler.destinations().get("b").state());
     }
 
+    /** Nothing of the core is locked: a call from another thread than its owner's must not pass unseen in tests. */
+    @Test
+    void aCallFromAnotherThreadIsSeen() throws Exception {
+        endpoints("a");
+        submit(SAFE);
+        List<Runnable> calls = List.of(() -> scheduler.setDown("a"), () -> deadlines.at(now, () -> { }),
+                () -> counters.add("x"), () -> scheduler.probed(null, 0, Outcome.OK, null));
+        for (Runnable call : calls) {
+            Throwable[] seen = new Throwable[1];
+            Thread other = new Thread(call);
+            other.setUncaughtExceptionHandler((thread, thrown) -> seen[0] = thrown);
+            other.start();
+            other.join();
+            assertEquals(AssertionError.class, seen[0] == null ? null : seen[0].getClass());
+        }
+    }
+
     @Test
     void handlesOfWhatHasLeftFindNothing() {
         SlotTable<String> table = new SlotTable<>();
