--- a/src/main/java/laneflow/core/Deadlines.java
+++ b/src/main/java/laneflow/core/Deadlines.java
@@ -44,7 +44,6 @@
 
     /** Sets or moves it. */
     public void set(Deadline deadline, long micros) {
-        assert owner.isHere() : "deadlines are their loop's own";
         cancel(deadline);
         deadline.at = micros;
         deadline.order = sequence++;
@@ -56,6 +55,7 @@
 
     /** Calls it off, if it is set. */
     public void cancel(Deadline deadline) {
+        assert owner.isHere() : "deadlines are their loop's own";
         int at = deadline.index;
         if (at < 0) {
             return;
--- a/src/main/java/laneflow/core/Request.java
+++ b/src/main/java/laneflow/core/Request.java
@@ -17,6 +17,7 @@
     public double hint = Double.NaN;
     public double slots = 1;
     public double memory;
+    /** What it concerns, as its wire told: kept with a durable job, and nothing is decided by it. */
     public long key;
     /** Which of several waiting at one endpoint goes first: the higher. */
     public int urgency;
--- a/src/main/java/laneflow/durable/DurableJobs.java
+++ b/src/main/java/laneflow/durable/DurableJobs.java
@@ -333,7 +333,6 @@
         request.hint = row.hint();
         request.slots = row.slots();
         request.memory = row.memory();
-        request.key = row.subject();
         request.urgency = row.urgency();
         request.function = row.function().isEmpty() ? null : row.function();
         // A Gearman job's key is made of its function and its unique.
--- a/src/main/java/laneflow/gearman/GearmanFront.java
+++ b/src/main/java/laneflow/gearman/GearmanFront.java
@@ -313,7 +313,6 @@
                 loop.micros() + deadline(function));
         request.hint = function.hint();
         request.slots = function.slots();
-        request.key = subject(job.unique);
         request.function = function.name();
         return request;
     }
--- a/src/test/java/laneflow/core/SchedulerTest.java
+++ b/src/test/java/laneflow/core/SchedulerTest.java
@@ -8,7 +8,9 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.List;
+import java.util.Set;
 import laneflow.decision.Dispatch.Effect;
 import laneflow.decision.Dispatch.Group;
 import laneflow.decision.Dispatch.JobClass;
@@ -20,9 +22,9 @@
 
 /** The core's rules, with a clock that the test sets, and a front and a carrier that write down. */
 class SchedulerTest implements Front, Carrier {
-    private static final int SAFE = 0;
+    static final int SAFE = 0;
     private static final int KEYED = 1;
-    private static final int UNSAFE = 2;
+    static final int UNSAFE = 2;
 
     private long now = 1_000_000_000L;
     private final Deadlines deadlines = new Deadlines();
@@ -33,7 +35,7 @@
     private Runnable onOpen = () -> { };
     private final Scheduler scheduler = new Scheduler(settings(), 7, () -> now, deadlines, counters);
 
-    private static Settings settings() {
+    static Settings settings() {
         Settings settings = new Settings();
         settings.classes = new JobClass[3];
         for (Effect effect : Effect.values()) {
@@ -200,13 +202,13 @@
         assertEquals(1, counters.get("core.kept.unknown"));
         scheduler.ended(calls.get(1), Outcome.OK, new byte[0], null);
         pass(9_000_000);
-        java.util.Set<String> used = new java.util.HashSet<>();
+        Set<String> used = new HashSet<>();
         for (int i = 2; i < 42; i++) {
             submit(SAFE);
             used.add(calls.get(i).endpoint.name);
             scheduler.ended(calls.get(i), Outcome.OK, new byte[0], null);
         }
-        assertEquals(java.util.Set.of("a", "b"), used);
+        assertEquals(Set.of("a", "b"), used);
     }
 
     @Test
@@ -340,9 +342,9 @@
     @Override
     public void open(OutboundCall call) {
         calls.add(call);
-        Runnable now = onOpen;
+        Runnable then = onOpen;
         onOpen = () -> { };
-        now.run();
+        then.run();
     }
 
     @Override
--- a/src/test/java/laneflow/core/World.java
+++ b/src/test/java/laneflow/core/World.java
@@ -6,8 +6,6 @@
 import java.util.Map;
 import java.util.Set;
 import laneflow.core.DestinationSet.Entry;
-import laneflow.decision.Dispatch.Effect;
-import laneflow.decision.Dispatch.Group;
 import laneflow.decision.Dispatch.JobClass;
 import laneflow.decision.Dispatch.LoadReport;
 import laneflow.decision.Dispatch.Outcome;
@@ -35,8 +33,6 @@
         }
     }
 
-    static final int SAFE = 0;
-    static final int UNSAFE = 1;
     private static final long DEADLINE = 5_000_000;
     private static final double HINT = 0.3;
     private static final double CORES = 4;
@@ -62,7 +58,6 @@
 
     /** A call, as the endpoint's side of its connection sees it. */
     private static final class Out {
-        private Node node;
         private Ask ask;
         private OutboundCall call;
         private boolean begun;
@@ -74,17 +69,14 @@
 
     /** A scheduler with its front and carrier. */
     private final class Node implements Front, Carrier {
-        private final int number;
         private final Deadlines deadlines = new Deadlines();
-        private final Deadlines lost = new Deadlines();
         private final Scheduler scheduler;
         private final Map<String, Long> toldToStop = new HashMap<>();
         private final Map<String, Long> toldDown = new HashMap<>();
 
         private Node(int number, long seed) {
-            this.number = number;
             scheduler = new Scheduler(settings(number), seed, () -> now,
-                    broken == Broken.TIMERS_LOST ? lost : deadlines, new Counters());
+                    broken == Broken.TIMERS_LOST ? new Deadlines() : deadlines, new Counters());
             scheduler.start(this, new ArrayList<>(entries.values()));
         }
 
@@ -130,7 +122,6 @@
         @Override
         public void open(OutboundCall call) {
             Out out = new Out();
-            out.node = this;
             out.ask = asks.get((int) call.request.tag);
             out.call = call;
             outs.add(out);
@@ -169,26 +160,15 @@
     }
 
     private static Settings settings(int number) {
-        Settings settings = new Settings();
-        settings.classes = new JobClass[2];
-        for (int i = 0; i < 2; i++) {
-            JobClass type = settings.classes[i] = new JobClass();
-            type.effect = i == SAFE ? Effect.SAFE : Effect.UNSAFE;
-            type.group = Group.ALL;
+        Settings settings = SchedulerTest.settings();
+        for (JobClass type : settings.classes) {
             type.aim = 2;
-            type.stretch = 2;
             type.deadline = DEADLINE / 1e6;
         }
         settings.zones = 2;
         settings.zone = number;
         settings.dispatchers = 2;
         settings.me = number;
-        settings.maxAttempts = 5;
-        settings.mayCancel = true;
-        settings.retryAfter = true;
-        settings.maxRetryAfter = 2;
-        settings.drainGrace = 0.5;
-        settings.tellsStart = true;
         settings.headBlocks = true;
         settings.reports = ReportSource.ANSWERS;
         settings.coldShare = 0.13;
@@ -251,16 +231,16 @@
         String[] words = event.split(" ");
         int who = words.length > 1 ? Integer.parseInt(words[1]) : 0;
         switch (words[0]) {
-            case "safe" -> submit(nodes[who], SAFE);
-            case "capture" -> submit(nodes[who], UNSAFE);
+            case "safe" -> submit(nodes[who], SchedulerTest.SAFE);
+            case "capture" -> submit(nodes[who], SchedulerTest.UNSAFE);
             case "burst" -> {
                 for (int i = 0; i < 12; i++) {
-                    submit(nodes[who], SAFE);
+                    submit(nodes[who], SchedulerTest.SAFE);
                 }
             }
             case "up" -> up(outs.get(who));
             case "refused" -> ends(outs.get(who), Outcome.CONNECT_FAILED, null);
-            case "started" -> outs.get(who).node.scheduler.started(outs.get(who).call);
+            case "started" -> outs.get(who).ask.node.scheduler.started(outs.get(who).call);
             case "ok" -> ends(outs.get(who), Outcome.OK, null);
             case "report" -> {
                 LoadReport report = new LoadReport();
@@ -271,7 +251,7 @@
             case "reset" -> ends(outs.get(who), broken == Broken.RUN_TOLD_AS_NEVER ? Outcome.CONNECT_FAILED
                     : Outcome.RESET, null);
             case "silent" -> ends(outs.get(who), Outcome.TIMEOUT, null);
-            case "late" -> outs.get(who).node.scheduler.ended(outs.get(who).call, Outcome.OK, new byte[0], null);
+            case "late" -> outs.get(who).ask.node.scheduler.ended(outs.get(who).call, Outcome.OK, new byte[0], null);
             case "leave" -> {
                 asks.get(who).left = true;
                 asks.get(who).node.scheduler.withdraw(asks.get(who).request);
@@ -308,16 +288,16 @@
 
     /** Its connection is up: the first byte goes out, and all others, unless the core says no. */
     private void up(Out out) {
-        if (broken != Broken.GRACE_NOT_ASKED && !out.node.scheduler.mayBegin(out.call)) {
+        if (broken != Broken.GRACE_NOT_ASKED && !out.ask.node.scheduler.mayBegin(out.call)) {
             ends(out, Outcome.CONNECT_FAILED, null);
             return;
         }
         String at = out.call.endpoint.name;
-        Long stop = out.node.toldToStop.get(at);
+        Long stop = out.ask.node.toldToStop.get(at);
         if (stop != null && now > stop + 550_000) {
             throw new Violation("drains", "begun at " + at + " " + (now - stop) + " us behind the word");
         }
-        if (out.node.toldDown.containsKey(at)) {
+        if (out.ask.node.toldDown.containsKey(at)) {
             throw new Violation("bans", "begun at " + at + ", which is set down");
         }
         for (Out other : outs) {
@@ -325,7 +305,7 @@
                 if (!other.over) {
                     throw new Violation("one call out", "a second one at " + at);
                 }
-                if (other.mayHaveRun && out.ask.jobClass == UNSAFE) {
+                if (other.mayHaveRun && out.ask.jobClass == SchedulerTest.UNSAFE) {
                     throw new Violation("no repeat", "what may have run at " + other.call.endpoint + " goes to " + at);
                 }
             }
@@ -353,7 +333,7 @@
         out.over = true;
         out.mayHaveRun &= outcome != Outcome.FULL;
         out.ask.ranOk |= outcome == Outcome.OK;
-        out.node.scheduler.ended(out.call, outcome, new byte[0], report);
+        out.ask.node.scheduler.ended(out.call, outcome, new byte[0], report);
     }
 
     /** The first scheduler's list has this word of e1. */
@@ -373,7 +353,7 @@
             ask.left |= ask.node == nodes[who] && ask.answers.isEmpty();
         }
         for (Out out : outs) {
-            out.over |= out.node == nodes[who];
+            out.over |= out.ask.node == nodes[who];
         }
         nodes[who] = new Node(who, 70 + events);
     }
@@ -395,7 +375,7 @@
 
     private void read() {
         for (Ask ask : asks) {
-            String what = (ask.jobClass == UNSAFE ? "capture " : "safe ") + asks.indexOf(ask);
+            String what = (ask.jobClass == SchedulerTest.UNSAFE ? "capture " : "safe ") + asks.indexOf(ask);
             boolean out = false;
             boolean mayHaveRun = false;
             int calls = 0;
@@ -415,7 +395,7 @@
             if (ask.answers.contains("served") && !ask.ranOk) {
                 throw new Violation("true answers", what + " was served by nobody");
             }
-            if (ask.answers.contains("refused") && mayHaveRun && ask.jobClass == UNSAFE) {
+            if (ask.answers.contains("refused") && mayHaveRun && ask.jobClass == SchedulerTest.UNSAFE) {
                 throw new Violation("true answers", what + " was refused and may have run");
             }
             boolean open = ask.answers.isEmpty() && !ask.left;
--- a/src/test/java/laneflow/decision/GuardTest.java
+++ b/src/test/java/laneflow/decision/GuardTest.java
@@ -182,14 +182,7 @@
         Rig rig = new Rig(settings).workers(0, 1).ask(1).ends(1, 0, Outcome.OK, Rig.free(4)).pass(2);
         rig.logic.list(rig.now, ListKind.CHANGES, List.of(Rig.worker(1, 0, State.READY, rig.now)));
         rig.logic.share(rig.now, part);
-        int sent = 0;
-        for (long id = 10; id < 300; id++) {
-            Request r = rig.request(id);
-            r.hint = 0.01;
-            rig.logic.request(rig.now, r);
-            sent += rig.sends(id).size();
-        }
-        return sent;
+        return rig.callsAtOnce(10, 300, 0.01);
     }
 
     // ---- workers that operators set down ----
@@ -237,13 +230,7 @@
         rig.logic.setDown(rig.now, 1);
         rig.pass(3);
         rig.logic.setUp(rig.now, 1);
-        int sent = 0;
-        for (long id = 10; id < 40; id++) {
-            Request r = rig.request(id);
-            r.hint = 0.05;
-            rig.logic.request(rig.now, r);
-            sent += rig.sends(id).size();
-        }
+        int sent = rig.callsAtOnce(10, 40, 0.05);
         assertTrue(sent > 0);
         assertTrue(sent * 0.05 <= settings.fallMultiple * settings.coldShare * 4 * settings.fallWithin, "" + sent);
         // Long warm: an equal share again.
@@ -303,12 +290,7 @@
         for (int i = 0; i < 2; i++) {
             Rig rig = new Rig(settings);
             rig.logic.list(rig.now, ListKind.CHANGES, List.of(Rig.worker(1, 0, State.READY, rig.now - 60 * i)));
-            for (long id = 10; id < 50; id++) {
-                Request r = rig.request(id);
-                r.hint = 0.02;
-                rig.logic.request(rig.now, r);
-                sent[i] += rig.sends(id).size();
-            }
+            sent[i] = rig.callsAtOnce(10, 50, 0.02);
         }
         assertEquals(40, sent[1]);
         assertTrue(sent[0] < 40 / 3, "to a cold one " + sent[0]);
@@ -1074,13 +1056,7 @@
         }
         rig.logic.list(rig.now, ListKind.CHANGES, List.of(Rig.worker(1, 0, State.GONE, 0),
                 Rig.worker(2, 0, State.READY, rig.now - 10)));
-        int sent = 0;
-        for (long id = 101; id <= 110; id++) {
-            Request r = rig.request(id);
-            r.hint = 0.01;
-            rig.logic.request(rig.now, r);
-            sent += rig.sends(id).size();
-        }
+        int sent = rig.callsAtOnce(101, 111, 0.01);
         assertTrue(sent > 0 && sent < 10, "sent " + sent);
     }
 
--- a/src/test/java/laneflow/decision/Rig.java
+++ b/src/test/java/laneflow/decision/Rig.java
@@ -101,6 +101,23 @@
         return this;
     }
 
+    /** A job of that cost hint. */
+    Rig askHinted(long id, double hint) {
+        Request r = request(id);
+        r.hint = hint;
+        logic.request(now, r);
+        return this;
+    }
+
+    /** Asks at once for jobs of these numbers, the last one left out, and that cost hint; how many calls went out. */
+    int callsAtOnce(long from, long to, double hint) {
+        int sent = 0;
+        for (long id = from; id < to; id++) {
+            sent += askHinted(id, hint).sends(id).size();
+        }
+        return sent;
+    }
+
     Rig ask(long id, int jobClass) {
         Request r = request(id);
         r.jobClass = jobClass;
--- a/src/test/java/laneflow/decision/SpoiltInputTest.java
+++ b/src/test/java/laneflow/decision/SpoiltInputTest.java
@@ -8,7 +8,6 @@
 import laneflow.decision.Dispatch.ListKind;
 import laneflow.decision.Dispatch.LoadReport;
 import laneflow.decision.Dispatch.Outcome;
-import laneflow.decision.Dispatch.Request;
 import laneflow.decision.Dispatch.Settings;
 import laneflow.decision.Dispatch.State;
 import org.junit.jupiter.api.Test;
@@ -41,10 +40,7 @@
     /** Jobs of 1 that a cold worker gets at once when it is the only one: all must fit its budget. */
     private static void holdsColdBudget(Rig rig, String after) {
         rig.logic.list(rig.now, ListKind.WHOLE, List.of(Rig.worker(3, 0, State.READY, rig.now)));
-        int sent = 0;
-        for (long id = 400; id < 440; id++) {
-            sent += rig.ask(id).sends(id).size();
-        }
+        int sent = rig.callsAtOnce(400, 440, 1);
         double most = rig.settings.fallMultiple * rig.settings.coldShare * 4 * rig.settings.fallWithin;
         assertTrue(sent <= most, after + ": a cold worker was sent " + sent);
     }
@@ -53,10 +49,7 @@
     void oneAbsurdCostHintNeitherShutsOthersOutNorMakesAWorkerLookFast() {
         for (Outcome outcome : new Outcome[] {Outcome.OK, Outcome.ERROR}) {
             Rig rig = inService(Rig.settings(Effect.SAFE));
-            Request absurd = rig.request(200);
-            absurd.hint = 1e12;
-            rig.logic.request(rig.now, absurd);
-            rig.pass(0.1).ends(200, 0, outcome, Rig.free(1)).pass(10);
+            rig.askHinted(200, 1e12).pass(0.1).ends(200, 0, outcome, Rig.free(1)).pass(10);
             assertEquals(20, served(rig, 300, 20), "after " + outcome);
             holdsColdBudget(rig, "after " + outcome);
         }
--- a/src/test/java/laneflow/decision/StartingEmptyTest.java
+++ b/src/test/java/laneflow/decision/StartingEmptyTest.java
@@ -8,7 +8,6 @@
 import laneflow.decision.Dispatch.Effect;
 import laneflow.decision.Dispatch.ListKind;
 import laneflow.decision.Dispatch.Outcome;
-import laneflow.decision.Dispatch.Request;
 import laneflow.decision.Dispatch.Settings;
 import laneflow.decision.Dispatch.State;
 import laneflow.decision.Dispatch.Worker;
@@ -16,13 +15,6 @@
 
 /** A dispatcher that begins amid a rough day: nothing learned, an old list or none, requests at once. */
 class StartingEmptyTest {
-    private static Rig ask(Rig rig, long id, double hint) {
-        Request request = rig.request(id);
-        request.hint = hint;
-        rig.logic.request(rig.now, request);
-        return rig;
-    }
-
     @Test
     void withNoListItRefusesAtOnceAndPlacesFromTheFirstListOn() {
         Settings settings = Rig.settings(Effect.UNSAFE);
@@ -42,21 +34,17 @@
         Rig rig = new Rig(settings);
         rig.logic.list(rig.now, ListKind.CACHED, List.of(Rig.worker(1, 0, State.READY, rig.now - 1)));
         // 0.6 x 3 x 0.28 x 0.5 cores x 2 s hold 0.51.
-        assertEquals(1, ask(rig.pass(2.1), 1, 0.3).sentTo(1));
+        assertEquals(1, rig.pass(2.1).askHinted(1, 0.3).sentTo(1));
     }
 
     /** Sends of 0.05 to a cold worker, by one dispatcher that has learned of its kind since it started. */
     private static double fill(Settings settings, double startsAt, double coldSince) {
         Rig rig = new Rig(settings, startsAt);
         rig.logic.list(rig.now, ListKind.CHANGES, List.of(Rig.worker(1, 0)));
-        ask(rig, 1, 0.05).pass(0.05).ends(1, 0, Outcome.OK, Rig.free(4));
+        rig.askHinted(1, 0.05).pass(0.05).ends(1, 0, Outcome.OK, Rig.free(4));
         rig.logic.list(rig.now, ListKind.CHANGES, List.of(Rig.worker(1, 0, State.GONE, 0),
                 Rig.worker(2, 0, State.READY, coldSince)));
-        double sent = 0;
-        for (long id = 10; id < 200; id++) {
-            sent += 0.05 * ask(rig, id, 0.05).sends(id).size();
-        }
-        return sent;
+        return 0.05 * rig.callsAtOnce(10, 200, 0.05);
     }
 
     /** What a dispatcher sent before it was killed still counts at the worker; only its own books are empty. */
@@ -81,7 +69,7 @@
     private static int servedOf(Rig rig, long from, int count) {
         int served = 0;
         for (long id = from; id < from + count; id++) {
-            ask(rig, id, 0.2);
+            rig.askHinted(id, 0.2);
             int attempts = 0;
             while (rig.sends(id).size() > attempts) {
                 long worker = rig.sentTo(id);
