Unsent calls told as such, the end's hook in place before clients, tests free of a disk's speed

The hook is there before anybody is let in, and waits for the scheduler to stand (EndingTest). - A call given up before its request's last byte was written was told as one that may have run: a card-capture that waited for its connection got 500 where 503 is true. Carrier.close says whether that byte can still arrive; the module hears it from Actions.cancel, so that it refuses with a time to come back.

--- a/src/main/java/laneflow/Serve.java
+++ b/src/main/java/laneflow/Serve.java
@@ -3,8 +3,10 @@
 import java.io.IOException;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.ExecutionException;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
 import java.util.function.BooleanSupplier;
 import laneflow.decision.Dispatch.JobClass;
 import laneflow.core.Counters;
@@ -153,16 +155,36 @@
         if (!Hangup.handle(() -> reader.execute(() -> serving.join().reload(source)))) {
             LOG.warn("SIGHUP is ignored, as under nohup: a moved discovery will not be followed");
         }
-        Serve serve = new Serve(setup, Surroundings.of(System.getenv()));
+        // The machine ends when its hooks have returned. It is there before anybody is let in: a signal that
+        // came first would end it amid what it has just taken.
+        Runtime.getRuntime().addShutdownHook(ending(serving));
+        Serve serve;
+        try {
+            serve = new Serve(setup, Surroundings.of(System.getenv()));
+        } catch (IOException | InterruptedException | RuntimeException e) {
+            serving.completeExceptionally(e);
+            throw e;
+        }
         serving.complete(serve);
         if (serve.gearman != null) {
             serve.gearman.endWith(serve::exit);
         }
-        // The machine ends when its hooks have returned: this one waits until all that was taken is answered.
-        Runtime.getRuntime().addShutdownHook(new Thread(serve::stop, "drain"));
         serve.drained.await();
     }
 
+    /** Waits until the scheduler stands, if it ever does, and then until all that was taken is answered. */
+    static Thread ending(CompletableFuture<Serve> serving) {
+        return new Thread(() -> {
+            try {
+                serving.get(LONGEST_DRAIN_S, TimeUnit.SECONDS).stop();
+            } catch (ExecutionException | TimeoutException e) {
+                LOG.debug("it never stood: nothing was taken", e);
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+            }
+        }, "drain");
+    }
+
     /**
      * Reads the configuration again, on the caller's thread, and follows discovery to where it is now. What
      * can't be read changes nothing, and no open request is touched.
--- a/src/main/java/laneflow/control/LastGood.java
+++ b/src/main/java/laneflow/control/LastGood.java
@@ -75,10 +75,11 @@
 
     /** Reads it; null where there is none. What is damaged or of another format is {@link Unusable}. */
     public Kept read() throws IOException {
-        if (!Files.exists(file)) {
-            return null;
-        }
-        byte[] all = Files.readAllBytes(file);
+        return Files.exists(file) ? parse(Files.readAllBytes(file), file.toString()) : null;
+    }
+
+    /** Reads what such a file holds; the name is for messages. */
+    static Kept parse(byte[] all, String file) throws Unusable {
         int end = 0;
         while (end < all.length && all[end] != '\n') {
             end++;
--- a/src/main/java/laneflow/control/Warmup.java
+++ b/src/main/java/laneflow/control/Warmup.java
@@ -76,7 +76,7 @@
         }
 
         @Override
-        public void close(OutboundCall call) {
+        public boolean close(OutboundCall call) {
             throw new IllegalStateException("nobody asks here");
         }
 
--- a/src/main/java/laneflow/core/Carrier.java
+++ b/src/main/java/laneflow/core/Carrier.java
@@ -5,8 +5,11 @@
     /** Sends the call's request; before its first byte {@link Scheduler#mayBegin} is asked. */
     void open(OutboundCall call);
 
-    /** Nobody waits for this call any more; its end is not to be told. */
-    void close(OutboundCall call);
+    /**
+     * Nobody waits for this call any more; its end is not to be told. True if it can't have run: its endpoint
+     * has not got, and will not get, the request's last byte.
+     */
+    boolean close(OutboundCall call);
 
     /** Asks an endpoint for its load; {@link Scheduler#probed} tells. */
     void probe(Endpoint endpoint);
--- a/src/main/java/laneflow/core/Scheduler.java
+++ b/src/main/java/laneflow/core/Scheduler.java
@@ -174,12 +174,15 @@
         }
         OutboundCall call = request.out;
         if (call != null) {
-            call.endpoint.carrier.close(call);
-            ended(call, Outcome.TIMEOUT, null, null);
+            close(call, Outcome.TIMEOUT);
         }
         if (!request.answered) {
             event(() -> module.abandoned(now(), request.handle));
-            answerFailed(request);
+            if (request.mayHaveRun()) {
+                answerFailed(request);
+            } else {
+                doer.refuse(request.handle, settings.retryAfter ? settings.tick : 0);
+            }
         }
     }
 
@@ -202,8 +205,7 @@
         event(() -> module.abandoned(now(), request.handle));
         OutboundCall call = request.out;
         if (call != null) {
-            call.endpoint.carrier.close(call);
-            ended(call, Outcome.CANCELLED, null, null);
+            close(call, Outcome.CANCELLED);
         }
         doer.refuse(request.handle, settings.retryAfter ? settings.tick : 0);
     }
@@ -329,6 +331,13 @@
         event(() -> module.probed(now(), endpoint.id, took, outcome, report));
     }
 
+    /** Gives a call up, which ended so unless its endpoint never had the whole of it; true if that is so. */
+    private boolean close(OutboundCall call, Outcome how) {
+        boolean unsent = call.endpoint.carrier.close(call);
+        ended(call, unsent ? Outcome.MOOT : how, null, null);
+        return unsent;
+    }
+
     private void release(OutboundCall call) {
         calls.remove(call.handle);
         if (call.request.out == call) {
@@ -455,14 +464,15 @@
         }
 
         @Override
-        public void cancel(long id, int number) {
+        public boolean cancel(long id, int number) {
+            boolean[] unsent = new boolean[1];
             // An answered request is off the table, but the call of one that was withdrawn is still out.
             calls.forEach(call -> {
                 if (call.request.handle == id && call.number == number) {
-                    call.endpoint.carrier.close(call);
-                    ended(call, Outcome.CANCELLED, null, null);
+                    unsent[0] = close(call, Outcome.CANCELLED);
                 }
             });
+            return unsent[0];
         }
 
         @Override
--- a/src/main/java/laneflow/decision/Dispatch.java
+++ b/src/main/java/laneflow/decision/Dispatch.java
@@ -222,8 +222,10 @@
         /** Final answer: not served, and it may have had its effect. */
         void fail(long request);
 
-        /** Stops waiting for an attempt; its outcome still comes. */
-        void cancel(long request, int attempt);
+        /**
+         * Stops waiting for an attempt; its outcome still comes. True if it can't have run: it never began.
+         */
+        boolean cancel(long request, int attempt);
 
         /** Asks a worker for its load. */
         void probe(long worker);
--- a/src/main/java/laneflow/decision/Logic.java
+++ b/src/main/java/laneflow/decision/Logic.java
@@ -568,7 +568,7 @@
         // An attempt nobody waits for any more would hold a slot that others could use.
         for (int i = 0; i < job.attempts && settings.mayCancel; i++) {
             if (job.attempt[i].outstanding) {
-                out.cancel(job.id, i);
+                job.attempt[i].mayHaveRun &= !out.cancel(job.id, i);
             }
         }
         jobs.release(job);
--- a/src/main/java/laneflow/gearman/GearmanCarrier.java
+++ b/src/main/java/laneflow/gearman/GearmanCarrier.java
@@ -35,11 +35,9 @@
     }
 
     @Override
-    public void close(OutboundCall call) {
+    public boolean close(OutboundCall call) {
         Worker worker = workers.get(call.endpoint.name);
-        if (worker != null) {
-            worker.drop(call);
-        }
+        return worker != null && worker.drop(call);
     }
 
     @Override
--- a/src/main/java/laneflow/gearman/Worker.java
+++ b/src/main/java/laneflow/gearman/Worker.java
@@ -206,8 +206,8 @@
     }
 
     /** Nobody waits for this call any more; what has been assigned runs on, unheard. */
-    void drop(OutboundCall given) {
-        queue.remove(given);
+    boolean drop(OutboundCall given) {
+        boolean waited = queue.remove(given);
         if (queue.isEmpty()) {
             front.loop.deadlines().cancel(wake);
         }
@@ -217,6 +217,7 @@
             call = null;
             front.loop.deadlines().cancel(limit);
         }
+        return waited;
     }
 
     void preSleep() {
--- a/src/main/java/laneflow/http/EndpointConnection.java
+++ b/src/main/java/laneflow/http/EndpointConnection.java
@@ -71,12 +71,14 @@
         begin();
     }
 
-    /** Nobody waits for the call any more. */
-    void giveUp(OutboundCall given) {
+    /** Nobody waits for the call any more; true if its endpoint never gets the request's last byte. */
+    boolean giveUp(OutboundCall given) {
+        boolean unsent = call == given && (!up || held != null || !link.out.isEmpty());
         if (call == given) {
             call = null;
             shut();
         }
+        return unsent;
     }
 
     void shut() {
--- a/src/main/java/laneflow/http/HttpCarrier.java
+++ b/src/main/java/laneflow/http/HttpCarrier.java
@@ -54,10 +54,10 @@
     }
 
     @Override
-    public void close(OutboundCall call) {
-        if (call.attachment instanceof EndpointConnection) {
-            ((EndpointConnection) call.attachment).giveUp(call);
-        }
+    public boolean close(OutboundCall call) {
+        // Without a connection it was never opened: its lease had not been written yet.
+        return !(call.attachment instanceof EndpointConnection)
+                || ((EndpointConnection) call.attachment).giveUp(call);
     }
 
     @Override
--- a/src/main/java/laneflow/wire/WireHost.java
+++ b/src/main/java/laneflow/wire/WireHost.java
@@ -286,8 +286,9 @@
         }
 
         @Override
-        public void cancel(long id, int attempt) {
+        public boolean cancel(long id, int attempt) {
             reply.cancel(number, id, attempt);
+            return false;
         }
 
         @Override
--- /dev/null
+++ b/src/test/java/laneflow/EndingTest.java
@@ -0,0 +1,43 @@
+package laneflow;
+
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.util.concurrent.CompletableFuture;
+import laneflow.net.Stand;
+import laneflow.net.Stand.Peer;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+
+/** A signal that comes while the scheduler is still being put together. */
+@Timeout(120)
+class EndingTest {
+    @Test
+    void aSignalAmidTheStartAnswersWhatWasTaken() throws Exception {
+        Stand.Endpoint endpoint = new Stand.Endpoint("e1");
+        CompletableFuture<Serve> serving = new CompletableFuture<>();
+        // As the machine does on SIGTERM: its hook runs, though nobody has said yet that the scheduler stands.
+        Thread hook = Serve.ending(serving);
+        hook.start();
+        try (Stand stand = new Stand(null, endpoint); Peer client = stand.http()) {
+            client.post("card-capture", "1", "", "");
+            Peer call = endpoint.accept();
+            call.message();
+            assertTrue(hook.isAlive());
+            serving.complete(stand.serve);
+            call.says("{'id':'1','state':'done','result':'paid'}");
+            assertTrue(client.message().endsWith("paid"));
+            hook.join();
+        }
+    }
+
+    @Test
+    void aStartThatFailsKeepsNobodyWaiting() throws Exception {
+        CompletableFuture<Serve> serving = new CompletableFuture<>();
+        Thread hook = Serve.ending(serving);
+        hook.start();
+        serving.completeExceptionally(new IOException("its port is taken"));
+        hook.join();
+        assertTrue(!hook.isAlive());
+    }
+}
