--- a/src/main/java/laneflow/Serve.java
+++ b/src/main/java/laneflow/Serve.java
@@ -18,6 +18,7 @@
 import laneflow.http.HttpCarrier;
 import laneflow.http.HttpFront;
 import laneflow.http.OperatorPort;
+import laneflow.http.StreamPort;
 import laneflow.net.Loop;
 import laneflow.net.Threads;
 import laneflow.ops.Operations;
@@ -53,6 +54,8 @@
     private final Durability durability;
     /** Null where no configuration is streamed. */
     private final Streaming streaming;
+    /** Null where this scheduler is by itself. */
+    private final Together together;
     /** Null where no discovery is named. */
     private final DiscoveryWatch watch;
     /** Null where no second address is named. */
@@ -81,12 +84,16 @@
         front = new HttpFront(loop, scheduler, config.classNames);
         watch = config.discovery == null ? null : new DiscoveryWatch(loop, scheduler, carrier, config);
         durability = setup.durable() == null ? null : new Durability(setup.durable(), loop, scheduler);
+        together = setup.fleet() == null ? null : new Together(setup, loop, scheduler);
         loop.call(() -> {
             scheduler.start(carrier, config.known.entries);
             if (watch != null) {
                 watch.begin();
             }
             front.readyWhen(this::isReady);
+            if (setup.policy() != null && setup.policy().tellPolicy) {
+                front.tellVersions(together::stamp);
+            }
         });
         String ops = around.ops() != null ? around.ops() : config.ops;
         operations = ops == null && !around.passed() ? null : new Operations(loop, scheduler, front,
@@ -123,8 +130,8 @@
 
     /** Begun with nothing known, it would refuse all that comes before discovery's first word. */
     private boolean serves() {
-        return !stopping && (watch == null || scheduler.destinations().size() > 0
-                || counters.get("discovery.lists") > 0);
+        return !stopping && (together == null || together.isReady()) && (watch == null
+                || scheduler.destinations().size() > 0 || counters.get("discovery.lists") > 0);
     }
 
     /** Where another process serves in its place, the scheduler stays ready whichever of them is asked. */
@@ -224,6 +231,11 @@
         return streaming == null ? null : streaming.port();
     }
 
+    /** Where other schedulers and those who change policies come, or null. */
+    public StreamPort fleet() {
+        return together == null ? null : together.port();
+    }
+
     /** The second address, or null. */
     public Operations operations() {
         return operations;
@@ -251,6 +263,9 @@
             }
             String[] line = new String[1];
             loop.call(() -> line[0] = counters.line());
+            if (together != null) {
+                together.close();
+            }
             if (durability != null) {
                 durability.close();
             }
--- a/src/main/java/laneflow/Setup.java
+++ b/src/main/java/laneflow/Setup.java
@@ -11,18 +11,33 @@
 import laneflow.config.OperatorFile;
 import laneflow.control.ControlConfig;
 import laneflow.durable.DurableConfig;
+import laneflow.fleet.FleetConfig;
 import laneflow.gearman.GearmanConfig;
 import laneflow.http.Config;
+import laneflow.policy.PolicyConfig;
 import laneflow.wire.WireException;
 
 /** All that a scheduler is told at its start; null stands for a front or a subsystem that is off. */
 public record Setup(Config config, GearmanConfig gearman, DurableConfig durable, ControlConfig control,
-        Map<String, String> fixed) {
+        FleetConfig fleet, PolicyConfig policy, Map<String, String> fixed) {
     private static final String PLATFORM = "the platform's file decides this here";
+    private static final List<String> FLEETS = List.of("classes", "limits");
+    private static final String FLEET = "the fleet decides this together: laneflow policy propose";
+
+    /**
+     * What keeps types from the stream, by type: those decided elsewhere, and those that the fleet decides.
+     */
+    Map<String, String> notStreamed() {
+        Map<String, String> all = new HashMap<>(fixed);
+        if (policy != null) {
+            FLEETS.forEach(type -> all.putIfAbsent(type, FLEET));
+        }
+        return all;
+    }
 
     /** Nothing of the stream's types is decided elsewhere. */
     public Setup(Config config, GearmanConfig gearman, DurableConfig durable, ControlConfig control) {
-        this(config, gearman, durable, control, Map.of());
+        this(config, gearman, durable, control, null, null, Map.of());
     }
 
     /** The platform's file, with a Gearman file and a destination set beside it, each unless null. */
@@ -40,8 +55,13 @@
     public static Setup operators(Path file, Path platform, Path destinations)
             throws IOException, WireException {
         OperatorFile plain = OperatorFile.read(file);
-        Map<String, JsonArray> streamed = plain.control() == null || !plain.findings().isEmpty() ? Map.of()
+        Map<String, JsonArray> streamed = plain.control() == null || !plain.findings().isEmpty()
+                ? new HashMap<>()
                 : KeptSettings.read(ControlConfig.read(plain.control()));
+        if (plain.policy() != null) {
+            // What the fleet decides is learned from it, not from a disk.
+            FLEETS.forEach(streamed::remove);
+        }
         if (!streamed.isEmpty()) {
             Setup under = KeptSettings.unless(() ->
                     operators(OperatorFile.read(file, streamed), platform, destinations));
@@ -96,7 +116,15 @@
                             "is true, but there is no [durable] that says where such jobs are kept"));
         }
         ControlConfig control = operators.control() == null ? null : ControlConfig.read(operators.control());
+        FleetConfig fleet = operators.fleet() == null ? null : FleetConfig.read(operators.fleet(),
+                config.name);
+        PolicyConfig policy = operators.policy() == null ? null : PolicyConfig.read(operators.policy(),
+                fleet);
+        if (policy != null && policy.tellPolicy && control != null && control.tellVersions) {
+            findings.add("policy", "tell_policy",
+                    "and [control] tell_versions name one header: only one of them");
+        }
         findings.raise();
-        return new Setup(config, gearman, durable, control, fixed);
+        return new Setup(config, gearman, durable, control, fleet, policy, fixed);
     }
 }
--- a/src/main/java/laneflow/StreamedTypes.java
+++ b/src/main/java/laneflow/StreamedTypes.java
@@ -53,8 +53,7 @@
         all.add(new DestinationType(config.zones, classes, setup.control().allowed, setup.gearman() != null,
                 adopters));
         all.add(SettingTypes.classes(settings, classes));
-        all.add(SettingTypes.limits(settings, config, new SettingTypes.Ceilings(descriptors(),
-                Runtime.getRuntime().maxMemory())));
+        all.add(SettingTypes.limits(settings, config, ceilings()));
         if (setup.gearman() != null) {
             GearmanConfig base = setup.gearman().copy();
             all.add(SettingTypes.table("functions", resources -> {
@@ -76,10 +75,15 @@
             }, table -> DurableConfig.read(table, settings, classes), setup.durable().copy(),
                     adopters::durable));
         }
-        all.removeIf(type -> setup.fixed().containsKey(type.name()));
+        all.removeIf(type -> setup.notStreamed().containsKey(type.name()));
         return all;
     }
 
+    /** What this process can hold. */
+    static SettingTypes.Ceilings ceilings() throws IOException {
+        return new SettingTypes.Ceilings(descriptors(), Runtime.getRuntime().maxMemory());
+    }
+
     /** What the kernel lets this process open; where it does not say, as many as there are numbers. */
     private static long descriptors() throws IOException {
         Path limits = Path.of("/proc/self/limits");
--- a/src/main/java/laneflow/Streaming.java
+++ b/src/main/java/laneflow/Streaming.java
@@ -74,7 +74,7 @@
         OperatorPort port = config.listen == null ? null : new OperatorPort(parts.loop);
         parts.loop.call(() -> {
             ControlClient client = new ControlClient(parts.loop, parts.scheduler, config, around, types);
-            setup.fixed().forEach(client::fix);
+            setup.notStreamed().forEach(client::fix);
             BiConsumer<String, Supplier<String>> reports = port == null ? parts.front::report : port::report;
             reports.accept("/config", client::report);
             reports.accept("/config/history", client::history);
--- /dev/null
+++ b/src/main/java/laneflow/cli/PolicyCommand.java
@@ -0,0 +1,365 @@
+package laneflow.cli;
+
+import com.electronwill.nightconfig.core.UnmodifiableConfig;
+import com.electronwill.nightconfig.core.io.ParsingException;
+import com.electronwill.nightconfig.toml.TomlParser;
+import com.google.gson.Gson;
+import com.google.gson.JsonArray;
+import com.google.gson.JsonElement;
+import com.google.gson.JsonObject;
+import com.google.gson.JsonParseException;
+import com.google.gson.JsonParser;
+import java.io.IOException;
+import java.io.PrintWriter;
+import java.io.StringReader;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import laneflow.net.Loop;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Mixin;
+import picocli.CommandLine.Model.CommandSpec;
+import picocli.CommandLine.Option;
+import picocli.CommandLine.ParameterException;
+import picocli.CommandLine.Parameters;
+import picocli.CommandLine.Spec;
+
+/**
+ * {@code policy}: what the fleet decides by, and changes of it. Addresses are those of {@code [fleet]
+ * listen}; any scheduler will do, since those that can't answer point to the one that can.
+ */
+@Command(name = "policy", mixinStandardHelpOptions = true,
+        description = "Shows and changes what all schedulers decide by.")
+final class PolicyCommand implements Runnable {
+    private static final Duration ANSWER_WITHIN = Duration.ofSeconds(5);
+    private static final int MOST_HOPS = 4;
+    private static final long PAUSE_MS = 50;
+    @Spec
+    private CommandSpec spec;
+
+    /** Whom to ask. */
+    static final class Where {
+        @Option(names = "--at", paramLabel = "ADDRESS", required = true, arity = "1", split = ",",
+                description = "Where schedulers reach each other: ADDRESS:PORT, several with commas between.")
+        private List<String> addresses;
+        @Option(names = "--token-file", paramLabel = "FILE", description = "The fleet's token.")
+        private Path tokenFile;
+        @Option(names = "--json", description = "As the scheduler says it.")
+        private boolean json;
+
+        private final HttpClient client = HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1)
+                .connectTimeout(ANSWER_WITHIN).build();
+
+        private HttpResponse<String> send(String address, String path, String body)
+                throws IOException, InterruptedException {
+            Loop.address(address);
+            URI to = URI.create("http://" + address + path);
+            for (int hop = 0;; hop++) {
+                HttpRequest.Builder request = HttpRequest.newBuilder(to).timeout(ANSWER_WITHIN);
+                if (tokenFile != null) {
+                    request.header("Authorization", "Bearer " + Files.readString(tokenFile).strip());
+                }
+                request = body == null ? request.GET() : request.POST(HttpRequest.BodyPublishers.ofString(
+                        body));
+                HttpResponse<String> answer = client.send(request.build(),
+                        HttpResponse.BodyHandlers.ofString());
+                if (answer.statusCode() != 307 || hop == MOST_HOPS) {
+                    return answer;
+                }
+                to = URI.create(answer.headers().firstValue("Location").orElseThrow(() ->
+                        new IOException(address + " points nowhere")));
+            }
+        }
+
+        /** The first answer that is one: of a scheduler that knows. */
+        private HttpResponse<String> ask(String path, String body) throws IOException, InterruptedException {
+            IOException last = new IOException("nobody to ask");
+            for (String address : addresses) {
+                try {
+                    HttpResponse<String> answer = send(address, path, body);
+                    if (answer.statusCode() < 500) {
+                        return answer;
+                    }
+                    last = new IOException(address + ": " + answer.body().strip());
+                } catch (IOException e) {
+                    last = new IOException(address + ": " + (e.getMessage() == null ? e.toString()
+                            : e.getMessage()), e);
+                }
+            }
+            throw last;
+        }
+    }
+
+    @Override
+    public void run() {
+        throw new ParameterException(spec.commandLine(), "a command is missing");
+    }
+
+    @Command(name = "show", mixinStandardHelpOptions = true,
+            description = "What each of these schedulers decides by; exit code 1 if one can't be"
+            + " asked, does not decide, or they differ.")
+    int show(@Mixin Where where) throws InterruptedException {
+        PrintWriter out = spec.commandLine().getOut();
+        TreeMap<Long, List<String>> policies = new TreeMap<>();
+        int code = 0;
+        if (!where.json) {
+            out.printf("%-14s %-22s %8s %9s %-14s %s%n", "scheduler", "state", "policy", "lease ms", "leader",
+                    "open");
+        }
+        for (String address : where.addresses) {
+            try {
+                HttpResponse<String> answer = where.send(address, "/policy", null);
+                if (answer.statusCode() != 200) {
+                    throw new IOException(answer.body().strip());
+                }
+                if (where.json) {
+                    out.println(answer.body().strip());
+                }
+                JsonObject all = JsonParser.parseString(answer.body()).getAsJsonObject();
+                String name = all.get("scheduler").getAsString();
+                policies.computeIfAbsent(all.get("policy").getAsLong(), key -> new ArrayList<>()).add(name);
+                code = all.get("state").getAsString().equals("deciding") ? code : 1;
+                if (!where.json) {
+                    show(out, all);
+                }
+            } catch (IOException | JsonParseException | IllegalStateException e) {
+                out.println(address + ": " + (e.getMessage() == null ? e.toString() : e.getMessage()));
+                code = 1;
+            }
+        }
+        if (policies.size() > 1) {
+            out.println("they differ: " + policies);
+            code = 1;
+        }
+        out.flush();
+        return code;
+    }
+
+    private static void show(PrintWriter out, JsonObject all) {
+        out.printf("%-14s %-22s %8d %9d %-14s %s%n", all.get("scheduler").getAsString(),
+                all.get("state").getAsString(), all.get("policy").getAsLong(),
+                all.get("lease_ms").getAsLong(),
+                all.get("leader").getAsString(), all.get("open").getAsLong() == 0 ? "-" : all.get("open"));
+        if (all.has("turned_down")) {
+            all.getAsJsonObject("turned_down").entrySet().forEach(one
+                    -> one.getValue().getAsJsonArray().forEach(
+                    reason -> out.println("    turns down " + one.getKey() + ": " + reason.getAsString())));
+        }
+        if (all.has("restart_needed")) {
+            all.getAsJsonArray("restart_needed").forEach(waits ->
+                    out.println("    waits for a restart: " + waits.getAsString()));
+        }
+        if (all.has("leads")) {
+            JsonObject leads = all.getAsJsonObject("leads");
+            if (leads.has("waits_for")) {
+                out.println("    waits for " + leads.get("waits_for"));
+            }
+        }
+    }
+
+    @Command(name = "propose", mixinStandardHelpOptions = true,
+            description = "Proposes a change and waits for its outcome: exit code 0 if it was applied,"
+            + " 1 if it was abandoned, 3 if the outcome is not known yet. Asked again with the same name it"
+            + " proposes nothing new.")
+    int propose(@Parameters(paramLabel = "FILE",
+    description = "The change: the tables of the operators' file that"
+            + " are to hold, [classes.NAME], [limits], and bans = [\"ENDPOINT\"]; or JSON with 'types'.")
+            Path file, @Option(names = "--name", description = "The change's name; else the file's own.")
+            String name, @Option(names = "--wait-ms", paramLabel = "N", defaultValue = "10000",
+            description = "How long to wait for the outcome (default: ${DEFAULT-VALUE}).") long waitMs,
+            @Mixin Where where) throws IOException, InterruptedException {
+        JsonObject change = read(file);
+        if (name != null) {
+            change.addProperty("name", name);
+        }
+        if (!change.has("name")) {
+            throw new IllegalArgumentException(file + ": the change has no name; give it one with --name");
+        }
+        change.addProperty("by", System.getProperty("user.name"));
+        long end = System.nanoTime() + waitMs * 1_000_000;
+        String path = "/policy/changes";
+        String body = change.toString();
+        String wait = "";
+        while (true) {
+            try {
+                HttpResponse<String> answer = where.ask(path, body);
+                if (answer.statusCode() != 200) {
+                    throw new IllegalArgumentException(answer.body().strip());
+                }
+                JsonObject now = JsonParser.parseString(answer.body()).getAsJsonObject();
+                body = null;
+                path = "/policy/changes/" + now.get("name").getAsString();
+                if (isDecided(now) || System.nanoTime() > end) {
+                    return outcome(now, where.json);
+                }
+            } catch (IOException e) {
+                wait = e.getMessage();
+                if (System.nanoTime() > end) {
+                    spec.commandLine().getErr().println("laneflow: the outcome is not known: " + wait);
+                    return 3;
+                }
+            }
+            Thread.sleep(PAUSE_MS);
+        }
+    }
+
+    private static boolean isDecided(JsonObject change) {
+        String state = change.get("state").getAsString();
+        return state.equals("applied") || state.equals("abandoned");
+    }
+
+    private int outcome(JsonObject change, boolean json) {
+        PrintWriter out = spec.commandLine().getOut();
+        String state = change.get("state").getAsString();
+        if (json) {
+            out.println(change);
+        } else {
+            line(out, change);
+        }
+        out.flush();
+        return state.equals("applied") ? 0 : state.equals("abandoned") ? 1 : 3;
+    }
+
+    private static void line(PrintWriter out, JsonObject change) {
+        out.printf("%-24s %-10s %8s  %s  by %s%n", change.get("name").getAsString(),
+                change.get("state").getAsString(), change.get("number").getAsLong() == 0 ? "-"
+                : change.get("number").getAsString(),
+                Instant.ofEpochMilli(change.get("proposed_ms").getAsLong()), change.get("by").getAsString());
+        if (change.has("reasons")) {
+            change.getAsJsonArray("reasons").forEach(reason -> out.println("    " + reason.getAsString()));
+        }
+    }
+
+    @Command(name = "status", mixinStandardHelpOptions = true,
+            description = "Where a change stands: exit code 0 if it was applied, 1 if it was abandoned or"
+            + " is not known, 3 if it is undecided.")
+    int status(@Parameters(paramLabel = "NAME", description = "The change's name.") String name,
+            @Mixin Where where) throws IOException, InterruptedException {
+        HttpResponse<String> answer = where.ask("/policy/changes/" + name, null);
+        if (answer.statusCode() != 200) {
+            throw new IOException(answer.body().strip());
+        }
+        return outcome(JsonParser.parseString(answer.body()).getAsJsonObject(), where.json);
+    }
+
+    @Command(name = "history", mixinStandardHelpOptions = true,
+            description = "The last changes, the newest first.")
+    int history(@Mixin Where where) throws IOException, InterruptedException {
+        HttpResponse<String> answer = where.ask("/policy/history", null);
+        PrintWriter out = spec.commandLine().getOut();
+        if (answer.statusCode() != 200) {
+            throw new IOException(answer.body().strip());
+        }
+        if (where.json) {
+            out.println(answer.body().strip());
+        } else {
+            for (JsonElement one : JsonParser.parseString(answer.body()).getAsJsonArray()) {
+                line(out, one.getAsJsonObject());
+            }
+        }
+        out.flush();
+        return 0;
+    }
+
+    @Command(name = "voters", mixinStandardHelpOptions = true,
+            description = "Who votes, and which of these schedulers' stores have lost their vote; exit"
+            + " code 1 if one has, or can't be asked.")
+    int voters(@Mixin Where where) throws InterruptedException {
+        PrintWriter out = spec.commandLine().getOut();
+        int code = 0;
+        for (String address : where.addresses) {
+            try {
+                HttpResponse<String> answer = where.send(address, "/policy", null);
+                JsonObject all = JsonParser.parseString(answer.body()).getAsJsonObject();
+                JsonElement own = all.get("voter");
+                if (where.json) {
+                    out.println(own == null ? "null" : own);
+                } else if (own == null) {
+                    out.printf("%-14s does not vote%n", all.get("scheduler").getAsString());
+                } else {
+                    JsonObject voter = own.getAsJsonObject();
+                    boolean votes = voter.get("votes").getAsBoolean();
+                    code = votes ? code : 1;
+                    out.printf("%-14s %s as %s, term %d, with %s%n", all.get("scheduler").getAsString(),
+                            votes ? "votes" : voter.get("lost").getAsBoolean()
+                            ? "has lost its vote" : "does not vote yet",
+                            voter.get("store").getAsString(), voter.get("term").getAsInt(),
+                            voter.get("voters"));
+                }
+            } catch (IOException | JsonParseException | IllegalStateException e) {
+                out.println(address + ": " + (e.getMessage() == null ? e.toString() : e.getMessage()));
+                code = 1;
+            }
+        }
+        out.flush();
+        return code;
+    }
+
+    // ---- the file ----
+
+    /** A change as its file has it: in the operators' file's words, or JSON. */
+    static JsonObject read(Path file) throws IOException {
+        String text = Files.readString(file);
+        if (text.stripLeading().startsWith("{")) {
+            try {
+                return JsonParser.parseString(text).getAsJsonObject();
+            } catch (JsonParseException e) {
+                throw new IllegalArgumentException(file + ": is no JSON: " + e.getMessage());
+            }
+        }
+        UnmodifiableConfig toml;
+        try {
+            toml = new TomlParser().parse(new StringReader(text));
+        } catch (ParsingException e) {
+            throw new IllegalArgumentException(file + ": is no TOML: " + e.getMessage().split("\n")[0]);
+        }
+        JsonObject all = json(toml);
+        JsonObject change = new JsonObject();
+        JsonObject types = new JsonObject();
+        for (Map.Entry<String, JsonElement> one : all.entrySet()) {
+            JsonArray resources = new JsonArray();
+            switch (one.getKey()) {
+                case "name" -> {
+                    change.add("name", one.getValue());
+                    continue;
+                }
+                case "classes" -> one.getValue().getAsJsonObject().entrySet().forEach(each ->
+                        resources.add(named(each.getKey(), each.getValue().getAsJsonObject())));
+                case "limits" -> resources.add(named("limits", one.getValue().getAsJsonObject()));
+                case "bans" -> one.getValue().getAsJsonArray().forEach(each ->
+                        resources.add(named(each.getAsString(), new JsonObject())));
+                default -> throw new IllegalArgumentException(file + ": " + one.getKey() + ": is no part of a"
+                        + " policy; known are name, classes, limits, bans");
+            }
+            types.add(one.getKey(), resources);
+        }
+        change.add("types", types);
+        return change;
+    }
+
+    private static JsonObject named(String name, JsonObject more) {
+        JsonObject all = new JsonObject();
+        all.addProperty("name", name);
+        more.entrySet().forEach(one -> all.add(one.getKey(), one.getValue()));
+        return all;
+    }
+
+    private static JsonObject json(UnmodifiableConfig from) {
+        JsonObject all = new JsonObject();
+        for (UnmodifiableConfig.Entry entry : from.entrySet()) {
+            Object value = entry.getValue();
+            all.add(entry.getKey(), value instanceof UnmodifiableConfig table ? json(table)
+                    : new Gson().toJsonTree(value));
+        }
+        return all;
+    }
+}
--- a/src/main/java/laneflow/config/OperatorFile.java
+++ b/src/main/java/laneflow/config/OperatorFile.java
@@ -23,12 +23,16 @@
     private final Table gearman;
     private final Table durable;
     private final Table control;
+    private final Table fleet;
+    private final Table policy;
 
     private OperatorFile(Table root) {
         this.root = root;
         gearman = root.table("gearman");
         durable = root.table("durable");
         control = root.table("control");
+        fleet = root.table("fleet");
+        policy = root.table("policy");
         top();
         root.close();
     }
@@ -94,6 +98,16 @@
         return control;
     }
 
+    /** The table of the link between schedulers, or null where there is none. */
+    public Table fleet() {
+        return fleet;
+    }
+
+    /** The table of changes of policy over the whole fleet, or null where they are off. */
+    public Table policy() {
+        return policy;
+    }
+
     /** What is said of the scheduler, in the platform's form. */
     public JsonObject platform() {
         return platform;
--- a/src/main/java/laneflow/config/Table.java
+++ b/src/main/java/laneflow/config/Table.java
@@ -93,6 +93,13 @@
         return value(key) != null;
     }
 
+    /** The keys that are there, in the file's order. */
+    public List<String> keys() {
+        List<String> keys = new ArrayList<>();
+        from.entrySet().forEach(entry -> keys.add(entry.getKey()));
+        return keys;
+    }
+
     private Object value(String key) {
         asked.add(key);
         return from.get(List.of(key));
--- a/src/main/java/laneflow/control/Message.java
+++ b/src/main/java/laneflow/control/Message.java
@@ -6,14 +6,11 @@
 import com.google.gson.JsonParseException;
 import com.google.gson.JsonParser;
 import java.nio.charset.StandardCharsets;
-import java.security.MessageDigest;
-import java.security.NoSuchAlgorithmException;
 import java.util.ArrayList;
-import java.util.HexFormat;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.TreeMap;
+import laneflow.config.Canonical;
 
 /**
  * One line of a control service, read off the loop: a whole state of a type ({@code version_info},
@@ -125,42 +122,18 @@
      * as they were written.
      */
     public static String digest(JsonArray resources) {
-        try {
-            byte[] sum = MessageDigest.getInstance("SHA-256").digest(canonical(resources)
-                    .getBytes(StandardCharsets.UTF_8));
-            return HexFormat.of().formatHex(sum);
-        } catch (NoSuchAlgorithmException e) {
-            throw new IllegalStateException("every Java platform has SHA-256", e);
-        }
-    }
-
-    private static String canonical(JsonArray resources) {
         List<JsonElement> all = new ArrayList<>();
         resources.forEach(all::add);
         all.sort((a, b) -> nameOf(a).compareTo(nameOf(b)));
         JsonArray sorted = new JsonArray();
-        all.forEach(one -> sorted.add(ordered(one)));
-        return sorted.toString();
+        all.forEach(sorted::add);
+        return Canonical.digest(sorted);
     }
 
     private static String nameOf(JsonElement resource) {
         return resource.isJsonObject() ? text(resource.getAsJsonObject(), "name") : "";
     }
 
-    private static JsonElement ordered(JsonElement value) {
-        if (value.isJsonArray()) {
-            JsonArray all = new JsonArray();
-            value.getAsJsonArray().forEach(one -> all.add(ordered(one)));
-            return all;
-        }
-        if (!value.isJsonObject()) {
-            return value;
-        }
-        JsonObject all = new JsonObject();
-        new TreeMap<>(value.getAsJsonObject().asMap()).forEach((key, one) -> all.add(key, ordered(one)));
-        return all;
-    }
-
     static String text(JsonObject from, String key) {
         JsonElement value = from.get(key);
         return value != null && value.isJsonPrimitive() ? value.getAsString() : "";
--- a/src/main/java/laneflow/control/ResourceType.java
+++ b/src/main/java/laneflow/control/ResourceType.java
@@ -21,7 +21,7 @@
         /** How many resources there are. */
         public final int count;
 
-        Reading(List<String> findings, int count) {
+        protected Reading(List<String> findings, int count) {
             this.findings = findings;
             this.count = count;
         }
--- a/src/main/java/laneflow/core/Scheduler.java
+++ b/src/main/java/laneflow/core/Scheduler.java
@@ -48,6 +48,10 @@
     private final Owner owner = new Owner();
     private boolean atWork;
     private int epoch;
+    /** Null where nobody else has a say. */
+    private Gate gate;
+    /** Endpoints that the policy in force bans, beside those that operators have set down here. */
+    private Set<String> barred = Set.of();
     private final long[][] tallies;
 
     public Scheduler(Settings settings, long seed, Clock clock, Deadlines deadlines, Counters counters) {
@@ -91,7 +95,30 @@
     /** The endpoint is to be used again. */
     public void setUp(String name) {
         destinations.down(name, false);
-        event(() -> module.setUp(now(), Endpoint.number(name)));
+        if (!barred.contains(name)) {
+            event(() -> module.setUp(now(), Endpoint.number(name)));
+        }
+    }
+
+    /** Exactly these are banned from now on, besides those that are set down; calls that are out go on. */
+    public void bar(Set<String> names) {
+        Set<String> before = barred;
+        barred = Set.copyOf(names);
+        for (String name : names) {
+            if (!before.contains(name)) {
+                event(() -> module.setDown(now(), Endpoint.number(name)));
+            }
+        }
+        for (String name : before) {
+            if (!names.contains(name) && !destinations.down().contains(name)) {
+                event(() -> module.setUp(now(), Endpoint.number(name)));
+            }
+        }
+    }
+
+    /** From now on requests are decided on only while it lets them be. */
+    public void decideWhile(Gate condition) {
+        gate = condition;
     }
 
     /**
@@ -138,6 +165,14 @@
 
     /** Takes a request in; the answer may come before this returns. */
     public void submit(Request request) {
+        if (gate != null && !gate.mayDecide()) {
+            request.answered = true;
+            // It came under no state of the settings: nothing decided on it.
+            request.epoch = -1;
+            counters.add(request.front.name() + ".fenced");
+            request.front.failFast(request.tag, gate.comeBack());
+            return;
+        }
         request.handle = requests.add(request);
         request.takenAt = clock.micros();
         request.type = settings.classes[request.jobClass];
@@ -262,7 +297,7 @@
 
     /** True if operators want nothing sent there: what was about to go there goes elsewhere. */
     public boolean isDown(Endpoint endpoint) {
-        return destinations.isDown(endpoint);
+        return destinations.isDown(endpoint) || barred.contains(endpoint.name);
     }
 
     private boolean mayRepeat(Request request) {
--- a/src/main/java/laneflow/http/LineStream.java
+++ b/src/main/java/laneflow/http/LineStream.java
@@ -1,6 +1,5 @@
 package laneflow.http;
 
-import java.io.ByteArrayOutputStream;
 import java.nio.charset.StandardCharsets;
 import laneflow.core.Deadlines.Deadline;
 import laneflow.net.Link;
@@ -31,11 +30,10 @@
     private final Loop loop;
     private final Reader reader;
     private final HttpReader http = new HttpReader(true, this);
-    private final ByteArrayOutputStream line = new ByteArrayOutputStream();
+    private final Lines lines;
     private final Deadline timer;
     private final String head;
     private final long silence;
-    private final int mostLine;
     private Link link;
     private boolean over;
 
@@ -52,7 +50,7 @@
         this.loop = loop;
         this.reader = reader;
         this.silence = silence;
-        this.mostLine = mostLine;
+        lines = new Lines(mostLine);
         head = "POST " + path + " HTTP/1.1\r\nHost: " + address + "\r\nContent-Type: application/x-ndjson\r\n"
                 + headers + "Transfer-Encoding: chunked\r\n\r\n";
         timer = loop.deadlines().create(() -> end("nothing was heard in time"));
@@ -62,10 +60,7 @@
 
     /** Sends a line; false if it can't take it, and then it is over. */
     public boolean send(String text) {
-        byte[] bytes = (text + "\n").getBytes(StandardCharsets.UTF_8);
-        String size = Integer.toHexString(bytes.length) + "\r\n";
-        if (over || !link.out.put(size.getBytes(StandardCharsets.US_ASCII)) || !link.out.put(bytes)
-                || !link.out.put("\r\n".getBytes(StandardCharsets.US_ASCII))) {
+        if (over || !Lines.put(text, link.out)) {
             loop.later(() -> end("it does not read what it is sent"));
             return false;
         }
@@ -140,34 +135,11 @@
 
     @Override
     public void body(byte[] bytes) throws HttpException {
-        for (int from = 0; from < bytes.length && !over;) {
-            int end = from;
-            while (end < bytes.length && bytes[end] != '\n') {
-                end++;
+        lines.take(bytes, text -> {
+            if (!over) {
+                reader.line(text);
             }
-            // By pieces, not bytes: a large set must not hold the loop.
-            line.write(bytes, from, end - from);
-            if (line.size() > mostLine) {
-                throw new HttpException(400, "a line of more than " + mostLine + " bytes");
-            }
-            from = end + 1;
-            if (end < bytes.length) {
-                byte[] text = line.toByteArray();
-                line.reset();
-                if (!isBlank(text)) {
-                    reader.line(text);
-                }
-            }
-        }
-    }
-
-    private static boolean isBlank(byte[] text) {
-        for (byte b : text) {
-            if (b > ' ' || b < 0) {
-                return false;
-            }
-        }
-        return true;
+        });
     }
 
     @Override
--- a/src/main/java/laneflow/lab/Crew.java
+++ b/src/main/java/laneflow/lab/Crew.java
@@ -34,10 +34,18 @@
 
     /** Starts a class of this program; its output goes to a file of that name. */
     Process start(String name, int heapMb, Class<?> main, String... args) throws IOException {
+        return start(name, heapMb, List.of(), main, args);
+    }
+
+    /** The same with further options of the virtual machine. */
+    Process start(String name, int heapMb, List<String> options, Class<?> main, String... args)
+            throws IOException {
         List<String> line = new ArrayList<>(List.of(Path.of(System.getProperty("java.home"), "bin",
                 "java").toString(),
                 "-XX:+UseSerialGC", "-XX:+AlwaysPreTouch", "-Xms" + heapMb + "m", "-Xmx" + heapMb + "m",
-                        "-Xshare:auto", "-cp", classPath, main.getName()));
+                        "-Xshare:auto"));
+        line.addAll(options);
+        line.addAll(List.of("-cp", classPath, main.getName()));
         line.addAll(List.of(args));
         File log = folder.resolve(name + ".log").toFile();
         Process process = new ProcessBuilder(line).redirectErrorStream(true)
--- /dev/null
+++ b/src/main/java/laneflow/lab/Rig.java
@@ -0,0 +1,395 @@
+package laneflow.lab;
+
+import com.google.gson.JsonObject;
+import com.google.gson.JsonParser;
+import java.io.IOException;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.nio.file.StandardOpenOption;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import laneflow.Main;
+
+/**
+ * Schedulers as real processes on loopback, with a relay of our own on each path between two of them, and
+ * faults put into both: paths cut one way or both, delayed, lossy; processes stopped, woken, killed, started
+ * anew with their disk or without. Every fault is written, with the instant on the machine's one monotonic
+ * clock, into a history that is read beside the processes' own. It ends only processes that it has started.
+ */
+public final class Rig implements AutoCloseable {
+    private static final Duration ASK_WITHIN = Duration.ofSeconds(3);
+    private static final long PATIENCE_NS = 60_000_000_000L;
+    private static final int PAUSE_MS = 3;
+    private static final int HEAP_MB = 64;
+
+    private final Path folder;
+    private final int voters;
+    private final Crew crew;
+    private final Process[] processes;
+    private final int[] clientPorts;
+    private final int[] fleetPorts;
+    private final Relay[][] relays;
+    private final HttpClient client = HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1)
+            .connectTimeout(ASK_WITHIN).build();
+    private final List<String> more = new ArrayList<>();
+    private final List<String> options = new ArrayList<>();
+
+    /** Holds, or not yet; a process that does not answer is no reason to give up. */
+    public interface Condition {
+        boolean holds() throws IOException, InterruptedException;
+    }
+
+    /**
+     * None of the schedulers is started yet.
+     *
+     * @param common what the file of each says besides names, addresses and who votes
+     */
+    public Rig(Path folder, int schedulers, int voters, long seed, String common) throws IOException {
+        this.folder = folder;
+        this.voters = voters;
+        crew = new Crew(folder);
+        processes = new Process[schedulers];
+        clientPorts = new int[schedulers];
+        fleetPorts = new int[schedulers];
+        relays = new Relay[schedulers][voters];
+        for (int i = 0; i < schedulers; i++) {
+            clientPorts[i] = Crew.port();
+            fleetPorts[i] = Crew.port();
+            more.add(common);
+            options.add("");
+        }
+        for (int i = 0; i < schedulers; i++) {
+            for (int k = 0; k < voters; k++) {
+                relays[i][k] = new Relay(fleetPorts[k], seed * 1000 + i * voters + k);
+            }
+        }
+    }
+
+    public int size() {
+        return processes.length;
+    }
+
+    public static String name(int i) {
+        return "n" + (i + 1);
+    }
+
+    /** What the file of this one says in the place of what all say. */
+    public void file(int i, String text) {
+        more.set(i, text);
+    }
+
+    /** An option of the virtual machine of this one, as for a clock that runs otherwise. */
+    public void option(int i, String option) {
+        options.set(i, option);
+    }
+
+    /** Another process of ours, such as stand-in nodes. */
+    Process start(String name, Class<?> main, String... args) throws IOException {
+        return crew.start(name, HEAP_MB, main, args);
+    }
+
+    // ---- processes ----
+
+    public void start(int i) throws IOException {
+        StringBuilder peers = new StringBuilder();
+        StringBuilder names = new StringBuilder();
+        for (int k = 0; k < voters; k++) {
+            peers.append(name(k)).append(" = \"127.0.0.1:").append(k == i ? fleetPorts[k]
+                    : relays[i][k].port()).append("\"\n");
+            names.append(k == 0 ? "\"" : ", \"").append(name(k)).append('"');
+        }
+        Path file = folder.resolve(name(i) + ".toml");
+        Files.writeString(file, "name = \"" + name(i) + "\"\nlisten = \"127.0.0.1:" + clientPorts[i] + "\"\n"
+                + more.get(i).replace("VOTERS", "[" + names + "]").replace("FOLDER", folder.resolve(name(i))
+                + "-votes") + "\n[fleet]\nlisten = \"127.0.0.1:" + fleetPorts[i]
+                + "\"\nlongest_backoff_ms = 100\n[fleet.peers]\n" + peers);
+        note("start " + name(i));
+        String option = options.get(i);
+        processes[i] = crew.start(name(i), HEAP_MB, option.isEmpty() ? List.of() : List.of(option),
+                Main.class,
+                "serve", "--config", file.toString());
+    }
+
+    public void startAll() throws IOException {
+        for (int i = 0; i < processes.length; i++) {
+            start(i);
+        }
+    }
+
+    public boolean isUp(int i) {
+        return processes[i] != null && processes[i].isAlive();
+    }
+
+    /** SIGKILL. */
+    public void kill(int i) throws InterruptedException, IOException {
+        note("kill " + name(i));
+        Crew.kill(processes[i]);
+    }
+
+    /** SIGTERM, and waits for its end. */
+    public int end(int i) throws InterruptedException, IOException {
+        note("term " + name(i));
+        processes[i].destroy();
+        if (!processes[i].waitFor(PATIENCE_NS, TimeUnit.NANOSECONDS)) {
+            throw new IOException(name(i) + " does not end");
+        }
+        return processes[i].exitValue();
+    }
+
+    /** SIGSTOP: it stands still, amid whatever it is at. */
+    public void stall(int i) throws InterruptedException, IOException {
+        signal(i, "STOP");
+    }
+
+    /** SIGCONT. */
+    public void wake(int i) throws InterruptedException, IOException {
+        signal(i, "CONT");
+    }
+
+    private void signal(int i, String signal) throws InterruptedException, IOException {
+        note(signal + " " + name(i));
+        new ProcessBuilder("kill", "-" + signal, String.valueOf(processes[i].pid())).start().waitFor();
+    }
+
+    public long pid(int i) {
+        return processes[i].pid();
+    }
+
+    /** The disk of a voter that is down is gone. */
+    public void wipe(int i) throws IOException {
+        note("wipe " + name(i));
+        Trash.remove(votes(i));
+    }
+
+    /** Where a voter keeps its votes. */
+    public Path votes(int i) {
+        return folder.resolve(name(i) + "-votes");
+    }
+
+    // ---- paths ----
+
+    /** Nothing that the one says reaches the other. */
+    public void cut(int from, int to) throws IOException {
+        note("cut " + name(from) + " to " + name(to));
+        way(from, to, true);
+    }
+
+    /** Neither hears the other. */
+    public void part(int one, int other) throws IOException {
+        cut(one, other);
+        cut(other, one);
+    }
+
+    /** Nobody of these hears anybody of the others. */
+    public void partAll(List<Integer> these) throws IOException {
+        for (int one : these) {
+            for (int other = 0; other < processes.length; other++) {
+                if (!these.contains(other)) {
+                    part(one, other);
+                }
+            }
+        }
+    }
+
+    private void way(int from, int to, boolean cut) {
+        if (to < voters) {
+            relays[from][to].there.cut = cut;
+        }
+        if (from < voters) {
+            relays[to][from].back.cut = cut;
+        }
+    }
+
+    /** All paths pass everything again. */
+    public void heal() throws IOException {
+        note("heal");
+        each(way -> way.clear());
+    }
+
+    /** All paths lose and double such shares of lines, and delay each by up to so much. */
+    public void disturb(double lost, double doubled, int jitterMs) throws IOException {
+        note("disturb " + lost + " " + doubled + " " + jitterMs);
+        each(way -> {
+            way.lost = lost;
+            way.doubled = doubled;
+            way.jitterMs = jitterMs;
+        });
+    }
+
+    private void each(Consumer<Relay.Way> change) {
+        for (Relay[] row : relays) {
+            for (Relay relay : row) {
+                change.accept(relay.there);
+                change.accept(relay.back);
+            }
+        }
+    }
+
+    /** Breaks all links of this one amid whatever they carry. */
+    public void reset(int i) throws IOException {
+        note("reset " + name(i));
+        Arrays.stream(relays[i]).forEach(Relay::reset);
+        for (Relay[] row : relays) {
+            if (i < voters) {
+                row[i].reset();
+            }
+        }
+    }
+
+    // ---- asking ----
+
+    public int clientPort(int i) {
+        return clientPorts[i];
+    }
+
+    public String fleetAddress(int i) {
+        return "127.0.0.1:" + fleetPorts[i];
+    }
+
+    /** Asks a scheduler at its fleet address, and follows where it points; by no relay. */
+    public HttpResponse<String> ask(int i, String path, String body) throws IOException,
+            InterruptedException {
+        URI to = URI.create("http://" + fleetAddress(i) + path);
+        for (int hop = 0;; hop++) {
+            HttpRequest.Builder request = HttpRequest.newBuilder(to).timeout(ASK_WITHIN);
+            request = body == null ? request.GET() : request.POST(HttpRequest.BodyPublishers.ofString(body));
+            HttpResponse<String> answer = client.send(request.build(), HttpResponse.BodyHandlers.ofString());
+            if (answer.statusCode() != 307 || hop == 2) {
+                return answer;
+            }
+            // Peers are known by their relays: those are not for us.
+            int port = URI.create(answer.headers().firstValue("Location").orElseThrow()).getPort();
+            to = URI.create("http://127.0.0.1:" + behind(port) + path);
+        }
+    }
+
+    private int behind(int port) {
+        for (Relay[] row : relays) {
+            for (int k = 0; k < row.length; k++) {
+                if (row[k].port() == port) {
+                    return fleetPorts[k];
+                }
+            }
+        }
+        return port;
+    }
+
+    /** What a scheduler says of itself, {@code GET /policy}. */
+    public JsonObject policy(int i) throws IOException, InterruptedException {
+        return JsonParser.parseString(ask(i, "/policy", null).body()).getAsJsonObject();
+    }
+
+    /** True if it decides, by this policy. */
+    public boolean decides(int i, long number) throws IOException, InterruptedException {
+        JsonObject all = policy(i);
+        return all.get("state").getAsString().equals("deciding") && all.get("policy").getAsLong() == number;
+    }
+
+    /** The voter that leads, as it says itself, among those that are up; -1: none. */
+    public int leader() throws InterruptedException {
+        for (int i = 0; i < voters; i++) {
+            try {
+                if (isUp(i) && policy(i).has("leads")) {
+                    return i;
+                }
+            } catch (IOException e) {
+                // Stopped, or not listening yet.
+                continue;
+            }
+        }
+        return -1;
+    }
+
+    /** Proposes a change at this scheduler; null where it is not known to be taken. */
+    public JsonObject propose(int i, String name, String types) throws IOException, InterruptedException {
+        HttpResponse<String> answer = ask(i, "/policy/changes", "{\"name\":\"" + name
+                + "\",\"types\":" + types
+                + "}");
+        if (answer.statusCode() >= 500) {
+            return null;
+        }
+        if (answer.statusCode() != 200) {
+            throw new IOException(name + ": " + answer.statusCode() + " " + answer.body().strip());
+        }
+        return JsonParser.parseString(answer.body()).getAsJsonObject();
+    }
+
+    /** What a majority holds of a change, as this scheduler or whom it points to says; null: not known. */
+    public JsonObject change(int i, String name) throws IOException, InterruptedException {
+        HttpResponse<String> answer = ask(i, "/policy/changes/" + name, null);
+        return answer.statusCode() == 200 ? JsonParser.parseString(answer.body()).getAsJsonObject() : null;
+    }
+
+    /** Waits until it holds; fails with what the processes have said. */
+    public void await(String what, Condition condition) throws IOException, InterruptedException {
+        long end = System.nanoTime() + PATIENCE_NS;
+        while (true) {
+            try {
+                if (condition.holds()) {
+                    return;
+                }
+            } catch (IOException e) {
+                // Not listening yet, or stopped.
+                Thread.onSpinWait();
+            }
+            if (System.nanoTime() > end) {
+                StringBuilder said = new StringBuilder("waited in vain until " + what + "\n" + history());
+                for (int i = 0; i < processes.length; i++) {
+                    said.append("--- ").append(name(i)).append('\n').append(log(i));
+                }
+                throw new IOException(said.toString());
+            }
+            Thread.sleep(PAUSE_MS);
+        }
+    }
+
+    /** Waits until all of these decide by that policy. */
+    public void awaitDeciding(long number, int... these) throws IOException, InterruptedException {
+        for (int i : these) {
+            await(name(i) + " decides by " + number, () -> decides(i, number));
+        }
+    }
+
+    /** The numbers of all schedulers. */
+    public int[] all() {
+        int[] all = new int[processes.length];
+        Arrays.setAll(all, i -> i);
+        return all;
+    }
+
+    // ---- history ----
+
+    public void note(String event) throws IOException {
+        Files.writeString(folder.resolve("history"), System.nanoTime() + " " + event + "\n",
+                StandardOpenOption.CREATE, StandardOpenOption.APPEND);
+    }
+
+    public String history() throws IOException {
+        Path file = folder.resolve("history");
+        return Files.exists(file) ? Files.readString(file) : "";
+    }
+
+    /** All that this one has logged, in all its lives. */
+    public String log(int i) throws IOException {
+        Path file = folder.resolve(name(i) + ".log");
+        return Files.exists(file) ? Files.readString(file) : "";
+    }
+
+    @Override
+    public void close() throws IOException, InterruptedException {
+        crew.close();
+        for (Relay[] row : relays) {
+            for (Relay relay : row) {
+                relay.close();
+            }
+        }
+    }
+}
--- a/src/main/java/laneflow/net/Loop.java
+++ b/src/main/java/laneflow/net/Loop.java
@@ -78,6 +78,14 @@
         return now;
     }
 
+    /**
+     * The same clock, read now: for what must hold at this very instant, however long the turn has lasted, as
+     * one does amid which the process was stopped.
+     */
+    public long fresh() {
+        return origin + System.nanoTime() / 1000;
+    }
+
     public Deadlines deadlines() {
         return deadlines;
     }
--- /dev/null
+++ b/src/main/java/laneflow/policy/BansType.java
@@ -0,0 +1,62 @@
+package laneflow.policy;
+
+import com.google.gson.JsonArray;
+import com.google.gson.JsonObject;
+import java.util.List;
+import java.util.Set;
+import java.util.TreeSet;
+import java.util.function.Consumer;
+import laneflow.config.Findings;
+import laneflow.config.Table;
+import laneflow.control.ResourceType;
+
+/** Endpoints that get nothing at any scheduler, a resource each: {@code {"name": "till-3"}}. */
+final class BansType implements ResourceType {
+    private final Consumer<Set<String>> bar;
+
+    /** @param bar bans exactly these, on the loop's thread */
+    BansType(Consumer<Set<String>> bar) {
+        this.bar = bar;
+    }
+
+    @Override
+    public String name() {
+        return "bans";
+    }
+
+    private Reading reading(List<String> findings, Set<String> names) {
+        return new Reading(findings, names.size()) {
+            @Override
+            public List<String> adopt() {
+                bar.accept(names);
+                return List.of();
+            }
+        };
+    }
+
+    @Override
+    public Reading base() {
+        return reading(List.of(), Set.of());
+    }
+
+    @Override
+    public Reading read(JsonArray resources) {
+        Findings findings = Findings.paths();
+        Set<String> names = new TreeSet<>();
+        for (int i = 0; i < resources.size(); i++) {
+            String path = "resources[" + i + "]";
+            if (!resources.get(i).isJsonObject()) {
+                findings.add(path, "", "is no object with a name");
+                continue;
+            }
+            JsonObject one = resources.get(i).getAsJsonObject();
+            Table table = Table.of(one, path, findings);
+            String name = table.text("name");
+            if (!name.isEmpty() && !names.add(name)) {
+                findings.add(path, "name", "'" + name + "' is there twice");
+            }
+            table.close();
+        }
+        return reading(findings.all(), names);
+    }
+}
--- /dev/null
+++ b/src/main/java/laneflow/policy/Leadership.java
@@ -0,0 +1,381 @@
+package laneflow.policy;
+
+import com.google.gson.JsonArray;
+import com.google.gson.JsonObject;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.function.Consumer;
+import laneflow.core.Counters;
+import laneflow.core.Deadlines.Deadline;
+import laneflow.fleet.Fleet;
+import laneflow.fleet.Peer;
+import laneflow.net.Loop;
+import laneflow.policy.decision.Grant;
+import laneflow.policy.decision.Lead;
+import laneflow.policy.decision.Lead.Step;
+import laneflow.policy.decision.Ledger;
+import laneflow.policy.decision.Ledger.View;
+import laneflow.policy.decision.Renewal;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * A voter's part besides voting: while it leads it has a majority confirm that, hears the schedulers'
+ * renewals, grants leases, and carries changes through; while it does not lead it passes renewals on to the
+ * voter that does. On the loop's thread.
+ */
+final class Leadership {
+    private static final Logger LOG = LoggerFactory.getLogger(Leadership.class);
+    private static final int ROUNDS_A_LEASE = 8;
+    private static final int QUIET_PARTS = 2;
+
+    private final Loop loop;
+    private final Fleet fleet;
+    private final PolicyConfig config;
+    private final Counters counters;
+    private final Voting voting;
+    private final VoterGroup group;
+    private final Policy policy;
+    private final FleetTrial trial;
+    private final Deadline round;
+    private final Deadline look;
+    /** How each scheduler is reached: by the link of its last renewal. */
+    private final Map<String, Route> routes = new HashMap<>();
+    private final Map<Long, String> contents = new LinkedHashMap<>();
+    private Lead lead;
+    private View view;
+    private int term;
+    private String leader = "";
+    private Set<String> voters = Set.of();
+    private boolean looking;
+    private boolean lookAgain;
+    private boolean stopped;
+
+    /**
+     * A link, and the name for which the voter at its end passes on; null: the link is the scheduler's own.
+     */
+    private record Route(Peer peer, boolean passed) {
+    }
+
+    Leadership(Loop loop, Fleet fleet, PolicyConfig config, Counters counters, Voting voting,
+            VoterGroup group,
+            Policy policy, FleetTrial trial) {
+        this.loop = loop;
+        this.fleet = fleet;
+        this.config = config;
+        this.counters = counters;
+        this.voting = voting;
+        this.group = group;
+        this.policy = policy;
+        this.trial = trial;
+        round = loop.deadlines().create(this::confirm);
+        look = loop.deadlines().create(this::step);
+    }
+
+    void begin() {
+        fleet.handle("renew", this::renewed);
+        fleet.handle("want", (from, message) -> wanted(from, message));
+        fleet.handle("left", (from, message) -> {
+            if (!passOn(message)) {
+                left(message.get("who").getAsString());
+            }
+        });
+        fleet.watch(peer -> group.linked(), peer -> {
+            group.linked();
+            routes.values().removeIf(route -> route.peer == peer);
+        });
+    }
+
+    // ---- who leads ----
+
+    void role(int now, boolean leads, String who, Set<String> members) {
+        term = now;
+        voters = members;
+        if (!who.equals(leader)) {
+            leader = who;
+            LOG.info("policy: term {}, led by {}", now, who.isEmpty() ? "nobody yet" : who);
+        }
+        if (!leads) {
+            lead = null;
+        } else if (lead == null || lead.term() != now) {
+            counters.add("policy.elected");
+            lead = new Lead(now, policy.now(), new Lead.Times(config.lease, config.lease / QUIET_PARTS,
+                    config.prepare));
+            view = null;
+            trial.begin(policy.now());
+            confirm();
+        }
+    }
+
+    void stopped(String why) {
+        stopped = true;
+        lead = null;
+        counters.set("policy.vote_lost", 1);
+        LOG.error("policy: this process votes no more: {}", why);
+    }
+
+    boolean leads() {
+        return lead != null;
+    }
+
+    /** Has a majority say that this is still the leader, and what holds. */
+    private void confirm() {
+        if (lead == null || stopped) {
+            return;
+        }
+        loop.deadlines().set(round, loop.micros() + config.lease / ROUNDS_A_LEASE);
+        if (looking) {
+            lookAgain = true;
+            return;
+        }
+        looking = true;
+        Lead of = lead;
+        long submitted = policy.now();
+        voting.look(of.term(), Ledger::view, found -> {
+            looking = false;
+            boolean again = lookAgain;
+            lookAgain = false;
+            if (lead == of && found != null) {
+                confirmed(submitted, (View) found);
+            }
+            if (again) {
+                confirm();
+            }
+        });
+    }
+
+    private void confirmed(long submitted, View found) {
+        View before = view;
+        view = found;
+        lead.confirmed(submitted, found);
+        if (before != null && found.inForce() > before.inForce()) {
+            trial.applied(policy.now(), before, found);
+        }
+        boolean news = before == null || found.inForce() != before.inForce()
+                || (found.open() == null ? 0 : found.open().number())
+                != (before.open() == null ? 0 : before.open().number());
+        if (news) {
+            contents.clear();
+            contents.put(found.inForce(), found.merged().toString());
+            if (found.open() != null) {
+                contents.put(found.open().number(), found.openMerged().toString());
+            }
+            step();
+            tellAll(found.open() == null ? 0 : found.open().number());
+        } else {
+            step();
+        }
+    }
+
+    // ---- schedulers ----
+
+    private void renewed(Peer from, JsonObject message) {
+        if (passOn(message)) {
+            return;
+        }
+        if (lead == null) {
+            return;
+        }
+        String who = message.get("who").getAsString();
+        routes.put(who, new Route(from, message.has("passed")));
+        trial.heard(who, message.getAsJsonArray("tallies"));
+        lead.heard(policy.now(), who, Words.renewal(message));
+        step();
+        tell(who, message.get("at").getAsLong());
+    }
+
+    /** This process's own renewal; null where there is no answer to it. */
+    Grant renewed(Renewal own, JsonArray tallies) {
+        String who = fleet.self().who();
+        trial.heard(who, tallies);
+        lead.heard(policy.now(), who, own);
+        step();
+        return lead == null ? null : lead.grant(policy.now(), who);
+    }
+
+    /** Passes a scheduler's word on to the voter that leads; true unless it is for this one. */
+    private boolean passOn(JsonObject message) {
+        if (lead != null) {
+            return false;
+        }
+        Peer to = fleet.peer(leader());
+        if (to != null && !message.has("passed")) {
+            message.addProperty("passed", fleet.self().name());
+            to.send(message);
+        }
+        return true;
+    }
+
+    /** A word of the leader's to a scheduler that came by this voter. */
+    void passBack(JsonObject message) {
+        String who = message.get("for").getAsString();
+        Peer to = fleet.accepted(who);
+        if (to != null) {
+            to.send(message);
+        }
+    }
+
+    void left(String who) {
+        if (lead != null) {
+            lead.left(who);
+            routes.remove(who);
+            step();
+        }
+    }
+
+    void wanted(Peer from, JsonObject message) {
+        if (passOn(message)) {
+            return;
+        }
+        String who = message.get("who").getAsString();
+        if (from != null) {
+            routes.put(who, new Route(from, message.has("passed")));
+        }
+        content(who, message.get("number").getAsLong());
+    }
+
+    private void content(String who, long number) {
+        String text = contents.get(number);
+        if (text == null) {
+            return;
+        }
+        JsonObject message = new JsonObject();
+        message.addProperty("t", "content");
+        message.addProperty("for", who);
+        message.addProperty("number", number);
+        message.addProperty("policy", text);
+        if (who.equals(fleet.self().who())) {
+            policy.content(message);
+        } else if (routes.containsKey(who)) {
+            counters.add("policy.contents_sent");
+            routes.get(who).peer.send(message);
+        }
+    }
+
+    private void tell(String who, long at) {
+        Grant grant = lead == null ? null : lead.grant(policy.now(), who);
+        Route route = routes.get(who);
+        if (grant != null && route != null) {
+            route.peer.send(Words.grant(grant, who, fleet.self().name(), at));
+        }
+    }
+
+    /** All schedulers hear how things stand, and the content of what is to be decided. */
+    private void tellAll(long opened) {
+        for (String who : List.copyOf(routes.keySet())) {
+            if (opened > 0) {
+                content(who, opened);
+            }
+            tell(who, -1);
+        }
+        policy.renewNow();
+    }
+
+    // ---- what follows ----
+
+    private void step() {
+        if (lead == null) {
+            return;
+        }
+        Step step = lead.step(policy.now());
+        switch (step.ask()) {
+            case APPLY -> ask(Ledger.apply(step.name(), System.currentTimeMillis()));
+            case ABANDON -> ask(Ledger.abandon(step.name(), step.reasons(), System.currentTimeMillis()));
+            default -> { }
+        }
+        if (step.tell()) {
+            tellAll(0);
+        }
+        long next = lead.nextLook(policy.now());
+        if (next == Long.MAX_VALUE) {
+            loop.deadlines().cancel(look);
+        } else {
+            loop.deadlines().set(look, loop.micros() + Math.max(1, next - policy.now()));
+        }
+        takeBack();
+    }
+
+    private void ask(JsonObject operation) {
+        Lead of = lead;
+        voting.replicate(operation, answer -> {
+            if (lead == of && answer == null) {
+                // Whether it is in the log is not known: the next look tells, and asking twice does no harm.
+                of.notTaken();
+            }
+            confirm();
+        });
+    }
+
+    private void takeBack() {
+        JsonObject worse = view == null || lead == null ? null : trial.look(policy.now());
+        if (worse != null) {
+            counters.add("policy.taken_back");
+            LOG.warn("policy: {} is taken back: {}", worse.get("of").getAsString(),
+                    worse.get("why").getAsString());
+            propose(worse.get("name").getAsString(), worse.getAsJsonObject("types"), "the trial: "
+                    + worse.get("why").getAsString(), answer -> { });
+        }
+    }
+
+    // ---- for those who ask ----
+
+    /** Proposes a change; the answer is the change as it stands, an error, or null: not known. */
+    void propose(String name, JsonObject types, String by, Consumer<JsonObject> then) {
+        voting.replicate(Ledger.propose(name, types, by, System.currentTimeMillis()), answer -> {
+            confirm();
+            then.accept(answer);
+        });
+    }
+
+    /** Reads the state as a majority holds it; null where it is not known. */
+    void read(Voting.Look what, Consumer<Object> then) {
+        if (lead == null) {
+            then.accept(null);
+        } else {
+            voting.look(lead.term(), what, then);
+        }
+    }
+
+    /** The voter that leads, or empty. */
+    String leader() {
+        return leader.isEmpty() ? policy.leader() : leader;
+    }
+
+    void report(JsonObject all) {
+        JsonObject own = new JsonObject();
+        own.addProperty("store", voting.self().text());
+        own.addProperty("votes", voting.isBegun() && !stopped);
+        own.addProperty("lost", group.isLost());
+        JsonArray names = new JsonArray();
+        voters.forEach(names::add);
+        own.add("voters", names);
+        own.addProperty("term", term);
+        all.add("voter", own);
+        if (lead == null || view == null) {
+            return;
+        }
+        JsonObject leads = new JsonObject();
+        leads.addProperty("in_force", view.inForce());
+        leads.addProperty("digest", view.digest());
+        if (view.open() != null) {
+            leads.add("open", view.open().json(false));
+            JsonArray waits = new JsonArray();
+            lead.waitsFor(policy.now()).forEach(waits::add);
+            leads.add("waits_for", waits);
+        }
+        JsonArray schedulers = new JsonArray();
+        lead.known(policy.now()).forEach(one -> {
+            JsonObject known = new JsonObject();
+            known.addProperty("who", one.who());
+            known.addProperty("policy", one.begun());
+            known.addProperty("heard_ms", one.heardMs());
+            known.addProperty("lease_ms", one.leaseMs());
+            schedulers.add(known);
+        });
+        leads.add("schedulers", schedulers);
+        all.add("leads", leads);
+    }
+}
--- /dev/null
+++ b/src/main/java/laneflow/policy/Policy.java
@@ -0,0 +1,478 @@
+package laneflow.policy;
+
+import com.google.gson.JsonArray;
+import com.google.gson.JsonElement;
+import com.google.gson.JsonObject;
+import com.google.gson.JsonParseException;
+import com.google.gson.JsonParser;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.SplittableRandom;
+import java.util.TreeMap;
+import java.util.concurrent.Executor;
+import java.util.concurrent.RejectedExecutionException;
+import laneflow.core.Counters;
+import laneflow.core.Deadlines.Deadline;
+import laneflow.core.Gate;
+import laneflow.core.Scheduler;
+import laneflow.fleet.Fleet;
+import laneflow.fleet.Peer;
+import laneflow.net.Loop;
+import laneflow.policy.decision.Grant;
+import laneflow.policy.decision.Lease;
+import laneflow.policy.decision.Renewal;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * A scheduler's part in changes of policy: it renews its lease, reads and checks what is to be decided, says
+ * whether it is ready for it, begins with what was decided at the instant that the leader named, and stops
+ * deciding where its lease has run out. On the loop's thread, but for reading.
+ *
+ * <p>Who leads is found out by asking: a voter that does not lead passes a renewal on to the one that does.
+ */
+public final class Policy implements Gate {
+    private static final Logger LOG = LoggerFactory.getLogger(Policy.class);
+    private static final int RENEWALS_A_LEASE = 4;
+    /** A voter that has not answered so many renewals is passed by for a lease. */
+    private static final int MOST_UNANSWERED = 2;
+    private static final int MOST_PREPARED = 4;
+    private static final int MOST_STAMPS = 64;
+    private static final double COME_BACK_PART = 0.1;
+
+    private final Loop loop;
+    private final Fleet fleet;
+    private final Scheduler scheduler;
+    private final Counters counters;
+    private final PolicyConfig config;
+    private final PolicyTypes types;
+    private final Executor reading;
+    private final SplittableRandom random;
+    private final double clockRate;
+    private final long clockOrigin;
+    private final Lease lease = new Lease();
+    private final Deadline renewal;
+    private final Deadline begin;
+    /** What was read, by number; the own file is ready from the start. */
+    private final TreeMap<Long, PolicyTypes.Prepared> prepared = new TreeMap<>();
+    private final Set<Long> asked = new HashSet<>();
+    private final TreeMap<Integer, Long> stamps = new TreeMap<>();
+    private final Map<String, Long> passedBy = new LinkedHashMap<>();
+    /** Null where this process does not vote. */
+    private Leadership leadership;
+    private String leader = "";
+    private String target = "";
+    private int unanswered;
+    private long open;
+    private long adopted;
+    private List<String> waitsForRestart = List.of();
+    private long lastRoundTrip;
+    private long lastDecidedNs;
+    private boolean wasDeciding;
+    private boolean everDecided;
+    private boolean left;
+
+    /**
+     * One that may not decide yet.
+     *
+     * @param reading a thread that reads policies, one after the other
+     * @param clockRate 1, but in tests of clocks that drift
+     */
+    public Policy(Loop loop, Fleet fleet, Scheduler scheduler, PolicyConfig config, PolicyTypes types,
+            Executor reading, long seed, double clockRate) {
+        this.loop = loop;
+        this.fleet = fleet;
+        this.scheduler = scheduler;
+        this.counters = scheduler.counters();
+        this.config = config;
+        this.types = types;
+        this.reading = reading;
+        this.clockRate = clockRate;
+        clockOrigin = loop.fresh();
+        random = new SplittableRandom(seed);
+        renewal = loop.deadlines().create(this::renew);
+        begin = loop.deadlines().create(this::settle);
+        prepared.put(0L, types.read(new JsonObject()));
+    }
+
+    /** Begins to ask for leave to decide. */
+    void begin(Leadership own) {
+        leadership = own;
+        fleet.handle("grant", this::granted);
+        fleet.handle("content", (from, message) -> content(message));
+        fleet.watch(peer -> {
+            if (settle() < 0) {
+                renewNow();
+            }
+        }, peer -> { });
+        config.voters.forEach(fleet::dial);
+        renew();
+    }
+
+    /** This process's clock for leases: monotonic, read now. */
+    long now() {
+        long passed = loop.fresh() - clockOrigin;
+        return clockOrigin + (clockRate == 1 ? passed : (long) (passed * clockRate));
+    }
+
+    // ---- may it decide ----
+
+    @Override
+    public boolean mayDecide() {
+        // Read anew for each request: a process that was stopped amid a turn wakes with the turn's old time.
+        boolean may = settle() >= 0;
+        if (may) {
+            lastDecidedNs = System.nanoTime();
+        } else if (config.servesCutOff) {
+            counters.add("policy.decided_without_lease");
+        }
+        return may || config.servesCutOff;
+    }
+
+    /** Whether clients may be asked for; changes nothing. */
+    public boolean isReady() {
+        return !left && (config.servesCutOff || settle() >= 0);
+    }
+
+    @Override
+    public double comeBack() {
+        return config.lease / 1e6 * COME_BACK_PART;
+    }
+
+    /** Begins with what is due; returns the policy by which it may decide now, or -1. */
+    private long settle() {
+        long now = now();
+        long number = left ? -1 : lease.deciding(now);
+        if (number >= 0 && (number != adopted || !everDecided) && !adopt(number)) {
+            number = -1;
+        }
+        if (wasDeciding != (number >= 0)) {
+            wasDeciding = number >= 0;
+            if (!wasDeciding && lease.next() < 0) {
+                counters.add("policy.lease_lost");
+                LOG.warn("policy: no leave to decide any more, {}", config.servesCutOff
+                        ? "served on by policy " + adopted + " as cut_off says" : "clients are turned away");
+            }
+        }
+        return number;
+    }
+
+    /** All of it in this turn: requests that come see the new one, those that are open keep theirs. */
+    private boolean adopt(long number) {
+        PolicyTypes.Prepared next = prepared.get(number);
+        if (next == null || !next.findings.isEmpty()) {
+            // No leader grants what was not said to be ready; deciding by another would be worse than not.
+            counters.add("policy.granted_unready");
+            return false;
+        }
+        long from = System.nanoTime();
+        long before = adopted;
+        waitsForRestart = next.adopt();
+        adopted = number;
+        stamps.put(scheduler.retuned(), number);
+        if (stamps.size() > MOST_STAMPS) {
+            stamps.pollFirstEntry();
+        }
+        counters.add("policy.begun");
+        long fence = everDecided ? lease.fence() : 0;
+        counters.set("policy.fence_most_us", Math.max(fence, counters.get("policy.fence_most_us")));
+        LOG.info("policy begins number={} before={} last_decided_ns={} began_ns={} fence_us={} took_us={}",
+                number,
+                before, lastDecidedNs, from, fence, (System.nanoTime() - from) / 1000);
+        everDecided = true;
+        prepared.headMap(number).clear();
+        return true;
+    }
+
+    /** The policy that requests of that epoch came under, for answers; empty where none has begun. */
+    public String stamp(int epoch) {
+        Map.Entry<Integer, Long> at = stamps.floorEntry(epoch);
+        return at == null ? "" : "policy=" + at.getValue();
+    }
+
+    // ---- renewing ----
+
+    private void renew() {
+        if (left) {
+            return;
+        }
+        long every = config.lease / RENEWALS_A_LEASE;
+        loop.deadlines().set(renewal, loop.micros() + every * 9 / 10 + random.nextLong(1 + every / 10));
+        settle();
+        if (leadership != null && leadership.leads()) {
+            leader = fleet.self().name();
+            unanswered = 0;
+            granted(leadership.renewed(renewalOf(), tallies()), now());
+            return;
+        }
+        Peer to = whom();
+        if (to != null) {
+            unanswered++;
+            JsonObject message = Words.renewal(renewalOf());
+            message.addProperty("who", fleet.self().who());
+            message.addProperty("at", now());
+            message.add("tallies", tallies());
+            to.send(message);
+        }
+    }
+
+    /** In this turn or the next, and not again until the next is due: something has changed. */
+    void renewNow() {
+        if (!left) {
+            loop.deadlines().set(renewal, loop.micros());
+        }
+    }
+
+    /** The voter that leads, as far as is known and it answers; else the next one that a link is up to. */
+    private Peer whom() {
+        if (unanswered >= MOST_UNANSWERED && !target.isEmpty()) {
+            passedBy.put(target, loop.micros() + config.lease);
+            target = "";
+            unanswered = 0;
+        }
+        passedBy.values().removeIf(until -> until <= loop.micros());
+        Peer lead = fleet.peer(leader);
+        if (lead != null && !passedBy.containsKey(leader)) {
+            target = leader;
+            return lead;
+        }
+        Peer now = fleet.peer(target);
+        if (now != null && !passedBy.containsKey(target)) {
+            return now;
+        }
+        List<String> all = new ArrayList<>(config.voters);
+        all.removeIf(name -> fleet.peer(name) == null || passedBy.containsKey(name));
+        if (all.isEmpty()) {
+            passedBy.clear();
+            return null;
+        }
+        target = all.get(random.nextInt(all.size()));
+        return fleet.peer(target);
+    }
+
+    private Renewal renewalOf() {
+        Set<Long> ready = new HashSet<>();
+        long refused = 0;
+        List<String> reasons = List.of();
+        for (Map.Entry<Long, PolicyTypes.Prepared> one : prepared.entrySet()) {
+            if (one.getValue().findings.isEmpty()) {
+                ready.add(one.getKey());
+            } else if (one.getKey() == open) {
+                refused = open;
+                reasons = one.getValue().findings;
+            }
+        }
+        return new Renewal(lease.term(), lease.seq(), lease.begun(), ready, refused, reasons, lastRoundTrip);
+    }
+
+    private JsonArray tallies() {
+        JsonArray all = new JsonArray();
+        for (long[] row : scheduler.tallies()) {
+            JsonArray counts = new JsonArray();
+            for (long one : row) {
+                counts.add(one);
+            }
+            all.add(counts);
+        }
+        return all;
+    }
+
+    /** A leader's word that came over a link. */
+    private void granted(Peer from, JsonObject message) {
+        if (!message.get("for").getAsString().equals(fleet.self().who())) {
+            if (leadership != null) {
+                leadership.passBack(message);
+            }
+            return;
+        }
+        long at = message.get("at").getAsLong();
+        long now = now();
+        if (at >= 0) {
+            unanswered = 0;
+            lastRoundTrip = now - at;
+        }
+        Grant grant = Words.grant(message);
+        if (grant.term() >= lease.term()) {
+            leader = message.get("leader").getAsString();
+        }
+        take(grant, at, now);
+        if (at < 0) {
+            // It waits to hear that this is obeyed.
+            renewNow();
+        }
+    }
+
+    private void granted(Grant grant, long at) {
+        if (grant != null) {
+            take(grant, at, at);
+        }
+    }
+
+    private void take(Grant grant, long sentAt, long heardAt) {
+        if (!lease.take(grant, sentAt, heardAt)) {
+            counters.add("policy.old_grants");
+            return;
+        }
+        open = grant.open();
+        want(grant.number());
+        want(open);
+        settle();
+        if (lease.next() >= 0) {
+            loop.deadlines().set(begin, loop.micros() + Math.max(0, lease.nextStart() - now()));
+        }
+    }
+
+    // ---- making ready ----
+
+    private void want(long number) {
+        if (number <= 0 || prepared.containsKey(number) || asked.contains(number)) {
+            return;
+        }
+        asked.add(number);
+        JsonObject message = new JsonObject();
+        message.addProperty("t", "want");
+        message.addProperty("who", fleet.self().who());
+        message.addProperty("number", number);
+        Peer to = whom();
+        if (leadership != null && leadership.leads()) {
+            leadership.wanted(null, message);
+        } else if (to != null) {
+            to.send(message);
+        }
+        // Lost, it is asked for again.
+        loop.deadlines().at(loop.micros() + config.lease / RENEWALS_A_LEASE, () -> {
+            if (asked.remove(number) && !prepared.containsKey(number)) {
+                renewNow();
+            }
+        });
+    }
+
+    /** A policy's content: it is read off the loop, and whether it is fit goes with the next renewal. */
+    void content(JsonObject message) {
+        if (message.has("for") && !message.get("for").getAsString().equals(fleet.self().who())) {
+            if (leadership != null) {
+                leadership.passBack(message);
+            }
+            return;
+        }
+        long number = message.get("number").getAsLong();
+        String text = message.get("policy").getAsString();
+        if (prepared.containsKey(number) || number < adopted) {
+            return;
+        }
+        try {
+            reading.execute(() -> {
+                PolicyTypes.Prepared read = types.read(JsonParser.parseString(text).getAsJsonObject());
+                back(() -> made(number, read));
+            });
+        } catch (RejectedExecutionException e) {
+            LOG.warn("policy: too much waits to be read");
+        }
+    }
+
+    private void back(Runnable call) {
+        try {
+            loop.later(call);
+        } catch (RejectedExecutionException e) {
+            LOG.debug("the loop has ended");
+        }
+    }
+
+    private void made(long number, PolicyTypes.Prepared read) {
+        asked.remove(number);
+        prepared.put(number, read);
+        while (prepared.size() > MOST_PREPARED && prepared.firstKey() < adopted) {
+            prepared.pollFirstEntry();
+        }
+        if (!read.findings.isEmpty()) {
+            counters.add("policy.refused");
+            LOG.warn("policy {} is turned down here: {}", number, String.join("; ", read.findings));
+        }
+        renewNow();
+    }
+
+    // ---- the end ----
+
+    /** This process decides no more, and says so: the others need not wait for its lease. */
+    public void leave() {
+        if (left) {
+            return;
+        }
+        left = true;
+        loop.deadlines().cancel(renewal);
+        loop.deadlines().cancel(begin);
+        if (leadership != null && leadership.leads()) {
+            leadership.left(fleet.self().who());
+            return;
+        }
+        JsonObject message = new JsonObject();
+        message.addProperty("t", "left");
+        message.addProperty("who", fleet.self().who());
+        Peer to = fleet.peer(leader);
+        if (to != null) {
+            to.send(message);
+        }
+    }
+
+    // ---- reports ----
+
+    /** The leader as far as is known, or empty. */
+    String leader() {
+        return leader;
+    }
+
+    /** How things stand here, for whoever asks. */
+    public JsonObject report() {
+        long deciding = settle();
+        JsonObject all = new JsonObject();
+        all.addProperty("scheduler", fleet.self().name());
+        all.addProperty("life", fleet.self().life());
+        all.addProperty("state", deciding >= 0 ? "deciding" : config.servesCutOff && everDecided
+                ? "cut off, serving" : config.servesCutOff ? "not decided yet, serving" : "not deciding");
+        all.addProperty("policy", adopted);
+        all.addProperty("lease_ms", deciding >= 0 ? (lease.stop() - now()) / 1000 : 0);
+        all.addProperty("leader", leader);
+        all.addProperty("term", lease.term());
+        all.addProperty("open", open);
+        if (!waitsForRestart.isEmpty()) {
+            JsonArray waits = new JsonArray();
+            waitsForRestart.forEach(waits::add);
+            all.add("restart_needed", waits);
+        }
+        JsonElement refused = refused();
+        if (refused != null) {
+            all.add("turned_down", refused);
+        }
+        if (leadership != null) {
+            leadership.report(all);
+        }
+        return all;
+    }
+
+    private JsonElement refused() {
+        JsonObject all = new JsonObject();
+        prepared.forEach((number, read) -> {
+            if (!read.findings.isEmpty()) {
+                JsonArray reasons = new JsonArray();
+                read.findings.forEach(reasons::add);
+                all.add(String.valueOf(number), reasons);
+            }
+        });
+        return all.size() == 0 ? null : all;
+    }
+
+    /** Reads a body; null if it is no JSON object. */
+    static JsonObject object(byte[] body) {
+        try {
+            return JsonParser.parseString(new String(body, StandardCharsets.UTF_8))
+                    .getAsJsonObject();
+        } catch (JsonParseException | IllegalStateException e) {
+            return null;
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/laneflow/policy/PolicyConfig.java
@@ -0,0 +1,71 @@
+package laneflow.policy;
+
+import java.nio.file.Path;
+import java.util.HashSet;
+import java.util.List;
+import laneflow.config.Table;
+import laneflow.fleet.FleetConfig;
+
+/** What the operators set for changes of policy over the whole fleet: the table {@code [policy]}. */
+public final class PolicyConfig {
+    private static final int MOST_VOTERS = 7;
+
+    /** The names of the schedulers that decide on changes, the same at all schedulers. */
+    public final List<String> voters;
+    /** The folder of this voter's log; null where it does not vote. */
+    public final Path dir;
+    /** Microseconds for which a scheduler may decide behind a majority's word. */
+    public final long lease;
+    /** Microseconds that a scheduler which is heard may take to make a change ready. */
+    public final long prepare;
+    /** True where one that is cut off serves on, by what it decided by last. */
+    public final boolean servesCutOff;
+    /** Answers to clients name the policy that their requests came under. */
+    public final boolean tellPolicy;
+    /** Microseconds that service is watched behind a change; 0: it is not taken back. */
+    public final long probation;
+    /** The growth of a share of requests that ends badly which takes a change back. */
+    public final double bound;
+
+    private PolicyConfig(Table from, FleetConfig fleet) {
+        voters = from.texts("voters");
+        if (voters.isEmpty() || voters.size() > MOST_VOTERS || voters.size() % 2 == 0) {
+            from.wrong("voters", "names " + voters.size() + " schedulers: 1, 3, 5 or 7 decide together");
+        }
+        if (new HashSet<>(voters).size() < voters.size()) {
+            from.wrong("voters", "names a scheduler twice");
+        }
+        if (fleet == null) {
+            from.wrong("", "needs the table [fleet], which says how schedulers reach each other");
+        } else {
+            for (String voter : voters) {
+                if (!voter.equals(fleet.name) && !fleet.peers.containsKey(voter)) {
+                    from.wrong("voters", "'" + voter
+                            + "' is neither this scheduler nor one of [fleet.peers]");
+                }
+            }
+        }
+        String folder = from.text("dir", null);
+        boolean votes = fleet != null && voters.contains(fleet.name);
+        if (votes && folder == null) {
+            from.wrong("dir", "is missing: this scheduler votes, and must remember how");
+        }
+        dir = votes && folder != null ? Path.of(folder) : null;
+        lease = from.whole("lease_ms", 1000, 100, 600_000) * 1000;
+        prepare = from.whole("prepare_ms", 2000, 10, 600_000) * 1000;
+        servesCutOff = from.word("cut_off", "stop", "stop", "serve").equals("serve");
+        tellPolicy = from.flag("tell_policy", false);
+        probation = from.whole("probation_ms", 0, 0, 3_600_000) * 1000;
+        bound = from.number("worse_by", 0.02, 0.001, 1);
+        from.close();
+    }
+
+    /**
+     * Reads the table; what is wrong becomes findings of the table's.
+     *
+     * @param fleet the link between schedulers, or null where there is none
+     */
+    public static PolicyConfig read(Table from, FleetConfig fleet) {
+        return new PolicyConfig(from, fleet);
+    }
+}
--- /dev/null
+++ b/src/main/java/laneflow/policy/PolicyPart.java
@@ -0,0 +1,133 @@
+package laneflow.policy;
+
+import io.microraft.persistence.RestoredRaftState;
+import java.io.IOException;
+import java.util.List;
+import java.util.Set;
+import java.util.concurrent.Executor;
+import java.util.function.Function;
+import laneflow.core.Scheduler;
+import laneflow.fleet.Fleet;
+import laneflow.net.Loop;
+import laneflow.control.ResourceType;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** Changes of policy put together at one scheduler: its own part, its vote where it has one, and its port. */
+public final class PolicyPart {
+    private static final Logger LOG = LoggerFactory.getLogger(PolicyPart.class);
+
+    private final Loop loop;
+    private final Policy policy;
+    /** Null where this process does not vote. */
+    private Voting voting;
+
+    /**
+     * What the assembly gives it.
+     *
+     * @param types makes the types that a policy may hold here, given the one of bans
+     * @param reading a thread that reads policies, one after the other
+     * @param clockRate 1, but in tests of clocks that drift
+     */
+    public record Given(Loop loop, Fleet fleet, Scheduler scheduler, PolicyConfig config,
+            Function<ResourceType, PolicyTypes> types, List<String> classes, Executor reading, long seed,
+            double clockRate) {
+    }
+
+    /**
+     * Opens the store of votes where this process has one, and begins. From here on the scheduler decides
+     * only under a lease. A store that can't be used costs the vote, not the service.
+     */
+    public PolicyPart(Given given) throws InterruptedException {
+        loop = given.loop();
+        PolicyConfig config = given.config();
+        Fleet fleet = given.fleet();
+        Scheduler scheduler = given.scheduler();
+        policy = new Policy(loop, fleet, scheduler, config,
+                given.types().apply(new BansType(scheduler::bar)), given.reading(), given.seed(),
+                given.clockRate());
+        VoteStore store = null;
+        RestoredRaftState restored = null;
+        if (config.dir != null) {
+            try {
+                store = VoteStore.open(config.dir, fleet.self().name());
+                restored = store.restored();
+            } catch (IOException e) {
+                LOG.error("policy: this process does not vote: {}", e.getMessage());
+                scheduler.counters().set("policy.vote_lost", 1);
+                close(store);
+                store = null;
+            }
+        }
+        VoteStore votes = store;
+        RestoredRaftState state = restored;
+        loop.call(() -> {
+            scheduler.decideWhile(policy);
+            Leadership leadership = votes == null ? null : vote(given, votes, state);
+            new PolicyPort(fleet, policy, scheduler.counters(), leadership);
+            policy.begin(leadership);
+        });
+    }
+
+    private Leadership vote(Given given, VoteStore store, RestoredRaftState state) {
+        VoterGroup[] group = new VoterGroup[1];
+        Leadership[] leadership = new Leadership[1];
+        voting = new Voting(store, given.config().lease, loop::later,
+                (to, message) -> group[0].send(to, message), new Voting.News() {
+                    @Override
+                    public void role(int term, boolean leads, String leader, Set<String> voters) {
+                        leadership[0].role(term, leads, leader, voters);
+                    }
+
+                    @Override
+                    public void stopped(String why) {
+                        leadership[0].stopped(why);
+                    }
+                });
+        group[0] = new VoterGroup(loop, given.fleet(), given.config(), given.scheduler().counters(), voting);
+        leadership[0] = new Leadership(loop, given.fleet(), given.config(), given.scheduler().counters(),
+                voting,
+                group[0], policy, new FleetTrial(given.classes(), given.config().probation,
+                given.config().bound));
+        leadership[0].begin();
+        group[0].begin(state);
+        return leadership[0];
+    }
+
+    private static void close(VoteStore store) {
+        try {
+            if (store != null) {
+                store.close();
+            }
+        } catch (IOException e) {
+            LOG.debug("close", e);
+        }
+    }
+
+    /** Whether clients may be asked for; on the loop. */
+    public boolean isReady() {
+        return policy.isReady();
+    }
+
+    /** The policy that requests of that epoch came under, for answers; on the loop. */
+    public String stamp(int epoch) {
+        return policy.stamp(epoch);
+    }
+
+    /** All is answered: this process decides no more, and the others need not wait for its lease. */
+    public void leave() {
+        policy.leave();
+    }
+
+    /** Ends the vote, which its store keeps; on any thread but the loop's. */
+    public void close() throws InterruptedException {
+        if (voting == null) {
+            return;
+        }
+        try {
+            voting.close();
+        } catch (IOException e) {
+            LOG.warn("policy: the store of votes did not close: {}", e.getMessage());
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/laneflow/policy/PolicyPort.java
@@ -0,0 +1,130 @@
+package laneflow.policy;
+
+import com.google.gson.JsonArray;
+import com.google.gson.JsonElement;
+import com.google.gson.JsonObject;
+import java.util.function.Consumer;
+import laneflow.core.Counters;
+import laneflow.fleet.Fleet;
+import laneflow.http.StreamPort.Answer;
+import laneflow.policy.decision.Change;
+import laneflow.policy.decision.Ledger;
+
+/**
+ * What operators ask and order, at the address where schedulers reach each other. Any scheduler says how
+ * things stand with itself; what is decided is told by the leader, to whom others point
+ * ({@code 307}, {@code Location}).
+ */
+final class PolicyPort {
+    private static final String JSON = "application/json";
+    private static final String TEXT = "text/plain";
+    private static final int MOST_HISTORY = 200;
+    private static final String CHANGES = "/policy/changes";
+
+    private final Fleet fleet;
+    private final Policy policy;
+    private final Counters counters;
+    /** Null where this process does not vote. */
+    private final Leadership leadership;
+
+    PolicyPort(Fleet fleet, Policy policy, Counters counters, Leadership leadership) {
+        this.fleet = fleet;
+        this.policy = policy;
+        this.counters = counters;
+        this.leadership = leadership;
+        fleet.serve("/policy", this::asked);
+        fleet.serve("/counters", (verb, path, body, answer) -> answer.say(200, TEXT, "", counters.text()));
+    }
+
+    private void asked(String verb, String path, byte[] body, Answer answer) {
+        boolean get = verb.equals("GET");
+        if (path.equals("/policy") && get) {
+            answer.say(200, JSON, "", policy.report() + "\n");
+        } else if (path.equals("/policy/history") && get) {
+            atLeader(path, answer, () -> history(answer));
+        } else if (path.startsWith(CHANGES + "/") && get) {
+            String name = path.substring(CHANGES.length() + 1);
+            atLeader(path, answer, () -> status(name, answer));
+        } else if (path.equals(CHANGES) && verb.equals("POST")) {
+            atLeader(path, answer, () -> propose(body, answer));
+        } else {
+            answer.say(get || verb.equals("POST") ? 404 : 405, TEXT, "", "known are GET /policy,"
+                    + " /policy/history, /policy/changes/NAME and POST /policy/changes\n");
+        }
+    }
+
+    private void atLeader(String path, Answer answer, Runnable then) {
+        if (leadership != null && leadership.leads()) {
+            then.run();
+            return;
+        }
+        String leader = leadership != null ? leadership.leader() : policy.leader();
+        String at = leader.isEmpty() || leader.equals(fleet.self().name()) ? null : fleet.address(leader);
+        if (at == null) {
+            nobody(answer);
+        } else {
+            answer.say(307, TEXT, "Location: http://" + at + path + "\r\n", leader + " leads\n");
+        }
+    }
+
+    private void nobody(Answer answer) {
+        answer.say(503, TEXT, "Retry-After: 1\r\n",
+                "no voter leads now, or no majority answers it: nothing is"
+                + " known to be decided; asking again with the same name does no harm\n");
+    }
+
+    private void history(Answer answer) {
+        leadership.read(ledger -> {
+            JsonArray all = new JsonArray();
+            ledger.last(MOST_HISTORY).forEach(change -> all.add(change.json(false)));
+            return all;
+        }, found -> say(found, answer));
+    }
+
+    private void status(String name, Answer answer) {
+        leadership.read(ledger -> {
+            Change change = ledger.change(name);
+            return change == null ? new JsonObject() : change.json(true);
+        }, found -> {
+            if (found instanceof JsonObject one && one.size() == 0) {
+                answer.say(404, TEXT, "", "no change of the name '" + name + "' is known\n");
+            } else {
+                say(found, answer);
+            }
+        });
+    }
+
+    private void say(Object found, Answer answer) {
+        if (found == null) {
+            nobody(answer);
+        } else {
+            answer.say(200, JSON, "", found + "\n");
+        }
+    }
+
+    private void propose(byte[] body, Answer answer) {
+        JsonObject asked = Policy.object(body);
+        JsonElement name = asked == null ? null : asked.get("name");
+        JsonElement types = asked == null ? null : asked.get("types");
+        JsonElement by = asked == null ? null : asked.get("by");
+        if (name == null || !name.isJsonPrimitive() || types == null || !types.isJsonObject()) {
+            answer.say(400, TEXT, "", "a change is an object with 'name', a text, and 'types', an object\n");
+            return;
+        }
+        String unfit = Ledger.unfit(name.getAsString(), types.getAsJsonObject());
+        if (unfit != null) {
+            answer.say(400, TEXT, "", unfit + "\n");
+            return;
+        }
+        counters.add("policy.proposed");
+        Consumer<JsonObject> then = found -> {
+            if (found != null && found.has("error")) {
+                answer.say(409, TEXT, "", found.get("error").getAsString() + "\n");
+            } else {
+                say(found, answer);
+            }
+        };
+        leadership.propose(name.getAsString(), types.getAsJsonObject(), by != null && by.isJsonPrimitive()
+                ? by.getAsString() : "an operator", then);
+    }
+}
--- /dev/null
+++ b/src/main/java/laneflow/policy/VoteStore.java
@@ -0,0 +1,378 @@
+package laneflow.policy;
+
+import com.google.gson.JsonObject;
+import com.google.gson.JsonParser;
+import io.microraft.RaftEndpoint;
+import io.microraft.model.log.LogEntry;
+import io.microraft.model.log.RaftGroupMembersView;
+import io.microraft.model.log.SnapshotChunk;
+import io.microraft.model.log.SnapshotEntry;
+import io.microraft.model.persistence.RaftEndpointPersistentState;
+import io.microraft.model.persistence.RaftTermPersistentState;
+import io.microraft.persistence.RaftStore;
+import io.microraft.persistence.RestoredRaftState;
+import java.io.IOException;
+import java.nio.channels.FileChannel;
+import java.nio.channels.FileLock;
+import java.nio.channels.OverlappingFileLockException;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.nio.file.StandardOpenOption;
+import java.security.SecureRandom;
+import java.sql.Connection;
+import java.sql.DriverManager;
+import java.sql.PreparedStatement;
+import java.sql.ResultSet;
+import java.sql.SQLException;
+import java.sql.Statement;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HexFormat;
+import java.util.List;
+import java.util.zip.CRC32C;
+
+/**
+ * A voter's memory: its term and vote, the log, the newest snapshot, in an SQLite database of its own. What
+ * the library asks to be flushed is synced before the call returns, since a vote or an entry that is told and
+ * then forgotten breaks the agreement. Every row carries a checksum; a store that does not hold together is
+ * refused, and its process does not vote. The store's mark is drawn when it is made: a voter that comes back
+ * with another one is another voter. Blocks on the disk: on the voter's thread only.
+ */
+final class VoteStore implements RaftStore, AutoCloseable {
+    private static final int FORMAT = 1;
+    private static final String FILE = "votes.db";
+
+    private final Path dir;
+    private final FileChannel lock;
+    private Connection db;
+    private VoterId self;
+    private boolean begun;
+
+    private VoteStore(Path dir) throws IOException {
+        this.dir = dir;
+        lock = FileChannel.open(dir.resolve("votes.lock"), StandardOpenOption.CREATE,
+                StandardOpenOption.WRITE);
+        FileLock held = null;
+        try {
+            held = lock.tryLock();
+        } catch (OverlappingFileLockException e) {
+            // This very process has it open already: refused below, like another's.
+        }
+        if (held == null) {
+            lock.close();
+            throw new IOException(dir + ": another process votes with this store");
+        }
+    }
+
+    /** Opens the store of a voter of that name, or makes one. */
+    static VoteStore open(Path dir, String name) throws IOException {
+        Files.createDirectories(dir);
+        VoteStore store = new VoteStore(dir);
+        try {
+            store.open(name);
+            return store;
+        } catch (SQLException e) {
+            store.close();
+            throw new IOException(dir.resolve(FILE) + ": " + e.getMessage(), e);
+        } catch (IOException | RuntimeException e) {
+            store.close();
+            throw e instanceof IOException io ? io : new IOException(dir.resolve(FILE) + ": " + e, e);
+        }
+    }
+
+    private void open(String name) throws SQLException, IOException {
+        db = DriverManager.getConnection("jdbc:sqlite:" + dir.resolve(FILE).toAbsolutePath());
+        run("PRAGMA locking_mode=EXCLUSIVE");
+        // Not its write-ahead log: where that is damaged SQLite goes on without what it held, unheard.
+        run("PRAGMA journal_mode=PERSIST");
+        run("PRAGMA synchronous=FULL");
+        int format = Integer.parseInt(text("PRAGMA user_version"));
+        if (format > FORMAT) {
+            throw new IOException(dir + ": the store of votes has format " + format
+                    + ", this build reads up to " + FORMAT);
+        }
+        if (format == 0) {
+            byte[] mark = new byte[8];
+            new SecureRandom().nextBytes(mark);
+            run("BEGIN IMMEDIATE");
+            run("CREATE TABLE meta(key TEXT PRIMARY KEY, value TEXT NOT NULL, crc INTEGER NOT NULL)");
+            run("CREATE TABLE entry(idx INTEGER PRIMARY KEY, term INTEGER NOT NULL, op TEXT NOT NULL,"
+                    + " crc INTEGER NOT NULL)");
+            run("CREATE TABLE chunk(idx INTEGER NOT NULL, part INTEGER NOT NULL, parts INTEGER NOT NULL,"
+                    + " term INTEGER NOT NULL, op TEXT NOT NULL, members TEXT NOT NULL, crc INTEGER NOT NULL,"
+                    + " PRIMARY KEY(idx, part))");
+            put("mark", HexFormat.of().formatHex(mark));
+            run("PRAGMA user_version=" + FORMAT);
+            run("COMMIT");
+        } else if (!"ok".equals(text("PRAGMA quick_check(1)"))) {
+            throw new IOException(dir + ": the store of votes is damaged");
+        }
+        self = new VoterId(name, meta("mark"));
+    }
+
+    /** This voter: its name and its store's mark. */
+    VoterId self() {
+        return self;
+    }
+
+    /** What an earlier life left, or null: this store has never voted. */
+    RestoredRaftState restored() throws IOException {
+        try {
+            String members = meta("members");
+            String endpoint = meta("endpoint");
+            if (members == null || endpoint == null) {
+                return null;
+            }
+            String term = meta("term");
+            JsonObject said = term == null ? new JsonObject() : json(term);
+            RaftTermPersistentState termState = term == null ? null : RaftCodec.models()
+                    .createRaftTermPersistentStateBuilder().setTerm(said.get("term").getAsInt())
+                    .setVotedFor(said.has("voted") ? VoterId.parse(said.get("voted").getAsString()) : null)
+                    .build();
+            RaftEndpointPersistentState own = RaftCodec.models().createRaftEndpointPersistentStateBuilder()
+                    .setLocalEndpoint(self).setVoting(endpoint.equals("voting")).build();
+            SnapshotEntry snapshot = snapshot();
+            long from = snapshot == null ? 0 : snapshot.getIndex();
+            return new RestoredRaftState(own, RaftCodec.readMembers(json(members)), termState, snapshot,
+                    entries(from));
+        } catch (SQLException | RuntimeException e) {
+            throw new IOException(dir + ": the store of votes can't be read: " + e.getMessage(), e);
+        }
+    }
+
+    private SnapshotEntry snapshot() throws SQLException, IOException {
+        long newest = -1;
+        try (ResultSet rows = db.createStatement().executeQuery(
+                "SELECT idx FROM chunk GROUP BY idx HAVING count(*)=max(parts) ORDER BY idx DESC LIMIT 1")) {
+            newest = rows.next() ? rows.getLong(1) : -1;
+        }
+        if (newest < 0) {
+            return null;
+        }
+        List<SnapshotChunk> chunks = new ArrayList<>();
+        RaftGroupMembersView members = null;
+        try (PreparedStatement query = db.prepareStatement(
+                "SELECT part, parts, term, op, members, crc FROM chunk WHERE idx=? ORDER BY part")) {
+            query.setLong(1, newest);
+            ResultSet rows = query.executeQuery();
+            while (rows.next()) {
+                check(rows.getLong(6), newest + " " + rows.getInt(3) + rows.getString(4) + rows.getString(5));
+                members = RaftCodec.readMembers(json(rows.getString(5)));
+                chunks.add(RaftCodec.models().createSnapshotChunkBuilder().setIndex(newest)
+                        .setTerm(rows.getInt(3)).setOperation(operation(rows.getString(4)))
+                        .setSnapshotChunkIndex(rows.getInt(1)).setSnapshotChunkCount(rows.getInt(2))
+                        .setGroupMembersView(members).build());
+            }
+        }
+        return RaftCodec.models().createSnapshotEntryBuilder().setIndex(newest)
+                .setTerm(chunks.get(0).getTerm()).setSnapshotChunks(chunks).setGroupMembersView(
+                members).build();
+    }
+
+    private List<LogEntry> entries(long behind) throws SQLException, IOException {
+        List<LogEntry> all = new ArrayList<>();
+        long next = behind + 1;
+        try (PreparedStatement query = db.prepareStatement(
+                "SELECT idx, term, op, crc FROM entry WHERE idx>? ORDER BY idx")) {
+            query.setLong(1, behind);
+            ResultSet rows = query.executeQuery();
+            while (rows.next()) {
+                long index = rows.getLong(1);
+                check(rows.getLong(4), index + " " + rows.getInt(2) + rows.getString(3));
+                if (index != next++) {
+                    throw new IOException(dir + ": entry " + (next - 1) + " of the log of votes is missing");
+                }
+                all.add(RaftCodec.entry(index, rows.getInt(2), operation(rows.getString(3))));
+            }
+        }
+        return all;
+    }
+
+    private static Object operation(String text) {
+        return RaftCodec.readOperation(JsonParser.parseString(text));
+    }
+
+    private static JsonObject json(String text) {
+        return JsonParser.parseString(text).getAsJsonObject();
+    }
+
+    private void check(long crc, String of) throws IOException {
+        if (crc != sum(of)) {
+            throw new IOException(dir + ": a row of the store of votes is not what was written");
+        }
+    }
+
+    private static long sum(String text) {
+        CRC32C crc = new CRC32C();
+        crc.update(text.getBytes(StandardCharsets.UTF_8));
+        return crc.getValue();
+    }
+
+    // ---- what the library has written ----
+
+    private interface Work {
+        void run() throws SQLException;
+    }
+
+    private void write(boolean flush, Work work) throws IOException {
+        try {
+            if (!begun) {
+                run("BEGIN IMMEDIATE");
+                begun = true;
+            }
+            work.run();
+            if (flush) {
+                commit();
+            }
+        } catch (SQLException e) {
+            throw new IOException(dir.resolve(FILE) + ": " + e.getMessage(), e);
+        }
+    }
+
+    private void commit() throws SQLException {
+        if (begun) {
+            run("COMMIT");
+            begun = false;
+        }
+    }
+
+    @Override
+    public void persistAndFlushLocalEndpoint(RaftEndpointPersistentState state) throws IOException {
+        write(true, () -> put("endpoint", state.isVoting() ? "voting" : "learning"));
+    }
+
+    @Override
+    public void persistAndFlushInitialGroupMembers(RaftGroupMembersView members) throws IOException {
+        write(true, () -> put("members", RaftCodec.writeMembers(members).toString()));
+    }
+
+    @Override
+    public void persistAndFlushTerm(RaftTermPersistentState state) throws IOException {
+        JsonObject all = new JsonObject();
+        all.addProperty("term", state.getTerm());
+        RaftEndpoint voted = state.getVotedFor();
+        if (voted != null) {
+            all.addProperty("voted", voted.getId().toString());
+        }
+        write(true, () -> put("term", all.toString()));
+    }
+
+    @Override
+    public void persistLogEntries(List<LogEntry> entries) throws IOException {
+        write(false, () -> {
+            try (PreparedStatement insert = db.prepareStatement(
+                    "INSERT OR REPLACE INTO entry VALUES(?,?,?,?)")) {
+                for (LogEntry entry : entries) {
+                    String op = RaftCodec.writeOperation(entry.getOperation()).toString();
+                    insert.setLong(1, entry.getIndex());
+                    insert.setInt(2, entry.getTerm());
+                    insert.setString(3, op);
+                    insert.setLong(4, sum(entry.getIndex() + " " + entry.getTerm() + op));
+                    insert.executeUpdate();
+                }
+            }
+        });
+    }
+
+    @Override
+    public void persistSnapshotChunk(SnapshotChunk chunk) throws IOException {
+        write(false, () -> {
+            String op = RaftCodec.writeOperation(chunk.getOperation()).toString();
+            String members = RaftCodec.writeMembers(chunk.getGroupMembersView()).toString();
+            try (PreparedStatement insert = db.prepareStatement(
+                    "INSERT OR REPLACE INTO chunk VALUES(?,?,?,?,?,?,?)")) {
+                insert.setLong(1, chunk.getIndex());
+                insert.setInt(2, chunk.getSnapshotChunkIndex());
+                insert.setInt(3, chunk.getSnapshotChunkCount());
+                insert.setInt(4, chunk.getTerm());
+                insert.setString(5, op);
+                insert.setString(6, members);
+                insert.setLong(7, sum(chunk.getIndex() + " " + chunk.getTerm() + op + members));
+                insert.executeUpdate();
+            }
+        });
+    }
+
+    @Override
+    public void truncateLogEntriesFrom(long index) throws IOException {
+        write(false, () -> run("DELETE FROM entry WHERE idx>=" + index));
+    }
+
+    @Override
+    public void truncateLogEntriesUntil(long index) throws IOException {
+        write(false, () -> run("DELETE FROM entry WHERE idx<=" + index));
+    }
+
+    @Override
+    public void deleteSnapshotChunks(long index, int count) throws IOException {
+        write(false, () -> run("DELETE FROM chunk WHERE idx=" + index));
+    }
+
+    @Override
+    public void flush() throws IOException {
+        try {
+            commit();
+        } catch (SQLException e) {
+            throw new IOException(dir.resolve(FILE) + ": " + e.getMessage(), e);
+        }
+    }
+
+    // ---- rows ----
+
+    private void put(String key, String value) throws SQLException {
+        try (PreparedStatement insert = db.prepareStatement("INSERT OR REPLACE INTO meta VALUES(?,?,?)")) {
+            insert.setString(1, key);
+            insert.setString(2, value);
+            insert.setLong(3, sum(key + value));
+            insert.executeUpdate();
+        }
+    }
+
+    private String meta(String key) throws SQLException, IOException {
+        try (PreparedStatement query = db.prepareStatement("SELECT value, crc FROM meta WHERE key=?")) {
+            query.setString(1, key);
+            ResultSet rows = query.executeQuery();
+            if (!rows.next()) {
+                return null;
+            }
+            check(rows.getLong(2), key + rows.getString(1));
+            return rows.getString(1);
+        }
+    }
+
+    private void run(String sql) throws SQLException {
+        try (Statement statement = db.createStatement()) {
+            statement.execute(sql);
+        }
+    }
+
+    private String text(String query) throws SQLException {
+        try (Statement statement = db.createStatement(); ResultSet rows = statement.executeQuery(query)) {
+            return rows.next() ? rows.getString(1) : "0";
+        }
+    }
+
+    @Override
+    public void close() throws IOException {
+        try {
+            if (db != null) {
+                db.close();
+            }
+        } catch (SQLException e) {
+            throw new IOException(e);
+        } finally {
+            lock.close();
+        }
+    }
+
+    /** The voters that were there at the beginning, or null before it. */
+    Collection<RaftEndpoint> firstVoters() throws IOException {
+        try {
+            String members = meta("members");
+            return members == null ? null : RaftCodec.readMembers(json(members)).getVotingMembers();
+        } catch (SQLException e) {
+            throw new IOException(dir + ": " + e.getMessage(), e);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/laneflow/policy/Voting.java
@@ -0,0 +1,350 @@
+package laneflow.policy;
+
+import com.google.gson.JsonElement;
+import com.google.gson.JsonObject;
+import com.google.gson.JsonParser;
+import io.microraft.QueryPolicy;
+import io.microraft.RaftConfig;
+import io.microraft.RaftEndpoint;
+import io.microraft.RaftNode;
+import io.microraft.RaftNodeStatus;
+import io.microraft.RaftRole;
+import io.microraft.executor.RaftNodeExecutor;
+import io.microraft.model.message.RaftMessage;
+import io.microraft.persistence.RestoredRaftState;
+import io.microraft.report.RaftNodeReport;
+import io.microraft.statemachine.StateMachine;
+import io.microraft.transport.Transport;
+import java.io.IOException;
+import java.time.Clock;
+import java.time.Instant;
+import java.time.ZoneId;
+import java.time.ZoneOffset;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.List;
+import java.util.Optional;
+import java.util.Random;
+import java.util.Set;
+import java.util.TreeSet;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.RejectedExecutionException;
+import java.util.concurrent.ScheduledThreadPoolExecutor;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
+import java.util.function.BiConsumer;
+import java.util.function.Consumer;
+import java.util.function.Function;
+import laneflow.net.Threads;
+import laneflow.policy.decision.Ledger;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * A voter: one node of the consensus library (MicroRaft) with this program's store, transport and clock. The
+ * library runs on a thread of its own, since it waits for the disk; what it has to tell comes to the loop.
+ * The library counts in whole seconds, leases last about one: its time runs faster than the wall's by a
+ * factor, in its timers and its clock alike. The clock is monotonic: no jump of the wall's moves an election.
+ */
+final class Voting implements Transport, StateMachine, RaftNodeExecutor, AutoCloseable {
+    private static final Logger LOG = LoggerFactory.getLogger(Voting.class);
+    private static final String NEW_TERM = "";
+    private static final int HEARTBEAT_TIMEOUT_S = 10;
+    private static final int HEARTBEAT_PERIOD_S = 2;
+    private static final int ELECTION_TIMEOUT_MS = 2500;
+    /** A leader that is gone is missed after this share of a lease. */
+    private static final double MISSED_AFTER = 0.5;
+    private static final int COMMITS_A_SNAPSHOT = 1000;
+    private static final int MOST_PENDING = 256;
+
+    /** Reads the state, at the leader; never written to the log. */
+    interface Look extends Function<Ledger, Object> {
+    }
+
+    /** What it has to tell, on the loop's thread. */
+    interface News {
+        /** @param leader the voter that leads in that term, as far as is known, or empty */
+        void role(int term, boolean leads, String leader, Set<String> voters);
+
+        /** It votes no more. */
+        void stopped(String why);
+    }
+
+    private final Consumer<Runnable> later;
+    private final BiConsumer<String, JsonObject> sender;
+    private final News news;
+    private final VoteStore store;
+    private final VoterId self;
+    private final double speed;
+    private final long origin = System.nanoTime();
+    private final Ledger ledger = new Ledger();
+    private final ScheduledThreadPoolExecutor thread;
+    private RaftNode node;
+    private Collection<RaftEndpoint> first = List.of();
+    /** Names of voters that a link is up to; written by the loop. */
+    private volatile Set<String> reachable = Set.of();
+    private volatile boolean closed;
+    private String said = "";
+
+    /**
+     * One that does not vote yet.
+     *
+     * @param lease microseconds
+     * @param later runs a call on the loop
+     * @param sender on the loop: sends a message to the scheduler of that name
+     */
+    Voting(VoteStore store, long lease, Consumer<Runnable> later, BiConsumer<String, JsonObject> sender,
+            News news) {
+        this.store = store;
+        this.self = store.self();
+        this.later = later;
+        this.sender = sender;
+        this.news = news;
+        speed = HEARTBEAT_TIMEOUT_S * 1e6 / (MISSED_AFTER * lease);
+        thread = new ScheduledThreadPoolExecutor(1, task -> Threads.daemon(task, "voter"));
+        thread.setRemoveOnCancelPolicy(true);
+        thread.setExecuteExistingDelayedTasksAfterShutdownPolicy(false);
+    }
+
+    VoterId self() {
+        return self;
+    }
+
+    /** Votes from now on, with what its store holds, or else as one of these first voters. */
+    void begin(RestoredRaftState restored, Collection<RaftEndpoint> firstVoters) {
+        RaftNode.RaftNodeBuilder builder = RaftNode.newBuilder().setGroupId(RaftCodec.group())
+                .setConfig(RaftConfig.newBuilder().setLeaderElectionTimeoutMillis(ELECTION_TIMEOUT_MS)
+                        .setLeaderHeartbeatTimeoutSecs(HEARTBEAT_TIMEOUT_S)
+                        .setLeaderHeartbeatPeriodSecs(HEARTBEAT_PERIOD_S)
+                        .setCommitCountToTakeSnapshot(COMMITS_A_SNAPSHOT)
+                        .setMaxPendingLogEntryCount(MOST_PENDING)
+                        .setRaftNodeReportPublishPeriodSecs(HEARTBEAT_PERIOD_S).build())
+                .setExecutor(this).setTransport(this).setStateMachine(this).setStore(store)
+                .setModelFactory(RaftCodec.models()).setRaftNodeReportListener(this::report)
+                .setRandom(new Random(self.hashCode() ^ origin)).setClock(new Fast());
+        if (restored != null) {
+            builder.setRestoredState(restored);
+            first = restored.getInitialGroupMembers().getVotingMembers();
+        } else {
+            builder.setLocalEndpoint(self).setInitialGroupMembers(firstVoters);
+            first = firstVoters;
+        }
+        node = builder.build();
+        node.start().whenComplete((started, failed) -> {
+            if (failed != null) {
+                stopped("it could not begin to vote: " + failed.getMessage());
+            }
+        });
+    }
+
+    boolean isBegun() {
+        return node != null;
+    }
+
+    /** The voters that were there at the beginning; the same at all that belong together. */
+    List<String> firstVoters() {
+        List<String> names = new ArrayList<>();
+        first.forEach(one -> names.add(one.getId().toString()));
+        names.sort(null);
+        return names;
+    }
+
+    /** On the loop: the names that links are up to now. */
+    void reachable(Set<String> names) {
+        reachable = Set.copyOf(names);
+    }
+
+    /** On the loop: another voter's message. */
+    void take(JsonObject message) {
+        if (node == null || !message.get("to").getAsString().equals(self.text())) {
+            return;
+        }
+        JsonObject inner = message.getAsJsonObject("m");
+        try {
+            thread.execute(() -> {
+                RaftMessage read;
+                try {
+                    read = RaftCodec.read(inner);
+                } catch (RuntimeException e) {
+                    LOG.warn("a voter's message can't be read: {}", e.toString());
+                    return;
+                }
+                node.handle(read);
+            });
+        } catch (RejectedExecutionException e) {
+            LOG.debug("closed");
+        }
+    }
+
+    /**
+     * Reads the state as a majority holds it to be now; the answer comes on the loop, with null where this
+     * voter does not lead, or no majority answers.
+     *
+     * @param term the answer is null if it is another by then
+     */
+    void look(int term, Look what, Consumer<Object> then) {
+        onThread(() -> node.<Object>query(what, QueryPolicy.LINEARIZABLE, Optional.empty(), Optional.empty())
+                .whenComplete((done, failed) -> {
+                    boolean still = failed == null && node.getTerm().getTerm() == term;
+                    back(() -> then.accept(still ? done.getResult() : null));
+                }), () -> then.accept(null));
+    }
+
+    /** Puts an operation into the log; the answer comes on the loop, null where it is not known to be in. */
+    void replicate(JsonObject operation, Consumer<JsonObject> then) {
+        onThread(() -> node.<Object>replicate(operation.toString()).whenComplete((done, failed) -> {
+            JsonObject answer = failed == null ? JsonParser.parseString((String) done.getResult())
+                    .getAsJsonObject() : null;
+            back(() -> then.accept(answer));
+        }), () -> then.accept(null));
+    }
+
+    private void onThread(Runnable work, Runnable unless) {
+        try {
+            thread.execute(work);
+        } catch (RejectedExecutionException e) {
+            unless.run();
+        }
+    }
+
+    private void back(Runnable call) {
+        try {
+            later.accept(call);
+        } catch (RejectedExecutionException e) {
+            LOG.debug("the loop has ended");
+        }
+    }
+
+    private void stopped(String why) {
+        back(() -> news.stopped(why));
+    }
+
+    private void report(RaftNodeReport report) {
+        if (report.getStatus() == RaftNodeStatus.TERMINATED && !closed) {
+            stopped("the library ended it; a disk that is full or fails is the usual cause");
+            return;
+        }
+        int term = report.getTerm().getTerm();
+        boolean leads = report.getRole() == RaftRole.LEADER;
+        RaftEndpoint leader = report.getTerm().getLeaderEndpoint();
+        String name = leader == null ? "" : VoterId.parse(leader.getId().toString()).name();
+        Set<String> voters = new TreeSet<>();
+        report.getEffectiveMembers().getVotingMembers().forEach(one -> voters.add(one.getId().toString()));
+        String now = term + " " + leads + " " + name + " " + voters;
+        if (!now.equals(said)) {
+            said = now;
+            back(() -> news.role(term, leads, name, voters));
+        }
+    }
+
+    // ---- transport ----
+
+    @Override
+    public void send(RaftEndpoint target, RaftMessage message) {
+        VoterId to = (VoterId) target;
+        JsonObject all = new JsonObject();
+        all.addProperty("t", "raft");
+        all.addProperty("to", to.text());
+        all.add("m", RaftCodec.write(message));
+        back(() -> sender.accept(to.name(), all));
+    }
+
+    @Override
+    public boolean isReachable(RaftEndpoint endpoint) {
+        return reachable.contains(((VoterId) endpoint).name());
+    }
+
+    // ---- state machine ----
+
+    @Override
+    public Object runOperation(long commitIndex, Object operation) {
+        if (operation instanceof Look look) {
+            return look.apply(ledger);
+        }
+        if (operation == null || operation.equals(NEW_TERM)) {
+            return null;
+        }
+        JsonElement op = JsonParser.parseString((String) operation);
+        return ledger.run(op.getAsJsonObject()).toString();
+    }
+
+    @Override
+    public void takeSnapshot(long commitIndex, Consumer<Object> chunks) {
+        chunks.accept(ledger.snapshot().toString());
+    }
+
+    @Override
+    public void installSnapshot(long commitIndex, List<Object> chunks) {
+        ledger.restore(JsonParser.parseString((String) chunks.get(0)).getAsJsonObject());
+    }
+
+    @Override
+    public Object getNewTermOperation() {
+        return NEW_TERM;
+    }
+
+    // ---- its thread and its time ----
+
+    @Override
+    public void execute(Runnable task) {
+        submit(task);
+    }
+
+    @Override
+    public void submit(Runnable task) {
+        try {
+            thread.execute(task);
+        } catch (RejectedExecutionException e) {
+            LOG.debug("closed");
+        }
+    }
+
+    @Override
+    public void schedule(Runnable task, long delay, TimeUnit unit) {
+        try {
+            thread.schedule(task, (long) (unit.toNanos(delay) / speed), TimeUnit.NANOSECONDS);
+        } catch (RejectedExecutionException e) {
+            LOG.debug("closed");
+        }
+    }
+
+    /** Monotonic, and as much faster as the timers. */
+    private final class Fast extends Clock {
+        @Override
+        public ZoneId getZone() {
+            return ZoneOffset.UTC;
+        }
+
+        @Override
+        public Clock withZone(ZoneId zone) {
+            return this;
+        }
+
+        @Override
+        public long millis() {
+            return (long) ((System.nanoTime() - origin) / 1e6 * speed);
+        }
+
+        @Override
+        public Instant instant() {
+            return Instant.ofEpochMilli(millis());
+        }
+    }
+
+    /** Votes no more; what is in its store stays. On any thread but the loop's. */
+    @Override
+    public void close() throws IOException, InterruptedException {
+        closed = true;
+        if (node != null) {
+            try {
+                node.terminate().get(2, TimeUnit.SECONDS);
+            } catch (ExecutionException | TimeoutException e) {
+                LOG.debug("terminate", e);
+            }
+        }
+        thread.shutdown();
+        thread.awaitTermination(2, TimeUnit.SECONDS);
+        store.close();
+    }
+
+}
--- /dev/null
+++ b/src/main/java/laneflow/policy/decision/Lease.java
@@ -0,0 +1,132 @@
+package laneflow.policy.decision;
+
+/**
+ * A scheduler's leave to decide, by its own clock. The leader says in its clock until when a policy holds;
+ * here that becomes an instant of this process's clock, early for an end and late for a beginning, so that
+ * whatever the two clocks do within their bound, nobody begins by a policy before all others have ended with
+ * the one before it.
+ *
+ * <p>The bound comes of exchanges: a stamp that the leader wrote between a renewal's going out and its
+ * answer's coming in says how far the leader's clock can be at any later time. A word that answers nothing
+ * only bounds it from below. No I/O; instants are microseconds.
+ */
+public final class Lease {
+    /** Clocks' rates differ by no more than this share. */
+    public static final double DRIFT = 0.001;
+    private static final long NEVER = Long.MIN_VALUE;
+
+    private int term = -1;
+    private long seq;
+    /** The leader's clock is at most the stamp plus what has passed here since, at the faster rate. */
+    private long mostStamp;
+    private long mostAt = NEVER;
+    /** And at least this stamp plus what has passed here since, at the slower rate. */
+    private long leastStamp;
+    private long leastAt = NEVER;
+    private long number = -1;
+    private long stop = NEVER;
+    private long next = -1;
+    private long nextStart;
+    private long nextStop;
+    private long fence;
+
+    /**
+     * Takes a leader's word; false if it is older than one obeyed already, and changes nothing.
+     *
+     * @param sentAt when the renewal that it answers went out, or a negative number: it answers none
+     * @param heardAt now
+     */
+    public boolean take(Grant grant, long sentAt, long heardAt) {
+        if (grant.term() < term || grant.term() == term && grant.seq() <= seq
+                || grant.number() < Math.max(number, next)) {
+            return false;
+        }
+        if (sentAt < 0 && (grant.term() > term || mostAt == NEVER)) {
+            // It tells nothing of when: obeyed, it would end what a former leader granted for no reason.
+            return false;
+        }
+        if (grant.term() > term) {
+            term = grant.term();
+            mostAt = NEVER;
+            leastAt = NEVER;
+        }
+        seq = grant.seq();
+        stamp(grant.leaderNow(), sentAt, heardAt);
+        settle(heardAt);
+        long ends = grant.until() == 0 ? NEVER : mostAt
+                + (long) Math.floor((grant.until() - mostStamp) / (1 + DRIFT));
+        if (grant.number() == number) {
+            stop = ends;
+        } else if (ends != NEVER) {
+            next = grant.number();
+            nextStop = ends;
+            nextStart = grant.from() == 0 ? heardAt : leastAt
+                    + (long) Math.ceil((grant.from() - leastStamp) / (1 - DRIFT));
+        } else {
+            // No leave at all: what it was about to begin with goes too.
+            stop = NEVER;
+            next = -1;
+        }
+        return true;
+    }
+
+    private void stamp(long stamp, long sentAt, long heardAt) {
+        if (leastAt == NEVER || stamp - leastStamp > (heardAt - leastAt) * (1 - DRIFT)) {
+            leastStamp = stamp;
+            leastAt = heardAt;
+        }
+        if (sentAt >= 0 && (mostAt == NEVER
+                || stamp + (heardAt - sentAt) * (1 + DRIFT) < mostStamp + (heardAt - mostAt) * (1 + DRIFT))) {
+            mostStamp = stamp;
+            mostAt = sentAt;
+        }
+    }
+
+    private void settle(long now) {
+        if (next >= 0 && now >= nextStart) {
+            fence = stop == NEVER ? 0 : Math.max(0, nextStart - stop);
+            number = next;
+            stop = nextStop;
+            next = -1;
+        }
+    }
+
+    /** The policy by which it may decide at this instant, or -1: it may not decide. */
+    public long deciding(long now) {
+        settle(now);
+        return now < stop ? number : -1;
+    }
+
+    /** The policy last begun with, whether or not its time is over; -1 before the first. */
+    public long begun() {
+        return number;
+    }
+
+    /** The policy that it begins with next, or -1; when is told by {@link #nextStart}. */
+    public long next() {
+        return next;
+    }
+
+    public long nextStart() {
+        return nextStart;
+    }
+
+    /** How long it decided by neither policy when it last began with one, in microseconds. */
+    public long fence() {
+        return fence;
+    }
+
+    /** When its leave ends unless it is renewed; in the past where it has none. */
+    public long stop() {
+        return stop;
+    }
+
+    /** The term of the latest word obeyed, and that word's number. */
+    public int term() {
+        return term;
+    }
+
+    public long seq() {
+        return seq;
+    }
+}
--- /dev/null
+++ b/src/test/java/laneflow/policy/PolicyStoryTest.java
@@ -0,0 +1,308 @@
+package laneflow.policy;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import com.google.gson.JsonObject;
+import com.google.gson.JsonParser;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import laneflow.lab.PolicyHistory;
+import laneflow.lab.Rig;
+import laneflow.net.Stand;
+import laneflow.net.Stand.Endpoint;
+import laneflow.net.Stand.Peer;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.io.TempDir;
+
+/** Changes of policy over real processes, with faults between them. Three of them vote. */
+@Timeout(300)
+class PolicyStoryTest {
+    private static final String CLASSES = "[classes.check]\naim_ms = 200\ndeadline_ms = 5000\nrepeat = \"safe\"\n";
+    private static final String POST = "[classes.post]\ndeadline_ms = 5000\nrepeat = \"safe\"\n";
+    @TempDir
+    private Path folder;
+    private Endpoint till;
+    private Rig rig;
+    private final PolicyHistory history = new PolicyHistory();
+    private boolean checked;
+
+    @BeforeEach
+    void begin() throws IOException {
+        till = new Endpoint("till");
+    }
+
+    private String file(String classes) {
+        return "zones = [\"z\"]\n" + classes + "[endpoints.till]\ndial = \"" + till.dial()
+                + "\"\n[policy]\nvoters = VOTERS\ndir = \"FOLDER\"\ntell_policy = true\n";
+    }
+
+    private void fleet(int schedulers) throws IOException {
+        rig = new Rig(folder, schedulers, 3, 7, file(CLASSES + POST));
+    }
+
+    @AfterEach
+    void end() throws Exception {
+        try {
+            assertTrue(checked, "a story ends with a look at its history");
+        } finally {
+            rig.close();
+            till.close();
+        }
+    }
+
+    private static String bans(String... names) {
+        StringBuilder all = new StringBuilder();
+        for (String name : names) {
+            all.append(all.isEmpty() ? "" : ",").append("{\"name\":\"").append(name).append("\"}");
+        }
+        return "{\"bans\":[" + all + "]}";
+    }
+
+    /** Reads everything that was written, and holds it against what is promised. */
+    private void check() throws Exception {
+        checked = true;
+        for (int i = 0; i < rig.size(); i++) {
+            history.log(Rig.name(i), rig.log(i));
+            if (rig.isUp(i)) {
+                int at = i;
+                rig.await("its outcomes", () -> rig.ask(at, "/policy/history", null).statusCode() == 200);
+                JsonParser.parseString(rig.ask(i, "/policy/history", null).body()).getAsJsonArray().forEach(one -> {
+                    JsonObject change = one.getAsJsonObject();
+                    history.outcome(change.get("name").getAsString(), change.get("number").getAsLong(),
+                            change.get("state").getAsString());
+                });
+            }
+        }
+        assertEquals(List.of(), history.check());
+    }
+
+    /** Waits until a voter leads that is not this one, and returns it. */
+    private int anotherLeads(int former) throws IOException, InterruptedException {
+        int[] found = {-1};
+        rig.await("another leads", () -> {
+            for (int i = 0; i < 3; i++) {
+                if (i != former && rig.policy(i).has("leads")) {
+                    found[0] = i;
+                }
+            }
+            return found[0] >= 0;
+        });
+        return found[0];
+    }
+
+    private String state(int i, String name) throws IOException, InterruptedException {
+        JsonObject change = rig.change(i, name);
+        return change == null ? "not known" : change.get("state").getAsString();
+    }
+
+    private void decided(int i, String name, String state) throws IOException, InterruptedException {
+        rig.await(name + " is " + state, () -> state(i, name).equals(state));
+    }
+
+    /** The answer to a request at a scheduler, its till answering at once. */
+    private String request(int i, String id) throws Exception {
+        try (Peer client = Stand.peer("127.0.0.1", rig.clientPort(i))) {
+            client.write("POST /check HTTP/1.1\r\nHost: c\r\nReq-Id: " + id + "\r\nContent-Length: 0\r\n\r\n");
+            try (Peer call = till.accept()) {
+                call.message();
+                call.says("{'id':'" + id + "','state':'done','result':'ran'}");
+                return client.message();
+            }
+        }
+    }
+
+    private String refused(int i, String id) throws Exception {
+        try (Peer client = Stand.peer("127.0.0.1", rig.clientPort(i))) {
+            client.write("POST /check HTTP/1.1\r\nHost: c\r\nReq-Id: " + id + "\r\nContent-Length: 0\r\n\r\n");
+            return client.message();
+        }
+    }
+
+    @Test
+    void aChangeTakesHoldEverywhereOrNowhere() throws Exception {
+        fleet(4);
+        // Its own file says that a post must not run twice: no policy declares otherwise there.
+        rig.file(3, file(CLASSES + "[classes.post]\ndeadline_ms = 5000\n"));
+        rig.startAll();
+        rig.awaitDeciding(0, rig.all());
+        assertTrue(request(3, "r0").contains("Config-Version: policy=0"));
+        rig.propose(3, "ban-9", bans("till-9"));
+        decided(0, "ban-9", "applied");
+        rig.awaitDeciding(1, rig.all());
+        assertTrue(request(2, "r1").contains("Config-Version: policy=1"));
+        // The same name is the same change; another content under it is none.
+        assertEquals("applied", rig.propose(1, "ban-9", bans("till-9")).get("state").getAsString());
+        assertTrue(rig.ask(1, "/policy/changes", "{\"name\":\"ban-9\",\"types\":" + bans("till") + "}").body()
+                .contains("another content"));
+        // One that turns it down abandons it for all, and says why.
+        rig.propose(0, "post-safe", "{\"classes\":[{\"name\":\"check\",\"repeat\":\"safe\"},{\"name\":\"post\","
+                + "\"repeat\":\"safe\"}]}");
+        decided(2, "post-safe", "abandoned");
+        String reasons = rig.change(1, "post-safe").get("reasons").toString();
+        assertTrue(reasons.contains("n4#") && reasons.contains("'post' must not run twice here"), reasons);
+        rig.awaitDeciding(1, rig.all());
+        // What is banned gets nothing, everywhere at once, and gets it again.
+        rig.propose(2, "ban-till", bans("till"));
+        rig.awaitDeciding(3, rig.all());
+        assertTrue(refused(0, "r2").startsWith("HTTP/1.1 503 "));
+        rig.propose(2, "no-bans", "{\"bans\":[]}");
+        rig.awaitDeciding(4, rig.all());
+        assertTrue(request(1, "r3").contains("policy=4"));
+        check();
+    }
+
+    @Test
+    void aLeaderThatDiesBehindAProposalLeavesNothingOpen() throws Exception {
+        fleet(5);
+        rig.startAll();
+        rig.awaitDeciding(0, rig.all());
+        for (int round = 1; round <= 2; round++) {
+            int leader = rig.leader();
+            String name = "c" + round;
+            String types = bans("b" + round);
+            rig.propose(leader, name, types);
+            rig.kill(leader);
+            int other = leader == 0 ? 1 : 0;
+            // It was in the log, or it was not: then it is proposed again, by the same name.
+            rig.await("it is taken", () -> rig.propose(other, name, types) != null
+                    || state(other, name).equals("applied"));
+            decided(other, name, "applied");
+            rig.start(leader);
+            rig.awaitDeciding(round, rig.all());
+        }
+        check();
+    }
+
+    @Test
+    void aMinorityThatIsCutOffStopsDecidingAndLearnsWhatHolds() throws Exception {
+        fleet(5);
+        rig.startAll();
+        rig.awaitDeciding(0, rig.all());
+        int leader = rig.leader();
+        // The leader and a scheduler that does not vote on one side, two voters and another on the other.
+        rig.partAll(List.of(leader, 4));
+        int other = anotherLeads(leader);
+        rig.propose(other, "behind-the-cut", bans("x"));
+        decided(other, "behind-the-cut", "applied");
+        rig.awaitDeciding(1, other, 3 - leader - other, 3);
+        assertFalse(rig.decides(leader, 0) || rig.decides(4, 0));
+        // Clients hear so at once, with a time to come back, and are not asked for.
+        String answer = refused(4, "r1");
+        assertTrue(answer.startsWith("HTTP/1.1 503 ") && answer.contains("Retry-After: 0.1"), answer);
+        try (Peer client = Stand.peer("127.0.0.1", rig.clientPort(4))) {
+            assertTrue(client.write("GET /health/ready HTTP/1.1\r\n\r\n").message().startsWith("HTTP/1.1 503 "));
+        }
+        // On the side without a majority nothing can be decided, and nothing is said to be.
+        assertEquals("not known", state(leader, "behind-the-cut"));
+        rig.heal();
+        rig.awaitDeciding(1, rig.all());
+        assertTrue(request(4, "r2").contains("policy=1"));
+        check();
+    }
+
+    @Test
+    void whoeverStandsStillForThreeLeasesDecidesNothingWhenItWakes() throws Exception {
+        fleet(4);
+        rig.startAll();
+        rig.awaitDeciding(0, rig.all());
+        int leader = rig.leader();
+        rig.stall(leader);
+        rig.stall(3);
+        // Sent while it stands still, it is taken when it wakes, by whatever holds then.
+        try (Peer client = Stand.peer("127.0.0.1", rig.clientPort(3))) {
+            client.write("POST /check HTTP/1.1\r\nHost: c\r\nReq-Id: w\r\nContent-Length: 0\r\n\r\n");
+            int other = anotherLeads(leader);
+            rig.propose(other, "meanwhile", bans("x"));
+            decided(other, "meanwhile", "applied");
+            rig.awaitDeciding(1, other, 3 - leader - other);
+            rig.wake(3);
+            rig.wake(leader);
+            assertTrue(client.message().startsWith("HTTP/1.1 503 "));
+        }
+        rig.awaitDeciding(1, rig.all());
+        check();
+    }
+
+    @Test
+    void aWholeFleetKilledBeginsAgainWithWhatWasDecided() throws Exception {
+        fleet(4);
+        rig.startAll();
+        rig.awaitDeciding(0, rig.all());
+        rig.propose(1, "kept", bans("x"));
+        rig.awaitDeciding(1, rig.all());
+        for (int i : rig.all()) {
+            rig.kill(i);
+        }
+        // One alone knows nothing of the others, and decides nothing.
+        rig.start(3);
+        rig.start(2);
+        rig.await("it listens", () -> rig.policy(2).get("state").getAsString().equals("not deciding"));
+        assertTrue(refused(2, "r").startsWith("HTTP/1.1 503 "));
+        rig.start(0);
+        rig.awaitDeciding(1, 0, 2, 3);
+        rig.start(1);
+        rig.awaitDeciding(1, rig.all());
+        // One that had its disk wiped is another voter: it does not vote as if it had kept it.
+        rig.kill(1);
+        rig.wipe(1);
+        rig.start(1);
+        rig.awaitDeciding(1, rig.all());
+        rig.await("it says so", () -> rig.policy(1).getAsJsonObject("voter").get("lost").getAsBoolean());
+        // A damaged log is refused, and costs the vote alone.
+        rig.kill(1);
+        byte[] log = Files.readAllBytes(rig.votes(1).resolve("votes.db"));
+        for (int at = 120; at < log.length; at += 50) {
+            log[at] ^= 0x55;
+        }
+        Files.write(rig.votes(1).resolve("votes.db"), log);
+        rig.start(1);
+        rig.awaitDeciding(1, rig.all());
+        assertTrue(rig.log(1).contains("this process does not vote"), rig.log(1));
+        rig.propose(1, "on", bans("y"));
+        rig.awaitDeciding(2, rig.all());
+        check();
+    }
+
+    @Test
+    void aChangeGoesThroughLossDoublesAndJitterAndACutOneWay() throws Exception {
+        fleet(4);
+        rig.startAll();
+        rig.awaitDeciding(0, rig.all());
+        rig.disturb(0.3, 0.1, 200);
+        rig.await("it is taken", () -> rig.propose(0, "through", bans("x")) != null
+                || state(1, "through").equals("applied"));
+        rig.await("all decide by it, now and then", () -> state(1, "through").equals("applied"));
+        rig.heal();
+        rig.awaitDeciding(1, rig.all());
+        // One that is heard and hears nothing: it stops, the change waits no longer than for its lease.
+        int leader = rig.leader();
+        int deaf = (leader + 1) % 3;
+        for (int i : rig.all()) {
+            if (i != deaf) {
+                rig.cut(i, deaf);
+            }
+        }
+        rig.propose(leader, "without", bans("y"));
+        decided(leader, "without", "applied");
+        rig.awaitDeciding(2, leader, 3);
+        rig.await("it stops", () -> rig.policy(deaf).get("state").getAsString().equals("not deciding"));
+        rig.heal();
+        rig.awaitDeciding(2, rig.all());
+        // Links that break amid a line lose what they carried, and nothing else.
+        rig.reset(leader);
+        rig.await("it is taken", () -> rig.propose(3, "reset", bans("z")) != null);
+        rig.awaitDeciding(3, rig.all());
+        // One that ends in order says so: nobody waits for its lease.
+        assertEquals(143, rig.end(3));
+        rig.propose(0, "last", bans("a"));
+        rig.awaitDeciding(4, 0, 1, 2);
+        check();
+    }
+}
--- /dev/null
+++ b/src/test/java/laneflow/policy/decision/LedgerTest.java
@@ -0,0 +1,109 @@
+package laneflow.policy.decision;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import com.google.gson.JsonObject;
+import com.google.gson.JsonParser;
+import java.util.List;
+import java.util.SplittableRandom;
+import org.junit.jupiter.api.Test;
+
+/** What the voters agree on: one outcome a change, the same wherever the same operations are run. */
+class LedgerTest {
+    private final Ledger ledger = new Ledger();
+
+    private static JsonObject types(String text) {
+        return JsonParser.parseString(text).getAsJsonObject();
+    }
+
+    private JsonObject propose(String name, String types) {
+        return ledger.run(Ledger.propose(name, types(types), "me", 5));
+    }
+
+    @Test
+    void aChangeHoldsItsTypesAsOneAndLeavesTheOthers() {
+        propose("a", "{bans:[{name:'e1'}],limits:[{attempts:3}]}");
+        assertEquals(0, ledger.view().inForce());
+        ledger.run(Ledger.apply("a", 6));
+        propose("b", "{bans:[{name:'e2'}]}");
+        assertEquals(types("{limits:[{attempts:3}],bans:[{name:'e2'}]}"), ledger.view().openMerged());
+        ledger.run(Ledger.apply("b", 7));
+        assertEquals(2, ledger.view().inForce());
+        assertEquals(types("{limits:[{attempts:3}],bans:[{name:'e2'}]}"), ledger.view().merged());
+        // An empty list gives a type back to the file.
+        propose("c", "{limits:[]}");
+        ledger.run(Ledger.apply("c", 8));
+        assertEquals(types("{bans:[{name:'e2'}]}"), ledger.view().merged());
+    }
+
+    @Test
+    void theFirstDecisionStands() {
+        propose("a", "{bans:[]}");
+        assertEquals("abandoned", ledger.run(Ledger.abandon("a", List.of("no"), 6)).get("state").getAsString());
+        assertEquals("abandoned", ledger.run(Ledger.apply("a", 7)).get("state").getAsString());
+        assertEquals(0, ledger.view().inForce());
+        // Asked again, it is the same change, and the same answer.
+        assertEquals("abandoned", propose("a", "{bans:[]}").get("state").getAsString());
+        assertTrue(propose("a", "{limits:[]}").get("error").getAsString().contains("another content"));
+        assertTrue(ledger.run(Ledger.apply("z", 7)).has("error"));
+    }
+
+    @Test
+    void changesWaitTheirTurnAndNoMoreThanSo() {
+        for (int i = 0; i <= Ledger.MOST_WAITING; i++) {
+            assertEquals(i == 0 ? "open" : "waiting", propose("c" + i, "{bans:[]}").get("state").getAsString());
+        }
+        assertTrue(propose("late", "{bans:[]}").get("error").getAsString().contains("wait already"));
+        assertEquals("waiting", ledger.run(Ledger.apply("c5", 1)).get("state").getAsString());
+        ledger.run(Ledger.abandon("c0", List.of("no"), 1));
+        assertEquals("c1", ledger.view().open().name());
+        // A number is one change's for ever, whatever became of it.
+        assertEquals(2, ledger.view().open().number());
+    }
+
+    @Test
+    void whatIsNoChangeIsRefusedInWords() {
+        assertTrue(propose("a b", "{bans:[]}").get("error").getAsString().startsWith("name:"));
+        assertTrue(propose("a", "{}").get("error").getAsString().startsWith("types:"));
+        assertTrue(propose("a", "{bans:{}}").get("error").getAsString().startsWith("types.bans:"));
+        assertTrue(propose("a", "{bans:['" + "x".repeat(Ledger.MOST_CONTENT) + "']}").get("error").getAsString()
+                .contains("the most are"));
+        assertNull(ledger.view().open());
+    }
+
+    @Test
+    void aSnapshotAndTheSameOperationsLeadToTheSameState() {
+        SplittableRandom random = new SplittableRandom(3);
+        Ledger other = new Ledger();
+        for (int i = 0; i < 2000; i++) {
+            Change open = ledger.view().open();
+            String name = open != null && random.nextBoolean() ? open.name() : "c" + random.nextInt(i + 1);
+            JsonObject op = switch (random.nextInt(3)) {
+                case 0 -> Ledger.propose(name, types("{bans:[{name:'e" + random.nextInt(9) + "'}]}"), "me", i);
+                case 1 -> Ledger.apply(name, i);
+                default -> Ledger.abandon(name, List.of("r" + i), i);
+            };
+            assertEquals(ledger.run(op), other.run(op));
+            if (random.nextInt(50) == 0) {
+                Ledger again = new Ledger();
+                again.restore(JsonParser.parseString(other.snapshot().toString()).getAsJsonObject());
+                other = again;
+            }
+        }
+        assertEquals(ledger.snapshot(), other.snapshot());
+        assertTrue(ledger.view().inForce() > 50, ledger.view().inForce() + "");
+    }
+
+    @Test
+    void theOldestOutcomesAreForgottenAndNoUndecidedChangeIs() {
+        propose("first", "{bans:[]}");
+        for (int i = 0; i < Ledger.MOST_KEPT + 5; i++) {
+            ledger.run(Ledger.abandon(ledger.view().open().name(), List.of(), i));
+            propose("c" + i, "{bans:[]}");
+        }
+        assertNull(ledger.change("first"));
+        assertEquals(Ledger.MOST_KEPT, ledger.last(20_000).size());
+    }
+}
