--- a/src/main/java/laneflow/Together.java
+++ b/src/main/java/laneflow/Together.java
@@ -41,7 +41,8 @@
         random.nextBytes(life);
         String build = Together.class.getPackage().getImplementationVersion();
         fleet = new Fleet(loop, config, new Fleet.Self(config.name, HexFormat.of().formatHex(life),
-                build == null ? "" : build), Token.read(config.tokenFile), scheduler.counters(), random.nextLong());
+                build == null ? "" : build), Token.read(config.tokenFile), scheduler.counters(),
+                random.nextLong());
         // Outside tests clocks run as they run.
         double clockRate = Double.parseDouble(System.getProperty(CLOCK_RATE, "1"));
         ExecutorService reading = Threads.inOrder("policy-reader");
--- a/src/main/java/laneflow/policy/VoteStore.java
+++ b/src/main/java/laneflow/policy/VoteStore.java
@@ -99,7 +99,8 @@
                 StandardOpenOption.READ, StandardOpenOption.WRITE);
         long seen = witnessed();
         if (format == 0 && seen > 0) {
-            throw new IOException(dir + ": the store of votes is empty, and held " + seen + " commits before");
+            throw new IOException(dir + ": the store of votes is empty, and held " + seen
+                    + " commits before");
         }
         if (format == 0) {
             byte[] mark = new byte[8];
@@ -122,7 +123,8 @@
         commits = counted == null ? 0 : Long.parseLong(counted);
         if (seen > commits) {
             // Where its log is damaged SQLite goes on without what that held, and says nothing.
-            throw new IOException(dir + ": " + (seen - commits) + " commits of the store of votes are missing");
+            throw new IOException(dir + ": " + (seen - commits) + " commits of the store of votes are"
+                    + " missing");
         }
     }
 
