Read once more: a dead mark of routes and a dead reader out, one list of first voters

Cause: Leadership kept for each route whether it was passed on, and nothing read it; VoteStore.firstVoters was called by nobody; VoterGroup wrote the list of first voters three times. Change: routes are peers, the reader is gone, one method makes the list. Behaviour as before.

--- a/src/main/java/laneflow/policy/Leadership.java
+++ b/src/main/java/laneflow/policy/Leadership.java
@@ -43,7 +43,7 @@
     private final Deadline round;
     private final Deadline look;
     /** How each scheduler is reached: by the link of its last renewal. */
-    private final Map<String, Route> routes = new HashMap<>();
+    private final Map<String, Peer> routes = new HashMap<>();
     private final Map<Long, String> contents = new LinkedHashMap<>();
     private Lead lead;
     private View view;
@@ -54,15 +54,8 @@
     private boolean lookAgain;
     private boolean stopped;
 
-    /**
-     * A link, and the name for which the voter at its end passes on; null: the link is the scheduler's own.
-     */
-    private record Route(Peer peer, boolean passed) {
-    }
-
     Leadership(Loop loop, Fleet fleet, PolicyConfig config, Counters counters, Voting voting,
-            VoterGroup group,
-            Policy policy, FleetTrial trial) {
+            VoterGroup group, Policy policy, FleetTrial trial) {
         this.loop = loop;
         this.fleet = fleet;
         this.config = config;
@@ -85,7 +78,7 @@
         });
         fleet.watch(peer -> group.linked(), peer -> {
             group.linked();
-            routes.values().removeIf(route -> route.peer == peer);
+            routes.values().removeIf(route -> route == peer);
         });
     }
 
@@ -180,7 +173,7 @@
             return;
         }
         String who = message.get("who").getAsString();
-        routes.put(who, new Route(from, message.has("passed")));
+        routes.put(who, from);
         trial.heard(who, message.getAsJsonArray("tallies"));
         lead.heard(policy.now(), who, Words.renewal(message));
         step();
@@ -232,7 +225,7 @@
         }
         String who = message.get("who").getAsString();
         if (from != null) {
-            routes.put(who, new Route(from, message.has("passed")));
+            routes.put(who, from);
         }
         content(who, message.get("number").getAsLong());
     }
@@ -251,15 +244,15 @@
             policy.content(message);
         } else if (routes.containsKey(who)) {
             counters.add("policy.contents_sent");
-            routes.get(who).peer.send(message);
+            routes.get(who).send(message);
         }
     }
 
     private void tell(String who, long at) {
         Grant grant = lead == null ? null : lead.grant(policy.now(), who);
-        Route route = routes.get(who);
+        Peer route = routes.get(who);
         if (grant != null && route != null) {
-            route.peer.send(Words.grant(grant, who, fleet.self().name(), at));
+            route.send(Words.grant(grant, who, fleet.self().name(), at));
         }
     }
 
--- a/src/main/java/laneflow/policy/VoteStore.java
+++ b/src/main/java/laneflow/policy/VoteStore.java
@@ -28,7 +28,6 @@
 import java.sql.SQLException;
 import java.sql.Statement;
 import java.util.ArrayList;
-import java.util.Collection;
 import java.util.HexFormat;
 import java.util.List;
 import java.util.zip.CRC32C;
@@ -394,14 +393,4 @@
             lock.close();
         }
     }
-
-    /** The voters that were there at the beginning, or null before it. */
-    Collection<RaftEndpoint> firstVoters() throws IOException {
-        try {
-            String members = meta("members");
-            return members == null ? null : RaftCodec.readMembers(json(members)).getVotingMembers();
-        } catch (SQLException e) {
-            throw new IOException(dir + ": " + e.getMessage(), e);
-        }
-    }
 }
--- a/src/main/java/laneflow/policy/VoterGroup.java
+++ b/src/main/java/laneflow/policy/VoterGroup.java
@@ -111,14 +111,19 @@
         }
     }
 
+    /** The stores of those that this one began with. */
+    private JsonArray first() {
+        JsonArray all = new JsonArray();
+        voting.firstVoters().forEach(all::add);
+        return all;
+    }
+
     private JsonObject word() {
         JsonObject all = new JsonObject();
         all.addProperty("t", "voter");
         all.addProperty("id", voting.self().text());
         if (voting.isBegun()) {
-            JsonArray names = new JsonArray();
-            voting.firstVoters().forEach(names::add);
-            all.add("first", names);
+            all.add("first", first());
         }
         return all;
     }
@@ -175,11 +180,8 @@
 
     private void start(RestoredRaftState restored, Collection<RaftEndpoint> first) {
         voting.begin(restored, first);
-        List<String> names = voting.firstVoters();
-        JsonArray all = new JsonArray();
-        names.forEach(all::add);
-        group = Canonical.digest(all).substring(0, 16);
-        LOG.info("policy: votes as {}, begun with {}", voting.self(), names);
+        group = Canonical.digest(first()).substring(0, 16);
+        LOG.info("policy: votes as {}, begun with {}", voting.self(), voting.firstVoters());
         tell();
     }
 
@@ -192,9 +194,7 @@
         JsonObject all = new JsonObject();
         all.addProperty("t", "join");
         all.addProperty("id", marks.get(name));
-        JsonArray names = new JsonArray();
-        voting.firstVoters().forEach(names::add);
-        all.add("first", names);
+        all.add("first", first());
         return peer.send(all);
     }
 
