--- a/src/main/java/laneflow/Durability.java
+++ b/src/main/java/laneflow/assembly/Durability.java
@@ -1,27 +1,24 @@
-package laneflow;
+package laneflow.assembly;
 
 import java.io.IOException;
 import java.security.SecureRandom;
 import java.util.ArrayList;
 import java.util.List;
-import laneflow.core.Scheduler;
 import laneflow.durable.DurableConfig;
 import laneflow.durable.DurableJobs;
 import laneflow.durable.JobRow;
 import laneflow.durable.Journal;
 import laneflow.durable.Store;
-import laneflow.gearman.GearmanFront;
-import laneflow.http.HttpFront;
 import laneflow.net.Loop;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
-/** The durable jobs' part of the assembly, apart so that a scheduler without them loads none of it. */
-final class Durability {
+/** Durable jobs, as part of the assembly. */
+final class Durability implements Subsystem {
     private static final Logger LOG = LoggerFactory.getLogger(Durability.class);
     private static final int QUEUE = 16_384;
 
-    private final Loop loop;
+    private final Subsystems.Core core;
     private final DurableJobs jobs;
     private final Journal journal;
     private final List<JobRow> rows = new ArrayList<>();
@@ -29,24 +26,26 @@
     private final long openedAt = System.nanoTime();
 
     /** Opens the store and reads it, on the caller's thread. */
-    Durability(DurableConfig config, Loop loop, Scheduler scheduler) throws IOException {
-        this.loop = loop;
+    Durability(DurableConfig config, Subsystems.Core core) throws IOException {
+        this.core = core;
+        Loop loop = core.loop();
         Store store = Store.open(config.dir, config.storeBytes);
         store.read(false, rows::add);
         latestMs = store.latestMs();
         LOG.info("durable jobs: store opened and read in {} ms", (System.nanoTime() - openedAt) / 1_000_000);
         journal = new Journal(store, loop::later, QUEUE);
-        jobs = new DurableJobs(loop, loop.deadlines(), scheduler, config, journal, System::currentTimeMillis,
-                new SecureRandom().nextLong());
+        jobs = new DurableJobs(loop, loop.deadlines(), core.scheduler(), config, journal,
+                System::currentTimeMillis, new SecureRandom().nextLong());
     }
 
-    /** Takes over what was found, and is there for the fronts from now on. */
-    void begin(HttpFront http, GearmanFront gearman) throws InterruptedException {
-        loop.call(() -> {
+    /** What was found is taken over before anybody is let in: the same key must find the job that it had. */
+    @Override
+    public void begin() throws InterruptedException {
+        core.loop().call(() -> {
             jobs.recover(rows, latestMs);
-            http.keepIn(jobs);
-            if (gearman != null) {
-                gearman.keepIn(jobs);
+            core.front().keepIn(jobs);
+            if (core.gearman() != null) {
+                core.gearman().keepIn(jobs);
             }
         });
         LOG.info("durable jobs: {} taken over in {} ms", rows.size(),
@@ -58,20 +57,28 @@
         return jobs.adopt(read);
     }
 
-    void drain() {
+    @Override
+    public void drain() {
         jobs.drain();
     }
 
-    void letGo() {
+    @Override
+    public void letGo() {
         jobs.letGo();
     }
 
-    boolean isOwed() {
+    @Override
+    public boolean isOwed() {
         return jobs.owed() > 0;
     }
 
-    /** Writes what is still to be written; on any thread but the loop's. */
-    void close() throws InterruptedException {
+    @Override
+    public void close() throws InterruptedException {
+        journal.close();
+    }
+
+    @Override
+    public void halt() throws InterruptedException {
         journal.close();
     }
 }
--- a/src/main/java/laneflow/Hangup.java
+++ b/src/main/java/laneflow/assembly/Hangup.java
@@ -1,4 +1,4 @@
-package laneflow;
+package laneflow.assembly;
 
 import java.lang.reflect.Proxy;
 
--- a/src/main/java/laneflow/KeptSettings.java
+++ b/src/main/java/laneflow/assembly/KeptSettings.java
@@ -1,4 +1,4 @@
-package laneflow;
+package laneflow.assembly;
 
 import com.google.gson.JsonArray;
 import java.io.IOException;
--- a/src/main/java/laneflow/Rehearsal.java
+++ b/src/main/java/laneflow/assembly/Rehearsal.java
@@ -1,4 +1,4 @@
-package laneflow;
+package laneflow.assembly;
 
 import java.io.IOException;
 import java.net.InetSocketAddress;
@@ -11,7 +11,7 @@
  * A short run of the scheduler by itself, for the build: the classes that it loads are archived. Loading them
  * anew takes half of a start's time, and a restart keeps clients waiting for so long.
  */
-final class Rehearsal {
+public final class Rehearsal {
     /** Nobody listens where it looks for discovery and for its one endpoint. */
     private static final String CONFIG = "{\"listen\":\"127.0.0.1:0\",\"discovery\":\"127.0.0.1:1\","
             + "\"known\":{\"seq\":1,\"whole\":true,\"hosts\":[{\"host\":\"s\",\"dial\":\"127.0.0.1:1\"}]},"
@@ -24,7 +24,7 @@
     }
 
     /** Starts, refuses one request, and ends. */
-    static void run() throws IOException, WireException, InterruptedException {
+    public static void run() throws IOException, WireException, InterruptedException {
         Serve serve = new Serve(new Setup(Config.parse(CONFIG), null, null, null));
         Hangup.handle(() -> { });
         InetSocketAddress at = serve.front().address();
--- a/src/main/java/laneflow/Serve.java
+++ b/src/main/java/laneflow/assembly/Serve.java
@@ -1,4 +1,4 @@
-package laneflow;
+package laneflow.assembly;
 
 import java.io.IOException;
 import java.util.concurrent.CompletableFuture;
@@ -49,12 +49,7 @@
     private final HttpFront front;
     /** Null where the Gearman front is off. */
     private final GearmanFront gearman;
-    /** Null where durable jobs are off. */
-    private final Durability durability;
-    /** Null where no configuration is streamed. */
-    private final Streaming streaming;
-    /** Null where this scheduler is by itself. */
-    private final Together together;
+    private final Subsystems subsystems;
     /** Null where no discovery is named. */
     private final DiscoveryWatch watch;
     /** Null where no second address is named. */
@@ -82,31 +77,25 @@
         HttpCarrier carrier = new HttpCarrier(loop, scheduler, config.connIdle);
         front = new HttpFront(loop, scheduler, config.classNames);
         watch = config.discovery == null ? null : new DiscoveryWatch(loop, scheduler, carrier, config);
-        durability = setup.durable() == null ? null : new Durability(setup.durable(), loop, scheduler);
-        together = setup.fleet() == null ? null : new Together(setup, loop, scheduler);
+        gearman = gearmanConfig == null ? null : new GearmanFront(loop, scheduler, gearmanConfig,
+                config.seed);
+        subsystems = new Subsystems(setup, new Subsystems.Core(loop, scheduler, carrier, front, gearman,
+                around.passed()));
         loop.call(() -> {
             scheduler.start(carrier, config.known.entries);
             if (watch != null) {
                 watch.begin();
             }
             front.readyWhen(this::isReady);
-            if (setup.policy() != null && setup.policy().tellPolicy) {
-                front.tellVersions(together::stamp);
-            }
         });
         String ops = around.ops() != null ? around.ops() : config.ops;
         operations = ops == null && !around.passed() ? null : new Operations(loop, scheduler, front,
                 around.scratch(), around.passed(),
                 new Operations.Served(this::serves, () -> stopping, this::replaced));
-        gearman = gearmanConfig == null ? null : new GearmanFront(loop, scheduler, gearmanConfig,
-                config.seed);
         if (gearman != null) {
             carrier.mostBody(gearmanConfig.mostBody);
         }
-        if (durability != null) {
-            // Before anybody is let in: the same key must find the job that it had.
-            durability.begin(front, gearman);
-        }
+        subsystems.begin();
         if (around.passed()) {
             front.listenPassed();
             operations.begin(front);
@@ -119,17 +108,12 @@
         if (gearman != null) {
             gearman.listen(Loop.address(gearmanConfig.listen));
         }
-        if (setup.control() != null) {
-            streaming = Streaming.begin(setup, new Streaming.Parts(loop, scheduler, carrier, front, gearman,
-                    durability));
-        } else {
-            streaming = null;
-        }
+        subsystems.opened();
     }
 
     /** Begun with nothing known, it would refuse all that comes before discovery's first word. */
     private boolean serves() {
-        return !stopping && (together == null || together.isReady()) && (watch == null
+        return !stopping && subsystems.isReady() && (watch == null
                 || scheduler.destinations().size() > 0 || counters.get("discovery.lists") > 0);
     }
 
@@ -212,9 +196,7 @@
     /** Ends at once, as a machine does that loses its power: nothing more is answered or written. */
     public void halt() throws InterruptedException {
         loop.stop();
-        if (durability != null) {
-            durability.close();
-        }
+        subsystems.halt();
     }
 
     public HttpFront front() {
@@ -227,7 +209,7 @@
 
     /** Where operators ask, or null where that is the clients' port. */
     public OperatorPort operators() {
-        return streaming == null ? null : streaming.port();
+        return subsystems.port();
     }
 
     /** The second address, or null. */
@@ -257,12 +239,7 @@
             }
             String[] line = new String[1];
             loop.call(() -> line[0] = counters.line());
-            if (together != null) {
-                together.close();
-            }
-            if (durability != null) {
-                durability.close();
-            }
+            subsystems.close();
             LOG.info("{}", line[0]);
             loop.stop();
         } catch (InterruptedException e) {
@@ -292,16 +269,12 @@
         loop.deadlines().at(leaveAt, this::leave);
         loop.deadlines().at(Math.max(now + STAY_ON, kill - ANSWER_BEFORE),
                 () -> giveUp(now + ACCEPT_ON));
-        if (durability != null) {
-            durability.drain();
-        }
+        subsystems.drain();
         loop.deadlines().at(now + STAY_ON, this::drainedYet);
     }
 
     private void giveUp(long since) {
-        if (durability != null) {
-            durability.letGo();
-        }
+        subsystems.letGo();
         scheduler.giveUpSince(since);
     }
 
@@ -323,8 +296,7 @@
 
     private void drainedYet() {
         boolean alone = leaving || front.isAlone() && gearman == null;
-        boolean owed = durability != null && durability.isOwed();
-        if (alone && !owed && scheduler.open() == 0 && front.busy() == 0 && (gearman == null
+        if (alone && !subsystems.isOwed() && scheduler.open() == 0 && front.busy() == 0 && (gearman == null
                 || gearman.busy() == 0)) {
             drained.countDown();
         } else {
--- a/src/main/java/laneflow/Setup.java
+++ b/src/main/java/laneflow/assembly/Setup.java
@@ -1,4 +1,4 @@
-package laneflow;
+package laneflow.assembly;
 
 import com.google.gson.JsonArray;
 import com.google.gson.JsonObject;
@@ -14,12 +14,13 @@
 import laneflow.fleet.FleetConfig;
 import laneflow.gearman.GearmanConfig;
 import laneflow.http.Config;
+import laneflow.membership.MembersConfig;
 import laneflow.policy.PolicyConfig;
 import laneflow.wire.WireException;
 
 /** All that a scheduler is told at its start; null stands for a front or a subsystem that is off. */
 public record Setup(Config config, GearmanConfig gearman, DurableConfig durable, ControlConfig control,
-        FleetConfig fleet, PolicyConfig policy, Map<String, String> fixed) {
+        FleetConfig fleet, PolicyConfig policy, MembersConfig members, Map<String, String> fixed) {
     private static final String PLATFORM = "the platform's file decides this here";
     private static final List<String> FLEETS = List.of("classes", "limits");
     private static final String FLEET = "the fleet decides this together: laneflow policy propose";
@@ -37,7 +38,7 @@
 
     /** Nothing of the stream's types is decided elsewhere. */
     public Setup(Config config, GearmanConfig gearman, DurableConfig durable, ControlConfig control) {
-        this(config, gearman, durable, control, null, null, Map.of());
+        this(config, gearman, durable, control, null, null, null, Map.of());
     }
 
     /** The platform's file, with a Gearman file and a destination set beside it, each unless null. */
@@ -87,6 +88,9 @@
             if (settings.has("limits") || named.has("limits") || named.has("listen")) {
                 fixed.put("limits", PLATFORM);
             }
+            if (settings.has("rules")) {
+                fixed.put("module", PLATFORM);
+            }
             all = operators.under(named);
         }
         if (all.has("discovery")) {
@@ -120,11 +124,13 @@
                 config.name);
         PolicyConfig policy = operators.policy() == null ? null : PolicyConfig.read(operators.policy(),
                 fleet);
+        MembersConfig members = operators.members() == null ? null : MembersConfig.read(operators.members(),
+                fleet);
         if (policy != null && policy.tellPolicy && control != null && control.tellVersions) {
             findings.add("policy", "tell_policy",
                     "and [control] tell_versions name one header: only one of them");
         }
         findings.raise();
-        return new Setup(config, gearman, durable, control, fleet, policy, fixed);
+        return new Setup(config, gearman, durable, control, fleet, policy, members, fixed);
     }
 }
--- a/src/main/java/laneflow/StreamedTypes.java
+++ b/src/main/java/laneflow/assembly/StreamedTypes.java
@@ -1,4 +1,4 @@
-package laneflow;
+package laneflow.assembly;
 
 import com.google.gson.JsonObject;
 import java.io.IOException;
--- a/src/main/java/laneflow/Streaming.java
+++ b/src/main/java/laneflow/assembly/Streaming.java
@@ -1,4 +1,4 @@
-package laneflow;
+package laneflow.assembly;
 
 import java.io.IOException;
 import java.nio.file.Files;
@@ -17,39 +17,38 @@
 import laneflow.control.ControlConfig;
 import laneflow.control.LastGood;
 import laneflow.control.ResourceType;
-import laneflow.core.Carrier;
 import laneflow.core.DestinationSet.Entry;
 import laneflow.core.Replacement;
-import laneflow.core.Scheduler;
 import laneflow.durable.DurableConfig;
 import laneflow.gearman.GearmanConfig;
-import laneflow.gearman.GearmanFront;
-import laneflow.http.HttpFront;
 import laneflow.http.OperatorPort;
 import laneflow.net.Loop;
 import laneflow.net.Threads;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
-/** Streamed configuration's part of the assembly, apart so that a scheduler without it loads none of it. */
-final class Streaming {
+/** Streamed configuration, as part of the assembly. */
+final class Streaming implements Subsystem {
     private static final Logger LOG = LoggerFactory.getLogger(Streaming.class);
     private static final int MOST_QUEUED = 512;
 
+    private final Setup setup;
+    private final Subsystems.Core core;
+    /** Null where there are no durable jobs. */
+    private final Durability durability;
     /** Null where there is no operators' port. */
     private final OperatorPort port;
 
-    private Streaming(OperatorPort port) {
-        this.port = port;
-    }
-
-    /** What of the scheduler versions can change. */
-    record Parts(Loop loop, Scheduler scheduler, Carrier carrier, HttpFront front, GearmanFront gearman,
-            Durability durability) {
+    Streaming(Setup setup, Subsystems.Core core, Durability durability) {
+        this.setup = setup;
+        this.core = core;
+        this.durability = durability;
+        port = setup.control().listen == null ? null : new OperatorPort(core.loop());
     }
 
     /** Runs the last good versions, where they are kept, and asks for the newest. */
-    static Streaming begin(Setup setup, Parts parts) throws IOException, InterruptedException {
+    @Override
+    public void opened() throws IOException, InterruptedException {
         ControlConfig config = setup.control();
         String token = Token.read(config.tokenFile);
         if (config.folder != null) {
@@ -57,7 +56,7 @@
         }
         Map<ResourceType, LastGood> types = new LinkedHashMap<>();
         Map<String, LastGood.Kept> kept = new LinkedHashMap<>();
-        for (ResourceType type : StreamedTypes.all(setup, new Live(parts))) {
+        for (ResourceType type : StreamedTypes.all(setup, new Live())) {
             LastGood file = config.folder == null ? null : new LastGood(config.folder, type.name());
             types.put(type, file);
             LastGood.Kept found = file == null ? null : KeptSettings.read(file);
@@ -68,18 +67,17 @@
         ControlClient.Surroundings around = new ControlClient.Surroundings(setup.config().name, token,
                 List.of(setup.config().classNames), thread("config-reader"), thread("config-files"),
                 System::currentTimeMillis, new SecureRandom().nextLong());
-        OperatorPort port = config.listen == null ? null : new OperatorPort(parts.loop);
-        parts.loop.call(() -> {
-            ControlClient client = new ControlClient(parts.loop, parts.scheduler, config, around, types);
+        core.loop().call(() -> {
+            ControlClient client = new ControlClient(core.loop(), core.scheduler(), config, around, types);
             setup.notStreamed().forEach(client::fix);
-            BiConsumer<String, Supplier<String>> reports = port == null ? parts.front::report : port::report;
+            BiConsumer<String, Supplier<String>> reports = port == null ? core.front()::report : port::report;
             reports.accept("/config", client::report);
             reports.accept("/config/history", client::history);
             if (port != null) {
-                port.report("/counters", parts.scheduler.counters()::text);
+                port.report("/counters", core.scheduler().counters()::text);
             }
             if (config.tellVersions) {
-                parts.front.tellVersions(client::versions);
+                core.front().tellVersions(client::versions);
             }
             kept.forEach(client::startFrom);
             client.begin();
@@ -87,7 +85,6 @@
         if (port != null) {
             port.listen(Loop.address(config.listen));
         }
-        return new Streaming(port);
     }
 
     /** Where operators ask, or null. */
@@ -103,20 +100,20 @@
     }
 
     /** Adopting, with the parts that run. */
-    private record Live(Parts parts) implements StreamedTypes.Adopters {
+    private final class Live implements StreamedTypes.Adopters {
         @Override
         public Replacement replacement(List<Entry> entries, Set<String> named) {
-            return parts.scheduler.replacement(parts.carrier, entries, named);
+            return core.scheduler().replacement(core.carrier(), entries, named);
         }
 
         @Override
         public List<String> functions(GearmanConfig read) {
-            return parts.gearman.adopt(read);
+            return core.gearman().adopt(read);
         }
 
         @Override
         public List<String> durable(DurableConfig read) {
-            return parts.durability.adopt(read);
+            return durability.adopt(read);
         }
     }
 }
--- /dev/null
+++ b/src/main/java/laneflow/assembly/Together.java
@@ -0,0 +1,190 @@
+package laneflow.assembly;
+
+import java.io.IOException;
+import java.net.BindException;
+import java.security.SecureRandom;
+import java.util.ArrayList;
+import java.util.HexFormat;
+import java.util.List;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.RejectedExecutionException;
+import java.util.concurrent.locks.LockSupport;
+import laneflow.control.ResourceType;
+import laneflow.control.SettingTypes;
+import laneflow.core.Scheduler;
+import laneflow.decision.Dispatch.Settings;
+import laneflow.fleet.Fleet;
+import laneflow.fleet.FleetConfig;
+import laneflow.http.Config;
+import laneflow.membership.Members;
+import laneflow.membership.decision.Facts;
+import laneflow.net.Loop;
+import laneflow.net.Threads;
+import laneflow.policy.PolicyPart;
+import laneflow.policy.PolicyTypes;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** What schedulers do together, as part of the assembly: a scheduler by itself loads none of it. */
+final class Together implements Subsystem {
+    private static final Logger LOG = LoggerFactory.getLogger(Together.class);
+    private static final long AGAIN_NS = 20_000_000;
+    private static final String CLOCK_RATE = "laneflow.lab.clock_rate";
+    private static final String LIBRARY_LOG = "org.slf4j.simpleLogger.log.io.microraft";
+
+    private final Subsystems.Core core;
+    private final boolean tellsPolicy;
+    private final Fleet fleet;
+    /** Null where no view is kept. */
+    private final Members members;
+    private volatile boolean closed;
+    private boolean listens;
+    /** On the loop. */
+    private boolean draining;
+    /** Null where no policy is decided together. */
+    private final PolicyPart policy;
+
+    /** Links this scheduler with the others; before clients are let in. */
+    Together(Setup setup, Subsystems.Core core) throws IOException, InterruptedException {
+        this.core = core;
+        tellsPolicy = setup.policy() != null && setup.policy().tellPolicy;
+        Loop loop = core.loop();
+        Scheduler scheduler = core.scheduler();
+        if (System.getProperty(LIBRARY_LOG) == null) {
+            // It tells every step of an election; what matters of them is told by the policy's own log.
+            System.setProperty(LIBRARY_LOG, "warn");
+        }
+        FleetConfig config = setup.fleet();
+        byte[] life = new byte[6];
+        SecureRandom random = new SecureRandom();
+        random.nextBytes(life);
+        String build = Together.class.getPackage().getImplementationVersion();
+        fleet = new Fleet(loop, config, new Fleet.Self(config.name, HexFormat.of().formatHex(life),
+                build == null ? "" : build), Token.read(config.tokenFile), scheduler.counters(),
+                random.nextLong());
+        // Outside tests clocks run as they run.
+        double clockRate = Double.parseDouble(System.getProperty(CLOCK_RATE, "1"));
+        ExecutorService reading = Threads.inOrder("policy-reader");
+        policy = setup.policy() == null ? null : new PolicyPart(new PolicyPart.Given(loop, fleet, scheduler,
+                setup.policy(), bans -> types(setup, bans), List.of(setup.config().classNames), reading,
+                random.nextLong(), clockRate, core.upgrade()));
+        members = setup.members() == null ? null : members(setup, reading, random.nextLong());
+        listen();
+    }
+
+    private Members members(Setup setup, ExecutorService reading, long seed) throws IOException,
+            InterruptedException {
+        Config config = setup.config();
+        Scheduler scheduler = core.scheduler();
+        return new Members(new Members.Given(core.loop(), fleet, setup.members(), scheduler.counters(),
+                config.zones.isEmpty() ? "" : config.zones.get(config.settings.zone),
+                () -> policy == null ? -1 : policy.number(), this::condition,
+                () -> scheduler.open() / (double) config.sockets, () -> served(scheduler), reading, seed));
+    }
+
+    private Facts.Condition condition() {
+        if (policy != null && !policy.isReady() && !draining) {
+            return Facts.Condition.FENCED;
+        }
+        return draining || !core.front().isReady() ? Facts.Condition.DRAINING : Facts.Condition.READY;
+    }
+
+    private static long served(Scheduler scheduler) {
+        long all = 0;
+        for (long[] row : scheduler.tallies()) {
+            all += row[Scheduler.TAKEN] - row[Scheduler.FAILED] - row[Scheduler.REFUSED];
+        }
+        return all;
+    }
+
+    private void listen() throws IOException, InterruptedException {
+        try {
+            listenNow();
+        } catch (BindException e) {
+            if (!core.upgrade()) {
+                throw e;
+            }
+            LOG.info("other schedulers can come as soon as the process before this one has ended");
+            Threads.daemon(this::listenLater, "fleet-address").start();
+        }
+    }
+
+    private void listenNow() throws IOException, InterruptedException {
+        if (!listens) {
+            fleet.listen();
+            listens = true;
+        }
+        if (members != null) {
+            // The last, so that a life begins only where the former one of this place has ended.
+            members.begin();
+        }
+    }
+
+    /** In an upgrade the address is the former process's until that ends. On a thread of its own. */
+    private void listenLater() {
+        while (!closed) {
+            try {
+                listenNow();
+                return;
+            } catch (BindException e) {
+                LockSupport.parkNanos(AGAIN_NS);
+            } catch (InterruptedException e) {
+                return;
+            } catch (IOException | RejectedExecutionException e) {
+                LOG.error("fleet: other schedulers can't come here: {}", e.getMessage());
+                return;
+            }
+        }
+    }
+
+    /** The types that a policy may hold here. */
+    static PolicyTypes types(Setup setup, ResourceType bans) {
+        Config config = setup.config();
+        Settings settings = config.settings;
+        List<ResourceType> all = new ArrayList<>();
+        all.add(SettingTypes.classes(settings, List.of(config.classNames)));
+        try {
+            all.add(SettingTypes.limits(settings, config, StreamedTypes.ceilings()));
+        } catch (IOException e) {
+            throw new IllegalStateException("what this process may have can't be read", e);
+        }
+        all.add(SettingTypes.module(settings));
+        all.add(bans);
+        all.removeIf(type -> setup.fixed().containsKey(type.name()));
+        return new PolicyTypes(all, setup.fixed());
+    }
+
+    @Override
+    public void begin() throws InterruptedException {
+        if (tellsPolicy) {
+            core.loop().call(() -> core.front().tellVersions(policy::stamp));
+        }
+    }
+
+    @Override
+    public void drain() {
+        draining = true;
+        if (members != null) {
+            members.changed();
+        }
+    }
+
+    @Override
+    public boolean isReady() {
+        return policy == null || policy.isReady();
+    }
+
+    /** The others need not wait for this process. */
+    @Override
+    public void close() throws InterruptedException {
+        closed = true;
+        if (members != null) {
+            members.leave();
+        }
+        if (policy != null) {
+            core.loop().call(policy::leave);
+            policy.close();
+        }
+        core.loop().call(fleet::close);
+    }
+}
--- a/src/main/java/laneflow/Token.java
+++ b/src/main/java/laneflow/assembly/Token.java
@@ -1,4 +1,4 @@
-package laneflow;
+package laneflow.assembly;
 
 import java.io.IOException;
 import java.nio.file.Files;
--- a/src/main/java/laneflow/cli/PolicyCommand.java
+++ b/src/main/java/laneflow/cli/PolicyCommand.java
@@ -43,6 +43,7 @@
     private static final Duration ANSWER_WITHIN = Duration.ofSeconds(5);
     private static final int MOST_HOPS = 4;
     private static final long PAUSE_MS = 50;
+    private static final long VOTERS_WAIT_NS = 10_000_000_000L;
     private static final int MOST_NAME = 64;
     @Spec
     private CommandSpec spec;
@@ -51,16 +52,16 @@
     static final class Where {
         @Option(names = "--at", paramLabel = "ADDRESS", required = true, arity = "1", split = ",",
                 description = "Where schedulers reach each other: ADDRESS:PORT, several with commas between.")
-        private List<String> addresses;
+        List<String> addresses;
         @Option(names = "--token-file", paramLabel = "FILE", description = "The fleet's token.")
         private Path tokenFile;
         @Option(names = "--json", description = "As the scheduler says it.")
-        private boolean json;
+        boolean json;
 
         private final HttpClient client = HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1)
                 .connectTimeout(ANSWER_WITHIN).build();
 
-        private HttpResponse<String> send(String address, String path, String body)
+        HttpResponse<String> send(String address, String path, String body)
                 throws IOException, InterruptedException {
             Loop.address(address);
             URI to = URI.create("http://" + address + path);
@@ -173,7 +174,7 @@
             + " proposes nothing new.")
     int propose(@Parameters(paramLabel = "FILE",
     description = "The change: the tables of the operators' file that"
-            + " are to hold, [classes.NAME], [limits], and bans = [\"ENDPOINT\"]; or JSON"
+            + " are to hold, [classes.NAME], [limits], [module], and bans = [\"ENDPOINT\"]; or JSON"
             + " with 'types', or a control service's whole state of one type.")
             Path file, @Option(names = "--name", description = "The change's name; else the file's own.")
             String name, @Option(names = "--wait-ms", paramLabel = "N", defaultValue = "10000",
@@ -277,11 +278,22 @@
             + " code 1 if one has, or can't be asked.")
     int voters(@Option(names = "--replace", paramLabel = "NAME",
             description = "Take this voter's new store in, in the place of the one that it has lost.")
-            String replace, @Mixin Where where) throws IOException, InterruptedException {
-        if (replace != null) {
-            JsonObject asked = new JsonObject();
-            asked.addProperty("replace", replace);
-            HttpResponse<String> answer = where.ask("/policy/voters", asked.toString());
+            String replace, @Option(names = "--add", paramLabel = "NAME",
+            description = "Let this scheduler vote from now on; it has an empty store of votes.")
+            String add, @Option(names = "--remove", paramLabel = "NAME",
+            description = "Let this voter vote no more.") String remove, @Mixin Where where)
+            throws IOException, InterruptedException {
+        JsonObject asked = new JsonObject();
+        asked.addProperty("replace", replace);
+        asked.addProperty("add", add);
+        asked.addProperty("remove", remove);
+        asked.entrySet().removeIf(one -> one.getValue().isJsonNull());
+        if (asked.size() > 1) {
+            throw new ParameterException(spec.commandLine(),
+                    "one voter at a time: --add, --remove or --replace");
+        }
+        if (asked.size() == 1) {
+            HttpResponse<String> answer = order(where, asked.toString());
             if (answer.statusCode() != 200) {
                 throw new IOException(answer.body().strip());
             }
@@ -300,9 +312,11 @@
                 } else {
                     JsonObject voter = own.getAsJsonObject();
                     boolean votes = voter.get("votes").getAsBoolean();
-                    code = votes ? code : 1;
+                    boolean waits = is(voter, "candidate") || is(voter, "removed");
+                    code = votes || waits ? code : 1;
                     out.printf("%-14s %s as %s, term %d, with %s%n", all.get("scheduler").getAsString(),
-                            votes ? "votes" : voter.get("lost").getAsBoolean()
+                            votes ? "votes" : is(voter, "removed") ? "was taken out"
+                            : is(voter, "candidate") ? "may be taken in" : is(voter, "lost")
                             ? "has lost its vote" : "does not vote yet",
                             voter.get("store").getAsString(), voter.get("term").getAsInt(),
                             voter.get("voters"));
@@ -316,6 +330,26 @@
         return code;
     }
 
+    /** Asks again while the leader hands over, or a link to a new voter comes up. */
+    private static HttpResponse<String> order(Where where, String order) throws IOException,
+            InterruptedException {
+        long end = System.nanoTime() + VOTERS_WAIT_NS;
+        while (true) {
+            try {
+                return where.ask("/policy/voters", order);
+            } catch (IOException e) {
+                if (System.nanoTime() > end) {
+                    throw e;
+                }
+            }
+            Thread.sleep(PAUSE_MS);
+        }
+    }
+
+    private static boolean is(JsonObject voter, String what) {
+        return voter.has(what) && voter.get(what).getAsBoolean();
+    }
+
     // ---- the file ----
 
     /** A change as its file has it: in the operators' file's words, or JSON. */
@@ -347,11 +381,12 @@
                 }
                 case "classes" -> one.getValue().getAsJsonObject().entrySet().forEach(each ->
                         resources.add(named(each.getKey(), each.getValue().getAsJsonObject())));
-                case "limits" -> resources.add(named("limits", one.getValue().getAsJsonObject()));
+                case "limits", "module" -> resources.add(named(one.getKey(),
+                        one.getValue().getAsJsonObject()));
                 case "bans" -> one.getValue().getAsJsonArray().forEach(each ->
                         resources.add(named(each.getAsString(), new JsonObject())));
                 default -> throw new IllegalArgumentException(file + ": " + one.getKey() + ": is no part of a"
-                        + " policy; known are name, classes, limits, bans");
+                        + " policy; known are name, classes, limits, module, bans");
             }
             types.add(one.getKey(), resources);
         }
--- a/src/main/java/laneflow/cli/ServeCommand.java
+++ b/src/main/java/laneflow/cli/ServeCommand.java
@@ -2,8 +2,8 @@
 
 import java.nio.file.Path;
 import java.util.concurrent.Callable;
-import laneflow.Serve;
-import laneflow.Setup;
+import laneflow.assembly.Serve;
+import laneflow.assembly.Setup;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Model.CommandSpec;
 import picocli.CommandLine.Option;
--- a/src/main/java/laneflow/control/AddressRange.java
+++ b/src/main/java/laneflow/config/AddressRange.java
@@ -1,4 +1,4 @@
-package laneflow.control;
+package laneflow.config;
 
 import java.net.InetAddress;
 import java.net.UnknownHostException;
--- a/src/main/java/laneflow/config/OperatorFile.java
+++ b/src/main/java/laneflow/config/OperatorFile.java
@@ -25,6 +25,7 @@
     private final Table control;
     private final Table fleet;
     private final Table policy;
+    private final Table members;
 
     private OperatorFile(Table root) {
         this.root = root;
@@ -33,6 +34,7 @@
         control = root.table("control");
         fleet = root.table("fleet");
         policy = root.table("policy");
+        members = root.table("members");
         top();
         root.close();
     }
@@ -108,6 +110,11 @@
         return policy;
     }
 
+    /** The table of the view that schedulers keep of each other, or null where it is off. */
+    public Table members() {
+        return members;
+    }
+
     /** What is said of the scheduler, in the platform's form. */
     public JsonObject platform() {
         return platform;
@@ -208,9 +215,26 @@
             to.addProperty("fall", from.number("fall_ms", 0, 0, HOUR_MS) / 1000);
             from.close();
         }
+        Table module = root.table("module");
+        if (module != null) {
+            module(module, to);
+        }
         settings.add("rules", to);
     }
 
+    /** Reads the table of the module's own choices into the platform's form, among its rules. */
+    public static void module(Table from, JsonObject to) {
+        to.addProperty("crossEachWay", from.number("cross_each_way", 0.5, 0, 1));
+        to.addProperty("spareAttempts", from.number("retry_free", 0, 0, 1e6));
+        to.addProperty("repeatRatio", from.number("retry_share", 0, 0, 5));
+        double window = from.number("retry_window_ms", 0, 0, HOUR_MS);
+        if (window == 0 && (from.has("retry_free") || from.has("retry_share"))) {
+            from.wrong("retry_window_ms", "is missing: in which time retry_free and retry_share are counted");
+        }
+        to.addProperty("resendSpan", window / 1000);
+        from.close();
+    }
+
     private void classes(JsonObject settings) {
         Map<String, Table> tables = root.tables("classes");
         JsonArray classes = new JsonArray();
--- a/src/main/java/laneflow/control/ControlConfig.java
+++ b/src/main/java/laneflow/control/ControlConfig.java
@@ -3,6 +3,7 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
+import laneflow.config.AddressRange;
 import laneflow.config.Table;
 import laneflow.net.Loop;
 
--- a/src/main/java/laneflow/control/DestinationType.java
+++ b/src/main/java/laneflow/control/DestinationType.java
@@ -7,6 +7,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
+import laneflow.config.AddressRange;
 import laneflow.core.DestinationSet.Entry;
 import laneflow.core.Replacement;
 import laneflow.decision.Dispatch.State;
--- a/src/main/java/laneflow/control/SettingTypes.java
+++ b/src/main/java/laneflow/control/SettingTypes.java
@@ -225,6 +225,35 @@
         });
     }
 
+    /**
+     * The module's own choices, a resource of the name {@code module}: the coin between neighbouring zones
+     * and the budget of further attempts. They hold for the requests that come from then on.
+     */
+    public static ResourceType module(Settings settings) {
+        double[] first = {settings.crossEachWay, settings.furtherFree, settings.furtherShare,
+            settings.furtherWithin};
+        return new Setting("module", () -> adopt(settings, first), (resources, said) -> {
+            Findings findings = Findings.paths();
+            JsonObject one = resources.get(0).getAsJsonObject().deepCopy();
+            one.remove("name");
+            JsonObject rules = new JsonObject();
+            OperatorFile.module(Table.of(one, "resources[0]", findings), rules);
+            said.addAll(findings.all());
+            double[] read = {rules.get("crossEachWay").getAsDouble(),
+                rules.get("spareAttempts").getAsDouble(), rules.get("repeatRatio").getAsDouble(),
+                rules.get("resendSpan").getAsDouble()};
+            return () -> adopt(settings, read);
+        });
+    }
+
+    private static List<String> adopt(Settings settings, double[] to) {
+        settings.crossEachWay = to[0];
+        settings.furtherFree = to[1];
+        settings.furtherShare = to[2];
+        settings.furtherWithin = to[3];
+        return List.of();
+    }
+
     private static void listen(JsonElement listen, Findings findings) {
         try {
             if (listen != null) {
--- a/src/main/java/laneflow/control/Warmup.java
+++ b/src/main/java/laneflow/control/Warmup.java
@@ -4,6 +4,7 @@
 import com.google.gson.JsonObject;
 import com.google.gson.JsonParser;
 import java.util.List;
+import laneflow.config.AddressRange;
 import laneflow.core.Carrier;
 import laneflow.core.Counters;
 import laneflow.core.Deadlines;
--- a/src/main/java/laneflow/decision/Dispatch.java
+++ b/src/main/java/laneflow/decision/Dispatch.java
@@ -17,8 +17,9 @@
  *
  * <p><b>Ownership.</b> Values passed in are read before the method returns and may be reused by the host
  * afterwards, but for {@link Settings}: of these only {@code maxAttempts}, {@code retryAfter},
- * {@code maxRetryAfter}, and the entries of {@code classes} as wholes, may change, between two events and
- * with {@link #retuned} behind it. A request keeps what it came under; no class changes its effect or kind.
+ * {@code maxRetryAfter}, {@code crossEachWay}, those that begin with {@code further}, and the entries of
+ * {@code classes} as wholes, may change, between two events and with {@link #retuned} behind it. A request
+ * keeps what it came under; no class changes its effect or kind.
  *
  * <p><b>Misuse.</b> A request id already open, and outcomes, notes, timers or probe results for things
  * unknown, are ignored. A class out of range is an {@link IllegalArgumentException}. Settings no decision
@@ -118,6 +119,8 @@
         public double furtherFree;
         public double furtherShare;
         public double furtherWithin;
+        /** The chance of the next zone on the ring where home is full; the rest is the one before it. */
+        public double crossEachWay = 0.5;
         /** Seconds within which idle connections to a draining worker are closed; 0: not asked for. */
         public double closeOnDrain;
         /** The shortest time between two events' clocks. */
--- a/src/main/java/laneflow/decision/Job.java
+++ b/src/main/java/laneflow/decision/Job.java
@@ -22,6 +22,10 @@
     int mostAttempts;
     boolean toldWhen;
     double longestRetryAfter;
+    double crossEachWay;
+    double furtherFree;
+    double furtherShare;
+    double furtherWithin;
     /** Reports it still waits for. */
     int awaited;
     boolean live;
@@ -42,6 +46,10 @@
         mostAttempts = settings.maxAttempts;
         toldWhen = settings.retryAfter;
         longestRetryAfter = settings.maxRetryAfter;
+        crossEachWay = settings.crossEachWay;
+        furtherFree = settings.furtherFree;
+        furtherShare = settings.furtherShare;
+        furtherWithin = settings.furtherWithin;
         arrivedAt = now;
         lastCall = call;
         hint = work;
--- a/src/main/java/laneflow/decision/Logic.java
+++ b/src/main/java/laneflow/decision/Logic.java
@@ -15,8 +15,6 @@
  * call, effects, cold budgets, suspicion. docs/design.md says why; docs/on-call.md what to do at night.
  */
 public final class Logic implements Dispatch {
-    /** Chance of ring neighbour j+1 when home is full, the rest is j-1's: every blocked job is forwarded. */
-    private static final double CROSS_EACH_WAY = 0.5;
     /** Seconds in which a load report has lost half its weight, and after which its free memory is void. */
     private static final double REPORT_AGE = 1;
     /** Seconds that a report is held to be older than its arrival: it was taken before and came late. */
@@ -409,9 +407,9 @@
         return best;
     }
 
-    /** A full pool's coin: either neighbour on the ring of zones that serve the class, evenly. */
+    /** A full pool's coin: either neighbour on the ring of zones that serve the class. */
     private View coin(Job job, int home) {
-        int step = random.nextDouble() < CROSS_EACH_WAY ? 1 : settings.zones - 1;
+        int step = random.nextDouble() < job.crossEachWay ? 1 : settings.zones - 1;
         int zone = (home + step) % settings.zones;
         while (zone != home && !serves(zone, job)) {
             zone = (zone + step) % settings.zones;
@@ -526,7 +524,7 @@
     /** What follows an attempt that did not serve the request. */
     private void next(Job job) {
         if (job.streaming || now >= job.lastCall || job.attempts >= job.mostAttempts || !mayRepeat(job)
-                || !withinBudget()) {
+                || !withinBudget(job)) {
             finish(job);
         } else {
             place(job);
@@ -637,11 +635,11 @@
      * settings ration further attempts, whatever the earlier ones came to, one more must leave every window
      * within its ration. Times are read to the tick, on the careful side.
      */
-    private boolean withinBudget() {
-        double since = now - settings.furtherWithin;
+    private boolean withinBudget(Job job) {
+        double since = now - job.furtherWithin;
         int made = further.count(since - settings.tick);
         int got = taken.count(since + settings.tick);
-        return settings.furtherWithin <= 0 || made + 1 <= settings.furtherFree + settings.furtherShare * got;
+        return job.furtherWithin <= 0 || made + 1 <= job.furtherFree + job.furtherShare * got;
     }
 
     // ---- guard: cold workers ----
--- a/src/main/java/laneflow/fleet/Fleet.java
+++ b/src/main/java/laneflow/fleet/Fleet.java
@@ -13,6 +13,7 @@
 import java.util.Map;
 import java.util.SplittableRandom;
 import java.util.function.Consumer;
+import java.util.function.UnaryOperator;
 import laneflow.core.Counters;
 import laneflow.core.Deadlines.Deadline;
 import laneflow.http.LineStream;
@@ -77,6 +78,7 @@
     private final List<Link> accepted = new ArrayList<>();
     private final List<Consumer<Peer>> up = new ArrayList<>();
     private final List<Consumer<Peer>> down = new ArrayList<>();
+    private UnaryOperator<String> describer = name -> "";
     private boolean over;
 
     /** @param token that all schedulers show each other, or null */
@@ -134,6 +136,25 @@
         return to == null || !to.isUp() ? null : to;
     }
 
+    /** A link to the scheduler of that name, whoever began it, or null. */
+    public Peer any(String name) {
+        Peer to = peer(name);
+        for (int i = 0; to == null && i < accepted.size(); i++) {
+            to = accepted.get(i).isUp() && accepted.get(i).name().equals(name) ? accepted.get(i) : null;
+        }
+        return to;
+    }
+
+    /** Tells what else is known of a scheduler, in a word, or empty. */
+    public void describe(UnaryOperator<String> by) {
+        describer = by;
+    }
+
+    /** What else is known of that scheduler here, in a word, or empty. */
+    public String described(String name) {
+        return describer.apply(name);
+    }
+
     /** The process of that name and life that has dialled this one, or null. */
     public Peer accepted(String who) {
         for (Link link : accepted) {
--- a/src/main/java/laneflow/http/HttpFront.java
+++ b/src/main/java/laneflow/http/HttpFront.java
@@ -59,6 +59,11 @@
         ready = condition;
     }
 
+    /** Whether clients may be asked for. */
+    public boolean isReady() {
+        return ready.getAsBoolean();
+    }
+
     public void listen(InetSocketAddress at) throws IOException {
         listener = loop.listen(at, IN_RING, OUT_RING, this::makeRoom, () -> new Client(this, ++came));
         // Not before it is known here: a client that is heard at once would find no listener.
--- a/src/main/java/laneflow/lab/Crew.java
+++ b/src/main/java/laneflow/lab/Crew.java
@@ -21,6 +21,7 @@
     private static final int FIRST_PORT = 12_000;
     private static final int LAST_PORT = 32_000;
     private static final int PORT_TRIES = 1000;
+    private static final int KIB = 1024;
     private static final Set<Integer> GIVEN = ConcurrentHashMap.newKeySet();
 
     private final Path folder;
@@ -61,7 +62,17 @@
     /** The same with further options of the virtual machine. */
     Process start(String name, int heapMb, List<String> options, Class<?> main, String... args)
             throws IOException {
-        List<String> line = new ArrayList<>(List.of(Path.of(System.getProperty("java.home"), "bin",
+        return start(0, name, heapMb, options, main, args);
+    }
+
+    /** The same for a process none of whose files may grow beyond so many bytes; 0: no limit. */
+    Process start(long mostBytes, String name, int heapMb, List<String> options, Class<?> main,
+            String... args) throws IOException {
+        List<String> line = new ArrayList<>();
+        if (mostBytes > 0) {
+            line.addAll(List.of("bash", "-c", "ulimit -f " + mostBytes / KIB + "; exec \"$@\"", "limited"));
+        }
+        line.addAll(List.of(Path.of(System.getProperty("java.home"), "bin",
                 "java").toString(),
                 "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1", "-XX:+AlwaysPreTouch",
                 "-Xms" + heapMb + "m", "-Xmx" + heapMb + "m",
--- a/src/main/java/laneflow/lab/Rig.java
+++ b/src/main/java/laneflow/lab/Rig.java
@@ -13,7 +13,9 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.Arrays;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import laneflow.Main;
@@ -31,9 +33,12 @@
     private static final int HEAP_MB = 64;
 
     private final Path folder;
+    /** Those of the first so many can be dialled by all, and vote or may be taken in. */
     private final int voters;
+    private int named;
     private final Crew crew;
     private final Process[] processes;
+    private final long[] limits;
     private final int[] clientPorts;
     private final int[] fleetPorts;
     private final Relay[][] relays;
@@ -41,6 +46,11 @@
             .connectTimeout(ASK_WITHIN).build();
     private final List<String> more = new ArrayList<>();
     private final List<String> options = new ArrayList<>();
+    /** Null where no view is kept. */
+    private DatagramRelay datagrams;
+    private int[] memberPorts;
+    private int[] memberSeeds;
+    private final Map<Integer, Path> keyFiles = new HashMap<>();
 
     /** Holds, or not yet; a process that does not answer is no reason to give up. */
     public interface Condition {
@@ -55,8 +65,10 @@
     public Rig(Path folder, int schedulers, int voters, long seed, String common) throws IOException {
         this.folder = folder;
         this.voters = voters;
+        named = voters;
         crew = new Crew(folder);
         processes = new Process[schedulers];
+        limits = new long[schedulers];
         clientPorts = new int[schedulers];
         fleetPorts = new int[schedulers];
         relays = new Relay[schedulers][voters];
@@ -86,6 +98,103 @@
         more.set(i, text);
     }
 
+    /** Files name only the first so many as voters; others that can be dialled may be taken in. */
+    public void votersNamed(int first) {
+        named = first;
+    }
+
+    /** No file of this one grows beyond so many bytes: to the program its disk is full then. */
+    public void fullAt(int i, long bytes) {
+        limits[i] = bytes;
+    }
+
+    /**
+     * All keep a view of each other from the next start on, by datagrams through a relay.
+     *
+     * @param seeds what the file of each names as others' places
+     */
+    public void members(long seed, int... seeds) throws IOException {
+        memberPorts = new int[processes.length];
+        for (int i = 0; i < processes.length; i++) {
+            memberPorts[i] = Crew.port();
+        }
+        datagrams = new DatagramRelay(memberPorts, seed);
+        memberSeeds = seeds;
+        Files.writeString(keyFile(), "the-key-of-this-fleet-1\n");
+    }
+
+    /** Where the keys of all members are. */
+    public Path keyFile() {
+        return folder.resolve("members.key");
+    }
+
+    /** Others than all have. */
+    public void keyFile(int i, Path file) {
+        keyFiles.put(i, file);
+    }
+
+    /** By which others know a member. */
+    public int memberPort(int i) {
+        return datagrams.port(i);
+    }
+
+    /** Puts a datagram in, as if one had sent it to the other. */
+    public void inject(int from, int to, byte[] datagram) {
+        datagrams.inject(from, to, datagram);
+    }
+
+    private String membersTable(int i) {
+        if (datagrams == null) {
+            return "";
+        }
+        StringBuilder seeds = new StringBuilder();
+        for (int seed : memberSeeds) {
+            seeds.append(seeds.isEmpty() ? "" : ", ").append("\"127.0.0.1:").append(datagrams.port(seed))
+                    .append('"');
+        }
+        return "[members]\nlisten = \"127.0.0.1:" + memberPorts[i] + "\"\nadvertise = \"127.0.0.1:"
+                + datagrams.port(i) + "\"\nseeds = [" + seeds
+                + "]\nallowed = [\"127.0.0.0/8\"]\nkey_file = \"" + keyFiles.getOrDefault(i, keyFile()) + "\"\n";
+    }
+
+    /** What a scheduler says of all, {@code GET /fleet}. */
+    public JsonObject fleet(int i) throws IOException, InterruptedException {
+        HttpResponse<String> answer = ask(i, "/fleet", null);
+        if (answer.statusCode() != 200) {
+            throw new IOException(answer.body());
+        }
+        return JsonParser.parseString(answer.body()).getAsJsonObject();
+    }
+
+    /** What one has on another: its state, or "unknown". */
+    public String standing(int i, int other) throws IOException, InterruptedException {
+        for (var one : fleet(i).getAsJsonArray("members")) {
+            if (one.getAsJsonObject().get("name").getAsString().equals(name(other))) {
+                return one.getAsJsonObject().get("state").getAsString();
+            }
+        }
+        return "unknown";
+    }
+
+    /** True if all of these are settled and hold the same view, of so many. */
+    public boolean settled(int live, int... these) throws IOException, InterruptedException {
+        String digest = null;
+        for (int i : these) {
+            JsonObject view = fleet(i);
+            if (view.get("live").getAsInt() != live || !view.get("settled").getAsBoolean() || digest != null
+                    && !digest.equals(view.get("digest").getAsString())) {
+                return false;
+            }
+            digest = view.get("digest").getAsString();
+        }
+        return true;
+    }
+
+    /** Waits for that. */
+    public void awaitSettled(int live, int... these) throws IOException, InterruptedException {
+        await("all of " + Arrays.toString(these) + " hold one view of " + live, () -> settled(live, these));
+    }
+
     /** An option of the virtual machine of this one, as for a clock that runs otherwise. */
     public void option(int i, String option) {
         options.set(i, option);
@@ -99,23 +208,31 @@
     // ---- processes ----
 
     public void start(int i) throws IOException {
+        Path file = write(i);
+        note("start " + name(i));
+        String option = options.get(i);
+        processes[i] = crew.start(limits[i], name(i), HEAP_MB, option.isEmpty() ? List.of() : List.of(option),
+                Main.class, "serve", "--config", file.toString());
+    }
+
+    /** Writes the file that this one starts by, for a start by other means. */
+    public Path write(int i) throws IOException {
         StringBuilder peers = new StringBuilder();
         StringBuilder names = new StringBuilder();
         for (int k = 0; k < voters; k++) {
             peers.append(name(k)).append(" = \"127.0.0.1:").append(k == i ? fleetPorts[k]
                     : relays[i][k].port()).append("\"\n");
-            names.append(k == 0 ? "\"" : ", \"").append(name(k)).append('"');
+            if (k < named) {
+                names.append(k == 0 ? "\"" : ", \"").append(name(k)).append('"');
+            }
         }
         Path file = folder.resolve(name(i) + ".toml");
         Files.writeString(file, "name = \"" + name(i) + "\"\nlisten = \"127.0.0.1:" + clientPorts[i] + "\"\n"
                 + more.get(i).replace("VOTERS", "[" + names + "]").replace("FOLDER", folder.resolve(name(i))
                 + "-votes") + "\n[fleet]\nlisten = \"127.0.0.1:" + fleetPorts[i]
-                + "\"\nsilence_ms = 1000\nlongest_backoff_ms = 100\n[fleet.peers]\n" + peers);
-        note("start " + name(i));
-        String option = options.get(i);
-        processes[i] = crew.start(name(i), HEAP_MB, option.isEmpty() ? List.of() : List.of(option),
-                Main.class,
-                "serve", "--config", file.toString());
+                + "\"\nsilence_ms = 1000\nlongest_backoff_ms = 100\n[fleet.peers]\n" + peers
+                + membersTable(i));
+        return file;
     }
 
     public void startAll() throws IOException {
@@ -136,8 +253,18 @@
 
     /** SIGTERM, and waits for its end. */
     public int end(int i) throws InterruptedException, IOException {
+        term(i);
+        return ended(i);
+    }
+
+    /** SIGTERM. */
+    public void term(int i) throws IOException {
         note("term " + name(i));
         processes[i].destroy();
+    }
+
+    /** Waits for the end of one that was told to; returns its exit code. */
+    public int ended(int i) throws InterruptedException, IOException {
         if (!processes[i].waitFor(PATIENCE_NS, TimeUnit.NANOSECONDS)) {
             throw new IOException(name(i) + " does not end");
         }
@@ -206,12 +333,16 @@
         if (from < voters) {
             relays[to][from].back.cut = cut;
         }
+        if (datagrams != null) {
+            datagrams.path(from, to).cut = cut;
+        }
     }
 
     /** All paths pass everything again. */
     public void heal() throws IOException {
         note("heal");
         each(way -> way.clear());
+        eachPath(DatagramRelay.Path::clear);
     }
 
     /** All paths lose and double such shares of lines, and delay each by up to so much. */
@@ -222,6 +353,19 @@
             way.doubled = doubled;
             way.jitterMs = jitterMs;
         });
+        eachPath(path -> {
+            path.lost = lost;
+            path.doubled = doubled;
+            path.jitterMs = jitterMs;
+        });
+    }
+
+    private void eachPath(Consumer<DatagramRelay.Path> change) {
+        for (int i = 0; datagrams != null && i < processes.length; i++) {
+            for (int k = 0; k < processes.length; k++) {
+                change.accept(datagrams.path(i, k));
+            }
+        }
     }
 
     private void each(Consumer<Relay.Way> change) {
@@ -386,6 +530,9 @@
     @Override
     public void close() throws IOException, InterruptedException {
         crew.close();
+        if (datagrams != null) {
+            datagrams.close();
+        }
         for (Relay[] row : relays) {
             for (Relay relay : row) {
                 relay.close();
--- /dev/null
+++ b/src/main/java/laneflow/membership/Members.java
@@ -0,0 +1,442 @@
+package laneflow.membership;
+
+import com.google.gson.JsonArray;
+import com.google.gson.JsonElement;
+import com.google.gson.JsonObject;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.nio.file.attribute.FileTime;
+import java.util.ArrayList;
+import java.util.Base64;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.Executor;
+import java.util.concurrent.RejectedExecutionException;
+import java.util.function.Supplier;
+import laneflow.config.AddressRange;
+import laneflow.core.Counters;
+import laneflow.core.Deadlines.Deadline;
+import laneflow.fleet.Fleet;
+import laneflow.fleet.Peer;
+import laneflow.membership.decision.Facts;
+import laneflow.membership.decision.Life;
+import laneflow.membership.decision.Message;
+import laneflow.membership.decision.Message.Kind;
+import laneflow.membership.decision.Replays;
+import laneflow.membership.decision.Seal;
+import laneflow.membership.decision.State;
+import laneflow.membership.decision.Swim;
+import laneflow.membership.decision.Times;
+import laneflow.membership.decision.Update;
+import laneflow.membership.decision.Update.Full;
+import laneflow.membership.decision.Wire;
+import laneflow.net.Datagrams;
+import laneflow.net.Loop;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * The view that this scheduler keeps of the others: datagrams in and out, checked before anything is made of
+ * them, the loop's clock, and what it tells of itself. On the loop's thread. The view informs; nothing that
+ * must be true rests on it.
+ */
+public final class Members implements Swim.Out {
+    private static final Logger LOG = LoggerFactory.getLogger(Members.class);
+    private static final String BULK = "members";
+    private static final int RECORDS_A_PIECE = 24;
+    private static final long FACTS_EVERY = 1_000_000;
+    private static final long KEYS_EVERY = 2_000_000;
+    private static final int LEAVE_ROUNDS = 3;
+    private static final long TOLD_AGAIN = 60_000_000;
+    private static final double MICROS = 1e6;
+
+    private final Given given;
+    private final Loop loop;
+    private final MembersConfig config;
+    private final Counters counters;
+    private final Wire wire = new Wire(Seal.MOST - Seal.AROUND);
+    private final Replays replays = new Replays();
+    private final Deadline due;
+    private final Deadline facts;
+    private final Deadline keys;
+    private final Map<String, Long> changedMs = new HashMap<>();
+    private Seal seal;
+    private FileTime keysRead;
+    private Swim swim;
+    private Datagrams datagrams;
+    private long servedBefore;
+    private long factsAt;
+    private long spentNs;
+    private long longestNs;
+    private long turns;
+    private boolean over;
+    private long toldTwiceAt = Long.MIN_VALUE / 2;
+
+    /**
+     * What the assembly gives it.
+     *
+     * @param policy the number of the policy in force, -1 where none is decided together; on the loop
+     * @param condition whether clients may come; on the loop
+     * @param load share of the requests that may be open; on the loop
+     * @param served requests answered so far; on the loop
+     * @param reading a thread that reads files
+     */
+    public record Given(Loop loop, Fleet fleet, MembersConfig config, Counters counters, String zone,
+            Supplier<Long> policy, Supplier<Facts.Condition> condition, Supplier<Double> load,
+            Supplier<Long> served, Executor reading, long seed) {
+    }
+
+    /** Reads the keys and begins; off the loop. */
+    public Members(Given given) throws IOException, InterruptedException {
+        this.given = given;
+        loop = given.loop();
+        config = given.config();
+        counters = given.counters();
+        due = loop.deadlines().create(this::due);
+        facts = loop.deadlines().create(this::facts);
+        keys = loop.deadlines().create(this::lookForKeys);
+        keysRead = Files.getLastModifiedTime(config.keyFile);
+        seal = new Seal(readKeys(config.keyFile), (int) given.seed());
+    }
+
+    private static List<String> readKeys(Path file) throws IOException {
+        List<String> all = new ArrayList<>();
+        for (String line : Files.readAllLines(file)) {
+            if (!line.isBlank()) {
+                all.add(line.strip());
+            }
+        }
+        String unfit = Seal.unfit(all);
+        if (unfit != null) {
+            throw new IOException(file + ": " + unfit);
+        }
+        return all;
+    }
+
+    /** Becomes a member; fails with the socket's word where the address is taken. Off the loop. */
+    public void begin() throws IOException, InterruptedException {
+        Datagrams opened = loop.datagrams(config.listen, Seal.MOST, this::take);
+        loop.call(() -> {
+            datagrams = opened;
+            Life life = Life.of(given.fleet().self().name(), System.currentTimeMillis(),
+                    config.advertise.getPort() == 0 ? opened.address() : config.advertise);
+            swim = new Swim(life, told(), config.seeds, new Times(config.period), wire, given.seed(),
+                    loop.micros(), this);
+            given.fleet().handle(BULK, this::bulk);
+            given.fleet().serve("/fleet", (verb, path, body, answer) -> {
+                if (verb.equals("GET") && path.equals("/fleet")) {
+                    answer.say(200, "application/json", "", report() + "\n");
+                } else {
+                    answer.say(verb.equals("GET") ? 404 : 405, "text/plain", "", "known is GET /fleet\n");
+                }
+            });
+            given.fleet().describe(this::standing);
+            LOG.info("members: {} at {}", life, opened.address());
+            loop.deadlines().set(facts, loop.micros() + FACTS_EVERY);
+            loop.deadlines().set(keys, loop.micros() + KEYS_EVERY);
+            due();
+        });
+    }
+
+    // ---- datagrams ----
+
+    private void take(InetSocketAddress from, byte[] bytes, int length) {
+        if (swim == null || over) {
+            return;
+        }
+        long began = System.nanoTime();
+        counters.add("members.received");
+        Message message = read(from, bytes, length);
+        if (message != null) {
+            swim.heard(loop.micros(), from, message);
+            arm();
+        }
+        spent(began);
+    }
+
+    /** Null where it is nobody's that is heard; nothing has been made of it then but a count. */
+    private Message read(InetSocketAddress from, byte[] bytes, int length) {
+        if (length > Seal.MOST) {
+            counters.add("members.oversized");
+            return null;
+        }
+        if (!isHeard(from)) {
+            counters.add("members.foreign");
+            return null;
+        }
+        if (!seal.isWhole(bytes, length)) {
+            counters.add("members.unsealed");
+            return null;
+        }
+        Message message;
+        try {
+            message = wire.read(bytes, Seal.AROUND, length - Seal.AROUND);
+        } catch (IOException e) {
+            // Sealed, and yet no message: of a build that we don't know.
+            counters.add("members.spoilt");
+            return null;
+        }
+        if (swim.knows(message.from()) && !replays.isFresh(message.from(), Seal.number(bytes))) {
+            counters.add("members.replayed");
+            return null;
+        }
+        return message;
+    }
+
+    private boolean isHeard(InetSocketAddress from) {
+        if (swim.isKnown(from)) {
+            return true;
+        }
+        for (AddressRange range : config.allowed) {
+            if (range.holds(from.getAddress())) {
+                return true;
+            }
+        }
+        return false;
+    }
+
+    @Override
+    public void send(InetSocketAddress to, Message message) {
+        byte[] datagram = seal.close(wire.write(message));
+        counters.add("members.sent");
+        counters.set("members.bytes", counters.get("members.bytes") + datagram.length);
+        counters.set("members.datagram_most", Math.max(datagram.length,
+                counters.get("members.datagram_most")));
+        if (!datagrams.send(to, datagram)) {
+            counters.add("members.dropped");
+        }
+    }
+
+    @Override
+    public boolean sendAll(String name, List<Full> records) {
+        Peer peer = given.fleet().any(name);
+        if (peer == null) {
+            return false;
+        }
+        JsonArray pieces = new JsonArray();
+        for (int i = 0; i < records.size(); i += RECORDS_A_PIECE) {
+            List<Update> some = new ArrayList<>(records.subList(i, Math.min(records.size(), i
+                    + RECORDS_A_PIECE)));
+            pieces.add(Base64.getEncoder().encodeToString(wire.write(new Message(Kind.NEWS,
+                    swim.self().life().id(), 0, 0, 0, null, some))));
+        }
+        JsonObject all = new JsonObject();
+        all.addProperty("t", BULK);
+        all.add("pieces", pieces);
+        counters.add("members.bulks");
+        return peer.send(all);
+    }
+
+    /** Records from a member over the link. */
+    private void bulk(Peer from, JsonObject message) {
+        for (JsonElement piece : message.getAsJsonArray("pieces")) {
+            byte[] bytes = Base64.getDecoder().decode(piece.getAsString());
+            try {
+                List<Full> records = new ArrayList<>();
+                for (Update update : wire.read(bytes, 0, bytes.length).updates()) {
+                    if (update instanceof Full full) {
+                        records.add(full);
+                    }
+                }
+                swim.heardAll(loop.micros(), from.name(), records);
+            } catch (IOException e) {
+                counters.add("members.spoilt");
+            }
+        }
+        arm();
+    }
+
+    // ---- time ----
+
+    private void due() {
+        if (over) {
+            return;
+        }
+        long began = System.nanoTime();
+        if (swim.next() <= loop.micros()) {
+            swim.tick(loop.micros());
+        }
+        arm();
+        spent(began);
+    }
+
+    private void arm() {
+        loop.deadlines().set(due, Math.max(loop.micros(), swim.next()));
+    }
+
+    private void spent(long began) {
+        long took = System.nanoTime() - began;
+        spentNs += took;
+        longestNs = Math.max(longestNs, took);
+        turns++;
+    }
+
+    // ---- what it tells of itself ----
+
+    private void facts() {
+        swim.tell(loop.micros(), told());
+        arm();
+        loop.deadlines().set(facts, loop.micros() + FACTS_EVERY);
+    }
+
+    /** To be told without delay: whether clients may come has changed. */
+    public void changed() {
+        if (swim != null && !over) {
+            facts();
+        }
+    }
+
+    private Facts told() {
+        long now = loop.micros();
+        long served = given.served().get();
+        double rate = factsAt == 0 ? 0 : (served - servedBefore) * MICROS / Math.max(1, now - factsAt);
+        servedBefore = served;
+        factsAt = now;
+        String build = given.fleet().self().build();
+        String listen = given.fleet().address(given.fleet().self().name());
+        InetSocketAddress link = Loop.address(listen);
+        return new Facts(cut(given.zone(), Facts.MOST_ZONE), cut(build, Facts.MOST_BUILD),
+                link.getAddress().isAnyLocalAddress() ? null : link, given.policy().get(),
+                given.condition().get(), Facts.loadStep(given.load().get()), Facts.rateStep(rate), false);
+    }
+
+    private static String cut(String text, int most) {
+        String plain = text.replaceAll("[^ -~]", "?");
+        return plain.length() > most ? plain.substring(0, most) : plain;
+    }
+
+    // ---- keys ----
+
+    private void lookForKeys() {
+        loop.deadlines().set(keys, loop.micros() + KEYS_EVERY);
+        try {
+            given.reading().execute(() -> {
+                try {
+                    FileTime changed = Files.getLastModifiedTime(config.keyFile);
+                    if (!changed.equals(keysRead)) {
+                        keysRead = changed;
+                        List<String> read = readKeys(config.keyFile);
+                        loop.later(() -> {
+                            seal.keys(read);
+                            LOG.info("members: {} keys were read again", read.size());
+                        });
+                    }
+                } catch (IOException | RejectedExecutionException e) {
+                    LOG.warn("members: the keys stay as they were: {}", e.getMessage());
+                }
+            });
+        } catch (RejectedExecutionException e) {
+            LOG.debug("the process ends", e);
+        }
+    }
+
+    // ---- what becomes of it ----
+
+    @Override
+    public void changed(Full before, Full now) {
+        boolean sameLife = before != null && before.life().id() == now.life().id();
+        if (before != null && !sameLife) {
+            replays.forget(before.life().id());
+        }
+        if (!now.state().isLive()) {
+            replays.forget(now.life().id());
+        }
+        if (!sameLife || before.state() != now.state()) {
+            changedMs.put(now.life().name(), System.currentTimeMillis());
+            counters.add("members.to_" + now.state().name().toLowerCase(java.util.Locale.ROOT));
+            LOG.info("member {} life={} {} to {} ns={}", now.life().name(), now.life().generation(),
+                    sameLife ? before.state() : "NEW", now.state(), System.nanoTime());
+        }
+        counters.set("members.live", swim == null ? 1 : swim.size());
+    }
+
+    @Override
+    public void count(String what) {
+        counters.add("members." + what);
+        if (what.equals("name_taken_twice") && loop.micros() - toldTwiceAt > TOLD_AGAIN) {
+            toldTwiceAt = loop.micros();
+            LOG.error("members: a name is taken twice; the elder process keeps it. This one is {}",
+                    swim == null ? "" : swim.self().life());
+        }
+    }
+
+    /** What the view has on that scheduler, in a word; empty: nothing. */
+    public String standing(String name) {
+        Full one = swim == null ? null : swim.other(name);
+        return one == null ? "" : one.state().name().toLowerCase(java.util.Locale.ROOT);
+    }
+
+    // ---- reports ----
+
+    private JsonObject report() {
+        JsonObject all = new JsonObject();
+        all.add("self", member(swim.self()));
+        JsonArray members = new JsonArray();
+        List<Full> others = new ArrayList<>(swim.others());
+        others.sort(java.util.Comparator.comparing(one -> one.life().name()));
+        others.forEach(one -> members.add(member(one)));
+        all.add("members", members);
+        all.addProperty("live", swim.size());
+        all.addProperty("digest", Integer.toHexString(swim.digest()));
+        all.addProperty("settled", swim.isSettled(loop.micros()));
+        all.addProperty("name_taken", swim.isOutcast());
+        all.addProperty("slowed", swim.score());
+        all.addProperty("turn_us", turns == 0 ? 0 : spentNs / 1000.0 / turns);
+        all.addProperty("turn_most_us", longestNs / 1000.0);
+        return all;
+    }
+
+    private JsonObject member(Full one) {
+        Facts facts = one.facts();
+        JsonObject all = new JsonObject();
+        all.addProperty("name", one.life().name());
+        all.addProperty("state", one.state().name().toLowerCase(java.util.Locale.ROOT));
+        all.addProperty("zone", facts.zone());
+        all.addProperty("generation", one.life().generation());
+        all.addProperty("incarnation", one.incarnation());
+        all.addProperty("at", text(one.life().at()));
+        all.addProperty("link", facts.link() == null ? "" : text(facts.link()));
+        all.addProperty("build", facts.build());
+        all.addProperty("policy", facts.policy());
+        all.addProperty("condition", facts.condition().name().toLowerCase(java.util.Locale.ROOT));
+        all.addProperty("load_sixteenths", facts.load());
+        all.addProperty("rate_below", facts.rate() == 0 ? 0 : 1L << facts.rate());
+        all.addProperty("late", facts.late());
+        Long changed = changedMs.get(one.life().name());
+        if (changed != null) {
+            all.addProperty("changed_ms", changed);
+        }
+        return all;
+    }
+
+    private static String text(InetSocketAddress at) {
+        String host = at.getAddress().getHostAddress();
+        return (host.contains(":") ? "[" + host + "]" : host) + ":" + at.getPort();
+    }
+
+    // ---- the end ----
+
+    /** Says that it leaves, a few times, and is a member no more; off the loop. */
+    public void leave() throws InterruptedException {
+        if (swim == null) {
+            return;
+        }
+        java.util.concurrent.CountDownLatch said = new java.util.concurrent.CountDownLatch(1);
+        loop.call(() -> {
+            swim.leave(loop.micros());
+            arm();
+            loop.deadlines().cancel(facts);
+            loop.deadlines().cancel(keys);
+            loop.deadlines().at(loop.micros() + LEAVE_ROUNDS * new Times(config.period).gossip(), () -> {
+                over = true;
+                loop.deadlines().cancel(due);
+                datagrams.close();
+                said.countDown();
+            });
+        });
+        said.await();
+    }
+}
--- /dev/null
+++ b/src/main/java/laneflow/net/Datagrams.java
@@ -0,0 +1,87 @@
+package laneflow.net;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.ByteBuffer;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+import org.xnio.IoUtils;
+import org.xnio.OptionMap;
+import org.xnio.Options;
+import org.xnio.XnioWorker;
+import org.xnio.channels.MulticastMessageChannel;
+import org.xnio.channels.SocketAddressBuffer;
+
+/**
+ * A UDP socket on the loop's thread. What can't be sent at once is dropped, as the network may do with any
+ * datagram; what is longer than the longest that is taken is told with its full length and cut off.
+ */
+public final class Datagrams {
+    private static final Logger LOG = LoggerFactory.getLogger(Datagrams.class);
+    /** Taken in a row: a flood must not hold up all else. */
+    private static final int A_TURN = 64;
+    private static final int RECEIVE_BUFFER = 256 * 1024;
+
+    /** Takes a datagram; the bytes are the taker's only until it returns. */
+    public interface Taker {
+        /** @param length of the datagram, beyond the longest taken where it was cut off */
+        void take(InetSocketAddress from, byte[] bytes, int length);
+    }
+
+    private final Loop loop;
+    private final Taker taker;
+    private final byte[] bytes;
+    private final ByteBuffer in;
+    private final SocketAddressBuffer from = new SocketAddressBuffer();
+    private final MulticastMessageChannel channel;
+
+    Datagrams(Loop loop, XnioWorker worker, InetSocketAddress at, int most, Taker taker) throws IOException {
+        this.loop = loop;
+        this.taker = taker;
+        bytes = new byte[most + 1];
+        in = ByteBuffer.wrap(bytes);
+        channel = worker.createUdpServer(at, OptionMap.create(Options.RECEIVE_BUFFER, RECEIVE_BUFFER));
+        channel.getReadSetter().set(ready -> loop.turn(this::receive));
+        channel.resumeReads();
+    }
+
+    private void receive() {
+        try {
+            for (int i = 0; i < A_TURN && channel.isOpen(); i++) {
+                in.clear();
+                int length = channel.receiveFrom(from, in);
+                if (length <= 0 && from.getSourceAddress() == null) {
+                    return;
+                }
+                InetSocketAddress source = from.getSourceAddress(InetSocketAddress.class);
+                from.clear();
+                if (length > 0 && source != null) {
+                    taker.take(source, bytes, in.position());
+                } else if (length <= 0) {
+                    return;
+                }
+            }
+        } catch (IOException e) {
+            // As where a port that was written to before is closed now: told once, of no use here.
+            LOG.debug("receive", e);
+        }
+    }
+
+    /** Sends one; false where it was dropped here. */
+    public boolean send(InetSocketAddress to, byte[] datagram) {
+        try {
+            return channel.sendTo(to, ByteBuffer.wrap(datagram));
+        } catch (IOException e) {
+            LOG.debug("send", e);
+            return false;
+        }
+    }
+
+    public InetSocketAddress address() {
+        return channel.getLocalAddress(InetSocketAddress.class);
+    }
+
+    public void close() {
+        IoUtils.safeClose(channel);
+    }
+}
--- a/src/main/java/laneflow/net/Loop.java
+++ b/src/main/java/laneflow/net/Loop.java
@@ -313,6 +313,11 @@
         return new Listener(null, at, inLimit, outLimit, new Part(most), makeRoom, handlers);
     }
 
+    /** Takes datagrams there of up to so many bytes. */
+    public Datagrams datagrams(InetSocketAddress at, int most, Datagrams.Taker taker) throws IOException {
+        return new Datagrams(this, worker, at, most, taker);
+    }
+
     /** Clients come from the listening socket that is this process's descriptor 0; not before it is begun. */
     public Listener listenPassed(int inLimit, int outLimit, BooleanSupplier makeRoom,
             Supplier<LinkHandler> handlers) throws IOException {
--- a/src/main/java/laneflow/policy/Leadership.java
+++ b/src/main/java/laneflow/policy/Leadership.java
@@ -29,6 +29,8 @@
  */
 final class Leadership {
     private static final Logger LOG = LoggerFactory.getLogger(Leadership.class);
+    /** So end reasons that pass by themselves. */
+    static final String ASK_AGAIN = "; ask again";
     private static final int ROUNDS_A_LEASE = 6;
     private static final int QUIET_PARTS = 2;
 
@@ -53,6 +55,8 @@
     private boolean looking;
     private boolean lookAgain;
     private boolean stopped;
+    /** The store that this leader has last asked to begin. */
+    private String invited = "";
 
     Leadership(Loop loop, Fleet fleet, PolicyConfig config, Counters counters, Voting voting,
             VoterGroup group, Policy policy, FleetTrial trial) {
@@ -87,6 +91,7 @@
     void role(int now, boolean leads, String who, Set<String> members) {
         term = now;
         voters = members;
+        group.members(members);
         if (!who.equals(leader)) {
             leader = who;
             LOG.info("policy: term {}, led by {}", now, who.isEmpty() ? "nobody yet" : who);
@@ -104,8 +109,16 @@
     }
 
     void stopped(String why) {
+        if (stopped) {
+            return;
+        }
         stopped = true;
         lead = null;
+        voters = Set.of();
+        if (why.equals(Voting.TAKEN_OUT)) {
+            LOG.info("policy: taken out, this process votes no more");
+            return;
+        }
         counters.set("policy.vote_lost", 1);
         LOG.error("policy: this process votes no more: {}", why);
     }
@@ -252,10 +265,17 @@
         Grant grant = lead == null ? null : lead.grant(policy.now(), who);
         Peer route = routes.get(who);
         if (grant != null && route != null) {
-            route.send(Words.grant(grant, who, fleet.self().name(), at));
+            route.send(Words.grant(grant, who, fleet.self().name(), at, voterNames()));
         }
     }
 
+    /** By which names the voters go. */
+    private JsonArray voterNames() {
+        JsonArray all = new JsonArray();
+        voters.forEach(id -> all.add(VoterId.parse(id).name()));
+        return all;
+    }
+
     /** All schedulers hear how things stand, and the content of what is to be decided. */
     private void tellAll(long opened) {
         for (String who : List.copyOf(routes.keySet())) {
@@ -323,22 +343,56 @@
         });
     }
 
-    /** Takes a voter that has lost its store in anew; tells null, or why it was not done. */
-    void replace(String name, Consumer<String> then) {
+    /**
+     * Takes a voter in: one that has lost its store, or another; tells null, or why it was not done.
+     *
+     * @param anew true if it is one that was a voter
+     */
+    void takeIn(String name, boolean anew, Consumer<String> then) {
         String mark = group.mark(name);
-        if (!config.voters.contains(name)) {
-            then.accept("'" + name + "' is no voter of the file; those are " + config.voters);
-        } else if (mark == null) {
-            then.accept(name + " has not said which store it has: is it up?");
-        } else if (voters.contains(mark)) {
+        boolean known = named(name) != null;
+        if (anew && !known && !config.voters.contains(name)) {
+            then.accept("'" + name + "' is no voter; those are " + voters);
+        } else if (!anew && known && !voters.contains(mark)) {
+            then.accept("'" + name + "' is a voter already, and has another store: --replace takes that in");
+        } else if (!anew && !known && voters.size() >= PolicyConfig.MOST_VOTERS) {
+            then.accept(voters.size() + " vote already; take one out first");
+        } else if (mark != null && voters.contains(mark)) {
             then.accept(name + " votes with this store already");
+        } else if (!group.dial(name)) {
+            then.accept("[fleet.peers] does not say here where '" + name + "' is");
+        } else if (mark == null || fleet.peer(name) == null) {
+            then.accept(name + " can't be reached from here yet, or has no 'dir' for votes" + ASK_AGAIN);
+        } else if (!group.isEmpty(name) && !mark.equals(invited)) {
+            then.accept(name + "'s store has voted before: empty its 'dir' and start it anew");
         } else if (!group.invite(name)) {
             then.accept(name + " can't be reached from here");
         } else {
-            voting.replace(VoterId.parse(mark), then);
+            invited = mark;
+            voting.takeIn(VoterId.parse(mark), then);
         }
     }
 
+    /** Takes a voter out; tells null, or why it was not done. */
+    void takeOut(String name, Consumer<String> then) {
+        String id = named(name);
+        if (id == null) {
+            then.accept("'" + name + "' is no voter; those are " + voters);
+        } else if (voters.size() == 1) {
+            then.accept("'" + name + "' is the only voter: take another in first");
+        } else if (id.equals(voting.self().text())) {
+            voting.stepDown();
+            then.accept(name + " leads, and hands over now" + ASK_AGAIN);
+        } else {
+            voting.takeOut(VoterId.parse(id), then);
+        }
+    }
+
+    /** The voter of that name, with its store, or null. */
+    private String named(String name) {
+        return voters.stream().filter(id -> VoterId.parse(id).name().equals(name)).findFirst().orElse(null);
+    }
+
     /** Reads the state as a majority holds it; null where it is not known. */
     void read(Voting.Look what, Consumer<Object> then) {
         if (lead == null) {
@@ -358,6 +412,8 @@
         own.addProperty("store", voting.self().text());
         own.addProperty("votes", voting.isBegun() && !stopped);
         own.addProperty("lost", group.isLost());
+        own.addProperty("candidate", group.isCandidate());
+        own.addProperty("removed", group.isRemoved());
         JsonArray names = new JsonArray();
         voters.forEach(names::add);
         own.add("voters", names);
@@ -372,7 +428,11 @@
         if (view.open() != null) {
             leads.add("open", view.open().json(false));
             JsonArray waits = new JsonArray();
-            lead.waitsFor(policy.now()).forEach(waits::add);
+            // What the view has on them explains; the lease alone decides.
+            lead.waitsFor(policy.now()).forEach(who -> {
+                String known = fleet.described(who.substring(0, Math.max(0, who.lastIndexOf('#'))));
+                waits.add(known.isEmpty() ? who : who + " (" + known + ")");
+            });
             leads.add("waits_for", waits);
         }
         JsonArray schedulers = new JsonArray();
--- a/src/main/java/laneflow/policy/Policy.java
+++ b/src/main/java/laneflow/policy/Policy.java
@@ -75,6 +75,9 @@
     private long lastDecidedNs;
     /** Since when it has no leave; the largest number while it has, the next to it once that was told. */
     private long stoppedAt = Long.MAX_VALUE - 1;
+    /** Whom to ask: those who vote, and those of the file. */
+    private final List<String> voters;
+    private JsonElement toldVoters;
     private boolean everDecided;
     private boolean left;
 
@@ -95,6 +98,7 @@
         this.reading = reading;
         this.clockRate = clockRate;
         clockOrigin = loop.fresh();
+        voters = new ArrayList<>(config.voters);
         random = new SplittableRandom(seed);
         renewal = loop.deadlines().create(this::renew);
         begin = loop.deadlines().create(this::settle);
@@ -115,6 +119,12 @@
         renew();
     }
 
+    /** This process votes from now on, too. */
+    void votes(Leadership own) {
+        leadership = own;
+        renewNow();
+    }
+
     /** This process's clock for leases: monotonic, read now. */
     long now() {
         long passed = loop.fresh() - clockOrigin;
@@ -208,6 +218,11 @@
         return true;
     }
 
+    /** The policy that was adopted last; 0: the file's own. */
+    long number() {
+        return adopted;
+    }
+
     /** The policy that requests of that epoch came under, for answers; empty where none has begun. */
     public String stamp(int epoch) {
         Map.Entry<Integer, Long> at = stamps.floorEntry(epoch);
@@ -269,7 +284,7 @@
         if (now != null && !passedBy.containsKey(target)) {
             return now;
         }
-        List<String> all = new ArrayList<>(config.voters);
+        List<String> all = new ArrayList<>(voters);
         all.removeIf(name -> fleet.peer(name) == null || passedBy.containsKey(name));
         if (all.isEmpty()) {
             passedBy.clear();
@@ -323,6 +338,7 @@
         Grant grant = Words.grant(message);
         if (grant.term() >= lease.term()) {
             leader = message.get("leader").getAsString();
+            voters(message.get("voters"));
         }
         take(grant, at, now);
         if (at < 0) {
@@ -331,6 +347,20 @@
         }
     }
 
+    /** Who votes now, where the leader's build says so: they may be others than in the file. */
+    private void voters(JsonElement told) {
+        if (told == null || told.equals(toldVoters)) {
+            return;
+        }
+        toldVoters = told;
+        voters.clear();
+        told.getAsJsonArray().forEach(one -> voters.add(one.getAsString()));
+        voters.removeIf(name -> fleet.address(name) == null);
+        voters.forEach(fleet::dial);
+        // Those of the file as well: what was told may be old one day.
+        config.voters.stream().filter(name -> !voters.contains(name)).forEach(voters::add);
+    }
+
     private void take(Grant grant, long sentAt, long heardAt) {
         if (!lease.take(grant, sentAt, heardAt)) {
             counters.add("policy.old_grants");
--- a/src/main/java/laneflow/policy/PolicyConfig.java
+++ b/src/main/java/laneflow/policy/PolicyConfig.java
@@ -8,11 +8,11 @@
 
 /** What the operators set for changes of policy over the whole fleet: the table {@code [policy]}. */
 public final class PolicyConfig {
-    private static final int MOST_VOTERS = 7;
+    static final int MOST_VOTERS = 7;
 
-    /** The names of the schedulers that decide on changes, the same at all schedulers. */
+    /** Those that decide on changes from the beginning on, the same at all schedulers; others by order. */
     public final List<String> voters;
-    /** The folder of this voter's log; null where it does not vote. */
+    /** The folder of this voter's log, or of one that may be taken in; null where it never votes. */
     public final Path dir;
     /** Microseconds for which a scheduler may decide behind a majority's word. */
     public final long lease;
@@ -50,7 +50,7 @@
         if (votes && folder == null) {
             from.wrong("dir", "is missing: this scheduler votes, and must remember how");
         }
-        dir = votes && folder != null ? Path.of(folder) : null;
+        dir = folder != null ? Path.of(folder) : null;
         lease = from.whole("lease_ms", 1000, 100, 600_000) * 1000;
         prepare = from.whole("prepare_ms", 2000, 10, 600_000) * 1000;
         servesCutOff = from.word("cut_off", "stop", "stop", "serve").equals("serve");
--- a/src/main/java/laneflow/policy/PolicyPart.java
+++ b/src/main/java/laneflow/policy/PolicyPart.java
@@ -5,22 +5,28 @@
 import java.util.List;
 import java.util.Set;
 import java.util.concurrent.Executor;
+import java.util.concurrent.RejectedExecutionException;
+import java.util.concurrent.locks.LockSupport;
 import java.util.function.Function;
+import laneflow.control.ResourceType;
 import laneflow.core.Scheduler;
 import laneflow.fleet.Fleet;
 import laneflow.net.Loop;
-import laneflow.control.ResourceType;
+import laneflow.net.Threads;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
 /** Changes of policy put together at one scheduler: its own part, its vote where it has one, and its port. */
 public final class PolicyPart {
     private static final Logger LOG = LoggerFactory.getLogger(PolicyPart.class);
+    private static final long AGAIN_NS = 20_000_000;
 
     private final Loop loop;
     private final Policy policy;
+    private PolicyPort port;
     /** Null where this process does not vote. */
-    private Voting voting;
+    private volatile Voting voting;
+    private volatile boolean closed;
 
     /**
      * What the assembly gives it.
@@ -28,10 +34,11 @@
      * @param types makes the types that a policy may hold here, given the one of bans
      * @param reading a thread that reads policies, one after the other
      * @param clockRate 1, but in tests of clocks that drift
+     * @param upgrade true if the process before this one may still vote
      */
     public record Given(Loop loop, Fleet fleet, Scheduler scheduler, PolicyConfig config,
             Function<ResourceType, PolicyTypes> types, List<String> classes, Executor reading, long seed,
-            double clockRate) {
+            double clockRate, boolean upgrade) {
     }
 
     /**
@@ -48,13 +55,18 @@
                 given.clockRate());
         VoteStore store = null;
         RestoredRaftState restored = null;
+        boolean later = false;
         if (config.dir != null) {
             try {
                 store = VoteStore.open(config.dir, fleet.self().name());
                 restored = store.restored();
+            } catch (VoteStore.Taken e) {
+                later = given.upgrade();
+                if (!later) {
+                    lost(scheduler, e);
+                }
             } catch (IOException e) {
-                LOG.error("policy: this process does not vote: {}", e.getMessage());
-                scheduler.counters().set("policy.vote_lost", 1);
+                lost(scheduler, e);
                 close(store);
                 store = null;
             }
@@ -64,9 +76,46 @@
         loop.call(() -> {
             scheduler.decideWhile(policy);
             Leadership leadership = votes == null ? null : vote(given, votes, state);
-            new PolicyPort(fleet, policy, scheduler.counters(), leadership);
+            port = new PolicyPort(fleet, policy, scheduler.counters(), leadership);
             policy.begin(leadership);
         });
+        if (later) {
+            LOG.info("policy: votes as soon as the process before this one has ended");
+            Threads.daemon(() -> voteLater(given), "policy-store").start();
+        }
+    }
+
+    private static void lost(Scheduler scheduler, IOException why) {
+        LOG.error("policy: this process does not vote: {}", why.getMessage());
+        scheduler.counters().set("policy.vote_lost", 1);
+    }
+
+    /** In an upgrade the store is the former process's until that ends. On a thread of its own. */
+    private void voteLater(Given given) {
+        while (!closed) {
+            VoteStore store = null;
+            try {
+                store = VoteStore.open(given.config().dir, given.fleet().self().name());
+                VoteStore votes = store;
+                RestoredRaftState state = store.restored();
+                loop.call(() -> {
+                    Leadership leadership = vote(given, votes, state);
+                    policy.votes(leadership);
+                    port.votes(leadership);
+                });
+                return;
+            } catch (VoteStore.Taken e) {
+                LOG.debug("not yet", e);
+            } catch (IOException e) {
+                loop.later(() -> lost(given.scheduler(), e));
+                close(store);
+                return;
+            } catch (InterruptedException | RejectedExecutionException e) {
+                close(store);
+                return;
+            }
+            LockSupport.parkNanos(AGAIN_NS);
+        }
     }
 
     private Leadership vote(Given given, VoteStore store, RestoredRaftState state) {
@@ -91,6 +140,7 @@
                 given.config().bound));
         leadership[0].begin();
         group[0].begin(state);
+        group[0].linked();
         return leadership[0];
     }
 
@@ -109,6 +159,11 @@
         return policy.isReady();
     }
 
+    /** The policy that is in force here; on the loop. */
+    public long number() {
+        return policy.number();
+    }
+
     /** The policy that requests of that epoch came under, for answers; on the loop. */
     public String stamp(int epoch) {
         return policy.stamp(epoch);
@@ -121,6 +176,7 @@
 
     /** Ends the vote, which its store keeps; on any thread but the loop's. */
     public void close() throws InterruptedException {
+        closed = true;
         if (voting == null) {
             return;
         }
--- a/src/main/java/laneflow/policy/PolicyPort.java
+++ b/src/main/java/laneflow/policy/PolicyPort.java
@@ -3,6 +3,7 @@
 import com.google.gson.JsonArray;
 import com.google.gson.JsonElement;
 import com.google.gson.JsonObject;
+import java.util.List;
 import java.util.function.Consumer;
 import laneflow.core.Counters;
 import laneflow.fleet.Fleet;
@@ -18,6 +19,7 @@
 final class PolicyPort {
     private static final String JSON = "application/json";
     private static final String TEXT = "text/plain";
+    private static final List<String> VOTERS = List.of("add", "remove", "replace");
     private static final int MOST_HISTORY = 200;
     private static final String CHANGES = "/policy/changes";
 
@@ -25,7 +27,7 @@
     private final Policy policy;
     private final Counters counters;
     /** Null where this process does not vote. */
-    private final Leadership leadership;
+    private Leadership leadership;
 
     PolicyPort(Fleet fleet, Policy policy, Counters counters, Leadership leadership) {
         this.fleet = fleet;
@@ -36,6 +38,11 @@
         fleet.serve("/counters", (verb, path, body, answer) -> answer.say(200, TEXT, "", counters.text()));
     }
 
+    /** This process votes from now on. */
+    void votes(Leadership own) {
+        leadership = own;
+    }
+
     private void asked(String verb, String path, byte[] body, Answer answer) {
         boolean get = verb.equals("GET");
         if (path.equals("/policy") && get) {
@@ -48,7 +55,7 @@
         } else if (path.equals(CHANGES) && verb.equals("POST")) {
             atLeader(path, answer, () -> propose(body, answer));
         } else if (path.equals("/policy/voters") && verb.equals("POST")) {
-            atLeader(path, answer, () -> replace(body, answer));
+            atLeader(path, answer, () -> voters(body, answer));
         } else {
             answer.say(get || verb.equals("POST") ? 404 : 405, TEXT, "", "known are GET /policy,"
                     + " /policy/history, /policy/changes/NAME and POST /policy/changes, /policy/voters\n");
@@ -104,20 +111,27 @@
         }
     }
 
-    private void replace(byte[] body, Answer answer) {
+    private void voters(byte[] body, Answer answer) {
         JsonObject asked = Policy.object(body);
-        JsonElement name = asked == null ? null : asked.get("replace");
-        if (name == null || !name.isJsonPrimitive()) {
-            answer.say(400, TEXT, "", "an object with 'replace', the name of a voter\n");
+        String order = asked == null || asked.size() != 1 ? "" : asked.keySet().iterator().next();
+        JsonElement name = asked == null ? null : asked.get(order);
+        if (name == null || !name.isJsonPrimitive() || !VOTERS.contains(order)) {
+            answer.say(400, TEXT, "", "an object with one of " + VOTERS + ", the name of a voter\n");
             return;
         }
-        leadership.replace(name.getAsString(), why -> {
+        Consumer<String> then = why -> {
             if (why == null) {
                 answer.say(200, JSON, "", asked + "\n");
             } else {
-                answer.say(409, TEXT, "", why + "\n");
+                boolean again = why.endsWith(Leadership.ASK_AGAIN);
+                answer.say(again ? 503 : 409, TEXT, again ? "Retry-After: 1\r\n" : "", why + "\n");
             }
-        });
+        };
+        if (order.equals("remove")) {
+            leadership.takeOut(name.getAsString(), then);
+        } else {
+            leadership.takeIn(name.getAsString(), order.equals("replace"), then);
+        }
     }
 
     private void propose(byte[] body, Answer answer) {
--- a/src/main/java/laneflow/policy/VoteStore.java
+++ b/src/main/java/laneflow/policy/VoteStore.java
@@ -30,6 +30,7 @@
 import java.util.ArrayList;
 import java.util.HexFormat;
 import java.util.List;
+import java.util.function.Consumer;
 import java.util.zip.CRC32C;
 
 /**
@@ -48,10 +49,21 @@
     private Connection db;
     private VoterId self;
     private boolean begun;
+    private boolean failed;
+    private Consumer<String> whenItFails = why -> { };
     /** Counted in the database and, behind each commit, in a file beside it. */
     private long commits;
     private FileChannel witness;
 
+    /** Another process has it open: it can be opened when that has ended. */
+    static final class Taken extends IOException {
+        private static final long serialVersionUID = 1;
+
+        private Taken(String message) {
+            super(message);
+        }
+    }
+
     private VoteStore(Path dir) throws IOException {
         this.dir = dir;
         lock = FileChannel.open(dir.resolve("votes.lock"), StandardOpenOption.CREATE,
@@ -64,7 +76,7 @@
         }
         if (held == null) {
             lock.close();
-            throw new IOException(dir + ": another process votes with this store");
+            throw new Taken(dir + ": another process votes with this store");
         }
     }
 
@@ -236,7 +248,25 @@
         void run() throws SQLException;
     }
 
+    /** Told once, on the voter's thread, when something could not be written. */
+    void whenItFails(Consumer<String> told) {
+        whenItFails = told;
+    }
+
+    /** The library may have more in memory than is on the disk from here on: it must say nothing. */
+    private IOException failed(Exception why) {
+        String text = dir.resolve(FILE) + ": " + why.getMessage();
+        if (!failed) {
+            failed = true;
+            whenItFails.accept(text);
+        }
+        return new IOException(text, why);
+    }
+
     private void write(boolean flush, Work work) throws IOException {
+        if (failed) {
+            throw new IOException(dir.resolve(FILE) + ": could not be written before");
+        }
         try {
             if (!begun) {
                 run("BEGIN IMMEDIATE");
@@ -246,8 +276,8 @@
             if (flush) {
                 commit();
             }
-        } catch (SQLException e) {
-            throw new IOException(dir.resolve(FILE) + ": " + e.getMessage(), e);
+        } catch (SQLException | IOException e) {
+            throw failed(e);
         }
     }
 
@@ -336,10 +366,13 @@
 
     @Override
     public void flush() throws IOException {
+        if (failed) {
+            throw new IOException(dir.resolve(FILE) + ": could not be written before");
+        }
         try {
             commit();
-        } catch (SQLException e) {
-            throw new IOException(dir.resolve(FILE) + ": " + e.getMessage(), e);
+        } catch (SQLException | IOException e) {
+            throw failed(e);
         }
     }
 
--- a/src/main/java/laneflow/policy/VoterGroup.java
+++ b/src/main/java/laneflow/policy/VoterGroup.java
@@ -26,7 +26,8 @@
  * either of a fleet that begins, or has lost its disk; it can't tell by itself, and a voter that has
  * forgotten its vote must not vote again. So voters tell each other their stores' marks and whom they began
  * with. With an empty store one begins if a voter that has begun counts this very store among the first, or
- * if all voters of the file say that theirs are empty too. Else it does not vote until it is taken in anew.
+ * if all voters of the file say that theirs are empty too. Else it does not vote until it is taken in, as
+ * does one that the file does not name as a voter.
  */
 final class VoterGroup {
     private static final Logger LOG = LoggerFactory.getLogger(VoterGroup.class);
@@ -41,8 +42,11 @@
     /** The stores of voters that are empty, as they have said, by name. */
     private final Map<String, String> empty = new HashMap<>();
     private final Map<String, String> marks = new HashMap<>();
+    /** True where the file does not name this one as a voter. */
+    private final boolean candidate;
     private String group = "";
     private boolean lost;
+    private boolean removed;
 
     VoterGroup(Loop loop, Fleet fleet, PolicyConfig config, Counters counters, Voting voting) {
         this.loop = loop;
@@ -50,6 +54,7 @@
         this.config = config;
         this.counters = counters;
         this.voting = voting;
+        candidate = !config.voters.contains(voting.self().name());
         tell = loop.deadlines().create(this::tell);
     }
 
@@ -58,7 +63,7 @@
         fleet.handle("voter", this::heard);
         fleet.handle("raft", (from, message) -> {
             if (voting.isBegun() && message.get("group").getAsString().equals(group)) {
-                voting.take(message);
+                voting.take(from.name(), message);
             } else {
                 counters.add("policy.other_group");
             }
@@ -70,6 +75,12 @@
                 start(null, RaftCodec.readVoters(message.getAsJsonArray("first")));
             }
         });
+        fleet.handle("removed", (from, message) -> {
+            if (!removed && message.get("id").getAsString().equals(voting.self().text())) {
+                removed = true;
+                voting.leave();
+            }
+        });
         if (restored != null) {
             start(restored, List.of());
         } else {
@@ -90,6 +101,20 @@
         tell();
     }
 
+    /** On the loop: these vote now, by their stores. */
+    void members(Set<String> ids) {
+        ids.forEach(id -> dial(VoterId.parse(id).name()));
+    }
+
+    /** Keeps a link to that scheduler; false where the file does not say where it is. */
+    boolean dial(String name) {
+        if (fleet.address(name) == null) {
+            return false;
+        }
+        fleet.dial(name);
+        return true;
+    }
+
     /** On the loop: a message of the library's to the voter of that name. */
     void send(String to, JsonObject message) {
         Peer peer = fleet.peer(to);
@@ -100,13 +125,13 @@
     }
 
     private void tell() {
-        for (String voter : config.voters) {
+        for (String voter : fleet.dialled()) {
             Peer peer = fleet.peer(voter);
             if (peer != null) {
                 peer.send(word());
             }
         }
-        if (!voting.isBegun()) {
+        if (!voting.isBegun() && !candidate) {
             loop.deadlines().set(tell, loop.micros() + TELL_EVERY);
         }
     }
@@ -152,7 +177,7 @@
             Collection<RaftEndpoint> all = RaftCodec.readVoters(first.getAsJsonArray());
             if (all.contains(voting.self())) {
                 start(null, all);
-            } else if (!lost) {
+            } else if (!lost && !candidate) {
                 lost = true;
                 counters.set("policy.vote_lost", 1);
                 LOG.error("policy: this store of votes is new, and the voters {} had another one of {}: it"
@@ -165,6 +190,9 @@
 
     /** All voters of the file have said that their stores are empty: they begin together. */
     private void alone() {
+        if (candidate) {
+            return;
+        }
         Collection<RaftEndpoint> all = new LinkedHashSet<>();
         for (String voter : new TreeSet<>(config.voters)) {
             String id = voter.equals(voting.self().name()) ? voting.self().text() : empty.get(voter);
@@ -198,6 +226,21 @@
         return peer.send(all);
     }
 
+    /** True where the store of that mark has never voted, as its voter has said. */
+    boolean isEmpty(String name) {
+        return empty.containsKey(name);
+    }
+
+    /** True where this process may be taken in as a voter. */
+    boolean isCandidate() {
+        return candidate && !voting.isBegun();
+    }
+
+    /** True where it was a voter, and was taken out. */
+    boolean isRemoved() {
+        return removed;
+    }
+
     /** True where this process has a store but must not vote with it. */
     boolean isLost() {
         return lost;
--- a/src/main/java/laneflow/policy/Voting.java
+++ b/src/main/java/laneflow/policy/Voting.java
@@ -14,7 +14,9 @@
 import io.microraft.executor.RaftNodeExecutor;
 import io.microraft.model.message.AppendEntriesRequest;
 import io.microraft.model.message.InstallSnapshotRequest;
+import io.microraft.model.message.PreVoteRequest;
 import io.microraft.model.message.RaftMessage;
+import io.microraft.model.message.VoteRequest;
 import io.microraft.persistence.RestoredRaftState;
 import io.microraft.report.RaftGroupMembers;
 import io.microraft.report.RaftNodeReport;
@@ -54,6 +56,8 @@
  */
 final class Voting implements Transport, StateMachine, RaftNodeExecutor, AutoCloseable {
     private static final Logger LOG = LoggerFactory.getLogger(Voting.class);
+    /** Why a voter has stopped that was taken out. */
+    static final String TAKEN_OUT = "it was taken out";
     private static final String NEW_TERM = "";
     private static final int HEARTBEAT_TIMEOUT_S = 10;
     private static final int HEARTBEAT_PERIOD_S = 3;
@@ -104,6 +108,8 @@
     /** Names of voters that a link is up to; written by the loop. */
     private volatile Set<String> reachable = Set.of();
     private volatile boolean closed;
+    /** Its store could not be written; set on the voter's thread. */
+    private volatile boolean muted;
     private String said = "";
 
     /**
@@ -123,6 +129,7 @@
         leaseNs = lease * 1000;
         speed = HEARTBEAT_TIMEOUT_S * 1e6 / (MISSED_AFTER * lease);
         thread = new ScheduledThreadPoolExecutor(1, task -> Threads.daemon(task, "voter"));
+        store.whenItFails(this::mute);
         thread.setRemoveOnCancelPolicy(true);
         thread.setExecuteExistingDelayedTasksAfterShutdownPolicy(false);
     }
@@ -131,6 +138,17 @@
         return self;
     }
 
+    /**
+     * The disk is full, or fails. The library would go on with what it has in memory: as a leader it would
+     * lead, and carry nothing through; what it says of entries would be of more than a disk holds. So nothing
+     * that it says gets out from this very call on, nothing of it runs again, and the others miss it.
+     */
+    private void mute(String why) {
+        muted = true;
+        leads = false;
+        stopped("its store can't be written: " + why);
+    }
+
     /** Votes from now on, with what its store holds, or else as one of these first voters. */
     void begin(RestoredRaftState restored, Collection<RaftEndpoint> firstVoters) {
         RaftNode.RaftNodeBuilder builder = RaftNode.newBuilder().setGroupId(RaftCodec.group())
@@ -163,13 +181,15 @@
      * A follower of this library (0.7) that hears of a leader amid a pre-vote of its own keeps that pre-vote
      * open, and while one is open it never misses its leader: voters that had been started anew did not elect
      * another for as long as one waited. So a leader that is silent for longer than the library waits is
-     * missed
-     * here, by the word with which a leader hands over. An election without a pre-vote is as safe.
+     * missed here, by the word with which a leader hands over. An election without a pre-vote is as safe.
      */
     private void watch() {
         RaftEndpoint leader = node.getTerm().getLeaderEndpoint();
         long now = System.nanoTime();
         // One that stood still itself blames nobody: what the leader has said waits to be read.
+        if (muted) {
+            return;
+        }
         boolean stoodStill = now - watchedNs > STOOD_STILL * leaseNs / WATCHES_A_LEASE;
         watchedNs = now;
         if (stoodStill || leads || leader == null || node.getStatus() != RaftNodeStatus.ACTIVE) {
@@ -213,7 +233,7 @@
     }
 
     /** On the loop: another voter's message. */
-    void take(JsonObject message) {
+    void take(String from, JsonObject message) {
         if (node == null || !message.get("to").getAsString().equals(self.text())) {
             return;
         }
@@ -229,6 +249,11 @@
                 }
                 if (read instanceof AppendEntriesRequest || read instanceof InstallSnapshotRequest) {
                     heardOfLeader(System.nanoTime());
+                } else if (disturbs(read)) {
+                    if (leads) {
+                        back(() -> sender.accept(from, removed(read.getSender())));
+                    }
+                    return;
                 }
                 node.handle(read);
             });
@@ -237,6 +262,31 @@
         }
     }
 
+    /**
+     * A voter that was taken out, and has not heard of it, misses its leader: while there is one its votes
+     * would only unseat it. Only the leader knows for sure, and tells it.
+     */
+    private boolean disturbs(RaftMessage read) {
+        return (read instanceof VoteRequest || read instanceof PreVoteRequest)
+                && System.nanoTime() - leaderHeardNs < leaseNs / 2
+                && !node.getEffectiveMembers().getMembers().contains(read.getSender())
+                && !node.getCommittedMembers().getMembers().contains(read.getSender());
+    }
+
+    private static JsonObject removed(RaftEndpoint who) {
+        JsonObject all = new JsonObject();
+        all.addProperty("t", "removed");
+        all.addProperty("id", who.getId().toString());
+        return all;
+    }
+
+    /** On the loop: this one was taken out, and votes no more. */
+    void leave() {
+        closed = true;
+        onThread(() -> node.terminate(), () -> { });
+        stopped(TAKEN_OUT);
+    }
+
     /**
      * Reads the state as a majority holds it to be now; the answer comes on the loop, with null where this
      * voter does not lead, or no majority answers.
@@ -261,11 +311,10 @@
     }
 
     /**
-     * Takes a voter's new store in, in the place of the one it has lost: that goes first, so that no two of
-     * one
-     * name vote, and the new one listens before it votes. Tells null, or why it was not done.
+     * Takes a voter in. A store of its name that it has lost goes first, so that no two of one name vote, and
+     * the new one listens before it votes. Tells null, or why it was not done; asked again it goes on.
      */
-    void replace(VoterId by, Consumer<String> then) {
+    void takeIn(VoterId by, Consumer<String> then) {
         onThread(() -> {
             RaftGroupMembers now = node.getCommittedMembers();
             Optional<RaftEndpoint> former = now.getMembers().stream()
@@ -273,21 +322,54 @@
             CompletableFuture<Long> gone = former.isEmpty() ? CompletableFuture.completedFuture(
                     now.getLogIndex())
                     : change(former.get(), MembershipChangeMode.REMOVE_MEMBER, now.getLogIndex());
-            gone.thenCompose(index -> change(by, MembershipChangeMode.ADD_LEARNER, index))
-                    .thenCompose(index -> change(by, MembershipChangeMode.ADD_OR_PROMOTE_TO_FOLLOWER, index))
-                    .whenComplete((done, failed) -> back(() -> then.accept(failed == null ? null
-                            : String.valueOf(failed.getCause() == null ? failed.getMessage()
-                            : failed.getCause().getMessage()))));
+            if (!now.getMembers().contains(by)) {
+                gone = gone.thenCompose(index -> change(by, MembershipChangeMode.ADD_LEARNER, index));
+            }
+            ended(gone.thenCompose(index -> change(by, MembershipChangeMode.ADD_OR_PROMOTE_TO_FOLLOWER,
+                    index)), then);
         }, () -> then.accept("this process ends"));
     }
 
+    /** Takes a voter out. Tells null, or why it was not done. */
+    void takeOut(VoterId who, Consumer<String> then) {
+        onThread(() -> ended(change(who, MembershipChangeMode.REMOVE_MEMBER,
+                node.getCommittedMembers().getLogIndex()), why -> {
+                    if (why == null) {
+                        sender.accept(who.name(), removed(who));
+                    }
+                    then.accept(why);
+                }), () -> then.accept("this process ends"));
+    }
+
+    /** Has another voter lead, so that this one can be taken out. */
+    void stepDown() {
+        onThread(() -> other().ifPresent(node::transferLeadership), () -> { });
+    }
+
+    private Optional<RaftEndpoint> other() {
+        return node.getEffectiveMembers().getVotingMembers().stream()
+                .filter(one -> !one.equals(self) && isReachable(one)).findFirst();
+    }
+
+    private void ended(CompletableFuture<Long> change, Consumer<String> then) {
+        change.whenComplete((done, failed) -> back(() -> then.accept(failed == null ? null
+                : String.valueOf(failed.getCause() == null ? failed.getMessage()
+                : failed.getCause().getMessage()))));
+    }
+
     private CompletableFuture<Long> change(RaftEndpoint who, MembershipChangeMode how, long index) {
         return node.changeMembership(who, how, index).thenApply(Ordered::getCommitIndex);
     }
 
     private void onThread(Runnable work, Runnable unless) {
         try {
-            thread.execute(work);
+            thread.execute(() -> {
+                if (muted) {
+                    back(unless);
+                } else {
+                    work.run();
+                }
+            });
         } catch (RejectedExecutionException e) {
             unless.run();
         }
@@ -328,6 +410,9 @@
 
     @Override
     public void send(RaftEndpoint target, RaftMessage message) {
+        if (muted) {
+            return;
+        }
         VoterId to = (VoterId) target;
         JsonObject all = new JsonObject();
         all.addProperty("t", "raft");
@@ -380,16 +465,24 @@
     @Override
     public void submit(Runnable task) {
         try {
-            thread.execute(task);
+            thread.execute(unlessMuted(task));
         } catch (RejectedExecutionException e) {
             LOG.debug("closed");
         }
     }
 
+    private Runnable unlessMuted(Runnable task) {
+        return () -> {
+            if (!muted) {
+                task.run();
+            }
+        };
+    }
+
     @Override
     public void schedule(Runnable task, long delay, TimeUnit unit) {
         try {
-            thread.schedule(task, (long) (unit.toNanos(delay) / speed), TimeUnit.NANOSECONDS);
+            thread.schedule(unlessMuted(task), (long) (unit.toNanos(delay) / speed), TimeUnit.NANOSECONDS);
         } catch (RejectedExecutionException e) {
             LOG.debug("closed");
         }
@@ -420,8 +513,7 @@
 
     /** One that leads and ends in order names another, so that nobody has to miss it first. */
     private void handOver() throws InterruptedException {
-        Optional<RaftEndpoint> to = node.getEffectiveMembers().getVotingMembers().stream()
-                .filter(one -> !one.equals(self) && isReachable(one)).findFirst();
+        Optional<RaftEndpoint> to = other();
         if (leads && to.isPresent()) {
             try {
                 node.transferLeadership(to.get()).get(HAND_OVER_MS, TimeUnit.MILLISECONDS);
@@ -435,7 +527,7 @@
     @Override
     public void close() throws IOException, InterruptedException {
         closed = true;
-        if (node != null) {
+        if (node != null && !muted) {
             try {
                 handOver();
                 node.terminate().get(2, TimeUnit.SECONDS);
--- a/src/main/java/laneflow/policy/Words.java
+++ b/src/main/java/laneflow/policy/Words.java
@@ -44,8 +44,9 @@
     /**
      * @param who the process that it is for
      * @param at that process's instant of the renewal that this answers, or -1
+     * @param voters the names of those that vote now
      */
-    static JsonObject grant(Grant grant, String who, String leader, long at) {
+    static JsonObject grant(Grant grant, String who, String leader, long at, JsonArray voters) {
         JsonObject all = new JsonObject();
         all.addProperty("t", "grant");
         all.addProperty("for", who);
@@ -58,6 +59,7 @@
         all.addProperty("from", grant.from());
         all.addProperty("until", grant.until());
         all.addProperty("open", grant.open());
+        all.add("voters", voters);
         return all;
     }
 
--- a/src/main/java/laneflow/wire/SettingsReader.java
+++ b/src/main/java/laneflow/wire/SettingsReader.java
@@ -104,6 +104,7 @@
         s.furtherFree = number(from, "spareAttempts", 0);
         s.furtherShare = number(from, "repeatRatio", 0);
         s.furtherWithin = number(from, "resendSpan", 0);
+        s.crossEachWay = number(from, "crossEachWay", s.crossEachWay);
         s.closeOnDrain = number(from, "closeOnDrainWithin", 0);
     }
 
--- a/src/test/java/laneflow/EndingTest.java
+++ b/src/test/java/laneflow/assembly/EndingTest.java
@@ -1,4 +1,4 @@
-package laneflow;
+package laneflow.assembly;
 
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
--- a/src/test/java/laneflow/config/OperatorFileTest.java
+++ b/src/test/java/laneflow/config/OperatorFileTest.java
@@ -7,7 +7,7 @@
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
-import laneflow.Setup;
+import laneflow.assembly.Setup;
 import laneflow.decision.Dispatch.Effect;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
@@ -41,6 +41,24 @@
         assertEquals(5000, setup.durable().classes[0].leaseMs);
     }
 
+    @Test
+    void theModulesOwnChoicesAreRead() throws Exception {
+        String file = "listen = '127.0.0.1:0'\nzones = ['a']\n[classes.c]\n";
+        assertEquals(0.5, Setup.operators(write("a.toml", file), null, null).config().settings.crossEachWay);
+        Setup setup = Setup.operators(write("a.toml", file + "[module]\ncross_each_way = 0.25\nretry_free = 3\n"
+                + "retry_share = 0.1\nretry_window_ms = 5000\n"), null, null);
+        assertEquals(0.25, setup.config().settings.crossEachWay);
+        assertEquals(3, setup.config().settings.furtherFree);
+        assertEquals(0.1, setup.config().settings.furtherShare);
+        assertEquals(5, setup.config().settings.furtherWithin);
+        assertTrue(wrong(file + "[module]\nretry_free = 3\n").contains("[module] retry_window_ms: is missing"));
+        Path platform = write("p.json", "{\"settings\":{\"rules\":{\"spareAttempts\":1}}}");
+        Setup both = Setup.operators(write("a.toml", file + "[module]\nretry_free = 3\nretry_window_ms = 1\n"),
+                platform, null);
+        assertEquals(1, both.config().settings.furtherFree);
+        assertTrue(both.fixed().containsKey("module"));
+    }
+
     @Test
     void thePlatformsFileDecidesWhatItNames() throws Exception {
         Path platform = write("p.json", "{\"listen\":\"127.0.0.1:7\",\"settings\":{\"classes\":["
--- a/src/test/java/laneflow/control/ControlTypesStoryTest.java
+++ b/src/test/java/laneflow/control/ControlTypesStoryTest.java
@@ -24,7 +24,7 @@
 import java.util.List;
 import java.util.Set;
 import java.util.TreeSet;
-import laneflow.Setup;
+import laneflow.assembly.Setup;
 import laneflow.cli.CliRun;
 import laneflow.control.decision.Version;
 import laneflow.gearman.Gearman;
--- /dev/null
+++ b/src/test/java/laneflow/control/ModuleTypeTest.java
@@ -0,0 +1,49 @@
+package laneflow.control;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import com.google.gson.JsonArray;
+import com.google.gson.JsonParser;
+import java.util.List;
+import laneflow.decision.Dispatch.Settings;
+import org.junit.jupiter.api.Test;
+
+/** The module's own choices as a type. */
+class ModuleTypeTest {
+    private final Settings settings = new Settings();
+
+    private static JsonArray one(String keys) {
+        return JsonParser.parseString("[{\"name\":\"module\"" + keys + "}]").getAsJsonArray();
+    }
+
+    @Test
+    void whatItNamesHoldsAndTheFilesOwnComesBack() {
+        settings.crossEachWay = 0.25;
+        settings.furtherWithin = 3;
+        ResourceType type = SettingTypes.module(settings);
+        ResourceType.Reading read = type.read(one(",\"cross_each_way\":0.7,\"retry_free\":4,\"retry_share\":0.1,"
+                + "\"retry_window_ms\":1500"));
+        assertEquals(List.of(), read.findings);
+        assertEquals(0.25, settings.crossEachWay, "reading alone changes nothing");
+        assertEquals(List.of(), read.adopt());
+        assertEquals(0.7, settings.crossEachWay);
+        assertEquals(4, settings.furtherFree);
+        assertEquals(0.1, settings.furtherShare);
+        assertEquals(1.5, settings.furtherWithin);
+        type.base().adopt();
+        assertEquals(0.25, settings.crossEachWay);
+        assertEquals(3, settings.furtherWithin);
+        assertEquals(0, settings.furtherFree);
+    }
+
+    @Test
+    void whatMakesNoSenseIsTurnedDown() {
+        ResourceType type = SettingTypes.module(settings);
+        for (String wrong : List.of(",\"cross_each_way\":1.5", ",\"retry_free\":3", ",\"p\":0.5", ",\"retry_share\":\"1\"")) {
+            assertTrue(type.read(one(wrong)).findings.size() > 0, wrong);
+        }
+        assertTrue(type.read(one(",\"retry_free\":3")).findings.get(0).contains("retry_window_ms"));
+        assertTrue(type.read(JsonParser.parseString("[]").getAsJsonArray()).findings.size() > 0);
+    }
+}
--- a/src/test/java/laneflow/decision/GuardTest.java
+++ b/src/test/java/laneflow/decision/GuardTest.java
@@ -996,6 +996,22 @@
         assertEquals(1, rig.sends(2).size());
     }
 
+    /** Two requests, one before and one behind a change: each keeps the budget that it came under. */
+    @Test
+    void aRequestKeepsTheBudgetThatItCameUnder() {
+        Settings settings = Rig.settings(Effect.SAFE);
+        settings.furtherFree = 0;
+        settings.furtherShare = 0;
+        settings.furtherWithin = 2;
+        Rig rig = new Rig(settings).workers(0, 1, 2, 3, 4, 5, 6, 7, 8);
+        rig.ask(1);
+        settings.furtherFree = 10;
+        rig.logic.retuned();
+        rig.ask(2).pass(0.1).ends(1, 0, Outcome.ERROR).ends(2, 0, Outcome.ERROR);
+        assertEquals(1, rig.sends(1).size());
+        assertEquals(2, rig.sends(2).size());
+    }
+
     /** tas-tiles-prod, rules-3 at 7.2 s: a request of an unsafe class was sent again after 'full'. */
     @Test
     void fullIsNoProofWhereWorkersShedWhatTheyHadBegun() {
--- a/src/test/java/laneflow/http/HttpStoryTest.java
+++ b/src/test/java/laneflow/http/HttpStoryTest.java
@@ -8,7 +8,7 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.List;
-import laneflow.Setup;
+import laneflow.assembly.Setup;
 import laneflow.importer.Importer;
 import laneflow.net.Stand;
 import laneflow.net.Stand.Endpoint;
--- /dev/null
+++ b/src/test/java/laneflow/membership/decision/SwimDaysTest.java
@@ -0,0 +1,316 @@
+package laneflow.membership.decision;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.SplittableRandom;
+import laneflow.lab.MemberWorld;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+/** Fleets in virtual time: what is promised of how they settle, and days of all that can befall them. */
+@Timeout(300)
+class SwimDaysTest {
+    private static final long PERIOD = 250_000;
+    private static final long SECOND = 1_000_000;
+
+    private final List<String> broken = new ArrayList<>();
+
+    private MemberWorld world(int members, long seed) {
+        MemberWorld world = new MemberWorld(members, new Times(PERIOD), seed);
+        world.watch((by, before, now) -> {
+            if (before != null && before.life().id() == now.life().id()) {
+                if (now.incarnation() < before.incarnation()) {
+                    broken.add("an incarnation fell: " + before + " to " + now);
+                }
+                if (!before.state().isLive() && now.state().isLive()) {
+                    broken.add("one came back without a new life: " + now);
+                }
+            } else if (before != null && now.life().at().equals(before.life().at())
+                    && now.life().generation() <= before.life().generation()) {
+                broken.add("an earlier life followed a later one: " + before + " to " + now);
+            }
+        });
+        return world;
+    }
+
+    private static MemberWorld begun(MemberWorld world) {
+        for (int i = 0; i < world.size(); i++) {
+            world.start(i, 0, 1, 2);
+        }
+        settles(world, 20, "they begin");
+        // News is told on for a while behind that.
+        world.pass(10 * SECOND);
+        return world;
+    }
+
+    private static long settles(MemberWorld world, int withinS, String why) {
+        long took = world.runUntil(world::isSettled, withinS * SECOND, PERIOD / 5);
+        assertTrue(took >= 0, why + ": not settled in " + withinS + " s");
+        return took;
+    }
+
+    @ParameterizedTest
+    @CsvSource({"3, 1", "12, 2", "200, 3"})
+    void whoeverCrashesIsSeenByAllAndWhoeverComesBackToo(int members, long seed) {
+        MemberWorld world = begun(world(members, seed));
+        long bytes = world.bytes();
+        world.pass(10 * SECOND);
+        double idle = (world.bytes() - bytes) / 10.0 / members;
+        assertTrue(idle < 1000, idle + " bytes a second in idle");
+        for (int round = 0; round < 5; round++) {
+            int one = 1 + round % (members - 1);
+            world.crash(one);
+            long seen = world.runUntil(() -> world.agree(i -> true), 10 * SECOND, PERIOD / 10);
+            assertTrue(seen >= 0 && seen < 4 * SECOND, "crash seen after " + seen);
+            world.start(one, 0, 1, 2);
+            settles(world, 12, "one came back");
+            world.pass(SECOND);
+        }
+        world.leave(members - 1);
+        long left = world.runUntil(() -> world.agree(i -> true), 10 * SECOND, PERIOD / 10);
+        assertTrue(left >= 0 && left < 3 * SECOND / 2, "a leave takes " + left);
+        assertTrue(world.most() <= Seal.MOST, world.most() + " bytes");
+        assertEquals(List.of(), broken);
+    }
+
+    @Test
+    void idleCostsTheSameInASmallAndALargeFleet() {
+        double[] cost = new double[2];
+        for (int k = 0; k < 2; k++) {
+            MemberWorld world = begun(world(k == 0 ? 12 : 400, 5));
+            world.pass(20 * SECOND);
+            long bytes = world.bytes();
+            int digest = world.swim(0).digest();
+            world.pass(10 * SECOND);
+            cost[k] = (world.bytes() - bytes) / 10.0 / world.size();
+            assertTrue(world.isSettled());
+            assertEquals(digest, world.swim(0).digest(), "nothing moves while nothing changes");
+        }
+        assertTrue(cost[1] < cost[0] * 1.05, cost[0] + " and " + cost[1]);
+    }
+
+    @ParameterizedTest
+    @CsvSource({"12, 1", "60, 2", "200, 3"})
+    void halvesThatBuriedEachOtherFindEachOther(int members, long seed) {
+        MemberWorld world = begun(world(members, seed));
+        int half = members / 2;
+        world.cut((from, to) -> from < half != to < half);
+        long parted = world.runUntil(() -> world.agree(i -> i < half) && world.agree(i -> i >= half), 20 * SECOND,
+                PERIOD / 5);
+        assertTrue(parted >= 0, "each half settles by itself");
+        // One goes and another is started anew meanwhile, on either side.
+        world.crash(1);
+        world.crash(half + 1);
+        world.start(half + 1, half, half + 2);
+        world.pass(15 * SECOND);
+        world.cut((from, to) -> false);
+        long found = world.runUntil(() -> world.agree(i -> true), 20 * SECOND, PERIOD / 5);
+        assertTrue(found >= 0 && found < 5 * SECOND, "found again after " + found);
+        assertEquals(List.of(), broken);
+    }
+
+    @ParameterizedTest
+    @CsvSource({"12, 1", "60, 2", "200, 3"})
+    void halfTheFleetAtOnceAndAllOfItAnew(int members, long seed) {
+        MemberWorld world = begun(world(members, seed));
+        for (int i = members / 2; i < members; i++) {
+            world.crash(i);
+        }
+        long seen = world.runUntil(() -> world.agree(i -> true), 20 * SECOND, PERIOD / 5);
+        assertTrue(seen >= 0 && seen < 10 * SECOND, "half of them: " + seen);
+        for (int i = 0; i < members; i++) {
+            world.crash(i);
+        }
+        world.pass(SECOND);
+        for (int i = members - 1; i >= 0; i--) {
+            world.start(i, 0, 1, 2);
+            world.pass(3000);
+        }
+        settles(world, 20, "all anew, in another order");
+        assertEquals(List.of(), broken);
+    }
+
+    @Test
+    void nobodyIsBuriedUnderLossWhileSomeStandStillForLessThanSuspicionTakes() {
+        MemberWorld world = begun(world(200, 8));
+        int[] buried = {0};
+        world.watch((by, before, now) -> buried[0] += now.state() == State.DEAD ? 1 : 0);
+        world.network(0.2, 0.05, 200, 1000);
+        SplittableRandom random = new SplittableRandom(8);
+        for (int round = 0; round < 15; round++) {
+            List<Integer> still = new ArrayList<>();
+            for (int i = 0; i < 200; i++) {
+                if (random.nextDouble() < 0.05) {
+                    world.stall(i);
+                    still.add(i);
+                }
+            }
+            world.pass(SECOND / 2);
+            still.forEach(world::resume);
+            world.pass(SECOND / 2);
+        }
+        assertEquals(0, buried[0]);
+        world.network(0, 0, 200, 300);
+        settles(world, 10, "the network is well again");
+    }
+
+    @Test
+    void delaysOfThreeHundredMsWithLossAreStood() {
+        MemberWorld world = begun(world(20, 9));
+        int[] buried = {0};
+        world.watch((by, before, now) -> buried[0] += now.state() == State.DEAD ? 1 : 0);
+        world.network(0.3, 0.1, 0, 300_000);
+        world.pass(30 * SECOND);
+        assertEquals(0, buried[0]);
+        world.network(0, 0, 200, 300);
+        settles(world, 10, "the network is well again");
+    }
+
+    @Test
+    void oneThatHearsAndCantSpeakAndOneThatSpeaksAndCantHearAreBothSeenAsGone() {
+        MemberWorld world = begun(world(8, 4));
+        world.cut((from, to) -> from == 3 || to == 5);
+        long agreed = world.runUntil(() -> world.agree(i -> i != 3 && i != 5), 30 * SECOND, PERIOD / 5);
+        assertTrue(agreed >= 0, "the others agree on who is left");
+        world.pass(10 * SECOND);
+        assertTrue(world.agree(i -> i != 3 && i != 5), "and stay so");
+        world.cut((from, to) -> false);
+        settles(world, 10, "healed");
+        assertEquals(List.of(), broken);
+    }
+
+    @Test
+    void aPathThatIsCutOneWayOnlyCostsNobodyHisPlace() {
+        MemberWorld world = begun(world(6, 4));
+        int[] buried = {0};
+        world.watch((by, before, now) -> buried[0] += now.state() == State.DEAD ? 1 : 0);
+        world.cut((from, to) -> from == 1 && to == 2);
+        world.pass(30 * SECOND);
+        assertEquals(0, buried[0]);
+        assertTrue(world.agree(i -> true));
+    }
+
+    @Test
+    void aFlappingMemberNeverComesBackInTheSameLife() {
+        MemberWorld world = begun(world(10, 6));
+        for (int round = 0; round < 8; round++) {
+            world.stall(4);
+            world.pass(round % 2 == 0 ? SECOND / 3 : 6 * SECOND);
+            world.resume(4);
+            world.pass(SECOND);
+        }
+        settles(world, 10, "it runs again");
+        assertTrue(world.count(4, "reborn") >= 4, "each burial costs it a life");
+        assertEquals(List.of(), broken);
+    }
+
+    @Test
+    void aNameThatIsTakenTwiceStaysTheElders() {
+        MemberWorld world = begun(world(6, 2));
+        world.crash(5);
+        world.runUntil(() -> world.agree(i -> true), 10 * SECOND, PERIOD / 5);
+        world.startAs(5, "n1", 0, 1, 2);
+        world.pass(10 * SECOND);
+        assertTrue(world.swim(5).isOutcast(), "the younger is told");
+        assertTrue(world.agree(i -> i != 5), "the others go on as they were");
+        for (int i : new int[] {0, 2, 3, 4}) {
+            assertEquals(world.address(1), world.swim(i).other("n1").life().at());
+        }
+        // When the elder is gone the name is free.
+        world.crash(1);
+        settles(world, 20, "the younger has the name");
+        assertEquals(world.address(5), world.swim(0).other("n1").life().at());
+        assertTrue(world.runUntil(() -> !world.swim(5).isOutcast(), 10 * SECOND, PERIOD) >= 0, "and is told so");
+    }
+
+    @Test
+    void anAddressCanHaveAnotherNameAndAClockMayGoBack() {
+        MemberWorld world = begun(world(6, 3));
+        world.crash(4);
+        world.startAs(4, "other", 0, 1);
+        settles(world, 20, "another name at the same place");
+        assertEquals(State.DEAD, world.swim(0).other("n4").state());
+        // Started anew by a clock that is a day behind, it is a later life all the same.
+        world.crash(3);
+        world.startWithClock(3, -86_400_000, 0, 1);
+        settles(world, 20, "a clock that went back");
+        assertEquals(List.of(), broken.stream().filter(text -> !text.contains("earlier life")).toList());
+    }
+
+    @Test
+    void oneMessageBuriesNobodyAndHighNumbersAreNoTrap() {
+        MemberWorld world = begun(world(8, 7));
+        Update.Full victim = world.swim(0).other("n5");
+        int[] buried = {0};
+        world.watch((by, before, now) -> buried[0] += now.state().isLive() ? 0 : 1);
+        for (State claimed : new State[] {State.SUSPECT, State.DEAD, State.LEFT}) {
+            for (int incarnation : new int[] {0, victim.incarnation() + 1, Integer.MAX_VALUE}) {
+                List<Update> claims = new ArrayList<>();
+                claims.add(new Update.Claim(victim.life().id(), incarnation, claimed, 42));
+                claims.add(new Update.Full(victim.life(), incarnation, claimed, victim.facts()));
+                claims.add(new Update.Full(Life.of("n5", Long.MAX_VALUE, victim.life().at()), 0, State.ALIVE,
+                        victim.facts()));
+                long from = world.swim(1).self().life().id();
+                world.inject(2, world.address(1), new Message(Message.Kind.NEWS, from, 0, 0, 0, null, claims));
+                world.pass(6 * SECOND);
+                assertTrue(world.swim(2).other("n5").state().isLive(), claimed + " " + incarnation);
+            }
+        }
+        settles(world, 10, "all of it is cleared");
+        assertEquals(0, buried[0]);
+        assertTrue(world.swim(5).self().incarnation() < 1 << 30);
+    }
+
+    @ParameterizedTest
+    @CsvSource({"40, 11, 12", "40, 12, 12", "200, 13, 6", "1000, 14, 2"})
+    void randomDaysEndSettled(int members, long seed, int events) {
+        MemberWorld world = begun(world(members, seed));
+        SplittableRandom random = new SplittableRandom(seed);
+        for (int n = 0; n < events; n++) {
+            int one = 3 + random.nextInt(members - 3);
+            switch (random.nextInt(6)) {
+                case 0 -> world.crash(one);
+                case 1 -> {
+                    if (!world.isUp(one)) {
+                        world.start(one, 0, 1, 2);
+                    }
+                }
+                case 2 -> {
+                    if (world.isRunning(one)) {
+                        world.stall(one);
+                        world.pass(random.nextLong(8 * SECOND));
+                        world.resume(one);
+                    }
+                }
+                case 3 -> {
+                    int part = 1 + random.nextInt(members - 1);
+                    world.cut((from, to) -> from < part != to < part);
+                    world.pass(random.nextLong(12 * SECOND));
+                    world.cut((from, to) -> false);
+                }
+                case 4 -> world.network(0.3 * random.nextDouble(), 0.1, 200, random.nextInt(100_000));
+                default -> {
+                    if (world.isRunning(one)) {
+                        world.leave(one);
+                    }
+                }
+            }
+            world.pass(random.nextLong(3 * SECOND));
+        }
+        world.network(0, 0, 200, 300);
+        for (int i = 0; i < members; i++) {
+            if (!world.isUp(i)) {
+                world.start(i, 0, 1, 2);
+            }
+        }
+        settles(world, 30, "the day is over");
+        world.pass(20 * SECOND);
+        assertTrue(world.isSettled(), "and it holds still");
+        assertEquals(List.of(), broken);
+    }
+}
