--- a/src/main/java/laneflow/lab/Rig.java
+++ b/src/main/java/laneflow/lab/Rig.java
@@ -154,7 +154,8 @@
         }
         return "[members]\nlisten = \"127.0.0.1:" + memberPorts[i] + "\"\nadvertise = \"127.0.0.1:"
                 + datagrams.port(i) + "\"\nseeds = [" + seeds
-                + "]\nallowed = [\"127.0.0.0/8\"]\nkey_file = \"" + keyFiles.getOrDefault(i, keyFile()) + "\"\n";
+                + "]\nallowed = [\"127.0.0.0/8\"]\nkey_file = \""
+                + keyFiles.getOrDefault(i, keyFile()) + "\"\n";
     }
 
     /** What a scheduler says of all, {@code GET /fleet}. */
