--- a/src/main/java/laneflow/assembly/Together.java
+++ b/src/main/java/laneflow/assembly/Together.java
@@ -62,6 +62,8 @@
         fleet = new Fleet(loop, config, new Fleet.Self(config.name, HexFormat.of().formatHex(life),
                 build == null ? "" : build), Token.read(config.tokenFile), scheduler.counters(),
                 random.nextLong());
+        loop.call(() -> fleet.serve("/counters", (verb, path, body, answer) ->
+                answer.say(200, "text/plain", "", scheduler.counters().text())));
         // Outside tests clocks run as they run.
         double clockRate = Double.parseDouble(System.getProperty(CLOCK_RATE, "1"));
         ExecutorService reading = Threads.inOrder("policy-reader");
--- a/src/main/java/laneflow/lab/DatagramRelay.java
+++ b/src/main/java/laneflow/lab/DatagramRelay.java
@@ -26,6 +26,8 @@
         volatile double doubled;
         volatile int delayMs;
         volatile int jitterMs;
+        /** The last datagram that came. */
+        volatile byte[] last;
 
         void clear() {
             cut = false;
@@ -119,6 +121,7 @@
             Path path = paths[from][door];
             byte[] copy = new byte[packet.getLength()];
             System.arraycopy(bytes, 0, copy, 0, copy.length);
+            path.last = copy;
             boolean lost;
             int copies;
             long delay;
--- a/src/main/java/laneflow/lab/Measure.java
+++ b/src/main/java/laneflow/lab/Measure.java
@@ -17,12 +17,13 @@
     private boolean large;
 
     /** What can be measured. */
-    enum What { durable, config, gearman, policy }
+    enum What { durable, config, gearman, policy, fleet }
 
     @Override
     public Integer call() throws Exception {
         switch (what) {
             case durable: return DurableMeasure.run(seed, large, System.out);
+            case fleet: return FleetMeasure.run(seed, large, System.out);
             case policy: return PolicyMeasure.run(seed, large, System.out);
             case config: return ConfigMeasure.run(seed, large, System.out);
             default: return GearmanMeasure.run(seed, large, System.out);
--- a/src/main/java/laneflow/lab/Rig.java
+++ b/src/main/java/laneflow/lab/Rig.java
@@ -50,6 +50,7 @@
     private DatagramRelay datagrams;
     private int[] memberPorts;
     private int[] memberSeeds;
+    private int memberPeriodMs;
     private final Map<Integer, Path> keyFiles = new HashMap<>();
 
     /** Holds, or not yet; a process that does not answer is no reason to give up. */
@@ -111,9 +112,11 @@
     /**
      * All keep a view of each other from the next start on, by datagrams through a relay.
      *
+     * @param periodMs between two probes
      * @param seeds what the file of each names as others' places
      */
-    public void members(long seed, int... seeds) throws IOException {
+    public void members(long seed, int periodMs, int... seeds) throws IOException {
+        memberPeriodMs = periodMs;
         memberPorts = new int[processes.length];
         for (int i = 0; i < processes.length; i++) {
             memberPorts[i] = Crew.port();
@@ -143,6 +146,26 @@
         datagrams.inject(from, to, datagram);
     }
 
+    /** The last datagram that one has sent to the other, or null. */
+    public byte[] lastDatagram(int from, int to) {
+        return datagrams.path(from, to).last;
+    }
+
+    /** Where a member's own socket is, behind the relay. */
+    public int memberSocket(int i) {
+        return memberPorts[i];
+    }
+
+    /** What one has counted under that name. */
+    public long counter(int i, String name) throws IOException, InterruptedException {
+        for (String line : ask(i, "/counters", null).body().split("\n")) {
+            if (line.startsWith(name + " ")) {
+                return Long.parseLong(line.substring(name.length() + 1));
+            }
+        }
+        return 0;
+    }
+
     private String membersTable(int i) {
         if (datagrams == null) {
             return "";
@@ -155,7 +178,7 @@
         return "[members]\nlisten = \"127.0.0.1:" + memberPorts[i] + "\"\nadvertise = \"127.0.0.1:"
                 + datagrams.port(i) + "\"\nseeds = [" + seeds
                 + "]\nallowed = [\"127.0.0.0/8\"]\nkey_file = \""
-                + keyFiles.getOrDefault(i, keyFile()) + "\"\n";
+                + keyFiles.getOrDefault(i, keyFile()) + "\"\nperiod_ms = " + memberPeriodMs + "\n";
     }
 
     /** What a scheduler says of all, {@code GET /fleet}. */
@@ -177,12 +200,12 @@
         return "unknown";
     }
 
-    /** True if all of these are settled and hold the same view, of so many. */
-    public boolean settled(int live, int... these) throws IOException, InterruptedException {
+    /** True if all of these hold the same view, of so many. */
+    public boolean agree(int live, int... these) throws IOException, InterruptedException {
         String digest = null;
         for (int i : these) {
             JsonObject view = fleet(i);
-            if (view.get("live").getAsInt() != live || !view.get("settled").getAsBoolean() || digest != null
+            if (view.get("live").getAsInt() != live || digest != null
                     && !digest.equals(view.get("digest").getAsString())) {
                 return false;
             }
@@ -191,6 +214,16 @@
         return true;
     }
 
+    /** True if besides all of them are settled. */
+    public boolean settled(int live, int... these) throws IOException, InterruptedException {
+        for (int i : these) {
+            if (!fleet(i).get("settled").getAsBoolean()) {
+                return false;
+            }
+        }
+        return agree(live, these);
+    }
+
     /** Waits for that. */
     public void awaitSettled(int live, int... these) throws IOException, InterruptedException {
         await("all of " + Arrays.toString(these) + " hold one view of " + live, () -> settled(live, these));
@@ -327,6 +360,21 @@
         }
     }
 
+    /** No line of the links gets to or from this one; datagrams do. */
+    public void cutLinks(int one) throws IOException {
+        note("cut links of " + name(one));
+        for (int other = 0; other < processes.length; other++) {
+            if (one < voters) {
+                relays[other][one].there.cut = true;
+                relays[other][one].back.cut = true;
+            }
+            if (other < voters) {
+                relays[one][other].there.cut = true;
+                relays[one][other].back.cut = true;
+            }
+        }
+    }
+
     private void way(int from, int to, boolean cut) {
         if (to < voters) {
             relays[from][to].there.cut = cut;
--- a/src/main/java/laneflow/membership/decision/Swim.java
+++ b/src/main/java/laneflow/membership/decision/Swim.java
@@ -61,7 +61,7 @@
     private static final int MOST_SUSPICIONS = 8;
     private static final int MOST_REMEMBERED = 16;
     private static final long MOST_ROUND_TRIP = 4_000_000;
-    private static final int SMOOTHING = 16;
+    private static final int SMOOTHING = 4;
     private static final long LATE_TOLD_PERIODS = 40;
     private static final long FACTS_PERIODS = 8;
     private static final long SETTLED_PERIODS = 4;
--- a/src/main/java/laneflow/policy/PolicyPort.java
+++ b/src/main/java/laneflow/policy/PolicyPort.java
@@ -35,7 +35,6 @@
         this.counters = counters;
         this.leadership = leadership;
         fleet.serve("/policy", this::asked);
-        fleet.serve("/counters", (verb, path, body, answer) -> answer.say(200, TEXT, "", counters.text()));
     }
 
     /** This process votes from now on. */
