--- a/src/main/java/laneflow/lab/FleetMeasure.java
+++ b/src/main/java/laneflow/lab/FleetMeasure.java
@@ -367,8 +367,8 @@
             long took = world.runUntil(world::isSettled, 120_000_000, 50_000);
             double rounds = took * 1.0 / PERIOD_US;
             if (size > 200 && !large) {
-                out.printf(Locale.ROOT, "%d members in virtual time: begun at once one view after %.0f rounds%n",
-                        size, rounds);
+                out.printf(Locale.ROOT, "%d members in virtual time: begun at once one view after %.0f"
+                        + " rounds%n", size, rounds);
                 all.append(rounds(size, rounds));
                 continue;
             }
