Upgrade: a process with a successor meets nobody as its elder; two ended for each other

Handover.met and its tick let whoever has a younger meet nobody. Test: HandoverTest plays the three with gaps of 0 to 600 ms, red before at gap 0.

--- a/src/main/java/laneflow/ops/Handover.java
+++ b/src/main/java/laneflow/ops/Handover.java
@@ -113,9 +113,12 @@
 
     // ---- the younger's side ----
 
-    /** An elder is there. */
+    /**
+     * An elder is there. Whoever has a younger meets nobody: it would be that very one, and each would end in
+     * the other's favour.
+     */
     void met(long now, Pipe pipe) {
-        if (elder != null) {
+        if (elder != null || younger != null) {
             pipe.close();
             return;
         }
@@ -270,7 +273,7 @@
                 other.pipe.send("alive");
             }
         }
-        if (serving && elder == null && now >= seekAt) {
+        if (serving && elder == null && younger == null && now >= seekAt) {
             seekAt = Long.MAX_VALUE;
             host.seek();
         }
--- a/src/test/java/laneflow/ops/HandoverTest.java
+++ b/src/test/java/laneflow/ops/HandoverTest.java
@@ -344,4 +344,33 @@
             }
         }
     }
+
+    /**
+     * Three in a row: the second loses its elder, and looks for others just when the third takes its place. It
+     * met that as an elder of its own, both handed over to each other, and both ended.
+     */
+    @Test
+    void whoeverHasASuccessorTakesItForNoElder() {
+        for (long gap = 0; gap <= 600_000; gap += 50_000) {
+            place = null;
+            Process old = new Process();
+            Process young = new Process();
+            Process third = new Process();
+            old.handover.serving(now);
+            connect(young, old);
+            settle();
+            young.handover.serving(now);
+            settle();
+            old.dead = true;
+            settle();
+            pass(gap, young);
+            connect(third, young);
+            settle();
+            third.handover.serving(now);
+            settle();
+            pass(1_500_000, young, third);
+            assertTrue(third.accepts && !third.handover.isSuperseded(), "gap " + gap);
+            assertTrue(young.handover.isSuperseded(), "gap " + gap);
+        }
+    }
 }
