--- a/Makefile
+++ b/Makefile
@@ -1,5 +1,5 @@
-# make build | test | lint | run | quickstart | conformance | measure WHAT=name SEED=n [SIZE=large]
-.PHONY: build test lint run quickstart conformance measure clean
+# make build | test | lint | run | quickstart | conformance | measure WHAT=name SEED=n [SIZE=large] | plot
+.PHONY: build test lint run quickstart conformance measure plot clean
 
 build:
 	mvn -q -DskipTests package
@@ -30,5 +30,9 @@
 measure: build
 	java -jar target/laneflow.jar lab measure $(WHAT) --seed $(SEED) $(if $(filter large,$(SIZE)),--large)
 
+# How long a fleet takes to settle over its size, in virtual time, drawn anew.
+plot:
+	mvn -q test -Dtest=SettlePlotTest -Dplot=docs/fleet-settle.png -DargLine=-Djava.awt.headless=true
+
 clean:
 	mvn -q clean
--- a/src/main/java/laneflow/membership/decision/News.java
+++ b/src/main/java/laneflow/membership/decision/News.java
@@ -39,6 +39,11 @@
         return newest.isEmpty();
     }
 
+    /** Names that there is news of. */
+    int size() {
+        return newest.size();
+    }
+
     /** News of that name, in the place of what there was. */
     void add(String name, Update update) {
         Item item = new Item(name, update);
--- a/src/main/java/laneflow/membership/decision/Swim.java
+++ b/src/main/java/laneflow/membership/decision/Swim.java
@@ -300,7 +300,7 @@
     private void gossip(long now) {
         nextGossip = news.isEmpty() ? Long.MAX_VALUE : now + times.gossip();
         List<Entry> to = new ArrayList<>();
-        for (int i = 0; i < Times.FANOUT && !news.isEmpty(); i++) {
+        for (int i = Times.fanout(news.size()); i > 0 && !news.isEmpty(); i--) {
             Entry one = view.any(random, each -> !to.contains(each));
             if (one == null) {
                 break;
--- a/src/main/java/laneflow/membership/decision/Times.java
+++ b/src/main/java/laneflow/membership/decision/Times.java
@@ -12,7 +12,9 @@
     /** Members asked to probe in one's place. */
     static final int HELPERS = 3;
     /** Members that news goes to at a time. */
-    static final int FANOUT = 3;
+    private static final int FANOUT = 3;
+    private static final int MOST_FANOUT = 12;
+    private static final int NEWS_A_MEMBER_MORE = 16;
     /** Suspicions of others that shorten one's own to the least. */
     static final int CONFIRMATIONS = 3;
     private static final int GOSSIPS_A_PERIOD = 5;
@@ -42,6 +44,11 @@
         return Math.max(period * (1 + score), ROUND_TRIPS_A_PROBE * roundTrip);
     }
 
+    /** Members that news goes to in a round: more of them while there is much news, as when halves heal. */
+    static int fanout(int news) {
+        return Math.min(MOST_FANOUT, FANOUT + news / NEWS_A_MEMBER_MORE);
+    }
+
     /** Rounds in which news reaches all of so many members, as a rule. */
     public static int rounds(int members) {
         return (int) Math.ceil(Math.log(members + 1.0) / Math.log(2));
--- a/src/main/java/laneflow/policy/Leadership.java
+++ b/src/main/java/laneflow/policy/Leadership.java
@@ -114,6 +114,8 @@
         }
         stopped = true;
         lead = null;
+        // It hears of no election any more: who leads is known from leases, as by those that do not vote.
+        leader = "";
         voters = Set.of();
         if (why.equals(Voting.TAKEN_OUT)) {
             LOG.info("policy: taken out, this process votes no more");
--- /dev/null
+++ b/src/test/java/laneflow/lab/SettlePlotTest.java
@@ -0,0 +1,75 @@
+package laneflow.lab;
+
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import laneflow.membership.decision.Times;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.condition.EnabledIfSystemProperty;
+import org.knowm.xchart.BitmapEncoder;
+import org.knowm.xchart.BitmapEncoder.BitmapFormat;
+import org.knowm.xchart.XYChart;
+import org.knowm.xchart.XYChartBuilder;
+import org.knowm.xchart.style.markers.SeriesMarkers;
+
+/** Draws how long a fleet takes to settle over its size, in virtual time: {@code make plot}. */
+@EnabledIfSystemProperty(named = "plot", matches = ".+")
+class SettlePlotTest {
+    private static final long PERIOD = 250_000;
+    private static final int SEEDS = 5;
+
+    private final List<Double> sizes = new ArrayList<>();
+    private final List<List<Double>> took = List.of(new ArrayList<>(), new ArrayList<>(), new ArrayList<>());
+
+    private static double rounds(long micros) {
+        assertTrue(micros >= 0, "it did not settle");
+        return micros / (double) PERIOD;
+    }
+
+    private static double[] day(int members, long seed) {
+        MemberWorld world = new MemberWorld(members, new Times(PERIOD), seed);
+        for (int i = 0; i < members; i++) {
+            world.start(i, 0, 1, 2);
+        }
+        double begun = rounds(world.runUntil(world::isSettled, 120_000_000, 20_000));
+        world.pass(20_000_000);
+        world.crash(members - 1);
+        double crash = rounds(world.runUntil(() -> world.agree(i -> true), 60_000_000, 20_000));
+        int half = members / 2;
+        world.cut((from, to) -> from < half != to < half);
+        world.pass(20_000_000);
+        world.cut((from, to) -> false);
+        double healed = rounds(world.runUntil(() -> world.agree(i -> true), 60_000_000, 20_000));
+        return new double[] {begun, crash, healed};
+    }
+
+    @Test
+    void draws() throws IOException {
+        for (int members : new int[] {4, 8, 16, 32, 64, 128, 256, 512}) {
+            double[] sum = new double[3];
+            for (long seed = 1; seed <= SEEDS; seed++) {
+                double[] one = day(members, seed);
+                for (int i = 0; i < 3; i++) {
+                    sum[i] += one[i] / SEEDS;
+                }
+            }
+            sizes.add((double) members);
+            for (int i = 0; i < 3; i++) {
+                took.get(i).add(sum[i]);
+            }
+            System.out.printf("%d members: %.1f %.1f %.1f rounds%n", members, sum[0], sum[1], sum[2]);
+        }
+        XYChart chart = new XYChartBuilder().width(800).height(480).title("Rounds until all hold one view (mean of "
+                + SEEDS + " seeds, virtual time)").xAxisTitle("members").yAxisTitle("rounds of 250 ms").build();
+        chart.getStyler().setXAxisLogarithmic(true);
+        chart.getStyler().setYAxisMin(0.0);
+        String[] names = {"all begin at once", "one crashes", "halves that were cut for 20 s heal"};
+        for (int i = 0; i < names.length; i++) {
+            chart.addSeries(names[i], sizes, took.get(i)).setMarker(SeriesMarkers.CIRCLE);
+        }
+        BitmapEncoder.saveBitmap(chart, Path.of(System.getProperty("plot")).toString(), BitmapFormat.PNG);
+    }
+}
