A member that is cut off with few probes more at a time, and settles in seconds

Each failed probe made the next take longer, one at a time, and suspicions of one's own lasted up to nine times as long. Now 1 + 2 s probes go out at a time, s being the member's slowness, and own suspicions last at most four times as long. Ruled out: gossip (the others of the part agreed at once). fleet show: a rate of nothing is 0; whole states over the link are asserted in a story.

--- a/src/main/java/laneflow/cli/FleetCommand.java
+++ b/src/main/java/laneflow/cli/FleetCommand.java
@@ -103,13 +103,17 @@
             out.printf("  %-16s %-8s %-9s %-12s %6s %4d%% %7s  %-21s %s%s%n", one.get("name").getAsString(),
                     one.get("state").getAsString(), one.get("condition").getAsString(),
                     one.get("zone").getAsString(), policy < 0 ? "-" : String.valueOf(policy),
-                    one.get("load_sixteenths").getAsInt() * 100 / 16, "<" + one.get("rate_below").getAsLong(),
+                    one.get("load_sixteenths").getAsInt() * 100 / 16, rate(one.get("rate_below").getAsLong()),
                     one.get("at").getAsString(), one.has("changed_ms") ? Instant.ofEpochMilli(
                     one.get("changed_ms").getAsLong()).truncatedTo(ChronoUnit.SECONDS) : "-",
                     one.get("late").getAsBoolean() ? "  its loop is late" : "");
         }
     }
 
+    private static String rate(long below) {
+        return below == 0 ? "0" : "<" + below;
+    }
+
     @Command(name = "watch", mixinStandardHelpOptions = true,
             description = "Tells each change of the first scheduler's view that answers, until it is ended.")
     int watch(@Option(names = "--for-ms", paramLabel = "N", defaultValue = "0",
--- a/src/main/java/laneflow/membership/decision/Judgement.java
+++ b/src/main/java/laneflow/membership/decision/Judgement.java
@@ -27,6 +27,8 @@
     /** So many shortest suspicions one can last whom others go on reaching. */
     private static final int MOST_SUSPICIONS = 8;
     private static final long LEAVING_PERIODS = 2;
+    /** A slow member's own suspicions last longer by so many times at most: it may be cut off, and right. */
+    private static final int MOST_SLOWED = 3;
 
     /** Something at an instant, void once the entry has another deadline; a last call goes before an end. */
     private record Alarm(long at, Entry entry, long deadline, boolean lastCall) {
@@ -188,7 +190,8 @@
         // One that is slow itself blames late, unless others have found the same.
         boolean alone = entry.by.size() == 1 && entry.by.contains(self.self().life().id());
         // Never behind the present: that would look as if this member had stood still.
-        long deadline = Math.max(now, entry.suspectedAt + span * (alone ? 1 + probing.score() : 1));
+        int slowed = alone ? Math.min(MOST_SLOWED, probing.score()) : 0;
+        long deadline = Math.max(now, entry.suspectedAt + span * (1 + slowed));
         if (first || deadline < entry.deadline) {
             alarm(entry, deadline, now);
         }
--- a/src/main/java/laneflow/membership/decision/Probing.java
+++ b/src/main/java/laneflow/membership/decision/Probing.java
@@ -15,7 +15,9 @@
  */
 final class Probing {
     private static final int MOST_FAVOURS = 64;
-    private static final int MOST_REMEMBERED = 16;
+    private static final int MOST_REMEMBERED = 64;
+    /** So many probes more a period for each step that it is slower. */
+    private static final int PROBES_MORE = 2;
     private static final long MOST_ROUND_TRIP = 4_000_000;
     private static final int SMOOTHING = 4;
 
@@ -26,15 +28,17 @@
 
     /** One's own probe under way. */
     private static final class Probe {
-        private Entry target;
-        private long id;
-        private int seq;
-        private long againAt;
-        private boolean again;
-        private long othersAt;
-        private boolean asked;
+        private final Entry target;
+        private final long id;
+        private final int seq;
         private int nacks;
         private boolean done;
+
+        private Probe(Entry target, int seq) {
+            this.target = target;
+            this.seq = seq;
+            id = target.life().id();
+        }
     }
 
     /** Another's probe that one makes for it. */
@@ -58,7 +62,12 @@
         }
     };
     private int turn;
-    private Probe probe;
+    /** Those of this period; more than one where others have failed. */
+    private final List<Probe> probes = new ArrayList<>();
+    private long againAt;
+    private boolean again;
+    private long othersAt;
+    private boolean asked;
     private long nextPeriod;
     private long roundTrip;
     private int score;
@@ -90,7 +99,7 @@
     long next() {
         long next = nextPeriod;
         if (waits()) {
-            next = Math.min(next, probe.again ? probe.othersAt : probe.againAt);
+            next = Math.min(next, again ? othersAt : againAt);
         }
         if (!favours.isEmpty()) {
             next = Math.min(next, favours.values().iterator().next().until);
@@ -99,19 +108,28 @@
     }
 
     private boolean waits() {
-        return probe != null && !probe.done && !probe.asked;
+        return !asked && probes.stream().anyMatch(probe -> !probe.done);
     }
 
     /** Does what is due; true if a period has begun. */
     boolean tick(long now) {
         favours(now);
-        if (waits() && !probe.again && now >= probe.againAt) {
+        if (waits() && !again && now >= againAt) {
             // One datagram that is lost is no reason to bother others.
-            probe.again = true;
-            self.send(probe.target, Kind.PING, probe.seq, probe.id, null);
+            again = true;
+            for (Probe probe : probes) {
+                if (!probe.done) {
+                    self.send(probe.target, Kind.PING, probe.seq, probe.id, null);
+                }
+            }
         }
-        if (waits() && now >= probe.othersAt) {
-            askOthers();
+        if (waits() && now >= othersAt) {
+            asked = true;
+            for (Probe probe : probes) {
+                if (!probe.done) {
+                    askOthers(probe);
+                }
+            }
         }
         if (now < nextPeriod) {
             return false;
@@ -123,28 +141,28 @@
     /** What others have answered meanwhile waits to be read: nobody is blamed for that time. */
     void stoodStill(long now) {
         slower(1);
-        probe = null;
+        probes.clear();
         nextPeriod = now + times.period();
     }
 
     private void period(long now) {
-        if (probe != null && !probe.done) {
-            failed(now);
-        }
+        ended(now);
         nextPeriod = now + times.probe(score, roundTrip);
-        probe = null;
-        Entry target = nextInTurn();
-        if (target == null) {
-            return;
+        again = false;
+        asked = false;
+        othersAt = now + times.direct(score, roundTrip);
+        againAt = now + times.direct(score, roundTrip) / 2;
+        // One that is cut off with few takes longer for each, and would need minutes for all the others.
+        for (int i = 0; i < 1 + PROBES_MORE * score; i++) {
+            Entry target = nextInTurn();
+            if (target == null || probes.stream().anyMatch(probe -> probe.target == target)) {
+                return;
+            }
+            Probe probe = new Probe(target, self.number());
+            probes.add(probe);
+            sentAt.put(probe.seq, now);
+            self.send(target, Kind.PING, probe.seq, probe.id, null);
         }
-        probe = new Probe();
-        probe.target = target;
-        probe.id = target.life().id();
-        probe.seq = self.number();
-        probe.othersAt = now + times.direct(score, roundTrip);
-        probe.againAt = now + times.direct(score, roundTrip) / 2;
-        sentAt.put(probe.seq, now);
-        self.send(target, Kind.PING, probe.seq, probe.id, null);
     }
 
     /** Each once in a round, in another order each time: nobody is passed over for long. */
@@ -168,8 +186,7 @@
         return null;
     }
 
-    private void askOthers() {
-        probe.asked = true;
+    private void askOthers(Probe probe) {
         List<Entry> helpers = new ArrayList<>();
         for (int i = 0; i < Times.HELPERS; i++) {
             Entry one = view.any(random, each -> each != probe.target && each.state == State.ALIVE
@@ -181,13 +198,20 @@
         }
     }
 
-    private void failed(long now) {
+    private void ended(long now) {
+        List<Probe> all = new ArrayList<>(probes);
+        probes.clear();
+        all.removeIf(probe -> probe.done);
+        if (all.isEmpty()) {
+            return;
+        }
         // Whoever hears no word from any helper either is the one that is cut off, or slow. Some helpers may
         // be as dead as whom they were asked to probe.
-        slower(probe.nacks == 0 ? 1 : 0);
-        Entry target = probe.target;
-        if (target.state.isLive() && view.life(probe.id) == target) {
-            silent.silent(target, now);
+        slower(all.stream().allMatch(probe -> probe.nacks == 0) ? 1 : 0);
+        for (Probe probe : all) {
+            if (probe.target.state.isLive() && view.life(probe.id) == probe.target) {
+                silent.silent(probe.target, now);
+            }
         }
     }
 
@@ -201,10 +225,12 @@
             long took = Math.min(now - sent, MOST_ROUND_TRIP);
             roundTrip = took > roundTrip ? took : roundTrip + (took - roundTrip) / SMOOTHING;
         }
-        if (probe != null && probe.seq == message.seq() && probe.id == message.target() && !probe.done) {
-            probe.done = true;
-            slower(-1);
-            return true;
+        for (Probe probe : probes) {
+            if (probe.seq == message.seq() && probe.id == message.target() && !probe.done) {
+                probe.done = true;
+                slower(-1);
+                return true;
+            }
         }
         Favour favour = favours.get(message.seq());
         if (favour != null && favour.target == sender.life().id()) {
@@ -216,8 +242,8 @@
 
     /** A helper has not reached whom it was asked to. */
     void nacked(int seq) {
-        if (probe != null && probe.seq == seq) {
-            probe.nacks++;
+        for (Probe probe : probes) {
+            probe.nacks += probe.seq == seq ? 1 : 0;
         }
     }
 
--- a/src/test/java/laneflow/membership/MembersStoryTest.java
+++ b/src/test/java/laneflow/membership/MembersStoryTest.java
@@ -312,5 +312,11 @@
         rig.heal();
         rig.awaitDeciding(2, rig.all());
         rig.awaitSettled(5, rig.all());
+        // Whoever has a link gets what it lacks over that, all at once.
+        rig.kill(4);
+        rig.start(4);
+        rig.awaitDeciding(2, 4);
+        rig.awaitSettled(5, rig.all());
+        assertTrue(count("members.bulks", rig.all()) > 0);
     }
 }
--- a/src/test/java/laneflow/membership/decision/SwimDaysTest.java
+++ b/src/test/java/laneflow/membership/decision/SwimDaysTest.java
@@ -114,6 +114,22 @@
         assertEquals(List.of(), broken);
     }
 
+    /** Cut off with few one probes members that can't answer, and must not take minutes for all of them. */
+    @ParameterizedTest
+    @CsvSource({"6, 1, 20", "32, 1, 35", "32, 3, 20", "200, 3, 40"})
+    void aSmallPartThatIsCutOffSettlesToo(int members, int part, int withinS) {
+        MemberWorld world = begun(world(members, 3));
+        int first = members - part;
+        world.cut((from, to) -> from < first != to < first);
+        long parted = world.runUntil(() -> world.agree(i -> i < first) && world.agree(i -> i >= first),
+                withinS * SECOND, PERIOD / 5);
+        assertTrue(parted >= 0, "not settled in " + withinS + " s");
+        world.cut((from, to) -> false);
+        long found = world.runUntil(() -> world.agree(i -> true), 20 * SECOND, PERIOD / 5);
+        assertTrue(found >= 0 && found < 5 * SECOND, "found again after " + found);
+        assertEquals(List.of(), broken);
+    }
+
     @ParameterizedTest
     @CsvSource({"12, 1", "60, 2", "200, 3"})
     void halfTheFleetAtOnceAndAllOfItAnew(int members, long seed) {
