--- a/src/test/java/laneflow/policy/PolicyAmidStoryTest.java
+++ b/src/test/java/laneflow/policy/PolicyAmidStoryTest.java
@@ -195,6 +195,9 @@
             rig.await("the new one can serve", () -> call(ops, "check").equals("done"));
             rig.propose(1, "amid-2", bans("c"));
             decided(0, "amid-2", "applied");
+            // Between two policies nothing comes to the till: ask once both decide by the new one.
+            rig.awaitDeciding(3, rig.all());
+            rig.await("the new one decides", () -> call(ops, "check").equals("done"));
             assertTrue(Stand.peer("127.0.0.1", port).write("POST /check HTTP/1.1\r\nHost: c\r\nReq-Id: u\r\n"
                     + "Content-Length: 0\r\n\r\n") != null);
             try (Peer call = till.accept()) {
