--- a/src/main/java/laneflow/cli/FleetCommand.java
+++ b/src/main/java/laneflow/cli/FleetCommand.java
@@ -51,10 +51,6 @@
         }
     }
 
-    private static String why(String address, IOException e) {
-        return address + ": " + (e.getMessage() == null ? e.toString() : e.getMessage());
-    }
-
     private static List<JsonObject> all(JsonObject view) {
         List<JsonObject> all = new ArrayList<>();
         all.add(view.getAsJsonObject("self"));
@@ -80,7 +76,7 @@
                     table(out, view);
                 }
             } catch (IOException e) {
-                out.println(why(address, e));
+                out.println(PolicyCommand.why(address, e));
                 code = 1;
             }
         }
@@ -132,7 +128,7 @@
                     tell(out, view, known, where.json);
                     break;
                 } catch (IOException e) {
-                    now = why(address, e);
+                    now = PolicyCommand.why(address, e);
                 }
             }
             if (!now.equals(trouble) && !now.isEmpty()) {
@@ -196,7 +192,7 @@
                     return address + " is not settled";
                 }
             } catch (IOException e) {
-                return why(address, e);
+                return PolicyCommand.why(address, e);
             }
         }
         return settled && digests.size() > 1 ? "their views differ" : "";
--- a/src/main/java/laneflow/cli/PolicyCommand.java
+++ b/src/main/java/laneflow/cli/PolicyCommand.java
@@ -93,14 +93,18 @@
                     }
                     last = new IOException(address + ": " + answer.body().strip());
                 } catch (IOException e) {
-                    last = new IOException(address + ": " + (e.getMessage() == null ? e.toString()
-                            : e.getMessage()), e);
+                    last = new IOException(why(address, e), e);
                 }
             }
             throw last;
         }
     }
 
+    /** What went wrong there, in a line. */
+    static String why(String address, Exception e) {
+        return address + ": " + (e.getMessage() == null ? e.toString() : e.getMessage());
+    }
+
     @Override
     public void run() {
         throw new ParameterException(spec.commandLine(), "a command is missing");
@@ -134,7 +138,7 @@
                     show(out, all);
                 }
             } catch (IOException | JsonParseException | IllegalStateException e) {
-                out.println(address + ": " + (e.getMessage() == null ? e.toString() : e.getMessage()));
+                out.println(why(address, e));
                 code = 1;
             }
         }
@@ -322,7 +326,7 @@
                             voter.get("voters"));
                 }
             } catch (IOException | JsonParseException | IllegalStateException e) {
-                out.println(address + ": " + (e.getMessage() == null ? e.toString() : e.getMessage()));
+                out.println(why(address, e));
                 code = 1;
             }
         }
--- a/src/main/java/laneflow/durable/Store.java
+++ b/src/main/java/laneflow/durable/Store.java
@@ -3,8 +3,6 @@
 import java.io.IOException;
 import java.nio.ByteBuffer;
 import java.nio.channels.FileChannel;
-import java.nio.channels.FileLock;
-import java.nio.channels.OverlappingFileLockException;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -91,13 +89,7 @@
         this.dir = dir;
         lock = FileChannel.open(dir.resolve("lock"), StandardOpenOption.CREATE, StandardOpenOption.READ,
                 StandardOpenOption.WRITE);
-        FileLock held = null;
-        try {
-            held = lock.tryLock();
-        } catch (OverlappingFileLockException e) {
-            // This very process has it open already: refused below, like another's.
-        }
-        if (held == null) {
+        if (!FolderLock.take(lock)) {
             ByteBuffer said = ByteBuffer.allocate(64);
             lock.read(said, 0);
             lock.close();
--- a/src/main/java/laneflow/fleet/FleetConfig.java
+++ b/src/main/java/laneflow/fleet/FleetConfig.java
@@ -1,5 +1,6 @@
 package laneflow.fleet;
 
+import java.net.InetSocketAddress;
 import java.nio.file.Path;
 import java.util.LinkedHashMap;
 import java.util.Map;
@@ -48,13 +49,13 @@
         from.close();
     }
 
-    private static void address(Table from, String key, String text) {
+    /** An address of the table; null where it is missing, or none: that is a finding. */
+    public static InetSocketAddress address(Table from, String key, String text) {
         try {
-            if (text != null && !text.isEmpty()) {
-                Loop.address(text);
-            }
+            return text == null || text.isEmpty() ? null : Loop.address(text);
         } catch (IllegalArgumentException e) {
             from.wrong(key, e.getMessage());
+            return null;
         }
     }
 
--- a/src/main/java/laneflow/lab/DatagramRelay.java
+++ b/src/main/java/laneflow/lab/DatagramRelay.java
@@ -8,7 +8,6 @@
 import java.net.SocketException;
 import java.util.PriorityQueue;
 import java.util.SplittableRandom;
-import java.util.concurrent.atomic.AtomicLong;
 
 /**
  * All paths of datagrams between members: each member is known to the others by a port of the relay's, and
@@ -19,23 +18,10 @@
 final class DatagramRelay implements AutoCloseable {
     private static final int MOST = 2048;
 
-    /** One direction between two members; all may be changed at any time. */
-    static final class Path {
-        volatile boolean cut;
-        volatile double lost;
-        volatile double doubled;
-        volatile int delayMs;
-        volatile int jitterMs;
+    /** One direction between two members. */
+    static final class Path extends Faults {
         /** The last datagram that came. */
         volatile byte[] last;
-
-        void clear() {
-            cut = false;
-            lost = 0;
-            doubled = 0;
-            delayMs = 0;
-            jitterMs = 0;
-        }
     }
 
     private record Due(long at, long order, int from, int to, byte[] bytes) implements Comparable<Due> {
@@ -50,7 +36,6 @@
     private final Path[][] paths;
     private final SplittableRandom random;
     private final PriorityQueue<Due> waiting = new PriorityQueue<>();
-    private final AtomicLong passed = new AtomicLong();
     private long order;
     private volatile boolean closed;
 
@@ -90,11 +75,6 @@
         return paths[from][to];
     }
 
-    /** Datagrams that came for members so far. */
-    long passed() {
-        return passed.get();
-    }
-
     /** Puts a datagram in, as if that member had sent it. */
     void inject(int from, int to, byte[] bytes) {
         add(from, to, bytes, 0);
@@ -117,7 +97,6 @@
             if (from < 0) {
                 continue;
             }
-            passed.incrementAndGet();
             Path path = paths[from][door];
             byte[] copy = new byte[packet.getLength()];
             System.arraycopy(bytes, 0, copy, 0, copy.length);
@@ -128,7 +107,7 @@
             synchronized (waiting) {
                 lost = path.cut || random.nextDouble() < path.lost;
                 copies = random.nextDouble() < path.doubled ? 2 : 1;
-                delay = path.delayMs + (path.jitterMs == 0 ? 0 : random.nextInt(path.jitterMs + 1));
+                delay = path.takes(random);
             }
             for (int i = 0; i < (lost ? 0 : copies); i++) {
                 add(from, door, copy, delay * (1 + i));
--- a/src/main/java/laneflow/lab/FleetMeasure.java
+++ b/src/main/java/laneflow/lab/FleetMeasure.java
@@ -1,6 +1,5 @@
 package laneflow.lab;
 
-import com.google.gson.JsonObject;
 import java.io.IOException;
 import java.io.PrintStream;
 import java.nio.file.Files;
@@ -29,7 +28,6 @@
     private static final int PER_SECOND = 30;
     private static final long SECOND = 1_000_000_000L;
     private static final long PERIOD_US = 250_000;
-    private static final int TICKS_A_SECOND = 100;
     private static final int CALM_S = 3;
     private static final Pattern CHANGE = Pattern.compile(
             "member (n\\d+) life=\\d+ (\\w+) to (\\w+) ns=(\\d+)");
@@ -71,14 +69,8 @@
     static int run(long seed, boolean large, PrintStream out) throws IOException, InterruptedException {
         Path folder = Files.createTempDirectory("laneflow-fleet");
         int[] nodes = {Crew.port(), Crew.port(), Crew.port()};
-        StringBuilder common = new StringBuilder(FILE);
-        for (int i = 0; i < nodes.length; i++) {
-            common.append("[endpoints.till-").append(i).append("]\ndial = \"127.0.0.1:").append(nodes[i])
-                    .append("\"\n");
-        }
-        try (Rig rig = new Rig(folder, large ? 32 : 12, 1, seed, common.toString())) {
-            rig.start("nodes", StandInNodes.class, nodes[0] + "," + nodes[1] + "," + nodes[2],
-                    folder.resolve("ran").toString(), "5", "32", "4", large ? "900" : "300");
+        try (Rig rig = new Rig(folder, large ? 32 : 12, 1, seed, FILE + Rig.endpoints(nodes))) {
+            rig.nodes(nodes, large ? 900 : 300);
             return new FleetMeasure(seed, large, out, rig).all(seed);
         } finally {
             Trash.remove(folder);
@@ -88,7 +80,7 @@
     private int all(long seed) throws IOException, InterruptedException {
         // First as it is without a view, to know what that costs.
         rig.startAll();
-        double[] without = calm(false);
+        double without = calm(false);
         double idleWithout = idle();
         for (int i = 0; i < members; i++) {
             rig.kill(i);
@@ -99,7 +91,7 @@
         joins += members;
         rig.await("all stand", () -> rig.fleet(members - 1).get("live").getAsInt() > 0);
         event("all join", from, rig.all());
-        double[] with = calm(true);
+        double with = calm(true);
         // Quiet: nothing may move.
         rig.awaitSettled(members, rig.all());
         long changesBefore = changes();
@@ -120,9 +112,9 @@
         }
         out.printf(Locale.ROOT, "a turn takes %.0f us in the mean at the slowest member%n", turn);
         String virtual = virtual(seed);
-        double loss = (without[0] - with[0]) * 100;
+        double loss = (without - with) * 100;
         out.printf(Locale.ROOT, "served in time without a view %.4f, with it %.4f; idle processor time"
-                + " %.2f and %.2f ms a second%n", without[0], with[0], idleWithout, idle);
+                + " %.2f and %.2f ms a second%n", without, with, idleWithout, idle);
         out.printf(Locale.ROOT, "fleet: members=%d joins=%d crashes=%d cuts=%d stalls=%d settled=%d/%d"
                 + " settle_p99_rounds=%.1f settle_most_ms=%.0f false_burials=%d split_views=%d"
                 + " flaps_in_idle=%d"
@@ -138,7 +130,7 @@
     // ---- service ----
 
     /** The share served in time under load, with young processes left out. */
-    private double[] calm(boolean view) throws IOException, InterruptedException {
+    private double calm(boolean view) throws IOException, InterruptedException {
         for (int i = 0; i < members; i++) {
             int one = i;
             rig.await("it serves", () -> rig.ask(one, "/counters", null).statusCode() > 0);
@@ -149,36 +141,18 @@
         long from = System.nanoTime();
         Thread.sleep(CALM_S * 1000L);
         long to = System.nanoTime();
-        double served = Arrays.stream(loads).mapToDouble(load -> load.served(from, to))
-                .filter(one -> !Double.isNaN(one)).average().orElse(0);
+        double served = PolicyLoad.served(loads, from, to);
         for (PolicyLoad load : loads) {
             load.end();
         }
         out.printf(Locale.ROOT, "%s view: %.4f served in time%n", view ? "with a" : "without a", served);
-        return new double[] {served};
+        return served;
     }
 
     /** Milliseconds of processor time a second in the mean of all, while nobody asks. */
     private double idle() throws IOException, InterruptedException {
         Thread.sleep(large ? 20_000 : 500);
-        long[] from = new long[members];
-        for (int i = 0; i < members; i++) {
-            from[i] = cpuTicks(rig.pid(i));
-        }
-        long began = System.nanoTime();
-        Thread.sleep(4000);
-        double seconds = (System.nanoTime() - began) / 1e9;
-        double sum = 0;
-        for (int i = 0; i < members; i++) {
-            sum += (cpuTicks(rig.pid(i)) - from[i]) * 1000.0 / TICKS_A_SECOND / seconds;
-        }
-        return sum / members;
-    }
-
-    private static long cpuTicks(long pid) throws IOException {
-        String stat = Files.readString(Path.of("/proc/" + pid + "/stat"));
-        String[] fields = stat.substring(stat.lastIndexOf(')') + 2).split(" ");
-        return Long.parseLong(fields[11]) + Long.parseLong(fields[12]);
+        return Arrays.stream(rig.cpu(4000)).average().orElse(0);
     }
 
     private long bytes() throws IOException, InterruptedException {
@@ -235,10 +209,6 @@
         return all;
     }
 
-    private int[] without(Set<Integer> these) {
-        return Arrays.stream(rig.all()).filter(i -> !these.contains(i)).toArray();
-    }
-
     private void crashes() throws IOException, InterruptedException {
         for (int round = 0; round < (large ? 10 : 3); round++) {
             // One, then a third of all at one moment.
@@ -247,14 +217,17 @@
                 down.add(2 + random.nextInt(members - 2));
             }
             down.forEach(i -> mayBeBuried.add(Rig.name(i)));
-            int[] logs = Arrays.stream(rig.all()).map(i -> length(i)).toArray();
+            int[] logs = new int[members];
+            for (int i : rig.all()) {
+                logs[i] = rig.log(i).length();
+            }
             long from = System.nanoTime();
             for (int i : down) {
                 rig.kill(i);
                 crashes++;
             }
-            event(down.size() + " crashed", from, without(down));
-            for (int i : without(down)) {
+            event(down.size() + " crashed", from, rig.without(down));
+            for (int i : rig.without(down)) {
                 Matcher change = CHANGE.matcher(rig.log(i).substring(logs[i]));
                 while (change.find()) {
                     if (change.group(3).equals(State.DEAD.name())) {
@@ -272,14 +245,6 @@
         }
     }
 
-    private int length(int i) {
-        try {
-            return rig.log(i).length();
-        } catch (IOException e) {
-            return 0;
-        }
-    }
-
     private void stalls() throws IOException, InterruptedException {
         for (int round = 0; round < (large ? 8 : 3); round++) {
             int still = 2 + random.nextInt(members - 2);
@@ -291,7 +256,7 @@
             rig.stall(still);
             stalls++;
             if (burial) {
-                event("one stands still for long", from, without(Set.of(still)));
+                event("one stands still for long", from, rig.without(Set.of(still)));
             } else {
                 // Well under the shortest suspicion.
                 Thread.sleep(500);
@@ -321,7 +286,7 @@
             cuts++;
             int[] here = part.stream().mapToInt(Integer::intValue).toArray();
             event("a part of " + size + " is cut off", from, here);
-            event("and the others", from, without(new HashSet<>(part)));
+            event("and the others", from, rig.without(new HashSet<>(part)));
             from = System.nanoTime();
             rig.heal();
             int before = settled;
@@ -342,7 +307,7 @@
         mayBeBuried.add(Rig.name(one));
         long from = System.nanoTime();
         rig.term(one);
-        event("one leaves", from, without(Set.of(one)));
+        event("one leaves", from, rig.without(Set.of(one)));
         rig.ended(one);
         rig.start(one);
         joins++;
--- a/src/main/java/laneflow/lab/PolicyLoad.java
+++ b/src/main/java/laneflow/lab/PolicyLoad.java
@@ -7,6 +7,7 @@
 import java.net.Socket;
 import java.net.SocketTimeoutException;
 import java.nio.charset.StandardCharsets;
+import java.util.Arrays;
 import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.atomic.AtomicLong;
 
@@ -120,6 +121,12 @@
                 : Long.parseLong(answer.substring(at + MARK.length(), end).strip())));
     }
 
+    /** The mean of these loads' shares; those that asked nothing then do not count. */
+    static double served(PolicyLoad[] loads, long fromNs, long toNs) {
+        return Arrays.stream(loads).mapToDouble(load -> load.served(fromNs, toNs))
+                .filter(one -> !Double.isNaN(one)).average().orElse(0);
+    }
+
     /** The share of those asked between two instants that were served in time; NaN where none was. */
     double served(long fromNs, long toNs) {
         long asked = 0;
--- a/src/main/java/laneflow/lab/PolicyMeasure.java
+++ b/src/main/java/laneflow/lab/PolicyMeasure.java
@@ -7,7 +7,6 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
-import java.util.Arrays;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -32,7 +31,6 @@
     private static final int PER_SECOND = 30;
     private static final int LEASE_MS = 1000;
     private static final long SECOND = 1_000_000_000L;
-    private static final int TICKS_A_SECOND = 100;
 
     private final SplittableRandom random;
     private final boolean large;
@@ -71,16 +69,12 @@
         int[] nodes = {Crew.port(), Crew.port(), Crew.port()};
         StringBuilder common = new StringBuilder("zones = [\"z\"]\n[limits]\nsockets = 512\n");
         common.append(classes("safe"));
-        for (int i = 0; i < nodes.length; i++) {
-            common.append("[endpoints.till-").append(i).append("]\ndial = \"127.0.0.1:").append(nodes[i])
-                    .append("\"\n");
-        }
+        common.append(Rig.endpoints(nodes));
         common.append("[policy]\nvoters = VOTERS\ndir = \"FOLDER\"\ntell_policy = true\nlease_ms = ")
                 .append(LEASE_MS).append("\n");
         try (Rig rig = new Rig(folder, schedulers, VOTERS, seed, common.toString())) {
             rig.file(schedulers - 1, common.toString().replace(classes("safe"), classes("never")));
-            rig.start("nodes", StandInNodes.class, nodes[0] + "," + nodes[1] + "," + nodes[2],
-                    folder.resolve("ran").toString(), "5", "32", "4", large ? "900" : "300");
+            rig.nodes(nodes, large ? 900 : 300);
             return new PolicyMeasure(seed, large, folder, out, rig, schedulers).all();
         } finally {
             Trash.remove(folder);
@@ -109,8 +103,8 @@
         long calmTo = System.nanoTime();
         calm();
         long changedTo = System.nanoTime();
-        double before = served(calmFrom, calmTo);
-        double during = served(calmTo, changedTo);
+        double before = PolicyLoad.served(loads, calmFrom, calmTo);
+        double during = PolicyLoad.served(loads, calmTo, changedTo);
         thirdDown();
         leadersLost();
         stalled();
@@ -136,12 +130,6 @@
         return all;
     }
 
-    private double served(long from, long to) {
-        return Arrays.stream(loads).mapToDouble(load -> load.served(from, to)).filter(one
-                -> !Double.isNaN(one))
-                .average().orElse(0);
-    }
-
     // ---- changes ----
 
     /** A change drawn from the seed: a ban of nobody who is there, or other limits. */
@@ -234,10 +222,6 @@
         }
     }
 
-    private int[] without(Set<Integer> these) {
-        return Arrays.stream(rig.all()).filter(i -> !these.contains(i)).toArray();
-    }
-
     private void kill(int i) throws IOException, InterruptedException {
         kills++;
         rig.kill(i);
@@ -270,7 +254,7 @@
             kill(i);
         }
         long from = System.nanoTime();
-        long number = change(without(down));
+        long number = change(rig.without(down));
         thirdDownMs = (System.nanoTime() - from) / 1_000_000;
         for (int i : down) {
             lateStart(i, number);
@@ -289,7 +273,7 @@
             }
             kill(leader);
             long from = System.nanoTime();
-            int[] others = without(Set.of(leader));
+            int[] others = rig.without(Set.of(leader));
             propose(name, "{\"bans\":[{\"name\":\"left-" + i + "\"}]}", others);
             outcome(name, others);
             long number = change(others);
@@ -319,7 +303,7 @@
         rig.stall(other);
         stalls += 2;
         anotherLeads(leader);
-        long number = change(without(Set.of(leader, other)));
+        long number = change(rig.without(Set.of(leader, other)));
         Thread.sleep(LEASE_MS * 3L / 2);
         rig.wake(other);
         rig.wake(leader);
@@ -337,7 +321,7 @@
         String types = types();
         taken(leader, theirs, types);
         anotherLeads(leader);
-        long number = change(without(minority));
+        long number = change(rig.without(minority));
         rig.heal();
         rig.awaitDeciding(number, rig.all());
         // What was asked for behind the cut is proposed again by its name, and is the same change.
@@ -349,7 +333,7 @@
             rig.cut(i, deaf);
         }
         cuts++;
-        number = change(without(Set.of(deaf)));
+        number = change(rig.without(Set.of(deaf)));
         rig.heal();
         rig.awaitDeciding(number, rig.all());
     }
@@ -393,31 +377,18 @@
             load.end();
         }
         Thread.sleep(1000);
-        long[] from = new long[schedulers];
-        for (int i = 0; i < schedulers; i++) {
-            from[i] = cpuTicks(rig.pid(i));
-        }
-        long began = System.nanoTime();
-        Thread.sleep(4000);
-        double seconds = (System.nanoTime() - began) / 1e9;
+        double[] cpu = rig.cpu(4000);
         int leader = rig.leader();
         double most = 0;
         double sum = 0;
         for (int i = 0; i < schedulers; i++) {
-            double ms = (cpuTicks(rig.pid(i)) - from[i]) * 1000.0 / TICKS_A_SECOND / seconds;
-            sum += i == leader ? 0 : ms;
-            most = Math.max(most, ms);
+            sum += i == leader ? 0 : cpu[i];
+            most = Math.max(most, cpu[i]);
         }
         out.printf(Locale.ROOT, "idle: the most of one process %.1f ms a second%n", most);
         return sum / (schedulers - 1);
     }
 
-    private static long cpuTicks(long pid) throws IOException {
-        String stat = Files.readString(Path.of("/proc/" + pid + "/stat"));
-        String[] fields = stat.substring(stat.lastIndexOf(')') + 2).split(" ");
-        return Long.parseLong(fields[11]) + Long.parseLong(fields[12]);
-    }
-
     private int tell(double before, double during, double idle) throws IOException, InterruptedException {
         int applied = 0;
         int abandoned = 0;
--- a/src/main/java/laneflow/lab/Relay.java
+++ b/src/main/java/laneflow/lab/Relay.java
@@ -23,26 +23,6 @@
 final class Relay implements AutoCloseable {
     private static final int STACK = 128 * 1024;
 
-    /** One direction. All may be changed at any time. */
-    static final class Way {
-        /** Nothing gets through, and nothing says so. */
-        volatile boolean cut;
-        volatile int delayMs;
-        /** Up to so much more, drawn for each line; lines may overtake each other then. */
-        volatile int jitterMs;
-        /** Shares of lines. */
-        volatile double lost;
-        volatile double doubled;
-
-        void clear() {
-            delayMs = 0;
-            jitterMs = 0;
-            lost = 0;
-            doubled = 0;
-            cut = false;
-        }
-    }
-
     /** A line under way. */
     private record Due(long at, long order, byte[] bytes) implements Comparable<Due> {
         @Override
@@ -52,8 +32,8 @@
     }
 
     /** From the process that connects to the one that listens, and back. */
-    final Way there = new Way();
-    final Way back = new Way();
+    final Faults there = new Faults();
+    final Faults back = new Faults();
     private final int target;
     private final SplittableRandom random;
     private final ServerSocket server;
@@ -125,7 +105,7 @@
         }
     }
 
-    private void pass(Socket from, Socket to, Way way) {
+    private void pass(Socket from, Socket to, Faults way) {
         Line line = new Line(to, way);
         daemon(line::write);
         try {
@@ -181,11 +161,11 @@
     private final class Line {
         private final PriorityQueue<Due> waiting = new PriorityQueue<>();
         private final Socket to;
-        private final Way way;
+        private final Faults way;
         private long order;
         private boolean closed;
 
-        private Line(Socket to, Way way) {
+        private Line(Socket to, Faults way) {
             this.to = to;
             this.way = way;
         }
@@ -197,7 +177,7 @@
             synchronized (random) {
                 lost = way.cut || !head && random.nextDouble() < way.lost;
                 twice = !head && random.nextDouble() < way.doubled;
-                delay = way.delayMs + (way.jitterMs == 0 || head ? 0 : random.nextInt(way.jitterMs + 1));
+                delay = head ? way.delayMs : way.takes(random);
             }
             for (int i = 0; i < (lost ? 0 : twice ? 2 : 1); i++) {
                 waiting.add(new Due(System.nanoTime() + (1 + i) * delay * 1_000_000, order++, bytes));
--- a/src/main/java/laneflow/lab/Rig.java
+++ b/src/main/java/laneflow/lab/Rig.java
@@ -18,6 +18,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import laneflow.Main;
@@ -30,8 +31,7 @@
  */
 public final class Rig implements AutoCloseable {
     private static final Duration ASK_WITHIN = Duration.ofSeconds(3);
-    private static final long PATIENCE_NS = 60_000_000_000L;
-    private static final int PAUSE_MS = 3;
+    private static final int TICKS_A_SECOND = 100;
     private static final int HEAP_MB = 64;
 
     private final Path folder;
@@ -55,11 +55,6 @@
     private int memberPeriodMs;
     private final Map<Integer, Path> keyFiles = new HashMap<>();
 
-    /** Holds, or not yet; a process that does not answer is no reason to give up. */
-    public interface Condition {
-        boolean holds() throws IOException, InterruptedException;
-    }
-
     /**
      * None of the schedulers is started yet.
      *
@@ -138,11 +133,6 @@
         keyFiles.put(i, file);
     }
 
-    /** By which others know a member. */
-    public int memberPort(int i) {
-        return datagrams.port(i);
-    }
-
     /** Puts a datagram in, as if one had sent it to the other. */
     public void inject(int from, int to, byte[] datagram) {
         datagrams.inject(from, to, datagram);
@@ -192,14 +182,20 @@
         return JsonParser.parseString(answer.body()).getAsJsonObject();
     }
 
-    /** What one has on another: its state, or "unknown". */
-    public String standing(int i, int other) throws IOException, InterruptedException {
+    /** What one has on another, or null. */
+    public JsonObject member(int i, int other) throws IOException, InterruptedException {
         for (var one : fleet(i).getAsJsonArray("members")) {
             if (one.getAsJsonObject().get("name").getAsString().equals(name(other))) {
-                return one.getAsJsonObject().get("state").getAsString();
+                return one.getAsJsonObject();
             }
         }
-        return "unknown";
+        return null;
+    }
+
+    /** Its state, or "unknown". */
+    public String standing(int i, int other) throws IOException, InterruptedException {
+        JsonObject member = member(i, other);
+        return member == null ? "unknown" : member.get("state").getAsString();
     }
 
     /** True if all of these hold the same view, of so many. */
@@ -301,7 +297,7 @@
 
     /** Waits for the end of one that was told to; returns its exit code. */
     public int ended(int i) throws InterruptedException, IOException {
-        if (!processes[i].waitFor(PATIENCE_NS, TimeUnit.NANOSECONDS)) {
+        if (!processes[i].waitFor(Await.PATIENCE_NS, TimeUnit.NANOSECONDS)) {
             throw new IOException(name(i) + " does not end");
         }
         return processes[i].exitValue();
@@ -366,34 +362,31 @@
     public void cutLinks(int one) throws IOException {
         note("cut links of " + name(one));
         for (int other = 0; other < processes.length; other++) {
-            if (one < voters) {
-                relays[other][one].there.cut = true;
-                relays[other][one].back.cut = true;
-            }
-            if (other < voters) {
-                relays[one][other].there.cut = true;
-                relays[one][other].back.cut = true;
-            }
+            links(one, other, true);
+            links(other, one, true);
         }
     }
 
     private void way(int from, int to, boolean cut) {
+        links(from, to, cut);
+        if (datagrams != null) {
+            datagrams.path(from, to).cut = cut;
+        }
+    }
+
+    private void links(int from, int to, boolean cut) {
         if (to < voters) {
             relays[from][to].there.cut = cut;
         }
         if (from < voters) {
             relays[to][from].back.cut = cut;
         }
-        if (datagrams != null) {
-            datagrams.path(from, to).cut = cut;
-        }
     }
 
     /** All paths pass everything again. */
     public void heal() throws IOException {
         note("heal");
-        each(way -> way.clear());
-        eachPath(DatagramRelay.Path::clear);
+        each(Faults::clear);
     }
 
     /** All paths lose and double such shares of lines, and delay each by up to so much. */
@@ -404,28 +397,20 @@
             way.doubled = doubled;
             way.jitterMs = jitterMs;
         });
-        eachPath(path -> {
-            path.lost = lost;
-            path.doubled = doubled;
-            path.jitterMs = jitterMs;
-        });
-    }
-
-    private void eachPath(Consumer<DatagramRelay.Path> change) {
-        for (int i = 0; datagrams != null && i < processes.length; i++) {
-            for (int k = 0; k < processes.length; k++) {
-                change.accept(datagrams.path(i, k));
-            }
-        }
     }
 
-    private void each(Consumer<Relay.Way> change) {
+    private void each(Consumer<Faults> change) {
         for (Relay[] row : relays) {
             for (Relay relay : row) {
                 change.accept(relay.there);
                 change.accept(relay.back);
             }
         }
+        for (int i = 0; datagrams != null && i < processes.length; i++) {
+            for (int k = 0; k < processes.length; k++) {
+                change.accept(datagrams.path(i, k));
+            }
+        }
     }
 
     /** Breaks all links of this one amid whatever they carry. */
@@ -533,26 +518,14 @@
     }
 
     /** Waits until it holds; fails with what the processes have said. */
-    public void await(String what, Condition condition) throws IOException, InterruptedException {
-        long end = System.nanoTime() + PATIENCE_NS;
-        while (true) {
-            try {
-                if (condition.holds()) {
-                    return;
-                }
-            } catch (IOException e) {
-                // Not listening yet, or stopped.
-                Thread.onSpinWait();
-            }
-            if (System.nanoTime() > end) {
-                StringBuilder said = new StringBuilder("waited in vain until " + what + "\n" + history());
-                for (int i = 0; i < processes.length; i++) {
-                    said.append("--- ").append(name(i)).append('\n').append(log(i));
-                }
-                throw new IOException(said.toString());
+    public void await(String what, Await.Condition condition) throws IOException, InterruptedException {
+        Await.until(what, condition, () -> {
+            StringBuilder said = new StringBuilder(history());
+            for (int i = 0; i < processes.length; i++) {
+                said.append("--- ").append(name(i)).append('\n').append(log(i));
             }
-            Thread.sleep(PAUSE_MS);
-        }
+            return said.toString();
+        });
     }
 
     /** Waits until all of these decide by that policy. */
@@ -562,6 +535,48 @@
         }
     }
 
+    /** Stand-in nodes at these ports, until the rig is closed or so many seconds have passed. */
+    void nodes(int[] ports, int seconds) throws IOException {
+        start("nodes", StandInNodes.class, ports[0] + "," + ports[1] + "," + ports[2],
+                folder.resolve("ran").toString(), "5", "32", "4", String.valueOf(seconds));
+    }
+
+    /** The operators' file's tables of these. */
+    static String endpoints(int[] ports) {
+        StringBuilder all = new StringBuilder();
+        for (int i = 0; i < ports.length; i++) {
+            all.append("[endpoints.till-").append(i).append("]\ndial = \"127.0.0.1:").append(ports[i])
+                    .append("\"\n");
+        }
+        return all.toString();
+    }
+
+    /** Milliseconds of processor time a second that each needs over such a span. */
+    double[] cpu(long spanMs) throws IOException, InterruptedException {
+        double[] all = new double[processes.length];
+        for (int i = 0; i < all.length; i++) {
+            all[i] = -cpuTicks(pid(i));
+        }
+        long began = System.nanoTime();
+        Thread.sleep(spanMs);
+        double seconds = (System.nanoTime() - began) / 1e9;
+        for (int i = 0; i < all.length; i++) {
+            all[i] = (cpuTicks(pid(i)) + all[i]) * 1000.0 / TICKS_A_SECOND / seconds;
+        }
+        return all;
+    }
+
+    private static long cpuTicks(long pid) throws IOException {
+        String stat = Files.readString(Path.of("/proc/" + pid + "/stat"));
+        String[] fields = stat.substring(stat.lastIndexOf(')') + 2).split(" ");
+        return Long.parseLong(fields[11]) + Long.parseLong(fields[12]);
+    }
+
+    /** The numbers of all schedulers but these. */
+    int[] without(Set<Integer> these) {
+        return Arrays.stream(all()).filter(i -> !these.contains(i)).toArray();
+    }
+
     /** The numbers of all schedulers. */
     public int[] all() {
         int[] all = new int[processes.length];
--- a/src/main/java/laneflow/membership/Members.java
+++ b/src/main/java/laneflow/membership/Members.java
@@ -10,9 +10,10 @@
 import java.nio.file.attribute.FileTime;
 import java.util.ArrayList;
 import java.util.Base64;
-import java.util.HashMap;
+import java.util.Comparator;
 import java.util.List;
-import java.util.Map;
+import java.util.Locale;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.Executor;
 import java.util.concurrent.RejectedExecutionException;
 import java.util.function.Supplier;
@@ -27,7 +28,6 @@
 import laneflow.membership.decision.Message.Kind;
 import laneflow.membership.decision.Replays;
 import laneflow.membership.decision.Seal;
-import laneflow.membership.decision.State;
 import laneflow.membership.decision.Swim;
 import laneflow.membership.decision.Times;
 import laneflow.membership.decision.Update;
@@ -52,6 +52,7 @@
     private static final int LEAVE_ROUNDS = 3;
     private static final long TOLD_AGAIN = 60_000_000;
     private static final double MICROS = 1e6;
+    private static final long MICROS_A_MS = 1000;
 
     private final Given given;
     private final Loop loop;
@@ -62,7 +63,11 @@
     private final Deadline due;
     private final Deadline facts;
     private final Deadline keys;
-    private final Map<String, Long> changedMs = new HashMap<>();
+    private final Times times;
+    private final String zone;
+    private final String build;
+    /** Where others and operators come, or null where that is no address of one machine. */
+    private final InetSocketAddress link;
     private Seal seal;
     private FileTime keysRead;
     private Swim swim;
@@ -95,6 +100,11 @@
         loop = given.loop();
         config = given.config();
         counters = given.counters();
+        times = new Times(config.period);
+        zone = cut(given.zone(), Facts.MOST_ZONE);
+        build = cut(given.fleet().self().build(), Facts.MOST_BUILD);
+        InetSocketAddress listens = Loop.address(given.fleet().address(given.fleet().self().name()));
+        link = listens.getAddress().isAnyLocalAddress() ? null : listens;
         due = loop.deadlines().create(this::due);
         facts = loop.deadlines().create(this::facts);
         keys = loop.deadlines().create(this::lookForKeys);
@@ -123,7 +133,7 @@
             datagrams = opened;
             Life life = Life.of(given.fleet().self().name(), System.currentTimeMillis(),
                     config.advertise.getPort() == 0 ? opened.address() : config.advertise);
-            swim = new Swim(life, told(), config.seeds, new Times(config.period), wire, given.seed(),
+            swim = new Swim(life, told(), config.seeds, times, wire, given.seed(),
                     loop.micros(), this);
             given.fleet().handle(BULK, this::bulk);
             given.fleet().serve("/fleet", (verb, path, body, answer) -> {
@@ -295,12 +305,8 @@
         double rate = factsAt == 0 ? 0 : (served - servedBefore) * MICROS / Math.max(1, now - factsAt);
         servedBefore = served;
         factsAt = now;
-        String build = given.fleet().self().build();
-        String listen = given.fleet().address(given.fleet().self().name());
-        InetSocketAddress link = Loop.address(listen);
-        return new Facts(cut(given.zone(), Facts.MOST_ZONE), cut(build, Facts.MOST_BUILD),
-                link.getAddress().isAnyLocalAddress() ? null : link, given.policy().get(),
-                given.condition().get(), Facts.loadStep(given.load().get()), Facts.rateStep(rate), false);
+        return new Facts(zone, build, link, given.policy().get(), given.condition().get(),
+                Facts.loadStep(given.load().get()), Facts.rateStep(rate), false);
     }
 
     private static String cut(String text, int most) {
@@ -345,8 +351,7 @@
             replays.forget(now.life().id());
         }
         if (!sameLife || before.state() != now.state()) {
-            changedMs.put(now.life().name(), System.currentTimeMillis());
-            counters.add("members.to_" + now.state().name().toLowerCase(java.util.Locale.ROOT));
+            counters.add("members.to_" + now.state().name().toLowerCase(Locale.ROOT));
             LOG.info("member {} life={} {} to {} ns={}", now.life().name(), now.life().generation(),
                     sameLife ? before.state() : "NEW", now.state(), System.nanoTime());
         }
@@ -376,7 +381,7 @@
         all.add("self", member(swim.self()));
         JsonArray members = new JsonArray();
         List<Full> others = new ArrayList<>(swim.others());
-        others.sort(java.util.Comparator.comparing(one -> one.life().name()));
+        others.sort(Comparator.comparing(one -> one.life().name()));
         others.forEach(one -> members.add(member(one)));
         all.add("members", members);
         all.addProperty("live", swim.size());
@@ -405,9 +410,10 @@
         all.addProperty("load_sixteenths", facts.load());
         all.addProperty("rate_below", facts.rate() == 0 ? 0 : 1L << facts.rate());
         all.addProperty("late", facts.late());
-        Long changed = changedMs.get(one.life().name());
-        if (changed != null) {
-            all.addProperty("changed_ms", changed);
+        long changed = swim.changedAt(one.life().name());
+        if (changed >= 0) {
+            // The loop's clock began with the wall's.
+            all.addProperty("changed_ms", changed / MICROS_A_MS);
         }
         return all;
     }
@@ -424,13 +430,13 @@
         if (swim == null) {
             return;
         }
-        java.util.concurrent.CountDownLatch said = new java.util.concurrent.CountDownLatch(1);
+        CountDownLatch said = new CountDownLatch(1);
         loop.call(() -> {
             swim.leave(loop.micros());
             arm();
             loop.deadlines().cancel(facts);
             loop.deadlines().cancel(keys);
-            loop.deadlines().at(loop.micros() + LEAVE_ROUNDS * new Times(config.period).gossip(), () -> {
+            loop.deadlines().at(loop.micros() + LEAVE_ROUNDS * times.gossip(), () -> {
                 over = true;
                 loop.deadlines().cancel(due);
                 datagrams.close();
--- a/src/main/java/laneflow/membership/MembersConfig.java
+++ b/src/main/java/laneflow/membership/MembersConfig.java
@@ -7,7 +7,6 @@
 import laneflow.config.AddressRange;
 import laneflow.config.Table;
 import laneflow.fleet.FleetConfig;
-import laneflow.net.Loop;
 
 /** What the operators set for the view that schedulers keep of each other: the table {@code [members]}. */
 public final class MembersConfig {
@@ -27,15 +26,15 @@
         if (fleet == null) {
             from.wrong("", "needs the table [fleet], which gives this scheduler its name");
         }
-        listen = address(from, "listen", from.text("listen"));
+        listen = FleetConfig.address(from, "listen", from.text("listen"));
         String other = from.text("advertise", null);
-        advertise = other == null ? listen : address(from, "advertise", other);
+        advertise = other == null ? listen : FleetConfig.address(from, "advertise", other);
         if (advertise != null && other == null && advertise.getAddress().isAnyLocalAddress()) {
             from.wrong("advertise", "is missing: nobody can send to " + listen);
         }
         seeds = new ArrayList<>();
         for (String seed : from.texts("seeds")) {
-            InetSocketAddress at = address(from, "seeds", seed);
+            InetSocketAddress at = FleetConfig.address(from, "seeds", seed);
             if (at != null) {
                 seeds.add(at);
             }
@@ -57,15 +56,6 @@
         from.close();
     }
 
-    private static InetSocketAddress address(Table from, String key, String text) {
-        try {
-            return text == null || text.isEmpty() ? null : Loop.address(text);
-        } catch (IllegalArgumentException e) {
-            from.wrong(key, e.getMessage());
-            return null;
-        }
-    }
-
     /**
      * Reads the table; what is wrong becomes findings of the table's.
      *
--- a/src/main/java/laneflow/membership/decision/Comparison.java
+++ b/src/main/java/laneflow/membership/decision/Comparison.java
@@ -70,7 +70,7 @@
             // Who is young knows little, and is told much at once.
             int known = now - begunAt < YOUNG_PERIODS * times.period() ? 0 : self.size();
             out.send(sender.at(), new Message(Kind.SYNC, self.self().life().id(), view.digest(), cursor,
-                    known, view.buckets(), new ArrayList<>()));
+                    known, view.buckets(), List.of()));
         }
     }
 
@@ -111,8 +111,7 @@
                 room -= sizes.applyAsInt(all.get(taken));
                 some.add(all.get(taken++));
             }
-            out.send(to.at(), new Message(Kind.NEWS, self.self().life().id(), view.digest(), 0, 0, null,
-                    some));
+            self.reply(to.at(), Kind.NEWS, 0, 0, some);
         }
     }
 }
--- a/src/main/java/laneflow/membership/decision/Facts.java
+++ b/src/main/java/laneflow/membership/decision/Facts.java
@@ -23,9 +23,6 @@
     /** Whether clients may come: yes, it drains, or it may not decide. */
     public enum Condition { READY, DRAINING, FENCED }
 
-    /** Of a member that tells nothing. */
-    public static final Facts NONE = new Facts("", "", null, -1, Condition.READY, 0, 0, false);
-
     /** A share from 0 to 1 as a step. */
     public static int loadStep(double share) {
         return (int) Math.max(0, Math.min(MOST_STEP, Math.floor(share * (MOST_STEP + 1))));
--- a/src/main/java/laneflow/membership/decision/Judgement.java
+++ b/src/main/java/laneflow/membership/decision/Judgement.java
@@ -1,7 +1,6 @@
 package laneflow.membership.decision;
 
 import java.util.ArrayList;
-import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.PriorityQueue;
@@ -42,14 +41,7 @@
     private final Out out;
     private final PriorityQueue<Alarm> alarms = new PriorityQueue<>((a, b) -> Long.compare(a.at, b.at));
     /** Whom others were asked to reach for the last time before a burial, by the number of the asking. */
-    private final Map<Integer, Entry> lastCalls = new LinkedHashMap<>() {
-        private static final long serialVersionUID = 1;
-
-        @Override
-        protected boolean removeEldestEntry(Map.Entry<Integer, Entry> eldest) {
-            return size() > MOST_CALLED;
-        }
-    };
+    private final Map<Integer, Entry> lastCalls = new Recent<>(MOST_CALLED);
 
     Judgement(View view, Times times, SplittableRandom random, Member self, Probing probing, Out out) {
         this.view = view;
@@ -220,13 +212,13 @@
             return;
         }
         // News of it may have passed this member by: it asks itself, before it buries on others' word.
-        self.send(entry, Kind.PING, self.number(), entry.life().id(), null);
+        self.send(entry, Kind.PING, self.number(), entry.life().id(), List.of());
         for (int i = 0; i < Times.HELPERS; i++) {
             Entry helper = view.any(random, each -> each != entry && each.state == State.ALIVE);
             if (helper != null) {
                 int number = self.number();
                 lastCalls.put(number, entry);
-                self.send(helper, Kind.PING_REQ, number, entry.life().id(), null);
+                self.send(helper, Kind.PING_REQ, number, entry.life().id(), List.of());
             }
         }
     }
--- a/src/main/java/laneflow/membership/decision/Member.java
+++ b/src/main/java/laneflow/membership/decision/Member.java
@@ -19,8 +19,8 @@
     /** To a member, with as much news as fits behind these. */
     void send(Entry to, Kind kind, int number, long target, List<Update> before);
 
-    /** To an address, with no news. */
-    void reply(InetSocketAddress to, Kind kind, int number, long target);
+    /** To an address, with these and no other news. */
+    void reply(InetSocketAddress to, Kind kind, int number, long target, List<Update> updates);
 
     /** News to be told on. */
     void spread(String name, Update update, long now);
--- a/src/main/java/laneflow/membership/decision/Probing.java
+++ b/src/main/java/laneflow/membership/decision/Probing.java
@@ -53,14 +53,7 @@
     private final List<Entry> order = new ArrayList<>();
     private final Map<Integer, Favour> favours = new LinkedHashMap<>();
     /** When the last own probes went out, by their numbers: late answers tell how long they take. */
-    private final Map<Integer, Long> sentAt = new LinkedHashMap<>() {
-        private static final long serialVersionUID = 1;
-
-        @Override
-        protected boolean removeEldestEntry(Map.Entry<Integer, Long> eldest) {
-            return size() > MOST_REMEMBERED;
-        }
-    };
+    private final Map<Integer, Long> sentAt = new Recent<>(MOST_REMEMBERED);
     private int turn;
     /** Those of this period; more than one where others have failed. */
     private final List<Probe> probes = new ArrayList<>();
@@ -119,7 +112,7 @@
             again = true;
             for (Probe probe : probes) {
                 if (!probe.done) {
-                    self.send(probe.target, Kind.PING, probe.seq, probe.id, null);
+                    self.send(probe.target, Kind.PING, probe.seq, probe.id, List.of());
                 }
             }
         }
@@ -161,7 +154,7 @@
             Probe probe = new Probe(target, self.number());
             probes.add(probe);
             sentAt.put(probe.seq, now);
-            self.send(target, Kind.PING, probe.seq, probe.id, null);
+            self.send(target, Kind.PING, probe.seq, probe.id, List.of());
         }
     }
 
@@ -193,7 +186,7 @@
                     && !helpers.contains(each));
             if (one != null) {
                 helpers.add(one);
-                self.send(one, Kind.PING_REQ, probe.seq, probe.id, null);
+                self.send(one, Kind.PING_REQ, probe.seq, probe.id, List.of());
             }
         }
     }
@@ -235,7 +228,7 @@
         Favour favour = favours.get(message.seq());
         if (favour != null && favour.target == sender.life().id()) {
             favours.remove(message.seq());
-            self.reply(favour.to, Kind.ACK, favour.seq, favour.target);
+            self.reply(favour.to, Kind.ACK, favour.seq, favour.target, List.of());
         }
         return false;
     }
@@ -253,13 +246,13 @@
     void favour(Entry asker, Message message, long now) {
         Entry target = view.life(message.target());
         if (target == null || !target.state.isLive()) {
-            self.send(asker, Kind.NACK, message.seq(), message.target(), null);
+            self.send(asker, Kind.NACK, message.seq(), message.target(), List.of());
             return;
         }
         int number = self.number();
         favours.put(number, new Favour(asker.at(), message.seq(), message.target(),
                 now + times.direct(0, roundTrip)));
-        self.send(target, Kind.PING, number, message.target(), null);
+        self.send(target, Kind.PING, number, message.target(), List.of());
         favours(now);
     }
 
@@ -271,7 +264,7 @@
                 return;
             }
             favours.remove(first.getKey());
-            self.reply(favour.to, Kind.NACK, favour.seq, favour.target);
+            self.reply(favour.to, Kind.NACK, favour.seq, favour.target, List.of());
         }
     }
 }
--- a/src/main/java/laneflow/membership/decision/Swim.java
+++ b/src/main/java/laneflow/membership/decision/Swim.java
@@ -3,7 +3,6 @@
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.HashMap;
-import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.SplittableRandom;
@@ -77,7 +76,7 @@
     private boolean remind;
 
     /** Those that were asked who they are: address by number of the ping. */
-    private final Map<Integer, InetSocketAddress> strangers = new LinkedHashMap<>();
+    private final Map<Integer, InetSocketAddress> strangers = new Recent<>(MOST_ASKED);
     private final Map<InetSocketAddress, Long> askedAt = new HashMap<>();
 
     /**
@@ -102,7 +101,7 @@
         bornAt = now;
         news.add(life.name(), self);
         Member own = new Own();
-        probing = new Probing(view, times, random, own, (entry, at) -> judgement().silent(entry, at), now);
+        probing = new Probing(view, times, random, own, this::silent, now);
         judgement = new Judgement(view, times, random, own, probing, out);
         comparison = new Comparison(view, times, sizes, own, out, now);
     }
@@ -130,8 +129,8 @@
         }
 
         @Override
-        public void reply(InetSocketAddress to, Kind kind, int number, long target) {
-            Swim.this.reply(to, kind, number, target);
+        public void reply(InetSocketAddress to, Kind kind, int number, long target, List<Update> updates) {
+            Swim.this.reply(to, kind, number, target, updates);
         }
 
         @Override
@@ -140,8 +139,8 @@
         }
     }
 
-    private Judgement judgement() {
-        return judgement;
+    private void silent(Entry entry, long now) {
+        judgement.silent(entry, now);
     }
 
     // ---- reading ----
@@ -170,6 +169,12 @@
         return entry == null ? null : entry.full();
     }
 
+    /** When the other of that name got its present state, by the clock of the calls; -1: nobody's name. */
+    public long changedAt(String name) {
+        Entry entry = view.name(name);
+        return entry == null ? -1 : entry.changedAt;
+    }
+
     /** True if that is the present life of a live member. */
     public boolean knows(long life) {
         Entry entry = view.life(life);
@@ -252,9 +257,6 @@
         boolean alone = view.live().isEmpty();
         nextSeek = now + (alone ? times.period() : times.seek());
         askedAt.values().removeIf(at -> now - at > times.seek());
-        while (strangers.size() > MOST_ASKED) {
-            strangers.remove(strangers.keySet().iterator().next());
-        }
         List<InetSocketAddress> missing = new ArrayList<>(seeds);
         for (Entry one : view.live()) {
             missing.remove(one.at());
@@ -277,9 +279,7 @@
         }
         askedAt.put(at, now);
         strangers.put(++seq, at);
-        List<Update> own = new ArrayList<>();
-        own.add(self);
-        out.send(at, new Message(Kind.WHO, self.life().id(), view.digest(), seq, 0, null, own));
+        reply(at, Kind.WHO, seq, 0, List.of(self));
     }
 
     private void tellBuried(Entry entry, long now, boolean asks) {
@@ -287,14 +287,13 @@
             return;
         }
         entry.toldAt = now;
-        List<Update> claim = new ArrayList<>();
-        claim.add(new Claim(entry.life().id(), entry.record.incarnation(), State.DEAD, self.life().id()));
+        Claim claim = new Claim(entry.life().id(), entry.record.incarnation(), State.DEAD, self.life().id());
         if (asks) {
             strangers.put(++seq, entry.at());
-            claim.add(0, self);
+            reply(entry.at(), Kind.WHO, seq, 0, List.of(self, claim));
+        } else {
+            reply(entry.at(), Kind.NEWS, seq, 0, List.of(claim));
         }
-        out.send(entry.at(), new Message(asks ? Kind.WHO : Kind.NEWS, self.life().id(), view.digest(), seq, 0,
-                null, claim));
     }
 
     private void gossip(long now) {
@@ -306,7 +305,7 @@
                 break;
             }
             to.add(one);
-            send(one, Kind.NEWS, 0, 0, null);
+            send(one, Kind.NEWS, 0, 0, List.of());
         }
         if (view.live().isEmpty()) {
             // Nobody to tell: whoever comes asks for all of it.
@@ -410,15 +409,10 @@
             strangers.remove(message.seq());
             accept(own, null, now);
             Entry known = view.life(message.from());
-            if (known == null && view.name(own.life().name()) != null) {
+            Full holder = own.life().name().equals(self.life().name()) ? self : other(own.life().name());
+            if (known == null && holder != null) {
                 // Another holds the name: it is told who.
-                List<Update> holder = new ArrayList<>();
-                holder.add(view.name(own.life().name()).full());
-                out.send(from, new Message(Kind.NEWS, self.life().id(), view.digest(), 0, 0, null, holder));
-            } else if (known == null && own.life().name().equals(self.life().name())) {
-                List<Update> holder = new ArrayList<>();
-                holder.add(self);
-                out.send(from, new Message(Kind.NEWS, self.life().id(), view.digest(), 0, 0, null, holder));
+                reply(from, Kind.NEWS, 0, 0, List.of(holder));
             }
             return known;
         }
@@ -433,10 +427,7 @@
         }
         out.count("strangers");
         if (message.kind() == Kind.WHO || message.kind() == Kind.PING) {
-            List<Update> own = new ArrayList<>();
-            own.add(self);
-            out.send(from, new Message(Kind.ACK, self.life().id(), view.digest(), message.seq(),
-                    self.life().id(), null, own));
+            reply(from, Kind.ACK, message.seq(), self.life().id(), List.of(self));
         }
         ask(from, now);
         return null;
@@ -448,17 +439,10 @@
                 // Whoever pings this very life takes it for a member.
                 outcast &= message.target() != self.life().id();
                 boolean meant = message.target() == self.life().id() || message.target() == 0;
-                List<Update> own = new ArrayList<>();
-                if (!meant || remind) {
-                    own.add(self);
-                }
-                send(sender, Kind.ACK, message.seq(), self.life().id(), own);
-            }
-            case WHO -> {
-                List<Update> own = new ArrayList<>();
-                own.add(self);
-                send(sender, Kind.ACK, message.seq(), self.life().id(), own);
+                send(sender, Kind.ACK, message.seq(), self.life().id(), meant && !remind ? List.of()
+                        : List.of(self));
             }
+            case WHO -> send(sender, Kind.ACK, message.seq(), self.life().id(), List.of(self));
             case ACK -> {
                 strangers.remove(message.seq());
                 if (!probing.acked(message, sender, now)) {
@@ -470,9 +454,7 @@
             case SYNC -> comparison.records(sender, message);
             default -> {
                 if (remind) {
-                    List<Update> own = new ArrayList<>();
-                    own.add(self);
-                    send(sender, Kind.NEWS, 0, 0, own);
+                    send(sender, Kind.NEWS, 0, 0, List.of(self));
                 }
             }
         }
@@ -567,7 +549,7 @@
 
     /** To a member, with as much news as fits; the suspected hears of it first. */
     private void send(Entry to, Kind kind, int number, long target, List<Update> before) {
-        List<Update> updates = before == null ? new ArrayList<>() : before;
+        List<Update> updates = new ArrayList<>(before);
         if (to.state == State.SUSPECT) {
             updates.add(new Claim(to.life().id(), to.suspected, State.SUSPECT, to.by.isEmpty() ? 0
                     : to.by.iterator().next()));
@@ -577,11 +559,10 @@
             room -= sizes.applyAsInt(one);
         }
         news.fill(updates, room, Times.repeats(size()), sizes);
-        out.send(to.at(), new Message(kind, self.life().id(), view.digest(), number, target, null, updates));
+        reply(to.at(), kind, number, target, updates);
     }
 
-    private void reply(InetSocketAddress to, Kind kind, int number, long target) {
-        out.send(to, new Message(kind, self.life().id(), view.digest(), number, target, null,
-                new ArrayList<>()));
+    private void reply(InetSocketAddress to, Kind kind, int number, long target, List<Update> updates) {
+        out.send(to, new Message(kind, self.life().id(), view.digest(), number, target, null, updates));
     }
 }
--- a/src/main/java/laneflow/policy/Leadership.java
+++ b/src/main/java/laneflow/policy/Leadership.java
@@ -52,6 +52,8 @@
     private int term;
     private String leader = "";
     private Set<String> voters = Set.of();
+    /** By which names they go; each grant tells. */
+    private JsonArray voterNames = new JsonArray();
     private boolean looking;
     private boolean lookAgain;
     private boolean stopped;
@@ -91,6 +93,8 @@
     void role(int now, boolean leads, String who, Set<String> members) {
         term = now;
         voters = members;
+        voterNames = new JsonArray();
+        members.forEach(id -> voterNames.add(VoterId.parse(id).name()));
         group.members(members);
         if (!who.equals(leader)) {
             leader = who;
@@ -109,20 +113,27 @@
     }
 
     void stopped(String why) {
-        if (stopped) {
-            return;
+        if (end()) {
+            counters.set("policy.vote_lost", 1);
+            LOG.error("policy: this process votes no more: {}", why);
+        }
+    }
+
+    void takenOut() {
+        if (end()) {
+            LOG.info("policy: taken out, this process votes no more");
         }
+    }
+
+    /** True the first time. */
+    private boolean end() {
+        boolean first = !stopped;
         stopped = true;
         lead = null;
         // It hears of no election any more: who leads is known from leases, as by those that do not vote.
         leader = "";
         voters = Set.of();
-        if (why.equals(Voting.TAKEN_OUT)) {
-            LOG.info("policy: taken out, this process votes no more");
-            return;
-        }
-        counters.set("policy.vote_lost", 1);
-        LOG.error("policy: this process votes no more: {}", why);
+        return first;
     }
 
     boolean leads() {
@@ -267,17 +278,10 @@
         Grant grant = lead == null ? null : lead.grant(policy.now(), who);
         Peer route = routes.get(who);
         if (grant != null && route != null) {
-            route.send(Words.grant(grant, who, fleet.self().name(), at, voterNames()));
+            route.send(Words.grant(grant, who, fleet.self().name(), at, voterNames));
         }
     }
 
-    /** By which names the voters go. */
-    private JsonArray voterNames() {
-        JsonArray all = new JsonArray();
-        voters.forEach(id -> all.add(VoterId.parse(id).name()));
-        return all;
-    }
-
     /** All schedulers hear how things stand, and the content of what is to be decided. */
     private void tellAll(long opened) {
         for (String who : List.copyOf(routes.keySet())) {
--- a/src/main/java/laneflow/policy/PolicyPart.java
+++ b/src/main/java/laneflow/policy/PolicyPart.java
@@ -53,13 +53,11 @@
         policy = new Policy(loop, fleet, scheduler, config,
                 given.types().apply(new BansType(scheduler::bar)), given.reading(), given.seed(),
                 given.clockRate());
-        VoteStore store = null;
-        RestoredRaftState restored = null;
+        Opened votes = null;
         boolean later = false;
         if (config.dir != null) {
             try {
-                store = VoteStore.open(config.dir, fleet.self().name());
-                restored = store.restored();
+                votes = open(given);
             } catch (VoteStore.Taken e) {
                 later = given.upgrade();
                 if (!later) {
@@ -67,15 +65,12 @@
                 }
             } catch (IOException e) {
                 lost(scheduler, e);
-                close(store);
-                store = null;
             }
         }
-        VoteStore votes = store;
-        RestoredRaftState state = restored;
+        Opened opened = votes;
         loop.call(() -> {
             scheduler.decideWhile(policy);
-            Leadership leadership = votes == null ? null : vote(given, votes, state);
+            Leadership leadership = opened == null ? null : vote(given, opened);
             port = new PolicyPort(fleet, policy, scheduler.counters(), leadership);
             policy.begin(leadership);
         });
@@ -93,13 +88,12 @@
     /** In an upgrade the store is the former process's until that ends. On a thread of its own. */
     private void voteLater(Given given) {
         while (!closed) {
-            VoteStore store = null;
+            Opened opened = null;
             try {
-                store = VoteStore.open(given.config().dir, given.fleet().self().name());
-                VoteStore votes = store;
-                RestoredRaftState state = store.restored();
+                opened = open(given);
+                Opened votes = opened;
                 loop.call(() -> {
-                    Leadership leadership = vote(given, votes, state);
+                    Leadership leadership = vote(given, votes);
                     policy.votes(leadership);
                     port.votes(leadership);
                 });
@@ -108,20 +102,33 @@
                 LOG.debug("not yet", e);
             } catch (IOException e) {
                 loop.later(() -> lost(given.scheduler(), e));
-                close(store);
                 return;
             } catch (InterruptedException | RejectedExecutionException e) {
-                close(store);
+                close(opened.store());
                 return;
             }
             LockSupport.parkNanos(AGAIN_NS);
         }
     }
 
-    private Leadership vote(Given given, VoteStore store, RestoredRaftState state) {
+    /** A store of votes, with what an earlier life left in it, or null. */
+    private record Opened(VoteStore store, RestoredRaftState restored) {
+    }
+
+    private static Opened open(Given given) throws IOException {
+        VoteStore store = VoteStore.open(given.config().dir, given.fleet().self().name());
+        try {
+            return new Opened(store, store.restored());
+        } catch (IOException e) {
+            close(store);
+            throw e;
+        }
+    }
+
+    private Leadership vote(Given given, Opened votes) {
         VoterGroup[] group = new VoterGroup[1];
         Leadership[] leadership = new Leadership[1];
-        voting = new Voting(store, given.config().lease, loop::later,
+        voting = new Voting(votes.store(), given.config().lease, loop::later,
                 (to, message) -> group[0].send(to, message), new Voting.News() {
                     @Override
                     public void role(int term, boolean leads, String leader, Set<String> voters) {
@@ -132,23 +139,25 @@
                     public void stopped(String why) {
                         leadership[0].stopped(why);
                     }
+
+                    @Override
+                    public void takenOut() {
+                        leadership[0].takenOut();
+                    }
                 });
         group[0] = new VoterGroup(loop, given.fleet(), given.config(), given.scheduler().counters(), voting);
         leadership[0] = new Leadership(loop, given.fleet(), given.config(), given.scheduler().counters(),
-                voting,
-                group[0], policy, new FleetTrial(given.classes(), given.config().probation,
+                voting, group[0], policy, new FleetTrial(given.classes(), given.config().probation,
                 given.config().bound));
         leadership[0].begin();
-        group[0].begin(state);
+        group[0].begin(votes.restored());
         group[0].linked();
         return leadership[0];
     }
 
     private static void close(VoteStore store) {
         try {
-            if (store != null) {
-                store.close();
-            }
+            store.close();
         } catch (IOException e) {
             LOG.debug("close", e);
         }
--- a/src/main/java/laneflow/policy/VoteStore.java
+++ b/src/main/java/laneflow/policy/VoteStore.java
@@ -14,8 +14,6 @@
 import java.io.IOException;
 import java.nio.ByteBuffer;
 import java.nio.channels.FileChannel;
-import java.nio.channels.FileLock;
-import java.nio.channels.OverlappingFileLockException;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -32,6 +30,7 @@
 import java.util.List;
 import java.util.function.Consumer;
 import java.util.zip.CRC32C;
+import laneflow.durable.FolderLock;
 
 /**
  * A voter's memory: its term and vote, the log, the newest snapshot, in an SQLite database of its own. What
@@ -68,13 +67,7 @@
         this.dir = dir;
         lock = FileChannel.open(dir.resolve("votes.lock"), StandardOpenOption.CREATE,
                 StandardOpenOption.WRITE);
-        FileLock held = null;
-        try {
-            held = lock.tryLock();
-        } catch (OverlappingFileLockException e) {
-            // This very process has it open already: refused below, like another's.
-        }
-        if (held == null) {
+        if (!FolderLock.take(lock)) {
             lock.close();
             throw new Taken(dir + ": another process votes with this store");
         }
@@ -245,7 +238,7 @@
     // ---- what the library has written ----
 
     private interface Work {
-        void run() throws SQLException;
+        void run() throws SQLException, IOException;
     }
 
     /** Told once, on the voter's thread, when something could not be written. */
@@ -264,10 +257,7 @@
     }
 
     private void write(boolean flush, Work work) throws IOException {
-        if (failed) {
-            throw new IOException(dir.resolve(FILE) + ": could not be written before");
-        }
-        try {
+        guarded(() -> {
             if (!begun) {
                 run("BEGIN IMMEDIATE");
                 begun = true;
@@ -276,6 +266,15 @@
             if (flush) {
                 commit();
             }
+        });
+    }
+
+    private void guarded(Work work) throws IOException {
+        if (failed) {
+            throw new IOException(dir.resolve(FILE) + ": could not be written before");
+        }
+        try {
+            work.run();
         } catch (SQLException | IOException e) {
             throw failed(e);
         }
@@ -366,14 +365,7 @@
 
     @Override
     public void flush() throws IOException {
-        if (failed) {
-            throw new IOException(dir.resolve(FILE) + ": could not be written before");
-        }
-        try {
-            commit();
-        } catch (SQLException | IOException e) {
-            throw failed(e);
-        }
+        guarded(this::commit);
     }
 
     // ---- rows ----
--- a/src/main/java/laneflow/policy/VoterGroup.java
+++ b/src/main/java/laneflow/policy/VoterGroup.java
@@ -226,7 +226,7 @@
         return peer.send(all);
     }
 
-    /** True where the store of that mark has never voted, as its voter has said. */
+    /** True if the store of that name has never voted, as its process has said. */
     boolean isEmpty(String name) {
         return empty.containsKey(name);
     }
--- a/src/main/java/laneflow/policy/Voting.java
+++ b/src/main/java/laneflow/policy/Voting.java
@@ -56,8 +56,6 @@
  */
 final class Voting implements Transport, StateMachine, RaftNodeExecutor, AutoCloseable {
     private static final Logger LOG = LoggerFactory.getLogger(Voting.class);
-    /** Why a voter has stopped that was taken out. */
-    static final String TAKEN_OUT = "it was taken out";
     private static final String NEW_TERM = "";
     private static final int HEARTBEAT_TIMEOUT_S = 10;
     private static final int HEARTBEAT_PERIOD_S = 3;
@@ -83,8 +81,11 @@
         /** @param leader the voter that leads in that term, as far as is known, or empty */
         void role(int term, boolean leads, String leader, Set<String> voters);
 
-        /** It votes no more. */
+        /** It votes no more, for a fault. */
         void stopped(String why);
+
+        /** It votes no more, by order. */
+        void takenOut();
     }
 
     private final Consumer<Runnable> later;
@@ -284,7 +285,7 @@
     void leave() {
         closed = true;
         onThread(() -> node.terminate(), () -> { });
-        stopped(TAKEN_OUT);
+        back(news::takenOut);
     }
 
     /**
--- a/src/test/java/laneflow/core/GateTest.java
+++ b/src/test/java/laneflow/core/GateTest.java
@@ -7,7 +7,7 @@
 import org.junit.jupiter.api.Test;
 
 /** Requests where something outside the scheduler says whether it may decide. */
-class GateTest implements Front, Gate {
+class GateTest implements NotingFront, Gate {
     private long now = 1_000_000_000L;
     private final Deadlines deadlines = new Deadlines();
     private final Counters counters = new Counters();
@@ -32,13 +32,8 @@
     }
 
     @Override
-    public String name() {
-        return "http";
-    }
-
-    @Override
-    public void served(long tag, byte[] result) {
-        answers.add("served");
+    public List<String> answers() {
+        return answers;
     }
 
     @Override
@@ -46,11 +41,6 @@
         answers.add("refused " + retryAfter);
     }
 
-    @Override
-    public void failed(long tag) {
-        answers.add("failed");
-    }
-
     private Request ask() {
         Request request = new Request(this, answers.size(), new Payload("", "", "r", null, new byte[0]),
                 SchedulerTest.SAFE, now + 5_000_000);
--- a/src/test/java/laneflow/core/SchedulerTest.java
+++ b/src/test/java/laneflow/core/SchedulerTest.java
@@ -4,7 +4,6 @@
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertNull;
 import static org.junit.jupiter.api.Assertions.assertSame;
-import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.util.ArrayList;
@@ -21,7 +20,7 @@
 import org.junit.jupiter.api.Test;
 
 /** The core's rules, with a clock that the test sets, and a front and a carrier that write down. */
-class SchedulerTest implements Front, Carrier {
+class SchedulerTest implements NotingFront, Carrier {
     static final int SAFE = 0;
     private static final int KEYED = 1;
     static final int UNSAFE = 2;
@@ -321,13 +320,8 @@
     }
 
     @Override
-    public String name() {
-        return "http";
-    }
-
-    @Override
-    public void served(long tag, byte[] result) {
-        answers.add("served");
+    public List<String> answers() {
+        return answers;
     }
 
     @Override
@@ -335,11 +329,6 @@
         answers.add("refused");
     }
 
-    @Override
-    public void failed(long tag) {
-        answers.add("failed");
-    }
-
     /** What this carrier says of calls that are given up: that their last byte never went out. */
     private boolean neverSent;
 
--- a/src/test/java/laneflow/decision/GuardTest.java
+++ b/src/test/java/laneflow/decision/GuardTest.java
@@ -964,13 +964,19 @@
 
     // ---- rules that only some deployments state ----
 
+    /** Further attempts are rationed over two seconds. */
+    private static Settings rationed(double free, double share) {
+        Settings settings = Rig.settings(Effect.SAFE);
+        settings.furtherFree = free;
+        settings.furtherShare = share;
+        settings.furtherWithin = 2;
+        return settings;
+    }
+
     /** caribe-booking, quiet day at 0.76 s: two further attempts where four requests taken allowed 1.2. */
     @Test
     void furtherAttemptsStayWithinTheirBudget() {
-        Settings settings = Rig.settings(Effect.SAFE);
-        settings.furtherFree = 1;
-        settings.furtherShare = 0.05;
-        settings.furtherWithin = 2;
+        Settings settings = rationed(1, 0.05);
         Rig rig = new Rig(settings).workers(0, 1, 2, 3, 4, 5, 6, 7, 8);
         rig.ask(1).ask(2).pass(0.1).ends(1, 0, Outcome.CONNECT_FAILED).ends(2, 0, Outcome.CONNECT_FAILED);
         assertEquals(2, rig.sends(1).size());
@@ -983,10 +989,7 @@
 
     @Test
     void requestsTakenEarnFurtherAttempts() {
-        Settings settings = Rig.settings(Effect.SAFE);
-        settings.furtherFree = 0;
-        settings.furtherShare = 0.25;
-        settings.furtherWithin = 2;
+        Settings settings = rationed(0, 0.25);
         Rig rig = new Rig(settings).workers(0, 1, 2, 3, 4, 5, 6, 7, 8);
         for (long id = 1; id <= 7; id++) {
             rig.ask(id);
@@ -999,10 +1002,7 @@
     /** Two requests, one before and one behind a change: each keeps the budget that it came under. */
     @Test
     void aRequestKeepsTheBudgetThatItCameUnder() {
-        Settings settings = Rig.settings(Effect.SAFE);
-        settings.furtherFree = 0;
-        settings.furtherShare = 0;
-        settings.furtherWithin = 2;
+        Settings settings = rationed(0, 0);
         Rig rig = new Rig(settings).workers(0, 1, 2, 3, 4, 5, 6, 7, 8);
         rig.ask(1);
         settings.furtherFree = 10;
--- a/src/test/java/laneflow/membership/MembersStoryTest.java
+++ b/src/test/java/laneflow/membership/MembersStoryTest.java
@@ -30,8 +30,12 @@
     private Rig rig;
 
     private void fleet(int members, int voters, String file, int... seeds) throws IOException {
+        fleet(100, members, voters, file, seeds);
+    }
+
+    private void fleet(int periodMs, int members, int voters, String file, int[] seeds) throws IOException {
         rig = new Rig(folder, members, voters, 5, file);
-        rig.members(5, 100, seeds);
+        rig.members(5, periodMs, seeds);
     }
 
     @AfterEach
@@ -60,13 +64,8 @@
     }
 
     private long generation(int by, int whom) throws IOException, InterruptedException {
-        for (var one : rig.fleet(by).getAsJsonArray("members")) {
-            JsonObject member = one.getAsJsonObject();
-            if (member.get("name").getAsString().equals(Rig.name(whom))) {
-                return member.get("generation").getAsLong();
-            }
-        }
-        return -1;
+        JsonObject member = rig.member(by, whom);
+        return member == null ? -1 : member.get("generation").getAsLong();
     }
 
     @Test
@@ -149,8 +148,7 @@
 
     @Test
     void lossDoublesDelaysAndPathsThatAreCutOneWay() throws Exception {
-        fleet(6, 1, FILE, 0, 1);
-        rig.members(5, 250, 0, 1);
+        fleet(250, 6, 1, FILE, new int[] {0, 1});
         startAll();
         rig.awaitSettled(6, rig.all());
         // One path, one way: others reach it, nobody is buried.
@@ -301,13 +299,8 @@
         rig.awaitDeciding(2, rig.all());
         rig.cutLinks(4);
         rig.await("it is seen as fenced", () -> {
-            for (var one : rig.fleet(0).getAsJsonArray("members")) {
-                JsonObject member = one.getAsJsonObject();
-                if (member.get("name").getAsString().equals("n5")) {
-                    return member.get("condition").getAsString().equals("fenced");
-                }
-            }
-            return false;
+            JsonObject member = rig.member(0, 4);
+            return member != null && member.get("condition").getAsString().equals("fenced");
         });
         rig.heal();
         rig.awaitDeciding(2, rig.all());
--- a/src/test/java/laneflow/membership/decision/WireTest.java
+++ b/src/test/java/laneflow/membership/decision/WireTest.java
@@ -19,6 +19,7 @@
 /** Datagrams: their sizes, what seals them, and what is made of those that are no datagrams. */
 class WireTest {
     private static final Wire WIRE = new Wire(Seal.MOST - Seal.AROUND);
+    private static final Facts NOTHING_TOLD = new Facts("", "", null, -1, Facts.Condition.READY, 0, 0, false);
     private static final List<String> ONE = List.of("a-key-of-some-length");
     private static final List<String> TWO = List.of("another-key-of-such");
 
@@ -38,7 +39,7 @@
     @Test
     void whatIsWrittenIsReadAndTheLargestRecordFits() throws Exception {
         List<Update> updates = new ArrayList<>(List.of(new Claim(Long.MIN_VALUE, 7, State.LEFT, 3)));
-        for (Update update : List.of(largest(), new Full(Life.of("n1", 5, at(4, 9)), 0, State.ALIVE, Facts.NONE))) {
+        for (Update update : List.of(largest(), new Full(Life.of("n1", 5, at(4, 9)), 0, State.ALIVE, NOTHING_TOLD))) {
             Message message = new Message(Kind.PING, -5, -6, Integer.MIN_VALUE, 8, null, List.of(update));
             byte[] bytes = WIRE.write(message);
             assertEquals(message, WIRE.read(bytes, 0, bytes.length));
--- a/src/test/java/laneflow/net/Stand.java
+++ b/src/test/java/laneflow/net/Stand.java
@@ -268,6 +268,7 @@
 
     /** One end of a connection, read and written as the story goes. */
     public static final class Peer implements AutoCloseable {
+        private static final String HEAD = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
         public final Socket socket;
         private final InputStream in;
 
@@ -337,12 +338,26 @@
         /** Answers a call with these words, as an endpoint does. */
         public Peer says(String... lines) throws IOException {
             // In one piece: with the last chunk behind it the connection is free for the next call.
-            StringBuilder all = new StringBuilder("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+            return write(HEAD + chunks(lines) + "0\r\n\r\n");
+        }
+
+        /** The first lines of an answer that goes on. */
+        public Peer begins(String... lines) throws IOException {
+            return write(HEAD + chunks(lines));
+        }
+
+        /** The last lines of it. */
+        public Peer ends(String... lines) throws IOException {
+            return write(chunks(lines) + "0\r\n\r\n");
+        }
+
+        private static String chunks(String... lines) {
+            StringBuilder all = new StringBuilder();
             for (String line : lines) {
                 String text = line.replace('\'', '"') + "\n";
                 all.append(Integer.toHexString(text.length())).append("\r\n").append(text).append("\r\n");
             }
-            return write(all + "0\r\n\r\n");
+            return all.toString();
         }
 
         /** Breaks the connection: the other side sees a reset. */
--- a/src/test/java/laneflow/ops/HandoverTest.java
+++ b/src/test/java/laneflow/ops/HandoverTest.java
@@ -152,6 +152,14 @@
         }
     }
 
+    /** The younger is met, can serve, and has all that is said of it delivered. */
+    private void takeOver(Process younger, Process elder) {
+        connect(younger, elder);
+        settle();
+        younger.handover.serving(now);
+        settle();
+    }
+
     private void pass(long micros, Process... all) {
         for (long end = now + micros; now < end; now += 50_000) {
             for (Process each : all) {
@@ -218,10 +226,7 @@
             Process old = new Process();
             Process young = new Process();
             old.handover.serving(now);
-            connect(young, old);
-            settle();
-            young.handover.serving(now);
-            settle();
+            takeOver(young, old);
             assertFalse(old.accepts);
             young.hangs = hangs;
             young.dead = !hangs;
@@ -357,17 +362,11 @@
             Process young = new Process();
             Process third = new Process();
             old.handover.serving(now);
-            connect(young, old);
-            settle();
-            young.handover.serving(now);
-            settle();
+            takeOver(young, old);
             old.dead = true;
             settle();
             pass(gap, young);
-            connect(third, young);
-            settle();
-            third.handover.serving(now);
-            settle();
+            takeOver(third, young);
             pass(1_500_000, young, third);
             assertTrue(third.accepts && !third.handover.isSuperseded(), "gap " + gap);
             assertTrue(young.handover.isSuperseded(), "gap " + gap);
--- /dev/null
+++ b/src/test/java/laneflow/ops/Platform.java
@@ -0,0 +1,81 @@
+package laneflow.ops;
+
+import java.io.BufferedReader;
+import java.io.IOException;
+import java.io.InputStreamReader;
+import java.net.ServerSocket;
+import java.net.URISyntaxException;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import laneflow.net.Stand;
+import laneflow.net.Stand.Peer;
+
+/** Stands in for the platform in upgrades: it holds the clients' socket and starts schedulers that inherit it. */
+public final class Platform implements AutoCloseable {
+    /** Where clients come. */
+    public final int port;
+    private final Process process;
+    private final BufferedReader says;
+    private final List<Started> started = new ArrayList<>();
+
+    /** A scheduler, and its second address. */
+    public record Started(ProcessHandle handle, int ops) {
+        void kill() throws Exception {
+            handle.destroyForcibly();
+            ended();
+        }
+
+        public void ended() throws Exception {
+            handle.onExit().get(60, TimeUnit.SECONDS);
+        }
+
+        /** The answer to a call of on-call staff. */
+        public String call(String line) throws IOException {
+            try (Peer caller = Stand.peer("127.0.0.1", ops)) {
+                return caller.write(line + "\n").readTo("\n").strip();
+            }
+        }
+    }
+
+    /** Nothing is started yet; what schedulers log goes to the file. */
+    public Platform(Path folder, Path log, Map<String, String> environment, String... arguments)
+            throws IOException, URISyntaxException {
+        Path script = Path.of(Platform.class.getResource("platform.pl").toURI());
+        List<String> line = new ArrayList<>(List.of("perl", script.toString(),
+                ProcessHandle.current().info().command().orElseThrow(), "-XX:TieredStopAtLevel=1", "-Xmx72m",
+                "-cp", System.getProperty("java.class.path"), "laneflow.Main"));
+        line.addAll(List.of(arguments));
+        ProcessBuilder builder = new ProcessBuilder(line);
+        builder.environment().putAll(environment);
+        builder.environment().put("TMPDIR", folder.toString());
+        builder.redirectError(log.toFile());
+        process = builder.start();
+        says = new BufferedReader(new InputStreamReader(process.getInputStream(), StandardCharsets.US_ASCII));
+        port = Integer.parseInt(says.readLine().substring(5));
+    }
+
+    /** Starts a scheduler, which may not serve yet. */
+    public Started launch() throws IOException {
+        int ops;
+        try (ServerSocket free = new ServerSocket(0)) {
+            ops = free.getLocalPort();
+        }
+        process.getOutputStream().write(("start 127.0.0.1:" + ops + "\n").getBytes(StandardCharsets.US_ASCII));
+        process.getOutputStream().flush();
+        long pid = Long.parseLong(says.readLine().substring(4));
+        Started one = new Started(ProcessHandle.of(pid).orElseThrow(), ops);
+        started.add(one);
+        return one;
+    }
+
+    @Override
+    public void close() throws IOException, InterruptedException {
+        started.forEach(each -> each.handle.destroyForcibly());
+        process.getOutputStream().close();
+        process.waitFor();
+    }
+}
--- a/src/test/java/laneflow/ops/UpgradeStoryTest.java
+++ b/src/test/java/laneflow/ops/UpgradeStoryTest.java
@@ -4,19 +4,15 @@
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import java.io.BufferedReader;
 import java.io.IOException;
-import java.io.InputStreamReader;
-import java.net.ServerSocket;
-import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
-import java.util.ArrayList;
-import java.util.List;
-import java.util.concurrent.TimeUnit;
+import java.util.Map;
+import laneflow.lab.Await;
 import laneflow.net.Stand;
 import laneflow.net.Stand.Endpoint;
 import laneflow.net.Stand.Peer;
+import laneflow.ops.Platform.Started;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -28,22 +24,8 @@
 class UpgradeStoryTest {
     @TempDir
     private Path folder;
-    private Process platform;
-    private BufferedReader says;
-    private int port;
+    private Platform platform;
     private Endpoint endpoint;
-    private final List<Started> started = new ArrayList<>();
-
-    private record Started(ProcessHandle handle, int ops) {
-        void kill() throws Exception {
-            handle.destroyForcibly();
-            ended();
-        }
-
-        void ended() throws Exception {
-            handle.onExit().get(15, TimeUnit.SECONDS);
-        }
-    }
 
     @BeforeEach
     void begin() throws Exception {
@@ -51,72 +33,28 @@
         Path config = folder.resolve("config.json");
         // One that has a job out looks full to the module: the other is for what comes meanwhile.
         Files.writeString(config, Stand.knowing(endpoint, new Endpoint("e2", endpoint)));
-        Path script = Path.of(getClass().getResource("platform.pl").toURI());
-        ProcessBuilder builder = new ProcessBuilder("perl", script.toString(),
-                ProcessHandle.current().info().command().orElseThrow(), "-XX:TieredStopAtLevel=1", "-Xmx72m",
-                "-cp", System.getProperty("java.class.path"), "laneflow.Main", "serve");
-        builder.environment().put("ROUTER_CONFIG", config.toString());
-        builder.environment().put("TMPDIR", folder.toString());
-        builder.redirectError(folder.resolve("log").toFile());
-        platform = builder.start();
-        says = new BufferedReader(new InputStreamReader(platform.getInputStream(), StandardCharsets.US_ASCII));
-        port = Integer.parseInt(says.readLine().substring(5));
+        platform = new Platform(folder, folder.resolve("log"), Map.of("ROUTER_CONFIG", config.toString()), "serve");
     }
 
     @AfterEach
     void end() throws Exception {
-        started.forEach(each -> each.handle.destroyForcibly());
-        platform.getOutputStream().close();
-        platform.waitFor();
+        platform.close();
         endpoint.close();
     }
 
     /** Starts one, and waits until it says that it can serve. */
     private Started start() throws Exception {
-        Started one = launch();
+        Started one = platform.launch();
         await(() -> call(one, "check").equals("done"));
         return one;
     }
 
-    private Started launch() throws Exception {
-        int ops;
-        try (ServerSocket free = new ServerSocket(0)) {
-            ops = free.getLocalPort();
-        }
-        platform.getOutputStream().write(("start 127.0.0.1:" + ops + "\n").getBytes(StandardCharsets.US_ASCII));
-        platform.getOutputStream().flush();
-        long pid = Long.parseLong(says.readLine().substring(4));
-        Started one = new Started(ProcessHandle.of(pid).orElseThrow(), ops);
-        started.add(one);
-        return one;
-    }
-
-    private interface Condition {
-        boolean holds() throws Exception;
-    }
-
-    private void await(Condition condition) throws Exception {
-        long end = System.nanoTime() + 60_000_000_000L;
-        while (true) {
-            try {
-                if (condition.holds()) {
-                    return;
-                }
-            } catch (IOException e) {
-                // Not listening yet.
-                Thread.onSpinWait();
-            }
-            if (System.nanoTime() > end) {
-                throw new AssertionError(Files.readString(folder.resolve("log")));
-            }
-            Thread.sleep(20);
-        }
+    private void await(Await.Condition condition) throws Exception {
+        Await.until("it holds", condition, () -> Files.readString(folder.resolve("log")));
     }
 
     private String call(Started one, String line) throws IOException {
-        try (Peer caller = Stand.peer("127.0.0.1", one.ops)) {
-            return caller.write(line + "\n").readTo("\n").strip();
-        }
+        return one.call(line);
     }
 
     private void setDown(Started one) throws IOException {
@@ -130,7 +68,7 @@
     }
 
     private Peer client() throws IOException {
-        return Stand.peer("127.0.0.1", port);
+        return Stand.peer("127.0.0.1", platform.port);
     }
 
     private boolean ready() throws IOException {
@@ -190,7 +128,7 @@
         assertEquals("done", call(old, "drain-off"));
         assertTrue(ready());
 
-        old.handle.destroy();
+        old.handle().destroy();
         // It ends once its last request is answered, and what it was told lives on.
         call.says("{'id':'o1','state':'done','result':'late'}");
         assertTrue(open.message().endsWith("late"));
@@ -212,7 +150,7 @@
         Peer call = endpoint.accept();
         call.message();
         for (int millis : new int[] {0, 150, 300}) {
-            Started young = launch();
+            Started young = platform.launch();
             Thread.sleep(millis);
             young.kill();
             assertTrue(ready());
@@ -235,7 +173,7 @@
     void anOldOneKilledLeavesTheNewOneInPlaceWithItsOrders() throws Exception {
         Started old = start();
         setDown(old);
-        Started young = launch();
+        Started young = platform.launch();
         old.kill();
         await(() -> call(young, "check").equals("done"));
         Peer client = client().post("card-capture", "c1", "", "");
@@ -282,6 +220,6 @@
     }
 
     private static void signal(String name, Started to) throws Exception {
-        assertEquals(0, new ProcessBuilder("kill", "-" + name, "" + to.handle.pid()).start().waitFor());
+        assertEquals(0, new ProcessBuilder("kill", "-" + name, "" + to.handle().pid()).start().waitFor());
     }
 }
--- a/src/test/java/laneflow/policy/PolicyAmidStoryTest.java
+++ b/src/test/java/laneflow/policy/PolicyAmidStoryTest.java
@@ -4,18 +4,15 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import com.google.gson.JsonObject;
-import java.io.BufferedReader;
 import java.io.IOException;
-import java.io.InputStreamReader;
-import java.net.ServerSocket;
-import java.nio.charset.StandardCharsets;
-import java.nio.file.Files;
 import java.nio.file.Path;
-import java.util.List;
+import java.util.Map;
 import java.util.concurrent.TimeUnit;
 import laneflow.lab.Rig;
 import laneflow.net.Stand;
 import laneflow.net.Stand.Peer;
+import laneflow.ops.Platform;
+import laneflow.ops.Platform.Started;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 
@@ -28,10 +25,11 @@
         fleet(4);
         rig.startAll();
         rig.awaitDeciding(0, rig.all());
-        try (Peer client = Stand.peer("127.0.0.1", rig.clientPort(3))) {
-            client.write("POST /check HTTP/1.1\r\nHost: c\r\nReq-Id: open\r\nContent-Length: 0\r\n\r\n");
+        try (Peer client = asking(3, "open")) {
             try (Peer call = till.accept()) {
                 call.message();
+                // Without a word from its endpoint the request would be given up before the change is made.
+                call.begins("{'id':'open','state':'started'}");
                 // It drains while a change is made, and still takes what comes.
                 rig.term(3);
                 rig.await("it says that it ends", () -> rig.log(3).contains("stopping, 1 open"));
@@ -39,7 +37,7 @@
                 decided(0, "amid-a-drain", "applied");
                 rig.awaitDeciding(1, rig.all());
                 String late = refusedOrAnswered(3, "late");
-                call.says("{'id':'open','state':'done','result':'ran'}");
+                call.ends("{'id':'open','state':'done','result':'ran'}");
                 assertTrue(client.message().contains("Config-Version: policy=0"));
                 assertTrue(late.contains("policy=1") || late.contains(" 503 "), late);
             }
@@ -55,8 +53,7 @@
 
     /** A request that comes while a scheduler drains, its till answering at once if it is called. */
     private String refusedOrAnswered(int i, String id) throws Exception {
-        try (Peer client = Stand.peer("127.0.0.1", rig.clientPort(i))) {
-            client.write("POST /check HTTP/1.1\r\nHost: c\r\nReq-Id: " + id + "\r\nContent-Length: 0\r\n\r\n");
+        try (Peer client = asking(i, id)) {
             return client.message();
         } catch (IOException e) {
             // It takes no more clients.
@@ -168,44 +165,28 @@
         rig.start(1);
         rig.start(3);
         Path config = rig.write(2);
-        Path script = Path.of(getClass().getResource("/laneflow/ops/platform.pl").toURI());
-        ProcessBuilder builder = new ProcessBuilder("perl", script.toString(),
-                ProcessHandle.current().info().command().orElseThrow(), "-XX:TieredStopAtLevel=1", "-Xmx72m",
-                "-cp", System.getProperty("java.class.path"), "laneflow.Main", "serve", "--config",
-                config.toString());
-        builder.environment().put("TMPDIR", folder.toString());
-        builder.redirectError(folder.resolve(Rig.name(2) + ".log").toFile());
-        Process platform = builder.start();
-        ProcessHandle former = null;
-        ProcessHandle next = null;
-        try {
-            BufferedReader out = new BufferedReader(new InputStreamReader(platform.getInputStream(),
-                    StandardCharsets.US_ASCII));
-            int port = Integer.parseInt(out.readLine().substring(5));
-            int formerOps = port();
-            former = launch(platform, out, formerOps);
-            rig.await("it serves", () -> call(formerOps, "check").equals("done"));
+        try (Platform platform = new Platform(folder, folder.resolve(Rig.name(2) + ".log"), Map.of(), "serve",
+                "--config", config.toString())) {
+            Started former = platform.launch();
+            rig.await("it serves", () -> former.call("check").equals("done"));
             rig.awaitDeciding(0, rig.all());
             rig.propose(0, "before", bans("a"));
             rig.awaitDeciding(1, rig.all());
-            int ops = port();
-            next = launch(platform, out, ops);
+            Started next = platform.launch();
             // Both live, both decide, and a change is one for both.
             rig.propose(0, "amid-1", bans("b"));
-            rig.await("the new one can serve", () -> call(ops, "check").equals("done"));
+            rig.await("the new one can serve", () -> next.call("check").equals("done"));
             rig.propose(1, "amid-2", bans("c"));
             decided(0, "amid-2", "applied");
             // Between two policies nothing comes to the till: ask once both decide by the new one.
             rig.awaitDeciding(3, rig.all());
-            rig.await("the new one decides", () -> call(ops, "check").equals("done"));
-            assertTrue(Stand.peer("127.0.0.1", port).write("POST /check HTTP/1.1\r\nHost: c\r\nReq-Id: u\r\n"
-                    + "Content-Length: 0\r\n\r\n") != null);
-            try (Peer call = till.accept()) {
+            rig.await("the new one decides", () -> next.call("check").equals("done"));
+            try (Peer client = ask(platform.port, "u"); Peer call = till.accept()) {
                 call.message();
-                call.says("{'id':'u','state':'done','result':'ran'}");
+                answer(call, "u");
             }
-            former.destroy();
-            former.onExit().get(60, TimeUnit.SECONDS);
+            former.handle().destroy();
+            former.ended();
             // Its address and its store are the new one's now: it is asked there, and votes with what it had.
             rig.awaitDeciding(3, rig.all());
             rig.await("it votes", () -> rig.policy(2).getAsJsonObject("voter").get("votes").getAsBoolean());
@@ -215,32 +196,6 @@
             rig.start(0);
             rig.awaitDeciding(4, rig.all());
             checkWith(2);
-        } finally {
-            for (ProcessHandle one : new ProcessHandle[] {former, next}) {
-                if (one != null) {
-                    one.destroyForcibly();
-                }
-            }
-            platform.getOutputStream().close();
-            platform.waitFor();
-        }
-    }
-
-    private static int port() throws IOException {
-        try (ServerSocket free = new ServerSocket(0)) {
-            return free.getLocalPort();
-        }
-    }
-
-    private static ProcessHandle launch(Process platform, BufferedReader out, int ops) throws IOException {
-        platform.getOutputStream().write(("start 127.0.0.1:" + ops + "\n").getBytes(StandardCharsets.US_ASCII));
-        platform.getOutputStream().flush();
-        return ProcessHandle.of(Long.parseLong(out.readLine().substring(4))).orElseThrow();
-    }
-
-    private static String call(int ops, String line) throws IOException {
-        try (Peer caller = Stand.peer("127.0.0.1", ops)) {
-            return caller.write(line + "\n").readTo("\n").strip();
         }
     }
 }
--- a/src/test/java/laneflow/policy/PolicyStories.java
+++ b/src/test/java/laneflow/policy/PolicyStories.java
@@ -106,23 +106,34 @@
         rig.await(name + " is " + state, () -> state(i, name).equals(state));
     }
 
+    /** A client that has asked a scheduler. */
+    Peer asking(int i, String id) throws IOException {
+        return ask(rig.clientPort(i), id);
+    }
+
+    static Peer ask(int port, String id) throws IOException {
+        return Stand.peer("127.0.0.1", port).write("POST /check HTTP/1.1\r\nHost: c\r\nReq-Id: " + id
+                + "\r\nContent-Length: 0\r\n\r\n");
+    }
+
+    /** The till answers what came to it. */
+    static void answer(Peer call, String id) throws IOException {
+        call.says("{'id':'" + id + "','state':'done','result':'ran'}");
+    }
+
     /** The answer to a request at a scheduler, its till answering at once. */
     String request(int i, String id) throws Exception {
-        try (Peer client = Stand.peer("127.0.0.1", rig.clientPort(i))) {
-            client.write("POST /check HTTP/1.1\r\nHost: c\r\nReq-Id: " + id + "\r\nContent-Length: 0\r\n\r\n");
-            try (Peer call = till.accept()) {
-                call.message();
-                call.says("{'id':'" + id + "','state':'done','result':'ran'}");
-                return client.message();
-            }
+        try (Peer client = asking(i, id); Peer call = till.accept()) {
+            call.message();
+            answer(call, id);
+            return client.message();
         }
     }
 
     String refused(int i, String id) throws Exception {
         // Other schedulers can come before clients can.
         rig.awaitClients(i);
-        try (Peer client = Stand.peer("127.0.0.1", rig.clientPort(i))) {
-            client.write("POST /check HTTP/1.1\r\nHost: c\r\nReq-Id: " + id + "\r\nContent-Length: 0\r\n\r\n");
+        try (Peer client = asking(i, id)) {
             return client.message();
         }
     }
--- a/src/test/java/laneflow/policy/PolicyVotersStoryTest.java
+++ b/src/test/java/laneflow/policy/PolicyVotersStoryTest.java
@@ -9,7 +9,6 @@
 import java.util.ArrayList;
 import java.util.List;
 import laneflow.lab.Rig;
-import laneflow.net.Stand;
 import laneflow.net.Stand.Peer;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
@@ -37,20 +36,13 @@
                 try (Peer call = till.accept()) {
                     String head = call.message();
                     String id = head.replaceAll("(?s).*Req-Id: ([^\r]*)\r.*", "$1");
-                    call.says("{'id':'" + id + "','state':'done','result':'ran'}");
+                    PolicyStories.answer(call, id);
                 } catch (IOException e) {
                     continue;
                 }
             }
         }
 
-        private String ask(String id) throws IOException {
-            try (Peer client = Stand.peer("127.0.0.1", rig.clientPort(4))) {
-                client.write("POST /check HTTP/1.1\r\nHost: c\r\nReq-Id: " + id + "\r\nContent-Length: 0\r\n\r\n");
-                return client.message();
-            }
-        }
-
         private void run() {
             try {
                 for (int n = 0; !over; n++) {
@@ -58,9 +50,11 @@
                     rig.await("it is taken", () -> rig.propose(4, name, bans("x" + name)) != null);
                     decided(4, name, "applied");
                     names.add(name);
-                    String answer = ask(name);
-                    // Between two policies nobody decides for a moment, and says so at once.
-                    assertTrue(answer.contains(" 200 ") || answer.contains(" 503 "), answer);
+                    try (Peer client = asking(4, name)) {
+                        String answer = client.message();
+                        // Between two policies nobody decides for a moment, and says so at once.
+                        assertTrue(answer.contains(" 200 ") || answer.contains(" 503 "), answer);
+                    }
                 }
             } catch (Exception e) {
                 failed = e;
