--- /dev/null
+++ b/src/main/java/laneflow/capacity/decision/News.java
@@ -0,0 +1,34 @@
+package laneflow.capacity.decision;
+
+import java.util.Comparator;
+
+/**
+ * What somebody has heard of one endpoint, in {@link Steps}.
+ *
+ * @param endpoint its number, the same at all schedulers
+ * @param bornMs its life: when it last started, Unix milliseconds; 0: long ago
+ * @param free slots
+ * @param queue jobs that wait there
+ * @param calls that the source had out there
+ * @param heardAt when the source heard it, on the clock of whoever holds this: ages are told, no instants
+ * @param source the scheduler whose call came back with it
+ * @param teller the scheduler that passed it on to this one
+ */
+public record News(long endpoint, long bornMs, int free, int queue, int calls, long heardAt, int source,
+        int teller) {
+    /** The newest of the newest life goes first; the rest of the order only makes it total. */
+    private static final Comparator<News> ORDER = Comparator.comparingLong(News::bornMs)
+            .thenComparingLong(News::heardAt).thenComparingInt(News::source).thenComparingInt(News::free)
+            .thenComparingInt(News::queue).thenComparingInt(News::calls).thenComparingInt(News::teller);
+
+    /**
+     * What two pieces of news of one endpoint come to: the greater in a total order, so the order and the
+     * number of merges do not matter. Null is no news.
+     */
+    public static News merge(News one, News other) {
+        if (one == null || other == null) {
+            return one == null ? other : one;
+        }
+        return ORDER.compare(one, other) >= 0 ? one : other;
+    }
+}
--- a/src/main/java/laneflow/decision/Dispatch.java
+++ b/src/main/java/laneflow/decision/Dispatch.java
@@ -205,7 +205,10 @@
     void outcome(double now, long request, int attempt, long worker, Outcome outcome, boolean over,
             LoadReport report);
 
-    /** A probe has ended, with a report or null. */
+    /**
+     * A probe has ended, with a report or null. {@link Outcome#MOOT}: nobody asked; the report is another
+     * dispatcher's, {@code took} seconds old and newer than any other of that worker.
+     */
     void probed(double now, long worker, double took, Outcome outcome, LoadReport report);
 
     /** A streamed answer has begun: the attempt belongs to the client and no deadline runs. */
--- a/src/main/java/laneflow/decision/Logic.java
+++ b/src/main/java/laneflow/decision/Logic.java
@@ -277,9 +277,9 @@
         clock(at);
         View view = views.get(worker);
         if (view != null && report != null) {
-            view.take(report, now);
+            view.take(report, outcome == Outcome.MOOT ? now - took : now);
         }
-        placeHeld(view == null ? Double.NaN : view.probedAt);
+        placeHeld(view == null || outcome == Outcome.MOOT ? Double.NaN : view.probedAt);
     }
 
     @Override
--- /dev/null
+++ b/src/test/java/laneflow/capacity/decision/NewsTest.java
@@ -0,0 +1,86 @@
+package laneflow.capacity.decision;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+import net.jqwik.api.Arbitraries;
+import net.jqwik.api.Arbitrary;
+import net.jqwik.api.Combinators;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.Provide;
+import net.jqwik.api.constraints.IntRange;
+import net.jqwik.api.constraints.LongRange;
+import net.jqwik.api.constraints.Size;
+
+/** What holds of any news: how it merges, ages and is packed. */
+class NewsTest {
+    @Provide
+    Arbitrary<News> news() {
+        Arbitrary<Integer> step = Arbitraries.integers().between(0, Steps.MOST);
+        // Few lives and instants, so that most merges meet equals.
+        return Combinators.combine(Arbitraries.longs().between(0, 3), step, step, step,
+                Arbitraries.longs().between(0, 5), Arbitraries.integers().between(0, 4),
+                Arbitraries.integers().between(0, 4)).as((born, free, queue, calls, at, source, teller) ->
+                new News(7, born, free, queue, calls, at, source, teller));
+    }
+
+    @Property
+    void mergingDoesNotDependOnOrderOrNumber(@ForAll("news") News a, @ForAll("news") News b,
+            @ForAll("news") News c) {
+        assertEquals(News.merge(a, b), News.merge(b, a));
+        assertEquals(News.merge(News.merge(a, b), c), News.merge(a, News.merge(b, c)));
+        assertEquals(News.merge(a, b), News.merge(News.merge(a, b), b));
+        assertEquals(a, News.merge(a, null));
+    }
+
+    @Property
+    void theNewestOfTheNewestLifeWins(@ForAll("news") News a, @ForAll("news") News b) {
+        News won = News.merge(a, b);
+        assertTrue(won.bornMs() >= Math.max(a.bornMs(), b.bornMs()));
+        if (a.bornMs() == b.bornMs()) {
+            assertEquals(Math.max(a.heardAt(), b.heardAt()), won.heardAt());
+        }
+    }
+
+    @Property
+    void passedOnNewsLooksOlderAndFullerNeverYoungerOrEmptier(@ForAll @LongRange(min = 0, max = 15_000_000)
+            long age, @ForAll @IntRange(max = 192) int slots) {
+        assertTrue(Steps.ageOf(Steps.age(age)) >= age);
+        assertTrue(Steps.ageOf(Steps.age(age)) <= Math.max(10_000, age * 1.14));
+        assertTrue(Steps.value(Steps.down(slots)) <= slots);
+        assertTrue(Steps.value(Steps.up(slots)) >= slots);
+    }
+
+    @Property
+    void whatIsWrittenIsRead(@ForAll int stamp, @ForAll @IntRange(max = 31) int demand,
+            @ForAll @IntRange(min = -1, max = 255) int wants,
+            @ForAll @Size(max = 30) List<@IntRange(max = 0xffffff) Integer> keys) throws IOException {
+        List<Cargo.Entry> entries = new ArrayList<>();
+        for (int key : keys) {
+            entries.add(new Cargo.Entry(key, key & 15, key >> 4 & 15, key >> 8 & 15, key >> 12 & 63, key
+                    % 61 * 1000));
+        }
+        Cargo cargo = new Cargo(stamp, demand, wants, entries);
+        byte[] bytes = cargo.write();
+        assertEquals(cargo, Cargo.read(bytes));
+        for (int cut = 0; cut < Math.min(bytes.length, Cargo.HEAD); cut++) {
+            byte[] less = java.util.Arrays.copyOf(bytes, cut);
+            assertThrows(IOException.class, () -> Cargo.read(less));
+        }
+    }
+
+    @Property
+    void garbageIsReadOrTurnedDownAndNothingElse(@ForAll @Size(max = 200) byte[] bytes) {
+        try {
+            Cargo cargo = Cargo.read(bytes);
+            assertTrue(cargo.demand() <= 31 && cargo.wants() <= 255);
+        } catch (IOException e) {
+            assertTrue(e.getMessage().startsWith("capacity news"));
+        }
+    }
+}
