Discovery's watch: indented lists, one clock for silence, drains learned late

What stood against it: - DiscoveryWatch.body cut the stream at line ends and gave each line to the parser: an indented list ended the watch, which asked for the whole list and ended on it again, for ever. JsonFrames cuts at the closing brace instead. - SILENCE was 4.5 s from the last byte, and up to 0.3 s (0.9 s the second time) of pause lay behind it: in 6 s there was room for one further watch, and where an agent holds lists, which count at once, the pauses were longer than the drain's grace. Now 2.5 s, from whole words only (a head or an object that trickles is silence), looked at once more before it is believed, and the next watch begins in that turn. Where lists are asked for, a call keeps its 4.5 s for its turn and its doubled pauses. - DestinationSet counted a drain's grace from when the list was read. What a watch tells first may have been told since the last sign of life of the one before: it counts from there, so no connection that comes up late begins. - Serve was ready by the list known from before while its agent had not spoken yet, though what that one holds counts from the process's first moment: it waits for the first word, or 0.3 s of silence behind the connection.

Ruled out: keeping the silent watch open beside the new one; the gap it would cover is the connection's own, milliseconds.

--- a/src/main/java/laneflow/assembly/Serve.java
+++ b/src/main/java/laneflow/assembly/Serve.java
@@ -113,8 +113,8 @@
 
     /** Begun with nothing known, it would refuse all that comes before discovery's first word. */
     private boolean serves() {
-        return !stopping && subsystems.isReady() && (watch == null
-                || scheduler.destinations().size() > 0 || counters.get("discovery.lists") > 0);
+        return !stopping && subsystems.isReady() && (watch == null || watch.hasLooked()
+                && (scheduler.destinations().size() > 0 || counters.get("discovery.lists") > 0));
     }
 
     /** Where another process serves in its place, the scheduler stays ready whichever of them is asked. */
--- a/src/main/java/laneflow/core/DestinationSet.java
+++ b/src/main/java/laneflow/core/DestinationSet.java
@@ -54,8 +54,8 @@
         }
     }
 
-    /** Takes a list in and returns what has changed, as the module reads it. */
-    List<Worker> apply(Carrier carrier, boolean whole, List<Entry> entries, long now) {
+    /** Takes a list in, told at that instant, and returns what has changed, as the module reads it. */
+    List<Worker> apply(Carrier carrier, boolean whole, List<Entry> entries, long toldAt) {
         List<Worker> changes = new ArrayList<>();
         Map<String, Entry> listed = new HashMap<>();
         for (Entry entry : entries) {
@@ -74,7 +74,7 @@
                 continue;
             }
             if (entry.state == State.GONE) {
-                changes.add(state(endpoint, State.GONE, now));
+                changes.add(state(endpoint, State.GONE, toldAt));
                 continue;
             }
             endpoint.dial = entry.dial.isEmpty() ? endpoint.dial : entry.dial;
@@ -85,13 +85,13 @@
             endpoint.startedAt = entry.startedAt;
             endpoint.classes = entry.classes;
             endpoint.abilities = entry.abilities;
-            changes.add(state(endpoint, entry.state, now));
+            changes.add(state(endpoint, entry.state, toldAt));
         }
         if (whole) {
             for (Endpoint endpoint : byName.values()) {
                 if (endpoint.carrier == carrier && !listed.containsKey(endpoint.name)
                         && endpoint.state != State.GONE) {
-                    changes.add(state(endpoint, State.GONE, now));
+                    changes.add(state(endpoint, State.GONE, toldAt));
                 }
             }
         }
@@ -109,11 +109,11 @@
         return all;
     }
 
-    private Worker state(Endpoint endpoint, State state, long now) {
+    private Worker state(Endpoint endpoint, State state, long toldAt) {
         if (state == State.READY) {
             endpoint.drainToldAt = Long.MAX_VALUE;
         } else if (endpoint.state == State.READY) {
-            endpoint.drainToldAt = now;
+            endpoint.drainToldAt = toldAt;
         }
         endpoint.state = state;
         Worker worker = new Worker();
--- a/src/main/java/laneflow/core/Scheduler.java
+++ b/src/main/java/laneflow/core/Scheduler.java
@@ -75,7 +75,17 @@
 
     /** A source's word on its endpoints: changes, or all that it has. */
     public void list(Carrier carrier, boolean whole, List<DestinationSet.Entry> entries) {
-        List<Dispatch.Worker> changes = destinations.apply(carrier, whole, entries, clock.micros());
+        list(carrier, whole, entries, clock.micros());
+    }
+
+    /**
+     * The same, learned late.
+     *
+     * @param toldAt since when, in microseconds of the clock, it may count as told: the grace of a drain runs
+     *     from there
+     */
+    public void list(Carrier carrier, boolean whole, List<DestinationSet.Entry> entries, long toldAt) {
+        List<Dispatch.Worker> changes = destinations.apply(carrier, whole, entries, toldAt);
         if (!changes.isEmpty()) {
             event(() -> module.list(now(), ListKind.CHANGES, changes));
             // Replaced endpoints come under new names: kept, the old ones would pile up with every release.
--- a/src/main/java/laneflow/http/DiscoveryWatch.java
+++ b/src/main/java/laneflow/http/DiscoveryWatch.java
@@ -1,6 +1,5 @@
 package laneflow.http;
 
-import java.io.ByteArrayOutputStream;
 import java.nio.charset.StandardCharsets;
 import java.util.SplittableRandom;
 import laneflow.core.Carrier;
@@ -16,15 +15,26 @@
 /**
  * Watches discovery's list: one watch at a time, begun anew when it ends, falls silent or makes no sense.
  * When discovery moves, the former watch is still heard until the new address has spoken.
+ *
+ * <p>What a silent watch misses counts as told 6 s after it fell silent at the latest, and at once where an
+ * agent on this machine holds it. So silence is noticed half a second behind the beat that is missing, the
+ * next watch begins in the same turn, and drains in its first word count from the last sign of life.
  */
 public final class DiscoveryWatch {
     private static final Logger LOG = LoggerFactory.getLogger(DiscoveryWatch.class);
     private static final int RING = 256 * 1024;
-    private static final int MOST_LINE = 4 << 20;
-    /** An empty line comes every 2 s: two of them missing is silence. */
-    private static final long SILENCE = 4_500_000;
+    private static final int MOST_LIST = 4 << 20;
+    /** An empty line comes every 2 s: that one is missing is silence, half a second behind its time. */
+    private static final long SILENCE = 2_500_000;
+    /** Where lists are asked for, a call may wait for its turn at discovery: so long, for its head. */
+    private static final long TURN = 4_500_000;
+    /**
+     * An agent on this machine answers at once, or has nothing: so long a start waits for its word before it
+     * asks for clients, since what the agent holds counts as told from the process's first moment.
+     */
+    private static final long FIRST_WORD = 300_000;
     /** The agent is on this machine: a connection that is not up within that time never will be. */
-    private static final long CONNECT = 500_000;
+    private static final long CONNECT = 1_000_000;
     /**
      * The wait before the next watch: doubled with each one that tells nothing, and half to one and a half
      * times as long by chance. When many schedulers start at one moment, or discovery is short of room, they
@@ -33,6 +43,8 @@
     private static final long AGAIN = 200_000;
     /** With the time for a connection it stays well within the 6 s after which news counts as told. */
     private static final long LONGEST_AGAIN = 1_600_000;
+    /** What an agent on this machine gets counts at once, and asking it costs nothing. */
+    private static final long LONGEST_AGAIN_AT_AGENT = AGAIN;
 
     private final Loop loop;
     private final Scheduler scheduler;
@@ -40,6 +52,8 @@
     private final Config config;
     private final Deadline timer;
     private final SplittableRandom random;
+    /** Lists are asked for at a service that all schedulers share, not at an agent on this machine. */
+    private final boolean asked;
     /** Watches in a row that have told nothing. */
     private int vain;
     private String address;
@@ -48,6 +62,10 @@
     private Watch current;
     /** The watch at the address before, until the present one has spoken; else null. */
     private Watch former;
+    /** The last sign of life of a watch: what the next one tells first may have been told from then on. */
+    private long heardAt;
+    /** From then on clients may be asked for. */
+    private long lookedAt = Long.MAX_VALUE;
 
     public DiscoveryWatch(Loop loop, Scheduler scheduler, Carrier carrier, Config config) {
         this.loop = loop;
@@ -57,21 +75,34 @@
         address = config.discovery;
         seq = config.known.seq;
         random = new SplittableRandom(config.seed);
+        asked = config.settings.listMustBeAsked;
         timer = loop.deadlines().create(this::due);
     }
 
+    /** True once it has spoken, or would have if there were anything to hear: clients may be asked for. */
+    public boolean hasLooked() {
+        return asked || loop.micros() >= lookedAt;
+    }
+
+    private void looked(long at) {
+        lookedAt = Math.min(lookedAt, at);
+    }
+
     private void due() {
         if (current.link.isClosed()) {
             begin();
         } else {
-            // Not up in time, or silent.
-            current.over();
+            current.late();
         }
     }
 
     /** The wait before the next watch. */
     private long pause() {
-        long wait = Math.min(LONGEST_AGAIN, AGAIN << Math.min(vain, 10));
+        if (!asked && vain == 0 && loop.micros() - current.begunAt > SILENCE) {
+            // It went on for a while and broke: what its agent holds counts whether or not one listens.
+            return 0;
+        }
+        long wait = Math.min(asked ? LONGEST_AGAIN : LONGEST_AGAIN_AT_AGENT, AGAIN << Math.min(vain, 10));
         vain++;
         return (long) (wait * (0.5 + random.nextDouble()));
     }
@@ -112,37 +143,56 @@
     }
 
     /** One connection to discovery. */
-    private final class Watch implements LinkHandler, HttpReader.Sink {
+    private final class Watch implements LinkHandler, HttpReader.Sink, JsonFrames.Sink {
         private final HttpReader reader = new HttpReader(true, this);
-        private final ByteArrayOutputStream line = new ByteArrayOutputStream();
+        private final JsonFrames frames = new JsonFrames(MOST_LIST, this);
+        private final long begunAt = loop.micros();
         private Link link;
+        private boolean up;
+        /** It has told something, be it that nothing has changed. */
+        private boolean told;
 
         /** It is over: what has been replaced already is not begun again. */
         private void over() {
             link.close();
             if (this == current) {
+                looked(loop.micros());
                 loop.deadlines().set(timer, loop.micros() + pause());
             } else if (this == former) {
                 former = null;
             }
         }
 
-        private void alive() {
-            if (this == current) {
-                loop.deadlines().set(timer, loop.micros() + SILENCE);
+        /** Its time has run out: unless a word lies there unread, the next watch begins. */
+        private void late() {
+            if (up) {
+                link.look();
+            }
+            if (timer.isSet()) {
+                return;
+            }
+            if (up) {
+                scheduler.counters().add("discovery.silent");
+                LOG.info("discovery at {} is silent", address);
+                // It had its time: waiting on top of it, news would come in unheard.
+                begin();
+            } else {
+                over();
             }
         }
 
-        /** It speaks: the next watch need not wait long. */
-        private void speaks() {
+        /** No byte extends it but a whole line's last: neither a head nor an object may trickle for ever. */
+        private void within(long micros) {
             if (this == current) {
-                vain = 0;
+                loop.deadlines().set(timer, loop.micros() + micros);
             }
         }
 
         @Override
         public void opened(Link opened) {
-            alive();
+            up = true;
+            looked(loop.micros() + FIRST_WORD);
+            within(asked ? TURN : SILENCE);
             String request = "GET /registry/instances?watch=1&after=" + seq + " HTTP/1.1\r\nHost: " + address
                     + "\r\n\r\n";
             link.out.put(request.getBytes(StandardCharsets.US_ASCII));
@@ -156,7 +206,6 @@
 
         @Override
         public void received(Link from) {
-            alive();
             try {
                 reader.read(link.in);
                 if (reader.isDone()) {
@@ -178,19 +227,17 @@
             if (head.status() != 200) {
                 throw new HttpException(head.status(), "watch answered " + head.status());
             }
+            within(SILENCE);
         }
 
         @Override
         public void body(byte[] bytes) throws HttpException {
-            for (byte b : bytes) {
-                if (b == '\n') {
-                    endLine();
-                } else {
-                    line.write(b);
-                }
-            }
-            if (line.size() > MOST_LINE) {
-                throw new HttpException(400, "line too long");
+            try {
+                frames.take(bytes);
+            } catch (HttpException e) {
+                // Changes that can't be read leave the list held unsure: the whole one is asked for.
+                seq = this == current ? 0 : seq;
+                throw e;
             }
         }
 
@@ -199,13 +246,32 @@
             // Begun again once the reader has returned.
         }
 
-        private void endLine() throws HttpException {
-            String text = line.toString(StandardCharsets.UTF_8).strip();
-            line.reset();
+        @Override
+        public void begun() {
+            within(SILENCE);
+        }
+
+        @Override
+        public void blank() {
             speaks();
-            if (text.isEmpty()) {
-                return;
+        }
+
+        /** A sign of life: the next watch need not wait long. Returns what news counts as told from. */
+        private long speaks() {
+            long since = told ? loop.micros() : heardAt;
+            if (this == current) {
+                told = true;
+                vain = 0;
+                heardAt = loop.micros();
+                looked(heardAt);
+                within(SILENCE);
             }
+            return since;
+        }
+
+        @Override
+        public void object(String text) throws HttpException {
+            long since = speaks();
             try {
                 Config.Listing listing = config.listing(text);
                 if (this == current) {
@@ -218,10 +284,8 @@
                     return;
                 }
                 scheduler.counters().add("discovery.lists");
-                scheduler.list(carrier, listing.whole, listing.entries);
+                scheduler.list(carrier, listing.whole, listing.entries, since);
             } catch (WireException e) {
-                // Changes that can't be read leave the list held unsure: the whole one is asked for.
-                seq = this == current ? 0 : seq;
                 throw new HttpException(400, e.getMessage());
             }
         }
--- /dev/null
+++ b/src/test/java/laneflow/http/DiscoveryStoryTest.java
@@ -0,0 +1,166 @@
+package laneflow.http;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import laneflow.net.Stand;
+import laneflow.net.Stand.Endpoint;
+import laneflow.net.Stand.Peer;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+
+/** Stories of discovery's watch, one for each sentence of the operators' page on it. */
+@Timeout(120)
+class DiscoveryStoryTest {
+    private static final String HEAD = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+
+    private static String chunk(String text) {
+        return Integer.toHexString(text.length()) + "\r\n" + text + "\r\n";
+    }
+
+    /** The next watch that has asked: on a busy machine one may have been given up before it came up. */
+    private static Peer watch(Endpoint discovery, String after) throws IOException {
+        while (true) {
+            Peer watch = discovery.accept();
+            try {
+                assertTrue(watch.readTo("\r\n\r\n").contains("after=" + after + " "));
+                return watch;
+            } catch (IOException e) {
+                watch.close();
+            }
+        }
+    }
+
+    private static double seconds(long since) {
+        return (System.nanoTime() - since) / 1e9;
+    }
+
+    @Test
+    void aListMayComeIndentedAndALineInPieces() throws Exception {
+        Endpoint discovery = new Endpoint("d");
+        Endpoint one = new Endpoint("e1");
+        Endpoint two = new Endpoint("e2");
+        try (Stand stand = new Stand(discovery, one); Peer client = stand.http()) {
+            Peer watch = watch(discovery, "1");
+            long watches = stand.counter("discovery.watches");
+            String list = Stand.list(2, false, one.host("Terminating"), two.host("Ready"))
+                    .replace("{", "{\n    ").replace(",", ",\r\n  ").replace("}", "\n}");
+            watch.write(HEAD);
+            for (char each : ("\n" + list).toCharArray()) {
+                watch.write(chunk("" + each));
+            }
+            // It needs no line's end: the last brace is its end.
+            stand.await("discovery.lists", 1);
+            watch.write(chunk("\n\n  " + Stand.list(3, false, two.host("Ready"))) + chunk("\n"));
+            stand.await("discovery.lists", 2);
+            client.post("basket-check", "1", "", "");
+            Peer call = two.accept();
+            call.message();
+            call.says("{'id':'1','state':'done','result':'priced'}");
+            assertTrue(client.message().endsWith("priced"));
+            assertEquals(watches, stand.counter("discovery.watches"));
+        }
+    }
+
+    /** News missed counts as told 6 s after the silence began: two more watches come up before that. */
+    @Test
+    void aSilentWatchIsBegunAgainOnceABeatAndTheListStaysInUse() throws Exception {
+        Endpoint discovery = new Endpoint("d");
+        Endpoint endpoint = new Endpoint("e1");
+        try (Stand stand = new Stand(discovery, endpoint)) {
+            long from = System.nanoTime();
+            Peer silent = watch(discovery, "1");
+            long watches = stand.counter("discovery.watches");
+            silent.write(HEAD + chunk("\n"));
+            // Bytes that make no line are no sign of life, be it that they come and come.
+            Peer next = watch(discovery, "1");
+            assertTrue(seconds(from) > 2 && seconds(from) < 4, "" + seconds(from));
+            assertTrue(silent.ended());
+            from = System.nanoTime();
+            next.write(HEAD + chunk("{"));
+            Thread drops = new Thread(() -> {
+                try {
+                    for (; true; Thread.sleep(100)) {
+                        next.write(chunk(" "));
+                    }
+                } catch (IOException | InterruptedException e) {
+                    // Cut off: that is what the story waits for.
+                }
+            });
+            drops.start();
+            Peer third = watch(discovery, "1");
+            drops.join();
+            assertTrue(seconds(from) > 2 && seconds(from) < 4, "" + seconds(from));
+            assertEquals(2, stand.counter("discovery.silent"));
+            assertEquals(watches + 2, stand.counter("discovery.watches"));
+            Peer client = stand.http().post("basket-check", "1", "", "");
+            Peer call = endpoint.accept();
+            call.message();
+            call.says("{'id':'1','state':'done','result':'priced'}");
+            assertTrue(client.message().endsWith("priced"));
+        }
+    }
+
+    /** What its agent holds counts from a process's first moment: before it has spoken nobody is asked for. */
+    @Test
+    void aNewProcessIsReadyOnceItsAgentHasSpokenOrHasNothingToSay() throws Exception {
+        Endpoint discovery = new Endpoint("d");
+        try (Stand stand = new Stand(discovery, new Endpoint("e1")); Peer client = stand.http()) {
+            boolean[] early = new boolean[1];
+            stand.serve.loop().call(() -> early[0] = stand.serve.front().isReady()
+                    && stand.serve.scheduler().counters().get("discovery.lists") == 0);
+            Peer watch = watch(discovery, "1");
+            // Silent, as while discovery is down: then what was known last is used.
+            String ready;
+            do {
+                ready = client.write("GET /health/ready HTTP/1.1\r\n\r\n").message();
+            } while (ready.startsWith("HTTP/1.1 503 "));
+            assertTrue(ready.startsWith("HTTP/1.1 200 "), ready);
+            assertTrue(!early[0], "ready with its agent unheard");
+        }
+    }
+
+    /** Where lists are asked for, a call waits for its turn: that it is not answered yet is no silence. */
+    @Test
+    void whereListsAreAskedForACallMayWaitForItsTurn() throws Exception {
+        Endpoint discovery = new Endpoint("d");
+        try (Stand stand = Stand.changed("'tick':0.005", "'tick':0.005,'discovery':'ask'", discovery,
+                new Endpoint("e1"))) {
+            Peer watch = watch(discovery, "1");
+            long watches = stand.counter("discovery.watches");
+            Thread.sleep(2800);
+            watch.write(HEAD + chunk(Stand.list(2, true)));
+            stand.await("discovery.lists", 1);
+            assertEquals(watches, stand.counter("discovery.watches"));
+        }
+    }
+
+    /** The drain's clock runs from when it may have been told, not from when it was read. */
+    @Test
+    void whatANewWatchTellsFirstMayHaveBeenToldSinceTheOldOneSpoke() throws Exception {
+        Endpoint discovery = new Endpoint("d");
+        Endpoint one = new Endpoint("e1", 1);
+        try (Stand stand = Stand.changed("'connectTimeout':1", "'connectTimeout':4.5", discovery, one);
+                Peer client = stand.http()) {
+            Peer watch = watch(discovery, "1");
+            watch.write(HEAD + chunk("\n"));
+            int crowd = one.crowd();
+            client.post("card-capture", "1", "", "pay");
+            stand.await("endpoint.connects", 1);
+            watch.reset();
+            Peer next = watch(discovery, "1");
+            // The connection comes up a second after it was asked for, or three where this thread is late.
+            Thread.sleep(800);
+            next.write(HEAD + chunk(Stand.list(2, false, one.host("Terminating"))));
+            stand.await("discovery.lists", 1);
+            for (int i = 0; i < crowd; i++) {
+                one.accept();
+            }
+            Peer late = one.accept();
+            assertTrue(late.ended());
+            assertTrue(client.message().startsWith("HTTP/1.1 503 "));
+            assertEquals(1, stand.counter("core.kept.drain"));
+        }
+    }
+}
