--- /dev/null
+++ b/src/test/java/laneflow/maintenance/decision/Drawn.java
@@ -0,0 +1,62 @@
+package laneflow.maintenance.decision;
+
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import java.util.SplittableRandom;
+import laneflow.maintenance.decision.Estate.Part;
+import laneflow.maintenance.decision.Estate.Rack;
+import laneflow.maintenance.decision.Estate.Tenant;
+
+/** Estates and demands drawn from a seed: uneven racks, tenants bound to zones and classes. */
+final class Drawn {
+    static final String[] ZONES = {"a", "b", "c", "d"};
+
+    final Estate estate;
+    final double[] memory;
+    private final SplittableRandom random;
+
+    Drawn(long seed, int racks, int tenants, boolean lean) {
+        random = new SplittableRandom(seed);
+        List<Rack> all = new ArrayList<>();
+        for (int r = 0; r < racks; r++) {
+            // Three kinds of endpoint; the third runs what the first two do.
+            int kind = r % 5 == 0 ? 3 : 1 + r / 4 % 2;
+            double slots = 8 * (2 + random.nextInt(5));
+            all.add(new Rack("r" + r, ZONES[r % ZONES.length], List.of(new Part(kind, slots, slots))));
+        }
+        List<Tenant> owners = new ArrayList<>();
+        for (int t = 0; t < tenants; t++) {
+            Set<String> zones = new HashSet<>();
+            if (random.nextInt(3) == 0) {
+                zones.add(ZONES[random.nextInt(4)]);
+                zones.add(ZONES[random.nextInt(4)]);
+            }
+            owners.add(new Tenant("t" + t, 1 + random.nextInt(5), zones, random.nextInt(6) == 0 ? 1 : 3));
+        }
+        memory = lean ? new double[] {0.5, 0.8} : new double[] {0.5, 1 + random.nextDouble()};
+        estate = new Estate(List.of("quick", "batch"), memory, all, owners);
+    }
+
+    /** Slots by tenant and class: each at about this part of its entitlement, some far over it. */
+    double[][] demand(double load) {
+        double[][] demand = new double[estate.tenants().size()][2];
+        for (int t = 0; t < demand.length; t++) {
+            double all = estate.entitlement(t) * load * (0.5 + random.nextDouble());
+            all *= random.nextInt(8) == 0 ? 3 : 1;
+            double quick = random.nextDouble();
+            demand[t][0] = all * quick / estate.stretch(0);
+            demand[t][1] = all * (1 - quick) / estate.stretch(1);
+        }
+        return demand;
+    }
+
+    List<Integer> some(int racks) {
+        Set<Integer> out = new HashSet<>();
+        while (out.size() < racks) {
+            out.add(random.nextInt(estate.racks().size()));
+        }
+        return new ArrayList<>(out);
+    }
+}
