--- a/src/main/java/laneflow/lab/Lab.java
+++ b/src/main/java/laneflow/lab/Lab.java
@@ -1,5 +1,6 @@
 package laneflow.lab;
 
+import laneflow.lab.measure.Conformance;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Model.CommandSpec;
 import picocli.CommandLine.ParameterException;
--- a/src/main/java/laneflow/lab/Measure.java
+++ b/src/main/java/laneflow/lab/Measure.java
@@ -1,6 +1,11 @@
 package laneflow.lab;
 
 import java.util.concurrent.Callable;
+import laneflow.lab.measure.ConfigMeasure;
+import laneflow.lab.measure.DurableMeasure;
+import laneflow.lab.measure.FleetMeasure;
+import laneflow.lab.measure.GearmanMeasure;
+import laneflow.lab.measure.PolicyMeasure;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Option;
 import picocli.CommandLine.Parameters;
--- a/src/main/java/laneflow/lab/Quickstart.java
+++ b/src/main/java/laneflow/lab/Quickstart.java
@@ -11,7 +11,13 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.Callable;
-import laneflow.Main;
+import laneflow.lab.measure.LiveLoad;
+import laneflow.lab.rig.Crew;
+import laneflow.lab.rig.Trash;
+import laneflow.lab.standin.Ledger;
+import laneflow.lab.standin.StandInNodes;
+import laneflow.lab.standin.StandInWorker;
+import laneflow.lab.standin.Wire;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Option;
 
@@ -55,7 +61,7 @@
             crew.start("node-" + i, 64, StandInNodes.class, "" + port, ledger, "" + i, "2", "30", "30");
         }
         Path file = Files.writeString(folder.resolve("laneflow.toml"), text);
-        Process scheduler = crew.start("scheduler", 128, Main.class, "serve", "--config", file.toString());
+        Process scheduler = crew.scheduler("scheduler", 128, file.toString());
         crew.awaitPort(scheduler, "scheduler", http);
         ledgers.add(folder.resolve("worker").toString());
         crew.start("worker", 64, StandInWorker.class, "" + gearman, ledgers.get(3), "9", "30", "0", "0",
--- a/src/main/java/laneflow/lab/ConfigMeasure.java
+++ b/src/main/java/laneflow/lab/measure/ConfigMeasure.java
@@ -1,4 +1,4 @@
-package laneflow.lab;
+package laneflow.lab.measure;
 
 import com.google.gson.JsonArray;
 import com.google.gson.JsonObject;
@@ -13,12 +13,15 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.Map;
 import java.util.Locale;
+import java.util.Map;
 import java.util.SplittableRandom;
-import laneflow.Main;
 import laneflow.control.DestinationType;
 import laneflow.control.Message;
+import laneflow.lab.rig.Crew;
+import laneflow.lab.rig.Trash;
+import laneflow.lab.standin.StandInControl;
+import laneflow.lab.standin.StandInNodes;
 import org.HdrHistogram.Histogram;
 
 /**
@@ -30,7 +33,7 @@
  * answer that saw two versions, a request without an answer, schedulers that disagree at the end, a damaged
  * file, or a broken version that is not taken back.
  */
-final class ConfigMeasure {
+public final class ConfigMeasure {
     private static final int SCHEDULERS = 4;
     private static final int NODES = 3;
     private static final int PER_SECOND = 60;
@@ -75,7 +78,8 @@
     }
 
     /** Runs all of it; 0 if every promise was kept. */
-    static int run(long seed, boolean large, PrintStream out) throws IOException, InterruptedException {
+    public static int run(long seed, boolean large, PrintStream out)
+            throws IOException, InterruptedException {
         Path folder = Files.createTempDirectory("laneflow-config");
         try (Crew crew = new Crew(folder)) {
             return new ConfigMeasure(seed, large, folder, out, crew).all();
@@ -166,7 +170,7 @@
         String name = "s" + i;
         Path file = folder.resolve(name + ".toml");
         settings(file, name, ports[i], control, "probation_ms = 0\n");
-        Process process = crew.start(name, 128, Main.class, "serve", "--config", file.toString());
+        Process process = crew.scheduler(name, 128, file.toString());
         crew.awaitPort(process, name, ports[i]);
         return process;
     }
@@ -225,7 +229,7 @@
             int port = Crew.port();
             Path file = folder.resolve("r0.toml");
             settings(file, "r0", port, service, "probation_ms = 2000\n");
-            crew.start("r0", 128, Main.class, "serve", "--config", file.toString());
+            crew.scheduler("r0", 128, file.toString());
             await(() -> service.has("r0"), "r0");
             service.publish(line(DestinationType.URL, "1-aa", "b1", good(all(NODES))), true);
             await(() -> service.reply("r0", "b1") != null, "r0's first word");
--- a/src/main/java/laneflow/lab/Conformance.java
+++ b/src/main/java/laneflow/lab/measure/Conformance.java
@@ -1,4 +1,4 @@
-package laneflow.lab;
+package laneflow.lab.measure;
 
 import java.io.BufferedInputStream;
 import java.io.ByteArrayOutputStream;
@@ -20,7 +20,8 @@
 import java.util.concurrent.Callable;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
-import laneflow.Main;
+import laneflow.lab.rig.Crew;
+import laneflow.lab.rig.Trash;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Option;
 
@@ -99,8 +100,7 @@
                     + "[classes.basket-check]\naim_ms = 200\ndeadline_ms = 5000\nrepeat = \"safe\"\n"
                     + "[classes.card-capture]\naim_ms = 150\ndeadline_ms = 6000\n"
                     + "[gearman]\nlisten = \"127.0.0.1:" + port + "\"\n" + FUNCTIONS);
-            Process scheduler = crew.start("scheduler", 128, Main.class, "serve", "--config",
-                    file.toString());
+            Process scheduler = crew.scheduler("scheduler", 128, file.toString());
             crew.awaitPort(scheduler, "scheduler", port);
             Result result = play(port, only);
             result.failures().forEach(out::println);
--- a/src/main/java/laneflow/lab/DurableMeasure.java
+++ b/src/main/java/laneflow/lab/measure/DurableMeasure.java
@@ -1,4 +1,4 @@
-package laneflow.lab;
+package laneflow.lab.measure;
 
 import com.google.gson.JsonObject;
 import com.google.gson.JsonParser;
@@ -24,7 +24,12 @@
 import java.util.concurrent.locks.LockSupport;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
-import laneflow.Main;
+import laneflow.lab.rig.Crew;
+import laneflow.lab.rig.Trash;
+import laneflow.lab.standin.Ledger;
+import laneflow.lab.standin.StandInNodes;
+import laneflow.lab.standin.StandInWorker;
+import laneflow.lab.standin.Wire;
 import org.HdrHistogram.Histogram;
 
 /**
@@ -33,7 +38,7 @@
  * nodes are killed at moments drawn from the seed, and what each stand-in's ledger says it ran is held
  * against what the scheduler says of each job. A broken promise is exit code 1.
  */
-final class DurableMeasure {
+public final class DurableMeasure {
     private static final String[] FUNCTIONS = {"kcheck", "kcapture", "kpost"};
     private static final long WINDOW_MS = 2000;
     /** A ledger's line and a lease are of two processes: their clock is one, their writing is not. */
@@ -64,7 +69,8 @@
     }
 
     /** Runs all of it; 0 if every promise was kept. */
-    static int run(long seed, boolean large, PrintStream out) throws IOException, InterruptedException {
+    public static int run(long seed, boolean large, PrintStream out)
+            throws IOException, InterruptedException {
         Path folder = Files.createTempDirectory("laneflow-durable");
         try (Crew crew = new Crew(folder)) {
             return new DurableMeasure(seed, large, folder, out, crew).all();
@@ -146,7 +152,7 @@
 
     /** Starts a scheduler and waits until clients are let in. */
     private Process scheduler(String name, String config) throws IOException, InterruptedException {
-        Process process = crew.start(name, 1024, Main.class, "serve", "--config", config);
+        Process process = crew.scheduler(name, 1024, config);
         long end = System.nanoTime() + 20_000_000_000L;
         while (process.isAlive() && System.nanoTime() < end) {
             try (Wire wire = new Wire(gearman, 1000)) {
--- a/src/main/java/laneflow/lab/FleetMeasure.java
+++ b/src/main/java/laneflow/lab/measure/FleetMeasure.java
@@ -1,4 +1,4 @@
-package laneflow.lab;
+package laneflow.lab.measure;
 
 import java.io.IOException;
 import java.io.PrintStream;
@@ -13,6 +13,10 @@
 import java.util.SplittableRandom;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
+import laneflow.lab.rig.Crew;
+import laneflow.lab.rig.Rig;
+import laneflow.lab.rig.Trash;
+import laneflow.lab.world.MemberWorld;
 import laneflow.membership.decision.Seal;
 import laneflow.membership.decision.State;
 import laneflow.membership.decision.Times;
@@ -24,7 +28,7 @@
  * virtual time. What it costs is measured beside the same processes without a view. Exit code 1 where a
  * member that was well was buried, views stay apart, or a part of the fleet is not found again.
  */
-final class FleetMeasure {
+public final class FleetMeasure {
     private static final int PER_SECOND = 30;
     private static final long SECOND = 1_000_000_000L;
     private static final long PERIOD_US = 250_000;
@@ -66,7 +70,8 @@
     }
 
     /** Runs all of it; 0 if every promise was kept. */
-    static int run(long seed, boolean large, PrintStream out) throws IOException, InterruptedException {
+    public static int run(long seed, boolean large, PrintStream out)
+            throws IOException, InterruptedException {
         Path folder = Files.createTempDirectory("laneflow-fleet");
         int[] nodes = {Crew.port(), Crew.port(), Crew.port()};
         try (Rig rig = new Rig(folder, large ? 32 : 12, 1, seed, FILE + Rig.endpoints(nodes))) {
--- a/src/main/java/laneflow/lab/GearmanMeasure.java
+++ b/src/main/java/laneflow/lab/measure/GearmanMeasure.java
@@ -1,4 +1,4 @@
-package laneflow.lab;
+package laneflow.lab.measure;
 
 import java.io.BufferedInputStream;
 import java.io.IOException;
@@ -17,7 +17,11 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
-import laneflow.Main;
+import laneflow.lab.rig.Crew;
+import laneflow.lab.rig.Trash;
+import laneflow.lab.standin.Ledger;
+import laneflow.lab.standin.StandInCrowd;
+import laneflow.lab.standin.Wire;
 import org.HdrHistogram.ConcurrentHistogram;
 
 /**
@@ -28,7 +32,7 @@
  * without an answer, one that must not run twice and did, an answer that is not what happened, or a case
  * that fails.
  */
-final class GearmanMeasure {
+public final class GearmanMeasure {
     private static final int FUNCTIONS = 200;
     private static final int CLIENTS = 16;
     private static final int PATIENCE_MS = 10_000;
@@ -61,7 +65,8 @@
     }
 
     /** Runs all of it; 0 if every promise was kept. */
-    static int run(long seed, boolean large, PrintStream out) throws IOException, InterruptedException {
+    public static int run(long seed, boolean large, PrintStream out)
+            throws IOException, InterruptedException {
         Conformance.Result cases = Conformance.run(out, "");
         Path folder = Files.createTempDirectory("laneflow-gearman");
         try (Crew crew = new Crew(folder)) {
@@ -74,8 +79,7 @@
     private int all(Conformance.Result cases) throws IOException, InterruptedException {
         port = Crew.port();
         int http = Crew.port();
-        Process scheduler = crew.start("scheduler", 256, Main.class, "serve", "--config",
-                settings(http).toString());
+        Process scheduler = crew.scheduler("scheduler", 256, settings(http).toString());
         crew.awaitPort(scheduler, "scheduler", http);
         long before = liveBytes(scheduler);
         // Failures: a share of jobs fail or lose their worker, and once half of the workers vanish.
--- a/src/main/java/laneflow/lab/HangLoad.java
+++ b/src/main/java/laneflow/lab/measure/HangLoad.java
@@ -1,4 +1,4 @@
-package laneflow.lab;
+package laneflow.lab.measure;
 
 import java.io.BufferedInputStream;
 import java.io.IOException;
@@ -15,7 +15,7 @@
  * version to version. Each answer names the versions that its request came under; one that came at another
  * version's deadline saw two.
  */
-final class HangLoad {
+public final class HangLoad {
     private static final double EARLY_MS = 25;
     private static final double LATE_MS = 60;
 
--- a/src/main/java/laneflow/lab/LiveLoad.java
+++ b/src/main/java/laneflow/lab/measure/LiveLoad.java
@@ -1,4 +1,4 @@
-package laneflow.lab;
+package laneflow.lab.measure;
 
 import java.io.BufferedInputStream;
 import java.io.IOException;
@@ -14,7 +14,7 @@
  * there whether a connection was free or not (no coordinated omission). Service is the share answered 200
  * within the aim.
  */
-final class LiveLoad {
+public final class LiveLoad {
     private final int port;
     private final String jobClass;
     private final int connections;
@@ -99,7 +99,7 @@
     }
 
     /** Reads one answer, whole, and returns its head and body. */
-    static String answer(InputStream in) throws IOException {
+    public static String answer(InputStream in) throws IOException {
         StringBuilder text = new StringBuilder();
         int body = -1;
         for (int next = in.read(); next >= 0; next = in.read()) {
--- a/src/main/java/laneflow/lab/PolicyHistory.java
+++ b/src/main/java/laneflow/lab/measure/PolicyHistory.java
@@ -1,4 +1,4 @@
-package laneflow.lab;
+package laneflow.lab.measure;
 
 import java.util.ArrayList;
 import java.util.HashMap;
--- a/src/main/java/laneflow/lab/PolicyLoad.java
+++ b/src/main/java/laneflow/lab/measure/PolicyLoad.java
@@ -1,4 +1,4 @@
-package laneflow.lab;
+package laneflow.lab.measure;
 
 import java.io.BufferedInputStream;
 import java.io.IOException;
@@ -16,7 +16,7 @@
  * under which policy. Jobs have names of their own, so that runs can be counted; every second one must not
  * run twice. One that finds its scheduler gone asks again with the next job.
  */
-final class PolicyLoad {
+public final class PolicyLoad {
     private static final int TIMEOUT_MS = 10_000;
     private static final long AIM_NS = 200_000_000;
     private static final String MARK = "Config-Version: policy=";
--- a/src/main/java/laneflow/lab/PolicyMeasure.java
+++ b/src/main/java/laneflow/lab/measure/PolicyMeasure.java
@@ -1,4 +1,4 @@
-package laneflow.lab;
+package laneflow.lab.measure;
 
 import com.google.gson.JsonObject;
 import com.google.gson.JsonParser;
@@ -14,6 +14,10 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.SplittableRandom;
+import laneflow.lab.rig.Crew;
+import laneflow.lab.rig.Rig;
+import laneflow.lab.rig.Trash;
+import laneflow.lab.standin.Ledger;
 import org.HdrHistogram.Histogram;
 
 /**
@@ -26,7 +30,7 @@
  * processes and the clients have noted is held against what is promised; exit code 1 where a promise is
  * broken.
  */
-final class PolicyMeasure {
+public final class PolicyMeasure {
     private static final int VOTERS = 3;
     private static final int PER_SECOND = 30;
     private static final int LEASE_MS = 1000;
@@ -63,7 +67,8 @@
     }
 
     /** Runs all of it; 0 if every promise was kept. */
-    static int run(long seed, boolean large, PrintStream out) throws IOException, InterruptedException {
+    public static int run(long seed, boolean large, PrintStream out)
+            throws IOException, InterruptedException {
         Path folder = Files.createTempDirectory("laneflow-policy");
         int schedulers = large ? 24 : 9;
         int[] nodes = {Crew.port(), Crew.port(), Crew.port()};
--- a/src/main/java/laneflow/lab/Await.java
+++ b/src/main/java/laneflow/lab/rig/Await.java
@@ -1,4 +1,4 @@
-package laneflow.lab;
+package laneflow.lab.rig;
 
 import java.io.IOException;
 
--- a/src/main/java/laneflow/lab/Crew.java
+++ b/src/main/java/laneflow/lab/rig/Crew.java
@@ -1,4 +1,4 @@
-package laneflow.lab;
+package laneflow.lab.rig;
 
 import java.io.File;
 import java.io.IOException;
@@ -17,18 +17,20 @@
 import java.util.concurrent.TimeUnit;
 
 /** The processes of a measurement: started from this program's own jar, and ended by it, whatever happens. */
-final class Crew implements AutoCloseable {
+public final class Crew implements AutoCloseable {
     private static final int FIRST_PORT = 12_000;
     private static final int LAST_PORT = 32_000;
     private static final int PORT_TRIES = 1000;
     private static final int KIB = 1024;
+    /** The program as users start it: by its name, since nothing here may depend on the command line. */
+    private static final String PROGRAM = "laneflow.Main";
     private static final Set<Integer> GIVEN = ConcurrentHashMap.newKeySet();
 
     private final Path folder;
     private final String classPath;
     private final List<Process> all = new CopyOnWriteArrayList<>();
 
-    Crew(Path folder) {
+    public Crew(Path folder) {
         this.folder = folder;
         classPath = System.getProperty("java.class.path");
         // Also where the measurement itself is ended early.
@@ -39,7 +41,7 @@
      * A port of the loopback interface that is free now, and that the system gives to nobody by itself: a
      * process that is killed must find its own again.
      */
-    static int port() throws IOException {
+    public static int port() throws IOException {
         for (int i = 0; i < PORT_TRIES; i++) {
             int port = ThreadLocalRandom.current().nextInt(FIRST_PORT, LAST_PORT);
             try (ServerSocket socket = new ServerSocket(port, 1, InetAddress.getLoopbackAddress())) {
@@ -55,18 +57,28 @@
     }
 
     /** Starts a class of this program; its output goes to a file of that name. */
-    Process start(String name, int heapMb, Class<?> main, String... args) throws IOException {
+    public Process start(String name, int heapMb, Class<?> main, String... args) throws IOException {
         return start(name, heapMb, List.of(), main, args);
     }
 
     /** The same with further options of the virtual machine. */
-    Process start(String name, int heapMb, List<String> options, Class<?> main, String... args)
+    public Process start(String name, int heapMb, List<String> options, Class<?> main, String... args)
             throws IOException {
-        return start(0, name, heapMb, options, main, args);
+        return start(0, name, heapMb, options, main.getName(), args);
+    }
+
+    /** Starts a scheduler by the operators' file of that name. */
+    public Process scheduler(String name, int heapMb, String file) throws IOException {
+        return scheduler(0, name, heapMb, List.of(), file);
     }
 
     /** The same for a process none of whose files may grow beyond so many bytes; 0: no limit. */
-    Process start(long mostBytes, String name, int heapMb, List<String> options, Class<?> main,
+    public Process scheduler(long mostBytes, String name, int heapMb, List<String> options, String file)
+            throws IOException {
+        return start(mostBytes, name, heapMb, options, PROGRAM, "serve", "--config", file);
+    }
+
+    private Process start(long mostBytes, String name, int heapMb, List<String> options, String main,
             String... args) throws IOException {
         List<String> line = new ArrayList<>();
         if (mostBytes > 0) {
@@ -78,7 +90,7 @@
                 "-Xms" + heapMb + "m", "-Xmx" + heapMb + "m",
                         "-Xshare:auto"));
         line.addAll(options);
-        line.addAll(List.of("-cp", classPath, main.getName()));
+        line.addAll(List.of("-cp", classPath, main));
         line.addAll(List.of(args));
         File log = folder.resolve(name + ".log").toFile();
         Process process = new ProcessBuilder(line).redirectErrorStream(true)
@@ -88,7 +100,7 @@
     }
 
     /** Waits until a process that was started under that name listens there. */
-    void awaitPort(Process process, String name, int port) throws IOException, InterruptedException {
+    public void awaitPort(Process process, String name, int port) throws IOException, InterruptedException {
         for (int i = 0; i < 2000 && process.isAlive(); i++) {
             try (Socket socket = new Socket(InetAddress.getLoopbackAddress(), port)) {
                 return;
@@ -99,12 +111,12 @@
         throw new IOException(name + " did not come up at port " + port + ": " + log(name));
     }
 
-    String log(String name) throws IOException {
+    public String log(String name) throws IOException {
         return Files.readString(folder.resolve(name + ".log"));
     }
 
     /** SIGKILL, and waits until it is gone. */
-    static void kill(Process process) throws InterruptedException {
+    public static void kill(Process process) throws InterruptedException {
         process.destroyForcibly().waitFor(10, TimeUnit.SECONDS);
     }
 
--- a/src/main/java/laneflow/lab/DatagramRelay.java
+++ b/src/main/java/laneflow/lab/rig/DatagramRelay.java
@@ -1,4 +1,4 @@
-package laneflow.lab;
+package laneflow.lab.rig;
 
 import java.io.IOException;
 import java.net.DatagramPacket;
@@ -15,7 +15,7 @@
  * told. Each ordered pair is a path with faults of its own: cut, loss, doubles, delay that lets datagrams
  * overtake each other.
  */
-final class DatagramRelay implements AutoCloseable {
+public final class DatagramRelay implements AutoCloseable {
     private static final int MOST = 2048;
 
     /** One direction between two members. */
--- a/src/main/java/laneflow/lab/Faults.java
+++ b/src/main/java/laneflow/lab/rig/Faults.java
@@ -1,9 +1,9 @@
-package laneflow.lab;
+package laneflow.lab.rig;
 
 import java.util.SplittableRandom;
 
 /** What befalls one direction of a path; all may be changed at any time. */
-class Faults {
+public class Faults {
     /** Nothing gets through, and nothing says so. */
     volatile boolean cut;
     volatile int delayMs;
--- a/src/main/java/laneflow/lab/Relay.java
+++ b/src/main/java/laneflow/lab/rig/Relay.java
@@ -1,4 +1,4 @@
-package laneflow.lab;
+package laneflow.lab.rig;
 
 import java.io.BufferedInputStream;
 import java.io.ByteArrayOutputStream;
@@ -20,7 +20,7 @@
  * is a chunk), so that single messages can be lost, doubled, delayed and made to overtake each other, which
  * TCP by itself never does; what rests on messages must stand all of it.
  */
-final class Relay implements AutoCloseable {
+public final class Relay implements AutoCloseable {
     private static final int STACK = 128 * 1024;
 
     /** A line under way. */
--- a/src/main/java/laneflow/lab/Rig.java
+++ b/src/main/java/laneflow/lab/rig/Rig.java
@@ -1,4 +1,4 @@
-package laneflow.lab;
+package laneflow.lab.rig;
 
 import com.google.gson.JsonObject;
 import com.google.gson.JsonParser;
@@ -21,7 +21,7 @@
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
-import laneflow.Main;
+import laneflow.lab.standin.StandInNodes;
 
 /**
  * Schedulers as real processes on loopback, with a relay of our own on each path between two of them, and
@@ -233,7 +233,7 @@
     }
 
     /** Another process of ours, such as stand-in nodes. */
-    Process start(String name, Class<?> main, String... args) throws IOException {
+    public Process start(String name, Class<?> main, String... args) throws IOException {
         return crew.start(name, HEAP_MB, main, args);
     }
 
@@ -243,8 +243,8 @@
         Path file = write(i);
         note("start " + name(i));
         String option = options.get(i);
-        processes[i] = crew.start(limits[i], name(i), HEAP_MB, option.isEmpty() ? List.of() : List.of(option),
-                Main.class, "serve", "--config", file.toString());
+        processes[i] = crew.scheduler(limits[i], name(i), HEAP_MB,
+                option.isEmpty() ? List.of() : List.of(option), file.toString());
     }
 
     /** Writes the file that this one starts by, for a start by other means. */
@@ -536,13 +536,13 @@
     }
 
     /** Stand-in nodes at these ports, until the rig is closed or so many seconds have passed. */
-    void nodes(int[] ports, int seconds) throws IOException {
+    public void nodes(int[] ports, int seconds) throws IOException {
         start("nodes", StandInNodes.class, ports[0] + "," + ports[1] + "," + ports[2],
                 folder.resolve("ran").toString(), "5", "32", "4", String.valueOf(seconds));
     }
 
     /** The operators' file's tables of these. */
-    static String endpoints(int[] ports) {
+    public static String endpoints(int[] ports) {
         StringBuilder all = new StringBuilder();
         for (int i = 0; i < ports.length; i++) {
             all.append("[endpoints.till-").append(i).append("]\ndial = \"127.0.0.1:").append(ports[i])
@@ -552,7 +552,7 @@
     }
 
     /** Milliseconds of processor time a second that each needs over such a span. */
-    double[] cpu(long spanMs) throws IOException, InterruptedException {
+    public double[] cpu(long spanMs) throws IOException, InterruptedException {
         double[] all = new double[processes.length];
         for (int i = 0; i < all.length; i++) {
             all[i] = -cpuTicks(pid(i));
@@ -573,7 +573,7 @@
     }
 
     /** The numbers of all schedulers but these. */
-    int[] without(Set<Integer> these) {
+    public int[] without(Set<Integer> these) {
         return Arrays.stream(all()).filter(i -> !these.contains(i)).toArray();
     }
 
--- a/src/main/java/laneflow/lab/Trash.java
+++ b/src/main/java/laneflow/lab/rig/Trash.java
@@ -1,4 +1,4 @@
-package laneflow.lab;
+package laneflow.lab.rig;
 
 import java.io.IOException;
 import java.nio.file.Files;
@@ -7,11 +7,11 @@
 import java.util.stream.Stream;
 
 /** Takes a measurement's folder away. */
-final class Trash {
+public final class Trash {
     private Trash() {
     }
 
-    static void remove(Path folder) throws IOException {
+    public static void remove(Path folder) throws IOException {
         try (Stream<Path> all = Files.walk(folder)) {
             for (Path path : all.sorted(Comparator.reverseOrder()).toList()) {
                 Files.deleteIfExists(path);
--- a/src/main/java/laneflow/lab/Ledger.java
+++ b/src/main/java/laneflow/lab/standin/Ledger.java
@@ -1,4 +1,4 @@
-package laneflow.lab;
+package laneflow.lab.standin;
 
 import java.io.IOException;
 import java.nio.ByteBuffer;
@@ -14,11 +14,11 @@
  * A stand-in's own book of what it ran, line by line in one write each: a kill can't take back what is
  * written. What the scheduler says of a job is held against it.
  */
-final class Ledger {
+public final class Ledger {
     private final FileChannel file;
 
     /** One line: when, what happened, to which job. Unix time in milliseconds. */
-    record Line(long ms, String event, String job) {
+    public record Line(long ms, String event, String job) {
     }
 
     Ledger(Path path) throws IOException {
@@ -30,7 +30,7 @@
         file.write(ByteBuffer.wrap(line.getBytes(StandardCharsets.UTF_8)));
     }
 
-    static List<Line> read(Path path) throws IOException {
+    public static List<Line> read(Path path) throws IOException {
         List<Line> lines = new ArrayList<>();
         if (Files.exists(path)) {
             for (String line : Files.readAllLines(path)) {
--- a/src/main/java/laneflow/lab/StandInControl.java
+++ b/src/main/java/laneflow/lab/standin/StandInControl.java
@@ -1,4 +1,4 @@
-package laneflow.lab;
+package laneflow.lab.standin;
 
 import com.google.gson.JsonObject;
 import com.google.gson.JsonParser;
@@ -17,7 +17,7 @@
  * down what each answered to which nonce and when. It has no opinion of its own: the measurement knows what
  * is right.
  */
-final class StandInControl implements AutoCloseable {
+public final class StandInControl implements AutoCloseable {
     private final ServerSocket server;
     private final Map<String, Socket> streams = new ConcurrentHashMap<>();
     /** By scheduler and nonce. */
@@ -28,20 +28,20 @@
     private final Map<String, JsonObject> figures = new ConcurrentHashMap<>();
 
     /** When a scheduler told that it took a version back. */
-    final Map<String, Long> takenBack = new ConcurrentHashMap<>();
+    public final Map<String, Long> takenBack = new ConcurrentHashMap<>();
 
     /** What a scheduler said to a response; the error is null for an ACK. */
-    record Reply(String version, String error, long nanos) {
+    public record Reply(String version, String error, long nanos) {
     }
 
-    StandInControl() throws IOException {
+    public StandInControl() throws IOException {
         server = new ServerSocket(0, 64, InetAddress.getLoopbackAddress());
         Thread thread = new Thread(this::accept, "control");
         thread.setDaemon(true);
         thread.start();
     }
 
-    String address() {
+    public String address() {
         return "127.0.0.1:" + server.getLocalPort();
     }
 
@@ -133,21 +133,21 @@
         return figures.get(scheduler);
     }
 
-    int streams() {
+    public int streams() {
         return streams.size();
     }
 
-    boolean has(String scheduler) {
+    public boolean has(String scheduler) {
         return streams.containsKey(scheduler);
     }
 
     /** Its process has been killed: the next stream under that name is a new one. */
-    void forget(String scheduler) {
+    public void forget(String scheduler) {
         streams.remove(scheduler);
     }
 
     /** Sends a line to all; one that comes later is sent the newest that was to be kept. */
-    void publish(String text, boolean keep) {
+    public void publish(String text, boolean keep) {
         if (keep) {
             newest.put(JsonParser.parseString(text).getAsJsonObject().get("type_url").getAsString(), text);
         }
@@ -161,12 +161,12 @@
     }
 
     /** What one that comes later is sent, without a word to those that are here. */
-    void newest(String text) {
+    public void newest(String text) {
         newest.put(JsonParser.parseString(text).getAsJsonObject().get("type_url").getAsString(), text);
     }
 
     /** What that scheduler answered, or null as long as it has not. */
-    Reply reply(String scheduler, String nonce) {
+    public Reply reply(String scheduler, String nonce) {
         return replies.get(scheduler + " " + nonce);
     }
 
--- a/src/main/java/laneflow/lab/StandInCrowd.java
+++ b/src/main/java/laneflow/lab/standin/StandInCrowd.java
@@ -1,4 +1,4 @@
-package laneflow.lab;
+package laneflow.lab.standin;
 
 import java.io.IOException;
 import java.net.InetAddress;
@@ -13,7 +13,7 @@
 import java.util.List;
 import java.util.PriorityQueue;
 import java.util.SplittableRandom;
-import laneflow.lab.Wire.Packet;
+import laneflow.lab.standin.Wire.Packet;
 
 /**
  * Many stand-in Gearman workers on one thread, each with two functions of a set: they sleep, grab when they
@@ -21,7 +21,7 @@
  * back. Each run is written to the ledger before anything is answered. Now and then a part of them vanishes
  * at once. The codec is the stand-ins' own, over non-blocking channels.
  */
-final class StandInCrowd {
+public final class StandInCrowd {
     private static final int REQUEST = 0x00524551;
     private static final int JOB_ASSIGN_ALL = Wire.JOB_ASSIGN_ALL;
     private static final int BACK_MS = 300;
--- a/src/main/java/laneflow/lab/StandInNodes.java
+++ b/src/main/java/laneflow/lab/standin/StandInNodes.java
@@ -1,4 +1,4 @@
-package laneflow.lab;
+package laneflow.lab.standin;
 
 import java.io.BufferedInputStream;
 import java.io.IOException;
@@ -16,7 +16,7 @@
  * platform's protocol: 200 with a line when a job starts and one when it is done. A queue beyond its bound is
  * answered 503 with Srv-Declined. Each run is written to the ledger as a worker's is.
  */
-final class StandInNodes {
+public final class StandInNodes {
     private static final int MOST_QUEUED = 16;
     private static final int HANGS_MS = 2000;
 
--- a/src/main/java/laneflow/lab/StandInWorker.java
+++ b/src/main/java/laneflow/lab/standin/StandInWorker.java
@@ -1,4 +1,4 @@
-package laneflow.lab;
+package laneflow.lab.standin;
 
 import java.io.IOException;
 import java.nio.file.Path;
@@ -10,7 +10,7 @@
  * worker that loses its scheduler in the middle of a job goes on, connects anew and tells how it ended, as a
  * stock worker may.
  */
-final class StandInWorker {
+public final class StandInWorker {
     private static final int TIMEOUT_MS = 60_000;
     private static final long RETRY_MS = 50;
 
--- a/src/main/java/laneflow/lab/Wire.java
+++ b/src/main/java/laneflow/lab/standin/Wire.java
@@ -1,4 +1,4 @@
-package laneflow.lab;
+package laneflow.lab.standin;
 
 import java.io.BufferedInputStream;
 import java.io.BufferedOutputStream;
@@ -14,17 +14,17 @@
  * One end of a Gearman connection, for stand-ins: blocking, and independent of the front's own codec, so
  * that a mistake there is not made here too. Binary packets as on gearman.org/protocol.
  */
-final class Wire implements AutoCloseable {
+public final class Wire implements AutoCloseable {
     static final int CAN_DO = 1;
     static final int PRE_SLEEP = 4;
     static final int NOOP = 6;
-    static final int JOB_CREATED = 8;
+    public static final int JOB_CREATED = 8;
     static final int NO_JOB = 10;
-    static final int WORK_COMPLETE = 13;
-    static final int WORK_FAIL = 14;
-    static final int WORK_STATUS = 12;
-    static final int SUBMIT_JOB = 7;
-    static final int SUBMIT_JOB_BG = 18;
+    public static final int WORK_COMPLETE = 13;
+    public static final int WORK_FAIL = 14;
+    public static final int WORK_STATUS = 12;
+    public static final int SUBMIT_JOB = 7;
+    public static final int SUBMIT_JOB_BG = 18;
     static final int ERROR = 19;
     static final int GRAB_JOB_ALL = 39;
     static final int JOB_ASSIGN_ALL = 40;
@@ -36,10 +36,10 @@
     private final DataOutputStream out;
 
     /** A packet as it came: its arguments, the last of them whole. */
-    record Packet(int type, String[] args) {
+    public record Packet(int type, String[] args) {
     }
 
-    Wire(int port, int timeoutMs) throws IOException {
+    public Wire(int port, int timeoutMs) throws IOException {
         socket = new Socket();
         socket.connect(new InetSocketAddress(InetAddress.getLoopbackAddress(), port), timeoutMs);
         socket.setTcpNoDelay(true);
@@ -49,7 +49,7 @@
     }
 
     /** Puts a packet into the buffer. */
-    void put(int type, String... args) throws IOException {
+    public void put(int type, String... args) throws IOException {
         byte[] data = String.join("\0", args).getBytes(StandardCharsets.UTF_8);
         out.writeInt(REQUEST);
         out.writeInt(type);
@@ -57,16 +57,16 @@
         out.write(data);
     }
 
-    void flush() throws IOException {
+    public void flush() throws IOException {
         out.flush();
     }
 
-    void send(int type, String... args) throws IOException {
+    public void send(int type, String... args) throws IOException {
         put(type, args);
         out.flush();
     }
 
-    Packet read() throws IOException {
+    public Packet read() throws IOException {
         in.readInt();
         int type = in.readInt();
         int length = in.readInt();
--- a/src/main/java/laneflow/lab/MemberWorld.java
+++ b/src/main/java/laneflow/lab/world/MemberWorld.java
@@ -1,4 +1,4 @@
-package laneflow.lab;
+package laneflow.lab.world;
 
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
--- a/src/test/java/laneflow/gearman/ConformanceTest.java
+++ b/src/test/java/laneflow/gearman/ConformanceTest.java
@@ -5,7 +5,7 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.util.List;
-import laneflow.lab.Conformance;
+import laneflow.lab.measure.Conformance;
 import laneflow.net.Stand;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
--- a/src/test/java/laneflow/lab/PolicyHistoryTest.java
+++ b/src/test/java/laneflow/lab/measure/PolicyHistoryTest.java
@@ -1,4 +1,4 @@
-package laneflow.lab;
+package laneflow.lab.measure;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
--- a/src/test/java/laneflow/lab/TakenBackStoryTest.java
+++ b/src/test/java/laneflow/lab/measure/TakenBackStoryTest.java
@@ -1,10 +1,13 @@
-package laneflow.lab;
+package laneflow.lab.measure;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import com.google.gson.JsonObject;
 import java.nio.file.Path;
+import laneflow.lab.rig.Crew;
+import laneflow.lab.rig.Rig;
+import laneflow.lab.standin.StandInNodes;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.api.io.TempDir;
--- a/src/test/java/laneflow/lab/SettlePlotTest.java
+++ b/src/test/java/laneflow/lab/world/SettlePlotTest.java
@@ -1,4 +1,4 @@
-package laneflow.lab;
+package laneflow.lab.world;
 
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
--- a/src/test/java/laneflow/membership/MembersStoryTest.java
+++ b/src/test/java/laneflow/membership/MembersStoryTest.java
@@ -14,7 +14,7 @@
 import java.util.Arrays;
 import java.util.Random;
 import laneflow.cli.CliRun;
-import laneflow.lab.Rig;
+import laneflow.lab.rig.Rig;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
--- a/src/test/java/laneflow/membership/decision/SwimOrdersTest.java
+++ b/src/test/java/laneflow/membership/decision/SwimOrdersTest.java
@@ -5,7 +5,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
-import laneflow.lab.MemberWorld;
+import laneflow.lab.world.MemberWorld;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 
--- a/src/test/java/laneflow/ops/UpgradeStoryTest.java
+++ b/src/test/java/laneflow/ops/UpgradeStoryTest.java
@@ -8,7 +8,7 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.Map;
-import laneflow.lab.Await;
+import laneflow.lab.rig.Await;
 import laneflow.net.Stand;
 import laneflow.net.Stand.Endpoint;
 import laneflow.net.Stand.Peer;
--- a/src/test/java/laneflow/policy/PolicyAmidStoryTest.java
+++ b/src/test/java/laneflow/policy/PolicyAmidStoryTest.java
@@ -8,7 +8,7 @@
 import java.nio.file.Path;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
-import laneflow.lab.Rig;
+import laneflow.lab.rig.Rig;
 import laneflow.net.Stand;
 import laneflow.net.Stand.Peer;
 import laneflow.ops.Platform;
--- a/src/test/java/laneflow/policy/PolicyStoryTest.java
+++ b/src/test/java/laneflow/policy/PolicyStoryTest.java
@@ -7,7 +7,7 @@
 import com.google.gson.JsonObject;
 import java.nio.file.Files;
 import java.util.List;
-import laneflow.lab.Rig;
+import laneflow.lab.rig.Rig;
 import laneflow.net.Stand;
 import laneflow.net.Stand.Peer;
 import org.junit.jupiter.api.Test;
--- a/src/test/java/laneflow/policy/PolicyVotersStoryTest.java
+++ b/src/test/java/laneflow/policy/PolicyVotersStoryTest.java
@@ -8,7 +8,7 @@
 import java.io.IOException;
 import java.util.ArrayList;
 import java.util.List;
-import laneflow.lab.Rig;
+import laneflow.lab.rig.Rig;
 import laneflow.net.Stand.Peer;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
