--- a/src/main/java/laneflow/maintenance/decision/Fairness.java
+++ b/src/main/java/laneflow/maintenance/decision/Fairness.java
@@ -4,6 +4,7 @@
 import java.util.Arrays;
 import java.util.LinkedHashMap;
 import java.util.List;
+import java.util.Locale;
 import java.util.Map;
 
 /**
@@ -213,7 +214,7 @@
         return Levels.level(dueByTenant, weight, shortage);
     }
 
-    /** What is left of a tenant's tolerance, over its entitlement: less for whose account is over the mean. */
+    /** What is left of a tenant's tolerance, over its entitlement; less if its account is over the mean. */
     double tolerance(double[] accounts, int tenant) {
         double over = accounts == null ? 0 : accounts[tenant];
         return terms.tolerance() * Math.min(1, Math.max(0, 1 - over / terms.debt()));
@@ -263,15 +264,15 @@
         double[] loss = levels.loss();
         List<String> against = new ArrayList<>();
         if (shortage > terms.shortage() * entitled + LEAST_LOSS) {
-            against.add(String.format(java.util.Locale.ROOT, "the fleet is %.1f slots short, at most %.1f are"
-                    + " allowed", shortage, terms.shortage() * entitled));
+            against.add(String.format(Locale.ROOT, "the fleet is %.1f slots short, at most %.1f are allowed",
+                    shortage, terms.shortage() * entitled));
         }
         boolean fair = against.isEmpty();
         for (int t = 0; t < loss.length; t++) {
             loss[t] = loss[t] < LEAST_LOSS ? 0 : loss[t];
             if (loss[t] > allowed[t] + LEAST_LOSS * (1 + 1e-6)) {
                 fair = false;
-                against.add(String.format(java.util.Locale.ROOT, "tenant %s loses %.1f slots, its fair share"
+                against.add(String.format(Locale.ROOT, "tenant %s loses %.1f slots, its fair share"
                         + " is %.1f%s", estate.tenants().get(t).name(), loss[t], allowed[t],
                         where(levels.first(), t)));
             }
