Second answers, answers without end and interim ones no longer decide for a job

What stood against it, each with its story in EndpointStoryTest that failed before: - A second answer to the job before, read while the next one was out on the connection, was "a word on another one" (Answer.word): an error that failed what must not run twice and spoke against its endpoint. It names the job before it, so it is passed over, the job's own is read behind it, and the connection is used no more. Before a connection is used again, what has come on it unread is looked at (HttpCarrier.take): a second answer, or its end. - An answer was bound in time by its client's deadline, in bytes by nothing but its longest line: lines without end were read and parsed up to then. Now 1 MiB and 64 KiB a second; 64 KiB behind the last word. - A 1xx head counted as the endpoint's having taken the call and called off the 250 ms after which a silent one is left (Answer.head). A second answer that names no job (503 with Srv-Declined) can't be told from the next one's; it is read as that, as before.

--- a/src/main/java/laneflow/http/Answer.java
+++ b/src/main/java/laneflow/http/Answer.java
@@ -28,15 +28,25 @@
     private final Scheduler scheduler;
     /** Null for a probe. */
     private final OutboundCall call;
+    /** The job that the answer before this one on its connection was for, or null. */
+    private final String before;
     private final ByteArrayOutputStream line = new ByteArrayOutputStream();
     private HttpHead head;
     private Outcome outcome;
     private byte[] result;
     private LoadReport report;
+    private boolean spoke;
+    private boolean stray;
 
-    Answer(Scheduler scheduler, OutboundCall call) {
+    Answer(Scheduler scheduler, OutboundCall call, String before) {
         this.scheduler = scheduler;
         this.call = call;
+        this.before = before;
+    }
+
+    /** A second answer to the job before: this one's is still to come. */
+    boolean isStray() {
+        return stray;
     }
 
     /** True once the endpoint has said that it took the call, or that it did not. */
@@ -63,8 +73,12 @@
 
     @Override
     public void head(HttpHead received) {
+        if (received.status() < 200) {
+            // An interim answer says nothing yet.
+            return;
+        }
         head = received;
-        if (call != null && head.status() != 200 && head.status() >= 200) {
+        if (call != null && head.status() != 200) {
             report = Loads.read(head.header(Names.LOAD));
             boolean declined = (head.status() == 503 || head.status() == 504)
                     && "1".equals(head.header(Names.DECLINED));
@@ -89,7 +103,7 @@
     @Override
     public void end() throws HttpException {
         endLine();
-        if (outcome == null) {
+        if (outcome == null && !stray) {
             boolean sound = head.status() == 200;
             outcome = call == null ? sound ? Outcome.OK : Outcome.ERROR : Outcome.RESET;
         }
@@ -137,7 +151,14 @@
     }
 
     private void word(JsonObject word) throws HttpException {
-        if (!call.request.payload.requestId().equals(string(word, "id"))) {
+        String id = string(word, "id");
+        boolean own = call.request.payload.requestId().equals(id);
+        if (!own && !spoke && before != null && before.equals(id)) {
+            stray = true;
+            return;
+        }
+        spoke = true;
+        if (!own || stray) {
             throw new HttpException(400, "a word on no request or another one");
         }
         switch (String.valueOf(string(word, "state"))) {
--- a/src/main/java/laneflow/http/EndpointConnection.java
+++ b/src/main/java/laneflow/http/EndpointConnection.java
@@ -20,6 +20,10 @@
     private static final int IN_RING = 64 * 1024;
     /** What may come behind the last line, an empty chunk, comes within this time or not at all. */
     private static final long TAIL = 1_000_000;
+    private static final int MOST_TAIL = 64 * 1024;
+    /** Bytes of an answer that are read: so many, and so many more for each second that it lasts. */
+    private static final long MOST_ANSWER = 1 << 20;
+    private static final long MOST_EACH_SECOND = 64 * 1024;
     /**
      * How long a request's last byte is held back where its connection may have gone stale, or where it must
      * not run twice. No endpoint starts before that byte, and one that has closed the connection answers the
@@ -50,6 +54,13 @@
     private byte[] held;
     private Answer answer;
     private HttpReader reader;
+    /** The job answered on it last, or null. */
+    private String before;
+    /** A second answer has come on it: it is used no more. */
+    private boolean strayed;
+    private long writtenAt;
+    private long taken;
+    private long tail;
 
     EndpointConnection(HttpCarrier carrier, Endpoint endpoint) {
         this.carrier = carrier;
@@ -97,6 +108,12 @@
         return restedAt > 0 && carrier.loop.micros() - restedAt > FRESH;
     }
 
+    /** True if it is still up, with nothing there that nobody asked for: what came unread is read first. */
+    boolean isSound() {
+        link.look();
+        return !link.isClosed();
+    }
+
     private boolean isResting() {
         return call == null && probeAt == 0;
     }
@@ -156,8 +173,11 @@
 
     private void write() {
         carrier.loop.deadlines().cancel(timer);
-        answer = new Answer(carrier.scheduler, call);
+        answer = new Answer(carrier.scheduler, call, before);
         reader = new HttpReader(true, answer);
+        writtenAt = carrier.loop.micros();
+        taken = 0;
+        tail = 0;
         held = null;
         if (carrier.scheduler.isDown(endpoint)) {
             // Set down while the connection came up: nothing has been written, and the job goes elsewhere.
@@ -229,7 +249,7 @@
             return;
         }
         try {
-            reader.read(link.in);
+            read();
         } catch (HttpException | IllegalArgumentException e) {
             LOG.debug("{} sent what can't be read: {}", endpoint, e.getMessage());
             carrier.count("endpoint.malformed");
@@ -256,6 +276,29 @@
         }
     }
 
+    private void read() throws HttpException {
+        boolean behind = answer.outcome() != null;
+        int there = link.in.size();
+        reader.read(link.in);
+        if (reader.isDone() && answer.isStray()) {
+            // Taken for this call's, it would end a job that is at work with another one's verdict.
+            carrier.count("endpoint.second_answer");
+            strayed = true;
+            answer = new Answer(carrier.scheduler, call, null);
+            reader = new HttpReader(true, answer);
+            if (held == null) {
+                expectHead();
+            }
+            reader.read(link.in);
+        }
+        taken += there - link.in.size();
+        tail += behind ? there - link.in.size() : 0;
+        double seconds = (carrier.loop.micros() - writtenAt) / 1e6;
+        if (taken > MOST_ANSWER + seconds * MOST_EACH_SECOND || tail > MOST_TAIL) {
+            throw new HttpException(400, "an answer without end");
+        }
+    }
+
     @Override
     public void broken(Link gone) {
         if (isResting()) {
@@ -285,6 +328,7 @@
     private void finish(Outcome how) {
         OutboundCall ended = call;
         long probed = probeAt;
+        before = ended == null ? null : ended.request.payload.requestId();
         call = null;
         probeAt = 0;
         rest();
@@ -300,7 +344,7 @@
     /** Keeps the connection for the next call if its answer is whole, else closes it. */
     private void rest() {
         if (link == null || link.isClosed() || !up || answer == null || answer.outcome() == null
-                || !answer.keepsAlive() || held != null || !link.out.isEmpty()
+                || !answer.keepsAlive() || strayed || held != null || !link.out.isEmpty()
                 || reader.isDone() && (!link.in.isEmpty() || endpoint.state() != State.READY
                 || carrier.scheduler.isDown(endpoint))) {
             shut();
--- a/src/main/java/laneflow/http/HttpCarrier.java
+++ b/src/main/java/laneflow/http/HttpCarrier.java
@@ -95,7 +95,7 @@
             EndpointConnection connection = found.get(i);
             if (!connection.dial.equals(endpoint.dial)) {
                 connection.shut();
-            } else if (!sure || !connection.mayBeStale()) {
+            } else if ((!sure || !connection.mayBeStale()) && connection.isSound()) {
                 idle.remove(connection);
                 return connection;
             }
--- /dev/null
+++ b/src/test/java/laneflow/http/EndpointStoryTest.java
@@ -0,0 +1,184 @@
+package laneflow.http;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import laneflow.net.Stand;
+import laneflow.net.Stand.Endpoint;
+import laneflow.net.Stand.Peer;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+
+/** Stories of endpoints that answer too much, too late or for ever, as the operators' page has them. */
+@Timeout(120)
+class EndpointStoryTest {
+    private static String done(String id, String result) {
+        return "{'id':'" + id + "','state':'done','result':'" + result + "'}";
+    }
+
+    /** Writes the same until the other side ends it. */
+    private static Thread floods(Peer call, String text) {
+        Thread flood = new Thread(() -> {
+            try {
+                while (true) {
+                    call.write(text);
+                }
+            } catch (IOException e) {
+                // Cut off: that is what the story waits for.
+            }
+        });
+        flood.start();
+        return flood;
+    }
+
+    @Test
+    void aSecondAnswerIsNotTakenForTheNextRequests() throws Exception {
+        Endpoint endpoint = new Endpoint("e1");
+        try (Stand stand = new Stand(null, endpoint); Peer client = stand.http()) {
+            client.post("basket-check", "1", "", "");
+            Peer call = endpoint.accept();
+            call.message();
+            call.says(done("1", "one"));
+            assertTrue(client.message().endsWith("one"));
+            client.post("basket-check", "2", "", "");
+            assertTrue(call.message().contains("Req-Id: 2\r\n"));
+            call.says(done("1", "one")).says(done("2", "two"));
+            String answer = client.message();
+            assertTrue(answer.endsWith("two"), answer);
+            assertEquals(1, stand.counter("endpoint.second_answer"));
+            assertEquals(1, stand.counter("endpoint.connects"));
+            // Nor is it used again.
+            assertTrue(call.ended());
+        }
+    }
+
+    @Test
+    void aSecondAnswerOnARestingConnectionEndsItAndAThirdIsNone() throws Exception {
+        Endpoint endpoint = new Endpoint("e1");
+        try (Stand stand = new Stand(null, endpoint); Peer client = stand.http()) {
+            client.post("basket-check", "1", "", "");
+            Peer call = endpoint.accept();
+            call.message();
+            call.says(done("1", "one"));
+            assertTrue(client.message().endsWith("one"));
+            call.says(done("1", "one"));
+            assertTrue(call.ended());
+            client.post("points-post", "2", "", "");
+            Peer next = endpoint.accept();
+            next.message();
+            next.says(done("2", "two"));
+            assertTrue(client.message().endsWith("two"));
+            client.post("basket-check", "3", "Req-Deadline-Ms: 400\r\n", "");
+            assertTrue(next.message().contains("Req-Id: 3\r\n"));
+            next.says(done("2", "two")).says(done("2", "two"));
+            assertTrue(next.ended());
+            assertTrue(client.message().startsWith("HTTP/1.1 503 "));
+            assertEquals(1, stand.counter("endpoint.malformed"));
+        }
+    }
+
+    private static final String RUNNING = "{\"id\":\"1\",\"state\":\"running\",\"share\":0.1}\n";
+    private static final String CHUNK = Integer.toHexString(RUNNING.length()) + "\r\n" + RUNNING + "\r\n";
+
+    @Test
+    void anAnswerThatNeverEndsIsCutOffByItsClientsTime() throws Exception {
+        Endpoint endpoint = new Endpoint("e1");
+        try (Stand stand = new Stand(null, endpoint); Peer client = stand.http()) {
+            long from = System.nanoTime();
+            client.post("card-capture", "1", "Req-Deadline-Ms: 400\r\n", "pay");
+            Peer drops = endpoint.accept();
+            drops.message();
+            drops.begins("{'id':'1','state':'started'}");
+            Thread slow = new Thread(() -> {
+                try {
+                    for (; true; Thread.sleep(20)) {
+                        drops.write(CHUNK);
+                    }
+                } catch (IOException | InterruptedException e) {
+                    // Cut off: that is what the story waits for.
+                }
+            });
+            slow.start();
+            assertTrue(client.message().startsWith("HTTP/1.1 500 "));
+            assertTrue(System.nanoTime() - from < 3_000_000_000L);
+            slow.join();
+        }
+    }
+
+    @Test
+    void anAnswerWithoutEndIsCutOffByItsBytesBeforeItsLastWordAndBehindIt() throws Exception {
+        for (boolean behind : new boolean[] {false, true}) {
+            Endpoint endpoint = new Endpoint("e1");
+            try (Stand stand = new Stand(null, endpoint); Peer client = stand.http()) {
+                client.post("card-capture", "1", "", "pay");
+                Peer call = endpoint.accept();
+                call.message();
+                call.begins(behind ? done("1", "paid") : "{'id':'1','state':'started'}");
+                Thread flood = floods(call, CHUNK.repeat(1000));
+                String answer = client.message();
+                assertTrue(behind ? answer.endsWith("paid") : answer.startsWith("HTTP/1.1 500 "), answer);
+                flood.join();
+                stand.await("endpoint.malformed", 1);
+            }
+        }
+    }
+
+    /** Interim answers are none: one that goes on with them is as silent as one that says nothing. */
+    @Test
+    void interimAnswersAreNoHead() throws Exception {
+        Endpoint one = new Endpoint("e1");
+        Endpoint two = new Endpoint("e2", one);
+        try (Stand stand = new Stand(null, one, two); Peer client = stand.http()) {
+            client.post("basket-check", "1", "", "");
+            Peer silent = one.accept();
+            silent.message();
+            silent.write("HTTP/1.1 102 Processing\r\n\r\n");
+            Peer again = one.accept();
+            again.message();
+            assertTrue(silent.ended());
+            again.write("HTTP/1.1 100 Continue\r\n\r\n").says(done("1", "priced"));
+            assertTrue(client.message().endsWith("priced"));
+            assertEquals(1, stand.counter("endpoint.silent"));
+        }
+    }
+
+    /** It goes elsewhere, or its client hears at once; what comes up late never carries it. */
+    @Test
+    void aConnectionThatComesUpLateIsGivenUpInTimeAndCarriesNothing() throws Exception {
+        Endpoint endpoint = new Endpoint("e1", 1);
+        try (Stand stand = Stand.changed("'connectTimeout':1", "'connectTimeout':0.25", null, endpoint);
+                Peer client = stand.http()) {
+            int crowd = endpoint.crowd();
+            long from = System.nanoTime();
+            client.post("card-capture", "1", "", "pay");
+            assertTrue(client.message().startsWith("HTTP/1.1 503 "));
+            double took = (System.nanoTime() - from) / 1e9;
+            assertTrue(took > 0.24 && took < 3, "" + took);
+            assertEquals(1, stand.counter("call.connect_failed"));
+            for (int i = 0; i < crowd; i++) {
+                endpoint.accept();
+            }
+            // Whatever comes up of it carries nothing; the first that asks is the next job.
+            Thread serves = new Thread(() -> {
+                while (true) {
+                    try (Peer call = endpoint.accept()) {
+                        assertTrue(call.message().contains("Req-Id: 2\r\n"));
+                        call.says(done("2", "posted"));
+                        return;
+                    } catch (IOException e) {
+                        // Closed with nothing said.
+                    }
+                }
+            });
+            serves.start();
+            // For a while it is under suspicion.
+            String answer;
+            do {
+                answer = client.post("points-post", "2", "", "").message();
+            } while (answer.startsWith("HTTP/1.1 503 "));
+            assertTrue(answer.endsWith("posted"), answer);
+            serves.join();
+        }
+    }
+}
