Capacity news damped by measured overshoot; newcomers ask on until all is known

An honest source was taken for a liar where half of all news was lies: the error common to all was drawn along. It is bounded now. A newcomer stopped to ask at half of the picture; it asks on, 64 times at most.

--- a/src/main/java/laneflow/capacity/decision/Capacity.java
+++ b/src/main/java/laneflow/capacity/decision/Capacity.java
@@ -36,6 +36,8 @@
     public static final long ROUND = 100_000;
     /** Datagrams that one who asks for all gets at once, from each whom it asks. */
     static final int AT_ONCE = 16;
+    /** How often one asks for all: of some endpoints nobody may have heard. */
+    private static final int MOST_ASKS = 64;
     /** Of these in a round. */
     private static final int ANSWERS_A_ROUND = 4;
     private static final int REPEATS = 4;
@@ -78,6 +80,7 @@
     private long answeredAt = Long.MIN_VALUE / 2;
     private int answers;
     private int part;
+    private int asks = MOST_ASKS;
 
     /** @param self a number drawn from this scheduler's name, 16 bits, as all know it */
     public Capacity(int self, int zone, Weighing weighing, Out out) {
@@ -200,7 +203,7 @@
     }
 
     private int wants() {
-        return isNew() ? picture.unknownPart(part) : -1;
+        return asks > 0 ? picture.unknownPart(part) : -1;
     }
 
     /** Bytes for a datagram to a scheduler of that zone, as many as that at most; null: nothing to tell. */
@@ -213,6 +216,7 @@
         if (wants >= 0) {
             // Each is asked for another part.
             part = part + 0x61 & 0xff;
+            asks--;
         }
         return entries.isEmpty() && wants < 0 ? null : write(now, wants, entries);
     }
--- a/src/main/java/laneflow/capacity/decision/Trust.java
+++ b/src/main/java/laneflow/capacity/decision/Trust.java
@@ -41,7 +41,8 @@
     /** News of that source was off by so much, in parts of the endpoint's slots, above nought if too full. */
     void compared(int source, int teller, double off) {
         double bounded = Math.max(-1, Math.min(1, off));
-        bias += COMMON_GAIN * (bounded - bias);
+        // Bounded the more, so that some who lie much do not make liars of the others.
+        bias += COMMON_GAIN * (Math.max(-BORNE, Math.min(BORNE, bounded)) - bias);
         error += COMMON_GAIN * (Math.abs(bounded) - error);
         note(source, bounded, GAIN);
         if (teller != source) {
--- a/src/main/java/laneflow/capacity/decision/Weighing.java
+++ b/src/main/java/laneflow/capacity/decision/Weighing.java
@@ -22,8 +22,8 @@
      * @param mine true where the endpoint is this scheduler's to fill first
      * @param draw by chance, 0 to 1, the same for the same news at the same scheduler
      */
-    record Case(double told, double known, double slots, double heard, double age, double credit, double share,
-            double inflow, double overshoot, int out, boolean mine, double draw) {
+    record Case(double told, double known, double slots, double heard, double age, double credit,
+            double share, double inflow, double overshoot, int out, boolean mine, double draw) {
         public double room() {
             return Math.max(0, slots - told);
         }
@@ -32,6 +32,18 @@
     /** Between what was known and what is told, by the age of the news and the credit of who told it. */
     Weighing BLEND = news -> news.known() + news.credit() * weight(news.age()) * (news.told() - news.known());
 
+    /** So many times the measured overshoot is taken off the room that is told. */
+    double DAMPING = 2;
+
+    /**
+     * The same, but of the room told beyond what was known so much the less is believed as room told before
+     * was found gone: the more have picked the same endpoints, the less anybody makes of such news.
+     */
+    Weighing DAMPED = news -> {
+        double blend = BLEND.others(news);
+        return Math.max(blend, Math.min(news.known(), blend + DAMPING * news.overshoot() * news.room()));
+    };
+
     /** NaN: nothing is made of it. */
     double others(Case news);
 
--- a/src/main/java/laneflow/lab/world/CapacityWorld.java
+++ b/src/main/java/laneflow/lab/world/CapacityWorld.java
@@ -53,8 +53,8 @@
      * @param news how news is weighed; null: nobody talks
      * @param central one that sees all at once decides in the place of all
      */
-    public record Day(int schedulers, int endpoints, int zones, double job, double load, double seconds, long seed,
-            Weighing news, boolean central, double lost, double delay, Fault fault) {
+    public record Day(int schedulers, int endpoints, int zones, double job, double load, double seconds,
+            long seed, Weighing news, boolean central, double lost, double delay, Fault fault) {
     }
 
     /** What came of it. */
@@ -565,7 +565,7 @@
         if (chance.nextDouble() < day.lost) {
             return;
         }
-        after(WIRE + chance.nextDouble() * day.delay, () -> to.capacity.heard(micros(), from.number, from.zone,
-                bytes, ROOM));
+        after(WIRE + chance.nextDouble() * day.delay, () -> to.capacity.heard(micros(), from.number,
+                from.zone, bytes, ROOM));
     }
 }
--- a/src/test/java/laneflow/capacity/decision/CapacityTest.java
+++ b/src/test/java/laneflow/capacity/decision/CapacityTest.java
@@ -147,12 +147,13 @@
         for (int i = 0; i < 60; i++) {
             long now = 1_000_000 + i * 50_000L;
             long endpoint = 1 + random.nextInt(39);
-            double free = random.nextInt(5);
+            double free = 1 + random.nextInt(4);
             one.hears(now, endpoint, free, 0);
             liar.hears(now + 1, endpoint + 1 > 39 ? 1 : endpoint + 1, 192, 0);
             one.tells(now + 2, 1000, other);
             liar.tells(now + 2, 1000, other);
-            other.hears(now + 4000, endpoint, free, 0);
+            // Its own call takes a slot of those.
+            other.hears(now + 4000, endpoint, free - 1, 0);
             other.hears(now + 4000, endpoint + 1 > 39 ? 1 : endpoint + 1, 0, 2);
         }
         assertTrue(other.capacity.credit(66) < 0.1, "liar " + other.capacity.credit(66));
