--- a/src/main/java/laneflow/core/Request.java
+++ b/src/main/java/laneflow/core/Request.java
@@ -37,6 +37,8 @@
     /** It waits, undecided, for a policy that is about to begin. */
     boolean held;
     int calls;
+    /** A call of it was taken up by an endpoint's connection, whatever came of it. */
+    boolean sentOn;
     OutboundCall out;
     Deadline backstop;
     private long mayHaveRunAt = Long.MAX_VALUE;
--- a/src/main/java/laneflow/core/Scheduler.java
+++ b/src/main/java/laneflow/core/Scheduler.java
@@ -376,6 +376,7 @@
         if (!outcome.neverRan) {
             request.mayHaveRun(call.sentAt);
         }
+        request.sentOn |= outcome != Outcome.CONNECT_FAILED && outcome != Outcome.MOOT;
         if (request.front.leases()) {
             request.front.callEnded(call, outcome);
         }
@@ -430,6 +431,9 @@
     private void answerFailed(Request request) {
         close(request);
         counters.add(request.front.name() + ".failed");
+        if (!request.sentOn) {
+            counters.add("clients.failed_unsent");
+        }
         tallies[request.jobClass][FAILED]++;
         request.front.failed(request.tag);
     }
--- a/src/main/java/laneflow/http/Client.java
+++ b/src/main/java/laneflow/http/Client.java
@@ -21,6 +21,8 @@
     private static final long NEW = 200_000;
     /** How long a kept connection may be idle between messages. */
     private static final long IDLE = 120_000_000;
+    /** Behind a request's time its answer earns nothing; later than so long behind it, it is lost. */
+    private static final long LOST = 500_000;
     /** How long a client may leave an answer unread. */
     private static final long UNREAD = 10_000_000;
 
@@ -37,6 +39,8 @@
     /** From a message's end to its answer, also where the core is not asked. */
     private boolean owes;
     private boolean reading;
+    /** Something has been answered on it. */
+    private boolean answered;
     private long since;
     /** Its place among those that came in one turn, and so at one instant. */
     private final long order;
@@ -105,6 +109,11 @@
 
     /** Closes it with nothing more said. */
     void leave() {
+        if (request != null || !link.out.isEmpty()) {
+            front.count("clients.lost");
+        } else if (!answered) {
+            front.count("clients.closed_unanswered");
+        }
         drop();
         link.close();
     }
@@ -233,7 +242,12 @@
             // It left before the disk had spoken.
             return;
         }
+        answered = true;
         if (request != null) {
+            long late = front.loop.micros() - request.deadline;
+            if (late > 0) {
+                front.count(late > LOST ? "clients.lost" : "clients.late");
+            }
             front.close(request);
             request = null;
         }
--- a/src/main/java/laneflow/http/HttpFront.java
+++ b/src/main/java/laneflow/http/HttpFront.java
@@ -108,6 +108,10 @@
 
     /** No more clients; those that are here go on. */
     public void stopAccepting() {
+        if (listener.isFull()) {
+            // One that was let in to the machine, and for which no room came.
+            count("clients.closed_unanswered");
+        }
         listener.close();
     }
 
@@ -252,6 +256,7 @@
 
     @Override
     public void failFast(long tag, double retryAfter) {
+        count("clients.refused");
         String when = retryAfter > 0 ? String.format(Locale.ROOT, "Retry-After: %.3f\r\n", retryAfter) : "";
         answer(tag, 503, "Service Unavailable", when, Client.ascii("fail-fast\n"));
     }
--- a/src/test/java/laneflow/core/SchedulerTest.java
+++ b/src/test/java/laneflow/core/SchedulerTest.java
@@ -95,6 +95,31 @@
         assertEquals(1, counters.get("core.kept.drain"));
     }
 
+    @Test
+    void theGraceRunsFromWhenADrainCountsAsToldHoweverLateItIsRead() {
+        endpoints("a", "b");
+        submit(UNSAFE);
+        submit(UNSAFE);
+        scheduler.list(this, false, List.of(entry(calls.get(0).endpoint.name, State.DRAINING)), now - 300_000);
+        scheduler.list(this, false, List.of(entry(calls.get(1).endpoint.name, State.GONE)), now - 500_000);
+        assertTrue(scheduler.mayBegin(calls.get(0)));
+        assertFalse(scheduler.mayBegin(calls.get(1)));
+        pass(200_000);
+        assertFalse(scheduler.mayBegin(calls.get(0)));
+    }
+
+    /** The operators price it as a refusal. */
+    @Test
+    void whatWasNeverSentOnAndFailsIsCountedApart() {
+        endpoints("a");
+        Request request = new Request(this, 0, new Payload("", "", "r", null, new byte[0]), UNSAFE, now + 5_000_000);
+        request.ranAt(now - 1);
+        scheduler.submit(request);
+        pass(5_000_000);
+        assertEquals(List.of("failed"), answers);
+        assertEquals(1, counters.get("clients.failed_unsent"));
+    }
+
     @Test
     void whatMayHaveRunIsRepeatedOnlyAsItsClassAllows() {
         endpoints("a", "b", "c", "d", "e");
@@ -103,6 +128,7 @@
         assertEquals(2, calls.size());
         scheduler.ended(calls.get(1), Outcome.RESET, null, null);
         assertEquals(List.of("failed"), answers);
+        assertEquals(0, counters.get("clients.failed_unsent"));
         submit(SAFE);
         scheduler.ended(calls.get(2), Outcome.RESET, null, null);
         assertEquals(4, calls.size());
--- a/src/test/java/laneflow/http/HttpStoryTest.java
+++ b/src/test/java/laneflow/http/HttpStoryTest.java
@@ -155,6 +155,15 @@
             assertTrue(answer.startsWith("HTTP/1.1 503 "), answer);
             assertTrue(answer.contains("\r\nRetry-After: "), answer);
             assertEquals(1, stand.counter("call.connect_failed"));
+            assertEquals(1, stand.counter("clients.refused"));
+            // As often as it comes again at once: it hears so each time, and nothing is kept of it.
+            for (int i = 2; i < 300; i++) {
+                assertTrue(client.post("card-capture", "" + i, "", "pay").message().startsWith("HTTP/1.1 503 "));
+            }
+            int[] open = new int[1];
+            stand.serve.loop().call(() -> open[0] = stand.serve.scheduler().open());
+            assertEquals(0, open[0]);
+            assertEquals(299, stand.counter("clients.refused"));
         }
     }
 
@@ -288,6 +297,7 @@
             assertTrue(client.message().endsWith("priced"));
             // No more made way than came, and none of the last ones.
             assertEquals(33, stand.counter("http.gave_way"));
+            assertEquals(33, stand.counter("clients.closed_unanswered"));
         }
     }
 
@@ -305,6 +315,79 @@
         }
     }
 
+    /** What they sent is no burden on those that stay: no call, no descriptor and no request is left of it. */
+    @Test
+    void clientsThatSendMuchAndGoLeaveNothingBehind() throws Exception {
+        Endpoint endpoint = new Endpoint("e1", 200);
+        try (Stand stand = new Stand(null, 200, endpoint)) {
+            String job = "POST /basket-check HTTP/1.1\r\nReq-Id: %d\r\nContent-Length: 2000\r\n\r\n" + "x".repeat(2000);
+            for (int burst = 0; burst < 3; burst++) {
+                for (int i = 0; i < 40; i++) {
+                    Peer gone = stand.http();
+                    for (int much = 0; much < 15; much++) {
+                        gone.write(String.format(job, burst * 10_000 + i * 100 + much));
+                    }
+                    if (i % 2 == 0) {
+                        gone.reset();
+                    } else {
+                        gone.close();
+                    }
+                }
+            }
+            int[] left = {1, 1};
+            while (left[0] + left[1] > 0) {
+                stand.serve.loop().call(() -> {
+                    left[0] = stand.serve.scheduler().open();
+                    left[1] = stand.serve.front().busy();
+                });
+            }
+            // Whatever became of each: taken and withdrawn, or never heard of.
+            assertEquals(stand.counter("http.taken"), stand.counter("http.withdrawn")
+                    + stand.counter("http.refused") + stand.counter("http.failed"));
+            assertEquals(0, stand.counter("clients.lost"));
+            Thread serves = new Thread(() -> {
+                for (boolean more = true; more; ) {
+                    try (Peer call = endpoint.accept()) {
+                        more = !call.message().contains("Req-Id: last\r\n");
+                        call.says("{'id':'last','state':'done','result':'priced'}");
+                    } catch (IOException e) {
+                        // One that its client had left.
+                    }
+                }
+            });
+            serves.start();
+            String answer;
+            try (Peer client = stand.http()) {
+                do {
+                    answer = client.post("basket-check", "last", "", "").message();
+                } while (answer.startsWith("HTTP/1.1 503 "));
+            }
+            assertTrue(answer.endsWith("priced"), answer);
+            serves.join();
+        }
+    }
+
+    /** Half a second behind its time an answer earns nothing; later it is lost, and counted so. */
+    @Test
+    void anAnswerThatComesTooLateIsCountedAsLost() throws Exception {
+        Endpoint endpoint = new Endpoint("e1");
+        try (Stand stand = new Stand(null, endpoint); Peer client = stand.http()) {
+            client.post("basket-check", "1", "Req-Deadline-Ms: 300\r\n", "");
+            endpoint.accept().message();
+            assertEquals(0, stand.counter("clients.late") + stand.counter("clients.lost"));
+            // A turn of the loop that stands still, as where the machine does.
+            stand.serve.loop().call(() -> {
+                try {
+                    Thread.sleep(1000);
+                } catch (InterruptedException e) {
+                    Thread.currentThread().interrupt();
+                }
+            });
+            client.message();
+            assertEquals(1, stand.counter("clients.lost"));
+        }
+    }
+
     @Test
     void aSilentEndpointIsAnsweredForBeforeTheClientGivesUp() throws Exception {
         Endpoint endpoint = new Endpoint("e1");
