--- a/src/main/java/laneflow/assembly/Serve.java
+++ b/src/main/java/laneflow/assembly/Serve.java
@@ -252,6 +252,7 @@
             return;
         }
         stopping = true;
+        counters.add("stop.begun");
         LOG.info("stopping, {} open; {}", scheduler.open(), counters.line());
         double longest = 0;
         for (JobClass type : scheduler.settings().classes) {
--- /dev/null
+++ b/src/test/java/laneflow/http/PlannedEndStoryTest.java
@@ -0,0 +1,110 @@
+package laneflow.http;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.atomic.AtomicInteger;
+import laneflow.net.Stand;
+import laneflow.net.Stand.Endpoint;
+import laneflow.net.Stand.Peer;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+
+/** After SIGTERM clients send on every connection that stays open: what came is answered whole, once. */
+@Timeout(120)
+class PlannedEndStoryTest {
+    private final AtomicInteger answered = new AtomicInteger();
+    private final AtomicInteger torn = new AtomicInteger();
+    private final AtomicInteger crossed = new AtomicInteger();
+
+    /** Asks again as soon as it has its answer, until its connection is closed between two requests. */
+    private Thread asks(Peer client, int number) {
+        Thread thread = new Thread(() -> {
+            for (int i = 0; true; i++) {
+                try {
+                    client.post("basket-check", number + "-" + i, "", "x".repeat(i % 50 * 100));
+                    client.readTo("HTTP/1.1 ");
+                } catch (IOException e) {
+                    // Not a byte of an answer: it crossed the close, and would be sent once more elsewhere.
+                    crossed.incrementAndGet();
+                    return;
+                }
+                try {
+                    String answer = client.message();
+                    answered.incrementAndGet();
+                    if (answer.contains("Connection: close")) {
+                        return;
+                    }
+                } catch (IOException e) {
+                    torn.incrementAndGet();
+                    return;
+                }
+            }
+        });
+        thread.start();
+        return thread;
+    }
+
+    private static Thread serves(Endpoint endpoint) {
+        Thread accepting = new Thread(() -> {
+            while (true) {
+                Peer call;
+                try {
+                    call = endpoint.accept();
+                } catch (IOException e) {
+                    return;
+                }
+                new Thread(() -> {
+                    try {
+                        while (true) {
+                            String sent = call.message();
+                            int at = sent.indexOf("Req-Id: ") + 8;
+                            call.says("{'id':'" + sent.substring(at, sent.indexOf('\r', at))
+                                    + "','state':'done','result':'ok'}");
+                        }
+                    } catch (IOException e) {
+                        // The scheduler has let it go.
+                    }
+                }).start();
+            }
+        });
+        accepting.start();
+        return accepting;
+    }
+
+    @Test
+    void noRequestIsLostInTheCrossing() throws Exception {
+        Endpoint endpoint = new Endpoint("e1");
+        Thread serves = serves(endpoint);
+        try (Stand stand = new Stand(null, endpoint)) {
+            List<Thread> clients = new ArrayList<>();
+            for (int i = 0; i < 6; i++) {
+                clients.add(asks(stand.http(), i));
+            }
+            stand.await("http.served", 20);
+            Thread stop = new Thread(stand.serve::stop);
+            stop.start();
+            stand.await("stop.begun", 1);
+            // New connections keep coming for a while.
+            for (int i = 6; i < 12; i++) {
+                clients.add(asks(stand.http(), i));
+            }
+            for (Thread client : clients) {
+                client.join();
+            }
+            stop.join();
+            long[] counts = new long[3];
+            counts[0] = stand.serve.scheduler().counters().get("http.taken");
+            counts[1] = stand.serve.scheduler().counters().get("clients.lost");
+            counts[2] = stand.serve.scheduler().counters().get("clients.closed_unanswered");
+            assertEquals(0, torn.get());
+            assertEquals(counts[0], answered.get(), crossed + " crossed");
+            assertEquals(0, counts[1] + counts[2]);
+            assertTrue(answered.get() > 100, "" + answered);
+        }
+        serves.join();
+    }
+}
