--- a/src/main/java/laneflow/maintenance/decision/Plan.java
+++ b/src/main/java/laneflow/maintenance/decision/Plan.java
@@ -12,7 +12,8 @@
  * @param asked how often an instant was looked at; the bound of planning is told in these
  * @param flows how many of them needed a flow
  */
-public record Plan(List<Window> windows, Map<String, List<String>> refused, int moved, long asked, int flows) {
+public record Plan(List<Window> windows, Map<String, List<String>> refused, int moved, long asked,
+        int flows) {
     /**
      * A window: its racks count as away for the whole of it.
      *
--- a/src/main/java/laneflow/maintenance/decision/Planner.java
+++ b/src/main/java/laneflow/maintenance/decision/Planner.java
@@ -67,8 +67,8 @@
         this.fairness = fairness;
         this.input = input;
         List<Integer> lost = input.lost().stream().map(fairness.estate()::rack).filter(i -> i >= 0).toList();
-        line = new Timeline(input.times(), fairness, input.forecast(), input.accounts(), input.freezes(), lost,
-                input.lostUntilMs());
+        line = new Timeline(input.times(), fairness, input.forecast(), input.accounts(), input.freezes(),
+                lost, input.lostUntilMs());
         wanted = new double[input.times().steps()];
         input.fixed().forEach(line::add);
         input.requests().stream().filter(one -> !line.windows().containsKey(one.name()))
@@ -359,7 +359,7 @@
         return new Plan(List.copyOf(windows), refused, moved, line.asked(), line.flows());
     }
 
-    /** What stands against a request at a few of its times, each reason with how many of them it stands at. */
+    /** What stands against a request at a few of its times, and each reason at how many of them. */
     private List<String> whyNot(Request request) {
         int first = line.first(request);
         int last = line.last(request);
