Free capacity told among processes: along with the view's datagrams, [capacity], GET /capacity

Datagrams of the view may carry bytes for others (a third form of news): builds before this one count them as spoilt, so the table goes in only once all schedulers are of this build.

--- a/src/main/java/laneflow/assembly/Together.java
+++ b/src/main/java/laneflow/assembly/Together.java
@@ -9,6 +9,7 @@
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.locks.LockSupport;
+import laneflow.capacity.CapacityPart;
 import laneflow.control.ResourceType;
 import laneflow.control.SettingTypes;
 import laneflow.core.Scheduler;
@@ -41,6 +42,8 @@
     private boolean listens;
     /** On the loop. */
     private boolean draining;
+    /** Null where nobody tells of free capacity. */
+    private final CapacityPart capacity;
     /** Null where no policy is decided together. */
     private final PolicyPart policy;
 
@@ -71,6 +74,8 @@
                 setup.policy(), bans -> types(setup, bans), List.of(setup.config().classNames), reading,
                 random.nextLong(), clockRate, core.upgrade()));
         members = setup.members() == null ? null : members(setup, reading, random.nextLong());
+        capacity = setup.capacity() == null ? null : new CapacityPart(loop, scheduler, fleet, members,
+                setup.capacity(), setup.config().zones, random.nextLong());
         listen();
     }
 
@@ -119,6 +124,9 @@
         if (members != null) {
             // The last, so that a life begins only where the former one of this place has ended.
             members.begin();
+            if (capacity != null) {
+                core.loop().call(capacity::begin);
+            }
         }
     }
 
--- /dev/null
+++ b/src/main/java/laneflow/capacity/CapacityPart.java
@@ -0,0 +1,200 @@
+package laneflow.capacity;
+
+import com.google.gson.JsonObject;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.SplittableRandom;
+import laneflow.capacity.decision.Capacity;
+import laneflow.capacity.decision.News;
+import laneflow.capacity.decision.Weighing;
+import laneflow.core.Endpoint;
+import laneflow.core.Scheduler;
+import laneflow.decision.Dispatch.LoadReport;
+import laneflow.decision.Dispatch.Outcome;
+import laneflow.decision.Dispatch.State;
+import laneflow.fleet.Fleet;
+import laneflow.membership.Members;
+import laneflow.membership.decision.Update.Full;
+import laneflow.net.Loop;
+
+/**
+ * Free capacity told among schedulers, in a process: what the scheduler's own calls come back with goes along
+ * with the view's datagrams, what others told comes to the module as reports of their age. On the loop's
+ * thread.
+ */
+public final class CapacityPart implements Capacity.Out, Members.Cargo, Scheduler.Ear {
+    private static final String PATH = "/capacity";
+    private static final long LISTS_EVERY = 500_000;
+    private static final long MILLI = 1000;
+    /** Tries to draw one of the same zone. */
+    private static final int TRIES = 8;
+
+    private final Loop loop;
+    private final Scheduler scheduler;
+    private final Fleet fleet;
+    private final Members members;
+    private final CapacityConfig config;
+    private final List<String> zones;
+    private final int zone;
+    private final SplittableRandom random;
+    private final Capacity capacity;
+    private final Set<Long> listed = new HashSet<>();
+    /** Names by the numbers that news calls schedulers by. */
+    private final Map<Integer, String> names = new HashMap<>();
+    private long listedAt = Long.MIN_VALUE / 2;
+
+    /** @param zones in the order of the settings */
+    public CapacityPart(Loop loop, Scheduler scheduler, Fleet fleet, Members members, CapacityConfig config,
+            List<String> zones, long seed) {
+        this.loop = loop;
+        this.scheduler = scheduler;
+        this.fleet = fleet;
+        this.members = members;
+        this.config = config;
+        this.zones = List.copyOf(zones);
+        zone = scheduler.settings().zone;
+        random = new SplittableRandom(seed);
+        capacity = new Capacity(number(fleet.self().name()), zone, Weighing.SPARING, this);
+    }
+
+    private static int number(String name) {
+        return (int) Endpoint.number(name) & 0xffff;
+    }
+
+    /** News goes out from now on. On the loop. */
+    public void begin() {
+        scheduler.listen(this);
+        members.carry(this);
+        fleet.serve(PATH, (verb, path, body, answer) -> {
+            if (verb.equals("GET") && path.equals(PATH)) {
+                answer.say(200, "application/json", "", report() + "\n");
+            } else {
+                answer.say(verb.equals("GET") ? 404 : 405, "text/plain", "", "known is GET " + PATH + "\n");
+            }
+        });
+        round();
+    }
+
+    private void round() {
+        long now = loop.micros();
+        loop.deadlines().at(now + config.round, this::round);
+        if (now - listedAt >= LISTS_EVERY) {
+            listedAt = now;
+            lists();
+        }
+        if (!capacity.hasNews()) {
+            return;
+        }
+        List<Full> live = members.live();
+        for (int i = 0; i < config.fanout && !live.isEmpty(); i++) {
+            Full to = live.get(random.nextInt(live.size()));
+            for (int k = 0; k < TRIES && i % 2 == 0 && zoneOf(to) != zone; k++) {
+                to = live.get(random.nextInt(live.size()));
+            }
+            members.carry(to.life().name(), null);
+        }
+    }
+
+    /** What drains or is gone is not told of, and not heard of. */
+    private void lists() {
+        Set<Long> ready = new HashSet<>();
+        scheduler.destinations().forEach(endpoint -> {
+            if (endpoint.state() == State.READY && !scheduler.isDown(endpoint)) {
+                ready.add(endpoint.id);
+                listed.add(endpoint.id);
+                capacity.listed(endpoint.id, endpoint.zone, endpoint.kind, "", endpoint.startedAt / MILLI);
+            }
+        });
+        listed.removeIf(id -> {
+            if (!ready.contains(id)) {
+                capacity.unlisted(id);
+            }
+            return !ready.contains(id);
+        });
+    }
+
+    private int zoneOf(Full member) {
+        return zones.indexOf(member.facts().zone());
+    }
+
+    // ---- from the scheduler ----
+
+    @Override
+    public void sent(Endpoint endpoint) {
+        capacity.sent(loop.micros(), endpoint.id);
+    }
+
+    @Override
+    public void ended(Endpoint endpoint, Outcome outcome, LoadReport report) {
+        capacity.ended(loop.micros(), endpoint.id, !outcome.neverRan,
+                report == null ? Double.NaN : report.freeSlots, report == null ? Double.NaN : report.queue);
+    }
+
+    // ---- from and to the others ----
+
+    @Override
+    public byte[] fill(Full to, int room) {
+        return capacity.tell(loop.micros(), zoneOf(to), room);
+    }
+
+    @Override
+    public void take(Full from, byte[] bytes) {
+        int teller = number(from.life().name());
+        names.put(teller, from.life().name());
+        scheduler.counters().add("capacity.received");
+        capacity.heard(loop.micros(), teller, zoneOf(from), bytes, members.room());
+    }
+
+    @Override
+    public void report(long endpoint, double age, LoadReport report) {
+        scheduler.told(endpoint, age, report);
+    }
+
+    @Override
+    public void send(int to, byte[] bytes) {
+        // Not from amid the view's own turn.
+        loop.deadlines().at(loop.micros(), () -> members.carry(names.getOrDefault(to, ""), bytes));
+    }
+
+    @Override
+    public void count(String what) {
+        scheduler.counters().add("capacity." + what);
+    }
+
+    // ---- reports ----
+
+    private JsonObject report() {
+        long now = loop.micros();
+        JsonObject all = new JsonObject();
+        all.addProperty("known_share", capacity.knownShare());
+        all.addProperty("overshoot", capacity.overshoot());
+        JsonObject sums = new JsonObject();
+        for (int i = 0; i < zones.size(); i++) {
+            Capacity.Sum sum = capacity.ofZone(now, i);
+            JsonObject one = new JsonObject();
+            one.addProperty("endpoints", sum.endpoints());
+            one.addProperty("heard_of", sum.heardOf());
+            one.addProperty("free", sum.free());
+            one.addProperty("error", sum.error());
+            sums.add(zones.get(i), one);
+        }
+        all.add("zones", sums);
+        JsonObject endpoints = new JsonObject();
+        scheduler.destinations().forEach(endpoint -> {
+            News news = capacity.news(endpoint.id);
+            if (news != null) {
+                JsonObject one = new JsonObject();
+                one.addProperty("free", news.freeSlots());
+                one.addProperty("queue", news.queued());
+                one.addProperty("age_ms", (now - news.heardAt()) / MILLI);
+                one.addProperty("own", news.source() == number(fleet.self().name()));
+                endpoints.add(endpoint.name, one);
+            }
+        });
+        all.add("endpoints", endpoints);
+        return all;
+    }
+}
--- a/src/main/java/laneflow/capacity/decision/Capacity.java
+++ b/src/main/java/laneflow/capacity/decision/Capacity.java
@@ -131,37 +131,44 @@
         }
     }
 
-    /** A call to it has ended, with what it says of itself; NaN where it does not say. */
-    public void ended(long now, long endpoint, double free, double queue) {
+    /**
+     * A call to it has ended, with what it says of itself; NaN where it does not say.
+     *
+     * @param counted true where the call was taken in: what the endpoint says still counts it then
+     */
+    public void ended(long now, long endpoint, boolean counted, double free, double queue) {
         Seen seen = picture.get(endpoint);
         if (seen == null) {
             return;
         }
         if (free >= 0 && free <= Steps.value(Steps.MOST)) {
-            own(now, seen, free, queue);
+            own(now, seen, counted, free, queue);
         }
         seen.ended(now);
     }
 
-    private void own(long now, Seen seen, double free, double queue) {
+    private void own(long now, Seen seen, boolean counted, double free, double queue) {
         seen.size.own(free, queue >= 0);
         double slots = seen.size.slots();
         double waiting = queue > 0 ? queue : 0;
         double taken = Math.max(0, slots - free) + waiting;
         News before = seen.news;
         if (before != null && before.source() != self && now - before.heardAt() <= COMPARED_WITHIN) {
-            double moved = seen.out - seen.outAt(before.heardAt());
+            double moved = seen.out - (counted ? 0 : 1) - seen.outAt(before.heardAt());
             trust.compared(before.source(), before.teller(), (taken(before, slots) + moved - taken) / slots);
         }
         if (now - seen.roomToldAt <= OVERSHOOT_WITHIN) {
             seen.roomToldAt = Long.MIN_VALUE / 2;
             overshoot += OVERSHOOT_GAIN * ((waiting > 0 ? 1 : 0) - overshoot);
         }
-        seen.ownOthers = Math.max(0, taken - seen.out);
+        int out = seen.out - (counted ? 0 : 1);
+        seen.ownOthers = Math.max(0, taken - out);
         seen.ownAt = now;
         crowd(seen).heard(seen.ownOthers / slots);
-        picture.merge(seen, new News(seen.id, seen.bornMs, Steps.down(free), Steps.up(waiting),
-                Steps.down(seen.out), now, self, self));
+        // To others the call that has ended counts no more.
+        double left = Math.max(0, taken - (counted ? 1 : 0));
+        picture.merge(seen, new News(seen.id, seen.bornMs, Steps.down(Math.max(0, slots - left)),
+                Steps.up(Math.max(0, left - slots)), Steps.down(Math.max(0, seen.out - 1)), now, self, self));
     }
 
     private static double taken(News news, double slots) {
--- a/src/main/java/laneflow/capacity/decision/News.java
+++ b/src/main/java/laneflow/capacity/decision/News.java
@@ -21,6 +21,14 @@
             .thenComparingLong(News::heardAt).thenComparingInt(News::source).thenComparingInt(News::free)
             .thenComparingInt(News::queue).thenComparingInt(News::calls).thenComparingInt(News::teller);
 
+    public int freeSlots() {
+        return Steps.value(free);
+    }
+
+    public int queued() {
+        return Steps.value(queue);
+    }
+
     /**
      * What two pieces of news of one endpoint come to: the greater in a total order, so the order and the
      * number of merges do not matter. Null is no news.
--- a/src/main/java/laneflow/capacity/decision/Weighing.java
+++ b/src/main/java/laneflow/capacity/decision/Weighing.java
@@ -44,6 +44,21 @@
         return Math.max(blend, Math.min(news.known(), blend + DAMPING * news.overshoot() * news.room()));
     };
 
+    /** Schedulers that are to hear of a free endpoint, in the mean. */
+    double TOLD_MEAN = 3;
+    /** Slots by which one that is held to be full may be short of it. */
+    double ALMOST = 0.5;
+
+    /**
+     * The same, and only where it may turn a refusal into an answer: of endpoints that by own knowledge have
+     * no room, news of room, taken by so few schedulers that they do not fill it together, the more often
+     * by those who ask for more. All that believe the same news pick the same endpoints, so news of what is
+     * known costs more than it gains (docs/capacity-gossip.md).
+     */
+    Weighing SPARING = news -> news.known() + news.out() >= news.slots() - ALMOST
+            && news.told() < news.known() && news.draw() < TOLD_MEAN * news.share() ? DAMPED.others(news)
+            : Double.NaN;
+
     /** NaN: nothing is made of it. */
     double others(Case news);
 
--- a/src/main/java/laneflow/config/OperatorFile.java
+++ b/src/main/java/laneflow/config/OperatorFile.java
@@ -26,6 +26,7 @@
     private final Table fleet;
     private final Table policy;
     private final Table members;
+    private final Table capacity;
 
     private OperatorFile(Table root) {
         this.root = root;
@@ -35,6 +36,7 @@
         fleet = root.table("fleet");
         policy = root.table("policy");
         members = root.table("members");
+        capacity = root.table("capacity");
         top();
         root.close();
     }
@@ -115,6 +117,11 @@
         return members;
     }
 
+    /** The table of free capacity told among schedulers, or null where it is off. */
+    public Table capacity() {
+        return capacity;
+    }
+
     /** What is said of the scheduler, in the platform's form. */
     public JsonObject platform() {
         return platform;
--- a/src/main/java/laneflow/core/DestinationSet.java
+++ b/src/main/java/laneflow/core/DestinationSet.java
@@ -7,6 +7,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.TreeSet;
+import java.util.function.Consumer;
 import laneflow.decision.Dispatch.State;
 import laneflow.decision.Dispatch.Worker;
 import org.agrona.collections.LongHashSet;
@@ -172,6 +173,11 @@
         return byName.get(name);
     }
 
+    /** All that are held, whatever their state. */
+    public void forEach(Consumer<Endpoint> what) {
+        byName.values().forEach(what);
+    }
+
     public int size() {
         return byName.size();
     }
--- a/src/main/java/laneflow/core/Scheduler.java
+++ b/src/main/java/laneflow/core/Scheduler.java
@@ -55,6 +55,8 @@
     /** Endpoints that the policy in force bans, beside those that operators have set down here. */
     private Set<String> barred = Set.of();
     private final long[][] tallies;
+    /** Null where nobody listens. */
+    private Ear ear;
 
     public Scheduler(Settings settings, long seed, Clock clock, Deadlines deadlines, Counters counters) {
         this.settings = settings;
@@ -128,6 +130,25 @@
         }
     }
 
+    /** Hears of every call that goes out, and of its end behind the module. */
+    public interface Ear {
+        void sent(Endpoint endpoint);
+
+        void ended(Endpoint endpoint, Outcome outcome, LoadReport report);
+    }
+
+    public void listen(Ear by) {
+        ear = by;
+    }
+
+    /** Another scheduler's report of an endpoint, so many seconds old and newer than any own one. */
+    public void told(long endpoint, double age, LoadReport report) {
+        LoadReport copy = new LoadReport();
+        copy.freeSlots = report.freeSlots;
+        copy.queue = report.queue;
+        event(() -> module.probed(now(), endpoint, age, Outcome.MOOT, copy));
+    }
+
     /** From now on requests are decided on only while it lets them be. */
     public void decideWhile(Gate condition) {
         gate = condition;
@@ -388,6 +409,9 @@
             request.front.served(request.tag, result);
         }
         tell(call, outcome, over, report);
+        if (ear != null) {
+            ear.ended(call.endpoint, outcome, report);
+        }
     }
 
     /** How a probe ended. */
@@ -482,6 +506,9 @@
             request.out = call;
             call.handle = calls.add(call);
             counters.add("call.sent");
+            if (ear != null) {
+                ear.sent(endpoint);
+            }
             if (request.front.leases()) {
                 request.front.lease(call);
             } else {
--- a/src/main/java/laneflow/lab/rig/Rig.java
+++ b/src/main/java/laneflow/lab/rig/Rig.java
@@ -541,6 +541,16 @@
                 folder.resolve("ran").toString(), "5", "32", "4", String.valueOf(seconds));
     }
 
+    /** Stand-in nodes that tell their load: so many slots each, jobs of so many milliseconds in the mean. */
+    public void nodes(int[] ports, int slots, int runMs, int seconds) throws IOException {
+        StringBuilder all = new StringBuilder();
+        for (int port : ports) {
+            all.append(all.isEmpty() ? "" : ",").append(port);
+        }
+        start("nodes", StandInNodes.class, all.toString(), "", "5", String.valueOf(slots),
+                String.valueOf(runMs), String.valueOf(seconds), "load");
+    }
+
     /** The operators' file's tables of these. */
     public static String endpoints(int[] ports) {
         StringBuilder all = new StringBuilder();
--- a/src/main/java/laneflow/membership/Members.java
+++ b/src/main/java/laneflow/membership/Members.java
@@ -78,6 +78,8 @@
     private long longestNs;
     private long turns;
     private boolean over;
+    /** Null where nothing goes along. */
+    private Cargo cargo;
     private long toldTwiceAt = Long.MIN_VALUE / 2;
 
     /**
@@ -94,6 +96,51 @@
             Supplier<Long> served, Executor reading, long seed) {
     }
 
+    /** What goes along with the view's datagrams for others than the view; on the loop. */
+    public interface Cargo {
+        /** Bytes for that member, as many at most, or null. */
+        byte[] fill(Full to, int room);
+
+        /** Bytes of that member; nothing may be sent from there. */
+        void take(Full from, byte[] bytes);
+    }
+
+    /** Takes that along from now on. */
+    public void carry(Cargo what) {
+        cargo = what;
+    }
+
+    /** The live members that are known, this one left out; empty before {@link #begin}. */
+    public List<Full> live() {
+        List<Full> all = swim == null || over ? new ArrayList<>() : new ArrayList<>(swim.others());
+        all.removeIf(one -> !one.state().isLive());
+        return all;
+    }
+
+    /** Sends that member these bytes, or, where null, a datagram with what is for it. */
+    public void carry(String name, byte[] bytes) {
+        if (swim != null && !over) {
+            swim.carry(name, bytes);
+        }
+    }
+
+    /** Bytes that go along in a datagram that holds nothing else. */
+    public int room() {
+        return wire.room(Kind.NEWS) - wire.applyAsInt(new Update.Extra(new byte[0]));
+    }
+
+    @Override
+    public byte[] extra(Full to, int room) {
+        return cargo == null ? null : cargo.fill(to, room);
+    }
+
+    @Override
+    public void extra(Full from, byte[] bytes) {
+        if (cargo != null) {
+            cargo.take(from, bytes);
+        }
+    }
+
     /** Reads the keys and begins; off the loop. */
     public Members(Given given) throws IOException, InterruptedException {
         this.given = given;
--- a/src/main/java/laneflow/membership/decision/Swim.java
+++ b/src/main/java/laneflow/membership/decision/Swim.java
@@ -9,6 +9,7 @@
 import java.util.function.ToIntFunction;
 import laneflow.membership.decision.Message.Kind;
 import laneflow.membership.decision.Update.Claim;
+import laneflow.membership.decision.Update.Extra;
 import laneflow.membership.decision.Update.Full;
 import laneflow.membership.decision.View.Entry;
 
@@ -34,6 +35,15 @@
         /** A member is known, or has another state or other words; null: of no life before. */
         void changed(Full before, Full now);
 
+        /** Bytes for others than the view that are to go along to that member, or null. */
+        default byte[] extra(Full to, int room) {
+            return null;
+        }
+
+        /** Such bytes from a member. */
+        default void extra(Full from, byte[] bytes) {
+        }
+
         /** Counts an event of that name. */
         void count(String what);
     }
@@ -472,9 +482,27 @@
         }
     }
 
+    /** Sends a live member those bytes, or null: what {@link Out#extra} has for it. */
+    public void carry(String name, byte[] bytes) {
+        Entry entry = view.name(name);
+        if (entry != null && entry.state.isLive() && !left) {
+            if (bytes == null) {
+                send(entry, Kind.NEWS, 0, 0, List.of());
+            } else {
+                reply(entry.at(), Kind.NEWS, 0, 0, List.of(new Extra(bytes)));
+            }
+        }
+    }
+
     // ---- what news does ----
 
     private void accept(Update update, Entry sender, long now) {
+        if (update instanceof Extra extra) {
+            if (sender != null) {
+                out.extra(sender.full(), extra.bytes());
+            }
+            return;
+        }
         if (update instanceof Full full) {
             if (full.life().generation() < 0 || full.life().generation() > Life.MOST_GENERATION
                     || full.incarnation() < 0) {
@@ -558,7 +586,15 @@
         for (Update one : updates) {
             room -= sizes.applyAsInt(one);
         }
+        int known = updates.size();
         news.fill(updates, room, Times.repeats(size()), sizes);
+        for (Update one : updates.subList(known, updates.size())) {
+            room -= sizes.applyAsInt(one);
+        }
+        byte[] extra = out.extra(to.full(), room - Wire.EXTRA_HEAD);
+        if (extra != null) {
+            updates.add(new Extra(extra));
+        }
         reply(to.at(), kind, number, target, updates);
     }
 
--- a/src/main/java/laneflow/membership/decision/Update.java
+++ b/src/main/java/laneflow/membership/decision/Update.java
@@ -14,6 +14,10 @@
         }
     }
 
+    /** Bytes that go along for others than the view. */
+    record Extra(byte[] bytes) implements Update {
+    }
+
     /**
      * A claim about a life that the hearer may know.
      *
--- a/src/main/java/laneflow/membership/decision/Wire.java
+++ b/src/main/java/laneflow/membership/decision/Wire.java
@@ -9,6 +9,7 @@
 import laneflow.membership.decision.Facts.Condition;
 import laneflow.membership.decision.Message.Kind;
 import laneflow.membership.decision.Update.Claim;
+import laneflow.membership.decision.Update.Extra;
 import laneflow.membership.decision.Update.Full;
 import org.msgpack.core.MessageBufferPacker;
 import org.msgpack.core.MessagePack;
@@ -22,6 +23,7 @@
 public final class Wire implements Swim.Sizes {
     private static final int FULL = 1;
     private static final int CLAIM = 2;
+    private static final int EXTRA = 3;
     private static final int LONG = 9;
     private static final int INT = 5;
     private static final int BYTES_HEAD = 2;
@@ -31,6 +33,8 @@
     private static final int BUCKET_BYTES = View.BUCKETS * Integer.BYTES + BYTES_HEAD;
     private static final int HEAD = SMALL + LONG + INT + INT + LONG;
     private static final int CLAIM_BYTES = SMALL + LONG + INT + SMALL + LONG;
+    /** Bytes around those of an {@link Extra}. */
+    static final int EXTRA_HEAD = SMALL + BYTES_HEAD;
     private static final int MOST_UPDATES = 32;
     private static final int CONDITIONS = Condition.values().length;
     private static final int STEP_BITS = 5;
@@ -54,7 +58,7 @@
             return SMALL + text(full.life().name()) + LONG + place(full.life().at()) + INT + SMALL
                     + text(facts.zone()) + text(facts.build()) + place(facts.link()) + LONG + INT;
         }
-        return CLAIM_BYTES;
+        return update instanceof Extra extra ? EXTRA_HEAD + extra.bytes().length : CLAIM_BYTES;
     }
 
     /** The most bytes that a message may take. */
@@ -105,6 +109,10 @@
                     .packInt(claim.state().ordinal()).packLong(claim.by());
             return;
         }
+        if (update instanceof Extra extra) {
+            to.packInt(EXTRA).packBinaryHeader(extra.bytes().length).addPayload(extra.bytes());
+            return;
+        }
         Full full = (Full) update;
         Facts facts = full.facts();
         to.packInt(FULL).packString(full.life().name()).packLong(full.life().generation());
@@ -177,6 +185,13 @@
         if (form == CLAIM) {
             return new Claim(from.unpackLong(), natural(from), state(from), from.unpackLong());
         }
+        if (form == EXTRA) {
+            int length = from.unpackBinaryHeader();
+            if (length > Seal.MOST) {
+                throw new IOException("an extra of " + length + " bytes");
+            }
+            return new Extra(from.readPayload(length));
+        }
         if (form != FULL) {
             throw new IOException("no form of news: " + form);
         }
--- /dev/null
+++ b/src/test/java/laneflow/lab/world/CapacityWorldTest.java
@@ -0,0 +1,52 @@
+package laneflow.lab.world;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import laneflow.capacity.decision.Weighing;
+import laneflow.lab.world.CapacityWorld.Day;
+import laneflow.lab.world.CapacityWorld.Fault;
+import laneflow.lab.world.CapacityWorld.Result;
+import org.junit.jupiter.api.Test;
+
+/** Days of a fleet in virtual time, with the module itself deciding: what news of capacity does to it. */
+class CapacityWorldTest {
+    private static Result day(Weighing news, double lost, Fault fault) {
+        return CapacityWorld.play(new Day(18, 90, 3, 1, 0.75, 5, 11, news, false, lost, 0.002, fault));
+    }
+
+    @Test
+    void withoutNewsTheModuleChoosesAsItDoesWithout() {
+        Result without = day(null, 0, Fault.NONE);
+        // All is told and heard, and nothing is made of it.
+        Result heard = day(news -> Double.NaN, 0, Fault.NONE);
+        assertTrue(heard.datagrams > 0 && heard.news == 0);
+        assertEquals(without.asked, heard.asked);
+        assertEquals(without.inTime, heard.inTime);
+        assertEquals(without.late, heard.late);
+        assertEquals(without.refused, heard.refused);
+        // Where all is lost it is the same.
+        Result lost = day(Weighing.SPARING, 1, Fault.NONE);
+        assertEquals(without.inTime, lost.inTime);
+        assertEquals(without.refused, lost.refused);
+    }
+
+    @Test
+    void newsLetsFewerBeRefusedWhileAnEndpointHasRoom() {
+        Result without = day(null, 0, Fault.NONE);
+        Result with = day(Weighing.SPARING, 0, Fault.NONE);
+        assertTrue(without.idleRefused > 0 && with.news > 0);
+        assertTrue(with.idleRefused < without.idleRefused, with.idleRefused + " of " + without.idleRefused);
+        assertTrue(with.mostBytes <= 200);
+    }
+
+    @Test
+    void aLiarCostsLessThanAPoint() {
+        Result honest = day(Weighing.SPARING, 0, Fault.NONE);
+        for (Fault lie : new Fault[] {Fault.LIAR_FREE, Fault.LIAR_FULL}) {
+            Result lied = day(Weighing.SPARING, 0, lie);
+            assertTrue(lied.points() > honest.points() - 1, lie + ": " + lied.points() + " of " + honest
+                    .points());
+        }
+    }
+}
