Tasks that the fleet does once: leases with tokens in the voters' ledger

A task is held by one process at a time, under a lease with a token that only rises. The table of tasks is a part of the voters' ledger; until when a holder may act is in the leader's memory and rides on policy's renewals and grants, so a renewal costs no sync and no message of its own. The clock's bound of policy's lease is a class of its own now, used by both.

--- a/src/main/java/laneflow/assembly/Setup.java
+++ b/src/main/java/laneflow/assembly/Setup.java
@@ -16,11 +16,13 @@
 import laneflow.http.Config;
 import laneflow.membership.MembersConfig;
 import laneflow.policy.PolicyConfig;
+import laneflow.task.TaskConfig;
 import laneflow.wire.WireException;
 
 /** All that a scheduler is told at its start; null stands for a front or a subsystem that is off. */
 public record Setup(Config config, GearmanConfig gearman, DurableConfig durable, ControlConfig control,
-        FleetConfig fleet, PolicyConfig policy, MembersConfig members, Map<String, String> fixed) {
+        FleetConfig fleet, PolicyConfig policy, MembersConfig members, TaskConfig tasks,
+        Map<String, String> fixed) {
     private static final String PLATFORM = "the platform's file decides this here";
     private static final List<String> FLEETS = List.of("classes", "limits");
     private static final String FLEET = "the fleet decides this together: laneflow policy propose";
@@ -38,7 +40,7 @@
 
     /** Nothing of the stream's types is decided elsewhere. */
     public Setup(Config config, GearmanConfig gearman, DurableConfig durable, ControlConfig control) {
-        this(config, gearman, durable, control, null, null, null, Map.of());
+        this(config, gearman, durable, control, null, null, null, null, Map.of());
     }
 
     /** The platform's file, with a Gearman file and a destination set beside it, each unless null. */
@@ -126,11 +128,17 @@
                 fleet);
         MembersConfig members = operators.members() == null ? null : MembersConfig.read(operators.members(),
                 fleet);
+        TaskConfig tasks = operators.tasks() == null ? null : TaskConfig.read(operators.tasks(), policy);
+        if (tasks != null && tasks.stores != null && (durable == null || fleet == null
+                || !tasks.stores.resolve(fleet.name).equals(durable.dir))) {
+            findings.add("tasks", "stores", "is where the stores of all schedulers lie: [durable] dir must be"
+                    + " this folder's '" + (fleet == null ? "NAME" : fleet.name) + "'");
+        }
         if (policy != null && policy.tellPolicy && control != null && control.tellVersions) {
             findings.add("policy", "tell_policy",
                     "and [control] tell_versions name one header: only one of them");
         }
         findings.raise();
-        return new Setup(config, gearman, durable, control, fleet, policy, members, fixed);
+        return new Setup(config, gearman, durable, control, fleet, policy, members, tasks, fixed);
     }
 }
--- a/src/main/java/laneflow/assembly/Together.java
+++ b/src/main/java/laneflow/assembly/Together.java
@@ -6,6 +6,7 @@
 import java.util.ArrayList;
 import java.util.HexFormat;
 import java.util.List;
+import java.util.Map;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.locks.LockSupport;
@@ -22,6 +23,9 @@
 import laneflow.net.Threads;
 import laneflow.policy.PolicyPart;
 import laneflow.policy.PolicyTypes;
+import laneflow.task.Hooks;
+import laneflow.task.Tasks;
+import laneflow.task.decision.Table;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -43,6 +47,10 @@
     private boolean draining;
     /** Null where no policy is decided together. */
     private final PolicyPart policy;
+    /** Null where no policy is decided together. */
+    private final Tasks tasks;
+    /** Null where the fleet calls nothing. */
+    private final Hooks hooks;
 
     /** Links this scheduler with the others; before clients are let in. */
     Together(Setup setup, Subsystems.Core core) throws IOException, InterruptedException {
@@ -66,10 +74,14 @@
                 answer.say(200, "text/plain", "", scheduler.counters().text())));
         // Outside tests clocks run as they run.
         double clockRate = Double.parseDouble(System.getProperty(CLOCK_RATE, "1"));
+        tasks = setup.policy() == null ? null : new Tasks(loop, fleet, scheduler.counters());
         ExecutorService reading = Threads.inOrder("policy-reader");
         policy = setup.policy() == null ? null : new PolicyPart(new PolicyPart.Given(loop, fleet, scheduler,
                 setup.policy(), bans -> types(setup, bans), List.of(setup.config().classNames), reading,
-                random.nextLong(), clockRate, core.upgrade()));
+                random.nextLong(), clockRate, core.upgrade(), Map.of(Table.NAME, new Table()), tasks));
+        hooks = setup.tasks() == null ? null : new Hooks(loop, tasks, scheduler.counters(),
+                fleet.self().who(),
+                setup.tasks().hooks);
         members = setup.members() == null ? null : members(setup, reading, random.nextLong());
         listen();
     }
@@ -161,11 +173,17 @@
         if (tellsPolicy) {
             core.loop().call(() -> core.front().tellVersions(policy::stamp));
         }
+        if (hooks != null) {
+            core.loop().call(hooks::begin);
+        }
     }
 
     @Override
     public void drain() {
         draining = true;
+        if (tasks != null) {
+            tasks.drain();
+        }
         if (members != null) {
             members.changed();
         }
@@ -180,6 +198,9 @@
     @Override
     public void close() throws InterruptedException {
         closed = true;
+        if (hooks != null) {
+            hooks.close();
+        }
         if (members != null) {
             members.leave();
         }
--- a/src/main/java/laneflow/cli/Cli.java
+++ b/src/main/java/laneflow/cli/Cli.java
@@ -20,7 +20,8 @@
 @Command(name = "laneflow", mixinStandardHelpOptions = true, versionProvider = Cli.Version.class,
         description = "Job scheduler and protocol translator: old clients reach new servers.",
         subcommands = {ServeCommand.class, BenchlinkCommand.class, JobsCommand.class,
-            ConfigCommand.class, PolicyCommand.class, FleetCommand.class, Lab.class})
+            ConfigCommand.class, PolicyCommand.class, FleetCommand.class, TaskCommand.class,
+            Lab.class})
 public final class Cli implements Runnable {
     @Spec
     private CommandSpec spec;
--- a/src/main/java/laneflow/config/OperatorFile.java
+++ b/src/main/java/laneflow/config/OperatorFile.java
@@ -26,6 +26,7 @@
     private final Table fleet;
     private final Table policy;
     private final Table members;
+    private final Table tasks;
 
     private OperatorFile(Table root) {
         this.root = root;
@@ -35,6 +36,7 @@
         fleet = root.table("fleet");
         policy = root.table("policy");
         members = root.table("members");
+        tasks = root.table("tasks");
         top();
         root.close();
     }
@@ -115,6 +117,11 @@
         return members;
     }
 
+    /** The table of tasks that the fleet does once, or null. */
+    public Table tasks() {
+        return tasks;
+    }
+
     /** What is said of the scheduler, in the platform's form. */
     public JsonObject platform() {
         return platform;
--- a/src/main/java/laneflow/policy/Leadership.java
+++ b/src/main/java/laneflow/policy/Leadership.java
@@ -1,6 +1,7 @@
 package laneflow.policy;
 
 import com.google.gson.JsonArray;
+import com.google.gson.JsonElement;
 import com.google.gson.JsonObject;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
@@ -42,6 +43,8 @@
     private final VoterGroup group;
     private final Policy policy;
     private final FleetTrial trial;
+    /** Null where nothing rides on renewals. */
+    private final Rider rider;
     private final Deadline round;
     private final Deadline look;
     /** How each scheduler is reached: by the link of its last renewal. */
@@ -61,7 +64,8 @@
     private String invited = "";
 
     Leadership(Loop loop, Fleet fleet, PolicyConfig config, Counters counters, Voting voting,
-            VoterGroup group, Policy policy, FleetTrial trial) {
+            VoterGroup group, Policy policy, FleetTrial trial,
+            Rider rider) {
         this.loop = loop;
         this.fleet = fleet;
         this.config = config;
@@ -70,6 +74,7 @@
         this.group = group;
         this.policy = policy;
         this.trial = trial;
+        this.rider = rider;
         round = loop.deadlines().create(this::confirm);
         look = loop.deadlines().create(this::step);
     }
@@ -102,12 +107,16 @@
         }
         if (!leads) {
             lead = null;
+            ridesNoMore();
         } else if (lead == null || lead.term() != now) {
             counters.add("policy.elected");
             lead = new Lead(now, policy.now(), new Lead.Times(config.lease, config.lease / QUIET_PARTS,
                     config.prepare));
             view = null;
             trial.begin(policy.now());
+            if (rider != null) {
+                rider.leads(now);
+            }
             confirm();
         }
     }
@@ -130,12 +139,32 @@
         boolean first = !stopped;
         stopped = true;
         lead = null;
+        ridesNoMore();
         // It hears of no election any more: who leads is known from leases, as by those that do not vote.
         leader = "";
         voters = Set.of();
         return first;
     }
 
+    private void ridesNoMore() {
+        if (rider != null) {
+            rider.leadsNoMore();
+        }
+    }
+
+    /** What rides on this process's own renewal, asked at that instant. */
+    void ride(long asked) {
+        String who = fleet.self().who();
+        JsonElement said = rider.says();
+        if (lead != null && said != null) {
+            rider.heard(who, said);
+            JsonElement word = rider.word(who, false);
+            if (word != null) {
+                rider.told(word, asked, policy.now());
+            }
+        }
+    }
+
     boolean leads() {
         return lead != null;
     }
@@ -153,12 +182,16 @@
         looking = true;
         Lead of = lead;
         long submitted = policy.now();
-        voting.look(of.term(), Ledger::view, found -> {
+        voting.look(of.term(), ledger -> new Seen(ledger.view(), rider == null ? null
+                : ledger.part(rider.part())), found -> {
             looking = false;
             boolean again = lookAgain;
             lookAgain = false;
-            if (lead == of && found != null) {
-                confirmed(submitted, (View) found);
+            if (lead == of && found instanceof Seen seen) {
+                confirmed(submitted, seen.changes());
+                if (lead == of && rider != null) {
+                    rider.confirmed(submitted, seen.part());
+                }
             }
             if (again) {
                 confirm();
@@ -166,6 +199,10 @@
         });
     }
 
+    /** Both of one moment. */
+    private record Seen(View changes, Object part) {
+    }
+
     private void confirmed(long submitted, View found) {
         View before = view;
         view = found;
@@ -203,6 +240,9 @@
         trial.heard(who, message.getAsJsonArray("tallies"));
         lead.heard(policy.now(), who, Words.renewal(message));
         step();
+        if (rider != null && message.has(Policy.RIDER)) {
+            rider.heard(who, message.get(Policy.RIDER));
+        }
         tell(who, message.get("at").getAsLong());
     }
 
@@ -240,6 +280,9 @@
     void left(String who) {
         if (lead != null) {
             lead.left(who);
+            if (rider != null) {
+                rider.left(who);
+            }
             routes.remove(who);
             step();
         }
@@ -274,11 +317,18 @@
         }
     }
 
-    private void tell(String who, long at) {
+    void tell(String who, long at) {
         Grant grant = lead == null ? null : lead.grant(policy.now(), who);
         Peer route = routes.get(who);
-        if (grant != null && route != null) {
-            route.send(Words.grant(grant, who, fleet.self().name(), at, voterNames));
+        if (who.equals(fleet.self().who())) {
+            policy.renewNow();
+        } else if (grant != null && route != null) {
+            JsonObject message = Words.grant(grant, who, fleet.self().name(), at, voterNames);
+            JsonElement word = rider == null ? null : rider.word(who, at < 0);
+            if (word != null) {
+                message.add(Policy.RIDER, word);
+            }
+            route.send(message);
         }
     }
 
@@ -317,6 +367,14 @@
         takeBack();
     }
 
+    /** Puts an operation of another part into the log, and has the state confirmed again. */
+    void replicate(JsonObject operation, Consumer<JsonObject> then) {
+        voting.replicate(operation, answer -> {
+            then.accept(answer);
+            confirm();
+        });
+    }
+
     private void ask(JsonObject operation) {
         Lead of = lead;
         voting.replicate(operation, answer -> {
--- a/src/main/java/laneflow/policy/Policy.java
+++ b/src/main/java/laneflow/policy/Policy.java
@@ -16,6 +16,7 @@
 import java.util.TreeMap;
 import java.util.concurrent.Executor;
 import java.util.concurrent.RejectedExecutionException;
+import java.util.function.Consumer;
 import laneflow.core.Counters;
 import laneflow.core.Deadlines.Deadline;
 import laneflow.core.Gate;
@@ -38,6 +39,8 @@
  */
 public final class Policy implements Gate {
     private static final Logger LOG = LoggerFactory.getLogger(Policy.class);
+    /** The field of renewals and grants that holds what rides on them. */
+    static final String RIDER = "rider";
     private static final int RENEWALS_A_LEASE = 4;
     /** A voter that has not answered so many renewals is passed by for a lease. */
     private static final int MOST_UNANSWERED = 2;
@@ -63,6 +66,8 @@
     private final Set<Long> asked = new HashSet<>();
     private final TreeMap<Integer, Long> stamps = new TreeMap<>();
     private final Map<String, Long> passedBy = new LinkedHashMap<>();
+    /** Null where nothing rides on renewals. */
+    private Rider rider;
     /** Null where this process does not vote. */
     private Leadership leadership;
     private String leader = "";
@@ -119,6 +124,42 @@
         renew();
     }
 
+    /** From now on that rides on renewals; before {@link #begin}. */
+    void carry(Rider with) {
+        rider = with;
+        with.ride(new Rider.Carriage() {
+            @Override
+            public long now() {
+                return Policy.this.now();
+            }
+
+            @Override
+            public void replicate(JsonObject operation, Consumer<JsonObject> then) {
+                leadership.replicate(operation, then);
+            }
+
+            @Override
+            public void tell(String who) {
+                leadership.tell(who, -1);
+            }
+
+            @Override
+            public void renewNow() {
+                Policy.this.renewNow();
+            }
+
+            @Override
+            public String leader() {
+                return leadership != null ? leadership.leader() : leader;
+            }
+
+            @Override
+            public long lease() {
+                return config.lease;
+            }
+        });
+    }
+
     /** This process votes from now on, too. */
     void votes(Leadership own) {
         leadership = own;
@@ -247,6 +288,9 @@
             if (own != null) {
                 take(own, asked, now());
             }
+            if (rider != null) {
+                leadership.ride(asked);
+            }
             return;
         }
         Peer to = whom();
@@ -256,6 +300,9 @@
             message.addProperty("who", fleet.self().who());
             message.addProperty("at", now());
             message.add("tallies", tallies());
+            if (rider != null) {
+                message.add(RIDER, rider.says());
+            }
             to.send(message);
         }
     }
@@ -341,6 +388,9 @@
             voters(message.get("voters"));
         }
         take(grant, at, now);
+        if (rider != null && message.has(RIDER)) {
+            rider.told(message.get(RIDER), at, now);
+        }
         if (at < 0) {
             // It waits to hear that this is obeyed.
             renewNow();
--- a/src/main/java/laneflow/policy/PolicyPart.java
+++ b/src/main/java/laneflow/policy/PolicyPart.java
@@ -3,6 +3,7 @@
 import io.microraft.persistence.RestoredRaftState;
 import java.io.IOException;
 import java.util.List;
+import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.Executor;
 import java.util.concurrent.RejectedExecutionException;
@@ -13,6 +14,7 @@
 import laneflow.fleet.Fleet;
 import laneflow.net.Loop;
 import laneflow.net.Threads;
+import laneflow.policy.decision.Ledger;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -35,10 +37,12 @@
      * @param reading a thread that reads policies, one after the other
      * @param clockRate 1, but in tests of clocks that drift
      * @param upgrade true if the process before this one may still vote
+     * @param parts more that the voters agree on, by name; the same at all
+     * @param rider what rides on renewals, or null
      */
     public record Given(Loop loop, Fleet fleet, Scheduler scheduler, PolicyConfig config,
             Function<ResourceType, PolicyTypes> types, List<String> classes, Executor reading, long seed,
-            double clockRate, boolean upgrade) {
+            double clockRate, boolean upgrade, Map<String, Ledger.Part> parts, Rider rider) {
     }
 
     /**
@@ -72,6 +76,9 @@
             scheduler.decideWhile(policy);
             Leadership leadership = opened == null ? null : vote(given, opened);
             port = new PolicyPort(fleet, policy, scheduler.counters(), leadership);
+            if (given.rider() != null) {
+                policy.carry(given.rider());
+            }
             policy.begin(leadership);
         });
         if (later) {
@@ -128,7 +135,7 @@
     private Leadership vote(Given given, Opened votes) {
         VoterGroup[] group = new VoterGroup[1];
         Leadership[] leadership = new Leadership[1];
-        voting = new Voting(votes.store(), given.config().lease, loop::later,
+        voting = new Voting(votes.store(), new Ledger(given.parts()), given.config().lease, loop::later,
                 (to, message) -> group[0].send(to, message), new Voting.News() {
                     @Override
                     public void role(int term, boolean leads, String leader, Set<String> voters) {
@@ -148,7 +155,7 @@
         group[0] = new VoterGroup(loop, given.fleet(), given.config(), given.scheduler().counters(), voting);
         leadership[0] = new Leadership(loop, given.fleet(), given.config(), given.scheduler().counters(),
                 voting, group[0], policy, new FleetTrial(given.classes(), given.config().probation,
-                given.config().bound));
+                given.config().bound), given.rider());
         leadership[0].begin();
         group[0].begin(votes.restored());
         group[0].linked();
--- /dev/null
+++ b/src/main/java/laneflow/policy/Rider.java
@@ -0,0 +1,63 @@
+package laneflow.policy;
+
+import com.google.gson.JsonElement;
+import com.google.gson.JsonObject;
+import java.util.function.Consumer;
+
+/**
+ * What rides on renewals and grants, and on the voters' log, beside policy: no message and no question to a
+ * majority is spent on it alone. All on the loop's thread.
+ */
+public interface Rider {
+    /** What policy does for it. */
+    interface Carriage {
+        /** This process's clock for leases, read now; on any thread. */
+        long now();
+
+        /** At a leader: puts an operation into the log; the answer is null where it is not known to be in. */
+        void replicate(JsonObject operation, Consumer<JsonObject> then);
+
+        /** At a leader: that process is told how things stand, unasked. */
+        void tell(String who);
+
+        /** Something has changed: the next renewal goes out at once. */
+        void renewNow();
+
+        /** The voter that leads as far as is known, or empty. */
+        String leader();
+
+        /** Microseconds for which a leader's word lasts. */
+        long lease();
+    }
+
+    /** Its part of the ledger. */
+    String part();
+
+    /** It can begin. */
+    void ride(Carriage by);
+
+    // ---- at a scheduler ----
+
+    /** What goes with the next renewal; null: nothing. */
+    JsonElement says();
+
+    /** The leader's word; it answers what was sent at that instant, or nothing: negative. */
+    void told(JsonElement word, long sentAt, long heardAt);
+
+    // ---- at the leader ----
+
+    /** This process leads in that term, until another term or {@link #leadsNoMore}. */
+    void leads(int term);
+
+    void leadsNoMore();
+
+    /** A majority has confirmed it, with its part of the ledger as it stood then. */
+    void confirmed(long submittedAt, Object part);
+
+    void heard(String who, JsonElement said);
+
+    /** What a process is told; null: nothing. */
+    JsonElement word(String who, boolean unasked);
+
+    void left(String who);
+}
--- a/src/main/java/laneflow/policy/Voting.java
+++ b/src/main/java/laneflow/policy/Voting.java
@@ -102,7 +102,7 @@
     private long watchedNs;
     private volatile boolean leads;
     private final long origin = System.nanoTime();
-    private final Ledger ledger = new Ledger();
+    private final Ledger ledger;
     private final ScheduledThreadPoolExecutor thread;
     private RaftNode node;
     private Collection<RaftEndpoint> first = List.of();
@@ -116,13 +116,16 @@
     /**
      * One that does not vote yet.
      *
+     * @param ledger empty
      * @param lease microseconds
      * @param later runs a call on the loop
      * @param sender on the loop: sends a message to the scheduler of that name
      */
-    Voting(VoteStore store, long lease, Consumer<Runnable> later, BiConsumer<String, JsonObject> sender,
+    Voting(VoteStore store, Ledger ledger, long lease, Consumer<Runnable> later, BiConsumer<String,
+            JsonObject> sender,
             News news) {
         this.store = store;
+        this.ledger = ledger;
         this.self = store.self();
         this.later = later;
         this.sender = sender;
--- a/src/main/java/laneflow/policy/decision/Lease.java
+++ b/src/main/java/laneflow/policy/decision/Lease.java
@@ -12,17 +12,12 @@
  */
 public final class Lease {
     /** Clocks' rates differ by no more than this share. */
-    public static final double DRIFT = 0.001;
+    public static final double DRIFT = LeaderClock.DRIFT;
     private static final long NEVER = Long.MIN_VALUE;
 
     private int term = -1;
     private long seq;
-    /** The leader's clock is at most the stamp plus what has passed here since, at the faster rate. */
-    private long mostStamp;
-    private long mostAt = NEVER;
-    /** And at least this stamp plus what has passed here since, at the slower rate. */
-    private long leastStamp;
-    private long leastAt = NEVER;
+    private final LeaderClock clock = new LeaderClock();
     private long number = -1;
     private long stop = NEVER;
     private long next = -1;
@@ -41,27 +36,24 @@
                 || grant.number() < Math.max(number, next)) {
             return false;
         }
-        if (sentAt < 0 && (grant.term() > term || mostAt == NEVER)) {
+        if (sentAt < 0 && (grant.term() > term || !clock.isKnown())) {
             // It tells nothing of when: obeyed, it would end what a former leader granted for no reason.
             return false;
         }
         if (grant.term() > term) {
             term = grant.term();
-            mostAt = NEVER;
-            leastAt = NEVER;
+            clock.forget();
         }
         seq = grant.seq();
-        stamp(grant.leaderNow(), sentAt, heardAt);
+        clock.stamp(grant.leaderNow(), sentAt, heardAt);
         settle(heardAt);
-        long ends = grant.until() == 0 ? NEVER : mostAt
-                + (long) Math.floor((grant.until() - mostStamp) / (1 + DRIFT));
+        long ends = grant.until() == 0 ? NEVER : clock.noLaterThan(grant.until());
         if (grant.number() == number) {
             stop = ends;
         } else if (ends != NEVER) {
             next = grant.number();
             nextStop = ends;
-            nextStart = grant.from() == 0 ? heardAt : leastAt
-                    + (long) Math.ceil((grant.from() - leastStamp) / (1 - DRIFT));
+            nextStart = grant.from() == 0 ? heardAt : clock.noSoonerThan(grant.from());
         } else {
             // No leave at all: what it was about to begin with goes too.
             stop = NEVER;
@@ -70,18 +62,6 @@
         return true;
     }
 
-    private void stamp(long stamp, long sentAt, long heardAt) {
-        if (leastAt == NEVER || stamp - leastStamp > (heardAt - leastAt) * (1 - DRIFT)) {
-            leastStamp = stamp;
-            leastAt = heardAt;
-        }
-        if (sentAt >= 0 && (mostAt == NEVER
-                || stamp + (heardAt - sentAt) * (1 + DRIFT) < mostStamp + (heardAt - mostAt) * (1 + DRIFT))) {
-            mostStamp = stamp;
-            mostAt = sentAt;
-        }
-    }
-
     private void settle(long now) {
         if (next >= 0 && now >= nextStart) {
             fence = stop == NEVER ? 0 : Math.max(0, nextStart - stop);
--- a/src/main/java/laneflow/policy/decision/Ledger.java
+++ b/src/main/java/laneflow/policy/decision/Ledger.java
@@ -25,6 +25,8 @@
     public static final int MOST_WAITING = 16;
     /** The longest content of a change, in characters of its JSON. */
     public static final int MOST_CONTENT = 256 * 1024;
+    /** The field of an operation that names the part that it is for; without it, it is on changes. */
+    public static final String PART = "part";
     private static final String NAME = "[A-Za-z0-9_.-]{1,64}";
     private static final int MOST_REASONS = 32;
     private static final int MOST_REASON = 500;
@@ -53,7 +55,32 @@
             List<String> waiting) {
     }
 
+    /**
+     * More that the voters agree on, beside changes: a state machine of its own. It has to be the same at all
+     * voters, whatever their files say.
+     */
+    public interface Part {
+        /** Carries out an operation; the answer says what came of it, or {@code error}. */
+        JsonObject run(JsonObject operation);
+
+        /** The state at this moment, as something that never changes. */
+        Object view();
+
+        JsonObject snapshot();
+
+        /** Takes a snapshot's state in place of its own; null: one of a build that did not know this part. */
+        void restore(JsonObject from);
+    }
+
+    private final Map<String, Part> parts;
+
     public Ledger() {
+        this(Map.of());
+    }
+
+    /** @param parts by name */
+    public Ledger(Map<String, Part> parts) {
+        this.parts = parts;
         look();
     }
 
@@ -113,6 +140,10 @@
      * with the reason why nothing was changed.
      */
     public JsonObject run(JsonObject op) {
+        if (op.has(PART)) {
+            Part part = parts.get(op.get(PART).getAsString());
+            return part == null ? error("this build knows no part " + op.get(PART)) : part.run(op);
+        }
         String name = op.get("name").getAsString();
         Change known = changes.get(name);
         String kind = op.get("op").getAsString();
@@ -219,6 +250,11 @@
         return view;
     }
 
+    /** The state of the part of that name; there must be one. */
+    public Object part(String name) {
+        return parts.get(name).view();
+    }
+
     /** The change of that name, or null. */
     public Change change(String name) {
         return changes.get(name);
@@ -240,6 +276,9 @@
         all.addProperty("opened", opened);
         all.addProperty("in_force", inForce);
         all.add("merged", merged);
+        JsonObject others = new JsonObject();
+        parts.forEach((name, part) -> others.add(name, part.snapshot()));
+        all.add("parts", others);
         return all;
     }
 
@@ -258,6 +297,8 @@
         inForce = from.get("in_force").getAsLong();
         merged = from.getAsJsonObject("merged");
         digest = Canonical.digest(merged);
+        JsonObject others = from.has("parts") ? from.getAsJsonObject("parts") : new JsonObject();
+        parts.forEach((name, part) -> part.restore(others.getAsJsonObject(name)));
         look();
     }
 }
--- /dev/null
+++ b/src/main/java/laneflow/task/TaskWords.java
@@ -0,0 +1,93 @@
+package laneflow.task;
+
+import com.google.gson.JsonArray;
+import com.google.gson.JsonElement;
+import com.google.gson.JsonObject;
+import java.util.LinkedHashSet;
+import java.util.Map;
+import java.util.Set;
+import java.util.SortedMap;
+import java.util.TreeMap;
+import laneflow.task.decision.Said;
+import laneflow.task.decision.Wants;
+import laneflow.task.decision.Word;
+
+/** What holders and their leader say to each other, as it rides on renewals and grants. */
+final class TaskWords {
+    private TaskWords() {
+    }
+
+    static JsonObject said(Said said) {
+        JsonObject all = new JsonObject();
+        all.addProperty("term", said.heardTerm());
+        all.addProperty("seq", said.heardSeq());
+        all.addProperty("known", said.knownTerm());
+        all.addProperty("v", said.knownVersion());
+        all.addProperty("wants", said.wants());
+        if (said.all() != null) {
+            all.add("line", array(said.all().line()));
+            all.add("spread", array(said.all().spread()));
+        }
+        if (said.draining()) {
+            all.addProperty("drains", true);
+        }
+        if (!said.gives().isEmpty()) {
+            all.add("gives", tokens(said.gives()));
+        }
+        return all;
+    }
+
+    static Said said(JsonObject from) {
+        Wants all = from.has("line") ? new Wants(texts(from.get("line")), texts(from.get("spread"))) : null;
+        return new Said(from.get("term").getAsInt(), from.get("seq").getAsLong(),
+                from.get("known").getAsInt(),
+                from.get("v").getAsLong(), from.get("wants").getAsString(), all, from.has("drains"),
+                from.has("gives") ? tokens(from.getAsJsonObject("gives")) : Map.of());
+    }
+
+    static JsonObject word(Word word) {
+        JsonObject all = new JsonObject();
+        all.addProperty("term", word.term());
+        all.addProperty("seq", word.seq());
+        all.addProperty("now", word.leaderNow());
+        all.addProperty("until", word.until());
+        all.addProperty("v", word.version());
+        if (word.holds() != null) {
+            all.add("holds", tokens(word.holds()));
+        }
+        if (word.wantsMissing()) {
+            all.addProperty("missing", true);
+        }
+        return all;
+    }
+
+    static Word word(JsonObject from) {
+        return new Word(from.get("term").getAsInt(), from.get("seq").getAsLong(), from.get("now").getAsLong(),
+                from.get("until").getAsLong(), from.get("v").getAsLong(),
+                from.has("holds") ? tokens(from.getAsJsonObject("holds")) : null, from.has("missing"));
+    }
+
+    private static JsonObject tokens(Map<String, Long> from) {
+        JsonObject all = new JsonObject();
+        from.forEach(all::addProperty);
+        return all;
+    }
+
+    private static SortedMap<String, Long> tokens(JsonObject from) {
+        SortedMap<String, Long> all = new TreeMap<>();
+        from.entrySet().forEach(one -> all.put(one.getKey(), one.getValue().getAsLong()));
+        return all;
+    }
+
+    static JsonArray array(Iterable<String> texts) {
+        JsonArray all = new JsonArray();
+        texts.forEach(all::add);
+        return all;
+    }
+
+    private static Set<String> texts(JsonElement from) {
+        Set<String> all = new LinkedHashSet<>();
+        from.getAsJsonArray().forEach(one -> all.add(one.getAsString()));
+        return all;
+    }
+}
