--- a/src/main/java/laneflow/assembly/Setup.java
+++ b/src/main/java/laneflow/assembly/Setup.java
@@ -129,11 +129,6 @@
         MembersConfig members = operators.members() == null ? null : MembersConfig.read(operators.members(),
                 fleet);
         TaskConfig tasks = operators.tasks() == null ? null : TaskConfig.read(operators.tasks(), policy);
-        if (tasks != null && tasks.stores != null && (durable == null || fleet == null
-                || !tasks.stores.resolve(fleet.name).equals(durable.dir))) {
-            findings.add("tasks", "stores", "is where the stores of all schedulers lie: [durable] dir must be"
-                    + " this folder's '" + (fleet == null ? "NAME" : fleet.name) + "'");
-        }
         if (policy != null && policy.tellPolicy && control != null && control.tellVersions) {
             findings.add("policy", "tell_policy",
                     "and [control] tell_versions name one header: only one of them");
