--- a/src/main/java/laneflow/task/decision/TaskLead.java
+++ b/src/main/java/laneflow/task/decision/TaskLead.java
@@ -31,6 +31,7 @@
     private static final int PASSED_BY = 5;
     private static final int LOOKS_A_LEASE = 4;
     private static final int MOST_MOVES = 256;
+    private static final double DEAF_AFTER = 0.6;
 
     /**
      * The times it works by, in microseconds.
@@ -54,6 +55,11 @@
         private SortedMap<String, Long> holds = Collections.emptySortedMap();
         private Said said;
         private long heardAt;
+        /**
+         * When it last said that it obeys a later word than before: one that hears nothing says so no more.
+         */
+        private long obeyedAt;
+        private long obeyedSeq;
         private long seq;
         private long version;
         private boolean obeys;
@@ -136,10 +142,17 @@
             return;
         }
         Holder holder = holders.computeIfAbsent(who, name -> new Holder());
+        if (holder.said == null) {
+            holder.obeyedAt = now;
+        }
         holder.heardAt = now;
         holder.said = said;
         if (said.heardTerm() == term) {
             holder.obeys = true;
+            if (said.heardSeq() > holder.obeyedSeq) {
+                holder.obeyedSeq = said.heardSeq();
+                holder.obeyedAt = now;
+            }
             holder.given.removeIf(one -> one.seq() < said.heardSeq());
         }
     }
@@ -165,7 +178,7 @@
             holder.version++;
         }
         long until = confirmedAt + times.lease();
-        until = until > now && !holds.isEmpty() ? until : 0;
+        until = until > now && !holds.isEmpty() && hears(now, holder) ? until : 0;
         holder.seq++;
         holder.given.add(new Given(holder.seq, until, holds));
         Given last = holder.given.get(holder.given.size() - 1);
@@ -202,7 +215,19 @@
     }
 
     private boolean isLive(long now, Holder holder) {
-        return now - holder.heardAt < times.quiet() && !holder.said.draining();
+        return !isAway(now, holder) && !holder.said.draining();
+    }
+
+    /** It is not heard of, or it hears nothing. */
+    private boolean isAway(long now, Holder holder) {
+        return now - holder.heardAt >= times.quiet() || !hears(now, holder);
+    }
+
+    /**
+     * An act that it may not begin any more holds its word back for a while; longer than that, it is deaf.
+     */
+    private boolean hears(long now, Holder holder) {
+        return now - holder.obeyedAt < times.lease() * DEAF_AFTER;
     }
 
     /** What is to be done now; to be asked after every event, and at {@link #nextLook}. */
@@ -287,7 +312,7 @@
     private String reason(long now, Task task, Set<String> live) {
         Holder holder = holders.get(task.holder());
         long from = since.computeIfAbsent(task.name() + "\n" + task.token(), name -> now);
-        if (holder == null || now - holder.heardAt >= times.quiet()) {
+        if (holder == null || isAway(now, holder)) {
             // Its words last until they are over; nobody else gets the task sooner.
             return isOver(now, task) ? "was not heard of for a lease" : null;
         }
