--- a/src/main/java/laneflow/lab/rig/Crew.java
+++ b/src/main/java/laneflow/lab/rig/Crew.java
@@ -6,8 +6,10 @@
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
+import java.nio.channels.FileChannel;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.nio.file.StandardOpenOption;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Set;
@@ -25,6 +27,8 @@
     /** The program as users start it: by its name, since nothing here may depend on the command line. */
     private static final String PROGRAM = "laneflow.Main";
     private static final Set<Integer> GIVEN = ConcurrentHashMap.newKeySet();
+    /** A byte for each port, locked until its taker ends: others on this machine pass it over. */
+    private static FileChannel taken;
 
     private final Path folder;
     private final String classPath;
@@ -45,7 +49,7 @@
         for (int i = 0; i < PORT_TRIES; i++) {
             int port = ThreadLocalRandom.current().nextInt(FIRST_PORT, LAST_PORT);
             try (ServerSocket socket = new ServerSocket(port, 1, InetAddress.getLoopbackAddress())) {
-                if (GIVEN.add(port)) {
+                if (GIVEN.add(port) && take(port)) {
                     return socket.getLocalPort();
                 }
             } catch (BindException e) {
@@ -56,6 +60,16 @@
         throw new IOException("no free port between " + FIRST_PORT + " and " + LAST_PORT);
     }
 
+    private static synchronized boolean take(int port) throws IOException {
+        if (taken == null) {
+            taken = FileChannel.open(Path.of(System.getProperty("java.io.tmpdir"),
+                    "laneflow-ports-" + System.getProperty("user.name")), StandardOpenOption.CREATE,
+                    StandardOpenOption.WRITE);
+        }
+        // Never released here: the system does it when this process ends.
+        return taken.tryLock(port, 1, false) != null;
+    }
+
     /** Starts a class of this program; its output goes to a file of that name. */
     public Process start(String name, int heapMb, Class<?> main, String... args) throws IOException {
         return start(name, heapMb, List.of(), main, args);
