--- a/src/test/java/laneflow/gearman/Gearman.java
+++ b/src/test/java/laneflow/gearman/Gearman.java
@@ -3,6 +3,7 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
 import java.io.IOException;
+import java.lang.reflect.Field;
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
 import laneflow.net.Stand;
@@ -27,12 +28,36 @@
 
     /** The next packet's arguments; it must be of this type. */
     public static String[] expect(Peer peer, int type) throws IOException {
+        Said said = next(peer);
+        assertEquals(type, said.type, String.join(" ", said.args));
+        return said.args;
+    }
+
+    /** A packet. */
+    public record Said(int type, String[] args) {
+    }
+
+    /** The next packet, of whatever type. */
+    public static Said next(Peer peer) throws IOException {
         ByteBuffer head = ByteBuffer.wrap(peer.read(Packet.HEADER));
         assertEquals(Packet.RESPONSE, head.getInt());
         int got = head.getInt();
-        String data = new String(peer.read(head.getInt()), StandardCharsets.UTF_8);
-        assertEquals(type, got, data);
-        return data.split("\0", -1);
+        return new Said(got, new String(peer.read(head.getInt()), StandardCharsets.UTF_8).split("\0", -1));
+    }
+
+    /** The protocol's number of that name. */
+    public static int type(String name) throws ReflectiveOperationException {
+        return Packet.class.getDeclaredField(name).getInt(null);
+    }
+
+    /** The protocol's name of that number; such names are all in capitals and stand in front of lengths. */
+    public static String name(int type) throws ReflectiveOperationException {
+        for (Field field : Packet.class.getDeclaredFields()) {
+            if (field.getType() == int.class && field.getInt(null) == type) {
+                return field.getName();
+            }
+        }
+        return "packet " + type;
     }
 
     /** A worker with these abilities, asleep. */
--- a/src/test/java/laneflow/net/Stand.java
+++ b/src/test/java/laneflow/net/Stand.java
@@ -12,6 +12,7 @@
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.List;
+import java.util.function.Consumer;
 import laneflow.assembly.Serve;
 import laneflow.assembly.Setup;
 import laneflow.assembly.Surroundings;
@@ -299,6 +300,8 @@
         private static final String HEAD = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
         public final Socket socket;
         private final InputStream in;
+        /** Told what this end says, for a transcript. */
+        private Consumer<String> noted = text -> { };
 
         Peer(Socket socket) throws IOException {
             this.socket = socket;
@@ -307,7 +310,14 @@
             socket.setTcpNoDelay(true);
         }
 
+        /** From now on what is said here is noted there too. */
+        public Peer noted(Consumer<String> note) {
+            noted = note;
+            return this;
+        }
+
         public Peer write(byte[] bytes) throws IOException {
+            noted.accept(new String(bytes, StandardCharsets.ISO_8859_1));
             socket.getOutputStream().write(bytes);
             return this;
         }
--- /dev/null
+++ b/src/test/java/laneflow/transcripts/ControlTranscriptsTest.java
@@ -0,0 +1,107 @@
+package laneflow.transcripts;
+
+import java.nio.file.Files;
+import java.nio.file.Path;
+import laneflow.net.Stand;
+import laneflow.net.Stand.Endpoint;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.io.TempDir;
+
+/** Streamed configuration: each version with its answer. */
+@Timeout(120)
+class ControlTranscriptsTest {
+    private static final String DESTINATIONS = "type.laneflow/destinations";
+    private static final int TYPES = 3;
+    @TempDir
+    private Path folder;
+
+    private String control(Endpoint service) throws Exception {
+        return "addresses = ['" + service.dial() + "']\nlongest_backoff_ms = 50\nfigures_ms = 0\nlast_good_dir = '"
+                + Files.createTempDirectory(folder, "good") + "'\nallowed_endpoints = ['127.0.0.0/8']\n";
+    }
+
+    /** Its stream, behind what each type begins with; the order of types is the program's, so nothing is sorted. */
+    private static Party stream(Transcript transcript, String name, Endpoint service) throws Exception {
+        Party peer = new Party(transcript, name, service.accept());
+        peer.head();
+        peer.write("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+        for (int i = 0; i < TYPES; i++) {
+            peer.chunk();
+        }
+        return peer;
+    }
+
+    private static void told(Party peer, String version, String nonce, String... resources) throws Exception {
+        offered(peer, DESTINATIONS, version, nonce, resources);
+    }
+
+    private static void offered(Party peer, String type, String version, String nonce, String... resources)
+            throws Exception {
+        String line = ("{'type_url':'" + type + "','version_info':'" + version + "','nonce':'" + nonce
+                + "','resources':[" + String.join(",", resources) + "]}\n").replace('\'', '"');
+        peer.write(Integer.toHexString(line.length()) + "\r\n" + line + "\r\n");
+        peer.chunk();
+    }
+
+    private static String resource(Endpoint endpoint) {
+        return "{'name':'" + endpoint.name + "','dial':'" + endpoint.dial() + "','zone':'celje-1'}";
+    }
+
+    @Test
+    void acknowledgedAndTurnedDown() throws Exception {
+        Transcript.of("Versions of the destination set: one acknowledged, others turned down with every reason.",
+                transcript -> {
+                    Endpoint service = new Endpoint("control");
+                    Endpoint one = new Endpoint("e1");
+                    try (Stand stand = Stand.streaming(control(service));
+                            Party client = new Party(transcript, "client", stand.http())) {
+                        Party peer = stream(transcript, "control", service);
+                        told(peer, "1-aa", "x1", resource(one));
+                        client.post("card-capture", "1", "", "pay");
+                        Party call = new Party(transcript, "e1", one.accept());
+                        call.message();
+                        call.says("{'id':'1','state':'done','result':'paid'}");
+                        client.message();
+                        told(peer, "2-aa", "x2", "{'name':'a b','dial':'tills:80','zone':'x'}",
+                                "{'name':'c','weight':-1,'colour':'red'}", "7", resource(one), resource(one));
+                        told(peer, "2-ab", "x3", "{'name':'b','dial':'tills:80','zone':'x'}",
+                                "{'name':'c','dial':'10.0.0.1:80','classes':['sweep']}", resource(one));
+                        told(peer, "3-aa", "x4", resource(one).replace("}", ",'state':'draining'}"));
+                        told(peer, "seven", "x5", resource(one));
+                        transcript.note("adopted: " + stand.counter("config.adopted"));
+                    }
+                });
+    }
+
+    @Test
+    void olderRepeatedAndOther() throws Exception {
+        Transcript.of("Versions that are older, repeated, or of a type that is not taken.", transcript -> {
+            Endpoint service = new Endpoint("control");
+            Endpoint one = new Endpoint("e1");
+            try (Stand stand = Stand.streaming(control(service))) {
+                Party peer = stream(transcript, "control", service);
+                told(peer, "9-bb", "x1", resource(one));
+                told(peer, "9-bb", "x2", resource(one));
+                told(peer, "8-cc", "x3", resource(one));
+                offered(peer, "type.laneflow/colours", "1-aa", "x4");
+            }
+        });
+    }
+
+    @Test
+    void brokenStream() throws Exception {
+        Transcript.of("A line that is no JSON ends the stream; the next one begins by the version that runs.",
+                transcript -> {
+                    Endpoint service = new Endpoint("control");
+                    Endpoint one = new Endpoint("e1");
+                    try (Stand stand = Stand.streaming(control(service))) {
+                        Party peer = stream(transcript, "control", service);
+                        told(peer, "5-aa", "x1", resource(one));
+                        peer.write("e\r\n{\"type_url\":}\n\r\n");
+                        peer.ended();
+                        stream(transcript, "control, 2nd stream", service);
+                    }
+                });
+    }
+}
