--- a/src/main/java/laneflow/maintenance/decision/Cuts.java
+++ b/src/main/java/laneflow/maintenance/decision/Cuts.java
@@ -95,8 +95,9 @@
         return !held ? Answer.UNKNOWN : none ? Answer.NO_LOSS : Answer.FAIR;
     }
 
-    int unions() {
-        return unions.length;
+    /** All that is due in a span, in slots. */
+    double due(int span) {
+        return dueAll[span];
     }
 
     static List<double[]> dues(Fairness fairness, Forecast forecast) {
--- /dev/null
+++ b/src/main/java/laneflow/maintenance/decision/Forms.java
@@ -0,0 +1,77 @@
+package laneflow.maintenance.decision;
+
+import com.google.gson.JsonArray;
+import com.google.gson.JsonElement;
+import com.google.gson.JsonObject;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.List;
+import java.util.Locale;
+import java.util.Set;
+
+/** Requests and windows as JSON, for the ledger's log and its snapshots. */
+final class Forms {
+    private Forms() {
+    }
+
+    static JsonObject write(Request request) {
+        JsonObject to = new JsonObject();
+        to.addProperty("name", request.name());
+        to.addProperty("owner", request.owner());
+        to.add("racks", texts(request.racks()));
+        to.addProperty("work_ms", request.workMs());
+        to.addProperty("earliest_ms", request.earliestMs());
+        to.addProperty("latest_ms", request.latestMs());
+        to.addProperty("notice_ms", request.noticeMs());
+        to.addProperty("abort_ms", request.abortMs());
+        to.add("apart", texts(request.apart().stream().sorted().toList()));
+        to.add("after", texts(request.after()));
+        return to;
+    }
+
+    static Request request(JsonObject from) {
+        return new Request(from.get("name").getAsString(), from.get("owner").getAsString(), texts(from,
+                "racks"), from.get("work_ms").getAsLong(), from.get("earliest_ms").getAsLong(), from.get(
+                "latest_ms").getAsLong(), from.get("notice_ms").getAsLong(), from.get("abort_ms").getAsLong(),
+                Set.copyOf(texts(from, "apart")), texts(from, "after"));
+    }
+
+    static JsonObject write(Windows.Window window) {
+        JsonObject to = new JsonObject();
+        to.add("request", write(window.request()));
+        to.addProperty("state", window.state().word());
+        to.addProperty("steps", window.steps());
+        to.addProperty("start_ms", window.startMs());
+        to.addProperty("leave_ms", window.leaveMs());
+        to.addProperty("begun", window.begun());
+        to.addProperty("call_off", window.callOff());
+        to.addProperty("outcome", window.outcome().word());
+        to.add("reasons", texts(window.reasons()));
+        return to;
+    }
+
+    static Windows.Window window(JsonObject from) {
+        return new Windows.Window(request(from.getAsJsonObject("request")), state(from, "state"), from.get(
+                "steps").getAsLong(), from.get("start_ms").getAsLong(), from.get("leave_ms").getAsLong(),
+                from.get("begun").getAsBoolean(), from.get("call_off").getAsBoolean(), state(from, "outcome"),
+                texts(from, "reasons"));
+    }
+
+    private static Windows.State state(JsonObject from, String key) {
+        return Windows.State.valueOf(from.get(key).getAsString().toUpperCase(Locale.ROOT));
+    }
+
+    private static JsonArray texts(Collection<String> all) {
+        JsonArray list = new JsonArray();
+        all.forEach(list::add);
+        return list;
+    }
+
+    private static List<String> texts(JsonObject from, String key) {
+        List<String> all = new ArrayList<>();
+        for (JsonElement one : from.getAsJsonArray(key)) {
+            all.add(one.getAsString());
+        }
+        return List.copyOf(all);
+    }
+}
--- a/src/main/java/laneflow/maintenance/decision/Planner.java
+++ b/src/main/java/laneflow/maintenance/decision/Planner.java
@@ -207,14 +207,18 @@
                 fairness.estate().rack(rack)).slots()).sum();
     }
 
-    /** A request that has no time yet wants each of its times a little. */
+    /** A request that has no time yet wants each of its times a little, for as long as it takes. */
     private void want(Request request, int sign) {
         int times = room.get(request.name());
-        if (times > 0) {
-            double each = sign * slots(request) / times;
-            for (int step = first(request); step <= last(request); step++) {
-                wanted[step] += line.starts(request).get(step) ? each : 0;
-            }
+        double running = 0;
+        int length = line.length(request);
+        BitSet starts = line.starts(request);
+        for (int i = first(request); times > 0 && i < last(request) + length; i++) {
+            running += i <= last(request) && starts.get(i) ? 1 : 0;
+            boolean ended = i - length >= first(request) && i - length <= last(request)
+                    && starts.get(i - length);
+            running -= ended ? 1 : 0;
+            wanted[i] += sign * slots(request) / times * running;
         }
     }
 
@@ -233,9 +237,10 @@
             if (cost < 0) {
                 continue;
             }
+            // Where there is room for all that is still to come, sooner is better.
             double contended = 0;
             for (int i = step; i < step + length; i++) {
-                contended += wanted[i];
+                contended += Math.max(0, wanted[i] - line.headroom(i) / 4);
             }
             double score = cost * 4.0 + contended + 0.002 * step;
             if (score < least - 1e-9) {
--- a/src/main/java/laneflow/maintenance/decision/Timeline.java
+++ b/src/main/java/laneflow/maintenance/decision/Timeline.java
@@ -300,6 +300,11 @@
         });
     }
 
+    /** Slots that are left at a step beyond all that is due, wherever they are. */
+    double headroom(int step) {
+        return Arrays.stream(left[step]).sum() - cuts.due(spans[step]);
+    }
+
     long asked() {
         return asked;
     }
