--- /dev/null
+++ b/src/main/java/laneflow/lab/measure/TaskMeasure.java
@@ -0,0 +1,260 @@
+package laneflow.lab.measure;
+
+import java.io.IOException;
+import java.io.PrintStream;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Locale;
+import java.util.Set;
+import java.util.SplittableRandom;
+import laneflow.lab.rig.Crew;
+import laneflow.lab.rig.Rig;
+import laneflow.lab.rig.Trash;
+import laneflow.lab.standin.StandInReceiver;
+import org.HdrHistogram.Histogram;
+
+/**
+ * {@code lab measure task}: schedulers as processes, three of which vote, that call a receiver once a period
+ * for the fleet, for many tasks. Quiet first, for what it costs; then holders are killed one at a time and a
+ * third at once, stopped for three leases, cut off both ways and one way, their leader killed, a path made
+ * lossy. The receiver is not told of any of it. Exit code 1 where a promise is broken.
+ */
+public final class TaskMeasure {
+    private static final int SCHEDULERS = 9;
+    private static final int VOTERS = 3;
+    private static final int LEASE_MS = 1000;
+    private static final int EVERY_MS = 200;
+    private static final int WORK_MS = 15;
+    private static final long MS = 1_000_000;
+
+    /** What befell some, and when: their tasks are to be called for by others. */
+    private record Fault(String what, Set<String> names, long atNs, boolean leaderWell) {
+    }
+
+    private final SplittableRandom random;
+    private final int tasks;
+    private final PrintStream out;
+    private final Rig rig;
+    private final StandInReceiver receiver;
+    private final List<Fault> faults = new ArrayList<>();
+    private final List<long[]> calm = new ArrayList<>();
+    private int kills;
+    private int stalls;
+    private int cuts;
+    private long lost;
+    private double syncs;
+    private double cpu;
+
+    private TaskMeasure(long seed, int tasks, PrintStream out, Rig rig, StandInReceiver receiver) {
+        random = new SplittableRandom(seed);
+        this.tasks = tasks;
+        this.out = out;
+        this.rig = rig;
+        this.receiver = receiver;
+    }
+
+    /** Runs all of it; 0 if every promise was kept. */
+    public static int run(long seed, boolean large, PrintStream out) throws IOException,
+            InterruptedException {
+        int tasks = large ? 200 : 45;
+        Path folder = Files.createTempDirectory("laneflow-task");
+        try (StandInReceiver receiver = new StandInReceiver(Crew.port(), WORK_MS);
+                Rig rig = new Rig(folder, SCHEDULERS, VOTERS, seed, file(receiver.port(), tasks))) {
+            return new TaskMeasure(seed, tasks, out, rig, receiver).all();
+        } finally {
+            Trash.remove(folder);
+        }
+    }
+
+    /** The operators' file of each: every third call's receiver checks tokens. */
+    public static String file(int port, int tasks) {
+        StringBuilder all = new StringBuilder("zones = [\"z\"]\n[classes.check]\naim_ms = 200\ndeadline_ms ="
+                + " 5000\n[endpoints.none]\ndial = \"127.0.0.1:1\"\n[policy]\nvoters = VOTERS\n"
+                + "dir = \"FOLDER\""
+                + "\nlease_ms = " + LEASE_MS + "\n");
+        for (int i = 0; i < tasks; i++) {
+            boolean checked = i % 3 == 0;
+            all.append("[tasks.hooks.h").append(i).append("]\nat = \"127.0.0.1:").append(port)
+                    .append("\"\npath = \"").append(checked ? "/checked" : "/call").append("\"\nevery_ms = ")
+                    .append(EVERY_MS).append("\nmost_ms = 200\nlate_calls = \"")
+                    .append(checked ? "checked" : "harmless").append("\"\n");
+        }
+        return all.toString();
+    }
+
+    private int all() throws IOException, InterruptedException {
+        rig.startAll();
+        rig.awaitDeciding(0, rig.all());
+        quiet(Set.of());
+        costs();
+        for (int i = 0; i < 3; i++) {
+            int one = another(Set.of(rig.leader()));
+            kill("a holder killed", true, Set.of(one));
+        }
+        int leader = rig.leader();
+        Set<Integer> third = new HashSet<>();
+        while (third.size() < SCHEDULERS / 3) {
+            third.add(another(Set.of(leader)));
+        }
+        kill("a third killed", true, third);
+        kill("the leader killed", false, Set.of(rig.leader()));
+        stall();
+        cut();
+        rig.disturb(0.3, 0.1, 300);
+        Thread.sleep(4000);
+        rig.heal();
+        quiet(Set.of());
+        return tell();
+    }
+
+    private int another(Set<Integer> but) {
+        int one = random.nextInt(SCHEDULERS);
+        while (but.contains(one)) {
+            one = random.nextInt(SCHEDULERS);
+        }
+        return one;
+    }
+
+    private static Set<String> names(Set<Integer> these) {
+        Set<String> names = new HashSet<>();
+        these.forEach(i -> names.add(Rig.name(i)));
+        return names;
+    }
+
+    /** Waits until every task is called for by one who is not down, evenly, and some more. */
+    private void quiet(Set<Integer> down) throws IOException, InterruptedException {
+        int live = SCHEDULERS - down.size();
+        rig.await("all tasks are called for, evenly, by " + live, () -> {
+            long now = System.nanoTime();
+            TaskHistory history = new TaskHistory(receiver.calls());
+            long recent = receiver.calls().stream().filter(call -> call.beganNs() > now - 3 * EVERY_MS * MS)
+                    .map(StandInReceiver.Call::task).distinct().count();
+            return recent == tasks && history.fair(live, now - 3 * EVERY_MS * MS, now) <= 1.3;
+        });
+        long from = System.nanoTime();
+        Thread.sleep(1500);
+        calm.add(new long[] {from, System.nanoTime(), live});
+    }
+
+    /** What it costs while nothing changes: entries of the log, and processor time. */
+    private void costs() throws IOException, InterruptedException {
+        long before = counted("task.logged");
+        long words = counted("fleet.sent");
+        double[] used = rig.cpu(4000);
+        long renewals = counted("fleet.sent") - words;
+        syncs = (counted("task.logged") - before) / (double) Math.max(1, renewals);
+        for (double one : used) {
+            cpu += one / used.length;
+        }
+    }
+
+    private long counted(String name) throws IOException, InterruptedException {
+        long all = 0;
+        for (int i : rig.all()) {
+            all += rig.counter(i, name);
+        }
+        return all;
+    }
+
+    private void kill(String what, boolean leaderWell, Set<Integer> these) throws IOException,
+            InterruptedException {
+        faults.add(new Fault(what, names(these), System.nanoTime(), leaderWell));
+        for (int i : these) {
+            kills++;
+            rig.kill(i);
+        }
+        quiet(these);
+        for (int i : these) {
+            rig.start(i);
+        }
+        rig.awaitDeciding(0, rig.all());
+        quiet(Set.of());
+    }
+
+    /** Stopped for three leases, among them a leader, and woken. */
+    private void stall() throws IOException, InterruptedException {
+        for (int i = 0; i < 4; i++) {
+            int leader = rig.leader();
+            int one = i == 3 ? leader : another(Set.of(leader));
+            faults.add(new Fault("stopped for three leases", names(Set.of(one)), System.nanoTime(), i < 3));
+            stalls++;
+            rig.stall(one);
+            Thread.sleep(3 * LEASE_MS);
+            rig.wake(one);
+            rig.awaitDeciding(0, rig.all());
+            quiet(Set.of());
+        }
+    }
+
+    private void cut() throws IOException, InterruptedException {
+        int leader = rig.leader();
+        int both = another(Set.of(leader));
+        faults.add(new Fault("cut off", names(Set.of(both)), System.nanoTime(), true));
+        cuts++;
+        rig.partAll(List.of(both));
+        quiet(Set.of(both));
+        rig.heal();
+        rig.awaitDeciding(0, rig.all());
+        quiet(Set.of());
+        int deaf = VOTERS + random.nextInt(SCHEDULERS - VOTERS);
+        faults.add(new Fault("hears nothing", names(Set.of(deaf)), System.nanoTime(), true));
+        cuts++;
+        for (int i = 0; i < VOTERS; i++) {
+            rig.cut(i, deaf);
+        }
+        quiet(Set.of(deaf));
+        rig.heal();
+        rig.awaitDeciding(0, rig.all());
+        quiet(Set.of());
+    }
+
+    private int tell() throws IOException, InterruptedException {
+        // Counted first: what is counted as done was seen before.
+        long done = counted("task.calls");
+        List<StandInReceiver.Call> calls = receiver.calls();
+        TaskHistory history = new TaskHistory(calls);
+        List<String> found = history.check();
+        Set<String> living = new HashSet<>();
+        for (int i : rig.all()) {
+            living.add(Rig.name(i) + "#" + rig.policy(i).get("life").getAsString());
+        }
+        long seen = calls.stream().filter(call -> call.accepted() && living.contains(call.holder())).count();
+        lost = Math.max(0, done - seen);
+        Histogram unheld = new Histogram(3);
+        long unheldMost = 0;
+        int never = 0;
+        for (Fault fault : faults) {
+            long most = 0;
+            int moved = 0;
+            for (String name : fault.names()) {
+                for (String task : history.heldBy(name, fault.atNs())) {
+                    long ns = history.takenUp(task, fault.names(), fault.atNs());
+                    never += ns < 0 ? 1 : 0;
+                    most = Math.max(most, ns / MS);
+                    moved++;
+                    if (fault.leaderWell() && ns >= 0) {
+                        unheld.recordValue(ns / MS);
+                    }
+                }
+            }
+            unheldMost = Math.max(unheldMost, most);
+            out.printf(Locale.ROOT, "%s: %d tasks moved, the last after %d ms%n", fault.what(), moved, most);
+        }
+        double fair = 0;
+        for (long[] span : calm) {
+            fair = Math.max(fair, history.fair((int) span[2], span[0], span[1]));
+        }
+        found.forEach(out::println);
+        out.printf(Locale.ROOT,
+                "task: schedulers=%d tasks=%d acts=%d kills=%d stalls=%d cuts=%d two_at_once=%d"
+                + " stale_accepted=%d turned_down=%d acts_lost=%d unheld_p99_ms=%d unheld_most_ms=%d"
+                + " moved_fair=%.2f syncs_per_renewal=%s idle_cpu_ms_per_s=%.1f%n", SCHEDULERS, tasks,
+                calls.size(), kills, stalls, cuts, history.twoAtOnce(), history.staleAccepted(),
+                history.turnedDown(), lost, unheld.getValueAtPercentile(99), unheldMost, fair,
+                syncs == 0 ? "0" : String.format(Locale.ROOT, "%.4f", syncs), cpu);
+        return found.isEmpty() && lost == 0 && never == 0 ? 0 : 1;
+    }
+}
--- /dev/null
+++ b/src/main/java/laneflow/lab/standin/StandInReceiver.java
@@ -0,0 +1,130 @@
+package laneflow.lab.standin;
+
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+
+/**
+ * Where fleet-wide calls have their effect, as somebody else's service that knows nothing of leases: each
+ * call is at work for a while, and is written down with its beginning and its end on this machine's monotonic
+ * clock. Calls to a path that begins with {@code /checked} are turned down (409) where their token is lower
+ * than the highest that such a call has shown, as a store does that checks it.
+ */
+public final class StandInReceiver implements AutoCloseable {
+    private static final int MOST_HEAD = 4096;
+
+    /**
+     * A call.
+     *
+     * @param accepted false where its token was too low
+     */
+    public record Call(String task, long token, String holder, boolean checked, boolean accepted,
+            long beganNs,
+            long endedNs) {
+    }
+
+    private final ServerSocket server;
+    private final int workMs;
+    private final ExecutorService threads = Executors.newCachedThreadPool(task -> {
+        Thread thread = new Thread(null, task, "receiver", 256 * 1024);
+        thread.setDaemon(true);
+        return thread;
+    });
+    private final List<Call> calls = new ArrayList<>();
+    private final Map<String, Long> highest = new HashMap<>();
+
+    /** @param workMs how long each call is at work */
+    public StandInReceiver(int port, int workMs) throws IOException {
+        this.workMs = workMs;
+        server = new ServerSocket(port, 512, InetAddress.getLoopbackAddress());
+        threads.execute(this::accept);
+    }
+
+    public int port() {
+        return server.getLocalPort();
+    }
+
+    /** All calls whose work is over, as of now. */
+    public List<Call> calls() {
+        synchronized (calls) {
+            return List.copyOf(calls);
+        }
+    }
+
+    private void accept() {
+        while (!server.isClosed()) {
+            try {
+                Socket socket = server.accept();
+                threads.execute(() -> serve(socket));
+            } catch (IOException e) {
+                return;
+            }
+        }
+    }
+
+    private void serve(Socket socket) {
+        try (socket) {
+            String head = head(socket.getInputStream());
+            long began = System.nanoTime();
+            if (!head.contains("\r\nTask: ")) {
+                return;
+            }
+            String task = field(head, "Task");
+            long token = Long.parseLong(field(head, "Task-Token"));
+            boolean checked = head.startsWith("POST /checked");
+            boolean accepted;
+            synchronized (calls) {
+                accepted = !checked || token >= highest.getOrDefault(task, 0L);
+                if (accepted) {
+                    highest.merge(task, token, Math::max);
+                }
+            }
+            if (accepted) {
+                Thread.sleep(workMs);
+            }
+            synchronized (calls) {
+                calls.add(new Call(task, token, field(head, "Task-Holder"), checked, accepted, began,
+                        System.nanoTime()));
+            }
+            socket.getOutputStream().write(("HTTP/1.1 " + (accepted ? "204 Done" : "409 Stale")
+                    + "\r\nContent-Length: 0\r\n\r\n").getBytes(StandardCharsets.US_ASCII));
+        } catch (IOException e) {
+            // The caller has gone; what was done is written down already.
+            Thread.onSpinWait();
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    private static String head(InputStream in) throws IOException {
+        StringBuilder head = new StringBuilder();
+        while (head.indexOf("\r\n\r\n") < 0 && head.length() < MOST_HEAD) {
+            int one = in.read();
+            if (one < 0) {
+                break;
+            }
+            head.append((char) one);
+        }
+        return head.toString();
+    }
+
+    private static String field(String head, String name) {
+        int from = head.indexOf("\r\n" + name + ": ") + name.length() + 4;
+        return head.substring(from, head.indexOf("\r\n", from));
+    }
+
+    @Override
+    public void close() throws IOException {
+        server.close();
+        threads.shutdownNow();
+    }
+}
