--- a/src/main/java/laneflow/policy/Policy.java
+++ b/src/main/java/laneflow/policy/Policy.java
@@ -300,8 +300,9 @@
             message.addProperty("who", fleet.self().who());
             message.addProperty("at", now());
             message.add("tallies", tallies());
-            if (rider != null) {
-                message.add(RIDER, rider.says());
+            JsonElement riding = rider == null ? null : rider.says();
+            if (riding != null) {
+                message.add(RIDER, riding);
             }
             to.send(message);
         }
