--- a/src/main/java/laneflow/http/Client.java
+++ b/src/main/java/laneflow/http/Client.java
@@ -157,7 +157,7 @@
             // Where a message that can't be read ends is not known: nothing behind it can be read either.
             front.count("http.malformed");
             LOG.debug("{}: {}", e.status, e.getMessage());
-            refuse(e.status, "Bad Request", e.getMessage());
+            refuse(e.status, e.reason(), e.getMessage());
         } finally {
             reading = false;
         }
@@ -212,7 +212,7 @@
                 request = front.take(slot, head, body.toByteArray());
             } catch (HttpException e) {
                 front.count("http.bad_request");
-                answer(e.status, "Bad Request", "", ascii(e.getMessage() + "\n"));
+                answer(e.status, e.reason(), "", ascii(e.getMessage() + "\n"));
                 return;
             }
             front.submit(request);
--- a/src/main/java/laneflow/http/HttpException.java
+++ b/src/main/java/laneflow/http/HttpException.java
@@ -10,4 +10,14 @@
         super(message);
         this.status = status;
     }
+
+    /** The status in the standard's words (RFC 9110, RFC 6585). */
+    String reason() {
+        return switch (status) {
+            case 409 -> "Conflict";
+            case 413 -> "Content Too Large";
+            case 431 -> "Request Header Fields Too Large";
+            default -> "Bad Request";
+        };
+    }
 }
--- a/src/main/java/laneflow/http/OperatorPort.java
+++ b/src/main/java/laneflow/http/OperatorPort.java
@@ -88,7 +88,7 @@
                     finish();
                 }
             } catch (HttpException e) {
-                answer(e.status, "Bad Request", e.getMessage() + "\n");
+                answer(e.status, e.reason(), e.getMessage() + "\n");
             }
         }
 
--- a/src/test/java/laneflow/transcripts/Transcript.java
+++ b/src/test/java/laneflow/transcripts/Transcript.java
@@ -22,6 +22,7 @@
     private static final Pattern PORT = Pattern.compile("127\\.0\\.0\\.1:(\\d+)");
     private static final Pattern HANDLE = Pattern.compile("H:[\\w.-]+:\\w+");
     private static final Pattern ID = Pattern.compile("\\b[0-9a-f]{16}\\b");
+    private static final Pattern LIFE = Pattern.compile("(?<=#)[0-9a-f]{12}\\b");
     private static final Pattern LEFT = Pattern.compile("(Req-Deadline-Ms|Req-Timeout-Ms): \\d+");
     private static final Pattern LATER = Pattern.compile("(Retry-After): [\\d.]+");
     private static final Pattern INSTANT = Pattern.compile("\\b1[6-9]\\d{8}(\\d{3}|\\d{6})?\\b");
@@ -74,6 +75,7 @@
                 name("127.0.0.1:" + found.group(1), "address")));
         now = HANDLE.matcher(now).replaceAll(found -> Matcher.quoteReplacement(name(found.group(), "handle")));
         now = ID.matcher(now).replaceAll(found -> Matcher.quoteReplacement(name(found.group(), "id")));
+        now = LIFE.matcher(now).replaceAll(found -> Matcher.quoteReplacement(name(found.group(), "life")));
         now = INSTANT.matcher(now).replaceAll("<instant>");
         now = LEFT.matcher(now).replaceAll("$1: <ms left>");
         now = LATER.matcher(now).replaceAll("$1: <s>");
