--- a/src/main/java/laneflow/decision/Dispatch.java
+++ b/src/main/java/laneflow/decision/Dispatch.java
@@ -162,10 +162,11 @@
         public double freeSlots = Double.NaN;
         public double freeMemory = Double.NaN;
         public double queue = Double.NaN;
+        public double rate = Double.NaN; // Jobs served a second.
 
         /** Back to saying nothing. */
         public void clear() {
-            freeSlots = freeMemory = queue = Double.NaN;
+            freeSlots = freeMemory = queue = rate = Double.NaN;
         }
     }
 
--- a/src/main/java/laneflow/decision/Kind.java
+++ b/src/main/java/laneflow/decision/Kind.java
@@ -5,6 +5,9 @@
     /** Some class runs on no other kind. */
     boolean soleHost;
     double slotsSeen;
+    /** Mean of free slots and of the work that is served a second, over reports; 0 before the first. */
+    private double slotsFree;
+    private double workServed;
     /** Greatest weight listed: where weights are live, that of an idle worker. */
     double sizeSeen;
     /** Its reports tell how many requests wait. */
@@ -26,9 +29,18 @@
         waitedAt = now;
     }
 
-    /** Slots of a worker of this kind, one if none was ever reported. */
+    void busy(double free, double served) {
+        double gain = workServed > 0 ? Logic.OTHERS_GAIN : 1;
+        slotsFree += gain * (free - slotsFree);
+        workServed += gain * (served - workServed);
+    }
+
+    /**
+     * Slots of a worker of this kind, one if none was ever reported. The most seen free are too few where
+     * nobody was idle since the start; Little's law tells those at work: work served a second by its speed.
+     */
     double slots() {
-        return Math.max(1, slotsSeen);
+        return Math.max(1, Math.max(slotsSeen, slotsFree + workServed / speed()));
     }
 
     double speed() {
@@ -37,6 +49,6 @@
 
     /** Standard cores that a warm worker of this kind is seen to bear. */
     double capacity() {
-        return slotsSeen > 0 ? slotsSeen * speed() : Logic.UNKNOWN_CAPACITY;
+        return slotsSeen > 0 ? slots() * speed() : Logic.UNKNOWN_CAPACITY;
     }
 }
--- a/src/main/java/laneflow/decision/Logic.java
+++ b/src/main/java/laneflow/decision/Logic.java
@@ -258,7 +258,7 @@
         View view = attempt.view;
         // Before it is settled: a report older than the job's end still counts it, and is not the siblings'.
         if (report != null) {
-            view.take(report, now);
+            view.take(report, meanHint, now);
         }
         settle(attempt, outcome);
         judge(view, outcome);
@@ -277,7 +277,7 @@
         clock(at);
         View view = views.get(worker);
         if (view != null && report != null) {
-            view.take(report, now);
+            view.take(report, meanHint, now);
         }
         placeHeld(view == null ? Double.NaN : view.probedAt);
     }
@@ -407,9 +407,14 @@
         return best;
     }
 
-    /** A full pool's coin: either neighbour on the ring of zones that serve the class. */
+    /** A full pool's coin: either neighbour on the ring of zones that serve the class, of those with room. */
     private View coin(Job job, int home) {
         int step = random.nextDouble() < job.crossEachWay ? 1 : settings.zones - 1;
+        View view = neighbour(job, home, step);
+        return view != null ? view : neighbour(job, home, settings.zones - step);
+    }
+
+    private View neighbour(Job job, int home, int step) {
         int zone = (home + step) % settings.zones;
         while (zone != home && !serves(zone, job)) {
             zone = (zone + step) % settings.zones;
@@ -1011,12 +1016,15 @@
             return (workRun + KIND_SAY * speed) / (timeRun + KIND_SAY);
         }
 
-        void take(LoadReport report, double now) {
+        void take(LoadReport report, double meanWork, double now) {
             // What no worker can have is spoilt: kept as the most seen it would blind its kind for good.
             if (!(report.freeSlots >= 0 && report.freeSlots <= MOST_TOLD) || report.queue > MOST_TOLD) {
                 return;
             }
             peers.slotsSeen = Math.max(peers.slotsSeen, report.freeSlots);
+            if (report.rate >= 0 && report.rate <= MOST_TOLD && now >= warmAt) {
+                peers.busy(report.freeSlots, report.rate * meanWork);
+            }
             freeMemory = Double.isNaN(report.freeMemory) ? Double.POSITIVE_INFINITY : report.freeMemory;
             double inReport = memoryInReport = 0;
             for (int i = 0; i < ownCount; i++) {
@@ -1027,7 +1035,7 @@
             }
             double queue = report.queue > 0 ? report.queue : 0;
             peers.tellsQueue |= report.queue >= 0;
-            taken(Math.max(0, peers.slotsSeen - report.freeSlots + queue - inReport), now);
+            taken(Math.max(0, peers.slots() - report.freeSlots + queue - inReport), now);
         }
 
         /** Siblings' jobs there, of which a report or an answer tells. */
--- a/src/main/java/laneflow/wire/ReportFields.java
+++ b/src/main/java/laneflow/wire/ReportFields.java
@@ -13,6 +13,7 @@
             case "x0": report.freeSlots = value; break;
             case "x1": report.freeMemory = value; break;
             case "q": case "queue": report.queue = value; break;
+            case "rate": case "qps": report.rate = value; break;
             default: break;
         }
     }
