--- a/src/main/java/laneflow/decision/Kind.java
+++ b/src/main/java/laneflow/decision/Kind.java
@@ -51,4 +51,14 @@
     double capacity() {
         return slotsSeen > 0 ? slots() * speed() : Logic.UNKNOWN_CAPACITY;
     }
+
+    /**
+     * Times the known work ahead that jobs wait: siblings' jobs and the queue's order are unseen. Found slow
+     * to start a kind would get no job, and stay shut out: without a start to renew it the scale fades.
+     */
+    double waitScale(double now) {
+        double prior = tellsQueue ? Logic.QUEUE_TOLD * Logic.WAIT_PRIOR : Logic.WAIT_PRIOR;
+        double scale = (waitSeen + prior) / (waitForeseen + prior);
+        return 1 + (scale - 1) / (1 + (now - waitedAt) / Logic.MEAN_AGE);
+    }
 }
--- a/src/main/java/laneflow/decision/Logic.java
+++ b/src/main/java/laneflow/decision/Logic.java
@@ -20,7 +20,7 @@
     /** Seconds that a report is held to be older than its arrival: it was taken before and came late. */
     private static final double REPORT_STALE = 0.5;
     private static final double MOST_TOLD = 4096; // Slots or waiting jobs that a report may tell of.
-    private static final double MEAN_AGE = 6; // Seconds unheard in which a mean has lost half its weight.
+    static final double MEAN_AGE = 6; // Seconds unheard in which a mean has lost half its weight.
     private static final double IN_TIME = 0.9; // Share of a job's aim to fill: hints and speeds are guesses.
     /** Four times the square of the mean excess of a normal draw, in its spreads: 4 x 0.4 x 0.4. */
     private static final double CHANCE = 0.64;
@@ -63,9 +63,9 @@
     private static final double WAIT_GAIN = 0.25; // Say of one late start in the wait that is not foreseen.
     static final double WAIT_MEMORY = 0.05; // Say of a start note in the waits seen and foreseen.
     /** Seconds added to waits seen and foreseen: where there are hardly any, what is foreseen is believed. */
-    private static final double WAIT_PRIOR = 0.05;
+    static final double WAIT_PRIOR = 0.05;
     /** Times as many where reports tell of queues: then more of the wait is foreseen. */
-    private static final double QUEUE_TOLD = 4;
+    static final double QUEUE_TOLD = 4;
     private static final double SLACK_GAIN = 0.05; // Say of a request in its class's mean wait.
     private static final double HINT_GAIN = 0.02; // Say of a new request in the mean cost hint.
 
@@ -480,7 +480,7 @@
 
     /** Seconds until this worker would start the job. */
     private double wait(View view, Job job) {
-        return Math.max(0, queueWait(view, job) * waitScale(view.peers, now) + view.unseenWait(now));
+        return Math.max(0, queueWait(view, job) * view.peers.waitScale(now) + view.unseenWait(now));
     }
 
     /** Seconds that the work known of makes it wait: the mean job's rest for each one too many. */
@@ -931,16 +931,6 @@
         }
     }
 
-    /**
-     * Times the known work ahead that jobs wait: siblings' jobs and the queue's order are unseen. Found slow
-     * to start a kind would get no job, and stay shut out: without a start to renew it the scale fades.
-     */
-    private static double waitScale(Kind kind, double now) {
-        double prior = kind.tellsQueue ? QUEUE_TOLD * WAIT_PRIOR : WAIT_PRIOR;
-        double scale = (kind.waitSeen + prior) / (kind.waitForeseen + prior);
-        return 1 + (scale - 1) / (1 + (now - kind.waitedAt) / MEAN_AGE);
-    }
-
     /** What this dispatcher knows of one worker. */
     static final class View extends Outstanding {
         private final long id;
