--- a/src/test/java/laneflow/decision/GuardTest.java
+++ b/src/test/java/laneflow/decision/GuardTest.java
@@ -329,6 +329,58 @@
         assertEquals(2, rig.sentTo(6), "'full' is believed for a while");
     }
 
+    @Test
+    void theCoinNamesANeighbourWithRoomWhereTheOtherHasNone() {
+        Settings settings = Rig.settings(Effect.SAFE);
+        settings.zones = 4;
+        for (double toTheNext : new double[] {0, 1}) {
+            settings.crossEachWay = toTheNext;
+            Rig rig = new Rig(settings).workers(0, 1).workers(1, 2).workers(2, 3).workers(3, 4);
+            assertEquals(toTheNext == 1 ? 2 : 4, rig.ask(5).ends(5, 0, Outcome.FULL).sentTo(5));
+            rig.ends(5, 1, Outcome.FULL);
+            assertEquals(toTheNext == 1 ? 4 : 2, rig.sentTo(5), "the coin's own has none, the other has");
+            rig.ends(5, 2, Outcome.FULL);
+            assertEquals("refuse", rig.answers(5), "nobody goes round the ring");
+        }
+    }
+
+    @Test
+    void slotsFollowFromWhatBusyWorkersServe() {
+        Settings settings = Rig.settings(Effect.SAFE);
+        settings.classes[0].aim = 1;
+        settings.classes[0].stretch = 0;
+        Dispatch.LoadReport busy = Rig.free(0);
+        busy.queue = 1;
+        Rig untold = new Rig(settings).workers(0, 1);
+        Rig told = new Rig(settings).workers(0, 1);
+        untold.askHinted(5, 0.5).ends(5, 0, Outcome.OK, busy).pass(0.01);
+        busy.rate = 8;
+        told.askHinted(5, 0.5).ends(5, 0, Outcome.OK, busy).pass(0.01);
+        assertEquals("refuse", untold.askHinted(6, 0.5).answers(6), "as if it had one slot and one job waited");
+        assertEquals(1, told.askHinted(6, 0.5).sentTo(6), "eight of half a second each: four slots");
+    }
+
+    @Test
+    void coldWorkersOfABusyKindAreTrustedWithWhatItServes() {
+        int[] sent = new int[2];
+        for (int i = 0; i < 2; i++) {
+            Dispatch.LoadReport busy = Rig.free(0.5);
+            busy.rate = i == 0 ? Double.NaN : 40;
+            Rig rig = new Rig(Rig.settings(Effect.SAFE)).workers(0, 1);
+            rig.askHinted(5, 0.1).ends(5, 0, Outcome.OK, busy);
+            rig.logic.list(rig.now, ListKind.WHOLE, List.of(Rig.worker(2, 0, State.READY, rig.now)));
+            sent[i] = rig.pass(5).callsAtOnce(10, 60, 0.1);
+        }
+        assertTrue(sent[1] >= 2 * sent[0] && sent[0] > 0,
+                sent[0] + " where only the most seen free is known, " + sent[1]);
+        Dispatch.LoadReport spoilt = Rig.free(1);
+        spoilt.rate = 1e18;
+        Rig rig = new Rig(Rig.settings(Effect.SAFE)).workers(0, 1);
+        rig.askHinted(5, 0.1).ends(5, 0, Outcome.OK, spoilt);
+        rig.logic.list(rig.now, ListKind.WHOLE, List.of(Rig.worker(2, 0, State.READY, rig.now)));
+        assertTrue(rig.pass(5).callsAtOnce(10, 60, 0.1) < sent[1], "a rate that no worker can have is passed over");
+    }
+
     @Test
     void leastOutstandingWorkIsPicked() {
         Rig rig = new Rig(Rig.settings(Effect.SAFE)).workers(0, 1, 2);
