--- a/src/main/java/laneflow/assembly/Serve.java
+++ b/src/main/java/laneflow/assembly/Serve.java
@@ -113,8 +113,8 @@
 
     /** Begun with nothing known, it would refuse all that comes before discovery's first word. */
     private boolean serves() {
-        return !stopping && subsystems.isReady() && (watch == null
-                || scheduler.destinations().size() > 0 || counters.get("discovery.lists") > 0);
+        return !stopping && subsystems.isReady() && (watch == null || watch.hasLooked()
+                && (scheduler.destinations().size() > 0 || counters.get("discovery.lists") > 0));
     }
 
     /** Where another process serves in its place, the scheduler stays ready whichever of them is asked. */
@@ -252,6 +252,7 @@
             return;
         }
         stopping = true;
+        counters.add("stop.begun");
         LOG.info("stopping, {} open; {}", scheduler.open(), counters.line());
         double longest = 0;
         for (JobClass type : scheduler.settings().classes) {
