--- a/src/test/java/laneflow/core/FleetEndpoint.java
+++ b/src/test/java/laneflow/core/FleetEndpoint.java
@@ -29,6 +29,7 @@
     private int life;
     private LoadReport report;
     private long reportedAt;
+    private int served; // Since then.
 
     FleetEndpoint(FleetDay day, int number, int kind) {
         this.day = day;
@@ -116,6 +117,7 @@
         running.remove(out);
         gone(out);
         boolean fails = day.rough && day.random.nextInt(40) == 0;
+        served++;
         day.ends(out, fails ? Outcome.ERROR : Outcome.OK);
         startNext();
     }
@@ -169,6 +171,7 @@
         if (report == null || day.now >= reportedAt + drawn.reportEveryMs * 1000L) {
             report = taken();
             reportedAt = day.now;
+            served = 0;
         }
         return report;
     }
@@ -177,6 +180,7 @@
         LoadReport report = new LoadReport();
         report.freeSlots = drawn.tells(0) ? Math.max(0, slots - used) : Double.NaN;
         report.queue = drawn.tells(1) ? queue.size() : Double.NaN;
+        report.rate = drawn.tells(3) && day.now > reportedAt ? served * 1e6 / (day.now - reportedAt) : Double.NaN;
         report.freeMemory = drawn.tells(2) && drawn.memory > 0 ? slots - memory : Double.NaN;
         return report;
     }
