Control state on a thread of its own: links, votes, leases and view leave the traffic's loop

Thousands of members' news, votes and changes were worked off on the loop that takes requests. They have a second loop now, and no lock: the control thread publishes what a lease allows as a whole that never changes (decision.Leave), and the gate on the request's path (LeaseGate) reads the clock first and what holds behind it. So a lease ends by the clock whatever the control thread does, and what was published before a scheduler said that it obeys it is seen by every later decision. A policy is adopted in one turn of the traffic's loop, and only then told to the control thread, which says so to the leader. Facts for the view and classes' counts come from the traffic's thread as wholes, counts only where the leader tries changes. Counters of both threads are told as one.

Tests: what is published says of every instant what the lease does; the end by the clock; adoption before it is told; an earlier end that is published right behind a look at the clock.

--- a/src/main/java/laneflow/assembly/Together.java
+++ b/src/main/java/laneflow/assembly/Together.java
@@ -6,11 +6,13 @@
 import java.util.ArrayList;
 import java.util.HexFormat;
 import java.util.List;
+import java.util.TreeSet;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.locks.LockSupport;
 import laneflow.control.ResourceType;
 import laneflow.control.SettingTypes;
+import laneflow.core.Counters;
 import laneflow.core.Scheduler;
 import laneflow.decision.Dispatch.Settings;
 import laneflow.fleet.Fleet;
@@ -30,10 +32,17 @@
     private static final Logger LOG = LoggerFactory.getLogger(Together.class);
     private static final long AGAIN_NS = 20_000_000;
     private static final String CLOCK_RATE = "laneflow.lab.clock_rate";
+    /** True to have all on the traffic's thread, for measurements of what that costs. */
+    private static final String ONE_LOOP = "laneflow.lab.one_loop";
+    /** Links to others that no file names yet, and operators that ask. */
+    private static final int SPARE_LINKS = 16;
     private static final String LIBRARY_LOG = "org.slf4j.simpleLogger.log.io.microraft";
 
     private final Subsystems.Core core;
     private final boolean tellsPolicy;
+    /** Of the control thread: whatever schedulers say to each other is heard and said there. */
+    private final Loop control;
+    private final Counters counters;
     private final Fleet fleet;
     /** Null where no view is kept. */
     private final Members members;
@@ -48,28 +57,33 @@
     Together(Setup setup, Subsystems.Core core) throws IOException, InterruptedException {
         this.core = core;
         tellsPolicy = setup.policy() != null && setup.policy().tellPolicy;
-        Loop loop = core.loop();
+        FleetConfig config = setup.fleet();
+        control = Boolean.getBoolean(ONE_LOOP) ? core.loop()
+                : new Loop("control", config.peers.size() + SPARE_LINKS, true);
+        counters = new Counters();
+        Loop loop = control;
         Scheduler scheduler = core.scheduler();
         if (System.getProperty(LIBRARY_LOG) == null) {
             // It tells every step of an election; what matters of them is told by the policy's own log.
             System.setProperty(LIBRARY_LOG, "warn");
         }
-        FleetConfig config = setup.fleet();
         byte[] life = new byte[6];
         SecureRandom random = new SecureRandom();
         random.nextBytes(life);
         String build = Together.class.getPackage().getImplementationVersion();
         fleet = new Fleet(loop, config, new Fleet.Self(config.name, HexFormat.of().formatHex(life),
-                build == null ? "" : build), Token.read(config.tokenFile), scheduler.counters(),
-                random.nextLong());
+                build == null ? "" : build), Token.read(config.tokenFile), counters, random.nextLong());
         loop.call(() -> fleet.serve("/counters", (verb, path, body, answer) ->
-                answer.say(200, "text/plain", "", scheduler.counters().text())));
+                core.loop().later(() -> {
+                    String traffic = scheduler.counters().text();
+                    control.later(() -> answer.say(200, "text/plain", "", both(traffic)));
+                })));
         // Outside tests clocks run as they run.
         double clockRate = Double.parseDouble(System.getProperty(CLOCK_RATE, "1"));
         ExecutorService reading = Threads.inOrder("policy-reader");
-        policy = setup.policy() == null ? null : new PolicyPart(new PolicyPart.Given(loop, fleet, scheduler,
-                setup.policy(), bans -> types(setup, bans), List.of(setup.config().classNames), reading,
-                random.nextLong(), clockRate, core.upgrade()));
+        policy = setup.policy() == null ? null : new PolicyPart(new PolicyPart.Given(loop,
+                core.loop(), fleet, scheduler, counters, setup.policy(), bans -> types(setup, bans),
+                List.of(setup.config().classNames), reading, random.nextLong(), clockRate, core.upgrade()));
         members = setup.members() == null ? null : members(setup, reading, random.nextLong());
         listen();
     }
@@ -78,10 +92,17 @@
             InterruptedException {
         Config config = setup.config();
         Scheduler scheduler = core.scheduler();
-        return new Members(new Members.Given(core.loop(), fleet, setup.members(), scheduler.counters(),
+        return new Members(new Members.Given(control, core.loop(), fleet, setup.members(), counters,
                 config.zones.isEmpty() ? "" : config.zones.get(config.settings.zone),
-                () -> policy == null ? -1 : policy.number(), this::condition,
-                () -> scheduler.open() / (double) config.sockets, () -> served(scheduler), reading, seed));
+                () -> new Members.Standing(policy == null ? -1 : policy.number(), condition(),
+                        scheduler.open() / (double) config.sockets, served(scheduler)), reading, seed));
+    }
+
+    /** Both threads' counters, in order of their names. */
+    private String both(String traffic) {
+        TreeSet<String> lines = new TreeSet<>(List.of(traffic.split("\n")));
+        lines.addAll(List.of(counters.text().split("\n")));
+        return String.join("\n", lines) + "\n";
     }
 
     private Facts.Condition condition() {
@@ -184,9 +205,22 @@
             members.leave();
         }
         if (policy != null) {
-            core.loop().call(policy::leave);
+            policy.leave();
             policy.close();
         }
-        core.loop().call(fleet::close);
+        String[] line = new String[1];
+        control.call(() -> {
+            fleet.close();
+            line[0] = counters.line();
+        });
+        LOG.info("together: {}", line[0]);
+        halt();
+    }
+
+    @Override
+    public void halt() throws InterruptedException {
+        if (control != core.loop()) {
+            control.stop();
+        }
     }
 }
--- a/src/main/java/laneflow/lab/Measure.java
+++ b/src/main/java/laneflow/lab/Measure.java
@@ -2,6 +2,7 @@
 
 import java.util.concurrent.Callable;
 import laneflow.lab.measure.ConfigMeasure;
+import laneflow.lab.measure.ControlMeasure;
 import laneflow.lab.measure.DurableMeasure;
 import laneflow.lab.measure.FleetMeasure;
 import laneflow.lab.measure.GearmanMeasure;
@@ -22,7 +23,7 @@
     private boolean large;
 
     /** What can be measured. */
-    enum What { durable, config, gearman, policy, fleet }
+    enum What { durable, config, gearman, policy, fleet, control }
 
     @Override
     public Integer call() throws Exception {
@@ -30,6 +31,7 @@
             case durable: return DurableMeasure.run(seed, large, System.out);
             case fleet: return FleetMeasure.run(seed, large, System.out);
             case policy: return PolicyMeasure.run(seed, large, System.out);
+            case control: return ControlMeasure.run(seed, large, System.out);
             case config: return ConfigMeasure.run(seed, large, System.out);
             default: return GearmanMeasure.run(seed, large, System.out);
         }
--- a/src/main/java/laneflow/membership/Members.java
+++ b/src/main/java/laneflow/membership/Members.java
@@ -40,7 +40,7 @@
 
 /**
  * The view that this scheduler keeps of the others: datagrams in and out, checked before anything is made of
- * them, the loop's clock, and what it tells of itself. On the loop's thread. The view informs; nothing that
+ * them, the loop's clock, and what it tells of itself. On the control thread. The view informs; nothing that
  * must be true rests on it.
  */
 public final class Members implements Swim.Out {
@@ -83,15 +83,24 @@
     /**
      * What the assembly gives it.
      *
-     * @param policy the number of the policy in force, -1 where none is decided together; on the loop
-     * @param condition whether clients may come; on the loop
-     * @param load share of the requests that may be open; on the loop
-     * @param served requests answered so far; on the loop
+     * @param loop of the control thread
+     * @param traffic of the thread that takes requests
+     * @param standing how it stands with requests; asked on the traffic's thread
      * @param reading a thread that reads files
      */
-    public record Given(Loop loop, Fleet fleet, MembersConfig config, Counters counters, String zone,
-            Supplier<Long> policy, Supplier<Facts.Condition> condition, Supplier<Double> load,
-            Supplier<Long> served, Executor reading, long seed) {
+    public record Given(Loop loop, Loop traffic, Fleet fleet, MembersConfig config, Counters counters,
+            String zone, Supplier<Standing> standing, Executor reading, long seed) {
+    }
+
+    /**
+     * How a scheduler stands with requests at one instant.
+     *
+     * @param policy the number of the policy in force, -1 where none is decided together
+     * @param condition whether clients may come
+     * @param load share of the requests that may be open
+     * @param served requests answered so far
+     */
+    public record Standing(long policy, Facts.Condition condition, double load, long served) {
     }
 
     /** Reads the keys and begins; off the loop. */
@@ -129,11 +138,13 @@
     /** Becomes a member; fails with the socket's word where the address is taken. Off the loop. */
     public void begin() throws IOException, InterruptedException {
         Datagrams opened = loop.datagrams(config.listen, Seal.MOST, this::take);
+        Standing[] first = new Standing[1];
+        given.traffic().call(() -> first[0] = given.standing().get());
         loop.call(() -> {
             datagrams = opened;
             Life life = Life.of(given.fleet().self().name(), System.currentTimeMillis(),
                     config.advertise.getPort() == 0 ? opened.address() : config.advertise);
-            swim = new Swim(life, told(), config.seeds, times, wire, given.seed(),
+            swim = new Swim(life, told(first[0]), config.seeds, times, wire, given.seed(),
                     loop.micros(), this);
             given.fleet().handle(BULK, this::bulk);
             given.fleet().serve("/fleet", (verb, path, body, answer) -> {
@@ -287,26 +298,45 @@
     // ---- what it tells of itself ----
 
     private void facts() {
-        swim.tell(loop.micros(), told());
-        arm();
         loop.deadlines().set(facts, loop.micros() + FACTS_EVERY);
+        ask();
     }
 
-    /** To be told without delay: whether clients may come has changed. */
-    public void changed() {
-        if (swim != null && !over) {
-            facts();
+    /** What only the traffic's thread may read comes from there as a whole. */
+    private void ask() {
+        try {
+            given.traffic().later(() -> tell(given.standing().get()));
+        } catch (RejectedExecutionException e) {
+            LOG.debug("nobody takes requests any more");
         }
     }
 
-    private Facts told() {
+    private void tell(Standing now) {
+        try {
+            loop.later(() -> {
+                if (swim != null && !over) {
+                    swim.tell(loop.micros(), told(now));
+                    arm();
+                }
+            });
+        } catch (RejectedExecutionException e) {
+            LOG.debug("the control thread has ended");
+        }
+    }
+
+    /** To be told without delay: whether clients may come has changed. On the traffic's thread. */
+    public void changed() {
+        tell(given.standing().get());
+    }
+
+    private Facts told(Standing standing) {
         long now = loop.micros();
-        long served = given.served().get();
-        double rate = factsAt == 0 ? 0 : (served - servedBefore) * MICROS / Math.max(1, now - factsAt);
-        servedBefore = served;
+        double rate = factsAt == 0 ? 0 : (standing.served() - servedBefore) * MICROS
+                / Math.max(1, now - factsAt);
+        servedBefore = standing.served();
         factsAt = now;
-        return new Facts(zone, build, link, given.policy().get(), given.condition().get(),
-                Facts.loadStep(given.load().get()), Facts.rateStep(rate), false);
+        return new Facts(zone, build, link, standing.policy(), standing.condition(),
+                Facts.loadStep(standing.load()), Facts.rateStep(rate), false);
     }
 
     private static String cut(String text, int most) {
--- a/src/main/java/laneflow/policy/FleetTrial.java
+++ b/src/main/java/laneflow/policy/FleetTrial.java
@@ -36,6 +36,11 @@
         this.bound = bound;
     }
 
+    /** True where changes are on trial at all. */
+    boolean isOn() {
+        return length > 0;
+    }
+
     /** A leader begins: figures are counted from here. */
     void begin(long now) {
         counts.clear();
--- a/src/main/java/laneflow/policy/Leadership.java
+++ b/src/main/java/laneflow/policy/Leadership.java
@@ -31,7 +31,7 @@
     private static final Logger LOG = LoggerFactory.getLogger(Leadership.class);
     /** So end reasons that pass by themselves. */
     static final String ASK_AGAIN = "; ask again";
-    private static final int ROUNDS_A_LEASE = 6;
+    private static final int ROUNDS_A_LEASE = 4;
     private static final int QUIET_PARTS = 2;
 
     private final Loop loop;
@@ -140,6 +140,11 @@
         return lead != null;
     }
 
+    /** True where schedulers' counts are wanted with their renewals. */
+    boolean tries() {
+        return trial.isOn();
+    }
+
     /** Has a majority say that this is still the leader, and what holds. */
     private void confirm() {
         if (lead == null || stopped) {
@@ -278,7 +283,9 @@
         Grant grant = lead == null ? null : lead.grant(policy.now(), who);
         Peer route = routes.get(who);
         if (grant != null && route != null) {
-            route.send(Words.grant(grant, who, fleet.self().name(), at, voterNames));
+            JsonObject message = Words.grant(grant, who, fleet.self().name(), at, voterNames);
+            message.addProperty("trial", trial.isOn());
+            route.send(message);
         }
     }
 
--- a/src/main/java/laneflow/policy/Policy.java
+++ b/src/main/java/laneflow/policy/Policy.java
@@ -7,6 +7,7 @@
 import com.google.gson.JsonParser;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -16,15 +17,15 @@
 import java.util.TreeMap;
 import java.util.concurrent.Executor;
 import java.util.concurrent.RejectedExecutionException;
+import java.util.function.LongSupplier;
 import laneflow.core.Counters;
 import laneflow.core.Deadlines.Deadline;
-import laneflow.core.Gate;
-import laneflow.core.Scheduler;
 import laneflow.fleet.Fleet;
 import laneflow.fleet.Peer;
 import laneflow.net.Loop;
 import laneflow.policy.decision.Grant;
 import laneflow.policy.decision.Lease;
+import laneflow.policy.decision.Leave;
 import laneflow.policy.decision.Renewal;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -32,36 +33,34 @@
 /**
  * A scheduler's part in changes of policy: it renews its lease, reads and checks what is to be decided, says
  * whether it is ready for it, begins with what was decided at the instant that the leader named, and stops
- * deciding where its lease has run out. On the loop's thread, but for reading.
+ * deciding where its lease has run out. On the control thread, but for reading; requests ask the
+ * {@link LeaseGate}, which gets what holds from here and tells what it has adopted.
  *
  * <p>Who leads is found out by asking: a voter that does not lead passes a renewal on to the one that does.
  */
-public final class Policy implements Gate {
+final class Policy {
     private static final Logger LOG = LoggerFactory.getLogger(Policy.class);
     private static final int RENEWALS_A_LEASE = 4;
     /** A voter that has not answered so many renewals is passed by for a lease. */
     private static final int MOST_UNANSWERED = 2;
     private static final int MOST_PREPARED = 4;
-    private static final int MOST_STAMPS = 64;
-    private static final double COME_BACK_PART = 0.1;
+    private static final double TOLD_AFTER_PART = 0.1;
 
     private final Loop loop;
     private final Fleet fleet;
-    private final Scheduler scheduler;
+    private final LeaseGate gate;
+    private final Runnable tally;
     private final Counters counters;
     private final PolicyConfig config;
     private final PolicyTypes types;
     private final Executor reading;
     private final SplittableRandom random;
-    private final double clockRate;
-    private final long clockOrigin;
+    private final LongSupplier clock;
     private final Lease lease = new Lease();
     private final Deadline renewal;
-    private final Deadline begin;
     /** What was read, by number; the own file is ready from the start. */
     private final TreeMap<Long, PolicyTypes.Prepared> prepared = new TreeMap<>();
     private final Set<Long> asked = new HashSet<>();
-    private final TreeMap<Integer, Long> stamps = new TreeMap<>();
     private final Map<String, Long> passedBy = new LinkedHashMap<>();
     /** Null where this process does not vote. */
     private Leadership leadership;
@@ -72,7 +71,8 @@
     private long adopted;
     private List<String> waitsForRestart = List.of();
     private long lastRoundTrip;
-    private long lastDecidedNs;
+    /** Classes' counts as they were when they were last asked for; empty where the leader needs none. */
+    private JsonArray tallies = new JsonArray();
     /** Since when it has no leave; the largest number while it has, the next to it once that was told. */
     private long stoppedAt = Long.MAX_VALUE - 1;
     /** Whom to ask: those who vote, and those of the file. */
@@ -82,36 +82,50 @@
     private boolean left;
 
     /**
-     * One that may not decide yet.
+     * What it is made of.
      *
+     * @param loop of the control thread
      * @param reading a thread that reads policies, one after the other
-     * @param clockRate 1, but in tests of clocks that drift
+     * @param clock the lease's
+     * @param tally has the classes' counts read, and told by {@link #tallied}
      */
-    public Policy(Loop loop, Fleet fleet, Scheduler scheduler, PolicyConfig config, PolicyTypes types,
-            Executor reading, long seed, double clockRate) {
-        this.loop = loop;
-        this.fleet = fleet;
-        this.scheduler = scheduler;
-        this.counters = scheduler.counters();
-        this.config = config;
-        this.types = types;
-        this.reading = reading;
-        this.clockRate = clockRate;
-        clockOrigin = loop.fresh();
+    record Parts(Loop loop, Fleet fleet, Counters counters, PolicyConfig config, PolicyTypes types,
+            Executor reading, long seed, LongSupplier clock, Runnable tally) {
+    }
+
+    /** One that may not decide yet. */
+    Policy(Parts parts, LeaseGate gate) {
+        loop = parts.loop();
+        fleet = parts.fleet();
+        counters = parts.counters();
+        config = parts.config();
+        types = parts.types();
+        reading = parts.reading();
+        clock = parts.clock();
+        tally = parts.tally();
+        this.gate = gate;
         voters = new ArrayList<>(config.voters);
-        random = new SplittableRandom(seed);
+        random = new SplittableRandom(parts.seed());
         renewal = loop.deadlines().create(this::renew);
-        begin = loop.deadlines().create(this::settle);
         prepared.put(0L, types.read(new JsonObject()));
     }
 
+    /** A process's clock for leases: monotonic, read now, by any thread. */
+    static LongSupplier clock(Loop loop, double rate) {
+        long origin = loop.fresh();
+        return () -> {
+            long passed = loop.fresh() - origin;
+            return origin + (rate == 1 ? passed : (long) (passed * rate));
+        };
+    }
+
     /** Begins to ask for leave to decide. */
     void begin(Leadership own) {
         leadership = own;
         fleet.handle("grant", this::granted);
         fleet.handle("content", (from, message) -> content(message));
         fleet.watch(peer -> {
-            if (settle() < 0) {
+            if (deciding() < 0) {
                 renewNow();
             }
         }, peer -> { });
@@ -125,54 +139,15 @@
         renewNow();
     }
 
-    /** This process's clock for leases: monotonic, read now. */
+    /** This process's clock for leases. */
     long now() {
-        long passed = loop.fresh() - clockOrigin;
-        return clockOrigin + (clockRate == 1 ? passed : (long) (passed * clockRate));
-    }
-
-    // ---- may it decide ----
-
-    @Override
-    public boolean mayDecide() {
-        // Read anew for each request: a process that was stopped amid a turn wakes with the turn's old time.
-        boolean may = settle() >= 0;
-        if (!may && config.servesCutOff) {
-            counters.add("policy.decided_without_lease");
-        }
-        if (may || config.servesCutOff) {
-            lastDecidedNs = System.nanoTime();
-        }
-        return may || config.servesCutOff;
-    }
-
-    /** Whether clients may be asked for; changes nothing. */
-    public boolean isReady() {
-        return !left && (config.servesCutOff || settle() >= 0);
-    }
-
-    @Override
-    public long decidesWithin() {
-        return left || lease.next() < 0 ? Long.MAX_VALUE : untilNext();
-    }
-
-    /** From the turn's instant on, which deadlines are set by and which lags behind now. */
-    private long untilNext() {
-        return loop.fresh() - loop.micros() + Math.max(0, lease.nextStart() - now()) + 1;
-    }
-
-    @Override
-    public double comeBack() {
-        return config.lease / 1e6 * COME_BACK_PART;
+        return clock.getAsLong();
     }
 
-    /** Begins with what is due; returns the policy by which it may decide now, or -1. */
-    private long settle() {
-        long now = now();
-        long number = left ? -1 : lease.deciding(now);
-        if (number >= 0 && (number != adopted || !everDecided) && !adopt(number)) {
-            number = -1;
-        }
+    /** The policy by which requests are decided on now, or -1. */
+    private long deciding() {
+        long number = left ? -1 : lease.deciding(now());
+        number = number == adopted && everDecided ? number : -1;
         if (number >= 0) {
             stoppedAt = Long.MAX_VALUE;
         } else if (stoppedAt == Long.MAX_VALUE) {
@@ -183,7 +158,7 @@
 
     /** Between two policies it decides by none for a moment; told is what lasts, once. */
     private void tellLoss() {
-        if (settle() < 0 && everDecided && loop.micros() - stoppedAt > config.lease * COME_BACK_PART) {
+        if (deciding() < 0 && everDecided && loop.micros() - stoppedAt > config.lease * TOLD_AFTER_PART) {
             stoppedAt = Long.MAX_VALUE - 1;
             counters.add("policy.lease_lost");
             LOG.warn("policy: no leave to decide any more, {}", config.servesCutOff
@@ -191,42 +166,30 @@
         }
     }
 
-    /** All of it in this turn: requests that come see the new one, those that are open keep theirs. */
-    private boolean adopt(long number) {
-        PolicyTypes.Prepared next = prepared.get(number);
-        if (next == null || !next.findings.isEmpty()) {
-            // No leader grants what was not said to be ready; deciding by another would be worse than not.
-            counters.add("policy.granted_unready");
-            return false;
-        }
-        long from = System.nanoTime();
-        long before = adopted;
-        waitsForRestart = next.adopt();
+    /** What holds goes to where requests are taken, before this turn tells anybody that it is obeyed. */
+    private void publish() {
+        Map<Long, PolicyTypes.Prepared> ready = new HashMap<>();
+        Leave leave = lease.leave();
+        prepared.forEach((number, read) -> {
+            if (read.findings.isEmpty() && (number == leave.number() || number == leave.next())) {
+                ready.put(number, read);
+            }
+        });
+        gate.publish(new LeaseGate.Published(leave, Map.copyOf(ready)));
+    }
+
+    /** Requests are decided on by that policy now, of which this waits for a restart. */
+    void adopted(long number, List<String> waits) {
         adopted = number;
-        stamps.put(scheduler.retuned(), number);
-        if (stamps.size() > MOST_STAMPS) {
-            stamps.pollFirstEntry();
-        }
-        counters.add("policy.begun");
-        long fence = everDecided ? lease.fence() : 0;
-        counters.set("policy.fence_most_us", Math.max(fence, counters.get("policy.fence_most_us")));
-        LOG.info("policy begins number={} before={} last_decided_ns={} began_ns={} fence_us={} took_us={}",
-                number,
-                before, lastDecidedNs, from, fence, (System.nanoTime() - from) / 1000);
         everDecided = true;
+        waitsForRestart = waits;
         prepared.headMap(number).clear();
-        return true;
-    }
-
-    /** The policy that was adopted last; 0: the file's own. */
-    long number() {
-        return adopted;
+        deciding();
     }
 
-    /** The policy that requests of that epoch came under, for answers; empty where none has begun. */
-    public String stamp(int epoch) {
-        Map.Entry<Integer, Long> at = stamps.floorEntry(epoch);
-        return at == null ? "" : "policy=" + at.getValue();
+    /** The classes' counts. */
+    void tallied(JsonArray counts) {
+        tallies = counts;
     }
 
     // ---- renewing ----
@@ -243,7 +206,10 @@
             unanswered = 0;
             // Its stamp lies between these two readings, however long the process stood still meanwhile.
             long asked = now();
-            Grant own = leadership.renewed(renewalOf(), tallies());
+            if (leadership.tries()) {
+                tally.run();
+            }
+            Grant own = leadership.renewed(renewalOf(), tallies);
             if (own != null) {
                 take(own, asked, now());
             }
@@ -255,7 +221,7 @@
             JsonObject message = Words.renewal(renewalOf());
             message.addProperty("who", fleet.self().who());
             message.addProperty("at", now());
-            message.add("tallies", tallies());
+            message.add("tallies", tallies);
             to.send(message);
         }
     }
@@ -306,19 +272,9 @@
                 reasons = one.getValue().findings;
             }
         }
-        return new Renewal(lease.term(), lease.seq(), lease.begun(), ready, refused, reasons, lastRoundTrip);
-    }
-
-    private JsonArray tallies() {
-        JsonArray all = new JsonArray();
-        for (long[] row : scheduler.tallies()) {
-            JsonArray counts = new JsonArray();
-            for (long one : row) {
-                counts.add(one);
-            }
-            all.add(counts);
-        }
-        return all;
+        // Begun with is what the traffic's thread has adopted, however long that has taken it.
+        long begun = everDecided ? Math.min(adopted, lease.begun()) : -1;
+        return new Renewal(lease.term(), lease.seq(), begun, ready, refused, reasons, lastRoundTrip);
     }
 
     /** A leader's word that came over a link. */
@@ -341,6 +297,10 @@
             voters(message.get("voters"));
         }
         take(grant, at, now);
+        // Builds that do not say always want them.
+        if (at >= 0 && (!message.has("trial") || message.get("trial").getAsBoolean())) {
+            tally.run();
+        }
         if (at < 0) {
             // It waits to hear that this is obeyed.
             renewNow();
@@ -367,12 +327,10 @@
             return;
         }
         open = grant.open();
+        publish();
         want(grant.number());
         want(open);
-        settle();
-        if (lease.next() >= 0) {
-            loop.deadlines().set(begin, loop.micros() + untilNext());
-        }
+        deciding();
     }
 
     // ---- making ready ----
@@ -441,19 +399,19 @@
             counters.add("policy.refused");
             LOG.warn("policy {} is turned down here: {}", number, String.join("; ", read.findings));
         }
+        publish();
         renewNow();
     }
 
     // ---- the end ----
 
     /** This process decides no more, and says so: the others need not wait for its lease. */
-    public void leave() {
+    void leave() {
         if (left) {
             return;
         }
         left = true;
         loop.deadlines().cancel(renewal);
-        loop.deadlines().cancel(begin);
         if (leadership != null && leadership.leads()) {
             leadership.left(fleet.self().who());
             return;
@@ -475,8 +433,8 @@
     }
 
     /** How things stand here, for whoever asks. */
-    public JsonObject report() {
-        long deciding = settle();
+    JsonObject report() {
+        long deciding = deciding();
         JsonObject all = new JsonObject();
         all.addProperty("scheduler", fleet.self().name());
         all.addProperty("life", fleet.self().life());
--- a/src/main/java/laneflow/policy/PolicyPart.java
+++ b/src/main/java/laneflow/policy/PolicyPart.java
@@ -1,5 +1,6 @@
 package laneflow.policy;
 
+import com.google.gson.JsonArray;
 import io.microraft.persistence.RestoredRaftState;
 import java.io.IOException;
 import java.util.List;
@@ -8,7 +9,9 @@
 import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.locks.LockSupport;
 import java.util.function.Function;
+import java.util.function.LongSupplier;
 import laneflow.control.ResourceType;
+import laneflow.core.Counters;
 import laneflow.core.Scheduler;
 import laneflow.fleet.Fleet;
 import laneflow.net.Loop;
@@ -22,7 +25,9 @@
     private static final long AGAIN_NS = 20_000_000;
 
     private final Loop loop;
+    private final Loop traffic;
     private final Policy policy;
+    private final LeaseGate gate;
     private PolicyPort port;
     /** Null where this process does not vote. */
     private volatile Voting voting;
@@ -31,14 +36,17 @@
     /**
      * What the assembly gives it.
      *
+     * @param loop of the control thread
+     * @param traffic of the thread that takes requests; the scheduler is its own
+     * @param counters the control thread's
      * @param types makes the types that a policy may hold here, given the one of bans
      * @param reading a thread that reads policies, one after the other
      * @param clockRate 1, but in tests of clocks that drift
      * @param upgrade true if the process before this one may still vote
      */
-    public record Given(Loop loop, Fleet fleet, Scheduler scheduler, PolicyConfig config,
-            Function<ResourceType, PolicyTypes> types, List<String> classes, Executor reading, long seed,
-            double clockRate, boolean upgrade) {
+    public record Given(Loop loop, Loop traffic, Fleet fleet, Scheduler scheduler, Counters counters,
+            PolicyConfig config, Function<ResourceType, PolicyTypes> types, List<String> classes,
+            Executor reading, long seed, double clockRate, boolean upgrade) {
     }
 
     /**
@@ -50,9 +58,12 @@
         PolicyConfig config = given.config();
         Fleet fleet = given.fleet();
         Scheduler scheduler = given.scheduler();
-        policy = new Policy(loop, fleet, scheduler, config,
-                given.types().apply(new BansType(scheduler::bar)), given.reading(), given.seed(),
-                given.clockRate());
+        traffic = given.traffic();
+        LongSupplier clock = Policy.clock(loop, given.clockRate());
+        gate = new LeaseGate(traffic, scheduler.counters(), scheduler::retuned, config, clock, this::adopted);
+        policy = new Policy(new Policy.Parts(loop, fleet, given.counters(), config,
+                given.types().apply(new BansType(scheduler::bar)), given.reading(), given.seed(), clock,
+                () -> pass(traffic, () -> tally(scheduler))), gate);
         Opened votes = null;
         boolean later = false;
         if (config.dir != null) {
@@ -61,17 +72,17 @@
             } catch (VoteStore.Taken e) {
                 later = given.upgrade();
                 if (!later) {
-                    lost(scheduler, e);
+                    lost(given, e);
                 }
             } catch (IOException e) {
-                lost(scheduler, e);
+                lost(given, e);
             }
         }
         Opened opened = votes;
+        traffic.call(() -> scheduler.decideWhile(gate));
         loop.call(() -> {
-            scheduler.decideWhile(policy);
             Leadership leadership = opened == null ? null : vote(given, opened);
-            port = new PolicyPort(fleet, policy, scheduler.counters(), leadership);
+            port = new PolicyPort(fleet, policy, given.counters(), leadership);
             policy.begin(leadership);
         });
         if (later) {
@@ -80,9 +91,35 @@
         }
     }
 
-    private static void lost(Scheduler scheduler, IOException why) {
+    private static void lost(Given given, IOException why) {
         LOG.error("policy: this process does not vote: {}", why.getMessage());
-        scheduler.counters().set("policy.vote_lost", 1);
+        given.counters().set("policy.vote_lost", 1);
+    }
+
+    /** On the traffic's thread. */
+    private void adopted(long number, List<String> waits) {
+        pass(loop, () -> policy.adopted(number, waits));
+    }
+
+    /** On the traffic's thread, whose counts they are. */
+    private void tally(Scheduler scheduler) {
+        JsonArray all = new JsonArray();
+        for (long[] row : scheduler.tallies()) {
+            JsonArray counts = new JsonArray();
+            for (long one : row) {
+                counts.add(one);
+            }
+            all.add(counts);
+        }
+        pass(loop, () -> policy.tallied(all));
+    }
+
+    private static void pass(Loop on, Runnable call) {
+        try {
+            on.later(call);
+        } catch (RejectedExecutionException e) {
+            LOG.debug("that thread has ended");
+        }
     }
 
     /** In an upgrade the store is the former process's until that ends. On a thread of its own. */
@@ -101,7 +138,7 @@
             } catch (VoteStore.Taken e) {
                 LOG.debug("not yet", e);
             } catch (IOException e) {
-                loop.later(() -> lost(given.scheduler(), e));
+                loop.later(() -> lost(given, e));
                 return;
             } catch (InterruptedException | RejectedExecutionException e) {
                 close(opened.store());
@@ -145,8 +182,8 @@
                         leadership[0].takenOut();
                     }
                 });
-        group[0] = new VoterGroup(loop, given.fleet(), given.config(), given.scheduler().counters(), voting);
-        leadership[0] = new Leadership(loop, given.fleet(), given.config(), given.scheduler().counters(),
+        group[0] = new VoterGroup(loop, given.fleet(), given.config(), given.counters(), voting);
+        leadership[0] = new Leadership(loop, given.fleet(), given.config(), given.counters(),
                 voting, group[0], policy, new FleetTrial(given.classes(), given.config().probation,
                 given.config().bound));
         leadership[0].begin();
@@ -163,24 +200,28 @@
         }
     }
 
-    /** Whether clients may be asked for; on the loop. */
+    /** Whether clients may be asked for; on the traffic's thread. */
     public boolean isReady() {
-        return policy.isReady();
+        return gate.isReady();
     }
 
-    /** The policy that is in force here; on the loop. */
+    /** The policy that is in force here; on the traffic's thread. */
     public long number() {
-        return policy.number();
+        return gate.number();
     }
 
-    /** The policy that requests of that epoch came under, for answers; on the loop. */
+    /** The policy that requests of that epoch came under, for answers; on the traffic's thread. */
     public String stamp(int epoch) {
-        return policy.stamp(epoch);
+        return gate.stamp(epoch);
     }
 
-    /** All is answered: this process decides no more, and the others need not wait for its lease. */
-    public void leave() {
-        policy.leave();
+    /**
+     * All is answered: this process decides no more, and the others, told behind that, need not wait for its
+     * lease. On any thread but these two.
+     */
+    public void leave() throws InterruptedException {
+        traffic.call(gate::leave);
+        loop.call(policy::leave);
     }
 
     /** Ends the vote, which its store keeps; on any thread but the loop's. */
--- a/src/main/java/laneflow/policy/decision/Lease.java
+++ b/src/main/java/laneflow/policy/decision/Lease.java
@@ -129,4 +129,9 @@
     public long seq() {
         return seq;
     }
+
+    /** As it stands now, for whoever reads it on another thread. */
+    public Leave leave() {
+        return new Leave(number, stop, next, nextStart, nextStop, fence);
+    }
 }
--- /dev/null
+++ b/src/test/java/laneflow/policy/LeaseGateTest.java
@@ -0,0 +1,121 @@
+package laneflow.policy;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import com.google.gson.JsonArray;
+import com.google.gson.JsonObject;
+import com.google.gson.JsonParser;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import laneflow.assembly.Setup;
+import laneflow.core.Counters;
+import laneflow.net.Loop;
+import laneflow.policy.LeaseGate.Published;
+import laneflow.policy.decision.Leave;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+/** The lease where requests are taken, whatever the control thread does or leaves undone. */
+class LeaseGateTest {
+    @TempDir
+    private Path folder;
+    private final Counters counters = new Counters();
+    private final List<String> events = new ArrayList<>();
+    private final PolicyTypes types = new PolicyTypes(List.of(new BansType(names ->
+            events.add("adopt " + names))), Map.of());
+    private Loop traffic;
+    private LeaseGate gate;
+    /** On the traffic's thread, as the gate is. */
+    private long now = 100;
+    private Runnable amidClock = () -> { };
+
+    @BeforeEach
+    void make() throws Exception {
+        Path file = folder.resolve("f.toml");
+        Files.writeString(file, "name = \"n1\"\nlisten = \"127.0.0.1:0\"\n[classes.check]\n[fleet]\n"
+                + "listen = \"127.0.0.1:0\"\n[fleet.peers]\nn2 = \"127.0.0.1:1\"\n[policy]\nvoters = [\"n2\"]\n");
+        PolicyConfig config = Setup.operators(file, null, null).policy();
+        traffic = new Loop(128);
+        traffic.call(() -> gate = new LeaseGate(traffic, counters, () -> 1, config, () -> {
+            long read = now;
+            amidClock.run();
+            return read;
+        }, (number, waits) -> events.add("told " + number)));
+    }
+
+    @AfterEach
+    void end() throws InterruptedException {
+        traffic.stop();
+    }
+
+    private Published holds(long number, long stop, long next, long nextStart, long nextStop) {
+        PolicyTypes.Prepared own = types.read(new JsonObject());
+        JsonObject bans = new JsonObject();
+        JsonArray one = new JsonArray();
+        one.add(JsonParser.parseString("{\"name\": \"till-3\"}"));
+        bans.add("bans", one);
+        return new Published(new Leave(number, stop, next, nextStart, nextStop, 0),
+                Map.of(0L, own, 1L, types.read(bans)));
+    }
+
+    @Test
+    void aLeaseEndsByTheClockThoughNothingMoreIsPublished() throws Exception {
+        traffic.call(() -> {
+            assertFalse(gate.mayDecide());
+            gate.publish(holds(0, 200, -1, 0, 0));
+            now = 199;
+            assertTrue(gate.mayDecide());
+            now = 200;
+            assertFalse(gate.mayDecide());
+            assertFalse(gate.isReady());
+        });
+    }
+
+    @Test
+    void aPolicyIsAdoptedByTheRequestThatComesFirstAndOnlyThenTold() throws Exception {
+        traffic.call(() -> {
+            gate.publish(holds(0, 150, 1, 160, 400));
+            assertTrue(gate.mayDecide());
+            now = 155;
+            assertFalse(gate.mayDecide(), "by neither");
+            assertEquals(List.of("adopt []", "told 0"), events);
+            now = 160;
+            assertTrue(gate.mayDecide());
+            assertEquals(List.of("adopt []", "told 0", "adopt [till-3]", "told 1"), events);
+            assertEquals(1, gate.number());
+            assertEquals(10, counters.get("policy.fence_most_us"));
+        });
+    }
+
+    /** The control thread publishes an earlier end, and says so, right behind a request's look at the clock. */
+    @Test
+    void whatIsPublishedBehindTheClockIsSeen() throws Exception {
+        traffic.call(() -> {
+            gate.publish(holds(0, 1000, -1, 0, 0));
+            assertTrue(gate.mayDecide());
+            now = 500;
+            amidClock = () -> gate.publish(holds(0, 400, 1, 600, 900));
+            assertFalse(gate.mayDecide());
+        });
+    }
+
+    @Test
+    void whatWasNotReadIsNotDecidedBy() throws Exception {
+        traffic.call(() -> {
+            gate.publish(new Published(new Leave(7, 400, -1, 0, 0, 0), Map.of()));
+            assertFalse(gate.mayDecide());
+            assertEquals(1, counters.get("policy.granted_unready"));
+            gate.publish(holds(1, 400, -1, 0, 0));
+            assertTrue(gate.mayDecide());
+            gate.leave();
+            assertFalse(gate.mayDecide());
+        });
+    }
+}
--- /dev/null
+++ b/src/test/java/laneflow/policy/decision/LeaveTest.java
@@ -0,0 +1,38 @@
+package laneflow.policy.decision;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.SplittableRandom;
+import org.junit.jupiter.api.Test;
+
+/** What is published of a lease says at every instant what the lease itself would. */
+class LeaveTest {
+    @Test
+    void itSaysOfEveryInstantWhatTheLeaseDoes() {
+        SplittableRandom random = new SplittableRandom(11);
+        int deciding = 0;
+        int changes = 0;
+        for (int day = 0; day < 300; day++) {
+            Lease lease = new Lease();
+            long now = 1_000_000;
+            long number = 0;
+            for (int seq = 1; seq <= 30; seq++) {
+                number += random.nextInt(4) == 0 ? 1 : 0;
+                long until = random.nextInt(6) == 0 ? 0 : now + random.nextLong(3000);
+                long from = random.nextBoolean() ? 0 : now + random.nextLong(600);
+                lease.take(new Grant(1, seq, now, number, from, until, 0), now - random.nextLong(200), now);
+                Leave leave = lease.leave();
+                long begun = lease.begun();
+                for (long at = now; at < now + 1000; at += 1 + random.nextLong(90)) {
+                    assertEquals(lease.deciding(at), leave.deciding(at), "day " + day + " seq " + seq);
+                    assertEquals(lease.fence(), leave.fence(at));
+                    deciding += leave.deciding(at) >= 0 ? 1 : 0;
+                }
+                changes += lease.begun() > begun ? 1 : 0;
+                now += 1000;
+            }
+        }
+        assertTrue(deciding > 10_000 && changes > 300, deciding + " " + changes);
+    }
+}
