--- a/src/main/java/laneflow/lab/measure/ControlMeasure.java
+++ b/src/main/java/laneflow/lab/measure/ControlMeasure.java
@@ -42,7 +42,8 @@
     }
 
     /** Runs both; 0 if the storm adds less to the p99 than it may. */
-    public static int run(long seed, boolean large, PrintStream out) throws IOException, InterruptedException {
+    public static int run(long seed, boolean large, PrintStream out)
+            throws IOException, InterruptedException {
         ControlMeasure one = new ControlMeasure(seed, out);
         one.all(true, large);
         ControlMeasure two = new ControlMeasure(seed, out);
--- a/src/main/java/laneflow/lab/measure/ControlStorm.java
+++ b/src/main/java/laneflow/lab/measure/ControlStorm.java
@@ -45,7 +45,8 @@
     private volatile long sent;
 
     /** One that tells the scheduler there of so much a second, while it is told to. */
-    ControlStorm(InetSocketAddress to, String key, long periodUs, int perSecond, long seed) throws IOException {
+    ControlStorm(InetSocketAddress to, String key, long periodUs, int perSecond, long seed)
+            throws IOException {
         this.to = to;
         this.perSecond = perSecond;
         socket = new DatagramSocket(0, InetAddress.getLoopbackAddress());
