--- a/src/main/java/laneflow/net/Loop.java
+++ b/src/main/java/laneflow/net/Loop.java
@@ -39,6 +39,7 @@
     /** Descriptors the virtual machine holds for itself: the jar, selectors, standard streams. */
     private static final int OWN_DESCRIPTORS = 64;
     private static final int BACKLOG = 512;
+    private static final long MS = 1000;
     private static final Pattern FIGURES = Pattern.compile("[0-9.]+|[0-9a-fA-F:.]+");
     /** Connections taken in a row: a flood of them must not hold up those that are open. */
     private static final int ACCEPTS = 32;
@@ -68,7 +69,8 @@
      * A loop of that name with room for so many connections each way.
      *
      * @param rests true where it mostly has nothing to do: then a timer that was moved to later is set anew,
-     *     where a loop with traffic lets it wake it for nothing
+     *     where a loop with traffic lets it wake it for nothing, and runs up to a millisecond late, where one
+     *     with traffic turns without a pause for the rest of a millisecond
      */
     public Loop(String name, int eachWay, boolean rests) throws IOException {
         this.rests = rests;
@@ -133,6 +135,11 @@
                 return;
             }
             long delay = Math.max(0, next - (origin + System.nanoTime() / 1000));
+            if (rests) {
+                // XNIO counts in whole milliseconds and drops the rest: woken early, the loop would turn
+                // without a pause until the instant has come.
+                delay = (delay + MS - 1) / MS * MS;
+            }
             armed = thread.executeAfter(this::due, delay, TimeUnit.MICROSECONDS);
         }
     }
--- a/src/main/java/laneflow/policy/Policy.java
+++ b/src/main/java/laneflow/policy/Policy.java
@@ -17,6 +17,7 @@
 import java.util.TreeMap;
 import java.util.concurrent.Executor;
 import java.util.concurrent.RejectedExecutionException;
+import java.util.function.Consumer;
 import java.util.function.LongSupplier;
 import laneflow.core.Counters;
 import laneflow.core.Deadlines.Deadline;
@@ -40,6 +41,8 @@
  */
 final class Policy {
     private static final Logger LOG = LoggerFactory.getLogger(Policy.class);
+    /** The field of renewals and grants that holds what rides on them. */
+    static final String RIDER = "rider";
     private static final int RENEWALS_A_LEASE = 4;
     /** A voter that has not answered so many renewals is passed by for a lease. */
     private static final int MOST_UNANSWERED = 2;
@@ -62,6 +65,8 @@
     private final TreeMap<Long, PolicyTypes.Prepared> prepared = new TreeMap<>();
     private final Set<Long> asked = new HashSet<>();
     private final Map<String, Long> passedBy = new LinkedHashMap<>();
+    /** Null where nothing rides on renewals. */
+    private Rider rider;
     /** Null where this process does not vote. */
     private Leadership leadership;
     private String leader = "";
@@ -133,6 +138,42 @@
         renew();
     }
 
+    /** From now on that rides on renewals; before {@link #begin}. */
+    void carry(Rider with) {
+        rider = with;
+        with.ride(new Rider.Carriage() {
+            @Override
+            public long now() {
+                return Policy.this.now();
+            }
+
+            @Override
+            public void replicate(JsonObject operation, Consumer<JsonObject> then) {
+                leadership.replicate(operation, then);
+            }
+
+            @Override
+            public void tell(String who) {
+                leadership.tell(who, -1);
+            }
+
+            @Override
+            public void renewNow() {
+                Policy.this.renewNow();
+            }
+
+            @Override
+            public String leader() {
+                return leadership != null ? leadership.leader() : leader;
+            }
+
+            @Override
+            public long lease() {
+                return config.lease;
+            }
+        });
+    }
+
     /** This process votes from now on, too. */
     void votes(Leadership own) {
         leadership = own;
@@ -213,6 +254,9 @@
             if (own != null) {
                 take(own, asked, now());
             }
+            if (rider != null) {
+                leadership.ride(asked);
+            }
             return;
         }
         Peer to = whom();
@@ -222,6 +266,9 @@
             message.addProperty("who", fleet.self().who());
             message.addProperty("at", now());
             message.add("tallies", tallies);
+            if (rider != null) {
+                message.add(RIDER, rider.says());
+            }
             to.send(message);
         }
     }
@@ -301,6 +348,9 @@
         if (at >= 0 && (!message.has("trial") || message.get("trial").getAsBoolean())) {
             tally.run();
         }
+        if (rider != null && message.has(RIDER)) {
+            rider.told(message.get(RIDER), at, now);
+        }
         if (at < 0) {
             // It waits to hear that this is obeyed.
             renewNow();
--- a/src/main/java/laneflow/policy/PolicyPart.java
+++ b/src/main/java/laneflow/policy/PolicyPart.java
@@ -4,6 +4,7 @@
 import io.microraft.persistence.RestoredRaftState;
 import java.io.IOException;
 import java.util.List;
+import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.Executor;
 import java.util.concurrent.RejectedExecutionException;
@@ -16,6 +17,7 @@
 import laneflow.fleet.Fleet;
 import laneflow.net.Loop;
 import laneflow.net.Threads;
+import laneflow.policy.decision.Ledger;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -43,10 +45,13 @@
      * @param reading a thread that reads policies, one after the other
      * @param clockRate 1, but in tests of clocks that drift
      * @param upgrade true if the process before this one may still vote
+     * @param parts more that the voters agree on, by name; the same at all
+     * @param rider what rides on renewals, or null
      */
     public record Given(Loop loop, Loop traffic, Fleet fleet, Scheduler scheduler, Counters counters,
             PolicyConfig config, Function<ResourceType, PolicyTypes> types, List<String> classes,
-            Executor reading, long seed, double clockRate, boolean upgrade) {
+            Executor reading, long seed, double clockRate, boolean upgrade, Map<String, Ledger.Part> parts,
+            Rider rider) {
     }
 
     /**
@@ -83,6 +88,9 @@
         loop.call(() -> {
             Leadership leadership = opened == null ? null : vote(given, opened);
             port = new PolicyPort(fleet, policy, given.counters(), leadership);
+            if (given.rider() != null) {
+                policy.carry(given.rider());
+            }
             policy.begin(leadership);
         });
         if (later) {
@@ -165,7 +173,7 @@
     private Leadership vote(Given given, Opened votes) {
         VoterGroup[] group = new VoterGroup[1];
         Leadership[] leadership = new Leadership[1];
-        voting = new Voting(votes.store(), given.config().lease, loop::later,
+        voting = new Voting(votes.store(), new Ledger(given.parts()), given.config().lease, loop::later,
                 (to, message) -> group[0].send(to, message), new Voting.News() {
                     @Override
                     public void role(int term, boolean leads, String leader, Set<String> voters) {
@@ -185,7 +193,7 @@
         group[0] = new VoterGroup(loop, given.fleet(), given.config(), given.counters(), voting);
         leadership[0] = new Leadership(loop, given.fleet(), given.config(), given.counters(),
                 voting, group[0], policy, new FleetTrial(given.classes(), given.config().probation,
-                given.config().bound));
+                given.config().bound), given.rider());
         leadership[0].begin();
         group[0].begin(votes.restored());
         group[0].linked();
