Requests for maintenance in operators' words, and racks, slots and tenants in the settings

Freezes recur too. What is wrong is told all at once.

Endpoints of the operators' file and of the stream have rack and slots, the file has [tenants.NAME], written in the platform's form (customers, portion), so that one reader makes racks and tenants of both. The platform's run loads none of it.

--- a/src/main/java/laneflow/config/OperatorFile.java
+++ b/src/main/java/laneflow/config/OperatorFile.java
@@ -176,6 +176,7 @@
         rules(settings);
         classes(settings);
         endpoints(zones);
+        tenants(settings, zones);
         JsonArray fields = new JsonArray();
         List.of("busy", "q", "rate", "x0").forEach(fields::add);
         JsonObject reporting = new JsonObject();
@@ -304,6 +305,13 @@
             boolean ready = from.word("state", "ready", "ready", "draining").equals("ready");
             to.addProperty("health", ready ? "Ready" : "Terminating");
             to.addProperty("share", from.number("weight", 1, 0, 1e6));
+            to.addProperty("slots", from.number("slots", 1, 0.01, 1024));
+            String rack = from.text("rack", null);
+            if (rack != null && !rack.matches(NAME)) {
+                from.wrong("rack", "is no name: letters, digits, '_', '.' and '-'");
+            } else if (rack != null) {
+                to.addProperty("rack", rack);
+            }
             hosts.add(to);
             from.close();
         });
@@ -313,4 +321,35 @@
         known.add("hosts", hosts);
         platform.add("known", known);
     }
+
+    /** Tenants are the platform's customers, told where they may run besides. */
+    private void tenants(JsonObject settings, List<String> zones) {
+        JsonArray customers = new JsonArray();
+        root.tables("tenants").forEach((name, from) -> {
+            JsonObject to = new JsonObject();
+            to.addProperty("name", name);
+            to.addProperty("portion", from.number("share", 1, 1e-6, 1e6));
+            among(from, "zones", zones, to);
+            among(from, "classes", List.copyOf(root.tables("classes").keySet()), to);
+            customers.add(to);
+            from.close();
+        });
+        if (!customers.isEmpty()) {
+            settings.add("customers", customers);
+        }
+    }
+
+    private static void among(Table from, String key, List<String> known, JsonObject to) {
+        List<String> named = from.texts(key);
+        JsonArray all = new JsonArray();
+        for (String one : named) {
+            if (!known.contains(one)) {
+                from.wrong(key, "'" + one + "' is none of " + known);
+            }
+            all.add(one);
+        }
+        if (!named.isEmpty()) {
+            to.add(key, all);
+        }
+    }
 }
--- a/src/main/java/laneflow/control/DestinationType.java
+++ b/src/main/java/laneflow/control/DestinationType.java
@@ -115,6 +115,8 @@
         entry.state = draining ? State.DRAINING : State.READY;
         entry.weight = from.has("weight") ? from.get("weight").getAsDouble() : 1;
         entry.startedAt = from.has("born_ms") ? (long) (from.get("born_ms").getAsDouble() * 1000) : 0;
+        entry.slots = from.has("slots") ? from.get("slots").getAsDouble() : 1;
+        entry.rack = from.has("rack") ? from.get("rack").getAsString() : "";
         if (from.has("classes")) {
             entry.classes = 0;
             for (JsonElement name : from.getAsJsonArray("classes")) {
--- a/src/main/java/laneflow/core/DestinationSet.java
+++ b/src/main/java/laneflow/core/DestinationSet.java
@@ -34,6 +34,9 @@
         public double weight = 1;
         public long startedAt;
         public long classes = -1;
+        /** What it can do at once, and the rack it stands in, empty: one of its own; for planning only. */
+        public double slots = 1;
+        public String rack = "";
         /** Numbers of functions by {@link Endpoint#number}, in ascending order; null: any function. */
         public long[] abilities;
 
@@ -49,6 +52,8 @@
             copy.weight = weight;
             copy.startedAt = startedAt;
             copy.classes = classes;
+            copy.slots = slots;
+            copy.rack = rack;
             copy.abilities = abilities;
             return copy;
         }
--- /dev/null
+++ b/src/main/java/laneflow/maintenance/RequestFile.java
@@ -0,0 +1,189 @@
+package laneflow.maintenance;
+
+import java.time.Duration;
+import java.time.LocalDateTime;
+import java.time.ZoneId;
+import java.time.format.DateTimeFormatter;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import laneflow.config.Findings;
+import laneflow.config.Table;
+import laneflow.maintenance.decision.Plan.Freeze;
+import laneflow.maintenance.decision.Request;
+
+/**
+ * A request for maintenance in the operators' words, read from TOML. One file may ask for one window or, by
+ * a rule, for many; each of these is a request of its own. What is wrong is told all at once.
+ */
+public final class RequestFile {
+    private static final String NAME = "[A-Za-z0-9_.-]{1,48}";
+    private static final long MINUTE = 60_000;
+    private static final double WEEK = 7 * 24 * 60;
+    private static final DateTimeFormatter DAY = DateTimeFormatter.ofPattern("yyyyMMdd");
+
+    private final Table from;
+    private final Set<String> racks;
+    private final long until;
+    private final List<Request> requests = new ArrayList<>();
+    private final List<Freeze> freezes = new ArrayList<>();
+
+    private RequestFile(Table from, Set<String> racks, long until) {
+        this.from = from;
+        this.racks = racks;
+        this.until = until;
+    }
+
+    /**
+     * Reads requests.
+     *
+     * @param file what the text is called in findings
+     * @param racks those that are known
+     * @param until occurrences of a rule are told up to here, Unix milliseconds
+     * @throws laneflow.config.ConfigException with all that is wrong
+     */
+    public static List<Request> read(String text, String file, Set<String> racks, long until) {
+        Findings findings = new Findings(file);
+        RequestFile one = new RequestFile(Table.parse(text, findings), racks, until);
+        one.request();
+        one.from.close();
+        findings.raise();
+        return List.copyOf(one.requests);
+    }
+
+    /**
+     * Reads a calendar of freezes: tables {@code [freezes.NAME]} with {@code from}, {@code to} and perhaps a
+     * {@code rule}.
+     *
+     * @throws laneflow.config.ConfigException with all that is wrong
+     */
+    public static List<Freeze> freezes(String text, String file, long until) {
+        Findings findings = new Findings(file);
+        RequestFile one = new RequestFile(Table.parse(text, findings), Set.of(), until);
+        ZoneId zone = one.zone();
+        one.from.tables("freezes").forEach((name, table) -> one.freeze(name, table, zone));
+        one.from.close();
+        findings.raise();
+        return List.copyOf(one.freezes);
+    }
+
+    private ZoneId zone() {
+        String name = from.text("time_zone");
+        ZoneId zone = name.isEmpty() ? null : LocalTimes.zone(name);
+        if (zone == null && !name.isEmpty()) {
+            from.wrong("time_zone", "'" + name + "' is no zone of the tz database, such as Europe/Ljubljana");
+        }
+        return zone;
+    }
+
+    private static LocalDateTime time(Table table, String key) {
+        String text = table.text(key);
+        LocalDateTime at = text.isEmpty() ? null : LocalTimes.read(text);
+        if (at == null && !text.isEmpty()) {
+            table.wrong(key, "'" + text + "' is no local time, such as 2026-12-10T22:00");
+        }
+        return at;
+    }
+
+    private void freeze(String name, Table table, ZoneId zone) {
+        LocalDateTime begins = time(table, "from");
+        LocalDateTime ends = time(table, "to");
+        String rule = table.text("rule", null);
+        table.close();
+        if (begins == null || ends == null || zone == null) {
+            return;
+        }
+        if (!ends.isAfter(begins)) {
+            table.wrong("to", "is not behind from");
+            return;
+        }
+        for (LocalDateTime at : occurrences(table, rule, begins, zone)) {
+            freezes.add(new Freeze(name, LocalTimes.begins(at, zone), LocalTimes.ends(at.plus(
+                    Duration.between(begins, ends)), zone)));
+        }
+    }
+
+    private List<LocalDateTime> occurrences(Table table, String rule, LocalDateTime first, ZoneId zone) {
+        if (rule == null) {
+            return List.of(first);
+        }
+        try {
+            List<LocalDateTime> all = LocalTimes.occurrences(rule, first, zone, until);
+            if (all.isEmpty()) {
+                table.wrong("rule", "never happens within what is planned");
+            } else if (all.size() > LocalTimes.MOST) {
+                table.wrong("rule", "happens more than " + LocalTimes.MOST + " times within what is planned");
+            }
+            return all;
+        } catch (IllegalArgumentException e) {
+            table.wrong("rule", "is no rule of RFC 5545: " + e.getMessage());
+            return List.of();
+        }
+    }
+
+    private void request() {
+        String name = from.text("name");
+        if (!name.isEmpty() && !name.matches(NAME)) {
+            from.wrong("name", "is up to 48 letters, digits, '_', '.' and '-'");
+        }
+        String owner = from.text("owner");
+        List<String> down = racks();
+        long work = from.whole("work_minutes", 0, 1, (long) WEEK) * MINUTE;
+        if (!from.has("work_minutes")) {
+            from.wrong("work_minutes", "is missing");
+        }
+        long notice = from.whole("notice_minutes", 0, 0, (long) (8 * WEEK)) * MINUTE;
+        long abort = from.whole("abort_minutes", 0, 0, (long) WEEK) * MINUTE;
+        if (abort > work) {
+            from.wrong("abort_minutes", "is behind the end of the work");
+        }
+        Set<String> apart = new HashSet<>(from.texts("apart"));
+        List<String> after = from.texts("after");
+        if (after.contains(name)) {
+            from.wrong("after", "'" + name + "' can't come after itself");
+        }
+        ZoneId zone = zone();
+        LocalDateTime earliest = time(from, "earliest");
+        LocalDateTime latest = time(from, "latest");
+        String rule = from.text("rule", null);
+        if (zone == null || earliest == null || latest == null) {
+            return;
+        }
+        List<LocalDateTime> all = occurrences(from, rule, earliest, zone);
+        Duration within = Duration.between(earliest, latest);
+        long before = Long.MIN_VALUE;
+        for (LocalDateTime at : all) {
+            long begins = LocalTimes.begins(at, zone);
+            long ends = LocalTimes.ends(at.plus(within), zone);
+            if (ends - begins < work) {
+                from.wrong("latest", "leaves " + Math.max(0, (ends - begins) / MINUTE) + " minutes from "
+                        + at + " on for " + work / MINUTE + " of work");
+                return;
+            }
+            if (begins < before) {
+                from.wrong("rule", "one begins at " + at + ", before the one before it has to end");
+                return;
+            }
+            before = ends;
+            requests.add(new Request(rule == null ? name : name + "-" + DAY.format(at), owner, down, work,
+                    begins, ends, notice, abort, apart, after));
+        }
+    }
+
+    private List<String> racks() {
+        List<String> down = from.texts("racks");
+        if (down.isEmpty()) {
+            from.wrong("racks", "names none");
+        }
+        Set<String> seen = new HashSet<>();
+        for (String rack : down) {
+            if (!racks.contains(rack)) {
+                from.wrong("racks", "'" + rack + "' is not known");
+            } else if (!seen.add(rack)) {
+                from.wrong("racks", "'" + rack + "' is named twice");
+            }
+        }
+        return down;
+    }
+}
