Who is turned down hears the smallest change by which it would have a time

A later end, or fewer racks at once. A rule that never happens is told as such: the library throws where it gives up.

--- a/src/main/java/laneflow/maintenance/LocalTimes.java
+++ b/src/main/java/laneflow/maintenance/LocalTimes.java
@@ -63,13 +63,20 @@
      */
     static List<LocalDateTime> occurrences(String rule, LocalDateTime first, ZoneId zone, long until) {
         List<LocalDateTime> found = new ArrayList<>();
-        RecurrenceRuleIterator days;
+        RecurrenceRule counted;
         try {
-            days = new RecurrenceRule(rule).iterator(new DateTime(first.getYear(), first.getMonthValue() - 1,
-                    first.getDayOfMonth(), first.getHour(), first.getMinute(), 0));
+            counted = new RecurrenceRule(rule);
         } catch (InvalidRecurrenceRuleException e) {
             throw new IllegalArgumentException(e.getMessage(), e);
         }
+        RecurrenceRuleIterator days;
+        try {
+            days = counted.iterator(new DateTime(first.getYear(), first.getMonthValue() - 1,
+                    first.getDayOfMonth(), first.getHour(), first.getMinute(), 0));
+        } catch (IllegalArgumentException e) {
+            // The library gives up on a rule that passes a thousand times over, as 30 February does.
+            return found;
+        }
         while (found.size() <= MOST) {
             LocalDateTime at = next(days);
             if (at == null || begins(at, zone) >= until) {
@@ -89,7 +96,7 @@
             return LocalDateTime.of(day.getYear(), day.getMonth() + 1, day.getDayOfMonth(), day.getHours(),
                     day.getMinutes());
         } catch (IllegalArgumentException e) {
-            // The library gives up on a rule that passes a thousand times over, as 30 February does.
+            // As above.
             return null;
         }
     }
--- a/src/main/java/laneflow/maintenance/decision/Planner.java
+++ b/src/main/java/laneflow/maintenance/decision/Planner.java
@@ -352,7 +352,8 @@
         List<Window> windows = new ArrayList<>(line.windows().values());
         windows.sort(Comparator.comparingLong(Window::startMs).thenComparing(one -> one.request().name()));
         Map<String, List<String>> refused = new TreeMap<>();
-        open.values().forEach(request -> refused.put(request.name(), whyNot(request)));
+        Reasons reasons = new Reasons(line);
+        open.values().forEach(request -> refused.put(request.name(), reasons.whyNot(request)));
         int moved = 0;
         if (input.before() != null) {
             for (Window was : input.before().windows()) {
@@ -364,25 +365,6 @@
         return new Plan(List.copyOf(windows), refused, moved, line.asked(), line.flows());
     }
 
-    /** What stands against a request at a few of its times, and each reason at how many of them. */
-    private List<String> whyNot(Request request) {
-        int first = line.first(request);
-        int last = line.last(request);
-        if (last < first) {
-            return List.of("no whole window lies between its earliest beginning, its notice and its end");
-        }
-        Map<String, Integer> counts = new LinkedHashMap<>();
-        int looked = 0;
-        for (int step = first; step <= last; step += Math.max(1, (last - first) / 12)) {
-            looked++;
-            line.against(request, step).forEach(text -> counts.merge(text, 1, Integer::sum));
-        }
-        int of = looked;
-        return counts.entrySet().stream().sorted(Map.Entry.<String, Integer>comparingByValue().reversed())
-                .limit(6).map(entry -> entry.getKey() + " (" + entry.getValue() + " of " + of
-                        + " times looked at)").toList();
-    }
-
     /**
      * Who stands against a request beginning at an instant, in words, where the windows of that plan stand.
      * Empty: nobody. For a dry run: nothing is decided.
--- a/src/main/java/laneflow/maintenance/decision/Timeline.java
+++ b/src/main/java/laneflow/maintenance/decision/Timeline.java
@@ -74,6 +74,10 @@
         return times.fromMs() + step * times.stepMs();
     }
 
+    int steps() {
+        return left.length;
+    }
+
     /** The steps that a request takes. */
     int length(Request request) {
         long whole = times.drainMs() + request.workMs() + times.returnMs();
--- a/src/test/java/laneflow/maintenance/decision/PlannerTest.java
+++ b/src/test/java/laneflow/maintenance/decision/PlannerTest.java
@@ -195,4 +195,20 @@
         assertTrue(Planner.against(three(), planned, request("two", "r2"), at).toString().contains(
                 "with r1 down"), Planner.against(three(), planned, request("two", "r2"), at).toString());
     }
+
+    /** Who is turned down hears by how little more it would have been given a time. */
+    @Test
+    void theSmallestChangeIsTold() {
+        Freeze morning = new Freeze("morning", FROM, FROM + 5 * HOUR);
+        Request soon = new Request("soon", "ops", List.of("r1"), HOUR, FROM, FROM + 4 * HOUR, 0, 0, Set.of(),
+                List.of());
+        List<String> late = Planner.plan(three(), input(0.9, List.of(morning), soon)).refused().get("soon");
+        assertEquals("would have a time if it might end by " + java.time.Instant.ofEpochMilli(FROM + 6 * HOUR),
+                late.get(late.size() - 1));
+        Request both = new Request("both", "ops", List.of("r1", "r2"), HOUR, FROM, FROM + 4 * HOUR, 0, 0, Set.of(),
+                List.of());
+        List<String> less = Planner.plan(three(), input(0.9, List.of(), both)).refused().get("both");
+        assertEquals("would have a time with only r1, at " + java.time.Instant.ofEpochMilli(FROM),
+                less.get(less.size() - 1));
+    }
 }
