What is beyond its tenant's share is worth less, and is turned away first

The settings name tenants with a rate that is within their share and price what goes beyond it; requests carry their tenant.

SettingsReader reads customers and overShareWorth, WireHost the tenant of a request, JobReader the header Req-Owner. The worth of such a job is multiplied in Job; Logic reads it where it read its class's.

--- a/src/main/java/laneflow/core/Request.java
+++ b/src/main/java/laneflow/core/Request.java
@@ -17,6 +17,8 @@
     public double hint = Double.NaN;
     public double slots = 1;
     public double memory;
+    /** Whose it is, by the settings' tenants; -1: nobody's that is known. */
+    public int tenant = -1;
     /** What it concerns, as its wire told: kept with a durable job, and nothing is decided by it. */
     public long key;
     /** Which of several waiting at one endpoint goes first: the higher. */
@@ -80,6 +82,7 @@
     void fill(Dispatch.Request to) {
         to.id = handle;
         to.jobClass = jobClass;
+        to.tenant = tenant;
         to.deadline = Clock.seconds(deadline);
         to.hint = hint;
         to.slots = slots;
--- a/src/main/java/laneflow/decision/Dispatch.java
+++ b/src/main/java/laneflow/decision/Dispatch.java
@@ -80,6 +80,15 @@
         public boolean stream;
     }
 
+    /** A customer whose requests carry its number. */
+    final class Tenant {
+        public String name = "";
+        /** Requests a second at all dispatchers together that are within its share; 0: nobody says. */
+        public double quota;
+        /** Its part of the service; 0: nobody says. */
+        public double portion;
+    }
+
     /**
      * What a dispatcher is told at its start. The defaults are the careful choice where a key is absent.
      * A dispatcher need not use all of it. Not used now: second copies, the grace, the connect time-out.
@@ -90,6 +99,10 @@
         public int me;
         public int dispatchers = 1;
         public JobClass[] classes = {};
+        /** None where requests are not told apart by whose they are. */
+        public Tenant[] tenants = {};
+        /** Worth of a request beyond its tenant's share, as a part of its class's. */
+        public double overShareWorth = 1;
         public boolean listMustBeAsked;
         public ReportSource reports = ReportSource.NONE;
         public WeightSource weights = WeightSource.NONE;
@@ -147,6 +160,8 @@
     final class Request {
         public long id;
         public int jobClass;
+        /** Whose it is, by the number of {@link Settings#tenants}; any other: nobody's that is known. */
+        public int tenant = -1;
         /** The instant at which its client gives up. */
         public double deadline;
         /** Expected running time on a standard core; NaN where it is not known. */
--- a/src/main/java/laneflow/decision/Job.java
+++ b/src/main/java/laneflow/decision/Job.java
@@ -15,6 +15,8 @@
     long ability;
     double arrivedAt;
     double lastCall;
+    /** Its class's, or less where its tenant asks for more than its share. */
+    double worth;
     double hint;
     double slots;
     double memory;
@@ -40,9 +42,10 @@
     int attempts;
     int outstanding;
 
-    void open(Request request, Settings settings, double now, double call, double work) {
+    void open(Request request, Settings settings, Shares shares, double now, double call, double work) {
         id = request.id;
         type = settings.classes[request.jobClass];
+        worth = type.worth * shares.worth(request.tenant, now);
         mostAttempts = settings.maxAttempts;
         toldWhen = settings.retryAfter;
         longestRetryAfter = settings.maxRetryAfter;
--- a/src/main/java/laneflow/decision/Logic.java
+++ b/src/main/java/laneflow/decision/Logic.java
@@ -103,6 +103,7 @@
     private boolean askPending;
     private double meanHint; // Of the jobs seen here, 0 before the first: a guess for the siblings' jobs.
     private double topWorth;
+    private final Shares shares;
     private final double[] slack; // Mean wait that each class's jobs can bear.
     private double part = 1; // Of this dispatcher's budgets, while another process works under its number.
     private double startedAt = Double.NEGATIVE_INFINITY;
@@ -119,6 +120,7 @@
         this.random = new SplittableRandom(seed);
         pools = new Pool[settings.zones + 1];
         Arrays.setAll(pools, zone -> new Pool(random.nextInt()));
+        shares = new Shares(settings);
         slack = new double[settings.classes.length];
         Arrays.fill(slack, Double.POSITIVE_INFINITY);
         retuned();
@@ -442,7 +444,7 @@
 
     /** Where work must wait, worth goes first: a class waits the less the less its work is worth. */
     private double waitShare(Job job) {
-        return LEAST_WAIT + (1 - LEAST_WAIT) * job.type.worth / topWorth;
+        return LEAST_WAIT + (1 - LEAST_WAIT) * job.worth / topWorth;
     }
 
     /**
@@ -455,11 +457,11 @@
         for (int i = 0; i < slack.length; i++) {
             JobClass other = settings.classes[i];
             double worth = other.worth;
-            if (worth == job.type.worth && other != job.type && slack[i] < Double.POSITIVE_INFINITY) {
+            if (worth == job.worth && other != job.type && slack[i] < Double.POSITIVE_INFINITY) {
                 patience = Math.max(patience, slack[i]);
             }
-            if (worth >= job.type.worth && job.type.kind < 0) {
-                most = Math.min(most, worth > job.type.worth ? slack[i] : OWN_SLACK * slack[i]);
+            if (worth >= job.worth && job.type.kind < 0) {
+                most = Math.min(most, worth > job.worth ? slack[i] : OWN_SLACK * slack[i]);
             }
         }
         return Math.min(most, waitShare(job) * patience);
@@ -904,7 +906,7 @@
         meanHint += (meanHint > 0 ? HINT_GAIN : 1) * (hint - meanHint);
         Job job = jobs.open(request.id);
         double call = request.deadline - LAST_CALL_TICKS * settings.tick;
-        job.open(request, settings, now, call, hint);
+        job.open(request, settings, shares, now, call, hint);
         job.classBit = 1L << request.jobClass;
         return job;
     }
--- a/src/main/java/laneflow/http/HttpFront.java
+++ b/src/main/java/laneflow/http/HttpFront.java
@@ -51,7 +51,7 @@
         this.loop = loop;
         this.scheduler = scheduler;
         this.classNames = classNames;
-        jobs = new JobReader(classNames, scheduler.settings().classes);
+        jobs = new JobReader(classNames, scheduler.settings());
     }
 
     /** Until this holds no clients are asked for. */
--- a/src/main/java/laneflow/http/JobReader.java
+++ b/src/main/java/laneflow/http/JobReader.java
@@ -1,8 +1,12 @@
 package laneflow.http;
 
+import static java.nio.charset.StandardCharsets.ISO_8859_1;
+import static java.nio.charset.StandardCharsets.UTF_8;
+
 import java.util.HashMap;
 import java.util.Map;
 import laneflow.decision.Dispatch.JobClass;
+import laneflow.decision.Dispatch.Settings;
 import laneflow.core.Front;
 import laneflow.core.Payload;
 import laneflow.core.Request;
@@ -15,11 +19,16 @@
     private static final double MOST_EXTRA = 1024;
 
     private final Map<String, Integer> numbers = new HashMap<>();
+    private final Map<String, Integer> tenants = new HashMap<>();
     private final JobClass[] classes;
 
-    /** For these classes, in the settings' order. */
-    JobReader(String[] names, JobClass[] classes) {
-        this.classes = classes;
+    /** For these classes, in the settings' order, and the settings' tenants. */
+    JobReader(String[] names, Settings settings) {
+        classes = settings.classes;
+        for (int i = 0; i < settings.tenants.length; i++) {
+            // As a head is read, a byte a character: names may be of any language.
+            tenants.put(new String(settings.tenants[i].name.getBytes(UTF_8), ISO_8859_1), i);
+        }
         for (int i = 0; i < names.length; i++) {
             numbers.put(names[i], i);
         }
@@ -41,6 +50,8 @@
         Payload payload = new Payload(head.first, target, id, head.header(Names.REPEAT_KEY), body);
         Request request = new Request(front, tag, payload, jobClass,
                 now + (long) (Math.min(wait, MOST_WAIT_MS) * 1000));
+        // An owner that no settings name has no share that it could be beyond.
+        request.tenant = tenants.getOrDefault(head.header(Names.OWNER), -1);
         request.hint = number(head.header(Names.COST), Names.COST, Double.NaN) / 1e6;
         request.key = query < 0 ? 0 : key(target, query + 1);
         extras(request, head.header(Names.EXTRA));
--- a/src/main/java/laneflow/http/Names.java
+++ b/src/main/java/laneflow/http/Names.java
@@ -6,6 +6,7 @@
     static final String CLASS = "req-kind";
     static final String DEADLINE = "req-deadline-ms";
     static final String COST = "req-cost";
+    static final String OWNER = "req-owner";
     static final String EXTRA = "req-extra";
     static final String REPEAT_KEY = "idempotency-key";
     static final String LOAD = "srv-load";
--- a/src/main/java/laneflow/wire/SettingsReader.java
+++ b/src/main/java/laneflow/wire/SettingsReader.java
@@ -10,6 +10,7 @@
 import laneflow.decision.Dispatch.JobClass;
 import laneflow.decision.Dispatch.ReportSource;
 import laneflow.decision.Dispatch.Settings;
+import laneflow.decision.Dispatch.Tenant;
 import laneflow.decision.Dispatch.WeightSource;
 
 /** Reads the settings text into {@link Settings}: unknown keys are skipped, absent ones keep defaults. */
@@ -28,6 +29,8 @@
         s.weights = weights(text(root, "weightSource", "none"));
         s.tick = number(root, "tick", s.tick);
         classes(root);
+        customers(array(root, "customers"));
+        s.overShareWorth = number(root, "overShareWorth", s.overShareWorth);
         limits(object(root, "limits"));
         rules(object(root, "rules"));
         JsonObject info = object(root, "familyInfo");
@@ -82,6 +85,17 @@
         }
     }
 
+    private void customers(JsonArray from) {
+        settings.tenants = new Tenant[from.size()];
+        for (int i = 0; i < settings.tenants.length; i++) {
+            Tenant tenant = settings.tenants[i] = new Tenant();
+            JsonObject one = from.get(i).getAsJsonObject();
+            tenant.name = text(one, "name", tenant.name);
+            tenant.quota = number(one, "quotaPerS", 0);
+            tenant.portion = number(one, "portion", 0);
+        }
+    }
+
     private void limits(JsonObject from) {
         Settings s = settings;
         s.mayCancel = flag(from, "cancel", false);
--- a/src/main/java/laneflow/wire/WireHost.java
+++ b/src/main/java/laneflow/wire/WireHost.java
@@ -198,10 +198,8 @@
     private void readRequest() throws WireException {
         request.id = record.u64();
         request.jobClass = record.u16();
-        // The tenant and what the request is about: nothing is decided by them.
-        if (record.more()) {
-            record.u32();
-        }
+        request.tenant = record.more() ? record.u32() : -1;
+        // What the request is about: nothing is decided by it.
         if (record.more()) {
             record.u64();
         }
--- a/src/test/java/laneflow/core/DrawnSettings.java
+++ b/src/test/java/laneflow/core/DrawnSettings.java
@@ -85,6 +85,10 @@
     int tickMs;
     int tenants;
     int overShareTenths;
+    /** Times that the first tenant asks for what each other asks. */
+    int greed = 1;
+    /** Requests a second of each tenant's share; 0: some few, the more the later it stands. */
+    double quota;
     int memory;
     int hints;
     /** Sixths of a halving of the load, from what the fleet can do just so. */
@@ -304,7 +308,7 @@
         for (int i = 0; i < tenants; i++) {
             JsonObject one = new JsonObject();
             one.addProperty("name", "tenant" + i);
-            one.addProperty("quotaPerS", 5.0 + 10 * i);
+            one.addProperty("quotaPerS", quota > 0 ? quota : 5.0 + 10 * i);
             one.addProperty("portion", 1.0 / tenants);
             all.add(one);
         }
--- a/src/test/java/laneflow/core/FleetDay.java
+++ b/src/test/java/laneflow/core/FleetDay.java
@@ -298,10 +298,11 @@
         int jobClass = random.nextInt(drawn.classes.size());
         ask.node = nodes[random.nextInt(nodes.length)];
         ask.type = drawn.classes.get(jobClass);
-        ask.tenant = random.nextInt(tenantAsked.length);
+        ask.tenant = Math.max(0, random.nextInt(tenantAsked.length + drawn.greed - 1) - drawn.greed + 1);
         ask.work = ask.type.workMs / 1e3 * about(drawn.workSpread / 10.0);
         ask.request = new Request(ask.node, asks.size(), new Payload("", "", "r", null, new byte[0]), jobClass,
                 now + (long) (1000 * ask.type.deadlineMs() * (0.7 + 0.3 * random.nextDouble())));
+        ask.request.tenant = drawn.tenants > 0 ? ask.tenant : -1;
         ask.request.slots = drawn.slotsOf(ask.type);
         ask.request.memory = drawn.memory * random.nextDouble() * drawn.slotsOf(ask.type);
         if (drawn.hints() > 0) {
@@ -449,6 +450,11 @@
         }
     }
 
+    /** Requests a second that all endpoints can do together. */
+    double capacity() {
+        return machines.stream().mapToDouble(machine -> machine.slots * machine.speed).sum() / rules.meanWork;
+    }
+
     int requests() {
         return asks.size();
     }
--- a/src/test/java/laneflow/core/FleetRules.java
+++ b/src/test/java/laneflow/core/FleetRules.java
@@ -13,7 +13,7 @@
 
     private final DrawnSettings drawn;
     private final Broken broken;
-    private final double meanWork;
+    final double meanWork;
     /** Calls that came to cold endpoints, and the most of what fells one that any of these had got. */
     int coldSends;
     double mostOfBudget;
--- a/src/test/java/laneflow/wire/WireHostTest.java
+++ b/src/test/java/laneflow/wire/WireHostTest.java
@@ -178,6 +178,44 @@
         assertEquals(0, SettingsReader.read("{\"classes\": [{}]}").settings.furtherWithin);
     }
 
+    @Test
+    void tenantsAreReadWithTheirSharesAndTheirPrice() throws WireException {
+        SettingsReader read = SettingsReader.read("{\"classes\": [{}], \"overShareWorth\": 0.2,"
+                + " \"customers\": [{\"name\": \"a\",\"quotaPerS\": 12.5, \"portion\": 0.7}, {\"name\": \"b\"}]}");
+        assertEquals(0.2, read.settings.overShareWorth);
+        assertEquals("a", read.settings.tenants[0].name);
+        assertEquals(12.5, read.settings.tenants[0].quota);
+        assertEquals(0.7, read.settings.tenants[0].portion);
+        assertEquals(0, read.settings.tenants[1].quota);
+        SettingsReader none = SettingsReader.read("{\"classes\": [{}]}");
+        assertEquals(0, none.settings.tenants.length);
+        assertEquals(1, none.settings.overShareWorth);
+    }
+
+    /** How many of 120 requests at once of that tenant are sent to one worker. */
+    private static int sentOf(String tenant) throws IOException, WireException {
+        String settings = SETTINGS.replace("\"limits\"", "\"overShareWorth\": 0.0, \"customers\": ["
+                + "{\"name\": \"a\", \"quotaPerS\": 900.0}, {\"name\": \"b\", \"quotaPerS\": 1.0}], \"limits\"");
+        String[] records = new String[123];
+        records[0] = record(11, u32(3), "0700000000000000", u32(settings.length()), hexOf(settings));
+        records[1] = list(0, ENTRY);
+        records[2] = members(3, 2, 0);
+        for (int i = 3; i < records.length; i++) {
+            String id = String.format("%02x00000000000000", i);
+            records[i] = ask(3, id).replace(id + "0000" + "00000000", id + "0000" + tenant);
+        }
+        String reply = answer(batch(1, records));
+        return (reply.length() - reply.replace(squeeze("41 1a000000 03000000"), "").length()) / 18;
+    }
+
+    @Test
+    void aTenantBeyondItsShareIsTurnedAwayFirst() throws IOException, WireException {
+        int beyond = sentOf("01000000");
+        assertTrue(beyond > 5 && beyond < 110, "sent " + beyond);
+        assertEquals(120, sentOf("00000000"), "within its share");
+        assertEquals(120, sentOf("09000000"), "of nobody that is known");
+    }
+
     @Test
     void idleConnectionsToADrainingWorkerAreClosedByteForByte() throws IOException, WireException {
         String settings = SETTINGS.replace("\"limits\"", "\"rules\": {\"closeOnDrainWithin\": 0.5}, \"limits\"");
