--- a/src/main/java/laneflow/decision/Logic.java
+++ b/src/main/java/laneflow/decision/Logic.java
@@ -20,7 +20,7 @@
     /** Seconds that a report is held to be older than its arrival: it was taken before and came late. */
     private static final double REPORT_STALE = 0.5;
     private static final double MOST_TOLD = 4096; // Slots or waiting jobs that a report may tell of.
-    private static final double MEAN_AGE = 6; // Seconds unheard in which a mean has lost half its weight.
+    static final double MEAN_AGE = 6; // Seconds unheard in which a mean has lost half its weight.
     private static final double IN_TIME = 0.9; // Share of a job's aim to fill: hints and speeds are guesses.
     /** Four times the square of the mean excess of a normal draw, in its spreads: 4 x 0.4 x 0.4. */
     private static final double CHANCE = 0.64;
@@ -63,9 +63,9 @@
     private static final double WAIT_GAIN = 0.25; // Say of one late start in the wait that is not foreseen.
     static final double WAIT_MEMORY = 0.05; // Say of a start note in the waits seen and foreseen.
     /** Seconds added to waits seen and foreseen: where there are hardly any, what is foreseen is believed. */
-    private static final double WAIT_PRIOR = 0.05;
+    static final double WAIT_PRIOR = 0.05;
     /** Times as many where reports tell of queues: then more of the wait is foreseen. */
-    private static final double QUEUE_TOLD = 4;
+    static final double QUEUE_TOLD = 4;
     private static final double SLACK_GAIN = 0.05; // Say of a request in its class's mean wait.
     private static final double HINT_GAIN = 0.02; // Say of a new request in the mean cost hint.
 
@@ -260,7 +260,7 @@
         View view = attempt.view;
         // Before it is settled: a report older than the job's end still counts it, and is not the siblings'.
         if (report != null) {
-            view.take(report, now);
+            view.take(report, meanHint, now);
         }
         settle(attempt, outcome);
         judge(view, outcome);
@@ -279,7 +279,7 @@
         clock(at);
         View view = views.get(worker);
         if (view != null && report != null) {
-            view.take(report, outcome == Outcome.MOOT ? now - took : now);
+            view.take(report, meanHint, outcome == Outcome.MOOT ? now - took : now);
         }
         placeHeld(view == null || outcome == Outcome.MOOT ? Double.NaN : view.probedAt);
     }
@@ -409,9 +409,14 @@
         return best;
     }
 
-    /** A full pool's coin: either neighbour on the ring of zones that serve the class. */
+    /** A full pool's coin: either neighbour on the ring of zones that serve the class, of those with room. */
     private View coin(Job job, int home) {
         int step = random.nextDouble() < job.crossEachWay ? 1 : settings.zones - 1;
+        View view = neighbour(job, home, step);
+        return view != null ? view : neighbour(job, home, settings.zones - step);
+    }
+
+    private View neighbour(Job job, int home, int step) {
         int zone = (home + step) % settings.zones;
         while (zone != home && !serves(zone, job)) {
             zone = (zone + step) % settings.zones;
@@ -477,7 +482,7 @@
 
     /** Seconds until this worker would start the job. */
     private double wait(View view, Job job) {
-        return Math.max(0, queueWait(view, job) * waitScale(view.peers, now) + view.unseenWait(now));
+        return Math.max(0, queueWait(view, job) * view.peers.waitScale(now) + view.unseenWait(now));
     }
 
     /** Seconds that the work known of makes it wait: the mean job's rest for each one too many. */
@@ -928,16 +933,6 @@
         }
     }
 
-    /**
-     * Times the known work ahead that jobs wait: siblings' jobs and the queue's order are unseen. Found slow
-     * to start a kind would get no job, and stay shut out: without a start to renew it the scale fades.
-     */
-    private static double waitScale(Kind kind, double now) {
-        double prior = kind.tellsQueue ? QUEUE_TOLD * WAIT_PRIOR : WAIT_PRIOR;
-        double scale = (kind.waitSeen + prior) / (kind.waitForeseen + prior);
-        return 1 + (scale - 1) / (1 + (now - kind.waitedAt) / MEAN_AGE);
-    }
-
     /** What this dispatcher knows of one worker. */
     static final class View extends Outstanding {
         private final long id;
@@ -1013,12 +1008,15 @@
             return (workRun + KIND_SAY * speed) / (timeRun + KIND_SAY);
         }
 
-        void take(LoadReport report, double now) {
+        void take(LoadReport report, double meanWork, double now) {
             // What no worker can have is spoilt: kept as the most seen it would blind its kind for good.
             if (!(report.freeSlots >= 0 && report.freeSlots <= MOST_TOLD) || report.queue > MOST_TOLD) {
                 return;
             }
             peers.slotsSeen = Math.max(peers.slotsSeen, report.freeSlots);
+            if (report.rate >= 0 && report.rate <= MOST_TOLD && now >= warmAt) {
+                peers.busy(report.freeSlots, report.rate * meanWork);
+            }
             freeMemory = Double.isNaN(report.freeMemory) ? Double.POSITIVE_INFINITY : report.freeMemory;
             double inReport = memoryInReport = 0;
             for (int i = 0; i < ownCount; i++) {
@@ -1029,7 +1027,7 @@
             }
             double queue = report.queue > 0 ? report.queue : 0;
             peers.tellsQueue |= report.queue >= 0;
-            taken(Math.max(0, peers.slotsSeen - report.freeSlots + queue - inReport), now);
+            taken(Math.max(0, peers.slots() - report.freeSlots + queue - inReport), now);
         }
 
         /** Siblings' jobs there, of which a report or an answer tells. */
--- a/src/main/java/laneflow/lab/Measure.java
+++ b/src/main/java/laneflow/lab/Measure.java
@@ -6,6 +6,7 @@
 import laneflow.lab.measure.FleetMeasure;
 import laneflow.lab.measure.GearmanMeasure;
 import laneflow.lab.measure.PolicyMeasure;
+import laneflow.lab.measure.TaskMeasure;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Option;
 import picocli.CommandLine.Parameters;
@@ -22,13 +23,14 @@
     private boolean large;
 
     /** What can be measured. */
-    enum What { durable, config, gearman, policy, fleet }
+    enum What { durable, config, gearman, policy, fleet, task }
 
     @Override
     public Integer call() throws Exception {
         switch (what) {
             case durable: return DurableMeasure.run(seed, large, System.out);
             case fleet: return FleetMeasure.run(seed, large, System.out);
+            case task: return TaskMeasure.run(seed, large, System.out);
             case policy: return PolicyMeasure.run(seed, large, System.out);
             case config: return ConfigMeasure.run(seed, large, System.out);
             default: return GearmanMeasure.run(seed, large, System.out);
