--- a/src/main/java/laneflow/capacity/CapacityPart.java
+++ b/src/main/java/laneflow/capacity/CapacityPart.java
@@ -1,15 +1,15 @@
 package laneflow.capacity;
 
 import com.google.gson.JsonObject;
+import java.util.ArrayList;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
-import java.util.Set;
 import java.util.SplittableRandom;
 import laneflow.capacity.decision.Capacity;
 import laneflow.capacity.decision.News;
 import laneflow.capacity.decision.Weighing;
+import laneflow.core.Counters;
 import laneflow.core.Endpoint;
 import laneflow.core.Scheduler;
 import laneflow.decision.Dispatch.LoadReport;
@@ -22,8 +22,8 @@
 
 /**
  * Free capacity told among schedulers, in a process: what the scheduler's own calls come back with goes along
- * with the view's datagrams, what others told comes to the module as reports of their age. On the loop's
- * thread.
+ * with the view's datagrams, what others told comes to the module as reports of their age. On the control
+ * thread; what the scheduler hears comes, and reports go, as messages between the two loops.
  */
 public final class CapacityPart implements Capacity.Out, Members.Cargo, Scheduler.Ear {
     private static final String PATH = "/capacity";
@@ -33,6 +33,8 @@
     private static final int TRIES = 8;
 
     private final Loop loop;
+    private final Loop traffic;
+    private final Counters counters;
     private final Scheduler scheduler;
     private final Fleet fleet;
     private final Members members;
@@ -41,15 +43,18 @@
     private final int zone;
     private final SplittableRandom random;
     private final Capacity capacity;
-    private final Set<Long> listed = new HashSet<>();
+    /** Names of the endpoints that are listed as ready. */
+    private final Map<Long, String> listed = new HashMap<>();
     /** Names by the numbers that news calls schedulers by. */
     private final Map<Integer, String> names = new HashMap<>();
     private long listedAt = Long.MIN_VALUE / 2;
 
     /** @param zones in the order of the settings */
-    public CapacityPart(Loop loop, Scheduler scheduler, Fleet fleet, Members members, CapacityConfig config,
-            List<String> zones, long seed) {
+    public CapacityPart(Loop loop, Loop traffic, Counters counters, Scheduler scheduler, Fleet fleet,
+            Members members, CapacityConfig config, List<String> zones, long seed) {
         this.loop = loop;
+        this.traffic = traffic;
+        this.counters = counters;
         this.scheduler = scheduler;
         this.fleet = fleet;
         this.members = members;
@@ -64,9 +69,9 @@
         return (int) Endpoint.number(name) & 0xffff;
     }
 
-    /** News goes out from now on. On the loop. */
+    /** News goes out from now on. On the control thread. */
     public void begin() {
-        scheduler.listen(this);
+        traffic.later(() -> scheduler.listen(this));
         members.carry(this);
         fleet.serve(PATH, (verb, path, body, answer) -> {
             if (verb.equals("GET") && path.equals(PATH)) {
@@ -83,7 +88,7 @@
         loop.deadlines().at(now + config.round, this::round);
         if (now - listedAt >= LISTS_EVERY) {
             listedAt = now;
-            lists();
+            traffic.later(this::look);
         }
         if (!capacity.hasNews()) {
             return;
@@ -98,22 +103,36 @@
         }
     }
 
-    /** What drains or is gone is not told of, and not heard of. */
-    private void lists() {
-        Set<Long> ready = new HashSet<>();
+    /** One that is ready, as the lists have it. */
+    private record Ready(long id, String name, int zone, int kind, long bornMs) {
+    }
+
+    /** On the traffic's thread. */
+    private void look() {
+        List<Ready> ready = new ArrayList<>();
         scheduler.destinations().forEach(endpoint -> {
             if (endpoint.state() == State.READY && !scheduler.isDown(endpoint)) {
-                ready.add(endpoint.id);
-                listed.add(endpoint.id);
-                capacity.listed(endpoint.id, endpoint.zone, endpoint.kind, "", endpoint.startedAt / MILLI);
+                ready.add(new Ready(endpoint.id, endpoint.name, endpoint.zone, endpoint.kind,
+                        endpoint.startedAt / MILLI));
             }
         });
-        listed.removeIf(id -> {
-            if (!ready.contains(id)) {
+        loop.later(() -> lists(ready));
+    }
+
+    /** What drains or is gone is not told of, and not heard of. */
+    private void lists(List<Ready> ready) {
+        Map<Long, String> now = new HashMap<>();
+        for (Ready one : ready) {
+            now.put(one.id, one.name);
+            capacity.listed(one.id, one.zone, one.kind, "", one.bornMs);
+        }
+        for (long id : listed.keySet()) {
+            if (!now.containsKey(id)) {
                 capacity.unlisted(id);
             }
-            return !ready.contains(id);
-        });
+        }
+        listed.clear();
+        listed.putAll(now);
     }
 
     private int zoneOf(Full member) {
@@ -124,13 +143,14 @@
 
     @Override
     public void sent(Endpoint endpoint) {
-        capacity.sent(loop.micros(), endpoint.id);
+        loop.later(() -> capacity.sent(loop.micros(), endpoint.id));
     }
 
     @Override
     public void ended(Endpoint endpoint, Outcome outcome, LoadReport report) {
-        capacity.ended(loop.micros(), endpoint.id, !outcome.neverRan,
-                report == null ? Double.NaN : report.freeSlots, report == null ? Double.NaN : report.queue);
+        double free = report == null ? Double.NaN : report.freeSlots;
+        double queue = report == null ? Double.NaN : report.queue;
+        loop.later(() -> capacity.ended(loop.micros(), endpoint.id, !outcome.neverRan, free, queue));
     }
 
     // ---- from and to the others ----
@@ -144,13 +164,16 @@
     public void take(Full from, byte[] bytes) {
         int teller = number(from.life().name());
         names.put(teller, from.life().name());
-        scheduler.counters().add("capacity.received");
+        counters.add("capacity.received");
         capacity.heard(loop.micros(), teller, zoneOf(from), bytes, members.room());
     }
 
     @Override
     public void report(long endpoint, double age, LoadReport report) {
-        scheduler.told(endpoint, age, report);
+        LoadReport copy = new LoadReport();
+        copy.freeSlots = report.freeSlots;
+        copy.queue = report.queue;
+        traffic.later(() -> scheduler.told(endpoint, age, copy));
     }
 
     @Override
@@ -161,7 +184,7 @@
 
     @Override
     public void count(String what) {
-        scheduler.counters().add("capacity." + what);
+        counters.add("capacity." + what);
     }
 
     // ---- reports ----
@@ -183,15 +206,15 @@
         }
         all.add("zones", sums);
         JsonObject endpoints = new JsonObject();
-        scheduler.destinations().forEach(endpoint -> {
-            News news = capacity.news(endpoint.id);
+        listed.forEach((id, name) -> {
+            News news = capacity.news(id);
             if (news != null) {
                 JsonObject one = new JsonObject();
                 one.addProperty("free", news.freeSlots());
                 one.addProperty("queue", news.queued());
                 one.addProperty("age_ms", (now - news.heardAt()) / MILLI);
                 one.addProperty("own", news.source() == number(fleet.self().name()));
-                endpoints.add(endpoint.name, one);
+                endpoints.add(name, one);
             }
         });
         all.add("endpoints", endpoints);
--- a/src/main/java/laneflow/lab/Measure.java
+++ b/src/main/java/laneflow/lab/Measure.java
@@ -3,6 +3,7 @@
 import java.util.concurrent.Callable;
 import laneflow.lab.measure.CapacityMeasure;
 import laneflow.lab.measure.ConfigMeasure;
+import laneflow.lab.measure.ControlMeasure;
 import laneflow.lab.measure.DurableMeasure;
 import laneflow.lab.measure.FleetMeasure;
 import laneflow.lab.measure.GearmanMeasure;
@@ -24,7 +25,7 @@
     private boolean large;
 
     /** What can be measured. */
-    enum What { durable, config, gearman, policy, fleet, task, capacity }
+    enum What { durable, config, gearman, policy, fleet, task, control, capacity }
 
     @Override
     public Integer call() throws Exception {
@@ -34,6 +35,7 @@
             case fleet: return FleetMeasure.run(seed, large, System.out);
             case task: return TaskMeasure.run(seed, large, System.out);
             case policy: return PolicyMeasure.run(seed, large, System.out);
+            case control: return ControlMeasure.run(seed, large, System.out);
             case config: return ConfigMeasure.run(seed, large, System.out);
             default: return GearmanMeasure.run(seed, large, System.out);
         }
