--- a/src/main/java/laneflow/cli/JobsCommand.java
+++ b/src/main/java/laneflow/cli/JobsCommand.java
@@ -111,9 +111,13 @@
     }
 
     @Command(name = "list", mixinStandardHelpOptions = true, description = "Lists jobs, the oldest first.")
-    int list(@Parameters(paramLabel = "DIR") Path dir, @Option(names = "--state") State state,
-            @Option(names = "--class", paramLabel = "NAME") String jobClass,
-            @Option(names = "--most", defaultValue = "1000") int most, @Option(names = "--json") boolean json)
+    int list(@Parameters(paramLabel = "DIR") Path dir, @Option(names = "--state",
+            paramLabel = "STATE", description = "Only those: ${COMPLETION-CANDIDATES}.") State state,
+            @Option(names = "--class", paramLabel = "NAME",
+                    description = "Only those of it.") String jobClass,
+            @Option(names = "--most", paramLabel = "N", defaultValue = "1000",
+                    description = "No more than so many (default: 1000).") int most,
+            @Option(names = "--json", description = "Answer in JSON.") boolean json)
             throws IOException {
         JsonArray all = new JsonArray();
         PrintWriter out = spec.commandLine().getOut();
--- a/src/main/java/laneflow/cli/PolicyCommand.java
+++ b/src/main/java/laneflow/cli/PolicyCommand.java
@@ -12,11 +12,13 @@
 import java.io.IOException;
 import java.io.PrintWriter;
 import java.io.StringReader;
+import java.net.ConnectException;
 import java.net.URI;
 import java.net.http.HttpClient;
 import java.net.http.HttpRequest;
 import java.net.http.HttpResponse;
 import java.nio.file.Files;
+import java.nio.file.NoSuchFileException;
 import java.nio.file.Path;
 import java.time.Duration;
 import java.time.Instant;
@@ -102,7 +104,9 @@
 
     /** What went wrong there, in a line. */
     static String why(String address, Exception e) {
-        return address + ": " + (e.getMessage() == null ? e.toString() : e.getMessage());
+        // The client of the JDK says it by the class alone.
+        String said = e instanceof ConnectException && e.getMessage() == null ? "can't be reached" : e.getMessage();
+        return address + ": " + (said == null ? e.toString() : said);
     }
 
     @Override
@@ -358,7 +362,12 @@
 
     /** A change as its file has it: in the operators' file's words, or JSON. */
     static JsonObject read(Path file) throws IOException {
-        String text = Files.readString(file);
+        String text;
+        try {
+            text = Files.readString(file);
+        } catch (NoSuchFileException e) {
+            throw new IOException(file + ": there is no such file", e);
+        }
         if (text.stripLeading().startsWith("{")) {
             try {
                 JsonObject all = JsonParser.parseString(text).getAsJsonObject();
