--- a/src/main/java/laneflow/cli/PolicyCommand.java
+++ b/src/main/java/laneflow/cli/PolicyCommand.java
@@ -105,7 +105,8 @@
     /** What went wrong there, in a line. */
     static String why(String address, Exception e) {
         // The client of the JDK says it by the class alone.
-        String said = e instanceof ConnectException && e.getMessage() == null ? "can't be reached" : e.getMessage();
+        boolean away = e instanceof ConnectException && e.getMessage() == null;
+        String said = away ? "can't be reached" : e.getMessage();
         return address + ": " + (said == null ? e.toString() : said);
     }
 
