--- a/src/main/java/laneflow/policy/Leadership.java
+++ b/src/main/java/laneflow/policy/Leadership.java
@@ -32,7 +32,7 @@
     private static final Logger LOG = LoggerFactory.getLogger(Leadership.class);
     /** So end reasons that pass by themselves. */
     static final String ASK_AGAIN = "; ask again";
-    private static final int ROUNDS_A_LEASE = 6;
+    private static final int ROUNDS_A_LEASE = 4;
     private static final int QUIET_PARTS = 2;
 
     private final Loop loop;
@@ -169,6 +169,11 @@
         return lead != null;
     }
 
+    /** True where schedulers' counts are wanted with their renewals. */
+    boolean tries() {
+        return trial.isOn();
+    }
+
     /** Has a majority say that this is still the leader, and what holds. */
     private void confirm() {
         if (lead == null || stopped) {
@@ -324,6 +329,7 @@
             policy.renewNow();
         } else if (grant != null && route != null) {
             JsonObject message = Words.grant(grant, who, fleet.self().name(), at, voterNames);
+            message.addProperty("trial", trial.isOn());
             JsonElement word = rider == null ? null : rider.word(who, at < 0);
             if (word != null) {
                 message.add(Policy.RIDER, word);
