--- a/src/test/java/laneflow/transcripts/PolicyTranscriptsTest.java
+++ b/src/test/java/laneflow/transcripts/PolicyTranscriptsTest.java
@@ -66,6 +66,12 @@
             looks(path);
         }
 
+        /** Applied is what the voters say; a scheduler decides by it a little later, when its lease says so. */
+        void decidesBy(int policy) throws Exception {
+            Await.until("it decides by " + policy, () -> raw(fleet, "/policy").contains("\"policy\":" + policy + ","),
+                    () -> raw(fleet, "/policy"));
+        }
+
         void looks(String path) throws IOException {
             asks("GET " + path + " HTTP/1.1\r\nHost: f\r\n\r\n");
         }
@@ -83,10 +89,12 @@
                 transcript -> decided(transcript, (operator, client, endpoint) -> {
                     operator.proposes("{\"name\":\"ban\",\"types\":{\"bans\":[{\"name\":\"e1\"}]}}");
                     operator.awaits("ban", "applied");
+                    operator.decidesBy(1);
                     client.post("capture", "1", "", "pay");
                     client.message();
                     operator.proposes("{\"name\":\"no-bans\",\"types\":{\"bans\":[]}}");
                     operator.awaits("no-bans", "applied");
+                    operator.decidesBy(2);
                     client.post("capture", "2", "", "pay");
                     Party call = new Party(transcript, "e1", endpoint.accept());
                     call.message();
