A dead scheduler's durable jobs are taken over by one other, while that runs

Where the stores of all lie in one folder that the operators' file names, each store is a task. Its holder finds it without a process for long enough and renames its folder under its own, holding its lock: a store has one place, so one owner, whatever leases say. Its jobs go over in batches, with attempts, ends and results in one entry; one that dies amid it is recovered with what it had taken. Three stories with four processes: 40 jobs that must not run twice ran once each with their scheduler killed, its adopter killed, and it standing still.

--- a/src/main/java/laneflow/assembly/Durability.java
+++ b/src/main/java/laneflow/assembly/Durability.java
@@ -53,6 +53,10 @@
         rows.clear();
     }
 
+    DurableJobs jobs() {
+        return jobs;
+    }
+
     List<String> adopt(DurableConfig read) {
         return jobs.adopt(read);
     }
--- a/src/main/java/laneflow/assembly/Setup.java
+++ b/src/main/java/laneflow/assembly/Setup.java
@@ -129,6 +129,12 @@
         MembersConfig members = operators.members() == null ? null : MembersConfig.read(operators.members(),
                 fleet);
         TaskConfig tasks = operators.tasks() == null ? null : TaskConfig.read(operators.tasks(), policy);
+        if (tasks != null && tasks.stores != null && (durable == null || fleet == null
+                || !tasks.stores.resolve(fleet.name).equals(durable.dir))) {
+            findings.add("tasks", "stores", "is where the stores of all schedulers lie: [durable] dir must be"
+                    + " in it, by the scheduler's own name"
+                    + (fleet == null ? "" : ", " + tasks.stores.resolve(fleet.name)));
+        }
         if (policy != null && policy.tellPolicy && control != null && control.tellVersions) {
             findings.add("policy", "tell_policy",
                     "and [control] tell_versions name one header: only one of them");
--- a/src/main/java/laneflow/assembly/Together.java
+++ b/src/main/java/laneflow/assembly/Together.java
@@ -24,6 +24,7 @@
 import laneflow.policy.PolicyPart;
 import laneflow.policy.PolicyTypes;
 import laneflow.task.Hooks;
+import laneflow.task.Recovery;
 import laneflow.task.Tasks;
 import laneflow.task.decision.Table;
 import org.slf4j.Logger;
@@ -49,11 +50,18 @@
     private final PolicyPart policy;
     /** Null where no policy is decided together. */
     private final Tasks tasks;
+    /** Null where dead schedulers' jobs are adopted by hand. */
+    private final Recovery recovery;
     /** Null where the fleet calls nothing. */
     private final Hooks hooks;
 
-    /** Links this scheduler with the others; before clients are let in. */
-    Together(Setup setup, Subsystems.Core core) throws IOException, InterruptedException {
+    /**
+     * Links this scheduler with the others; before clients are let in.
+     *
+     * @param durability null where no jobs are kept
+     */
+    Together(Setup setup, Subsystems.Core core, Durability durability) throws IOException,
+            InterruptedException {
         this.core = core;
         tellsPolicy = setup.policy() != null && setup.policy().tellPolicy;
         Loop loop = core.loop();
@@ -82,6 +90,8 @@
         hooks = setup.tasks() == null ? null : new Hooks(loop, tasks, scheduler.counters(),
                 fleet.self().who(),
                 setup.tasks().hooks);
+        recovery = setup.tasks() == null || setup.tasks().stores == null ? null : new Recovery(loop, tasks,
+                scheduler.counters(), durability.jobs(), setup.tasks(), config.name);
         members = setup.members() == null ? null : members(setup, reading, random.nextLong());
         listen();
     }
@@ -176,6 +186,9 @@
         if (hooks != null) {
             core.loop().call(hooks::begin);
         }
+        if (recovery != null) {
+            recovery.begin();
+        }
     }
 
     @Override
@@ -198,6 +211,9 @@
     @Override
     public void close() throws InterruptedException {
         closed = true;
+        if (recovery != null) {
+            recovery.close();
+        }
         if (hooks != null) {
             hooks.close();
         }
--- a/src/main/java/laneflow/durable/Care.java
+++ b/src/main/java/laneflow/durable/Care.java
@@ -50,6 +50,11 @@
         store.write(List.of(Op.end(id, State.CANCELLED, row.attempts(), "cancelled", null, nowMs)));
     }
 
+    /** These jobs are another store's now. */
+    public static void drop(Store store, List<Long> ids) throws StoreException {
+        store.write(ids.stream().map(id -> Op.drop(id, 0)).toList());
+    }
+
     /**
      * Moves all jobs from one store to another, in batches: first they are on disk there, then they leave
      * here. A crash between the two leaves some in both; adopting again finds them by their ids and goes on.
--- a/src/main/java/laneflow/durable/DurableJobs.java
+++ b/src/main/java/laneflow/durable/DurableJobs.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Locale;
+import java.util.Map;
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
 import laneflow.core.Clock;
@@ -109,27 +110,9 @@
         pumping = true;
         List<Held> over = new ArrayList<>();
         for (JobRow row : rows) {
-            Held job = held(row);
-            table.add(job);
-            found[job.state.number]++;
+            Held job = stand(row, over);
+            found[row.state().number]++;
             orphans += job.jobClass < 0 ? 1 : 0;
-            if (job.state.isEnd()) {
-                over.add(job);
-                continue;
-            }
-            if (job.jobClass >= 0) {
-                quota.add(job.jobClass, row.bodyBytes());
-            }
-            // Its call died with the process that made it: it may have run.
-            for (Attempt attempt : row.attempts()) {
-                if (attempt.known() == Known.OUT) {
-                    job.know(attempt.number(), Known.MAY_HAVE_RUN);
-                }
-            }
-            job.state = State.QUEUED;
-            if (job.jobClass >= 0) {
-                settle(job, false);
-            }
         }
         pumping = false;
         over.sort((a, b) -> Long.compare(a.changedMs, b.changedMs));
@@ -145,6 +128,70 @@
         pump();
     }
 
+    /** A job that the store holds, at work nowhere now: it goes on from what is on record. */
+    private Held stand(JobRow row, List<Held> over) {
+        Held job = held(row);
+        table.add(job);
+        if (job.state.isEnd()) {
+            over.add(job);
+            return job;
+        }
+        if (job.jobClass >= 0) {
+            quota.add(job.jobClass, row.bodyBytes());
+        }
+        // Its call died with the process that made it: it may have run.
+        for (Attempt attempt : row.attempts()) {
+            if (attempt.known() == Known.OUT) {
+                job.know(attempt.number(), Known.MAY_HAVE_RUN);
+            }
+        }
+        job.state = State.QUEUED;
+        if (job.jobClass >= 0) {
+            settle(job, false);
+        }
+        return job;
+    }
+
+    /**
+     * Takes over jobs of a store whose scheduler is gone, while this one goes on. Told, on the loop, are the
+     * numbers of those that are on disk here then, those among them that were here already; others are asked
+     * for again.
+     *
+     * @param results of those that have ended, by number
+     */
+    public void takeOver(List<JobRow> rows, Map<Long, byte[]> results, Consumer<List<Long>> then) {
+        List<Long> here = new ArrayList<>();
+        int[] left = {rows.size()};
+        Runnable one = () -> {
+            if (--left[0] == 0) {
+                then.accept(here);
+            }
+        };
+        for (JobRow row : rows) {
+            if (table.get(row.id()) != null) {
+                here.add(row.id());
+                one.run();
+                continue;
+            }
+            JobRow kept = table.get(row.key()) == null ? row : row.withoutKey();
+            boolean asked = journal.write(Op.adopt(kept, results.get(row.id())), failed -> {
+                if (failed == null) {
+                    here.add(row.id());
+                    counters.add("durable.taken_over");
+                    see(row.changedMs());
+                    List<Held> over = new ArrayList<>();
+                    stand(table.get(kept.key()) == null ? kept : kept.withoutKey(), over);
+                    over.forEach(table::end);
+                    pump();
+                }
+                one.run();
+            });
+            if (!asked) {
+                one.run();
+            }
+        }
+    }
+
     private Held held(JobRow row) {
         int jobClass = config.classNames.indexOf(row.jobClass());
         return new Held(row, jobClass, jobClass < 0 ? null : config.classes[jobClass]);
--- a/src/main/java/laneflow/durable/Op.java
+++ b/src/main/java/laneflow/durable/Op.java
@@ -20,6 +20,12 @@
         return new Op(Kind.ACCEPT, row.id(), row, row.state(), row.attempts(), "", null, row.acceptedMs());
     }
 
+    /** Takes a job over as it stood elsewhere, with its attempts and its end in one. */
+    static Op adopt(JobRow row, byte[] result) {
+        return new Op(Kind.ACCEPT, row.id(), row, row.state(), row.attempts(), row.reason(), result,
+                row.changedMs());
+    }
+
     /** A lease, a heartbeat, or the way back into the queue. */
     static Op move(long id, State state, List<Attempt> attempts, long atMs) {
         return new Op(Kind.MOVE, id, null, state, List.copyOf(attempts), "", null, atMs);
--- a/src/main/java/laneflow/durable/Store.java
+++ b/src/main/java/laneflow/durable/Store.java
@@ -198,6 +198,9 @@
         switch (op.kind()) {
             case ACCEPT:
                 accept(op.row());
+                if (op.state() != State.QUEUED || !op.attempts().isEmpty()) {
+                    stands(op);
+                }
                 break;
             case DROP:
                 for (PreparedStatement each : drop) {
@@ -206,24 +209,28 @@
                 }
                 break;
             default:
-                String attempts = RowCodec.attempts(op.attempts());
-                move.setLong(1, op.id());
-                move.setInt(2, op.state().number);
-                move.setString(3, attempts);
-                move.setString(4, op.reason());
-                move.setLong(5, op.atMs());
-                move.setInt(6, RowCodec.sum(op.id(), op.state(), attempts, op.reason(), op.atMs()));
-                move.executeUpdate();
-                if (op.result() != null) {
-                    end.setLong(1, op.id());
-                    end.setInt(2, RowCodec.sum(op.result()));
-                    end.setBytes(3, op.result());
-                    end.executeUpdate();
-                }
+                stands(op);
                 break;
         }
     }
 
+    private void stands(Op op) throws SQLException {
+        String attempts = RowCodec.attempts(op.attempts());
+        move.setLong(1, op.id());
+        move.setInt(2, op.state().number);
+        move.setString(3, attempts);
+        move.setString(4, op.reason());
+        move.setLong(5, op.atMs());
+        move.setInt(6, RowCodec.sum(op.id(), op.state(), attempts, op.reason(), op.atMs()));
+        move.executeUpdate();
+        if (op.result() != null) {
+            end.setLong(1, op.id());
+            end.setInt(2, RowCodec.sum(op.result()));
+            end.setBytes(3, op.result());
+            end.executeUpdate();
+        }
+    }
+
     private void accept(JobRow row) throws SQLException {
         accept.setLong(1, row.id());
         accept.setString(2, row.jobClass());
--- a/src/main/java/laneflow/task/TaskConfig.java
+++ b/src/main/java/laneflow/task/TaskConfig.java
@@ -1,5 +1,6 @@
 package laneflow.task;
 
+import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
 import laneflow.config.Table;
@@ -22,11 +23,19 @@
     }
 
     public final List<Hook> hooks = new ArrayList<>();
+    /** Where the stores of all schedulers' durable jobs lie, by their names; null: adopted by hand. */
+    public final Path stores;
+    /** Microseconds for which a store must have had no process before another takes its jobs over. */
+    public final long after;
+
     private TaskConfig(Table from, PolicyConfig policy) {
         if (policy == null) {
             from.wrong("", "needs the table [policy], whose voters give tasks out");
         }
         long lease = policy == null ? Long.MAX_VALUE : policy.lease;
+        String folder = from.text("stores", null);
+        stores = folder == null ? null : Path.of(folder);
+        after = from.whole("adopt_after_ms", 60_000, 100, 86_400_000) * 1000;
         from.tables("hooks").forEach((name, one) -> {
             if (!name.matches(NAME)) {
                 one.wrong("", "'" + name + "' is no name: up to 64 letters, digits, '_', '.' and '-'");
--- /dev/null
+++ b/src/test/java/laneflow/task/RecoveryStoryTest.java
@@ -0,0 +1,141 @@
+package laneflow.task;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import java.util.stream.IntStream;
+import java.util.stream.Stream;
+import laneflow.lab.rig.Crew;
+import laneflow.lab.rig.Rig;
+import laneflow.lab.standin.Ledger;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+/** Durable jobs of schedulers that die, taken over by others: all of them run, and none twice. */
+class RecoveryStoryTest {
+    private static final int JOBS = 40;
+    @TempDir
+    Path folder;
+    private Path stores;
+    private Rig rig;
+    private final int[] nodes = new int[3];
+    private final HttpClient client = HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).build();
+
+    @BeforeEach
+    void begin() throws Exception {
+        stores = Files.createDirectory(folder.resolve("stores"));
+        for (int i = 0; i < nodes.length; i++) {
+            nodes[i] = Crew.port();
+        }
+        rig = new Rig(folder, 4, 3, 7, "");
+        for (int i = 0; i < 4; i++) {
+            rig.file(i, "zones = [\"z\"]\n[classes.post]\ndeadline_ms = 3000\nrepeat = \"never\"\n"
+                    + Rig.endpoints(nodes) + "[policy]\nvoters = VOTERS\ndir = \"FOLDER\"\n[durable]\ndir = \""
+                    + stores.resolve(Rig.name(i)) + "\"\n[durable.classes.post]\n[tasks]\nstores = \"" + stores
+                    + "\"\nadopt_after_ms = 500\n");
+        }
+        rig.startAll();
+        rig.awaitDeciding(0, rig.all());
+        // Nobody is at the nodes yet: jobs are kept and can't run.
+        for (int i = 0; i < JOBS; i++) {
+            handIn(3, i);
+        }
+    }
+
+    @AfterEach
+    void end() throws Exception {
+        rig.close();
+    }
+
+    private void handIn(int at, int job) throws IOException, InterruptedException {
+        HttpResponse<String> answer = client.send(HttpRequest.newBuilder(URI.create("http://127.0.0.1:"
+                + rig.clientPort(at) + "/post")).header("Req-Id", "j" + job).header("Prefer", "respond-async")
+                .header("Idempotency-Key", "k" + job).POST(HttpRequest.BodyPublishers.ofString("j" + job)).build(),
+                HttpResponse.BodyHandlers.ofString());
+        assertEquals(202, answer.statusCode(), answer.body());
+    }
+
+    private boolean isAdopted(String name) throws IOException {
+        return !Files.exists(stores.resolve(name));
+    }
+
+    /** Whose folder another's store lies in now, or -1. */
+    private int adopter(String name) throws IOException {
+        for (int i = 0; i < rig.size(); i++) {
+            Path adopted = stores.resolve(Rig.name(i)).resolve("adopted");
+            if (Files.isDirectory(adopted)) {
+                try (Stream<Path> all = Files.list(adopted)) {
+                    if (all.anyMatch(path -> path.getFileName().toString().startsWith(name + "."))) {
+                        return i;
+                    }
+                }
+            }
+        }
+        return -1;
+    }
+
+    private void allRanOnce() throws IOException, InterruptedException {
+        rig.nodes(nodes, 60);
+        Path ran = folder.resolve("ran");
+        rig.await("all jobs have run", () -> new HashSet<>(runs(ran)).size() >= JOBS);
+        List<String> runs = runs(ran);
+        assertEquals(JOBS, runs.size(), "some ran twice: " + runs);
+        assertTrue(runs.containsAll(IntStream.range(0, JOBS).mapToObj(i -> "j" + i).toList()), runs.toString());
+    }
+
+    private static List<String> runs(Path ran) throws IOException {
+        return Ledger.read(ran).stream().filter(line -> line.event().equals("start")).map(Ledger.Line::job)
+                .toList();
+    }
+
+    @Test
+    void jobsOfADeadSchedulerAreTakenOverByOneAndRunOnce() throws Exception {
+        rig.kill(3);
+        rig.await("its store has another place", () -> isAdopted(Rig.name(3)));
+        allRanOnce();
+    }
+
+    @Test
+    void anAdopterThatDiesAmidItIsRecoveredWithWhatItHadTaken() throws Exception {
+        rig.kill(3);
+        int[] by = {-1};
+        rig.await("somebody has taken it over", () -> {
+            by[0] = adopter(Rig.name(3));
+            return by[0] >= 0 || isAdopted(Rig.name(3));
+        });
+        int killed = by[0] >= 0 ? by[0] : 0;
+        rig.kill(killed);
+        rig.await("the adopter's store has another place", () -> isAdopted(Rig.name(killed)));
+        allRanOnce();
+    }
+
+    @Test
+    void oneThatStandsStillKeepsItsJobs() throws Exception {
+        rig.stall(3);
+        int leader = rig.leader();
+        rig.await("another may take it over, and its store is held", () ->
+                rig.ask(leader, "/tasks", null).body().contains("\"task\":\"recover/n4\",\"kind\":\"placed\",\"holder\""
+                        + ":\"n"));
+        Set<String> before = new HashSet<>();
+        try (Stream<Path> all = Files.list(stores)) {
+            all.forEach(path -> before.add(path.getFileName().toString()));
+        }
+        assertTrue(before.contains(Rig.name(3)), before.toString());
+        rig.wake(3);
+        rig.awaitDeciding(0, 3);
+        allRanOnce();
+        assertTrue(Files.exists(stores.resolve(Rig.name(3))));
+    }
+}
