--- a/src/main/java/laneflow/net/Loop.java
+++ b/src/main/java/laneflow/net/Loop.java
@@ -39,6 +39,7 @@
     /** Descriptors the virtual machine holds for itself: the jar, selectors, standard streams. */
     private static final int OWN_DESCRIPTORS = 64;
     private static final int BACKLOG = 512;
+    private static final long MS = 1000;
     private static final Pattern FIGURES = Pattern.compile("[0-9.]+|[0-9a-fA-F:.]+");
     /** Connections taken in a row: a flood of them must not hold up those that are open. */
     private static final int ACCEPTS = 32;
@@ -53,6 +54,7 @@
     private final Part outbound;
     private final List<Listener> listeners = new ArrayList<>();
     private final long origin;
+    private final boolean rests;
     private boolean inTurn;
     private long now;
     private long armedFor = Long.MAX_VALUE;
@@ -60,11 +62,23 @@
 
     /** A loop that holds no more descriptors than that, its own included. */
     public Loop(int descriptors) throws IOException {
-        mostEachWay = Math.max(8, (descriptors - OWN_DESCRIPTORS) / 2);
+        this("loop", (descriptors - OWN_DESCRIPTORS) / 2, false);
+    }
+
+    /**
+     * A loop of that name with room for so many connections each way.
+     *
+     * @param rests true where it mostly has nothing to do: then a timer that was moved to later is set anew,
+     *     where a loop with traffic lets it wake it for nothing, and runs up to a millisecond late, where one
+     *     with traffic turns without a pause for the rest of a millisecond
+     */
+    public Loop(String name, int eachWay, boolean rests) throws IOException {
+        this.rests = rests;
+        mostEachWay = Math.max(8, eachWay);
         accepted = new Part(mostEachWay);
         outbound = new Part(mostEachWay);
         worker = Xnio.getInstance().createWorker(OptionMap.builder()
-                .set(Options.WORKER_NAME, "loop")
+                .set(Options.WORKER_NAME, name)
                 .set(Options.WORKER_IO_THREADS, 1)
                 .set(Options.WORKER_TASK_CORE_THREADS, 1)
                 .set(Options.WORKER_TASK_MAX_THREADS, 1)
@@ -111,12 +125,21 @@
     private void endTurn() {
         inTurn = false;
         long next = deadlines.next();
-        if (next < armedFor && !worker.isShutdown()) {
+        if ((next < armedFor || rests && next > armedFor) && !worker.isShutdown()) {
             if (armed != null) {
                 armed.remove();
             }
             armedFor = next;
+            armed = null;
+            if (next == Long.MAX_VALUE) {
+                return;
+            }
             long delay = Math.max(0, next - (origin + System.nanoTime() / 1000));
+            if (rests) {
+                // XNIO counts in whole milliseconds and drops the rest: woken early, the loop would turn
+                // without a pause until the instant has come.
+                delay = (delay + MS - 1) / MS * MS;
+            }
             armed = thread.executeAfter(this::due, delay, TimeUnit.MICROSECONDS);
         }
     }
