--- a/src/main/java/laneflow/assembly/Together.java
+++ b/src/main/java/laneflow/assembly/Together.java
@@ -27,6 +27,7 @@
 import laneflow.policy.PolicyPart;
 import laneflow.policy.PolicyTypes;
 import laneflow.task.Hooks;
+import laneflow.task.Recovery;
 import laneflow.task.Tasks;
 import laneflow.task.decision.Table;
 import org.slf4j.Logger;
@@ -61,11 +62,18 @@
     private final PolicyPart policy;
     /** Null where no policy is decided together. */
     private final Tasks tasks;
+    /** Null where dead schedulers' jobs are adopted by hand. */
+    private final Recovery recovery;
     /** Null where the fleet calls nothing. */
     private final Hooks hooks;
 
-    /** Links this scheduler with the others; before clients are let in. */
-    Together(Setup setup, Subsystems.Core core) throws IOException, InterruptedException {
+    /**
+     * Links this scheduler with the others; before clients are let in.
+     *
+     * @param durability null where no jobs are kept
+     */
+    Together(Setup setup, Subsystems.Core core, Durability durability) throws IOException,
+            InterruptedException {
         this.core = core;
         tellsPolicy = setup.policy() != null && setup.policy().tellPolicy;
         FleetConfig config = setup.fleet();
@@ -99,6 +107,8 @@
                 Map.of(Table.NAME, new Table()), tasks));
         hooks = setup.tasks() == null ? null : new Hooks(loop, tasks, counters, fleet.self().who(),
                 setup.tasks().hooks);
+        recovery = setup.tasks() == null || setup.tasks().stores == null ? null : new Recovery(loop, tasks,
+                scheduler.counters(), durability.jobs(), setup.tasks(), config.name);
         members = setup.members() == null ? null : members(setup, reading, random.nextLong());
         capacity = setup.capacity() == null ? null : new CapacityPart(loop, core.loop(), counters,
                 scheduler, fleet, members, setup.capacity(), setup.config().zones, random.nextLong());
@@ -205,6 +215,9 @@
         if (hooks != null) {
             control.call(hooks::begin);
         }
+        if (recovery != null) {
+            recovery.begin();
+        }
     }
 
     @Override
@@ -227,6 +240,9 @@
     @Override
     public void close() throws InterruptedException {
         closed = true;
+        if (recovery != null) {
+            recovery.close();
+        }
         if (hooks != null) {
             hooks.close();
         }
