--- a/src/main/java/laneflow/assembly/Setup.java
+++ b/src/main/java/laneflow/assembly/Setup.java
@@ -15,6 +15,7 @@
 import laneflow.fleet.FleetConfig;
 import laneflow.gearman.GearmanConfig;
 import laneflow.http.Config;
+import laneflow.maintenance.MaintenanceConfig;
 import laneflow.membership.MembersConfig;
 import laneflow.policy.PolicyConfig;
 import laneflow.task.TaskConfig;
@@ -23,7 +24,7 @@
 /** All that a scheduler is told at its start; null stands for a front or a subsystem that is off. */
 public record Setup(Config config, GearmanConfig gearman, DurableConfig durable, ControlConfig control,
         FleetConfig fleet, PolicyConfig policy, MembersConfig members, TaskConfig tasks,
-        CapacityConfig capacity, Map<String, String> fixed) {
+        CapacityConfig capacity, MaintenanceConfig maintenance, Map<String, String> fixed) {
     private static final String PLATFORM = "the platform's file decides this here";
     private static final List<String> FLEETS = List.of("classes", "limits");
     private static final String FLEET = "the fleet decides this together: laneflow policy propose";
@@ -41,7 +42,7 @@
 
     /** Nothing of the stream's types is decided elsewhere. */
     public Setup(Config config, GearmanConfig gearman, DurableConfig durable, ControlConfig control) {
-        this(config, gearman, durable, control, null, null, null, null, null, Map.of());
+        this(config, gearman, durable, control, null, null, null, null, null, null, Map.of());
     }
 
     /** The platform's file, with a Gearman file and a destination set beside it, each unless null. */
@@ -138,11 +139,20 @@
         }
         CapacityConfig capacity = operators.capacity() == null ? null
                 : CapacityConfig.read(operators.capacity(), members);
+        MaintenanceConfig maintenance = operators.maintenance() == null ? null
+                : MaintenanceConfig.read(operators.maintenance(), policy, tasks, settings, hosts(all));
         if (policy != null && policy.tellPolicy && control != null && control.tellVersions) {
             findings.add("policy", "tell_policy",
                     "and [control] tell_versions name one header: only one of them");
         }
         findings.raise();
-        return new Setup(config, gearman, durable, control, fleet, policy, members, tasks, capacity, fixed);
+        return new Setup(config, gearman, durable, control, fleet, policy, members, tasks, capacity,
+                maintenance, fixed);
+    }
+
+    /** The endpoints that are known at the start, in the platform's form. */
+    private static JsonArray hosts(JsonObject all) {
+        JsonObject known = all.has("known") ? all.getAsJsonObject("known") : new JsonObject();
+        return known.has("hosts") ? known.getAsJsonArray("hosts") : new JsonArray();
     }
 }
--- a/src/main/java/laneflow/assembly/Together.java
+++ b/src/main/java/laneflow/assembly/Together.java
@@ -20,6 +20,9 @@
 import laneflow.fleet.Fleet;
 import laneflow.fleet.FleetConfig;
 import laneflow.http.Config;
+import laneflow.maintenance.Maintenance;
+import laneflow.maintenance.MaintenancePart;
+import laneflow.maintenance.decision.WindowLedger;
 import laneflow.membership.Members;
 import laneflow.membership.decision.Facts;
 import laneflow.net.Loop;
@@ -66,6 +69,8 @@
     private final Recovery recovery;
     /** Null where the fleet calls nothing. */
     private final Hooks hooks;
+    /** Null where no policy is decided together. */
+    private final MaintenancePart maintenance;
 
     /**
      * Links this scheduler with the others; before clients are let in.
@@ -100,11 +105,15 @@
         // Outside tests clocks run as they run.
         double clockRate = Double.parseDouble(System.getProperty(CLOCK_RATE, "1"));
         tasks = setup.policy() == null ? null : new Tasks(loop, fleet, counters);
+        Maintenance windows = setup.policy() == null ? null : new Maintenance(loop, core.loop(), scheduler,
+                counters, () -> policyInForce(), setup.maintenance());
         ExecutorService reading = Threads.inOrder("policy-reader");
         policy = setup.policy() == null ? null : new PolicyPart(new PolicyPart.Given(loop,
                 core.loop(), fleet, scheduler, counters, setup.policy(), bans -> types(setup, bans),
                 List.of(setup.config().classNames), reading, random.nextLong(), clockRate, core.upgrade(),
-                Map.of(Table.NAME, new Table()), tasks));
+                Map.of(Table.NAME, new Table(), WindowLedger.NAME, new WindowLedger()),
+                List.of(tasks, windows)));
+        maintenance = windows == null ? null : maintenance(setup, windows);
         hooks = setup.tasks() == null ? null : new Hooks(loop, tasks, counters, fleet.self().who(),
                 setup.tasks().hooks);
         recovery = setup.tasks() == null || setup.tasks().stores == null ? null : new Recovery(loop, tasks,
@@ -115,6 +124,18 @@
         listen();
     }
 
+    private MaintenancePart maintenance(Setup setup, Maintenance windows) throws InterruptedException {
+        MaintenancePart[] made = new MaintenancePart[1];
+        control.call(() -> made[0] = new MaintenancePart(control, fleet, tasks, counters, windows,
+                setup.maintenance()));
+        return made[0];
+    }
+
+    /** On the traffic's thread; nothing is while this is still being made. */
+    private long policyInForce() {
+        return policy == null ? -1 : policy.number();
+    }
+
     private Members members(Setup setup, ExecutorService reading, long seed) throws IOException,
             InterruptedException {
         Config config = setup.config();
@@ -215,6 +236,9 @@
         if (hooks != null) {
             control.call(hooks::begin);
         }
+        if (maintenance != null) {
+            control.call(maintenance::begin);
+        }
         if (recovery != null) {
             recovery.begin();
         }
@@ -246,6 +270,9 @@
         if (hooks != null) {
             hooks.close();
         }
+        if (maintenance != null) {
+            control.call(maintenance::close);
+        }
         if (members != null) {
             members.leave();
         }
--- a/src/main/java/laneflow/config/OperatorFile.java
+++ b/src/main/java/laneflow/config/OperatorFile.java
@@ -28,6 +28,7 @@
     private final Table members;
     private final Table tasks;
     private final Table capacity;
+    private final Table maintenance;
 
     private OperatorFile(Table root) {
         this.root = root;
@@ -39,6 +40,7 @@
         members = root.table("members");
         tasks = root.table("tasks");
         capacity = root.table("capacity");
+        maintenance = root.table("maintenance");
         top();
         root.close();
     }
@@ -129,6 +131,11 @@
         return capacity;
     }
 
+    /** The table of maintenance windows, or null where they are off. */
+    public Table maintenance() {
+        return maintenance;
+    }
+
     /** What is said of the scheduler, in the platform's form. */
     public JsonObject platform() {
         return platform;
--- a/src/main/java/laneflow/core/Endpoint.java
+++ b/src/main/java/laneflow/core/Endpoint.java
@@ -23,6 +23,8 @@
     /** The functions it runs, by number; null: any of its classes. */
     public long[] abilities;
     State state = State.READY;
+    /** How many calls in a row have come to no connection. */
+    int unreached;
     /** When this scheduler was told that it drains or is gone. */
     long drainToldAt = Long.MAX_VALUE;
 
--- a/src/main/java/laneflow/core/Scheduler.java
+++ b/src/main/java/laneflow/core/Scheduler.java
@@ -1,6 +1,7 @@
 package laneflow.core;
 
 import java.util.ArrayDeque;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Locale;
 import java.util.Set;
@@ -53,7 +54,7 @@
     /** Null where nobody else has a say. */
     private Gate gate;
     /** Endpoints that the policy in force bans, beside those that operators have set down here. */
-    private Set<String> barred = Set.of();
+    private volatile Set<String> barred = Set.of();
     private final long[][] tallies;
     /** Null where nobody listens. */
     private Ear ear;
@@ -124,12 +125,55 @@
             }
         }
         for (String name : before) {
+            Endpoint back = names.contains(name) ? null : destinations.get(name);
+            if (back != null) {
+                // What was known of it before says nothing of what comes back.
+                back.unreached = 0;
+            }
             if (!names.contains(name) && !destinations.down().contains(name)) {
                 event(() -> module.setUp(now(), Endpoint.number(name)));
             }
         }
     }
 
+    /** Those that are banned so; on any thread. */
+    public Set<String> barred() {
+        return barred;
+    }
+
+    /** Those of them to which a call is out still. */
+    public Set<String> sendsToBarred() {
+        Set<String> names = new HashSet<>();
+        if (!barred.isEmpty()) {
+            calls.forEach(call -> {
+                if (barred.contains(call.endpoint.name)) {
+                    names.add(call.endpoint.name);
+                }
+            });
+        }
+        return names;
+    }
+
+    /** Endpoints to which the last so many calls came to no connection, or more. */
+    public Set<String> unreached(int least) {
+        Set<String> names = new HashSet<>();
+        destinations.forEach(endpoint -> {
+            if (endpoint.unreached >= least && !barred.contains(endpoint.name)) {
+                names.add(endpoint.name);
+            }
+        });
+        return names;
+    }
+
+    /**
+     * Adds the slots of all requests that are open to what is there, by tenant and class; the last row is
+     * that of those whose tenant is not known.
+     */
+    public void demand(double[][] to) {
+        requests.forEach(request -> to[request.tenant < 0 ? to.length - 1 : request.tenant][request.jobClass]
+                += request.slots);
+    }
+
     /** Hears of every call that goes out, and of its end behind the module. */
     public interface Ear {
         void sent(Endpoint endpoint);
@@ -393,6 +437,9 @@
         counters.add("call." + outcome.name().toLowerCase(Locale.ROOT));
         if (outcome == Outcome.CONNECT_FAILED) {
             tallies[request.jobClass][CONNECT_FAILED]++;
+            call.endpoint.unreached++;
+        } else if (outcome != Outcome.MOOT) {
+            call.endpoint.unreached = 0;
         }
         if (!outcome.neverRan) {
             request.mayHaveRun(call.sentAt);
--- a/src/main/java/laneflow/maintenance/EstateReader.java
+++ b/src/main/java/laneflow/maintenance/EstateReader.java
@@ -70,13 +70,18 @@
         return from.has(key) && !from.get(key).isJsonNull() ? from.get(key).getAsDouble() : absent;
     }
 
+    /** The rack in which an endpoint of the list stands; left out, it is one by itself. */
+    static String rack(JsonObject host) {
+        return text(host, "rack", text(host, "block", text(host, "host", "")));
+    }
+
     private List<Rack> racks(JsonArray hosts) {
         Map<String, Map<Long, Double>> slots = new LinkedHashMap<>();
         Map<String, String> zoneOf = new LinkedHashMap<>();
         for (JsonElement each : hosts) {
             JsonObject host = each.getAsJsonObject();
             String name = text(host, "host", "");
-            String rack = text(host, "rack", text(host, "block", name));
+            String rack = rack(host);
             String zone = text(host, "site", "");
             String there = zoneOf.putIfAbsent(rack, zone);
             if (there != null && !there.equals(zone)) {
--- /dev/null
+++ b/src/main/java/laneflow/maintenance/RequestReader.java
@@ -0,0 +1,108 @@
+package laneflow.maintenance;
+
+import com.google.gson.JsonArray;
+import com.google.gson.JsonElement;
+import com.google.gson.JsonObject;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import laneflow.config.Findings;
+import laneflow.config.Table;
+import laneflow.maintenance.decision.Request;
+
+/** Reads requests as they come over HTTP, in the form of the ledger; all that is wrong is told at once. */
+final class RequestReader {
+    /** The most that come in one body. */
+    static final int MOST = 500;
+    private static final String NAME = "[A-Za-z0-9_.-]{1,64}";
+    private static final int MOST_TEXT = 200;
+    private static final int MOST_NAMES = 256;
+    private static final long WEEKS = 8L * 7 * 86_400_000;
+
+    private RequestReader() {
+    }
+
+    /** @param racks those that are known */
+    static List<Request> read(JsonArray from, Set<String> racks, Findings findings) {
+        List<Request> all = new ArrayList<>();
+        Set<String> names = new HashSet<>();
+        if (from.isEmpty() || from.size() > MOST) {
+            findings.add("requests", "", "are " + from.size() + ", and have to be 1 to " + MOST);
+            return all;
+        }
+        for (int i = 0; i < from.size(); i++) {
+            JsonElement one = from.get(i);
+            String path = "requests[" + i + "]";
+            if (!one.isJsonObject()) {
+                findings.add(path, "", "is no object");
+                continue;
+            }
+            Request request = read(one.getAsJsonObject(), path, racks, findings);
+            if (!names.add(request.name())) {
+                findings.add(path, "name", "'" + request.name() + "' is there twice");
+            }
+            all.add(request);
+        }
+        return all;
+    }
+
+    private static Request read(JsonObject from, String path, Set<String> racks, Findings findings) {
+        Table table = Table.of(from, path, findings);
+        String name = table.text("name");
+        if (!name.isEmpty() && !name.matches(NAME)) {
+            table.wrong("name", "is up to 64 letters, digits, '_', '.' and '-'");
+        }
+        String owner = table.text("owner");
+        if (owner.length() > MOST_TEXT) {
+            table.wrong("owner", "is longer than " + MOST_TEXT + " characters");
+        }
+        List<String> down = names(table, "racks");
+        if (down.isEmpty()) {
+            table.wrong("racks", "names none");
+        }
+        Set<String> seen = new HashSet<>();
+        for (String rack : down) {
+            if (!racks.contains(rack)) {
+                table.wrong("racks", "'" + rack + "' is not known");
+            } else if (!seen.add(rack)) {
+                table.wrong("racks", "'" + rack + "' is named twice");
+            }
+        }
+        long work = whole(table, "work_ms", 1, WEEKS);
+        long earliest = whole(table, "earliest_ms", 0, Long.MAX_VALUE / 4);
+        long latest = whole(table, "latest_ms", 0, Long.MAX_VALUE / 4);
+        long notice = table.whole("notice_ms", 0, 0, WEEKS);
+        long abort = table.whole("abort_ms", 0, 0, WEEKS);
+        List<String> apart = names(table, "apart");
+        List<String> after = names(table, "after");
+        if (after.contains(name)) {
+            table.wrong("after", "'" + name + "' can't come after itself");
+        }
+        if (abort > work) {
+            table.wrong("abort_ms", "is behind the end of the work");
+        }
+        if (work > 0 && latest > 0 && latest - earliest < work) {
+            table.wrong("latest_ms", "leaves " + Math.max(0, latest - earliest) + " ms for " + work
+                    + " of work");
+        }
+        table.close();
+        return new Request(name, owner, down, work, earliest, latest, notice, abort, Set.copyOf(apart), after);
+    }
+
+    private static long whole(Table table, String key, long least, long most) {
+        if (!table.has(key)) {
+            table.wrong(key, "is missing");
+        }
+        return table.whole(key, 0, least, most);
+    }
+
+    private static List<String> names(Table table, String key) {
+        List<String> all = table.texts(key);
+        if (all.size() > MOST_NAMES || all.stream().anyMatch(one -> one.length() > MOST_TEXT)) {
+            table.wrong(key, "holds more than " + MOST_NAMES + " names, or one of more than " + MOST_TEXT
+                    + " characters");
+        }
+        return all;
+    }
+}
--- a/src/main/java/laneflow/maintenance/decision/Coordinator.java
+++ b/src/main/java/laneflow/maintenance/decision/Coordinator.java
@@ -230,8 +230,8 @@
             }
         }
 
-        /** Times for all that have none, and for those planned whose time does not hold any more. */
-        private void plan() {
+        /** Times for all that have none, and for those planned whose time does not hold any more; or null. */
+        private Plan plan() {
             List<Request> open = new ArrayList<>();
             List<Plan.Window> fixed = new ArrayList<>();
             List<Plan.Window> before = new ArrayList<>();
@@ -256,14 +256,17 @@
                 }
             }
             if (!any) {
-                return;
+                return null;
             }
             long from = -Math.floorDiv(-now, planning.stepMs()) * planning.stepMs() + planning.stepMs();
-            Plan plan = Planner.plan(fairness, new Planner.Input(new Planner.Times(from, planning.stepMs(),
+            return Planner.plan(fairness, new Planner.Input(new Planner.Times(from, planning.stepMs(),
                     planning.steps(), planning.drainMs(), planning.returnMs(), planning.reserve(),
                     planning.mostFlows()), forecast, open, fixed, new Plan(before,
                     Collections.emptySortedMap(), 0, 0, 0), List.of(), List.copyOf(new TreeSet<>(
                     facts.lost())), now + times.lost(), facts.accounts()));
+        }
+
+        private void steps(Plan plan) {
             for (Window window : windows.all()) {
                 Plan.Window found = plan.window(window.name());
                 boolean waits = window.state() == State.REQUESTED || window.state() == State.POSTPONED;
@@ -285,6 +288,11 @@
         return planning.drainMs() + request.workMs() + planning.returnMs();
     }
 
+    /** Which times those would get now that wait for one; null: none waits. Nothing is decided. */
+    public Plan plan(Windows windows, Facts facts) {
+        return new Round(windows, facts, 0).plan();
+    }
+
     /** What is to be done now by whoever holds that token. */
     public Orders orders(Windows windows, Facts facts, long token) {
         Round round = new Round(windows, facts, token);
@@ -296,8 +304,9 @@
                 round.look(window);
             }
         }
-        if (round.steps.isEmpty()) {
-            round.plan();
+        Plan plan = round.steps.isEmpty() ? round.plan() : null;
+        if (plan != null) {
+            round.steps(plan);
         }
         Set<String> banned = new TreeSet<>();
         for (Window window : windows.all()) {
--- a/src/main/java/laneflow/maintenance/decision/Forms.java
+++ b/src/main/java/laneflow/maintenance/decision/Forms.java
@@ -9,12 +9,13 @@
 import java.util.Locale;
 import java.util.Set;
 
-/** Requests and windows as JSON, for the ledger's log and its snapshots. */
-final class Forms {
+/** Requests and windows as JSON, for the ledger's log, its snapshots, and those who ask over HTTP. */
+public final class Forms {
     private Forms() {
     }
 
-    static JsonObject write(Request request) {
+    /** A request as it goes over HTTP and into the log; instants and lengths in milliseconds. */
+    public static JsonObject write(Request request) {
         JsonObject to = new JsonObject();
         to.addProperty("name", request.name());
         to.addProperty("owner", request.owner());
@@ -29,14 +30,20 @@
         return to;
     }
 
-    static Request request(JsonObject from) {
+    /**
+     * Reads one that is sound.
+     *
+     * @throws RuntimeException of any kind if it is not: what comes from elsewhere goes by {@code Requests}
+     */
+    public static Request request(JsonObject from) {
         return new Request(from.get("name").getAsString(), from.get("owner").getAsString(), texts(from,
                 "racks"), from.get("work_ms").getAsLong(), from.get("earliest_ms").getAsLong(), from.get(
                 "latest_ms").getAsLong(), from.get("notice_ms").getAsLong(), from.get("abort_ms").getAsLong(),
                 Set.copyOf(texts(from, "apart")), texts(from, "after"));
     }
 
-    static JsonObject write(Windows.Window window) {
+    /** A window in full. */
+    public static JsonObject write(Windows.Window window) {
         JsonObject to = new JsonObject();
         to.add("request", write(window.request()));
         to.addProperty("state", window.state().word());
@@ -50,7 +57,8 @@
         return to;
     }
 
-    static Windows.Window window(JsonObject from) {
+    /** Reads one that {@link #write} has written. */
+    public static Windows.Window window(JsonObject from) {
         return new Windows.Window(request(from.getAsJsonObject("request")), state(from, "state"), from.get(
                 "steps").getAsLong(), from.get("start_ms").getAsLong(), from.get("leave_ms").getAsLong(),
                 from.get("begun").getAsBoolean(), from.get("call_off").getAsBoolean(), state(from, "outcome"),
--- a/src/main/java/laneflow/maintenance/decision/Windows.java
+++ b/src/main/java/laneflow/maintenance/decision/Windows.java
@@ -43,7 +43,8 @@
             return this == DOWN || this == OVERRUN;
         }
 
-        String word() {
+        /** As it is written in the log and told to people. */
+        public String word() {
             return name().toLowerCase(Locale.ROOT);
         }
     }
@@ -325,11 +326,25 @@
         return token;
     }
 
+    /** The same at this moment, of its own from here on. */
+    public Windows copy() {
+        Windows copy = new Windows();
+        copy.windows.putAll(windows);
+        copy.token = token;
+        copy.away = away;
+        return copy;
+    }
+
     /** All of it, for a snapshot of the log. */
     public JsonObject snapshot() {
+        return snapshot(one -> true);
+    }
+
+    /** The same of some windows only. */
+    JsonObject snapshot(Predicate<Window> which) {
         JsonObject all = new JsonObject();
         JsonArray list = new JsonArray();
-        windows.values().forEach(one -> list.add(Forms.write(one)));
+        windows.values().stream().filter(which).forEach(one -> list.add(Forms.write(one)));
         all.add("windows", list);
         all.addProperty("token", token);
         all.addProperty("away", away);
--- a/src/main/java/laneflow/policy/Leadership.java
+++ b/src/main/java/laneflow/policy/Leadership.java
@@ -1,7 +1,6 @@
 package laneflow.policy;
 
 import com.google.gson.JsonArray;
-import com.google.gson.JsonElement;
 import com.google.gson.JsonObject;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
@@ -43,8 +42,7 @@
     private final VoterGroup group;
     private final Policy policy;
     private final FleetTrial trial;
-    /** Null where nothing rides on renewals. */
-    private final Rider rider;
+    private final Riders riders;
     private final Deadline round;
     private final Deadline look;
     /** How each scheduler is reached: by the link of its last renewal. */
@@ -65,7 +63,7 @@
 
     Leadership(Loop loop, Fleet fleet, PolicyConfig config, Counters counters, Voting voting,
             VoterGroup group, Policy policy, FleetTrial trial,
-            Rider rider) {
+            Riders riders) {
         this.loop = loop;
         this.fleet = fleet;
         this.config = config;
@@ -74,7 +72,7 @@
         this.group = group;
         this.policy = policy;
         this.trial = trial;
-        this.rider = rider;
+        this.riders = riders;
         round = loop.deadlines().create(this::confirm);
         look = loop.deadlines().create(this::step);
     }
@@ -107,16 +105,14 @@
         }
         if (!leads) {
             lead = null;
-            ridesNoMore();
+            riders.leadsNoMore();
         } else if (lead == null || lead.term() != now) {
             counters.add("policy.elected");
             lead = new Lead(now, policy.now(), new Lead.Times(config.lease, config.lease / QUIET_PARTS,
                     config.prepare));
             view = null;
             trial.begin(policy.now());
-            if (rider != null) {
-                rider.leads(now);
-            }
+            riders.leads(now);
             confirm();
         }
     }
@@ -139,29 +135,17 @@
         boolean first = !stopped;
         stopped = true;
         lead = null;
-        ridesNoMore();
+        riders.leadsNoMore();
         // It hears of no election any more: who leads is known from leases, as by those that do not vote.
         leader = "";
         voters = Set.of();
         return first;
     }
 
-    private void ridesNoMore() {
-        if (rider != null) {
-            rider.leadsNoMore();
-        }
-    }
-
     /** What rides on this process's own renewal, asked at that instant. */
     void ride(long asked) {
-        String who = fleet.self().who();
-        JsonElement said = rider.says();
-        if (lead != null && said != null) {
-            rider.heard(who, said);
-            JsonElement word = rider.word(who, false);
-            if (word != null) {
-                rider.told(word, asked, policy.now());
-            }
+        if (lead != null) {
+            riders.ride(fleet.self().who(), asked, policy::now);
         }
     }
 
@@ -187,15 +171,14 @@
         looking = true;
         Lead of = lead;
         long submitted = policy.now();
-        voting.look(of.term(), ledger -> new Seen(ledger.view(), rider == null ? null
-                : ledger.part(rider.part())), found -> {
+        voting.look(of.term(), ledger -> new Seen(ledger.view(), riders.parts(ledger)), found -> {
             looking = false;
             boolean again = lookAgain;
             lookAgain = false;
             if (lead == of && found instanceof Seen seen) {
                 confirmed(submitted, seen.changes());
-                if (lead == of && rider != null) {
-                    rider.confirmed(submitted, seen.part());
+                if (lead == of) {
+                    riders.confirmed(submitted, seen.parts());
                 }
             }
             if (again) {
@@ -205,7 +188,7 @@
     }
 
     /** Both of one moment. */
-    private record Seen(View changes, Object part) {
+    private record Seen(View changes, Map<String, Object> parts) {
     }
 
     private void confirmed(long submitted, View found) {
@@ -245,9 +228,7 @@
         trial.heard(who, message.getAsJsonArray("tallies"));
         lead.heard(policy.now(), who, Words.renewal(message));
         step();
-        if (rider != null && message.has(Policy.RIDER)) {
-            rider.heard(who, message.get(Policy.RIDER));
-        }
+        riders.heard(who, message);
         tell(who, message.get("at").getAsLong());
     }
 
@@ -285,9 +266,7 @@
     void left(String who) {
         if (lead != null) {
             lead.left(who);
-            if (rider != null) {
-                rider.left(who);
-            }
+            riders.left(who);
             routes.remove(who);
             step();
         }
@@ -330,10 +309,7 @@
         } else if (grant != null && route != null) {
             JsonObject message = Words.grant(grant, who, fleet.self().name(), at, voterNames);
             message.addProperty("trial", trial.isOn());
-            JsonElement word = rider == null ? null : rider.word(who, at < 0);
-            if (word != null) {
-                message.add(Policy.RIDER, word);
-            }
+            riders.word(message, who, at < 0);
             route.send(message);
         }
     }
--- a/src/main/java/laneflow/policy/Policy.java
+++ b/src/main/java/laneflow/policy/Policy.java
@@ -41,8 +41,6 @@
  */
 final class Policy {
     private static final Logger LOG = LoggerFactory.getLogger(Policy.class);
-    /** The field of renewals and grants that holds what rides on them. */
-    static final String RIDER = "rider";
     private static final int RENEWALS_A_LEASE = 4;
     /** A voter that has not answered so many renewals is passed by for a lease. */
     private static final int MOST_UNANSWERED = 2;
@@ -65,8 +63,7 @@
     private final TreeMap<Long, PolicyTypes.Prepared> prepared = new TreeMap<>();
     private final Set<Long> asked = new HashSet<>();
     private final Map<String, Long> passedBy = new LinkedHashMap<>();
-    /** Null where nothing rides on renewals. */
-    private Rider rider;
+    private Riders riders = new Riders(List.of());
     /** Null where this process does not vote. */
     private Leadership leadership;
     private String leader = "";
@@ -139,8 +136,8 @@
     }
 
     /** From now on that rides on renewals; before {@link #begin}. */
-    void carry(Rider with) {
-        rider = with;
+    void carry(Riders with) {
+        riders = with;
         with.ride(new Rider.Carriage() {
             @Override
             public long now() {
@@ -152,6 +149,20 @@
                 leadership.replicate(operation, then);
             }
 
+            @Override
+            public boolean leads() {
+                return leadership != null && leadership.leads();
+            }
+
+            @Override
+            public void read(String part, Consumer<Object> then) {
+                if (leads()) {
+                    leadership.read(ledger -> ledger.part(part), then);
+                } else {
+                    then.accept(null);
+                }
+            }
+
             @Override
             public void tell(String who) {
                 leadership.tell(who, -1);
@@ -254,9 +265,7 @@
             if (own != null) {
                 take(own, asked, now());
             }
-            if (rider != null) {
-                leadership.ride(asked);
-            }
+            leadership.ride(asked);
             return;
         }
         Peer to = whom();
@@ -266,10 +275,7 @@
             message.addProperty("who", fleet.self().who());
             message.addProperty("at", now());
             message.add("tallies", tallies);
-            JsonElement riding = rider == null ? null : rider.says();
-            if (riding != null) {
-                message.add(RIDER, riding);
-            }
+            riders.say(message);
             to.send(message);
         }
     }
@@ -349,9 +355,7 @@
         if (at >= 0 && (!message.has("trial") || message.get("trial").getAsBoolean())) {
             tally.run();
         }
-        if (rider != null && message.has(RIDER)) {
-            rider.told(message.get(RIDER), at, now);
-        }
+        riders.told(message, at, now);
         if (at < 0) {
             // It waits to hear that this is obeyed.
             renewNow();
--- a/src/main/java/laneflow/policy/PolicyPart.java
+++ b/src/main/java/laneflow/policy/PolicyPart.java
@@ -30,6 +30,7 @@
     private final Loop traffic;
     private final Policy policy;
     private final LeaseGate gate;
+    private final Riders riders;
     private PolicyPort port;
     /** Null where this process does not vote. */
     private volatile Voting voting;
@@ -46,12 +47,12 @@
      * @param clockRate 1, but in tests of clocks that drift
      * @param upgrade true if the process before this one may still vote
      * @param parts more that the voters agree on, by name; the same at all
-     * @param rider what rides on renewals, or null
+     * @param riders what rides on renewals; the first is the one that builds before this one know
      */
     public record Given(Loop loop, Loop traffic, Fleet fleet, Scheduler scheduler, Counters counters,
             PolicyConfig config, Function<ResourceType, PolicyTypes> types, List<String> classes,
             Executor reading, long seed, double clockRate, boolean upgrade, Map<String, Ledger.Part> parts,
-            Rider rider) {
+            List<Rider> riders) {
     }
 
     /**
@@ -60,6 +61,7 @@
      */
     public PolicyPart(Given given) throws InterruptedException {
         loop = given.loop();
+        riders = new Riders(given.riders());
         PolicyConfig config = given.config();
         Fleet fleet = given.fleet();
         Scheduler scheduler = given.scheduler();
@@ -88,9 +90,7 @@
         loop.call(() -> {
             Leadership leadership = opened == null ? null : vote(given, opened);
             port = new PolicyPort(fleet, policy, given.counters(), leadership);
-            if (given.rider() != null) {
-                policy.carry(given.rider());
-            }
+            policy.carry(riders);
             policy.begin(leadership);
         });
         if (later) {
@@ -193,7 +193,7 @@
         group[0] = new VoterGroup(loop, given.fleet(), given.config(), given.counters(), voting);
         leadership[0] = new Leadership(loop, given.fleet(), given.config(), given.counters(),
                 voting, group[0], policy, new FleetTrial(given.classes(), given.config().probation,
-                given.config().bound), given.rider());
+                given.config().bound), riders);
         leadership[0].begin();
         group[0].begin(votes.restored());
         group[0].linked();
--- a/src/main/java/laneflow/policy/Rider.java
+++ b/src/main/java/laneflow/policy/Rider.java
@@ -17,6 +17,12 @@
         /** At a leader: puts an operation into the log; the answer is null where it is not known to be in. */
         void replicate(JsonObject operation, Consumer<JsonObject> then);
 
+        /** True if this process leads the voters, as far as it knows. */
+        boolean leads();
+
+        /** At a leader: a part of the ledger as a majority holds it now; null: it is not known. */
+        void read(String part, Consumer<Object> then);
+
         /** At a leader: that process is told how things stand, unasked. */
         void tell(String who);
 
--- a/src/main/java/laneflow/policy/decision/Ledger.java
+++ b/src/main/java/laneflow/policy/decision/Ledger.java
@@ -8,6 +8,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.TreeMap;
 import laneflow.config.Canonical;
 import laneflow.policy.decision.Change.State;
 
@@ -27,6 +28,7 @@
     public static final int MOST_CONTENT = 256 * 1024;
     /** The field of an operation that names the part that it is for; without it, it is on changes. */
     public static final String PART = "part";
+    private static final String ONLY_ON = "only_on";
     private static final String NAME = "[A-Za-z0-9_.-]{1,64}";
     private static final int MOST_REASONS = 32;
     private static final int MOST_REASON = 500;
@@ -70,6 +72,21 @@
 
         /** Takes a snapshot's state in place of its own; null: one of a build that did not know this part. */
         void restore(JsonObject from);
+
+        /** What holds of the changes from now on; told behind a snapshot's restoring, too. */
+        default void changed(View now) {
+        }
+
+        /**
+         * Why a change must not come into force, or null. Asked when it is proposed, and again when it is
+         * to be applied.
+         *
+         * @param types those that it names
+         * @param merged what would be in force, all of it
+         */
+        default String against(JsonObject types, JsonObject merged) {
+            return null;
+        }
     }
 
     private final Map<String, Part> parts;
@@ -80,7 +97,8 @@
 
     /** @param parts by name */
     public Ledger(Map<String, Part> parts) {
-        this.parts = parts;
+        // In one order everywhere: what the first of them has against a change is told.
+        this.parts = new TreeMap<>(parts);
         look();
     }
 
@@ -94,6 +112,16 @@
         return op;
     }
 
+    /**
+     * The same, taken only where that change is the last applied and none is undecided: what it replaces is
+     * known to whoever proposes it.
+     */
+    public static JsonObject propose(String name, JsonObject types, String by, long nowMs, long onlyOn) {
+        JsonObject op = propose(name, types, by, nowMs);
+        op.addProperty(ONLY_ON, onlyOn);
+        return op;
+    }
+
     /** The open change is applied. */
     public static JsonObject apply(String name, long nowMs) {
         return op("apply", name, nowMs);
@@ -159,6 +187,12 @@
         if (op.has("reasons")) {
             op.getAsJsonArray("reasons").forEach(one -> reasons.add(one.getAsString()));
         }
+        String against = applies ? against(known.types()) : null;
+        if (against != null) {
+            // What a part needs may have come up behind the proposal.
+            applies = false;
+            reasons.add(against);
+        }
         if (applies) {
             inForce = known.number();
             merged = merge(known.types());
@@ -187,6 +221,13 @@
         if (pending.size() > MOST_WAITING) {
             return error(MOST_WAITING + " changes wait already");
         }
+        if (op.has(ONLY_ON) && (op.get(ONLY_ON).getAsLong() != inForce || !pending.isEmpty())) {
+            return error("another change was applied, or is undecided, since '" + name + "' was made");
+        }
+        String against = against(types);
+        if (against != null) {
+            return error(against);
+        }
         Change added = new Change(name, 0, of, types, op.get("by").getAsString(), State.WAITING, List.of(),
                 op.get("ms").getAsLong(), 0);
         changes.put(name, added);
@@ -197,6 +238,17 @@
         return changes.get(name).json(false);
     }
 
+    private String against(JsonObject types) {
+        JsonObject then = merge(types);
+        for (Part part : parts.values()) {
+            String why = part.against(types, then);
+            if (why != null) {
+                return why;
+            }
+        }
+        return null;
+    }
+
     private void forget() {
         var oldest = changes.values().iterator();
         for (int over = changes.size() - MOST_KEPT; over > 0 && oldest.hasNext(); over--) {
@@ -242,6 +294,7 @@
         Change open = waiting.isEmpty() ? null : pending.get(waiting.remove(0));
         view = new View(inForce, merged, digest, open, open == null ? null : merge(open.types()),
                 List.copyOf(waiting));
+        parts.values().forEach(part -> part.changed(view));
     }
 
     // ---- reading ----
--- /dev/null
+++ b/src/test/java/laneflow/maintenance/MaintenanceStories.java
@@ -0,0 +1,234 @@
+package laneflow.maintenance;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import com.google.gson.JsonArray;
+import com.google.gson.JsonElement;
+import com.google.gson.JsonObject;
+import com.google.gson.JsonParser;
+import java.io.IOException;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.concurrent.atomic.AtomicInteger;
+import laneflow.lab.rig.Rig;
+import laneflow.maintenance.decision.Forms;
+import laneflow.maintenance.decision.Request;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.io.TempDir;
+
+/** What stories of windows begin with: schedulers as processes, endpoints that write their calls down, clients. */
+abstract class MaintenanceStories {
+    private static final Map<String, List<Integer>> RACKS = new TreeMap<>(Map.of("a", List.of(0, 1), "b", List.of(2),
+            "c", List.of(3), "d", List.of(4)));
+    @TempDir
+    Path folder;
+    Tills tills;
+    Rig rig;
+    private final HttpClient client = HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).build();
+    private volatile boolean over;
+    private final List<Thread> clients = new ArrayList<>();
+    final AtomicInteger served = new AtomicInteger();
+
+    /** What the table says besides; later words win. */
+    String more() {
+        return "";
+    }
+
+    @BeforeEach
+    void begin() throws Exception {
+        tills = new Tills(5, 20);
+        StringBuilder file = new StringBuilder("zones = [\"z\"]\n[classes.check]\ndeadline_ms = 1500\n"
+                + "repeat = \"safe\"\n[tenants.shop]\nshare = 2\n[tenants.web]\n");
+        RACKS.forEach((rack, numbers) -> numbers.forEach(i -> file.append("[endpoints.till-").append(i)
+                .append("]\ndial = \"").append(tills.dial("till-" + i)).append("\"\nslots = 4\nrack = \"").append(rack)
+                .append("\"\n")));
+        file.append("[policy]\nvoters = VOTERS\ndir = \"FOLDER\"\nlease_ms = 600\n[tasks]\n[maintenance]\n"
+                + "step_ms = 100\nahead_ms = 60000\nreturn_ms = 200\nearly_ms = 500\nlate_ms = 4000\nlook_ms = 50\n"
+                + "drain_ms = 4000\ngive_back_ms = 4000\noverrun_ms = 100\nlost_ms = 60000\ndemand = 0.3\n"
+                + "tolerance = 0.1\nshortage = 0.05\n").append(more().contains("begin_ms") ? "" : "begin_ms = 6000\n")
+                .append(more());
+        rig = new Rig(folder, 3, 3, 7, file.toString());
+        rig.startAll();
+        rig.awaitDeciding(0, rig.all());
+    }
+
+    @AfterEach
+    void end() throws Exception {
+        over = true;
+        for (Thread thread : clients) {
+            thread.join();
+        }
+        rig.close();
+        tills.close();
+    }
+
+    /** The endpoints of a rack. */
+    static List<String> endpoints(String rack) {
+        return RACKS.get(rack).stream().map(i -> "till-" + i).toList();
+    }
+
+    // ---- clients ----
+
+    /** Clients at all schedulers from now on, each with one request at a time. */
+    void traffic() {
+        for (int i = 0; i < rig.size(); i++) {
+            for (int k = 0; k < 3; k++) {
+                int at = i;
+                String id = "c" + i + "-" + k + "-";
+                Thread thread = new Thread(() -> ask(at, id), "client");
+                clients.add(thread);
+                thread.start();
+            }
+        }
+    }
+
+    private void ask(int i, String id) {
+        for (int n = 0; !over; n++) {
+            try {
+                HttpResponse<String> answer = client.send(HttpRequest.newBuilder(URI.create("http://127.0.0.1:"
+                        + rig.clientPort(i) + "/check")).timeout(Duration.ofSeconds(3)).header("Req-Id", id + n)
+                        .header("Req-Owner", "shop").POST(HttpRequest.BodyPublishers.ofString("x")).build(),
+                        HttpResponse.BodyHandlers.ofString());
+                if (answer.statusCode() == 200) {
+                    served.incrementAndGet();
+                }
+                Thread.sleep(10);
+            } catch (IOException e) {
+                // Its scheduler is killed, or stands still.
+                Thread.yield();
+            } catch (InterruptedException e) {
+                return;
+            }
+        }
+    }
+
+    // ---- windows ----
+
+    static Request window(String name, long workMs, String... racks) {
+        long now = System.currentTimeMillis();
+        return new Request(name, "power crew", List.of(racks), workMs, now, now + 40_000, 0, workMs, Set.of(),
+                List.of());
+    }
+
+    static String body(boolean dryRun, Request... all) {
+        JsonObject body = new JsonObject();
+        JsonArray list = new JsonArray();
+        for (Request one : all) {
+            list.add(Forms.write(one));
+        }
+        body.add("requests", list);
+        body.addProperty("dry_run", dryRun);
+        return body.toString();
+    }
+
+    /** Asks any scheduler that is up; asked again while nobody leads. */
+    HttpResponse<String> ask(String path, String body) throws IOException, InterruptedException {
+        List<HttpResponse<String>> found = new ArrayList<>();
+        rig.await(path + " is answered", () -> {
+            for (int i = 0; i < rig.size(); i++) {
+                if (rig.isUp(i)) {
+                    HttpResponse<String> answer = rig.ask(i, path, body);
+                    if (answer.statusCode() < 500 && answer.statusCode() != 307) {
+                        found.add(answer);
+                        return true;
+                    }
+                }
+            }
+            return false;
+        });
+        return found.get(0);
+    }
+
+    void request(Request... all) throws IOException, InterruptedException {
+        HttpResponse<String> answer = ask("/maintenance/requests", body(false, all));
+        assertEquals(200, answer.statusCode(), answer.body());
+    }
+
+    HttpResponse<String> order(String name, String what) throws IOException, InterruptedException {
+        return ask("/maintenance/windows/" + name, "{\"do\":\"" + what + "\"}");
+    }
+
+    JsonObject show() throws IOException, InterruptedException {
+        return JsonParser.parseString(ask("/maintenance", null).body()).getAsJsonObject();
+    }
+
+    JsonObject shown(String name) throws IOException, InterruptedException {
+        for (JsonElement one : show().getAsJsonArray("windows")) {
+            if (one.getAsJsonObject().get("name").getAsString().equals(name)) {
+                return one.getAsJsonObject();
+            }
+        }
+        return new JsonObject();
+    }
+
+    String state(String name) throws IOException, InterruptedException {
+        JsonObject one = shown(name);
+        return one.has("state") ? one.get("state").getAsString() : "unknown";
+    }
+
+    void await(String name, String... states) throws IOException, InterruptedException {
+        rig.await(name + " is " + String.join(" or ", states), () -> List.of(states).contains(state(name)));
+    }
+
+    /** The number of the scheduler that coordinates, once one does. */
+    int coordinator() throws IOException, InterruptedException {
+        int[] found = {-1};
+        rig.await("somebody coordinates", () -> {
+            String who = show().get("coordinator").getAsString();
+            for (int i = 0; i < rig.size(); i++) {
+                found[0] = who.startsWith(Rig.name(i) + "#") && rig.isUp(i) ? i : found[0];
+            }
+            return found[0] >= 0;
+        });
+        return found[0];
+    }
+
+    /** The crew's whole work between leave and its word; nobody calls there meanwhile. */
+    void work(String name, String... racks) throws IOException, InterruptedException {
+        await(name, "down");
+        HttpResponse<String> leave = order(name, "begin");
+        long from = System.nanoTime();
+        assertEquals(200, leave.statusCode(), leave.body());
+        Thread.sleep(300);
+        long to = System.nanoTime();
+        assertEquals(200, order(name, "finish").statusCode());
+        quiet(from, to, racks);
+    }
+
+    void quiet(long from, long to, String... racks) {
+        for (String rack : racks) {
+            assertEquals(List.of(), tills.amid(endpoints(rack), from, to).stream().map(call -> call.till).toList(),
+                    "calls to a rack that is down");
+        }
+    }
+
+    /** Calls come to all endpoints of that rack again. */
+    void served(String rack) throws IOException, InterruptedException {
+        long from = System.nanoTime();
+        for (String till : endpoints(rack)) {
+            rig.await(till + " is called again", () -> tills.since(till, from) > 0);
+        }
+    }
+
+    Set<String> bans(int i) throws IOException, InterruptedException {
+        return Set.of(rig.policy(i).toString());
+    }
+
+    static void assertTells(HttpResponse<String> answer, int status, String... words) {
+        assertEquals(status, answer.statusCode(), answer.body());
+        for (String word : words) {
+            assertTrue(answer.body().contains(word), answer.body());
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/laneflow/maintenance/Tills.java
@@ -0,0 +1,156 @@
+package laneflow.maintenance;
+
+import java.io.BufferedInputStream;
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.ConcurrentLinkedQueue;
+
+/** Stand-in endpoints that write down each call with its beginning and end on the machine's one clock. */
+final class Tills implements AutoCloseable {
+    /** A call; its end is the largest number while it goes on. */
+    static final class Call {
+        final String till;
+        final long beganNs = System.nanoTime();
+        volatile long endedNs = Long.MAX_VALUE;
+
+        private Call(String till) {
+            this.till = till;
+        }
+    }
+
+    final List<String> names = new ArrayList<>();
+    private final Map<String, ServerSocket> servers = new HashMap<>();
+    private final Map<String, Integer> ports = new HashMap<>();
+    private final ConcurrentLinkedQueue<Call> calls = new ConcurrentLinkedQueue<>();
+    private final ConcurrentLinkedQueue<Socket> sockets = new ConcurrentLinkedQueue<>();
+    private volatile int runMs;
+
+    Tills(int count, int runMs) throws IOException {
+        this.runMs = runMs;
+        for (int i = 0; i < count; i++) {
+            names.add("till-" + i);
+            open("till-" + i, 0);
+        }
+    }
+
+    /** From now on each job takes so long. */
+    void run(int ms) {
+        runMs = ms;
+    }
+
+    private void open(String name, int port) throws IOException {
+        ServerSocket server = new ServerSocket();
+        server.setReuseAddress(true);
+        server.bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), port), 256);
+        servers.put(name, server);
+        ports.put(name, server.getLocalPort());
+        daemon(() -> accept(name, server));
+    }
+
+    /** It is gone, without a word: connections break, and none comes up any more. */
+    void lose(String name) throws IOException {
+        servers.get(name).close();
+        for (Socket socket : sockets) {
+            if (socket.getLocalPort() == ports.get(name)) {
+                socket.close();
+            }
+        }
+    }
+
+    /** It is there again, under its old address. */
+    void bringBack(String name) throws IOException {
+        open(name, ports.get(name));
+    }
+
+    String dial(String name) {
+        return "127.0.0.1:" + ports.get(name);
+    }
+
+    /** Calls there that went on at any instant of that span. */
+    List<Call> amid(List<String> these, long fromNs, long toNs) {
+        return calls.stream().filter(call -> these.contains(call.till) && call.beganNs < toNs && call.endedNs > fromNs)
+                .toList();
+    }
+
+    /** How many began there since. */
+    long since(String till, long ns) {
+        return calls.stream().filter(call -> call.till.equals(till) && call.beganNs > ns).count();
+    }
+
+    private static void daemon(Runnable work) {
+        Thread thread = new Thread(work, "till");
+        thread.setDaemon(true);
+        thread.start();
+    }
+
+    private void accept(String name, ServerSocket server) {
+        while (!server.isClosed()) {
+            try {
+                Socket socket = server.accept();
+                socket.setTcpNoDelay(true);
+                sockets.add(socket);
+                daemon(() -> serve(name, socket));
+            } catch (IOException e) {
+                return;
+            }
+        }
+    }
+
+    private void serve(String name, Socket socket) {
+        Call[] call = new Call[1];
+        try (socket) {
+            InputStream in = new BufferedInputStream(socket.getInputStream());
+            for (String head = head(in); head != null; head = head(in)) {
+                call[0] = new Call(name);
+                calls.add(call[0]);
+                String id = header(head, "Req-Id");
+                in.readNBytes(Integer.parseInt(header(head, "Content-Length")));
+                Thread.sleep(runMs);
+                String line = "{\"id\":\"" + id + "\",\"state\":\"done\",\"result\":\"" + name + "\"}\n";
+                // Over before its caller can know.
+                call[0].endedNs = System.nanoTime();
+                socket.getOutputStream().write(("HTTP/1.1 200 OK\r\nContent-Length: " + line.length() + "\r\n\r\n"
+                        + line).getBytes(StandardCharsets.UTF_8));
+            }
+        } catch (IOException | InterruptedException e) {
+            if (call[0] != null) {
+                call[0].endedNs = Math.min(call[0].endedNs, System.nanoTime());
+            }
+        }
+    }
+
+    private static String head(InputStream in) throws IOException {
+        StringBuilder head = new StringBuilder();
+        for (int next = in.read(); next >= 0; next = in.read()) {
+            head.append((char) next);
+            if (next == '\n' && head.length() > 3 && head.indexOf("\r\n\r\n", head.length() - 4) >= 0) {
+                return head.toString();
+            }
+        }
+        return null;
+    }
+
+    private static String header(String head, String name) {
+        int at = head.indexOf(name + ": ");
+        return at < 0 ? "0" : head.substring(at + name.length() + 2, head.indexOf('\r', at));
+    }
+
+    @Override
+    public void close() throws IOException {
+        for (ServerSocket server : servers.values()) {
+            server.close();
+        }
+        for (Socket socket : sockets) {
+            socket.close();
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/laneflow/maintenance/decision/WindowLedgerTest.java
@@ -0,0 +1,174 @@
+package laneflow.maintenance.decision;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import com.google.gson.JsonObject;
+import com.google.gson.JsonParser;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import laneflow.maintenance.decision.WindowLedger.View;
+import laneflow.maintenance.decision.Windows.State;
+import laneflow.policy.decision.Ledger;
+import org.junit.jupiter.api.Test;
+
+/** Windows and changes of policy in one log: neither moves without the other. */
+class WindowLedgerTest {
+    private final Ledger ledger = new Ledger(Map.of(WindowLedger.NAME, new WindowLedger()));
+    private long token = 1;
+
+    private static Request request(String name, String... racks) {
+        return new Request(name, "crew", List.of(racks), 1000, 0, 100_000, 0, 1000, Set.of(), List.of());
+    }
+
+    private static JsonObject bans(String... names) {
+        StringBuilder all = new StringBuilder();
+        for (String name : names) {
+            all.append(all.isEmpty() ? "" : ",").append("{\"name\":\"").append(name).append("\"}");
+        }
+        return JsonParser.parseString("{\"bans\":[" + all + "]}").getAsJsonObject();
+    }
+
+    private View view() {
+        return (View) ledger.part(WindowLedger.NAME);
+    }
+
+    private Windows.Window window(String name) {
+        return view().windows().window(name);
+    }
+
+    private JsonObject step(String name, State to) {
+        JsonObject step = Windows.step(token, window(name), to, view().windows().away(), 10, to == State.RETURNING
+                ? State.DONE : window(name).outcome(), List.of(), 10);
+        return ledger.run(to == State.DRAINING ? WindowLedger.drains(step, Map.of("a", List.of("a1", "a2"), "b",
+                List.of("b1"))) : WindowLedger.op(step));
+    }
+
+    private void ok(JsonObject answer) {
+        assertFalse(answer.has("error"), answer.toString());
+    }
+
+    private void drains(String name) {
+        ok(step(name, State.PLANNED));
+        ok(step(name, State.ANNOUNCED));
+        ok(step(name, State.DRAINING));
+    }
+
+    private void apply(String name, JsonObject types) {
+        ok(ledger.run(Ledger.propose(name, types, "test", 1)));
+        assertEquals("applied", ledger.run(Ledger.apply(name, 2)).get("state").getAsString());
+    }
+
+    @Test
+    void leaveIsGivenOnlyWhileThePolicyInForceBansAllOfTheRack() {
+        ok(ledger.run(WindowLedger.requests(List.of(request("w", "a")))));
+        drains("w");
+        assertTrue(step("w", State.DOWN).get("error").getAsString().contains("does not ban"));
+        apply("half", bans("a1", "a2", "x"));
+        ok(step("w", State.DOWN));
+        assertTrue(view().isBanned("a"));
+    }
+
+    @Test
+    void aChangeThatGivesRacksBackIsTurnedDownWhenItIsProposedAndWhenItIsApplied() {
+        ok(ledger.run(WindowLedger.requests(List.of(request("w", "a")))));
+        // It was proposed while nothing was away, and is to be applied amid the drain.
+        ok(ledger.run(Ledger.propose("early", bans("x"), "test", 1)));
+        drains("w");
+        JsonObject early = ledger.run(Ledger.apply("early", 2));
+        assertEquals("abandoned", early.get("state").getAsString());
+        assertTrue(early.get("reasons").toString().contains("rack a is away"), early.toString());
+        apply("bans", bans("a1", "a2"));
+        for (JsonObject types : List.of(bans(), bans("a1"), bans("x"))) {
+            String error = ledger.run(Ledger.propose("back", types, "test", 3)).get("error").getAsString();
+            assertTrue(error.contains("bans have to hold " + (types.toString().contains("a1") ? "a2" : "a1, a2")),
+                    error);
+        }
+        // What names no bans, or holds these too, is nobody's harm.
+        apply("limits", JsonParser.parseString("{\"limits\":[]}").getAsJsonObject());
+        apply("more", bans("a1", "a2", "x"));
+        ok(step("w", State.DOWN));
+        ok(step("w", State.RETURNING));
+        apply("returned", bans());
+    }
+
+    @Test
+    void whatOperatorsBannedStaysBannedBehindTheWindow() {
+        apply("operators", bans("a1", "x"));
+        ok(ledger.run(WindowLedger.requests(List.of(request("w", "a"), request("v", "b")))));
+        drains("w");
+        assertEquals(Set.of("a1", "a2", "x"), view().bansFor(Set.of("a")));
+        apply("bans", bans("a1", "a2", "x"));
+        assertEquals(Set.of("a2"), view().own());
+        ok(step("w", State.DOWN));
+        ok(step("w", State.RETURNING));
+        assertEquals(Set.of("a1", "x"), view().bansFor(Set.of()));
+        apply("back", bans("a1", "x"));
+        assertEquals(Set.of(), view().own());
+    }
+
+    @Test
+    void aBanThatIsUnderWayWhenItsWindowTurnsBackIsStillKnownAsTheWindows() {
+        ok(ledger.run(WindowLedger.requests(List.of(request("w", "a")))));
+        drains("w");
+        ok(ledger.run(Ledger.propose("bans", bans("a1", "a2"), "test", 1)));
+        ok(step("w", State.RETURNING));
+        ledger.run(Ledger.apply("bans", 2));
+        assertEquals(Set.of("a1", "a2"), view().own());
+        assertEquals(Set.of(), view().bansFor(Set.of()));
+    }
+
+    @Test
+    void whatIsProposedOnOneChangeIsNotTakenBehindAnother() {
+        ok(ledger.run(Ledger.propose("one", bans("x"), "test", 1, 0)));
+        assertTrue(ledger.run(Ledger.propose("two", bans("y"), "test", 1, 0)).has("error"));
+        ledger.run(Ledger.apply("one", 1));
+        assertTrue(ledger.run(Ledger.propose("two", bans("y"), "test", 1, 0)).has("error"));
+        ok(ledger.run(Ledger.propose("two", bans("y"), "test", 1, 1)));
+        // Asked again it is the same change still.
+        ok(ledger.run(Ledger.propose("two", bans("y"), "test", 1, 1)));
+    }
+
+    @Test
+    void requestsAreTakenTogetherOrNotAtAll() {
+        ok(ledger.run(WindowLedger.requests(List.of(request("w", "a")))));
+        JsonObject answer = ledger.run(WindowLedger.requests(List.of(request("v", "b"), request("w", "b"))));
+        assertTrue(answer.has("error"));
+        assertEquals(1, view().windows().all().size());
+        assertTrue(step("w", State.DRAINING).get("error").getAsString().contains("can't become"));
+    }
+
+    @Test
+    void aSnapshotHoldsAllOfItAndOneOfAnEarlierBuildHoldsNone() {
+        apply("operators", bans("x"));
+        ok(ledger.run(WindowLedger.requests(List.of(request("w", "a")))));
+        drains("w");
+        ok(ledger.run(WindowLedger.accounts(1, Map.of("shop", new double[] {1, 2, 3, 4}))));
+        Ledger other = new Ledger(Map.of(WindowLedger.NAME, new WindowLedger()));
+        other.restore(JsonParser.parseString(ledger.snapshot().toString()).getAsJsonObject());
+        assertEquals(view().windows().all(), ((View) other.part(WindowLedger.NAME)).windows().all());
+        assertEquals(ledger.snapshot().toString().replaceAll("\"version\":[0-9]+", ""), other.snapshot().toString()
+                .replaceAll("\"version\":[0-9]+", ""));
+        assertTrue(other.run(Ledger.propose("back", bans(), "test", 3)).has("error"));
+        JsonObject earlier = ledger.snapshot();
+        earlier.remove("parts");
+        other.restore(earlier);
+        View none = (View) other.part(WindowLedger.NAME);
+        assertEquals(List.of(), none.windows().all());
+        assertEquals(Set.of("x"), none.bans());
+    }
+
+    @Test
+    void whatGoesToACoordinatorIsReadAsItWas() {
+        ok(ledger.run(WindowLedger.requests(List.of(request("w", "a"), request("v", "b")))));
+        drains("w");
+        ok(step("v", State.REFUSED));
+        View read = View.of(JsonParser.parseString(view().json().toString()).getAsJsonObject());
+        assertEquals(List.of(window("w")), read.windows().all());
+        assertEquals(view().racks(), read.racks());
+        assertEquals(view().windows().away(), read.windows().away());
+        assertEquals(view().bansFor(Set.of("a")), read.bansFor(Set.of("a")));
+    }
+}
