--- a/src/main/java/laneflow/maintenance/Maintenance.java
+++ b/src/main/java/laneflow/maintenance/Maintenance.java
@@ -271,8 +271,8 @@
                 }
             }
         }
-        return new Picture(term, view, clear, sending.hasBegun(now, view.inForce()), sending.lost(now), demand,
-                done);
+        return new Picture(term, view, clear, sending.hasBegun(now, view.inForce()), sending.lost(now),
+                demand, done);
     }
 
     private static double[][] larger(double[][] form, double[][] with) {
--- a/src/main/java/laneflow/maintenance/MaintenanceConfig.java
+++ b/src/main/java/laneflow/maintenance/MaintenanceConfig.java
@@ -75,8 +75,9 @@
                 (int) from.whole("most_flows", 1500, 1, 100_000));
         times = new Coordinator.Times(drain, millis(from, "begin_ms", 30 * MINUTE, 10, DAY),
                 millis(from, "overrun_ms", 10 * MINUTE, 0, DAY),
-                millis(from, "give_back_ms", 30 * MINUTE, 10, DAY), millis(from, "late_ms", 60 * MINUTE, 0, DAY),
-                millis(from, "early_ms", MINUTE, 0, DAY), millis(from, "lost_ms", DAY, 1000, MOST_AHEAD));
+                millis(from, "give_back_ms", 30 * MINUTE, 10, DAY),
+                millis(from, "late_ms", 60 * MINUTE, 0, DAY), millis(from, "early_ms", MINUTE, 0, DAY),
+                millis(from, "lost_ms", DAY, 1000, MOST_AHEAD));
         demand = from.number("demand", 1, 0, 1);
         look = millis(from, "look_ms", 1000, 10, 60_000) * 1000;
         silent = millis(from, "silent_ms", -1, 0, DAY) * 1000;
--- a/src/main/java/laneflow/maintenance/MaintenancePort.java
+++ b/src/main/java/laneflow/maintenance/MaintenancePort.java
@@ -63,8 +63,8 @@
             String name = path.substring(WINDOWS.length());
             atLeader(path, answer, () -> order(name, body, answer));
         } else {
-            answer.say(verb.equals("GET") || post ? 404 : 405, TEXT, "", "known are GET " + PATH + " and POST "
-                    + REQUESTS + ", " + WINDOWS + "NAME\n");
+            answer.say(verb.equals("GET") || post ? 404 : 405, TEXT, "", "known are GET " + PATH
+                    + " and POST " + REQUESTS + ", " + WINDOWS + "NAME\n");
         }
     }
 
@@ -84,8 +84,8 @@
     }
 
     private void nobody(Answer answer) {
-        answer.say(503, TEXT, "Retry-After: 1\r\n", "no voter leads now, or no majority answers it: nothing is"
-                + " known to be decided; asking again does no harm\n");
+        answer.say(503, TEXT, "Retry-After: 1\r\n", "no voter leads now, or no majority answers it:"
+                + " nothing is known to be decided; asking again does no harm\n");
     }
 
     private void read(Answer answer, Consumer<WindowLedger.View> then) {
--- a/src/main/java/laneflow/maintenance/RequestReader.java
+++ b/src/main/java/laneflow/maintenance/RequestReader.java
@@ -87,7 +87,8 @@
                     + " of work");
         }
         table.close();
-        return new Request(name, owner, down, work, earliest, latest, notice, abort, Set.copyOf(apart), after);
+        return new Request(name, owner, down, work, earliest, latest, notice, abort, Set.copyOf(apart),
+                after);
     }
 
     private static long whole(Table table, String key, long least, long most) {
