--- a/src/main/java/laneflow/Main.java
+++ b/src/main/java/laneflow/Main.java
@@ -35,6 +35,9 @@
             } else if (args.length == 1 && args[0].equals("rehearse")) {
                 Rehearsal.run();
                 System.exit(0);
+            } else if (args.length == 1 && args[0].equals("rehearse-commands")) {
+                laneflow.cli.Rehearsal.run();
+                System.exit(0);
             } else {
                 System.exit(Cli.run(args));
             }
--- a/src/main/java/laneflow/cli/Cli.java
+++ b/src/main/java/laneflow/cli/Cli.java
@@ -2,6 +2,8 @@
 
 import java.io.IOException;
 import java.io.PrintWriter;
+import java.util.List;
+import java.util.Set;
 import laneflow.config.ConfigException;
 import laneflow.importer.Importer;
 import laneflow.lab.Lab;
@@ -18,22 +20,32 @@
  * a configuration that can't be used. A mistyped word is answered with the nearest one.
  */
 @Command(name = "laneflow", mixinStandardHelpOptions = true, versionProvider = Cli.Version.class,
-        description = "Job scheduler and protocol translator: old clients reach new servers.",
-        subcommands = {ServeCommand.class, BenchlinkCommand.class, JobsCommand.class,
-            ConfigCommand.class, PolicyCommand.class, FleetCommand.class, TaskCommand.class,
-            Lab.class})
+        description = "Job scheduler and protocol translator: old clients reach new servers.")
 public final class Cli implements Runnable {
+    /** In the order in which they are told. */
+    private static final List<Class<?>> COMMANDS = List.of(ServeCommand.class, BenchlinkCommand.class,
+            JobsCommand.class, ConfigCommand.class, PolicyCommand.class, FleetCommand.class,
+            TaskCommand.class, Lab.class, Importer.class);
     @Spec
     private CommandSpec spec;
 
     /** Runs the command named there and returns the exit code. */
     public static int run(String... args) {
-        return line().execute(args);
+        return line(args).execute(args);
     }
 
-    static CommandLine line() {
+    /**
+     * The command line for these words. Looking through all options of all commands takes longer than most
+     * commands do, so it is done for those alone that are named; of the others there are name and purpose,
+     * which is what the help and the nearest word to a mistyped one need.
+     */
+    static CommandLine line(String... args) {
         CommandLine line = new CommandLine(new Cli());
-        line.addSubcommand(new Importer(System.out, System.err));
+        Set<String> named = Set.copyOf(List.of(args));
+        for (Class<?> one : COMMANDS) {
+            Command told = one.getAnnotation(Command.class);
+            line.addSubcommand(told.name(), named.contains(told.name()) ? made(one) : purpose(told));
+        }
         line.setExecutionExceptionHandler((e, at, parsed) -> {
             if (!(e instanceof IOException || e instanceof WireException
                     || e instanceof IllegalArgumentException)) {
@@ -48,6 +60,16 @@
         return line;
     }
 
+    private static Object made(Class<?> command) {
+        return command == Importer.class ? new Importer(System.out, System.err) : command;
+    }
+
+    private static CommandSpec purpose(Command told) {
+        CommandSpec spec = CommandSpec.create().name(told.name());
+        spec.usageMessage().description(told.description());
+        return spec;
+    }
+
     @Override
     public void run() {
         throw new ParameterException(spec.commandLine(), "a command is missing");
--- a/src/main/java/laneflow/cli/FleetCommand.java
+++ b/src/main/java/laneflow/cli/FleetCommand.java
@@ -6,7 +6,6 @@
 import com.google.gson.JsonParser;
 import java.io.IOException;
 import java.io.PrintWriter;
-import java.net.http.HttpResponse;
 import java.time.Instant;
 import java.time.temporal.ChronoUnit;
 import java.util.ArrayList;
@@ -40,7 +39,7 @@
 
     private static JsonObject ask(PolicyCommand.Where where, String address) throws IOException,
             InterruptedException {
-        HttpResponse<String> answer = where.send(address, "/fleet", null);
+        PolicyCommand.Said answer = where.send(address, "/fleet", null);
         if (answer.statusCode() != 200) {
             throw new IOException(answer.body().strip());
         }
--- a/src/main/java/laneflow/cli/PolicyCommand.java
+++ b/src/main/java/laneflow/cli/PolicyCommand.java
@@ -10,17 +10,18 @@
 import com.google.gson.JsonParseException;
 import com.google.gson.JsonParser;
 import java.io.IOException;
+import java.io.InputStream;
+import java.io.OutputStream;
 import java.io.PrintWriter;
 import java.io.StringReader;
 import java.net.ConnectException;
-import java.net.URI;
-import java.net.http.HttpClient;
-import java.net.http.HttpRequest;
-import java.net.http.HttpResponse;
+import java.net.HttpURLConnection;
+import java.net.Proxy;
+import java.net.URL;
+import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.NoSuchFileException;
 import java.nio.file.Path;
-import java.time.Duration;
 import java.time.Instant;
 import java.util.ArrayList;
 import java.util.List;
@@ -42,7 +43,8 @@
 @Command(name = "policy", mixinStandardHelpOptions = true,
         description = "Shows and changes what all schedulers decide by.")
 final class PolicyCommand implements Runnable {
-    private static final Duration ANSWER_WITHIN = Duration.ofSeconds(5);
+    private static final int ANSWER_WITHIN_MS = 5000;
+    private static final int TEMPORARY_REDIRECT = 307;
     private static final int MOST_HOPS = 4;
     private static final long PAUSE_MS = 50;
     private static final long VOTERS_WAIT_NS = 10_000_000_000L;
@@ -50,8 +52,18 @@
     @Spec
     private CommandSpec spec;
 
+    /** An answer. */
+    record Said(int statusCode, String body) {
+    }
+
     /** Whom to ask. */
     static final class Where {
+        static {
+            // What was asked may have been done: whether it is asked again is the operator's decision.
+            System.setProperty("sun.net.http.retryPost", "false");
+        }
+
+
         @Option(names = "--at", paramLabel = "ADDRESS", required = true, arity = "1", split = ",",
                 description = "Where schedulers reach each other: ADDRESS:PORT, several with commas between.")
         List<String> addresses;
@@ -60,40 +72,53 @@
         @Option(names = "--json", description = "As the scheduler says it.")
         boolean json;
 
-        /** Made by the first question: it brings a thread, and every command makes all commands. */
-        private HttpClient client;
-
-        HttpResponse<String> send(String address, String path, String body)
-                throws IOException, InterruptedException {
+        /**
+         * Asks there, and goes where the answer points.
+         *
+         * @param body what is sent, by POST; null: GET
+         */
+        Said send(String address, String path, String body) throws IOException {
             Loop.address(address);
-            if (client == null) {
-                client = HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1)
-                        .connectTimeout(ANSWER_WITHIN).build();
-            }
-            URI to = URI.create("http://" + address + path);
+            URL to = new URL("http://" + address + path);
             for (int hop = 0;; hop++) {
-                HttpRequest.Builder request = HttpRequest.newBuilder(to).timeout(ANSWER_WITHIN);
+                HttpURLConnection call = (HttpURLConnection) to.openConnection(Proxy.NO_PROXY);
+                call.setConnectTimeout(ANSWER_WITHIN_MS);
+                call.setReadTimeout(ANSWER_WITHIN_MS);
+                call.setInstanceFollowRedirects(false);
                 if (tokenFile != null) {
-                    request.header("Authorization", "Bearer " + Files.readString(tokenFile).strip());
+                    call.setRequestProperty("Authorization", "Bearer " + Files.readString(tokenFile).strip());
+                }
+                if (body != null) {
+                    call.setDoOutput(true);
+                    call.setRequestProperty("Content-Type", "application/json");
+                    try (OutputStream out = call.getOutputStream()) {
+                        out.write(body.getBytes(StandardCharsets.UTF_8));
+                    }
+                }
+                int status = call.getResponseCode();
+                if (status < 0) {
+                    throw new IOException("what came is no HTTP");
+                }
+                InputStream in = status < HttpURLConnection.HTTP_BAD_REQUEST ? call.getInputStream()
+                        : call.getErrorStream();
+                String text = in == null ? "" : new String(in.readAllBytes(), StandardCharsets.UTF_8);
+                if (status != TEMPORARY_REDIRECT || hop == MOST_HOPS) {
+                    return new Said(status, text);
                 }
-                request = body == null ? request.GET() : request.POST(HttpRequest.BodyPublishers.ofString(
-                        body));
-                HttpResponse<String> answer = client.send(request.build(),
-                        HttpResponse.BodyHandlers.ofString());
-                if (answer.statusCode() != 307 || hop == MOST_HOPS) {
-                    return answer;
+                String next = call.getHeaderField("Location");
+                if (next == null) {
+                    throw new IOException(address + " points nowhere");
                 }
-                to = URI.create(answer.headers().firstValue("Location").orElseThrow(() ->
-                        new IOException(address + " points nowhere")));
+                to = new URL(next);
             }
         }
 
         /** The first answer that is one: of a scheduler that knows. */
-        private HttpResponse<String> ask(String path, String body) throws IOException, InterruptedException {
+        private Said ask(String path, String body) throws IOException, InterruptedException {
             IOException last = new IOException("nobody to ask");
             for (String address : addresses) {
                 try {
-                    HttpResponse<String> answer = send(address, path, body);
+                    Said answer = send(address, path, body);
                     if (answer.statusCode() < 500) {
                         return answer;
                     }
@@ -108,8 +133,7 @@
 
     /** What went wrong there, in a line. */
     static String why(String address, Exception e) {
-        // The client of the JDK says it by the class alone.
-        boolean away = e instanceof ConnectException && e.getMessage() == null;
+        boolean away = e instanceof ConnectException;
         String said = away ? "can't be reached" : e.getMessage();
         return address + ": " + (said == null ? e.toString() : said);
     }
@@ -132,7 +156,7 @@
         }
         for (String address : where.addresses) {
             try {
-                HttpResponse<String> answer = where.send(address, "/policy", null);
+                Said answer = where.send(address, "/policy", null);
                 if (answer.statusCode() != 200) {
                     throw new IOException(answer.body().strip());
                 }
@@ -207,7 +231,7 @@
         String wait = "";
         while (true) {
             try {
-                HttpResponse<String> answer = where.ask(path, body);
+                Said answer = where.ask(path, body);
                 if (answer.statusCode() != 200) {
                     throw new IllegalArgumentException(answer.body().strip());
                 }
@@ -260,7 +284,7 @@
             + " is not known, 3 if it is undecided.")
     int status(@Parameters(paramLabel = "NAME", description = "The change's name.") String name,
             @Mixin Where where) throws IOException, InterruptedException {
-        HttpResponse<String> answer = where.ask("/policy/changes/" + name, null);
+        Said answer = where.ask("/policy/changes/" + name, null);
         if (answer.statusCode() != 200) {
             throw new IOException(answer.body().strip());
         }
@@ -270,7 +294,7 @@
     @Command(name = "history", mixinStandardHelpOptions = true,
             description = "The last changes, the newest first.")
     int history(@Mixin Where where) throws IOException, InterruptedException {
-        HttpResponse<String> answer = where.ask("/policy/history", null);
+        Said answer = where.ask("/policy/history", null);
         PrintWriter out = spec.commandLine().getOut();
         if (answer.statusCode() != 200) {
             throw new IOException(answer.body().strip());
@@ -306,7 +330,7 @@
                     "one voter at a time: --add, --remove or --replace");
         }
         if (asked.size() == 1) {
-            HttpResponse<String> answer = order(where, asked.toString());
+            Said answer = order(where, asked.toString());
             if (answer.statusCode() != 200) {
                 throw new IOException(answer.body().strip());
             }
@@ -315,7 +339,7 @@
         int code = 0;
         for (String address : where.addresses) {
             try {
-                HttpResponse<String> answer = where.send(address, "/policy", null);
+                Said answer = where.send(address, "/policy", null);
                 JsonObject all = JsonParser.parseString(answer.body()).getAsJsonObject();
                 JsonElement own = all.get("voter");
                 if (where.json) {
@@ -344,7 +368,7 @@
     }
 
     /** Asks again while the leader hands over, or a link to a new voter comes up. */
-    private static HttpResponse<String> order(Where where, String order) throws IOException,
+    private static Said order(Where where, String order) throws IOException,
             InterruptedException {
         long end = System.nanoTime() + VOTERS_WAIT_NS;
         while (true) {
--- a/src/main/java/laneflow/cli/TaskCommand.java
+++ b/src/main/java/laneflow/cli/TaskCommand.java
@@ -7,7 +7,6 @@
 import com.google.gson.JsonParser;
 import java.io.IOException;
 import java.io.PrintWriter;
-import java.net.http.HttpResponse;
 import java.util.ArrayList;
 import java.util.List;
 import picocli.CommandLine.Command;
@@ -38,7 +37,7 @@
         String leader = "";
         for (String address : where.addresses) {
             try {
-                HttpResponse<String> answer = where.send(address, "/tasks", null);
+                PolicyCommand.Said answer = where.send(address, "/tasks", null);
                 if (answer.statusCode() != 200) {
                     throw new IOException(answer.body().strip());
                 }
