--- a/src/main/java/laneflow/maintenance/Maintenance.java
+++ b/src/main/java/laneflow/maintenance/Maintenance.java
@@ -30,6 +30,7 @@
 public final class Maintenance implements Rider {
     private static final Logger LOG = LoggerFactory.getLogger(Maintenance.class);
     private static final int LOST_AFTER = 3;
+    private static final double HALF_MS = 60_000;
     /** So soon a call that was out is looked for again. */
     private static final long AGAIN = 20_000;
 
@@ -43,6 +44,8 @@
     private Carriage by;
     /** What this process saw of itself last; null before the first look. */
     private CallWatch.Seen seen;
+    private double[][] demand = new double[0][];
+    private long demandAt;
     private boolean toldOnce;
     /** Null where this process coordinates nothing. */
     private Coordination coordination;
@@ -112,6 +115,7 @@
         boolean news = seen == null || seen.policy() != now.policy() || !seen.busy().equals(now.busy())
                 || !seen.lost().equals(now.lost());
         seen = now;
+        peak(now.demand());
         longest = Math.max(longest, now.longest());
         if (!now.busy().isEmpty()) {
             loop.deadlines().set(again, loop.micros() + AGAIN);
@@ -121,6 +125,23 @@
         }
     }
 
+    /**
+     * The most that was asked for of late, its memory decaying: in a shortage requests are refused at once,
+     * and what is open then says nothing of what is missing.
+     */
+    private void peak(double[][] open) {
+        long passed = loop.micros() - demandAt;
+        demandAt = loop.micros();
+        double left = Math.pow(0.5, passed / (config == null ? 1000.0 * HALF_MS : 1000.0 * config.demandHalf));
+        for (int t = 0; t < open.length; t++) {
+            for (int k = 0; k < open[t].length; k++) {
+                boolean known = t < demand.length && k < demand[t].length;
+                open[t][k] = Math.max(open[t][k], known ? demand[t][k] * left : 0);
+            }
+        }
+        demand = open;
+    }
+
     @Override
     public JsonElement says() {
         if (config == null && scheduler.barred().isEmpty() && !toldOnce) {
@@ -136,7 +157,7 @@
         all.addProperty("policy", seen.policy());
         all.add("busy", Picture.texts(seen.busy()));
         all.add("lost", Picture.texts(seen.lost()));
-        all.add("demand", Picture.rows(seen.demand()));
+        all.add("demand", Picture.rows(demand));
         if (coordination != null) {
             coordination.say(all);
         }
--- a/src/main/java/laneflow/maintenance/MaintenanceConfig.java
+++ b/src/main/java/laneflow/maintenance/MaintenanceConfig.java
@@ -44,8 +44,8 @@
     public final double lostShare;
     /** Milliseconds for which a rack is left to warm up behind its return. */
     public final long warm;
-    /** Milliseconds over which what tenants ask for is averaged. */
-    public final double demandSpan;
+    /** Milliseconds in which what was asked for at its most counts half. */
+    public final double demandHalf;
     /** Milliseconds after which losses go into the ledger. */
     public final long accounts;
 
@@ -84,7 +84,7 @@
         lostAfter = (int) from.whole("lost_after", 3, 1, 1000);
         lostShare = from.number("lost_share", 0.25, 0.001, 1);
         warm = millis(from, "warm_ms", 0, 0, DAY);
-        demandSpan = millis(from, "demand_span_ms", MINUTE, 10, DAY);
+        demandHalf = millis(from, "demand_half_ms", MINUTE, 10, DAY);
         accounts = millis(from, "accounts_ms", MINUTE, 100, DAY);
         from.close();
     }
--- a/src/main/java/laneflow/maintenance/Planning.java
+++ b/src/main/java/laneflow/maintenance/Planning.java
@@ -128,20 +128,52 @@
         List<JsonObject> all = new ArrayList<>();
         Coordinator.Facts facts = facts(picture, nowMs, accounts.over(estate, nowMs));
         account(view, facts, all);
-        Coordinator.Orders orders = coordinator.orders(view.windows(), facts, token);
+        Coordinator.Orders orders = coordinator.orders(view.windows().copy(this::isKnown), facts, token);
+        boolean moves = false;
         for (JsonObject step : orders.steps()) {
-            boolean drains = step.get("to").getAsString().equals(State.DRAINING.word());
-            Window window = view.windows().window(step.get("name").getAsString());
-            all.add(drains ? WindowLedger.drains(step, config.endpoints(window.request().racks()))
-                    : WindowLedger.op(step));
+            String to = step.get("to").getAsString();
+            moves |= to.equals(State.RETURNING.word()) || to.equals(State.DRAINING.word());
+            if (to.equals(State.DRAINING.word())) {
+                Window window = view.windows().window(step.get("name").getAsString());
+                all.add(WindowLedger.drains(step, config.endpoints(window.request().racks())));
+            } else {
+                all.add(WindowLedger.op(step));
+            }
         }
-        Set<String> bans = view.bansFor(orders.banned());
-        if (!bans.equals(view.bans()) && !view.undecided()) {
+        Set<String> away = new TreeSet<>(orders.banned());
+        view.windows().all().stream().filter(one -> !isKnown(one)).forEach(one -> unknown(view, one, nowMs,
+                away, all));
+        Set<String> bans = view.bansFor(away);
+        // Bans that a step of the same orders makes wrong are left to the next look.
+        if (!moves && !bans.equals(view.bans()) && !view.undecided()) {
             all.add(bans(bans, view.inForce(), nowMs));
         }
         return all;
     }
 
+    private boolean isKnown(Window window) {
+        return config.racks.keySet().containsAll(window.request().racks());
+    }
+
+    /** Its racks were taken out of the file: it gets no time, and what is away stays away. */
+    private void unknown(WindowLedger.View view, Window window, long nowMs, Set<String> away,
+            List<JsonObject> all) {
+        State to = switch (window.state()) {
+            case REQUESTED, POSTPONED -> State.REFUSED;
+            case PLANNED, ANNOUNCED -> State.POSTPONED;
+            default -> null;
+        };
+        if (to != null) {
+            List<String> gone = new ArrayList<>(window.request().racks());
+            gone.removeAll(config.racks.keySet());
+            all.add(WindowLedger.op(Windows.step(token, window, to, view.windows().away(), window.startMs(),
+                    State.DONE, List.of("the coordinator's file knows no rack " + String.join(", ", gone)),
+                    nowMs)));
+        } else if (window.state().isAway()) {
+            away.addAll(window.request().racks());
+        }
+    }
+
     private JsonObject bans(Set<String> names, long inForce, long nowMs) {
         JsonArray resources = new JsonArray();
         for (String name : names) {
@@ -181,7 +213,7 @@
 
     /** Which times these would get now, or who stands against them; nothing is decided. */
     JsonArray dryRun(Picture picture, List<Request> requests, long nowMs) {
-        Windows copy = picture.view().windows().copy();
+        Windows copy = picture.view().windows().copy(this::isKnown);
         requests.forEach(one -> copy.run(Windows.request(one), rack -> false));
         Accounts known = new Accounts(config.terms.halfLifeMs());
         known.restore(picture.view().accounts());
--- a/src/main/java/laneflow/maintenance/decision/Sending.java
+++ b/src/main/java/laneflow/maintenance/decision/Sending.java
@@ -92,7 +92,8 @@
 
     /** True if all that are live have begun that policy. */
     public boolean hasBegun(long now, long policy) {
-        return holders.values().stream().allMatch(holder -> now - holder.at > live
+        // A leader that has just been elected has not heard of all yet.
+        return now > electedAt + live && holders.values().stream().allMatch(holder -> now - holder.at > live
                 || holder.said != null && holder.said.policy() == policy);
     }
 
--- a/src/main/java/laneflow/maintenance/decision/WindowLedger.java
+++ b/src/main/java/laneflow/maintenance/decision/WindowLedger.java
@@ -32,7 +32,7 @@
     private final Windows windows = new Windows();
     /** The endpoints of each rack of a window that is away, as the step said that made it drain. */
     private final SortedMap<String, List<String>> racks = new TreeMap<>();
-    /** Endpoints that are banned for windows only: operators had not banned them before. */
+    /** Endpoints that a change of the coordinator's bans, or is about to, and none had banned before. */
     private final SortedSet<String> own = new TreeSet<>();
     /** What each tenant has lost, as {@link Accounts#state} tells it. */
     private final SortedMap<String, double[]> accounts = new TreeMap<>();
@@ -254,9 +254,6 @@
         JsonObject answer = windows.run(op, this::isBanned);
         if (!answer.has("error")) {
             racks.putAll(named);
-            // What operators ban already stays theirs, and stays banned behind the window.
-            named.values().forEach(names -> names.stream().filter(name -> !bans.contains(name))
-                    .forEach(own::add));
         }
         return answer;
     }
@@ -278,6 +275,10 @@
         bans = names(now.merged());
         undecided = now.open() != null;
         undecidedBans = undecided ? names(now.openMerged()) : Set.of();
+        if (undecided && now.open().by().equals(NAME)) {
+            // What operators ban already stays theirs, and stays banned behind the window.
+            undecidedBans.stream().filter(name -> !bans.contains(name)).forEach(own::add);
+        }
         version++;
         clean();
         look();
@@ -321,7 +322,7 @@
                 + String.join(", ", names);
     }
 
-    /** What no window needs any more, and no policy bans or is about to, is forgotten. */
+    /** What stands in no rack that is away, and what no policy bans or is about to, is forgotten. */
     private void clean() {
         Set<String> away = new TreeSet<>();
         Set<String> kept = new TreeSet<>(bans);
@@ -330,9 +331,6 @@
             if (one.state().isAway()) {
                 away.addAll(one.request().racks());
             }
-            if (one.state() == State.DRAINING || one.state().isWorkedOn()) {
-                one.request().racks().forEach(rack -> kept.addAll(racks.getOrDefault(rack, List.of())));
-            }
         }
         racks.keySet().retainAll(away);
         own.retainAll(kept);
@@ -340,7 +338,7 @@
 
     private void look() {
         view = new View(version, inForce, undecided, bans, Collections.unmodifiableSet(new TreeSet<>(own)),
-                Collections.unmodifiableSortedMap(new TreeMap<>(racks)), windows.copy(),
+                Collections.unmodifiableSortedMap(new TreeMap<>(racks)), windows.copy(one -> true),
                 Collections.unmodifiableSortedMap(new TreeMap<>(accounts)));
     }
 
--- a/src/main/java/laneflow/maintenance/decision/Windows.java
+++ b/src/main/java/laneflow/maintenance/decision/Windows.java
@@ -326,10 +326,10 @@
         return token;
     }
 
-    /** The same at this moment, of its own from here on. */
-    public Windows copy() {
+    /** The same at this moment, of its own from here on, with these windows only. */
+    public Windows copy(Predicate<Window> which) {
         Windows copy = new Windows();
-        copy.windows.putAll(windows);
+        windows.values().stream().filter(which).forEach(one -> copy.windows.put(one.name(), one));
         copy.token = token;
         copy.away = away;
         return copy;
