maintenance request, show, begin, finish and abort at the command line

Cause: windows had a planner and a ledger, and nobody could ask for one. Change: `laneflow maintenance` reads requests and calendars in the operators' words, tells every finding of both at once, waits until each window has a time or is turned down, and shows windows with the times on the wall; instants in the fleet's reasons are told there too. A calendar binds the requests that it came with: a request carries the freezes that touch its time, plans keep them, and a window that is late does not begin into one. Ruled out: freezes of the file's own at the scheduler only: whoever asks knows their calendar, and different owners have different ones.

--- a/src/main/java/laneflow/cli/Cli.java
+++ b/src/main/java/laneflow/cli/Cli.java
@@ -21,7 +21,7 @@
         description = "Job scheduler and protocol translator: old clients reach new servers.",
         subcommands = {ServeCommand.class, BenchlinkCommand.class, JobsCommand.class,
             ConfigCommand.class, PolicyCommand.class, FleetCommand.class, TaskCommand.class,
-            Lab.class})
+            MaintenanceCommand.class, Lab.class})
 public final class Cli implements Runnable {
     @Spec
     private CommandSpec spec;
--- a/src/main/java/laneflow/cli/PolicyCommand.java
+++ b/src/main/java/laneflow/cli/PolicyCommand.java
@@ -89,7 +89,7 @@
         }
 
         /** The first answer that is one: of a scheduler that knows. */
-        private HttpResponse<String> ask(String path, String body) throws IOException, InterruptedException {
+        HttpResponse<String> ask(String path, String body) throws IOException, InterruptedException {
             IOException last = new IOException("nobody to ask");
             for (String address : addresses) {
                 try {
--- a/src/main/java/laneflow/maintenance/RequestFile.java
+++ b/src/main/java/laneflow/maintenance/RequestFile.java
@@ -39,7 +39,7 @@
      * Reads requests.
      *
      * @param file what the text is called in findings
-     * @param racks those that are known
+     * @param racks those that are known; null: whoever is asked knows them, and checks them
      * @param until occurrences of a rule are told up to here, Unix milliseconds
      * @throws laneflow.config.ConfigException with all that is wrong
      */
@@ -178,7 +178,7 @@
         }
         Set<String> seen = new HashSet<>();
         for (String rack : down) {
-            if (!racks.contains(rack)) {
+            if (racks != null && !racks.contains(rack)) {
                 from.wrong("racks", "'" + rack + "' is not known");
             } else if (!seen.add(rack)) {
                 from.wrong("racks", "'" + rack + "' is named twice");
--- a/src/main/java/laneflow/maintenance/decision/Coordinator.java
+++ b/src/main/java/laneflow/maintenance/decision/Coordinator.java
@@ -177,6 +177,10 @@
         }
 
         private String blocked(Window window) {
+            Plan.Freeze freeze = window.request().freeze(now, now + length(window.request()));
+            if (freeze != null) {
+                return "freeze " + freeze.name();
+            }
             for (Window other : windows.all()) {
                 Request one = other.request();
                 if (window.request().after().contains(one.name()) && other.state() != State.DONE) {
--- a/src/main/java/laneflow/maintenance/decision/Forms.java
+++ b/src/main/java/laneflow/maintenance/decision/Forms.java
@@ -9,12 +9,13 @@
 import java.util.Locale;
 import java.util.Set;
 
-/** Requests and windows as JSON, for the ledger's log and its snapshots. */
-final class Forms {
+/** Requests and windows as JSON, for the ledger's log, its snapshots, and those who ask for windows. */
+public final class Forms {
     private Forms() {
     }
 
-    static JsonObject write(Request request) {
+    /** A request, as the fleet's address takes it. */
+    public static JsonObject write(Request request) {
         JsonObject to = new JsonObject();
         to.addProperty("name", request.name());
         to.addProperty("owner", request.owner());
@@ -26,14 +27,37 @@
         to.addProperty("abort_ms", request.abortMs());
         to.add("apart", texts(request.apart().stream().sorted().toList()));
         to.add("after", texts(request.after()));
+        if (!request.freezes().isEmpty()) {
+            JsonArray freezes = new JsonArray();
+            for (Plan.Freeze one : request.freezes()) {
+                JsonObject freeze = new JsonObject();
+                freeze.addProperty("name", one.name());
+                freeze.addProperty("from_ms", one.fromMs());
+                freeze.addProperty("to_ms", one.toMs());
+                freezes.add(freeze);
+            }
+            to.add("freezes", freezes);
+        }
         return to;
     }
 
+    private static List<Plan.Freeze> freezes(JsonObject from) {
+        List<Plan.Freeze> all = new ArrayList<>();
+        if (from.has("freezes")) {
+            from.getAsJsonArray("freezes").forEach(each -> {
+                JsonObject one = each.getAsJsonObject();
+                all.add(new Plan.Freeze(one.get("name").getAsString(), one.get("from_ms").getAsLong(),
+                        one.get("to_ms").getAsLong()));
+            });
+        }
+        return all;
+    }
+
     static Request request(JsonObject from) {
         return new Request(from.get("name").getAsString(), from.get("owner").getAsString(), texts(from,
                 "racks"), from.get("work_ms").getAsLong(), from.get("earliest_ms").getAsLong(), from.get(
                 "latest_ms").getAsLong(), from.get("notice_ms").getAsLong(), from.get("abort_ms").getAsLong(),
-                Set.copyOf(texts(from, "apart")), texts(from, "after"));
+                Set.copyOf(texts(from, "apart")), texts(from, "after"), freezes(from));
     }
 
     static JsonObject write(Windows.Window window) {
--- a/src/main/java/laneflow/maintenance/decision/Plan.java
+++ b/src/main/java/laneflow/maintenance/decision/Plan.java
@@ -33,6 +33,9 @@
      * @param name as it is told to whoever is turned down for it
      */
     public record Freeze(String name, long fromMs, long toMs) {
+        boolean meets(long from, long to) {
+            return fromMs < to && from < toMs;
+        }
     }
 
     /** The window of that request, or null. */
--- a/src/main/java/laneflow/maintenance/decision/Reasons.java
+++ b/src/main/java/laneflow/maintenance/decision/Reasons.java
@@ -48,7 +48,7 @@
         for (int racks = request.racks().size() - 1; racks > 0; racks--) {
             Request less = new Request(request.name(), request.owner(), request.racks().subList(0, racks),
                     request.workMs(), request.earliestMs(), request.latestMs(), request.noticeMs(),
-                    request.abortMs(), request.apart(), request.after());
+                    request.abortMs(), request.apart(), request.after(), request.freezes());
             int at = search(less, line.first(less), line.last(less));
             if (at >= 0) {
                 into.add("would have a time with only " + String.join(" ", less.racks()) + ", at "
--- a/src/main/java/laneflow/maintenance/decision/Timeline.java
+++ b/src/main/java/laneflow/maintenance/decision/Timeline.java
@@ -164,6 +164,10 @@
                         && ms < one.toMs()).findFirst().orElseThrow().name();
             }
         }
+        Freeze own = request.freeze(from, to);
+        if (own != null) {
+            return "freeze " + own.name();
+        }
         for (Window other : related) {
             Request one = other.request();
             if (request.after().contains(one.name()) && from < other.endMs()) {
@@ -295,7 +299,8 @@
             BitSet found = new BitSet();
             int run = 0;
             for (int i = 0; i < left.length; i++) {
-                run = frozen[i] || by[spans[i]] == Answer.UNFAIR.ordinal() ? 0 : run + 1;
+                boolean not = frozen[i] || request.freeze(ms(i), ms(i + 1)) != null;
+                run = not || by[spans[i]] == Answer.UNFAIR.ordinal() ? 0 : run + 1;
                 if (run >= length(request)) {
                     found.set(i + 1 - length(request));
                 }
--- a/src/test/java/laneflow/maintenance/decision/PlannerTest.java
+++ b/src/test/java/laneflow/maintenance/decision/PlannerTest.java
@@ -86,6 +86,30 @@
         assertTrue(plan.asked() < 100_000, plan.asked() + " instants looked at");
     }
 
+    /** A calendar that came with some requests binds these and no others. */
+    @Test
+    void aCalendarBindsTheRequestsThatItCameWith() {
+        DrawnPlan drawn = new DrawnPlan(1, 40, 6, 24, 1.2);
+        List<Window> free = Planner.plan(drawn.fairness, drawn.input()).windows();
+        Window amid = free.get(free.size() / 2);
+        List<Freeze> calendar = List.of(new Freeze("audit", amid.startMs() - 6 * HOUR, amid.endMs() + 6 * HOUR));
+        List<Request> asked = new ArrayList<>();
+        drawn.requests.forEach(one -> asked.add(asked.size() % 2 == 0 || one.name().equals(amid.request().name())
+                ? one.within(calendar) : one));
+        Plan plan = Planner.plan(drawn.fairness, drawn.input(asked, null, List.of(), List.of()));
+        Freeze audit = calendar.get(0);
+        assertEquals(List.of(), wrong(drawn, plan, List.of()));
+        List<Window> within = plan.windows().stream().filter(one -> one.meets(audit.fromMs(), audit.toMs())).toList();
+        assertTrue(within.stream().allMatch(one -> one.request().freezes().isEmpty()), within.toString());
+        assertFalse(within.isEmpty());
+        Request bound = asked.stream().filter(one -> one.name().equals(amid.request().name())).findFirst()
+                .orElseThrow();
+        assertEquals(calendar, bound.freezes());
+        assertEquals(bound, Forms.request(Forms.write(bound)));
+        assertTrue(Planner.against(drawn.fairness, drawn.input(asked, null, List.of(), List.of()), bound,
+                amid.startMs()).contains("freeze audit"));
+    }
+
     @Test
     void aCheckerThatFindsNothingWouldBeNone() {
         DrawnPlan drawn = drawn(1);
