--- a/src/main/java/laneflow/cli/MaintenanceCommand.java
+++ b/src/main/java/laneflow/cli/MaintenanceCommand.java
@@ -7,7 +7,6 @@
 import com.google.gson.JsonParser;
 import java.io.IOException;
 import java.io.PrintWriter;
-import java.net.http.HttpResponse;
 import java.nio.file.Files;
 import java.nio.file.NoSuchFileException;
 import java.nio.file.Path;
@@ -330,7 +329,7 @@
             throws IOException, InterruptedException {
         while (true) {
             try {
-                HttpResponse<String> answer = where.ask(path, body);
+                PolicyCommand.Said answer = where.ask(path, body);
                 String text = answer.body().strip();
                 if (answer.statusCode() == 200) {
                     return JsonParser.parseString(text).getAsJsonObject();
