--- a/src/main/java/laneflow/cli/Rehearsal.java
+++ b/src/main/java/laneflow/cli/Rehearsal.java
@@ -36,8 +36,9 @@
             System.setErr(System.out);
             String at = "127.0.0.1:" + listener.getLocalPort();
             for (String words : new String[] {"--help", "--version", "serv", "policy --help",
-                "task show --at " + at, "policy show --at " + at, "policy status c --at " + at, "policy propose " + change + " --at "
-                + at, "fleet show --at " + at, "fleet show --at 127.0.0.1:1"}) {
+                "task show --at " + at, "policy show --at " + at, "policy status c --at " + at,
+                "policy propose " + change + " --at " + at, "fleet show --at " + at,
+                "fleet show --at 127.0.0.1:1"}) {
                 Cli.run(words.split(" "));
             }
         } finally {
