--- a/src/main/java/laneflow/cli/Cli.java
+++ b/src/main/java/laneflow/cli/Cli.java
@@ -25,7 +25,7 @@
     /** In the order in which they are told. */
     private static final List<Class<?>> COMMANDS = List.of(ServeCommand.class, BenchlinkCommand.class,
             JobsCommand.class, ConfigCommand.class, PolicyCommand.class, FleetCommand.class,
-            TaskCommand.class, Lab.class, Importer.class);
+            TaskCommand.class, MaintenanceCommand.class, Lab.class, Importer.class);
     @Spec
     private CommandSpec spec;
 
--- a/src/main/java/laneflow/cli/PolicyCommand.java
+++ b/src/main/java/laneflow/cli/PolicyCommand.java
@@ -114,7 +114,7 @@
         }
 
         /** The first answer that is one: of a scheduler that knows. */
-        private Said ask(String path, String body) throws IOException, InterruptedException {
+        Said ask(String path, String body) throws IOException, InterruptedException {
             IOException last = new IOException("nobody to ask");
             for (String address : addresses) {
                 try {
--- a/src/main/java/laneflow/cli/Rehearsal.java
+++ b/src/main/java/laneflow/cli/Rehearsal.java
@@ -16,9 +16,9 @@
  * reading them anew is most of what such a command does. What the commands print is thrown away.
  */
 public final class Rehearsal {
-    private static final String SAYS = "{\"scheduler\":\"s\",\"life\":\"a\",\"state\":\"deciding\",\"policy\":1,"
-            + "\"lease_ms\":1,\"leader\":\"s\",\"term\":1,\"open\":0,\"members\":[],\"tasks\":[],\"name\":\"c\","
-            + "\"number\":1,\"reasons\":[]}";
+    private static final String SAYS = "{\"scheduler\":\"s\",\"life\":\"a\",\"state\":\"deciding\","
+            + "\"policy\":1,\"lease_ms\":1,\"leader\":\"s\",\"term\":1,\"open\":0,\"members\":[],"
+            + "\"tasks\":[],\"name\":\"c\",\"number\":1,\"reasons\":[]}";
     private static final int MOST_QUESTIONS = 64;
 
     private Rehearsal() {
@@ -35,9 +35,10 @@
             System.setOut(new PrintStream(OutputStream.nullOutputStream()));
             System.setErr(System.out);
             String at = "127.0.0.1:" + listener.getLocalPort();
-            for (String words : new String[] {"--help", "--version", "serv", "policy --help", "task show --at " + at,
-                "policy show --at " + at, "policy status c --at " + at, "policy propose " + change + " --at "
-                + at, "fleet show --at " + at, "fleet show --at 127.0.0.1:1"}) {
+            for (String words : new String[] {"--help", "--version", "serv", "policy --help",
+                "task show --at " + at, "policy show --at " + at, "policy status c --at " + at,
+                "policy propose " + change + " --at " + at, "fleet show --at " + at,
+                "fleet show --at 127.0.0.1:1"}) {
                 Cli.run(words.split(" "));
             }
         } finally {
@@ -46,8 +47,8 @@
     }
 
     private static void answer(ServerSocket listener) {
-        byte[] said = ("HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nConnection: close\r\nContent-Length: "
-                + SAYS.length() + "\r\n\r\n" + SAYS).getBytes(StandardCharsets.US_ASCII);
+        byte[] said = ("HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nConnection: close\r\n"
+                + "Content-Length: " + SAYS.length() + "\r\n\r\n" + SAYS).getBytes(StandardCharsets.US_ASCII);
         while (true) {
             try (Socket asked = listener.accept()) {
                 InputStream in = asked.getInputStream();
--- a/src/main/java/laneflow/maintenance/MaintenancePort.java
+++ b/src/main/java/laneflow/maintenance/MaintenancePort.java
@@ -110,6 +110,9 @@
             all.addProperty("token", coordinator == null ? -1 : coordinator.getValue());
             all.addProperty("policy", view.inForce());
             all.addProperty("away", view.windows().away());
+            if (config != null) {
+                all.add("racks", Picture.texts(config.names()));
+            }
             JsonArray windows = new JsonArray();
             view.windows().all().forEach(one -> windows.add(told(one)));
             all.add("windows", windows);
--- a/src/main/java/laneflow/maintenance/RequestReader.java
+++ b/src/main/java/laneflow/maintenance/RequestReader.java
@@ -9,6 +9,7 @@
 import java.util.Set;
 import laneflow.config.Findings;
 import laneflow.config.Table;
+import laneflow.maintenance.decision.Plan.Freeze;
 import laneflow.maintenance.decision.Request;
 
 /** Reads requests as they come over HTTP, in the form of the ledger; all that is wrong is told at once. */
--- a/src/main/java/laneflow/maintenance/decision/Forms.java
+++ b/src/main/java/laneflow/maintenance/decision/Forms.java
@@ -27,9 +27,32 @@
         to.addProperty("abort_ms", request.abortMs());
         to.add("apart", texts(request.apart().stream().sorted().toList()));
         to.add("after", texts(request.after()));
+        if (!request.freezes().isEmpty()) {
+            JsonArray freezes = new JsonArray();
+            for (Plan.Freeze one : request.freezes()) {
+                JsonObject freeze = new JsonObject();
+                freeze.addProperty("name", one.name());
+                freeze.addProperty("from_ms", one.fromMs());
+                freeze.addProperty("to_ms", one.toMs());
+                freezes.add(freeze);
+            }
+            to.add("freezes", freezes);
+        }
         return to;
     }
 
+    private static List<Plan.Freeze> freezes(JsonObject from) {
+        List<Plan.Freeze> all = new ArrayList<>();
+        if (from.has("freezes")) {
+            from.getAsJsonArray("freezes").forEach(each -> {
+                JsonObject one = each.getAsJsonObject();
+                all.add(new Plan.Freeze(one.get("name").getAsString(), one.get("from_ms").getAsLong(),
+                        one.get("to_ms").getAsLong()));
+            });
+        }
+        return all;
+    }
+
     /**
      * Reads one that is sound.
      *
@@ -39,7 +62,7 @@
         return new Request(from.get("name").getAsString(), from.get("owner").getAsString(), texts(from,
                 "racks"), from.get("work_ms").getAsLong(), from.get("earliest_ms").getAsLong(), from.get(
                 "latest_ms").getAsLong(), from.get("notice_ms").getAsLong(), from.get("abort_ms").getAsLong(),
-                Set.copyOf(texts(from, "apart")), texts(from, "after"));
+                Set.copyOf(texts(from, "apart")), texts(from, "after"), freezes(from));
     }
 
     /** A window in full. */
