A job without a hint, and a client who waits less than the aim, are judged by their time

Cause: Logic.open took a job without a hint for the mean job, or a second of a core before the first hint; a class whose aim is shorter and does not grow with the work was refused for ever (pick: run > patience at every idle endpoint). Logic.patience ended at the aim also where the client's deadline comes before it: such a job was sent to endpoints that end it too late. Change: untold work is half at most of the longest that class and client have time for at speed 1; a job's aim (Job.aim) is capped at its client's wait. The drawn settings are drawn without the two exceptions that hid this (hints for classes whose aim is fixed, deadlines no shorter than the mean job's aim). GuardTest shows both cases. Ruled out: learning a mean for each class; a guess that the speed of the kind corrects by itself is enough.

--- a/src/main/java/laneflow/decision/Job.java
+++ b/src/main/java/laneflow/decision/Job.java
@@ -15,6 +15,8 @@
     long ability;
     double arrivedAt;
     double lastCall;
+    /** Seconds from its arrival within which it earns its full worth: no longer than its client waits. */
+    double aim;
     /** Its class's, or less where its tenant asks for more than its share. */
     double worth;
     double hint;
@@ -42,9 +44,11 @@
     int attempts;
     int outstanding;
 
-    void open(Request request, Settings settings, Shares shares, double now, double call, double work) {
+    Job open(Request request, Settings settings, Shares shares, double now, double call, double work) {
         id = request.id;
         type = settings.classes[request.jobClass];
+        classBit = 1L << request.jobClass;
+        aim = Math.min(type.aim + type.stretch * work, call - now);
         worth = type.worth * shares.worth(request.tenant, now);
         mostAttempts = settings.maxAttempts;
         toldWhen = settings.retryAfter;
@@ -67,6 +71,7 @@
         nextSpare = null;
         attempts = 0;
         outstanding = 0;
+        return this;
     }
 
     /** Slots times the cost hint. */
--- a/src/main/java/laneflow/decision/Logic.java
+++ b/src/main/java/laneflow/decision/Logic.java
@@ -24,6 +24,8 @@
     private static final double IN_TIME = 0.9; // Share of a job's aim to fill: hints and speeds are guesses.
     /** Four times the square of the mean excess of a normal draw, in its spreads: 4 x 0.4 x 0.4. */
     private static final double CHANCE = 0.64;
+    /** Of the longest work that can be in time, for one untold: hurried classes would be refused for ever. */
+    private static final double UNTOLD = 0.5;
     /** Part of the wait its aim leaves that a class is given however little it is worth: none starves. */
     private static final double LEAST_WAIT = 0.2;
     /** Times its own class's mean slack that a job may wait: heavy ones could bear more, light ones not. */
@@ -444,7 +446,7 @@
 
     /** Seconds the job can still take and be in time. */
     private double patience(Job job) {
-        return IN_TIME * (job.type.aim + job.type.stretch * job.hint) - (now - job.arrivedAt);
+        return IN_TIME * job.aim - (now - job.arrivedAt);
     }
 
     /** Where work must wait, worth goes first: a class waits the less the less its work is worth. */
@@ -561,8 +563,8 @@
                 return settings.tick;
             }
         }
-        double part = home < 0 ? job.longestRetryAfter : Math.max(settings.tick, RETRY_PART * patience(job));
-        return Math.min(job.longestRetryAfter, part);
+        return home < 0 ? job.longestRetryAfter
+                : Math.min(job.longestRetryAfter, Math.max(settings.tick, RETRY_PART * patience(job)));
     }
 
     private void end(Job job) {
@@ -799,7 +801,7 @@
             closeIdle(view);
         }
         view.peers.sizeSeen = Math.max(view.peers.sizeSeen, entry.weight);
-        // From a zone that gets no job comes no report: held empty, it would draw all blocked jobs at once.
+        // No report comes from a zone without jobs: held empty, it would draw all blocked jobs at once.
         // A core is taken for a slot. A weight of nothing would spoil the mean for good.
         if (settings.weights == WeightSource.LIVE && view.zone != settings.zone && now >= view.warmAt
                 && entry.weight > 0) {
@@ -905,15 +907,14 @@
     private Job open(Request request) {
         // No worker ends in time what runs longer than its class waits: as told, one absurd hint would spoil
         // the mean for hundreds of jobs, and all workers would look full.
-        double longest = settings.classes[request.jobClass].deadline;
-        double hint = request.hint > 0 ? Math.min(request.hint, longest) : meanHint > 0 ? meanHint : 1;
+        JobClass type = settings.classes[request.jobClass];
+        double call = request.deadline - LAST_CALL_TICKS * settings.tick;
+        double aim = Math.min(type.aim / Math.max(0, 1 - IN_TIME * type.stretch), call - now);
+        double guess = Math.min(meanHint > 0 ? meanHint : 1, UNTOLD * Math.max(settings.tick, aim));
+        double hint = Math.min(request.hint > 0 ? request.hint : guess, type.deadline);
         // The mean begins with the first one: any guess in its place keeps cold workers idle.
         meanHint += (meanHint > 0 ? HINT_GAIN : 1) * (hint - meanHint);
-        Job job = jobs.open(request.id);
-        double call = request.deadline - LAST_CALL_TICKS * settings.tick;
-        job.open(request, settings, shares, now, call, hint);
-        job.classBit = 1L << request.jobClass;
-        return job;
+        return jobs.open(request.id).open(request, settings, shares, now, call, hint);
     }
 
     private void settle(Attempt attempt, Outcome outcome) {
--- a/src/test/java/laneflow/core/DrawnSettings.java
+++ b/src/test/java/laneflow/core/DrawnSettings.java
@@ -36,9 +36,8 @@
             return stretchTenths > 0 ? aimMs : Math.max(aimMs, ENOUGH * workMs);
         }
 
-        /** No shorter than the mean job's aim: the module takes no account of the end of a client's patience. */
         int deadlineMs() {
-            return Math.max(Math.max(deadlineMs, ENOUGH * workMs), aimMs() + stretchTenths * workMs / 10);
+            return Math.max(deadlineMs, ENOUGH * workMs);
         }
 
         @Override
@@ -90,6 +89,7 @@
     /** Requests a second of each tenant's share; 0: some few, the more the later it stands. */
     double quota;
     int memory;
+    /** How a job's work is told, from not at all to badly. */
     int hints;
     /** Sixths of a halving of the load, from what the fleet can do just so. */
     int loadDown;
@@ -196,11 +196,6 @@
         return Math.pow(2, -loadDown / 6.0);
     }
 
-    /** How a job's work is told, from not at all to badly; a job whose aim does not grow with it is told of. */
-    int hints() {
-        return classes.stream().anyMatch(type -> type.stretchTenths == 0) ? Math.max(1, hints) : hints;
-    }
-
     boolean tells(int field) {
         return (fields & 1 << field) != 0;
     }
@@ -317,7 +312,7 @@
 
     @Override
     public String toString() {
-        return classes + " hints " + hints() + ", load " + load() + ", workers " + kinds + " x " + workersEach
+        return classes + " hints " + hints + ", load " + load() + ", workers " + kinds + " x " + workersEach
                 + " of " + slots + " slots, speed " + speedTenths + "/10, cells " + cells + ", reports "
                 + fields + " every " + reportEveryMs + " ms, spread " + workSpread + "/10, memory " + memory
                 + ", seed " + seed + " " + text(0);
--- a/src/test/java/laneflow/core/FleetDay.java
+++ b/src/test/java/laneflow/core/FleetDay.java
@@ -305,8 +305,8 @@
         ask.request.tenant = drawn.tenants > 0 ? ask.tenant : -1;
         ask.request.slots = drawn.slotsOf(ask.type);
         ask.request.memory = drawn.memory * random.nextDouble() * drawn.slotsOf(ask.type);
-        if (drawn.hints() > 0) {
-            ask.request.hint = ask.work * about((drawn.hints() - 1) * 0.5);
+        if (drawn.hints > 0) {
+            ask.request.hint = ask.work * about((drawn.hints - 1) * 0.5);
         }
         ask.atRest = !rough && atRest() && canBeInTime(ask);
         asks.add(ask);
@@ -333,7 +333,7 @@
                 slowest = Math.min(slowest, drawn.speedOf(kind));
             }
         }
-        double told = drawn.hints() > 0 ? ask.request.hint : ask.type.workMs / 1e3;
+        double told = drawn.hints > 0 ? ask.request.hint : ask.type.workMs / 1e3;
         double runs = told / (SURE * slowest);
         return runs < type.aim + type.stretch * told && runs < (ask.request.deadline - now) / 1e6;
     }
--- a/src/test/java/laneflow/core/FleetRules.java
+++ b/src/test/java/laneflow/core/FleetRules.java
@@ -30,7 +30,7 @@
         // By what can be known: of a job without a hint, the mean of its class; no job is worth a longer run
         // than its client's wait.
         double longest = out.ask.type.deadlineMs() / 1e3;
-        double told = drawn.hints() > 0 ? Math.min(longest, out.ask.request.hint) : out.ask.type.workMs / 1e3;
+        double told = drawn.hints > 0 ? Math.min(longest, out.ask.request.hint) : out.ask.type.workMs / 1e3;
         double work = told * drawn.slotsOf(out.ask.type);
         work *= broken == Broken.COLD_TENFOLD ? 10 : 1;
         endpoint.cold.add(new double[] {now, work, out.knows ? work : 0});
--- a/src/test/java/laneflow/decision/GuardTest.java
+++ b/src/test/java/laneflow/decision/GuardTest.java
@@ -466,6 +466,40 @@
         assertTrue(refused > 10, refused + " refused");
     }
 
+    /** Taken for a second of work it would be refused for ever, before the first hint and behind others' hints. */
+    @Test
+    void jobWithoutAHintIsHeldToHaveAnAimThatCanBeKept() {
+        Settings settings = Rig.settings(Effect.SAFE);
+        JobClass quick = settings.classes[0];
+        JobClass slow = Rig.settings(Effect.SAFE).classes[0];
+        settings.classes = new JobClass[] {quick, slow};
+        for (double stretch : new double[] {0, 0.5, 1.2}) {
+            quick.aim = 0.2;
+            quick.stretch = stretch;
+            Rig rig = new Rig(settings).workers(0, 1);
+            assertEquals(1, rig.askHinted(1, Double.NaN).sentTo(1), "nothing is known");
+            rig.pass(0.1).ends(1, 0, Outcome.OK, Rig.free(4));
+            Request heavy = rig.request(2);
+            heavy.jobClass = 1;
+            heavy.hint = 3;
+            rig.logic.request(rig.now, heavy);
+            rig.pass(3).ends(2, 0, Outcome.OK, Rig.free(4));
+            assertEquals(1, rig.askHinted(3, Double.NaN).sentTo(3), "others are heavy, stretch " + stretch);
+        }
+    }
+
+    @Test
+    void clientWhoWaitsLessThanTheAimIsRefusedEarlyWhereNobodyEndsItForHim() {
+        Settings settings = Rig.settings(Effect.SAFE);
+        settings.classes[0].aim = 8;
+        Rig rig = new Rig(settings).workers(0, 1);
+        Request hurried = rig.request(1);
+        hurried.deadline = rig.now + 0.8;
+        rig.logic.request(rig.now, hurried);
+        assertEquals("refuse", rig.answers(1), "a second's work, and its client is gone in 0.8 s");
+        assertEquals(1, rig.ask(2).sentTo(2), "who waits gets it");
+    }
+
     @Test
     void nearestRingZoneThatRunsTheClassIsHome() {
         Settings settings = Rig.settings(Effect.SAFE);
