A cold endpoint is as slow as it is cold, and its budget follows what fells it

View.speed() knew nothing of it; pick() chose it as the one with least to do, full() and queueWait() took it for fast enough, and its jobs were late. The budget (coldBudgetAllows) was 0.6 of N alone, where N + 3 root of N + 3 fells one. Change: speed goes with the part of its capacity (View.warmth), the budget is 0.6 of N + 3 root of N + 3 mean jobs.

--- a/src/main/java/laneflow/decision/Logic.java
+++ b/src/main/java/laneflow/decision/Logic.java
@@ -50,7 +50,7 @@
     private static final double LAST_CALL_TICKS = 2; // From the final answer to the client's giving up.
     /** Capacity of a worker nothing is known of, standard cores: a cold one must not be overestimated. */
     static final double UNKNOWN_CAPACITY = 0.5;
-    /** Share of the cold budget used: hints are rough, and capacity is guessed from slots, not cores. */
+    /** Share used of what fells a cold worker: hints are rough, capacity is guessed from slots, not cores. */
     private static final double COLD_SAFETY = 0.6;
     /** What the safe share leaves of it: all that may be used while sends of before a restart still count. */
     private static final double COLD_AFRESH = 1 / COLD_SAFETY - 1;
@@ -394,7 +394,7 @@
             View view = pool.ready[i];
             if (!runs(view, job) || sparing && view.peers.soleHost || job.tried(view)
                     || suspect(view) || full(view, job) || !effectAllows(job, view)
-                    || !coldBudgetAllows(view, job)) {
+                    || now < view.warmAt && !coldBudgetAllows(view, job)) {
                 continue;
             }
             double speed = view.speed();
@@ -654,27 +654,24 @@
     // ---- guard: cold workers ----
 
     /**
-     * A cold worker falls over from the sum of all dispatchers' sends, and none sees the others'. Its budget,
-     * multiple x present capacity x span, is shared by as many dispatchers as get a part of some jobs' size:
-     * shared by all, no part might hold a single job. Who they are follows from the dispatchers' numbers and
-     * the worker's start, so all agree unasked. Other zones' dispatchers hardly use their parts: theirs are
-     * half, and its own zone's the greater, for many dispatchers are spread evenly. Every send counts.
+     * A cold worker falls over from the sum of all dispatchers' sends, and none sees the others'. What fells
+     * it, the n mean jobs that multiple x present capacity x span allow and what comes by chance (three roots
+     * of n, and three), is shared by as many dispatchers as get a part of some jobs' size: shared by all, no
+     * part might hold a single job. Who they are follows from the dispatchers' numbers and the worker's
+     * start, so all agree unasked. Other zones' dispatchers hardly use their parts: theirs are half, and its
+     * own zone's the greater, for many dispatchers are spread evenly. Every send counts.
      */
     private boolean coldBudgetAllows(View view, Job job) {
-        if (now >= view.warmAt) {
-            return true;
-        }
-        double age = Math.max(0, now - view.coldSince());
-        double share = settings.coldShare + (1 - settings.coldShare) * age / settings.coldFor;
-        double budget = COLD_SAFETY * settings.fallMultiple * share * view.peers.capacity()
-                * settings.fallWithin;
+        double cores = view.warmth() * view.peers.capacity();
+        double n = settings.fallMultiple * cores * settings.fallWithin / meanHint;
         double even = 1 - 1 / Math.sqrt(settings.dispatchers);
-        budget *= 1 + even * (view.zone == settings.zone ? settings.zones - 1 : -1) / 2;
-        long parts = (long) Math.max(1, Math.min(settings.dispatchers, budget / (COLD_JOBS * meanHint)));
+        double jobs = COLD_SAFETY * (n + 3 * Math.sqrt(n) + 3)
+                * (1 + even * (view.zone == settings.zone ? settings.zones - 1 : -1) / 2);
+        long parts = (long) Math.max(1, Math.min(settings.dispatchers, jobs / COLD_JOBS));
         long first = (view.id * 0x9E3779B97F4A7C15L ^ Double.doubleToLongBits(view.startedAt)) >>> 16;
-        double mine = part * budget / parts * (now < startedAt + settings.fallWithin ? COLD_AFRESH : 1);
+        double mine = part * jobs / parts * (now < startedAt + settings.fallWithin ? COLD_AFRESH : 1);
         return (settings.me * SPREAD + first) % settings.dispatchers < parts
-                && view.coldLog.since(now - settings.fallWithin) + coldCost(job) <= mine;
+                && view.coldLog.since(now - settings.fallWithin) + coldCost(job) <= mine * meanHint;
     }
 
     /**
@@ -935,7 +932,7 @@
     }
 
     /** What this dispatcher knows of one worker. */
-    static final class View extends Outstanding {
+    final class View extends Outstanding {
         private final long id;
         private int zone;
         private int kind;
@@ -1003,10 +1000,15 @@
             timeRun += took - timeRun / SPEED_MEMORY;
         }
 
+        /** The part of its capacity, and so of its speed, that it has at least: it rises from its start. */
+        double warmth() {
+            double age = Math.max(0, now - coldSince());
+            return now >= warmAt ? 1 : settings.coldShare + (1 - settings.coldShare) * age / settings.coldFor;
+        }
+
         /** Work a second and slot: what was seen of this worker, with some seconds of its kind's mean. */
         double speed() {
-            double speed = peers.speed();
-            return (workRun + KIND_SAY * speed) / (timeRun + KIND_SAY);
+            return warmth() * (workRun + KIND_SAY * peers.speed()) / (timeRun + KIND_SAY);
         }
 
         void take(LoadReport report, double meanWork, double now) {
--- a/src/test/java/laneflow/decision/Rig.java
+++ b/src/test/java/laneflow/decision/Rig.java
@@ -64,6 +64,12 @@
         return s;
     }
 
+    /** Work within {@code fallWithin} that fells a cold worker which has so many cores now. */
+    static double fells(Settings settings, double cores, double meanWork) {
+        double allowed = settings.fallMultiple * cores * settings.fallWithin / meanWork;
+        return (allowed + 3 * Math.sqrt(allowed) + 3) * meanWork;
+    }
+
     static Worker worker(long id, int zone) {
         Worker w = new Worker();
         w.id = id;
