--- a/src/main/java/laneflow/maintenance/RequestReader.java
+++ b/src/main/java/laneflow/maintenance/RequestReader.java
@@ -10,6 +10,7 @@
 import laneflow.config.Findings;
 import laneflow.config.Table;
 import laneflow.maintenance.decision.Plan.Freeze;
+import laneflow.maintenance.decision.Plan;
 import laneflow.maintenance.decision.Request;
 
 /** Reads requests as they come over HTTP, in the form of the ledger; all that is wrong is told at once. */
@@ -87,9 +88,37 @@
             table.wrong("latest_ms", "leaves " + Math.max(0, latest - earliest) + " ms for " + work
                     + " of work");
         }
+        List<Plan.Freeze> freezes = table.has("freezes") ? freezes(from.get("freezes"), path, findings)
+                : List.of();
         table.close();
         return new Request(name, owner, down, work, earliest, latest, notice, abort, Set.copyOf(apart),
-                after);
+                after, freezes);
+    }
+
+    private static List<Plan.Freeze> freezes(JsonElement from, String path, Findings findings) {
+        List<Plan.Freeze> all = new ArrayList<>();
+        if (!from.isJsonArray() || from.getAsJsonArray().size() > MOST_NAMES) {
+            findings.add(path, "freezes", "must be a list of at most " + MOST_NAMES);
+            return all;
+        }
+        for (int i = 0; i < from.getAsJsonArray().size(); i++) {
+            String at = path + ".freezes[" + i + "]";
+            JsonElement one = from.getAsJsonArray().get(i);
+            if (!one.isJsonObject()) {
+                findings.add(at, "", "is no object");
+                continue;
+            }
+            Table table = Table.of(one.getAsJsonObject(), at, findings);
+            String name = table.text("name");
+            long begins = whole(table, "from_ms", 0, Long.MAX_VALUE / 4);
+            long ends = whole(table, "to_ms", 0, Long.MAX_VALUE / 4);
+            if (ends <= begins) {
+                table.wrong("to_ms", "is not behind from_ms");
+            }
+            table.close();
+            all.add(new Plan.Freeze(name, begins, ends));
+        }
+        return all;
     }
 
     private static long whole(Table table, String key, long least, long most) {
