A test that the gate ends a lease by itself while the control thread stands still

The gate's read of the lease on the request's path was tested with a clock of the test's own only. This one has two real threads and the real clock: the control thread publishes 300 ms of leave and stands still amid its turn, the traffic's thread decides as fast as it can. No decision was at an instant behind the end, the first look behind it is turned away, and with a renewal it decides again.

--- a/src/test/java/laneflow/policy/LeaseGateTest.java
+++ b/src/test/java/laneflow/policy/LeaseGateTest.java
@@ -12,6 +12,9 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.function.LongSupplier;
 import laneflow.assembly.Setup;
 import laneflow.core.Counters;
 import laneflow.net.Loop;
@@ -36,12 +39,16 @@
     private long now = 100;
     private Runnable amidClock = () -> { };
 
-    @BeforeEach
-    void make() throws Exception {
+    private PolicyConfig config() throws Exception {
         Path file = folder.resolve("f.toml");
         Files.writeString(file, "name = \"n1\"\nlisten = \"127.0.0.1:0\"\n[classes.check]\n[fleet]\n"
                 + "listen = \"127.0.0.1:0\"\n[fleet.peers]\nn2 = \"127.0.0.1:1\"\n[policy]\nvoters = [\"n2\"]\n");
-        PolicyConfig config = Setup.operators(file, null, null).policy();
+        return Setup.operators(file, null, null).policy();
+    }
+
+    @BeforeEach
+    void make() throws Exception {
+        PolicyConfig config = config();
         traffic = new Loop(128);
         traffic.call(() -> gate = new LeaseGate(traffic, counters, () -> 1, config, () -> {
             long read = now;
@@ -106,6 +113,67 @@
         });
     }
 
+    /**
+     * By the clock itself, and with a control thread that stands still amid its turn, as one does whose disk or
+     * whose peers hold it up: the gate is its lease's end, read anew for each request, and nobody's word.
+     */
+    @Test
+    void withTheControlThreadStandingStillItEndsByItself() throws Exception {
+        Loop control = new Loop("control", 8, true);
+        CountDownLatch still = new CountDownLatch(1);
+        AtomicBoolean ranOn = new AtomicBoolean();
+        try {
+            LongSupplier clock = Policy.clock(control, 1);
+            long[] read = new long[1];
+            LeaseGate[] own = new LeaseGate[1];
+            PolicyConfig config = config();
+            traffic.call(() -> own[0] = new LeaseGate(traffic, counters, () -> 1, config, () -> {
+                read[0] = clock.getAsLong();
+                return read[0];
+            }, (number, waits) -> events.add("told " + number)));
+            long[] stop = new long[1];
+            control.call(() -> {
+                stop[0] = clock.getAsLong() + 300_000;
+                own[0].publish(holds(0, stop[0], -1, 0, 0));
+            });
+            CountDownLatch stands = new CountDownLatch(1);
+            control.later(() -> {
+                stands.countDown();
+                awaitQuietly(still);
+            });
+            control.later(() -> ranOn.set(true));
+            stands.await();
+            traffic.call(() -> {
+                long before = read[0];
+                int decided = 0;
+                while (own[0].mayDecide()) {
+                    assertTrue(read[0] < stop[0], "decided at " + read[0] + ", it ended at " + stop[0]);
+                    before = read[0];
+                    decided++;
+                }
+                assertTrue(read[0] >= stop[0] && before < stop[0], before + " " + read[0] + " " + stop[0]);
+                assertTrue(decided > 0, "it decided while it had leave");
+                assertFalse(own[0].isReady());
+                assertFalse(own[0].mayDecide());
+            });
+            assertFalse(ranOn.get(), "the control thread stood still throughout");
+            still.countDown();
+            control.call(() -> own[0].publish(holds(0, clock.getAsLong() + 60_000_000, -1, 0, 0)));
+            traffic.call(() -> assertTrue(own[0].mayDecide(), "renewed, it decides again"));
+        } finally {
+            still.countDown();
+            control.stop();
+        }
+    }
+
+    private static void awaitQuietly(CountDownLatch latch) {
+        try {
+            latch.await();
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
     @Test
     void whatWasNotReadIsNotDecidedBy() throws Exception {
         traffic.call(() -> {
