--- a/src/main/java/laneflow/core/Deadlines.java
+++ b/src/main/java/laneflow/core/Deadlines.java
@@ -1,18 +1,29 @@
 package laneflow.core;
 
+import java.util.ArrayList;
 import java.util.Arrays;
+import java.util.List;
 
-/** All deadlines of the program in one ordered structure: a binary heap in which each knows its place. */
+/**
+ * All deadlines of the program in one ordered structure: a binary heap in which each knows its place. One
+ * that may come a little early rides with whatever wakes its loop by then: waking costs more than most of
+ * what is due.
+ */
 public final class Deadlines {
     private Deadline[] heap = new Deadline[64];
     private int count;
     private long sequence;
     private final Owner owner = new Owner();
+    /** Those that may come early; few. */
+    private final List<Deadline> riders = new ArrayList<>();
 
     /** One deadline: it may be set, moved and called off any number of times. */
     public static final class Deadline {
         private final Runnable action;
         private long at;
+        /** From when on it may ride. */
+        private long from;
+        private boolean rides;
         private long order;
         private int index = -1;
 
@@ -53,6 +64,14 @@
         up(count++, deadline);
     }
 
+    /** Sets or moves it: it runs by then, and from the earlier instant on as soon as its loop is awake. */
+    public void set(Deadline deadline, long from, long micros) {
+        set(deadline, micros);
+        deadline.from = from;
+        deadline.rides = true;
+        riders.add(deadline);
+    }
+
     /** Calls it off, if it is set. */
     public void cancel(Deadline deadline) {
         assert owner.isHere() : "deadlines are their loop's own";
@@ -61,6 +80,10 @@
             return;
         }
         deadline.index = -1;
+        if (deadline.rides) {
+            deadline.rides = false;
+            riders.remove(deadline);
+        }
         Deadline last = heap[--count];
         heap[count] = null;
         if (last != deadline) {
@@ -86,6 +109,20 @@
         }
     }
 
+    /** Runs those that may ride from then on; the loop is awake for something else. */
+    public void runRiders(long now) {
+        if (riders.isEmpty()) {
+            return;
+        }
+        // An action may set and call off any of them, itself among them: each is looked at once.
+        for (Deadline one : riders.toArray(new Deadline[0])) {
+            if (one.rides && one.from <= now) {
+                cancel(one);
+                one.action.run();
+            }
+        }
+    }
+
     private void up(int from, Deadline deadline) {
         int i = from;
         while (i > 0 && deadline.before(heap[(i - 1) / 2])) {
--- a/src/main/java/laneflow/fleet/Fleet.java
+++ b/src/main/java/laneflow/fleet/Fleet.java
@@ -203,7 +203,7 @@
             next = link.open ? Math.min(next, link.saidAt + every) : next;
         }
         if (next < Long.MAX_VALUE && !over) {
-            loop.deadlines().set(signs, Math.max(now + 1, next));
+            loop.deadlines().set(signs, Math.max(now + 1, next - every / 6), Math.max(now + 1, next));
         }
     }
 
--- a/src/main/java/laneflow/lab/measure/IdleMeasure.java
+++ b/src/main/java/laneflow/lab/measure/IdleMeasure.java
@@ -16,9 +16,9 @@
 import laneflow.lab.rig.Trash;
 
 /**
- * {@code lab measure idle}: what a scheduler costs that nobody asks, a minute after its start, by itself, with
- * a view of the others, and with policy besides; for each thread the processor time and how often it woke.
- * The kernel's own accounts in nanoseconds are read: ticks of 10 ms say nothing of 2 ms a second.
+ * {@code lab measure idle}: what a scheduler costs that nobody asks, a minute after its start, by itself,
+ * with a view of the others, and with policy besides; for each thread the processor time and how often it
+ * woke. The kernel's own accounts in nanoseconds are read: ticks of 10 ms say nothing of 2 ms a second.
  */
 public final class IdleMeasure {
     private static final int SCHEDULERS = 4;
@@ -46,7 +46,8 @@
     }
 
     /** Runs all three beside each other; 0 if a process with view and policy needs no more than it may. */
-    public static int run(long seed, boolean large, PrintStream out) throws IOException, InterruptedException {
+    public static int run(long seed, boolean large, PrintStream out) throws IOException,
+            InterruptedException {
         return new IdleMeasure(large, out).all(seed);
     }
 
@@ -84,8 +85,9 @@
                     each.append(kind < 2 ? "" : String.format(Locale.ROOT, " %s_ms=%.2f", Rig.name(i), one));
                 }
             }
-            out.printf(Locale.ROOT, "idle: schedulers=%d voters=%d age_s=%d alone_ms_per_s=%.2f view_ms_per_s=%.2f"
-                    + " policy_view_ms_per_s=%.2f%s%n", SCHEDULERS, VOTERS, age, means[0], means[1], means[2], each);
+            out.printf(Locale.ROOT, "idle: schedulers=%d voters=%d age_s=%d alone_ms_per_s=%.2f"
+                    + " view_ms_per_s=%.2f policy_view_ms_per_s=%.2f%s%n", SCHEDULERS, VOTERS, age, means[0],
+                    means[1], means[2], each);
             return means[2] - means[0] <= AIM_MS ? 0 : 1;
         } finally {
             for (Rig rig : rigs) {
--- a/src/main/java/laneflow/lab/rig/Crew.java
+++ b/src/main/java/laneflow/lab/rig/Crew.java
@@ -100,7 +100,7 @@
         }
         line.addAll(List.of(Path.of(System.getProperty("java.home"), "bin",
                 "java").toString(),
-                "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1", "-XX:+AlwaysPreTouch",
+                "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1", "-XX:+AlwaysPreTouch", "-XX:-UsePerfData",
                 "-Xms" + heapMb + "m", "-Xmx" + heapMb + "m",
                         "-Xshare:auto"));
         line.addAll(options);
--- a/src/main/java/laneflow/lab/world/MemberWorld.java
+++ b/src/main/java/laneflow/lab/world/MemberWorld.java
@@ -324,6 +324,10 @@
             return;
         } else {
             node.swim.heard(now, event.from, event.message);
+            if (node.swim.early() <= now) {
+                // As a process does: it is awake anyway.
+                node.swim.tick(now);
+            }
         }
         wake(node);
     }
--- a/src/main/java/laneflow/membership/Members.java
+++ b/src/main/java/laneflow/membership/Members.java
@@ -48,6 +48,7 @@
     private static final String BULK = "members";
     private static final int RECORDS_A_PIECE = 24;
     private static final long FACTS_EVERY = 1_000_000;
+    private static final long FACTS_LATEST = 1_500_000;
     private static final long KEYS_EVERY = 2_000_000;
     private static final int LEAVE_ROUNDS = 3;
     private static final long TOLD_AGAIN = 60_000_000;
@@ -72,6 +73,8 @@
     private FileTime keysRead;
     private Swim swim;
     private Datagrams datagrams;
+    /** As the traffic's thread has last said. */
+    private volatile Standing standing;
     private long servedBefore;
     private long factsAt;
     private long spentNs;
@@ -187,6 +190,7 @@
         Datagrams opened = loop.datagrams(config.listen, Seal.MOST, this::take);
         Standing[] first = new Standing[1];
         given.traffic().call(() -> first[0] = given.standing().get());
+        standing = first[0];
         loop.call(() -> {
             datagrams = opened;
             Life life = Life.of(given.fleet().self().name(), System.currentTimeMillis(),
@@ -324,7 +328,7 @@
             return;
         }
         long began = System.nanoTime();
-        if (swim.next() <= loop.micros()) {
+        if (swim.early() <= loop.micros()) {
             swim.tick(loop.micros());
         }
         arm();
@@ -332,7 +336,7 @@
     }
 
     private void arm() {
-        loop.deadlines().set(due, Math.max(loop.micros(), swim.next()));
+        loop.deadlines().set(due, swim.early(), Math.max(loop.micros(), swim.next()));
     }
 
     private void spent(long began) {
@@ -345,14 +349,26 @@
     // ---- what it tells of itself ----
 
     private void facts() {
-        loop.deadlines().set(facts, loop.micros() + FACTS_EVERY);
+        loop.deadlines().set(facts, loop.micros() + FACTS_EVERY, loop.micros() + FACTS_LATEST);
+        swim.tell(loop.micros(), told(standing));
+        arm();
         ask();
     }
 
-    /** What only the traffic's thread may read comes from there as a whole. */
+    /**
+     * What only the traffic's thread may read is published there as a whole, for the next time: only what
+     * must not wait wakes this thread for it.
+     */
     private void ask() {
         try {
-            given.traffic().later(() -> tell(given.standing().get()));
+            given.traffic().later(() -> {
+                Standing before = standing;
+                Standing now = given.standing().get();
+                standing = now;
+                if (now.policy() != before.policy() || now.condition() != before.condition()) {
+                    tell(now);
+                }
+            });
         } catch (RejectedExecutionException e) {
             LOG.debug("nobody takes requests any more");
         }
@@ -394,7 +410,7 @@
     // ---- keys ----
 
     private void lookForKeys() {
-        loop.deadlines().set(keys, loop.micros() + KEYS_EVERY);
+        loop.deadlines().set(keys, loop.micros() + KEYS_EVERY * 3 / 4, loop.micros() + KEYS_EVERY);
         try {
             given.reading().execute(() -> {
                 try {
--- a/src/main/java/laneflow/membership/decision/Judgement.java
+++ b/src/main/java/laneflow/membership/decision/Judgement.java
@@ -19,6 +19,8 @@
     private static final int MOST_MEMBERS = 10_000;
     private static final int MOST_BURIED = 1024;
     private static final int MOST_CALLED = 64;
+    /** So many look at one that somebody suspects, about. */
+    private static final int EYES = 8;
     /** Before a burial it asks so often, three quarters of a probe apart. */
     private static final int LAST_CALLS = 2;
     private static final int LAST_CALL_PART = 3;
@@ -129,8 +131,12 @@
             if (news.state().isLive() && entry.state == State.DEAD && now - entry.toldAt >= times.period()) {
                 // Somebody holds it live: it is to hear that it was buried, and to begin anew.
                 entry.toldAt = now;
-                self.spread(news.life().name(), new Claim(news.life().id(), news.incarnation(), State.DEAD,
-                        self.self().life().id()), now);
+                Claim claim = new Claim(news.life().id(), news.incarnation(), State.DEAD,
+                        self.self().life().id());
+                self.spread(news.life().name(), claim, now);
+                // From others it is a suspicion only, which it would refute and stay buried here: behind a
+                // cut one that was alone found its 31 others one by one, for up to 12 s.
+                self.reply(entry.at(), Kind.NEWS, 0, 0, List.of(claim));
             }
             return;
         }
@@ -172,6 +178,10 @@
             entry.suspectedAt = now;
             out.changed(before, entry.full());
             out.count("suspected");
+            if (by != self.self().life().id() && random.nextInt(self.size()) < EYES) {
+                // Who is gone would be found by enough of them in the course of their turns only.
+                probing.soon(entry);
+            }
         } else if (!entry.leaving && (entry.by.size() > Times.CONFIRMATIONS || entry.by.contains(by))) {
             return;
         }
--- a/src/main/java/laneflow/membership/decision/Swim.java
+++ b/src/main/java/laneflow/membership/decision/Swim.java
@@ -233,6 +233,12 @@
                 Math.min(nextGossip, nextSeek));
     }
 
+    /** From then on {@link #tick} may be called if the member is awake: that spares it a wake. */
+    public long early() {
+        return left ? nextGossip : Math.min(Math.min(probing.early(), judgement.next()),
+                Math.min(nextGossip, nextSeek));
+    }
+
     /** Does what is due. */
     public void tick(long now) {
         long behind = now - next();
@@ -273,10 +279,15 @@
         }
         List<Entry> dead = new ArrayList<>(view.buried());
         dead.removeIf(one -> one.state == State.LEFT);
-        int pick = missing.size() + dead.size() == 0 ? -1 : random.nextInt(missing.size() + dead.size());
-        if (pick >= 0 && pick < missing.size()) {
+        if (missing.isEmpty() && dead.isEmpty()) {
+            // Until something changes.
+            nextSeek = Long.MAX_VALUE;
+            return;
+        }
+        int pick = random.nextInt(missing.size() + dead.size());
+        if (pick < missing.size()) {
             ask(missing.get(pick), now);
-        } else if (pick >= 0) {
+        } else {
             tellBuried(dead.get(pick - missing.size()), now, true);
         }
     }
@@ -288,6 +299,10 @@
             return;
         }
         askedAt.put(at, now);
+        if (nextSeek == Long.MAX_VALUE) {
+            // Where whom it asked is forgotten again.
+            nextSeek = now + times.seek();
+        }
         strangers.put(++seq, at);
         reply(at, Kind.WHO, seq, 0, List.of(self));
     }
@@ -368,6 +383,9 @@
         news.add(name, update);
         changedAt = now;
         comparison.disturbed();
+        if (nextSeek == Long.MAX_VALUE) {
+            nextSeek = now + times.seek();
+        }
         if (nextGossip == Long.MAX_VALUE) {
             nextGossip = now + times.gossip();
         }
--- a/src/main/java/laneflow/membership/decision/Times.java
+++ b/src/main/java/laneflow/membership/decision/Times.java
@@ -19,6 +19,7 @@
     static final int CONFIRMATIONS = 3;
     private static final int GOSSIPS_A_PERIOD = 5;
     private static final int REPEATS = 3;
+    private static final int PARTS_OF_LEEWAY = 8;
     private static final int LONGEST_TO_LEAST = 3;
     private static final double DIRECT_PART = 0.4;
     private static final long LEAST_PERIODS = 3;
@@ -73,6 +74,11 @@
         return longest - (long) ((longest - least) * part);
     }
 
+    /** A period may begin so much sooner or later, with what wakes the member, where all have answered. */
+    public long leeway() {
+        return period / PARTS_OF_LEEWAY;
+    }
+
     /** Between two tries to find one again that was buried, or is in the file and not known. */
     public long seek() {
         return 2 * period;
--- a/src/main/java/laneflow/net/Loop.java
+++ b/src/main/java/laneflow/net/Loop.java
@@ -123,6 +123,11 @@
     }
 
     private void endTurn() {
+        try {
+            deadlines.runRiders(now);
+        } catch (RuntimeException e) {
+            LOG.error("event failed", e);
+        }
         inTurn = false;
         long next = deadlines.next();
         if ((next < armedFor || rests && next > armedFor) && !worker.isShutdown()) {
--- a/src/main/java/laneflow/policy/Leadership.java
+++ b/src/main/java/laneflow/policy/Leadership.java
@@ -179,7 +179,8 @@
         if (lead == null || stopped) {
             return;
         }
-        loop.deadlines().set(round, loop.micros() + config.lease / ROUNDS_A_LEASE);
+        long every = config.lease / ROUNDS_A_LEASE;
+        loop.deadlines().set(round, loop.micros() + every * 9 / 10, loop.micros() + every);
         if (looking) {
             lookAgain = true;
             return;
--- a/src/main/java/laneflow/policy/Policy.java
+++ b/src/main/java/laneflow/policy/Policy.java
@@ -240,7 +240,8 @@
             return;
         }
         long every = config.lease / RENEWALS_A_LEASE;
-        loop.deadlines().set(renewal, loop.micros() + every * 9 / 10 + random.nextLong(1 + every / 10));
+        loop.deadlines().set(renewal, loop.micros() + every * 17 / 20, loop.micros() + every * 9 / 10
+                + random.nextLong(1 + every / 10));
         tellLoss();
         if (leadership != null && leadership.leads()) {
             leader = fleet.self().name();
