--- a/src/main/java/laneflow/decision/Logic.java
+++ b/src/main/java/laneflow/decision/Logic.java
@@ -24,6 +24,8 @@
     private static final double IN_TIME = 0.9; // Share of a job's aim to fill: hints and speeds are guesses.
     /** Four times the square of the mean excess of a normal draw, in its spreads: 4 x 0.4 x 0.4. */
     private static final double CHANCE = 0.64;
+    /** Of the longest work that can be in time, for one untold: hurried classes would be refused for ever. */
+    private static final double UNTOLD = 0.5;
     /** Part of the wait its aim leaves that a class is given however little it is worth: none starves. */
     private static final double LEAST_WAIT = 0.2;
     /** Times its own class's mean slack that a job may wait: heavy ones could bear more, light ones not. */
@@ -48,7 +50,7 @@
     private static final double LAST_CALL_TICKS = 2; // From the final answer to the client's giving up.
     /** Capacity of a worker nothing is known of, standard cores: a cold one must not be overestimated. */
     static final double UNKNOWN_CAPACITY = 0.5;
-    /** Share of the cold budget used: hints are rough, and capacity is guessed from slots, not cores. */
+    /** Share used of what fells a cold worker: hints are rough, capacity is guessed from slots, not cores. */
     private static final double COLD_SAFETY = 0.6;
     /** What the safe share leaves of it: all that may be used while sends of before a restart still count. */
     private static final double COLD_AFRESH = 1 / COLD_SAFETY - 1;
@@ -392,7 +394,7 @@
             View view = pool.ready[i];
             if (!runs(view, job) || sparing && view.peers.soleHost || job.tried(view)
                     || suspect(view) || full(view, job) || !effectAllows(job, view)
-                    || !coldBudgetAllows(view, job)) {
+                    || now < view.warmAt && !coldBudgetAllows(view, job)) {
                 continue;
             }
             double speed = view.speed();
@@ -444,7 +446,7 @@
 
     /** Seconds the job can still take and be in time. */
     private double patience(Job job) {
-        return IN_TIME * (job.type.aim + job.type.stretch * job.hint) - (now - job.arrivedAt);
+        return IN_TIME * job.aim - (now - job.arrivedAt);
     }
 
     /** Where work must wait, worth goes first: a class waits the less the less its work is worth. */
@@ -561,8 +563,8 @@
                 return settings.tick;
             }
         }
-        double part = home < 0 ? job.longestRetryAfter : Math.max(settings.tick, RETRY_PART * patience(job));
-        return Math.min(job.longestRetryAfter, part);
+        return home < 0 ? job.longestRetryAfter
+                : Math.min(job.longestRetryAfter, Math.max(settings.tick, RETRY_PART * patience(job)));
     }
 
     private void end(Job job) {
@@ -652,27 +654,24 @@
     // ---- guard: cold workers ----
 
     /**
-     * A cold worker falls over from the sum of all dispatchers' sends, and none sees the others'. Its budget,
-     * multiple x present capacity x span, is shared by as many dispatchers as get a part of some jobs' size:
-     * shared by all, no part might hold a single job. Who they are follows from the dispatchers' numbers and
-     * the worker's start, so all agree unasked. Other zones' dispatchers hardly use their parts: theirs are
-     * half, and its own zone's the greater, for many dispatchers are spread evenly. Every send counts.
+     * A cold worker falls over from the sum of all dispatchers' sends, and none sees the others'. What fells
+     * it, the n mean jobs that multiple x present capacity x span allow and what comes by chance (three roots
+     * of n, and three), is shared by as many dispatchers as get a part of some jobs' size: shared by all, no
+     * part might hold a single job. Who they are follows from the dispatchers' numbers and the worker's
+     * start, so all agree unasked. Other zones' dispatchers hardly use their parts: theirs are half, and its
+     * own zone's the greater, for many dispatchers are spread evenly. Every send counts.
      */
     private boolean coldBudgetAllows(View view, Job job) {
-        if (now >= view.warmAt) {
-            return true;
-        }
-        double age = Math.max(0, now - view.coldSince());
-        double share = settings.coldShare + (1 - settings.coldShare) * age / settings.coldFor;
-        double budget = COLD_SAFETY * settings.fallMultiple * share * view.peers.capacity()
-                * settings.fallWithin;
+        double cores = view.warmth() * view.peers.capacity();
+        double n = settings.fallMultiple * cores * settings.fallWithin / meanHint;
         double even = 1 - 1 / Math.sqrt(settings.dispatchers);
-        budget *= 1 + even * (view.zone == settings.zone ? settings.zones - 1 : -1) / 2;
-        long parts = (long) Math.max(1, Math.min(settings.dispatchers, budget / (COLD_JOBS * meanHint)));
+        double jobs = COLD_SAFETY * (n + 3 * Math.sqrt(n) + 3)
+                * (1 + even * (view.zone == settings.zone ? settings.zones - 1 : -1) / 2);
+        long parts = (long) Math.max(1, Math.min(settings.dispatchers, jobs / COLD_JOBS));
         long first = (view.id * 0x9E3779B97F4A7C15L ^ Double.doubleToLongBits(view.startedAt)) >>> 16;
-        double mine = part * budget / parts * (now < startedAt + settings.fallWithin ? COLD_AFRESH : 1);
+        double mine = part * jobs / parts * (now < startedAt + settings.fallWithin ? COLD_AFRESH : 1);
         return (settings.me * SPREAD + first) % settings.dispatchers < parts
-                && view.coldLog.since(now - settings.fallWithin) + coldCost(job) <= mine;
+                && view.coldLog.since(now - settings.fallWithin) + coldCost(job) <= mine * meanHint;
     }
 
     /**
@@ -799,7 +798,7 @@
             closeIdle(view);
         }
         view.peers.sizeSeen = Math.max(view.peers.sizeSeen, entry.weight);
-        // From a zone that gets no job comes no report: held empty, it would draw all blocked jobs at once.
+        // No report comes from a zone without jobs: held empty, it would draw all blocked jobs at once.
         // A core is taken for a slot. A weight of nothing would spoil the mean for good.
         if (settings.weights == WeightSource.LIVE && view.zone != settings.zone && now >= view.warmAt
                 && entry.weight > 0) {
@@ -905,15 +904,14 @@
     private Job open(Request request) {
         // No worker ends in time what runs longer than its class waits: as told, one absurd hint would spoil
         // the mean for hundreds of jobs, and all workers would look full.
-        double longest = settings.classes[request.jobClass].deadline;
-        double hint = request.hint > 0 ? Math.min(request.hint, longest) : meanHint > 0 ? meanHint : 1;
+        JobClass type = settings.classes[request.jobClass];
+        double call = request.deadline - LAST_CALL_TICKS * settings.tick;
+        double aim = Math.min(type.aim / Math.max(0, 1 - IN_TIME * type.stretch), call - now);
+        double guess = Math.min(meanHint > 0 ? meanHint : 1, UNTOLD * Math.max(settings.tick, aim));
+        double hint = Math.min(request.hint > 0 ? request.hint : guess, type.deadline);
         // The mean begins with the first one: any guess in its place keeps cold workers idle.
         meanHint += (meanHint > 0 ? HINT_GAIN : 1) * (hint - meanHint);
-        Job job = jobs.open(request.id);
-        double call = request.deadline - LAST_CALL_TICKS * settings.tick;
-        job.open(request, settings, shares, now, call, hint);
-        job.classBit = 1L << request.jobClass;
-        return job;
+        return jobs.open(request.id).open(request, settings, shares, now, call, hint);
     }
 
     private void settle(Attempt attempt, Outcome outcome) {
@@ -934,7 +932,7 @@
     }
 
     /** What this dispatcher knows of one worker. */
-    static final class View extends Outstanding {
+    final class View extends Outstanding {
         private final long id;
         private int zone;
         private int kind;
@@ -1002,10 +1000,15 @@
             timeRun += took - timeRun / SPEED_MEMORY;
         }
 
+        /** The part of its capacity, and so of its speed, that it has at least: it rises from its start. */
+        double warmth() {
+            double age = Math.max(0, now - coldSince());
+            return now >= warmAt ? 1 : settings.coldShare + (1 - settings.coldShare) * age / settings.coldFor;
+        }
+
         /** Work a second and slot: what was seen of this worker, with some seconds of its kind's mean. */
         double speed() {
-            double speed = peers.speed();
-            return (workRun + KIND_SAY * speed) / (timeRun + KIND_SAY);
+            return warmth() * (workRun + KIND_SAY * peers.speed()) / (timeRun + KIND_SAY);
         }
 
         void take(LoadReport report, double meanWork, double now) {
