--- a/src/main/java/laneflow/lab/rig/Crew.java
+++ b/src/main/java/laneflow/lab/rig/Crew.java
@@ -78,7 +78,7 @@
     /** The same with further options of the virtual machine. */
     public Process start(String name, int heapMb, List<String> options, Class<?> main, String... args)
             throws IOException {
-        return start(0, name, heapMb, options, main.getName(), args);
+        return start(0, name, heapMb, options, main.getName(), "", args);
     }
 
     /** Starts a scheduler by the operators' file of that name. */
@@ -89,11 +89,17 @@
     /** The same for a process none of whose files may grow beyond so many bytes; 0: no limit. */
     public Process scheduler(long mostBytes, String name, int heapMb, List<String> options, String file)
             throws IOException {
-        return start(mostBytes, name, heapMb, options, PROGRAM, "serve", "--config", file);
+        return scheduler(mostBytes, name, heapMb, options, file, "");
+    }
+
+    /** The same with the platform's file beside the operators', unless that is empty. */
+    public Process scheduler(long mostBytes, String name, int heapMb, List<String> options, String file,
+            String platform) throws IOException {
+        return start(mostBytes, name, heapMb, options, PROGRAM, platform, "serve", "--config", file);
     }
 
     private Process start(long mostBytes, String name, int heapMb, List<String> options, String main,
-            String... args) throws IOException {
+            String platform, String... args) throws IOException {
         List<String> line = new ArrayList<>();
         if (mostBytes > 0) {
             line.addAll(List.of("bash", "-c", "ulimit -f " + mostBytes / KIB + "; exec \"$@\"", "limited"));
@@ -107,8 +113,12 @@
         line.addAll(List.of("-cp", classPath, main));
         line.addAll(List.of(args));
         File log = folder.resolve(name + ".log").toFile();
-        Process process = new ProcessBuilder(line).redirectErrorStream(true)
-                .redirectOutput(ProcessBuilder.Redirect.appendTo(log)).start();
+        ProcessBuilder builder = new ProcessBuilder(line).redirectErrorStream(true)
+                .redirectOutput(ProcessBuilder.Redirect.appendTo(log));
+        if (!platform.isEmpty()) {
+            builder.environment().put("ROUTER_CONFIG", platform);
+        }
+        Process process = builder.start();
         all.add(process);
         return process;
     }
--- a/src/main/java/laneflow/lab/rig/Rig.java
+++ b/src/main/java/laneflow/lab/rig/Rig.java
@@ -54,6 +54,7 @@
     private int[] memberSeeds;
     private int memberPeriodMs;
     private final Map<Integer, Path> keyFiles = new HashMap<>();
+    private final Map<Integer, String> platforms = new HashMap<>();
 
     /**
      * None of the schedulers is started yet.
@@ -101,6 +102,11 @@
         named = first;
     }
 
+    /** What the platform's file says to this one, a JSON object. */
+    public void platform(int i, String text) throws IOException {
+        platforms.put(i, Files.writeString(folder.resolve(name(i) + ".json"), text).toString());
+    }
+
     /** No file of this one grows beyond so many bytes: to the program its disk is full then. */
     public void fullAt(int i, long bytes) {
         limits[i] = bytes;
@@ -244,7 +250,8 @@
         note("start " + name(i));
         String option = options.get(i);
         processes[i] = crew.scheduler(limits[i], name(i), HEAP_MB,
-                option.isEmpty() ? List.of() : List.of(option), file.toString());
+                option.isEmpty() ? List.of() : List.of(option), file.toString(),
+                platforms.getOrDefault(i, ""));
     }
 
     /** Writes the file that this one starts by, for a start by other means. */
--- /dev/null
+++ b/src/main/java/laneflow/lab/standin/StandInDiscovery.java
@@ -0,0 +1,121 @@
+package laneflow.lab.standin;
+
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.OutputStream;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+
+/**
+ * A stand-in for discovery: each watch is told the whole list, then each later one as it comes, and an empty
+ * line a second between them. It can be taken down for a while: watches break off, and none can be begun.
+ */
+public final class StandInDiscovery implements AutoCloseable {
+    private static final long BEAT_MS = 1000;
+
+    private final int port;
+    private final List<Socket> watches = new ArrayList<>();
+    private ServerSocket server;
+    private String list = "";
+    private int seq;
+
+    /** Nothing is told before the first list. */
+    public StandInDiscovery(int port) throws IOException {
+        this.port = port;
+        up();
+    }
+
+    public String address() {
+        return "127.0.0.1:" + port;
+    }
+
+    /** Takes watches, again. */
+    public synchronized void up() throws IOException {
+        server = new ServerSocket();
+        server.setReuseAddress(true);
+        server.bind(new java.net.InetSocketAddress(InetAddress.getLoopbackAddress(), port), 64);
+        ServerSocket open = server;
+        daemon(() -> accept(open));
+    }
+
+    /** Breaks all watches off, and takes none. */
+    public synchronized void down() throws IOException {
+        server.close();
+        for (Socket watch : watches) {
+            watch.close();
+        }
+        watches.clear();
+    }
+
+    /** From now on all that listen hear of these hosts and no other: a JSON object each. */
+    public synchronized void tell(List<String> hosts) {
+        list = "{\"seq\":" + ++seq + ",\"whole\":true,\"hosts\":[" + String.join(",", hosts) + "]}\n";
+        notifyAll();
+    }
+
+    private static void daemon(Runnable work) {
+        Thread thread = new Thread(null, work, "discovery", 256 * 1024);
+        thread.setDaemon(true);
+        thread.start();
+    }
+
+    private void accept(ServerSocket open) {
+        while (true) {
+            try {
+                Socket socket = open.accept();
+                synchronized (this) {
+                    watches.add(socket);
+                }
+                daemon(() -> serve(socket));
+            } catch (IOException e) {
+                return;
+            }
+        }
+    }
+
+    private void serve(Socket socket) {
+        try (socket) {
+            InputStream in = socket.getInputStream();
+            StringBuilder head = new StringBuilder();
+            while (head.indexOf("\r\n\r\n") < 0) {
+                int next = in.read();
+                if (next < 0) {
+                    return;
+                }
+                head.append((char) next);
+            }
+            OutputStream out = socket.getOutputStream();
+            out.write("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n".getBytes(StandardCharsets
+                    .US_ASCII));
+            int told = 0;
+            while (!socket.isClosed()) {
+                String line = "\n";
+                synchronized (this) {
+                    if (told == seq) {
+                        wait(BEAT_MS);
+                    }
+                    if (told < seq) {
+                        line = list;
+                        told = seq;
+                    }
+                }
+                out.write((Integer.toHexString(line.length()) + "\r\n" + line + "\r\n").getBytes(
+                        StandardCharsets.US_ASCII));
+            }
+        } catch (IOException e) {
+            // Whoever watched has gone, or this is down: it comes again.
+            return;
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    @Override
+    public void close() throws IOException {
+        down();
+    }
+}
--- a/src/main/java/laneflow/lab/world/CapacityWorld.java
+++ b/src/main/java/laneflow/lab/world/CapacityWorld.java
@@ -42,6 +42,7 @@
     private static final double MOST_UNEVEN = 10;
     private static final int FANOUT = 2;
     private static final double LIE = 192;
+    private static final double OVERDUE_LEFT = 0.5;
 
     /** What the first member tells of endpoints, whatever it has heard: 192 free slots, or as many jobs. */
     public enum Fault { NONE, LIAR_FREE, LIAR_FULL }
@@ -86,6 +87,7 @@
         private final long id;
         private final int zone;
         private final ArrayDeque<Call> waiting = new ArrayDeque<>();
+        private final List<Call> running = new ArrayList<>();
         private int busy;
 
         private Node(int number) {
@@ -93,8 +95,20 @@
             zone = number % day.zones;
         }
 
-        private double wait(double job) {
-            return Math.max(0, busy + waiting.size() + 1 - SLOTS) * job / SLOTS;
+        /** Seconds until it would begin a further job, by what clients said of all that are there. */
+        private double foreseen() {
+            if (busy < SLOTS) {
+                return 0;
+            }
+            PriorityQueue<Double> ends = new PriorityQueue<>();
+            for (Call call : running) {
+                double ran = now - call.beganAt;
+                ends.add(Math.max(OVERDUE_LEFT * ran, call.hint - ran));
+            }
+            for (Call call : waiting) {
+                ends.add(ends.poll() + (call.given ? 0 : call.hint));
+            }
+            return ends.peek();
         }
 
         private void arrive(Call call) {
@@ -112,6 +126,8 @@
 
         private void begin(Call call) {
             busy++;
+            running.add(call);
+            call.beganAt = now;
             call.begun = true;
             after(WIRE, () -> call.from.note(call));
             after(call.takes, () -> {
@@ -119,6 +135,7 @@
                     // The report is made before the slot is free: it counts the job that has ended.
                     answer(call, call.given ? Outcome.CANCELLED : Outcome.OK);
                     busy--;
+                    running.remove(call);
                     next();
                 }
             });
@@ -152,6 +169,8 @@
         private int attempt;
         private Node node;
         private double takes;
+        private double hint;
+        private double beganAt;
         private boolean begun;
         private boolean given;
         private boolean ended;
@@ -245,6 +264,7 @@
             call.attempt = attempt;
             call.node = byId.get(worker);
             call.takes = job.takes;
+            call.hint = job.hint;
             job.call = call;
             if (capacity != null) {
                 capacity.sent(micros(), worker);
@@ -502,14 +522,14 @@
     // ---- one that sees all at once ----
 
     private void central(Site site, Job job) {
-        // The module's own rule with nothing unknown: the home zone while it can be in time there, then a
-        // neighbour.
+        // The module's own rule with nothing unknown but how long jobs run, of which clients say the same to
+        // all: the home zone while it can be in time there, then a neighbour.
         Node best = null;
         double patience = 0.9 * (AIM + STRETCH * job.hint) - job.hint;
         int coin = chance.nextBoolean() ? 1 : day.zones - 1;
-        for (int step : new int[] {0, coin}) {
+        for (int step : new int[] {0, coin, day.zones - coin}) {
             Node least = least((site.zone + step) % day.zones);
-            if (least != null && least.wait(day.job) <= patience) {
+            if (least != null && least.foreseen() <= patience) {
                 best = least;
                 break;
             }
@@ -525,6 +545,7 @@
         call.request = ++requests;
         call.node = best;
         call.takes = job.takes;
+        call.hint = job.hint;
         site.jobs.put(call.request, job);
         // What it sends counts at once: it sees all.
         best.arrive(call);
@@ -532,11 +553,13 @@
 
     private Node least(int zone) {
         Node best = null;
+        double least = 0;
         for (int i = zone; i < nodes.size(); i += day.zones) {
             Node node = nodes.get(i);
-            if (best == null || node.busy + node.waiting.size()
-                    < best.busy + best.waiting.size()) {
+            double wait = node.waiting.size() < QUEUE ? node.foreseen() : Double.POSITIVE_INFINITY;
+            if (best == null || wait < least || wait == least && node.busy < best.busy) {
                 best = node;
+                least = wait;
             }
         }
         return best;
@@ -556,8 +579,11 @@
     // ---- the network ----
 
     private void transmit(Site from, Site to, byte[] bytes) {
-        result.datagrams++;
-        result.bytes += bytes.length;
+        // Who comes to know all at first is no running cost, and behind the day nothing is asked for.
+        if (counts() && now < begins + day.seconds) {
+            result.datagrams++;
+            result.bytes += bytes.length;
+        }
         result.mostBytes = Math.max(result.mostBytes, bytes.length);
         if (chance.nextDouble() < day.lost) {
             return;
