make measure WHAT=maintenance: windows end to end with faults, read from endpoints and crews

Cause: what windows promise was shown by played orders alone. Five approved transcripts of a window's life. Ruled out: judging by what the ledger says was away: a rack is away from its last call to its first.

--- a/src/main/java/laneflow/lab/LocalFleet.java
+++ b/src/main/java/laneflow/lab/LocalFleet.java
@@ -64,7 +64,7 @@
         Files.writeString(folder.resolve("members.key"), "the-key-of-this-fleet-1\n");
         requests();
         try (StandInRacks racks = new StandInRacks(endpoints, RUN_MS, false); Crew crew = new Crew(folder);
-                StandInTenants tenants = new StandInTenants(clients, PAUSE_MS)) {
+                StandInTenants tenants = new StandInTenants(clients, PAUSE_MS, false)) {
             Process[] all = new Process[SCHEDULERS];
             for (int i = 0; i < SCHEDULERS; i++) {
                 start(crew, all, i);
--- a/src/main/java/laneflow/lab/Measure.java
+++ b/src/main/java/laneflow/lab/Measure.java
@@ -7,6 +7,7 @@
 import laneflow.lab.measure.DurableMeasure;
 import laneflow.lab.measure.FleetMeasure;
 import laneflow.lab.measure.GearmanMeasure;
+import laneflow.lab.measure.MaintenanceMeasure;
 import laneflow.lab.measure.PolicyMeasure;
 import laneflow.lab.measure.TaskMeasure;
 import picocli.CommandLine.Command;
@@ -25,12 +26,13 @@
     private boolean large;
 
     /** What can be measured. */
-    enum What { durable, config, gearman, policy, fleet, task, control, capacity }
+    enum What { durable, config, gearman, policy, fleet, task, control, capacity, maintenance }
 
     @Override
     public Integer call() throws Exception {
         switch (what) {
             case capacity: return CapacityMeasure.run(seed, large, System.out);
+            case maintenance: return MaintenanceMeasure.run(seed, large, System.out);
             case durable: return DurableMeasure.run(seed, large, System.out);
             case fleet: return FleetMeasure.run(seed, large, System.out);
             case task: return TaskMeasure.run(seed, large, System.out);
--- a/src/main/java/laneflow/lab/standin/StandInTenants.java
+++ b/src/main/java/laneflow/lab/standin/StandInTenants.java
@@ -10,6 +10,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.atomic.AtomicInteger;
 
 /**
@@ -22,9 +23,10 @@
 
     private final int[] ports;
     private final int pauseMs;
+    private final boolean keeps;
     private final List<Thread> threads = new ArrayList<>();
     private final Map<String, Integer> wanted = new ConcurrentHashMap<>();
-    private final AtomicInteger served = new AtomicInteger();
+    private final ConcurrentLinkedQueue<String> served = new ConcurrentLinkedQueue<>();
     private final AtomicInteger refused = new AtomicInteger();
     private final AtomicInteger broken = new AtomicInteger();
     private final AtomicInteger silent = new AtomicInteger();
@@ -33,8 +35,10 @@
     /**
      * @param ports of schedulers
      * @param pauseMs between an answer and the next request
+     * @param keeps false where nobody is going to read what was served
      */
-    public StandInTenants(int[] ports, int pauseMs) {
+    public StandInTenants(int[] ports, int pauseMs, boolean keeps) {
+        this.keeps = keeps;
         this.ports = ports.clone();
         this.pauseMs = pauseMs;
     }
@@ -45,21 +49,22 @@
         wanted.put(tenant, clients);
         for (int i = before; i < clients; i++) {
             int number = i;
-            Thread thread = new Thread(null, () -> ask(tenant, jobClass, number), "tenant", STACK);
+            String prefix = tenant + "-" + threads.size() + "-";
+            Thread thread = new Thread(null, () -> ask(tenant, jobClass, number, prefix), "tenant", STACK);
             thread.setDaemon(true);
             threads.add(thread);
             thread.start();
         }
     }
 
-    private void ask(String tenant, String jobClass, int number) {
+    private void ask(String tenant, String jobClass, int number, String prefix) {
         for (int n = 0; !over && number < wanted.get(tenant); n++) {
             int port = ports[(number + n / 16) % ports.length];
             try (Socket socket = new Socket(InetAddress.getLoopbackAddress(), port)) {
                 socket.setSoTimeout(PATIENCE_MS);
                 InputStream in = new BufferedInputStream(socket.getInputStream());
                 do {
-                    ask(socket, in, tenant, jobClass, tenant + "-" + number + "-" + n++);
+                    ask(socket, in, tenant, jobClass, prefix + n++);
                     Thread.sleep(pauseMs);
                 } while (!over && number < wanted.get(tenant) && n % 16 != 0);
             } catch (java.net.SocketTimeoutException e) {
@@ -79,7 +84,11 @@
         socket.getOutputStream().write(("POST /" + jobClass + " HTTP/1.1\r\nHost: t\r\nReq-Id: " + job
                 + "\r\nReq-Owner: " + tenant + "\r\nContent-Length: " + job.length() + "\r\n\r\n" + job)
                 .getBytes(StandardCharsets.US_ASCII));
-        (answer(in).startsWith("HTTP/1.1 200 ") ? served : refused).incrementAndGet();
+        if (!answer(in).startsWith("HTTP/1.1 200 ")) {
+            refused.incrementAndGet();
+        } else if (keeps) {
+            served.add(job);
+        }
     }
 
     private static String answer(InputStream in) throws IOException {
@@ -104,8 +113,9 @@
         }
     }
 
-    public int served() {
-        return served.get();
+    /** The jobs that were answered with success, where they are kept. */
+    public List<String> served() {
+        return List.copyOf(served);
     }
 
     /** Answered with anything but success. */
--- /dev/null
+++ b/src/test/java/laneflow/transcripts/MaintenanceTranscriptsTest.java
@@ -0,0 +1,206 @@
+package laneflow.transcripts;
+
+import com.google.gson.JsonArray;
+import com.google.gson.JsonElement;
+import com.google.gson.JsonObject;
+import com.google.gson.JsonParser;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.Set;
+import laneflow.assembly.Serve;
+import laneflow.assembly.Setup;
+import laneflow.lab.rig.Await;
+import laneflow.lab.rig.Crew;
+import laneflow.maintenance.decision.Forms;
+import laneflow.maintenance.decision.Request;
+import laneflow.net.Stand;
+import laneflow.net.Stand.Endpoint;
+import laneflow.net.Stand.Peer;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.io.TempDir;
+
+/** A window's life, as its owner, its crew, a client and endpoints see it, at one scheduler that votes alone. */
+@Timeout(300)
+class MaintenanceTranscriptsTest {
+    private static final long LATER = 40_000;
+    /** So far ahead that a machine which stands still for a while still keeps the plan's first word. */
+    private static final long SOON = 3000;
+    @TempDir
+    private Path folder;
+
+    /** What happens at a scheduler that coordinates; one endpoint in each of two racks. */
+    private interface Story {
+        void tell(Operator operator, int clients, Endpoint a, Endpoint b) throws Exception;
+    }
+
+    private void told(Transcript transcript, Story story) throws Exception {
+        told(transcript, 60_000, story);
+    }
+
+    private void told(Transcript transcript, int beginMs, Story story) throws Exception {
+        Path own = Files.createTempDirectory(folder, "n1");
+        Endpoint a = new Endpoint("e1");
+        Endpoint b = new Endpoint("e2");
+        int fleet = Crew.port();
+        Path file = Files.writeString(own.resolve("n1.toml"), "name = 'n1'\nlisten = '127.0.0.1:0'\nzones = ['z']\n"
+                + "[classes.capture]\ndeadline_ms = 20000\n[tenants.shops]\n[endpoints.e1]\ndial = '" + a.dial()
+                + "'\nrack = 'a'\nslots = 4\n[endpoints.e2]\ndial = '" + b.dial()
+                + "'\nrack = 'b'\nslots = 4\n[policy]\nvoters = ['n1']\ndir = '" + own + "'\nlease_ms = 3000\n[fleet]\nlisten = '127.0.0.1:"
+                + fleet + "'\n[fleet.peers]\nn1 = '127.0.0.1:" + fleet + "'\n[tasks]\n[maintenance]\nstep_ms = 1000\n"
+                + "ahead_ms = 120000\ndrain_ms = 2000\nreturn_ms = 200\nearly_ms = 5000\nlate_ms = 30000\nlook_ms = 20\n"
+                + "silent_ms = 0\nbegin_ms = " + beginMs + "\noverrun_ms = 100\ndemand = 0.3\n");
+        Serve serve = new Serve(Setup.operators(file, null, null));
+        try {
+            Await.until("it coordinates", () -> raw(fleet, "/maintenance").contains("\"coordinator\":\"n1#"),
+                    () -> raw(fleet, "/maintenance"));
+            story.tell(new Operator(transcript, fleet), serve.front().address().getPort(), a, b);
+        } finally {
+            serve.halt();
+            a.close();
+            b.close();
+        }
+    }
+
+    private static String raw(int port, String path) throws IOException {
+        try (Peer peer = Stand.peer("127.0.0.1", port)) {
+            return peer.write("GET " + path + " HTTP/1.1\r\nHost: f\r\n\r\n").message();
+        }
+    }
+
+    /** An owner, a crew: one question a connection. */
+    private record Operator(Transcript transcript, int fleet) {
+        void asksFor(String name, long workMs, long abortMs, long fromMs, String... racks) throws IOException {
+            long now = System.currentTimeMillis();
+            JsonArray all = new JsonArray();
+            all.add(Forms.write(new Request(name, "power crew", List.of(racks), workMs, now + fromMs, now + 67_000
+                    + fromMs, 0, abortMs, Set.of(), List.of())));
+            JsonObject body = new JsonObject();
+            body.add("requests", all);
+            posts("owner", "/maintenance/requests", body.toString());
+        }
+
+        void says(String who, String what, String name) throws IOException {
+            posts(who, "/maintenance/windows/" + name, "{\"do\":\"" + what + "\"}");
+        }
+
+        private void posts(String who, String path, String body) throws IOException {
+            asks(who, "POST " + path + " HTTP/1.1\r\nHost: f\r\nContent-Length: " + body.length() + "\r\n\r\n" + body);
+        }
+
+        /** Waits until it is there, unrecorded, since how often one asks is free; then asks once more. */
+        void awaits(String name, String state) throws Exception {
+            Await.until(name + " is " + state, () -> state(name).equals(state), () -> raw(fleet, "/maintenance"));
+            asks("owner", "GET /maintenance HTTP/1.1\r\nHost: f\r\n\r\n");
+        }
+
+        private String state(String name) throws IOException {
+            String said = raw(fleet, "/maintenance");
+            JsonObject all = JsonParser.parseString(said.substring(said.indexOf("\r\n\r\n"))).getAsJsonObject();
+            for (JsonElement one : all.getAsJsonArray("windows")) {
+                if (one.getAsJsonObject().get("name").getAsString().equals(name)) {
+                    return one.getAsJsonObject().get("state").getAsString();
+                }
+            }
+            return "unknown";
+        }
+
+        private void asks(String who, String request) throws IOException {
+            try (Party operator = new Party(transcript, who, Stand.peer("127.0.0.1", fleet))) {
+                operator.write(request).message();
+            }
+        }
+    }
+
+    /** A client's request, and the call that it leads to, at whichever endpoint is to have it. */
+    private static void served(Transcript transcript, int clients, String id, Endpoint at) throws IOException {
+        try (Party client = new Party(transcript, "client", Stand.peer("127.0.0.1", clients))) {
+            client.post("capture", id, "Req-Owner: shops\r\n", "pay");
+            Party call = new Party(transcript, at.name, at.accept());
+            call.message();
+            call.says("{'id':'" + id + "','state':'done','result':'paid'}");
+            client.message();
+        }
+    }
+
+    @Test
+    void fromRequestToReturn() throws Exception {
+        Transcript.of("A window from request to return: no leave while it is planned; nobody is sent to its rack.",
+                transcript -> told(transcript, (operator, clients, a, b) -> {
+                    operator.asksFor("w", 500, 500, 8000, "a");
+                    operator.awaits("w", "planned");
+                    operator.says("crew", "begin", "w");
+                    operator.awaits("w", "down");
+                    operator.says("crew", "begin", "w");
+                    served(transcript, clients, "1", b);
+                    operator.says("crew", "finish", "w");
+                    operator.awaits("w", "done");
+                    operator.says("crew", "begin", "w");
+                }));
+    }
+
+    @Test
+    void turnedDown() throws Exception {
+        Transcript.of("Windows that are turned down, with who stands against them; and what is no request.",
+                transcript -> told(transcript, (operator, clients, a, b) -> {
+                    operator.asksFor("both", 300, 0, 0, "a", "b");
+                    operator.awaits("both", "refused");
+                    operator.asksFor("w x", 0, 5, 0, "a", "a", "c");
+                    operator.posts("owner", "/maintenance/requests", "no JSON");
+                    operator.posts("owner", "/maintenance/windows/both", "{\"do\":\"dance\"}");
+                    operator.says("crew", "begin", "none");
+                    operator.says("crew", "begin", "both");
+                }));
+    }
+
+    @Test
+    void overrun() throws Exception {
+        Transcript.of("A crew that does not say that it has finished: shown as overrun, ended by its word alone.",
+                transcript -> told(transcript, 3000, (operator, clients, a, b) -> {
+                    operator.asksFor("w", 300, 300, SOON, "a");
+                    operator.awaits("w", "down");
+                    operator.says("crew", "begin", "w");
+                    operator.awaits("w", "overrun");
+                    operator.says("owner", "abort", "w");
+                    operator.says("crew", "finish", "w");
+                    operator.awaits("w", "done");
+                }));
+    }
+
+    @Test
+    void calledOff() throws Exception {
+        Transcript.of("Windows that are called off: one that is planned, and one whose rack is down and no crew there.",
+                transcript -> told(transcript, (operator, clients, a, b) -> {
+                    operator.asksFor("later", 300, 300, LATER, "a");
+                    operator.awaits("later", "planned");
+                    operator.says("owner", "abort", "later");
+                    operator.says("owner", "abort", "later");
+                    operator.asksFor("now", 300, 300, SOON, "b");
+                    operator.awaits("now", "down");
+                    operator.says("owner", "abort", "now");
+                    operator.awaits("now", "aborted");
+                    operator.says("crew", "begin", "now");
+                }));
+    }
+
+    @Test
+    void abortedPastItsPoint() throws Exception {
+        Transcript.of("A crew at work: called off within the abort point it ends with the crew's word; past it, not at all.",
+                transcript -> told(transcript, (operator, clients, a, b) -> {
+                    operator.asksFor("early", 30_000, 30_000, SOON, "a");
+                    operator.awaits("early", "down");
+                    operator.says("crew", "begin", "early");
+                    operator.says("owner", "abort", "early");
+                    operator.says("crew", "finish", "early");
+                    operator.awaits("early", "aborted");
+                    operator.asksFor("past", 30_000, 0, SOON, "a");
+                    operator.awaits("past", "down");
+                    operator.says("crew", "begin", "past");
+                    operator.says("owner", "abort", "past");
+                    operator.says("crew", "finish", "past");
+                    operator.awaits("past", "done");
+                }));
+    }
+}
--- a/src/test/java/laneflow/transcripts/Transcript.java
+++ b/src/test/java/laneflow/transcripts/Transcript.java
@@ -25,6 +25,7 @@
     private static final Pattern LIFE = Pattern.compile("(?<=#)[0-9a-f]{12}\\b");
     private static final Pattern LEFT = Pattern.compile("(Req-Deadline-Ms|Req-Timeout-Ms): \\d+");
     private static final Pattern LATER = Pattern.compile("(Retry-After): [\\d.]+");
+    private static final Pattern ISO_INSTANT = Pattern.compile("\\b20\\d\\d-\\d\\d-\\d\\dT[\\d:.]+Z");
     private static final Pattern INSTANT = Pattern.compile("\\b1[6-9]\\d{8}(\\d{3}|\\d{6})?\\b");
 
     private final StringBuilder text = new StringBuilder();
@@ -76,6 +77,7 @@
         now = HANDLE.matcher(now).replaceAll(found -> Matcher.quoteReplacement(name(found.group(), "handle")));
         now = ID.matcher(now).replaceAll(found -> Matcher.quoteReplacement(name(found.group(), "id")));
         now = LIFE.matcher(now).replaceAll(found -> Matcher.quoteReplacement(name(found.group(), "life")));
+        now = ISO_INSTANT.matcher(now).replaceAll("<instant>");
         now = INSTANT.matcher(now).replaceAll("<instant>");
         now = LEFT.matcher(now).replaceAll("$1: <ms left>");
         now = LATER.matcher(now).replaceAll("$1: <s>");
