--- a/src/main/java/laneflow/lab/LocalFleet.java
+++ b/src/main/java/laneflow/lab/LocalFleet.java
@@ -135,7 +135,7 @@
                 + "lease_ms = 1500\ncut_off = \"stop\"\n\n[tasks]\n\n"
                 + "# Times for trying; those left out are for real work.\n"
                 + "[maintenance]\nstep_ms = 1000\nahead_ms = 3600000\ndrain_ms = 10000\nreturn_ms = 5000\n"
-                + "late_ms = 60000\nearly_ms = 1000\nlook_ms = 200\ndemand = 0.5\ndemand_span_ms = 5000\n")
+                + "late_ms = 60000\nearly_ms = 1000\nlook_ms = 200\ndemand = 0.5\ndemand_half_ms = 3000\n")
                 .toString();
     }
 
--- a/src/main/java/laneflow/lab/measure/MaintenanceMeasure.java
+++ b/src/main/java/laneflow/lab/measure/MaintenanceMeasure.java
@@ -130,7 +130,7 @@
                 + "step_ms = " + STEP_MS + "\nahead_ms = " + AHEAD_MS + "\ndrain_ms = " + DRAIN_MS
                 + "\nreturn_ms = " + RETURN_MS + "\ndemand = " + DEMAND + "\ntolerance = " + TOLERANCE
                 + "\nlate_ms = 6000\nearly_ms = 500\nlook_ms = 50\nbegin_ms = 4000\noverrun_ms = 1000\n"
-                + "give_back_ms = 5000\nlost_ms = 10000\ndemand_span_ms = 2000\naccounts_ms = 1000\n";
+                + "give_back_ms = 5000\nlost_ms = 10000\ndemand_half_ms = 1000\naccounts_ms = 1000\n";
     }
 
     private static Fairness fairness() {
--- a/src/main/java/laneflow/maintenance/Maintenance.java
+++ b/src/main/java/laneflow/maintenance/Maintenance.java
@@ -132,7 +132,7 @@
     private void peak(double[][] open) {
         long passed = loop.micros() - demandAt;
         demandAt = loop.micros();
-        double left = Math.pow(0.5, passed / (config == null ? 1000.0 * HALF_MS : 1000.0 * config.demandHalf));
+        double left = Math.pow(0.5, passed / 1000.0 / (config == null ? HALF_MS : config.demandHalf));
         for (int t = 0; t < open.length; t++) {
             for (int k = 0; k < open[t].length; k++) {
                 boolean known = t < demand.length && k < demand[t].length;
