--- a/src/main/java/laneflow/lab/measure/RecoveryMeasure.java
+++ b/src/main/java/laneflow/lab/measure/RecoveryMeasure.java
@@ -68,7 +68,8 @@
         });
         int amid = Math.max(0, by[0]);
         rig.kill(amid);
-        rig.await("the adopter's store has another place", () -> !Files.exists(stores.resolve(Rig.name(amid))));
+        rig.await("the adopter's store has another place",
+                () -> !Files.exists(stores.resolve(Rig.name(amid))));
         rig.nodes(nodes, NODES_S);
         Path book = folder.resolve("ran");
         rig.await("all of both have run", () -> begun(book).keySet().size() >= 2 * EACH);
@@ -138,7 +139,8 @@
             if (Files.isDirectory(adopted)) {
                 try (Stream<Path> all = Files.list(adopted)) {
                     List<Path> found = all.toList();
-                    if (found.stream().anyMatch(path -> path.getFileName().toString().startsWith(name + "."))) {
+                    if (found.stream().anyMatch(path -> path.getFileName().toString()
+                            .startsWith(name + "."))) {
                         return i;
                     }
                 }
--- a/src/main/java/laneflow/lab/measure/TaskMeasure.java
+++ b/src/main/java/laneflow/lab/measure/TaskMeasure.java
@@ -298,11 +298,11 @@
         lost += recovery.lost();
         out.printf(Locale.ROOT,
                 "task: schedulers=%d tasks=%d acts=%d kills=%d stalls=%d cuts=%d two_at_once=%d"
-                + " past_cut_off=%d stale_accepted=%d turned_down=%d acts_lost=%d run_twice=%d unheld_p99_ms=%d unheld_most_ms=%d"
-                + " moved_fair=%.2f syncs_per_renewal=%s idle_cpu_ms_per_s=%.1f%n", SCHEDULERS, tasks,
+                + " past_cut_off=%d stale_accepted=%d turned_down=%d acts_lost=%d run_twice=%d"
+                + " unheld_p99_ms=%d unheld_most_ms=%d moved_fair=%.2f syncs_per_renewal=%s idle_cpu_ms_per_s=%.1f%n", SCHEDULERS, tasks,
                 calls.size(), kills, stalls, cuts, history.twoAtOnce(), history.pastCutOff(),
-                history.staleAccepted(), history.turnedDown(), lost, recovery.twice(), unheld.getValueAtPercentile(99),
-                unheldMost, fair,
+                history.staleAccepted(), history.turnedDown(), lost, recovery.twice(),
+                unheld.getValueAtPercentile(99), unheldMost, fair,
                 syncs == 0 ? "0" : String.format(Locale.ROOT, "%.4f", syncs), cpu);
         return found.isEmpty() && lost == 0 && never == 0 && recovery.twice() == 0 ? 0 : 1;
     }
--- a/src/main/java/laneflow/net/Threads.java
+++ b/src/main/java/laneflow/net/Threads.java
@@ -20,7 +20,7 @@
         return thread;
     }
 
-    /** As many as there is work for, none of which waits for another; what is beyond the most is turned down. */
+    /** As many as there is work for, none waiting for another; beyond the most it is turned down. */
     public static ExecutorService atMost(int most, String name) {
         return new ThreadPoolExecutor(0, most, IDLE_S, TimeUnit.SECONDS, new SynchronousQueue<>(),
                 task -> daemon(task, name));
