--- a/src/test/java/laneflow/lab/measure/TaskHistoryTest.java
+++ b/src/test/java/laneflow/lab/measure/TaskHistoryTest.java
@@ -47,5 +47,9 @@
         assertEquals(1, history.check().size());
         assertEquals(1, history.pastCutOff());
         assertEquals(1, history.twoAtOnce());
+        // Read late from a connection that was closed long ago: by one that checks no tokens.
+        TaskHistory late = new TaskHistory(List.of(call("b#1", 2, 0, 10), new Call("t", 1, "a#1", false, true, 20, 30, true)));
+        assertEquals(List.of(), late.check());
+        assertEquals(1, late.pastCutOff());
     }
 }
