A leader knows the longest call before its first look, and counts a longer one from then on

Cause: the longest deadline came with a process's first look at its traffic; a leader that was elected before it, as behind a restart of the whole fleet amid a drain, or one whose file has no table for windows, would have counted silent schedulers for their lease only. Change: it is read when the process begins, and raised at the leader when a look finds a longer one (Sending.longest, with a test). Measured: SendingTest, the story of a window. Ruled out: asking for silent_ms in every file (its default would still be needed).

--- a/src/main/java/laneflow/maintenance/CallWatch.java
+++ b/src/main/java/laneflow/maintenance/CallWatch.java
@@ -65,12 +65,17 @@
         int classes = scheduler.settings().classes.length;
         double[][] demand = new double[scheduler.settings().tenants.length + 1][classes];
         scheduler.demand(demand);
+        return new Seen(policy.getAsLong(), scheduler.sendsToBarred(), scheduler.unreached(lostAfter), demand,
+                longest(scheduler));
+    }
+
+    /** Milliseconds of the longest deadline of a class. */
+    static long longest(Scheduler scheduler) {
         double longest = 0;
         for (var type : scheduler.settings().classes) {
             longest = Math.max(longest, type.deadline);
         }
-        return new Seen(policy.getAsLong(), scheduler.sendsToBarred(), scheduler.unreached(lostAfter), demand,
-                (long) (longest * 1000));
+        return (long) (longest * 1000);
     }
 
     private static void pass(Loop on, Runnable call) {
--- a/src/main/java/laneflow/maintenance/Maintenance.java
+++ b/src/main/java/laneflow/maintenance/Maintenance.java
@@ -49,7 +49,7 @@
     private boolean toldOnce;
     /** Null where this process coordinates nothing. */
     private Coordination coordination;
-    /** The longest deadline of a class that was ever in force here. */
+    /** Milliseconds of the longest deadline of a class that was ever in force here. */
     private long longest;
 
     // ---- while this process leads ----
@@ -88,6 +88,8 @@
         watch = new CallWatch(loop, traffic, scheduler, policy, config == null ? LOST_AFTER
                 : config.lostAfter, this::seen);
         again = loop.deadlines().create(watch::look);
+        // One that leads before its first look must not hold calls for shorter than they are.
+        longest = CallWatch.longest(scheduler);
     }
 
     /** This process takes part in coordinating. */
@@ -117,6 +119,9 @@
         seen = now;
         peak(now.demand());
         longest = Math.max(longest, now.longest());
+        if (sending != null) {
+            sending.longest(callsLast());
+        }
         if (!now.busy().isEmpty()) {
             loop.deadlines().set(again, loop.micros() + AGAIN);
         }
@@ -179,8 +184,13 @@
         term = now;
         view = null;
         followers.clear();
-        long out = config == null || config.silent < 0 ? longest * 1000 : config.silent;
-        sending = new Sending(by.now(), by.lease(), out);
+        sending = new Sending(by.now(), by.lease(), callsLast());
+        watch.look();
+    }
+
+    /** Microseconds for which a call may be out. */
+    private long callsLast() {
+        return config == null || config.silent < 0 ? longest * 1000 : config.silent;
     }
 
     @Override
--- a/src/main/java/laneflow/maintenance/decision/Sending.java
+++ b/src/main/java/laneflow/maintenance/decision/Sending.java
@@ -35,7 +35,8 @@
     }
 
     private final long electedAt;
-    private final long outlives;
+    private final long lasts;
+    private long outlives;
     private final long live;
     private final Map<String, Holder> holders = new TreeMap<>();
 
@@ -46,10 +47,16 @@
      */
     public Sending(long electedAt, long lease, long longest) {
         this.electedAt = electedAt;
-        outlives = (long) (lease * (1 + 2 * Lease.DRIFT)) + SLACK + longest;
+        lasts = (long) (lease * (1 + 2 * Lease.DRIFT)) + SLACK;
+        outlives = lasts + longest;
         live = lease;
     }
 
+    /** Calls may be out for so long now, if that is longer than what was known. */
+    public void longest(long now) {
+        outlives = Math.max(outlives, lasts + now);
+    }
+
     private Holder holder(String who) {
         return holders.computeIfAbsent(who, name -> new Holder());
     }
--- a/src/test/java/laneflow/maintenance/decision/SendingTest.java
+++ b/src/test/java/laneflow/maintenance/decision/SendingTest.java
@@ -39,6 +39,15 @@
         assertEquals(List.of(), sending.sending(LATER + 2 * LEASE + LONGEST + 10_000, 3, "till-0"));
     }
 
+    @Test
+    void aLongerDeadlineThanWasKnownCountsFromThenOn() {
+        sending.told(LATER, "n1");
+        assertEquals(List.of(), sending.sending(LATER + LEASE + LONGEST + 10_000, 3, "till-0"));
+        sending.longest(2 * LONGEST);
+        sending.longest(0);
+        assertEquals(List.of("n1"), sending.sending(LATER + LEASE + LONGEST + 10_000, 3, "till-0"));
+    }
+
     @Test
     void whoHasALeaseAndHasSaidNothingOfItsCallsCounts() {
         sending.told(LATER, "old-build");
