--- a/src/main/java/laneflow/membership/decision/Judgement.java
+++ b/src/main/java/laneflow/membership/decision/Judgement.java
@@ -19,8 +19,6 @@
     private static final int MOST_MEMBERS = 10_000;
     private static final int MOST_BURIED = 1024;
     private static final int MOST_CALLED = 64;
-    /** So many look at one that somebody suspects, about. */
-    private static final int EYES = 8;
     /** Before a burial it asks so often, three quarters of a probe apart. */
     private static final int LAST_CALLS = 2;
     private static final int LAST_CALL_PART = 3;
@@ -178,10 +176,6 @@
             entry.suspectedAt = now;
             out.changed(before, entry.full());
             out.count("suspected");
-            if (by != self.self().life().id() && random.nextInt(self.size()) < EYES) {
-                // Who is gone would be found by enough of them in the course of their turns only.
-                probing.soon(entry);
-            }
         } else if (!entry.leaving && (entry.by.size() > Times.CONFIRMATIONS || entry.by.contains(by))) {
             return;
         }
--- a/src/main/java/laneflow/membership/decision/Probing.java
+++ b/src/main/java/laneflow/membership/decision/Probing.java
@@ -1,7 +1,6 @@
 package laneflow.membership.decision;
 
 import java.net.InetSocketAddress;
-import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -17,7 +16,6 @@
 final class Probing {
     private static final int MOST_FAVOURS = 64;
     private static final int MOST_REMEMBERED = 64;
-    private static final int MOST_SOON = 16;
     /** So many probes more a period for each step that it is slower. */
     private static final int PROBES_MORE = 2;
     private static final long MOST_ROUND_TRIP = 4_000_000;
@@ -56,7 +54,6 @@
     private final Map<Integer, Favour> favours = new LinkedHashMap<>();
     /** When the last own probes went out, by their numbers: late answers tell how long they take. */
     private final Map<Integer, Long> sentAt = new Recent<>(MOST_REMEMBERED);
-    private final ArrayDeque<Entry> soon = new ArrayDeque<>();
     private int turn;
     /** Those of this period; more than one where others have failed. */
     private final List<Probe> probes = new ArrayList<>();
@@ -159,7 +156,7 @@
         againAt = now + times.direct(score, roundTrip) / 2;
         // One that is cut off with few takes longer for each, and would need minutes for all the others.
         for (int i = 0; i < 1 + PROBES_MORE * score; i++) {
-            Entry target = next(i == 0);
+            Entry target = nextInTurn();
             if (target == null || probes.stream().anyMatch(probe -> probe.target == target)) {
                 return;
             }
@@ -170,23 +167,6 @@
         }
     }
 
-    /** Looks at that one before the others' turn: it may be gone, as another has found. */
-    void soon(Entry entry) {
-        if (soon.size() < MOST_SOON) {
-            soon.add(entry);
-        }
-    }
-
-    private Entry next(boolean first) {
-        while (first && !soon.isEmpty()) {
-            Entry one = soon.poll();
-            if (one.state == State.SUSPECT && view.life(one.life().id()) == one) {
-                return one;
-            }
-        }
-        return nextInTurn();
-    }
-
     /** Each once in a round, in another order each time: nobody is passed over for long. */
     private Entry nextInTurn() {
         for (int tries = 0; tries < 2; tries++) {
