--- a/src/main/java/laneflow/lab/measure/ControlMeasure.java
+++ b/src/main/java/laneflow/lab/measure/ControlMeasure.java
@@ -25,6 +25,7 @@
     private static final int WINDOWS = 4;
     private static final int WINDOW_MS = 3000;
     private static final double AIM_MS = 1;
+    private static final String TRAFFIC = "loop I/O-1";
     private static final String FILE = "zones = [\"z\"]\n[limits]\nsockets = 512\n[classes.check]\n"
             + "aim_ms = 200\ndeadline_ms = 5000\nrepeat = \"safe\"\n[classes.capture]\naim_ms = 200\n"
             + "deadline_ms = 5000\n";
@@ -33,6 +34,8 @@
     private final PrintStream out;
     private final Histogram quiet = new Histogram(3);
     private final Histogram storm = new Histogram(3);
+    private ThreadTimes quietTimes = new ThreadTimes(0, 0, 0);
+    private ThreadTimes stormTimes = new ThreadTimes(0, 0, 0);
     private long news;
     private int changes;
 
@@ -50,9 +53,10 @@
         two.all(false, large);
         out.printf(Locale.ROOT, "control: schedulers=%d requests_per_s=%d news=%d changes=%d"
                 + " one_loop_quiet_p99_ms=%.2f one_loop_storm_p99_ms=%.2f one_loop_added_ms=%.2f"
-                + " two_loops_quiet_p99_ms=%.2f two_loops_storm_p99_ms=%.2f two_loops_added_ms=%.2f%n",
+                + " two_loops_quiet_p99_ms=%.2f two_loops_storm_p99_ms=%.2f two_loops_added_ms=%.2f"
+                + " one_loop_added_us_at_work=%.0f two_loops_added_us_at_work=%.0f%n",
                 SCHEDULERS, PER_SECOND, two.news, two.changes, p99(one.quiet), p99(one.storm), one.added(),
-                p99(two.quiet), p99(two.storm), two.added());
+                p99(two.quiet), p99(two.storm), two.added(), one.work(), two.work());
         return two.added() < AIM_MS ? 0 : 1;
     }
 
@@ -60,10 +64,20 @@
         return of.getValueAtPercentile(99) / 1000.0;
     }
 
+    /** Microseconds a request. */
+    private static double each(long ns, Histogram of) {
+        return ns / 1000.0 / Math.max(1, of.getTotalCount());
+    }
+
     private double added() {
         return p99(storm) - p99(quiet);
     }
 
+    /** What the storm adds to what the traffic's thread does itself, in microseconds a request. */
+    private double work() {
+        return each(stormTimes.ns(), storm) - each(quietTimes.ns(), quiet);
+    }
+
     private void all(boolean oneLoop, boolean large) throws IOException, InterruptedException {
         Path folder = Files.createTempDirectory("laneflow-control");
         int[] nodes = {Crew.port(), Crew.port(), Crew.port()};
@@ -85,9 +99,9 @@
                 load.begin();
                 Thread.sleep(large ? 10_000 : 4000);
                 for (int i = 0; i < WINDOWS; i++) {
-                    window(load, quiet, () -> { });
+                    quietTimes = quietTimes.plus(window(rig, load, quiet, () -> { }));
                     source.blow(true);
-                    window(load, storm, () -> change(rig));
+                    stormTimes = stormTimes.plus(window(rig, load, storm, () -> change(rig)));
                     source.blow(false);
                     // What was told is suspected and buried meanwhile: neither quiet nor the storm.
                     Thread.sleep(WINDOW_MS);
@@ -95,11 +109,20 @@
                 news = source.sent();
             }
             load.end();
+            long[] known = new long[1];
+            rig.await("it tells how many it came to know", () -> {
+                known[0] = rig.counter(0, "members.to_alive");
+                return true;
+            });
             out.printf(Locale.ROOT, "%s: quiet p50 %.2f p99 %.2f most %.1f ms of %d, storm p50 %.2f p99 %.2f"
                     + " most %.1f ms of %d; members known %d%n", oneLoop ? "one loop" : "two loops",
                     quiet.getValueAtPercentile(50) / 1000.0, p99(quiet), quiet.getMaxValue() / 1000.0,
                     quiet.getTotalCount(), storm.getValueAtPercentile(50) / 1000.0, p99(storm),
-                    storm.getMaxValue() / 1000.0, storm.getTotalCount(), rig.counter(0, "members.to_alive"));
+                    storm.getMaxValue() / 1000.0, storm.getTotalCount(), known[0]);
+            out.printf(Locale.ROOT, "%s: the traffic's thread was at work for %.0f us a request in quiet and"
+                    + " %.0f in the storm, and waited for a processor for %.0f and %.0f us%n", oneLoop
+                    ? "one loop" : "two loops", each(quietTimes.ns(), quiet), each(stormTimes.ns(), storm),
+                    each(quietTimes.waitedNs(), quiet), each(stormTimes.waitedNs(), storm));
         } finally {
             Trash.remove(folder);
         }
@@ -110,23 +133,32 @@
         void once() throws IOException, InterruptedException;
     }
 
-    private void window(PolicyLoad load, Histogram into, Work work) throws IOException,
-            InterruptedException {
+    /** What the traffic's thread has used meanwhile. */
+    private static ThreadTimes window(Rig rig, PolicyLoad load, Histogram into, Work work)
+            throws IOException, InterruptedException {
+        ThreadTimes before = ThreadTimes.of(rig.pid(0)).get(TRAFFIC);
         long from = System.nanoTime();
         long to = from + WINDOW_MS * 1_000_000L;
         while (System.nanoTime() < to) {
             work.once();
             Thread.sleep(20);
         }
+        to = System.nanoTime();
         for (PolicyLoad.Said one : load.said) {
             if (one.sentNs() >= from && one.saidNs() < to && one.status() == 200) {
                 into.recordValue((one.saidNs() - one.sentNs()) / 1000);
             }
         }
+        return ThreadTimes.of(rig.pid(0)).get(TRAFFIC).less(before);
     }
 
-    private void change(Rig rig) throws IOException, InterruptedException {
+    private void change(Rig rig) throws InterruptedException {
         changes++;
-        rig.propose(0, "change-" + changes, "{\"bans\":[{\"name\":\"till-9" + changes % 2 + "\"}]}");
+        try {
+            rig.propose(0, "change-" + changes, "{\"bans\":[{\"name\":\"till-9" + changes % 2 + "\"}]}");
+        } catch (IOException e) {
+            // Not answered amid the storm; the next one follows at once.
+            return;
+        }
     }
 }
