--- a/src/main/java/laneflow/lab/measure/TaskMeasure.java
+++ b/src/main/java/laneflow/lab/measure/TaskMeasure.java
@@ -299,7 +299,8 @@
         out.printf(Locale.ROOT,
                 "task: schedulers=%d tasks=%d acts=%d kills=%d stalls=%d cuts=%d two_at_once=%d"
                 + " past_cut_off=%d stale_accepted=%d turned_down=%d acts_lost=%d run_twice=%d"
-                + " unheld_p99_ms=%d unheld_most_ms=%d moved_fair=%.2f syncs_per_renewal=%s idle_cpu_ms_per_s=%.1f%n", SCHEDULERS, tasks,
+                + " unheld_p99_ms=%d unheld_most_ms=%d moved_fair=%.2f syncs_per_renewal=%s"
+                + " idle_cpu_ms_per_s=%.1f%n", SCHEDULERS, tasks,
                 calls.size(), kills, stalls, cuts, history.twoAtOnce(), history.pastCutOff(),
                 history.staleAccepted(), history.turnedDown(), lost, recovery.twice(),
                 unheld.getValueAtPercentile(99), unheldMost, fair,
