--- a/src/main/java/laneflow/policy/PolicyPart.java
+++ b/src/main/java/laneflow/policy/PolicyPart.java
@@ -89,7 +89,8 @@
         traffic.call(() -> scheduler.decideWhile(gate));
         loop.call(() -> {
             Leadership leadership = opened == null ? null : vote(given, opened);
-            port = new PolicyPort(fleet, policy, given.counters(), leadership);
+            port = new PolicyPort(fleet, policy, given.counters(), given.parts().keySet(),
+                    leadership);
             policy.carry(riders);
             policy.begin(leadership);
         });
--- a/src/main/java/laneflow/policy/PolicyPort.java
+++ b/src/main/java/laneflow/policy/PolicyPort.java
@@ -4,6 +4,7 @@
 import com.google.gson.JsonElement;
 import com.google.gson.JsonObject;
 import java.util.List;
+import java.util.Set;
 import java.util.function.Consumer;
 import laneflow.core.Counters;
 import laneflow.fleet.Fleet;
@@ -26,13 +27,16 @@
     private final Fleet fleet;
     private final Policy policy;
     private final Counters counters;
+    /** Who else proposes, by the names of their parts of the ledger: no operator is one of them. */
+    private final Set<String> parts;
     /** Null where this process does not vote. */
     private Leadership leadership;
 
-    PolicyPort(Fleet fleet, Policy policy, Counters counters, Leadership leadership) {
+    PolicyPort(Fleet fleet, Policy policy, Counters counters, Set<String> parts, Leadership leadership) {
         this.fleet = fleet;
         this.policy = policy;
         this.counters = counters;
+        this.parts = parts;
         this.leadership = leadership;
         fleet.serve("/policy", this::asked);
     }
@@ -147,6 +151,11 @@
             answer.say(400, TEXT, "", unfit + "\n");
             return;
         }
+        String who = by != null && by.isJsonPrimitive() ? by.getAsString() : "an operator";
+        if (parts.contains(who)) {
+            answer.say(400, TEXT, "", "by: '" + who + "' stands for changes that the program makes itself\n");
+            return;
+        }
         counters.add("policy.proposed");
         Consumer<JsonObject> then = found -> {
             if (found != null && found.has("error")) {
@@ -155,7 +164,6 @@
                 say(found, answer);
             }
         };
-        leadership.propose(name.getAsString(), types.getAsJsonObject(), by != null && by.isJsonPrimitive()
-                ? by.getAsString() : "an operator", then);
+        leadership.propose(name.getAsString(), types.getAsJsonObject(), who, then);
     }
 }
--- a/src/test/java/laneflow/transcripts/PolicyTranscriptsTest.java
+++ b/src/test/java/laneflow/transcripts/PolicyTranscriptsTest.java
@@ -126,7 +126,8 @@
                     operator.awaits("ban", "applied");
                     for (String body : new String[] {"{\"name\":\"ban\",\"types\":{\"bans\":[]}}", "no JSON", "{}",
                         "{\"name\":\"a b\",\"types\":{\"bans\":[]}}", "{\"name\":\"a\",\"types\":{}}",
-                        "{\"name\":\"a\",\"types\":{\"colours\":[]}}", "{\"name\":\"a\",\"types\":{\"bans\":{}}}"}) {
+                        "{\"name\":\"a\",\"types\":{\"colours\":[]}}", "{\"name\":\"a\",\"types\":{\"bans\":{}}}",
+                        "{\"name\":\"a\",\"types\":{\"bans\":[]},\"by\":\"maintenance\"}"}) {
                         operator.proposes(body);
                     }
                     for (String path : new String[] {"/policy/changes/unknown", "/policy/nothing"}) {
