--- a/src/main/java/laneflow/lab/standin/StandInNodes.java
+++ b/src/main/java/laneflow/lab/standin/StandInNodes.java
@@ -73,8 +73,13 @@
             InputStream in = new BufferedInputStream(socket.getInputStream());
             for (String head = head(in); head != null; head = head(in)) {
                 String id = header(head, "Req-Id");
-                String body = new String(in.readNBytes(Integer.parseInt(header(head, "Content-Length"))),
-                        StandardCharsets.UTF_8);
+                int length = Integer.parseInt(header(head, "Content-Length"));
+                byte[] bytes = in.readNBytes(length);
+                if (bytes.length < length) {
+                    // Its sender died before the last byte: that is no request.
+                    return;
+                }
+                String body = new String(bytes, StandardCharsets.UTF_8);
                 if (body.startsWith("hang")) {
                     // Accepted, and no word ever: the scheduler's deadline is all that ends it.
                     Thread.sleep(HANGS_MS);
