--- a/src/main/java/laneflow/policy/Voting.java
+++ b/src/main/java/laneflow/policy/Voting.java
@@ -69,8 +69,6 @@
     /** The first voter misses a leader that is gone after this share of a lease, the last after this more. */
     private static final double MISSED_AFTER = 0.75;
     private static final double SPREAD = 0.25;
-    /** A leader that has not looked at the state for that share of a lease gives another sign of life. */
-    private static final double SIGN_AFTER = 0.3;
     private static final int WATCHES_A_LEASE = 10;
     private static final int STOOD_STILL = 3;
     private static final long HAND_OVER_MS = 300;
@@ -104,8 +102,6 @@
     /** When the leader was last heard of, and how long it may be silent from then; on the voter's thread. */
     private long leaderHeardNs;
     private long leaderMaySilentNs;
-    /** When the state was last looked at, at the leader; on the voter's thread. */
-    private long lookedAtNs = System.nanoTime();
     /** When it is to be looked for again. */
     private long watchAtNs;
     private volatile boolean leads;
@@ -336,14 +332,11 @@
      * @param term the answer is null if it is another by then
      */
     void look(int term, Look what, Consumer<Object> then) {
-        onThread(() -> {
-            lookedAtNs = System.nanoTime();
-            node.<Object>query(what, QueryPolicy.LINEARIZABLE, Optional.empty(), Optional.empty())
-                    .whenComplete((done, failed) -> {
-                        boolean still = failed == null && node.getTerm().getTerm() == term;
-                        back(() -> then.accept(still ? done.getResult() : null));
-                    });
-        }, () -> then.accept(null));
+        onThread(() -> node.<Object>query(what, QueryPolicy.LINEARIZABLE, Optional.empty(), Optional.empty())
+                .whenComplete((done, failed) -> {
+                    boolean still = failed == null && node.getTerm().getTerm() == term;
+                    back(() -> then.accept(still ? done.getResult() : null));
+                }), () -> then.accept(null));
     }
 
     /** Puts an operation into the log; the answer comes on the loop, null where it is not known to be in. */
@@ -516,26 +509,6 @@
         }
     }
 
-    /**
-     * The library's heartbeat. At a leader it waits while looks at the state go out, four a lease: all voters
-     * hear those, and count them as signs of life. Not for long: it is also how a leader finds that it is cut
-     * off.
-     */
-    private void sign(Runnable heartbeat, long lastNs) {
-        long now = System.nanoTime();
-        long until = Math.min(lookedAtNs + (long) (leaseNs * SIGN_AFTER), lastNs + (long) (leaseNs
-                * MISSED_AFTER));
-        if (!leads || until <= now) {
-            heartbeat.run();
-            return;
-        }
-        try {
-            thread.schedule(unlessMuted(() -> sign(heartbeat, lastNs)), until - now, TimeUnit.NANOSECONDS);
-        } catch (RejectedExecutionException e) {
-            LOG.debug("closed");
-        }
-    }
-
     private Runnable unlessMuted(Runnable task) {
         return () -> {
             if (!muted) {
@@ -551,14 +524,11 @@
      */
     @Override
     public void schedule(Runnable task, long delay, TimeUnit unit) {
-        boolean sign = delay == HEARTBEAT_PERIOD_S && unit == TimeUnit.SECONDS;
-        long signedNs = System.nanoTime();
-        Runnable run = sign ? () -> sign(task, signedNs) : task;
         long ms = unit.toMillis(delay);
         boolean election = ms >= ELECTION_TIMEOUT_MS && ms < ELECTION_TIMEOUT_MS + ELECTION_NOISE_MS;
         double times = election ? 1 + random.nextDouble() : 1;
         try {
-            thread.schedule(unlessMuted(run), (long) (unit.toNanos(delay) * times / speed),
+            thread.schedule(unlessMuted(task), (long) (unit.toNanos(delay) * times / speed),
                     TimeUnit.NANOSECONDS);
         } catch (RejectedExecutionException e) {
             LOG.debug("closed");
