--- a/src/main/java/laneflow/lab/standin/StandInNodes.java
+++ b/src/main/java/laneflow/lab/standin/StandInNodes.java
@@ -71,9 +71,9 @@
     private void serve(Socket socket, Semaphore free, SplittableRandom random) {
         try (socket) {
             InputStream in = new BufferedInputStream(socket.getInputStream());
-            for (String head = head(in); head != null; head = head(in)) {
-                String id = header(head, "Req-Id");
-                int length = Integer.parseInt(header(head, "Content-Length"));
+            for (String head = HttpText.head(in); head != null; head = HttpText.head(in)) {
+                String id = HttpText.field(head, "Req-Id", "0");
+                int length = Integer.parseInt(HttpText.field(head, "Content-Length", "0"));
                 byte[] bytes = in.readNBytes(length);
                 if (bytes.length < length) {
                     // Its sender died before the last byte: that is no request.
@@ -93,7 +93,7 @@
                 try {
                     String name = body.split(" ", 2)[0];
                     write(socket, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
-                            + chunk("{\"id\":\"" + id + "\",\"state\":\"started\"}\n"));
+                            + HttpText.chunk("{\"id\":\"" + id + "\",\"state\":\"started\"}\n"));
                     if (ledger != null) {
                         ledger.write("start", name);
                     }
@@ -101,7 +101,8 @@
                     if (ledger != null) {
                         ledger.write("done", name);
                     }
-                    write(socket, chunk("{\"id\":\"" + id + "\",\"state\":\"done\",\"result\":\"ran " + name
+                    write(socket, HttpText.chunk("{\"id\":\"" + id
+                            + "\",\"state\":\"done\",\"result\":\"ran " + name
                             + "\"" + load(free) + "}\n") + "0\r\n\r\n");
                 } finally {
                     free.release();
@@ -118,27 +119,7 @@
                 + free.getQueueLength() + "}";
     }
 
-    private static String chunk(String line) {
-        return Integer.toHexString(line.length()) + "\r\n" + line + "\r\n";
-    }
-
     private static void write(Socket socket, String text) throws IOException {
         socket.getOutputStream().write(text.getBytes(StandardCharsets.UTF_8));
     }
-
-    private static String head(InputStream in) throws IOException {
-        StringBuilder head = new StringBuilder();
-        for (int next = in.read(); next >= 0; next = in.read()) {
-            head.append((char) next);
-            if (next == '\n' && head.length() > 3 && head.indexOf("\r\n\r\n", head.length() - 4) >= 0) {
-                return head.toString();
-            }
-        }
-        return null;
-    }
-
-    private static String header(String head, String name) {
-        int at = head.indexOf(name + ": ");
-        return at < 0 ? "0" : head.substring(at + name.length() + 2, head.indexOf('\r', at));
-    }
 }
--- a/src/main/java/laneflow/lab/standin/StandInPool.java
+++ b/src/main/java/laneflow/lab/standin/StandInPool.java
@@ -230,9 +230,10 @@
         private void serve(Socket socket, String lie) {
             try (socket) {
                 InputStream in = new BufferedInputStream(socket.getInputStream());
-                for (String head = head(in); head != null; head = head(in)) {
-                    String id = header(head, "Req-Id");
-                    String[] job = new String(in.readNBytes(Integer.parseInt(header(head, "Content-Length"))),
+                for (String head = HttpText.head(in); head != null; head = HttpText.head(in)) {
+                    String id = HttpText.field(head, "Req-Id", "0");
+                    int length = Integer.parseInt(HttpText.field(head, "Content-Length", "0"));
+                    String[] job = new String(in.readNBytes(length),
                             StandardCharsets.UTF_8).split(" ");
                     run(socket, in, id, Long.parseLong(job[1]), lie);
                 }
@@ -262,10 +263,11 @@
                 if (!told || isGone(socket, in)) {
                     return;
                 }
-                write(socket, chunk("{\"id\":\"" + id + "\",\"state\":\"started\"}\n"));
+                write(socket, HttpText.chunk("{\"id\":\"" + id + "\",\"state\":\"started\"}\n"));
                 Thread.sleep(micros / 1000, (int) (micros % 1000) * 1000);
                 // The report is made before the slot is free: it counts the job that has ended.
-                write(socket, chunk("{\"id\":\"" + id + "\",\"state\":\"done\",\"result\":\"ran\",\"load\":{"
+                write(socket, HttpText.chunk("{\"id\":\"" + id
+                        + "\",\"state\":\"done\",\"result\":\"ran\",\"load\":{"
                         + load(lie) + "}}\n") + "0\r\n\r\n");
             } finally {
                 leave(place.life);
@@ -352,30 +354,10 @@
         thread.start();
     }
 
-    private static String chunk(String line) {
-        return Integer.toHexString(line.length()) + "\r\n" + line + "\r\n";
-    }
-
     private static void write(Socket socket, String text) throws IOException {
         socket.getOutputStream().write(text.getBytes(StandardCharsets.UTF_8));
     }
 
-    private static String head(InputStream in) throws IOException {
-        StringBuilder head = new StringBuilder();
-        for (int next = in.read(); next >= 0; next = in.read()) {
-            head.append((char) next);
-            if (next == '\n' && head.length() > 3 && head.indexOf("\r\n\r\n", head.length() - 4) >= 0) {
-                return head.toString();
-            }
-        }
-        return null;
-    }
-
-    private static String header(String head, String name) {
-        int at = head.indexOf(name + ": ");
-        return at < 0 ? "0" : head.substring(at + name.length() + 2, head.indexOf('\r', at));
-    }
-
     @Override
     public void close() throws IOException {
         for (Node node : nodes) {
--- a/src/main/java/laneflow/lab/standin/StandInRacks.java
+++ b/src/main/java/laneflow/lab/standin/StandInRacks.java
@@ -109,15 +109,16 @@
         Call call = null;
         try (socket) {
             InputStream in = new BufferedInputStream(socket.getInputStream());
-            for (String head = head(in); head != null; head = head(in)) {
-                String job = new String(in.readNBytes(Integer.parseInt(header(head, "Content-Length", "0"))),
+            for (String head = HttpText.head(in); head != null; head = HttpText.head(in)) {
+                int length = Integer.parseInt(HttpText.field(head, "Content-Length", "0"));
+                String job = new String(in.readNBytes(length),
                         StandardCharsets.UTF_8);
-                call = new Call(name, header(head, "Req-Owner", ""), job);
+                call = new Call(name, HttpText.field(head, "Req-Owner", ""), job);
                 if (keeps) {
                     calls.add(call);
                 }
                 Thread.sleep(runMs);
-                String line = "{\"id\":\"" + header(head, "Req-Id", "") + "\",\"state\":\"done\","
+                String line = "{\"id\":\"" + HttpText.field(head, "Req-Id", "") + "\",\"state\":\"done\","
                         + "\"result\":\"" + name + "\"}\n";
                 // Over before its caller can know.
                 call.endedNs = System.nanoTime();
@@ -133,23 +134,6 @@
         }
     }
 
-    private static String head(InputStream in) throws IOException {
-        StringBuilder head = new StringBuilder();
-        for (int next = in.read(); next >= 0; next = in.read()) {
-            head.append((char) next);
-            if (next == '\n' && head.length() > 3 && head.indexOf("\r\n\r\n", head.length() - 4) >= 0) {
-                return head.toString();
-            }
-        }
-        return null;
-    }
-
-    private static String header(String head, String name, String absent) {
-        int at = head.indexOf("\r\n" + name + ": ");
-        int from = at + name.length() + 4;
-        return at < 0 ? absent : head.substring(from, head.indexOf('\r', from));
-    }
-
     @Override
     public void close() throws IOException {
         for (ServerSocket server : servers.values()) {
--- a/src/test/java/laneflow/maintenance/Tills.java
+++ b/src/test/java/laneflow/maintenance/Tills.java
@@ -13,6 +13,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.ConcurrentLinkedQueue;
+import laneflow.lab.standin.HttpText;
 
 /** Stand-in endpoints that write down each call with its beginning and end on the machine's one clock. */
 final class Tills implements AutoCloseable {
@@ -109,11 +110,11 @@
         Call[] call = new Call[1];
         try (socket) {
             InputStream in = new BufferedInputStream(socket.getInputStream());
-            for (String head = head(in); head != null; head = head(in)) {
+            for (String head = HttpText.head(in); head != null; head = HttpText.head(in)) {
                 call[0] = new Call(name);
                 calls.add(call[0]);
-                String id = header(head, "Req-Id");
-                in.readNBytes(Integer.parseInt(header(head, "Content-Length")));
+                String id = HttpText.field(head, "Req-Id", "0");
+                in.readNBytes(Integer.parseInt(HttpText.field(head, "Content-Length", "0")));
                 Thread.sleep(runMs);
                 String line = "{\"id\":\"" + id + "\",\"state\":\"done\",\"result\":\"" + name + "\"}\n";
                 // Over before its caller can know.
@@ -128,22 +129,6 @@
         }
     }
 
-    private static String head(InputStream in) throws IOException {
-        StringBuilder head = new StringBuilder();
-        for (int next = in.read(); next >= 0; next = in.read()) {
-            head.append((char) next);
-            if (next == '\n' && head.length() > 3 && head.indexOf("\r\n\r\n", head.length() - 4) >= 0) {
-                return head.toString();
-            }
-        }
-        return null;
-    }
-
-    private static String header(String head, String name) {
-        int at = head.indexOf(name + ": ");
-        return at < 0 ? "0" : head.substring(at + name.length() + 2, head.indexOf('\r', at));
-    }
-
     @Override
     public void close() throws IOException {
         for (ServerSocket server : servers.values()) {
