A word for a thread that has ended is logged, as elsewhere, in place of a spin

Cause, on reading the change again: CallWatch filled its catch with a hint for spinning loops, which did nothing but hide that it was empty. Change: a debug line, as PolicyPart and Voting have. Green: SourceTest, ArchitectureTest, MaintenanceStoryTest, SendingTest.

--- a/src/main/java/laneflow/maintenance/CallWatch.java
+++ b/src/main/java/laneflow/maintenance/CallWatch.java
@@ -6,12 +6,16 @@
 import java.util.function.LongSupplier;
 import laneflow.core.Scheduler;
 import laneflow.net.Loop;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /**
  * What the traffic's thread knows of calls and demand, fetched for the control thread: a look there, an
  * answer here, one at a time.
  */
 final class CallWatch {
+    private static final Logger LOG = LoggerFactory.getLogger(CallWatch.class);
+
     /**
      * What one look saw, all of it in one turn.
      *
@@ -82,8 +86,8 @@
         try {
             on.later(call);
         } catch (RejectedExecutionException e) {
-            // That thread has ended, and nobody waits for its word any more.
-            Thread.onSpinWait();
+            // Nobody waits for its word any more.
+            LOG.debug("that thread has ended");
         }
     }
 }
