Tests of cold endpoints reckon with the stricter limit, two roots and two

The protocol's limit for what makes a cold endpoint fall is now N + 2 x root of N + 2 requests of mean work, N being what the settings allow; the tests still had three and three, so an overrun between the two would have gone unseen. FleetRules.cold and Rig.fells now have two and two.

--- a/src/test/java/laneflow/core/FleetRules.java
+++ b/src/test/java/laneflow/core/FleetRules.java
@@ -24,7 +24,7 @@
         this.meanWork = meanWork;
     }
 
-    /** More than N + 3 x root of N + 3 mean jobs in the time named fell it, N being what is allowed then. */
+    /** More than N + 2 x root of N + 2 mean jobs in the time named fell it, N being what is allowed then. */
     void cold(FleetEndpoint endpoint, Out out, long now) {
         coldSends++;
         // By what can be known: of a job without a hint, the mean of its class; no job is worth a longer run
@@ -44,8 +44,8 @@
         if (knowing * 3 < sum * 2) {
             return;
         }
-        mostOfBudget = Math.max(mostOfBudget, sum / meanWork / (allowed + 3 * Math.sqrt(allowed) + 3));
-        if (sum / meanWork > allowed + 3 * Math.sqrt(allowed) + 3) {
+        mostOfBudget = Math.max(mostOfBudget, sum / meanWork / (allowed + 2 * Math.sqrt(allowed) + 2));
+        if (sum / meanWork > allowed + 2 * Math.sqrt(allowed) + 2) {
             broke("cold budget", endpoint.entry.name + " got " + sum / meanWork + " mean jobs, allowed are " + allowed);
         }
     }
--- a/src/test/java/laneflow/decision/Rig.java
+++ b/src/test/java/laneflow/decision/Rig.java
@@ -67,7 +67,7 @@
     /** Work within {@code fallWithin} that fells a cold worker which has so many cores now. */
     static double fells(Settings settings, double cores, double meanWork) {
         double allowed = settings.fallMultiple * cores * settings.fallWithin / meanWork;
-        return (allowed + 3 * Math.sqrt(allowed) + 3) * meanWork;
+        return (allowed + 2 * Math.sqrt(allowed) + 2) * meanWork;
     }
 
     static Worker worker(long id, int zone) {
