--- a/src/test/java/laneflow/decision/SlowStartFleetTest.java
+++ b/src/test/java/laneflow/decision/SlowStartFleetTest.java
@@ -13,6 +13,8 @@
 import java.util.function.Function;
 import java.util.stream.IntStream;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /**
  * What all schedulers of drawn fleets together send to cold workers, against what fells these:
@@ -36,6 +38,24 @@
                 .mapToObj(seed -> play(new ColdCase(seed, traffic, hints))).toList();
     }
 
+    @Test
+    void allSchedulersTogetherNeverFellAColdWorkerWhereHintsAreExact() {
+        noneOver(playAll(CASES, null, Hints.EXACT));
+    }
+
+    /** Evenly spread and learned; all in the worker's zone; thinly learned; new with a heavy first hint. */
+    @ParameterizedTest
+    @ValueSource(longs = {6364, 2911, 1071, 1095})
+    void casesThatWentOverTheLimitKeepIt(long seed) {
+        noneOver(List.of(play(new ColdCase(seed, null, Hints.EXACT))));
+    }
+
+    /** All restarted, one with a heavy first hint. */
+    @Test
+    void restartedWithAHeavyFirstHintKeepTheLimit() {
+        noneOver(List.of(play(new ColdCase(1773, Traffic.EVEN, Hints.EXACT))));
+    }
+
     /**
      * What the budget's shares are reckoned for; other sorts of fleets are in {@link #main}'s tables. Among
      * seeds beyond these 2,000 some go over the limit.
