Idle workers are found before a job is turned away; slow start by the stricter limit

One refusal of four traced, what the module believed of every worker: home and both ring neighbours were full while the zones beyond them had room in 53 % of the looks; most workers held full had not been heard of for 3 to 8 s. Lines at fault, Logic: neighbour (only the next zone on either side), refresh (asks only where reports come by probes), settle (running time up to the answer's end); coldBudgetAllows (3 and 3 roots, and a zone factor that lets schedulers of one zone use up to 2.4 times the safe share; the first hint taken for the mean). Change: the coin goes round the ring to the nearest zone with room; before a refusal up to four workers unheard of for half a second are asked, and the job waits for them once, 10 ms at most; the first bytes of the final line end a job's running time and free its slot; cold budgets reckon with N + 2 roots of N + 2, without zones, and with a mean that is doubted while few hints were seen.

--- a/src/main/java/laneflow/core/Scheduler.java
+++ b/src/main/java/laneflow/core/Scheduler.java
@@ -402,6 +402,7 @@
 
     /** The endpoint has started on it. */
     public void started(OutboundCall call) {
+        counters.add("call.started");
         note(call, Note.STARTED, 0);
         heard(call);
         if (!call.request.answered) {
@@ -418,6 +419,12 @@
         }
     }
 
+    /** The first bytes of its final line have come and the rest has not: the endpoint has done the job. */
+    public void answering(OutboundCall call) {
+        counters.add("call.answering");
+        note(call, Note.ANSWERING, 0);
+    }
+
     private void note(OutboundCall call, Note note, double share) {
         if (calls.get(call.handle) == call) {
             event(() -> module.note(now(), call.request.handle, call.number, call.endpoint.id, note, share));
--- a/src/main/java/laneflow/decision/Crowd.java
+++ b/src/main/java/laneflow/decision/Crowd.java
@@ -8,7 +8,7 @@
 
     void reported(double slotsTaken, double now) {
         boolean first = heardAt == Double.NEGATIVE_INFINITY;
-        load = first ? slotsTaken : load + Logic.OTHERS_GAIN * (slotsTaken - load);
+        load = first ? slotsTaken : load + WorkerView.OTHERS_GAIN * (slotsTaken - load);
         heardAt = now;
     }
 }
--- a/src/main/java/laneflow/decision/Dispatch.java
+++ b/src/main/java/laneflow/decision/Dispatch.java
@@ -58,8 +58,8 @@
     /** What a worker's weight means: nothing, its size, roughly its size, or its size lowered by its load. */
     enum WeightSource { NONE, NOMINAL, ROUGH, LIVE }
 
-    /** What a worker says of a job in work: it has started, or how much of it is done. */
-    enum Note { STARTED, PROGRESS }
+    /** What is seen of a job in work: its start, how much of it is done, or the first bytes of its answer. */
+    enum Note { STARTED, PROGRESS, ANSWERING }
 
     /** One class of requests. */
     final class JobClass {
--- a/src/main/java/laneflow/decision/Job.java
+++ b/src/main/java/laneflow/decision/Job.java
@@ -32,6 +32,10 @@
     double furtherWithin;
     /** Reports it still waits for. */
     int awaited;
+    /** When it began to wait for them. */
+    double heldAt;
+    /** It would have been turned away, and has been held once for reports that may say otherwise. */
+    boolean lastLook;
     boolean live;
     /** Being placed where it ends after its aim. */
     boolean late;
@@ -64,6 +68,7 @@
         memory = request.memory;
         ability = request.ability;
         awaited = 0;
+        lastLook = false;
         live = true;
         streaming = false;
         released = false;
@@ -95,7 +100,7 @@
         return number >= 0 && number < attempts && attempt[number].outstanding ? attempt[number] : null;
     }
 
-    boolean tried(Logic.View view) {
+    boolean tried(WorkerView view) {
         for (int i = 0; i < attempts; i++) {
             if (attempt[i].view == view) {
                 return true;
@@ -127,10 +132,12 @@
     static final class Attempt {
         final Job job;
         int number;
-        Logic.View view;
+        WorkerView view;
         double sentAt;
         double startedAt;
         double heardAt;
+        /** When its answer began to come, where the rest came later; infinite otherwise. */
+        double answeredAt;
         /** Part done at the last word, where it told. */
         double share;
         /** The wait foreseen when it was sent, seconds. */
--- a/src/main/java/laneflow/decision/Kind.java
+++ b/src/main/java/laneflow/decision/Kind.java
@@ -19,8 +19,8 @@
     double waitedAt;
 
     void ran(double jobWork, double took) {
-        work += jobWork - work / Logic.SPEED_MEMORY;
-        time += took - time / Logic.SPEED_MEMORY;
+        work += jobWork - work / WorkerView.SPEED_MEMORY;
+        time += took - time / WorkerView.SPEED_MEMORY;
     }
 
     void waited(double wait, double foreseen, double now) {
@@ -30,7 +30,7 @@
     }
 
     void busy(double free, double served) {
-        double gain = workServed > 0 ? Logic.OTHERS_GAIN : 1;
+        double gain = workServed > 0 ? WorkerView.OTHERS_GAIN : 1;
         slotsFree += gain * (free - slotsFree);
         workServed += gain * (served - workServed);
     }
@@ -59,6 +59,6 @@
     double waitScale(double now) {
         double prior = tellsQueue ? Logic.QUEUE_TOLD * Logic.WAIT_PRIOR : Logic.WAIT_PRIOR;
         double scale = (waitSeen + prior) / (waitForeseen + prior);
-        return 1 + (scale - 1) / (1 + (now - waitedAt) / Logic.MEAN_AGE);
+        return 1 + (scale - 1) / (1 + (now - waitedAt) / WorkerView.MEAN_AGE);
     }
 }
--- a/src/main/java/laneflow/decision/Logic.java
+++ b/src/main/java/laneflow/decision/Logic.java
@@ -15,12 +15,6 @@
  * call, effects, cold budgets, suspicion. docs/design.md says why; docs/on-call.md what to do at night.
  */
 public final class Logic implements Dispatch {
-    /** Seconds in which a load report has lost half its weight, and after which its free memory is void. */
-    private static final double REPORT_AGE = 1;
-    /** Seconds that a report is held to be older than its arrival: it was taken before and came late. */
-    private static final double REPORT_STALE = 0.5;
-    private static final double MOST_TOLD = 4096; // Slots or waiting jobs that a report may tell of.
-    static final double MEAN_AGE = 6; // Seconds unheard in which a mean has lost half its weight.
     private static final double IN_TIME = 0.9; // Share of a job's aim to fill: hints and speeds are guesses.
     /** Four times the square of the mean excess of a normal draw, in its spreads: 4 x 0.4 x 0.4. */
     private static final double CHANCE = 0.64;
@@ -32,10 +26,6 @@
     private static final double OWN_SLACK = 1.5;
     /** Part of its running time that a late job may wait on the kind it is tied to, which others spare. */
     private static final double LATE_WAIT = 0.3;
-    private static final double OVERDUE_LEFT = 0.5; // Of what an overdue job ran: what ran long goes on.
-    private static final double KIND_SAY = 3; // Seconds of its kind's speed that weigh in with a worker's.
-    /** Seconds a report is taken before it arrives, about: own sends younger than that are not in it. */
-    private static final double REPORT_LAG = 0.2;
     /** Seconds for which an answer 'full' is believed: about what it takes until a report shows more. */
     private static final double FULL_HOLD = 0.3;
     /** Jobs waiting for each slot of a worker that answers 'full', at least: its waiting room is taken. */
@@ -51,18 +41,15 @@
     /** Capacity of a worker nothing is known of, standard cores: a cold one must not be overestimated. */
     static final double UNKNOWN_CAPACITY = 0.5;
     /** Share used of what fells a cold worker: hints are rough, capacity is guessed from slots, not cores. */
-    private static final double COLD_SAFETY = 0.6;
-    /** What the safe share leaves of it: all that may be used while sends of before a restart still count. */
-    private static final double COLD_AFRESH = 1 / COLD_SAFETY - 1;
-    private static final double COLD_JOBS = 2; // Mean jobs that a part of a cold budget holds at least.
+    private static final double COLD_SAFETY = 0.67;
+    /** Of that, all that may be used while sends of before a restart still count at the worker. */
+    private static final double COLD_AFRESH = 0.5;
+    private static final double HINTS_UNSURE = 1; // A mean of so many hints may be twice the true one.
+    private static final double COLD_JOBS = 3; // Mean jobs that a part of a cold budget holds at least.
     /** Any large prime: dispatchers of neighbouring numbers, maybe of one zone, share different workers. */
     private static final long SPREAD = 7919;
     /** Seconds of a standard core's work a kind starts with: a lucky job must not make it look fast. */
     static final double SPEED_PRIOR = 2;
-    /** Jobs after which an observation has lost about two thirds of its say in a learned speed. */
-    static final double SPEED_MEMORY = 20;
-    static final double OTHERS_GAIN = 0.1; // Say of a new report in the mean of what siblings keep there.
-    private static final double WAIT_GAIN = 0.25; // Say of one late start in the wait that is not foreseen.
     static final double WAIT_MEMORY = 0.05; // Say of a start note in the waits seen and foreseen.
     /** Seconds added to waits seen and foreseen: where there are hardly any, what is foreseen is believed. */
     static final double WAIT_PRIOR = 0.05;
@@ -88,7 +75,7 @@
     private final Settings settings;
     private final Actions out;
     private final SplittableRandom random;
-    private final Long2ObjectHashMap<View> views = new Long2ObjectHashMap<>();
+    private final Long2ObjectHashMap<WorkerView> views = new Long2ObjectHashMap<>();
     private final Jobs jobs = new Jobs();
     private final Long2ObjectHashMap<Kind> kinds = new Long2ObjectHashMap<>();
     private final Long2ObjectHashMap<Crowd> crowds = new Long2ObjectHashMap<>();
@@ -99,11 +86,12 @@
     private final SendLog taken = new SendLog();
     private final SendLog further = new SendLog();
     /** Workers told to drain whose connections are to be closed once more. */
-    private final ArrayDeque<View> closing = new ArrayDeque<>();
+    private final ArrayDeque<WorkerView> closing = new ArrayDeque<>();
     private double callArmed = Double.POSITIVE_INFINITY;
     private int listRound;
     private boolean askPending;
     private double meanHint; // Of the jobs seen here, 0 before the first: a guess for the siblings' jobs.
+    private long hints; // Seen so far.
     private double topWorth;
     private final Shares shares;
     private final double[] slack; // Mean wait that each class's jobs can bear.
@@ -156,7 +144,7 @@
         }
         if (kind != ListKind.CHANGES) {
             // A worker missing from a whole list is gone: sending on would break its drain.
-            for (View view : views.values()) {
+            for (WorkerView view : views.values()) {
                 if (view.listRound != listRound && view.state != State.GONE) {
                     view.state = State.GONE;
                     closeIdle(view);
@@ -169,7 +157,7 @@
     @Override
     public void setDown(double at, long worker) {
         clock(at);
-        View view = views.computeIfAbsent(worker, View::new);
+        WorkerView view = views.computeIfAbsent(worker, id -> new WorkerView(id, settings));
         view.downAt = view.down ? view.downAt : now;
         view.down = true;
         index();
@@ -179,7 +167,7 @@
     @Override
     public void setUp(double at, long worker) {
         clock(at);
-        View view = views.get(worker);
+        WorkerView view = views.get(worker);
         if (view != null && view.down) {
             view.down = false;
             view.backAt = now;
@@ -259,7 +247,7 @@
         if (attempt == null) {
             return;
         }
-        View view = attempt.view;
+        WorkerView view = attempt.view;
         // Before it is settled: a report older than the job's end still counts it, and is not the siblings'.
         if (report != null) {
             view.take(report, meanHint, now);
@@ -279,7 +267,7 @@
     @Override
     public void probed(double at, long worker, double took, Outcome outcome, LoadReport report) {
         clock(at);
-        View view = views.get(worker);
+        WorkerView view = views.get(worker);
         if (view != null && report != null) {
             view.take(report, meanHint, outcome == Outcome.MOOT ? now - took : now);
         }
@@ -311,6 +299,11 @@
                 attempt.view.waited(attempt, now);
                 loseOvertaken(attempt);
             }
+            if (note == Note.ANSWERING && settings.progressEvery == 0 && !attempt.lost) {
+                // However slowly the network brings the answer, the worker has done the job.
+                attempt.answeredAt = now;
+                attempt.view.lose(attempt);
+            }
             if (note == Note.PROGRESS) {
                 attempt.share = share;
             }
@@ -320,17 +313,27 @@
     // ---- the placement path: home, pick, coin, refuse ----
 
     private void place(Job job) {
-        View view = choose(job);
-        if (view == null) {
-            finish(job);
-        } else {
+        WorkerView view = choose(job);
+        if (view != null) {
             send(job, view);
+        } else if (job.lastLook || !looksOnceMore(job)) {
+            finish(job);
+        }
+    }
+
+    /** Before a job is turned away, workers unheard of lately are asked: by now they may have room. */
+    private boolean looksOnceMore(Job job) {
+        job.lastLook = true;
+        int home = homeZone(job);
+        for (int i = 0; home >= 0 && i < settings.zones && job.awaited == 0; i++) {
+            await(job, refresh(job, pools[(home + i) % settings.zones]));
         }
+        return job.awaited > 0;
     }
 
-    private View choose(Job job) {
+    private WorkerView choose(Job job) {
         int home = homeZone(job);
-        View view = home < 0 ? null : pickSparing(job, home);
+        WorkerView view = home < 0 ? null : pickSparing(job, home);
         if (view == null && home >= 0) {
             view = coin(job, home);
         }
@@ -364,18 +367,18 @@
         return false;
     }
 
-    private static boolean runs(View view, Job job) {
+    private static boolean runs(WorkerView view, Job job) {
         return (job.type.kind < 0 || job.type.kind == view.kind) && (view.classes & job.classBit) != 0
                 && (job.ability == 0 || view.abilities == null
                 || Arrays.binarySearch(view.abilities, job.ability) >= 0);
     }
 
     /** A job that runs anywhere spares the kinds that some class depends on, while others have room. */
-    private View pickSparing(Job job, int zone) {
-        if (job.attempts > 0 || zone != settings.zone) {
+    private WorkerView pickSparing(Job job, int zone) {
+        if (settings.reports == ReportSource.PROBES && (job.attempts > 0 || zone != settings.zone)) {
             refresh(job, pools[zone]);
         }
-        View view = job.type.kind < 0 ? pick(job, zone, true) : null;
+        WorkerView view = job.type.kind < 0 ? pick(job, zone, true) : null;
         return view != null ? view : pick(job, zone, false);
     }
 
@@ -383,21 +386,21 @@
      * The zone's worker not judged full with least work outstanding from here, in time taken there. Where
      * many dispatchers have next to nothing out each, the wait foreseen for siblings' jobs tells them apart.
      */
-    private View pick(Job job, int zone, boolean sparing) {
-        View best = null;
+    private WorkerView pick(Job job, int zone, boolean sparing) {
+        WorkerView best = null;
         double least = Double.POSITIVE_INFINITY;
         int ties = 0;
         Pool pool = pools[zone];
         // Told of the same room by old reports all herd: twice as often as told 'full', own work decides.
         boolean blind = random.nextDouble() < 2 * pool.fullShare;
         for (int i = 0; i < pool.count && !suspect(pool); i++) {
-            View view = pool.ready[i];
+            WorkerView view = pool.ready[i];
             if (!runs(view, job) || sparing && view.peers.soleHost || job.tried(view)
                     || suspect(view) || full(view, job) || !effectAllows(job, view)
                     || now < view.warmAt && !coldBudgetAllows(view, job)) {
                 continue;
             }
-            double speed = view.speed();
+            double speed = view.speed(now);
             double time = (view.ownRemaining(now, speed) + job.work()) / (view.peers.slots() * speed)
                     + (blind ? 0 : wait(view, job));
             if (time < least) {
@@ -411,31 +414,26 @@
         return best;
     }
 
-    /** A full pool's coin: either neighbour on the ring of zones that serve the class, of those with room. */
-    private View coin(Job job, int home) {
+    /** A full pool's coin: round the ring one way or the other, to the nearest zone with room for the job. */
+    private WorkerView coin(Job job, int home) {
         int step = random.nextDouble() < job.crossEachWay ? 1 : settings.zones - 1;
-        View view = neighbour(job, home, step);
-        return view != null ? view : neighbour(job, home, settings.zones - step);
-    }
-
-    private View neighbour(Job job, int home, int step) {
-        int zone = (home + step) % settings.zones;
-        while (zone != home && !serves(zone, job)) {
-            zone = (zone + step) % settings.zones;
+        WorkerView view = null;
+        for (int i = 1; i < settings.zones && view == null; i++) {
+            view = pickSparing(job, (home + i * step) % settings.zones);
         }
-        return zone == home ? null : pickSparing(job, zone);
+        return view;
     }
 
     /** Full: the worker answered 'full', lacks the memory, or could not end the job within its aim. */
-    private boolean full(View view, Job job) {
+    private boolean full(WorkerView view, Job job) {
         if (now < view.fullUntil) {
             return true;
         }
-        if (now - view.reportAt <= REPORT_AGE
+        if (now - view.reportAt <= WorkerView.REPORT_AGE
                 && view.freeMemory + view.memoryInReport - view.ownMemory < job.memory) {
             return true;
         }
-        double run = job.hint / view.speed();
+        double run = job.hint / view.speed(now);
         if (job.late) {
             // Start notes always come a little late: on its own kind a tied class would never find a slot.
             double most = job.type.kind < 0 ? 0 : LATE_WAIT * run;
@@ -483,28 +481,28 @@
     }
 
     /** Seconds until this worker would start the job. */
-    private double wait(View view, Job job) {
+    private double wait(WorkerView view, Job job) {
         return Math.max(0, queueWait(view, job) * view.peers.waitScale(now) + view.unseenWait(now));
     }
 
     /** Seconds that the work known of makes it wait: the mean job's rest for each one too many. */
-    private double queueWait(View view, Job job) {
+    private double queueWait(WorkerView view, Job job) {
         double slots = view.peers.slots();
         double others = view.others(now);
         double jobsAhead = view.ownSlots + others;
         double over = jobsAhead + job.slots - slots;
         // Siblings' jobs not in a fresh report come by chance: the more are unseen, the likelier is a queue.
-        double seen = 1 / (1 + (now - view.reportAt) / REPORT_AGE);
+        double seen = 1 / (1 + (now - view.reportAt) / WorkerView.REPORT_AGE);
         over = (over + Math.sqrt(over * over + CHANCE * others * (1 - seen * seen))) / 2;
         if (over <= 0 || jobsAhead <= 0) {
             return 0;
         }
-        double speed = view.speed();
+        double speed = view.speed(now);
         double mean = (view.ownRemaining(now, speed) + others * meanHint) / jobsAhead;
         return over * mean / (slots * speed);
     }
 
-    private void send(Job job, View view) {
+    private void send(Job job, WorkerView view) {
         Attempt attempt = job.nextAttempt();
         attempt.view = view;
         attempt.sentAt = now;
@@ -514,8 +512,9 @@
         attempt.queueWait = queueWait(view, job);
         attempt.wait = wait(view, job);
         // A silent machine shows only in what is overdue: a start, or the end where starts are not told.
-        attempt.dueAt = now + attempt.wait + (settings.tellsStart ? 0 : job.hint / view.speed());
+        attempt.dueAt = now + attempt.wait + (settings.tellsStart ? 0 : job.hint / view.speed(now));
         attempt.lost = false;
+        attempt.answeredAt = Double.POSITIVE_INFINITY;
         attempt.outstanding = true;
         attempt.mayHaveRun = true;
         job.outstanding++;
@@ -558,7 +557,7 @@
     private double comeBack(Job job) {
         int home = homeZone(job);
         for (int i = 0; home >= 0 && i < pools[home].count && !suspect(pools[home]); i++) {
-            View view = pools[home].ready[i];
+            WorkerView view = pools[home].ready[i];
             if (runs(view, job) && !suspect(view) && !full(view, job)) {
                 return settings.tick;
             }
@@ -623,12 +622,12 @@
     }
 
     /** A keyed job that may have run stays with the workers that drop its repeats. */
-    private boolean effectAllows(Job job, View view) {
+    private boolean effectAllows(Job job, WorkerView view) {
         if (job.type.effect != Effect.KEYED || job.type.group == Group.ALL) {
             return true;
         }
         for (int i = 0; i < job.attempts; i++) {
-            View earlier = job.attempt[i].view;
+            WorkerView earlier = job.attempt[i].view;
             if (job.attempt[i].mayHaveRun && (job.type.group == Group.ZONE ? earlier.zone != view.zone
                     : earlier.cell != view.cell)) {
                 return false;
@@ -654,24 +653,22 @@
     // ---- guard: cold workers ----
 
     /**
-     * A cold worker falls over from the sum of all dispatchers' sends, and none sees the others'. What fells
-     * it, the n mean jobs that multiple x present capacity x span allow and what comes by chance (three roots
-     * of n, and three), is shared by as many dispatchers as get a part of some jobs' size: shared by all, no
-     * part might hold a single job. Who they are follows from the dispatchers' numbers and the worker's
-     * start, so all agree unasked. Other zones' dispatchers hardly use their parts: theirs are half, and its
-     * own zone's the greater, for many dispatchers are spread evenly. Every send counts.
+     * Slow start: a cold worker falls over from the sum of all dispatchers' sends, and none sees the others'.
+     * What fells it, the n mean jobs that multiple x present capacity x span allow and what comes by chance
+     * (two roots of n, and two), is shared by as many dispatchers as get a part of some jobs' size: shared by
+     * all, no part might hold a single job. Who they are follows from the dispatchers' numbers and the start
+     * of the worker, so all agree unasked; their zones are not told, and may be one. Every send counts.
      */
-    private boolean coldBudgetAllows(View view, Job job) {
-        double cores = view.warmth() * view.peers.capacity();
-        double n = settings.fallMultiple * cores * settings.fallWithin / meanHint;
-        double even = 1 - 1 / Math.sqrt(settings.dispatchers);
-        double jobs = COLD_SAFETY * (n + 3 * Math.sqrt(n) + 3)
-                * (1 + even * (view.zone == settings.zone ? settings.zones - 1 : -1) / 2);
+    private boolean coldBudgetAllows(WorkerView view, Job job) {
+        double mean = meanHint * hints / (hints + HINTS_UNSURE);
+        double cores = view.warmth(now) * view.peers.capacity();
+        double n = settings.fallMultiple * cores * settings.fallWithin / mean;
+        double jobs = COLD_SAFETY * (n + 2 * Math.sqrt(n) + 2);
         long parts = (long) Math.max(1, Math.min(settings.dispatchers, jobs / COLD_JOBS));
         long first = (view.id * 0x9E3779B97F4A7C15L ^ Double.doubleToLongBits(view.startedAt)) >>> 16;
         double mine = part * jobs / parts * (now < startedAt + settings.fallWithin ? COLD_AFRESH : 1);
         return (settings.me * SPREAD + first) % settings.dispatchers < parts
-                && view.coldLog.since(now - settings.fallWithin) + coldCost(job) <= mine * meanHint;
+                && view.coldLog.since(now - settings.fallWithin) + coldCost(job) <= mine * mean;
     }
 
     /**
@@ -688,7 +685,7 @@
      * A dead worker keeps its last report and one that fails fast looks idle: both draw ever more jobs. After
      * a failure it is left alone, for longer each time; then one job tries it, until an answer clears it.
      */
-    private boolean suspect(View view) {
+    private boolean suspect(WorkerView view) {
         return suspect(view.doubt, view.ownCount > 0);
     }
 
@@ -704,9 +701,9 @@
         return doubt.strikes > 0 && (now < doubt.until || onTrial && doubt.triedAt >= doubt.until);
     }
 
-    private void judge(View view, Outcome outcome) {
+    private void judge(WorkerView view, Outcome outcome) {
         Pool pool = pools[view.zone];
-        pool.fullShare += OTHERS_GAIN * ((outcome == Outcome.FULL ? 1 : 0) - pool.fullShare);
+        pool.fullShare += WorkerView.OTHERS_GAIN * ((outcome == Outcome.FULL ? 1 : 0) - pool.fullShare);
         if (outcome == Outcome.OK || outcome == Outcome.FULL) {
             view.fullUntil = outcome == Outcome.FULL ? now + FULL_HOLD : view.fullUntil;
             if (outcome == Outcome.FULL && !view.peers.tellsQueue) {
@@ -739,7 +736,7 @@
      * gives up; what may be repeated goes elsewhere at once.
      */
     private void loseOvertaken(Attempt started) {
-        View view = started.view;
+        WorkerView view = started.view;
         for (int i = 0; i < view.ownCount && settings.headBlocks; i++) {
             Attempt attempt = view.own[i];
             if (Double.isNaN(attempt.startedAt) && attempt.sentAt < started.sentAt - OVERTAKEN
@@ -758,7 +755,7 @@
      * A worker that drains waits for its connections: where a time is stated the idle ones are closed at the
      * notice and after each attempt's end. One still being opened then is idle only later: once more for it.
      */
-    private void closeIdle(View view) {
+    private void closeIdle(WorkerView view) {
         if (settings.closeOnDrain > 0 && view.state != State.READY) {
             out.closeIdle(view.id);
             closing.add(view);
@@ -769,12 +766,12 @@
     // ---- following the list ----
 
     private void learn(Worker entry) {
-        View view = views.get(entry.id);
+        WorkerView view = views.get(entry.id);
         if (view == null) {
             if (entry.state == State.GONE) {
                 return;
             }
-            view = new View(entry.id);
+            view = new WorkerView(entry.id, settings);
             views.put(entry.id, view);
         }
         if (entry.startedAt > view.startedAt && view.listRound > 0) {
@@ -807,7 +804,7 @@
         admit(view);
     }
 
-    private void admit(View view) {
+    private void admit(WorkerView view) {
         double since = view.coldSince();
         view.warmAt = since > 0 ? since + settings.coldFor : Double.NEGATIVE_INFINITY;
         if (view.isEligible() && !view.indexed && view.zone < settings.zones) {
@@ -828,7 +825,7 @@
     }
 
     /** Not while its cold budget is partly spent: a list that flaps would let it be spent twice. */
-    private boolean forgettable(View view) {
+    private boolean forgettable(WorkerView view) {
         return view.state == State.GONE && view.ownCount == 0 && !view.down && now >= view.warmAt
                 && view.coldLog.since(now - settings.fallWithin) == 0;
     }
@@ -856,9 +853,9 @@
      */
     private int refresh(Job job, Pool pool) {
         int asked = 0;
-        boolean may = settings.reports == ReportSource.PROBES && settings.mayProbe;
+        boolean may = settings.reports != ReportSource.NONE && settings.mayProbe;
         for (int i = 0; i < pool.count && asked < PROBES_EACH && may; i++) {
-            View view = pool.next();
+            WorkerView view = pool.next();
             if (runs(view, job) && now - Math.max(view.probedAt, view.reportAt) >= PROBE_EVERY) {
                 view.probedAt = now;
                 out.probe(view.id);
@@ -871,22 +868,29 @@
     /** In a large pool hardly a report is fresh when a job comes: it waits a moment for those it asks for. */
     private boolean held(Job job) {
         int home = homeZone(job);
-        job.awaited = home < 0 ? 0 : refresh(job, pools[home]);
-        if (job.awaited > 0) {
+        if (home >= 0 && settings.reports == ReportSource.PROBES) {
+            await(job, refresh(job, pools[home]));
+        }
+        return job.awaited > 0;
+    }
+
+    private void await(Job job, int reports) {
+        job.awaited = reports;
+        if (reports > 0) {
+            job.heldAt = now;
             held.add(job);
             out.wake(HOLD, HELD_LONG);
         }
-        return job.awaited > 0;
     }
 
     /** Places the held jobs that have all reports asked for, with the one now here, or waited long enough. */
     private void placeHeld(double askedAt) {
         for (int i = held.size(); i > 0; i--) {
             Job job = held.poll();
-            if (job.arrivedAt == askedAt) {
+            if (job.heldAt == askedAt) {
                 job.awaited--;
             }
-            if (job.awaited == 0 || now >= job.arrivedAt + HOLD - settings.tick / 2) {
+            if (job.awaited == 0 || now >= job.heldAt + HOLD - settings.tick / 2) {
                 job.awaited = 0;
                 place(job);
             } else {
@@ -910,7 +914,7 @@
         double guess = Math.min(meanHint > 0 ? meanHint : 1, UNTOLD * Math.max(settings.tick, aim));
         double hint = Math.min(request.hint > 0 ? request.hint : guess, type.deadline);
         // The mean begins with the first one: any guess in its place keeps cold workers idle.
-        meanHint += (meanHint > 0 ? HINT_GAIN : 1) * (hint - meanHint);
+        meanHint += Math.max(1.0 / ++hints, HINT_GAIN) * (hint - meanHint);
         return jobs.open(request.id).open(request, settings, shares, now, call, hint);
     }
 
@@ -919,175 +923,16 @@
         // Where workers also shed what they had begun, a repeat after 'full' could be a second effect.
         attempt.mayHaveRun = !outcome.neverRan || outcome == Outcome.FULL && settings.fullMayHaveRun;
         attempt.job.outstanding--;
-        View view = attempt.view;
+        WorkerView view = attempt.view;
         view.remove(attempt);
         // Where no start is told it is taken as foreseen: with nothing learned a slow kind would count as a
         // standard one, and its cold workers be sent too much.
         double began = Double.isNaN(attempt.startedAt) && !settings.tellsStart
                 ? Math.min(now, attempt.sentAt + attempt.wait) : attempt.startedAt;
         if (outcome == Outcome.OK && !Double.isNaN(began) && now >= view.warmAt) {
-            view.peers.ran(attempt.job.hint, now - began);
-            view.ran(attempt.job.hint, now - began);
-        }
-    }
-
-    /** What this dispatcher knows of one worker. */
-    final class View extends Outstanding {
-        private final long id;
-        private int zone;
-        private int kind;
-        private Kind peers;
-        private int cell;
-        private long classes;
-        private long[] abilities;
-        private State state = State.GONE; // Until a list names it.
-        private boolean down; // By operators.
-        private double downAt = Double.NEGATIVE_INFINITY; // When they last set it down,
-        private double backAt = Double.NEGATIVE_INFINITY; // and up.
-        private double startedAt;
-        private double warmAt;
-        private int listRound;
-        boolean indexed;
-        int index;
-        private double probedAt = Double.NEGATIVE_INFINITY;
-        private double reportAt = Double.NEGATIVE_INFINITY;
-        private double othersInReport;
-        private double othersMean;
-        private Crowd crowd;
-        private double freeMemory;
-        private double memoryInReport;
-        private double missed;
-        private double missedAt;
-        private double workRun;
-        private double timeRun;
-        private double fullUntil = Double.NEGATIVE_INFINITY;
-        private final Doubt doubt = new Doubt();
-        private final SendLog coldLog = new SendLog();
-
-        View(long id) {
-            this.id = id;
-        }
-
-        boolean isEligible() {
-            return state == State.READY && !down;
-        }
-
-        /** Lists are late: set down to be restarted, and not told of a start since, it counts as cold. */
-        double coldSince() {
-            return startedAt > downAt ? startedAt : Math.max(startedAt, backAt);
-        }
-
-        void waited(Attempt attempt, double now) {
-            double wait = attempt.startedAt - attempt.sentAt;
-            peers.waited(wait, attempt.queueWait, now);
-            missed = unseenWait(now) + WAIT_GAIN * (wait - attempt.wait);
-            missedAt = now;
-        }
-
-        /** Seconds by which jobs start later than foreseen here: the queue that reports do not show. */
-        double unseenWait(double now) {
-            double unseen = missed / (1 + (now - missedAt) / REPORT_AGE);
-            for (int i = 0; i < ownCount; i++) {
-                if (Double.isNaN(own[i].startedAt) && !own[i].lost) {
-                    unseen = Math.max(unseen, now - own[i].dueAt);
-                }
-            }
-            return unseen;
-        }
-
-        void ran(double hint, double took) {
-            workRun += hint - workRun / SPEED_MEMORY;
-            timeRun += took - timeRun / SPEED_MEMORY;
-        }
-
-        /** The part of its capacity, and so of its speed, that it has at least: it rises from its start. */
-        double warmth() {
-            double age = Math.max(0, now - coldSince());
-            return now >= warmAt ? 1 : settings.coldShare + (1 - settings.coldShare) * age / settings.coldFor;
-        }
-
-        /** Work a second and slot: what was seen of this worker, with some seconds of its kind's mean. */
-        double speed() {
-            return warmth() * (workRun + KIND_SAY * peers.speed()) / (timeRun + KIND_SAY);
-        }
-
-        void take(LoadReport report, double meanWork, double now) {
-            // What no worker can have is spoilt: kept as the most seen it would blind its kind for good.
-            if (!(report.freeSlots >= 0 && report.freeSlots <= MOST_TOLD) || report.queue > MOST_TOLD) {
-                return;
-            }
-            peers.slotsSeen = Math.max(peers.slotsSeen, report.freeSlots);
-            if (report.rate >= 0 && report.rate <= MOST_TOLD && now >= warmAt) {
-                peers.busy(report.freeSlots, report.rate * meanWork);
-            }
-            freeMemory = Double.isNaN(report.freeMemory) ? Double.POSITIVE_INFINITY : report.freeMemory;
-            double inReport = memoryInReport = 0;
-            for (int i = 0; i < ownCount; i++) {
-                if (own[i].sentAt <= now - REPORT_LAG && !own[i].lost) {
-                    inReport += own[i].job.slots;
-                    memoryInReport += own[i].job.memory;
-                }
-            }
-            double queue = report.queue > 0 ? report.queue : 0;
-            peers.tellsQueue |= report.queue >= 0;
-            taken(Math.max(0, peers.slots() - report.freeSlots + queue - inReport), now);
-        }
-
-        /** Siblings' jobs there, of which a report or an answer tells. */
-        void taken(double there, double now) {
-            if (now >= warmAt) {
-                crowd.reported(there / peers.slots(), now);
-            }
-            double before = crowdMean(now);
-            before += (othersMean - before) / (1 + (now - reportAt) / MEAN_AGE);
-            othersMean = before + OTHERS_GAIN * (there - before);
-            othersInReport = there;
-            reportAt = now;
-        }
-
-        /**
-         * Slots that siblings' jobs take on the mean of the crowd. Held full for ever a pool would get no
-         * job, so no report: the mean fades. Cold workers held as full as their crowd would stand idle.
-         */
-        double crowdMean(double now) {
-            double age = (now - crowd.heardAt) / MEAN_AGE;
-            return now < warmAt ? 0 : crowd.load * peers.slots() / (1 + age * age);
-        }
-
-        /** Slots of the siblings' jobs here: the last report's, with age the mean of its crowd's. */
-        double others(double now) {
-            double mean = crowdMean(now);
-            double age = now - reportAt;
-            return mean + (othersMean - mean) / (1 + age / MEAN_AGE)
-                    + (othersInReport - othersMean) / (1 + (age + REPORT_STALE) / REPORT_AGE);
-        }
-
-        /** Work left of this dispatcher's jobs here. */
-        double ownRemaining(double now, double speed) {
-            double left = 0;
-            for (int i = 0; i < ownCount; i++) {
-                Attempt a = own[i];
-                if (a.lost) {
-                    continue;
-                }
-                double done = Double.isNaN(a.startedAt) ? 0 : speed * (now - a.startedAt);
-                // Nearly done for ever, the jobs of a worker grown slow would draw more to it.
-                double rest = Math.max(OVERDUE_LEFT * done, a.job.hint - done);
-                if (a.share > 0) {
-                    // A heavy job with a light hint would fill the queue unseen: progress tells its length.
-                    double time = (a.heardAt - a.startedAt) * (1 / a.share - 1) - (now - a.heardAt);
-                    rest = speed * Math.max(0, time);
-                }
-                left += a.job.slots * rest;
-            }
-            return left;
-        }
-
-        void forgetReport() {
-            reportAt = Double.NEGATIVE_INFINITY;
-            fullUntil = Double.NEGATIVE_INFINITY;
-            doubt.clear();
-            othersInReport = 0;
+            double took = Math.min(now, attempt.answeredAt) - began;
+            view.peers.ran(attempt.job.hint, took);
+            view.ran(attempt.job.hint, took);
         }
     }
 }
--- a/src/main/java/laneflow/decision/Pool.java
+++ b/src/main/java/laneflow/decision/Pool.java
@@ -4,7 +4,7 @@
 
 /** The ready workers of one zone, each removed in one step, with a turn that comes to each of them. */
 final class Pool {
-    Logic.View[] ready = new Logic.View[8];
+    WorkerView[] ready = new WorkerView[8];
     int count;
     /** Share of the attempts here that were answered 'full', of late. */
     double fullShare;
@@ -16,7 +16,7 @@
         turn = first & Integer.MAX_VALUE >> 1;
     }
 
-    void add(Logic.View view) {
+    void add(WorkerView view) {
         if (count == ready.length) {
             ready = Arrays.copyOf(ready, count * 2);
         }
@@ -25,8 +25,8 @@
         ready[count++] = view;
     }
 
-    void remove(Logic.View view) {
-        Logic.View last = ready[--count];
+    void remove(WorkerView view) {
+        WorkerView last = ready[--count];
         ready[count] = null;
         if (last != view) {
             ready[view.index] = last;
@@ -36,7 +36,7 @@
     }
 
     /** Each worker in turn. */
-    Logic.View next() {
+    WorkerView next() {
         turn = (turn + 1) % count;
         return ready[turn];
     }
--- a/src/main/java/laneflow/http/Answer.java
+++ b/src/main/java/laneflow/http/Answer.java
@@ -37,6 +37,10 @@
     private LoadReport report;
     private boolean spoke;
     private boolean stray;
+    /** The endpoint has told of the job's start. */
+    private boolean started;
+    /** A line behind that has begun to come and is not whole. */
+    private boolean answering;
 
     Answer(Scheduler scheduler, OutboundCall call, String before) {
         this.scheduler = scheduler;
@@ -98,6 +102,10 @@
         if (line.size() > MOST_LINE) {
             throw new HttpException(400, "line too long");
         }
+        if (line.size() > 0 && started && !answering && outcome == null) {
+            answering = true;
+            scheduler.answering(call);
+        }
     }
 
     @Override
@@ -163,9 +171,11 @@
         }
         switch (String.valueOf(string(word, "state"))) {
             case "started":
+                started = true;
                 scheduler.started(call);
                 break;
             case "running":
+                answering = false;
                 scheduler.progress(call, (long) (share(word) * 1000), 1000);
                 break;
             case "done":
--- a/src/test/java/laneflow/http/EndpointStoryTest.java
+++ b/src/test/java/laneflow/http/EndpointStoryTest.java
@@ -53,6 +53,32 @@
         }
     }
 
+    /** The core hears that the job is done with the first bytes of the last line, once, and of none that is whole. */
+    @Test
+    void anAnswerThatBeginsToComeIsTold() throws Exception {
+        Endpoint endpoint = new Endpoint("e1");
+        try (Stand stand = new Stand(null, endpoint); Peer client = stand.http()) {
+            client.post("basket-check", "1", "", "");
+            Peer call = endpoint.accept();
+            call.message();
+            call.begins("{'id':'1','state':'started'}");
+            stand.await("call.started", 1);
+            assertEquals(0, stand.counter("call.answering"));
+            String line = done("1", "one").replace('\'', '"') + "\n";
+            call.write(Integer.toHexString(line.length()) + "\r\n" + line.substring(0, 3));
+            stand.await("call.answering", 1);
+            call.write(line.substring(3, 9));
+            call.write(line.substring(9) + "\r\n0\r\n\r\n");
+            assertTrue(client.message().endsWith("one"));
+            assertEquals(1, stand.counter("call.answering"));
+            client.post("basket-check", "2", "", "");
+            call.message();
+            call.begins("{'id':'2','state':'started'}").ends(done("2", "two"));
+            assertTrue(client.message().endsWith("two"));
+            assertEquals(1, stand.counter("call.answering"));
+        }
+    }
+
     @Test
     void aSecondAnswerOnARestingConnectionEndsItAndAThirdIsNone() throws Exception {
         Endpoint endpoint = new Endpoint("e1");
