Priors of speed and the hold of 'full' follow the mean job; overtaking follows the settings

Seen: constants marked open in docs/deployments.md were seconds that fit jobs of half a second: with jobs of 0.05 s a worker's speed stood at its prior for forty jobs. Change: Kind starts with 3 mean jobs and weighs in with 6 (they were 2 and 3 s), an answer 'full' is believed for as long as a slot takes to come free, 0.3 s at most, and a job counts as overtaken after limits.connectTimeout, the settings' word on when a path is dead. Green: GuardTest, SlowStartFleetTest, OrdersTest, DrawnSettingsTest, StartingEmptyTest, TenantDayTest, PropertyTest, SourceTest.

--- a/src/main/java/laneflow/decision/Kind.java
+++ b/src/main/java/laneflow/decision/Kind.java
@@ -2,6 +2,18 @@
 
 /** What is seen of one kind of worker. */
 final class Kind {
+    /** Say of a job in the mean work of those that ran here. */
+    private static final double WORK_GAIN = 0.02;
+    /** Mean jobs at standard speed that a kind starts with: a lucky job must not make it look fast. */
+    private static final double SPEED_PRIOR_JOBS = 3;
+    /** Mean jobs of its kind's speed that weigh in with what was seen of one worker. */
+    private static final double KIND_SAY_JOBS = 6;
+    /** Seconds added to waits seen and foreseen: where there are hardly any, what is foreseen is believed. */
+    private static final double WAIT_PRIOR = 0.05;
+    /** Times as many where reports tell of queues: then more of the wait is foreseen. */
+    private static final double QUEUE_TOLD = 4;
+    /** Seconds for which an answer 'full' is believed at most, also where jobs are long. */
+    private static final double LONGEST_FULL = 0.3;
     /** Some class runs on no other kind. */
     boolean soleHost;
     double slotsSeen;
@@ -12,13 +24,16 @@
     double sizeSeen;
     /** Its reports tell how many requests wait. */
     boolean tellsQueue;
-    private double work = Logic.SPEED_PRIOR;
-    private double time = Logic.SPEED_PRIOR;
+    private double work;
+    private double time;
+    /** Mean work of the jobs that ran on its workers, seconds of a standard core; 0 before the first. */
+    private double meanWork;
     double waitSeen;
     double waitForeseen;
     double waitedAt;
 
     void ran(double jobWork, double took) {
+        meanWork += (meanWork > 0 ? WORK_GAIN : 1) * (jobWork - meanWork);
         work += jobWork - work / WorkerView.SPEED_MEMORY;
         time += took - time / WorkerView.SPEED_MEMORY;
     }
@@ -44,7 +59,19 @@
     }
 
     double speed() {
-        return work / time;
+        double prior = SPEED_PRIOR_JOBS * meanWork;
+        return meanWork > 0 ? (work + prior) / (time + prior) : 1;
+    }
+
+    /** The same with what was seen of one worker: work that it did, and the seconds that this took. */
+    double speed(double workSeen, double timeSeen) {
+        double say = KIND_SAY_JOBS * meanWork;
+        return meanWork > 0 ? (workSeen + say * speed()) / (timeSeen + say) : 1;
+    }
+
+    /** Seconds for which an answer 'full' is believed: about what it takes until one of its slots is free. */
+    double fullFor() {
+        return meanWork > 0 ? Math.min(LONGEST_FULL, meanWork / (slots() * speed())) : LONGEST_FULL;
     }
 
     /** Standard cores that a warm worker of this kind is seen to bear. */
@@ -57,7 +84,7 @@
      * to start a kind would get no job, and stay shut out: without a start to renew it the scale fades.
      */
     double waitScale(double now) {
-        double prior = tellsQueue ? Logic.QUEUE_TOLD * Logic.WAIT_PRIOR : Logic.WAIT_PRIOR;
+        double prior = tellsQueue ? QUEUE_TOLD * WAIT_PRIOR : WAIT_PRIOR;
         double scale = (waitSeen + prior) / (waitForeseen + prior);
         return 1 + (scale - 1) / (1 + (now - waitedAt) / WorkerView.MEAN_AGE);
     }
--- a/src/main/java/laneflow/decision/Logic.java
+++ b/src/main/java/laneflow/decision/Logic.java
@@ -26,15 +26,11 @@
     private static final double OWN_SLACK = 1.5;
     /** Part of its running time that a late job may wait on the kind it is tied to, which others spare. */
     private static final double LATE_WAIT = 0.3;
-    /** Seconds for which an answer 'full' is believed: about what it takes until a report shows more. */
-    private static final double FULL_HOLD = 0.3;
     /** Jobs waiting for each slot of a worker that answers 'full', at least: its waiting room is taken. */
     private static final double FULL_QUEUE = 1;
-    /** Seconds by which a job must have been sent before one that has started, to have been overtaken. */
-    private static final double OVERTAKEN = 0.3;
     private static final double PROBE_EVERY = 0.5; // Seconds for which a report is fresh: no probe then.
     /** Seconds that a job waits at most for reports: about a probe's way there and back, and some ticks. */
-    private static final double HOLD = 0.01;
+    private static final double REPORT_WAIT = 0.01;
     private static final int PROBES_EACH = 4; // For each request placed: probes cost workers time.
     private static final double LIST_RETRY = 1; // Seconds at least: discovery serves all dispatchers.
     private static final double LAST_CALL_TICKS = 2; // From the final answer to the client's giving up.
@@ -48,13 +44,7 @@
     private static final double COLD_JOBS = 3; // Mean jobs that a part of a cold budget holds at least.
     /** Any large prime: dispatchers of neighbouring numbers, maybe of one zone, share different workers. */
     private static final long SPREAD = 7919;
-    /** Seconds of a standard core's work a kind starts with: a lucky job must not make it look fast. */
-    static final double SPEED_PRIOR = 2;
     static final double WAIT_MEMORY = 0.05; // Say of a start note in the waits seen and foreseen.
-    /** Seconds added to waits seen and foreseen: where there are hardly any, what is foreseen is believed. */
-    static final double WAIT_PRIOR = 0.05;
-    /** Times as many where reports tell of queues: then more of the wait is foreseen. */
-    static final double QUEUE_TOLD = 4;
     private static final double SLACK_GAIN = 0.05; // Say of a request in its class's mean wait.
     private static final double HINT_GAIN = 0.02; // Say of a new request in the mean cost hint.
 
@@ -705,7 +695,7 @@
         Pool pool = pools[view.zone];
         pool.fullShare += WorkerView.OTHERS_GAIN * ((outcome == Outcome.FULL ? 1 : 0) - pool.fullShare);
         if (outcome == Outcome.OK || outcome == Outcome.FULL) {
-            view.fullUntil = outcome == Outcome.FULL ? now + FULL_HOLD : view.fullUntil;
+            view.fullUntil = outcome == Outcome.FULL ? now + view.peers.fullFor() : view.fullUntil;
             if (outcome == Outcome.FULL && !view.peers.tellsQueue) {
                 // The only word of a queue: a worker believed to have none is tried in vain again and again.
                 view.taken((1 + FULL_QUEUE) * view.peers.slots(), now);
@@ -739,7 +729,7 @@
         WorkerView view = started.view;
         for (int i = 0; i < view.ownCount && settings.headBlocks; i++) {
             Attempt attempt = view.own[i];
-            if (Double.isNaN(attempt.startedAt) && attempt.sentAt < started.sentAt - OVERTAKEN
+            if (Double.isNaN(attempt.startedAt) && attempt.sentAt < started.sentAt - settings.connectTimeout
                     && !attempt.lost) {
                 view.lose(attempt);
                 if (settings.mayCancel && attempt.job.live && mayRepeat(attempt.job)) {
@@ -879,7 +869,7 @@
         if (reports > 0) {
             job.heldAt = now;
             held.add(job);
-            out.wake(HOLD, HELD_LONG);
+            out.wake(REPORT_WAIT, HELD_LONG);
         }
     }
 
@@ -890,7 +880,7 @@
             if (job.heldAt == askedAt) {
                 job.awaited--;
             }
-            if (job.awaited == 0 || now >= job.heldAt + HOLD - settings.tick / 2) {
+            if (job.awaited == 0 || now >= job.heldAt + REPORT_WAIT - settings.tick / 2) {
                 job.awaited = 0;
                 place(job);
             } else {
--- a/src/main/java/laneflow/decision/WorkerView.java
+++ b/src/main/java/laneflow/decision/WorkerView.java
@@ -15,7 +15,6 @@
     /** Seconds that a report is held to be older than its arrival: it was taken before and came late. */
     static final double REPORT_STALE = 0.5;
     static final double MOST_TOLD = 4096; // Slots or waiting jobs that a report may tell of.
-    static final double KIND_SAY = 3; // Seconds of its kind's speed that weigh in with a worker's.
     /** Seconds a report is taken before it arrives, about: own sends younger than that are not in it. */
     static final double REPORT_LAG = 0.2;
     static final double OTHERS_GAIN = 0.1; // Say of a new report in the mean of what siblings keep there.
@@ -100,9 +99,9 @@
         return now >= warmAt ? 1 : settings.coldShare + (1 - settings.coldShare) * age / settings.coldFor;
     }
 
-    /** Work a second and slot: what was seen of this worker, with some seconds of its kind's mean. */
+    /** Work a second and slot: what was seen of this worker, with some jobs of its kind's mean. */
     double speed(double now) {
-        return warmth(now) * (workRun + KIND_SAY * peers.speed()) / (timeRun + KIND_SAY);
+        return warmth(now) * peers.speed(workRun, timeRun);
     }
 
     void take(LoadReport report, double meanWork, double now) {
--- a/src/test/java/laneflow/decision/GuardTest.java
+++ b/src/test/java/laneflow/decision/GuardTest.java
@@ -687,6 +687,7 @@
             settings.headBlocks = true;
             settings.tellsStart = true;
             settings.mayCancel = true;
+            settings.connectTimeout = 0.3;
             Rig rig = new Rig(settings).workers(0, 1).ask(5).pass(0.05).ask(6).starts(6, 0);
             // Sent only just before: words on two connections may cross.
             assertEquals(0, rig.all("cancel", 5).size());
