A silent watch is heard until the next has asked; first lists keep their drains' clock

Three faults in DiscoveryWatch.

late() closed the silent watch before the next one was up. What the agent wrote to it in between, up to a second where the next connection came up late, went to a closed connection, though it counts at once. The silent watch is now listened to until the next one has asked (aSilentWatchIsHeardUntilTheNextOneHasAsked).

speaks() took an empty line ahead of the first list for word that nothing was missed, and drains in that list counted from when it was read. Only a beat that is due, or a list that was read, brings a watch up to date now (whatANewWatchTellsFirstMayHaveBeenToldSinceTheOldOneSpoke, [2]). That the same holds across two watches, of which the first ended behind such a line, has no test of its own.

A list that can't be read reset the back-off, since its bytes are a sign of life: a service that all schedulers share was asked for its whole list five times a second (listsThatCantBeReadAreAskedForAfterLongerAndLongerWaits).

--- a/src/main/java/laneflow/http/DiscoveryWatch.java
+++ b/src/main/java/laneflow/http/DiscoveryWatch.java
@@ -25,16 +25,18 @@
     private static final int RING = 256 * 1024;
     private static final int MOST_LIST = 4 << 20;
     /** An empty line comes every 2 s: that one is missing is silence, half a second behind its time. */
-    private static final long SILENCE = 2_500_000;
+    static final long SILENCE = 2_500_000;
+    /** An empty line comes every 2 s: one that comes sooner behind the head tells nothing of the list. */
+    private static final long BEAT_AT_SOONEST = 1_000_000;
     /** Where lists are asked for, a call may wait for its turn at discovery: so long, for its head. */
-    private static final long TURN = 4_500_000;
+    static final long TURN = 4_500_000;
     /**
      * An agent on this machine answers at once, or has nothing: so long a start waits for its word before it
      * asks for clients, since what the agent holds counts as told from the process's first moment.
      */
     private static final long FIRST_WORD = 300_000;
     /** The agent is on this machine: a connection that is not up within that time never will be. */
-    private static final long CONNECT = 1_000_000;
+    static final long CONNECT = 1_000_000;
     /**
      * The wait before the next watch: doubled with each one that tells nothing, and half to one and a half
      * times as long by chance. When many schedulers start at one moment, or discovery is short of room, they
@@ -62,7 +64,9 @@
     private Watch current;
     /** The watch at the address before, until the present one has spoken; else null. */
     private Watch former;
-    /** The last sign of life of a watch: what the next one tells first may have been told from then on. */
+    /** The watch that fell silent at this address, heard until the present one has asked; else null. */
+    private Watch silent;
+    /** When a watch was up to date last: what the next one tells first may have been told from then on. */
     private long heardAt;
     /** From then on clients may be asked for. */
     private long lookedAt = Long.MAX_VALUE;
@@ -102,14 +106,22 @@
             // It went on for a while and broke: what its agent holds counts whether or not one listens.
             return 0;
         }
+        return backOff(asked, vain++, random.nextDouble());
+    }
+
+    /**
+     * How long to wait, in microseconds, after so many watches in a row that told nothing.
+     *
+     * @param chance from 0 to 1
+     */
+    static long backOff(boolean asked, int vain, double chance) {
         long wait = Math.min(asked ? LONGEST_AGAIN : LONGEST_AGAIN_AT_AGENT, AGAIN << Math.min(vain, 10));
-        vain++;
-        return (long) (wait * (0.5 + random.nextDouble()));
+        return (long) (wait * (0.5 + chance));
     }
 
     /** Begins a watch, in place of the one there is. */
     public void begin() {
-        if (current != null) {
+        if (current != null && current != former && current != silent) {
             current.link.close();
         }
         scheduler.counters().add("discovery.watches");
@@ -125,9 +137,9 @@
         }
         scheduler.counters().add("discovery.moves");
         LOG.info("discovery moves from {} to {}", address, to);
+        dropSilent();
         if (former == null && !current.link.isClosed()) {
             former = current;
-            current = null;
         }
         address = to;
         seq = 0;
@@ -142,14 +154,24 @@
         }
     }
 
+    private void dropSilent() {
+        if (silent != null) {
+            silent.link.close();
+            silent = null;
+        }
+    }
+
     /** One connection to discovery. */
     private final class Watch implements LinkHandler, HttpReader.Sink, JsonFrames.Sink {
         private final HttpReader reader = new HttpReader(true, this);
         private final JsonFrames frames = new JsonFrames(MOST_LIST, this);
         private final long begunAt = loop.micros();
+        private final long heardBefore = heardAt;
+        private final int vainBefore = vain;
+        private long headAt;
         private Link link;
         private boolean up;
-        /** It has told something, be it that nothing has changed. */
+        /** It has told what was missed, be it that nothing was. */
         private boolean told;
 
         /** It is over: what has been replaced already is not begun again. */
@@ -160,6 +182,8 @@
                 loop.deadlines().set(timer, loop.micros() + pause());
             } else if (this == former) {
                 former = null;
+            } else if (this == silent) {
+                silent = null;
             }
         }
 
@@ -174,7 +198,11 @@
             if (up) {
                 scheduler.counters().add("discovery.silent");
                 LOG.info("discovery at {} is silent", address);
-                // It had its time: waiting on top of it, news would come in unheard.
+                // It had its time: waiting on top of it, news would come in unheard. Until the next watch has
+                // asked this one is listened to: what its agent says just now must not go unheard.
+                if (silent == null) {
+                    silent = this;
+                }
                 begin();
             } else {
                 over();
@@ -197,6 +225,9 @@
                     + "\r\n\r\n";
             link.out.put(request.getBytes(StandardCharsets.US_ASCII));
             link.flush();
+            if (this == current) {
+                dropSilent();
+            }
         }
 
         @Override
@@ -227,6 +258,7 @@
             if (head.status() != 200) {
                 throw new HttpException(head.status(), "watch answered " + head.status());
             }
+            headAt = loop.micros();
             within(SILENCE);
         }
 
@@ -235,8 +267,12 @@
             try {
                 frames.take(bytes);
             } catch (HttpException e) {
-                // Changes that can't be read leave the list held unsure: the whole one is asked for.
-                seq = this == current ? 0 : seq;
+                if (this == current) {
+                    // Changes that can't be read leave the list held unsure: the whole one is asked for, with
+                    // longer and longer waits where that goes on.
+                    seq = 0;
+                    vain = vainBefore;
+                }
                 throw e;
             }
         }
@@ -254,27 +290,44 @@
         @Override
         public void blank() {
             speaks();
+            if (told || loop.micros() - headAt >= BEAT_AT_SOONEST) {
+                isUpToDate();
+            }
         }
 
-        /** A sign of life: the next watch need not wait long. Returns what news counts as told from. */
-        private long speaks() {
-            long since = told ? loop.micros() : heardAt;
+        /** A sign of life: the next watch need not wait long. */
+        private void speaks() {
             if (this == current) {
-                told = true;
                 vain = 0;
-                heardAt = loop.micros();
-                looked(heardAt);
+                looked(loop.micros());
                 within(SILENCE);
             }
-            return since;
+        }
+
+        /** All that there was to tell until now has been told. */
+        private void isUpToDate() {
+            told = true;
+            if (this == current) {
+                heardAt = loop.micros();
+            }
+        }
+
+        /** Since when what it tells next may have been told. */
+        private long since() {
+            if (this == silent) {
+                return heardAt;
+            }
+            return told ? loop.micros() : heardBefore;
         }
 
         @Override
         public void object(String text) throws HttpException {
-            long since = speaks();
+            long since = since();
+            speaks();
             try {
                 Config.Listing listing = config.listing(text);
-                if (this == current) {
+                isUpToDate();
+                if (this == current || this == silent) {
                     if (!listing.whole && listing.seq <= seq) {
                         return;
                     }
--- a/src/test/java/laneflow/http/DiscoveryStoryTest.java
+++ b/src/test/java/laneflow/http/DiscoveryStoryTest.java
@@ -4,11 +4,16 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+import laneflow.assembly.Setup;
 import laneflow.net.Stand;
 import laneflow.net.Stand.Endpoint;
 import laneflow.net.Stand.Peer;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** Stories of discovery's watch, one for each sentence of the operators' page on it. */
 @Timeout(120)
@@ -136,9 +141,13 @@
         }
     }
 
-    /** The drain's clock runs from when it may have been told, not from when it was read. */
-    @Test
-    void whatANewWatchTellsFirstMayHaveBeenToldSinceTheOldOneSpoke() throws Exception {
+    /**
+     * The drain's clock runs from when it may have been told, not from when it was read; an empty line ahead of
+     * the first list is no word that nothing was missed.
+     */
+    @ParameterizedTest
+    @ValueSource(strings = {"", "\n"})
+    void whatANewWatchTellsFirstMayHaveBeenToldSinceTheOldOneSpoke(String ahead) throws Exception {
         Endpoint discovery = new Endpoint("d");
         Endpoint one = new Endpoint("e1", 1);
         try (Stand stand = Stand.changed("'connectTimeout':1", "'connectTimeout':4.5", discovery, one);
@@ -152,7 +161,7 @@
             Peer next = watch(discovery, "1");
             // The connection comes up a second after it was asked for, or three where this thread is late.
             Thread.sleep(800);
-            next.write(HEAD + chunk(Stand.list(2, false, one.host("Terminating"))));
+            next.write(HEAD + chunk(ahead + Stand.list(2, false, one.host("Terminating"))));
             stand.await("discovery.lists", 1);
             for (int i = 0; i < crowd; i++) {
                 one.accept();
@@ -163,4 +172,113 @@
             assertEquals(1, stand.counter("core.kept.drain"));
         }
     }
+
+    /** What the agent gets at its return counts at once: no list may go to a connection closed already. */
+    @Test
+    void aSilentWatchIsHeardUntilTheNextOneHasAsked() throws Exception {
+        Endpoint discovery = new Endpoint("d", 1);
+        Endpoint one = new Endpoint("e1");
+        try (Stand stand = new Stand(discovery, one)) {
+            Peer silent = watch(discovery, "1");
+            silent.write(HEAD + chunk("\n"));
+            // The next connection can't come up before those ahead of it have been accepted.
+            int crowd = discovery.crowd();
+            stand.await("discovery.silent", 1);
+            silent.write(chunk(Stand.list(2, false, one.host("Terminating"))));
+            stand.await("discovery.lists", 1);
+            for (int i = 0; i < crowd; i++) {
+                discovery.accept();
+            }
+            watch(discovery, "2");
+            assertTrue(silent.ended());
+        }
+    }
+
+    /** Of two moves at once the second counts, and the old address is heard until its list has come. */
+    @Test
+    void aSecondMoveAmidTheFirstIsFollowedAndTheOldAddressHeardMeanwhile() throws Exception {
+        Endpoint discovery = new Endpoint("d");
+        Endpoint neverUp = new Endpoint("d2", 1);
+        Endpoint last = new Endpoint("d3");
+        Endpoint one = new Endpoint("e1");
+        try (Stand stand = new Stand(discovery, one)) {
+            Peer old = watch(discovery, "1");
+            old.write(HEAD + chunk("\n"));
+            neverUp.crowd();
+            move(stand, neverUp);
+            stand.await("discovery.moves", 1);
+            old.write(chunk(Stand.list(2, false, one.host("Ready"))));
+            stand.await("discovery.lists", 1);
+            move(stand, last);
+            Peer present = watch(last, "0");
+            old.write(chunk(Stand.list(3, false, one.host("Ready"))));
+            stand.await("discovery.lists", 2);
+            present.write(HEAD + chunk(Stand.list(1, true, one.host("Ready"))));
+            stand.await("discovery.lists", 3);
+            assertTrue(old.ended());
+            assertEquals(2, stand.counter("discovery.moves"));
+        }
+    }
+
+    private static void move(Stand stand, Endpoint to) {
+        stand.serve.reload(() -> new Setup(Config.parse(Stand.config(to.dial())), null, null, null));
+    }
+
+    /** Where lists are asked for at a service that all share, one that can't be read is no reason to hurry. */
+    @Test
+    void listsThatCantBeReadAreAskedForAfterLongerAndLongerWaits() throws Exception {
+        Endpoint discovery = new Endpoint("d");
+        try (Stand stand = Stand.changed("'tick':0.005", "'tick':0.005,'discovery':'ask'", discovery,
+                new Endpoint("e1"))) {
+            Peer watch = watch(discovery, "1");
+            long from = System.nanoTime();
+            for (int i = 0; i < 4; i++) {
+                watch.write(HEAD + chunk("{\"seq\":9,\"hosts\":7}\n"));
+                watch = watch(discovery, "0");
+            }
+            // 0.1, 0.2, 0.4 and 0.8 s at least.
+            assertTrue(seconds(from) >= 1.5, "" + seconds(from));
+            assertEquals(0, stand.counter("discovery.lists"));
+            watch.write(HEAD + chunk(Stand.list(2, true)));
+            stand.await("discovery.lists", 1);
+        }
+    }
+
+    /** Begun with nothing known while discovery is down, it could only refuse: it asks for nobody. */
+    @Test
+    void withNothingKnownAProcessIsReadyOnceItHasAList() throws Exception {
+        Endpoint discovery = new Endpoint("d");
+        // Held on to: a socket that nothing refers to may be closed at any time.
+        try (Stand stand = new Stand(discovery); Peer silent = watch(discovery, "1")) {
+            stand.await("discovery.silent", 1);
+            Peer client = stand.http();
+            client.write("GET /health/ready HTTP/1.1\r\n\r\n");
+            assertTrue(client.message().startsWith("HTTP/1.1 503 "));
+            Peer next = watch(discovery, "1").write(HEAD + chunk(Stand.list(2, true)));
+            stand.await("discovery.lists", 1);
+            next.write(chunk("\n"));
+            assertTrue(!silent.socket.isClosed());
+            client.write("GET /health/ready HTTP/1.1\r\n\r\n");
+            assertTrue(client.message().startsWith("HTTP/1.1 200 "));
+        }
+    }
+
+    /** Clients have a part of the descriptors, and the watch is none of them. */
+    @Test
+    void idleClientsThatFillTheDescriptorsKeepNoWatchOut() throws Exception {
+        Endpoint discovery = new Endpoint("d");
+        Endpoint one = new Endpoint("e1");
+        int room = 48;
+        try (Stand stand = new Stand(discovery, 160, one)) {
+            Peer watch = watch(discovery, "1");
+            List<Peer> idle = new ArrayList<>();
+            for (int i = 0; i < 2 * room; i++) {
+                idle.add(stand.http());
+            }
+            stand.await("http.gave_way", 1);
+            watch.reset();
+            watch(discovery, "1").write(HEAD + chunk(Stand.list(2, false, one.host("Ready"))));
+            stand.await("discovery.lists", 1);
+        }
+    }
 }
