Nothing unsent goes out for a client that has left, whether calls may be cancelled or not

Cause: Scheduler.withdraw leaves closing the call to the module, which cancels only where the settings allow it (Logic.end). Where they do not, a call that waited for its connection, or whose last byte was held, stayed open, and mayBegin did not look at request.answered: the request of a client that had gone went out when the connection came up. The same held between a request's last call and its deadline. EndpointConnection.release asked nobody before a held last byte. And a call that mayBegin kept back (drain, window) ended as CONNECT_FAILED, which blames the endpoint, and after three in a row its zone, for what was this scheduler's own doing.

Ruled out: requests held for a policy (the timer looks at answered), requests held for reports (Logic.end takes them out), calls under leases (Scheduler.open and mayBegin look at the call's handle). A call whose last byte is out goes on where cancelling is off, as before.

Change: Carrier.closeUnsent closes a call whose endpoint has not got the last byte; the core asks it with every final answer and departure. mayBegin says no for a request that is answered, and is asked again before a held last byte. What it keeps back ends as MOOT.

Tests: OrdersTest plays departures, time and drains around every step of a call (connection up, last byte held, sent), for each effect, cancel allowed and not, with the counts asserted; SchedulerTest; EndpointCrossingTest on real sockets, both events in one turn of the loop.

--- a/src/main/java/laneflow/core/Carrier.java
+++ b/src/main/java/laneflow/core/Carrier.java
@@ -11,6 +11,16 @@
      */
     boolean close(OutboundCall call);
 
+    /**
+     * Closes a call whose endpoint has not got the request's last byte; one that has got it goes on. Its end
+     * is not to be told.
+     *
+     * @return true if it was closed, and so can't have run; a carrier that can't tell leaves it
+     */
+    default boolean closeUnsent(OutboundCall call) {
+        return false;
+    }
+
     /** Asks an endpoint for its load; {@link Scheduler#probed} tells. */
     void probe(Endpoint endpoint);
 
--- a/src/main/java/laneflow/core/Scheduler.java
+++ b/src/main/java/laneflow/core/Scheduler.java
@@ -294,6 +294,18 @@
         }
         close(request);
         event(() -> module.abandoned(now(), request.handle));
+        closeUnsent(request);
+    }
+
+    /**
+     * Nobody waits for the request any more: its call is closed unless its endpoint has the whole of it. That
+     * is no cancelling of work, and so not a matter of whether the settings allow it.
+     */
+    private void closeUnsent(Request request) {
+        OutboundCall call = request.out;
+        if (call != null && call.endpoint.carrier.closeUnsent(call)) {
+            ended(call, Outcome.MOOT, null, null);
+        }
     }
 
     /** No call outlives its request's deadline: with cancelling off, a silent endpoint would hold it on. */
@@ -341,17 +353,28 @@
 
     // ---- from carriers ----
 
-    /** Whether a call's first byte may go out now: not once its endpoint's drain has been known too long. */
+    /**
+     * Whether a call's first byte, or its last one where that was held back, may go out at this instant: the
+     * connection may have come up late, or the call may have waited to be grabbed.
+     */
     public boolean mayBegin(OutboundCall call) {
-        boolean may = calls.get(call.handle) == call && mayBegin(call.endpoint);
-        if (!may) {
-            counters.add("core.kept.drain");
-        } else if (!mayRepeat(call.request)) {
-            // The key's window closed while the connection came up or the call waited to be grabbed.
-            counters.add("core.kept.effect");
-            may = false;
+        String kept = forbidsNow(call);
+        if (kept != null) {
+            counters.add("core.kept." + kept);
+        }
+        return kept == null;
+    }
+
+    /** What has come to speak against a call since it was decided on; null if nothing has. */
+    private String forbidsNow(OutboundCall call) {
+        if (calls.get(call.handle) != call || call.request.answered) {
+            // Its client has left or has its answer.
+            return "answered";
+        }
+        if (!mayBegin(call.endpoint)) {
+            return "drain";
         }
-        return may;
+        return mayRepeat(call.request) ? null : "effect";
     }
 
     /** Sends a call whose lease is on record; false if it has ended meanwhile. */
@@ -501,6 +524,7 @@
 
     private void answerFailed(Request request) {
         close(request);
+        closeUnsent(request);
         counters.add(request.front.name() + ".failed");
         if (!request.sentOn) {
             counters.add("clients.failed_unsent");
@@ -592,6 +616,7 @@
                 return;
             }
             close(request);
+            closeUnsent(request);
             counters.add(request.front.name() + ".refused");
             tallies[request.jobClass][REFUSED]++;
             request.front.failFast(request.tag, retryAfter);
--- a/src/main/java/laneflow/gearman/GearmanCarrier.java
+++ b/src/main/java/laneflow/gearman/GearmanCarrier.java
@@ -40,6 +40,12 @@
         return worker != null && worker.drop(call);
     }
 
+    @Override
+    public boolean closeUnsent(OutboundCall call) {
+        Worker worker = workers.get(call.endpoint.name);
+        return worker != null && worker.dropWaiting(call);
+    }
+
     @Override
     public void probe(Endpoint endpoint) {
         // A worker has no word for its load; that it is connected is known already.
--- a/src/main/java/laneflow/gearman/Worker.java
+++ b/src/main/java/laneflow/gearman/Worker.java
@@ -207,10 +207,7 @@
 
     /** Nobody waits for this call any more; what has been assigned runs on, unheard. */
     boolean drop(OutboundCall given) {
-        boolean waited = queue.remove(given);
-        if (queue.isEmpty()) {
-            front.loop.deadlines().cancel(wake);
-        }
+        boolean waited = dropWaiting(given);
         if (call == given) {
             // Under a lease its late word still counts.
             outlived = given.lease > 0 ? given : null;
@@ -220,6 +217,15 @@
         return waited;
     }
 
+    /** The same, unless it has been assigned: then it goes on, and this is false. */
+    boolean dropWaiting(OutboundCall given) {
+        boolean waited = queue.remove(given);
+        if (queue.isEmpty()) {
+            front.loop.deadlines().cancel(wake);
+        }
+        return waited;
+    }
+
     void preSleep() {
         asleep = queue.isEmpty();
         if (!asleep) {
--- a/src/main/java/laneflow/http/EndpointConnection.java
+++ b/src/main/java/laneflow/http/EndpointConnection.java
@@ -84,7 +84,7 @@
 
     /** Nobody waits for the call any more; true if its endpoint never gets the request's last byte. */
     boolean giveUp(OutboundCall given) {
-        boolean unsent = call == given && (!up || held != null || !link.out.isEmpty());
+        boolean unsent = call == given && isUnsent();
         if (call == given) {
             call = null;
             shut();
@@ -92,6 +92,20 @@
         return unsent;
     }
 
+    /** The same for a call whose endpoint has not got the request's last byte; another goes on. */
+    boolean giveUpUnsent(OutboundCall given) {
+        boolean unsent = call == given && isUnsent();
+        if (unsent) {
+            call = null;
+            shut();
+        }
+        return unsent;
+    }
+
+    private boolean isUnsent() {
+        return !up || held != null || !link.out.isEmpty();
+    }
+
     void shut() {
         carrier.loop.deadlines().cancel(timer);
         carrier.forget(this);
@@ -179,17 +193,13 @@
         taken = 0;
         tail = 0;
         held = null;
-        if (carrier.scheduler.isDown(endpoint)) {
-            // Set down while the connection came up: nothing has been written, and the job goes elsewhere.
+        if (carrier.scheduler.isDown(endpoint) || call != null && !carrier.scheduler.mayBegin(call)) {
+            // Forbidden since it was decided: nothing has been written, and the endpoint is not to blame.
             finish(Outcome.MOOT);
             return;
         }
         if (call == null) {
             link.out.put(ascii("GET /stats HTTP/1.1\r\nHost: " + dial + "\r\n\r\n"));
-        } else if (!carrier.scheduler.mayBegin(call)) {
-            // It drained while the connection came up: its grace is over, and nothing has been written.
-            finish(Outcome.CONNECT_FAILED);
-            return;
         } else {
             request(call.request.payload);
         }
@@ -217,8 +227,12 @@
         held = hold == 0 ? null : Arrays.copyOfRange(last, last.length - 1, last.length);
     }
 
-    /** Nothing speaks against the connection: the request's last byte goes out. */
+    /** Nothing speaks against the connection: the request's last byte goes out, unless it must not now. */
     private void release() {
+        if (!carrier.scheduler.mayBegin(call)) {
+            finish(Outcome.MOOT);
+            return;
+        }
         byte[] last = held;
         held = null;
         link.out.put(last);
--- a/src/main/java/laneflow/http/HttpCarrier.java
+++ b/src/main/java/laneflow/http/HttpCarrier.java
@@ -60,6 +60,12 @@
                 || ((EndpointConnection) call.attachment).giveUp(call);
     }
 
+    @Override
+    public boolean closeUnsent(OutboundCall call) {
+        return !(call.attachment instanceof EndpointConnection)
+                || ((EndpointConnection) call.attachment).giveUpUnsent(call);
+    }
+
     @Override
     public void probe(Endpoint endpoint) {
         take(endpoint, false).probe();
--- a/src/test/java/laneflow/core/OrdersTest.java
+++ b/src/test/java/laneflow/core/OrdersTest.java
@@ -20,6 +20,7 @@
 class OrdersTest {
     private static final String END = "end";
     private long orders;
+    private boolean mayCancel = true;
 
     /** The shortest order of these events that breaks a rule, and which; null if there is none that long. */
     private String search(Broken broken, int longest, List<String> first, String... kinds) {
@@ -33,7 +34,7 @@
     }
 
     private String extend(Broken broken, int length, Set<String> kinds, List<String> order) {
-        World world = new World(broken);
+        World world = new World(broken, mayCancel);
         try {
             order.forEach(world::play);
             if (order.size() == length) {
@@ -88,6 +89,39 @@
         holds(7, 217_372, List.of("capture 0"), "up", "refused", "reset", "drain", "gone", "back", "down", "again", "grace");
     }
 
+    /** Orders around one request of each class, the settings allowing calls to be cancelled and not. */
+    private void holdsAround(int longest, String counts, String... kinds) {
+        StringBuilder found = new StringBuilder();
+        for (boolean may : new boolean[] {true, false}) {
+            mayCancel = may;
+            for (String type : new String[] {"safe", "keyed", "capture"}) {
+                assertNull(search(Broken.NOTHING, longest, List.of(type + " 0"), kinds), "cancel " + may);
+                found.append(type).append(' ').append(orders).append(may ? ", " : "; ");
+            }
+        }
+        assertEquals(counts, found.toString(), "orders of length " + longest);
+    }
+
+    /** Around every step of a call, a late connection and a held last byte among them. */
+    @Test
+    void clientsMayLeaveAroundEveryStep() {
+        holdsAround(9, "safe 17110, keyed 17110, capture 3522, safe 19024; keyed 19024; capture 4104; ",
+                "part", "up", "refused", "full", "ok", "reset", "silent", "leave", "late");
+    }
+
+    /** What is answered at its last call must not go out behind it, nor a key behind its window. */
+    @Test
+    void timeMayBeOverAroundEveryStep() {
+        holdsAround(9, "safe 34656, keyed 29750, capture 26993, safe 38560; keyed 33326; capture 30213; ",
+                "part", "up", "ok", "reset", "leave", "grace", "last", END);
+    }
+
+    @Test
+    void drainsMayBeToldAroundEveryStep() {
+        holdsAround(6, "safe 19567, keyed 19420, capture 18715, safe 19817; keyed 19670; capture 18964; ",
+                "part", "up", "reset", "leave", "drain", "gone", "back", "down", "grace");
+    }
+
     @Test
     void schedulersMayStartEmptyAtAnyTime() {
         holds(8, 132_371, List.of("safe 0", "up 0", "report 0", "burst 0"), "restart", "up", "report", "grace", "burst");
@@ -107,6 +141,11 @@
         speaks("nothing left", Broken.CLOSE_NOT_HEARD, 4, "capture", "up", "leave", END);
         speaks("drains", Broken.GRACE_NOT_ASKED, 5, "capture", "up", "drain", "grace");
         speaks("bans", Broken.GRACE_NOT_ASKED, 5, "capture", "up", "down");
+        mayCancel = false;
+        speaks("gone", Broken.SENDS_REGARDLESS, 4, "safe", "leave", "up");
+        mayCancel = true;
+        speaks("drains", Broken.GRACE_NOT_ASKED, 5, "capture", "part", "drain", "grace");
+        speaks("no repeat", Broken.GRACE_NOT_ASKED, 5, List.of("keyed 0", "up 0", "reset 0"), "grace", "up");
         speaks("cold budget", Broken.COLD_TENFOLD, 6, List.of("safe 0", "up 0", "report 0", "burst 0"), "up");
     }
 }
--- a/src/test/java/laneflow/core/SchedulerTest.java
+++ b/src/test/java/laneflow/core/SchedulerTest.java
@@ -22,7 +22,7 @@
 /** The core's rules, with a clock that the test sets, and a front and a carrier that write down. */
 class SchedulerTest implements NotingFront, Carrier {
     static final int SAFE = 0;
-    private static final int KEYED = 1;
+    static final int KEYED = 1;
     static final int UNSAFE = 2;
 
     private long now = 1_000_000_000L;
@@ -372,6 +372,14 @@
         return neverSent;
     }
 
+    @Override
+    public boolean closeUnsent(OutboundCall call) {
+        if (neverSent) {
+            closed.add(call);
+        }
+        return neverSent;
+    }
+
     @Override
     public void probe(Endpoint endpoint) {
         throw new AssertionError("no probes in these settings");
@@ -382,6 +390,82 @@
         throw new AssertionError("no such rule in these settings");
     }
 
+    /** This carrier leaves the call where it is: its connection comes up when nobody waits any more. */
+    @Test
+    void noCallBeginsOnceItsClientHasLeftThoughCancellingIsOff() {
+        scheduler.settings().mayCancel = false;
+        endpoints("a");
+        Request request = submit(SAFE);
+        assertTrue(scheduler.mayBegin(calls.get(0)));
+        scheduler.withdraw(request);
+        assertFalse(scheduler.mayBegin(calls.get(0)));
+        assertEquals(1, counters.get("core.kept.answered"));
+    }
+
+    @Test
+    void aCallThatWasNotSentIsClosedWithItsClientsLeavingThoughCancellingIsOff() {
+        scheduler.settings().mayCancel = false;
+        endpoints("a", "b");
+        neverSent = true;
+        for (int jobClass : new int[] {SAFE, KEYED, UNSAFE}) {
+            scheduler.withdraw(submit(jobClass));
+        }
+        assertEquals(calls, closed);
+        assertEquals(3, counters.get("call.moot"));
+        assertEquals(0, scheduler.open());
+        neverSent = false;
+        // One that may be at work goes on, to its client's time.
+        scheduler.withdraw(submit(SAFE));
+        assertEquals(3, closed.size());
+        pass(5_000_000);
+        assertEquals(4, closed.size());
+        assertEquals(Long.MAX_VALUE, deadlines.next());
+    }
+
+    /** Its last call is answered two ticks before its time; what was not sent then must not be after it. */
+    @Test
+    void aCallThatWasNotSentIsClosedWithItsAnswerThoughCancellingIsOff() {
+        scheduler.settings().mayCancel = false;
+        endpoints("a");
+        neverSent = true;
+        submit(SAFE);
+        pass(4_999_000);
+        assertEquals(List.of("refused"), answers);
+        assertEquals(calls, closed);
+        assertFalse(scheduler.mayBegin(calls.get(0)));
+    }
+
+    @Test
+    void aRequestHeldForAPolicyIsNotDecidedOnOnceItsClientHasLeft() {
+        endpoints("a");
+        boolean[] may = new boolean[1];
+        scheduler.decideWhile(new Gate() {
+            @Override
+            public boolean mayDecide() {
+                return may[0];
+            }
+
+            @Override
+            public long decidesWithin() {
+                return 5_000;
+            }
+
+            @Override
+            public double comeBack() {
+                return 1;
+            }
+        });
+        Request leaving = submit(SAFE);
+        submit(SAFE);
+        pass(1_000);
+        scheduler.withdraw(leaving);
+        may[0] = true;
+        pass(9_000);
+        assertEquals(1, calls.size());
+        assertTrue(calls.get(0).request != leaving);
+        assertEquals(List.of(), answers);
+    }
+
     @Test
     void aKeysWindowIsLookedAtAgainBeforeTheFirstByte() {
         endpoints("e1", "e2");
--- a/src/test/java/laneflow/core/World.java
+++ b/src/test/java/laneflow/core/World.java
@@ -20,7 +20,7 @@
  */
 final class World {
     /** What a test breaks on purpose, to see that the rule's check speaks. */
-    enum Broken { NOTHING, ANSWERS_TWICE, ANSWER_LOST, ANSWER_WAITS, GRACE_NOT_ASKED, RUN_TOLD_AS_NEVER, CLOSE_NOT_HEARD, TIMERS_LOST,
+    enum Broken { NOTHING, ANSWERS_TWICE, ANSWER_LOST, ANSWER_WAITS, GRACE_NOT_ASKED, SENDS_REGARDLESS, RUN_TOLD_AS_NEVER, CLOSE_NOT_HEARD, TIMERS_LOST,
         COLD_TENFOLD, REFUSAL_OF_A_RUN }
 
     /** A rule that does not hold. */
@@ -36,9 +36,14 @@
     private static final long DEADLINE = 5_000_000;
     private static final double HINT = 0.3;
     private static final double CORES = 4;
+    /** How long endpoints remember a key, microseconds: the event "grace" outlasts it. */
+    private static final long WINDOW = 500_000;
     private static final long START = 1_000_000_000L;
+    private static final String[] WHAT = {"safe ", "keyed ", "capture "};
 
     private final Broken broken;
+    /** Whether the settings allow calls that are at work to be cancelled. */
+    private final boolean mayCancel;
     private final Node[] nodes = new Node[2];
     private final List<Ask> asks = new ArrayList<>();
     private final List<Out> outs = new ArrayList<>();
@@ -54,12 +59,15 @@
         private final List<String> answers = new ArrayList<>();
         private boolean left;
         private boolean ranOk;
+        private long answeredAt;
     }
 
     /** A call, as the endpoint's side of its connection sees it. */
     private static final class Out {
         private Ask ask;
         private OutboundCall call;
+        /** Its first bytes have gone out, and the last one is held back. */
+        private boolean parted;
         private boolean begun;
         private boolean over;
         /** The last byte was sent, and no proof has come that it never ran. */
@@ -114,6 +122,7 @@
                 return;
             }
             asks.get((int) tag).answers.add(what);
+            asks.get((int) tag).answeredAt = now;
             if (broken == Broken.ANSWERS_TWICE) {
                 asks.get((int) tag).answers.add(what);
             }
@@ -139,6 +148,16 @@
             return unsent;
         }
 
+        @Override
+        public boolean closeUnsent(OutboundCall call) {
+            for (Out out : outs) {
+                if (out.call == call && !out.begun && broken != Broken.SENDS_REGARDLESS) {
+                    return close(call);
+                }
+            }
+            return false;
+        }
+
         @Override
         public void probe(Endpoint endpoint) {
             throw new Violation("probes", "these settings have none");
@@ -150,7 +169,12 @@
     }
 
     World(Broken broken) {
+        this(broken, true);
+    }
+
+    World(Broken broken, boolean mayCancel) {
         this.broken = broken;
+        this.mayCancel = mayCancel;
         for (String name : new String[] {"e1", "e2", "e3"}) {
             Entry entry = new Entry();
             entry.name = name;
@@ -162,8 +186,10 @@
         nodes[1] = new Node(1, 8);
     }
 
-    private static Settings settings(int number) {
+    private Settings settings(int number) {
         Settings settings = SchedulerTest.settings();
+        settings.mayCancel = mayCancel;
+        settings.classes[SchedulerTest.KEYED].window = WINDOW / 1e6;
         for (JobClass type : settings.classes) {
             type.aim = 2;
             type.deadline = DEADLINE / 1e6;
@@ -194,7 +220,9 @@
                     all.add(kind + " 1");
                 }
                 case "capture" -> all.add("capture 0");
+                case "keyed" -> all.add("keyed 0");
                 case "up", "refused" -> each(all, kind, false);
+                case "part" -> parting(all);
                 case "started", "ok", "report", "full", "reset", "silent" -> each(all, kind, true);
                 case "late" -> late(all);
                 case "leave" -> leaving(all);
@@ -212,6 +240,14 @@
         }
     }
 
+    private void parting(List<String> all) {
+        for (int i = 0; i < outs.size(); i++) {
+            if (!outs.get(i).over && !outs.get(i).begun && !outs.get(i).parted) {
+                all.add("part " + i);
+            }
+        }
+    }
+
     private void late(List<String> all) {
         for (int i = 0; i < outs.size(); i++) {
             if (outs.get(i).over && outs.get(i).begun) {
@@ -236,6 +272,8 @@
         switch (words[0]) {
             case "safe" -> submit(nodes[who], SchedulerTest.SAFE);
             case "capture" -> submit(nodes[who], SchedulerTest.UNSAFE);
+            case "keyed" -> submit(nodes[who], SchedulerTest.KEYED);
+            case "part" -> part(outs.get(who));
             case "burst" -> {
                 for (int i = 0; i < 12; i++) {
                     submit(nodes[who], SchedulerTest.SAFE);
@@ -272,6 +310,7 @@
             }
             case "restart" -> restart(who);
             case "tick" -> pass(10_000);
+            case "last" -> pass(DEADLINE - 8_000);
             case "grace" -> pass(600_000);
             default -> pass(DEADLINE + 1_000_000);
         }
@@ -289,17 +328,42 @@
         node.scheduler.submit(ask.request);
     }
 
-    /** Its connection is up: the first byte goes out, and all others, unless the core says no. */
-    private void up(Out out) {
-        if (broken != Broken.GRACE_NOT_ASKED && !out.ask.node.scheduler.mayBegin(out.call)) {
-            ends(out, Outcome.CONNECT_FAILED, null);
-            return;
+    /** Its connection is up: all but the last byte goes out, unless the core says no. */
+    private void part(Out out) {
+        if (mayBegin(out)) {
+            onlyBeforeTheGrace(out);
+            out.parted = true;
+        }
+    }
+
+    /** Asks as a carrier does before bytes go out, and ends the call if the core says no. */
+    private boolean mayBegin(Out out) {
+        boolean may = broken == Broken.GRACE_NOT_ASKED || broken == Broken.SENDS_REGARDLESS
+                || out.ask.node.scheduler.mayBegin(out.call);
+        if (!may) {
+            ends(out, Outcome.MOOT, null);
         }
+        return may;
+    }
+
+    private void onlyBeforeTheGrace(Out out) {
         String at = out.call.endpoint.name;
         Long stop = out.ask.node.toldToStop.get(at);
         if (stop != null && now > stop + 550_000) {
             throw new Violation("drains", "begun at " + at + " " + (now - stop) + " us behind the word");
         }
+    }
+
+    /** Its connection is up and its last byte goes out, and those before it, unless the core says no. */
+    private void up(Out out) {
+        if (!mayBegin(out)) {
+            return;
+        }
+        if (out.ask.left || !out.ask.answers.isEmpty()) {
+            throw new Violation("gone", "sent on for a client that has left or has its answer");
+        }
+        onlyBeforeTheGrace(out);
+        String at = out.call.endpoint.name;
         if (out.ask.node.toldDown.containsKey(at)) {
             throw new Violation("bans", "begun at " + at + ", which is set down");
         }
@@ -308,7 +372,8 @@
                 if (!other.over) {
                     throw new Violation("one call out", "a second one at " + at);
                 }
-                if (other.mayHaveRun && out.ask.jobClass == SchedulerTest.UNSAFE) {
+                if (other.mayHaveRun && (out.ask.jobClass == SchedulerTest.UNSAFE
+                        || out.ask.jobClass == SchedulerTest.KEYED && now >= other.begunAt + WINDOW)) {
                     throw new Violation("no repeat", "what may have run at " + other.call.endpoint + " goes to " + at);
                 }
             }
@@ -378,15 +443,17 @@
 
     private void read() {
         for (Ask ask : asks) {
-            String what = (ask.jobClass == SchedulerTest.UNSAFE ? "capture " : "safe ") + asks.indexOf(ask);
+            String what = WHAT[ask.jobClass] + asks.indexOf(ask);
             boolean out = false;
             boolean mayHaveRun = false;
+            boolean isForgotten = false;
             int calls = 0;
             for (Out each : outs) {
                 if (each.ask == ask) {
                     calls++;
                     out |= !each.over;
                     mayHaveRun |= each.mayHaveRun;
+                    isForgotten |= each.mayHaveRun && ask.answeredAt >= each.begunAt + WINDOW;
                 }
             }
             if (ask.answers.size() > 1 || ask.left && !ask.answers.isEmpty()) {
@@ -398,7 +465,9 @@
             if (ask.answers.contains("served") && !ask.ranOk) {
                 throw new Violation("true answers", what + " was served by nobody");
             }
-            if (ask.answers.contains("refused") && mayHaveRun && ask.jobClass == SchedulerTest.UNSAFE) {
+            boolean runsAgain = ask.jobClass == SchedulerTest.UNSAFE && mayHaveRun
+                    || ask.jobClass == SchedulerTest.KEYED && isForgotten;
+            if (ask.answers.contains("refused") && runsAgain) {
                 throw new Violation("true answers", what + " was refused and may have run");
             }
             boolean open = ask.answers.isEmpty() && !ask.left;
--- /dev/null
+++ b/src/test/java/laneflow/http/EndpointCrossingTest.java
@@ -0,0 +1,323 @@
+package laneflow.http;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.util.List;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicReference;
+import laneflow.core.Deadlines;
+import laneflow.core.DestinationSet.Entry;
+import laneflow.core.Front;
+import laneflow.core.Payload;
+import laneflow.core.Request;
+import laneflow.decision.Dispatch.State;
+import laneflow.net.Stand;
+import laneflow.net.Stand.Endpoint;
+import laneflow.net.Stand.Peer;
+import org.junit.jupiter.api.RepeatedTest;
+import org.junit.jupiter.api.Timeout;
+
+/**
+ * Two events on one connection to an endpoint in one turn of the loop, on real sockets. The crossing is forced:
+ * the loop's thread itself submits, and stays in that turn until the endpoint has done its part and the time in
+ * question is over, so that the next turn finds both.
+ */
+@Timeout(60)
+class EndpointCrossingTest {
+    private static final int CHECK = 0;
+    private static final int CAPTURE = 1;
+    private static final int POST = 2;
+    private static final String[] CLASSES = {"basket-check", "card-capture", "points-post"};
+    private static final int REPEATS = 3;
+    private static final long SECOND = 1_000_000;
+    /** Microseconds after which a connection's last byte is held back though its job may run twice. */
+    private static final long STALE = 60_000;
+    /** Longer than a last byte is held, and than an endpoint takes to say that it has a call. */
+    private static final long HELD = 5_000;
+    private static final long SILENT = 260_000;
+
+    /** Clients of this test: their answers, and what is done within the turn of the next one. */
+    private static final class Clients implements Front {
+        private final BlockingQueue<String> answers = new LinkedBlockingQueue<>();
+        private Runnable onServed = () -> { };
+
+        @Override
+        public String name() {
+            return "test";
+        }
+
+        @Override
+        public void served(long tag, byte[] result) {
+            Runnable then = onServed;
+            onServed = () -> { };
+            then.run();
+            answers.add("served");
+        }
+
+        @Override
+        public void failFast(long tag, double retryAfter) {
+            answers.add("refused");
+        }
+
+        @Override
+        public void failed(long tag) {
+            answers.add("failed");
+        }
+
+        private String next() throws InterruptedException {
+            String answer = answers.poll(30, TimeUnit.SECONDS);
+            return answer == null ? "none" : answer;
+        }
+    }
+
+    private interface Step {
+        void run() throws Exception;
+    }
+
+    private interface OnConnection {
+        void run(Peer call) throws Exception;
+    }
+
+    private final Clients clients = new Clients();
+
+    private static String done(String id) {
+        return "{'id':'" + id + "','state':'done','result':'ok'}";
+    }
+
+    /** On the loop's thread: takes a job in, with a body of three bytes. */
+    private Request submit(Stand stand, int jobClass, String id, long within) {
+        Payload payload = new Payload("POST", "/" + CLASSES[jobClass], id, jobClass == POST ? "k" + id : null,
+                "pay".getBytes());
+        Request request = new Request(clients, 0, payload, jobClass, stand.serve.loop().fresh() + within);
+        stand.serve.scheduler().submit(request);
+        return request;
+    }
+
+    /** Runs this in one turn; a fault in it is the test's. */
+    private static void inOneTurn(Stand stand, Step step) throws Exception {
+        Exception[] fault = new Exception[1];
+        stand.serve.loop().call(() -> fault[0] = faultOf(step));
+        if (fault[0] != null) {
+            throw fault[0];
+        }
+    }
+
+    private static Exception faultOf(Step step) {
+        try {
+            step.run();
+            return null;
+        } catch (Exception e) {
+            return e;
+        } catch (AssertionError e) {
+            return new IllegalStateException(e);
+        }
+    }
+
+    /** On any thread: waits for the clock alone. */
+    private static void untilPast(Stand stand, long instant) throws InterruptedException {
+        while (stand.serve.loop().fresh() <= instant) {
+            Thread.sleep(1);
+        }
+    }
+
+    /** A connection to the endpoint that has served a job and rests. */
+    private Peer rested(Stand stand, Endpoint endpoint) throws Exception {
+        return rested(stand, endpoint, new AtomicReference<>());
+    }
+
+    private Peer rested(Stand stand, Endpoint endpoint, AtomicReference<Peer> known) throws Exception {
+        inOneTurn(stand, () -> submit(stand, CHECK, "first", 5 * SECOND));
+        Peer call = endpoint.accept();
+        known.set(call);
+        call.message();
+        call.says(done("first"));
+        assertEquals("served", clients.next());
+        return call;
+    }
+
+    /**
+     * What is to be done on the loop's thread, in the very turn in which a connection has come to rest: so it
+     * can't have grown stale.
+     */
+    private void asOneComesToRest(Stand stand, Endpoint endpoint, OnConnection step) throws Exception {
+        AtomicReference<Peer> call = new AtomicReference<>();
+        CompletableFuture<Exception> over = new CompletableFuture<>();
+        Deadlines deadlines = stand.serve.loop().deadlines();
+        Runnable atTurnsEnd = () -> over.complete(faultOf(() -> step.run(call.get())));
+        clients.onServed = () -> deadlines.set(deadlines.create(atTurnsEnd), 0, Long.MAX_VALUE);
+        rested(stand, endpoint, call);
+        Exception fault = over.get();
+        if (fault != null) {
+            throw fault;
+        }
+    }
+
+    /** The same, at rest for so long that a last byte is held back on it whatever the job. */
+    private Peer stale(Stand stand, Endpoint endpoint) throws Exception {
+        Peer call = rested(stand, endpoint);
+        untilPast(stand, stand.serve.loop().fresh() + STALE);
+        return call;
+    }
+
+    /** The first request that comes on any connection, with those closed in silence passed over. */
+    private static String firstRequest(Endpoint endpoint, Peer[] on) throws IOException {
+        while (true) {
+            on[0] = endpoint.accept();
+            try {
+                return on[0].message();
+            } catch (IOException e) {
+                // Closed with nothing whole said.
+            }
+        }
+    }
+
+    private static Entry draining(String name) {
+        Entry entry = new Entry();
+        entry.name = name;
+        entry.state = State.DRAINING;
+        return entry;
+    }
+
+    /** On the loop's thread: the endpoint's drain counts as told so long ago that its grace is over. */
+    private static void drainedLongAgo(Stand stand, String name) {
+        stand.serve.scheduler().list(stand.serve.scheduler().destinations().get(name).carrier, false,
+                List.of(draining(name)), stand.serve.loop().micros() - SECOND);
+    }
+
+    private static Stand withoutCancel(Endpoint endpoint) throws Exception {
+        return Stand.changed("'cancel':true", "'cancel':false", null, endpoint);
+    }
+
+    // ---- departure ----
+
+    @RepeatedTest(REPEATS)
+    void whoLeavesWhileTheConnectionComesUpIsNotSentOn() throws Exception {
+        for (int jobClass : new int[] {CHECK, CAPTURE, POST}) {
+            Endpoint endpoint = new Endpoint("e1");
+            try (Stand stand = withoutCancel(endpoint)) {
+                inOneTurn(stand, () -> stand.serve.scheduler().withdraw(submit(stand, jobClass, "left", SECOND)));
+                inOneTurn(stand, () -> submit(stand, jobClass, "next", 5 * SECOND));
+                Peer[] call = new Peer[1];
+                String sent = firstRequest(endpoint, call);
+                assertTrue(sent.contains("Req-Id: next\r\n"), sent);
+                call[0].says(done("next"));
+                assertEquals("served", clients.next());
+                assertEquals(1, stand.counter("call.moot"));
+            }
+        }
+    }
+
+    @RepeatedTest(REPEATS)
+    void whoLeavesWhileTheLastByteIsHeldIsNotSentOn() throws Exception {
+        for (int jobClass : new int[] {CHECK, POST}) {
+            Endpoint endpoint = new Endpoint("e1");
+            try (Stand stand = withoutCancel(endpoint)) {
+                Peer call = stale(stand, endpoint);
+                inOneTurn(stand, () -> stand.serve.scheduler().withdraw(submit(stand, jobClass, "left", SECOND)));
+                call.readTo("\r\n\r\npa");
+                assertTrue(call.ended());
+            }
+        }
+    }
+
+    /** One that must not run twice goes out on a connection used in that very turn, its last byte held. */
+    @RepeatedTest(REPEATS)
+    void whoseCaptureIsHeldWhenItLeavesIsNotSentOn() throws Exception {
+        Endpoint endpoint = new Endpoint("e1");
+        try (Stand stand = withoutCancel(endpoint)) {
+            asOneComesToRest(stand, endpoint, call -> {
+                stand.serve.scheduler().withdraw(submit(stand, CAPTURE, "left", SECOND));
+                call.readTo("\r\n\r\npa");
+                assertTrue(call.ended());
+            });
+        }
+    }
+
+    /** With its whole request there it may be at work, and is heard out. */
+    @RepeatedTest(REPEATS)
+    void whoLeavesBehindTheLastByteLeavesItsCallAtWork() throws Exception {
+        Endpoint endpoint = new Endpoint("e1");
+        try (Stand stand = withoutCancel(endpoint)) {
+            Request[] request = new Request[1];
+            inOneTurn(stand, () -> request[0] = submit(stand, CAPTURE, "left", 5 * SECOND));
+            Peer call = endpoint.accept();
+            call.message();
+            inOneTurn(stand, () -> stand.serve.scheduler().withdraw(request[0]));
+            call.says(done("left"));
+            stand.await("call.ok", 1);
+            assertTrue(clients.answers.isEmpty());
+        }
+    }
+
+    // ---- closes ----
+
+    /** Put back among the resting ones as its peer closes it: it is looked at before it is used. */
+    @RepeatedTest(REPEATS)
+    void aConnectionThatItsPeerClosedInThatTurnIsNotUsed() throws Exception {
+        Endpoint endpoint = new Endpoint("e1");
+        try (Stand stand = new Stand(null, endpoint)) {
+            Peer call = rested(stand, endpoint);
+            inOneTurn(stand, () -> {
+                call.close();
+                submit(stand, CHECK, "1", 5 * SECOND);
+            });
+            Peer next = endpoint.accept();
+            assertTrue(next.message().contains("Req-Id: 1\r\n"));
+            next.says(done("1"));
+            assertEquals("served", clients.next());
+            assertEquals(0, stand.counter("call.reset") + stand.counter("call.moot"));
+        }
+    }
+
+    @RepeatedTest(REPEATS)
+    void halfALineInTheMomentOfACloseIsNoAnswer() throws Exception {
+        Endpoint endpoint = new Endpoint("e1");
+        try (Stand stand = new Stand(null, endpoint)) {
+            inOneTurn(stand, () -> submit(stand, CAPTURE, "1", 5 * SECOND));
+            Peer call = endpoint.accept();
+            call.message();
+            call.write("HTTP/1.1 200 OK\r\n\r\n{\"id\":\"1\",\"state\":\"done\",\"result\":\"o");
+            call.close();
+            assertEquals("failed", clients.next());
+            assertEquals(1, stand.counter("call.reset"));
+        }
+    }
+
+    // ---- drains ----
+
+    @RepeatedTest(REPEATS)
+    void aDrainToldWhileTheConnectionComesUpIsNotTheEndpointsFailure() throws Exception {
+        Endpoint endpoint = new Endpoint("e1");
+        try (Stand stand = new Stand(null, endpoint)) {
+            inOneTurn(stand, () -> {
+                submit(stand, CAPTURE, "1", 5 * SECOND);
+                drainedLongAgo(stand, "e1");
+            });
+            assertEquals("refused", clients.next());
+            assertTrue(endpoint.accept().ended());
+            assertEquals(1, stand.counter("core.kept.drain"));
+            assertEquals(1, stand.counter("call.moot"));
+            assertEquals(0, stand.counter("call.connect_failed"));
+        }
+    }
+
+    @RepeatedTest(REPEATS)
+    void aDrainToldWhileTheLastByteIsHeldKeepsItBack() throws Exception {
+        Endpoint endpoint = new Endpoint("e1");
+        try (Stand stand = new Stand(null, endpoint)) {
+            Peer call = stale(stand, endpoint);
+            inOneTurn(stand, () -> {
+                submit(stand, CHECK, "1", 5 * SECOND);
+                drainedLongAgo(stand, "e1");
+            });
+            assertThrows(IOException.class, call::message);
+            assertEquals("refused", clients.next());
+        }
+    }
+}
