The core counts shed work as maybe run where the settings say so

Cause: with lateShedding an endpoint may have begun what it sheds. Logic.settle counts such a FULL as maybe run; the core (Scheduler.ended) looked at Outcome.neverRan alone. A keyed job's repeat whose connection came up behind the window of such a call was let through by mayBegin, and giveUpSince could refuse it as never run.

Ruled out: decisions of the module, which has the same rule; unsafe jobs, which the module does not repeat then.

Change: Scheduler.mayHaveRun reads the setting. The window runs from when the call was decided on, which is not later than its bytes: the careful one of the two.

Test: SchedulerTest.whatWasShedMayHaveRunWhereTheSettingsSaySo fails without it.

--- a/src/main/java/laneflow/core/Scheduler.java
+++ b/src/main/java/laneflow/core/Scheduler.java
@@ -464,7 +464,7 @@
         } else if (outcome != Outcome.MOOT) {
             call.endpoint.unreached = 0;
         }
-        if (!outcome.neverRan) {
+        if (mayHaveRun(outcome)) {
             request.mayHaveRun(call.sentAt);
         }
         request.sentOn |= outcome != Outcome.CONNECT_FAILED && outcome != Outcome.MOOT;
@@ -484,6 +484,11 @@
         }
     }
 
+    /** True unless a call that ended so has not run for certain: these settings may have begun work shed. */
+    private boolean mayHaveRun(Outcome outcome) {
+        return !outcome.neverRan || outcome == Outcome.FULL && settings.fullMayHaveRun;
+    }
+
     /** How a probe ended. */
     public void probed(Endpoint endpoint, double took, Outcome outcome, LoadReport report) {
         counters.add("probe." + outcome.name().toLowerCase(Locale.ROOT));
--- a/src/test/java/laneflow/core/SchedulerTest.java
+++ b/src/test/java/laneflow/core/SchedulerTest.java
@@ -466,6 +466,26 @@
         assertEquals(List.of(), answers);
     }
 
+    /** Where endpoints may have begun what they shed, a key's window runs from that call on. */
+    @Test
+    void whatWasShedMayHaveRunWhereTheSettingsSaySo() {
+        for (boolean may : new boolean[] {false, true}) {
+            SchedulerTest other = new SchedulerTest();
+            other.scheduler.settings().fullMayHaveRun = may;
+            // Of two kinds: what is shed by one says nothing of the other.
+            Entry second = entry("b", State.READY);
+            second.kind = 1;
+            other.scheduler.start(other, List.of(entry("a", State.READY), second));
+            other.submit(KEYED);
+            other.scheduler.ended(other.calls.get(0), Outcome.FULL, null, null);
+            other.scheduler.settings().classes[KEYED].window = 1;
+            other.pass(999_000);
+            assertTrue(other.scheduler.mayBegin(other.calls.get(1)));
+            other.pass(1_000);
+            assertEquals(!may, other.scheduler.mayBegin(other.calls.get(1)));
+        }
+    }
+
     @Test
     void aKeysWindowIsLookedAtAgainBeforeTheFirstByte() {
         endpoints("e1", "e2");
