A call tells the time left as its bytes go out, and goes not at all where none is left

Cause: EndpointConnection.request counted Req-Deadline-Ms from the turn's instant (Loop.micros) and told 1 ms where none was left. A turn may last, as where the process was stopped amid it: in the test a turn of 300 ms told 1000 ms of 700.

Ruled out: a slow connect by itself (its coming up is a turn of its own, and the time is counted then).

Change: Clock.fresh, which Loop has already. mayBegin looks at the drain, the window and the request's deadline by it; the time told is counted by it, less the hold, and a call with no whole millisecond left ends as MOOT, unsent.

Tests: SchedulerTest.whatMayBeginIsToldByTheClockAsItIsAndNotAsTheTurnBegan; EndpointCrossingTest.theTimeThatACallTells..., whatHasLessLeftThanTheHoldIsNotSent, each seen to fail with the former count.

--- a/src/main/java/laneflow/core/Clock.java
+++ b/src/main/java/laneflow/core/Clock.java
@@ -8,6 +8,14 @@
     /** Microseconds, as of this turn. */
     long micros();
 
+    /**
+     * The same clock read at this very instant, where it can be: a turn may have lasted. Never before
+     * {@link #micros}.
+     */
+    default long fresh() {
+        return micros();
+    }
+
     /** An instant in the module's seconds. */
     static double seconds(long micros) {
         return micros / 1e6;
--- a/src/main/java/laneflow/core/Scheduler.java
+++ b/src/main/java/laneflow/core/Scheduler.java
@@ -374,6 +374,9 @@
         if (!mayBegin(call.endpoint)) {
             return "drain";
         }
+        if (clock.fresh() >= call.request.deadline) {
+            return "spent";
+        }
         return mayRepeat(call.request) ? null : "effect";
     }
 
@@ -409,7 +412,7 @@
 
     private boolean mayBegin(Endpoint endpoint) {
         return !isDown(endpoint) && (endpoint.drainToldAt == Long.MAX_VALUE
-                || clock.micros() < endpoint.drainToldAt + (long) (settings.drainGrace * 1e6));
+                || clock.fresh() < endpoint.drainToldAt + (long) (settings.drainGrace * 1e6));
     }
 
     /** True if operators want nothing sent there: what was about to go there goes elsewhere. */
@@ -420,7 +423,7 @@
     private boolean mayRepeat(Request request) {
         JobClass type = request.type;
         return !request.mayHaveRun() || type.effect == Effect.SAFE || type.effect == Effect.KEYED
-                && clock.micros() < request.firstMayHaveRun() + (long) (type.window * 1e6);
+                && clock.fresh() < request.firstMayHaveRun() + (long) (type.window * 1e6);
     }
 
     /** The endpoint has started on it. */
--- a/src/main/java/laneflow/http/EndpointConnection.java
+++ b/src/main/java/laneflow/http/EndpointConnection.java
@@ -18,6 +18,8 @@
 final class EndpointConnection implements LinkHandler {
     private static final Logger LOG = LoggerFactory.getLogger(EndpointConnection.class);
     private static final int IN_RING = 64 * 1024;
+    /** Microseconds. */
+    private static final long MS = 1000;
     /** What may come behind the last line, an empty chunk, comes within this time or not at all. */
     private static final long TAIL = 1_000_000;
     private static final int MOST_TAIL = 64 * 1024;
@@ -200,8 +202,10 @@
         }
         if (call == null) {
             link.out.put(ascii("GET /stats HTTP/1.1\r\nHost: " + dial + "\r\n\r\n"));
-        } else {
-            request(call.request.payload);
+        } else if (!request(call.request.payload)) {
+            carrier.count("endpoint.no_time");
+            finish(Outcome.MOOT);
+            return;
         }
         link.flush();
         if (held != null) {
@@ -211,20 +215,26 @@
         }
     }
 
-    private void request(Payload payload) {
+    /** Puts the request in the outgoing ring; false, with nothing put, if its client's time is over. */
+    private boolean request(Payload payload) {
         String key = payload.repeatKey();
-        long left = Math.max(1, (call.request.deadline - carrier.loop.micros()) / 1000);
+        int hold = mayBeStale() || !carrier.mayRepeat(call) ? 1 : 0;
+        // Counted anew, since a turn may last, and from when the last byte goes out.
+        long left = (call.request.deadline - carrier.loop.fresh() - hold * HOLD) / MS;
+        if (left <= 0) {
+            return false;
+        }
         byte[] head = ascii(payload.verb() + " " + payload.target() + " HTTP/1.1\r\nHost: " + dial
                 + "\r\nReq-Id: " + payload.requestId() + "\r\nReq-Deadline-Ms: " + left + "\r\n"
                 + (key == null ? "" : "Idempotency-Key: " + key + "\r\n")
                 + "Content-Length: " + payload.body().length + "\r\n\r\n");
         byte[] last = payload.body().length > 0 ? payload.body() : head;
-        int hold = mayBeStale() || !carrier.mayRepeat(call) ? 1 : 0;
         if (last != head) {
             link.out.put(head);
         }
         link.out.put(last, 0, last.length - hold);
         held = hold == 0 ? null : Arrays.copyOfRange(last, last.length - 1, last.length);
+        return true;
     }
 
     /** Nothing speaks against the connection: the request's last byte goes out, unless it must not now. */
--- a/src/test/java/laneflow/core/SchedulerTest.java
+++ b/src/test/java/laneflow/core/SchedulerTest.java
@@ -32,7 +32,20 @@
     private final List<OutboundCall> closed = new ArrayList<>();
     private final List<String> answers = new ArrayList<>();
     private Runnable onOpen = () -> { };
-    private final Scheduler scheduler = new Scheduler(settings(), 7, () -> now, deadlines, counters);
+    /** Microseconds that the present turn has lasted. */
+    private long lasted;
+    private final Clock clock = new Clock() {
+        @Override
+        public long micros() {
+            return now;
+        }
+
+        @Override
+        public long fresh() {
+            return now + lasted;
+        }
+    };
+    private final Scheduler scheduler = new Scheduler(settings(), 7, clock, deadlines, counters);
 
     static Settings settings() {
         Settings settings = new Settings();
@@ -466,6 +479,25 @@
         assertEquals(List.of(), answers);
     }
 
+    /** A turn may last, as where the process was stopped amid it: what holds then is what counts. */
+    @Test
+    void whatMayBeginIsToldByTheClockAsItIsAndNotAsTheTurnBegan() {
+        endpoints("a", "b", "c");
+        submit(UNSAFE);
+        scheduler.list(this, false, List.of(entry(calls.get(0).endpoint.name, State.DRAINING)));
+        lasted = 499_000;
+        assertTrue(scheduler.mayBegin(calls.get(0)));
+        lasted = 500_000;
+        assertFalse(scheduler.mayBegin(calls.get(0)));
+        lasted = 0;
+        submit(SAFE);
+        lasted = 4_999_999;
+        assertTrue(scheduler.mayBegin(calls.get(1)));
+        lasted = 5_000_000;
+        assertFalse(scheduler.mayBegin(calls.get(1)));
+        assertEquals(1, counters.get("core.kept.spent"));
+    }
+
     /** Where endpoints may have begun what they shed, a key's window runs from that call on. */
     @Test
     void whatWasShedMayHaveRunWhereTheSettingsSaySo() {
--- a/src/test/java/laneflow/http/EndpointCrossingTest.java
+++ b/src/test/java/laneflow/http/EndpointCrossingTest.java
@@ -255,6 +255,56 @@
         }
     }
 
+    // ---- time ----
+
+    @RepeatedTest(REPEATS)
+    void theTimeThatACallTellsIsWhatIsLeftHoweverLongTheTurnHasLasted() throws Exception {
+        Endpoint endpoint = new Endpoint("e1");
+        try (Stand stand = new Stand(null, endpoint)) {
+            Peer call = rested(stand, endpoint);
+            inOneTurn(stand, () -> {
+                untilPast(stand, stand.serve.loop().micros() + 300_000);
+                submit(stand, CHECK, "late", 700_000);
+            });
+            assertTrue(told(call.message()) <= 700);
+        }
+    }
+
+    private static long told(String message) {
+        int at = message.indexOf("Req-Deadline-Ms: ") + 17;
+        return Long.parseLong(message.substring(at, message.indexOf('\r', at)));
+    }
+
+    @RepeatedTest(REPEATS)
+    void whatHasNoTimeLeftIsNotSent() throws Exception {
+        Endpoint endpoint = new Endpoint("e1");
+        try (Stand stand = new Stand(null, endpoint)) {
+            Peer call = rested(stand, endpoint);
+            inOneTurn(stand, () -> {
+                // By the turn's clock it has time, by the clock it has none.
+                untilPast(stand, stand.serve.loop().micros() + 300_000);
+                submit(stand, CHECK, "late", -10_000);
+            });
+            assertEquals("refused", clients.next());
+            assertTrue(call.ended());
+        }
+    }
+
+    /** Less than a millisecond, or than a last byte is held: no time that could be told is left. */
+    @RepeatedTest(REPEATS)
+    void whatHasLessLeftThanTheHoldIsNotSent() throws Exception {
+        Endpoint endpoint = new Endpoint("e1");
+        try (Stand stand = new Stand(null, endpoint)) {
+            Peer call = stale(stand, endpoint);
+            inOneTurn(stand, () -> {
+                untilPast(stand, stand.serve.loop().micros() + 300_000);
+                submit(stand, CHECK, "late", 2_500);
+            });
+            assertEquals("refused", clients.next());
+            assertTrue(call.ended());
+        }
+    }
+
     // ---- closes ----
 
     /** Put back among the resting ones as its peer closes it: it is looked at before it is used. */
