What an endpoint has said or closed is read before a time-out decides

Cause: deadlines run at a turn's start, before what sockets hold is read. Where both had come in one turn, the time-out won: an answer that was there was given up (endpoint.silent, or call.cancelled at the request's last call), and a last byte that was held went out on a connection whose close was there to be read: a capture that never ran ended as RESET, its client heard 500.

Ruled out: a reset that is there (writing to it fails, which ended as MOOT before as well).

Change: EndpointConnection looks once more (Link.look) before its own time-out and before a call is given up. A carrier that is told to close a call may so tell its end first; the core then passes the close over (endUnlessEnded), and hears that the call never ran where that is how it ended.

Tests: EndpointCrossingTest, four stories in which the loop stays in one turn until the endpoint has answered, declined or closed and the time is over; each fails without the look that is its own (served against refused, refused against failed). SchedulerTest.anAnswerThatIsThereWhenItsTimeIsOverIsServed plays a carrier that tells within close.

--- a/src/main/java/laneflow/core/Scheduler.java
+++ b/src/main/java/laneflow/core/Scheduler.java
@@ -304,7 +304,7 @@
     private void closeUnsent(Request request) {
         OutboundCall call = request.out;
         if (call != null && call.endpoint.carrier.closeUnsent(call)) {
-            ended(call, Outcome.MOOT, null, null);
+            endUnlessEnded(call, Outcome.MOOT);
         }
     }
 
@@ -399,7 +399,7 @@
             if (call.request.type.effect != Effect.UNSAFE) {
                 call.endpoint.carrier.close(call);
             }
-            ended(call, Outcome.TIMEOUT, null, null);
+            endUnlessEnded(call, Outcome.TIMEOUT);
         }
     }
 
@@ -488,7 +488,7 @@
     }
 
     /** True unless a call that ended so has not run for certain: these settings may have begun work shed. */
-    private boolean mayHaveRun(Outcome outcome) {
+    public boolean mayHaveRun(Outcome outcome) {
         return !outcome.neverRan || outcome == Outcome.FULL && settings.fullMayHaveRun;
     }
 
@@ -501,10 +501,17 @@
     /** Gives a call up, which ended so unless its endpoint never had the whole of it; true if that is so. */
     private boolean close(OutboundCall call, Outcome how) {
         boolean unsent = call.endpoint.carrier.close(call);
-        ended(call, unsent ? Outcome.MOOT : how, null, null);
+        endUnlessEnded(call, unsent ? Outcome.MOOT : how);
         return unsent;
     }
 
+    /** A carrier that is told to close a call may find its answer there, and tell of that first. */
+    private void endUnlessEnded(OutboundCall call, Outcome how) {
+        if (calls.get(call.handle) == call) {
+            ended(call, how, null, null);
+        }
+    }
+
     private void release(OutboundCall call) {
         calls.remove(call.handle);
         if (call.request.out == call) {
--- a/src/main/java/laneflow/http/EndpointConnection.java
+++ b/src/main/java/laneflow/http/EndpointConnection.java
@@ -63,6 +63,8 @@
     private long writtenAt;
     private long taken;
     private long tail;
+    /** The call that ended on it last, if its end proves that it never ran, or null. */
+    private OutboundCall endedUnrun;
 
     EndpointConnection(HttpCarrier carrier, Endpoint endpoint) {
         this.carrier = carrier;
@@ -84,13 +86,20 @@
         begin();
     }
 
-    /** Nobody waits for the call any more; true if its endpoint never gets the request's last byte. */
+    /**
+     * Nobody is to wait for the call any more; true if it can't have run. An answer that is there, unread, is
+     * read first, and told: it was in time.
+     */
     boolean giveUp(OutboundCall given) {
-        boolean unsent = call == given && isUnsent();
         if (call == given) {
-            call = null;
-            shut();
+            readWhatIsThere();
+        }
+        if (call != given) {
+            return endedUnrun == given;
         }
+        boolean unsent = isUnsent();
+        call = null;
+        shut();
         return unsent;
     }
 
@@ -108,6 +117,12 @@
         return !up || held != null || !link.out.isEmpty();
     }
 
+    private void readWhatIsThere() {
+        if (up) {
+            link.look();
+        }
+    }
+
     void shut() {
         carrier.loop.deadlines().cancel(timer);
         carrier.forget(this);
@@ -177,14 +192,22 @@
             shut();
         } else if (!up) {
             finish(Outcome.CONNECT_FAILED);
-        } else if (held != null) {
-            release();
-        } else {
-            carrier.count("endpoint.silent");
-            finish(Outcome.TIMEOUT);
+        } else if (!isSettledByWhatIsThere()) {
+            if (held != null) {
+                release();
+            } else {
+                carrier.count("endpoint.silent");
+                finish(Outcome.TIMEOUT);
+            }
         }
     }
 
+    /** In one turn with the time-out an answer or a close may have come: unread, it still was the first. */
+    private boolean isSettledByWhatIsThere() {
+        readWhatIsThere();
+        return isResting() || timer.isSet() || call != null && answer.hasHead();
+    }
+
     // ---- a request ----
 
     private void write() {
@@ -353,6 +376,7 @@
         OutboundCall ended = call;
         long probed = probeAt;
         before = ended == null ? null : ended.request.payload.requestId();
+        endedUnrun = carrier.scheduler.mayHaveRun(how) ? null : ended;
         call = null;
         probeAt = 0;
         rest();
--- a/src/test/java/laneflow/core/SchedulerTest.java
+++ b/src/test/java/laneflow/core/SchedulerTest.java
@@ -32,6 +32,7 @@
     private final List<OutboundCall> closed = new ArrayList<>();
     private final List<String> answers = new ArrayList<>();
     private Runnable onOpen = () -> { };
+    private Runnable onClose = () -> { };
     /** Microseconds that the present turn has lasted. */
     private long lasted;
     private final Clock clock = new Clock() {
@@ -382,6 +383,7 @@
     @Override
     public boolean close(OutboundCall call) {
         closed.add(call);
+        onClose.run();
         return neverSent;
     }
 
@@ -498,6 +500,23 @@
         assertEquals(1, counters.get("core.kept.spent"));
     }
 
+    @Test
+    void anAnswerThatIsThereWhenItsTimeIsOverIsServed() {
+        endpoints("a", "b");
+        for (int jobClass : new int[] {SAFE, KEYED, UNSAFE}) {
+            submit(jobClass);
+            OutboundCall call = calls.get(jobClass);
+            onClose = () -> scheduler.ended(call, Outcome.OK, new byte[0], null);
+            pass(5_000_000);
+            assertEquals("served", answers.get(jobClass));
+        }
+        pass(5_000_000);
+        assertEquals(3, answers.size());
+        assertEquals(3, counters.get("call.ok"));
+        assertEquals(0, counters.get("call.cancelled") + counters.get("call.timeout"));
+        assertEquals(0, scheduler.open());
+    }
+
     /** Where endpoints may have begun what they shed, a key's window runs from that call on. */
     @Test
     void whatWasShedMayHaveRunWhereTheSettingsSaySo() {
--- a/src/test/java/laneflow/http/EndpointCrossingTest.java
+++ b/src/test/java/laneflow/http/EndpointCrossingTest.java
@@ -305,8 +305,78 @@
         }
     }
 
+    @RepeatedTest(REPEATS)
+    void anAnswerThatIsThereAsItsEndpointsSilenceIsOverIsServed() throws Exception {
+        Endpoint endpoint = new Endpoint("e1");
+        try (Stand stand = new Stand(null, endpoint)) {
+            asOneComesToRest(stand, endpoint, call -> {
+                submit(stand, POST, "1", 5 * SECOND);
+                answers(call);
+                untilPast(stand, stand.serve.loop().fresh() + SILENT);
+            });
+            assertEquals("served", clients.next());
+            assertEquals(0, stand.counter("endpoint.silent"));
+        }
+    }
+
+    /** Its last call, and the time itself, are over in the turn in which the answer is there to be read. */
+    @RepeatedTest(REPEATS)
+    void anAnswerThatIsThereAsItsClientsTimeIsOverIsServed() throws Exception {
+        Endpoint endpoint = new Endpoint("e1");
+        try (Stand stand = new Stand(null, endpoint)) {
+            asOneComesToRest(stand, endpoint, call -> {
+                Request request = submit(stand, CHECK, "1", SILENT / 2);
+                answers(call);
+                untilPast(stand, request.deadline);
+            });
+            assertEquals("served", clients.next());
+            assertEquals(0, stand.counter("call.cancelled") + stand.counter("call.timeout"));
+        }
+    }
+
+    /** A declined call never ran: what must not run twice is refused and not failed, its time being over. */
+    @RepeatedTest(REPEATS)
+    void aDeclinedCaptureWhoseTimeIsOverInThatTurnIsRefused() throws Exception {
+        Endpoint endpoint = new Endpoint("e1");
+        try (Stand stand = new Stand(null, endpoint)) {
+            Request[] request = new Request[1];
+            inOneTurn(stand, () -> request[0] = submit(stand, CAPTURE, "1", SILENT));
+            Peer call = endpoint.accept();
+            call.message();
+            inOneTurn(stand, () -> {
+                call.write("HTTP/1.1 503 Busy\r\nSrv-Declined: 1\r\nContent-Length: 0\r\n\r\n");
+                untilPast(stand, request[0].deadline);
+            });
+            assertEquals("refused", clients.next());
+            assertEquals(1, stand.counter("call.full"));
+        }
+    }
+
+    /** The endpoint reads the call and answers it. */
+    private static void answers(Peer call) throws IOException {
+        call.message();
+        call.says(done("1"));
+    }
+
     // ---- closes ----
 
+    /** The endpoint closes a resting connection just as a capture is written to it: that never ran. */
+    @RepeatedTest(REPEATS)
+    void whatItsEndpointClosesBeforeTheLastByteNeverRan() throws Exception {
+        Endpoint endpoint = new Endpoint("e1");
+        try (Stand stand = new Stand(null, endpoint)) {
+            asOneComesToRest(stand, endpoint, call -> {
+                submit(stand, CAPTURE, "1", 5 * SECOND);
+                call.readTo("\r\n\r\npa");
+                call.close();
+                untilPast(stand, stand.serve.loop().fresh() + HELD);
+            });
+            assertEquals("refused", clients.next());
+            assertEquals(0, stand.counter("call.reset"));
+            assertEquals(1, stand.counter("call.moot"));
+        }
+    }
+
     /** Put back among the resting ones as its peer closes it: it is looked at before it is used. */
     @RepeatedTest(REPEATS)
     void aConnectionThatItsPeerClosedInThatTurnIsNotUsed() throws Exception {
