A second answer to any of the last eight jobs of a connection is passed over

Cause: EndpointConnection knew the one job before. A second answer comes some milliseconds late; with a job in between that took less, it came under the job after next, was malformed there, and ended that job's call as ERROR (500 for one that must not run twice).

Ruled out: a second answer that names no job (503 declined, 500): the module sends nothing to its endpoint for 250 ms or more then (FULL_HOLD, SUSPECT_FIRST), and bytes on a resting connection end it.

Change: the ids of the last eight jobs sent on the connection are kept.

Test: EndpointCrossingTest.aSecondAnswerToTheJobTwoBeforeIsPassedOver fails with one id kept.

--- a/src/main/java/laneflow/http/Answer.java
+++ b/src/main/java/laneflow/http/Answer.java
@@ -13,6 +13,7 @@
 import java.nio.ByteBuffer;
 import java.nio.charset.CharacterCodingException;
 import java.nio.charset.StandardCharsets;
+import java.util.Collection;
 import laneflow.decision.Dispatch.LoadReport;
 import laneflow.decision.Dispatch.Outcome;
 import laneflow.core.OutboundCall;
@@ -28,8 +29,8 @@
     private final Scheduler scheduler;
     /** Null for a probe. */
     private final OutboundCall call;
-    /** The job that the answer before this one on its connection was for, or null. */
-    private final String before;
+    /** The ids of the jobs sent before this call on its connection. */
+    private final Collection<String> before;
     private final ByteArrayOutputStream line = new ByteArrayOutputStream();
     private HttpHead head;
     private Outcome outcome;
@@ -38,13 +39,13 @@
     private boolean spoke;
     private boolean stray;
 
-    Answer(Scheduler scheduler, OutboundCall call, String before) {
+    Answer(Scheduler scheduler, OutboundCall call, Collection<String> before) {
         this.scheduler = scheduler;
         this.call = call;
         this.before = before;
     }
 
-    /** A second answer to the job before: this one's is still to come. */
+    /** A second answer to a job before: this one's is still to come. */
     boolean isStray() {
         return stray;
     }
@@ -153,7 +154,7 @@
     private void word(JsonObject word) throws HttpException {
         String id = string(word, "id");
         boolean own = call.request.payload.requestId().equals(id);
-        if (!own && !spoke && before != null && before.equals(id)) {
+        if (!own && !spoke && before.contains(id)) {
             stray = true;
             return;
         }
--- a/src/main/java/laneflow/http/EndpointConnection.java
+++ b/src/main/java/laneflow/http/EndpointConnection.java
@@ -1,7 +1,9 @@
 package laneflow.http;
 
 import java.nio.charset.StandardCharsets;
+import java.util.ArrayDeque;
 import java.util.Arrays;
+import java.util.List;
 import laneflow.decision.Dispatch.Outcome;
 import laneflow.decision.Dispatch.State;
 import laneflow.core.Deadlines.Deadline;
@@ -39,6 +41,8 @@
      * without a head by then is on a connection that has fallen silent.
      */
     private static final long HEAD = 250_000;
+    /** Ids remembered of jobs sent on a connection: a second answer comes some milliseconds late. */
+    private static final int MOST_REMEMBERED = 8;
     /** A probe has ended by then: unanswered for ever, each would keep a descriptor that calls need. */
     private static final long PROBE = 2_000_000;
 
@@ -56,8 +60,8 @@
     private byte[] held;
     private Answer answer;
     private HttpReader reader;
-    /** The job answered on it last, or null. */
-    private String before;
+    /** The ids of the jobs sent on it last, the earliest first: a second answer to one may still come. */
+    private final ArrayDeque<String> before = new ArrayDeque<>();
     /** A second answer has come on it: it is used no more. */
     private boolean strayed;
     private long writtenAt;
@@ -331,7 +335,7 @@
             // Taken for this call's, it would end a job that is at work with another one's verdict.
             carrier.count("endpoint.second_answer");
             strayed = true;
-            answer = new Answer(carrier.scheduler, call, null);
+            answer = new Answer(carrier.scheduler, call, List.of());
             reader = new HttpReader(true, answer);
             if (held == null) {
                 expectHead();
@@ -375,7 +379,9 @@
     private void finish(Outcome how) {
         OutboundCall ended = call;
         long probed = probeAt;
-        before = ended == null ? null : ended.request.payload.requestId();
+        if (ended != null) {
+            remember(ended.request.payload.requestId());
+        }
         endedUnrun = carrier.scheduler.mayHaveRun(how) ? null : ended;
         call = null;
         probeAt = 0;
@@ -389,6 +395,13 @@
         }
     }
 
+    private void remember(String id) {
+        before.add(id);
+        if (before.size() > MOST_REMEMBERED) {
+            before.remove();
+        }
+    }
+
     /** Keeps the connection for the next call if its answer is whole, else closes it. */
     private void rest() {
         if (link == null || link.isClosed() || !up || answer == null || answer.outcome() == null
--- a/src/test/java/laneflow/http/EndpointCrossingTest.java
+++ b/src/test/java/laneflow/http/EndpointCrossingTest.java
@@ -440,4 +440,25 @@
             assertEquals("refused", clients.next());
         }
     }
+
+    // ---- answers that are not this call's ----
+
+    @RepeatedTest(REPEATS)
+    void aSecondAnswerToTheJobTwoBeforeIsPassedOver() throws Exception {
+        Endpoint endpoint = new Endpoint("e1");
+        try (Stand stand = new Stand(null, endpoint)) {
+            Peer call = rested(stand, endpoint);
+            for (String id : new String[] {"1", "2"}) {
+                inOneTurn(stand, () -> submit(stand, POST, id, 5 * SECOND));
+                call.message();
+                if (id.equals("2")) {
+                    call.says(done("first"));
+                }
+                call.says(done(id));
+                assertEquals("served", clients.next());
+            }
+            assertEquals(1, stand.counter("endpoint.second_answer"));
+            assertEquals(0, stand.counter("endpoint.malformed"));
+        }
+    }
 }
