--- a/src/main/java/laneflow/core/Scheduler.java
+++ b/src/main/java/laneflow/core/Scheduler.java
@@ -294,6 +294,18 @@
         }
         close(request);
         event(() -> module.abandoned(now(), request.handle));
+        closeUnsent(request);
+    }
+
+    /**
+     * Nobody waits for the request any more: its call is closed unless its endpoint has the whole of it. That
+     * is no cancelling of work, and so not a matter of whether the settings allow it.
+     */
+    private void closeUnsent(Request request) {
+        OutboundCall call = request.out;
+        if (call != null && call.endpoint.carrier.closeUnsent(call)) {
+            endUnlessEnded(call, Outcome.MOOT);
+        }
     }
 
     /** No call outlives its request's deadline: with cancelling off, a silent endpoint would hold it on. */
@@ -341,17 +353,31 @@
 
     // ---- from carriers ----
 
-    /** Whether a call's first byte may go out now: not once its endpoint's drain has been known too long. */
+    /**
+     * Whether a call's first byte, or its last one where that was held back, may go out at this instant: the
+     * connection may have come up late, or the call may have waited to be grabbed.
+     */
     public boolean mayBegin(OutboundCall call) {
-        boolean may = calls.get(call.handle) == call && mayBegin(call.endpoint);
-        if (!may) {
-            counters.add("core.kept.drain");
-        } else if (!mayRepeat(call.request)) {
-            // The key's window closed while the connection came up or the call waited to be grabbed.
-            counters.add("core.kept.effect");
-            may = false;
+        String kept = forbidsNow(call);
+        if (kept != null) {
+            counters.add("core.kept." + kept);
         }
-        return may;
+        return kept == null;
+    }
+
+    /** What has come to speak against a call since it was decided on; null if nothing has. */
+    private String forbidsNow(OutboundCall call) {
+        if (calls.get(call.handle) != call || call.request.answered) {
+            // Its client has left or has its answer.
+            return "answered";
+        }
+        if (!mayBegin(call.endpoint)) {
+            return "drain";
+        }
+        if (clock.fresh() >= call.request.deadline) {
+            return "spent";
+        }
+        return mayRepeat(call.request) ? null : "effect";
     }
 
     /** Sends a call whose lease is on record; false if it has ended meanwhile. */
@@ -373,7 +399,7 @@
             if (call.request.type.effect != Effect.UNSAFE) {
                 call.endpoint.carrier.close(call);
             }
-            ended(call, Outcome.TIMEOUT, null, null);
+            endUnlessEnded(call, Outcome.TIMEOUT);
         }
     }
 
@@ -386,7 +412,7 @@
 
     private boolean mayBegin(Endpoint endpoint) {
         return !isDown(endpoint) && (endpoint.drainToldAt == Long.MAX_VALUE
-                || clock.micros() < endpoint.drainToldAt + (long) (settings.drainGrace * 1e6));
+                || clock.fresh() < endpoint.drainToldAt + (long) (settings.drainGrace * 1e6));
     }
 
     /** True if operators want nothing sent there: what was about to go there goes elsewhere. */
@@ -397,7 +423,7 @@
     private boolean mayRepeat(Request request) {
         JobClass type = request.type;
         return !request.mayHaveRun() || type.effect == Effect.SAFE || type.effect == Effect.KEYED
-                && clock.micros() < request.firstMayHaveRun() + (long) (type.window * 1e6);
+                && clock.fresh() < request.firstMayHaveRun() + (long) (type.window * 1e6);
     }
 
     /** The endpoint has started on it. */
@@ -448,7 +474,7 @@
         } else if (outcome != Outcome.MOOT) {
             call.endpoint.unreached = 0;
         }
-        if (!outcome.neverRan) {
+        if (mayHaveRun(outcome)) {
             request.mayHaveRun(call.sentAt);
         }
         request.sentOn |= outcome != Outcome.CONNECT_FAILED && outcome != Outcome.MOOT;
@@ -468,6 +494,11 @@
         }
     }
 
+    /** True unless a call that ended so has not run for certain: these settings may have begun work shed. */
+    public boolean mayHaveRun(Outcome outcome) {
+        return !outcome.neverRan || outcome == Outcome.FULL && settings.fullMayHaveRun;
+    }
+
     /** How a probe ended. */
     public void probed(Endpoint endpoint, double took, Outcome outcome, LoadReport report) {
         counters.add("probe." + outcome.name().toLowerCase(Locale.ROOT));
@@ -477,10 +508,17 @@
     /** Gives a call up, which ended so unless its endpoint never had the whole of it; true if that is so. */
     private boolean close(OutboundCall call, Outcome how) {
         boolean unsent = call.endpoint.carrier.close(call);
-        ended(call, unsent ? Outcome.MOOT : how, null, null);
+        endUnlessEnded(call, unsent ? Outcome.MOOT : how);
         return unsent;
     }
 
+    /** A carrier that is told to close a call may find its answer there, and tell of that first. */
+    private void endUnlessEnded(OutboundCall call, Outcome how) {
+        if (calls.get(call.handle) == call) {
+            ended(call, how, null, null);
+        }
+    }
+
     private void release(OutboundCall call) {
         calls.remove(call.handle);
         if (call.request.out == call) {
@@ -508,6 +546,7 @@
 
     private void answerFailed(Request request) {
         close(request);
+        closeUnsent(request);
         counters.add(request.front.name() + ".failed");
         if (!request.sentOn) {
             counters.add("clients.failed_unsent");
@@ -599,6 +638,7 @@
                 return;
             }
             close(request);
+            closeUnsent(request);
             counters.add(request.front.name() + ".refused");
             tallies[request.jobClass][REFUSED]++;
             request.front.failFast(request.tag, retryAfter);
--- a/src/main/java/laneflow/http/EndpointConnection.java
+++ b/src/main/java/laneflow/http/EndpointConnection.java
@@ -1,7 +1,9 @@
 package laneflow.http;
 
 import java.nio.charset.StandardCharsets;
+import java.util.ArrayDeque;
 import java.util.Arrays;
+import java.util.List;
 import laneflow.decision.Dispatch.Outcome;
 import laneflow.decision.Dispatch.State;
 import laneflow.core.Deadlines.Deadline;
@@ -18,6 +20,8 @@
 final class EndpointConnection implements LinkHandler {
     private static final Logger LOG = LoggerFactory.getLogger(EndpointConnection.class);
     private static final int IN_RING = 64 * 1024;
+    /** Microseconds. */
+    private static final long MS = 1000;
     /** What may come behind the last line, an empty chunk, comes within this time or not at all. */
     private static final long TAIL = 1_000_000;
     private static final int MOST_TAIL = 64 * 1024;
@@ -37,6 +41,8 @@
      * without a head by then is on a connection that has fallen silent.
      */
     private static final long HEAD = 250_000;
+    /** Ids remembered of jobs sent on a connection: a second answer comes some milliseconds late. */
+    private static final int MOST_REMEMBERED = 8;
     /** A probe has ended by then: unanswered for ever, each would keep a descriptor that calls need. */
     private static final long PROBE = 2_000_000;
 
@@ -54,13 +60,15 @@
     private byte[] held;
     private Answer answer;
     private HttpReader reader;
-    /** The job answered on it last, or null. */
-    private String before;
+    /** The ids of the jobs sent on it last, the earliest first: a second answer to one may still come. */
+    private final ArrayDeque<String> before = new ArrayDeque<>();
     /** A second answer has come on it: it is used no more. */
     private boolean strayed;
     private long writtenAt;
     private long taken;
     private long tail;
+    /** The call that ended on it last, if its end proves that it never ran, or null. */
+    private OutboundCall endedUnrun;
 
     EndpointConnection(HttpCarrier carrier, Endpoint endpoint) {
         this.carrier = carrier;
@@ -82,16 +90,43 @@
         begin();
     }
 
-    /** Nobody waits for the call any more; true if its endpoint never gets the request's last byte. */
+    /**
+     * Nobody is to wait for the call any more; true if it can't have run. An answer that is there, unread, is
+     * read first, and told: it was in time.
+     */
     boolean giveUp(OutboundCall given) {
-        boolean unsent = call == given && (!up || held != null || !link.out.isEmpty());
         if (call == given) {
+            readWhatIsThere();
+        }
+        if (call != given) {
+            return endedUnrun == given;
+        }
+        boolean unsent = isUnsent();
+        call = null;
+        shut();
+        return unsent;
+    }
+
+    /** The same for a call whose endpoint has not got the request's last byte; another goes on. */
+    boolean giveUpUnsent(OutboundCall given) {
+        boolean unsent = call == given && isUnsent();
+        if (unsent) {
             call = null;
             shut();
         }
         return unsent;
     }
 
+    private boolean isUnsent() {
+        return !up || held != null || !link.out.isEmpty();
+    }
+
+    private void readWhatIsThere() {
+        if (up) {
+            link.look();
+        }
+    }
+
     void shut() {
         carrier.loop.deadlines().cancel(timer);
         carrier.forget(this);
@@ -161,14 +196,22 @@
             shut();
         } else if (!up) {
             finish(Outcome.CONNECT_FAILED);
-        } else if (held != null) {
-            release();
-        } else {
-            carrier.count("endpoint.silent");
-            finish(Outcome.TIMEOUT);
+        } else if (!isSettledByWhatIsThere()) {
+            if (held != null) {
+                release();
+            } else {
+                carrier.count("endpoint.silent");
+                finish(Outcome.TIMEOUT);
+            }
         }
     }
 
+    /** In one turn with the time-out an answer or a close may have come: unread, it still was the first. */
+    private boolean isSettledByWhatIsThere() {
+        readWhatIsThere();
+        return isResting() || timer.isSet() || call != null && answer.hasHead();
+    }
+
     // ---- a request ----
 
     private void write() {
@@ -179,19 +222,17 @@
         taken = 0;
         tail = 0;
         held = null;
-        if (carrier.scheduler.isDown(endpoint)) {
-            // Set down while the connection came up: nothing has been written, and the job goes elsewhere.
+        if (carrier.scheduler.isDown(endpoint) || call != null && !carrier.scheduler.mayBegin(call)) {
+            // Forbidden since it was decided: nothing has been written, and the endpoint is not to blame.
             finish(Outcome.MOOT);
             return;
         }
         if (call == null) {
             link.out.put(ascii("GET /stats HTTP/1.1\r\nHost: " + dial + "\r\n\r\n"));
-        } else if (!carrier.scheduler.mayBegin(call)) {
-            // It drained while the connection came up: its grace is over, and nothing has been written.
-            finish(Outcome.CONNECT_FAILED);
+        } else if (!request(call.request.payload)) {
+            carrier.count("endpoint.no_time");
+            finish(Outcome.MOOT);
             return;
-        } else {
-            request(call.request.payload);
         }
         link.flush();
         if (held != null) {
@@ -201,24 +242,34 @@
         }
     }
 
-    private void request(Payload payload) {
+    /** Puts the request in the outgoing ring; false, with nothing put, if its client's time is over. */
+    private boolean request(Payload payload) {
         String key = payload.repeatKey();
-        long left = Math.max(1, (call.request.deadline - carrier.loop.micros()) / 1000);
+        int hold = mayBeStale() || !carrier.mayRepeat(call) ? 1 : 0;
+        // Counted anew, since a turn may last, and from when the last byte goes out.
+        long left = (call.request.deadline - carrier.loop.fresh() - hold * HOLD) / MS;
+        if (left <= 0) {
+            return false;
+        }
         byte[] head = ascii(payload.verb() + " " + payload.target() + " HTTP/1.1\r\nHost: " + dial
                 + "\r\nReq-Id: " + payload.requestId() + "\r\nReq-Deadline-Ms: " + left + "\r\n"
                 + (key == null ? "" : "Idempotency-Key: " + key + "\r\n")
                 + "Content-Length: " + payload.body().length + "\r\n\r\n");
         byte[] last = payload.body().length > 0 ? payload.body() : head;
-        int hold = mayBeStale() || !carrier.mayRepeat(call) ? 1 : 0;
         if (last != head) {
             link.out.put(head);
         }
         link.out.put(last, 0, last.length - hold);
         held = hold == 0 ? null : Arrays.copyOfRange(last, last.length - 1, last.length);
+        return true;
     }
 
-    /** Nothing speaks against the connection: the request's last byte goes out. */
+    /** Nothing speaks against the connection: the request's last byte goes out, unless it must not now. */
     private void release() {
+        if (!carrier.scheduler.mayBegin(call)) {
+            finish(Outcome.MOOT);
+            return;
+        }
         byte[] last = held;
         held = null;
         link.out.put(last);
@@ -284,7 +335,7 @@
             // Taken for this call's, it would end a job that is at work with another one's verdict.
             carrier.count("endpoint.second_answer");
             strayed = true;
-            answer = new Answer(carrier.scheduler, call, null);
+            answer = new Answer(carrier.scheduler, call, List.of());
             reader = new HttpReader(true, answer);
             if (held == null) {
                 expectHead();
@@ -328,7 +379,10 @@
     private void finish(Outcome how) {
         OutboundCall ended = call;
         long probed = probeAt;
-        before = ended == null ? null : ended.request.payload.requestId();
+        if (ended != null) {
+            remember(ended.request.payload.requestId());
+        }
+        endedUnrun = carrier.scheduler.mayHaveRun(how) ? null : ended;
         call = null;
         probeAt = 0;
         rest();
@@ -341,6 +395,13 @@
         }
     }
 
+    private void remember(String id) {
+        before.add(id);
+        if (before.size() > MOST_REMEMBERED) {
+            before.remove();
+        }
+    }
+
     /** Keeps the connection for the next call if its answer is whole, else closes it. */
     private void rest() {
         if (link == null || link.isClosed() || !up || answer == null || answer.outcome() == null
--- a/src/test/java/laneflow/core/SchedulerTest.java
+++ b/src/test/java/laneflow/core/SchedulerTest.java
@@ -22,7 +22,7 @@
 /** The core's rules, with a clock that the test sets, and a front and a carrier that write down. */
 class SchedulerTest implements NotingFront, Carrier {
     static final int SAFE = 0;
-    private static final int KEYED = 1;
+    static final int KEYED = 1;
     static final int UNSAFE = 2;
 
     private long now = 1_000_000_000L;
@@ -32,7 +32,21 @@
     private final List<OutboundCall> closed = new ArrayList<>();
     private final List<String> answers = new ArrayList<>();
     private Runnable onOpen = () -> { };
-    private final Scheduler scheduler = new Scheduler(settings(), 7, () -> now, deadlines, counters);
+    private Runnable onClose = () -> { };
+    /** Microseconds that the present turn has lasted. */
+    private long lasted;
+    private final Clock clock = new Clock() {
+        @Override
+        public long micros() {
+            return now;
+        }
+
+        @Override
+        public long fresh() {
+            return now + lasted;
+        }
+    };
+    private final Scheduler scheduler = new Scheduler(settings(), 7, clock, deadlines, counters);
 
     static Settings settings() {
         Settings settings = new Settings();
@@ -369,6 +383,15 @@
     @Override
     public boolean close(OutboundCall call) {
         closed.add(call);
+        onClose.run();
+        return neverSent;
+    }
+
+    @Override
+    public boolean closeUnsent(OutboundCall call) {
+        if (neverSent) {
+            closed.add(call);
+        }
         return neverSent;
     }
 
@@ -382,6 +405,138 @@
         throw new AssertionError("no such rule in these settings");
     }
 
+    /** This carrier leaves the call where it is: its connection comes up when nobody waits any more. */
+    @Test
+    void noCallBeginsOnceItsClientHasLeftThoughCancellingIsOff() {
+        scheduler.settings().mayCancel = false;
+        endpoints("a");
+        Request request = submit(SAFE);
+        assertTrue(scheduler.mayBegin(calls.get(0)));
+        scheduler.withdraw(request);
+        assertFalse(scheduler.mayBegin(calls.get(0)));
+        assertEquals(1, counters.get("core.kept.answered"));
+    }
+
+    @Test
+    void aCallThatWasNotSentIsClosedWithItsClientsLeavingThoughCancellingIsOff() {
+        scheduler.settings().mayCancel = false;
+        endpoints("a", "b");
+        neverSent = true;
+        for (int jobClass : new int[] {SAFE, KEYED, UNSAFE}) {
+            scheduler.withdraw(submit(jobClass));
+        }
+        assertEquals(calls, closed);
+        assertEquals(3, counters.get("call.moot"));
+        assertEquals(0, scheduler.open());
+        neverSent = false;
+        // One that may be at work goes on, to its client's time.
+        scheduler.withdraw(submit(SAFE));
+        assertEquals(3, closed.size());
+        pass(5_000_000);
+        assertEquals(4, closed.size());
+        assertEquals(Long.MAX_VALUE, deadlines.next());
+    }
+
+    /** Its last call is answered two ticks before its time; what was not sent then must not be after it. */
+    @Test
+    void aCallThatWasNotSentIsClosedWithItsAnswerThoughCancellingIsOff() {
+        scheduler.settings().mayCancel = false;
+        endpoints("a");
+        neverSent = true;
+        submit(SAFE);
+        pass(4_999_000);
+        assertEquals(List.of("refused"), answers);
+        assertEquals(calls, closed);
+        assertFalse(scheduler.mayBegin(calls.get(0)));
+    }
+
+    @Test
+    void aRequestHeldForAPolicyIsNotDecidedOnOnceItsClientHasLeft() {
+        endpoints("a");
+        boolean[] may = new boolean[1];
+        scheduler.decideWhile(new Gate() {
+            @Override
+            public boolean mayDecide() {
+                return may[0];
+            }
+
+            @Override
+            public long decidesWithin() {
+                return 5_000;
+            }
+
+            @Override
+            public double comeBack() {
+                return 1;
+            }
+        });
+        Request leaving = submit(SAFE);
+        submit(SAFE);
+        pass(1_000);
+        scheduler.withdraw(leaving);
+        may[0] = true;
+        pass(9_000);
+        assertEquals(1, calls.size());
+        assertTrue(calls.get(0).request != leaving);
+        assertEquals(List.of(), answers);
+    }
+
+    /** A turn may last, as where the process was stopped amid it: what holds then is what counts. */
+    @Test
+    void whatMayBeginIsToldByTheClockAsItIsAndNotAsTheTurnBegan() {
+        endpoints("a", "b", "c");
+        submit(UNSAFE);
+        scheduler.list(this, false, List.of(entry(calls.get(0).endpoint.name, State.DRAINING)));
+        lasted = 499_000;
+        assertTrue(scheduler.mayBegin(calls.get(0)));
+        lasted = 500_000;
+        assertFalse(scheduler.mayBegin(calls.get(0)));
+        lasted = 0;
+        submit(SAFE);
+        lasted = 4_999_999;
+        assertTrue(scheduler.mayBegin(calls.get(1)));
+        lasted = 5_000_000;
+        assertFalse(scheduler.mayBegin(calls.get(1)));
+        assertEquals(1, counters.get("core.kept.spent"));
+    }
+
+    @Test
+    void anAnswerThatIsThereWhenItsTimeIsOverIsServed() {
+        endpoints("a", "b");
+        for (int jobClass : new int[] {SAFE, KEYED, UNSAFE}) {
+            submit(jobClass);
+            OutboundCall call = calls.get(jobClass);
+            onClose = () -> scheduler.ended(call, Outcome.OK, new byte[0], null);
+            pass(5_000_000);
+            assertEquals("served", answers.get(jobClass));
+        }
+        pass(5_000_000);
+        assertEquals(3, answers.size());
+        assertEquals(3, counters.get("call.ok"));
+        assertEquals(0, counters.get("call.cancelled") + counters.get("call.timeout"));
+        assertEquals(0, scheduler.open());
+    }
+
+    /** Where endpoints may have begun what they shed, a key's window runs from that call on. */
+    @Test
+    void whatWasShedMayHaveRunWhereTheSettingsSaySo() {
+        for (boolean may : new boolean[] {false, true}) {
+            SchedulerTest other = new SchedulerTest();
+            other.scheduler.settings().fullMayHaveRun = may;
+            // Of two kinds: what is shed by one says nothing of the other.
+            Entry second = entry("b", State.READY);
+            second.kind = 1;
+            other.scheduler.start(other, List.of(entry("a", State.READY), second));
+            other.submit(KEYED);
+            other.scheduler.ended(other.calls.get(0), Outcome.FULL, null, null);
+            other.scheduler.settings().classes[KEYED].window = 1;
+            other.pass(999_000);
+            assertTrue(other.scheduler.mayBegin(other.calls.get(1)));
+            other.pass(1_000);
+            assertEquals(!may, other.scheduler.mayBegin(other.calls.get(1)));
+        }
+    }
+
     @Test
     void aKeysWindowIsLookedAtAgainBeforeTheFirstByte() {
         endpoints("e1", "e2");
