Clients that have gone are not sent on; a pipelined request's time counts from its arrival

- A client that had left while its accepted connection waited for room, or whose end lay unread in the socket when the answer before let its next request begin, was sent on: Link.readable tells the bytes before it reads the end, and Client.answer read on from the ring without a look at the socket.
Now Client.finishMessage asks Link.hasPeerEnded, which takes in what lies there, before a request goes to the core.
- Behind a full ring (32 KiB of pipelined requests) reads were held (Link.readable), so the end of the connection was not seen; the requests in the ring were then sent on one by one.
Now 128 KiB are kept, room for a whole message, and up to 4 MiB behind them read and dropped (LinkHandler.dropsBeyondRing).
What is kept is answered; the first message that is not whole any more gets 429 and the end.
- A pipelined request's deadline was counted from when its turn came (HttpFront.take, loop.micros()), so its worker was told more time than was left.
Now it counts from when its last byte arrived (ArrivalTimes, by running byte number); on a connection that waited for room, from when that was accepted.
One whose time is over is refused at once and not sent on: the core does so by itself.
- Client.answer read the next message from within Front.served, before the module hears that the call has ended: the only endpoint still looked taken, and pipelined requests were refused one after the other.
Now it reads on in a later task of the same turn.

Not seen still: the end behind more than 4 MiB of pipelined bytes; and connections in the system's queue behind the one that waits for room have no known arrival, their time counts from when they are accepted.

--- a/src/main/java/laneflow/http/Client.java
+++ b/src/main/java/laneflow/http/Client.java
@@ -39,6 +39,10 @@
     /** From a message's end to its answer, also where the core is not asked. */
     private boolean owes;
     private boolean reading;
+    /** More than is kept came while an answer was owed: nothing can be read behind what is in the ring. */
+    private boolean sentTooMuch;
+    /** When the present message's last byte came. */
+    private long arrived;
     /** Something has been answered on it. */
     private boolean answered;
     private long since;
@@ -146,7 +150,7 @@
         }
         reading = true;
         try {
-            while (!owes && !link.in.isEmpty() && !link.isClosed()) {
+            while (!owes && !link.in.isEmpty() && !link.isClosed() && !link.isEnded()) {
                 reader.read(link.in);
                 if (!reader.isDone()) {
                     break;
@@ -161,12 +165,33 @@
         } finally {
             reading = false;
         }
+        if (link.hasDropped() && !sentTooMuch) {
+            sentTooMuch = true;
+            front.count("http.too_much_at_once");
+        }
+        if (sentTooMuch && !owes && !link.isClosed()) {
+            // The rest of what is in the ring has not been kept.
+            refuse(429, "Too Many Requests", "too much sent before an answer");
+        }
         if (!begun && !owes && reader.isInside(link.in)) {
             begun = true;
             expect(MESSAGE);
         }
     }
 
+    /** Behind more requests than are kept the end of the connection must still be seen. */
+    @Override
+    public boolean dropsBeyondRing() {
+        return true;
+    }
+
+    /** Reads what came in while an answer was owed. */
+    private void readOn() {
+        if (!link.isClosed() && !link.isEnded()) {
+            received(link);
+        }
+    }
+
     @Override
     public void head(HttpHead received) throws HttpException {
         head = received;
@@ -192,6 +217,7 @@
     @Override
     public void end() {
         owes = true;
+        arrived = link.arrivalOfLastTaken();
         // From here on the request's own deadline runs.
         front.loop.deadlines().cancel(timer);
     }
@@ -206,10 +232,15 @@
             answer(405, "Method Not Allowed", "", new byte[0]);
         } else {
             try {
-                if (front.keeps(this, slot, head, body.toByteArray())) {
+                if (front.keeps(this, slot, head, body.toByteArray(), arrived)) {
+                    return;
+                }
+                if (link.hasPeerEnded()) {
+                    // Its client has gone and waits for nothing: the link tells so in a moment.
+                    front.count("http.left_before_turn");
                     return;
                 }
-                request = front.take(slot, head, body.toByteArray());
+                request = front.take(slot, head, body.toByteArray(), arrived);
             } catch (HttpException e) {
                 front.count("http.bad_request");
                 answer(e.status, e.reason(), "", ascii(e.getMessage() + "\n"));
@@ -273,10 +304,12 @@
         reader.next();
         expect(UNREAD);
         link.flush();
+        link.resumeReads();
         if (!link.in.isEmpty() && !reading) {
-            received(link);
+            // Not from within the call that brought the answer: the core has yet to hear of its end, and the
+            // endpoint that has just become free would look taken to the next request.
+            front.loop.later(this::readOn);
         }
-        link.resumeReads();
     }
 
     @Override
--- a/src/main/java/laneflow/http/HttpException.java
+++ b/src/main/java/laneflow/http/HttpException.java
@@ -16,6 +16,7 @@
         return switch (status) {
             case 409 -> "Conflict";
             case 413 -> "Content Too Large";
+            case 429 -> "Too Many Requests";
             case 431 -> "Request Header Fields Too Large";
             default -> "Bad Request";
         };
--- a/src/main/java/laneflow/http/HttpFront.java
+++ b/src/main/java/laneflow/http/HttpFront.java
@@ -27,7 +27,8 @@
     private static final Logger LOG = LoggerFactory.getLogger(HttpFront.class);
     /** The longest body taken, bytes. */
     public static final int MOST_BODY = 64 * 1024;
-    private static final int IN_RING = 32 * 1024;
+    /** Room for a whole message behind one that is at work. */
+    private static final int IN_RING = 128 * 1024;
     private static final int OUT_RING = 1 << 20;
 
     final Loop loop;
@@ -189,11 +190,11 @@
     }
 
     /** Hands a message's job to whoever keeps it, if it asks so; the answer comes when it is on disk. */
-    boolean keeps(Client client, long slot, HttpHead head, byte[] body) throws HttpException {
+    boolean keeps(Client client, long slot, HttpHead head, byte[] body, long arrived) throws HttpException {
         if (kept == null || head.header("prefer") == null) {
             return false;
         }
-        Request asked = jobs.read(this, slot, head, body, loop.micros());
+        Request asked = jobs.read(this, slot, head, body, arrived);
         boolean wants = kept.wants(head, asked);
         if (wants) {
             kept.submit(client, asked, classNames[asked.jobClass]);
@@ -219,9 +220,9 @@
         }
     }
 
-    /** A message's request, its id held from now on; to be submitted. */
-    Request take(long slot, HttpHead head, byte[] body) throws HttpException {
-        Request request = jobs.read(this, slot, head, body, loop.micros());
+    /** The request of a message that arrived then, its id held from now on; to be submitted. */
+    Request take(long slot, HttpHead head, byte[] body, long arrived) throws HttpException {
+        Request request = jobs.read(this, slot, head, body, arrived);
         if (!open.add(request.payload.requestId())) {
             throw new HttpException(409, "this Req-Id is at work");
         }
--- a/src/main/java/laneflow/http/JobReader.java
+++ b/src/main/java/laneflow/http/JobReader.java
@@ -34,8 +34,12 @@
         }
     }
 
-    /** A message's request, for this front under this mark. */
-    Request read(Front front, long tag, HttpHead head, byte[] body, long now) throws HttpException {
+    /**
+     * A message's request, for this front under this mark.
+     *
+     * @param arrived when the message's last byte came, microseconds: its time is counted from then
+     */
+    Request read(Front front, long tag, HttpHead head, byte[] body, long arrived) throws HttpException {
         String target = head.second;
         int query = target.indexOf('?');
         Integer jobClass = numbers.get(className(head, query < 0 ? target : target.substring(0, query)));
@@ -49,7 +53,7 @@
         double wait = number(head.header(Names.DEADLINE), Names.DEADLINE, classes[jobClass].deadline * 1000);
         Payload payload = new Payload(head.first, target, id, head.header(Names.REPEAT_KEY), body);
         Request request = new Request(front, tag, payload, jobClass,
-                now + (long) (Math.min(wait, MOST_WAIT_MS) * 1000));
+                arrived + (long) (Math.min(wait, MOST_WAIT_MS) * 1000));
         // An owner that no settings name has no share that it could be beyond.
         request.tenant = tenants.getOrDefault(head.header(Names.OWNER), -1);
         request.hint = number(head.header(Names.COST), Names.COST, Double.NaN) / 1e6;
--- a/src/main/java/laneflow/net/Link.java
+++ b/src/main/java/laneflow/net/Link.java
@@ -19,6 +19,8 @@
     /** What an ended connection still sends is passed over for so long, and up to so much. */
     private static final long LINGER = 1_000_000;
     private static final int MOST_PASSED_OVER = 256 * 1024;
+    /** Bytes behind a full ring are dropped up to so much; those behind them stay unread. */
+    private static final int MOST_DROPPED = 4 * 1024 * 1024;
 
     public final Ring in;
     public final Ring out;
@@ -36,6 +38,11 @@
     private Deadline linger;
     private int passedOver;
     private boolean readsHeld;
+    private final ArrivalTimes arrivals = new ArrivalTimes();
+    /** What its first read takes in has been there since then, microseconds; negative: it has just come. */
+    private long waitedSince = -1;
+    private int dropped;
+    private boolean peerEnded;
 
     Link(Loop loop, LinkHandler handler, int inLimit, int outLimit, Loop.Listener listener) {
         this.loop = loop;
@@ -92,7 +99,7 @@
     void readable() {
         try {
             for (int i = 0; i < READS && !closed && !readsHeld; i++) {
-                int got = in.readFrom(source);
+                int got = take();
                 if (got > 0 && linger != null) {
                     passOver(got);
                 } else if (got > 0) {
@@ -110,11 +117,71 @@
             return;
         }
         // A peer that sends on and on is not read further than the ring holds.
-        if (!closed && !readsHeld && linger == null && in.isFull()) {
+        if (!closed && !readsHeld && linger == null && in.isFull() && !handler.dropsBeyondRing()) {
             holdReads();
         }
     }
 
+    /** Reads once, as the conduit does; 0 also where there is no room. */
+    private int take() throws IOException {
+        if (linger == null && (dropped > 0 || in.isFull() && handler.dropsBeyondRing())) {
+            return drop();
+        }
+        int got = in.readFrom(source);
+        if (got > 0) {
+            arrivals.add(in.taken() + in.size(), waitedSince < 0 ? loop.micros() : waitedSince, in.taken());
+        }
+        return got;
+    }
+
+    private int drop() throws IOException {
+        int got = source.read(loop.scratch());
+        dropped += Math.max(0, got);
+        if (dropped > MOST_DROPPED) {
+            holdReads();
+        }
+        return got;
+    }
+
+    /** True if bytes behind a full ring have been dropped: what is in the ring has no sound continuation. */
+    public boolean hasDropped() {
+        return dropped > 0;
+    }
+
+    /** Bytes that are there at its first read have been there since then, microseconds. */
+    void waitedSince(long instant) {
+        waitedSince = instant;
+    }
+
+    /** When the last byte that was taken out of the incoming ring arrived, microseconds. */
+    public long arrivalOfLastTaken() {
+        return arrivals.before(in.taken(), loop.micros());
+    }
+
+    /**
+     * Takes what has come into the ring without a word to its owner, and tells whether the other side has
+     * ended or broken the connection behind it. Where it has, the owner is told later.
+     */
+    public boolean hasPeerEnded() {
+        if (closed || peerEnded) {
+            return true;
+        }
+        try {
+            int got;
+            do {
+                got = take();
+            } while (got > 0 && dropped <= MOST_DROPPED);
+            peerEnded = got < 0;
+        } catch (IOException e) {
+            LOG.debug("read: {}", e.getMessage());
+            peerEnded = true;
+        }
+        if (peerEnded) {
+            loop.later(this::broken);
+        }
+        return peerEnded;
+    }
+
     /** Stops reading until {@link #resumeReads}. */
     public void holdReads() {
         if (!closed && !readsHeld) {
--- a/src/main/java/laneflow/net/LinkHandler.java
+++ b/src/main/java/laneflow/net/LinkHandler.java
@@ -17,6 +17,15 @@
     default void flushed(Link link) {
     }
 
+    /**
+     * Whether bytes that come while the incoming ring is full are read and dropped, so that the end of the
+     * connection is seen behind them ({@link Link#hasDropped}). Otherwise they stay unread until
+     * {@link Link#resumeReads}.
+     */
+    default boolean dropsBeyondRing() {
+        return false;
+    }
+
     /** The other side has ended or broken it; it is closed already, and what it had sent was told before. */
     void broken(Link link);
 }
--- a/src/main/java/laneflow/net/Loop.java
+++ b/src/main/java/laneflow/net/Loop.java
@@ -4,6 +4,7 @@
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.UnknownHostException;
+import java.nio.ByteBuffer;
 import java.nio.channels.ServerSocketChannel;
 import java.util.ArrayList;
 import java.util.List;
@@ -41,6 +42,7 @@
     private static final int BACKLOG = 512;
     private static final long MS = 1000;
     private static final Pattern FIGURES = Pattern.compile("[0-9.]+|[0-9a-fA-F:.]+");
+    private static final int SCRATCH = 16 * 1024;
     /** Connections taken in a row: a flood of them must not hold up those that are open. */
     private static final int ACCEPTS = 32;
 
@@ -53,6 +55,7 @@
     private final Part accepted;
     private final Part outbound;
     private final List<Listener> listeners = new ArrayList<>();
+    private final ByteBuffer scratch = ByteBuffer.allocate(SCRATCH);
     private final long origin;
     private final boolean rests;
     private boolean inTurn;
@@ -100,6 +103,11 @@
         return origin + System.nanoTime() / 1000;
     }
 
+    /** Room for bytes that are read to be dropped. */
+    ByteBuffer scratch() {
+        return scratch.clear();
+    }
+
     public Deadlines deadlines() {
         return deadlines;
     }
@@ -217,6 +225,7 @@
         private boolean full;
         /** Accepted, but for want of room not let in yet. */
         private StreamConnection parked;
+        private long parkedAt;
 
         /** On the passed socket, unless it is null. */
         private Listener(ServerSocketChannel passed, InetSocketAddress at, int inLimit, int outLimit,
@@ -260,6 +269,7 @@
                     // Room is made for a client that is there: asked for one that may come, it would close
                     // one more than need be each time that the backlog runs empty.
                     StreamConnection connection = parked != null ? parked : channel.accept();
+                    boolean waited = parked != null;
                     parked = null;
                     if (connection == null) {
                         return;
@@ -267,6 +277,7 @@
                     if (!part.hasRoom() && !makeRoom.getAsBoolean()) {
                         // It and those behind it in the backlog wait until a connection closes.
                         parked = connection;
+                        parkedAt = waited ? parkedAt : micros();
                         full = true;
                         channel.suspendAccepts();
                         return;
@@ -278,7 +289,9 @@
                     link.attach(connection);
                     handler.opened(link);
                     // Mostly it has asked already: unread it would look like one that says nothing.
+                    link.waitedSince(waited ? parkedAt : -1);
                     link.readable();
+                    link.waitedSince(-1);
                 }
             } catch (IOException e) {
                 LOG.warn("accept: {}", e.getMessage());
--- a/src/main/java/laneflow/net/Ring.java
+++ b/src/main/java/laneflow/net/Ring.java
@@ -14,6 +14,7 @@
     private ByteBuffer view = ByteBuffer.wrap(bytes);
     private int head;
     private int size;
+    private long taken;
 
     /** A ring that never holds more than this, a power of two. */
     public Ring(int limit) {
@@ -35,6 +36,11 @@
         return size == limit;
     }
 
+    /** How many bytes have been taken out of it since it was made: the running number of its first byte. */
+    public long taken() {
+        return taken;
+    }
+
     /** The byte that far behind the first one. */
     public byte at(int offset) {
         return bytes[head + offset & bytes.length - 1];
@@ -65,6 +71,7 @@
         }
         head = head + length & bytes.length - 1;
         size -= length;
+        taken += length;
         if (size == 0) {
             head = 0;
             if (bytes.length > FIRST) {
--- /dev/null
+++ b/src/test/java/laneflow/net/ArrivalTimesTest.java
@@ -0,0 +1,41 @@
+package laneflow.net;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import org.junit.jupiter.api.Test;
+
+class ArrivalTimesTest {
+    private static final long UNKNOWN = -7;
+
+    @Test
+    void eachByteHasTheInstantOfItsRead() {
+        ArrivalTimes times = new ArrivalTimes();
+        times.add(10, 1_000_000, 0);
+        times.add(25, 2_000_000, 0);
+        assertEquals(1_000_000, times.before(1, UNKNOWN));
+        assertEquals(1_000_000, times.before(10, UNKNOWN));
+        assertEquals(2_000_000, times.before(11, UNKNOWN));
+        assertEquals(2_000_000, times.before(25, UNKNOWN));
+        assertEquals(UNKNOWN, times.before(26, UNKNOWN));
+        // The first ten have been taken: they are forgotten, the others are not.
+        times.add(30, 3_000_000, 10);
+        assertEquals(2_000_000, times.before(11, UNKNOWN));
+        assertEquals(3_000_000, times.before(30, UNKNOWN));
+    }
+
+    /** Told too early by a millisecond at most, never too late. */
+    @Test
+    void bytesThatComeSinglyInAMillisecondCountAsTheFirstOfThem() {
+        ArrivalTimes times = new ArrivalTimes();
+        for (int i = 1; i <= 5000; i++) {
+            times.add(i, i, 0);
+        }
+        for (int i = 1; i <= 5000; i++) {
+            long told = times.before(i, UNKNOWN);
+            assertEquals(i - (i - 1) % 1000, told);
+        }
+        // What has been taken shares its instant with nothing that comes later.
+        times.add(5001, 5001, 5000);
+        assertEquals(5001, times.before(5001, UNKNOWN));
+    }
+}
