--- a/src/main/java/laneflow/http/Client.java
+++ b/src/main/java/laneflow/http/Client.java
@@ -39,6 +39,15 @@
     /** From a message's end to its answer, also where the core is not asked. */
     private boolean owes;
     private boolean reading;
+    /** More than is kept came while an answer was owed: nothing can be read behind what is in the ring. */
+    private boolean sentTooMuch;
+    /** When the present message's last byte came. */
+    private long arrived;
+    /**
+     * Once its clients are sent away: the running number of the byte behind what had come in then. What
+     * begins before it is still answered; negative before that.
+     */
+    private long servesUpTo = -1;
     /** Something has been answered on it. */
     private boolean answered;
     private long since;
@@ -63,15 +72,20 @@
         front.loop.deadlines().set(timer, since + within);
     }
 
-    /** Its time is over: with something to answer it hears so, else it is closed. */
+    /** Its time is over: with something to answer it hears so, else it ends; what came just now is read. */
     private void late() {
+        boolean owed = owes;
+        link.look();
+        if (link.isClosed() || link.isEnded() || timer.isSet() || owes && !owed) {
+            return;
+        }
         if (begun && reader.isInside(link.in)) {
             front.count("http.slow_request");
             refuse(408, "Request Timeout", "message not ended in time");
             return;
         }
         front.count(begun ? "http.silent" : link.out.isEmpty() ? "http.idle_closed" : "http.slow_reader");
-        leave();
+        endConnection();
     }
 
     // ---- what the front may do with it ----
@@ -107,30 +121,67 @@
         return by != 0 ? by < 0 : order < other.order;
     }
 
-    /** Closes it with nothing more said. */
+    /** Closes it at once, with nothing more said: where its descriptor is needed, or it reads nothing. */
     void leave() {
+        countUnanswered();
+        drop();
+        link.close();
+    }
+
+    private void countUnanswered() {
+        if (link.isEnded()) {
+            return;
+        }
         if (request != null || !link.out.isEmpty()) {
             front.count("clients.lost");
         } else if (!answered) {
             front.count("clients.closed_unanswered");
         }
-        drop();
-        link.close();
     }
 
-    /** Closes it unless a request is there, or about to be read, or it has come or been used only just. */
-    void leaveUnlessBusy(long young, long unused) {
-        if (front.loop.micros() - since < (begun ? young : unused)) {
+    /**
+     * Ends it between two messages: stops sending, and passes over what still comes, until the other side has
+     * ended too or a short time is over. Closed over unread bytes, it would be reset, and what is on its way
+     * to the client might be lost.
+     */
+    private void endConnection() {
+        if (owes || !link.out.isEmpty()) {
+            leave();
+            return;
+        }
+        countUnanswered();
+        front.loop.deadlines().cancel(timer);
+        link.endWhenFlushed();
+    }
+
+    /** Ends it unless a request is there, or about to be read, or it has come or been used only just. */
+    void endUnlessBusy(long young, long unused) {
+        if (link.isEnded() || front.loop.micros() - since < (begun ? young : unused)) {
             return;
         }
         if (!isBusy()) {
             link.look();
         }
-        if (!link.isClosed() && !isBusy()) {
-            leave();
+        if (!link.isClosed() && !link.isEnded() && !isBusy()) {
+            endConnection();
         }
     }
 
+    /** Makes room for another client, unless a request has come on it just now; true if there is room. */
+    boolean giveWay() {
+        link.look();
+        readOn();
+        if (link.isClosed()) {
+            return true;
+        }
+        if (rank() == Integer.MAX_VALUE) {
+            return false;
+        }
+        front.count(isIdle() ? "http.idle_closed" : "http.gave_way");
+        leave();
+        return true;
+    }
+
     private void drop() {
         front.remove(slot);
         front.loop.deadlines().cancel(timer);
@@ -146,7 +197,7 @@
         }
         reading = true;
         try {
-            while (!owes && !link.in.isEmpty() && !link.isClosed()) {
+            while (!owes && !link.in.isEmpty() && !link.isClosed() && !link.isEnded()) {
                 reader.read(link.in);
                 if (!reader.isDone()) {
                     break;
@@ -161,12 +212,33 @@
         } finally {
             reading = false;
         }
+        if (link.hasDropped() && !sentTooMuch) {
+            sentTooMuch = true;
+            front.count("http.too_much_at_once");
+        }
+        if (sentTooMuch && !owes && !link.isClosed()) {
+            // The rest of what is in the ring has not been kept.
+            refuse(429, "Too Many Requests", "too much sent before an answer");
+        }
         if (!begun && !owes && reader.isInside(link.in)) {
             begun = true;
             expect(MESSAGE);
         }
     }
 
+    /** Behind more requests than are kept the end of the connection must still be seen. */
+    @Override
+    public boolean dropsBeyondRing() {
+        return true;
+    }
+
+    /** Reads what came in while an answer was owed. */
+    private void readOn() {
+        if (!link.isClosed() && !link.isEnded()) {
+            received(link);
+        }
+    }
+
     @Override
     public void head(HttpHead received) throws HttpException {
         head = received;
@@ -192,6 +264,7 @@
     @Override
     public void end() {
         owes = true;
+        arrived = link.arrivalOfLastTaken();
         // From here on the request's own deadline runs.
         front.loop.deadlines().cancel(timer);
     }
@@ -206,10 +279,15 @@
             answer(405, "Method Not Allowed", "", new byte[0]);
         } else {
             try {
-                if (front.keeps(this, slot, head, body.toByteArray())) {
+                if (front.keeps(this, slot, head, body.toByteArray(), arrived)) {
+                    return;
+                }
+                if (link.hasPeerEnded()) {
+                    // Its client has gone and waits for nothing: the link tells so in a moment.
+                    front.count("http.left_before_turn");
                     return;
                 }
-                request = front.take(slot, head, body.toByteArray());
+                request = front.take(slot, head, body.toByteArray(), arrived);
             } catch (HttpException e) {
                 front.count("http.bad_request");
                 answer(e.status, e.reason(), "", ascii(e.getMessage() + "\n"));
@@ -251,7 +329,10 @@
             front.close(request);
             request = null;
         }
-        boolean last = front.isLeaving() || head == null || !head.keepsAlive();
+        if (!front.isLeaving()) {
+            servesUpTo = -1;
+        }
+        boolean last = head == null || !head.keepsAlive() || front.isLeaving() && isServedUp();
         String text = "HTTP/1.1 " + status + " " + reason + "\r\n" + headers
                 + "Content-Length: " + content.length + "\r\n"
                 + (last ? "Connection: close\r\n\r\n" : "\r\n");
@@ -273,10 +354,25 @@
         reader.next();
         expect(UNREAD);
         link.flush();
+        link.resumeReads();
         if (!link.in.isEmpty() && !reading) {
-            received(link);
+            // Not from within the call that brought the answer: the core has yet to hear of its end, and the
+            // endpoint that has just become free would look taken to the next request.
+            front.loop.later(this::readOn);
         }
-        link.resumeReads();
+    }
+
+    /** While its clients are sent away: nothing is left that had come in when that began. */
+    private boolean isServedUp() {
+        if (servesUpTo < 0) {
+            link.hasPeerEnded();
+            servesUpTo = link.in.taken() + link.in.size();
+        }
+        while (!link.in.isEmpty() && (link.in.at(0) == '\r' || link.in.at(0) == '\n')) {
+            // Empty lines between messages are none.
+            link.in.skip(1);
+        }
+        return link.in.taken() >= servesUpTo;
     }
 
     @Override
--- a/src/main/java/laneflow/http/HttpFront.java
+++ b/src/main/java/laneflow/http/HttpFront.java
@@ -27,7 +27,8 @@
     private static final Logger LOG = LoggerFactory.getLogger(HttpFront.class);
     /** The longest body taken, bytes. */
     public static final int MOST_BODY = 64 * 1024;
-    private static final int IN_RING = 32 * 1024;
+    /** Room for a whole message behind one that is at work. */
+    private static final int IN_RING = 128 * 1024;
     private static final int OUT_RING = 1 << 20;
 
     final Loop loop;
@@ -44,6 +45,7 @@
     private KeptJobs kept;
     private IntFunction<String> versions;
     private boolean draining;
+    private boolean refusing;
     private long came;
 
     /** A front for these classes, in the settings' order. */
@@ -90,29 +92,34 @@
         return listener.address();
     }
 
-    /** Neither idle nor bad clients must keep others out that have something to ask. */
-    private boolean makeRoom() {
+    /**
+     * Neither idle nor bad clients must keep others out that have something to ask. One whose request lies
+     * unread is neither: it is read instead, and another one is looked for.
+     */
+    boolean makeRoom() {
+        for (Client first = firstToGiveWay(); first != null; first = firstToGiveWay()) {
+            if (first.giveWay()) {
+                return true;
+            }
+        }
+        return false;
+    }
+
+    /** Who gives way first, or null if none does. */
+    private Client firstToGiveWay() {
         Client[] first = new Client[1];
         clients.forEach(client -> {
             if (client.rank() < Integer.MAX_VALUE && (first[0] == null || client.before(first[0]))) {
                 first[0] = client;
             }
         });
-        if (first[0] == null) {
-            return false;
-        }
-        count(first[0].isIdle() ? "http.idle_closed" : "http.gave_way");
-        first[0].leave();
-        return true;
+        return first[0];
     }
 
     /** No more clients; those that are here go on. */
     public void stopAccepting() {
-        if (listener.isFull()) {
-            // One that was let in to the machine, and for which no room came.
-            count("clients.closed_unanswered");
-        }
-        listener.close();
+        // One that was let in to the machine, and for which no room came.
+        listener.close(() -> count("clients.closed_unanswered"));
     }
 
     /** True if nobody is connected. */
@@ -120,7 +127,10 @@
         return clients.size() == 0;
     }
 
-    /** From now on each answer closes its connection; what is idle or has not begun closes at once. */
+    /**
+     * From now on each answer closes its connection, unless requests behind it have been read already; what
+     * is idle or has not begun ends at once.
+     */
     public void drain() {
         sendAway(true);
         closeIdle(0, 0);
@@ -132,17 +142,22 @@
     }
 
     /**
-     * Closes what has not begun since then, and what has been idle for so long; a request that is there
+     * Ends what has not begun since then, and what has been idle for so long; a request that is there
      * already is read, not cut off.
      */
     public void closeIdle(long young, long unused) {
         List<Client> all = new ArrayList<>();
         clients.forEach(all::add);
         for (Client client : all) {
-            client.leaveUnlessBusy(young, unused);
+            client.endUnlessBusy(young, unused);
         }
     }
 
+    /** From now on each request is refused at once: there is no time left in which it could be served. */
+    public void refuseFurther() {
+        refusing = true;
+    }
+
     /** Connections whose answer is not wholly written yet, or on which a request is coming in. */
     public int busy() {
         int[] busy = new int[1];
@@ -189,11 +204,11 @@
     }
 
     /** Hands a message's job to whoever keeps it, if it asks so; the answer comes when it is on disk. */
-    boolean keeps(Client client, long slot, HttpHead head, byte[] body) throws HttpException {
+    boolean keeps(Client client, long slot, HttpHead head, byte[] body, long arrived) throws HttpException {
         if (kept == null || head.header("prefer") == null) {
             return false;
         }
-        Request asked = jobs.read(this, slot, head, body, loop.micros());
+        Request asked = jobs.read(this, slot, head, body, arrived);
         boolean wants = kept.wants(head, asked);
         if (wants) {
             kept.submit(client, asked, classNames[asked.jobClass]);
@@ -219,9 +234,9 @@
         }
     }
 
-    /** A message's request, its id held from now on; to be submitted. */
-    Request take(long slot, HttpHead head, byte[] body) throws HttpException {
-        Request request = jobs.read(this, slot, head, body, loop.micros());
+    /** The request of a message that arrived then, its id held from now on; to be submitted. */
+    Request take(long slot, HttpHead head, byte[] body, long arrived) throws HttpException {
+        Request request = jobs.read(this, slot, head, body, arrived);
         if (!open.add(request.payload.requestId())) {
             throw new HttpException(409, "this Req-Id is at work");
         }
@@ -229,6 +244,10 @@
     }
 
     void submit(Request request) {
+        if (refusing) {
+            failFast(request.tag, scheduler.settings().retryAfter ? scheduler.settings().tick : 0);
+            return;
+        }
         scheduler.submit(request);
     }
 
