--- a/src/main/java/laneflow/http/DiscoveryWatch.java
+++ b/src/main/java/laneflow/http/DiscoveryWatch.java
@@ -26,8 +26,6 @@
     private static final int MOST_LIST = 4 << 20;
     /** An empty line comes every 2 s: that one is missing is silence, half a second behind its time. */
     static final long SILENCE = 2_500_000;
-    /** An empty line comes every 2 s: one that comes sooner behind the head tells nothing of the list. */
-    private static final long BEAT_AT_SOONEST = 1_000_000;
     /** Where lists are asked for, a call may wait for its turn at discovery: so long, for its head. */
     static final long TURN = 4_500_000;
     /**
@@ -66,8 +64,7 @@
     private Watch former;
     /** The watch that fell silent at this address, heard until the present one has asked; else null. */
     private Watch silent;
-    /** When a watch was up to date last: what the next one tells first may have been told from then on. */
-    private long heardAt;
+    private final ToldSince toldSince = new ToldSince();
     /** From then on clients may be asked for. */
     private long lookedAt = Long.MAX_VALUE;
 
@@ -166,13 +163,10 @@
         private final HttpReader reader = new HttpReader(true, this);
         private final JsonFrames frames = new JsonFrames(MOST_LIST, this);
         private final long begunAt = loop.micros();
-        private final long heardBefore = heardAt;
+        private final ToldSince.OfWatch told = toldSince.new OfWatch();
         private final int vainBefore = vain;
-        private long headAt;
         private Link link;
         private boolean up;
-        /** It has told what was missed, be it that nothing was. */
-        private boolean told;
 
         /** It is over: what has been replaced already is not begun again. */
         private void over() {
@@ -258,7 +252,7 @@
             if (head.status() != 200) {
                 throw new HttpException(head.status(), "watch answered " + head.status());
             }
-            headAt = loop.micros();
+            told.head(loop.micros());
             within(SILENCE);
         }
 
@@ -290,9 +284,7 @@
         @Override
         public void blank() {
             speaks();
-            if (told || loop.micros() - headAt >= BEAT_AT_SOONEST) {
-                isUpToDate();
-            }
+            told.blank(loop.micros(), this == current);
         }
 
         /** A sign of life: the next watch need not wait long. */
@@ -304,29 +296,13 @@
             }
         }
 
-        /** All that there was to tell until now has been told. */
-        private void isUpToDate() {
-            told = true;
-            if (this == current) {
-                heardAt = loop.micros();
-            }
-        }
-
-        /** Since when what it tells next may have been told. */
-        private long since() {
-            if (this == silent) {
-                return heardAt;
-            }
-            return told ? loop.micros() : heardBefore;
-        }
-
         @Override
         public void object(String text) throws HttpException {
-            long since = since();
+            long since = told.since(loop.micros(), this == silent);
             speaks();
             try {
                 Config.Listing listing = config.listing(text);
-                isUpToDate();
+                told.list(loop.micros(), this == current);
                 if (this == current || this == silent) {
                     if (!listing.whole && listing.seq <= seq) {
                         return;
