The bound of a test of arrival times is measured, not taken from its sleep

aRequestsTimeCountsFromItsLastByte failed in 5 of 100 runs by 1 or 2 ms: it counted from when the bytes were written, the scheduler from when it had read them.

--- a/src/test/java/laneflow/http/ClientStoryTest.java
+++ b/src/test/java/laneflow/http/ClientStoryTest.java
@@ -225,16 +225,21 @@
             Thread.sleep(300);
             long from = System.nanoTime();
             client.write(second.substring(30));
+            // Between two of these the loop looks at its sockets: behind them the bytes have been read.
+            for (int turn = 0; turn < 10; turn++) {
+                inOneTurn(stand, () -> { });
+            }
+            long read = System.nanoTime();
             Thread.sleep(300);
             client.write(job("3", "Req-Deadline-Ms: 2000\r\n"));
-            stand.counter("http.taken");
+            long waited = (System.nanoTime() - read) / 1_000_000;
             call.ends(done("1"));
             assertTrue(client.message().endsWith("r1"));
             String sent = call.message();
             int at = sent.indexOf("Req-Deadline-Ms: ") + 17;
             int told = Integer.parseInt(sent.substring(at, sent.indexOf('\r', at)));
             long passed = (System.nanoTime() - from) / 1_000_000;
-            assertTrue(told <= 1700 && told >= 2000 - passed - 100, passed + " ms passed: " + sent);
+            assertTrue(told <= 2000 - waited && told >= 2000 - passed - 100, passed + " ms passed: " + sent);
         }
     }
 
