The accepting thread's task has a class of its own: the platform's path loads none of upgrades

The listener's close, on every path now, called a method that stood in PassedServer, which is of upgrades on a passed socket and must not be loaded on the platform's line. Change: the method stands in AcceptingThread, unchanged; no behaviour changes. Green: ClientStoryTest, UpgradeStoryTest, PlannedEndStoryTest, NoDelayTest, SourceTest, ArchitectureTest.

--- a/src/main/java/laneflow/net/Loop.java
+++ b/src/main/java/laneflow/net/Loop.java
@@ -32,6 +32,7 @@
 import org.xnio.XnioIoThread;
 import org.xnio.XnioWorker;
 import org.xnio.channels.AcceptingChannel;
+import org.xnio.nio.AcceptingThread;
 import org.xnio.nio.PassedServer;
 
 /**
@@ -385,7 +386,7 @@
                 closeNow(turnedAway);
             } else {
                 // The thread that accepts may not have come yet to those that wait in the system's queue.
-                PassedServer.afterAccepting(worker, () -> {
+                AcceptingThread.afterNextLook(worker, () -> {
                     if (!worker.isShutdown()) {
                         later(() -> closeNow(turnedAway));
                     }
--- a/src/main/java/org/xnio/nio/PassedServer.java
+++ b/src/main/java/org/xnio/nio/PassedServer.java
@@ -2,7 +2,6 @@
 
 import java.io.IOException;
 import java.nio.channels.ServerSocketChannel;
-import java.util.concurrent.TimeUnit;
 import org.xnio.ChannelListener;
 import org.xnio.OptionMap;
 import org.xnio.StreamConnection;
@@ -10,10 +9,9 @@
 import org.xnio.channels.AcceptingChannel;
 
 /**
- * Listening sockets beyond XNIO's public calls. Lets XNIO own one that was opened by somebody else: its
- * public calls open and bind one of their own, always. The two classes that take one as it is are this
- * package's, hence the place of this file. What is accepted there is a connection like all others, with its
- * streams and conduits.
+ * Lets XNIO own a listening socket that was opened by somebody else. Its public calls open and bind one of
+ * their own, always; the two classes that take one as it is are this package's, hence the place of this file.
+ * What is accepted there is a connection like all others, with its streams and conduits.
  */
 public final class PassedServer {
     private PassedServer() {
@@ -29,11 +27,4 @@
         server.setAcceptListener(listener);
         return server;
     }
-
-    /** Runs a call on the worker's accepting thread, behind its next look at its listening sockets. */
-    public static void afterAccepting(XnioWorker worker, Runnable call) {
-        WorkerThread thread = ((NioXnioWorker) worker).getAcceptThread();
-        // A task that is set for later by a task runs behind the thread's next selection, never before it.
-        thread.execute(() -> thread.executeAfter(call, 1, TimeUnit.MILLISECONDS));
-    }
 }
