--- a/src/main/java/laneflow/net/Loop.java
+++ b/src/main/java/laneflow/net/Loop.java
@@ -342,7 +342,7 @@
 
         private void left() {
             part.open--;
-            listeners.forEach(Listener::room);
+            mayHaveRoom();
         }
 
         /** One of its connections may be displaced from now on. */
