Cold budgets are cut into parts that never add up to more than the budget

At fault: Logic.coldBudgetAllows. The number of parts and their size were reckoned anew at each instant, so that, as a worker warmed up, parts of two sizes overlapped in one span and added up to as much as 1.2 times the budget; the share of 0.66 paid for that, and for speeds that are only assumed, everywhere and always.

Change: a budget is cut into parts of two mean jobs, handed out in the order of the schedulers' numbers until it is used up. One that grows adds parts and changes none, so parts of one span add up to the budget at most. Share 0.9 for 0.66; a speed that is mostly assumed counts in a capacity in part (Kind.capacity). Where the schedulers are is still not told, and all may be in one zone; the former budget went over there, and is not brought back.

Tests: partsOfAColdBudgetThatGrowsAddUpToItAndNoMore fails with the former cutting ("5 of 4.46 after 32.5"). Cases of SlowStartFleetTest that went over in trials are named. Changed with reason: flappingList... expects 3 sends for 2, by the formula with the new share (still exact); OrdersTest's count of orders is 73,884 for 73,866, since one more call goes to a cold worker; no order breaks a rule. Decision and core tests pass.

--- a/src/main/java/laneflow/decision/Kind.java
+++ b/src/main/java/laneflow/decision/Kind.java
@@ -6,6 +6,8 @@
     private static final double WORK_GAIN = 0.02;
     /** Seconds of work at standard speed that a kind starts with: a lucky job must not make it look fast. */
     private static final double SPEED_PRIOR = 2;
+    /** Part of an assumed speed that a capacity is reckoned with, where no job has shown any. */
+    private static final double SPEED_TRUSTED = 0.6;
     /** Seconds of its kind's speed that weigh in with what was seen of one worker. */
     private static final double KIND_SAY = 3;
     /** Seconds added to waits seen and foreseen: where there are hardly any, what is foreseen is believed. */
@@ -26,6 +28,8 @@
     boolean tellsQueue;
     private double work = SPEED_PRIOR;
     private double time = SPEED_PRIOR;
+    /** Seconds of these two that are still the assumption they started with. */
+    private double assumed = SPEED_PRIOR;
     /** Mean work of the jobs that ran on its workers, seconds of a standard core; 0 before the first. */
     private double meanWork;
     double waitSeen;
@@ -36,6 +40,7 @@
         meanWork += (meanWork > 0 ? WORK_GAIN : 1) * (jobWork - meanWork);
         work += jobWork - work / WorkerView.SPEED_MEMORY;
         time += took - time / WorkerView.SPEED_MEMORY;
+        assumed -= assumed / WorkerView.SPEED_MEMORY;
     }
 
     void waited(double wait, double foreseen, double now) {
@@ -77,9 +82,14 @@
         return meanWork > 0 ? Math.min(LONGEST_FULL, slotTime()) : LONGEST_FULL;
     }
 
-    /** Standard cores that a warm worker of this kind is seen to bear. */
+    /**
+     * Standard cores that a warm worker of this kind is seen to bear. While its speed is mostly assumed, only
+     * a part of it is trusted: a cold worker that is taken for twice as strong as it is falls over.
+     */
     double capacity() {
-        return slotsSeen > 0 ? slots() * speed() : Logic.UNKNOWN_CAPACITY;
+        double part = assumed / time;
+        double trusted = 1 - (1 - SPEED_TRUSTED) * part * part;
+        return slotsSeen > 0 ? slots() * speed() * trusted : Logic.UNKNOWN_CAPACITY;
     }
 
     /**
--- a/src/main/java/laneflow/decision/Logic.java
+++ b/src/main/java/laneflow/decision/Logic.java
@@ -39,11 +39,11 @@
     /** Capacity of a worker nothing is known of, standard cores: a cold one must not be overestimated. */
     static final double UNKNOWN_CAPACITY = 0.5;
     /** Share used of what fells a cold worker: hints are rough, capacity is guessed from slots, not cores. */
-    private static final double COLD_SAFETY = 0.66;
+    private static final double COLD_SHARE = 0.9;
     /** Of that, all that may be used while sends of before a restart still count at the worker. */
     private static final double COLD_AFRESH = 0.5;
     private static final double HINTS_UNSURE = 1; // A mean of so many hints may be twice the true one.
-    private static final double COLD_JOBS = 3; // Mean jobs that a part of a cold budget holds at least.
+    private static final double COLD_JOBS = 2; // Mean jobs that a part of a cold budget holds at least.
     /** Any large prime: dispatchers of neighbouring numbers, maybe of one zone, share different workers. */
     private static final long SPREAD = 7919;
     static final double WAIT_MEMORY = 0.05; // Say of a start note in the waits seen and foreseen.
@@ -652,20 +652,22 @@
     /**
      * Slow start: a cold worker falls over from the sum of all dispatchers' sends, and none sees the others'.
      * What fells it, the n mean jobs that multiple x present capacity x span allow and what comes by chance
-     * (two roots of n, and two), is shared by as many dispatchers as get a part of some jobs' size: shared by
-     * all, no part might hold a single job. Who they are follows from the dispatchers' numbers and the start
-     * of the worker, so all agree unasked; their zones are not told, and may be one. Every send counts.
+     * (two roots of n, and two), is cut into parts that hold some jobs. They go to dispatchers in the order
+     * of their numbers, shifted by the worker's start, so all agree unasked. A budget that grows adds parts
+     * and changes none, so those of one span never add up to more. Every send counts. The dispatchers' zones
+     * are not told and may be one.
      */
     private boolean coldBudgetAllows(WorkerView view, Job job) {
         double mean = meanHint * hints / (hints + HINTS_UNSURE);
         double cores = view.warmth(now) * view.peers.capacity();
         double n = settings.fallMultiple * cores * settings.fallWithin / mean;
-        double jobs = COLD_SAFETY * (n + 2 * Math.sqrt(n) + 2);
-        long parts = (long) Math.max(1, Math.min(settings.dispatchers, jobs / COLD_JOBS));
+        double afresh = now < startedAt + settings.fallWithin ? COLD_AFRESH : 1;
+        double budget = afresh * COLD_SHARE * (n + 2 * Math.sqrt(n) + 2) * mean;
+        double each = Math.max(COLD_JOBS * meanHint, budget / settings.dispatchers);
         long first = (view.id * 0x9E3779B97F4A7C15L ^ Double.doubleToLongBits(view.startedAt)) >>> 16;
-        double mine = part * jobs / parts * (now < startedAt + settings.fallWithin ? COLD_AFRESH : 1);
-        return (settings.me * SPREAD + first) % settings.dispatchers < parts
-                && view.coldLog.since(now - settings.fallWithin) + coldCost(job) <= mine * mean;
+        long before = (settings.me * SPREAD + first) % settings.dispatchers;
+        double mine = part * Math.min(each, budget - before * each);
+        return view.coldLog.since(now - settings.fallWithin) + coldCost(job) <= mine;
     }
 
     /**
--- a/src/test/java/laneflow/core/OrdersTest.java
+++ b/src/test/java/laneflow/core/OrdersTest.java
@@ -76,7 +76,7 @@
 
     @Test
     void callsMayEndInEveryWayAndOrder() {
-        holds(7, 73_866, List.of("capture 0"), "safe", "up", "refused", "ok", "full", "reset", "silent");
+        holds(7, 73_884, List.of("capture 0"), "safe", "up", "refused", "ok", "full", "reset", "silent");
     }
 
     @Test
--- a/src/test/java/laneflow/decision/GuardTest.java
+++ b/src/test/java/laneflow/decision/GuardTest.java
@@ -13,6 +13,7 @@
 import laneflow.decision.Dispatch.Request;
 import laneflow.decision.Dispatch.Settings;
 import laneflow.decision.Dispatch.State;
+import java.util.ArrayList;
 import java.util.List;
 import org.junit.jupiter.api.Test;
 
@@ -1111,8 +1112,8 @@
             }
             rig.logic.list(rig.now, ListKind.WHOLE, List.of());
         }
-        // 0.66 x (n + 2 roots of n + 2) x 0.5 mean jobs, n being 3 x 0.9 x 0.5 cores x 2 s.
-        assertEquals(2, sent);
+        // 0.9 x (n + 2 roots of n + 2) x 0.5 = 3.6 mean jobs, n being 3 x 0.9 x 0.5 cores x 2 s.
+        assertEquals(3, sent);
     }
 
     // ---- probes, and calls that make no sense ----
@@ -1326,6 +1327,50 @@
         }
     }
 
+    /**
+     * While a worker warms up its budget grows. Cut anew at each instant, parts of two sizes overlapped in one
+     * span, and all together sent more than the budget.
+     */
+    @Test
+    void partsOfAColdBudgetThatGrowsAddUpToItAndNoMore() {
+        int dispatchers = 40;
+        Settings settings = Rig.settings(Effect.SAFE);
+        settings.classes[0].aim = 500;
+        settings.classes[0].deadline = 1000;
+        settings.dispatchers = dispatchers;
+        settings.coldShare = 0.1;
+        settings.coldFor = 200;
+        settings.fallMultiple = 0.3;
+        settings.fallWithin = 20;
+        List<Double> sentAt = new ArrayList<>();
+        double start = 0;
+        for (int me = 0; me < dispatchers; me++) {
+            settings.me = me;
+            Rig rig = new Rig(settings).pass(2 * settings.fallWithin);
+            start = rig.now;
+            rig.logic.list(rig.now, ListKind.CHANGES, List.of(Rig.worker(9, 0, State.READY, start)));
+            for (long id = 1; id <= 2000; id++) {
+                rig.ask(id);
+                if (!rig.sends(id).isEmpty()) {
+                    sentAt.add(rig.now);
+                }
+                rig.pass(0.05);
+            }
+        }
+        double used = 0;
+        int spans = 0;
+        for (double end = start + settings.fallWithin; end < start + 100; end += 0.5) {
+            double until = end;
+            long sent = sentAt.stream().filter(at -> at > until - settings.fallWithin && at <= until).count();
+            double warmth = settings.coldShare + (1 - settings.coldShare) * (end - start) / settings.coldFor;
+            double limit = Rig.fells(settings, warmth * Logic.UNKNOWN_CAPACITY, 1);
+            assertTrue(sent <= 0.9 * limit, sent + " of " + limit + " after " + (end - start));
+            used += sent / limit;
+            spans++;
+        }
+        assertTrue(used / spans > 0.6, "no wider a reserve than needed: " + used / spans);
+    }
+
     /** Jobs of 1 sent at once to a cold worker of four cores, after others that each took so long. */
     private static int coldSendsAfterRunsOf(double took, boolean progress) {
         Settings settings = Rig.settings(Effect.SAFE);
--- a/src/test/java/laneflow/decision/SlowStartFleetTest.java
+++ b/src/test/java/laneflow/decision/SlowStartFleetTest.java
@@ -43,9 +43,12 @@
         noneOver(playAll(CASES, null, Hints.EXACT));
     }
 
-    /** Evenly spread and learned; all in the worker's zone; thinly learned; new with a heavy first hint. */
+    /**
+     * Evenly spread and learned; all in the worker's zone; thinly learned; new with a heavy first hint; then,
+     * with nine tenths of the limit used: a speed that is mostly assumed, restarts, few schedulers.
+     */
     @ParameterizedTest
-    @ValueSource(longs = {6364, 2911, 1071, 1095})
+    @ValueSource(longs = {6364, 2911, 1071, 1095, 107, 198, 234, 57, 224, 1334})
     void casesThatWentOverTheLimitKeepIt(long seed) {
         noneOver(List.of(play(new ColdCase(seed, null, Hints.EXACT))));
     }
