The only zone is not left alone: its living workers are found behind dead ones

Cause, shown without sockets: three failed connects in a row make the zone suspect (Logic.suspect(Pool)), and where it is the only one everything is refused for a quarter to half a second though three workers are idle. Ruled out: the cold budget (hundreds of such jobs fit), a lost call.

Change: a zone is suspected as a whole only where there is another one. With two or more zones nothing changes. The test fails without it ("job 1 behind 6 others").

--- a/src/main/java/laneflow/decision/Logic.java
+++ b/src/main/java/laneflow/decision/Logic.java
@@ -690,10 +690,11 @@
 
     /**
      * Where a whole zone is gone, or the link to it, each of its workers would draw an attempt to be
-     * suspected. After some failed connects in a row the zone is left alone like a worker.
+     * suspected. After some failed connects in a row the zone is left alone like a worker, where there is
+     * another one: the only zone has nobody to spare, and its other workers may be idle.
      */
     private boolean suspect(Pool pool) {
-        return suspect(pool.doubt, now < pool.doubt.triedAt + ZONE_TRIAL);
+        return settings.zones > 1 && suspect(pool.doubt, now < pool.doubt.triedAt + ZONE_TRIAL);
     }
 
     private boolean suspect(Doubt doubt, boolean onTrial) {
--- a/src/test/java/laneflow/decision/GuardTest.java
+++ b/src/test/java/laneflow/decision/GuardTest.java
@@ -1371,6 +1371,31 @@
         assertTrue(used / spans > 0.6, "no wider a reserve than needed: " + used / spans);
     }
 
+    /** Three failed connects in a row made a zone suspect, also the only one, and idle workers were refused. */
+    @Test
+    void whereThereIsOneZoneItsLivingWorkersAreFoundBehindDeadOnes() {
+        int deadMost = 3;
+        Settings settings = Rig.settings(Effect.SAFE);
+        settings.maxAttempts = 5;
+        for (int warmUp = 0; warmUp < 50; warmUp++) {
+            Rig rig = new Rig(settings).workers(0, 1, 2, 3, 4, 5, 6);
+            // Other numbers of jobs before, other draws of the worker.
+            for (long id = 100; id < 100 + warmUp; id++) {
+                rig.ask(id).pass(0.01).ends(id, 0, Outcome.OK, Rig.free(2));
+            }
+            for (long id = 1; id <= 6; id++) {
+                rig.ask(id);
+                int attempt = 0;
+                while (rig.sends(id).size() > attempt && rig.sends(id).get(attempt).worker() <= deadMost) {
+                    rig.pass(0.001).ends(id, attempt, Outcome.CONNECT_FAILED);
+                    attempt++;
+                }
+                assertTrue(rig.sends(id).size() > attempt, "job " + id + " behind " + warmUp + " others");
+                rig.ends(id, attempt, Outcome.OK, Rig.free(2));
+            }
+        }
+    }
+
     /** Jobs of 1 sent at once to a cold worker of four cores, after others that each took so long. */
     private static int coldSendsAfterRunsOf(double took, boolean progress) {
         Settings settings = Rig.settings(Effect.SAFE);
