A scheduler whose first grant had run out begins with the next one, though nobody asks

Cause: LeaseGate.publish woke the traffic thread only where the leave's number was another than the one told before. A first grant that had run out when it was read told the number and adopted nothing; no later grant of the same number woke the thread again. A request, or a question whether it is ready, adopted it; nobody asked. Ruled out: the leader's confirmation (others had leave), the link (later grants came). Change: the wake depends on what the traffic thread has adopted. Test: LeaseGateTest, seen failing without it.

Loop.call waited for ever where the call failed with an Error, as a failed expectation does: such a test hung in place of failing (this one did, for 20 minutes), and a RuntimeException was only logged. Both are now thrown to whoever waits.

Passed with it: LeaseGateTest, LoopTest, PolicyStoryTest, RecoveryStoryTest, SourceTest, ArchitectureTest.

--- a/src/main/java/laneflow/net/Loop.java
+++ b/src/main/java/laneflow/net/Loop.java
@@ -11,7 +11,8 @@
 import java.util.ArrayList;
 import java.util.Deque;
 import java.util.List;
-import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.FutureTask;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
 import java.util.function.Supplier;
@@ -172,14 +173,19 @@
         thread.execute(() -> turn(call));
     }
 
-    /** Runs a call on the loop's thread and waits for it. */
+    /** Runs a call on the loop's thread and waits for its end; what it throws is thrown here. */
     public void call(Runnable call) throws InterruptedException {
-        CountDownLatch done = new CountDownLatch(1);
-        thread.execute(() -> {
-            turn(call);
-            done.countDown();
-        });
-        done.await();
+        FutureTask<Void> task = new FutureTask<>(call, null);
+        thread.execute(() -> turn(task));
+        try {
+            task.get();
+        } catch (ExecutionException e) {
+            if (e.getCause() instanceof Error error) {
+                throw error;
+            }
+            // A call throws no checked exceptions.
+            throw (RuntimeException) e.getCause();
+        }
     }
 
     // ---- connections ----
--- a/src/main/java/laneflow/policy/LeaseGate.java
+++ b/src/main/java/laneflow/policy/LeaseGate.java
@@ -52,8 +52,8 @@
     private final Deadline begin;
     private final TreeMap<Integer, Long> stamps = new TreeMap<>();
     private volatile Published published = new Published(Leave.NONE, Map.of());
-    /** The control thread's. */
-    private long toldNumber = -1;
+    /** The policy that was adopted last, -1 before the first; written on the traffic's thread only. */
+    private volatile long begun = -1;
     private long adopted;
     private boolean everDecided;
     private boolean left;
@@ -80,10 +80,9 @@
     /** On the control thread: from its return on nothing is decided by what was published before. */
     void publish(Published now) {
         published = now;
-        long number = Math.max(now.leave().number(), now.leave().next());
-        if (now.leave().next() >= 0 || number != toldNumber) {
-            // Begun with also where nobody asks. A renewal that says nothing new wakes nobody.
-            toldNumber = number;
+        if (now.leave().next() >= 0 || now.leave().number() != begun) {
+            // Begun with also where nobody asks, and where an earlier grant had run out before it was read. A
+            // renewal of what has begun wakes nobody.
             try {
                 traffic.later(this::look);
             } catch (RejectedExecutionException e) {
@@ -164,6 +163,7 @@
         long before = adopted;
         List<String> waits = next.adopt();
         adopted = number;
+        begun = number;
         stamps.put(retuned.getAsInt(), number);
         if (stamps.size() > MOST_STAMPS) {
             stamps.pollFirstEntry();
--- a/src/test/java/laneflow/policy/LeaseGateTest.java
+++ b/src/test/java/laneflow/policy/LeaseGateTest.java
@@ -101,6 +101,17 @@
         });
     }
 
+    /** A process that was slow to start reads its first grant when that has run out: the next one counts. */
+    @Test
+    void aPolicyBeginsWithTheFirstGrantThatStillHoldsThoughNobodyAsks() throws Exception {
+        traffic.call(() -> gate.publish(holds(0, 90, -1, 0, 0)));
+        traffic.call(() -> assertEquals(List.of(), events));
+        traffic.call(() -> gate.publish(holds(0, 200, -1, 0, 0)));
+        traffic.call(() -> assertEquals(List.of("adopt []", "told 0"), events));
+        traffic.call(() -> gate.publish(holds(0, 300, -1, 0, 0)));
+        traffic.call(() -> assertEquals(List.of("adopt []", "told 0"), events, "a renewal adopts nothing anew"));
+    }
+
     /** The control thread publishes an earlier end, and says so, right behind a request's look at the clock. */
     @Test
     void whatIsPublishedBehindTheClockIsSeen() throws Exception {
