--- a/src/main/java/laneflow/Main.java
+++ b/src/main/java/laneflow/Main.java
@@ -18,8 +18,7 @@
  * else goes to {@link Cli}.
  */
 public final class Main {
-    private Main() {
-    }
+    private Main() {}
 
     /** Runs the command; exits with 2 on a wrong call and 1 on input that can't be read. */
     public static void main(String[] args) {
--- a/src/main/java/laneflow/assembly/Durability.java
+++ b/src/main/java/laneflow/assembly/Durability.java
@@ -34,8 +34,14 @@
         latestMs = store.latestMs();
         LOG.info("durable jobs: store opened and read in {} ms", (System.nanoTime() - openedAt) / 1_000_000);
         journal = new Journal(store, loop::later, QUEUE);
-        jobs = new DurableJobs(loop, loop.deadlines(), core.scheduler(), config, journal,
-                System::currentTimeMillis, new SecureRandom().nextLong());
+        jobs = new DurableJobs(
+                loop,
+                loop.deadlines(),
+                core.scheduler(),
+                config,
+                journal,
+                System::currentTimeMillis,
+                new SecureRandom().nextLong());
     }
 
     /** What was found is taken over before anybody is let in: the same key must find the job that it had. */
@@ -48,8 +54,7 @@
                 core.gearman().keepIn(jobs);
             }
         });
-        LOG.info("durable jobs: {} taken over in {} ms", rows.size(),
-                (System.nanoTime() - openedAt) / 1_000_000);
+        LOG.info("durable jobs: {} taken over in {} ms", rows.size(), (System.nanoTime() - openedAt) / 1_000_000);
         rows.clear();
     }
 
--- a/src/main/java/laneflow/assembly/Hangup.java
+++ b/src/main/java/laneflow/assembly/Hangup.java
@@ -4,8 +4,7 @@
 
 /** The hang-up signal, which asks a service to read its configuration again. */
 final class Hangup {
-    private Hangup() {
-    }
+    private Hangup() {}
 
     /**
      * Runs this at each SIGHUP, on a thread of the signal's own. Java has no other interface to signals, and
@@ -16,8 +15,8 @@
         try {
             Class<?> signal = Class.forName("sun.misc.Signal");
             Class<?> handler = Class.forName("sun.misc.SignalHandler");
-            Object own = Proxy.newProxyInstance(Hangup.class.getClassLoader(), new Class<?>[] {handler},
-                    (proxy, method, args) -> {
+            Object own = Proxy.newProxyInstance(
+                    Hangup.class.getClassLoader(), new Class<?>[] {handler}, (proxy, method, args) -> {
                         then.run();
                         return null;
                     });
--- a/src/main/java/laneflow/assembly/KeptSettings.java
+++ b/src/main/java/laneflow/assembly/KeptSettings.java
@@ -20,14 +20,14 @@
     private static final Logger LOG = LoggerFactory.getLogger(KeptSettings.class);
     private static final String[] TYPES = {"classes", "limits", "functions", "durable"};
 
-    private KeptSettings() {
-    }
+    private KeptSettings() {}
 
     /** The resources kept there, by type; what can't be read is logged and left out. */
     static Map<String, JsonArray> read(ControlConfig config) {
         Map<String, JsonArray> all = new LinkedHashMap<>();
         for (String type : TYPES) {
-            LastGood.Kept kept = config.folder == null || !Files.isDirectory(config.folder) ? null
+            LastGood.Kept kept = config.folder == null || !Files.isDirectory(config.folder)
+                    ? null
                     : read(new LastGood(config.folder, type));
             if (kept != null) {
                 all.put(type, kept.resources().getAsJsonArray("resources"));
--- a/src/main/java/laneflow/assembly/Rehearsal.java
+++ b/src/main/java/laneflow/assembly/Rehearsal.java
@@ -17,16 +17,16 @@
             + "\"known\":{\"seq\":1,\"whole\":true,\"hosts\":[{\"host\":\"s\",\"dial\":\"127.0.0.1:1\"}]},"
             + "\"settings\":{\"areas\":[\"a\"],\"classes\":[{\"name\":\"c\",\"semantics\":\"pure\"}],"
             + "\"limits\":{\"retryAfter\":true}}}";
+
     private static final String REQUEST = "POST /c?key=1f HTTP/1.1\r\nHost: h\r\nReq-Id: 1\r\nReq-Kind: c\r\n"
             + "Req-Deadline-Ms: 500\r\nReq-Cost: 10\r\nReq-Extra: slots=1\r\nContent-Length: 0\r\n\r\n";
 
-    private Rehearsal() {
-    }
+    private Rehearsal() {}
 
     /** Starts, refuses one request, and ends. */
     public static void run() throws IOException, WireException, InterruptedException {
         Serve serve = new Serve(new Setup(Config.parse(CONFIG), null, null, null));
-        Hangup.handle(() -> { });
+        Hangup.handle(() -> {});
         InetSocketAddress at = serve.front().address();
         try (Socket client = new Socket(at.getAddress(), at.getPort())) {
             client.getOutputStream().write(REQUEST.getBytes(StandardCharsets.US_ASCII));
--- a/src/main/java/laneflow/assembly/Serve.java
+++ b/src/main/java/laneflow/assembly/Serve.java
@@ -8,9 +8,9 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
 import java.util.function.BooleanSupplier;
-import laneflow.decision.Dispatch.JobClass;
 import laneflow.core.Counters;
 import laneflow.core.Scheduler;
+import laneflow.decision.Dispatch.JobClass;
 import laneflow.gearman.GearmanConfig;
 import laneflow.gearman.GearmanFront;
 import laneflow.http.Config;
@@ -40,6 +40,7 @@
     private static final long ANSWER_BEFORE = 300_000;
     /** So long before it clients are sent away: most of what has come until then still ends. */
     private static final long LEAVE_BEFORE = 1_300_000;
+
     private static final long LOOK_AGAIN = 5_000;
     private static final long LONGEST_DRAIN_S = 30;
 
@@ -49,11 +50,13 @@
     private final HttpFront front;
     /** Null where the Gearman front is off. */
     private final GearmanFront gearman;
+
     private final Subsystems subsystems;
     /** Null where no discovery is named. */
     private final DiscoveryWatch watch;
     /** Null where no second address is named. */
     private final Operations operations;
+
     private final CountDownLatch drained = new CountDownLatch(1);
     private boolean stopping;
     private boolean leaving;
@@ -77,10 +80,9 @@
         HttpCarrier carrier = new HttpCarrier(loop, scheduler, config.connIdle);
         front = new HttpFront(loop, scheduler, config.classNames);
         watch = config.discovery == null ? null : new DiscoveryWatch(loop, scheduler, carrier, config);
-        gearman = gearmanConfig == null ? null : new GearmanFront(loop, scheduler, gearmanConfig,
-                config.seed);
-        subsystems = new Subsystems(setup, new Subsystems.Core(loop, scheduler, carrier, front, gearman,
-                around.passed()));
+        gearman = gearmanConfig == null ? null : new GearmanFront(loop, scheduler, gearmanConfig, config.seed);
+        subsystems =
+                new Subsystems(setup, new Subsystems.Core(loop, scheduler, carrier, front, gearman, around.passed()));
         loop.call(() -> {
             scheduler.start(carrier, config.known.entries);
             if (watch != null) {
@@ -89,9 +91,15 @@
             front.readyWhen(this::isReady);
         });
         String ops = around.ops() != null ? around.ops() : config.ops;
-        operations = ops == null && !around.passed() ? null : new Operations(loop, scheduler, front,
-                around.scratch(), around.passed(),
-                new Operations.Served(this::serves, () -> stopping, this::replaced));
+        operations = ops == null && !around.passed()
+                ? null
+                : new Operations(
+                        loop,
+                        scheduler,
+                        front,
+                        around.scratch(),
+                        around.passed(),
+                        new Operations.Served(this::serves, () -> stopping, this::replaced));
         if (gearman != null) {
             carrier.mostBody(gearmanConfig.mostBody);
         }
@@ -113,8 +121,11 @@
 
     /** Begun with nothing known, it would refuse all that comes before discovery's first word. */
     private boolean serves() {
-        return !stopping && subsystems.isReady() && (watch == null || watch.hasLooked()
-                && (scheduler.destinations().size() > 0 || counters.get("discovery.lists") > 0));
+        return !stopping
+                && subsystems.isReady()
+                && (watch == null
+                        || watch.hasLooked()
+                                && (scheduler.destinations().size() > 0 || counters.get("discovery.lists") > 0));
     }
 
     /** Where another process serves in its place, the scheduler stays ready whichever of them is asked. */
@@ -164,15 +175,17 @@
 
     /** Waits until the scheduler stands, if it ever does, and then until all that was taken is answered. */
     static Thread ending(CompletableFuture<Serve> serving) {
-        return new Thread(() -> {
-            try {
-                serving.get(LONGEST_DRAIN_S, TimeUnit.SECONDS).stop();
-            } catch (ExecutionException | TimeoutException e) {
-                LOG.debug("it never stood: nothing was taken", e);
-            } catch (InterruptedException e) {
-                Thread.currentThread().interrupt();
-            }
-        }, "drain");
+        return new Thread(
+                () -> {
+                    try {
+                        serving.get(LONGEST_DRAIN_S, TimeUnit.SECONDS).stop();
+                    } catch (ExecutionException | TimeoutException e) {
+                        LOG.debug("it never stood: nothing was taken", e);
+                    } catch (InterruptedException e) {
+                        Thread.currentThread().interrupt();
+                    }
+                },
+                "drain");
     }
 
     /**
@@ -268,8 +281,7 @@
         boolean slowly = last || operations != null && operations.isSuperseded();
         long leaveAt = slowly ? Math.max(now + ACCEPT_ON, kill - LEAVE_BEFORE) : now + ACCEPT_ON;
         loop.deadlines().at(leaveAt, this::leave);
-        loop.deadlines().at(Math.max(now + STAY_ON, kill - ANSWER_BEFORE),
-                () -> giveUp(now + ACCEPT_ON));
+        loop.deadlines().at(Math.max(now + STAY_ON, kill - ANSWER_BEFORE), () -> giveUp(now + ACCEPT_ON));
         subsystems.drain();
         loop.deadlines().at(now + STAY_ON, this::drainedYet);
     }
@@ -299,8 +311,11 @@
 
     private void drainedYet() {
         boolean alone = leaving || front.isAlone() && gearman == null;
-        if (alone && !subsystems.isOwed() && scheduler.open() == 0 && front.busy() == 0 && (gearman == null
-                || gearman.busy() == 0)) {
+        if (alone
+                && !subsystems.isOwed()
+                && scheduler.open() == 0
+                && front.busy() == 0
+                && (gearman == null || gearman.busy() == 0)) {
             drained.countDown();
         } else {
             loop.deadlines().at(loop.micros() + LOOK_AGAIN, this::drainedYet);
--- a/src/main/java/laneflow/assembly/Setup.java
+++ b/src/main/java/laneflow/assembly/Setup.java
@@ -22,9 +22,18 @@
 import laneflow.wire.WireException;
 
 /** All that a scheduler is told at its start; null stands for a front or a subsystem that is off. */
-public record Setup(Config config, GearmanConfig gearman, DurableConfig durable, ControlConfig control,
-        FleetConfig fleet, PolicyConfig policy, MembersConfig members, TaskConfig tasks,
-        CapacityConfig capacity, MaintenanceConfig maintenance, Map<String, String> fixed) {
+public record Setup(
+        Config config,
+        GearmanConfig gearman,
+        DurableConfig durable,
+        ControlConfig control,
+        FleetConfig fleet,
+        PolicyConfig policy,
+        MembersConfig members,
+        TaskConfig tasks,
+        CapacityConfig capacity,
+        MaintenanceConfig maintenance,
+        Map<String, String> fixed) {
     private static final String PLATFORM = "the platform's file decides this here";
     private static final List<String> FLEETS = List.of("classes", "limits");
     private static final String FLEET = "the fleet decides this together: laneflow policy propose";
@@ -46,30 +55,34 @@
     }
 
     /** The platform's file, with a Gearman file and a destination set beside it, each unless null. */
-    public static Setup platform(Path file, Path gearman, Path destinations)
-            throws IOException, WireException {
+    public static Setup platform(Path file, Path gearman, Path destinations) throws IOException, WireException {
         Config config = Config.read(file, destinations);
-        return new Setup(config, gearman == null ? null : GearmanConfig.read(gearman, config.settings,
-                List.of(config.classNames), config.zones), null, null);
+        return new Setup(
+                config,
+                gearman == null
+                        ? null
+                        : GearmanConfig.read(gearman, config.settings, List.of(config.classNames), config.zones),
+                null,
+                null);
     }
 
     /**
      * The operators' file, and the platform's unless null: what that names, it decides. All that is wrong
      * with the operators' file is told at once, in a {@link laneflow.config.ConfigException}.
      */
-    public static Setup operators(Path file, Path platform, Path destinations)
-            throws IOException, WireException {
+    public static Setup operators(Path file, Path platform, Path destinations) throws IOException, WireException {
         OperatorFile plain = OperatorFile.read(file);
-        Map<String, JsonArray> streamed = plain.control() == null || !plain.findings().isEmpty()
-                ? new HashMap<>()
-                : KeptSettings.read(ControlConfig.read(plain.control()));
+        Map<String, JsonArray> streamed =
+                plain.control() == null || !plain.findings().isEmpty()
+                        ? new HashMap<>()
+                        : KeptSettings.read(ControlConfig.read(plain.control()));
         if (plain.policy() != null) {
             // What the fleet decides is learned from it, not from a disk.
             FLEETS.forEach(streamed::remove);
         }
         if (!streamed.isEmpty()) {
-            Setup under = KeptSettings.unless(() ->
-                    operators(OperatorFile.read(file, streamed), platform, destinations));
+            Setup under =
+                    KeptSettings.unless(() -> operators(OperatorFile.read(file, streamed), platform, destinations));
             if (under != null) {
                 return under;
             }
@@ -84,8 +97,7 @@
         Map<String, String> fixed = new HashMap<>();
         if (platform != null) {
             JsonObject named = Config.object(platform);
-            JsonObject settings = named.has("settings") ? named.getAsJsonObject("settings")
-                    : new JsonObject();
+            JsonObject settings = named.has("settings") ? named.getAsJsonObject("settings") : new JsonObject();
             if (settings.has("classes")) {
                 fixed.put("classes", PLATFORM);
             }
@@ -114,40 +126,47 @@
         }
         Config config = Config.parse(all.toString());
         List<String> classes = List.of(config.classNames);
-        GearmanConfig gearman = operators.gearman() == null ? null
+        GearmanConfig gearman = operators.gearman() == null
+                ? null
                 : GearmanConfig.read(operators.gearman(), config.settings, classes, config.zones);
-        DurableConfig durable = operators.durable() == null ? null
-                : DurableConfig.read(operators.durable(), config.settings, classes);
+        DurableConfig durable =
+                operators.durable() == null ? null : DurableConfig.read(operators.durable(), config.settings, classes);
         if (gearman != null && durable == null) {
-            gearman.functions.values().stream().filter(GearmanConfig.Function::durable).forEach(function ->
-                    findings.add("gearman.functions." + function.name(), "durable",
+            gearman.functions.values().stream()
+                    .filter(GearmanConfig.Function::durable)
+                    .forEach(function -> findings.add(
+                            "gearman.functions." + function.name(),
+                            "durable",
                             "is true, but there is no [durable] that says where such jobs are kept"));
         }
         ControlConfig control = operators.control() == null ? null : ControlConfig.read(operators.control());
-        FleetConfig fleet = operators.fleet() == null ? null : FleetConfig.read(operators.fleet(),
-                config.name);
-        PolicyConfig policy = operators.policy() == null ? null : PolicyConfig.read(operators.policy(),
-                fleet);
-        MembersConfig members = operators.members() == null ? null : MembersConfig.read(operators.members(),
-                fleet);
+        FleetConfig fleet = operators.fleet() == null ? null : FleetConfig.read(operators.fleet(), config.name);
+        PolicyConfig policy = operators.policy() == null ? null : PolicyConfig.read(operators.policy(), fleet);
+        MembersConfig members = operators.members() == null ? null : MembersConfig.read(operators.members(), fleet);
         TaskConfig tasks = operators.tasks() == null ? null : TaskConfig.read(operators.tasks(), policy);
-        if (tasks != null && tasks.stores != null && (durable == null || fleet == null
-                || !tasks.stores.resolve(fleet.name).equals(durable.dir))) {
-            findings.add("tasks", "stores", "is where the stores of all schedulers lie: [durable] dir must be"
-                    + " in it, by the scheduler's own name"
-                    + (fleet == null ? "" : ", " + tasks.stores.resolve(fleet.name)));
+        if (tasks != null
+                && tasks.stores != null
+                && (durable == null
+                        || fleet == null
+                        || !tasks.stores.resolve(fleet.name).equals(durable.dir))) {
+            findings.add(
+                    "tasks",
+                    "stores",
+                    "is where the stores of all schedulers lie: [durable] dir must be"
+                            + " in it, by the scheduler's own name"
+                            + (fleet == null ? "" : ", " + tasks.stores.resolve(fleet.name)));
         }
-        CapacityConfig capacity = operators.capacity() == null ? null
-                : CapacityConfig.read(operators.capacity(), members);
-        MaintenanceConfig maintenance = operators.maintenance() == null ? null
+        CapacityConfig capacity =
+                operators.capacity() == null ? null : CapacityConfig.read(operators.capacity(), members);
+        MaintenanceConfig maintenance = operators.maintenance() == null
+                ? null
                 : MaintenanceConfig.read(operators.maintenance(), policy, tasks, settings, hosts(all));
         if (policy != null && policy.tellPolicy && control != null && control.tellVersions) {
-            findings.add("policy", "tell_policy",
-                    "and [control] tell_versions name one header: only one of them");
+            findings.add("policy", "tell_policy", "and [control] tell_versions name one header: only one of them");
         }
         findings.raise();
-        return new Setup(config, gearman, durable, control, fleet, policy, members, tasks, capacity,
-                maintenance, fixed);
+        return new Setup(
+                config, gearman, durable, control, fleet, policy, members, tasks, capacity, maintenance, fixed);
     }
 
     /** The endpoints that are known at the start, in the platform's form. */
--- a/src/main/java/laneflow/assembly/StreamedTypes.java
+++ b/src/main/java/laneflow/assembly/StreamedTypes.java
@@ -24,8 +24,7 @@
     /** Who puts to work what was read, on the loop's thread; each returns what waits for a restart. */
     public interface Adopters extends DestinationType.Adopter {
         /** Of no scheduler: for those who only read. */
-        Adopters NONE = new Adopters() {
-        };
+        Adopters NONE = new Adopters() {};
 
         @Override
         default Replacement replacement(List<Entry> entries, Set<String> named) {
@@ -41,8 +40,7 @@
         }
     }
 
-    private StreamedTypes() {
-    }
+    private StreamedTypes() {}
 
     /** All of them, but for those that something else decides here. */
     public static List<ResourceType> all(Setup setup, Adopters adopters) throws IOException {
@@ -50,29 +48,36 @@
         Settings settings = config.settings;
         List<String> classes = List.of(config.classNames);
         List<ResourceType> all = new ArrayList<>();
-        all.add(new DestinationType(config.zones, classes, setup.control().allowed, setup.gearman() != null,
-                adopters));
+        all.add(new DestinationType(config.zones, classes, setup.control().allowed, setup.gearman() != null, adopters));
         all.add(SettingTypes.classes(settings, classes));
         all.add(SettingTypes.limits(settings, config, ceilings()));
         if (setup.gearman() != null) {
             GearmanConfig base = setup.gearman().copy();
-            all.add(SettingTypes.table("functions", resources -> {
-                JsonObject table = new JsonObject();
-                table.addProperty("listen", base.listen);
-                if (!config.zones.isEmpty()) {
-                    table.addProperty("zone", config.zones.get(base.zone));
-                }
-                table.add("functions", SettingTypes.byName(resources));
-                return table;
-            }, table -> GearmanConfig.read(table, settings, classes, config.zones), base,
+            all.add(SettingTypes.table(
+                    "functions",
+                    resources -> {
+                        JsonObject table = new JsonObject();
+                        table.addProperty("listen", base.listen);
+                        if (!config.zones.isEmpty()) {
+                            table.addProperty("zone", config.zones.get(base.zone));
+                        }
+                        table.add("functions", SettingTypes.byName(resources));
+                        return table;
+                    },
+                    table -> GearmanConfig.read(table, settings, classes, config.zones),
+                    base,
                     adopters::functions));
         }
         if (setup.durable() != null) {
-            all.add(SettingTypes.table("durable", resources -> {
-                JsonObject table = resources.get(0).getAsJsonObject().deepCopy();
-                table.remove("name");
-                return table;
-            }, table -> DurableConfig.read(table, settings, classes), setup.durable().copy(),
+            all.add(SettingTypes.table(
+                    "durable",
+                    resources -> {
+                        JsonObject table = resources.get(0).getAsJsonObject().deepCopy();
+                        table.remove("name");
+                        return table;
+                    },
+                    table -> DurableConfig.read(table, settings, classes),
+                    setup.durable().copy(),
                     adopters::durable));
         }
         all.removeIf(type -> setup.notStreamed().containsKey(type.name()));
--- a/src/main/java/laneflow/assembly/Streaming.java
+++ b/src/main/java/laneflow/assembly/Streaming.java
@@ -64,9 +64,14 @@
                 kept.put(type.name(), found);
             }
         }
-        ControlClient.Surroundings around = new ControlClient.Surroundings(setup.config().name, token,
-                List.of(setup.config().classNames), thread("config-reader"), thread("config-files"),
-                System::currentTimeMillis, new SecureRandom().nextLong());
+        ControlClient.Surroundings around = new ControlClient.Surroundings(
+                setup.config().name,
+                token,
+                List.of(setup.config().classNames),
+                thread("config-reader"),
+                thread("config-files"),
+                System::currentTimeMillis,
+                new SecureRandom().nextLong());
         core.loop().call(() -> {
             ControlClient client = new ControlClient(core.loop(), core.scheduler(), config, around, types);
             setup.notStreamed().forEach(client::fix);
@@ -94,7 +99,12 @@
 
     /** One task after the other, with a bound: a disk that hangs must not fill the memory. */
     private static ExecutorService thread(String name) {
-        return new ThreadPoolExecutor(1, 1, 0, TimeUnit.SECONDS, new ArrayBlockingQueue<>(MOST_QUEUED),
+        return new ThreadPoolExecutor(
+                1,
+                1,
+                0,
+                TimeUnit.SECONDS,
+                new ArrayBlockingQueue<>(MOST_QUEUED),
                 task -> Threads.daemon(task, name),
                 (task, executor) -> LOG.error("{}: too much waits already, a task is dropped", name));
     }
--- a/src/main/java/laneflow/assembly/Subsystem.java
+++ b/src/main/java/laneflow/assembly/Subsystem.java
@@ -9,12 +9,10 @@
  */
 interface Subsystem {
     /** Takes over what an earlier life left; clients come behind it. On the thread that starts. */
-    default void begin() throws IOException, InterruptedException {
-    }
+    default void begin() throws IOException, InterruptedException {}
 
     /** Clients are let in. On the thread that starts. */
-    default void opened() throws IOException, InterruptedException {
-    }
+    default void opened() throws IOException, InterruptedException {}
 
     /** Whether clients may be asked for. On the loop's thread, as all that follow but the last two. */
     default boolean isReady() {
@@ -22,12 +20,10 @@
     }
 
     /** The process is to end; what is taken still ends. */
-    default void drain() {
-    }
+    default void drain() {}
 
     /** The time for that is over. */
-    default void letGo() {
-    }
+    default void letGo() {}
 
     /** True while it owes an answer. */
     default boolean isOwed() {
@@ -35,10 +31,8 @@
     }
 
     /** All is answered: writes what is still to be written. On any thread but the loop's. */
-    default void close() throws InterruptedException {
-    }
+    default void close() throws InterruptedException {}
 
     /** The loop has ended amid whatever it was at, as where a machine loses its power. On any thread. */
-    default void halt() throws InterruptedException {
-    }
+    default void halt() throws InterruptedException {}
 }
--- a/src/main/java/laneflow/assembly/Subsystems.java
+++ b/src/main/java/laneflow/assembly/Subsystems.java
@@ -26,9 +26,8 @@
      * @param gearman null where that front is off
      * @param upgrade true if the process before this one may still hold addresses and folders
      */
-    record Core(Loop loop, Scheduler scheduler, Carrier carrier, HttpFront front, GearmanFront gearman,
-            boolean upgrade) {
-    }
+    record Core(
+            Loop loop, Scheduler scheduler, Carrier carrier, HttpFront front, GearmanFront gearman, boolean upgrade) {}
 
     Subsystems(Setup setup, Core core) throws IOException, InterruptedException {
         Durability durability = setup.durable() == null ? null : new Durability(setup.durable(), core);
--- a/src/main/java/laneflow/assembly/Surroundings.java
+++ b/src/main/java/laneflow/assembly/Surroundings.java
@@ -16,7 +16,8 @@
     /** Those of this process. */
     static Surroundings of(Map<String, String> environment) {
         String folder = environment.get("TMPDIR");
-        return new Surroundings(named(environment, "ROUTER_OPS"),
+        return new Surroundings(
+                named(environment, "ROUTER_OPS"),
                 folder == null || folder.isEmpty() ? null : Path.of(folder),
                 named(environment, "ROUTER_PASSED_SOCKET") != null);
     }
--- a/src/main/java/laneflow/assembly/Together.java
+++ b/src/main/java/laneflow/assembly/Together.java
@@ -45,16 +45,19 @@
     private static final String ONE_LOOP = "laneflow.lab.one_loop";
     /** Links to others that no file names yet, and operators that ask. */
     private static final int SPARE_LINKS = 16;
+
     private static final String LIBRARY_LOG = "org.slf4j.simpleLogger.log.io.microraft";
 
     private final Subsystems.Core core;
     private final boolean tellsPolicy;
     /** Of the control thread: whatever schedulers say to each other is heard and said there. */
     private final Loop control;
+
     private final Counters counters;
     private final Fleet fleet;
     /** Null where no view is kept. */
     private final Members members;
+
     private volatile boolean closed;
     private boolean listens;
     /** On the loop. */
@@ -77,12 +80,12 @@
      *
      * @param durability null where no jobs are kept
      */
-    Together(Setup setup, Subsystems.Core core, Durability durability) throws IOException,
-            InterruptedException {
+    Together(Setup setup, Subsystems.Core core, Durability durability) throws IOException, InterruptedException {
         this.core = core;
         tellsPolicy = setup.policy() != null && setup.policy().tellPolicy;
         FleetConfig config = setup.fleet();
-        control = Boolean.getBoolean(ONE_LOOP) ? core.loop()
+        control = Boolean.getBoolean(ONE_LOOP)
+                ? core.loop()
                 : new Loop("control", config.peers.size() + SPARE_LINKS, true);
         counters = new Counters();
         Loop loop = control;
@@ -95,39 +98,70 @@
         SecureRandom random = new SecureRandom();
         random.nextBytes(life);
         String build = Together.class.getPackage().getImplementationVersion();
-        fleet = new Fleet(loop, config, new Fleet.Self(config.name, HexFormat.of().formatHex(life),
-                build == null ? "" : build), Token.read(config.tokenFile), counters, random.nextLong());
-        loop.call(() -> fleet.serve("/counters", (verb, path, body, answer) ->
-                core.loop().later(() -> {
+        fleet = new Fleet(
+                loop,
+                config,
+                new Fleet.Self(config.name, HexFormat.of().formatHex(life), build == null ? "" : build),
+                Token.read(config.tokenFile),
+                counters,
+                random.nextLong());
+        loop.call(() -> fleet.serve(
+                "/counters",
+                (verb, path, body, answer) -> core.loop().later(() -> {
                     String traffic = scheduler.counters().text();
                     control.later(() -> answer.say(200, "text/plain", "", both(traffic)));
                 })));
         // Outside tests clocks run as they run.
         double clockRate = Double.parseDouble(System.getProperty(CLOCK_RATE, "1"));
         tasks = setup.policy() == null ? null : new Tasks(loop, fleet, counters);
-        Maintenance windows = setup.policy() == null ? null : new Maintenance(loop, core.loop(), scheduler,
-                counters, () -> policyInForce(), setup.maintenance());
+        Maintenance windows = setup.policy() == null
+                ? null
+                : new Maintenance(loop, core.loop(), scheduler, counters, () -> policyInForce(), setup.maintenance());
         ExecutorService reading = Threads.inOrder("policy-reader");
-        policy = setup.policy() == null ? null : new PolicyPart(new PolicyPart.Given(loop,
-                core.loop(), fleet, scheduler, counters, setup.policy(), bans -> types(setup, bans),
-                List.of(setup.config().classNames), reading, random.nextLong(), clockRate, core.upgrade(),
-                Map.of(Table.NAME, new Table(), WindowLedger.NAME, new WindowLedger()),
-                List.of(tasks, windows)));
+        policy = setup.policy() == null
+                ? null
+                : new PolicyPart(new PolicyPart.Given(
+                        loop,
+                        core.loop(),
+                        fleet,
+                        scheduler,
+                        counters,
+                        setup.policy(),
+                        bans -> types(setup, bans),
+                        List.of(setup.config().classNames),
+                        reading,
+                        random.nextLong(),
+                        clockRate,
+                        core.upgrade(),
+                        Map.of(Table.NAME, new Table(), WindowLedger.NAME, new WindowLedger()),
+                        List.of(tasks, windows)));
         maintenance = windows == null ? null : maintenance(setup, windows);
-        hooks = setup.tasks() == null ? null : new Hooks(loop, tasks, counters, fleet.self().who(),
-                setup.tasks().hooks);
-        recovery = setup.tasks() == null || setup.tasks().stores == null ? null : new Recovery(loop, tasks,
-                scheduler.counters(), durability.jobs(), setup.tasks(), config.name);
+        hooks = setup.tasks() == null
+                ? null
+                : new Hooks(loop, tasks, counters, fleet.self().who(), setup.tasks().hooks);
+        recovery = setup.tasks() == null || setup.tasks().stores == null
+                ? null
+                : new Recovery(loop, tasks, scheduler.counters(), durability.jobs(), setup.tasks(), config.name);
         members = setup.members() == null ? null : members(setup, reading, random.nextLong());
-        capacity = setup.capacity() == null ? null : new CapacityPart(loop, core.loop(), counters,
-                scheduler, fleet, members, setup.capacity(), setup.config().zones, random.nextLong());
+        capacity = setup.capacity() == null
+                ? null
+                : new CapacityPart(
+                        loop,
+                        core.loop(),
+                        counters,
+                        scheduler,
+                        fleet,
+                        members,
+                        setup.capacity(),
+                        setup.config().zones,
+                        random.nextLong());
         listen();
     }
 
     private MaintenancePart maintenance(Setup setup, Maintenance windows) throws InterruptedException {
         MaintenancePart[] made = new MaintenancePart[1];
-        control.call(() -> made[0] = new MaintenancePart(control, fleet, tasks, counters, windows,
-                setup.maintenance()));
+        control.call(
+                () -> made[0] = new MaintenancePart(control, fleet, tasks, counters, windows, setup.maintenance()));
         return made[0];
     }
 
@@ -136,14 +170,23 @@
         return policy == null ? -1 : policy.number();
     }
 
-    private Members members(Setup setup, ExecutorService reading, long seed) throws IOException,
-            InterruptedException {
+    private Members members(Setup setup, ExecutorService reading, long seed) throws IOException, InterruptedException {
         Config config = setup.config();
         Scheduler scheduler = core.scheduler();
-        return new Members(new Members.Given(control, core.loop(), fleet, setup.members(), counters,
+        return new Members(new Members.Given(
+                control,
+                core.loop(),
+                fleet,
+                setup.members(),
+                counters,
                 config.zones.isEmpty() ? "" : config.zones.get(config.settings.zone),
-                () -> new Members.Standing(policy == null ? -1 : policy.number(), condition(),
-                        scheduler.open() / (double) config.sockets, served(scheduler)), reading, seed));
+                () -> new Members.Standing(
+                        policy == null ? -1 : policy.number(),
+                        condition(),
+                        scheduler.open() / (double) config.sockets,
+                        served(scheduler)),
+                reading,
+                seed));
     }
 
     /** Both threads' counters, in order of their names. */
--- a/src/main/java/laneflow/assembly/Token.java
+++ b/src/main/java/laneflow/assembly/Token.java
@@ -6,8 +6,7 @@
 
 /** A token in a file of its own, which is never logged or told. */
 final class Token {
-    private Token() {
-    }
+    private Token() {}
 
     /** Reads it; null where no file is named. */
     static String read(Path file) throws IOException {
--- a/src/main/java/laneflow/capacity/CapacityPart.java
+++ b/src/main/java/laneflow/capacity/CapacityPart.java
@@ -47,11 +47,20 @@
     private final Map<Long, String> listed = new HashMap<>();
     /** Names by the numbers that news calls schedulers by. */
     private final Map<Integer, String> names = new HashMap<>();
+
     private long listedAt = Long.MIN_VALUE / 2;
 
     /** @param zones in the order of the settings */
-    public CapacityPart(Loop loop, Loop traffic, Counters counters, Scheduler scheduler, Fleet fleet,
-            Members members, CapacityConfig config, List<String> zones, long seed) {
+    public CapacityPart(
+            Loop loop,
+            Loop traffic,
+            Counters counters,
+            Scheduler scheduler,
+            Fleet fleet,
+            Members members,
+            CapacityConfig config,
+            List<String> zones,
+            long seed) {
         this.loop = loop;
         this.traffic = traffic;
         this.counters = counters;
@@ -104,16 +113,15 @@
     }
 
     /** One that is ready, as the lists have it. */
-    private record Ready(long id, String name, int zone, int kind, long bornMs) {
-    }
+    private record Ready(long id, String name, int zone, int kind, long bornMs) {}
 
     /** On the traffic's thread. */
     private void look() {
         List<Ready> ready = new ArrayList<>();
         scheduler.destinations().forEach(endpoint -> {
             if (endpoint.state() == State.READY && !scheduler.isDown(endpoint)) {
-                ready.add(new Ready(endpoint.id, endpoint.name, endpoint.zone, endpoint.kind,
-                        endpoint.startedAt / MILLI));
+                ready.add(new Ready(
+                        endpoint.id, endpoint.name, endpoint.zone, endpoint.kind, endpoint.startedAt / MILLI));
             }
         });
         loop.later(() -> lists(ready));
--- a/src/main/java/laneflow/capacity/decision/Capacity.java
+++ b/src/main/java/laneflow/capacity/decision/Capacity.java
@@ -29,8 +29,7 @@
     }
 
     /** How many slots are free, and by how many that may be wrong, as none is known exactly. */
-    public record Sum(int endpoints, int heardOf, double free, double error) {
-    }
+    public record Sum(int endpoints, int heardOf, double free, double error) {}
 
     /** Microseconds between two rounds in which news is told. */
     public static final long ROUND = 100_000;
@@ -40,9 +39,11 @@
     private static final int MOST_ASKS = 64;
     /** Of these in a round. */
     private static final int ANSWERS_A_ROUND = 4;
+
     private static final int REPEATS = 4;
     /** The newest news that says anything of how well a source does. */
     private static final long COMPARED_WITHIN = 500_000;
+
     private static final long OVERSHOOT_WITHIN = 1_000_000;
     private static final double OVERSHOOT_GAIN = 0.02;
     private static final double MEAN_GAIN = 0.05;
@@ -167,8 +168,17 @@
         crowd(seen).heard(seen.ownOthers / slots);
         // To others the call that has ended counts no more.
         double left = Math.max(0, taken - (counted ? 1 : 0));
-        picture.merge(seen, new News(seen.id, seen.bornMs, Steps.down(Math.max(0, slots - left)),
-                Steps.up(Math.max(0, left - slots)), Steps.down(Math.max(0, seen.out - 1)), now, self, self));
+        picture.merge(
+                seen,
+                new News(
+                        seen.id,
+                        seen.bornMs,
+                        Steps.down(Math.max(0, slots - left)),
+                        Steps.up(Math.max(0, left - slots)),
+                        Steps.down(Math.max(0, seen.out - 1)),
+                        now,
+                        self,
+                        self));
     }
 
     private static double taken(News news, double slots) {
@@ -188,8 +198,7 @@
     }
 
     private Crowd crowd(Seen seen) {
-        return crowds.computeIfAbsent((long) seen.zone << 32 | seen.size.sort,
-                key -> new Crowd());
+        return crowds.computeIfAbsent((long) seen.zone << 32 | seen.size.sort, key -> new Crowd());
     }
 
     // ---- telling ----
@@ -271,8 +280,8 @@
         seen.size.told(entry.source(), Steps.value(entry.free()));
         double credit = trust.credit(entry.source(), teller);
         long heardAt = now - Steps.ageOf(entry.age()) - underWay;
-        News news = new News(seen.id, seen.bornMs, entry.free(), entry.queue(), entry.calls(), heardAt,
-                entry.source(), teller);
+        News news = new News(
+                seen.id, seen.bornMs, entry.free(), entry.queue(), entry.calls(), heardAt, entry.source(), teller);
         double slots = seen.size.slots();
         if (slots > 0) {
             compare(seen, news, slots);
@@ -281,8 +290,7 @@
             out.count("distrusted");
         } else if (picture.merge(seen, news) && slots > 0) {
             out.count("news");
-            hand(now, seen, news, slots, credit,
-                    Math.max(0, taken(news, slots) - seen.outAt(heardAt)));
+            hand(now, seen, news, slots, credit, Math.max(0, taken(news, slots) - seen.outAt(heardAt)));
         }
     }
 
@@ -295,8 +303,7 @@
         }
     }
 
-    private void hand(long now, Seen seen, News news, double slots, double credit,
-            double told) {
+    private void hand(long now, Seen seen, News news, double slots, double credit, double told) {
         double age = Math.max(0, now - news.heardAt()) / MICROS;
         Crowd crowd = crowd(seen);
         crowd.heard(Math.min(1, told / slots));
@@ -309,9 +316,19 @@
         long mixed = (news.heardAt() / ROUND ^ seen.id * 0x9E3779B97F4A7C15L ^ self * 0xD1B54A32D192ED03L)
                 * 0xBF58476D1CE4E5B9L;
         double draw = (mixed >>> 11) * 0x1p-53;
-        double held = weighing.others(new Weighing.Case(told, known, slots,
-                (now - seen.ownAt) / MICROS, age, credit, share, inflow,
-                overshoot, seen.out, isMine(now, seen), draw));
+        double held = weighing.others(new Weighing.Case(
+                told,
+                known,
+                slots,
+                (now - seen.ownAt) / MICROS,
+                age,
+                credit,
+                share,
+                inflow,
+                overshoot,
+                seen.out,
+                isMine(now, seen),
+                draw));
         if (!(held >= 0)) {
             return;
         }
@@ -377,8 +394,7 @@
             double told = mean;
             if (seen.news != null) {
                 heardOf++;
-                double credit = seen.news.source() == self ? 1 : trust.credit(seen.news.source(),
-                        seen.news.teller());
+                double credit = seen.news.source() == self ? 1 : trust.credit(seen.news.source(), seen.news.teller());
                 weight = credit * Weighing.weight((now - seen.news.heardAt()) / MICROS);
                 told = Math.min(slots, Steps.value(seen.news.free()));
             }
--- a/src/main/java/laneflow/capacity/decision/Cargo.java
+++ b/src/main/java/laneflow/capacity/decision/Cargo.java
@@ -19,10 +19,12 @@
 record Cargo(int stamp, int demand, int wants, List<Entry> entries) {
     /** Whether an entry fits is counted by these. */
     static final int HEAD = 9;
+
     static final int ENTRY = 6;
     static final int SOURCE = 2;
     /** Sources that one datagram can name. */
     static final int MOST_SOURCES = 63;
+
     static final int KEY_BITS = 24;
     static final int PART_BITS = 8;
     private static final byte VERSION = 1;
@@ -31,8 +33,7 @@
     private static final int MOST_DEMAND = 31;
 
     /** One endpoint's news; {@code age} is a step of {@link Steps}. */
-    record Entry(int key, int free, int queue, int calls, int age, int source) {
-    }
+    record Entry(int key, int free, int queue, int calls, int age, int source) {}
 
     /** The hash by which an endpoint and its life are meant. */
     static int key(long endpoint, long bornMs) {
@@ -58,11 +59,15 @@
             }
         }
         ByteBuffer to = ByteBuffer.allocate(HEAD + sources.size() * SOURCE + entries.size() * ENTRY);
-        to.put(VERSION).putInt(stamp).put((byte) demand).putShort((short) (wants < 0 ? NOT : wants))
+        to.put(VERSION)
+                .putInt(stamp)
+                .put((byte) demand)
+                .putShort((short) (wants < 0 ? NOT : wants))
                 .put((byte) sources.size());
         sources.forEach(source -> to.putShort(source.shortValue()));
         for (Entry entry : entries) {
-            to.put((byte) (entry.key >> 16)).putShort((short) entry.key)
+            to.put((byte) (entry.key >> 16))
+                    .putShort((short) entry.key)
                     .put((byte) (entry.free << 4 | entry.queue))
                     .putShort((short) (entry.age << 10 | entry.calls << 6 | sources.indexOf(entry.source)));
         }
@@ -100,8 +105,8 @@
                 if (source >= count) {
                     throw new IOException("capacity news of a source that it does not name");
                 }
-                entries.add(new Entry(key, load >> 4, load & Steps.MOST, rest >> 6 & Steps.MOST, rest >> 10,
-                        sources[source]));
+                entries.add(new Entry(
+                        key, load >> 4, load & Steps.MOST, rest >> 6 & Steps.MOST, rest >> 10, sources[source]));
             }
             return new Cargo(stamp, demand, wants == NOT ? -1 : wants, entries);
         } catch (BufferUnderflowException e) {
--- a/src/main/java/laneflow/capacity/decision/Demand.java
+++ b/src/main/java/laneflow/capacity/decision/Demand.java
@@ -11,8 +11,7 @@
     private static final double MICROS = 1e6;
     private static final double MEAN_OVER = 1;
 
-    private record Told(int zone, double perSecond, long at) {
-    }
+    private record Told(int zone, double perSecond, long at) {}
 
     private final Map<Integer, Told> others = new LinkedHashMap<>();
     private final Map<Integer, Double> sums = new HashMap<>();
@@ -31,7 +30,8 @@
 
     void told(int who, int zone, double perSecond, long now) {
         forget(who);
-        if (others.size() >= MOST || !others.isEmpty() && now - others.values().iterator().next().at > KEPT) {
+        if (others.size() >= MOST
+                || !others.isEmpty() && now - others.values().iterator().next().at > KEPT) {
             forget(others.keySet().iterator().next());
         }
         others.put(who, new Told(zone, perSecond, now));
@@ -52,8 +52,7 @@
     boolean isOwn(long endpoint, int zone, int self, int own) {
         double mine = score(endpoint, self, Cargo.demandOf(own));
         for (Map.Entry<Integer, Told> other : others.entrySet()) {
-            if (other.getValue().zone == zone && score(endpoint, other.getKey(), other.getValue().perSecond)
-                    > mine) {
+            if (other.getValue().zone == zone && score(endpoint, other.getKey(), other.getValue().perSecond) > mine) {
                 return false;
             }
         }
--- a/src/main/java/laneflow/capacity/decision/News.java
+++ b/src/main/java/laneflow/capacity/decision/News.java
@@ -14,12 +14,15 @@
  * @param source the scheduler whose call came back with it
  * @param teller the scheduler that passed it on to this one
  */
-public record News(long endpoint, long bornMs, int free, int queue, int calls, long heardAt, int source,
-        int teller) {
+public record News(long endpoint, long bornMs, int free, int queue, int calls, long heardAt, int source, int teller) {
     /** The newest of the newest life goes first; the rest of the order only makes it total. */
     private static final Comparator<News> ORDER = Comparator.comparingLong(News::bornMs)
-            .thenComparingLong(News::heardAt).thenComparingInt(News::source).thenComparingInt(News::free)
-            .thenComparingInt(News::queue).thenComparingInt(News::calls).thenComparingInt(News::teller);
+            .thenComparingLong(News::heardAt)
+            .thenComparingInt(News::source)
+            .thenComparingInt(News::free)
+            .thenComparingInt(News::queue)
+            .thenComparingInt(News::calls)
+            .thenComparingInt(News::teller);
 
     public int freeSlots() {
         return Steps.value(free);
--- a/src/main/java/laneflow/capacity/decision/Picture.java
+++ b/src/main/java/laneflow/capacity/decision/Picture.java
@@ -14,12 +14,14 @@
 final class Picture {
     /** Of those to be told on so many are looked at for a datagram, in turn. */
     private static final int LOOKED_AT = 160;
+
     private static final double ZONE_SAY = 4;
     private static final double MICROS = 1e6;
 
     private final Long2ObjectHashMap<Seen> all = new Long2ObjectHashMap<>();
     /** Null where two endpoints have one hash: news of either means nothing then. */
     private final Int2ObjectHashMap<Seen> byKey = new Int2ObjectHashMap<>();
+
     private final List<Seen> fresh = new ArrayList<>();
     private final double[] scores = new double[LOOKED_AT];
     private int cursor;
@@ -78,8 +80,9 @@
             return false;
         }
         known += seen.news == null ? 1 : 0;
-        seen.changed += seen.news == null ? Steps.MOST : Math.abs(seen.news.free() - news.free())
-                + Math.abs(seen.news.queue() - news.queue());
+        seen.changed += seen.news == null
+                ? Steps.MOST
+                : Math.abs(seen.news.free() - news.free()) + Math.abs(seen.news.queue() - news.queue());
         seen.news = news;
         seen.told = 0;
         if (seen.place < 0) {
@@ -154,16 +157,16 @@
     private static double score(Seen seen, long now, int zone) {
         double age = (now - seen.news.heardAt()) / MICROS;
         double asked = 1 + seen.out + Steps.value(seen.news.calls());
-        return Weighing.weight(age) * (1 + seen.changed) * asked * (seen.zone == zone ? ZONE_SAY : 1)
-                / (1 + seen.told);
+        return Weighing.weight(age) * (1 + seen.changed) * asked * (seen.zone == zone ? ZONE_SAY : 1) / (1 + seen.told);
     }
 
     /** Null where it is too old to be told. */
     private static Cargo.Entry entry(Seen seen, long now) {
         News news = seen.news;
         int age = Steps.age(Math.max(0, now - news.heardAt()));
-        return age > Steps.OLDEST ? null : new Cargo.Entry(seen.key, news.free(), news.queue(), news.calls(),
-                age, news.source());
+        return age > Steps.OLDEST
+                ? null
+                : new Cargo.Entry(seen.key, news.free(), news.queue(), news.calls(), age, news.source());
     }
 
     private void sort() {
--- a/src/main/java/laneflow/capacity/decision/Seen.java
+++ b/src/main/java/laneflow/capacity/decision/Seen.java
@@ -19,12 +19,15 @@
     int changed;
     /** Its place among those to be told on, or -1. */
     int place = -1;
+
     int out;
     /** Siblings' slots by the last own report, and when that came. */
     double ownOthers;
+
     long ownAt = Long.MIN_VALUE / 2;
     /** When it was last said to have room here, by news of others. */
     long roomToldAt = Long.MIN_VALUE / 2;
+
     boolean mine;
     long sharedAt = Long.MIN_VALUE / 2;
     private final long[] sentAt = new long[CALLS];
--- a/src/main/java/laneflow/capacity/decision/Size.java
+++ b/src/main/java/laneflow/capacity/decision/Size.java
@@ -13,6 +13,7 @@
 
     /** Of these endpoints. */
     final int sort;
+
     private final Map<Integer, Double> told = new LinkedHashMap<>();
     /** By own reports, 0 before the first. */
     private double own;
@@ -42,8 +43,12 @@
         if (own > 0) {
             return own;
         }
-        return told.size() < WITNESSES ? 0
-                : told.values().stream().sorted((a, b) -> Double.compare(b, a)).skip(WITNESSES - 1)
-                        .findFirst().orElse(0.0);
+        return told.size() < WITNESSES
+                ? 0
+                : told.values().stream()
+                        .sorted((a, b) -> Double.compare(b, a))
+                        .skip(WITNESSES - 1)
+                        .findFirst()
+                        .orElse(0.0);
     }
 }
--- a/src/main/java/laneflow/capacity/decision/Steps.java
+++ b/src/main/java/laneflow/capacity/decision/Steps.java
@@ -10,6 +10,7 @@
     static final int MOST = 15;
     /** The highest step of an age; what is older is not told. */
     static final int OLDEST = 63;
+
     private static final int[] AT = {0, 1, 2, 3, 4, 6, 8, 12, 16, 24, 32, 48, 64, 96, 128, 192};
     private static final long YOUNGEST = 10_000;
     private static final double OLDER = 1.13;
@@ -21,8 +22,7 @@
         }
     }
 
-    private Steps() {
-    }
+    private Steps() {}
 
     /** The highest step that is not above it. */
     static int down(double value) {
--- a/src/main/java/laneflow/capacity/decision/Trust.java
+++ b/src/main/java/laneflow/capacity/decision/Trust.java
@@ -12,13 +12,16 @@
 final class Trust {
     /** So many sources are remembered, the least recently heard of go first. */
     private static final int MOST = 1024;
+
     private static final double GAIN = 0.1;
     private static final double COMMON_GAIN = 0.01;
     /** The credit of a source that was never compared. */
     private static final double FIRST = 0.5;
+
     private static final int ENOUGH = 10;
     /** Mean error beyond that of all, in parts of an endpoint's slots, at which credit begins to fall. */
     private static final double BORNE = 0.25;
+
     private static final double UNTIL_NONE = 0.2;
     /** Whoever passes on what is wrong is blamed too, but less: it may have been told. */
     private static final double TELLER_PART = 0.2;
--- a/src/main/java/laneflow/capacity/decision/Weighing.java
+++ b/src/main/java/laneflow/capacity/decision/Weighing.java
@@ -22,8 +22,19 @@
      * @param mine true where the endpoint is this scheduler's to fill first
      * @param draw by chance, 0 to 1, the same for the same news at the same scheduler
      */
-    record Case(double told, double known, double slots, double heard, double age, double credit,
-            double share, double inflow, double overshoot, int out, boolean mine, double draw) {
+    record Case(
+            double told,
+            double known,
+            double slots,
+            double heard,
+            double age,
+            double credit,
+            double share,
+            double inflow,
+            double overshoot,
+            int out,
+            boolean mine,
+            double draw) {
         public double room() {
             return Math.max(0, slots - told);
         }
@@ -56,7 +67,9 @@
      * known costs more than it gains (docs/capacity-gossip.md).
      */
     Weighing SPARING = news -> news.known() + news.out() >= news.slots() - ALMOST
-            && news.told() < news.known() && news.draw() < TOLD_MEAN * news.share() ? DAMPED.others(news)
+                    && news.told() < news.known()
+                    && news.draw() < TOLD_MEAN * news.share()
+            ? DAMPED.others(news)
             : Double.NaN;
 
     /** NaN: nothing is made of it. */
--- a/src/main/java/laneflow/cli/BenchlinkCommand.java
+++ b/src/main/java/laneflow/cli/BenchlinkCommand.java
@@ -8,7 +8,9 @@
 import picocli.CommandLine.Command;
 
 /** The same decisions on the simulator's wire; here for its help, Main calls it without options directly. */
-@Command(name = "benchlink", mixinStandardHelpOptions = true,
+@Command(
+        name = "benchlink",
+        mixinStandardHelpOptions = true,
         description = "Serves the simulator's wire on standard input and output.")
 final class BenchlinkCommand implements Callable<Integer> {
     @Override
--- a/src/main/java/laneflow/cli/Cli.java
+++ b/src/main/java/laneflow/cli/Cli.java
@@ -19,13 +19,25 @@
  * The command line. Exit codes: 0 done, 1 the input or the state of things forbids it, 2 a wrong call or
  * a configuration that can't be used. A mistyped word is answered with the nearest one.
  */
-@Command(name = "laneflow", mixinStandardHelpOptions = true, versionProvider = Cli.Version.class,
+@Command(
+        name = "laneflow",
+        mixinStandardHelpOptions = true,
+        versionProvider = Cli.Version.class,
         description = "Job scheduler and protocol translator: old clients reach new servers.")
 public final class Cli implements Runnable {
     /** In the order in which they are told. */
-    private static final List<Class<?>> COMMANDS = List.of(ServeCommand.class, BenchlinkCommand.class,
-            JobsCommand.class, ConfigCommand.class, PolicyCommand.class, FleetCommand.class,
-            TaskCommand.class, MaintenanceCommand.class, Lab.class, Importer.class);
+    private static final List<Class<?>> COMMANDS = List.of(
+            ServeCommand.class,
+            BenchlinkCommand.class,
+            JobsCommand.class,
+            ConfigCommand.class,
+            PolicyCommand.class,
+            FleetCommand.class,
+            TaskCommand.class,
+            MaintenanceCommand.class,
+            Lab.class,
+            Importer.class);
+
     @Spec
     private CommandSpec spec;
 
@@ -47,8 +59,7 @@
             line.addSubcommand(told.name(), named.contains(told.name()) ? made(one) : purpose(told));
         }
         line.setExecutionExceptionHandler((e, at, parsed) -> {
-            if (!(e instanceof IOException || e instanceof WireException
-                    || e instanceof IllegalArgumentException)) {
+            if (!(e instanceof IOException || e instanceof WireException || e instanceof IllegalArgumentException)) {
                 throw e;
             }
             PrintWriter err = at.getErr();
--- a/src/main/java/laneflow/cli/ConfigCommand.java
+++ b/src/main/java/laneflow/cli/ConfigCommand.java
@@ -36,6 +36,7 @@
 @Command(name = "config", mixinStandardHelpOptions = true, description = "Looks at streamed configuration.")
 final class ConfigCommand implements Runnable {
     private static final int WITHIN_MS = 5000;
+
     @Spec
     private CommandSpec spec;
 
@@ -44,10 +45,16 @@
         throw new ParameterException(spec.commandLine(), "a command is missing");
     }
 
-    @Command(name = "show", mixinStandardHelpOptions = true,
+    @Command(
+            name = "show",
+            mixinStandardHelpOptions = true,
             description = "Asks schedulers what they run; exit code 1 if one can't be asked or they differ.")
-    int show(@Parameters(paramLabel = "ADDRESS", arity = "1..*",
-    description = "Where operators ask a scheduler: ADDRESS:PORT.") List<String> addresses,
+    int show(
+            @Parameters(
+                            paramLabel = "ADDRESS",
+                            arity = "1..*",
+                            description = "Where operators ask a scheduler: ADDRESS:PORT.")
+                    List<String> addresses,
             @Option(names = "--json", description = "As the schedulers say it, a line each.") boolean json) {
         PrintWriter out = spec.commandLine().getOut();
         int code = 0;
@@ -64,10 +71,16 @@
                 }
                 JsonObject all = JsonParser.parseString(text).getAsJsonObject();
                 all.getAsJsonObject("types").entrySet().forEach(entry -> {
-                    show(out, all.get("scheduler").getAsString(), entry.getKey(),
+                    show(
+                            out,
+                            all.get("scheduler").getAsString(),
+                            entry.getKey(),
                             entry.getValue().getAsJsonObject());
                     versions.computeIfAbsent(entry.getKey(), key -> new TreeSet<>())
-                            .add(entry.getValue().getAsJsonObject().get("version").getAsString());
+                            .add(entry.getValue()
+                                    .getAsJsonObject()
+                                    .get("version")
+                                    .getAsString());
                 });
             } catch (IOException | RuntimeException e) {
                 out.println(address + ": " + e.getMessage());
@@ -86,13 +99,17 @@
 
     private static void show(PrintWriter out, String scheduler, String type, JsonObject one) {
         long since = one.get("since_ms").getAsLong();
-        out.printf("%-14s %-14s %-22s %-20s %s%s%n", scheduler, shortName(type),
+        out.printf(
+                "%-14s %-14s %-22s %-20s %s%s%n",
+                scheduler,
+                shortName(type),
                 shortened(one.get("version").getAsString()),
                 since == 0 ? "-" : Instant.ofEpochSecond(since / 1000).toString(),
-                one.get("from").getAsString(), one.get("on_trial").getAsBoolean() ? " (on trial)" : "");
+                one.get("from").getAsString(),
+                one.get("on_trial").getAsBoolean() ? " (on trial)" : "");
         if (one.has("restart_needed")) {
-            one.getAsJsonArray("restart_needed").forEach(waits ->
-                    out.println("    waits for a restart: " + waits.getAsString()));
+            one.getAsJsonArray("restart_needed")
+                    .forEach(waits -> out.println("    waits for a restart: " + waits.getAsString()));
         }
         if (one.has("last_refused")) {
             JsonObject refused = one.getAsJsonObject("last_refused");
@@ -110,10 +127,16 @@
         return dash >= 0 && version.length() > dash + 13 ? version.substring(0, dash + 13) : version;
     }
 
-    @Command(name = "history", mixinStandardHelpOptions = true,
+    @Command(
+            name = "history",
+            mixinStandardHelpOptions = true,
             description = "Tells what a scheduler adopted, turned down and took back.")
-    int history(@Parameters(paramLabel = "ADDRESS|DIR",
-    description = "Where operators ask a scheduler, or its last_good_dir.") String where) throws IOException {
+    int history(
+            @Parameters(
+                            paramLabel = "ADDRESS|DIR",
+                            description = "Where operators ask a scheduler, or its last_good_dir.")
+                    String where)
+            throws IOException {
         PrintWriter out = spec.commandLine().getOut();
         JsonArray all = new JsonArray();
         Path folder = Path.of(where);
@@ -133,10 +156,15 @@
                 continue;
             }
             JsonObject change = one.getAsJsonObject();
-            out.printf("%-24s %-12s %-13s %s%s%n", Instant.ofEpochMilli(change.get("at_ms").getAsLong()),
-                    shortName(change.get("type").getAsString()), change.get("verdict").getAsString(),
-                    shortened(change.get("version").getAsString()), change.has("reason")
-                    ? ": " + change.get("reason").getAsString().replace("\n", "\n    ") : "");
+            out.printf(
+                    "%-24s %-12s %-13s %s%s%n",
+                    Instant.ofEpochMilli(change.get("at_ms").getAsLong()),
+                    shortName(change.get("type").getAsString()),
+                    change.get("verdict").getAsString(),
+                    shortened(change.get("version").getAsString()),
+                    change.has("reason")
+                            ? ": " + change.get("reason").getAsString().replace("\n", "\n    ")
+                            : "");
         }
         out.flush();
         return 0;
@@ -151,11 +179,17 @@
         }
     }
 
-    @Command(name = "diff", mixinStandardHelpOptions = true,
+    @Command(
+            name = "diff",
+            mixinStandardHelpOptions = true,
             description = "Tells two states of a type apart by resources; exit code 1 if they differ.")
-    int diff(@Parameters(paramLabel = "FROM",
-    description = "A message of the stream, its resources, or a file of a last good version.") Path from,
-            @Parameters(paramLabel = "TO") Path to) throws IOException {
+    int diff(
+            @Parameters(
+                            paramLabel = "FROM",
+                            description = "A message of the stream, its resources, or a file of a last good version.")
+                    Path from,
+            @Parameters(paramLabel = "TO") Path to)
+            throws IOException {
         PrintWriter out = spec.commandLine().getOut();
         Map<String, JsonObject> was = byName(from);
         Map<String, JsonObject> is = byName(to);
@@ -172,8 +206,8 @@
                 TreeSet<String> keys = new TreeSet<>(before.keySet());
                 keys.addAll(after.keySet());
                 keys.removeIf(key -> before.has(key) && before.get(key).equals(after.get(key)));
-                keys.forEach(key -> out.println("~ " + name + "." + key + ": " + before.get(key) + " -> "
-                        + after.get(key)));
+                keys.forEach(
+                        key -> out.println("~ " + name + "." + key + ": " + before.get(key) + " -> " + after.get(key)));
                 differ++;
             }
         }
@@ -215,26 +249,41 @@
         return resources.getAsJsonArray();
     }
 
-    @Command(name = "validate", mixinStandardHelpOptions = true,
+    @Command(
+            name = "validate",
+            mixinStandardHelpOptions = true,
             description = "Reads a version as a scheduler would; exit code 1 if it would turn it down.")
-    int validate(@Parameters(paramLabel = "FILE",
-    description = "A message of the stream, or its resources.") Path file,
-            @Option(names = "--config", required = true, paramLabel = "FILE",
-                    description = "The scheduler's operators' file.") Path config,
-            @Option(names = "--type", paramLabel = "TYPE",
-                    description = "The type, where the file is no message that names it.") String type)
+    int validate(
+            @Parameters(paramLabel = "FILE", description = "A message of the stream, or its resources.") Path file,
+            @Option(
+                            names = "--config",
+                            required = true,
+                            paramLabel = "FILE",
+                            description = "The scheduler's operators' file.")
+                    Path config,
+            @Option(
+                            names = "--type",
+                            paramLabel = "TYPE",
+                            description = "The type, where the file is no message that names it.")
+                    String type)
             throws Exception {
         Setup setup = Setup.operators(config, null, null);
         if (setup.control() == null) {
             throw new IOException(config + ": there is no [control]: nothing is streamed here");
         }
         JsonElement all = read(file);
-        String named = type != null ? type : all.isJsonObject() && all.getAsJsonObject().has("type_url")
-                ? shortName(all.getAsJsonObject().get("type_url").getAsString()) : "destinations";
+        String named = type != null
+                ? type
+                : all.isJsonObject() && all.getAsJsonObject().has("type_url")
+                        ? shortName(all.getAsJsonObject().get("type_url").getAsString())
+                        : "destinations";
         List<ResourceType> types = StreamedTypes.all(setup, StreamedTypes.Adopters.NONE);
-        ResourceType taken = types.stream().filter(one -> one.name().equals(named)).findFirst().orElseThrow(
-                () -> new IOException("type '" + named + "' is not taken here; taken are "
-                        + String.join(", ", types.stream().map(ResourceType::name).toList())));
+        ResourceType taken = types.stream()
+                .filter(one -> one.name().equals(named))
+                .findFirst()
+                .orElseThrow(() -> new IOException("type '" + named + "' is not taken here; taken are "
+                        + String.join(
+                                ", ", types.stream().map(ResourceType::name).toList())));
         ResourceType.Reading read = taken.read(resources(file, all));
         PrintWriter out = spec.commandLine().getOut();
         read.findings.forEach(out::println);
@@ -248,15 +297,22 @@
         return read.findings.isEmpty() ? 0 : 1;
     }
 
-    @Command(name = "who", mixinStandardHelpOptions = true,
+    @Command(
+            name = "who",
+            mixinStandardHelpOptions = true,
             description = "Tells which schedulers take part in a version held back to a share.")
-    int who(@Parameters(paramLabel = "SEED") long seed, @Parameters(paramLabel = "SHARE") double share,
+    int who(
+            @Parameters(paramLabel = "SEED") long seed,
+            @Parameters(paramLabel = "SHARE") double share,
             @Parameters(paramLabel = "NAME", arity = "1..*") List<String> names) {
         PrintWriter out = spec.commandLine().getOut();
         for (String name : names) {
-            out.printf(Locale.ROOT, "%s %s (%.4f)%n", name, Rollout.takesPart(name, seed, share)
-                    ? "takes part"
-                    : "is held back", Rollout.place(name, seed));
+            out.printf(
+                    Locale.ROOT,
+                    "%s %s (%.4f)%n",
+                    name,
+                    Rollout.takesPart(name, seed, share) ? "takes part" : "is held back",
+                    Rollout.place(name, seed));
         }
         out.flush();
         return 0;
@@ -268,8 +324,9 @@
         try (Socket socket = new Socket()) {
             socket.connect(at, WITHIN_MS);
             socket.setSoTimeout(WITHIN_MS);
-            socket.getOutputStream().write(("GET " + path + " HTTP/1.1\r\nHost: " + address
-                    + "\r\nConnection: close\r\n\r\n").getBytes(StandardCharsets.US_ASCII));
+            socket.getOutputStream()
+                    .write(("GET " + path + " HTTP/1.1\r\nHost: " + address + "\r\nConnection: close\r\n\r\n")
+                            .getBytes(StandardCharsets.US_ASCII));
             InputStream in = socket.getInputStream();
             String answer = new String(in.readAllBytes(), StandardCharsets.UTF_8);
             int body = answer.indexOf("\r\n\r\n");
--- a/src/main/java/laneflow/cli/FleetCommand.java
+++ b/src/main/java/laneflow/cli/FleetCommand.java
@@ -24,11 +24,14 @@
  * {@code fleet}: who is there, as schedulers see it. Each tells its own view; where several are asked, views
  * that differ are told.
  */
-@Command(name = "fleet", mixinStandardHelpOptions = true,
+@Command(
+        name = "fleet",
+        mixinStandardHelpOptions = true,
         description = "Shows which schedulers are there, as they see each other.")
 final class FleetCommand implements Runnable {
     private static final long PAUSE_MS = 100;
     private static final long MS = 1_000_000;
+
     @Spec
     private CommandSpec spec;
 
@@ -37,8 +40,7 @@
         throw new ParameterException(spec.commandLine(), "a command is missing");
     }
 
-    private static JsonObject ask(PolicyCommand.Where where, String address) throws IOException,
-            InterruptedException {
+    private static JsonObject ask(PolicyCommand.Where where, String address) throws IOException, InterruptedException {
         PolicyCommand.Said answer = where.send(address, "/fleet", null);
         if (answer.statusCode() != 200) {
             throw new IOException(answer.body().strip());
@@ -57,9 +59,11 @@
         return all;
     }
 
-    @Command(name = "show", mixinStandardHelpOptions = true,
+    @Command(
+            name = "show",
+            mixinStandardHelpOptions = true,
             description = "Every member that each of these schedulers knows; exit code 1 if one can't be"
-            + " asked, is not a member, or their views differ.")
+                    + " asked, is not a member, or their views differ.")
     int show(@Mixin PolicyCommand.Where where) throws InterruptedException {
         PrintWriter out = spec.commandLine().getOut();
         Map<String, String> digests = new HashMap<>();
@@ -88,19 +92,31 @@
     }
 
     private static void table(PrintWriter out, JsonObject view) {
-        out.printf("%s sees %d live, %s%s%n", view.getAsJsonObject("self").get("name").getAsString(),
-                view.get("live").getAsInt(), view.get("settled").getAsBoolean() ? "settled" : "not settled",
+        out.printf(
+                "%s sees %d live, %s%s%n",
+                view.getAsJsonObject("self").get("name").getAsString(),
+                view.get("live").getAsInt(),
+                view.get("settled").getAsBoolean() ? "settled" : "not settled",
                 view.get("name_taken").getAsBoolean() ? "; ITS NAME IS TAKEN by an elder process" : "");
-        out.printf("  %-16s %-8s %-9s %-12s %6s %5s %7s  %-21s %s%n", "member", "state", "clients", "zone",
-                "policy", "load", "rate", "at", "since");
+        out.printf(
+                "  %-16s %-8s %-9s %-12s %6s %5s %7s  %-21s %s%n",
+                "member", "state", "clients", "zone", "policy", "load", "rate", "at", "since");
         for (JsonObject one : all(view)) {
             long policy = one.get("policy").getAsLong();
-            out.printf("  %-16s %-8s %-9s %-12s %6s %4d%% %7s  %-21s %s%s%n", one.get("name").getAsString(),
-                    one.get("state").getAsString(), one.get("condition").getAsString(),
-                    one.get("zone").getAsString(), policy < 0 ? "-" : String.valueOf(policy),
-                    one.get("load_sixteenths").getAsInt() * 100 / 16, rate(one.get("rate_below").getAsLong()),
-                    one.get("at").getAsString(), one.has("changed_ms") ? Instant.ofEpochMilli(
-                    one.get("changed_ms").getAsLong()).truncatedTo(ChronoUnit.SECONDS) : "-",
+            out.printf(
+                    "  %-16s %-8s %-9s %-12s %6s %4d%% %7s  %-21s %s%s%n",
+                    one.get("name").getAsString(),
+                    one.get("state").getAsString(),
+                    one.get("condition").getAsString(),
+                    one.get("zone").getAsString(),
+                    policy < 0 ? "-" : String.valueOf(policy),
+                    one.get("load_sixteenths").getAsInt() * 100 / 16,
+                    rate(one.get("rate_below").getAsLong()),
+                    one.get("at").getAsString(),
+                    one.has("changed_ms")
+                            ? Instant.ofEpochMilli(one.get("changed_ms").getAsLong())
+                                    .truncatedTo(ChronoUnit.SECONDS)
+                            : "-",
                     one.get("late").getAsBoolean() ? "  its loop is late" : "");
         }
     }
@@ -109,10 +125,18 @@
         return below == 0 ? "0" : "<" + below;
     }
 
-    @Command(name = "watch", mixinStandardHelpOptions = true,
+    @Command(
+            name = "watch",
+            mixinStandardHelpOptions = true,
             description = "Tells each change of the first scheduler's view that answers, until it is ended.")
-    int watch(@Option(names = "--for-ms", paramLabel = "N", defaultValue = "0",
-            description = "End after so long; 0: never.") long forMs, @Mixin PolicyCommand.Where where)
+    int watch(
+            @Option(
+                            names = "--for-ms",
+                            paramLabel = "N",
+                            defaultValue = "0",
+                            description = "End after so long; 0: never.")
+                    long forMs,
+            @Mixin PolicyCommand.Where where)
             throws InterruptedException {
         PrintWriter out = spec.commandLine().getOut();
         Map<String, String> known = new HashMap<>();
@@ -143,25 +167,41 @@
     private static void tell(PrintWriter out, JsonObject view, Map<String, String> known, boolean json) {
         for (JsonObject one : all(view)) {
             String name = one.get("name").getAsString();
-            String now = one.get("state").getAsString() + " " + one.get("condition").getAsString()
-                    + " policy=" + one.get("policy") + " life=" + one.get("generation")
-                    + (one.get("late").getAsBoolean() ? " late" : "");
+            String now =
+                    one.get("state").getAsString() + " " + one.get("condition").getAsString()
+                            + " policy=" + one.get("policy") + " life=" + one.get("generation")
+                            + (one.get("late").getAsBoolean() ? " late" : "");
             if (!now.equals(known.put(name, now))) {
-                out.println(json ? one.toString() : Instant.now().truncatedTo(ChronoUnit.MILLIS) + "  " + name
-                        + "  " + now);
+                out.println(
+                        json
+                                ? one.toString()
+                                : Instant.now().truncatedTo(ChronoUnit.MILLIS) + "  " + name + "  " + now);
             }
         }
     }
 
-    @Command(name = "wait", mixinStandardHelpOptions = true,
+    @Command(
+            name = "wait",
+            mixinStandardHelpOptions = true,
             description = "Waits until every one of these schedulers sees so many live members: exit code 0,"
-            + " or 3 if that takes too long.")
-    int await(@Option(names = "--members", paramLabel = "N", required = true,
-            description = "How many, those asked among them.") int members,
+                    + " or 3 if that takes too long.")
+    int await(
+            @Option(
+                            names = "--members",
+                            paramLabel = "N",
+                            required = true,
+                            description = "How many, those asked among them.")
+                    int members,
             @Option(names = "--settled", description = "And until all of them hold the same view, still.")
-            boolean settled, @Option(names = "--wait-ms", paramLabel = "N", defaultValue = "30000",
-            description = "How long (default: ${DEFAULT-VALUE}).") long waitMs,
-            @Mixin PolicyCommand.Where where) throws InterruptedException {
+                    boolean settled,
+            @Option(
+                            names = "--wait-ms",
+                            paramLabel = "N",
+                            defaultValue = "30000",
+                            description = "How long (default: ${DEFAULT-VALUE}).")
+                    long waitMs,
+            @Mixin PolicyCommand.Where where)
+            throws InterruptedException {
         long end = System.nanoTime() + waitMs * MS;
         while (true) {
             String missing = missing(where, members, settled);
@@ -176,8 +216,7 @@
         }
     }
 
-    private static String missing(PolicyCommand.Where where, int members, boolean settled)
-            throws InterruptedException {
+    private static String missing(PolicyCommand.Where where, int members, boolean settled) throws InterruptedException {
         TreeSet<String> digests = new TreeSet<>();
         for (String address : where.addresses) {
             try {
--- a/src/main/java/laneflow/cli/JobsCommand.java
+++ b/src/main/java/laneflow/cli/JobsCommand.java
@@ -32,12 +32,20 @@
  * held is refused in words. While a scheduler runs, its {@code GET /jobs/ID} and {@code DELETE /jobs/ID} do
  * the same.
  */
-@Command(name = "jobs", mixinStandardHelpOptions = true, subcommands = {JobsCommand.Show.class,
-        JobsCommand.Cancel.class, JobsCommand.Verify.class, JobsCommand.Compact.class,
-                JobsCommand.Adopt.class},
+@Command(
+        name = "jobs",
+        mixinStandardHelpOptions = true,
+        subcommands = {
+            JobsCommand.Show.class,
+            JobsCommand.Cancel.class,
+            JobsCommand.Verify.class,
+            JobsCommand.Compact.class,
+            JobsCommand.Adopt.class
+        },
         description = "Looks at and cares for a store of durable jobs that no scheduler holds.")
 final class JobsCommand implements Runnable {
     private static final String FORM = "%-16s  %-9s  %-14s  %8s  %-24s  %s%n";
+
     @Spec
     private CommandSpec spec;
 
@@ -50,6 +58,7 @@
     private abstract static class Base implements Callable<Integer> {
         @Spec
         protected CommandSpec spec;
+
         @Option(names = "--json", description = "Answer in JSON.")
         protected boolean json;
 
@@ -66,9 +75,14 @@
         }
 
         protected void say(JsonElement element, String text) {
-            out().println(json
-                    ? new GsonBuilder().setPrettyPrinting().disableHtmlEscaping().create().toJson(element)
-                    : text);
+            out().println(
+                            json
+                                    ? new GsonBuilder()
+                                            .setPrettyPrinting()
+                                            .disableHtmlEscaping()
+                                            .create()
+                                            .toJson(element)
+                                    : text);
             out().flush();
         }
 
@@ -111,12 +125,17 @@
     }
 
     @Command(name = "list", mixinStandardHelpOptions = true, description = "Lists jobs, the oldest first.")
-    int list(@Parameters(paramLabel = "DIR") Path dir, @Option(names = "--state",
-            paramLabel = "STATE", description = "Only those: ${COMPLETION-CANDIDATES}.") State state,
-            @Option(names = "--class", paramLabel = "NAME",
-                    description = "Only those of it.") String jobClass,
-            @Option(names = "--most", paramLabel = "N", defaultValue = "1000",
-                    description = "No more than so many (default: 1000).") int most,
+    int list(
+            @Parameters(paramLabel = "DIR") Path dir,
+            @Option(names = "--state", paramLabel = "STATE", description = "Only those: ${COMPLETION-CANDIDATES}.")
+                    State state,
+            @Option(names = "--class", paramLabel = "NAME", description = "Only those of it.") String jobClass,
+            @Option(
+                            names = "--most",
+                            paramLabel = "N",
+                            defaultValue = "1000",
+                            description = "No more than so many (default: 1000).")
+                    int most,
             @Option(names = "--json", description = "Answer in JSON.") boolean json)
             throws IOException {
         JsonArray all = new JsonArray();
@@ -127,8 +146,8 @@
                 out.printf(FORM, "id", "state", "class", "bytes", "accepted", "why");
             }
             store.read(false, row -> {
-                if (state != null && row.state() != state || jobClass != null
-                        && !row.jobClass().equals(jobClass)) {
+                if (state != null && row.state() != state
+                        || jobClass != null && !row.jobClass().equals(jobClass)) {
                     return;
                 }
                 if (count[0]++ >= most) {
@@ -136,14 +155,23 @@
                 } else if (json) {
                     all.add(Base.json(row));
                 } else {
-                    out.printf(FORM, Care.hex(row.id()), row.state().name().toLowerCase(Locale.ROOT),
-                            row.jobClass(), row.bodyBytes(), Instant.ofEpochMilli(row.acceptedMs()),
+                    out.printf(
+                            FORM,
+                            Care.hex(row.id()),
+                            row.state().name().toLowerCase(Locale.ROOT),
+                            row.jobClass(),
+                            row.bodyBytes(),
+                            Instant.ofEpochMilli(row.acceptedMs()),
                             row.reason());
                 }
             });
         }
         if (json) {
-            out.println(new GsonBuilder().setPrettyPrinting().disableHtmlEscaping().create().toJson(all));
+            out.println(new GsonBuilder()
+                    .setPrettyPrinting()
+                    .disableHtmlEscaping()
+                    .create()
+                    .toJson(all));
         } else if (count[1] > 0) {
             out.println("... and " + count[1] + " more: --most");
         }
@@ -156,6 +184,7 @@
     static final class Show extends Base {
         @Parameters(index = "0", paramLabel = "DIR")
         private Path dir;
+
         @Parameters(index = "1", paramLabel = "ID")
         private String id;
 
@@ -174,16 +203,30 @@
                     all.addProperty("result_base64", Base64.getEncoder().encodeToString(result));
                 }
                 StringBuilder text = new StringBuilder();
-                text.append(id).append(' ').append(all.get("state").getAsString()).append(' ')
+                text.append(id)
+                        .append(' ')
+                        .append(all.get("state").getAsString())
+                        .append(' ')
                         .append(row.jobClass())
-                        .append(row.reason().isEmpty() ? "" : ": " + row.reason()).append('\n');
-                text.append("  accepted ").append(Instant.ofEpochMilli(row.acceptedMs())).append(", ")
-                        .append(row.bodyBytes()).append(" bytes\n");
+                        .append(row.reason().isEmpty() ? "" : ": " + row.reason())
+                        .append('\n');
+                text.append("  accepted ")
+                        .append(Instant.ofEpochMilli(row.acceptedMs()))
+                        .append(", ")
+                        .append(row.bodyBytes())
+                        .append(" bytes\n");
                 for (Attempt attempt : row.attempts()) {
-                    text.append("  lease ").append(attempt.number()).append(" at ").append(attempt.endpoint())
-                            .append(", ").append(Instant.ofEpochMilli(attempt.leasedMs())).append(" to ")
-                            .append(Instant.ofEpochMilli(attempt.endMs())).append(": ")
-                            .append(attempt.known().name().toLowerCase(Locale.ROOT)).append('\n');
+                    text.append("  lease ")
+                            .append(attempt.number())
+                            .append(" at ")
+                            .append(attempt.endpoint())
+                            .append(", ")
+                            .append(Instant.ofEpochMilli(attempt.leasedMs()))
+                            .append(" to ")
+                            .append(Instant.ofEpochMilli(attempt.endMs()))
+                            .append(": ")
+                            .append(attempt.known().name().toLowerCase(Locale.ROOT))
+                            .append('\n');
                 }
                 if (result != null) {
                     text.append("  result: ").append(new String(result, StandardCharsets.UTF_8));
@@ -195,11 +238,11 @@
     }
 
     /** Cancels. */
-    @Command(name = "cancel", mixinStandardHelpOptions = true,
-            description = "Cancels a job that has not begun.")
+    @Command(name = "cancel", mixinStandardHelpOptions = true, description = "Cancels a job that has not begun.")
     static final class Cancel extends Base {
         @Parameters(index = "0", paramLabel = "DIR")
         private Path dir;
+
         @Parameters(index = "1", paramLabel = "ID")
         private String id;
 
@@ -217,13 +260,15 @@
     }
 
     /** Looks for damage. */
-    @Command(name = "verify", mixinStandardHelpOptions = true,
+    @Command(
+            name = "verify",
+            mixinStandardHelpOptions = true,
             description = "Reads all of it and names whatever is damaged; exit code 1 if anything is.")
     static final class Verify extends Base {
         @Parameters(index = "0", paramLabel = "DIR")
         private Path dir;
-        @Option(names = "--accept-loss",
-                description = "Go on with what is left where commits are missing.")
+
+        @Option(names = "--accept-loss", description = "Go on with what is left where commits are missing.")
         private boolean acceptLoss;
 
         @Override
@@ -241,15 +286,16 @@
             said.addProperty("commits", commits);
             said.addProperty("commits_lost", lost);
             said.add("damage", all);
-            say(said, (lost > 0 ? lost + " commits given up\n" : "") + (damage.isEmpty()
-                    ? "sound, " + commits + " commits" : String.join("\n", damage)));
+            say(
+                    said,
+                    (lost > 0 ? lost + " commits given up\n" : "")
+                            + (damage.isEmpty() ? "sound, " + commits + " commits" : String.join("\n", damage)));
             return damage.isEmpty() ? 0 : 1;
         }
     }
 
     /** Gives back free room. */
-    @Command(name = "compact", mixinStandardHelpOptions = true,
-            description = "Gives all free room back to the disk.")
+    @Command(name = "compact", mixinStandardHelpOptions = true, description = "Gives all free room back to the disk.")
     static final class Compact extends Base {
         @Parameters(index = "0", paramLabel = "DIR")
         private Path dir;
@@ -270,18 +316,22 @@
     }
 
     /** Takes over another's jobs. */
-    @Command(name = "adopt", mixinStandardHelpOptions = true,
+    @Command(
+            name = "adopt",
+            mixinStandardHelpOptions = true,
             description = "Moves all jobs of a dead scheduler's store into another one.")
     static final class Adopt extends Base {
         @Parameters(index = "0", paramLabel = "FROM", description = "The dead scheduler's store.")
         private Path from;
+
         @Parameters(index = "1", paramLabel = "INTO", description = "The store that takes them over.")
         private Path into;
 
         @Override
         public Integer call() throws IOException {
             Care.Adopted adopted;
-            try (Store dead = open(from); Store living = Store.open(into, Care.NO_LIMIT)) {
+            try (Store dead = open(from);
+                    Store living = Store.open(into, Care.NO_LIMIT)) {
                 adopted = Care.adopt(dead, living);
             }
             JsonObject said = new JsonObject();
@@ -291,9 +341,13 @@
             adopted.keysTaken().forEach(keys::add);
             said.add("keys_taken", keys);
             String text = adopted.moved() + " jobs moved, " + adopted.there() + " were there already";
-            say(said, adopted.keysTaken().isEmpty() ? text : text
-                    + "\nkept apart, their keys belong to other jobs: "
-                    + String.join(", ", adopted.keysTaken()));
+            say(
+                    said,
+                    adopted.keysTaken().isEmpty()
+                            ? text
+                            : text
+                                    + "\nkept apart, their keys belong to other jobs: "
+                                    + String.join(", ", adopted.keysTaken()));
             return 0;
         }
     }
--- a/src/main/java/laneflow/cli/MaintenanceCommand.java
+++ b/src/main/java/laneflow/cli/MaintenanceCommand.java
@@ -33,7 +33,9 @@
  * {@code maintenance}: windows in which racks go down, as their owners and crews ask for them. All that is
  * asked here may be asked again: the same request is the same window, and who has begun has begun.
  */
-@Command(name = "maintenance", mixinStandardHelpOptions = true,
+@Command(
+        name = "maintenance",
+        mixinStandardHelpOptions = true,
         description = "Asks for maintenance windows, shows them, and tells the fleet of work at racks.")
 final class MaintenanceCommand implements Runnable {
     private static final long PAUSE_MS = 100;
@@ -41,9 +43,10 @@
     /** Occurrences of a rule are asked for so far ahead; the file is handed in again for those behind. */
     private static final Duration AHEAD = Duration.ofDays(56);
     /** States from which nobody gets leave any more, or has to ask for it. */
-    private static final Set<String> PAST_LEAVE = Set.of("overrun", "returning", "done", "refused",
-            "aborted");
+    private static final Set<String> PAST_LEAVE = Set.of("overrun", "returning", "done", "refused", "aborted");
+
     private static final Set<String> OVER = Set.of("done", "refused");
+
     @Spec
     private CommandSpec spec;
 
@@ -54,19 +57,32 @@
 
     // ---- request ----
 
-    @Command(name = "request", mixinStandardHelpOptions = true,
+    @Command(
+            name = "request",
+            mixinStandardHelpOptions = true,
             description = "Asks for the windows of a file and waits until each has a time: exit code 0 if all"
-            + " have, 1 if one is turned down, 2 if the file is wrong, 3 if it is not known yet. Asked again"
-            + " with the same file it asks for nothing new.")
-    int request(@Parameters(paramLabel = "FILE",
-    description = "The request in TOML, see docs/maintenance-windows.md.") Path file,
-            @Option(names = "--calendar", paramLabel = "FILE",
-            description = "Freezes in TOML: nothing of this request is down in them.") Path calendar,
-            @Option(names = "--dry-run",
-            description = "Only tell which time they would have, or who stands against them.") boolean dryRun,
-            @Option(names = "--wait-ms", paramLabel = "N", defaultValue = "10000",
-            description = "How long to wait for their times (default: ${DEFAULT-VALUE}).") long waitMs,
-            @Mixin PolicyCommand.Where where, @Mixin WindowTable table)
+                    + " have, 1 if one is turned down, 2 if the file is wrong, 3 if it is not known yet. Asked again"
+                    + " with the same file it asks for nothing new.")
+    int request(
+            @Parameters(paramLabel = "FILE", description = "The request in TOML, see docs/maintenance-windows.md.")
+                    Path file,
+            @Option(
+                            names = "--calendar",
+                            paramLabel = "FILE",
+                            description = "Freezes in TOML: nothing of this request is down in them.")
+                    Path calendar,
+            @Option(
+                            names = "--dry-run",
+                            description = "Only tell which time they would have, or who stands against them.")
+                    boolean dryRun,
+            @Option(
+                            names = "--wait-ms",
+                            paramLabel = "N",
+                            defaultValue = "10000",
+                            description = "How long to wait for their times (default: ${DEFAULT-VALUE}).")
+                    long waitMs,
+            @Mixin PolicyCommand.Where where,
+            @Mixin WindowTable table)
             throws IOException, InterruptedException {
         try {
             read(file, calendar, null);
@@ -82,11 +98,12 @@
         }
     }
 
-    private int ask(Path file, Path calendar, boolean dryRun, long end, PolicyCommand.Where where,
-            WindowTable table) throws IOException, InterruptedException {
+    private int ask(Path file, Path calendar, boolean dryRun, long end, PolicyCommand.Where where, WindowTable table)
+            throws IOException, InterruptedException {
         JsonObject body = read(file, calendar, racks(ask(where, end, "/maintenance", null)));
         body.addProperty("dry_run", dryRun);
-        JsonArray told = ask(where, end, "/maintenance/requests", body.toString()).getAsJsonArray("windows");
+        JsonArray told =
+                ask(where, end, "/maintenance/requests", body.toString()).getAsJsonArray("windows");
         Set<String> names = new HashSet<>();
         told.forEach(one -> names.add(one.getAsJsonObject().get("name").getAsString()));
         while (!dryRun && hasNoTime(told) && System.nanoTime() < end) {
@@ -101,8 +118,7 @@
         }
         out.flush();
         if (!dryRun && hasNoTime(told)) {
-            spec.commandLine().getErr().println("laneflow: not all of them have a time yet; see maintenance"
-                    + " show");
+            spec.commandLine().getErr().println("laneflow: not all of them have a time yet; see maintenance" + " show");
             return 3;
         }
         return any(told, "refused", "aborted") ? 1 : 0;
@@ -136,8 +152,7 @@
             findings.add(e.getMessage());
         }
         try {
-            freezes = calendar == null ? freezes : RequestFile.freezes(text(calendar), calendar.toString(),
-                    until);
+            freezes = calendar == null ? freezes : RequestFile.freezes(text(calendar), calendar.toString(), until);
         } catch (ConfigException e) {
             findings.add(e.getMessage());
         }
@@ -185,12 +200,16 @@
 
     // ---- show ----
 
-    @Command(name = "show", mixinStandardHelpOptions = true,
+    @Command(
+            name = "show",
+            mixinStandardHelpOptions = true,
             description = "All windows, or that one, and why it stands where it does: exit code 1 if one has"
-            + " overrun, if nobody coordinates, or if there is none of that name; 3 if none of these"
-            + " schedulers knows.")
-    int show(@Parameters(paramLabel = "NAME", arity = "0..1", description = "The window's name.") String name,
-            @Mixin PolicyCommand.Where where, @Mixin WindowTable table)
+                    + " overrun, if nobody coordinates, or if there is none of that name; 3 if none of these"
+                    + " schedulers knows.")
+    int show(
+            @Parameters(paramLabel = "NAME", arity = "0..1", description = "The window's name.") String name,
+            @Mixin PolicyCommand.Where where,
+            @Mixin WindowTable table)
             throws IOException, InterruptedException {
         JsonObject all;
         try {
@@ -223,30 +242,46 @@
 
     // ---- what crews say ----
 
-    @Command(name = "begin", mixinStandardHelpOptions = true,
+    @Command(
+            name = "begin",
+            mixinStandardHelpOptions = true,
             description = "A crew asks for leave to begin. Exit code 0: nobody sends to these racks any more,"
-            + " and work may begin. Any other: keep away from them; 1 if there is no leave, 3 if it is not"
-            + " known.")
-    int begin(@Parameters(paramLabel = "NAME", description = "The window's name.") String name,
-            @Option(names = "--wait-ms", paramLabel = "N", defaultValue = "0",
-            description = "How long to wait for leave (default: ${DEFAULT-VALUE}).") long waitMs,
-            @Mixin PolicyCommand.Where where) throws IOException, InterruptedException {
+                    + " and work may begin. Any other: keep away from them; 1 if there is no leave, 3 if it is not"
+                    + " known.")
+    int begin(
+            @Parameters(paramLabel = "NAME", description = "The window's name.") String name,
+            @Option(
+                            names = "--wait-ms",
+                            paramLabel = "N",
+                            defaultValue = "0",
+                            description = "How long to wait for leave (default: ${DEFAULT-VALUE}).")
+                    long waitMs,
+            @Mixin PolicyCommand.Where where)
+            throws IOException, InterruptedException {
         return tell(where, name, "begin", waitMs);
     }
 
-    @Command(name = "finish", mixinStandardHelpOptions = true,
+    @Command(
+            name = "finish",
+            mixinStandardHelpOptions = true,
             description = "A crew has finished: its racks are given back. Exit code 1 if there was no work,"
-            + " 3 if it is not known to be taken.")
-    int finish(@Parameters(paramLabel = "NAME", description = "The window's name.") String name,
-            @Mixin PolicyCommand.Where where) throws IOException, InterruptedException {
+                    + " 3 if it is not known to be taken.")
+    int finish(
+            @Parameters(paramLabel = "NAME", description = "The window's name.") String name,
+            @Mixin PolicyCommand.Where where)
+            throws IOException, InterruptedException {
         return tell(where, name, "finish", 0);
     }
 
-    @Command(name = "abort", mixinStandardHelpOptions = true,
+    @Command(
+            name = "abort",
+            mixinStandardHelpOptions = true,
             description = "Calls a window off. One whose crew is at work ends with finish; past its abort"
-            + " point it can't be called off: exit code 1, or 3 if it is not known to be taken.")
-    int abort(@Parameters(paramLabel = "NAME", description = "The window's name.") String name,
-            @Mixin PolicyCommand.Where where) throws IOException, InterruptedException {
+                    + " point it can't be called off: exit code 1, or 3 if it is not known to be taken.")
+    int abort(
+            @Parameters(paramLabel = "NAME", description = "The window's name.") String name,
+            @Mixin PolicyCommand.Where where)
+            throws IOException, InterruptedException {
         return tell(where, name, "abort", 0);
     }
 
@@ -280,9 +315,12 @@
         return switch (what) {
             case "begin" -> "leave given: work may begin";
             case "finish" -> state.equals("returning") ? "finished: its racks are given back" : state;
-            default -> OVER.contains(state) ? "is " + state + " already: nothing is called off"
-                    : state.equals("aborted") ? "called off" : "called off; it is " + state
-                    + " and comes back in order";
+            default ->
+                OVER.contains(state)
+                        ? "is " + state + " already: nothing is called off"
+                        : state.equals("aborted")
+                                ? "called off"
+                                : "called off; it is " + state + " and comes back in order";
         };
     }
 
@@ -338,8 +376,8 @@
                 if (answer.statusCode() == 400) {
                     throw new ConfigException(List.of(text));
                 }
-                throw new Refused(text.isEmpty() ? "answered " + answer.statusCode() : text,
-                        answer.statusCode() == 409);
+                throw new Refused(
+                        text.isEmpty() ? "answered " + answer.statusCode() : text, answer.statusCode() == 409);
             } catch (Refused e) {
                 throw e;
             } catch (JsonParseException | IllegalStateException e) {
--- a/src/main/java/laneflow/cli/PolicyCommand.java
+++ b/src/main/java/laneflow/cli/PolicyCommand.java
@@ -40,7 +40,9 @@
  * {@code policy}: what the fleet decides by, and changes of it. Addresses are those of {@code [fleet]
  * listen}; any scheduler will do, since those that can't answer point to the one that can.
  */
-@Command(name = "policy", mixinStandardHelpOptions = true,
+@Command(
+        name = "policy",
+        mixinStandardHelpOptions = true,
         description = "Shows and changes what all schedulers decide by.")
 final class PolicyCommand implements Runnable {
     private static final int ANSWER_WITHIN_MS = 5000;
@@ -49,12 +51,12 @@
     private static final long PAUSE_MS = 50;
     private static final long VOTERS_WAIT_NS = 10_000_000_000L;
     private static final int MOST_NAME = 64;
+
     @Spec
     private CommandSpec spec;
 
     /** An answer. */
-    record Said(int statusCode, String body) {
-    }
+    record Said(int statusCode, String body) {}
 
     /** Whom to ask. */
     static final class Where {
@@ -63,12 +65,18 @@
             System.setProperty("sun.net.http.retryPost", "false");
         }
 
-
-        @Option(names = "--at", paramLabel = "ADDRESS", required = true, arity = "1", split = ",",
+        @Option(
+                names = "--at",
+                paramLabel = "ADDRESS",
+                required = true,
+                arity = "1",
+                split = ",",
                 description = "Where schedulers reach each other: ADDRESS:PORT, several with commas between.")
         List<String> addresses;
+
         @Option(names = "--token-file", paramLabel = "FILE", description = "The fleet's token.")
         private Path tokenFile;
+
         @Option(names = "--json", description = "As the scheduler says it.")
         boolean json;
 
@@ -80,13 +88,15 @@
         Said send(String address, String path, String body) throws IOException {
             Loop.address(address);
             URL to = new URL("http://" + address + path);
-            for (int hop = 0;; hop++) {
+            for (int hop = 0; ; hop++) {
                 HttpURLConnection call = (HttpURLConnection) to.openConnection(Proxy.NO_PROXY);
                 call.setConnectTimeout(ANSWER_WITHIN_MS);
                 call.setReadTimeout(ANSWER_WITHIN_MS);
                 call.setInstanceFollowRedirects(false);
                 if (tokenFile != null) {
-                    call.setRequestProperty("Authorization", "Bearer " + Files.readString(tokenFile).strip());
+                    call.setRequestProperty(
+                            "Authorization",
+                            "Bearer " + Files.readString(tokenFile).strip());
                 }
                 if (body != null) {
                     call.setDoOutput(true);
@@ -99,8 +109,8 @@
                 if (status < 0) {
                     throw new IOException("what came is no HTTP");
                 }
-                InputStream in = status < HttpURLConnection.HTTP_BAD_REQUEST ? call.getInputStream()
-                        : call.getErrorStream();
+                InputStream in =
+                        status < HttpURLConnection.HTTP_BAD_REQUEST ? call.getInputStream() : call.getErrorStream();
                 String text = in == null ? "" : new String(in.readAllBytes(), StandardCharsets.UTF_8);
                 if (status != TEMPORARY_REDIRECT || hop == MOST_HOPS) {
                     return new Said(status, text);
@@ -143,16 +153,17 @@
         throw new ParameterException(spec.commandLine(), "a command is missing");
     }
 
-    @Command(name = "show", mixinStandardHelpOptions = true,
+    @Command(
+            name = "show",
+            mixinStandardHelpOptions = true,
             description = "What each of these schedulers decides by; exit code 1 if one can't be"
-            + " asked, does not decide, or they differ.")
+                    + " asked, does not decide, or they differ.")
     int show(@Mixin Where where) throws InterruptedException {
         PrintWriter out = spec.commandLine().getOut();
         TreeMap<Long, List<String>> policies = new TreeMap<>();
         int code = 0;
         if (!where.json) {
-            out.printf("%-14s %-22s %8s %9s %-14s %s%n", "scheduler", "state", "policy", "lease ms", "leader",
-                    "open");
+            out.printf("%-14s %-22s %8s %9s %-14s %s%n", "scheduler", "state", "policy", "lease ms", "leader", "open");
         }
         for (String address : where.addresses) {
             try {
@@ -165,7 +176,8 @@
                 }
                 JsonObject all = JsonParser.parseString(answer.body()).getAsJsonObject();
                 String name = all.get("scheduler").getAsString();
-                policies.computeIfAbsent(all.get("policy").getAsLong(), key -> new ArrayList<>()).add(name);
+                policies.computeIfAbsent(all.get("policy").getAsLong(), key -> new ArrayList<>())
+                        .add(name);
                 code = all.get("state").getAsString().equals("deciding") ? code : 1;
                 if (!where.json) {
                     show(out, all);
@@ -184,18 +196,25 @@
     }
 
     private static void show(PrintWriter out, JsonObject all) {
-        out.printf("%-14s %-22s %8d %9d %-14s %s%n", all.get("scheduler").getAsString(),
-                all.get("state").getAsString(), all.get("policy").getAsLong(),
+        out.printf(
+                "%-14s %-22s %8d %9d %-14s %s%n",
+                all.get("scheduler").getAsString(),
+                all.get("state").getAsString(),
+                all.get("policy").getAsLong(),
                 all.get("lease_ms").getAsLong(),
-                all.get("leader").getAsString(), all.get("open").getAsLong() == 0 ? "-" : all.get("open"));
+                all.get("leader").getAsString(),
+                all.get("open").getAsLong() == 0 ? "-" : all.get("open"));
         if (all.has("turned_down")) {
-            all.getAsJsonObject("turned_down").entrySet().forEach(one
-                    -> one.getValue().getAsJsonArray().forEach(
-                    reason -> out.println("    turns down " + one.getKey() + ": " + reason.getAsString())));
+            all.getAsJsonObject("turned_down")
+                    .entrySet()
+                    .forEach(one -> one.getValue()
+                            .getAsJsonArray()
+                            .forEach(reason ->
+                                    out.println("    turns down " + one.getKey() + ": " + reason.getAsString())));
         }
         if (all.has("restart_needed")) {
-            all.getAsJsonArray("restart_needed").forEach(waits ->
-                    out.println("    waits for a restart: " + waits.getAsString()));
+            all.getAsJsonArray("restart_needed")
+                    .forEach(waits -> out.println("    waits for a restart: " + waits.getAsString()));
         }
         if (all.has("leads")) {
             JsonObject leads = all.getAsJsonObject("leads");
@@ -205,18 +224,29 @@
         }
     }
 
-    @Command(name = "propose", mixinStandardHelpOptions = true,
+    @Command(
+            name = "propose",
+            mixinStandardHelpOptions = true,
             description = "Proposes a change and waits for its outcome: exit code 0 if it was applied,"
-            + " 1 if it was abandoned, 3 if the outcome is not known yet. Asked again with the same name it"
-            + " proposes nothing new.")
-    int propose(@Parameters(paramLabel = "FILE",
-    description = "The change: the tables of the operators' file that"
-            + " are to hold, [classes.NAME], [limits], [module], and bans = [\"ENDPOINT\"]; or JSON"
-            + " with 'types', or a control service's whole state of one type.")
-            Path file, @Option(names = "--name", description = "The change's name; else the file's own.")
-            String name, @Option(names = "--wait-ms", paramLabel = "N", defaultValue = "10000",
-            description = "How long to wait for the outcome (default: ${DEFAULT-VALUE}).") long waitMs,
-            @Mixin Where where) throws IOException, InterruptedException {
+                    + " 1 if it was abandoned, 3 if the outcome is not known yet. Asked again with the same name it"
+                    + " proposes nothing new.")
+    int propose(
+            @Parameters(
+                            paramLabel = "FILE",
+                            description = "The change: the tables of the operators' file that"
+                                    + " are to hold, [classes.NAME], [limits], [module],"
+                                    + " and bans = [\"ENDPOINT\"]; or JSON"
+                                    + " with 'types', or a control service's whole state of one type.")
+                    Path file,
+            @Option(names = "--name", description = "The change's name; else the file's own.") String name,
+            @Option(
+                            names = "--wait-ms",
+                            paramLabel = "N",
+                            defaultValue = "10000",
+                            description = "How long to wait for the outcome (default: ${DEFAULT-VALUE}).")
+                    long waitMs,
+            @Mixin Where where)
+            throws IOException, InterruptedException {
         JsonObject change = read(file);
         if (name != null) {
             change.addProperty("name", name);
@@ -270,20 +300,27 @@
     }
 
     private static void line(PrintWriter out, JsonObject change) {
-        out.printf("%-24s %-10s %8s  %s  by %s%n", change.get("name").getAsString(),
-                change.get("state").getAsString(), change.get("number").getAsLong() == 0 ? "-"
-                : change.get("number").getAsString(),
-                Instant.ofEpochMilli(change.get("proposed_ms").getAsLong()), change.get("by").getAsString());
+        out.printf(
+                "%-24s %-10s %8s  %s  by %s%n",
+                change.get("name").getAsString(),
+                change.get("state").getAsString(),
+                change.get("number").getAsLong() == 0
+                        ? "-"
+                        : change.get("number").getAsString(),
+                Instant.ofEpochMilli(change.get("proposed_ms").getAsLong()),
+                change.get("by").getAsString());
         if (change.has("reasons")) {
             change.getAsJsonArray("reasons").forEach(reason -> out.println("    " + reason.getAsString()));
         }
     }
 
-    @Command(name = "status", mixinStandardHelpOptions = true,
+    @Command(
+            name = "status",
+            mixinStandardHelpOptions = true,
             description = "Where a change stands: exit code 0 if it was applied, 1 if it was abandoned or"
-            + " is not known, 3 if it is undecided.")
-    int status(@Parameters(paramLabel = "NAME", description = "The change's name.") String name,
-            @Mixin Where where) throws IOException, InterruptedException {
+                    + " is not known, 3 if it is undecided.")
+    int status(@Parameters(paramLabel = "NAME", description = "The change's name.") String name, @Mixin Where where)
+            throws IOException, InterruptedException {
         Said answer = where.ask("/policy/changes/" + name, null);
         if (answer.statusCode() != 200) {
             throw new IOException(answer.body().strip());
@@ -291,8 +328,7 @@
         return outcome(JsonParser.parseString(answer.body()).getAsJsonObject(), where.json);
     }
 
-    @Command(name = "history", mixinStandardHelpOptions = true,
-            description = "The last changes, the newest first.")
+    @Command(name = "history", mixinStandardHelpOptions = true, description = "The last changes, the newest first.")
     int history(@Mixin Where where) throws IOException, InterruptedException {
         Said answer = where.ask("/policy/history", null);
         PrintWriter out = spec.commandLine().getOut();
@@ -310,15 +346,25 @@
         return 0;
     }
 
-    @Command(name = "voters", mixinStandardHelpOptions = true,
+    @Command(
+            name = "voters",
+            mixinStandardHelpOptions = true,
             description = "Who votes, and which of these schedulers' stores have lost their vote; exit"
-            + " code 1 if one has, or can't be asked.")
-    int voters(@Option(names = "--replace", paramLabel = "NAME",
-            description = "Take this voter's new store in, in the place of the one that it has lost.")
-            String replace, @Option(names = "--add", paramLabel = "NAME",
-            description = "Let this scheduler vote from now on; it has an empty store of votes.")
-            String add, @Option(names = "--remove", paramLabel = "NAME",
-            description = "Let this voter vote no more.") String remove, @Mixin Where where)
+                    + " code 1 if one has, or can't be asked.")
+    int voters(
+            @Option(
+                            names = "--replace",
+                            paramLabel = "NAME",
+                            description = "Take this voter's new store in, in the place of the one that it has lost.")
+                    String replace,
+            @Option(
+                            names = "--add",
+                            paramLabel = "NAME",
+                            description = "Let this scheduler vote from now on; it has an empty store of votes.")
+                    String add,
+            @Option(names = "--remove", paramLabel = "NAME", description = "Let this voter vote no more.")
+                    String remove,
+            @Mixin Where where)
             throws IOException, InterruptedException {
         JsonObject asked = new JsonObject();
         asked.addProperty("replace", replace);
@@ -326,8 +372,7 @@
         asked.addProperty("remove", remove);
         asked.entrySet().removeIf(one -> one.getValue().isJsonNull());
         if (asked.size() > 1) {
-            throw new ParameterException(spec.commandLine(),
-                    "one voter at a time: --add, --remove or --replace");
+            throw new ParameterException(spec.commandLine(), "one voter at a time: --add, --remove or --replace");
         }
         if (asked.size() == 1) {
             Said answer = order(where, asked.toString());
@@ -351,11 +396,18 @@
                     boolean votes = voter.get("votes").getAsBoolean();
                     boolean waits = is(voter, "candidate") || is(voter, "removed");
                     code = votes || waits ? code : 1;
-                    out.printf("%-14s %s as %s, term %d, with %s%n", all.get("scheduler").getAsString(),
-                            votes ? "votes" : is(voter, "removed") ? "was taken out"
-                            : is(voter, "candidate") ? "may be taken in" : is(voter, "lost")
-                            ? "has lost its vote" : "does not vote yet",
-                            voter.get("store").getAsString(), voter.get("term").getAsInt(),
+                    out.printf(
+                            "%-14s %s as %s, term %d, with %s%n",
+                            all.get("scheduler").getAsString(),
+                            votes
+                                    ? "votes"
+                                    : is(voter, "removed")
+                                            ? "was taken out"
+                                            : is(voter, "candidate")
+                                                    ? "may be taken in"
+                                                    : is(voter, "lost") ? "has lost its vote" : "does not vote yet",
+                            voter.get("store").getAsString(),
+                            voter.get("term").getAsInt(),
                             voter.get("voters"));
                 }
             } catch (IOException | JsonParseException | IllegalStateException e) {
@@ -368,8 +420,7 @@
     }
 
     /** Asks again while the leader hands over, or a link to a new voter comes up. */
-    private static Said order(Where where, String order) throws IOException,
-            InterruptedException {
+    private static Said order(Where where, String order) throws IOException, InterruptedException {
         long end = System.nanoTime() + VOTERS_WAIT_NS;
         while (true) {
             try {
@@ -409,7 +460,8 @@
         try {
             toml = new TomlParser().parse(new StringReader(text));
         } catch (ParsingException e) {
-            throw new IllegalArgumentException(file + ": is no TOML: " + e.getMessage().split("\n")[0]);
+            throw new IllegalArgumentException(
+                    file + ": is no TOML: " + e.getMessage().split("\n")[0]);
         }
         JsonObject all = json(toml);
         JsonObject change = new JsonObject();
@@ -421,14 +473,21 @@
                     change.add("name", one.getValue());
                     continue;
                 }
-                case "classes" -> one.getValue().getAsJsonObject().entrySet().forEach(each ->
-                        resources.add(named(each.getKey(), each.getValue().getAsJsonObject())));
-                case "limits", "module" -> resources.add(named(one.getKey(),
-                        one.getValue().getAsJsonObject()));
-                case "bans" -> one.getValue().getAsJsonArray().forEach(each ->
-                        resources.add(named(each.getAsString(), new JsonObject())));
-                default -> throw new IllegalArgumentException(file + ": " + one.getKey() + ": is no part of a"
-                        + " policy; known are name, classes, limits, module, bans");
+                case "classes" ->
+                    one.getValue()
+                            .getAsJsonObject()
+                            .entrySet()
+                            .forEach(each -> resources.add(
+                                    named(each.getKey(), each.getValue().getAsJsonObject())));
+                case "limits", "module" ->
+                    resources.add(named(one.getKey(), one.getValue().getAsJsonObject()));
+                case "bans" ->
+                    one.getValue()
+                            .getAsJsonArray()
+                            .forEach(each -> resources.add(named(each.getAsString(), new JsonObject())));
+                default ->
+                    throw new IllegalArgumentException(file + ": " + one.getKey() + ": is no part of a"
+                            + " policy; known are name, classes, limits, module, bans");
             }
             types.add(one.getKey(), resources);
         }
@@ -439,7 +498,8 @@
     /** A control service's message, whole, as a change: named by its version. */
     private static JsonObject streamed(JsonObject message) {
         String type = message.get("type_url").getAsString();
-        String version = message.has("version_info") ? message.get("version_info").getAsString() : "";
+        String version =
+                message.has("version_info") ? message.get("version_info").getAsString() : "";
         JsonObject change = new JsonObject();
         if (!message.has("resources") || message.has("from_version")) {
             throw new IllegalArgumentException("only a type's whole state can be proposed, with 'resources'");
@@ -466,8 +526,9 @@
         JsonObject all = new JsonObject();
         for (UnmodifiableConfig.Entry entry : from.entrySet()) {
             Object value = entry.getValue();
-            all.add(entry.getKey(), value instanceof UnmodifiableConfig table ? json(table)
-                    : new Gson().toJsonTree(value));
+            all.add(
+                    entry.getKey(),
+                    value instanceof UnmodifiableConfig table ? json(table) : new Gson().toJsonTree(value));
         }
         return all;
     }
--- a/src/main/java/laneflow/cli/Rehearsal.java
+++ b/src/main/java/laneflow/cli/Rehearsal.java
@@ -21,8 +21,7 @@
             + "\"tasks\":[],\"name\":\"c\",\"number\":1,\"reasons\":[]}";
     private static final int MOST_QUESTIONS = 64;
 
-    private Rehearsal() {
-    }
+    private Rehearsal() {}
 
     /** Asks a listener of its own. */
     public static void run() throws IOException {
@@ -35,10 +34,18 @@
             System.setOut(new PrintStream(OutputStream.nullOutputStream()));
             System.setErr(System.out);
             String at = "127.0.0.1:" + listener.getLocalPort();
-            for (String words : new String[] {"--help", "--version", "serv", "policy --help",
-                "task show --at " + at, "policy show --at " + at, "policy status c --at " + at,
-                "policy propose " + change + " --at " + at, "fleet show --at " + at,
-                "fleet show --at 127.0.0.1:1"}) {
+            for (String words : new String[] {
+                "--help",
+                "--version",
+                "serv",
+                "policy --help",
+                "task show --at " + at,
+                "policy show --at " + at,
+                "policy status c --at " + at,
+                "policy propose " + change + " --at " + at,
+                "fleet show --at " + at,
+                "fleet show --at 127.0.0.1:1"
+            }) {
                 Cli.run(words.split(" "));
             }
         } finally {
@@ -47,8 +54,9 @@
     }
 
     private static void answer(ServerSocket listener) {
-        byte[] said = ("HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nConnection: close\r\n"
-                + "Content-Length: " + SAYS.length() + "\r\n\r\n" + SAYS).getBytes(StandardCharsets.US_ASCII);
+        byte[] said = ("HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nConnection: close\r\n" + "Content-Length: "
+                        + SAYS.length() + "\r\n\r\n" + SAYS)
+                .getBytes(StandardCharsets.US_ASCII);
         while (true) {
             try (Socket asked = listener.accept()) {
                 InputStream in = asked.getInputStream();
--- a/src/main/java/laneflow/cli/ServeCommand.java
+++ b/src/main/java/laneflow/cli/ServeCommand.java
@@ -11,17 +11,25 @@
 import picocli.CommandLine.Spec;
 
 /** One scheduler. */
-@Command(name = "serve", mixinStandardHelpOptions = true,
+@Command(
+        name = "serve",
+        mixinStandardHelpOptions = true,
         description = "Runs one scheduler until a signal ends it. It reads the platform's file, "
-            + "named by ROUTER_CONFIG, or the operators', or both.")
+                + "named by ROUTER_CONFIG, or the operators', or both.")
 final class ServeCommand implements Callable<Integer> {
     @Spec
     private CommandSpec spec;
-    @Option(names = "--config", paramLabel = "FILE", description = "The operators' file, as "
-            + "deploy/laneflow.toml; what ROUTER_CONFIG's file names too, that decides.")
+
+    @Option(
+            names = "--config",
+            paramLabel = "FILE",
+            description = "The operators' file, as "
+                    + "deploy/laneflow.toml; what ROUTER_CONFIG's file names too, that decides.")
     private Path config;
+
     @Option(names = "--gearman", paramLabel = "FILE", description = "The Gearman front's own file.")
     private Path gearman;
+
     @Option(names = "--destinations", paramLabel = "FILE", description = "A set in place of discovery.")
     private Path destinations;
 
@@ -30,13 +38,14 @@
         String named = System.getenv("ROUTER_CONFIG");
         Path platform = named == null ? null : Path.of(named);
         if (platform == null && config == null) {
-            throw new ParameterException(spec.commandLine(),
-                    "ROUTER_CONFIG names no configuration, and there is no --config");
+            throw new ParameterException(
+                    spec.commandLine(), "ROUTER_CONFIG names no configuration, and there is no --config");
         }
         if (gearman != null && config != null) {
             throw new ParameterException(spec.commandLine(), "--gearman's file is a table of --config's");
         }
-        Serve.run(() -> config == null ? Setup.platform(platform, gearman, destinations)
+        Serve.run(() -> config == null
+                ? Setup.platform(platform, gearman, destinations)
                 : Setup.operators(config, platform, destinations));
         return 0;
     }
--- a/src/main/java/laneflow/cli/TaskCommand.java
+++ b/src/main/java/laneflow/cli/TaskCommand.java
@@ -16,7 +16,9 @@
 import picocli.CommandLine.Spec;
 
 /** {@code task}: what the fleet does once, and who does it, as the voters' leader sees it. */
-@Command(name = "task", mixinStandardHelpOptions = true,
+@Command(
+        name = "task",
+        mixinStandardHelpOptions = true,
         description = "Shows what the fleet does once, and at which scheduler.")
 final class TaskCommand implements Runnable {
     @Spec
@@ -27,9 +29,11 @@
         throw new ParameterException(spec.commandLine(), "a command is missing");
     }
 
-    @Command(name = "show", mixinStandardHelpOptions = true,
+    @Command(
+            name = "show",
+            mixinStandardHelpOptions = true,
             description = "Who holds each task, who waits for it and why, as the leader among these says;"
-            + " exit code 1 if a task is held by nobody, 3 if none of these leads.")
+                    + " exit code 1 if a task is held by nobody, 3 if none of these leads.")
     int show(@Mixin PolicyCommand.Where where) throws InterruptedException {
         PrintWriter out = spec.commandLine().getOut();
         PrintWriter err = spec.commandLine().getErr();
@@ -53,8 +57,9 @@
             }
         }
         silent.forEach(err::println);
-        err.println("laneflow: none of these leads the voters" + (leader.isEmpty() ? "" : "; " + leader
-                + " does, as far as they know") + ": give the addresses of all voters");
+        err.println("laneflow: none of these leads the voters"
+                + (leader.isEmpty() ? "" : "; " + leader + " does, as far as they know")
+                + ": give the addresses of all voters");
         err.flush();
         return 3;
     }
@@ -74,8 +79,7 @@
     }
 
     private static int table(PrintWriter out, JsonArray tasks) {
-        out.printf("%-28s %-9s %-24s %8s %8s  %s%n", "task", "kind", "holder", "token", "lease ms",
-                "waiting");
+        out.printf("%-28s %-9s %-24s %8s %8s  %s%n", "task", "kind", "holder", "token", "lease ms", "waiting");
         for (JsonElement each : tasks) {
             JsonObject one = each.getAsJsonObject();
             String holder = one.get("holder").getAsString();
@@ -85,9 +89,14 @@
                     waits.add(who.getAsString());
                 }
             });
-            out.printf("%-28s %-9s %-24s %8d %8d  %s%n", one.get("task").getAsString(),
-                    one.get("kind").getAsString(), holder.isEmpty() ? "nobody" : holder,
-                    one.get("token").getAsLong(), one.get("acts_ms").getAsLong(), String.join(" ", waits));
+            out.printf(
+                    "%-28s %-9s %-24s %8d %8d  %s%n",
+                    one.get("task").getAsString(),
+                    one.get("kind").getAsString(),
+                    holder.isEmpty() ? "nobody" : holder,
+                    one.get("token").getAsLong(),
+                    one.get("acts_ms").getAsLong(),
+                    String.join(" ", waits));
             if (one.has("why")) {
                 out.println("    " + one.get("why").getAsString());
             }
--- a/src/main/java/laneflow/cli/WindowTable.java
+++ b/src/main/java/laneflow/cli/WindowTable.java
@@ -15,12 +15,13 @@
 
 /** Maintenance windows for people: a line each, times on the wall where they are, and every reason. */
 final class WindowTable {
-    private static final DateTimeFormatter TIME = DateTimeFormatter.ofPattern("EEE yyyy-MM-dd HH:mm z",
-            Locale.ENGLISH);
+    private static final DateTimeFormatter TIME = DateTimeFormatter.ofPattern("EEE yyyy-MM-dd HH:mm z", Locale.ENGLISH);
     private static final Pattern INSTANT = Pattern.compile("\\d{4}-\\d\\d-\\d\\dT[\\d:.]+Z");
     private static final String FORM = "%-24s %-10s %-26s %-16s %s%n";
 
-    @Option(names = "--time-zone", paramLabel = "ZONE",
+    @Option(
+            names = "--time-zone",
+            paramLabel = "ZONE",
             description = "Tell times as they are there, such as Europe/Ljubljana (default: this machine's).")
     private ZoneId zone = ZoneId.systemDefault();
 
@@ -41,8 +42,7 @@
         out.printf(FORM, "window", "state", "begins", "owner", "racks");
         for (JsonElement each : windows) {
             JsonObject one = each.getAsJsonObject();
-            out.printf(FORM, text(one, "name"), text(one, "state"), begins(one), text(one, "owner"),
-                    racks(one));
+            out.printf(FORM, text(one, "name"), text(one, "state"), begins(one), text(one, "owner"), racks(one));
             crew(out, one);
             reasons(out, one);
         }
@@ -91,8 +91,10 @@
 
     private void reasons(PrintWriter out, JsonObject one) {
         // The fleet tells instants in UTC; whoever reads this lives by the clock on the wall.
-        one.getAsJsonArray("reasons").forEach(reason -> out.println("    " + INSTANT.matcher(
-                reason.getAsString()).replaceAll(found -> local(Instant.parse(found.group())
-                .toEpochMilli()))));
+        one.getAsJsonArray("reasons")
+                .forEach(reason -> out.println("    "
+                        + INSTANT.matcher(reason.getAsString())
+                                .replaceAll(found ->
+                                        local(Instant.parse(found.group()).toEpochMilli()))));
     }
 }
--- a/src/main/java/laneflow/config/AddressRange.java
+++ b/src/main/java/laneflow/config/AddressRange.java
@@ -16,8 +16,7 @@
     /** Reads ADDRESS/BITS. */
     public static AddressRange parse(String text) {
         String[] parts = text.split("/", 2);
-        if (parts.length == 2 && parts[1].matches("[0-9]{1,3}")
-                && parts[0].matches("[0-9.]+|[0-9a-fA-F:]+")) {
+        if (parts.length == 2 && parts[1].matches("[0-9]{1,3}") && parts[0].matches("[0-9.]+|[0-9a-fA-F:]+")) {
             try {
                 byte[] first = InetAddress.getByName(parts[0]).getAddress();
                 int bits = Integer.parseInt(parts[1]);
--- a/src/main/java/laneflow/config/Canonical.java
+++ b/src/main/java/laneflow/config/Canonical.java
@@ -11,8 +11,7 @@
 
 /** One form for JSON that says the same, so that a digest of it tells contents apart and nothing else. */
 public final class Canonical {
-    private Canonical() {
-    }
+    private Canonical() {}
 
     /** The same with keys in order; numbers as they were written. */
     public static JsonElement ordered(JsonElement value) {
@@ -32,8 +31,8 @@
     /** SHA-256, in lower-case hex, of a value's canonical form without white space. */
     public static String digest(JsonElement value) {
         try {
-            byte[] sum = MessageDigest.getInstance("SHA-256").digest(ordered(value).toString()
-                    .getBytes(StandardCharsets.UTF_8));
+            byte[] sum = MessageDigest.getInstance("SHA-256")
+                    .digest(ordered(value).toString().getBytes(StandardCharsets.UTF_8));
             return HexFormat.of().formatHex(sum);
         } catch (NoSuchAlgorithmException e) {
             throw new IllegalStateException("every Java platform has SHA-256", e);
--- a/src/main/java/laneflow/config/OperatorFile.java
+++ b/src/main/java/laneflow/config/OperatorFile.java
@@ -55,8 +55,7 @@
      * functions, durable.
      */
     public static OperatorFile read(Path file, Map<String, JsonArray> streamed) throws IOException {
-        Table root = Table.parse(Files.readString(file), new Findings(file
-                + " under the last good versions"));
+        Table root = Table.parse(Files.readString(file), new Findings(file + " under the last good versions"));
         streamed.forEach((type, resources) -> lay(root, type, resources));
         return new OperatorFile(root);
     }
@@ -153,7 +152,9 @@
             if (there == null) {
                 all.add(entry.getKey(), entry.getValue());
             } else if (there.isJsonObject() && entry.getValue().isJsonObject()) {
-                all.add(entry.getKey(), merge(there.getAsJsonObject(), entry.getValue().getAsJsonObject()));
+                all.add(
+                        entry.getKey(),
+                        merge(there.getAsJsonObject(), entry.getValue().getAsJsonObject()));
             }
         }
         return all;
@@ -203,8 +204,7 @@
     private void limits(JsonObject settings) {
         Table from = root.table("limits");
         // Left out, it is as an empty one: no retries and no cancelling is nobody's wish.
-        limits(from != null ? from : Table.of(new JsonObject(), "limits", root.findings()), platform,
-                settings);
+        limits(from != null ? from : Table.of(new JsonObject(), "limits", root.findings()), platform, settings);
     }
 
     /** Reads a table of limits into the platform's form: the scheduler's own, and those of its settings. */
@@ -228,8 +228,7 @@
         JsonObject to = new JsonObject();
         Table from = root.table("rules");
         // Left out, a drain must not be without its grace.
-        to.addProperty("stopSendingWithin", from == null ? 0.5
-                : from.number("drain_grace_ms", 500, 0, 500) / 1000);
+        to.addProperty("stopSendingWithin", from == null ? 0.5 : from.number("drain_grace_ms", 500, 0, 500) / 1000);
         if (from != null) {
             to.addProperty("coldFrom", from.number("cold_share", 1, 0.01, 1));
             to.addProperty("cold", from.number("cold_ms", 0, 0, HOUR_MS) / 1000);
@@ -292,8 +291,7 @@
         to.addProperty("hardLimit", deadline / 1000);
         to.addProperty("worth", from.number("worth", 1, 0, 1e6));
         String repeat = from.word("repeat", "never", "safe", "keyed", "never");
-        to.addProperty("semantics", repeat.equals("safe") ? "pure" : repeat.equals("keyed") ? "token"
-                : "side_effect");
+        to.addProperty("semantics", repeat.equals("safe") ? "pure" : repeat.equals("keyed") ? "token" : "side_effect");
         double window = from.number("window_ms", 0, 0, HOUR_MS);
         if (repeat.equals("keyed") && window == 0) {
             from.wrong("window_ms", "is missing: how long endpoints drop a repeat of the key");
--- a/src/main/java/laneflow/config/Table.java
+++ b/src/main/java/laneflow/config/Table.java
@@ -68,11 +68,11 @@
         }
         if (value.isJsonPrimitive() && value.getAsJsonPrimitive().isNumber()) {
             String text = value.getAsString();
-            return text.matches("-?[0-9]{1,18}") ? (Object) Long.parseLong(text)
-                    : (Object) value.getAsDouble();
+            return text.matches("-?[0-9]{1,18}") ? (Object) Long.parseLong(text) : (Object) value.getAsDouble();
         }
         return value.isJsonPrimitive() && value.getAsJsonPrimitive().isBoolean()
-                ? (Object) value.getAsBoolean() : value.isJsonNull() ? null : value.getAsString();
+                ? (Object) value.getAsBoolean()
+                : value.isJsonNull() ? null : value.getAsString();
     }
 
     /** Puts a value in the place of the key's, as if the file had said so. */
@@ -218,8 +218,10 @@
     public void close() {
         for (UnmodifiableConfig.Entry entry : from.entrySet()) {
             if (!asked.contains(entry.getKey())) {
-                wrong(entry.getKey(), "is unknown here; known are " + String.join(", ", asked.stream()
-                        .sorted().toList()));
+                wrong(
+                        entry.getKey(),
+                        "is unknown here; known are "
+                                + String.join(", ", asked.stream().sorted().toList()));
             }
         }
     }
--- a/src/main/java/laneflow/control/ControlClient.java
+++ b/src/main/java/laneflow/control/ControlClient.java
@@ -43,9 +43,11 @@
     public static final String GROUP = ResourceType.PREFIX + "group";
     /** The type of this scheduler's own counts, told to the service now and then. */
     public static final String FIGURES = ResourceType.PREFIX + "figures";
+
     private static final Logger LOG = LoggerFactory.getLogger(ControlClient.class);
     /** Where others need the cores, wall time tells more of them than of the work done here. */
     private static final ThreadMXBean CPU = ManagementFactory.getThreadMXBean();
+
     private static final String PATH = "/v3/discovery:stream";
     private static final long CONNECT = 1_000_000;
     private static final long FIRST_BACKOFF = 100_000;
@@ -59,6 +61,7 @@
     private static final long BETWEEN_STEPS = 100;
     /** Header texts of states of the settings that requests still open may have come under. */
     private static final int MOST_STAMPS = 4096;
+
     private static final String[] COUNTS = {"requests", "failed", "connect_errors", "refused"};
 
     private final Loop loop;
@@ -67,6 +70,7 @@
     private final Map<String, TypeRun> types = new LinkedHashMap<>();
     /** Types that the platform's file decides here, by their names on the stream. */
     private final Map<String, String> fixed = new LinkedHashMap<>();
+
     private final String[] classNames;
     private final String name;
     private final String token;
@@ -87,6 +91,7 @@
     private boolean held;
     /** Which stream it is: what was read of an earlier one is passed over. */
     private int generation;
+
     private LineStream stream;
     private boolean isUp;
     private int next;
@@ -95,16 +100,25 @@
     private long[][] group;
 
     /** What the client is given besides its settings. */
-    public record Surroundings(String name, String token, List<String> classNames, Executor reading,
-            Executor disk, LongSupplier wall, long seed) {
-    }
+    public record Surroundings(
+            String name,
+            String token,
+            List<String> classNames,
+            Executor reading,
+            Executor disk,
+            LongSupplier wall,
+            long seed) {}
 
     /**
      * A client that has not begun. Executors run one task after the other; what blocks is run there.
      *
      * @param types what is taken, in the order in which it is asked for, with their files or nulls
      */
-    public ControlClient(Loop loop, Scheduler scheduler, ControlConfig config, Surroundings around,
+    public ControlClient(
+            Loop loop,
+            Scheduler scheduler,
+            ControlConfig config,
+            Surroundings around,
             Map<ResourceType, LastGood> types) {
         this.loop = loop;
         this.scheduler = scheduler;
@@ -118,8 +132,7 @@
         counters = scheduler.counters();
         history = new History(config.folder, around.disk(), wall);
         types.forEach((type, file) -> this.types.put(type.url(), new TypeRun(type, file, around.disk())));
-        trial = new Trial(classNames, Math.max(1, config.probation), config.bound, loop.micros(),
-                scheduler.tallies());
+        trial = new Trial(classNames, Math.max(1, config.probation), config.bound, loop.micros(), scheduler.tallies());
         again = loop.deadlines().create(this::connect);
         look = loop.deadlines().create(this::look);
         tell = loop.deadlines().create(this::tellFigures);
@@ -136,12 +149,15 @@
         JsonArray resources = kept.resources().getAsJsonArray("resources");
         ResourceType.Reading read = run.type.read(resources);
         if (!read.findings.isEmpty()) {
-            history.add(run.type.url(), kept.version().toString(), "passed_over", "last-good",
-                    read.findings.get(0));
+            history.add(run.type.url(), kept.version().toString(), "passed_over", "last-good", read.findings.get(0));
             return;
         }
         run.startAt(kept, read);
-        history.add(run.type.url(), kept.version().toString(), "running", "last-good",
+        history.add(
+                run.type.url(),
+                kept.version().toString(),
+                "running",
+                "last-good",
                 "age_s=" + (wall.getAsLong() - kept.adoptedMs()) / 1000);
         stamp();
     }
@@ -270,9 +286,12 @@
         TypeRun run = types.get(message.type);
         if (run == null) {
             String why = fixed.get(message.type);
-            nack(null, message.type, message.nonce, why != null ? FAILED_PRECONDITION : INVALID_ARGUMENT,
-                    why != null ? why : "this type is not taken here; taken are "
-                    + String.join(", ", types.keySet()));
+            nack(
+                    null,
+                    message.type,
+                    message.nonce,
+                    why != null ? FAILED_PRECONDITION : INVALID_ARGUMENT,
+                    why != null ? why : "this type is not taken here; taken are " + String.join(", ", types.keySet()));
             done();
             return;
         }
@@ -313,8 +332,7 @@
         JsonObject rollout = given.getAsJsonObject();
         double share = Message.number(rollout, "share", 1);
         double place = Rollout.place(name, (long) Message.number(rollout, "seed", 0));
-        return place < share ? null : "held back: " + name + " stands at " + place + ", the share is "
-                + share;
+        return place < share ? null : "held back: " + name + " stands at " + place + ", the share is " + share;
     }
 
     private void check(int of, TypeRun run, Version offered, Message message) {
@@ -325,8 +343,7 @@
             ResourceType.Reading read = null;
             try {
                 resources = message.resources(runs, findings);
-                String digest = findings.isEmpty() ? Message.digestFinding(offered.digest(), resources)
-                        : null;
+                String digest = findings.isEmpty() ? Message.digestFinding(offered.digest(), resources) : null;
                 if (digest != null) {
                     findings.add(digest);
                 }
@@ -343,8 +360,13 @@
         });
     }
 
-    private void checked(int of, TypeRun run, Version offered, JsonArray resources,
-            ResourceType.Reading read, List<String> findings) {
+    private void checked(
+            int of,
+            TypeRun run,
+            Version offered,
+            JsonArray resources,
+            ResourceType.Reading read,
+            List<String> findings) {
         if (findings.isEmpty()) {
             steps(read::prepare, () -> decided(of, run, offered, resources, read, findings));
         } else {
@@ -366,8 +388,13 @@
         counters.set(name, Math.max(value, counters.get(name)));
     }
 
-    private void decided(int of, TypeRun run, Version offered, JsonArray resources,
-            ResourceType.Reading read, List<String> findings) {
+    private void decided(
+            int of,
+            TypeRun run,
+            Version offered,
+            JsonArray resources,
+            ResourceType.Reading read,
+            List<String> findings) {
         // Meanwhile the stream may have ended, or what ran been taken back.
         if (of == generation && isUp && run.track.whole(offered).kind() == Kind.LOOK) {
             if (findings.isEmpty()) {
@@ -420,8 +447,7 @@
         } else if (running && finding.verdict() == Verdict.KEEP) {
             types.values().stream().filter(run -> run.track.isOnTrial()).forEach(run -> {
                 run.settle();
-                history.add(run.type.url(), run.track.running().toString(), "settled", run.from,
-                        finding.figures());
+                history.add(run.type.url(), run.track.running().toString(), "settled", run.from, finding.figures());
             });
         }
         loop.deadlines().set(look, trial.nextLook(now));
@@ -540,8 +566,7 @@
     private static JsonObject detail(int code, String reason) {
         JsonObject detail = new JsonObject();
         detail.addProperty("code", code);
-        detail.addProperty("message", reason.length() > MOST_REASON ? reason.substring(0, MOST_REASON)
-                : reason);
+        detail.addProperty("message", reason.length() > MOST_REASON ? reason.substring(0, MOST_REASON) : reason);
         return detail;
     }
 
@@ -556,7 +581,9 @@
         StringBuilder all = new StringBuilder();
         types.values().forEach(run -> {
             if (!run.track.running().equals(Version.NONE)) {
-                all.append(all.isEmpty() ? "" : " ").append(run.type.name()).append('=')
+                all.append(all.isEmpty() ? "" : " ")
+                        .append(run.type.name())
+                        .append('=')
                         .append(run.track.running());
             }
         });
--- a/src/main/java/laneflow/control/ControlConfig.java
+++ b/src/main/java/laneflow/control/ControlConfig.java
@@ -19,10 +19,12 @@
     public final List<AddressRange> allowed = new ArrayList<>();
     /** Microseconds. */
     public final long silence;
+
     public final long longestBackoff;
     public final long probation;
     /** The growth of a share of requests that ends badly which takes a version back. */
     public final double bound;
+
     public final int mostLine;
     /** Where operators ask what runs, or null: at the clients' port. */
     public final String listen;
--- a/src/main/java/laneflow/control/DestinationType.java
+++ b/src/main/java/laneflow/control/DestinationType.java
@@ -41,8 +41,8 @@
      * @param othersRun true where classes may also be run by who is in no set, as Gearman workers are
      * @param adopter puts a sound set to work, on the loop's thread
      */
-    public DestinationType(List<String> zones, List<String> classes, List<AddressRange> allowed,
-            boolean othersRun, Adopter adopter) {
+    public DestinationType(
+            List<String> zones, List<String> classes, List<AddressRange> allowed, boolean othersRun, Adopter adopter) {
         this.zones = zones;
         this.classes = classes;
         this.allowed = allowed;
@@ -148,7 +148,8 @@
     private void sense(List<Entry> entries, List<String> findings) {
         for (int zone = 0; zone < Math.max(1, zones.size()); zone++) {
             int at = zone;
-            List<Entry> here = entries.stream().filter(entry -> entry.zone == at).toList();
+            List<Entry> here =
+                    entries.stream().filter(entry -> entry.zone == at).toList();
             String name = zones.isEmpty() ? "any zone" : "zone " + zones.get(zone);
             if (here.stream().noneMatch(entry -> entry.state == State.READY)) {
                 findings.add("resources: no live endpoint in " + name);
@@ -158,8 +159,7 @@
         }
         for (int i = 0; i < classes.size() && !othersRun && findings.isEmpty(); i++) {
             long bit = 1L << i;
-            if (entries.stream().noneMatch(entry -> entry.state == State.READY
-                    && (entry.classes & bit) != 0)) {
+            if (entries.stream().noneMatch(entry -> entry.state == State.READY && (entry.classes & bit) != 0)) {
                 findings.add("resources: no live endpoint runs class " + classes.get(i));
             }
         }
--- a/src/main/java/laneflow/control/Form.java
+++ b/src/main/java/laneflow/control/Form.java
@@ -32,8 +32,10 @@
     /** The form of that type. */
     Form(String type) {
         try (InputStream in = Form.class.getResourceAsStream(type + ".schema.json")) {
-            validator = new ValidatorFactory().withJsonNodeFactory(new GsonNode.Factory())
-                    .withDisabledSchemaValidation(true).createValidator();
+            validator = new ValidatorFactory()
+                    .withJsonNodeFactory(new GsonNode.Factory())
+                    .withDisabledSchemaValidation(true)
+                    .createValidator();
             schema = validator.registerSchema(new String(in.readAllBytes(), StandardCharsets.UTF_8));
         } catch (IOException e) {
             throw new UncheckedIOException(e);
@@ -73,8 +75,8 @@
             if (name != null && name.isJsonPrimitive()) {
                 Integer before = seen.putIfAbsent(name.getAsString(), i);
                 if (before != null) {
-                    findings.add("resources[" + i + "].name: '" + name.getAsString() + "' is resources["
-                            + before + "]'s too");
+                    findings.add("resources[" + i + "].name: '" + name.getAsString() + "' is resources[" + before
+                            + "]'s too");
                 }
             }
         }
@@ -100,8 +102,9 @@
                 continue;
             }
             String key = part.replace("~1", "/").replace("~0", "~");
-            at = at.isJsonArray() && key.matches("[0-9]{1,9}")
-                    && Integer.parseInt(key) < at.getAsJsonArray().size()
+            at = at.isJsonArray()
+                            && key.matches("[0-9]{1,9}")
+                            && Integer.parseInt(key) < at.getAsJsonArray().size()
                     ? at.getAsJsonArray().get(Integer.parseInt(key))
                     : at.isJsonObject() ? ((JsonObject) at).get(key) : null;
         }
--- a/src/main/java/laneflow/control/History.java
+++ b/src/main/java/laneflow/control/History.java
@@ -53,8 +53,8 @@
         if (held.size() > MOST_HELD) {
             held.removeFirst();
         }
-        String said = reason.isEmpty() ? "" : " reason=\"" + reason.replace('\n',
-                ';').replace('"', '\'') + "\"";
+        String said =
+                reason.isEmpty() ? "" : " reason=\"" + reason.replace('\n', ';').replace('"', '\'') + "\"";
         if (verdict.equals("adopted") || verdict.equals("running") || verdict.equals("settled")) {
             LOG.info("config type={} version={} verdict={} from={}{}", type, version, verdict, from, said);
         } else {
--- a/src/main/java/laneflow/control/LastGood.java
+++ b/src/main/java/laneflow/control/LastGood.java
@@ -31,8 +31,7 @@
     private final Path beside;
 
     /** What was kept: which version, since when (Unix time in milliseconds), and its resources. */
-    public record Kept(String type, Version version, long adoptedMs, JsonObject resources) {
-    }
+    public record Kept(String type, Version version, long adoptedMs, JsonObject resources) {}
 
     /** A file that is there and can't be used; the message says why. */
     public static final class Unusable extends IOException {
@@ -56,19 +55,21 @@
         all.addProperty("adopted_ms", kept.adoptedMs());
         all.add("resources", kept.resources());
         byte[] body = all.toString().getBytes(StandardCharsets.UTF_8);
-        byte[] head = (MAGIC + " " + FORMAT + " " + sum(body) + " " + body.length + "\n")
-                .getBytes(StandardCharsets.US_ASCII);
-        try (FileChannel out = FileChannel.open(beside, StandardOpenOption.CREATE, StandardOpenOption.WRITE,
-                StandardOpenOption.TRUNCATE_EXISTING)) {
-            ByteBuffer bytes = ByteBuffer.allocate(head.length + body.length).put(head).put(body).flip();
+        byte[] head =
+                (MAGIC + " " + FORMAT + " " + sum(body) + " " + body.length + "\n").getBytes(StandardCharsets.US_ASCII);
+        try (FileChannel out = FileChannel.open(
+                beside, StandardOpenOption.CREATE, StandardOpenOption.WRITE, StandardOpenOption.TRUNCATE_EXISTING)) {
+            ByteBuffer bytes = ByteBuffer.allocate(head.length + body.length)
+                    .put(head)
+                    .put(body)
+                    .flip();
             while (bytes.hasRemaining()) {
                 out.write(bytes);
             }
             out.force(true);
         }
         Files.move(beside, file, StandardCopyOption.ATOMIC_MOVE, StandardCopyOption.REPLACE_EXISTING);
-        try (FileChannel folder = FileChannel.open(file.toAbsolutePath().getParent(),
-                StandardOpenOption.READ)) {
+        try (FileChannel folder = FileChannel.open(file.toAbsolutePath().getParent(), StandardOpenOption.READ)) {
             folder.force(true);
         }
     }
@@ -96,12 +97,14 @@
             throw new Unusable(file + ": is damaged, its content is not what was written");
         }
         try {
-            JsonObject from = JsonParser.parseString(new String(body,
-                    StandardCharsets.UTF_8)).getAsJsonObject();
-            return new Kept(from.get("type").getAsString(), Version.parse(from.get("version").getAsString()),
-                    from.get("adopted_ms").getAsLong(), from.getAsJsonObject("resources"));
-        } catch (JsonParseException | IllegalStateException | NullPointerException
-                | IllegalArgumentException e) {
+            JsonObject from = JsonParser.parseString(new String(body, StandardCharsets.UTF_8))
+                    .getAsJsonObject();
+            return new Kept(
+                    from.get("type").getAsString(),
+                    Version.parse(from.get("version").getAsString()),
+                    from.get("adopted_ms").getAsLong(),
+                    from.getAsJsonObject("resources"));
+        } catch (JsonParseException | IllegalStateException | NullPointerException | IllegalArgumentException e) {
             throw new Unusable(file + ": can't be read: " + e.getMessage());
         }
     }
--- a/src/main/java/laneflow/control/Message.java
+++ b/src/main/java/laneflow/control/Message.java
@@ -25,6 +25,7 @@
     final String nonce;
     /** The version that a change is a change of; null for a whole state. */
     final String from;
+
     final JsonObject all;
 
     private Message(JsonObject all) {
@@ -90,15 +91,15 @@
         }
     }
 
-    private static void put(JsonElement given, String path, Map<String, JsonElement> byName,
-            List<String> findings) {
+    private static void put(JsonElement given, String path, Map<String, JsonElement> byName, List<String> findings) {
         JsonElement resource = given.isJsonObject() ? given.getAsJsonObject().get("resource") : null;
         JsonElement name = resource != null && resource.isJsonObject()
-                ? resource.getAsJsonObject().get("name") : null;
+                ? resource.getAsJsonObject().get("name")
+                : null;
         if (name == null || !name.isJsonPrimitive()) {
             findings.add(path + ".resource: must be an object with a name");
-        } else if (given.getAsJsonObject().has("name") && !text(given.getAsJsonObject(), "name")
-                .equals(name.getAsString())) {
+        } else if (given.getAsJsonObject().has("name")
+                && !text(given.getAsJsonObject(), "name").equals(name.getAsString())) {
             findings.add(path + ".name: is not its resource's name");
         } else {
             byName.put(name.getAsString(), resource);
@@ -141,7 +142,9 @@
 
     static double number(JsonObject from, String key, double absent) {
         JsonElement value = from.get(key);
-        boolean is = value != null && value.isJsonPrimitive() && value.getAsJsonPrimitive().isNumber();
+        boolean is = value != null
+                && value.isJsonPrimitive()
+                && value.getAsJsonPrimitive().isNumber();
         return is ? value.getAsDouble() : absent;
     }
 }
--- a/src/main/java/laneflow/control/SettingTypes.java
+++ b/src/main/java/laneflow/control/SettingTypes.java
@@ -27,14 +27,12 @@
 public final class SettingTypes {
 
     /** What this process can hold: descriptors, and bytes of heap. */
-    public record Ceilings(long descriptors, long heap) {
-    }
+    public record Ceilings(long descriptors, long heap) {}
 
     /** A connection's two rings, as they begin. */
     private static final long CONNECTION_BYTES = 2 * 2048;
 
-    private SettingTypes() {
-    }
+    private SettingTypes() {}
 
     /** A type whose reading is a function; what that adds to the findings turns it down. */
     private static final class Setting implements ResourceType {
@@ -106,16 +104,18 @@
                 OperatorFile.classOf(name, Table.of(one, path, findings), classes, stretches);
                 named.add(name);
                 int at = names.indexOf(name);
-                boolean never = !one.has("repeat") || one.get("repeat").getAsString().equals("never");
+                boolean never =
+                        !one.has("repeat") || one.get("repeat").getAsString().equals("never");
                 if (at >= 0 && first[at].effect == Effect.UNSAFE && !never) {
-                    findings.add(path, "repeat", "'" + name + "' must not run twice here: no version declares"
-                            + " it safe to repeat");
+                    findings.add(
+                            path,
+                            "repeat",
+                            "'" + name + "' must not run twice here: no version declares" + " it safe to repeat");
                 }
             }
             for (String name : names) {
                 if (!named.contains(name)) {
-                    findings.add("resources", "", "class '" + name
-                            + "' is missing: it may have open requests");
+                    findings.add("resources", "", "class '" + name + "' is missing: it may have open requests");
                 }
             }
             said.addAll(findings.all());
@@ -189,13 +189,19 @@
             OperatorFile.limits(Table.of(one, "resources[0]", findings), platform, read);
             int most = platform.getAsJsonObject("limits").get("sockets").getAsInt();
             if (most > ceilings.descriptors()) {
-                findings.add("resources[0]", "sockets", most + " is more than the " + ceilings.descriptors()
-                        + " descriptors that this process may have");
+                findings.add(
+                        "resources[0]",
+                        "sockets",
+                        most + " is more than the " + ceilings.descriptors()
+                                + " descriptors that this process may have");
             }
             if (most * CONNECTION_BYTES > ceilings.heap() / 2) {
-                findings.add("resources[0]", "sockets", most + " connections begin with "
-                        + most * CONNECTION_BYTES + " bytes, more than half of the " + ceilings.heap()
-                        + " that this process may have");
+                findings.add(
+                        "resources[0]",
+                        "sockets",
+                        most + " connections begin with "
+                                + most * CONNECTION_BYTES + " bytes, more than half of the " + ceilings.heap()
+                                + " that this process may have");
             }
             said.addAll(findings.all());
             JsonObject limits = read.getAsJsonObject("limits");
@@ -230,8 +236,7 @@
      * and the budget of further attempts. They hold for the requests that come from then on.
      */
     public static ResourceType module(Settings settings) {
-        double[] first = {settings.crossEachWay, settings.furtherFree, settings.furtherShare,
-            settings.furtherWithin};
+        double[] first = {settings.crossEachWay, settings.furtherFree, settings.furtherShare, settings.furtherWithin};
         return new Setting("module", () -> adopt(settings, first), (resources, said) -> {
             Findings findings = Findings.paths();
             JsonObject one = resources.get(0).getAsJsonObject().deepCopy();
@@ -239,9 +244,12 @@
             JsonObject rules = new JsonObject();
             OperatorFile.module(Table.of(one, "resources[0]", findings), rules);
             said.addAll(findings.all());
-            double[] read = {rules.get("crossEachWay").getAsDouble(),
-                rules.get("spareAttempts").getAsDouble(), rules.get("repeatRatio").getAsDouble(),
-                rules.get("resendSpan").getAsDouble()};
+            double[] read = {
+                rules.get("crossEachWay").getAsDouble(),
+                rules.get("spareAttempts").getAsDouble(),
+                rules.get("repeatRatio").getAsDouble(),
+                rules.get("resendSpan").getAsDouble()
+            };
             return () -> adopt(settings, read);
         });
     }
@@ -272,8 +280,12 @@
      * @param reader reads that table; what is wrong becomes findings of the table's
      * @param adopting takes what was read, on the loop's thread, and tells what waits for a restart
      */
-    public static <T> ResourceType table(String name, Function<JsonArray, JsonObject> shape,
-            Function<Table, T> reader, T base, Function<T, List<String>> adopting) {
+    public static <T> ResourceType table(
+            String name,
+            Function<JsonArray, JsonObject> shape,
+            Function<Table, T> reader,
+            T base,
+            Function<T, List<String>> adopting) {
         return new Setting(name, () -> adopting.apply(base), (resources, said) -> {
             Findings findings = Findings.paths();
             T read = reader.apply(Table.of(shape.apply(resources), "resources", findings));
--- a/src/main/java/laneflow/control/TypeRun.java
+++ b/src/main/java/laneflow/control/TypeRun.java
@@ -22,11 +22,13 @@
     final Track track = new Track();
     /** What runs; null where nothing does that came by a version. Its content is never changed. */
     JsonArray running;
+
     String from = "";
     /** What of it waits for a restart. */
     List<String> later = List.of();
     /** The newest response's nonce on the present stream. */
     String nonce = "";
+
     private JsonArray good;
     private ResourceType.Reading runningRead;
     private ResourceType.Reading goodRead;
--- a/src/main/java/laneflow/control/Warmup.java
+++ b/src/main/java/laneflow/control/Warmup.java
@@ -32,9 +32,12 @@
         settings.classes = new JobClass[] {new JobClass()};
         Scheduler scratch = new Scheduler(settings, 1, () -> 0, new Deadlines(), new Counters());
         Carrier nobody = new Nobody();
-        type = new DestinationType(List.of("a"), List.of("c"),
-                List.of(AddressRange.parse("127.0.0.0/8")), false, (entries,
-                        named) -> scratch.replacement(nobody, entries, named));
+        type = new DestinationType(
+                List.of("a"),
+                List.of("c"),
+                List.of(AddressRange.parse("127.0.0.0/8")),
+                false,
+                (entries, named) -> scratch.replacement(nobody, entries, named));
     }
 
     /** Does a part; false once there is nothing left to do. */
--- a/src/main/java/laneflow/control/decision/Probation.java
+++ b/src/main/java/laneflow/control/decision/Probation.java
@@ -34,14 +34,16 @@
     }
 
     /** What is to be done. */
-    public enum Verdict { TOO_EARLY, KEEP, TAKE_BACK }
+    public enum Verdict {
+        TOO_EARLY,
+        KEEP,
+        TAKE_BACK
+    }
 
     /** A verdict, and its figures for the NACK. */
-    public record Finding(Verdict verdict, String figures) {
-    }
+    public record Finding(Verdict verdict, String figures) {}
 
-    private Probation() {
-    }
+    private Probation() {}
 
     /**
      * Judges one class.
@@ -49,41 +51,50 @@
      * @param controlBefore of the control group, or null with {@code controlAfter}
      * @param bound the growth of a share that is too much, such as 0.02
      */
-    public static Finding judge(Counts before, Counts after, Counts controlBefore, Counts controlAfter,
-            double bound) {
+    public static Finding judge(Counts before, Counts after, Counts controlBefore, Counts controlAfter, double bound) {
         return judge(before, after, controlBefore, controlAfter, bound, Z);
     }
 
     /** The same, with so many standard deviations between chance and blame. */
-    public static Finding judge(Counts before, Counts after, Counts controlBefore, Counts controlAfter,
-            double bound, double z) {
+    public static Finding judge(
+            Counts before, Counts after, Counts controlBefore, Counts controlAfter, double bound, double z) {
         if (before.requests() < LEAST || after.requests() < LEAST) {
-            return new Finding(Verdict.TOO_EARLY, after.requests() + " requests since, " + before.requests()
-                    + " before");
+            return new Finding(
+                    Verdict.TOO_EARLY, after.requests() + " requests since, " + before.requests() + " before");
         }
-        boolean control = controlBefore != null && controlAfter != null && controlBefore.requests() >= LEAST
+        boolean control = controlBefore != null
+                && controlAfter != null
+                && controlBefore.requests() >= LEAST
                 && controlAfter.requests() >= LEAST;
         double common = control ? Math.max(0, controlAfter.bad() - controlBefore.bad()) : 0;
         if (worse(before.bad() + common, before.requests(), after.bad(), after.requests(), bound, z)) {
-            return new Finding(Verdict.TAKE_BACK, figures("failures and connect errors", before.bad(),
-                    after.bad(),
-                    common, control));
+            return new Finding(
+                    Verdict.TAKE_BACK,
+                    figures("failures and connect errors", before.bad(), after.bad(), common, control));
         }
         double shed = control ? Math.max(0, controlAfter.refusedShare() - controlBefore.refusedShare()) : 0;
         boolean grown = !control && after.perSecond() > GROWN * before.perSecond();
-        if (!grown && worse(before.refusedShare() + shed, before.requests(), after.refusedShare(),
-                after.requests(), bound, z)) {
-            return new Finding(Verdict.TAKE_BACK, figures("refusals", before.refusedShare(),
-                    after.refusedShare(),
-                    shed, control));
+        if (!grown
+                && worse(
+                        before.refusedShare() + shed,
+                        before.requests(),
+                        after.refusedShare(),
+                        after.requests(),
+                        bound,
+                        z)) {
+            return new Finding(
+                    Verdict.TAKE_BACK, figures("refusals", before.refusedShare(), after.refusedShare(), shed, control));
         }
-        return new Finding(Verdict.KEEP, grown ? "the load grew to " + String.format(Locale.ROOT, "%.1f",
-                after.perSecond() / before.perSecond()) + " times: refusals are not blamed on the version"
-                : "");
+        return new Finding(
+                Verdict.KEEP,
+                grown
+                        ? "the load grew to "
+                                + String.format(Locale.ROOT, "%.1f", after.perSecond() / before.perSecond())
+                                + " times: refusals are not blamed on the version"
+                        : "");
     }
 
-    private static boolean worse(double was, long wasOf, double is, long isOf, double bound,
-            double z) {
+    private static boolean worse(double was, long wasOf, double is, long isOf, double bound, double z) {
         double grown = is - was;
         if (grown <= bound) {
             return false;
@@ -94,9 +105,14 @@
     }
 
     private static String figures(String what, double was, double is, double common, boolean control) {
-        return String.format(Locale.ROOT, "%s went from %.2f %% to %.2f %%%s", what, was * 100, is * 100,
+        return String.format(
+                Locale.ROOT,
+                "%s went from %.2f %% to %.2f %%%s",
+                what,
+                was * 100,
+                is * 100,
                 control
-                ? String.format(Locale.ROOT, ", %.2f points of it at the control group too", common * 100)
-                : "");
+                        ? String.format(Locale.ROOT, ", %.2f points of it at the control group too", common * 100)
+                        : "");
     }
 }
--- a/src/main/java/laneflow/control/decision/Rollout.java
+++ b/src/main/java/laneflow/control/decision/Rollout.java
@@ -9,8 +9,7 @@
  * command come to the same answer, and who takes part in a fifth takes part in a half too.
  */
 public final class Rollout {
-    private Rollout() {
-    }
+    private Rollout() {}
 
     /** The scheduler's place in the order of this seed, 0 to 1; those below the share take part. */
     public static double place(String scheduler, long seed) {
--- a/src/main/java/laneflow/control/decision/Track.java
+++ b/src/main/java/laneflow/control/decision/Track.java
@@ -21,6 +21,7 @@
     private Version good = Version.NONE;
     /** Adopted behind that one, and on trial. */
     private final List<Version> onTrial = new ArrayList<>();
+
     private final Map<Version, String> refused = new LinkedHashMap<>() {
         private static final long serialVersionUID = 1L;
 
@@ -67,8 +68,8 @@
             return new Word(Kind.REFUSED, why);
         }
         if (by < 0) {
-            String what = offered.number() == running.number() ? "version " + running
-                    + " runs, of the same number"
+            String what = offered.number() == running.number()
+                    ? "version " + running + " runs, of the same number"
                     : "version " + running + " runs, which is newer";
             return new Word(Kind.OLDER, what);
         }
@@ -79,8 +80,7 @@
     public Word change(Version from, Version to) {
         Word word = whole(to);
         if (word.kind() == Kind.LOOK && !from.equals(running)) {
-            return new Word(Kind.WHOLE_WANTED, "a change from version " + from + ", and " + running
-                    + " runs");
+            return new Word(Kind.WHOLE_WANTED, "a change from version " + from + ", and " + running + " runs");
         }
         return word;
     }
--- a/src/main/java/laneflow/control/decision/Trial.java
+++ b/src/main/java/laneflow/control/decision/Trial.java
@@ -24,16 +24,17 @@
     private final double bound;
     /** The usual state is counted from there: between one and two lengths ago while no trial runs. */
     private Snapshot calmFrom;
+
     private Snapshot calmNext;
     /** What is compared with where that time is too short yet, as behind a version that was taken back. */
     private Snapshot usualFrom;
+
     private Snapshot usualTo;
     private Snapshot begun;
     private long ends;
 
     /** Own counts and the control group's, which may be null, at an instant. */
-    private record Snapshot(long at, long[][] own, long[][] group) {
-    }
+    private record Snapshot(long at, long[][] own, long[][] group) {}
 
     /**
      * None runs yet.
@@ -80,8 +81,12 @@
         Snapshot is = new Snapshot(now, own, group);
         Finding all = new Finding(Verdict.TOO_EARLY, "");
         for (int i = classes.length - 1; i >= -1; i--) {
-            Finding found = Probation.judge(counts(usualFrom, usualTo, i, false), counts(begun, is, i, false),
-                    counts(usualFrom, usualTo, i, true), counts(begun, is, i, true), bound,
+            Finding found = Probation.judge(
+                    counts(usualFrom, usualTo, i, false),
+                    counts(begun, is, i, false),
+                    counts(usualFrom, usualTo, i, true),
+                    counts(begun, is, i, true),
+                    bound,
                     last ? Probation.Z : Probation.EARLY_Z);
             if (found.verdict() == Verdict.TAKE_BACK) {
                 long began = begun.at;
@@ -89,9 +94,12 @@
                 // What broke is nobody's usual state: until there is a new one, the former is.
                 calmFrom = new Snapshot(now, copy(own), copy(group));
                 calmNext = calmFrom;
-                return new Finding(Verdict.TAKE_BACK, (i < 0 ? "" : classes[i] + ": ") + found.figures()
-                        + String.format(Locale.ROOT, ", %.1f s after the first that is on trial",
-                        (now - began) / 1e6));
+                return new Finding(
+                        Verdict.TAKE_BACK,
+                        (i < 0 ? "" : classes[i] + ": ")
+                                + found.figures()
+                                + String.format(
+                                        Locale.ROOT, ", %.1f s after the first that is on trial", (now - began) / 1e6));
             }
             all = i < 0 ? found : all;
         }
@@ -112,8 +120,7 @@
         } else if (calmNext.group == null && group != null) {
             // The group spoke late: from here on there is something to compare with.
             calmNext = new Snapshot(calmNext.at, calmNext.own, copy(group));
-            calmFrom = calmFrom.group == null ? new Snapshot(calmFrom.at, calmFrom.own, calmNext.group)
-                    : calmFrom;
+            calmFrom = calmFrom.group == null ? new Snapshot(calmFrom.at, calmFrom.own, calmNext.group) : calmFrom;
         }
     }
 
--- a/src/main/java/laneflow/core/Counters.java
+++ b/src/main/java/laneflow/core/Counters.java
@@ -25,7 +25,8 @@
     /** One line a counter, in order of their names. */
     public String text() {
         StringBuilder text = new StringBuilder();
-        counts.forEach((name, count) -> text.append(name).append(' ').append(count).append('\n'));
+        counts.forEach(
+                (name, count) -> text.append(name).append(' ').append(count).append('\n'));
         return text.toString();
     }
 
--- a/src/main/java/laneflow/core/Deadlines.java
+++ b/src/main/java/laneflow/core/Deadlines.java
@@ -23,6 +23,7 @@
         private long at;
         /** From when on it may ride. */
         private long from;
+
         private boolean rides;
         private long order;
         private int index = -1;
--- a/src/main/java/laneflow/core/DestinationSet.java
+++ b/src/main/java/laneflow/core/DestinationSet.java
@@ -37,6 +37,7 @@
         public long classes = -1;
         /** What it can do at once, and the rack it stands in, empty: one of its own; for planning only. */
         public double slots = 1;
+
         public String rack = "";
         /** Numbers of functions by {@link Endpoint#number}, in ascending order; null: any function. */
         public long[] abilities;
@@ -95,8 +96,7 @@
         }
         if (whole) {
             for (Endpoint endpoint : byName.values()) {
-                if (endpoint.carrier == carrier && !listed.containsKey(endpoint.name)
-                        && endpoint.state != State.GONE) {
+                if (endpoint.carrier == carrier && !listed.containsKey(endpoint.name) && endpoint.state != State.GONE) {
                     changes.add(state(endpoint, State.GONE, toldAt));
                 }
             }
--- a/src/main/java/laneflow/core/Endpoint.java
+++ b/src/main/java/laneflow/core/Endpoint.java
@@ -9,9 +9,11 @@
     public final String name;
     /** The module's number for it: drawn from its name, and so the same at every scheduler. */
     public final long id;
+
     public final Carrier carrier;
     /** Where its carrier finds it; the core does not read this. */
     public String dial = "";
+
     public int zone;
     public int kind;
     public int cell;
@@ -22,6 +24,7 @@
     public long classes = -1;
     /** The functions it runs, by number; null: any of its classes. */
     public long[] abilities;
+
     State state = State.READY;
     /** How many calls in a row have come to no connection. */
     int unreached;
@@ -46,9 +49,15 @@
 
     /** True if an entry says nothing new of it. */
     boolean isAs(DestinationSet.Entry entry) {
-        return state == entry.state && dial.equals(entry.dial) && zone == entry.zone && kind == entry.kind
-                && cell == entry.cell && weight == entry.weight && startedAt == entry.startedAt
-                && classes == entry.classes && Arrays.equals(abilities, entry.abilities);
+        return state == entry.state
+                && dial.equals(entry.dial)
+                && zone == entry.zone
+                && kind == entry.kind
+                && cell == entry.cell
+                && weight == entry.weight
+                && startedAt == entry.startedAt
+                && classes == entry.classes
+                && Arrays.equals(abilities, entry.abilities);
     }
 
     public State state() {
--- a/src/main/java/laneflow/core/Front.java
+++ b/src/main/java/laneflow/core/Front.java
@@ -17,8 +17,7 @@
     void failed(long tag);
 
     /** An endpoint has started on it. */
-    default void started(long tag) {
-    }
+    default void started(long tag) {}
 
     /**
      * Whether its calls go out under leases: then each is handed to {@link #lease} first, and goes out with
@@ -29,22 +28,17 @@
     }
 
     /** A call is to go out: it does once {@link Scheduler#open} is called, or ends unsent. */
-    default void lease(OutboundCall call) {
-    }
+    default void lease(OutboundCall call) {}
 
     /** Under leases: a call has ended, and the request may go on. */
-    default void callEnded(OutboundCall call, Outcome outcome) {
-    }
+    default void callEnded(OutboundCall call, Outcome outcome) {}
 
     /** Under leases: an endpoint's word on a call that had ended already. */
-    default void late(OutboundCall call, Outcome outcome, byte[] result) {
-    }
+    default void late(OutboundCall call, Outcome outcome, byte[] result) {}
 
     /** Under leases: the endpoint is at it still. */
-    default void heard(OutboundCall call) {
-    }
+    default void heard(OutboundCall call) {}
 
     /** An endpoint's word on how much is done. */
-    default void progress(long tag, long done, long of) {
-    }
+    default void progress(long tag, long done, long of) {}
 }
--- a/src/main/java/laneflow/core/Keeper.java
+++ b/src/main/java/laneflow/core/Keeper.java
@@ -16,12 +16,31 @@
      * @param notBeforeMs it is not begun before that instant of the wall clock; 0: at once
      * @param exact the same key with another body is a mistake, not the same job
      */
-    record Submission(int jobClass, String function, String key, boolean exact, Payload payload, double hint,
-            double slots, double memory, long subject, int urgency, long notBeforeMs) {
+    record Submission(
+            int jobClass,
+            String function,
+            String key,
+            boolean exact,
+            Payload payload,
+            double hint,
+            double slots,
+            double memory,
+            long subject,
+            int urgency,
+            long notBeforeMs) {
 
         /** One that may begin at once. */
-        public Submission(int jobClass, String function, String key, boolean exact, Payload payload,
-                double hint, double slots, double memory, long subject, int urgency) {
+        public Submission(
+                int jobClass,
+                String function,
+                String key,
+                boolean exact,
+                Payload payload,
+                double hint,
+                double slots,
+                double memory,
+                long subject,
+                int urgency) {
             this(jobClass, function, key, exact, payload, hint, slots, memory, subject, urgency, 0);
         }
     }
@@ -39,20 +58,33 @@
     }
 
     /** The word on a submission: the job's id, or when to come back, in seconds. */
-    record Word(Taken taken, long id, double comeBack) {
-    }
+    record Word(Taken taken, long id, double comeBack) {}
 
     /** One attempt, for whoever asks. Times are Unix time in milliseconds. */
-    record Try(int number, String endpoint, long leasedMs, long endMs, String known) {
-    }
+    record Try(int number, String endpoint, long leasedMs, long endMs, String known) {}
 
     /** A job as it stands; the result is null unless it is done. */
-    record View(long id, String jobClass, String state, String reason, long acceptedMs, long changedMs,
-            List<Try> attempts, byte[] result, boolean ended, boolean atWork, long done, long of) {
-    }
+    record View(
+            long id,
+            String jobClass,
+            String state,
+            String reason,
+            long acceptedMs,
+            long changedMs,
+            List<Try> attempts,
+            byte[] result,
+            boolean ended,
+            boolean atWork,
+            long done,
+            long of) {}
 
     /** What became of a wish to cancel. */
-    enum Cancelled { YES, UNKNOWN, BEGUN, BUSY }
+    enum Cancelled {
+        YES,
+        UNKNOWN,
+        BEGUN,
+        BUSY
+    }
 
     /** Whether HTTP clients may hand in jobs of this class to be kept. */
     boolean takes(int jobClass);
--- a/src/main/java/laneflow/core/Payload.java
+++ b/src/main/java/laneflow/core/Payload.java
@@ -9,5 +9,4 @@
  * @param repeatKey what marks repeats of one and the same job, or null
  * @param body the job itself
  */
-public record Payload(String verb, String target, String requestId, String repeatKey, byte[] body) {
-}
+public record Payload(String verb, String target, String requestId, String repeatKey, byte[] body) {}
--- a/src/main/java/laneflow/core/Replacement.java
+++ b/src/main/java/laneflow/core/Replacement.java
@@ -25,12 +25,13 @@
     private final List<Entry> leaving = new ArrayList<>();
     /** Leave too, but get no request as it is: there is time for them. */
     private final List<Entry> idle = new ArrayList<>();
+
     private List<Endpoint> known;
     private int looked;
     private int passed;
 
-    Replacement(Scheduler scheduler, DestinationSet destinations, Carrier carrier, List<Entry> entries,
-            Set<String> named) {
+    Replacement(
+            Scheduler scheduler, DestinationSet destinations, Carrier carrier, List<Entry> entries, Set<String> named) {
         this.scheduler = scheduler;
         this.destinations = destinations;
         this.carrier = carrier;
@@ -57,8 +58,7 @@
                 staged.add(entry.in(State.DRAINING));
             }
             // One of another source keeps what that says of it.
-            if (there == null ? entry.state != State.DRAINING
-                    : there.carrier == carrier && !there.isAs(entry)) {
+            if (there == null ? entry.state != State.DRAINING : there.carrier == carrier && !there.isAs(entry)) {
                 changed.add(entry);
             }
         }
@@ -94,8 +94,7 @@
         int from = Math.max(0, idle.size() - PART);
         List<Entry> part = idle.subList(from, idle.size());
         // One that was named anew meanwhile is somebody's again.
-        part.removeIf(gone -> destinations.get(gone.name) == null
-                || destinations.get(gone.name).state == State.READY);
+        part.removeIf(gone -> destinations.get(gone.name) == null || destinations.get(gone.name).state == State.READY);
         scheduler.list(carrier, false, new ArrayList<>(part));
         part.clear();
         return !idle.isEmpty();
--- a/src/main/java/laneflow/core/Request.java
+++ b/src/main/java/laneflow/core/Request.java
@@ -1,20 +1,22 @@
 package laneflow.core;
 
+import laneflow.core.Deadlines.Deadline;
 import laneflow.decision.Dispatch;
 import laneflow.decision.Dispatch.JobClass;
-import laneflow.core.Deadlines.Deadline;
 
 /** A client's request, from its arrival to its one final answer. */
 public final class Request {
     public final Front front;
     /** The front's own mark for it, handed back with the answer. */
     public final long tag;
+
     public final Payload payload;
     public final int jobClass;
     /** The instant at which its client gives up. */
     public final long deadline;
     /** Expected running time on a standard core in seconds; NaN where it is not known. */
     public double hint = Double.NaN;
+
     public double slots = 1;
     public double memory;
     /** Whose it is, by the settings' tenants; -1: nobody's that is known. */
@@ -30,6 +32,7 @@
 
     /** What held when it came: a version adopted since is for those that come later. */
     JobClass type;
+
     int mostCalls;
     int epoch;
 
@@ -38,9 +41,11 @@
     boolean answered;
     /** It waits, undecided, for a policy that is about to begin. */
     boolean held;
+
     int calls;
     /** A call of it was taken up by an endpoint's connection, whatever came of it. */
     boolean sentOn;
+
     OutboundCall out;
     Deadline backstop;
     private long mayHaveRunAt = Long.MAX_VALUE;
--- a/src/main/java/laneflow/core/Scheduler.java
+++ b/src/main/java/laneflow/core/Scheduler.java
@@ -28,6 +28,7 @@
     private static final Logger LOG = LoggerFactory.getLogger(Scheduler.class);
     /** What {@link #tallies} counts of each class. */
     public static final int TAKEN = 0;
+
     public static final int FAILED = 1;
     public static final int CONNECT_FAILED = 2;
     public static final int REFUSED = 3;
@@ -46,6 +47,7 @@
     private final SlotTable<OutboundCall> calls = new SlotTable<>();
     /** Events that came up while the module was at work: it must not be called from its own actions. */
     private final ArrayDeque<Runnable> events = new ArrayDeque<>();
+
     private final Dispatch.Request told = new Dispatch.Request();
     private final Arrivals arrivals = new Arrivals();
     private final Owner owner = new Owner();
@@ -55,6 +57,7 @@
     private Gate gate;
     /** Endpoints that the policy in force bans, beside those that operators have set down here. */
     private volatile Set<String> barred = Set.of();
+
     private final long[][] tallies;
     /** Null where nobody listens. */
     private Ear ear;
@@ -170,8 +173,8 @@
      * that of those whose tenant is not known.
      */
     public void demand(double[][] to) {
-        requests.forEach(request -> to[request.tenant < 0 ? to.length - 1 : request.tenant][request.jobClass]
-                += request.slots);
+        requests.forEach(
+                request -> to[request.tenant < 0 ? to.length - 1 : request.tenant][request.jobClass] += request.slots);
     }
 
     /** Hears of every call that goes out, and of its end behind the module. */
@@ -411,8 +414,9 @@
     }
 
     private boolean mayBegin(Endpoint endpoint) {
-        return !isDown(endpoint) && (endpoint.drainToldAt == Long.MAX_VALUE
-                || clock.fresh() < endpoint.drainToldAt + (long) (settings.drainGrace * 1e6));
+        return !isDown(endpoint)
+                && (endpoint.drainToldAt == Long.MAX_VALUE
+                        || clock.fresh() < endpoint.drainToldAt + (long) (settings.drainGrace * 1e6));
     }
 
     /** True if operators want nothing sent there: what was about to go there goes elsewhere. */
@@ -422,8 +426,10 @@
 
     private boolean mayRepeat(Request request) {
         JobClass type = request.type;
-        return !request.mayHaveRun() || type.effect == Effect.SAFE || type.effect == Effect.KEYED
-                && clock.fresh() < request.firstMayHaveRun() + (long) (type.window * 1e6);
+        return !request.mayHaveRun()
+                || type.effect == Effect.SAFE
+                || type.effect == Effect.KEYED
+                        && clock.fresh() < request.firstMayHaveRun() + (long) (type.window * 1e6);
     }
 
     /** The endpoint has started on it. */
--- a/src/main/java/laneflow/decision/Crowd.java
+++ b/src/main/java/laneflow/decision/Crowd.java
@@ -4,6 +4,7 @@
 final class Crowd {
     /** Mean part of a worker's slots that they take, as last heard. */
     double load;
+
     double heardAt = Double.NEGATIVE_INFINITY;
 
     void reported(double slotsTaken, double now) {
--- a/src/main/java/laneflow/decision/Dispatch.java
+++ b/src/main/java/laneflow/decision/Dispatch.java
@@ -28,15 +28,29 @@
 public interface Dispatch {
 
     /** What a repeat of a request does. */
-    enum Effect { SAFE, KEYED, UNSAFE }
+    enum Effect {
+        SAFE,
+        KEYED,
+        UNSAFE
+    }
 
     /** Which workers drop repeats of a keyed request. */
-    enum Group { ALL, ZONE, CELL }
+    enum Group {
+        ALL,
+        ZONE,
+        CELL
+    }
 
     /** How an attempt or a probe ended. Only those that prove it, settings aside, say {@link #neverRan}. */
     enum Outcome {
-        OK(false), ERROR(false), FULL(true), TIMEOUT(false), CONNECT_FAILED(true), RESET(false),
-        CANCELLED(false), MOOT(true);
+        OK(false),
+        ERROR(false),
+        FULL(true),
+        TIMEOUT(false),
+        CONNECT_FAILED(true),
+        RESET(false),
+        CANCELLED(false),
+        MOOT(true);
 
         /** True where the outcome proves that the worker never ran the job. */
         public final boolean neverRan;
@@ -47,36 +61,62 @@
     }
 
     /** What discovery knows of a worker. */
-    enum State { READY, DRAINING, GONE }
+    enum State {
+        READY,
+        DRAINING,
+        GONE
+    }
 
     /** A list: changes only, all workers, all workers as held before a restart, or nothing (failed). */
-    enum ListKind { CHANGES, WHOLE, CACHED, FAILED }
+    enum ListKind {
+        CHANGES,
+        WHOLE,
+        CACHED,
+        FAILED
+    }
 
     /** Where load reports come from. */
-    enum ReportSource { ANSWERS, PROBES, NONE }
+    enum ReportSource {
+        ANSWERS,
+        PROBES,
+        NONE
+    }
 
     /** What a worker's weight means: nothing, its size, roughly its size, or its size lowered by its load. */
-    enum WeightSource { NONE, NOMINAL, ROUGH, LIVE }
+    enum WeightSource {
+        NONE,
+        NOMINAL,
+        ROUGH,
+        LIVE
+    }
 
     /** What is seen of a job in work: its start, how much of it is done, or the first bytes of its answer. */
-    enum Note { STARTED, PROGRESS, ANSWERING }
+    enum Note {
+        STARTED,
+        PROGRESS,
+        ANSWERING
+    }
 
     /** One class of requests. */
     final class JobClass {
         /** Answered within {@code aim + stretch x its running time at speed 1} it earns its full worth. */
         public double aim = 1;
+
         public double stretch;
         /** The longest a client waits for this class; each request carries its own instant. */
         public double deadline = 10;
+
         public double worth = 1;
         /** The share of the worth that an answer after the aim still earns. */
         public double lateWorth;
+
         public Effect effect = Effect.UNSAFE;
         public Group group = Group.CELL;
         /** Keyed only: how long a group remembers, from the earliest attempt that may have run. */
         public double window;
         /** The only worker kind that runs the class, or -1. */
         public int kind = -1;
+
         public boolean stream;
     }
 
@@ -103,6 +143,7 @@
         public Tenant[] tenants = {};
         /** Worth of a request beyond its tenant's share, as a part of its class's. */
         public double overShareWorth = 1;
+
         public boolean listMustBeAsked;
         public ReportSource reports = ReportSource.NONE;
         public WeightSource weights = WeightSource.NONE;
@@ -118,6 +159,7 @@
         public double progressEvery;
         /** True where the head of a worker's queue waits until it fits and holds up those behind it. */
         public boolean headBlocks;
+
         public double drainGrace;
         public double coldShare = 1;
         public double coldFor;
@@ -130,6 +172,7 @@
          * {@code furtherFree} plus {@code furtherShare} for each request taken; 0 seconds: no such budget.
          */
         public double furtherFree;
+
         public double furtherShare;
         public double furtherWithin;
         /** The chance of the next zone on the ring where home is full; the rest is the one before it. */
@@ -166,6 +209,7 @@
         public double deadline;
         /** Expected running time on a standard core; NaN where it is not known. */
         public double hint = Double.NaN;
+
         public double slots = 1;
         public double memory;
         /** What a worker must have among its abilities to run it; 0: nothing. */
@@ -218,8 +262,7 @@
      * @param over the request has ended: the client has its answer
      * @param report the worker's load report, or null
      */
-    void outcome(double now, long request, int attempt, long worker, Outcome outcome, boolean over,
-            LoadReport report);
+    void outcome(double now, long request, int attempt, long worker, Outcome outcome, boolean over, LoadReport report);
 
     /**
      * A probe has ended, with a report or null. {@link Outcome#MOOT}: nobody asked; the report is another
--- a/src/main/java/laneflow/decision/Doubt.java
+++ b/src/main/java/laneflow/decision/Doubt.java
@@ -7,6 +7,7 @@
     int strikes;
     /** Until when it is left alone. */
     double until = Double.NEGATIVE_INFINITY;
+
     double triedAt = Double.NEGATIVE_INFINITY;
 
     /** A sign of life. */
--- a/src/main/java/laneflow/decision/Job.java
+++ b/src/main/java/laneflow/decision/Job.java
@@ -1,9 +1,9 @@
 package laneflow.decision;
 
+import java.util.Arrays;
 import laneflow.decision.Dispatch.JobClass;
 import laneflow.decision.Dispatch.Request;
 import laneflow.decision.Dispatch.Settings;
-import java.util.Arrays;
 
 /** A request's record, from its arrival until nothing of it is out: facts, on which {@link Logic} decides. */
 final class Job {
@@ -13,17 +13,20 @@
     long classBit;
     /** What a worker must be able to do, or 0. */
     long ability;
+
     double arrivedAt;
     double lastCall;
     /** Seconds from its arrival within which it earns its full worth: no longer than its client waits. */
     double aim;
     /** Its class's, or less where its tenant asks for more than its share. */
     double worth;
+
     double hint;
     double slots;
     double memory;
     /** The limits under which it came: others may hold for those that come later. */
     int mostAttempts;
+
     boolean toldWhen;
     double longestRetryAfter;
     double crossEachWay;
@@ -36,9 +39,11 @@
     double heldAt;
     /** It would have been turned away, and has been held once for reports that may say otherwise. */
     boolean lastLook;
+
     boolean live;
     /** Being placed where it ends after its aim. */
     boolean late;
+
     boolean streaming;
     boolean released;
     boolean onCalls;
@@ -146,6 +151,7 @@
         double queueWait;
         /** When it is to be heard of at the latest if all goes as foreseen. */
         double dueAt;
+
         boolean outstanding;
         boolean mayHaveRun;
         /** Still out, but held to be at work no more. */
--- a/src/main/java/laneflow/decision/Kind.java
+++ b/src/main/java/laneflow/decision/Kind.java
@@ -18,20 +18,24 @@
     private static final double LONGEST_FULL = 0.3;
     /** Some class runs on no other kind. */
     boolean soleHost;
+
     double slotsSeen;
     /** Mean of free slots and of the work that is served a second, over reports; 0 before the first. */
     private double slotsFree;
+
     private double workServed;
     /** Greatest weight listed: where weights are live, that of an idle worker. */
     double sizeSeen;
     /** Its reports tell how many requests wait. */
     boolean tellsQueue;
+
     private double work = SPEED_PRIOR;
     private double time = SPEED_PRIOR;
     /** Seconds of these two that are still the assumption they started with. */
     private double assumed = SPEED_PRIOR;
     /** Mean work of the jobs that ran on its workers, seconds of a standard core; 0 before the first. */
     private double meanWork;
+
     double waitSeen;
     double waitForeseen;
     double waitedAt;
