--- a/src/main/java/laneflow/decision/Logic.java
+++ b/src/main/java/laneflow/decision/Logic.java
@@ -1,10 +1,10 @@
 package laneflow.decision;
 
-import laneflow.decision.Job.Attempt;
 import java.util.ArrayDeque;
 import java.util.Arrays;
 import java.util.List;
 import java.util.SplittableRandom;
+import laneflow.decision.Job.Attempt;
 import org.agrona.collections.Long2ObjectHashMap;
 
 /**
@@ -30,9 +30,11 @@
     private static final double LATE_WAIT = 0.3;
     /** Jobs waiting for each slot of a worker that answers 'full', at least: its waiting room is taken. */
     private static final double FULL_QUEUE = 1;
+
     private static final double PROBE_EVERY = 0.5; // Seconds for which a report is fresh: no probe then.
     /** Seconds that a job waits at most for reports: about a probe's way there and back, and some ticks. */
     private static final double REPORT_WAIT = 0.01;
+
     private static final int PROBES_EACH = 4; // For each request placed: probes cost workers time.
     private static final double LIST_RETRY = 1; // Seconds at least: discovery serves all dispatchers.
     private static final double LAST_CALL_TICKS = 2; // From the final answer to the client's giving up.
@@ -42,16 +44,19 @@
     private static final double COLD_SHARE = 0.9;
     /** Of that, all that may be used while sends of before a restart still count at the worker. */
     private static final double COLD_AFRESH = 0.5;
+
     private static final double HINTS_UNSURE = 1; // A mean of so many hints may be twice the true one.
     private static final double COLD_JOBS = 2; // Mean jobs that a part of a cold budget holds at least.
     /** Any large prime: dispatchers of neighbouring numbers, maybe of one zone, share different workers. */
     private static final long SPREAD = 7919;
+
     static final double WAIT_MEMORY = 0.05; // Say of a start note in the waits seen and foreseen.
     private static final double SLACK_GAIN = 0.05; // Say of a request in its class's mean wait.
     private static final double HINT_GAIN = 0.02; // Say of a new request in the mean cost hint.
 
     /** Seconds of the first suspicion of a worker; it doubles with each failure that follows on another. */
     private static final double SUSPECT_FIRST = 0.5;
+
     private static final int CONNECTIONS_LOST = 2; // Broken or silent in a row that make a worker suspect.
     private static final int ZONE_FAILURES = 3; // Connects failed in a row that make a zone suspect.
     private static final double ZONE_TRIAL = 1; // Seconds that a trial of a suspect zone keeps others off.
@@ -76,9 +81,11 @@
     private final Calls calls = new Calls();
     /** Requests taken and further attempts made, as far back as their budget looks. */
     private final SendLog taken = new SendLog();
+
     private final SendLog further = new SendLog();
     /** Workers told to drain whose connections are to be closed once more. */
     private final ArrayDeque<WorkerView> closing = new ArrayDeque<>();
+
     private double callArmed = Double.POSITIVE_INFINITY;
     private int listRound;
     private boolean askPending;
@@ -93,8 +100,12 @@
 
     /** A dispatcher with these settings and this seed; actions go to {@code out}. */
     public Logic(Settings settings, long seed, Actions out) {
-        if (settings.classes.length == 0 || settings.zones < 1 || settings.dispatchers < 1
-                || settings.zone < 0 || settings.zone >= settings.zones || settings.maxAttempts < 1) {
+        if (settings.classes.length == 0
+                || settings.zones < 1
+                || settings.dispatchers < 1
+                || settings.zone < 0
+                || settings.zone >= settings.zones
+                || settings.maxAttempts < 1) {
             throw new IllegalArgumentException("no class, a zone out of range, no dispatcher or no attempt");
         }
         this.settings = settings;
@@ -231,8 +242,8 @@
     }
 
     @Override
-    public void outcome(double at, long request, int number, long worker, Outcome outcome, boolean over,
-            LoadReport report) {
+    public void outcome(
+            double at, long request, int number, long worker, Outcome outcome, boolean over, LoadReport report) {
         clock(at);
         Job job = jobs.get(request);
         Attempt attempt = job == null ? null : job.outstanding(number);
@@ -360,9 +371,11 @@
     }
 
     private static boolean runs(WorkerView view, Job job) {
-        return (job.type.kind < 0 || job.type.kind == view.kind) && (view.classes & job.classBit) != 0
-                && (job.ability == 0 || view.abilities == null
-                || Arrays.binarySearch(view.abilities, job.ability) >= 0);
+        return (job.type.kind < 0 || job.type.kind == view.kind)
+                && (view.classes & job.classBit) != 0
+                && (job.ability == 0
+                        || view.abilities == null
+                        || Arrays.binarySearch(view.abilities, job.ability) >= 0);
     }
 
     /** A job that runs anywhere spares the kinds that some class depends on, while others have room. */
@@ -387,8 +400,12 @@
         boolean blind = random.nextDouble() < 2 * pool.fullShare;
         for (int i = 0; i < pool.count && !suspect(pool); i++) {
             WorkerView view = pool.ready[i];
-            if (!runs(view, job) || sparing && view.peers.soleHost || job.tried(view)
-                    || suspect(view) || full(view, job) || !effectAllows(job, view)
+            if (!runs(view, job)
+                    || sparing && view.peers.soleHost
+                    || job.tried(view)
+                    || suspect(view)
+                    || full(view, job)
+                    || !effectAllows(job, view)
                     || now < view.warmAt && !coldBudgetAllows(view, job)) {
                 continue;
             }
@@ -528,7 +545,10 @@
 
     /** What follows an attempt that did not serve the request. */
     private void next(Job job) {
-        if (job.streaming || now >= job.lastCall || job.attempts >= job.mostAttempts || !mayRepeat(job)
+        if (job.streaming
+                || now >= job.lastCall
+                || job.attempts >= job.mostAttempts
+                || !mayRepeat(job)
                 || !withinBudget(job)) {
             finish(job);
         } else {
@@ -559,7 +579,8 @@
                 return settings.tick;
             }
         }
-        return home < 0 ? job.longestRetryAfter
+        return home < 0
+                ? job.longestRetryAfter
                 : Math.min(job.longestRetryAfter, Math.max(settings.tick, RETRY_PART * patience(job)));
     }
 
@@ -606,15 +627,19 @@
     /** A further attempt: never for unsafe once one may have run; keyed only while its window lasts. */
     private boolean mayRepeat(Job job) {
         switch (job.type.effect) {
-            case SAFE: return true;
-            case KEYED: return !job.mayHaveRun() || now < job.firstMayHaveRun() + job.type.window;
-            default: return !job.mayHaveRun();
+            case SAFE:
+                return true;
+            case KEYED:
+                return !job.mayHaveRun() || now < job.firstMayHaveRun() + job.type.window;
+            default:
+                return !job.mayHaveRun();
         }
     }
 
     /** A refusal tells the client that a repeat is harmless: only where that is so. */
     private boolean mayRefuse(Job job) {
-        return job.type.effect == Effect.SAFE || !job.mayHaveRun()
+        return job.type.effect == Effect.SAFE
+                || !job.mayHaveRun()
                 || job.type.effect == Effect.KEYED && job.type.group == Group.ALL && mayRepeat(job);
     }
 
@@ -625,8 +650,8 @@
         }
         for (int i = 0; i < job.attempts; i++) {
             WorkerView earlier = job.attempt[i].view;
-            if (job.attempt[i].mayHaveRun && (job.type.group == Group.ZONE ? earlier.zone != view.zone
-                    : earlier.cell != view.cell)) {
+            if (job.attempt[i].mayHaveRun
+                    && (job.type.group == Group.ZONE ? earlier.zone != view.zone : earlier.cell != view.cell)) {
                 return false;
             }
         }
@@ -739,7 +764,8 @@
         WorkerView view = started.view;
         for (int i = 0; i < view.ownCount && settings.headBlocks; i++) {
             Attempt attempt = view.own[i];
-            if (Double.isNaN(attempt.startedAt) && attempt.sentAt < started.sentAt - settings.connectTimeout
+            if (Double.isNaN(attempt.startedAt)
+                    && attempt.sentAt < started.sentAt - settings.connectTimeout
                     && !attempt.lost) {
                 view.lose(attempt);
                 if (settings.mayCancel && attempt.job.live && mayRepeat(attempt.job)) {
@@ -797,7 +823,9 @@
         view.peers.sizeSeen = Math.max(view.peers.sizeSeen, entry.weight);
         // No report comes from a zone without jobs: held empty, it would draw all blocked jobs at once.
         // A core is taken for a slot. A weight of nothing would spoil the mean for good.
-        if (settings.weights == WeightSource.LIVE && view.zone != settings.zone && now >= view.warmAt
+        if (settings.weights == WeightSource.LIVE
+                && view.zone != settings.zone
+                && now >= view.warmAt
                 && entry.weight > 0) {
             view.crowd.reported(view.peers.sizeSeen / entry.weight - 1, now);
         }
@@ -826,7 +854,10 @@
 
     /** Not while its cold budget is partly spent: a list that flaps would let it be spent twice. */
     private boolean forgettable(WorkerView view) {
-        return view.state == State.GONE && view.ownCount == 0 && !view.down && now >= view.warmAt
+        return view.state == State.GONE
+                && view.ownCount == 0
+                && !view.down
+                && now >= view.warmAt
                 && view.coldLog.since(now - settings.fallWithin) == 0;
     }
 
@@ -928,7 +959,8 @@
         // Where no start is told it is taken as foreseen: with nothing learned a slow kind would count as a
         // standard one, and its cold workers be sent too much.
         double began = Double.isNaN(attempt.startedAt) && !settings.tellsStart
-                ? Math.min(now, attempt.sentAt + attempt.wait) : attempt.startedAt;
+                ? Math.min(now, attempt.sentAt + attempt.wait)
+                : attempt.startedAt;
         if (outcome == Outcome.OK && !Double.isNaN(began) && now >= view.warmAt) {
             double took = Math.min(now, attempt.answeredAt) - began;
             view.peers.ran(attempt.job.hint, took);
--- a/src/main/java/laneflow/decision/Outstanding.java
+++ b/src/main/java/laneflow/decision/Outstanding.java
@@ -1,7 +1,7 @@
 package laneflow.decision;
 
-import laneflow.decision.Job.Attempt;
 import java.util.Arrays;
+import laneflow.decision.Job.Attempt;
 
 /** This dispatcher's attempts out at one worker, with their sums. */
 class Outstanding {
--- a/src/main/java/laneflow/decision/Pool.java
+++ b/src/main/java/laneflow/decision/Pool.java
@@ -8,6 +8,7 @@
     int count;
     /** Share of the attempts here that were answered 'full', of late. */
     double fullShare;
+
     final Doubt doubt = new Doubt();
     private int turn;
 
--- a/src/main/java/laneflow/decision/Shares.java
+++ b/src/main/java/laneflow/decision/Shares.java
@@ -26,11 +26,13 @@
     private final double overShareWorth;
     /** Requests of each, the older the less, as counted at its last one. */
     private final double[] came;
+
     private final double[] lastAt;
     /** Requests left within the share, as counted at the last one. */
     private final double[] left;
     /** The tenants with a quota, those that ask for the least part of it first. */
     private final int[] order;
+
     private final double[] asked;
     private double orderedAt = Double.NEGATIVE_INFINITY;
     private double firstAt = Double.NaN;
--- a/src/main/java/laneflow/decision/WorkerView.java
+++ b/src/main/java/laneflow/decision/WorkerView.java
@@ -14,14 +14,17 @@
     static final double REPORT_AGE = 1;
     /** Seconds that a report is held to be older than its arrival: it was taken before and came late. */
     static final double REPORT_STALE = 0.5;
+
     static final double MOST_TOLD = 4096; // Slots or waiting jobs that a report may tell of.
     /** Seconds a report is taken before it arrives, about: own sends younger than that are not in it. */
     static final double REPORT_LAG = 0.2;
+
     static final double OTHERS_GAIN = 0.1; // Say of a new report in the mean of what siblings keep there.
     static final double WAIT_GAIN = 0.25; // Say of one late start in the wait that is not foreseen.
     static final double OVERDUE_LEFT = 0.5; // Of what an overdue job ran: what ran long goes on.
     /** Jobs after which an observation has lost about two thirds of its say in a learned speed. */
     static final double SPEED_MEMORY = 20;
+
     static final double MEAN_AGE = 6; // Seconds unheard in which a mean has lost half its weight.
 
     private final Settings settings;
@@ -151,7 +154,8 @@
     double others(double now) {
         double mean = crowdMean(now);
         double age = now - reportAt;
-        return mean + (othersMean - mean) / (1 + age / MEAN_AGE)
+        return mean
+                + (othersMean - mean) / (1 + age / MEAN_AGE)
                 + (othersInReport - othersMean) / (1 + (age + REPORT_STALE) / REPORT_AGE);
     }
 
--- a/src/main/java/laneflow/durable/Care.java
+++ b/src/main/java/laneflow/durable/Care.java
@@ -13,6 +13,7 @@
 public final class Care {
     /** For those who only look, or must not be stopped by a limit that the scheduler sets itself. */
     public static final long NO_LIMIT = 1L << 42;
+
     private static final int BATCH = 500;
 
     /**
@@ -21,11 +22,9 @@
      * @param there jobs that an earlier, interrupted adoption had moved already
      * @param keysTaken jobs whose key belongs to another job here: kept, under no key
      */
-    public record Adopted(int moved, int there, List<String> keysTaken) {
-    }
+    public record Adopted(int moved, int there, List<String> keysTaken) {}
 
-    private Care() {
-    }
+    private Care() {}
 
     public static String hex(long id) {
         return Store.hex(id);
@@ -92,8 +91,7 @@
                 in.add(Op.accept(kept));
                 byte[] result = dead.result(row.id());
                 if (result != null) {
-                    in.add(Op.end(row.id(), row.state(), row.attempts(), row.reason(), result,
-                            row.changedMs()));
+                    in.add(Op.end(row.id(), row.state(), row.attempts(), row.reason(), result, row.changedMs()));
                 } else if (row.state() != State.QUEUED || !row.attempts().isEmpty()) {
                     in.add(Op.stands(row));
                 }
--- a/src/main/java/laneflow/durable/DurableConfig.java
+++ b/src/main/java/laneflow/durable/DurableConfig.java
@@ -17,6 +17,7 @@
         public long leaseMs;
         /** How far heartbeats can prolong it, from its start. */
         public long longestMs;
+
         public long mostJobs;
         public long mostBytes;
         /** HTTP clients may hand in such jobs with {@code Prefer: respond-async}. */
@@ -29,6 +30,7 @@
     public final long storeBytes;
     /** Open jobs and the bytes of their bodies, all classes together; bodies are held in memory. */
     public long mostJobs;
+
     public long mostBytes;
     /** How long an ended job and its result can be asked for. */
     public long retentionMs;
@@ -36,6 +38,7 @@
     public int mostAtWork;
     /** By number of class; entries are replaced as wholes, and a job keeps the one it came under. */
     public final OfClass[] classes;
+
     public final List<String> classNames;
 
     private DurableConfig(Table from, Settings settings, List<String> names) {
--- a/src/main/java/laneflow/durable/DurableJobs.java
+++ b/src/main/java/laneflow/durable/DurableJobs.java
@@ -42,6 +42,7 @@
     private static final Logger LOG = LoggerFactory.getLogger(DurableJobs.class);
     /** Attempts that may have run, over a job's whole life; the core's rule holds it within one request. */
     private static final int MOST_ATTEMPTS = 5;
+
     private static final long SWEEP = 1_000_000;
     private static final int MOST_DROPS = 500;
     private static final long LEASE_FIRST = 1_000_000;
@@ -70,14 +71,20 @@
     private long storeFullUntil;
     /** Jobs whose word of acceptance waits for the disk. */
     private int owed;
+
     private boolean draining;
     private boolean letGo;
     private boolean pumping;
 
     /** @param wall Unix time in milliseconds */
-    public DurableJobs(Clock clock, Deadlines deadlines, Scheduler scheduler, DurableConfig config,
+    public DurableJobs(
+            Clock clock,
+            Deadlines deadlines,
+            Scheduler scheduler,
+            DurableConfig config,
             Journal journal,
-            LongSupplier wall, long seed) {
+            LongSupplier wall,
+            long seed) {
         this.clock = clock;
         this.deadlines = deadlines;
         this.scheduler = scheduler;
@@ -101,7 +108,8 @@
         long now = wall.getAsLong();
         latestMs = storedLatestMs;
         if (now < latestMs) {
-            LOG.warn("the wall clock shows {} ms less than the store's latest entry: windows count as over",
+            LOG.warn(
+                    "the wall clock shows {} ms less than the store's latest entry: windows count as over",
                     latestMs - now);
         }
         int[] found = new int[State.values().length];
@@ -118,11 +126,14 @@
         over.sort((a, b) -> Long.compare(a.changedMs, b.changedMs));
         over.forEach(table::end);
         if (orphans > 0) {
-            LOG.error("{} jobs are of classes that the settings no longer name: they are kept and not run",
-                    orphans);
-        }
-        LOG.info("durable jobs: {} found, {} queued, {} were at work, {} ended", rows.size(),
-                found[State.QUEUED.number], found[State.RUNNING.number], over.size());
+            LOG.error("{} jobs are of classes that the settings no longer name: they are kept and not run", orphans);
+        }
+        LOG.info(
+                "durable jobs: {} found, {} queued, {} were at work, {} ended",
+                rows.size(),
+                found[State.QUEUED.number],
+                found[State.RUNNING.number],
+                over.size());
         counters.set("durable.recovered", found[State.QUEUED.number] + found[State.RUNNING.number]);
         deadlines.at(clock.micros() + SWEEP, this::sweep);
         pump();
@@ -243,10 +254,28 @@
         }
         long now = wall.getAsLong();
         Payload payload = given.payload();
-        JobRow row = new JobRow(table.newId(now), config.classNames.get(given.jobClass()), given.function(),
-                given.key(), payload.target(), payload.requestId(), payload.repeatKey(), given.hint(),
-                given.slots(), given.memory(), given.subject(), given.urgency(), now, RowCodec.sum(body),
-                body.length, body, State.QUEUED, List.of(), "", now, given.notBeforeMs());
+        JobRow row = new JobRow(
+                table.newId(now),
+                config.classNames.get(given.jobClass()),
+                given.function(),
+                given.key(),
+                payload.target(),
+                payload.requestId(),
+                payload.repeatKey(),
+                given.hint(),
+                given.slots(),
+                given.memory(),
+                given.subject(),
+                given.urgency(),
+                now,
+                RowCodec.sum(body),
+                body.length,
+                body,
+                State.QUEUED,
+                List.of(),
+                "",
+                now,
+                given.notBeforeMs());
         Held job = held(row);
         job.waiters = new ArrayList<>(1);
         job.waiters.add(answer);
@@ -283,8 +312,7 @@
     }
 
     private void storeTrouble(StoreException failure) {
-        counters.add(failure.kind == StoreException.Kind.FULL ? "durable.store_full"
-                : "durable.store_broken");
+        counters.add(failure.kind == StoreException.Kind.FULL ? "durable.store_full" : "durable.store_broken");
         storeFullUntil = clock.micros() + STORE_PAUSE;
         for (Lane lane : lanes) {
             lane.pacer.hold(storeFullUntil);
@@ -334,8 +362,7 @@
                 start(lane, job);
             }
             if (!lane.isEmpty()) {
-                again = Math.min(again, lane.atWork > 0 ? now + LOOK : Math.max(now + 1000,
-                        lane.nextAt(now)));
+                again = Math.min(again, lane.atWork > 0 ? now + LOOK : Math.max(now + 1000, lane.nextAt(now)));
             }
         }
         pumping = false;
@@ -375,15 +402,16 @@
         Payload payload = new Payload("POST", row.target(), row.requestId(), row.repeatKey(), row.body());
         long now = clock.micros();
         // Its lease runs out first: the request's deadline must not end it in the lease's place.
-        Request request = new Request(this, job.id(), payload, job.jobClass,
-                now + job.terms.longestMs * 1000 + LEASE_FIRST);
+        Request request =
+                new Request(this, job.id(), payload, job.jobClass, now + job.terms.longestMs * 1000 + LEASE_FIRST);
         request.hint = row.hint();
         request.slots = row.slots();
         request.memory = row.memory();
         request.urgency = row.urgency();
         request.function = row.function().isEmpty() ? null : row.function();
         // A Gearman job's key is made of its function and its unique.
-        request.unique = row.function().isEmpty() || row.key().isEmpty() ? null
+        request.unique = row.function().isEmpty() || row.key().isEmpty()
+                ? null
                 : row.key().substring("gearman/".length() + row.function().length() + 1);
         for (Attempt attempt : job.attempts) {
             if (attempt.mayHaveRun()) {
@@ -404,14 +432,16 @@
     @Override
     public void lease(OutboundCall call) {
         Held job = table.get(call.request.tag);
-        if (job == null || job.request != call.request || draining
+        if (job == null
+                || job.request != call.request
+                || draining
                 || job.attempts.stream().filter(Attempt::mayHaveRun).count() >= MOST_ATTEMPTS) {
             scheduler.ended(call, Outcome.MOOT, null, null);
             return;
         }
         long nowMs = Math.max(wall.getAsLong(), latestMs);
-        Attempt attempt = new Attempt(job.attempts.size() + 1, call.endpoint.name, nowMs,
-                nowMs + job.terms.leaseMs, Known.OUT);
+        Attempt attempt =
+                new Attempt(job.attempts.size() + 1, call.endpoint.name, nowMs, nowMs + job.terms.leaseMs, Known.OUT);
         job.attempts.add(attempt);
         call.lease = attempt.number();
         job.call = call;
@@ -504,14 +534,16 @@
         if (job.lease != null) {
             deadlines.cancel(job.lease);
         }
-        Known known = !job.opened || outcome.neverRan ? Known.NEVER_RAN : outcome == Outcome.OK ? Known.DONE
-                : outcome == Outcome.ERROR ? Known.SAID_FAILED : Known.MAY_HAVE_RUN;
+        Known known = !job.opened || outcome.neverRan
+                ? Known.NEVER_RAN
+                : outcome == Outcome.OK
+                        ? Known.DONE
+                        : outcome == Outcome.ERROR ? Known.SAID_FAILED : Known.MAY_HAVE_RUN;
         job.know(call.lease, known);
         job.call = null;
         if (known == Known.MAY_HAVE_RUN && outcome == Outcome.TIMEOUT) {
             // Its late word is listened for, and not for ever: a silent endpoint would hold a descriptor.
-            deadlines.at(clock.micros() + job.terms.longestMs * 1000,
-                    () -> call.endpoint.carrier.close(call));
+            deadlines.at(clock.micros() + job.terms.longestMs * 1000, () -> call.endpoint.carrier.close(call));
         }
         if (known == Known.NEVER_RAN) {
             // Unrecorded, a crash would leave it as one that may have run.
@@ -531,7 +563,10 @@
     public boolean late(long id, int lease, boolean served, byte[] result) {
         Held job = table.get(id);
         Attempt attempt = job == null ? null : job.attempt(lease);
-        if (attempt == null || job.jobClass < 0 || !attempt.mayHaveRun() || job.state == State.DONE
+        if (attempt == null
+                || job.jobClass < 0
+                || !attempt.mayHaveRun()
+                || job.state == State.DONE
                 || job.ending == State.DONE
                 || letGo) {
             counters.add("lease.late_passed_over");
@@ -615,9 +650,8 @@
         }
         JobClass type = scheduler.settings().classes[job.jobClass];
         long nowMs = wall.getAsLong();
-        Verdict verdict = Settlement.decide(type.effect, job.attempts, (long) (type.window * 1000), nowMs,
-                latestMs,
-                MOST_ATTEMPTS);
+        Verdict verdict = Settlement.decide(
+                type.effect, job.attempts, (long) (type.window * 1000), nowMs, latestMs, MOST_ATTEMPTS);
         switch (verdict.kind()) {
             case AGAIN:
                 job.untilMs = verdict.untilMs();
@@ -724,12 +758,26 @@
     private View view(Held job, byte[] result) {
         List<Try> tries = new ArrayList<>();
         for (Attempt attempt : job.attempts) {
-            tries.add(new Try(attempt.number(), attempt.endpoint(), attempt.leasedMs(), attempt.endMs(),
+            tries.add(new Try(
+                    attempt.number(),
+                    attempt.endpoint(),
+                    attempt.leasedMs(),
+                    attempt.endMs(),
                     RowCodec.word(attempt.known())));
         }
-        return new View(job.id(), job.row.jobClass(), job.state.name().toLowerCase(Locale.ROOT), job.reason,
-                job.row.acceptedMs(), job.changedMs, tries, result, job.state.isEnd(),
-                job.isAtWork() && job.opened, job.done, job.of);
+        return new View(
+                job.id(),
+                job.row.jobClass(),
+                job.state.name().toLowerCase(Locale.ROOT),
+                job.reason,
+                job.row.acceptedMs(),
+                job.changedMs,
+                tries,
+                result,
+                job.state.isEnd(),
+                job.isAtWork() && job.opened,
+                job.done,
+                job.of);
     }
 
     @Override
@@ -737,18 +785,21 @@
         Held job = table.get(id);
         if (job == null || job.waiters != null) {
             answer.accept(Cancelled.UNKNOWN);
-        } else if (job.state != State.QUEUED || job.ending != null || job.isAtWork() || job.mayHaveRun()
+        } else if (job.state != State.QUEUED
+                || job.ending != null
+                || job.isAtWork()
+                || job.mayHaveRun()
                 || job.jobClass < 0) {
             answer.accept(Cancelled.BEGUN);
         } else {
             job.ending = State.CANCELLED;
             job.reason = "cancelled";
             long nowMs = wall.getAsLong();
-            boolean asked = journal.write(Op.end(id, State.CANCELLED, job.attempts, job.reason, null, nowMs),
-                    failure -> {
-                ended(job, State.CANCELLED, nowMs, null, failure);
-                answer.accept(failure == null ? Cancelled.YES : Cancelled.BUSY);
-            });
+            boolean asked =
+                    journal.write(Op.end(id, State.CANCELLED, job.attempts, job.reason, null, nowMs), failure -> {
+                        ended(job, State.CANCELLED, nowMs, null, failure);
+                        answer.accept(failure == null ? Cancelled.YES : Cancelled.BUSY);
+                    });
             if (!asked) {
                 job.ending = null;
                 queue(job);
--- a/src/main/java/laneflow/durable/Held.java
+++ b/src/main/java/laneflow/durable/Held.java
@@ -19,6 +19,7 @@
     final int jobClass;
     /** What held for its class when it came, or when it was taken over; null where it has no class. */
     final DurableConfig.OfClass terms;
+
     State state;
     String reason;
     long changedMs;
@@ -31,11 +32,13 @@
     long notBefore;
     /** No attempt may begin later than that: a key's window. */
     long untilMs = Long.MAX_VALUE;
+
     int refusals;
     /** It waits in its lane's queue. */
     boolean inQueue;
     /** It waits for the end of its retention. */
     boolean retired;
+
     Request request;
     OutboundCall call;
     Deadline lease;
@@ -48,6 +51,7 @@
     long of;
     /** A result of an older lease that came while a newer one was out: it counts if the newer one fails. */
     int lateLease;
+
     byte[] lateResult;
 
     Held(JobRow row, int jobClass, DurableConfig.OfClass terms) {
--- a/src/main/java/laneflow/durable/JobRow.java
+++ b/src/main/java/laneflow/durable/JobRow.java
@@ -14,45 +14,176 @@
  * @param reason for people: why it stands there; may be empty
  * @param changedMs when it came to where it stands
  */
-public record JobRow(long id, String jobClass, String function, String key, String target, String requestId,
-        String repeatKey, double hint, double slots, double memory, long subject, int urgency,
-        long acceptedMs, int bodySum, int bodyBytes, byte[] body, State state, List<Attempt> attempts,
-        String reason, long changedMs, long notBeforeMs) {
+public record JobRow(
+        long id,
+        String jobClass,
+        String function,
+        String key,
+        String target,
+        String requestId,
+        String repeatKey,
+        double hint,
+        double slots,
+        double memory,
+        long subject,
+        int urgency,
+        long acceptedMs,
+        int bodySum,
+        int bodyBytes,
+        byte[] body,
+        State state,
+        List<Attempt> attempts,
+        String reason,
+        long changedMs,
+        long notBeforeMs) {
 
     /** One that may begin at once. */
-    public JobRow(long id, String jobClass, String function, String key, String target, String requestId,
-            String repeatKey, double hint, double slots, double memory, long subject, int urgency,
-            long acceptedMs, int bodySum, int bodyBytes, byte[] body, State state, List<Attempt> attempts,
-            String reason, long changedMs) {
-        this(id, jobClass, function, key, target, requestId, repeatKey, hint, slots, memory, subject, urgency,
-                acceptedMs, bodySum, bodyBytes, body, state, attempts, reason, changedMs, 0);
+    public JobRow(
+            long id,
+            String jobClass,
+            String function,
+            String key,
+            String target,
+            String requestId,
+            String repeatKey,
+            double hint,
+            double slots,
+            double memory,
+            long subject,
+            int urgency,
+            long acceptedMs,
+            int bodySum,
+            int bodyBytes,
+            byte[] body,
+            State state,
+            List<Attempt> attempts,
+            String reason,
+            long changedMs) {
+        this(
+                id,
+                jobClass,
+                function,
+                key,
+                target,
+                requestId,
+                repeatKey,
+                hint,
+                slots,
+                memory,
+                subject,
+                urgency,
+                acceptedMs,
+                bodySum,
+                bodyBytes,
+                body,
+                state,
+                attempts,
+                reason,
+                changedMs,
+                0);
     }
 
     /** The same, not to be begun before that instant. */
     public JobRow notBefore(long instantMs) {
-        return new JobRow(id, jobClass, function, key, target, requestId, repeatKey, hint, slots, memory,
-                subject, urgency, acceptedMs, bodySum, bodyBytes, body, state, attempts, reason, changedMs,
+        return new JobRow(
+                id,
+                jobClass,
+                function,
+                key,
+                target,
+                requestId,
+                repeatKey,
+                hint,
+                slots,
+                memory,
+                subject,
+                urgency,
+                acceptedMs,
+                bodySum,
+                bodyBytes,
+                body,
+                state,
+                attempts,
+                reason,
+                changedMs,
                 instantMs);
     }
 
     /** The same where it stands now. */
     public JobRow at(State now, List<Attempt> record, String why, long instantMs) {
-        return new JobRow(id, jobClass, function, key, target, requestId, repeatKey, hint, slots, memory,
-                subject, urgency, acceptedMs, bodySum, bodyBytes, body, now, record, why, instantMs,
+        return new JobRow(
+                id,
+                jobClass,
+                function,
+                key,
+                target,
+                requestId,
+                repeatKey,
+                hint,
+                slots,
+                memory,
+                subject,
+                urgency,
+                acceptedMs,
+                bodySum,
+                bodyBytes,
+                body,
+                now,
+                record,
+                why,
+                instantMs,
                 notBeforeMs);
     }
 
     /** The same under no key. */
     JobRow withoutKey() {
-        return new JobRow(id, jobClass, function, "", target, requestId, repeatKey, hint, slots, memory,
-                subject, urgency, acceptedMs, bodySum, bodyBytes, body, state, attempts, reason, changedMs,
+        return new JobRow(
+                id,
+                jobClass,
+                function,
+                "",
+                target,
+                requestId,
+                repeatKey,
+                hint,
+                slots,
+                memory,
+                subject,
+                urgency,
+                acceptedMs,
+                bodySum,
+                bodyBytes,
+                body,
+                state,
+                attempts,
+                reason,
+                changedMs,
                 notBeforeMs);
     }
 
     /** The same with its body left out, as it is held in memory once it has ended. */
     JobRow withoutBody() {
-        return new JobRow(id, jobClass, function, key, target, requestId, repeatKey, hint, slots, memory,
-                subject, urgency, acceptedMs, bodySum, bodyBytes, null, state, attempts, reason, changedMs,
+        return new JobRow(
+                id,
+                jobClass,
+                function,
+                key,
+                target,
+                requestId,
+                repeatKey,
+                hint,
+                slots,
+                memory,
+                subject,
+                urgency,
+                acceptedMs,
+                bodySum,
+                bodyBytes,
+                null,
+                state,
+                attempts,
+                reason,
+                changedMs,
                 notBeforeMs);
     }
 }
--- a/src/main/java/laneflow/durable/Journal.java
+++ b/src/main/java/laneflow/durable/Journal.java
@@ -25,9 +25,11 @@
     private static final int MOST_BATCH = 2048;
     /** Acceptances leave this part of the queue to what must be recorded of jobs at work. */
     private static final int ACCEPT_PART = 2;
+
     private static final long IDLE_MS = 200;
     /** Ops between two looks at the store's size: what they hold is far from the part kept free. */
     private static final long LONGEST_US = 60_000_000;
+
     private static final int LOOK_EVERY = 16;
 
     private final Disk store;
@@ -156,7 +158,8 @@
             StoreException failed = commit(writes);
             if (failed != null && failed.kind == StoreException.Kind.FULL && broken == null) {
                 List<Entry> accepts = writes.stream().filter(Entry::accepts).toList();
-                List<Entry> others = writes.stream().filter(entry -> !entry.accepts()).toList();
+                List<Entry> others =
+                        writes.stream().filter(entry -> !entry.accepts()).toList();
                 accepts.forEach(entry -> news.add(() -> entry.done().accept(failed)));
                 if (!others.isEmpty()) {
                     StoreException again = commit(others);
@@ -216,8 +219,10 @@
     private void fails(StoreException e) {
         if (broken == null) {
             broken = e;
-            LOG.error("durable jobs: the store failed and is left alone from now on, nothing more is"
-                    + " acknowledged until a restart: {}", e.getMessage());
+            LOG.error(
+                    "durable jobs: the store failed and is left alone from now on, nothing more is"
+                            + " acknowledged until a restart: {}",
+                    e.getMessage());
         }
     }
 
--- a/src/main/java/laneflow/durable/Lane.java
+++ b/src/main/java/laneflow/durable/Lane.java
@@ -8,7 +8,8 @@
 final class Lane {
     /** First whose window closes first, then the urgent, then the older. */
     private static final Comparator<Held> ORDER = Comparator.<Held>comparingLong(job -> job.untilMs)
-            .thenComparingInt(job -> -job.row.urgency()).thenComparingLong(Held::id);
+            .thenComparingInt(job -> -job.row.urgency())
+            .thenComparingLong(Held::id);
 
     final Pacer pacer;
     int atWork;
--- a/src/main/java/laneflow/durable/Op.java
+++ b/src/main/java/laneflow/durable/Op.java
@@ -9,11 +9,16 @@
  * @param row for ACCEPT
  * @param result for END, where there is one
  */
-public record Op(Kind kind, long id, JobRow row, State state, List<Attempt> attempts, String reason,
-        byte[] result, long atMs) {
+public record Op(
+        Kind kind, long id, JobRow row, State state, List<Attempt> attempts, String reason, byte[] result, long atMs) {
 
     /** What an op does. */
-    public enum Kind { ACCEPT, MOVE, END, DROP }
+    public enum Kind {
+        ACCEPT,
+        MOVE,
+        END,
+        DROP
+    }
 
     /** Takes a job on. */
     static Op accept(JobRow row) {
@@ -22,8 +27,7 @@
 
     /** Takes a job over as it stood elsewhere, with its attempts and its end in one. */
     static Op adopt(JobRow row, byte[] result) {
-        return new Op(Kind.ACCEPT, row.id(), row, row.state(), row.attempts(), row.reason(), result,
-                row.changedMs());
+        return new Op(Kind.ACCEPT, row.id(), row, row.state(), row.attempts(), row.reason(), result, row.changedMs());
     }
 
     /** A lease, a heartbeat, or the way back into the queue. */
@@ -33,8 +37,7 @@
 
     /** Where a job stands that another store held. */
     static Op stands(JobRow row) {
-        return new Op(Kind.MOVE, row.id(), null, row.state(), row.attempts(), row.reason(), null,
-                row.changedMs());
+        return new Op(Kind.MOVE, row.id(), null, row.state(), row.attempts(), row.reason(), null, row.changedMs());
     }
 
     /** Its end, with the result where it was served. */
--- a/src/main/java/laneflow/durable/RowCodec.java
+++ b/src/main/java/laneflow/durable/RowCodec.java
@@ -21,8 +21,7 @@
 final class RowCodec {
     private static final String[] KNOWN = {"out", "never_ran", "may_have_run", "failed", "done"};
 
-    private RowCodec() {
-    }
+    private RowCodec() {}
 
     static String attempts(List<Attempt> attempts) {
         if (attempts.isEmpty()) {
@@ -47,8 +46,11 @@
             try {
                 for (JsonElement element : JsonParser.parseString(text).getAsJsonArray()) {
                     JsonObject one = element.getAsJsonObject();
-                    attempts.add(new Attempt(one.get("n").getAsInt(), one.get("to").getAsString(),
-                            one.get("at").getAsLong(), one.get("end").getAsLong(),
+                    attempts.add(new Attempt(
+                            one.get("n").getAsInt(),
+                            one.get("to").getAsString(),
+                            one.get("at").getAsLong(),
+                            one.get("end").getAsLong(),
                             known(one.get("known").getAsString())));
                 }
             } catch (JsonParseException | IllegalStateException | NullPointerException e) {
@@ -80,15 +82,22 @@
     /** Over all that was taken on. */
     static int sum(JobRow row) {
         CRC32C crc = new CRC32C();
-        for (String text : new String[] {row.jobClass(), row.function(), row.key(), row.target(),
-                row.requestId(),
-            String.valueOf(row.repeatKey())}) {
+        for (String text : new String[] {
+            row.jobClass(), row.function(), row.key(), row.target(), row.requestId(), String.valueOf(row.repeatKey())
+        }) {
             crc.update(text.getBytes(StandardCharsets.UTF_8));
             crc.update(0);
         }
-        ByteBuffer numbers = ByteBuffer.allocate(64).putLong(row.id()).putDouble(row.hint())
-                .putDouble(row.slots()).putDouble(row.memory()).putLong(row.subject()).putInt(row.urgency())
-                .putLong(row.acceptedMs()).putInt(row.bodySum()).putInt(row.bodyBytes());
+        ByteBuffer numbers = ByteBuffer.allocate(64)
+                .putLong(row.id())
+                .putDouble(row.hint())
+                .putDouble(row.slots())
+                .putDouble(row.memory())
+                .putLong(row.subject())
+                .putInt(row.urgency())
+                .putLong(row.acceptedMs())
+                .putInt(row.bodySum())
+                .putInt(row.bodyBytes());
         crc.update(numbers.flip());
         if (row.notBeforeMs() != 0) {
             // Rows of the first format have none, and their sums hold on.
@@ -100,7 +109,11 @@
     /** Over where it stands. */
     static int sum(long id, State state, String attempts, String reason, long changedMs) {
         CRC32C crc = new CRC32C();
-        crc.update(ByteBuffer.allocate(24).putLong(id).putInt(state.number).putLong(changedMs).flip());
+        crc.update(ByteBuffer.allocate(24)
+                .putLong(id)
+                .putInt(state.number)
+                .putLong(changedMs)
+                .flip());
         crc.update(attempts.getBytes(StandardCharsets.UTF_8));
         crc.update(0);
         crc.update(reason.getBytes(StandardCharsets.UTF_8));
--- a/src/main/java/laneflow/durable/State.java
+++ b/src/main/java/laneflow/durable/State.java
@@ -2,7 +2,12 @@
 
 /** Where a durable job stands. The numbers are on disk and never change their meaning. */
 public enum State {
-    QUEUED(0), RUNNING(1), DONE(2), FAILED(3), UNKNOWN(4), CANCELLED(5);
+    QUEUED(0),
+    RUNNING(1),
+    DONE(2),
+    FAILED(3),
+    UNKNOWN(4),
+    CANCELLED(5);
 
     public final int number;
 
--- a/src/main/java/laneflow/durable/Store.java
+++ b/src/main/java/laneflow/durable/Store.java
@@ -36,21 +36,22 @@
     /** The form of the tables; 0 before there are any. */
     static final int FORMAT = 2;
     /** What makes a store of the first format one of the second. */
-    private static final String TO_SECOND =
-            "ALTER TABLE job ADD COLUMN not_before_ms INTEGER NOT NULL DEFAULT 0";
+    private static final String TO_SECOND = "ALTER TABLE job ADD COLUMN not_before_ms INTEGER NOT NULL DEFAULT 0";
+
     private static final int PAGE = 4096;
     private static final int WITNESS = 12;
     private static final String[] TABLES = {
         "CREATE TABLE meta(key TEXT PRIMARY KEY, value INTEGER NOT NULL) WITHOUT ROWID",
         "CREATE TABLE job(id INTEGER PRIMARY KEY, class TEXT NOT NULL, function TEXT NOT NULL,"
-            + " key TEXT NOT NULL, target TEXT NOT NULL, request_id TEXT NOT NULL, repeat_key TEXT,"
-            + " hint REAL, slots REAL NOT NULL,"
-            + " memory REAL NOT NULL, subject INTEGER NOT NULL, urgency INTEGER NOT NULL,"
-            + " accepted_ms INTEGER NOT NULL, body_sum INTEGER NOT NULL, sum INTEGER NOT NULL,"
-            + " body BLOB NOT NULL)",
+                + " key TEXT NOT NULL, target TEXT NOT NULL, request_id TEXT NOT NULL, repeat_key TEXT,"
+                + " hint REAL, slots REAL NOT NULL,"
+                + " memory REAL NOT NULL, subject INTEGER NOT NULL, urgency INTEGER NOT NULL,"
+                + " accepted_ms INTEGER NOT NULL, body_sum INTEGER NOT NULL, sum INTEGER NOT NULL,"
+                + " body BLOB NOT NULL)",
         "CREATE TABLE state(id INTEGER PRIMARY KEY, state INTEGER NOT NULL, attempts TEXT NOT NULL,"
-            + " reason TEXT NOT NULL, changed_ms INTEGER NOT NULL, sum INTEGER NOT NULL)",
-        "CREATE TABLE result(id INTEGER PRIMARY KEY, sum INTEGER NOT NULL, body BLOB NOT NULL)"};
+                + " reason TEXT NOT NULL, changed_ms INTEGER NOT NULL, sum INTEGER NOT NULL)",
+        "CREATE TABLE result(id INTEGER PRIMARY KEY, sum INTEGER NOT NULL, body BLOB NOT NULL)"
+    };
 
     private final Path dir;
     private final FileChannel lock;
@@ -87,20 +88,21 @@
 
     private Store(Path dir) throws IOException {
         this.dir = dir;
-        lock = FileChannel.open(dir.resolve("lock"), StandardOpenOption.CREATE, StandardOpenOption.READ,
-                StandardOpenOption.WRITE);
+        lock = FileChannel.open(
+                dir.resolve("lock"), StandardOpenOption.CREATE, StandardOpenOption.READ, StandardOpenOption.WRITE);
         if (!FolderLock.take(lock)) {
             ByteBuffer said = ByteBuffer.allocate(64);
             lock.read(said, 0);
             lock.close();
             String holder = new String(said.array(), 0, said.position(), StandardCharsets.US_ASCII).strip();
-            throw new StoreException(StoreException.Kind.HELD, dir + ": the store is held by "
-                    + (holder.isEmpty() ? "another process" : "process " + holder)
-                    + "; a store has one scheduler at a time");
+            throw new StoreException(
+                    StoreException.Kind.HELD,
+                    dir + ": the store is held by "
+                            + (holder.isEmpty() ? "another process" : "process " + holder)
+                            + "; a store has one scheduler at a time");
         }
         lock.truncate(0);
-        lock.write(ByteBuffer.wrap((ProcessHandle.current().pid()
-                + "\n").getBytes(StandardCharsets.US_ASCII)), 0);
+        lock.write(ByteBuffer.wrap((ProcessHandle.current().pid() + "\n").getBytes(StandardCharsets.US_ASCII)), 0);
     }
 
     private void open(long mostBytes) throws SQLException, IOException {
@@ -113,8 +115,10 @@
         run("PRAGMA max_page_count=" + Math.max(16, mostBytes / PAGE));
         int format = (int) number("PRAGMA user_version");
         if (format > FORMAT) {
-            throw new StoreException(StoreException.Kind.FORMAT, dir + ": the store has format " + format
-                    + ", this build reads up to " + FORMAT + "; a newer laneflow wrote it");
+            throw new StoreException(
+                    StoreException.Kind.FORMAT,
+                    dir + ": the store has format " + format + ", this build reads up to " + FORMAT
+                            + "; a newer laneflow wrote it");
         }
         if (format == 0) {
             run("BEGIN IMMEDIATE");
@@ -134,16 +138,18 @@
         }
         commits = number("SELECT value FROM meta WHERE key='commits'");
         latestMs = number("SELECT value FROM meta WHERE key='latest_ms'");
-        witness = FileChannel.open(dir.resolve("witness"), StandardOpenOption.CREATE, StandardOpenOption.READ,
-                StandardOpenOption.WRITE);
+        witness = FileChannel.open(
+                dir.resolve("witness"), StandardOpenOption.CREATE, StandardOpenOption.READ, StandardOpenOption.WRITE);
         long seen = witnessed();
         if (seen > commits) {
-            throw new StoreException(StoreException.Kind.DAMAGED, dir + ": " + (seen - commits)
-                    + " acknowledged commits are missing (commit " + seen
-                    + " was acknowledged, the last one here is "
-                    + commits + "): jobs.db or its log was damaged or put back. 'laneflow jobs verify"
-                    + " --accept-loss'"
-                    + " goes on with what is left");
+            throw new StoreException(
+                    StoreException.Kind.DAMAGED,
+                    dir + ": " + (seen - commits)
+                            + " acknowledged commits are missing (commit " + seen
+                            + " was acknowledged, the last one here is "
+                            + commits + "): jobs.db or its log was damaged or put back. 'laneflow jobs verify"
+                            + " --accept-loss'"
+                            + " goes on with what is left");
         }
         prepare();
     }
@@ -152,16 +158,17 @@
         accept = db.prepareStatement("INSERT INTO job VALUES(?,?,?,?,?,?,?,?,?,?,?,?,?,?,?,?,?)");
         move = db.prepareStatement("INSERT OR REPLACE INTO state VALUES(?,?,?,?,?,?)");
         end = db.prepareStatement("INSERT OR REPLACE INTO result VALUES(?,?,?)");
-        mark = db.prepareStatement("UPDATE meta SET value=CASE key"
-                + " WHEN 'commits' THEN ? ELSE max(value, ?) END");
-        drop = new PreparedStatement[] {db.prepareStatement("DELETE FROM result WHERE id=?"),
+        mark = db.prepareStatement("UPDATE meta SET value=CASE key" + " WHEN 'commits' THEN ? ELSE max(value, ?) END");
+        drop = new PreparedStatement[] {
+            db.prepareStatement("DELETE FROM result WHERE id=?"),
             db.prepareStatement("DELETE FROM state WHERE id=?"),
-            db.prepareStatement("DELETE FROM job WHERE id=?")};
+            db.prepareStatement("DELETE FROM job WHERE id=?")
+        };
     }
 
     private void forget() throws SQLException {
-        for (PreparedStatement statement : new PreparedStatement[] {accept, move, end, mark, drop[0], drop[1],
-            drop[2]}) {
+        for (PreparedStatement statement :
+                new PreparedStatement[] {accept, move, end, mark, drop[0], drop[1], drop[2]}) {
             statement.close();
         }
     }
@@ -296,7 +303,10 @@
             return 0;
         }
         long seen = said.flip().getLong();
-        return said.getInt() == RowCodec.sum(ByteBuffer.allocate(8).putLong(seen).array()) ? seen : 0;
+        return said.getInt()
+                        == RowCodec.sum(ByteBuffer.allocate(8).putLong(seen).array())
+                ? seen
+                : 0;
     }
 
     // ---- reading ----
@@ -331,8 +341,10 @@
         } catch (SQLException e) {
             throw meaning(e);
         } catch (IllegalArgumentException e) {
-            throw new StoreException(StoreException.Kind.DAMAGED, dir + ": " + e.getMessage()
-                    + ". 'laneflow jobs verify' names all that is damaged", e);
+            throw new StoreException(
+                    StoreException.Kind.DAMAGED,
+                    dir + ": " + e.getMessage() + ". 'laneflow jobs verify' names all that is damaged",
+                    e);
         }
     }
 
@@ -340,13 +352,29 @@
         long id = from.getLong(1);
         double hint = from.getDouble(8);
         hint = from.wasNull() ? Double.NaN : hint;
-        JobRow row = new JobRow(id, from.getString(2), from.getString(3), from.getString(4),
+        JobRow row = new JobRow(
+                id,
+                from.getString(2),
+                from.getString(3),
+                from.getString(4),
                 from.getString(5),
-                from.getString(6), from.getString(7), hint, from.getDouble(9), from.getDouble(10),
-                from.getLong(11), from.getInt(12), from.getLong(13), from.getInt(14), from.getInt(16),
-                from.getBytes(17), State.QUEUED, List.of(), "", from.getLong(13), from.getLong(23));
-        if (RowCodec.sum(row) != from.getInt(15)
-                || row.body() != null && RowCodec.sum(row.body()) != row.bodySum()) {
+                from.getString(6),
+                from.getString(7),
+                hint,
+                from.getDouble(9),
+                from.getDouble(10),
+                from.getLong(11),
+                from.getInt(12),
+                from.getLong(13),
+                from.getInt(14),
+                from.getInt(16),
+                from.getBytes(17),
+                State.QUEUED,
+                List.of(),
+                "",
+                from.getLong(13),
+                from.getLong(23));
+        if (RowCodec.sum(row) != from.getInt(15) || row.body() != null && RowCodec.sum(row.body()) != row.bodySum()) {
             throw new IllegalArgumentException("what was taken on is not as it was written");
         }
         int number = from.getInt(18);
@@ -371,8 +399,8 @@
             try (ResultSet from = query.executeQuery()) {
                 byte[] body = from.next() ? from.getBytes(2) : null;
                 if (body != null && RowCodec.sum(body) != from.getInt(1)) {
-                    throw new StoreException(StoreException.Kind.DAMAGED,
-                            "the result of job " + hex(id) + " is not as it was written");
+                    throw new StoreException(
+                            StoreException.Kind.DAMAGED, "the result of job " + hex(id) + " is not as it was written");
                 }
                 return body;
             }
@@ -416,15 +444,18 @@
             damage.accept("database: " + e.getMessage());
             return;
         }
-        read(true, row -> {
-            try {
-                if (row.state() == State.DONE && result(row.id()) == null) {
-                    damage.accept("job " + hex(row.id()) + ": done, with no result");
-                }
-            } catch (StoreException e) {
-                damage.accept(e.getMessage());
-            }
-        }, damage);
+        read(
+                true,
+                row -> {
+                    try {
+                        if (row.state() == State.DONE && result(row.id()) == null) {
+                            damage.accept("job " + hex(row.id()) + ": done, with no result");
+                        }
+                    } catch (StoreException e) {
+                        damage.accept(e.getMessage());
+                    }
+                },
+                damage);
     }
 
     /** Gives back a part of the free room, as much as takes a few milliseconds. */
@@ -482,7 +513,8 @@
     }
 
     private long number(String sql) throws SQLException {
-        try (Statement statement = db.createStatement(); ResultSet from = statement.executeQuery(sql)) {
+        try (Statement statement = db.createStatement();
+                ResultSet from = statement.executeQuery(sql)) {
             return from.next() ? from.getLong(1) : 0;
         }
     }
--- a/src/main/java/laneflow/durable/Table.java
+++ b/src/main/java/laneflow/durable/Table.java
@@ -11,6 +11,7 @@
 final class Table {
     /** Ids begin with the milliseconds since then, so they are in order of acceptance. 2020-01-01 UTC. */
     private static final long EPOCH_MS = 1_577_836_800_000L;
+
     private static final int RANDOM_BITS = 20;
 
     private final Long2ObjectHashMap<Held> byId = new Long2ObjectHashMap<>();
--- a/src/main/java/laneflow/durable/decision/Pacer.java
+++ b/src/main/java/laneflow/durable/decision/Pacer.java
@@ -14,6 +14,7 @@
     private static final long SETTLE = 200_000;
     /** The shortest and the longest pause behind a refusal; consecutive ones double it. */
     private static final long FIRST_PAUSE = 20_000;
+
     private static final long LONGEST_PAUSE = 2_000_000;
 
     private int most;
--- a/src/main/java/laneflow/durable/decision/Quota.java
+++ b/src/main/java/laneflow/durable/decision/Quota.java
@@ -30,8 +30,10 @@
     /** Whether a job of this class and size may be taken on. */
     public boolean admits(int jobClass, long size) {
         DurableConfig.OfClass of = config.classes[jobClass];
-        return allJobs < config.mostJobs && allBytes + size <= config.mostBytes
-                && jobs[jobClass] < of.mostJobs && bytes[jobClass] + size <= of.mostBytes;
+        return allJobs < config.mostJobs
+                && allBytes + size <= config.mostBytes
+                && jobs[jobClass] < of.mostJobs
+                && bytes[jobClass] + size <= of.mostBytes;
     }
 
     /** One is held from now on; one that recovery brought counts whether it fits or not. */
--- a/src/main/java/laneflow/durable/decision/Settlement.java
+++ b/src/main/java/laneflow/durable/decision/Settlement.java
@@ -26,11 +26,9 @@
      * limit
      * @param reason for people
      */
-    public record Verdict(Kind kind, long untilMs, String reason) {
-    }
+    public record Verdict(Kind kind, long untilMs, String reason) {}
 
-    private Settlement() {
-    }
+    private Settlement() {}
 
     /**
      * Decides.
@@ -41,9 +39,8 @@
      * @param latestMs the latest instant on record: a clock that shows less has gone back
      * @param most attempts that may have run, over the job's whole life
      */
-    public static Verdict decide(Effect effect, List<Attempt> attempts, long windowMs, long nowMs,
-            long latestMs,
-            int most) {
+    public static Verdict decide(
+            Effect effect, List<Attempt> attempts, long windowMs, long nowMs, long latestMs, int most) {
         int ran = 0;
         long first = Long.MAX_VALUE;
         boolean failureSaid = true;
@@ -58,13 +55,16 @@
             return new Verdict(Kind.AGAIN, Long.MAX_VALUE, "it never ran");
         }
         if (effect == Effect.SAFE) {
-            return ran < most ? new Verdict(Kind.AGAIN, Long.MAX_VALUE, "it may run twice")
+            return ran < most
+                    ? new Verdict(Kind.AGAIN, Long.MAX_VALUE, "it may run twice")
                     : new Verdict(Kind.FAILED, 0, ran + " attempts, and none was served");
         }
         Kind end = failureSaid ? Kind.FAILED : Kind.UNKNOWN;
         if (effect == Effect.UNSAFE) {
-            return new Verdict(end, 0, failureSaid ? "its endpoint said that it failed"
-                    : "it may have run, and must not run twice");
+            return new Verdict(
+                    end,
+                    0,
+                    failureSaid ? "its endpoint said that it failed" : "it may have run, and must not run twice");
         }
         if (nowMs < latestMs) {
             // How long ago the first attempt was can't be told any more, so the window counts as over.
--- a/src/main/java/laneflow/fleet/Fleet.java
+++ b/src/main/java/laneflow/fleet/Fleet.java
@@ -34,6 +34,7 @@
 public final class Fleet {
     /** Versions of the messages that this build speaks. */
     public static final int OLDEST_VERSION = 1;
+
     public static final int NEWEST_VERSION = 1;
     private static final Logger LOG = LoggerFactory.getLogger(Fleet.class);
     private static final String PATH = "/fleet/link";
@@ -81,6 +82,7 @@
     private UnaryOperator<String> describer = name -> "";
     /** One for all links, so that a process that has nothing to say wakes once for all of them. */
     private final Deadline signs;
+
     private boolean over;
 
     /** @param token that all schedulers show each other, or null */
@@ -293,7 +295,8 @@
         public void line(byte[] text) {
             JsonObject message;
             try {
-                message = JsonParser.parseString(new String(text, StandardCharsets.UTF_8)).getAsJsonObject();
+                message = JsonParser.parseString(new String(text, StandardCharsets.UTF_8))
+                        .getAsJsonObject();
             } catch (JsonParseException | IllegalStateException e) {
                 counters.add("fleet.garbled");
                 end("a line that is no JSON object");
@@ -301,12 +304,15 @@
             }
             try {
                 take(message);
-            } catch (IllegalStateException | NullPointerException | NumberFormatException
-                    | UnsupportedOperationException | ClassCastException | IndexOutOfBoundsException e) {
+            } catch (IllegalStateException
+                    | NullPointerException
+                    | NumberFormatException
+                    | UnsupportedOperationException
+                    | ClassCastException
+                    | IndexOutOfBoundsException e) {
                 // A field is missing or of another form: whoever sent it is of no build that we know.
                 counters.add("fleet.garbled");
-                LOG.warn("fleet: {} sent what can't be read: {}", name.isEmpty() ? "a peer" : name,
-                        e.toString());
+                LOG.warn("fleet: {} sent what can't be read: {}", name.isEmpty() ? "a peer" : name, e.toString());
             }
         }
 
@@ -389,8 +395,15 @@
                 return;
             }
             counters.add("fleet.dials");
-            stream = new LineStream(loop, address, PATH, token == null ? "" : "Authorization: Bearer " + token
-                    + "\r\n", config.silence, config.silence, MOST_LINE, this);
+            stream = new LineStream(
+                    loop,
+                    address,
+                    PATH,
+                    token == null ? "" : "Authorization: Bearer " + token + "\r\n",
+                    config.silence,
+                    config.silence,
+                    MOST_LINE,
+                    this);
         }
 
         @Override
@@ -434,8 +447,7 @@
             stream.close();
             stream = null;
             if (!over) {
-                long most = Math.min(config.longestBackoff, FIRST_BACKOFF << Math.min(failures++,
-                        MOST_DOUBLINGS));
+                long most = Math.min(config.longestBackoff, FIRST_BACKOFF << Math.min(failures++, MOST_DOUBLINGS));
                 loop.deadlines().at(loop.micros() + 1 + random.nextLong(most), this::begin);
             }
         }
--- a/src/main/java/laneflow/gearman/AdminText.java
+++ b/src/main/java/laneflow/gearman/AdminText.java
@@ -13,8 +13,8 @@
     private static final String END = ".\n";
     private static final String OK = "OK\n";
     private static final String UNKNOWN = "ERR UNKNOWN_COMMAND Unknown+server+command\n";
-    private static final String MISSING = "ERR INCOMPLETE_ARGS"
-            + " An+incomplete+set+of+arguments+was+sent+to+this+command\n";
+    private static final String MISSING =
+            "ERR INCOMPLETE_ARGS" + " An+incomplete+set+of+arguments+was+sent+to+this+command\n";
 
     private final GearmanFront front;
 
@@ -40,14 +40,16 @@
             case "getpid":
                 return "OK " + ProcessHandle.current().pid() + "\n";
             case "verbose":
-                return "OK " + (LoggerFactory.getLogger(GearmanFront.class).isDebugEnabled()
-                        ? "DEBUG" : "INFO") + "\n";
+                return "OK " + (LoggerFactory.getLogger(GearmanFront.class).isDebugEnabled() ? "DEBUG" : "INFO") + "\n";
             case "maxqueue":
                 return words.length < 2 ? MISSING : limit(words);
             case "create":
             case "drop":
-                return words.length < 3 ? MISSING : !words[1].equals("function") ? UNKNOWN
-                        : words[0].equals("create") ? create(words[2]) : drop(words[2]);
+                return words.length < 3
+                        ? MISSING
+                        : !words[1].equals("function")
+                                ? UNKNOWN
+                                : words[0].equals("create") ? create(words[2]) : drop(words[2]);
             case "show":
                 return words.length < 2 ? MISSING : show(words);
             case "cancel":
@@ -64,8 +66,14 @@
         StringBuilder all = new StringBuilder();
         for (Map.Entry<String, Queues.Row> one : front.queues.rows().entrySet()) {
             Queues.Row row = one.getValue();
-            all.append(one.getKey()).append('\t').append(row.queued() + row.running()).append('\t')
-                    .append(row.running()).append('\t').append(row.workers()).append('\n');
+            all.append(one.getKey())
+                    .append('\t')
+                    .append(row.queued() + row.running())
+                    .append('\t')
+                    .append(row.running())
+                    .append('\t')
+                    .append(row.workers())
+                    .append('\n');
         }
         return all + END;
     }
@@ -75,9 +83,16 @@
         StringBuilder all = new StringBuilder();
         for (Map.Entry<String, Queues.Row> one : front.queues.rows().entrySet()) {
             Queues.Row row = one.getValue();
-            all.append(one.getKey()).append('\t').append(row.queued(Queues.HIGH)).append('\t')
-                    .append(row.queued(Queues.NORMAL)).append('\t').append(row.queued(Queues.LOW))
-                    .append('\t').append(row.workers()).append('\n');
+            all.append(one.getKey())
+                    .append('\t')
+                    .append(row.queued(Queues.HIGH))
+                    .append('\t')
+                    .append(row.queued(Queues.NORMAL))
+                    .append('\t')
+                    .append(row.queued(Queues.LOW))
+                    .append('\t')
+                    .append(row.workers())
+                    .append('\n');
         }
         return all + END;
     }
@@ -93,8 +108,7 @@
             }
         }
         for (int priority = Queues.HIGH; priority <= Queues.LOW; priority++) {
-            String most = words.length == 3 ? words[2] : words.length > 3 + priority - 1
-                    ? words[2 + priority] : "0";
+            String most = words.length == 3 ? words[2] : words.length > 3 + priority - 1 ? words[2 + priority] : "0";
             front.queues.limit(words[1], priority, Integer.parseInt(most));
         }
         return OK;
@@ -129,8 +143,12 @@
     private String show(String[] words) {
         StringBuilder all = new StringBuilder();
         if (words[1].equals("jobs")) {
-            front.eachJob(job -> all.append(job.handle).append('\t').append(Math.max(0, job.attempts - 1))
-                    .append("\t0\t").append(job.running ? 0 : 1).append('\n'));
+            front.eachJob(job -> all.append(job.handle)
+                    .append('\t')
+                    .append(Math.max(0, job.attempts - 1))
+                    .append("\t0\t")
+                    .append(job.running ? 0 : 1)
+                    .append('\n'));
             return all + END;
         }
         if (words.length > 2 && words[1].equals("unique") && words[2].equals("jobs")) {
@@ -142,9 +160,12 @@
 
     private String cancel(String handle) {
         switch (front.cancel(handle)) {
-            case YES: return OK;
-            case BEGUN: return "ERR JOB_RUNNING it+has+begun\n";
-            default: return "ERR NO_SUCH_JOB no+job+of+that+handle\n";
+            case YES:
+                return OK;
+            case BEGUN:
+                return "ERR JOB_RUNNING it+has+begun\n";
+            default:
+                return "ERR NO_SUCH_JOB no+job+of+that+handle\n";
         }
     }
 
--- a/src/main/java/laneflow/gearman/GearmanCarrier.java
+++ b/src/main/java/laneflow/gearman/GearmanCarrier.java
@@ -2,10 +2,10 @@
 
 import java.util.HashMap;
 import java.util.Map;
-import laneflow.decision.Dispatch.Outcome;
 import laneflow.core.Carrier;
 import laneflow.core.Endpoint;
 import laneflow.core.OutboundCall;
+import laneflow.decision.Dispatch.Outcome;
 
 /** Outbound calls to Gearman workers: a call waits at its worker until that grabs it. */
 final class GearmanCarrier implements Carrier {
--- a/src/main/java/laneflow/gearman/GearmanConfig.java
+++ b/src/main/java/laneflow/gearman/GearmanConfig.java
@@ -23,13 +23,12 @@
      *
      * @param deadline microseconds, or 0: its class's, whatever that is when a job comes
      */
-    public record Function(String name, int jobClass, long deadline, double hint, double slots,
-            boolean durable) {
-    }
+    public record Function(String name, int jobClass, long deadline, double hint, double slots, boolean durable) {}
 
     public final String listen;
     /** The zone that connected workers count to. */
     public final int zone;
+
     public final Map<String, Function> functions = new TreeMap<>();
     /** Functions that no table names are of this class; below 0: they are refused. */
     public final int unmapped;
@@ -75,8 +74,15 @@
             }
             double wait = one.number("deadline_ms", 0, 1, HOUR_MS);
             double cost = one.number("cost_ms", Double.NaN, 0, HOUR_MS) / 1000;
-            functions.put(name, new Function(name, jobClass, (long) (wait * 1000), cost,
-                    one.number("slots", 1, 0.01, 1024), one.flag("durable", false)));
+            functions.put(
+                    name,
+                    new Function(
+                            name,
+                            jobClass,
+                            (long) (wait * 1000),
+                            cost,
+                            one.number("slots", 1, 0.01, 1024),
+                            one.flag("durable", false)));
             one.close();
         });
         from.close();
@@ -112,13 +118,13 @@
             if (now != null && (now.jobClass() != next.jobClass() || now.durable() != next.durable())) {
                 // Workers are listed by class, and a durable job must be found by the one that took it on.
                 later.add("functions." + name + ": class and durable from the next start on");
-                next = new Function(name, now.jobClass(), next.deadline(), next.hint(), next.slots(),
-                        now.durable());
+                next = new Function(name, now.jobClass(), next.deadline(), next.hint(), next.slots(), now.durable());
             }
             functions.put(name, next);
         });
-        functions.keySet().stream().filter(name -> !other.functions.containsKey(name)).forEach(name ->
-                later.add("functions." + name + ": is mapped until the next start"));
+        functions.keySet().stream()
+                .filter(name -> !other.functions.containsKey(name))
+                .forEach(name -> later.add("functions." + name + ": is mapped until the next start"));
         return later;
     }
 
@@ -127,8 +133,7 @@
         Function mapped = functions.get(name);
         if (mapped == null && unmapped >= 0) {
             mapped = named.get(name);
-            if (mapped == null && named.size() < MOST_NAMED && !name.isEmpty()
-                    && name.length() <= MOST_NAME) {
+            if (mapped == null && named.size() < MOST_NAMED && !name.isEmpty() && name.length() <= MOST_NAME) {
                 mapped = new Function(name, unmapped, 0, Double.NaN, 1, false);
                 named.put(name, mapped);
             }
@@ -147,8 +152,7 @@
     }
 
     /** Reads a table against the scheduler's settings; what is wrong becomes findings of the table's. */
-    public static GearmanConfig read(Table from, Settings settings, List<String> classes,
-            List<String> zones) {
+    public static GearmanConfig read(Table from, Settings settings, List<String> classes, List<String> zones) {
         return new GearmanConfig(from, settings, classes, zones);
     }
 
@@ -158,13 +162,12 @@
         return parse(Files.readString(file), file.toString(), settings, classes, zones);
     }
 
-    public static GearmanConfig parse(String text, Settings settings, List<String> classes,
-            List<String> zones) {
+    public static GearmanConfig parse(String text, Settings settings, List<String> classes, List<String> zones) {
         return parse(text, "the Gearman file", settings, classes, zones);
     }
 
-    private static GearmanConfig parse(String text, String name, Settings settings, List<String> classes,
-            List<String> zones) {
+    private static GearmanConfig parse(
+            String text, String name, Settings settings, List<String> classes, List<String> zones) {
         Findings findings = new Findings(name);
         Table table = Table.parse(text, findings);
         findings.raise();
--- a/src/main/java/laneflow/gearman/GearmanFront.java
+++ b/src/main/java/laneflow/gearman/GearmanFront.java
@@ -2,9 +2,9 @@
 
 import java.io.IOException;
 import java.net.InetSocketAddress;
-import java.util.ArrayList;
 import java.security.MessageDigest;
 import java.security.NoSuchAlgorithmException;
+import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HexFormat;
 import java.util.List;
@@ -12,7 +12,6 @@
 import java.util.SplittableRandom;
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
-import laneflow.decision.Dispatch.Effect;
 import laneflow.core.Endpoint;
 import laneflow.core.Front;
 import laneflow.core.Keeper;
@@ -20,6 +19,7 @@
 import laneflow.core.Request;
 import laneflow.core.Scheduler;
 import laneflow.core.SlotTable;
+import laneflow.decision.Dispatch.Effect;
 import laneflow.gearman.decision.Queues;
 import laneflow.net.Loop;
 import org.slf4j.Logger;
@@ -46,12 +46,14 @@
     private final Map<String, Job> byKey = new HashMap<>();
     /** Jobs by what their clients call unique, of all functions: a status is asked by that alone. */
     private final Map<String, List<Job>> byUnique = new HashMap<>();
+
     final Queues queues;
     final AdminText text = new AdminText(this);
     /** Null where operators may not end the program. */
     Runnable ending;
     /** Null where durable jobs are off. */
     Keeper keeper;
+
     private Loop.Listener listener;
     private boolean draining;
     private long handles;
@@ -70,8 +72,7 @@
     public void listen(InetSocketAddress at) throws IOException {
         // A packet of the greatest size must fit whole, and going out another one behind it.
         int in = Integer.highestOneBit(config.mostBody + Packet.NAMES + Packet.HEADER) << 1;
-        listener = loop.listen(at, in, Math.max(LEAST_RING, 2 * in), this::makeRoom, () -> new Peer(this,
-                ++came));
+        listener = loop.listen(at, in, Math.max(LEAST_RING, 2 * in), this::makeRoom, () -> new Peer(this, ++came));
         listener.begin();
         LOG.info("Gearman clients and workers at {}", listener.address());
     }
@@ -155,8 +156,10 @@
             return;
         }
         int priority = priority(type);
-        boolean background = type == Packet.SUBMIT_JOB_BG || type == Packet.SUBMIT_JOB_HIGH_BG
-                || type == Packet.SUBMIT_JOB_LOW_BG || type == Packet.SUBMIT_REDUCE_JOB_BG;
+        boolean background = type == Packet.SUBMIT_JOB_BG
+                || type == Packet.SUBMIT_JOB_HIGH_BG
+                || type == Packet.SUBMIT_JOB_LOW_BG
+                || type == Packet.SUBMIT_REDUCE_JOB_BG;
         if (background && function.durable() && keeper != null) {
             keep(client, function, unique, data, Queues.NORMAL - priority, 0);
             return;
@@ -217,9 +220,9 @@
     }
 
     private static int priority(int type) {
-        return type == Packet.SUBMIT_JOB_HIGH || type == Packet.SUBMIT_JOB_HIGH_BG ? Queues.HIGH
-                : type == Packet.SUBMIT_JOB_LOW || type == Packet.SUBMIT_JOB_LOW_BG ? Queues.LOW
-                : Queues.NORMAL;
+        return type == Packet.SUBMIT_JOB_HIGH || type == Packet.SUBMIT_JOB_HIGH_BG
+                ? Queues.HIGH
+                : type == Packet.SUBMIT_JOB_LOW || type == Packet.SUBMIT_JOB_LOW_BG ? Queues.LOW : Queues.NORMAL;
     }
 
     /**
@@ -258,21 +261,32 @@
     }
 
     /** Hands a job to whoever keeps it; the client hears of it once it is on disk. */
-    private void keep(Peer client, GearmanConfig.Function function, String unique, byte[] data, int urgency,
-            long notBeforeMs) {
+    private void keep(
+            Peer client, GearmanConfig.Function function, String unique, byte[] data, int urgency, long notBeforeMs) {
         Peer.Owed word = client.owe();
         String mark = unique.equals("-") ? digest(data) : unique;
         String key = mark.isEmpty() ? "" : "gearman/" + function.name() + "/" + mark;
-        keeper.submit(new Keeper.Submission(function.jobClass(), function.name(), key, false,
-                payload(function, unique, data), function.hint(), function.slots(), 0, subject(unique),
-                urgency, notBeforeMs),
+        keeper.submit(
+                new Keeper.Submission(
+                        function.jobClass(),
+                        function.name(),
+                        key,
+                        false,
+                        payload(function, unique, data),
+                        function.hint(),
+                        function.slots(),
+                        0,
+                        subject(unique),
+                        urgency,
+                        notBeforeMs),
                 said -> {
                     if (said.taken() == Keeper.Taken.YES) {
                         word.is(Packet.JOB_CREATED, KEPT + hex(said.id()));
                     } else if (said.taken() == Keeper.Taken.FULL) {
-                        word.is(Packet.ERROR, "QUEUE_FULL", "come back in "
-                                + Math.ceil(said.comeBack() * 1000)
-                                / 1000 + " s");
+                        word.is(
+                                Packet.ERROR,
+                                "QUEUE_FULL",
+                                "come back in " + Math.ceil(said.comeBack() * 1000) / 1000 + " s");
                     } else {
                         word.is(Packet.ERROR, "STORE_FAILED", "no durable job is taken on until a restart");
                     }
@@ -294,7 +308,8 @@
     }
 
     private long deadline(GearmanConfig.Function function) {
-        return function.deadline() > 0 ? function.deadline()
+        return function.deadline() > 0
+                ? function.deadline()
                 : (long) (scheduler.settings().classes[function.jobClass()].deadline * 1e6);
     }
 
@@ -308,7 +323,10 @@
 
     private Request request(Job job, byte[] data) {
         GearmanConfig.Function function = job.function;
-        Request request = new Request(this, job.slot, payload(function, job.unique, data),
+        Request request = new Request(
+                this,
+                job.slot,
+                payload(function, job.unique, data),
                 function.jobClass(),
                 loop.micros() + deadline(function));
         request.hint = function.hint();
@@ -331,8 +349,10 @@
             return null;
         }
         try {
-            return new long[] {Long.parseUnsignedLong(handle.substring(KEPT.length(), point), 16),
-                Integer.parseInt(handle.substring(point + 1))};
+            return new long[] {
+                Long.parseUnsignedLong(handle.substring(KEPT.length(), point), 16),
+                Integer.parseInt(handle.substring(point + 1))
+            };
         } catch (NumberFormatException e) {
             return null;
         }
@@ -352,21 +372,31 @@
         Keeper.View view = keeper == null ? null : keeper.peek(kept(handle));
         if (view != null) {
             boolean open = !view.ended();
-            client.send(Packet.STATUS_RES, handle, open ? 1 : 0, open && view.atWork() ? 1 : 0, view.done(),
-                    view.of());
+            client.send(Packet.STATUS_RES, handle, open ? 1 : 0, open && view.atWork() ? 1 : 0, view.done(), view.of());
             return;
         }
         Job job = byHandle.get(handle);
-        client.send(Packet.STATUS_RES, handle, job == null ? 0 : 1, job != null && job.running ? 1 : 0,
-                job == null ? 0 : job.done, job == null ? 0 : job.of);
+        client.send(
+                Packet.STATUS_RES,
+                handle,
+                job == null ? 0 : 1,
+                job != null && job.running ? 1 : 0,
+                job == null ? 0 : job.done,
+                job == null ? 0 : job.of);
     }
 
     /** The same by a unique, of whatever function; with how many clients wait for it. */
     void statusOf(Peer client, String unique) {
         List<Job> all = byUnique.get(unique);
         Job job = all == null ? null : all.get(all.size() - 1);
-        client.send(Packet.STATUS_RES_UNIQUE, unique, job == null ? 0 : 1, job != null && job.running ? 1 : 0,
-                job == null ? 0 : job.done, job == null ? 0 : job.of, job == null ? 0 : job.clients.size());
+        client.send(
+                Packet.STATUS_RES_UNIQUE,
+                unique,
+                job == null ? 0 : 1,
+                job != null && job.running ? 1 : 0,
+                job == null ? 0 : job.done,
+                job == null ? 0 : job.of,
+                job == null ? 0 : job.clients.size());
     }
 
     /** What a worker says while it works, to all who wait. */
@@ -471,7 +501,11 @@
     }
 
     /** What became of a wish to cancel. */
-    enum Cancelled { YES, NO_SUCH_JOB, BEGUN }
+    enum Cancelled {
+        YES,
+        NO_SUCH_JOB,
+        BEGUN
+    }
 
     /** Takes back a job that no endpoint has begun; whoever waits for it hears that it failed. */
     Cancelled cancel(String handle) {
--- a/src/main/java/laneflow/gearman/Job.java
+++ b/src/main/java/laneflow/gearman/Job.java
@@ -19,18 +19,26 @@
     boolean background;
     /** Clients that submitted it, those that joined by the same unique included. */
     final List<Peer> clients = new ArrayList<>();
+
     Request request;
     long slot;
     /** An endpoint has begun its present attempt. */
     boolean running;
+
     int attempts;
     long done;
     long of;
     /** What the last endpoint said when it failed, or null. */
     byte[] exception;
 
-    Job(String handle, GearmanConfig.Function function, String unique, String key,
-            String reducer, int priority, boolean background) {
+    Job(
+            String handle,
+            GearmanConfig.Function function,
+            String unique,
+            String key,
+            String reducer,
+            int priority,
+            boolean background) {
         this.handle = handle;
         this.function = function;
         this.unique = unique;
--- a/src/main/java/laneflow/gearman/Packet.java
+++ b/src/main/java/laneflow/gearman/Packet.java
@@ -53,6 +53,7 @@
     static final int HEADER = 12;
     /** What a job's names may add to its data. */
     static final int NAMES = 2048;
+
     static final int REQUEST = 0x00524551;
     static final int RESPONSE = 0x00524553;
 
@@ -103,7 +104,9 @@
     }
 
     private static int number(Ring in, int at) {
-        return (in.at(at) & 0xff) << 24 | (in.at(at + 1) & 0xff) << 16 | (in.at(at + 2) & 0xff) << 8
+        return (in.at(at) & 0xff) << 24
+                | (in.at(at + 1) & 0xff) << 16
+                | (in.at(at + 2) & 0xff) << 8
                 | in.at(at + 3) & 0xff;
     }
 
@@ -147,10 +150,16 @@
                 data.write(0);
             }
             Object argument = arguments[i];
-            data.writeBytes(argument instanceof byte[] ? (byte[]) argument
-                    : String.valueOf(argument).getBytes(StandardCharsets.UTF_8));
+            data.writeBytes(
+                    argument instanceof byte[]
+                            ? (byte[]) argument
+                            : String.valueOf(argument).getBytes(StandardCharsets.UTF_8));
         }
-        return ByteBuffer.allocate(HEADER + data.size()).putInt(magic).putInt(type).putInt(data.size())
-                .put(data.toByteArray()).array();
+        return ByteBuffer.allocate(HEADER + data.size())
+                .putInt(magic)
+                .putInt(type)
+                .putInt(data.size())
+                .put(data.toByteArray())
+                .array();
     }
 }
--- a/src/main/java/laneflow/gearman/Peer.java
+++ b/src/main/java/laneflow/gearman/Peer.java
@@ -24,6 +24,7 @@
     private static final long MESSAGE = 2_000_000;
     /** Longer packets may take longer, at so many bytes a second. */
     private static final int PLAIN = 64 * 1024;
+
     private static final int LEAST_RATE = 256 * 1024;
 
     private final GearmanFront front;
@@ -38,9 +39,11 @@
     private final long order;
     /** Answers in the order of what was asked, as long as the first one is not known yet. */
     private final ArrayDeque<Owed> owed = new ArrayDeque<>();
+
     Worker worker;
     /** Foreground jobs that it waits for. */
     final Set<Job> waiting = new LinkedHashSet<>();
+
     boolean wantsExceptions;
 
     Peer(GearmanFront front, long order) {
@@ -229,21 +232,29 @@
             case Packet.SUBMIT_REDUCE_JOB:
             case Packet.SUBMIT_REDUCE_JOB_BG:
                 args = packet.arguments(4);
-                front.submit(this, packet.type, Packet.text(args[0]), Packet.text(args[1]),
-                        Packet.text(args[2]), args[3]);
+                front.submit(
+                        this, packet.type, Packet.text(args[0]), Packet.text(args[1]), Packet.text(args[2]), args[3]);
                 break;
             case Packet.SUBMIT_JOB_EPOCH:
                 args = packet.arguments(4);
                 String seconds = Packet.text(args[2]);
-                front.submitLater(this, Packet.text(args[0]), Packet.text(args[1]), args[3],
-                        () -> Schedule.epoch(seconds));
+                front.submitLater(
+                        this, Packet.text(args[0]), Packet.text(args[1]), args[3], () -> Schedule.epoch(seconds));
                 break;
             case Packet.SUBMIT_JOB_SCHED:
                 args = packet.arguments(8);
                 byte[][] fields = args;
-                front.submitLater(this, Packet.text(args[0]), Packet.text(args[1]), args[7],
-                        () -> Schedule.next(Packet.text(fields[2]), Packet.text(fields[3]),
-                                Packet.text(fields[4]), Packet.text(fields[5]), Packet.text(fields[6]),
+                front.submitLater(
+                        this,
+                        Packet.text(args[0]),
+                        Packet.text(args[1]),
+                        args[7],
+                        () -> Schedule.next(
+                                Packet.text(fields[2]),
+                                Packet.text(fields[3]),
+                                Packet.text(fields[4]),
+                                Packet.text(fields[5]),
+                                Packet.text(fields[6]),
                                 System.currentTimeMillis()));
                 break;
             case Packet.GET_STATUS_UNIQUE:
--- a/src/main/java/laneflow/gearman/Worker.java
+++ b/src/main/java/laneflow/gearman/Worker.java
@@ -5,14 +5,14 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import laneflow.decision.Dispatch.LoadReport;
-import laneflow.decision.Dispatch.Outcome;
-import laneflow.decision.Dispatch.State;
 import laneflow.core.Deadlines.Deadline;
 import laneflow.core.DestinationSet.Entry;
 import laneflow.core.Endpoint;
 import laneflow.core.OutboundCall;
 import laneflow.core.Scheduler;
+import laneflow.decision.Dispatch.LoadReport;
+import laneflow.decision.Dispatch.Outcome;
+import laneflow.decision.Dispatch.State;
 import laneflow.gearman.decision.Passing;
 
 /** The worker's side of a connection: an endpoint with one slot, from its first ability to its leaving. */
@@ -29,6 +29,7 @@
     private final Map<String, Integer> unmapped = new LinkedHashMap<>();
     /** Calls that wait to be grabbed. */
     private final List<OutboundCall> queue = new ArrayList<>();
+
     private final ByteArrayOutputStream data = new ByteArrayOutputStream();
     private final Deadline limit;
     private final Deadline grace;
@@ -37,6 +38,7 @@
     private boolean asleep;
     /** The handle of the job at work, also once nobody waits for it any more; null if there is none. */
     private String handle;
+
     private String lastHandle = "";
     private OutboundCall call;
     /** The call of the job at work, where its lease has run out; null if there is none such. */
@@ -141,7 +143,8 @@
             entry.classes |= 1L << front.config.function(function).jobClass();
         }
         // Which of a class's functions it has: sent to one that has not, a job would come back unbegun.
-        entry.abilities = abilities.keySet().stream().mapToLong(Endpoint::number).sorted().toArray();
+        entry.abilities =
+                abilities.keySet().stream().mapToLong(Endpoint::number).sorted().toArray();
         scheduler.list(front.carrier, false, List.of(entry));
     }
 
@@ -246,17 +249,20 @@
         String function = function(next);
         call = next;
         outlived = null;
-        handle = job != null ? job.handle : next.lease > 0
-                ? String.format("%s%016x.%d", GearmanFront.KEPT, next.request.tag, next.lease)
-                : "H:laneflow:c" + Long.toHexString(next.handle());
+        handle = job != null
+                ? job.handle
+                : next.lease > 0
+                        ? String.format("%s%016x.%d", GearmanFront.KEPT, next.request.tag, next.lease)
+                        : "H:laneflow:c" + Long.toHexString(next.handle());
         data.reset();
         int seconds = abilities.get(function);
         if (seconds > 0) {
             front.loop.deadlines().set(limit, front.loop.micros() + seconds * 1_000_000L);
         }
         byte[] body = next.request.payload.body();
-        String unique = job != null ? job.unique : next.request.unique != null ? next.request.unique
-                : next.request.payload.requestId();
+        String unique = job != null
+                ? job.unique
+                : next.request.unique != null ? next.request.unique : next.request.payload.requestId();
         if (form == Packet.JOB_ASSIGN_ALL) {
             peer.send(form, handle, function, unique, job != null ? job.reducer : "", body);
         } else if (form == Packet.JOB_ASSIGN_UNIQ) {
@@ -318,8 +324,7 @@
     private boolean late(int type, String of, byte[] said) {
         long[] lease = front.keeper == null ? null : GearmanFront.lease(of);
         boolean ends = type == Packet.WORK_COMPLETE || type == Packet.WORK_FAIL;
-        return lease != null && ends
-                && front.keeper.late(lease[0], (int) lease[1], type == Packet.WORK_COMPLETE, said);
+        return lease != null && ends && front.keeper.late(lease[0], (int) lease[1], type == Packet.WORK_COMPLETE, said);
     }
 
     private void status(byte[] said) throws Packet.Malformed {
--- a/src/main/java/laneflow/gearman/decision/Passing.java
+++ b/src/main/java/laneflow/gearman/decision/Passing.java
@@ -9,8 +9,7 @@
  * other the client hears the words of the attempt that served it, in front of the result.
  */
 public final class Passing {
-    private Passing() {
-    }
+    private Passing() {}
 
     public static boolean passesOn(Effect effect) {
         return effect == Effect.UNSAFE;
--- a/src/main/java/laneflow/gearman/decision/Schedule.java
+++ b/src/main/java/laneflow/gearman/decision/Schedule.java
@@ -15,8 +15,7 @@
     /** A 29th of February on a given day of the week comes within 40 years, but for a century's gap. */
     private static final int MOST_DAYS = 366 * 41;
 
-    private Schedule() {
-    }
+    private Schedule() {}
 
     /** Unix time in milliseconds; what is no time is an IllegalArgumentException that says so. */
     public static long epoch(String seconds) {
@@ -27,26 +26,27 @@
     }
 
     /** The first minute after now that fits; Unix time in milliseconds. */
-    public static long next(String minute, String hour, String day, String month, String weekday,
-            long nowMs) {
+    public static long next(String minute, String hour, String day, String month, String weekday, long nowMs) {
         int atMinute = field("minute", minute, 0, 59);
         int atHour = field("hour", hour, 0, 23);
         int onDay = field("day of the month", day, 1, 31);
         int inMonth = field("month", month, 1, 12);
         int onWeekday = field("day of the week", weekday, 0, 6);
-        ZonedDateTime at = Instant.ofEpochMilli(nowMs).atZone(ZoneOffset.UTC).truncatedTo(ChronoUnit.MINUTES)
+        ZonedDateTime at = Instant.ofEpochMilli(nowMs)
+                .atZone(ZoneOffset.UTC)
+                .truncatedTo(ChronoUnit.MINUTES)
                 .plusMinutes(1);
         for (int days = 0; days < MOST_DAYS; days++) {
-            boolean fits = (onDay < 0 || at.getDayOfMonth() == onDay) && (inMonth < 0 || at.getMonthValue()
-                    == inMonth) && (onWeekday < 0 || at.getDayOfWeek().getValue() - 1 == onWeekday);
+            boolean fits = (onDay < 0 || at.getDayOfMonth() == onDay)
+                    && (inMonth < 0 || at.getMonthValue() == inMonth)
+                    && (onWeekday < 0 || at.getDayOfWeek().getValue() - 1 == onWeekday);
             ZonedDateTime then = fits ? within(at, atMinute, atHour) : null;
             if (then != null) {
                 return then.toInstant().toEpochMilli();
             }
             at = at.truncatedTo(ChronoUnit.DAYS).plusDays(1);
         }
-        throw new IllegalArgumentException("no day is the " + day + ". of month " + month + " and weekday "
-                + weekday);
+        throw new IllegalArgumentException("no day is the " + day + ". of month " + month + " and weekday " + weekday);
     }
 
     /** The first fitting minute of that day from then on, or null. */
--- a/src/main/java/laneflow/http/Answer.java
+++ b/src/main/java/laneflow/http/Answer.java
@@ -14,10 +14,10 @@
 import java.nio.charset.CharacterCodingException;
 import java.nio.charset.StandardCharsets;
 import java.util.Collection;
-import laneflow.decision.Dispatch.LoadReport;
-import laneflow.decision.Dispatch.Outcome;
 import laneflow.core.OutboundCall;
 import laneflow.core.Scheduler;
+import laneflow.decision.Dispatch.LoadReport;
+import laneflow.decision.Dispatch.Outcome;
 
 /**
  * What an endpoint answers to one call or probe, read as it comes in. Nothing is taken on trust: only a whole
@@ -31,6 +31,7 @@
     private final OutboundCall call;
     /** The ids of the jobs sent before this call on its connection. */
     private final Collection<String> before;
+
     private final ByteArrayOutputStream line = new ByteArrayOutputStream();
     private HttpHead head;
     private Outcome outcome;
@@ -85,8 +86,8 @@
         head = received;
         if (call != null && head.status() != 200) {
             report = Loads.read(head.header(Names.LOAD));
-            boolean declined = (head.status() == 503 || head.status() == 504)
-                    && "1".equals(head.header(Names.DECLINED));
+            boolean declined =
+                    (head.status() == 503 || head.status() == 504) && "1".equals(head.header(Names.DECLINED));
             outcome = declined ? Outcome.FULL : Outcome.ERROR;
         }
     }
@@ -138,7 +139,10 @@
     /** Bytes that are no UTF-8 must not be served in another form than the endpoint made. */
     private static String text(byte[] bytes) throws HttpException {
         try {
-            return StandardCharsets.UTF_8.newDecoder().decode(ByteBuffer.wrap(bytes)).toString();
+            return StandardCharsets.UTF_8
+                    .newDecoder()
+                    .decode(ByteBuffer.wrap(bytes))
+                    .toString();
         } catch (CharacterCodingException e) {
             throw new HttpException(400, "a line that is no UTF-8");
         }
@@ -209,13 +213,17 @@
 
     private static double share(JsonObject word) {
         JsonElement share = word.get("share");
-        boolean number = share != null && share.isJsonPrimitive() && share.getAsJsonPrimitive().isNumber();
+        boolean number = share != null
+                && share.isJsonPrimitive()
+                && share.getAsJsonPrimitive().isNumber();
         return number ? Math.min(1, Math.max(0, share.getAsDouble())) : 0;
     }
 
     private static String string(JsonObject from, String key) {
         JsonElement value = from.get(key);
-        boolean text = value != null && value.isJsonPrimitive() && value.getAsJsonPrimitive().isString();
+        boolean text = value != null
+                && value.isJsonPrimitive()
+                && value.getAsJsonPrimitive().isString();
         return text ? value.getAsString() : null;
     }
 }
--- a/src/main/java/laneflow/http/Client.java
+++ b/src/main/java/laneflow/http/Client.java
@@ -38,6 +38,7 @@
     private boolean begun = true;
     /** From a message's end to its answer, also where the core is not asked. */
     private boolean owes;
+
     private boolean reading;
     /** More than is kept came while an answer was owed: nothing can be read behind what is in the ring. */
     private boolean sentTooMuch;
@@ -50,6 +51,7 @@
     private long servesUpTo = -1;
     /** Something has been answered on it. */
     private boolean answered;
+
     private long since;
     /** Its place among those that came in one turn, and so at one instant. */
     private final long order;
--- a/src/main/java/laneflow/http/Config.java
+++ b/src/main/java/laneflow/http/Config.java
@@ -10,9 +10,9 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
+import laneflow.core.DestinationSet.Entry;
 import laneflow.decision.Dispatch.Settings;
 import laneflow.decision.Dispatch.State;
-import laneflow.core.DestinationSet.Entry;
 import laneflow.wire.SettingsReader;
 import laneflow.wire.WireException;
 
@@ -23,11 +23,13 @@
 
     /** The scheduler's name, the same after a restart. */
     public final String name;
+
     public final String listen;
     /** The second address, where on-call staff call in; null where there is none. */
     public final String ops;
     /** Discovery's address, or null where there is none. */
     public final String discovery;
+
     public final long seed;
     public final int sockets;
     public final Settings settings;
@@ -35,6 +37,7 @@
     public final double connIdle;
     /** The destination set last held. */
     public final Listing known;
+
     public final List<String> zones;
     private final List<String> kinds;
 
@@ -68,7 +71,8 @@
         JsonObject own = root.has("limits") ? root.getAsJsonObject("limits") : new JsonObject();
         sockets = own.has("sockets") ? own.get("sockets").getAsInt() : SOCKETS;
         known = root.has("known") && root.get("known").isJsonObject()
-                ? listing(root.getAsJsonObject("known")) : new Listing();
+                ? listing(root.getAsJsonObject("known"))
+                : new Listing();
     }
 
     /** Reads the file; a destination set beside it, unless null, stands in for discovery. */
@@ -102,8 +106,12 @@
     public static Config parse(String text) throws WireException {
         try {
             return new Config(JsonParser.parseString(text).getAsJsonObject());
-        } catch (JsonParseException | IllegalStateException | ClassCastException | NumberFormatException
-                | UnsupportedOperationException | NullPointerException e) {
+        } catch (JsonParseException
+                | IllegalStateException
+                | ClassCastException
+                | NumberFormatException
+                | UnsupportedOperationException
+                | NullPointerException e) {
             throw new WireException("the configuration can't be read: " + e.getMessage());
         }
     }
@@ -112,8 +120,12 @@
     public Listing listing(String text) throws WireException {
         try {
             return listing(JsonParser.parseString(text).getAsJsonObject());
-        } catch (JsonParseException | IllegalStateException | ClassCastException | NumberFormatException
-                | UnsupportedOperationException | NullPointerException e) {
+        } catch (JsonParseException
+                | IllegalStateException
+                | ClassCastException
+                | NumberFormatException
+                | UnsupportedOperationException
+                | NullPointerException e) {
             throw new WireException("a list can't be read: " + e.getMessage());
         }
     }
--- a/src/main/java/laneflow/http/DiscoveryWatch.java
+++ b/src/main/java/laneflow/http/DiscoveryWatch.java
@@ -56,14 +56,17 @@
     private final boolean asked;
     /** Watches in a row that have told nothing. */
     private int vain;
+
     private String address;
     /** The list's version as this address counts; another may count differently. */
     private long seq;
+
     private Watch current;
     /** The watch at the address before, until the present one has spoken; else null. */
     private Watch former;
     /** The watch that fell silent at this address, heard until the present one has asked; else null. */
     private Watch silent;
+
     private final ToldSince toldSince = new ToldSince();
     /** From then on clients may be asked for. */
     private long lookedAt = Long.MAX_VALUE;
@@ -215,8 +218,8 @@
             up = true;
             looked(loop.micros() + FIRST_WORD);
             within(asked ? TURN : SILENCE);
-            String request = "GET /registry/instances?watch=1&after=" + seq + " HTTP/1.1\r\nHost: " + address
-                    + "\r\n\r\n";
+            String request =
+                    "GET /registry/instances?watch=1&after=" + seq + " HTTP/1.1\r\nHost: " + address + "\r\n\r\n";
             link.out.put(request.getBytes(StandardCharsets.US_ASCII));
             link.flush();
             if (this == current) {
--- a/src/main/java/laneflow/http/EndpointConnection.java
+++ b/src/main/java/laneflow/http/EndpointConnection.java
@@ -4,12 +4,12 @@
 import java.util.ArrayDeque;
 import java.util.Arrays;
 import java.util.List;
-import laneflow.decision.Dispatch.Outcome;
-import laneflow.decision.Dispatch.State;
 import laneflow.core.Deadlines.Deadline;
 import laneflow.core.Endpoint;
 import laneflow.core.OutboundCall;
 import laneflow.core.Payload;
+import laneflow.decision.Dispatch.Outcome;
+import laneflow.decision.Dispatch.State;
 import laneflow.net.Link;
 import laneflow.net.LinkHandler;
 import laneflow.net.Loop;
@@ -24,9 +24,11 @@
     private static final long MS = 1000;
     /** What may come behind the last line, an empty chunk, comes within this time or not at all. */
     private static final long TAIL = 1_000_000;
+
     private static final int MOST_TAIL = 64 * 1024;
     /** Bytes of an answer that are read: so many, and so many more for each second that it lasts. */
     private static final long MOST_ANSWER = 1 << 20;
+
     private static final long MOST_EACH_SECOND = 64 * 1024;
     /**
      * How long a request's last byte is held back at least, in microseconds, where its connection may have
@@ -55,16 +57,19 @@
     private long cameUpIn;
     /** When its last answer was whole; 0 before the first. */
     private long restedAt;
+
     private OutboundCall call;
     private long probeAt;
     /** The request's last byte, while it is held back. */
     private byte[] held;
+
     private Answer answer;
     private HttpReader reader;
     /** The ids of the jobs sent on it last, the earliest first: a second answer to one may still come. */
     private final ArrayDeque<String> before = new ArrayDeque<>();
     /** A second answer has come on it: it is used no more. */
     private boolean strayed;
+
     private long writtenAt;
     private long taken;
     private long tail;
@@ -315,8 +320,7 @@
             carrier.count("endpoint.malformed");
             // What comes behind a whole last word takes nothing from it, and what answers a request that it
             // has not had has not run it: how the bytes were split must not decide.
-            Outcome how = held != null ? Outcome.MOOT
-                    : answer.outcome() != null ? answer.outcome() : Outcome.ERROR;
+            Outcome how = held != null ? Outcome.MOOT : answer.outcome() != null ? answer.outcome() : Outcome.ERROR;
             link.close();
             finish(how);
             return;
@@ -396,11 +400,11 @@
         probeAt = 0;
         rest();
         if (ended != null) {
-            carrier.scheduler.ended(ended, how, answer == null ? null : answer.result(),
-                    answer == null ? null : answer.report());
+            carrier.scheduler.ended(
+                    ended, how, answer == null ? null : answer.result(), answer == null ? null : answer.report());
         } else if (probed > 0) {
-            carrier.scheduler.probed(endpoint, (carrier.loop.micros() - probed) / 1e6, how,
-                    answer == null ? null : answer.report());
+            carrier.scheduler.probed(
+                    endpoint, (carrier.loop.micros() - probed) / 1e6, how, answer == null ? null : answer.report());
         }
     }
 
@@ -413,10 +417,19 @@
 
     /** Keeps the connection for the next call if its answer is whole, else closes it. */
     private void rest() {
-        if (link == null || link.isClosed() || !up || answer == null || answer.outcome() == null
-                || !answer.keepsAlive() || strayed || held != null || !link.out.isEmpty()
-                || reader.isDone() && (!link.in.isEmpty() || endpoint.state() != State.READY
-                || carrier.scheduler.isDown(endpoint))) {
+        if (link == null
+                || link.isClosed()
+                || !up
+                || answer == null
+                || answer.outcome() == null
+                || !answer.keepsAlive()
+                || strayed
+                || held != null
+                || !link.out.isEmpty()
+                || reader.isDone()
+                        && (!link.in.isEmpty()
+                                || endpoint.state() != State.READY
+                                || carrier.scheduler.isDown(endpoint))) {
             shut();
         } else if (reader.isDone()) {
             restedAt = carrier.loop.micros();
--- a/src/main/java/laneflow/http/HttpCarrier.java
+++ b/src/main/java/laneflow/http/HttpCarrier.java
@@ -3,11 +3,11 @@
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.List;
-import laneflow.decision.Dispatch.Effect;
 import laneflow.core.Carrier;
 import laneflow.core.Endpoint;
 import laneflow.core.OutboundCall;
 import laneflow.core.Scheduler;
+import laneflow.decision.Dispatch.Effect;
 import laneflow.net.Loop;
 
 /**
@@ -29,6 +29,7 @@
 
     /** What a call may hold besides its body. */
     private static final int HEAD = 16 * 1024;
+
     private int outRing = 128 * 1024;
 
     /** @param idleSeconds after which endpoints close idle connections themselves */
@@ -56,8 +57,7 @@
     @Override
     public boolean close(OutboundCall call) {
         // Without a connection it was never opened: its lease had not been written yet.
-        return !(call.attachment instanceof EndpointConnection)
-                || ((EndpointConnection) call.attachment).giveUp(call);
+        return !(call.attachment instanceof EndpointConnection) || ((EndpointConnection) call.attachment).giveUp(call);
     }
 
     @Override
--- a/src/main/java/laneflow/http/HttpFront.java
+++ b/src/main/java/laneflow/http/HttpFront.java
@@ -29,6 +29,7 @@
     public static final int MOST_BODY = 64 * 1024;
     /** Room for a whole message behind one that is at work. */
     private static final int IN_RING = 128 * 1024;
+
     private static final int OUT_RING = 1 << 20;
 
     final Loop loop;
@@ -37,12 +38,14 @@
     private final SlotTable<Client> clients = new SlotTable<>();
     /** The ids of open requests: one that comes again must not become a second call. */
     private final Set<String> open = new HashSet<>();
+
     private BooleanSupplier ready = () -> true;
     private Loop.Listener listener;
     private final String[] classNames;
     private final Map<String, Supplier<String>> reports = new HashMap<>();
     /** Null where durable jobs are off. */
     private KeptJobs kept;
+
     private IntFunction<String> versions;
     private boolean draining;
     private boolean refusing;
@@ -219,7 +222,10 @@
     void get(Client client, String path) {
         Supplier<String> report = reports.get(path);
         if (report != null) {
-            client.answer(200, "OK", "Content-Type: application/json\r\n",
+            client.answer(
+                    200,
+                    "OK",
+                    "Content-Type: application/json\r\n",
                     report.get().getBytes(StandardCharsets.UTF_8));
         } else if (kept != null && KeptJobs.isPath(path)) {
             kept.get(client, path);
--- a/src/main/java/laneflow/http/HttpHead.java
+++ b/src/main/java/laneflow/http/HttpHead.java
@@ -10,11 +10,12 @@
 final class HttpHead {
     private static final int MOST_HEADERS = 100;
     /** Besides all that begin with req-. */
-    private static final Set<String> ONCE = Set.of("content-length", "transfer-encoding", "host",
-            "idempotency-key", "srv-declined", "srv-load");
+    private static final Set<String> ONCE =
+            Set.of("content-length", "transfer-encoding", "host", "idempotency-key", "srv-declined", "srv-load");
 
     /** The three parts of the start line. */
     final String first;
+
     final String second;
     final String third;
     private final Map<String, String> headers = new HashMap<>();
@@ -29,7 +30,7 @@
         // Every message comes through here: patterns compiled anew for each took much of a cold start's time.
         String text = new String(bytes, StandardCharsets.ISO_8859_1);
         HttpHead head = null;
-        for (int at = 0; at < text.length();) {
+        for (int at = 0; at < text.length(); ) {
             int end = text.indexOf('\n', at);
             int next = end < 0 ? text.length() : end + 1;
             end = end < 0 ? text.length() : end;
@@ -53,8 +54,7 @@
         String first = one < 0 ? line : line.substring(0, one);
         String second = one < 0 ? "" : line.substring(one + 1, two < 0 ? line.length() : two);
         String third = one < 0 || two < 0 ? "" : line.substring(two + 1);
-        boolean sound = response ? version(first) && status(second)
-                : version(third) && token(first) && target(second);
+        boolean sound = response ? version(first) && status(second) : version(third) && token(first) && target(second);
         if (!sound) {
             throw new HttpException(400, "start line");
         }
@@ -62,8 +62,7 @@
     }
 
     private static boolean status(String text) {
-        return text.length() == 3 && text.charAt(0) >= '1' && text.charAt(0) <= '5'
-                && HttpReader.isNumber(text, 3);
+        return text.length() == 3 && text.charAt(0) >= '1' && text.charAt(0) <= '5' && HttpReader.isNumber(text, 3);
     }
 
     private void add(String line) throws HttpException {
--- a/src/main/java/laneflow/http/HttpReader.java
+++ b/src/main/java/laneflow/http/HttpReader.java
@@ -20,7 +20,16 @@
         void end() throws HttpException;
     }
 
-    private enum State { HEAD, LENGTH, CHUNK_SIZE, CHUNK, CHUNK_END, TRAILER, TO_CLOSE, DONE }
+    private enum State {
+        HEAD,
+        LENGTH,
+        CHUNK_SIZE,
+        CHUNK,
+        CHUNK_END,
+        TRAILER,
+        TO_CLOSE,
+        DONE
+    }
 
     private final boolean response;
     private final Sink sink;
@@ -55,13 +64,27 @@
         boolean more = true;
         while (more && state != State.DONE) {
             switch (state) {
-                case HEAD: more = head(in); break;
-                case LENGTH: more = body(in, State.DONE); break;
-                case CHUNK_SIZE: more = chunkSize(in); break;
-                case CHUNK: more = body(in, State.CHUNK_END); break;
-                case CHUNK_END: more = chunkEnd(in); break;
-                case TRAILER: more = trailer(in); break;
-                default: more = toClose(in); break;
+                case HEAD:
+                    more = head(in);
+                    break;
+                case LENGTH:
+                    more = body(in, State.DONE);
+                    break;
+                case CHUNK_SIZE:
+                    more = chunkSize(in);
+                    break;
+                case CHUNK:
+                    more = body(in, State.CHUNK_END);
+                    break;
+                case CHUNK_END:
+                    more = chunkEnd(in);
+                    break;
+                case TRAILER:
+                    more = trailer(in);
+                    break;
+                default:
+                    more = toClose(in);
+                    break;
             }
         }
     }
--- a/src/main/java/laneflow/http/JobReader.java
+++ b/src/main/java/laneflow/http/JobReader.java
@@ -5,11 +5,11 @@
 
 import java.util.HashMap;
 import java.util.Map;
-import laneflow.decision.Dispatch.JobClass;
-import laneflow.decision.Dispatch.Settings;
 import laneflow.core.Front;
 import laneflow.core.Payload;
 import laneflow.core.Request;
+import laneflow.decision.Dispatch.JobClass;
+import laneflow.decision.Dispatch.Settings;
 
 /** Makes a request of a whole message; what makes none is an {@link HttpException} and comes no further. */
 final class JobReader {
@@ -52,8 +52,8 @@
         }
         double wait = number(head.header(Names.DEADLINE), Names.DEADLINE, classes[jobClass].deadline * 1000);
         Payload payload = new Payload(head.first, target, id, head.header(Names.REPEAT_KEY), body);
-        Request request = new Request(front, tag, payload, jobClass,
-                arrived + (long) (Math.min(wait, MOST_WAIT_MS) * 1000));
+        Request request =
+                new Request(front, tag, payload, jobClass, arrived + (long) (Math.min(wait, MOST_WAIT_MS) * 1000));
         // An owner that no settings name has no share that it could be beyond.
         request.tenant = tenants.getOrDefault(head.header(Names.OWNER), -1);
         request.hint = number(head.header(Names.COST), Names.COST, Double.NaN) / 1e6;
@@ -65,8 +65,7 @@
     /** The path's first part; a header that says otherwise would have two programs read two classes. */
     private static String className(HttpHead head, String path) throws HttpException {
         int end = path.indexOf('/', 1);
-        String first = path.isEmpty() || path.charAt(0) != '/' ? ""
-                : path.substring(1, end < 0 ? path.length() : end);
+        String first = path.isEmpty() || path.charAt(0) != '/' ? "" : path.substring(1, end < 0 ? path.length() : end);
         String told = head.header(Names.CLASS);
         if (told != null && !told.equals(first)) {
             throw new HttpException(400, "class of header and path differ");
@@ -109,7 +108,7 @@
 
     /** What the request concerns, as a number. */
     private static long key(String target, int from) {
-        for (int at = from; at >= from && at < target.length();) {
+        for (int at = from; at >= from && at < target.length(); ) {
             int end = target.indexOf('&', at);
             String pair = target.substring(at, end < 0 ? target.length() : end);
             if (pair.startsWith("key=")) {
--- a/src/main/java/laneflow/http/KeptJobs.java
+++ b/src/main/java/laneflow/http/KeptJobs.java
@@ -45,29 +45,47 @@
 
     void submit(Client client, Request asked, String jobClass) {
         String key = asked.payload.repeatKey();
-        Submission submission = new Submission(asked.jobClass, "", key == null ? "" : "http/" + jobClass
-                + "/" + key,
-                true, asked.payload, asked.hint, asked.slots, asked.memory, asked.key, 0);
+        Submission submission = new Submission(
+                asked.jobClass,
+                "",
+                key == null ? "" : "http/" + jobClass + "/" + key,
+                true,
+                asked.payload,
+                asked.hint,
+                asked.slots,
+                asked.memory,
+                asked.key,
+                0);
         keeper.submit(submission, word -> {
             switch (word.taken()) {
                 case YES:
                     String id = hex(word.id());
-                    client.answer(202, "Accepted", "Location: " + PATH + id
-                            + "\r\nPreference-Applied: respond-async\r\n"
-                            + JSON, Client.ascii("{\"id\":\"" + id + "\"}\n"));
+                    client.answer(
+                            202,
+                            "Accepted",
+                            "Location: " + PATH + id + "\r\nPreference-Applied: respond-async\r\n" + JSON,
+                            Client.ascii("{\"id\":\"" + id + "\"}\n"));
                     break;
                 case FULL:
-                    client.answer(503, "Service Unavailable", String.format(Locale.ROOT,
-                            "Retry-After: %.3f\r\n",
-                            word.comeBack()), Client.ascii("fail-fast\n"));
+                    client.answer(
+                            503,
+                            "Service Unavailable",
+                            String.format(Locale.ROOT, "Retry-After: %.3f\r\n", word.comeBack()),
+                            Client.ascii("fail-fast\n"));
                     break;
                 case OTHER:
                     // As the IETF's draft on Idempotency-Key has it.
-                    client.answer(422, "Unprocessable Content", "",
+                    client.answer(
+                            422,
+                            "Unprocessable Content",
+                            "",
                             Client.ascii("this Idempotency-Key belongs to a job with another body\n"));
                     break;
                 default:
-                    client.answer(500, "Internal Server Error", "",
+                    client.answer(
+                            500,
+                            "Internal Server Error",
+                            "",
                             Client.ascii("the store failed: no job is taken on until a restart\n"));
                     break;
             }
@@ -111,15 +129,13 @@
                     client.answer(204, "No Content", "", new byte[0]);
                     break;
                 case UNKNOWN:
-                    client.answer(404, "Not Found", "",
-                            Client.ascii("no such job, or its retention is over\n"));
+                    client.answer(404, "Not Found", "", Client.ascii("no such job, or its retention is over\n"));
                     break;
                 case BEGUN:
                     client.answer(409, "Conflict", "", Client.ascii("it has begun, or is at its end\n"));
                     break;
                 default:
-                    client.answer(503, "Service Unavailable", "Retry-After: 1\r\n",
-                            Client.ascii("fail-fast\n"));
+                    client.answer(503, "Service Unavailable", "Retry-After: 1\r\n", Client.ascii("fail-fast\n"));
                     break;
             }
         });
@@ -148,8 +164,12 @@
         all.add("attempts", tries);
         if (view.result() != null) {
             try {
-                all.addProperty("result", StandardCharsets.UTF_8.newDecoder()
-                        .decode(ByteBuffer.wrap(view.result())).toString());
+                all.addProperty(
+                        "result",
+                        StandardCharsets.UTF_8
+                                .newDecoder()
+                                .decode(ByteBuffer.wrap(view.result()))
+                                .toString());
             } catch (CharacterCodingException e) {
                 all.addProperty("result_base64", Base64.getEncoder().encodeToString(view.result()));
             }
--- a/src/main/java/laneflow/http/LineStream.java
+++ b/src/main/java/laneflow/http/LineStream.java
@@ -45,14 +45,21 @@
      * @param silence microseconds without a byte after which it counts as dead
      * @param mostLine bytes of the longest line taken
      */
-    public LineStream(Loop loop, String address, String path, String headers, long connect, long silence,
-            int mostLine, Reader reader) {
+    public LineStream(
+            Loop loop,
+            String address,
+            String path,
+            String headers,
+            long connect,
+            long silence,
+            int mostLine,
+            Reader reader) {
         this.loop = loop;
         this.reader = reader;
         this.silence = silence;
         lines = new Lines(mostLine);
-        head = "POST " + path + " HTTP/1.1\r\nHost: " + address + "\r\nContent-Type: application/x-ndjson\r\n"
-                + headers + "Transfer-Encoding: chunked\r\n\r\n";
+        head = "POST " + path + " HTTP/1.1\r\nHost: " + address + "\r\nContent-Type: application/x-ndjson\r\n" + headers
+                + "Transfer-Encoding: chunked\r\n\r\n";
         timer = loop.deadlines().create(() -> end("nothing was heard in time"));
         loop.deadlines().set(timer, loop.micros() + connect);
         link = loop.connect(Loop.address(address), IN_RING, OUT_RING, this);
--- a/src/main/java/laneflow/http/Lines.java
+++ b/src/main/java/laneflow/http/Lines.java
@@ -26,7 +26,7 @@
 
     /** Tells each line that these bytes end, without its end; those that are empty are signs of life. */
     void take(byte[] bytes, Consumer<byte[]> told) throws HttpException {
-        for (int from = 0; from < bytes.length;) {
+        for (int from = 0; from < bytes.length; ) {
             int end = from;
             while (end < bytes.length && bytes[end] != '\n') {
                 end++;
--- a/src/main/java/laneflow/http/Loads.java
+++ b/src/main/java/laneflow/http/Loads.java
@@ -8,8 +8,7 @@
 
 /** Load reports as endpoints write them: an object, or {@code name=value,name=value}. */
 final class Loads {
-    private Loads() {
-    }
+    private Loads() {}
 
     /** A report, or null if there is none that can be read. */
     static LoadReport read(JsonElement from) {
@@ -19,7 +18,8 @@
         LoadReport report = new LoadReport();
         JsonObject object = from.getAsJsonObject();
         for (Map.Entry<String, JsonElement> field : object.entrySet()) {
-            if (field.getValue().isJsonPrimitive() && field.getValue().getAsJsonPrimitive().isNumber()) {
+            if (field.getValue().isJsonPrimitive()
+                    && field.getValue().getAsJsonPrimitive().isNumber()) {
                 ReportFields.put(report, field.getKey(), field.getValue().getAsDouble());
             }
         }
--- a/src/main/java/laneflow/http/Names.java
+++ b/src/main/java/laneflow/http/Names.java
@@ -12,6 +12,5 @@
     static final String LOAD = "srv-load";
     static final String DECLINED = "srv-declined";
 
-    private Names() {
-    }
+    private Names() {}
 }
--- a/src/main/java/laneflow/http/OperatorPort.java
+++ b/src/main/java/laneflow/http/OperatorPort.java
@@ -108,8 +108,9 @@
             answered = true;
             byte[] body = text.getBytes(StandardCharsets.UTF_8);
             link.out.put(("HTTP/1.1 " + status + " " + reason + "\r\nContent-Type: "
-                    + (status == 200 ? "application/json" : "text/plain") + "\r\nContent-Length: "
-                    + body.length + "\r\nConnection: close\r\n\r\n").getBytes(StandardCharsets.US_ASCII));
+                            + (status == 200 ? "application/json" : "text/plain") + "\r\nContent-Length: "
+                            + body.length + "\r\nConnection: close\r\n\r\n")
+                    .getBytes(StandardCharsets.US_ASCII));
             link.out.put(body);
             link.endWhenFlushed();
         }
--- a/src/main/java/laneflow/http/StreamPort.java
+++ b/src/main/java/laneflow/http/StreamPort.java
@@ -142,9 +142,10 @@
             }
             answered = true;
             byte[] bytes = text.getBytes(StandardCharsets.UTF_8);
-            boolean fits = link.out.put(("HTTP/1.1 " + status + " -\r\nContent-Type: " + type
-                    + "\r\nContent-Length: " + bytes.length + "\r\n" + headers + "Connection: close\r\n\r\n")
-                    .getBytes(StandardCharsets.US_ASCII)) && link.out.put(bytes);
+            boolean fits = link.out.put(("HTTP/1.1 " + status + " -\r\nContent-Type: " + type + "\r\nContent-Length: "
+                                    + bytes.length + "\r\n" + headers + "Connection: close\r\n\r\n")
+                            .getBytes(StandardCharsets.US_ASCII))
+                    && link.out.put(bytes);
             if (fits) {
                 link.endWhenFlushed();
             } else {
@@ -161,8 +162,7 @@
             if (received.first.equals("POST") && received.second.equals(path)) {
                 link.out.put("HTTP/1.1 200 OK\r\nContent-Type: application/x-ndjson\r\n"
                         .getBytes(StandardCharsets.US_ASCII));
-                link.out.put("Transfer-Encoding: chunked\r\n\r\n"
-                        .getBytes(StandardCharsets.US_ASCII));
+                link.out.put("Transfer-Encoding: chunked\r\n\r\n".getBytes(StandardCharsets.US_ASCII));
                 lines = new Lines(mostLine);
                 to = host.begun(this);
             }
--- a/src/main/java/laneflow/importer/ApacheReader.java
+++ b/src/main/java/laneflow/importer/ApacheReader.java
@@ -18,14 +18,16 @@
  */
 final class ApacheReader {
     private static final String BALANCER = "balancer://";
-    private static final Map<String, Integer> PORTS = Map.of("http", 80, "https", 443, "ajp", 8009,
-            "ws", 80, "wss", 443, "h2", 443, "h2c", 80, "fcgi", 8000, "scgi", 4000, "uwsgi", 3031);
+    private static final Map<String, Integer> PORTS = Map.of(
+            "http", 80, "https", 443, "ajp", 8009, "ws", 80, "wss", 443, "h2", 443, "h2c", 80, "fcgi", 8000, "scgi",
+            4000, "uwsgi", 3031);
 
     private final String file;
     private final Consumer<String> notes;
     private final List<Member> members = new ArrayList<>();
     /** The balancer of the enclosing section, "" in a section that is none, null outside of all. */
     private String section;
+
     private int sectionLine;
 
     ApacheReader(String file, Consumer<String> notes) {
@@ -38,7 +40,8 @@
             int first = i + 1;
             String line = lines.get(i).strip();
             while (line.endsWith("\\") && i + 1 < lines.size()) {
-                line = line.substring(0, line.length() - 1) + " " + lines.get(++i).strip();
+                line = line.substring(0, line.length() - 1) + " "
+                        + lines.get(++i).strip();
             }
             if (!line.isEmpty() && !line.startsWith("#")) {
                 directive(words(line, first), first);
--- a/src/main/java/laneflow/importer/Importer.java
+++ b/src/main/java/laneflow/importer/Importer.java
@@ -30,23 +30,32 @@
  * The command {@code import}: reads an Apache balancer or a mod_jk worker file and writes its members as a
  * destination set in discovery's form, which {@code serve --destinations} loads.
  */
-@Command(name = "import", mixinStandardHelpOptions = true,
+@Command(
+        name = "import",
+        mixinStandardHelpOptions = true,
         description = "Makes a destination set of an Apache balancer or a mod_jk worker file.")
 public final class Importer implements Callable<Integer> {
     private final PrintStream out;
     private final PrintStream notes;
+
     @Spec
     private CommandSpec spec;
+
     @Parameters(paramLabel = "FILE", description = "The Apache configuration or workers.properties.")
     private String file;
+
     @Option(names = "-o", paramLabel = "OUT", description = "Where the set is written; else standard output.")
     private String target;
+
     @Option(names = "--balancer", paramLabel = "NAME", description = "The one of several.")
     private String balancer;
+
     @Option(names = "--zone", paramLabel = "ZONE", description = "The zone of its members.")
     private String zone;
+
     @Option(names = "--ajp-as-http", description = "Call the members' AJP ports by HTTP.")
     private boolean ajpAsHttp;
+
     @Option(names = "--address", paramLabel = "NAME=ADDRESS", description = "A host's address.")
     private Map<String, String> addresses = new HashMap<>();
 
@@ -58,8 +67,10 @@
 
     /** Runs the command; 0 if a set was written, 1 if the file can't be taken over, 2 on a wrong call. */
     public static int run(List<String> args, PrintStream out, PrintStream notes) {
-        return new CommandLine(new Importer(out, notes)).setOut(new PrintWriter(out, true))
-                .setErr(new PrintWriter(notes, true)).execute(args.toArray(new String[0]));
+        return new CommandLine(new Importer(out, notes))
+                .setOut(new PrintWriter(out, true))
+                .setErr(new PrintWriter(notes, true))
+                .execute(args.toArray(new String[0]));
     }
 
     @Override
@@ -88,15 +99,17 @@
         List<String> lines = Files.readAllLines(Path.of(file));
         boolean jk = file.endsWith(".properties")
                 || lines.stream().anyMatch(line -> line.strip().matches("workers?\\.[^<>]*=.*"));
-        List<Member> all = jk ? new JkReader(file).read(lines)
-                : new ApacheReader(file, notes::println).read(lines);
+        List<Member> all = jk ? new JkReader(file).read(lines) : new ApacheReader(file, notes::println).read(lines);
         Set<String> names = new TreeSet<>();
         all.forEach(member -> names.add(member.balancer()));
         if (balancer != null ? !names.contains(balancer) : names.size() > 1) {
             // One set is one pool: members of different balancers do different work.
-            throw new ImportException(file, all.isEmpty() ? 1 : all.get(0).line(), balancer != null
-                    ? "no balancer '" + balancer + "' among " + names
-                    : "several balancers, choose one by --balancer: " + names);
+            throw new ImportException(
+                    file,
+                    all.isEmpty() ? 1 : all.get(0).line(),
+                    balancer != null
+                            ? "no balancer '" + balancer + "' among " + names
+                            : "several balancers, choose one by --balancer: " + names);
         }
         JsonArray hosts = new JsonArray();
         Set<String> dials = new HashSet<>();
@@ -143,8 +156,10 @@
         String host = addresses.getOrDefault(member.host(), member.host());
         host = host.equals("localhost") ? "127.0.0.1" : host;
         if (!isAddress(host)) {
-            throw new ImportException(file, member.line(), "'" + host
-                    + "' is a name, and names are not looked up: give --address " + host + "=ADDRESS");
+            throw new ImportException(
+                    file,
+                    member.line(),
+                    "'" + host + "' is a name, and names are not looked up: give --address " + host + "=ADDRESS");
         }
         if (member.port() < 1) {
             throw new ImportException(file, member.line(), "port " + member.port() + " is none");
@@ -154,8 +169,7 @@
 
     private static boolean isAddress(String host) {
         String octet = "(25[0-5]|2[0-4][0-9]|1?[0-9]?[0-9])";
-        return host.matches("(" + octet + "\\.){3}" + octet)
-                || host.matches("\\[?[0-9a-fA-F]*:[0-9a-fA-F:.]*\\]?");
+        return host.matches("(" + octet + "\\.){3}" + octet) || host.matches("\\[?[0-9a-fA-F]*:[0-9a-fA-F:.]*\\]?");
     }
 
     private JsonObject host(Member member, String name, String dial) {
@@ -172,7 +186,11 @@
     }
 
     private void write(JsonObject set) throws IOException {
-        String text = new GsonBuilder().setPrettyPrinting().disableHtmlEscaping().create().toJson(set) + "\n";
+        String text = new GsonBuilder()
+                        .setPrettyPrinting()
+                        .disableHtmlEscaping()
+                        .create()
+                        .toJson(set) + "\n";
         if (target == null) {
             out.print(text);
             out.flush();
--- a/src/main/java/laneflow/importer/JkReader.java
+++ b/src/main/java/laneflow/importer/JkReader.java
@@ -20,8 +20,7 @@
     /** Properties that add up when they are named again. */
     private static final Set<String> LISTS = Set.of("balance_workers", "balanced_workers", "list");
 
-    private record Value(String text, int line) {
-    }
+    private record Value(String text, int line) {}
 
     private final String file;
     private final Map<String, Value> values = new LinkedHashMap<>();
@@ -41,8 +40,8 @@
         for (String balancer : balancers()) {
             Value named = value(balancer, "balance_workers", "balanced_workers");
             if (named == null) {
-                throw new ImportException(file, value(balancer, "type").line, "lb worker '" + balancer
-                        + "' has no balance_workers");
+                throw new ImportException(
+                        file, value(balancer, "type").line, "lb worker '" + balancer + "' has no balance_workers");
             }
             Set<String> seen = new HashSet<>();
             for (String name : named.text.split("[\\s,]+")) {
@@ -83,7 +82,9 @@
         List<String> found = new ArrayList<>();
         for (String name : values.keySet()) {
             String[] parts = name.split("\\.");
-            if (parts.length == 3 && parts[0].equals("worker") && !found.contains(parts[1])
+            if (parts.length == 3
+                    && parts[0].equals("worker")
+                    && !found.contains(parts[1])
                     && "lb".equals(text(parts[1], "lb", "type"))) {
                 // A template that others refer to need not be a balancer itself.
                 if (value(parts[1], "balance_workers", "balanced_workers") != null
@@ -103,8 +104,7 @@
     private Member member(String balancer, String name, int namedAt) throws ImportException {
         boolean known = values.keySet().stream().anyMatch(key -> key.startsWith("worker." + name + "."));
         if (!known) {
-            throw new ImportException(file, namedAt,
-                    "member '" + name + "' of '" + balancer + "' is not defined");
+            throw new ImportException(file, namedAt, "member '" + name + "' of '" + balancer + "' is not defined");
         }
         String type = text(name, "ajp13", "type").toLowerCase(Locale.ROOT);
         Value host = value(name, "host");
@@ -118,13 +118,23 @@
             throw new ImportException(file, port.line, "port '" + portText + "' is none");
         }
         String route = text(name, name, "route", "jvm_route");
-        return new Member(balancer, "ajp", host == null ? "localhost" : host.text, Integer.parseInt(portText),
-                route, weight(name), open(name), line);
+        return new Member(
+                balancer,
+                "ajp",
+                host == null ? "localhost" : host.text,
+                Integer.parseInt(portText),
+                route,
+                weight(name),
+                open(name),
+                line);
     }
 
     private int firstLine(String worker) {
-        return values.entrySet().stream().filter(entry -> entry.getKey().startsWith("worker." + worker + "."))
-                .mapToInt(entry -> entry.getValue().line).min().orElse(1);
+        return values.entrySet().stream()
+                .filter(entry -> entry.getKey().startsWith("worker." + worker + "."))
+                .mapToInt(entry -> entry.getValue().line)
+                .min()
+                .orElse(1);
     }
 
     private double weight(String name) throws ImportException {
@@ -133,8 +143,7 @@
             return 1;
         }
         if (!factor.text.matches("[0-9]{1,6}") || Integer.parseInt(factor.text) == 0) {
-            throw new ImportException(file, factor.line,
-                    "lbfactor '" + factor.text + "' is no whole number above 0");
+            throw new ImportException(file, factor.line, "lbfactor '" + factor.text + "' is no whole number above 0");
         }
         return Integer.parseInt(factor.text);
     }
@@ -144,8 +153,7 @@
         if (activation != null) {
             String word = activation.text.toLowerCase(Locale.ROOT);
             if (!word.matches("a|act|active|d|dis|disabled|s|stp|stopped")) {
-                throw new ImportException(file, activation.line,
-                        "activation '" + activation.text + "' is none");
+                throw new ImportException(file, activation.line, "activation '" + activation.text + "' is none");
             }
             return word.startsWith("a");
         }
--- a/src/main/java/laneflow/importer/Member.java
+++ b/src/main/java/laneflow/importer/Member.java
@@ -11,6 +11,5 @@
  * @param open false if it is to get nothing new
  * @param line where it stands
  */
-record Member(String balancer, String scheme, String host, int port, String route, double weight,
-        boolean open, int line) {
-}
+record Member(
+        String balancer, String scheme, String host, int port, String route, double weight, boolean open, int line) {}
--- a/src/main/java/laneflow/lab/Lab.java
+++ b/src/main/java/laneflow/lab/Lab.java
@@ -7,8 +7,10 @@
 import picocli.CommandLine.Spec;
 
 /** The commands under {@code lab}: stand-ins and measurements. Nothing of it is loaded by a scheduler. */
-@Command(name = "lab", mixinStandardHelpOptions = true, subcommands = {Measure.class, Quickstart.class,
-        LocalFleet.class, Conformance.class},
+@Command(
+        name = "lab",
+        mixinStandardHelpOptions = true,
+        subcommands = {Measure.class, Quickstart.class, LocalFleet.class, Conformance.class},
         description = "Stand-ins and measurements.")
 public final class Lab implements Runnable {
     @Spec
--- a/src/main/java/laneflow/lab/LocalFleet.java
+++ b/src/main/java/laneflow/lab/LocalFleet.java
@@ -23,7 +23,9 @@
  * ask them, and files for maintenance windows, to try by hand what {@code docs/operating-maintenance.md} has.
  * A scheduler that is killed is started again, as a supervisor would.
  */
-@Command(name = "fleet", mixinStandardHelpOptions = true,
+@Command(
+        name = "fleet",
+        mixinStandardHelpOptions = true,
         description = "Runs five schedulers with stand-in racks and tenants, until it is ended.")
 final class LocalFleet implements Callable<Integer> {
     private static final int SCHEDULERS = 5;
@@ -37,10 +39,15 @@
     private static final int LOOK_MS = 200;
     private static final String MARK = "made-by-lab-fleet";
 
-    @Option(names = "--folder", paramLabel = "DIR",
+    @Option(
+            names = "--folder",
+            paramLabel = "DIR",
             description = "Where its files are written, anew at each start (default: ${DEFAULT-VALUE}).")
     private Path folder = Path.of("target/fleet");
-    @Option(names = "--seconds", paramLabel = "N",
+
+    @Option(
+            names = "--seconds",
+            paramLabel = "N",
             description = "End after so long; 0: at Ctrl-C (default: ${DEFAULT-VALUE}).")
     private long seconds;
 
@@ -63,7 +70,8 @@
         }
         Files.writeString(folder.resolve("members.key"), "the-key-of-this-fleet-1\n");
         requests();
-        try (StandInRacks racks = new StandInRacks(endpoints, RUN_MS, false); Crew crew = new Crew(folder);
+        try (StandInRacks racks = new StandInRacks(endpoints, RUN_MS, false);
+                Crew crew = new Crew(folder);
                 StandInTenants tenants = new StandInTenants(clients, PAUSE_MS, false)) {
             Process[] all = new Process[SCHEDULERS];
             for (int i = 0; i < SCHEDULERS; i++) {
@@ -85,8 +93,7 @@
         if (Files.isDirectory(folder) && !Files.exists(folder.resolve(MARK))) {
             try (Stream<Path> there = Files.list(folder)) {
                 if (there.findAny().isPresent()) {
-                    throw new IOException(folder + ": is not empty, and no fleet of this command wrote"
-                            + " there");
+                    throw new IOException(folder + ": is not empty, and no fleet of this command wrote" + " there");
                 }
             }
         } else if (Files.isDirectory(folder)) {
@@ -117,25 +124,32 @@
                 + "\"\nzones = [\"a\", \"b\"]\nzone = \"" + (i % 2 == 0 ? "a" : "b")
                 + "\"\n\n[classes.basket-check]\naim_ms = 200\ndeadline_ms = 5000\nrepeat = \"safe\"\n\n"
                 + "[tenants.shops]\nshare = 2\n[tenants.web]\nshare = 1\nzones = [\"a\"]\n\n");
-        endpoints.forEach((name, port) -> all.append(String.format("[endpoints.%s]\ndial = \"127.0.0.1:%d\"\n"
-                + "zone = \"%s\"\nrack = \"%s\"\nslots = 4\n", name, port, name.charAt(0),
-                name.substring(0, 2))));
+        endpoints.forEach((name, port) -> all.append(String.format(
+                "[endpoints.%s]\ndial = \"127.0.0.1:%d\"\n" + "zone = \"%s\"\nrack = \"%s\"\nslots = 4\n",
+                name, port, name.charAt(0), name.substring(0, 2))));
         all.append("\n[fleet]\nlisten = \"127.0.0.1:").append(links[i]).append("\"\n[fleet.peers]\n");
         for (int k = 0; k < SCHEDULERS; k++) {
             all.append(name(k)).append(" = \"127.0.0.1:").append(links[k]).append("\"\n");
         }
-        all.append("\n[members]\nlisten = \"127.0.0.1:").append(views[i]).append("\"\nseeds = [\"127.0.0.1:")
-                .append(views[(i + 1) % SCHEDULERS]).append("\", \"127.0.0.1:").append(views[(i + 2)
-                % SCHEDULERS]).append("\"]\nallowed = [\"127.0.0.0/8\"]\nkey_file = \"")
-                .append(folder.resolve("members.key")).append("\"\n\n[policy]\nvoters = [");
+        all.append("\n[members]\nlisten = \"127.0.0.1:")
+                .append(views[i])
+                .append("\"\nseeds = [\"127.0.0.1:")
+                .append(views[(i + 1) % SCHEDULERS])
+                .append("\", \"127.0.0.1:")
+                .append(views[(i + 2) % SCHEDULERS])
+                .append("\"]\nallowed = [\"127.0.0.0/8\"]\nkey_file = \"")
+                .append(folder.resolve("members.key"))
+                .append("\"\n\n[policy]\nvoters = [");
         for (int k = 0; k < VOTERS; k++) {
             all.append(k == 0 ? "\"" : ", \"").append(name(k)).append('"');
         }
-        return all.append("]\ndir = \"").append(folder.resolve(name(i) + "-votes")).append("\"\n"
-                + "lease_ms = 1500\ncut_off = \"stop\"\n\n[tasks]\n\n"
-                + "# Times for trying; those left out are for real work.\n"
-                + "[maintenance]\nstep_ms = 1000\nahead_ms = 3600000\ndrain_ms = 10000\nreturn_ms = 5000\n"
-                + "late_ms = 60000\nearly_ms = 1000\nlook_ms = 200\ndemand = 0.5\ndemand_half_ms = 3000\n")
+        return all.append("]\ndir = \"")
+                .append(folder.resolve(name(i) + "-votes"))
+                .append("\"\n"
+                        + "lease_ms = 1500\ncut_off = \"stop\"\n\n[tasks]\n\n"
+                        + "# Times for trying; those left out are for real work.\n"
+                        + "[maintenance]\nstep_ms = 1000\nahead_ms = 3600000\ndrain_ms = 10000\nreturn_ms = 5000\n"
+                        + "late_ms = 60000\nearly_ms = 1000\nlook_ms = 200\ndemand = 0.5\ndemand_half_ms = 3000\n")
                 .toString();
     }
 
@@ -148,21 +162,21 @@
                 + now.plusMinutes(50) + "\"\n";
         Files.writeString(folder.resolve("power-a1.toml"), String.format(form, "power-a1", "\"a1\""));
         Files.writeString(folder.resolve("power-b2.toml"), String.format(form, "power-b2", "\"b2\""));
-        Files.writeString(folder.resolve("too-much.toml"), String.format(form, "too-much",
-                "\"a1\", \"a2\", \"a3\", \"a4\""));
+        Files.writeString(
+                folder.resolve("too-much.toml"), String.format(form, "too-much", "\"a1\", \"a2\", \"a3\", \"a4\""));
     }
 
     private void tell(Process[] all) throws IOException {
         StringBuilder at = new StringBuilder();
         for (int i = 0; i < SCHEDULERS; i++) {
             at.append(i == 0 ? "" : ",").append("127.0.0.1:").append(links[i]);
-            out.printf("%s  clients at 127.0.0.1:%d, operators at 127.0.0.1:%d, pid %d%n", name(i),
-                    clients[i], links[i], all[i].pid());
+            out.printf(
+                    "%s  clients at 127.0.0.1:%d, operators at 127.0.0.1:%d, pid %d%n",
+                    name(i), clients[i], links[i], all[i].pid());
         }
         Files.writeString(folder.resolve("at"), at + "\n");
         out.printf("%d racks, %d endpoints; tenants shops and web ask all the time%n", RACKS, RACKS * EACH);
-        out.printf("files, logs and process ids: %s; operators' addresses: %s%n", folder,
-                folder.resolve("at"));
+        out.printf("files, logs and process ids: %s; operators' addresses: %s%n", folder, folder.resolve("at"));
         out.println("it runs until " + (seconds == 0 ? "Ctrl-C" : seconds + " s have passed"));
         out.flush();
     }
--- a/src/main/java/laneflow/lab/Quickstart.java
+++ b/src/main/java/laneflow/lab/Quickstart.java
@@ -26,12 +26,15 @@
  * worker; jobs on both fronts, and a table of what was answered and by whom. Ends by itself, with 0 if all
  * were served.
  */
-@Command(name = "quickstart", mixinStandardHelpOptions = true,
+@Command(
+        name = "quickstart",
+        mixinStandardHelpOptions = true,
         description = "Shows a scheduler at work with stand-ins, and ends by itself.")
 public final class Quickstart implements Callable<Integer> {
     private static final String FORM = "%-8s %-13s %-8s %-22s %s%n";
     private static final int TRIES = 20;
     private static final long AGAIN_MS = 100;
+
     @Option(names = "--config", paramLabel = "FILE", description = "The operators' file to start from.")
     private Path config = Path.of("deploy/laneflow.toml");
 
@@ -49,7 +52,8 @@
         int http = Crew.port();
         int gearman = Crew.port();
         // The file as it stands, but for addresses that may be taken here, and a store of its own.
-        String text = Files.readString(config).replace("127.0.0.1:8081", "127.0.0.1:" + http)
+        String text = Files.readString(config)
+                .replace("127.0.0.1:8081", "127.0.0.1:" + http)
                 .replace("127.0.0.1:4730", "127.0.0.1:" + gearman)
                 .replace("dir = \"durable-jobs\"", "dir = \"" + folder.resolve("store") + "\"");
         List<String> ledgers = new ArrayList<>();
@@ -64,8 +68,18 @@
         Process scheduler = crew.scheduler("scheduler", 128, file.toString());
         crew.awaitPort(scheduler, "scheduler", http);
         ledgers.add(folder.resolve("worker").toString());
-        crew.start("worker", 64, StandInWorker.class, "" + gearman, ledgers.get(3), "9", "30", "0", "0",
-                "basket_check,card_capture,points_post", "30");
+        crew.start(
+                "worker",
+                64,
+                StandInWorker.class,
+                "" + gearman,
+                ledgers.get(3),
+                "9",
+                "30",
+                "0",
+                "0",
+                "basket_check,card_capture,points_post",
+                "30");
         System.out.printf(FORM, "front", "class", "job", "answer", "ran at");
         int served = 0;
         String[] classes = {"basket-check", "card-capture", "points-post"};
@@ -76,7 +90,8 @@
             clients[i] = new Thread(() -> {
                 for (int at = first; at < 18; at += clients.length) {
                     String jobClass = classes[at % 9 % 3];
-                    answers[at] = at < 9 ? post(http, jobClass, "h" + at)
+                    answers[at] = at < 9
+                            ? post(http, jobClass, "h" + at)
                             : submit(gearman, jobClass.replace('-', '_'), "g" + (at - 9));
                 }
             });
@@ -86,23 +101,26 @@
             client.join();
         }
         for (int i = 0; i < 18; i++) {
-            served += row(i < 9 ? "http" : "gearman", classes[i % 9 % 3], i < 9 ? "h" + i : "g" + (i - 9),
-                    answers[i], ledgers);
+            served += row(
+                    i < 9 ? "http" : "gearman",
+                    classes[i % 9 % 3],
+                    i < 9 ? "h" + i : "g" + (i - 9),
+                    answers[i],
+                    ledgers);
         }
         try (Socket socket = new Socket(InetAddress.getLoopbackAddress(), http)) {
             InputStream in = new BufferedInputStream(socket.getInputStream());
-            String kept = post(socket, in, "points-post", "d0",
-                    "Prefer: respond-async\r\nIdempotency-Key: k0\r\n");
+            String kept = post(socket, in, "points-post", "d0", "Prefer: respond-async\r\nIdempotency-Key: k0\r\n");
             String id = kept.replaceAll("(?s).*\"id\":\"([0-9a-f]+)\".*", "$1");
             String state = "";
             for (int i = 0; i < 500 && !state.contains("\"done\""); i++) {
                 Thread.sleep(10);
-                socket.getOutputStream().write(("GET /jobs/" + id + " HTTP/1.1\r\nHost: q\r\n\r\n")
-                        .getBytes(StandardCharsets.US_ASCII));
+                socket.getOutputStream()
+                        .write(("GET /jobs/" + id + " HTTP/1.1\r\nHost: q\r\n\r\n")
+                                .getBytes(StandardCharsets.US_ASCII));
                 state = LiveLoad.answer(in);
             }
-            served += row("durable", "points-post", "d0", state.contains("\"done\"") ? "200 ran d0" : state,
-                    ledgers);
+            served += row("durable", "points-post", "d0", state.contains("\"done\"") ? "200 ran d0" : state, ledgers);
         }
         scheduler.destroy();
         scheduler.waitFor();
@@ -113,12 +131,14 @@
     private static String post(Socket socket, InputStream in, String jobClass, String name, String headers)
             throws IOException {
         socket.setSoTimeout(10_000);
-        socket.getOutputStream().write(("POST /" + jobClass + " HTTP/1.1\r\nHost: q\r\nReq-Id: " + name
-                + "\r\n"
-                + headers + "Content-Length: " + name.length() + "\r\n\r\n" + name)
-                .getBytes(StandardCharsets.US_ASCII));
+        socket.getOutputStream()
+                .write(("POST /" + jobClass + " HTTP/1.1\r\nHost: q\r\nReq-Id: " + name
+                                + "\r\n"
+                                + headers + "Content-Length: " + name.length() + "\r\n\r\n" + name)
+                        .getBytes(StandardCharsets.US_ASCII));
         String answer = LiveLoad.answer(in);
-        return answer.substring(9, 13) + answer.substring(answer.indexOf("\r\n\r\n") + 4).strip();
+        return answer.substring(9, 13)
+                + answer.substring(answer.indexOf("\r\n\r\n") + 4).strip();
     }
 
     private static String post(int port, String jobClass, String name) {
@@ -155,7 +175,7 @@
 
     private static String submit(Wire wire, String function, String name) throws IOException {
         wire.send(Wire.SUBMIT_JOB, function, "", name);
-        for (Wire.Packet said = wire.read();; said = wire.read()) {
+        for (Wire.Packet said = wire.read(); ; said = wire.read()) {
             if (said.type() == Wire.WORK_COMPLETE) {
                 return "WORK_COMPLETE " + said.args()[1];
             } else if (said.type() != Wire.JOB_CREATED && said.type() != Wire.WORK_STATUS) {
@@ -168,7 +188,8 @@
             throws IOException {
         String where = "";
         for (String ledger : ledgers) {
-            if (Ledger.read(Path.of(ledger)).stream().anyMatch(line -> line.job().equals(name))) {
+            if (Ledger.read(Path.of(ledger)).stream()
+                    .anyMatch(line -> line.job().equals(name))) {
                 where += " " + Path.of(ledger).getFileName();
             }
         }
--- a/src/main/java/laneflow/lab/measure/CapacityDay.java
+++ b/src/main/java/laneflow/lab/measure/CapacityDay.java
@@ -31,12 +31,10 @@
     private static final double NANOS = 1e9;
 
     /** A request: seconds from the day's begin, where, how long it runs and what its client says of that. */
-    private record Job(double at, int scheduler, double takes, double hint) {
-    }
+    private record Job(double at, int scheduler, double takes, double hint) {}
 
     /** A refusal, when the client had it. */
-    record Refusal(int scheduler, long askedNs, long answeredNs) {
-    }
+    record Refusal(int scheduler, long askedNs, long answeredNs) {}
 
     /** What came of the day behind its first seconds, in which processes warm up. */
     static final class Outcome {
@@ -69,7 +67,7 @@
         double[] weights = new double[schedulers];
         double sum = 0;
         double phase = 0;
-        for (double at = 0; at < warm + seconds;) {
+        for (double at = 0; at < warm + seconds; ) {
             if (at >= phase) {
                 phase += PHASE;
                 sum = 0;
@@ -154,10 +152,11 @@
             }
             InputStream in = new BufferedInputStream(socket.getInputStream());
             String body = id + " " + Math.round(job.takes * 1e6);
-            socket.getOutputStream().write(("POST /check HTTP/1.1\r\nHost: l\r\nReq-Id: " + id
-                    + "\r\nReq-Cost: " + Math.round(job.hint * 1e6) + "\r\nContent-Length: "
-                    + body.length() + "\r\n\r\n" + body)
-                    .getBytes(StandardCharsets.US_ASCII));
+            socket.getOutputStream()
+                    .write(("POST /check HTTP/1.1\r\nHost: l\r\nReq-Id: " + id
+                                    + "\r\nReq-Cost: " + Math.round(job.hint * 1e6) + "\r\nContent-Length: "
+                                    + body.length() + "\r\n\r\n" + body)
+                            .getBytes(StandardCharsets.US_ASCII));
             String answer = LiveLoad.answer(in);
             long now = System.nanoTime();
             idle.get(job.scheduler).push(socket);
--- a/src/main/java/laneflow/lab/measure/CapacityMeasure.java
+++ b/src/main/java/laneflow/lab/measure/CapacityMeasure.java
@@ -31,8 +31,7 @@
     }
 
     /** Runs all of it; 0 if every promise was kept. */
-    public static int run(long seed, boolean large, PrintStream out) throws IOException,
-            InterruptedException {
+    public static int run(long seed, boolean large, PrintStream out) throws IOException, InterruptedException {
         CapacityMeasure measure = new CapacityMeasure(seed, out);
         if (large) {
             measure.sizes();
@@ -58,10 +57,19 @@
         for (int i = 0; i < all.length; i++) {
             CapacityProcesses.Day day = CapacityProcesses.play(seed, PAIRS[i], seconds);
             all[i] = day;
-            out.printf(Locale.ROOT, "%s: asked=%d points=%.2f refused=%d while_room=%d late=%d failed=%d"
-                    + " to_drained=%d cold_fallen=%d%n", PAIRS[i] ? "with news" : "without",
-                    day.outcome.asked, day.outcome.points(), day.outcome.refusals.size(), day.idleRefused,
-                    day.outcome.late, day.outcome.failed, day.toDrained, day.coldFallen);
+            out.printf(
+                    Locale.ROOT,
+                    "%s: asked=%d points=%.2f refused=%d while_room=%d late=%d failed=%d"
+                            + " to_drained=%d cold_fallen=%d%n",
+                    PAIRS[i] ? "with news" : "without",
+                    day.outcome.asked,
+                    day.outcome.points(),
+                    day.outcome.refusals.size(),
+                    day.idleRefused,
+                    day.outcome.late,
+                    day.outcome.failed,
+                    day.toDrained,
+                    day.coldFallen);
             int of = PAIRS[i] ? 1 : 0;
             points[of] += day.outcome.points() * 2 / all.length;
             idle[of] += day.idle() * 2 / all.length;
@@ -73,23 +81,38 @@
             most = Math.max(most, day.datagramMost);
         }
         CapacityProcesses.Day last = all[all.length - 1];
-        out.printf(Locale.ROOT, "capacity: schedulers=%d endpoints=%d served_points=%.2f"
-                + " served_points_without=%.2f idle_refused=%.2f idle_refused_without=%.2f overshoot_p99=%d"
-                + " overshoot_p99_without=%d news_age_p50_ms=%d news_age_p99_ms=%d bytes_per_s_member=%.0f"
-                + " bytes_per_s_member_without=%.0f datagram_most=%d to_drained=%d cold_fallen=%d"
-                + " whole_after_rounds=%.1f%n", CapacityProcesses.SCHEDULERS, CapacityProcesses.ENDPOINTS,
-                points[1], points[0], idle[1], idle[0], overshoot[1], overshoot[0],
-                last.age.getValueAtPercentile(50), last.age.getValueAtPercentile(99), bytes[1], bytes[0],
-                most, toDrained, coldFallen, last.wholeAfterRounds);
+        out.printf(
+                Locale.ROOT,
+                "capacity: schedulers=%d endpoints=%d served_points=%.2f"
+                        + " served_points_without=%.2f idle_refused=%.2f idle_refused_without=%.2f overshoot_p99=%d"
+                        + " overshoot_p99_without=%d news_age_p50_ms=%d news_age_p99_ms=%d bytes_per_s_member=%.0f"
+                        + " bytes_per_s_member_without=%.0f datagram_most=%d to_drained=%d cold_fallen=%d"
+                        + " whole_after_rounds=%.1f%n",
+                CapacityProcesses.SCHEDULERS,
+                CapacityProcesses.ENDPOINTS,
+                points[1],
+                points[0],
+                idle[1],
+                idle[0],
+                overshoot[1],
+                overshoot[0],
+                last.age.getValueAtPercentile(50),
+                last.age.getValueAtPercentile(99),
+                bytes[1],
+                bytes[0],
+                most,
+                toDrained,
+                coldFallen,
+                last.wholeAfterRounds);
         kept &= toDrained == 0 && coldFallen == 0 && most <= DATAGRAM;
     }
 
     // ---- virtual time ----
 
-    private Result play(int schedulers, int endpoints, int zones, double seconds, Weighing news,
-            boolean central, Fault fault) {
-        return CapacityWorld.play(new Day(schedulers, endpoints, zones, 1, 0.7, seconds, seed, news, central,
-                0, WIRE_SECONDS, fault));
+    private Result play(
+            int schedulers, int endpoints, int zones, double seconds, Weighing news, boolean central, Fault fault) {
+        return CapacityWorld.play(
+                new Day(schedulers, endpoints, zones, 1, 0.7, seconds, seed, news, central, 0, WIRE_SECONDS, fault));
     }
 
     private static double idle(Result result) {
@@ -102,8 +125,7 @@
         for (int members : new int[] {9, 36, 100, 200}) {
             double seconds = 2;
             Result day = play(members, 25 * members, 9, seconds, Weighing.SPARING, false, Fault.NONE);
-            line.append(String.format(Locale.ROOT, " %d_members=%.0f", members,
-                    day.bytes / seconds / members));
+            line.append(String.format(Locale.ROOT, " %d_members=%.0f", members, day.bytes / seconds / members));
         }
         out.println(line);
     }
@@ -117,14 +139,26 @@
             Result lied = play(schedulers, endpoints, zones, seconds, Weighing.SPARING, false, lie);
             lost = Math.max(lost, with.points() - lied.points());
         }
-        out.printf(Locale.ROOT, "capacity, virtual time: schedulers=%d endpoints=%d served_points=%.2f"
-                + " served_points_without=%.2f served_points_seeing_all=%.2f idle_refused=%.2f"
-                + " idle_refused_without=%.2f overshoot_p99=%d overshoot_p99_without=%d news_age_p50_ms=%d"
-                + " news_age_p99_ms=%d bytes_per_s_member=%.0f cargo_most=%d liar_points_lost=%.2f%n",
-                schedulers, endpoints, with.points(), without.points(), central.points(), idle(with),
-                idle(without), with.overshoot.getValueAtPercentile(99),
-                without.overshoot.getValueAtPercentile(99), with.age.getValueAtPercentile(50),
-                with.age.getValueAtPercentile(99), with.bytes / seconds / schedulers, with.mostBytes, lost);
+        out.printf(
+                Locale.ROOT,
+                "capacity, virtual time: schedulers=%d endpoints=%d served_points=%.2f"
+                        + " served_points_without=%.2f served_points_seeing_all=%.2f idle_refused=%.2f"
+                        + " idle_refused_without=%.2f overshoot_p99=%d overshoot_p99_without=%d news_age_p50_ms=%d"
+                        + " news_age_p99_ms=%d bytes_per_s_member=%.0f cargo_most=%d liar_points_lost=%.2f%n",
+                schedulers,
+                endpoints,
+                with.points(),
+                without.points(),
+                central.points(),
+                idle(with),
+                idle(without),
+                with.overshoot.getValueAtPercentile(99),
+                without.overshoot.getValueAtPercentile(99),
+                with.age.getValueAtPercentile(50),
+                with.age.getValueAtPercentile(99),
+                with.bytes / seconds / schedulers,
+                with.mostBytes,
+                lost);
         kept &= with.mostBytes <= MOST_BYTES && lost < 1;
     }
 }
--- a/src/main/java/laneflow/lab/measure/CapacityProcesses.java
+++ b/src/main/java/laneflow/lab/measure/CapacityProcesses.java
@@ -63,8 +63,8 @@
     private final Day day = new Day();
     private volatile boolean over;
 
-    private CapacityProcesses(long seed, boolean news, double seconds, Rig rig, StandInPool pool,
-            StandInDiscovery discovery) {
+    private CapacityProcesses(
+            long seed, boolean news, double seconds, Rig rig, StandInPool pool, StandInDiscovery discovery) {
         this.seed = seed;
         this.news = news;
         this.seconds = seconds;
@@ -149,8 +149,8 @@
     private void judge() {
         for (CapacityDay.Refusal refusal : day.outcome.refusals) {
             // All zones are in reach of three on a ring.
-            boolean room = pool.nodes.stream().anyMatch(node -> node.freeAt(refusal.askedNs()) > 0
-                    && node.freeAt(refusal.answeredNs()) > 0);
+            boolean room = pool.nodes.stream()
+                    .anyMatch(node -> node.freeAt(refusal.askedNs()) > 0 && node.freeAt(refusal.answeredNs()) > 0);
             day.idleRefused += room ? 1 : 0;
         }
         pool.waitedBehind(day.outcome.beganNs).forEach(day.overshoot::recordValue);
@@ -230,20 +230,21 @@
         rig.kill(one);
         // What is older than 21 s is not told: some jobs go on at the others.
         CapacityDay thin = new CapacityDay(seed, one, 3 * ENDPOINTS, SHORT, 0, LONGEST_START);
-        Thread others = new Thread(() -> {
-            try {
-                thin.play(rig::clientPort);
-            } catch (InterruptedException e) {
-                Thread.currentThread().interrupt();
-            }
-        }, "others");
+        Thread others = new Thread(
+                () -> {
+                    try {
+                        thin.play(rig::clientPort);
+                    } catch (InterruptedException e) {
+                        Thread.currentThread().interrupt();
+                    }
+                },
+                "others");
         others.setDaemon(true);
         others.start();
         rig.start(one);
         rig.await("it answers", () -> rig.fleet(one).has("live"));
         long from = System.nanoTime();
-        rig.await("it has news of all", () -> capacity(one).get("known_share").getAsDouble()
-                >= 1);
+        rig.await("it has news of all", () -> capacity(one).get("known_share").getAsDouble() >= 1);
         day.wholeAfterRounds = (System.nanoTime() - from) / (double) (ROUND_MS * MS);
         others.interrupt();
     }
--- a/src/main/java/laneflow/lab/measure/ConfigMeasure.java
+++ b/src/main/java/laneflow/lab/measure/ConfigMeasure.java
@@ -68,8 +68,7 @@
     private long stepCpuUs;
     private long stepMostUs;
 
-    private ConfigMeasure(long seed, boolean large, Path folder, PrintStream out,
-            Crew crew) throws IOException {
+    private ConfigMeasure(long seed, boolean large, Path folder, PrintStream out, Crew crew) throws IOException {
         random = new SplittableRandom(seed);
         this.large = large;
         this.folder = folder;
@@ -78,8 +77,7 @@
     }
 
     /** Runs all of it; 0 if every promise was kept. */
-    public static int run(long seed, boolean large, PrintStream out)
-            throws IOException, InterruptedException {
+    public static int run(long seed, boolean large, PrintStream out) throws IOException, InterruptedException {
         Path folder = Files.createTempDirectory("laneflow-config");
         try (Crew crew = new Crew(folder)) {
             return new ConfigMeasure(seed, large, folder, out, crew).all();
@@ -92,8 +90,15 @@
         for (int i = 0; i < NODES; i++) {
             nodes[i] = Crew.port();
         }
-        crew.start("nodes", 256, StandInNodes.class, nodes[0] + "," + nodes[1] + "," + nodes[2], "", "5",
-                "8", "20",
+        crew.start(
+                "nodes",
+                256,
+                StandInNodes.class,
+                nodes[0] + "," + nodes[1] + "," + nodes[2],
+                "",
+                "5",
+                "8",
+                "20",
                 large ? "600" : "60");
         for (int i = 0; i < SCHEDULERS; i++) {
             ports[i] = Crew.port();
@@ -136,8 +141,8 @@
         for (int i = 0; i < SCHEDULERS; i++) {
             JsonObject report = JsonParser.parseString(body(get(i, "/config"))).getAsJsonObject();
             JsonObject types = report.getAsJsonObject("types");
-            String version = types.getAsJsonObject(DestinationType.URL).get("version")
-                    .getAsString();
+            String version =
+                    types.getAsJsonObject(DestinationType.URL).get("version").getAsString();
             disagree += version.equals(running) ? 0 : 1;
         }
         double rollback = rollback();
@@ -149,16 +154,33 @@
             checked += load.checked.get();
             across += load.across.get();
         }
-        out.printf(Locale.ROOT, "config: versions=%d acked=%d nacked=%d wrong_verdicts=%d mixed_answers=%d"
-                + " checked_answers=%d across=%d lost=%d disagree=%d service_before=%.2f"
-                + " service_loss_points=%.2f adopt_p99_ms=%.2f adopt_most_ms=%.2f step_most_ms=%.2f"
-                + " adopt_cpu_ms=%.2f step_cpu_ms=%.2f"
-                + " converge_p99_ms=%.1f"
-                + " rollback_ms=%.0f file_damaged=%d%n", number, acked, nacked, wrong, mixed, checked, across,
-                lost, disagree, before * 100, (before - during[0]) * 100, adoptUs / 1e3, adoptMostUs / 1e3,
-                        stepMostUs / 1e3,
-                adoptCpuUs / 1e3, stepCpuUs / 1e3,
-                converge.getValueAtPercentile(99) / 1e6, rollback, damaged);
+        out.printf(
+                Locale.ROOT,
+                "config: versions=%d acked=%d nacked=%d wrong_verdicts=%d mixed_answers=%d"
+                        + " checked_answers=%d across=%d lost=%d disagree=%d service_before=%.2f"
+                        + " service_loss_points=%.2f adopt_p99_ms=%.2f adopt_most_ms=%.2f step_most_ms=%.2f"
+                        + " adopt_cpu_ms=%.2f step_cpu_ms=%.2f"
+                        + " converge_p99_ms=%.1f"
+                        + " rollback_ms=%.0f file_damaged=%d%n",
+                number,
+                acked,
+                nacked,
+                wrong,
+                mixed,
+                checked,
+                across,
+                lost,
+                disagree,
+                before * 100,
+                (before - during[0]) * 100,
+                adoptUs / 1e3,
+                adoptMostUs / 1e3,
+                stepMostUs / 1e3,
+                adoptCpuUs / 1e3,
+                stepCpuUs / 1e3,
+                converge.getValueAtPercentile(99) / 1e6,
+                rollback,
+                damaged);
         control.close();
         // A measurement in which no answer could have seen two versions has shown nothing of it.
         return wrong + lost + disagree + damaged + mixed > 0 || rollback < 0 || across == 0 ? 1 : 0;
@@ -182,27 +204,39 @@
                 String[] pair = line.strip().split(" ");
                 long value = pair.length == 2 ? Long.parseLong(pair[1]) : 0;
                 switch (pair[0]) {
-                    case "config.adopt_p99_us": adoptUs = Math.max(adoptUs, value); break;
-                    case "config.adopt_most_us": adoptMostUs = Math.max(adoptMostUs, value); break;
-                    case "config.step_most_us": stepMostUs = Math.max(stepMostUs, value); break;
-                    case "config.adopt_cpu_most_us": adoptCpuUs = Math.max(adoptCpuUs, value); break;
-                    case "config.step_cpu_most_us": stepCpuUs = Math.max(stepCpuUs, value); break;
-                    default: break;
+                    case "config.adopt_p99_us":
+                        adoptUs = Math.max(adoptUs, value);
+                        break;
+                    case "config.adopt_most_us":
+                        adoptMostUs = Math.max(adoptMostUs, value);
+                        break;
+                    case "config.step_most_us":
+                        stepMostUs = Math.max(stepMostUs, value);
+                        break;
+                    case "config.adopt_cpu_most_us":
+                        adoptCpuUs = Math.max(adoptCpuUs, value);
+                        break;
+                    case "config.step_cpu_most_us":
+                        stepCpuUs = Math.max(stepCpuUs, value);
+                        break;
+                    default:
+                        break;
                 }
             }
         }
     }
 
-    private void settings(Path file, String name, int port, StandInControl service, String more)
-            throws IOException {
-        Files.writeString(file, "name = \"" + name + "\"\nlisten = \"127.0.0.1:" + port
-                + "\"\nzones = [\"a\"]\n"
-                + "[limits]\nsockets = 2048\n[classes.check]\naim_ms = 200\nrepeat = \"safe\"\n"
-                + "[classes.hang]\naim_ms = 100\n"
-                + "[control]\naddresses = [\"" + service.address() + "\"]\nlast_good_dir = \""
-                + folder.resolve(name) + "\"\nallowed_endpoints = [\"127.0.0.0/8\"]\n"
-                + "tell_versions = true\nfigures_ms = 200\n"
-                + "silence_ms = 60000\nlongest_backoff_ms = 200\n" + more);
+    private void settings(Path file, String name, int port, StandInControl service, String more) throws IOException {
+        Files.writeString(
+                file,
+                "name = \"" + name + "\"\nlisten = \"127.0.0.1:" + port
+                        + "\"\nzones = [\"a\"]\n"
+                        + "[limits]\nsockets = 2048\n[classes.check]\naim_ms = 200\nrepeat = \"safe\"\n"
+                        + "[classes.hang]\naim_ms = 100\n"
+                        + "[control]\naddresses = [\"" + service.address() + "\"]\nlast_good_dir = \""
+                        + folder.resolve(name) + "\"\nallowed_endpoints = [\"127.0.0.0/8\"]\n"
+                        + "tell_versions = true\nfigures_ms = 200\n"
+                        + "silence_ms = 60000\nlongest_backoff_ms = 200\n" + more);
     }
 
     /** Three at a time at each scheduler, all through the script. */
@@ -248,8 +282,13 @@
             boolean kept = !service.takenBack.containsKey("r0");
             long from = System.nanoTime();
             // Well formed and sound, and nobody listens there.
-            service.publish(line(DestinationType.URL, "3-aa", "b3", List.of(endpoint(0, "").replaceFirst(
-                    "127.0.0.1:[0-9]+", "127.0.0.1:9"), hangNode())), true);
+            service.publish(
+                    line(
+                            DestinationType.URL,
+                            "3-aa",
+                            "b3",
+                            List.of(endpoint(0, "").replaceFirst("127.0.0.1:[0-9]+", "127.0.0.1:9"), hangNode())),
+                    true);
             while (!service.takenBack.containsKey("r0") && System.nanoTime() - from < 2 * PATIENCE) {
                 Thread.sleep(1);
             }
@@ -343,8 +382,7 @@
     }
 
     private String endpoint(int node, String more) {
-        return "{\"name\":\"till-" + node + "\",\"dial\":\"127.0.0.1:" + nodes[node] + "\",\"zone\":\"a\""
-                + more + "}";
+        return "{\"name\":\"till-" + node + "\",\"dial\":\"127.0.0.1:" + nodes[node] + "\",\"zone\":\"a\"" + more + "}";
     }
 
     private List<String> good(List<Integer> live) {
@@ -365,10 +403,15 @@
         int deadline = 150 + 100 * random.nextInt(4);
         String check = "{\"name\":\"check\",\"aim_ms\":200,\"repeat\":\"safe\"}";
         String hang = "{\"name\":\"hang\",\"aim_ms\":100,\"deadline_ms\":" + deadline + "}";
-        String[] bad = {check, hang, check + "," + hang.replace("100,", "100,\"repeat\":\"safe\","),
-            check + "," + hang.replace("\"aim_ms\":100", "\"aim_ms\":900"), check + "," + hang + "," + check,
-            check + "," + hang.replace("deadline_ms", "dead_line"), check.replace("200", "\"200\"") + ","
-                    + hang};
+        String[] bad = {
+            check,
+            hang,
+            check + "," + hang.replace("100,", "100,\"repeat\":\"safe\","),
+            check + "," + hang.replace("\"aim_ms\":100", "\"aim_ms\":900"),
+            check + "," + hang + "," + check,
+            check + "," + hang.replace("deadline_ms", "dead_line"),
+            check.replace("200", "\"200\"") + "," + hang
+        };
         number++;
         String version = number + "-" + Long.toHexString(random.nextLong() >>> 8);
         if (good) {
@@ -378,20 +421,40 @@
         }
         String was = classes;
         classes = good ? version : was;
-        send(CLASSES, version, line(CLASSES, version, "n" + version, List.of(good ? check + "," + hang
-                : bad[random.nextInt(bad.length)])), "n" + version, good, good, was);
+        send(
+                CLASSES,
+                version,
+                line(
+                        CLASSES,
+                        version,
+                        "n" + version,
+                        List.of(good ? check + "," + hang : bad[random.nextInt(bad.length)])),
+                "n" + version,
+                good,
+                good,
+                was);
     }
 
     private void limits(boolean good) throws InterruptedException {
         String sound = "{\"name\":\"limits\",\"sockets\":2048,\"attempts\":" + (2 + random.nextInt(4)) + "}";
-        String[] bad = {sound.replace("2048", "1000000000"), sound.replace("attempts", "attemps"),
-            sound.replaceFirst("\"attempts\":[0-9]", "\"attempts\":0"), sound + "," + sound};
+        String[] bad = {
+            sound.replace("2048", "1000000000"),
+            sound.replace("attempts", "attemps"),
+            sound.replaceFirst("\"attempts\":[0-9]", "\"attempts\":0"),
+            sound + "," + sound
+        };
         number++;
         String version = number + "-" + Long.toHexString(random.nextLong() >>> 8);
         String was = limits;
         limits = good ? version : was;
-        send(LIMITS, version, line(LIMITS, version, "n" + version, List.of(good ? sound
-                : bad[random.nextInt(bad.length)])), "n" + version, good, good, was);
+        send(
+                LIMITS,
+                version,
+                line(LIMITS, version, "n" + version, List.of(good ? sound : bad[random.nextInt(bad.length)])),
+                "n" + version,
+                good,
+                good,
+                was);
     }
 
     /** A change of what runs: one endpoint leaves or comes back; or one that does not fit. */
@@ -420,9 +483,10 @@
         String text = "{\"type_url\":\"" + DestinationType.URL + "\",\"system_version_info\":\"" + version
                 + "\",\"from_version\":\"" + (wrongBase ? "1-00" : running) + "\",\"nonce\":\"" + nonce
                 + "\","
-                + (remove ? "\"removed_resources\":[\"till-" + node + "\"]"
-                : "\"resources\":[{\"name\":\"till-"
-                + node + "\",\"resource\":" + endpoint(node, "") + "}]") + "}";
+                + (remove
+                        ? "\"removed_resources\":[\"till-" + node + "\"]"
+                        : "\"resources\":[{\"name\":\"till-" + node + "\",\"resource\":" + endpoint(node, "") + "}]")
+                + "}";
         String was = running;
         if (good) {
             running = version;
@@ -475,9 +539,15 @@
             long runs = Long.parseLong(running.substring(0, running.indexOf('-')));
             send(Math.max(0, runs - 1 - random.nextInt(5)) + "-00", resources, false, false);
         } else {
-            String[] bad = {endpoint(0, ",\"state\":\"draining\""), endpoint(0, ",\"weight\":0"),
-                endpoint(0, ",\"colour\":1"), endpoint(0, "").replace("127.0.0.1", "10.0.0.1"),
-                endpoint(0, "") + "," + endpoint(0, ""), endpoint(0, "").replace("\"a\"", "\"b\""), "7"};
+            String[] bad = {
+                endpoint(0, ",\"state\":\"draining\""),
+                endpoint(0, ",\"weight\":0"),
+                endpoint(0, ",\"colour\":1"),
+                endpoint(0, "").replace("127.0.0.1", "10.0.0.1"),
+                endpoint(0, "") + "," + endpoint(0, ""),
+                endpoint(0, "").replace("\"a\"", "\"b\""),
+                "7"
+            };
             publish(List.of(bad[random.nextInt(bad.length)]), false, false);
         }
     }
@@ -487,20 +557,26 @@
         send(number + "-" + Long.toHexString(random.nextLong() >>> 8), resources, good, keep);
     }
 
-    private void send(String version, List<String> resources, boolean good, boolean keep)
-            throws InterruptedException {
+    private void send(String version, List<String> resources, boolean good, boolean keep) throws InterruptedException {
         String nonce = "n" + random.nextInt(1 << 30);
         String was = running;
         if (keep) {
             running = version;
-            runs = JsonParser.parseString("[" + String.join(",", resources) + "]").getAsJsonArray();
+            runs = JsonParser.parseString("[" + String.join(",", resources) + "]")
+                    .getAsJsonArray();
         }
-        send(DestinationType.URL, version, line(DestinationType.URL, version, nonce, resources), nonce, good,
-                keep, was);
+        send(
+                DestinationType.URL,
+                version,
+                line(DestinationType.URL, version, nonce, resources),
+                nonce,
+                good,
+                keep,
+                was);
     }
 
-    private void send(String type, String version, String text, String nonce, boolean good, boolean keep,
-            String was) throws InterruptedException {
+    private void send(String type, String version, String text, String nonce, boolean good, boolean keep, String was)
+            throws InterruptedException {
         long from = System.nanoTime();
         control.publish(text, keep);
         for (int i = 0; i < SCHEDULERS; i++) {
@@ -525,8 +601,8 @@
     private String get(int scheduler, String path) throws IOException {
         try (Socket socket = new Socket(InetAddress.getLoopbackAddress(), ports[scheduler])) {
             socket.setSoTimeout(5000);
-            socket.getOutputStream().write(("GET " + path + " HTTP/1.1\r\nHost: l\r\n\r\n")
-                    .getBytes(StandardCharsets.US_ASCII));
+            socket.getOutputStream()
+                    .write(("GET " + path + " HTTP/1.1\r\nHost: l\r\n\r\n").getBytes(StandardCharsets.US_ASCII));
             return LiveLoad.answer(new BufferedInputStream(socket.getInputStream()));
         }
     }
--- a/src/main/java/laneflow/lab/measure/Conformance.java
+++ b/src/main/java/laneflow/lab/measure/Conformance.java
@@ -30,7 +30,9 @@
  * loopback. Its codec is independent of the front's, as {@link Wire}'s is. The last line counts the cases
  * that passed; exit code 1 where one did not.
  */
-@Command(name = "conformance", mixinStandardHelpOptions = true,
+@Command(
+        name = "conformance",
+        mixinStandardHelpOptions = true,
         description = "Plays the cases of the Gearman protocol; exit code 1 if one fails.")
 public final class Conformance implements Callable<Integer> {
     /** Functions and limits that the cases count on: the table of the Gearman front, its address apart. */
@@ -38,19 +40,56 @@
             + "[gearman.functions.check]\nclass = \"basket-check\"\n"
             + "[gearman.functions.other]\nclass = \"basket-check\"\n"
             + "[gearman.functions.pay]\nclass = \"card-capture\"\n";
+
     private static final int PATIENCE_MS = 5000;
     private static final int REQUEST = 0x00524551;
     private static final int RESPONSE = 0x00524553;
     private static final Pattern TIMES = Pattern.compile("\\{([0-9]+)\\*(.)\\}");
-    private static final String[] TYPES = {"", "CAN_DO", "CANT_DO", "RESET_ABILITIES", "PRE_SLEEP", "",
-            "NOOP",
-        "SUBMIT_JOB", "JOB_CREATED", "GRAB_JOB", "NO_JOB", "JOB_ASSIGN", "WORK_STATUS", "WORK_COMPLETE",
-        "WORK_FAIL", "GET_STATUS", "ECHO_REQ", "ECHO_RES", "SUBMIT_JOB_BG", "ERROR", "STATUS_RES",
-        "SUBMIT_JOB_HIGH", "SET_CLIENT_ID", "CAN_DO_TIMEOUT", "ALL_YOURS", "WORK_EXCEPTION", "OPTION_REQ",
-        "OPTION_RES", "WORK_DATA", "WORK_WARNING", "GRAB_JOB_UNIQ", "JOB_ASSIGN_UNIQ", "SUBMIT_JOB_HIGH_BG",
-        "SUBMIT_JOB_LOW", "SUBMIT_JOB_LOW_BG", "SUBMIT_JOB_SCHED", "SUBMIT_JOB_EPOCH", "SUBMIT_REDUCE_JOB",
-        "SUBMIT_REDUCE_JOB_BACKGROUND", "GRAB_JOB_ALL", "JOB_ASSIGN_ALL", "GET_STATUS_UNIQUE",
-        "STATUS_RES_UNIQUE"};
+    private static final String[] TYPES = {
+        "",
+        "CAN_DO",
+        "CANT_DO",
+        "RESET_ABILITIES",
+        "PRE_SLEEP",
+        "",
+        "NOOP",
+        "SUBMIT_JOB",
+        "JOB_CREATED",
+        "GRAB_JOB",
+        "NO_JOB",
+        "JOB_ASSIGN",
+        "WORK_STATUS",
+        "WORK_COMPLETE",
+        "WORK_FAIL",
+        "GET_STATUS",
+        "ECHO_REQ",
+        "ECHO_RES",
+        "SUBMIT_JOB_BG",
+        "ERROR",
+        "STATUS_RES",
+        "SUBMIT_JOB_HIGH",
+        "SET_CLIENT_ID",
+        "CAN_DO_TIMEOUT",
+        "ALL_YOURS",
+        "WORK_EXCEPTION",
+        "OPTION_REQ",
+        "OPTION_RES",
+        "WORK_DATA",
+        "WORK_WARNING",
+        "GRAB_JOB_UNIQ",
+        "JOB_ASSIGN_UNIQ",
+        "SUBMIT_JOB_HIGH_BG",
+        "SUBMIT_JOB_LOW",
+        "SUBMIT_JOB_LOW_BG",
+        "SUBMIT_JOB_SCHED",
+        "SUBMIT_JOB_EPOCH",
+        "SUBMIT_REDUCE_JOB",
+        "SUBMIT_REDUCE_JOB_BACKGROUND",
+        "GRAB_JOB_ALL",
+        "JOB_ASSIGN_ALL",
+        "GET_STATUS_UNIQUE",
+        "STATUS_RES_UNIQUE"
+    };
 
     /** One case: its name, and its lines. */
     public record Case(String name, List<String> lines) {
@@ -96,10 +135,12 @@
         try (Crew crew = new Crew(folder)) {
             int port = Crew.port();
             Path file = folder.resolve("laneflow.toml");
-            Files.writeString(file, "listen = \"127.0.0.1:" + Crew.port() + "\"\nzones = [\"a\"]\n"
-                    + "[classes.basket-check]\naim_ms = 200\ndeadline_ms = 5000\nrepeat = \"safe\"\n"
-                    + "[classes.card-capture]\naim_ms = 150\ndeadline_ms = 6000\n"
-                    + "[gearman]\nlisten = \"127.0.0.1:" + port + "\"\n" + FUNCTIONS);
+            Files.writeString(
+                    file,
+                    "listen = \"127.0.0.1:" + Crew.port() + "\"\nzones = [\"a\"]\n"
+                            + "[classes.basket-check]\naim_ms = 200\ndeadline_ms = 5000\nrepeat = \"safe\"\n"
+                            + "[classes.card-capture]\naim_ms = 150\ndeadline_ms = 6000\n"
+                            + "[gearman]\nlisten = \"127.0.0.1:" + port + "\"\n" + FUNCTIONS);
             Process scheduler = crew.scheduler("scheduler", 128, file.toString());
             crew.awaitPort(scheduler, "scheduler", port);
             Result result = play(port, only);
@@ -192,8 +233,7 @@
                 case '<':
                     return expect(rest, known);
                 case ':':
-                    socket.getOutputStream().write((text(rest, known)
-                            + "\n").getBytes(StandardCharsets.UTF_8));
+                    socket.getOutputStream().write((text(rest, known) + "\n").getBytes(StandardCharsets.UTF_8));
                     return null;
                 case '=':
                     String line = line();
@@ -218,7 +258,8 @@
         private void send(String rest, Map<String, String> known) throws IOException {
             int space = rest.indexOf(' ');
             String type = space < 0 ? rest : rest.substring(0, space);
-            byte[] data = text(space < 0 ? "" : rest.substring(space + 1), known).replace('|', '\0')
+            byte[] data = text(space < 0 ? "" : rest.substring(space + 1), known)
+                    .replace('|', '\0')
                     .getBytes(StandardCharsets.UTF_8);
             ByteArrayOutputStream bytes = new ByteArrayOutputStream();
             DataOutputStream out = new DataOutputStream(bytes);
@@ -237,7 +278,8 @@
             String[] is = new String(data, StandardCharsets.UTF_8).split("\0", -1);
             int space = rest.indexOf(' ');
             String[] wanted = (space < 0 ? "" : rest.substring(space + 1)).split("\\|", -1);
-            boolean fits = magic == RESPONSE && name.equals(space < 0 ? rest : rest.substring(0, space))
+            boolean fits = magic == RESPONSE
+                    && name.equals(space < 0 ? rest : rest.substring(0, space))
                     && is.length == wanted.length;
             for (int i = 0; fits && i < is.length; i++) {
                 if (wanted[i].startsWith("=") && wanted[i].length() > 1) {
@@ -247,8 +289,7 @@
                 }
             }
             String said = String.join("|", is);
-            return fits ? null : "came as " + name + " " + (said.length() > 200 ? said.substring(0, 200)
-                    : said);
+            return fits ? null : "came as " + name + " " + (said.length() > 200 ? said.substring(0, 200) : said);
         }
 
         String line() throws IOException {
@@ -264,7 +305,7 @@
 
         /** Reads on to a line of that form, within the list that it is in. */
         private String find(String wanted) throws IOException {
-            for (String line = line();; line = line()) {
+            for (String line = line(); ; line = line()) {
                 if (matches(wanted, line)) {
                     return null;
                 }
@@ -329,7 +370,7 @@
             all = all.replace("$" + one.getKey(), one.getValue());
         }
         Matcher times = TIMES.matcher(all);
-        return times.replaceAll(found -> Matcher.quoteReplacement(
-                found.group(2).repeat(Integer.parseInt(found.group(1)))));
+        return times.replaceAll(
+                found -> Matcher.quoteReplacement(found.group(2).repeat(Integer.parseInt(found.group(1)))));
     }
 }
--- a/src/main/java/laneflow/lab/measure/ControlMeasure.java
+++ b/src/main/java/laneflow/lab/measure/ControlMeasure.java
@@ -45,18 +45,29 @@
     }
 
     /** Runs both; 0 if the storm adds less to the p99 than it may. */
-    public static int run(long seed, boolean large, PrintStream out)
-            throws IOException, InterruptedException {
+    public static int run(long seed, boolean large, PrintStream out) throws IOException, InterruptedException {
         ControlMeasure one = new ControlMeasure(seed, out);
         one.all(true, large);
         ControlMeasure two = new ControlMeasure(seed, out);
         two.all(false, large);
-        out.printf(Locale.ROOT, "control: schedulers=%d requests_per_s=%d news=%d changes=%d"
-                + " one_loop_quiet_p99_ms=%.2f one_loop_storm_p99_ms=%.2f one_loop_added_ms=%.2f"
-                + " two_loops_quiet_p99_ms=%.2f two_loops_storm_p99_ms=%.2f two_loops_added_ms=%.2f"
-                + " one_loop_added_us_at_work=%.0f two_loops_added_us_at_work=%.0f%n",
-                SCHEDULERS, PER_SECOND, two.news, two.changes, p99(one.quiet), p99(one.storm), one.added(),
-                p99(two.quiet), p99(two.storm), two.added(), one.work(), two.work());
+        out.printf(
+                Locale.ROOT,
+                "control: schedulers=%d requests_per_s=%d news=%d changes=%d"
+                        + " one_loop_quiet_p99_ms=%.2f one_loop_storm_p99_ms=%.2f one_loop_added_ms=%.2f"
+                        + " two_loops_quiet_p99_ms=%.2f two_loops_storm_p99_ms=%.2f two_loops_added_ms=%.2f"
+                        + " one_loop_added_us_at_work=%.0f two_loops_added_us_at_work=%.0f%n",
+                SCHEDULERS,
+                PER_SECOND,
+                two.news,
+                two.changes,
+                p99(one.quiet),
+                p99(one.storm),
+                one.added(),
+                p99(two.quiet),
+                p99(two.storm),
+                two.added(),
+                one.work(),
+                two.work());
         return two.added() < AIM_MS ? 0 : 1;
     }
 
@@ -91,15 +102,14 @@
             rig.startAll();
             rig.awaitDeciding(0, rig.all());
             String key = Files.readAllLines(rig.keyFile()).get(0);
-            InetSocketAddress at = new InetSocketAddress(InetAddress.getLoopbackAddress(),
-                    rig.memberSocket(0));
+            InetSocketAddress at = new InetSocketAddress(InetAddress.getLoopbackAddress(), rig.memberSocket(0));
             PolicyLoad load = new PolicyLoad(Rig.name(0), rig.clientPort(0), 8, PER_SECOND);
             try (ControlStorm source = new ControlStorm(at, key, PERIOD_MS * 1000L, NEWS_PER_SECOND, seed)) {
                 source.begin();
                 load.begin();
                 Thread.sleep(large ? 10_000 : 4000);
                 for (int i = 0; i < WINDOWS; i++) {
-                    quietTimes = quietTimes.plus(window(rig, load, quiet, () -> { }));
+                    quietTimes = quietTimes.plus(window(rig, load, quiet, () -> {}));
                     source.blow(true);
                     stormTimes = stormTimes.plus(window(rig, load, storm, () -> change(rig)));
                     source.blow(false);
@@ -114,15 +124,29 @@
                 known[0] = rig.counter(0, "members.to_alive");
                 return true;
             });
-            out.printf(Locale.ROOT, "%s: quiet p50 %.2f p99 %.2f most %.1f ms of %d, storm p50 %.2f p99 %.2f"
-                    + " most %.1f ms of %d; members known %d%n", oneLoop ? "one loop" : "two loops",
-                    quiet.getValueAtPercentile(50) / 1000.0, p99(quiet), quiet.getMaxValue() / 1000.0,
-                    quiet.getTotalCount(), storm.getValueAtPercentile(50) / 1000.0, p99(storm),
-                    storm.getMaxValue() / 1000.0, storm.getTotalCount(), known[0]);
-            out.printf(Locale.ROOT, "%s: the traffic's thread was at work for %.0f us a request in quiet and"
-                    + " %.0f in the storm, and waited for a processor for %.0f and %.0f us%n", oneLoop
-                    ? "one loop" : "two loops", each(quietTimes.ns(), quiet), each(stormTimes.ns(), storm),
-                    each(quietTimes.waitedNs(), quiet), each(stormTimes.waitedNs(), storm));
+            out.printf(
+                    Locale.ROOT,
+                    "%s: quiet p50 %.2f p99 %.2f most %.1f ms of %d, storm p50 %.2f p99 %.2f"
+                            + " most %.1f ms of %d; members known %d%n",
+                    oneLoop ? "one loop" : "two loops",
+                    quiet.getValueAtPercentile(50) / 1000.0,
+                    p99(quiet),
+                    quiet.getMaxValue() / 1000.0,
+                    quiet.getTotalCount(),
+                    storm.getValueAtPercentile(50) / 1000.0,
+                    p99(storm),
+                    storm.getMaxValue() / 1000.0,
+                    storm.getTotalCount(),
+                    known[0]);
+            out.printf(
+                    Locale.ROOT,
+                    "%s: the traffic's thread was at work for %.0f us a request in quiet and"
+                            + " %.0f in the storm, and waited for a processor for %.0f and %.0f us%n",
+                    oneLoop ? "one loop" : "two loops",
+                    each(quietTimes.ns(), quiet),
+                    each(stormTimes.ns(), storm),
+                    each(quietTimes.waitedNs(), quiet),
+                    each(stormTimes.waitedNs(), storm));
         } finally {
             Trash.remove(folder);
         }
--- a/src/main/java/laneflow/lab/measure/ControlStorm.java
+++ b/src/main/java/laneflow/lab/measure/ControlStorm.java
@@ -45,16 +45,17 @@
     private volatile long sent;
 
     /** One that tells the scheduler there of so much a second, while it is told to. */
-    ControlStorm(InetSocketAddress to, String key, long periodUs, int perSecond, long seed)
-            throws IOException {
+    ControlStorm(InetSocketAddress to, String key, long periodUs, int perSecond, long seed) throws IOException {
         this.to = to;
         this.perSecond = perSecond;
         socket = new DatagramSocket(0, InetAddress.getLoopbackAddress());
         socket.setSoTimeout(WAIT_MS);
         random = new SplittableRandom(seed);
         seal = new Seal(List.of(key), (int) seed);
-        Life life = Life.of("storm", System.currentTimeMillis(), new InetSocketAddress(
-                InetAddress.getLoopbackAddress(), socket.getLocalPort()));
+        Life life = Life.of(
+                "storm",
+                System.currentTimeMillis(),
+                new InetSocketAddress(InetAddress.getLoopbackAddress(), socket.getLocalPort()));
         swim = new Swim(life, facts(), List.of(to), new Times(periodUs), wire, seed, now(), this);
         thread = new Thread(this::run, "storm");
         thread.setDaemon(true);
@@ -119,8 +120,10 @@
 
     private void heard(DatagramPacket packet) {
         try {
-            swim.heard(now(), (InetSocketAddress) packet.getSocketAddress(), wire.read(packet.getData(),
-                    Seal.AROUND, packet.getLength() - Seal.AROUND));
+            swim.heard(
+                    now(),
+                    (InetSocketAddress) packet.getSocketAddress(),
+                    wire.read(packet.getData(), Seal.AROUND, packet.getLength() - Seal.AROUND));
         } catch (IOException e) {
             over = true;
         }
