--- a/src/main/java/laneflow/lab/measure/ThreadTimes.java
+++ b/src/main/java/laneflow/lab/measure/ThreadTimes.java
@@ -27,11 +27,14 @@
                     long wakes = 0;
                     for (String line : Files.readAllLines(task.resolve("status"))) {
                         if (line.startsWith("voluntary_ctxt_switches:")) {
-                            wakes = Long.parseLong(line.substring(line.indexOf(':') + 1).strip());
+                            wakes = Long.parseLong(
+                                    line.substring(line.indexOf(':') + 1).strip());
                         }
                     }
-                    all.merge(Files.readString(task.resolve("comm")).strip(), new ThreadTimes(
-                            Long.parseLong(spent[0]), Long.parseLong(spent[1]), wakes), ThreadTimes::plus);
+                    all.merge(
+                            Files.readString(task.resolve("comm")).strip(),
+                            new ThreadTimes(Long.parseLong(spent[0]), Long.parseLong(spent[1]), wakes),
+                            ThreadTimes::plus);
                 } catch (NoSuchFileException e) {
                     // A thread that has just ended.
                     continue;
@@ -47,7 +50,8 @@
 
     /** Since then; null: since its beginning. */
     ThreadTimes less(ThreadTimes before) {
-        return before == null ? this : new ThreadTimes(ns - before.ns, waitedNs - before.waitedNs,
-                wakes - before.wakes);
+        return before == null
+                ? this
+                : new ThreadTimes(ns - before.ns, waitedNs - before.waitedNs, wakes - before.wakes);
     }
 }
--- a/src/main/java/laneflow/lab/rig/Crew.java
+++ b/src/main/java/laneflow/lab/rig/Crew.java
@@ -26,6 +26,7 @@
     private static final int KIB = 1024;
     /** The program as users start it: by its name, since nothing here may depend on the command line. */
     private static final String PROGRAM = "laneflow.Main";
+
     private static final Set<Integer> GIVEN = ConcurrentHashMap.newKeySet();
     /** A byte for each port, locked until its taker ends: others on this machine pass it over. */
     private static FileChannel taken;
@@ -62,8 +63,9 @@
 
     private static synchronized boolean take(int port) throws IOException {
         if (taken == null) {
-            taken = FileChannel.open(Path.of(System.getProperty("java.io.tmpdir"),
-                    "laneflow-ports-" + System.getProperty("user.name")), StandardOpenOption.CREATE,
+            taken = FileChannel.open(
+                    Path.of(System.getProperty("java.io.tmpdir"), "laneflow-ports-" + System.getProperty("user.name")),
+                    StandardOpenOption.CREATE,
                     StandardOpenOption.WRITE);
         }
         // Never released here: the system does it when this process ends.
@@ -93,27 +95,34 @@
     }
 
     /** The same with the platform's file beside the operators', unless that is empty. */
-    public Process scheduler(long mostBytes, String name, int heapMb, List<String> options, String file,
-            String platform) throws IOException {
+    public Process scheduler(
+            long mostBytes, String name, int heapMb, List<String> options, String file, String platform)
+            throws IOException {
         return start(mostBytes, name, heapMb, options, PROGRAM, platform, "serve", "--config", file);
     }
 
-    private Process start(long mostBytes, String name, int heapMb, List<String> options, String main,
-            String platform, String... args) throws IOException {
+    private Process start(
+            long mostBytes, String name, int heapMb, List<String> options, String main, String platform, String... args)
+            throws IOException {
         List<String> line = new ArrayList<>();
         if (mostBytes > 0) {
             line.addAll(List.of("bash", "-c", "ulimit -f " + mostBytes / KIB + "; exec \"$@\"", "limited"));
         }
-        line.addAll(List.of(Path.of(System.getProperty("java.home"), "bin",
-                "java").toString(),
-                "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1", "-XX:+AlwaysPreTouch", "-XX:-UsePerfData",
-                "-Xms" + heapMb + "m", "-Xmx" + heapMb + "m",
-                        "-Xshare:auto"));
+        line.addAll(List.of(
+                Path.of(System.getProperty("java.home"), "bin", "java").toString(),
+                "-XX:+UseSerialGC",
+                "-XX:TieredStopAtLevel=1",
+                "-XX:+AlwaysPreTouch",
+                "-XX:-UsePerfData",
+                "-Xms" + heapMb + "m",
+                "-Xmx" + heapMb + "m",
+                "-Xshare:auto"));
         line.addAll(options);
         line.addAll(List.of("-cp", classPath, main));
         line.addAll(List.of(args));
         File log = folder.resolve(name + ".log").toFile();
-        ProcessBuilder builder = new ProcessBuilder(line).redirectErrorStream(true)
+        ProcessBuilder builder = new ProcessBuilder(line)
+                .redirectErrorStream(true)
                 .redirectOutput(ProcessBuilder.Redirect.appendTo(log));
         if (!platform.isEmpty()) {
             builder.environment().put("ROUTER_CONFIG", platform);
--- a/src/main/java/laneflow/lab/rig/Faults.java
+++ b/src/main/java/laneflow/lab/rig/Faults.java
@@ -6,11 +6,13 @@
 public class Faults {
     /** Nothing gets through, and nothing says so. */
     volatile boolean cut;
+
     volatile int delayMs;
     /** Up to so much more, drawn for each message; they may overtake each other then. */
     volatile int jitterMs;
     /** Shares of messages. */
     volatile double lost;
+
     volatile double doubled;
 
     void clear() {
--- a/src/main/java/laneflow/lab/rig/Relay.java
+++ b/src/main/java/laneflow/lab/rig/Relay.java
@@ -33,6 +33,7 @@
 
     /** From the process that connects to the one that listens, and back. */
     final Faults there = new Faults();
+
     final Faults back = new Faults();
     private final int target;
     private final SplittableRandom random;
--- a/src/main/java/laneflow/lab/rig/Trash.java
+++ b/src/main/java/laneflow/lab/rig/Trash.java
@@ -8,8 +8,7 @@
 
 /** Takes a measurement's folder away. */
 public final class Trash {
-    private Trash() {
-    }
+    private Trash() {}
 
     public static void remove(Path folder) throws IOException {
         try (Stream<Path> all = Files.walk(folder)) {
--- a/src/main/java/laneflow/lab/standin/HttpText.java
+++ b/src/main/java/laneflow/lab/standin/HttpText.java
@@ -8,8 +8,7 @@
  * product's own parser, so that a mistake there is not made here too.
  */
 public final class HttpText {
-    private HttpText() {
-    }
+    private HttpText() {}
 
     /** A whole head with its empty line; null where the connection ends before. */
     public static String head(InputStream in) throws IOException {
--- a/src/main/java/laneflow/lab/standin/Ledger.java
+++ b/src/main/java/laneflow/lab/standin/Ledger.java
@@ -18,8 +18,7 @@
     private final FileChannel file;
 
     /** One line: when, what happened, to which job. Unix time in milliseconds. */
-    public record Line(long ms, String event, String job) {
-    }
+    public record Line(long ms, String event, String job) {}
 
     Ledger(Path path) throws IOException {
         file = FileChannel.open(path, StandardOpenOption.CREATE, StandardOpenOption.APPEND);
--- a/src/main/java/laneflow/lab/standin/StandInControl.java
+++ b/src/main/java/laneflow/lab/standin/StandInControl.java
@@ -31,8 +31,7 @@
     public final Map<String, Long> takenBack = new ConcurrentHashMap<>();
 
     /** What a scheduler said to a response; the error is null for an ACK. */
-    public record Reply(String version, String error, long nanos) {
-    }
+    public record Reply(String version, String error, long nanos) {}
 
     public StandInControl() throws IOException {
         server = new ServerSocket(0, 64, InetAddress.getLoopbackAddress());
@@ -67,12 +66,11 @@
                 // The head holds nothing that is wanted here.
                 continue;
             }
-            socket.getOutputStream().write("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
-                    .getBytes(StandardCharsets.US_ASCII));
+            socket.getOutputStream()
+                    .write("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n".getBytes(StandardCharsets.US_ASCII));
             while (true) {
                 int size = Integer.parseInt(line(in), 16);
-                JsonObject said = JsonParser.parseString(new String(in.readNBytes(size),
-                        StandardCharsets.UTF_8))
+                JsonObject said = JsonParser.parseString(new String(in.readNBytes(size), StandardCharsets.UTF_8))
                         .getAsJsonObject();
                 line(in);
                 long now = System.nanoTime();
@@ -92,8 +90,12 @@
                     continue;
                 }
                 JsonObject error = said.getAsJsonObject("error_detail");
-                replies.putIfAbsent(name + " " + nonce, new Reply(said.get("version_info").getAsString(),
-                        error == null ? null : error.get("message").getAsString(), now));
+                replies.putIfAbsent(
+                        name + " " + nonce,
+                        new Reply(
+                                said.get("version_info").getAsString(),
+                                error == null ? null : error.get("message").getAsString(),
+                                now));
                 if (error != null && error.get("message").getAsString().contains(" was taken back: ")) {
                     takenBack.put(name, now);
                 }
@@ -121,8 +123,8 @@
     private static void send(Socket socket, String text) throws IOException {
         byte[] bytes = (text + "\n").getBytes(StandardCharsets.UTF_8);
         synchronized (socket) {
-            socket.getOutputStream().write((Integer.toHexString(bytes.length) + "\r\n")
-                    .getBytes(StandardCharsets.US_ASCII));
+            socket.getOutputStream()
+                    .write((Integer.toHexString(bytes.length) + "\r\n").getBytes(StandardCharsets.US_ASCII));
             socket.getOutputStream().write(bytes);
             socket.getOutputStream().write("\r\n".getBytes(StandardCharsets.US_ASCII));
         }
@@ -149,7 +151,12 @@
     /** Sends a line to all; one that comes later is sent the newest that was to be kept. */
     public void publish(String text, boolean keep) {
         if (keep) {
-            newest.put(JsonParser.parseString(text).getAsJsonObject().get("type_url").getAsString(), text);
+            newest.put(
+                    JsonParser.parseString(text)
+                            .getAsJsonObject()
+                            .get("type_url")
+                            .getAsString(),
+                    text);
         }
         streams.forEach((name, socket) -> {
             try {
@@ -162,7 +169,8 @@
 
     /** What one that comes later is sent, without a word to those that are here. */
     public void newest(String text) {
-        newest.put(JsonParser.parseString(text).getAsJsonObject().get("type_url").getAsString(), text);
+        newest.put(
+                JsonParser.parseString(text).getAsJsonObject().get("type_url").getAsString(), text);
     }
 
     /** What that scheduler answered, or null as long as it has not. */
--- a/src/main/java/laneflow/lab/standin/StandInTenants.java
+++ b/src/main/java/laneflow/lab/standin/StandInTenants.java
@@ -79,11 +79,11 @@
         }
     }
 
-    private void ask(Socket socket, InputStream in, String tenant, String jobClass, String job)
-            throws IOException {
-        socket.getOutputStream().write(("POST /" + jobClass + " HTTP/1.1\r\nHost: t\r\nReq-Id: " + job
-                + "\r\nReq-Owner: " + tenant + "\r\nContent-Length: " + job.length() + "\r\n\r\n" + job)
-                .getBytes(StandardCharsets.US_ASCII));
+    private void ask(Socket socket, InputStream in, String tenant, String jobClass, String job) throws IOException {
+        socket.getOutputStream()
+                .write(("POST /" + jobClass + " HTTP/1.1\r\nHost: t\r\nReq-Id: " + job + "\r\nReq-Owner: " + tenant
+                                + "\r\nContent-Length: " + job.length() + "\r\n\r\n" + job)
+                        .getBytes(StandardCharsets.US_ASCII));
         if (!answer(in).startsWith("HTTP/1.1 200 ")) {
             refused.incrementAndGet();
         } else if (keeps) {
--- a/src/main/java/laneflow/lab/standin/Wire.java
+++ b/src/main/java/laneflow/lab/standin/Wire.java
@@ -36,8 +36,7 @@
     private final DataOutputStream out;
 
     /** A packet as it came: its arguments, the last of them whole. */
-    public record Packet(int type, String[] args) {
-    }
+    public record Packet(int type, String[] args) {}
 
     public Wire(int port, int timeoutMs) throws IOException {
         socket = new Socket();
--- a/src/main/java/laneflow/maintenance/CallWatch.java
+++ b/src/main/java/laneflow/maintenance/CallWatch.java
@@ -25,8 +25,7 @@
      * @param demand slots by tenant and class; the last row is that of tenants that are not known
      * @param longest milliseconds of the longest deadline of a class
      */
-    record Seen(long policy, Set<String> busy, Set<String> lost, double[][] demand, long longest) {
-    }
+    record Seen(long policy, Set<String> busy, Set<String> lost, double[][] demand, long longest) {}
 
     private final Loop loop;
     private final Loop traffic;
@@ -40,8 +39,7 @@
      * @param policy the one that is in force; on the traffic's thread
      * @param then told on the control thread
      */
-    CallWatch(Loop loop, Loop traffic, Scheduler scheduler, LongSupplier policy, int lostAfter,
-            Consumer<Seen> then) {
+    CallWatch(Loop loop, Loop traffic, Scheduler scheduler, LongSupplier policy, int lostAfter, Consumer<Seen> then) {
         this.loop = loop;
         this.traffic = traffic;
         this.scheduler = scheduler;
@@ -69,7 +67,11 @@
         int classes = scheduler.settings().classes.length;
         double[][] demand = new double[scheduler.settings().tenants.length + 1][classes];
         scheduler.demand(demand);
-        return new Seen(policy.getAsLong(), scheduler.sendsToBarred(), scheduler.unreached(lostAfter), demand,
+        return new Seen(
+                policy.getAsLong(),
+                scheduler.sendsToBarred(),
+                scheduler.unreached(lostAfter),
+                demand,
                 longest(scheduler));
     }
 
--- a/src/main/java/laneflow/maintenance/Coordination.java
+++ b/src/main/java/laneflow/maintenance/Coordination.java
@@ -40,6 +40,7 @@
     private boolean busy;
     /** What the leader is to put into the log; null: nothing. */
     private JsonArray ops;
+
     private long opsSince;
     private long id;
 
@@ -51,7 +52,12 @@
     }
 
     /** @param planning of its own: that keeps what it needs between two looks */
-    Coordination(Loop loop, Tasks tasks, Counters counters, MaintenanceConfig config, ExecutorService thread,
+    Coordination(
+            Loop loop,
+            Tasks tasks,
+            Counters counters,
+            MaintenanceConfig config,
+            ExecutorService thread,
             Planning planning) {
         this.loop = loop;
         this.tasks = tasks;
@@ -80,7 +86,9 @@
             return;
         }
         all.addProperty("token", token);
-        all.addProperty("known", picture == null ? "" : picture.term() + "/" + picture.view().version());
+        all.addProperty(
+                "known",
+                picture == null ? "" : picture.term() + "/" + picture.view().version());
         if (ops != null) {
             all.addProperty("id", id);
             all.add("ops", ops);
--- a/src/main/java/laneflow/maintenance/EstateReader.java
+++ b/src/main/java/laneflow/maintenance/EstateReader.java
@@ -85,13 +85,16 @@
             String zone = text(host, "site", "");
             String there = zoneOf.putIfAbsent(rack, zone);
             if (there != null && !there.equals(zone)) {
-                findings.add("endpoints." + name, "rack", "'" + rack + "' stands in zone " + there
-                        + " by another endpoint, and this one in zone " + zone);
+                findings.add(
+                        "endpoints." + name,
+                        "rack",
+                        "'" + rack + "' stands in zone " + there + " by another endpoint, and this one in zone "
+                                + zone);
                 continue;
             }
             long runs = host.has("classes") ? mask(host, "endpoints." + name) : all();
-            slots.computeIfAbsent(rack, key -> new LinkedHashMap<>()).merge(runs, number(host, "slots", 1),
-                    Double::sum);
+            slots.computeIfAbsent(rack, key -> new LinkedHashMap<>())
+                    .merge(runs, number(host, "slots", 1), Double::sum);
         }
         List<Rack> racks = new ArrayList<>();
         slots.forEach((name, by) -> {
--- a/src/main/java/laneflow/maintenance/LocalTimes.java
+++ b/src/main/java/laneflow/maintenance/LocalTimes.java
@@ -22,8 +22,7 @@
     /** The most occurrences that a rule may have within what is planned. */
     static final int MOST = 500;
 
-    private LocalTimes() {
-    }
+    private LocalTimes() {}
 
     /** The zone of that name, or null. */
     static ZoneId zone(String name) {
@@ -71,8 +70,13 @@
         }
         RecurrenceRuleIterator days;
         try {
-            days = counted.iterator(new DateTime(first.getYear(), first.getMonthValue() - 1,
-                    first.getDayOfMonth(), first.getHour(), first.getMinute(), 0));
+            days = counted.iterator(new DateTime(
+                    first.getYear(),
+                    first.getMonthValue() - 1,
+                    first.getDayOfMonth(),
+                    first.getHour(),
+                    first.getMinute(),
+                    0));
         } catch (IllegalArgumentException e) {
             // The library gives up on a rule that passes a thousand times over, as 30 February does.
             return found;
@@ -93,8 +97,8 @@
                 return null;
             }
             DateTime day = days.nextDateTime();
-            return LocalDateTime.of(day.getYear(), day.getMonth() + 1, day.getDayOfMonth(), day.getHours(),
-                    day.getMinutes());
+            return LocalDateTime.of(
+                    day.getYear(), day.getMonth() + 1, day.getDayOfMonth(), day.getHours(), day.getMinutes());
         } catch (IllegalArgumentException e) {
             // As above.
             return null;
--- a/src/main/java/laneflow/maintenance/Maintenance.java
+++ b/src/main/java/laneflow/maintenance/Maintenance.java
@@ -39,11 +39,13 @@
     private final Counters counters;
     /** Null where this file has no table for windows. */
     private final MaintenanceConfig config;
+
     private final CallWatch watch;
     private final Deadline again;
     private Carriage by;
     /** What this process saw of itself last; null before the first look. */
     private CallWatch.Seen seen;
+
     private double[][] demand = new double[0][];
     private long demandAt;
     private boolean toldOnce;
@@ -56,6 +58,7 @@
 
     /** Null where it does not lead. */
     private Sending sending;
+
     private int term;
     private WindowLedger.View view;
     private final Map<String, Follower> followers = new HashMap<>();
@@ -66,6 +69,7 @@
         private long heardAt;
         /** The coordinator's token, or negative. */
         private long token = -1;
+
         private String known = "";
         private long taken;
         private int open;
@@ -79,14 +83,19 @@
      * @param policy the one in force, on the traffic's thread
      * @param config null where this file has no table for windows
      */
-    public Maintenance(Loop loop, Loop traffic, Scheduler scheduler, Counters counters, LongSupplier policy,
+    public Maintenance(
+            Loop loop,
+            Loop traffic,
+            Scheduler scheduler,
+            Counters counters,
+            LongSupplier policy,
             MaintenanceConfig config) {
         this.loop = loop;
         this.scheduler = scheduler;
         this.counters = counters;
         this.config = config;
-        watch = new CallWatch(loop, traffic, scheduler, policy, config == null ? LOST_AFTER
-                : config.lostAfter, this::seen);
+        watch = new CallWatch(
+                loop, traffic, scheduler, policy, config == null ? LOST_AFTER : config.lostAfter, this::seen);
         again = loop.deadlines().create(watch::look);
         // One that leads before its first look must not hold calls for shorter than they are.
         longest = CallWatch.longest(scheduler);
@@ -114,7 +123,9 @@
     }
 
     private void seen(CallWatch.Seen now) {
-        boolean news = seen == null || seen.policy() != now.policy() || !seen.busy().equals(now.busy())
+        boolean news = seen == null
+                || seen.policy() != now.policy()
+                || !seen.busy().equals(now.busy())
                 || !seen.lost().equals(now.lost());
         seen = now;
         peak(now.demand());
@@ -222,8 +233,11 @@
         }
         JsonObject said = word.getAsJsonObject();
         long now = by.now();
-        sending.heard(now, who, new Sending.Said(said.get("policy").getAsLong(), Picture.texts(said, "busy"),
-                Picture.texts(said, "lost")));
+        sending.heard(
+                now,
+                who,
+                new Sending.Said(
+                        said.get("policy").getAsLong(), Picture.texts(said, "busy"), Picture.texts(said, "lost")));
         Follower follower = followers.computeIfAbsent(who, name -> new Follower());
         follower.heardAt = now;
         follower.demand = Picture.rows(said.getAsJsonArray("demand"));
@@ -239,7 +253,8 @@
         follower.open = ops.size();
         for (JsonElement each : ops) {
             JsonObject op = each.getAsJsonObject();
-            boolean own = op.has(Ledger.PART) && op.get(Ledger.PART).getAsString().equals(WindowLedger.NAME);
+            boolean own =
+                    op.has(Ledger.PART) && op.get(Ledger.PART).getAsString().equals(WindowLedger.NAME);
             boolean bans = op.has("by") && op.get("by").getAsString().equals(WindowLedger.NAME);
             if (!own && !bans) {
                 follower.open--;
@@ -249,8 +264,7 @@
             by.replicate(op, answer -> {
                 follower.open--;
                 follower.answeredAt = by.now();
-                counters.add(answer == null || answer.has("error") ? "maintenance.turned_down"
-                        : "maintenance.logged");
+                counters.add(answer == null || answer.has("error") ? "maintenance.turned_down" : "maintenance.logged");
                 if (answer != null && answer.has("error")) {
                     LOG.info("maintenance: {}", answer.get("error").getAsString());
                 }
@@ -289,11 +303,14 @@
         }
         long now = by.now();
         Set<String> clear = new TreeSet<>();
-        view.racks().values().forEach(names -> names.forEach(name -> {
-            if (view.bans().contains(name) && sending.sending(now, view.inForce(), name).isEmpty()) {
-                clear.add(name);
-            }
-        }));
+        view.racks()
+                .values()
+                .forEach(names -> names.forEach(name -> {
+                    if (view.bans().contains(name)
+                            && sending.sending(now, view.inForce(), name).isEmpty()) {
+                        clear.add(name);
+                    }
+                }));
         double[][] demand = new double[0][];
         for (Follower one : followers.values()) {
             if (now - one.heardAt <= by.lease()) {
@@ -303,8 +320,7 @@
                 }
             }
         }
-        return new Picture(term, view, clear, sending.hasBegun(now, view.inForce()), sending.lost(now),
-                demand, done);
+        return new Picture(term, view, clear, sending.hasBegun(now, view.inForce()), sending.lost(now), demand, done);
     }
 
     private static double[][] larger(double[][] form, double[][] with) {
--- a/src/main/java/laneflow/maintenance/MaintenanceConfig.java
+++ b/src/main/java/laneflow/maintenance/MaintenanceConfig.java
@@ -29,6 +29,7 @@
     public final Estate estate;
     /** The endpoints of each rack. */
     public final SortedMap<String, List<String>> racks;
+
     public final Fairness.Terms terms;
     public final Planner.Times planning;
     public final Coordinator.Times times;
@@ -49,13 +50,14 @@
     /** Milliseconds after which losses go into the ledger. */
     public final long accounts;
 
-    private MaintenanceConfig(Table from, PolicyConfig policy, TaskConfig tasks, JsonObject settings,
-            JsonArray hosts) {
+    private MaintenanceConfig(Table from, PolicyConfig policy, TaskConfig tasks, JsonObject settings, JsonArray hosts) {
         if (policy == null) {
             from.wrong("", "needs the table [policy], whose voters keep windows");
         } else if (policy.servesCutOff) {
-            from.wrong("", "needs [policy] cut_off = \"stop\": one that serves on while it is cut off would"
-                    + " send to racks that are down");
+            from.wrong(
+                    "",
+                    "needs [policy] cut_off = \"stop\": one that serves on while it is cut off would"
+                            + " send to racks that are down");
         }
         if (tasks == null) {
             from.wrong("", "needs the table [tasks]: coordinating is a task that the fleet does once");
@@ -68,15 +70,26 @@
             from.wrong("ahead_ms", "is " + ahead / step + " times step_ms, and has to be 1 to " + MOST_STEPS);
         }
         long drain = millis(from, "drain_ms", 10 * MINUTE, 10, DAY);
-        terms = new Fairness.Terms(from.number("tolerance", 0.02, 0, 1), from.number("shortage", 0.05, 0, 1),
-                from.number("debt", 0.001, 1e-6, 1), millis(from, "half_life_ms", 7 * DAY, 1000, MOST_AHEAD));
-        planning = new Planner.Times(0, step, (int) Math.min(MOST_STEPS, Math.max(1, ahead / step)), drain,
-                millis(from, "return_ms", 10 * MINUTE, 10, DAY), from.number("reserve", 0, 0, 1),
+        terms = new Fairness.Terms(
+                from.number("tolerance", 0.02, 0, 1),
+                from.number("shortage", 0.05, 0, 1),
+                from.number("debt", 0.001, 1e-6, 1),
+                millis(from, "half_life_ms", 7 * DAY, 1000, MOST_AHEAD));
+        planning = new Planner.Times(
+                0,
+                step,
+                (int) Math.min(MOST_STEPS, Math.max(1, ahead / step)),
+                drain,
+                millis(from, "return_ms", 10 * MINUTE, 10, DAY),
+                from.number("reserve", 0, 0, 1),
                 (int) from.whole("most_flows", 1500, 1, 100_000));
-        times = new Coordinator.Times(drain, millis(from, "begin_ms", 30 * MINUTE, 10, DAY),
+        times = new Coordinator.Times(
+                drain,
+                millis(from, "begin_ms", 30 * MINUTE, 10, DAY),
                 millis(from, "overrun_ms", 10 * MINUTE, 0, DAY),
                 millis(from, "give_back_ms", 30 * MINUTE, 10, DAY),
-                millis(from, "late_ms", 60 * MINUTE, 0, DAY), millis(from, "early_ms", MINUTE, 0, DAY),
+                millis(from, "late_ms", 60 * MINUTE, 0, DAY),
+                millis(from, "early_ms", MINUTE, 0, DAY),
                 millis(from, "lost_ms", DAY, 1000, MOST_AHEAD));
         demand = from.number("demand", 1, 0, 1);
         look = millis(from, "look_ms", 1000, 10, 60_000) * 1000;
@@ -101,8 +114,8 @@
         SortedMap<String, List<String>> racks = new TreeMap<>();
         for (JsonElement each : hosts) {
             JsonObject host = each.getAsJsonObject();
-            racks.computeIfAbsent(EstateReader.rack(host), name -> new ArrayList<>()).add(host.get("host")
-                    .getAsString());
+            racks.computeIfAbsent(EstateReader.rack(host), name -> new ArrayList<>())
+                    .add(host.get("host").getAsString());
         }
         return Collections.unmodifiableSortedMap(racks);
     }
@@ -125,8 +138,8 @@
      * @param settings in the platform's form, with classes, zones and customers
      * @param hosts the endpoints, in that form
      */
-    public static MaintenanceConfig read(Table from, PolicyConfig policy, TaskConfig tasks,
-            JsonObject settings, JsonArray hosts) {
+    public static MaintenanceConfig read(
+            Table from, PolicyConfig policy, TaskConfig tasks, JsonObject settings, JsonArray hosts) {
         return new MaintenanceConfig(from, policy, tasks, settings, hosts);
     }
 }
--- a/src/main/java/laneflow/maintenance/MaintenancePart.java
+++ b/src/main/java/laneflow/maintenance/MaintenancePart.java
@@ -12,18 +12,18 @@
 public final class MaintenancePart {
     /** Null where this file has no table for windows. */
     private final Coordination coordination;
+
     private final ExecutorService thread;
     private final Maintenance rider;
 
     /** @param config null where this file has no table for windows: the port is there all the same */
-    public MaintenancePart(Loop loop, Fleet fleet, Tasks tasks, Counters counters, Maintenance rider,
-            MaintenanceConfig config) {
+    public MaintenancePart(
+            Loop loop, Fleet fleet, Tasks tasks, Counters counters, Maintenance rider, MaintenanceConfig config) {
         this.rider = rider;
         thread = config == null ? null : Threads.inOrder("maintenance-planner");
-        coordination = config == null ? null : new Coordination(loop, tasks, counters, config, thread,
-                new Planning(config));
-        new MaintenancePort(loop, fleet, rider, config, thread, config == null ? null
-                : new Planning(config));
+        coordination =
+                config == null ? null : new Coordination(loop, tasks, counters, config, thread, new Planning(config));
+        new MaintenancePort(loop, fleet, rider, config, thread, config == null ? null : new Planning(config));
     }
 
     /** From now on this process takes part in coordinating. */
--- a/src/main/java/laneflow/maintenance/MaintenancePort.java
+++ b/src/main/java/laneflow/maintenance/MaintenancePort.java
@@ -39,11 +39,17 @@
     private final Maintenance rider;
     /** Null where this file has no table for windows. */
     private final MaintenanceConfig config;
+
     private final ExecutorService thread;
     private final Planning planning;
 
-    MaintenancePort(Loop loop, Fleet fleet, Maintenance rider, MaintenanceConfig config,
-            ExecutorService thread, Planning planning) {
+    MaintenancePort(
+            Loop loop,
+            Fleet fleet,
+            Maintenance rider,
+            MaintenanceConfig config,
+            ExecutorService thread,
+            Planning planning) {
         this.loop = loop;
         this.fleet = fleet;
         this.rider = rider;
@@ -63,8 +69,11 @@
             String name = path.substring(WINDOWS.length());
             atLeader(path, answer, () -> order(name, body, answer));
         } else {
-            answer.say(verb.equals("GET") || post ? 404 : 405, TEXT, "", "known are GET " + PATH
-                    + " and POST " + REQUESTS + ", " + WINDOWS + "NAME\n");
+            answer.say(
+                    verb.equals("GET") || post ? 404 : 405,
+                    TEXT,
+                    "",
+                    "known are GET " + PATH + " and POST " + REQUESTS + ", " + WINDOWS + "NAME\n");
         }
     }
 
@@ -84,8 +93,12 @@
     }
 
     private void nobody(Answer answer) {
-        answer.say(503, TEXT, "Retry-After: 1\r\n", "no voter leads now, or no majority answers it:"
-                + " nothing is known to be decided; asking again does no harm\n");
+        answer.say(
+                503,
+                TEXT,
+                "Retry-After: 1\r\n",
+                "no voter leads now, or no majority answers it:"
+                        + " nothing is known to be decided; asking again does no harm\n");
     }
 
     private void read(Answer answer, Consumer<WindowLedger.View> then) {
@@ -138,7 +151,8 @@
 
     private static JsonObject object(byte[] body) {
         try {
-            return JsonParser.parseString(new String(body, StandardCharsets.UTF_8)).getAsJsonObject();
+            return JsonParser.parseString(new String(body, StandardCharsets.UTF_8))
+                    .getAsJsonObject();
         } catch (JsonParseException | IllegalStateException e) {
             return null;
         }
@@ -146,8 +160,11 @@
 
     private void request(byte[] body, Answer answer) {
         if (config == null) {
-            answer.say(409, TEXT, "", "the file of " + fleet.self().name() + ", which leads, has no table"
-                    + " [maintenance]\n");
+            answer.say(
+                    409,
+                    TEXT,
+                    "",
+                    "the file of " + fleet.self().name() + ", which leads, has no table" + " [maintenance]\n");
             return;
         }
         JsonObject asked = object(body);
@@ -156,7 +173,8 @@
             answer.say(400, TEXT, "", "an object with 'requests', a list, and perhaps 'dry_run'\n");
             return;
         }
-        boolean dryRun = asked.has("dry_run") && asked.get("dry_run").isJsonPrimitive()
+        boolean dryRun = asked.has("dry_run")
+                && asked.get("dry_run").isJsonPrimitive()
                 && asked.get("dry_run").getAsBoolean();
         Findings findings = Findings.paths();
         List<Request> requests = RequestReader.read(list.getAsJsonArray(), config.names(), findings);
@@ -169,8 +187,7 @@
                 JsonArray told = new JsonArray();
                 found.getAsJsonArray("windows").forEach(one -> {
                     Window window = Forms.window(one.getAsJsonObject());
-                    told.add(Planning.told(window.name(), window.state(), window.startMs(),
-                            window.reasons()));
+                    told.add(Planning.told(window.name(), window.state(), window.startMs(), window.reasons()));
                 });
                 say(told, answer);
             });
@@ -216,7 +233,8 @@
 
     private void order(String name, byte[] body, Answer answer) {
         JsonObject asked = object(body);
-        String what = asked == null || !asked.has("do") || !asked.get("do").isJsonPrimitive() ? ""
+        String what = asked == null || !asked.has("do") || !asked.get("do").isJsonPrimitive()
+                ? ""
                 : asked.get("do").getAsString();
         JsonObject op = switch (what) {
             case "begin" -> Windows.begin(name);
--- a/src/main/java/laneflow/maintenance/Picture.java
+++ b/src/main/java/laneflow/maintenance/Picture.java
@@ -18,8 +18,14 @@
  * @param demand slots asked for, by tenant and class; the last row is that of tenants that are not known
  * @param done the number of the coordinator's last word that was carried out
  */
-record Picture(int term, WindowLedger.View view, Set<String> clear, boolean begun, Set<String> lost,
-        double[][] demand, long done) {
+record Picture(
+        int term,
+        WindowLedger.View view,
+        Set<String> clear,
+        boolean begun,
+        Set<String> lost,
+        double[][] demand,
+        long done) {
 
     /** @param known true if its reader has that view already */
     JsonObject json(boolean known) {
@@ -38,10 +44,14 @@
 
     /** @param before the one had before, for its view, or null */
     static Picture of(JsonObject from, Picture before) {
-        WindowLedger.View view = from.has("view") ? WindowLedger.View.of(from.getAsJsonObject("view"))
-                : before.view();
-        return new Picture(from.get("term").getAsInt(), view, texts(from, "clear"),
-                from.get("begun").getAsBoolean(), texts(from, "lost"), rows(from.getAsJsonArray("demand")),
+        WindowLedger.View view = from.has("view") ? WindowLedger.View.of(from.getAsJsonObject("view")) : before.view();
+        return new Picture(
+                from.get("term").getAsInt(),
+                view,
+                texts(from, "clear"),
+                from.get("begun").getAsBoolean(),
+                texts(from, "lost"),
+                rows(from.getAsJsonArray("demand")),
                 from.get("done").getAsLong());
     }
 
--- a/src/main/java/laneflow/maintenance/Planning.java
+++ b/src/main/java/laneflow/maintenance/Planning.java
@@ -35,6 +35,7 @@
     private final Coordinator coordinator;
     /** Since when racks of windows that return are given back, as far as this process knows. */
     private final Map<String, Long> backSince = new HashMap<>();
+
     private Accounts accounts;
     private long lostAtMs;
     private long writtenAtMs;
@@ -87,8 +88,8 @@
             List<String> endpoints = view.racks().get(rack);
             boolean isBanned = view.isBanned(rack);
             // What operators ban besides is not the window's to give back.
-            boolean keeps = endpoints.stream().anyMatch(name -> view.own().contains(name) && view.bans()
-                    .contains(name));
+            boolean keeps = endpoints.stream()
+                    .anyMatch(name -> view.own().contains(name) && view.bans().contains(name));
             if (returning.contains(rack) ? keeps : isBanned) {
                 banned.add(rack);
             }
@@ -98,8 +99,7 @@
             boolean back = returning.contains(rack) && !keeps && picture.begun();
             if (!back) {
                 backSince.remove(rack);
-            } else if (nowMs >= backSince.computeIfAbsent(rack, name -> nowMs) + config.warm
-                    && !lost.contains(rack)) {
+            } else if (nowMs >= backSince.computeIfAbsent(rack, name -> nowMs) + config.warm && !lost.contains(rack)) {
                 well.add(rack);
             }
         }
@@ -135,14 +135,14 @@
             moves |= to.equals(State.RETURNING.word()) || to.equals(State.DRAINING.word());
             if (to.equals(State.DRAINING.word())) {
                 Window window = view.windows().window(step.get("name").getAsString());
-                all.add(WindowLedger.drains(step, config.endpoints(window.request().racks())));
+                all.add(WindowLedger.drains(
+                        step, config.endpoints(window.request().racks())));
             } else {
                 all.add(WindowLedger.op(step));
             }
         }
         Set<String> away = new TreeSet<>(orders.banned());
-        view.windows().all().stream().filter(one -> !isKnown(one)).forEach(one -> unknown(view, one, nowMs,
-                away, all));
+        view.windows().all().stream().filter(one -> !isKnown(one)).forEach(one -> unknown(view, one, nowMs, away, all));
         Set<String> bans = view.bansFor(away);
         // Bans that a step of the same orders makes wrong are left to the next look.
         if (!moves && !bans.equals(view.bans()) && !view.undecided()) {
@@ -156,8 +156,7 @@
     }
 
     /** Its racks were taken out of the file: it gets no time, and what is away stays away. */
-    private void unknown(WindowLedger.View view, Window window, long nowMs, Set<String> away,
-            List<JsonObject> all) {
+    private void unknown(WindowLedger.View view, Window window, long nowMs, Set<String> away, List<JsonObject> all) {
         State to = switch (window.state()) {
             case REQUESTED, POSTPONED -> State.REFUSED;
             case PLANNED, ANNOUNCED -> State.POSTPONED;
@@ -166,8 +165,14 @@
         if (to != null) {
             List<String> gone = new ArrayList<>(window.request().racks());
             gone.removeAll(config.racks.keySet());
-            all.add(WindowLedger.op(Windows.step(token, window, to, view.windows().away(), window.startMs(),
-                    State.DONE, List.of("the coordinator's file knows no rack " + String.join(", ", gone)),
+            all.add(WindowLedger.op(Windows.step(
+                    token,
+                    window,
+                    to,
+                    view.windows().away(),
+                    window.startMs(),
+                    State.DONE,
+                    List.of("the coordinator's file knows no rack " + String.join(", ", gone)),
                     nowMs)));
         } else if (window.state().isAway()) {
             away.addAll(window.request().racks());
@@ -183,24 +188,26 @@
         }
         JsonObject types = new JsonObject();
         types.add("bans", resources);
-        return Ledger.propose(WindowLedger.NAME + "-" + token + "-" + ++proposals, types, WindowLedger.NAME,
-                nowMs, inForce);
+        return Ledger.propose(
+                WindowLedger.NAME + "-" + token + "-" + ++proposals, types, WindowLedger.NAME, nowMs, inForce);
     }
 
     /** What tenants lose now goes onto their accounts; these go into the ledger from time to time. */
     private void account(WindowLedger.View view, Coordinator.Facts facts, List<JsonObject> all) {
         Set<Integer> out = new HashSet<>();
         Set<String> names = new TreeSet<>(facts.lost());
-        view.windows().all().stream().filter(one -> one.state().isAway()).forEach(one -> names.addAll(
-                one.request().racks()));
+        view.windows().all().stream()
+                .filter(one -> one.state().isAway())
+                .forEach(one -> names.addAll(one.request().racks()));
         names.forEach(rack -> out.add(estate.rack(rack)));
         out.remove(-1);
-        double[] loss = out.isEmpty() ? new double[estate.tenants().size()]
-                : fairness.judge(facts.due(), estate.without(out), facts.accounts()).loss();
+        double[] loss = out.isEmpty()
+                ? new double[estate.tenants().size()]
+                : fairness.judge(facts.due(), estate.without(out), facts.accounts())
+                        .loss();
         long passed = facts.nowMs() - lostAtMs;
         for (int t = 0; t < loss.length; t++) {
-            accounts.add(estate.tenants().get(t).name(), loss[t], estate.entitlement(t), passed, facts
-                    .nowMs());
+            accounts.add(estate.tenants().get(t).name(), loss[t], estate.entitlement(t), passed, facts.nowMs());
         }
         lostAtMs = facts.nowMs();
         if (facts.nowMs() - writtenAtMs >= config.accounts && !out.isEmpty()) {
@@ -224,7 +231,10 @@
             Plan.Window found = plan == null ? null : plan.window(request.name());
             boolean waits = window.state() == State.REQUESTED || window.state() == State.POSTPONED;
             State state = !waits ? window.state() : found == null ? State.REFUSED : State.PLANNED;
-            all.add(told(request.name(), state, found == null ? window.startMs() : found.startMs(),
+            all.add(told(
+                    request.name(),
+                    state,
+                    found == null ? window.startMs() : found.startMs(),
                     waits && found == null ? plan.refused().get(request.name()) : window.reasons()));
         }
         return all;
--- a/src/main/java/laneflow/maintenance/RequestFile.java
+++ b/src/main/java/laneflow/maintenance/RequestFile.java
@@ -99,8 +99,8 @@
             return;
         }
         for (LocalDateTime at : occurrences(table, rule, begins, zone)) {
-            freezes.add(new Freeze(name, LocalTimes.begins(at, zone), LocalTimes.ends(at.plus(
-                    Duration.between(begins, ends)), zone)));
+            freezes.add(new Freeze(
+                    name, LocalTimes.begins(at, zone), LocalTimes.ends(at.plus(Duration.between(begins, ends)), zone)));
         }
     }
 
@@ -157,8 +157,10 @@
             long begins = LocalTimes.begins(at, zone);
             long ends = LocalTimes.ends(at.plus(within), zone);
             if (ends - begins < work) {
-                from.wrong("latest", "leaves " + Math.max(0, (ends - begins) / MINUTE) + " minutes from "
-                        + at + " on for " + work / MINUTE + " of work");
+                from.wrong(
+                        "latest",
+                        "leaves " + Math.max(0, (ends - begins) / MINUTE) + " minutes from " + at + " on for "
+                                + work / MINUTE + " of work");
                 return;
             }
             if (begins < before) {
@@ -166,8 +168,17 @@
                 return;
             }
             before = ends;
-            requests.add(new Request(rule == null ? name : name + "-" + DAY.format(at), owner, down, work,
-                    begins, ends, notice, abort, apart, after));
+            requests.add(new Request(
+                    rule == null ? name : name + "-" + DAY.format(at),
+                    owner,
+                    down,
+                    work,
+                    begins,
+                    ends,
+                    notice,
+                    abort,
+                    apart,
+                    after));
         }
     }
 
--- a/src/main/java/laneflow/maintenance/RequestReader.java
+++ b/src/main/java/laneflow/maintenance/RequestReader.java
@@ -9,7 +9,6 @@
 import java.util.Set;
 import laneflow.config.Findings;
 import laneflow.config.Table;
-import laneflow.maintenance.decision.Plan.Freeze;
 import laneflow.maintenance.decision.Plan;
 import laneflow.maintenance.decision.Request;
 
@@ -17,13 +16,13 @@
 final class RequestReader {
     /** The most that come in one body. */
     static final int MOST = 500;
+
     private static final String NAME = "[A-Za-z0-9_.-]{1,64}";
     private static final int MOST_TEXT = 200;
     private static final int MOST_NAMES = 256;
     private static final long WEEKS = 8L * 7 * 86_400_000;
 
-    private RequestReader() {
-    }
+    private RequestReader() {}
 
     /** @param racks those that are known */
     static List<Request> read(JsonArray from, Set<String> racks, Findings findings) {
@@ -85,14 +84,11 @@
             table.wrong("abort_ms", "is behind the end of the work");
         }
         if (work > 0 && latest > 0 && latest - earliest < work) {
-            table.wrong("latest_ms", "leaves " + Math.max(0, latest - earliest) + " ms for " + work
-                    + " of work");
+            table.wrong("latest_ms", "leaves " + Math.max(0, latest - earliest) + " ms for " + work + " of work");
         }
-        List<Plan.Freeze> freezes = table.has("freezes") ? freezes(from.get("freezes"), path, findings)
-                : List.of();
+        List<Plan.Freeze> freezes = table.has("freezes") ? freezes(from.get("freezes"), path, findings) : List.of();
         table.close();
-        return new Request(name, owner, down, work, earliest, latest, notice, abort, Set.copyOf(apart),
-                after, freezes);
+        return new Request(name, owner, down, work, earliest, latest, notice, abort, Set.copyOf(apart), after, freezes);
     }
 
     private static List<Plan.Freeze> freezes(JsonElement from, String path, Findings findings) {
@@ -131,8 +127,8 @@
     private static List<String> names(Table table, String key) {
         List<String> all = table.texts(key);
         if (all.size() > MOST_NAMES || all.stream().anyMatch(one -> one.length() > MOST_TEXT)) {
-            table.wrong(key, "holds more than " + MOST_NAMES + " names, or one of more than " + MOST_TEXT
-                    + " characters");
+            table.wrong(
+                    key, "holds more than " + MOST_NAMES + " names, or one of more than " + MOST_TEXT + " characters");
         }
         return all;
     }
--- a/src/main/java/laneflow/maintenance/decision/Accounts.java
+++ b/src/main/java/laneflow/maintenance/decision/Accounts.java
@@ -98,8 +98,7 @@
     /** For snapshots: lost, entitled, served, instant in ms by name. */
     public Map<String, double[]> state() {
         Map<String, double[]> all = new TreeMap<>();
-        byName.forEach((name, one) -> all.put(name,
-                new double[] {one.lost, one.entitled, one.served, one.atMs}));
+        byName.forEach((name, one) -> all.put(name, new double[] {one.lost, one.entitled, one.served, one.atMs}));
         return all;
     }
 
--- a/src/main/java/laneflow/maintenance/decision/Coordinator.java
+++ b/src/main/java/laneflow/maintenance/decision/Coordinator.java
@@ -28,9 +28,7 @@
      * @param early how much sooner than its notice asks a window is announced
      * @param lost for how long planning counts with the racks that are lost
      */
-    public record Times(long drain, long begin, long overrun, long giveBack, long late, long early,
-            long lost) {
-    }
+    public record Times(long drain, long begin, long overrun, long giveBack, long late, long early, long lost) {}
 
     /**
      * What is known of the fleet now. What is in doubt is left out of {@code clear} and {@code well}.
@@ -43,9 +41,14 @@
      * @param well racks that are back and warm
      * @param accounts each tenant's account over the mean, or null
      */
-    public record Facts(long nowMs, double[] due, Set<String> lost, Set<String> banned, Set<String> clear,
-            Set<String> well, double[] accounts) {
-    }
+    public record Facts(
+            long nowMs,
+            double[] due,
+            Set<String> lost,
+            Set<String> banned,
+            Set<String> clear,
+            Set<String> well,
+            double[] accounts) {}
 
     /**
      * What is to be done.
@@ -53,8 +56,7 @@
      * @param steps for the ledger
      * @param banned the racks of windows that the policy has to ban, and no others of them
      */
-    public record Orders(List<JsonObject> steps, Set<String> banned) {
-    }
+    public record Orders(List<JsonObject> steps, Set<String> banned) {}
 
     private final Fairness fairness;
     private final Planner.Times planning;
@@ -87,8 +89,8 @@
         }
 
         private void step(Window window, State to, State outcome, String... reasons) {
-            steps.add(Windows.step(token, window, to, windows.away(), window.startMs(), outcome, List.of(
-                    reasons), now));
+            steps.add(
+                    Windows.step(token, window, to, windows.away(), window.startMs(), outcome, List.of(reasons), now));
         }
 
         /** Racks that are away now, or lost, without those of one window. */
@@ -97,7 +99,9 @@
             facts.lost().forEach(rack -> out.add(fairness.estate().rack(rack)));
             for (Window one : windows.all()) {
                 if (one != without && one.state().isAway()) {
-                    one.request().racks().forEach(rack -> out.add(fairness.estate().rack(rack)));
+                    one.request()
+                            .racks()
+                            .forEach(rack -> out.add(fairness.estate().rack(rack)));
                 }
             }
             out.remove(-1);
@@ -106,7 +110,8 @@
 
         private List<String> against(Set<Integer> out, double[] due) {
             double[] left = fairness.estate().without(out);
-            return fairness.isFair(due, left, facts.accounts()) ? List.of()
+            return fairness.isFair(due, left, facts.accounts())
+                    ? List.of()
                     : fairness.judge(due, left, facts.accounts()).against();
         }
 
@@ -144,8 +149,7 @@
                 case DRAINING -> draining(window);
                 case DOWN -> down(window);
                 case RETURNING -> returning(window);
-                default -> {
-                }
+                default -> {}
             }
         }
 
@@ -164,7 +168,8 @@
                 return false;
             }
             String never = now + length(window.request()) > window.request().latestMs() + times.late()
-                    ? "there is no time left for it" : blocked(window);
+                    ? "there is no time left for it"
+                    : blocked(window);
             List<String> against = never == null ? against(window) : List.of(never);
             if (against.isEmpty()) {
                 step(window, State.DRAINING, State.DONE);
@@ -199,8 +204,11 @@
             if (window.callOff()) {
                 step(window, State.RETURNING, State.ABORTED);
             } else if (helps(window)) {
-                step(window, State.RETURNING, State.POSTPONED, against(out(null), facts.due()).toArray(
-                        String[]::new));
+                step(
+                        window,
+                        State.RETURNING,
+                        State.POSTPONED,
+                        against(out(null), facts.due()).toArray(String[]::new));
             } else if (now > window.startMs() + times.late() + times.drain()) {
                 step(window, State.RETURNING, State.POSTPONED, "its racks did not drain in time");
             } else if (facts.banned().containsAll(window.request().racks())
@@ -217,8 +225,11 @@
             } else if (window.callOff()) {
                 step(window, State.RETURNING, State.ABORTED);
             } else if (helps(window)) {
-                step(window, State.RETURNING, State.POSTPONED, against(out(null), facts.due()).toArray(
-                        String[]::new));
+                step(
+                        window,
+                        State.RETURNING,
+                        State.POSTPONED,
+                        against(out(null), facts.due()).toArray(String[]::new));
             } else if (now > window.leaveMs() + times.begin()) {
                 step(window, State.RETURNING, State.POSTPONED, "its crew did not come in time");
             }
@@ -232,8 +243,11 @@
             if (!banned && (well || over)) {
                 // Why it was turned back is what its owner asks behind it.
                 State end = window.outcome();
-                step(window, end, end, end == State.DONE ? new String[0] : window.reasons().toArray(
-                        String[]::new));
+                step(
+                        window,
+                        end,
+                        end,
+                        end == State.DONE ? new String[0] : window.reasons().toArray(String[]::new));
             }
         }
 
@@ -247,8 +261,7 @@
                 State state = window.state();
                 Request request = window.request();
                 if (state == State.PLANNED) {
-                    before.add(new Plan.Window(request, window.startMs(), window.startMs() + length(request),
-                            false));
+                    before.add(new Plan.Window(request, window.startMs(), window.startMs() + length(request), false));
                 }
                 if (state == State.REQUESTED || state == State.POSTPONED || state == State.PLANNED) {
                     open.add(request);
@@ -258,19 +271,33 @@
                     fixed.add(new Plan.Window(request, Math.min(window.startMs(), now), end, true));
                 } else if (state == State.DONE) {
                     // Over, and those that wait for it may come.
-                    fixed.add(new Plan.Window(request, window.startMs(), Math.min(now, window.startMs()
-                            + length(request)), true));
+                    fixed.add(new Plan.Window(
+                            request, window.startMs(), Math.min(now, window.startMs() + length(request)), true));
                 }
             }
             if (!any) {
                 return null;
             }
             long from = -Math.floorDiv(-now, planning.stepMs()) * planning.stepMs() + planning.stepMs();
-            return Planner.plan(fairness, new Planner.Input(new Planner.Times(from, planning.stepMs(),
-                    planning.steps(), planning.drainMs(), planning.returnMs(), planning.reserve(),
-                    planning.mostFlows()), forecast, open, fixed, new Plan(before,
-                    Collections.emptySortedMap(), 0, 0, 0), List.of(), List.copyOf(new TreeSet<>(
-                    facts.lost())), now + times.lost(), facts.accounts()));
+            return Planner.plan(
+                    fairness,
+                    new Planner.Input(
+                            new Planner.Times(
+                                    from,
+                                    planning.stepMs(),
+                                    planning.steps(),
+                                    planning.drainMs(),
+                                    planning.returnMs(),
+                                    planning.reserve(),
+                                    planning.mostFlows()),
+                            forecast,
+                            open,
+                            fixed,
+                            new Plan(before, Collections.emptySortedMap(), 0, 0, 0),
+                            List.of(),
+                            List.copyOf(new TreeSet<>(facts.lost())),
+                            now + times.lost(),
+                            facts.accounts()));
         }
 
         private void steps(Plan plan) {
@@ -278,12 +305,15 @@
                 Plan.Window found = plan.window(window.name());
                 boolean waits = window.state() == State.REQUESTED || window.state() == State.POSTPONED;
                 if (waits && found == null) {
-                    step(window, State.REFUSED, State.DONE, plan.refused().get(window.name()).toArray(
-                            String[]::new));
-                } else if (waits || window.state() == State.PLANNED && found != null
-                        && found.startMs() != window.startMs()) {
-                    steps.add(Windows.step(token, window, State.PLANNED, windows.away(), found.startMs(),
-                            State.DONE, List.of(), now));
+                    step(
+                            window,
+                            State.REFUSED,
+                            State.DONE,
+                            plan.refused().get(window.name()).toArray(String[]::new));
+                } else if (waits
+                        || window.state() == State.PLANNED && found != null && found.startMs() != window.startMs()) {
+                    steps.add(Windows.step(
+                            token, window, State.PLANNED, windows.away(), found.startMs(), State.DONE, List.of(), now));
                 } else if (window.state() == State.PLANNED && found == null) {
                     step(window, State.POSTPONED, State.DONE, "its time had to go to others");
                 }
--- a/src/main/java/laneflow/maintenance/decision/Cuts.java
+++ b/src/main/java/laneflow/maintenance/decision/Cuts.java
@@ -16,13 +16,19 @@
     private static final int MOST = 1024;
 
     /** What an instant was found to be. */
-    enum Answer { NO_LOSS, FAIR, UNFAIR, UNKNOWN }
+    enum Answer {
+        NO_LOSS,
+        FAIR,
+        UNFAIR,
+        UNKNOWN
+    }
 
     private final Fairness fairness;
     private final long[] unions;
     private final boolean whole;
     /** By span and union: what is due there, and the least of it that is fair without any shortage. */
     private final double[][] due;
+
     private final double[][] least;
     private final double[] dueAll;
     private final double most;
--- a/src/main/java/laneflow/maintenance/decision/Estate.java
+++ b/src/main/java/laneflow/maintenance/decision/Estate.java
@@ -25,8 +25,7 @@
      * @param slots of all of them together
      * @param memory units of memory of all of them together; 0: not counted
      */
-    public record Part(long classes, double slots, double memory) {
-    }
+    public record Part(long classes, double slots, double memory) {}
 
     /** A rack: it goes down as one. */
     public record Rack(String name, String zone, List<Part> parts) {
@@ -52,8 +51,7 @@
         }
     }
 
-    private record Key(String zone, long classes) {
-    }
+    private record Key(String zone, long classes) {}
 
     private final List<String> classes;
     private final double[] stretch;
@@ -63,6 +61,7 @@
     private final List<Key> cells = new ArrayList<>();
     /** Slots of a rack in a cell, and of all racks. */
     private final double[][] rackSlots;
+
     private final double[] whole;
     private final double[][] parts;
     private final double[] entitlement;
@@ -140,7 +139,8 @@
             }
             for (int t = 0; t < parts.length; t++) {
                 if (!(tenants.get(t).share() > 0)) {
-                    throw new IllegalArgumentException("tenant " + tenants.get(t).name() + ": no share");
+                    throw new IllegalArgumentException(
+                            "tenant " + tenants.get(t).name() + ": no share");
                 }
                 parts[t][c] = may(t, c) ? whole[c] * tenants.get(t).share() / shares : 0;
                 entitlement[t] += parts[t][c];
@@ -236,7 +236,6 @@
 
     @Override
     public String toString() {
-        return racks.size() + " racks, " + tenants.size() + " tenants, slots by cell " + Arrays.toString(
-                whole);
+        return racks.size() + " racks, " + tenants.size() + " tenants, slots by cell " + Arrays.toString(whole);
     }
 }
--- a/src/main/java/laneflow/maintenance/decision/Fairness.java
+++ b/src/main/java/laneflow/maintenance/decision/Fairness.java
@@ -15,6 +15,7 @@
 public final class Fairness {
     /** A loss of less is none: amounts are whole thousandths of a slot, and a sum of many may be off. */
     public static final double LEAST_LOSS = 0.05;
+
     private static final int MOST_UNIONS = 6;
 
     /**
@@ -49,8 +50,8 @@
      * @param fair true if nobody loses more than allowed, and the shortage is within the terms
      * @param against why not, in words; who is short of what
      */
-    public record Verdict(double[] loss, double[] allowed, double shortage, double level, boolean fair,
-            List<String> against) {
+    public record Verdict(
+            double[] loss, double[] allowed, double shortage, double level, boolean fair, List<String> against) {
         public double lost() {
             return Arrays.stream(loss).sum();
         }
@@ -60,6 +61,7 @@
     private final Terms terms;
     /** A kind of work is a tenant's classes that may run in the same cells. */
     private final List<Placement.Kind> kinds = new ArrayList<>();
+
     private final int[][] kindOf;
     private final int[][] kindsOf;
     private final double[] weight;
@@ -79,8 +81,7 @@
             Map<Long, Integer> byPlaces = new LinkedHashMap<>();
             for (int k = 0; k < kindOf[t].length; k++) {
                 long places = estate.places(t, k);
-                kindOf[t][k] = places == 0 ? -1 : byPlaces.computeIfAbsent(places,
-                        mask -> from + byPlaces.size());
+                kindOf[t][k] = places == 0 ? -1 : byPlaces.computeIfAbsent(places, mask -> from + byPlaces.size());
             }
             int owner = t;
             byPlaces.keySet().forEach(places -> kinds.add(new Placement.Kind(owner, places)));
@@ -287,16 +288,23 @@
         double[] loss = levels.loss();
         List<String> against = new ArrayList<>();
         if (shortage > terms.shortage() * entitled + LEAST_LOSS) {
-            against.add(String.format(Locale.ROOT, "the fleet is %.1f slots short, at most %.1f are allowed",
-                    shortage, terms.shortage() * entitled));
+            against.add(String.format(
+                    Locale.ROOT,
+                    "the fleet is %.1f slots short, at most %.1f are allowed",
+                    shortage,
+                    terms.shortage() * entitled));
         }
         boolean fair = against.isEmpty();
         for (int t = 0; t < loss.length; t++) {
             loss[t] = loss[t] < LEAST_LOSS ? 0 : loss[t];
             if (loss[t] > allowed[t] + LEAST_LOSS * (1 + 1e-6)) {
                 fair = false;
-                against.add(String.format(Locale.ROOT, "tenant %s loses %.1f slots, its fair share"
-                        + " is %.1f%s", estate.tenants().get(t).name(), loss[t], allowed[t],
+                against.add(String.format(
+                        Locale.ROOT,
+                        "tenant %s loses %.1f slots, its fair share" + " is %.1f%s",
+                        estate.tenants().get(t).name(),
+                        loss[t],
+                        allowed[t],
                         where(levels.first(), t)));
             }
         }
--- a/src/main/java/laneflow/maintenance/decision/Forms.java
+++ b/src/main/java/laneflow/maintenance/decision/Forms.java
@@ -11,8 +11,7 @@
 
 /** Requests and windows as JSON, for the ledger's log, its snapshots, and those who ask over HTTP. */
 public final class Forms {
-    private Forms() {
-    }
+    private Forms() {}
 
     /** A request as it goes over HTTP and into the log; instants and lengths in milliseconds. */
     public static JsonObject write(Request request) {
@@ -46,7 +45,9 @@
         if (from.has("freezes")) {
             from.getAsJsonArray("freezes").forEach(each -> {
                 JsonObject one = each.getAsJsonObject();
-                all.add(new Plan.Freeze(one.get("name").getAsString(), one.get("from_ms").getAsLong(),
+                all.add(new Plan.Freeze(
+                        one.get("name").getAsString(),
+                        one.get("from_ms").getAsLong(),
                         one.get("to_ms").getAsLong()));
             });
         }
@@ -59,10 +60,18 @@
      * @throws RuntimeException of any kind if it is not: what comes from elsewhere goes by {@code Requests}
      */
     public static Request request(JsonObject from) {
-        return new Request(from.get("name").getAsString(), from.get("owner").getAsString(), texts(from,
-                "racks"), from.get("work_ms").getAsLong(), from.get("earliest_ms").getAsLong(), from.get(
-                "latest_ms").getAsLong(), from.get("notice_ms").getAsLong(), from.get("abort_ms").getAsLong(),
-                Set.copyOf(texts(from, "apart")), texts(from, "after"), freezes(from));
+        return new Request(
+                from.get("name").getAsString(),
+                from.get("owner").getAsString(),
+                texts(from, "racks"),
+                from.get("work_ms").getAsLong(),
+                from.get("earliest_ms").getAsLong(),
+                from.get("latest_ms").getAsLong(),
+                from.get("notice_ms").getAsLong(),
+                from.get("abort_ms").getAsLong(),
+                Set.copyOf(texts(from, "apart")),
+                texts(from, "after"),
+                freezes(from));
     }
 
     /** A window in full. */
@@ -82,9 +91,15 @@
 
     /** Reads one that {@link #write} has written. */
     public static Windows.Window window(JsonObject from) {
-        return new Windows.Window(request(from.getAsJsonObject("request")), state(from, "state"), from.get(
-                "steps").getAsLong(), from.get("start_ms").getAsLong(), from.get("leave_ms").getAsLong(),
-                from.get("begun").getAsBoolean(), from.get("call_off").getAsBoolean(), state(from, "outcome"),
+        return new Windows.Window(
+                request(from.getAsJsonObject("request")),
+                state(from, "state"),
+                from.get("steps").getAsLong(),
+                from.get("start_ms").getAsLong(),
+                from.get("leave_ms").getAsLong(),
+                from.get("begun").getAsBoolean(),
+                from.get("call_off").getAsBoolean(),
+                state(from, "outcome"),
                 texts(from, "reasons"));
     }
 
--- a/src/main/java/laneflow/maintenance/decision/Placement.java
+++ b/src/main/java/laneflow/maintenance/decision/Placement.java
@@ -16,8 +16,7 @@
     private static final double UNIT = 1000;
 
     /** Work of an owner that may run in the same cells. */
-    record Kind(int owner, long places) {
-    }
+    record Kind(int owner, long places) {}
 
     private final Kind[] kinds;
     private final int owners;
--- a/src/main/java/laneflow/maintenance/decision/Plan.java
+++ b/src/main/java/laneflow/maintenance/decision/Plan.java
@@ -12,8 +12,7 @@
  * @param asked how often an instant was looked at; the bound of planning is told in these
  * @param flows how many of them needed a flow
  */
-public record Plan(List<Window> windows, Map<String, List<String>> refused, int moved, long asked,
-        int flows) {
+public record Plan(List<Window> windows, Map<String, List<String>> refused, int moved, long asked, int flows) {
     /**
      * A window: its racks count as away for the whole of it.
      *
@@ -40,6 +39,9 @@
 
     /** The window of that request, or null. */
     public Window window(String request) {
-        return windows.stream().filter(one -> one.request().name().equals(request)).findFirst().orElse(null);
+        return windows.stream()
+                .filter(one -> one.request().name().equals(request))
+                .findFirst()
+                .orElse(null);
     }
 }
--- a/src/main/java/laneflow/maintenance/decision/Planner.java
+++ b/src/main/java/laneflow/maintenance/decision/Planner.java
@@ -34,9 +34,8 @@
      * @param reserve the part of all slots that no window may take: for what fails amid one
      * @param mostFlows bound of planning; past it, what sums can't tell counts against a window
      */
-    public record Times(long fromMs, long stepMs, int steps, long drainMs, long returnMs, double reserve,
-            int mostFlows) {
-    }
+    public record Times(
+            long fromMs, long stepMs, int steps, long drainMs, long returnMs, double reserve, int mostFlows) {}
 
     /**
      * All that a plan is made from.
@@ -48,9 +47,16 @@
      * @param lostUntilMs until when those are counted as down
      * @param accounts each tenant's account over the mean, or null
      */
-    public record Input(Times times, Forecast forecast, List<Request> requests, List<Window> fixed,
-            Plan before, List<Freeze> freezes, List<String> lost, long lostUntilMs, double[] accounts) {
-    }
+    public record Input(
+            Times times,
+            Forecast forecast,
+            List<Request> requests,
+            List<Window> fixed,
+            Plan before,
+            List<Freeze> freezes,
+            List<String> lost,
+            long lostUntilMs,
+            double[] accounts) {}
 
     private final Fairness fairness;
     private final Input input;
@@ -58,6 +64,7 @@
     private final Map<String, Request> open = new LinkedHashMap<>();
     /** For each span of the forecast, how many slots are still to be taken out in it, as far as is known. */
     private final double[] wanted;
+
     private final Map<String, Integer> room = new HashMap<>();
 
     /** The steps between which a request may begin, those that it waits for or that wait for it counted. */
@@ -66,12 +73,22 @@
     private Planner(Fairness fairness, Input input) {
         this.fairness = fairness;
         this.input = input;
-        List<Integer> lost = input.lost().stream().map(fairness.estate()::rack).filter(i -> i >= 0).toList();
-        line = new Timeline(input.times(), fairness, input.forecast(), input.accounts(), input.freezes(),
-                lost, input.lostUntilMs());
+        List<Integer> lost = input.lost().stream()
+                .map(fairness.estate()::rack)
+                .filter(i -> i >= 0)
+                .toList();
+        line = new Timeline(
+                input.times(),
+                fairness,
+                input.forecast(),
+                input.accounts(),
+                input.freezes(),
+                lost,
+                input.lostUntilMs());
         wanted = new double[input.times().steps()];
         input.fixed().forEach(line::add);
-        input.requests().stream().filter(one -> !line.windows().containsKey(one.name()))
+        input.requests().stream()
+                .filter(one -> !line.windows().containsKey(one.name()))
                 .forEach(one -> open.put(one.name(), one));
     }
 
@@ -132,8 +149,8 @@
     private boolean first(Request request, boolean oneAtATime) {
         for (int step = line.first(request); step <= line.last(request); step++) {
             Window window = line.at(request, step);
-            boolean free = !oneAtATime || line.windows().values().stream().noneMatch(one -> one.meets(
-                    window.startMs(), window.endMs()));
+            boolean free = !oneAtATime
+                    || line.windows().values().stream().noneMatch(one -> one.meets(window.startMs(), window.endMs()));
             if (free && line.forbids(request, step) == null && line.cost(request, step) >= 0) {
                 line.add(window);
                 open.remove(request.name());
@@ -166,8 +183,13 @@
 
     private void place() {
         for (Request request : open.values()) {
-            room.put(request.name(), last(request) < first(request) ? 0
-                    : line.starts(request).get(first(request), last(request) + 1).cardinality());
+            room.put(
+                    request.name(),
+                    last(request) < first(request)
+                            ? 0
+                            : line.starts(request)
+                                    .get(first(request), last(request) + 1)
+                                    .cardinality());
             want(request, 1);
         }
         List<Request> order = new ArrayList<>(open.values());
@@ -203,8 +225,12 @@
     }
 
     private double slots(Request request) {
-        return request.racks().stream().mapToDouble(rack -> fairness.estate().racks().get(
-                fairness.estate().rack(rack)).slots()).sum();
+        return request.racks().stream()
+                .mapToDouble(rack -> fairness.estate()
+                        .racks()
+                        .get(fairness.estate().rack(rack))
+                        .slots())
+                .sum();
     }
 
     /** A request that has no time yet wants each of its times a little, for as long as it takes. */
@@ -215,8 +241,7 @@
         BitSet starts = line.starts(request);
         for (int i = first(request); times > 0 && i < last(request) + length; i++) {
             running += i <= last(request) && starts.get(i) ? 1 : 0;
-            boolean ended = i - length >= first(request) && i - length <= last(request)
-                    && starts.get(i - length);
+            boolean ended = i - length >= first(request) && i - length <= last(request) && starts.get(i - length);
             running -= ended ? 1 : 0;
             wanted[i] += sign * slots(request) / times * running;
         }
@@ -259,8 +284,7 @@
 
     /** Takes windows out of the way of a request, as long as all of them find another time. */
     private boolean makeRoom(Request request) {
-        record Try(int step, List<Window> out, double weight) {
-        }
+        record Try(int step, List<Window> out, double weight) {}
         List<Try> candidates = new ArrayList<>();
         int stride = Math.max(1, (last(request) - first(request)) / (2 * MOST_TRIES));
         for (int step = first(request); step <= last(request); step += stride) {
@@ -270,18 +294,23 @@
             Window at = line.at(request, step);
             List<Window> out = new ArrayList<>();
             for (Window other : line.windows().values()) {
-                boolean early = request.after().contains(other.request().name())
-                        && at.startMs() < other.endMs();
-                if (!other.isFixed() && (early || other.meets(at.startMs(), at.endMs())
-                        && shares(other, request))) {
+                boolean early = request.after().contains(other.request().name()) && at.startMs() < other.endMs();
+                if (!other.isFixed() && (early || other.meets(at.startMs(), at.endMs()) && shares(other, request))) {
                     out.add(other);
                 }
             }
             // The one with the most other times goes first.
-            out.sort(Comparator.comparingInt((Window one) -> -room.getOrDefault(one.request().name(), 0))
+            out.sort(Comparator.comparingInt(
+                            (Window one) -> -room.getOrDefault(one.request().name(), 0))
                     .thenComparing(one -> one.request().name()));
-            candidates.add(new Try(step, out, out.stream().limit(MOST_TAKEN_OUT).mapToDouble(one -> slots(
-                    one.request()) / (1 + room.getOrDefault(one.request().name(), 0))).sum()));
+            candidates.add(new Try(
+                    step,
+                    out,
+                    out.stream()
+                            .limit(MOST_TAKEN_OUT)
+                            .mapToDouble(one -> slots(one.request())
+                                    / (1 + room.getOrDefault(one.request().name(), 0)))
+                            .sum()));
         }
         candidates.sort(Comparator.comparingDouble(Try::weight).thenComparingInt(Try::step));
         for (Try one : candidates.subList(0, Math.min(MOST_TRIES, candidates.size()))) {
@@ -298,7 +327,11 @@
             for (String other : window.request().racks()) {
                 int a = fairness.estate().rack(mine);
                 int b = fairness.estate().rack(other);
-                if (fairness.estate().racks().get(a).zone().equals(fairness.estate().racks().get(b).zone())) {
+                if (fairness.estate()
+                        .racks()
+                        .get(a)
+                        .zone()
+                        .equals(fairness.estate().racks().get(b).zone())) {
                     return true;
                 }
             }
@@ -339,8 +372,7 @@
         BitSet starts = line.starts(request);
         List<Window> related = line.related(request);
         for (int step = first(request); step <= last(request); step++) {
-            if (starts.get(step) && line.forbids(request, step, related) == null
-                    && line.cost(request, step) >= 0) {
+            if (starts.get(step) && line.forbids(request, step, related) == null && line.cost(request, step) >= 0) {
                 line.add(line.at(request, step));
                 return true;
             }
@@ -350,7 +382,8 @@
 
     private Plan told() {
         List<Window> windows = new ArrayList<>(line.windows().values());
-        windows.sort(Comparator.comparingLong(Window::startMs).thenComparing(one -> one.request().name()));
+        windows.sort(Comparator.comparingLong(Window::startMs)
+                .thenComparing(one -> one.request().name()));
         Map<String, List<String>> refused = new TreeMap<>();
         Reasons reasons = new Reasons(line);
         open.values().forEach(request -> refused.put(request.name(), reasons.whyNot(request)));
@@ -358,7 +391,9 @@
         if (input.before() != null) {
             for (Window was : input.before().windows()) {
                 Window is = line.windows().get(was.request().name());
-                boolean stays = is != null && Math.abs(is.startMs() - was.startMs()) < input.times().stepMs();
+                boolean stays = is != null
+                        && Math.abs(is.startMs() - was.startMs())
+                                < input.times().stepMs();
                 moved += stays ? 0 : 1;
             }
         }
@@ -375,7 +410,8 @@
         if (planner.line.windows().containsKey(request.name())) {
             planner.line.remove(request.name());
         }
-        int step = (int) -Math.floorDiv(input.times().fromMs() - startMs, input.times().stepMs());
+        int step = (int)
+                -Math.floorDiv(input.times().fromMs() - startMs, input.times().stepMs());
         List<String> all = new ArrayList<>();
         if (step < planner.line.first(request)) {
             all.add("is before its earliest beginning or its notice");
