--- a/src/main/java/laneflow/maintenance/decision/Reasons.java
+++ b/src/main/java/laneflow/maintenance/decision/Reasons.java
@@ -31,9 +31,11 @@
             line.against(request, step).forEach(text -> counts.merge(text, 1, Integer::sum));
         }
         int of = looked;
-        counts.entrySet().stream().sorted(Map.Entry.<String, Integer>comparingByValue().reversed())
-                .limit(6).forEach(entry -> all.add(entry.getKey() + " (" + entry.getValue() + " of " + of
-                        + " times looked at)"));
+        counts.entrySet().stream()
+                .sorted(Map.Entry.<String, Integer>comparingByValue().reversed())
+                .limit(6)
+                .forEach(
+                        entry -> all.add(entry.getKey() + " (" + entry.getValue() + " of " + of + " times looked at)"));
         change(request, all);
         return all;
     }
@@ -42,13 +44,22 @@
     private void change(Request request, List<String> into) {
         int later = search(request, Math.max(line.first(request), line.last(request) + 1), Integer.MAX_VALUE);
         if (later >= 0) {
-            into.add("would have a time if it might end by " + Instant.ofEpochMilli(line.at(request, later)
-                    .endMs()));
+            into.add("would have a time if it might end by "
+                    + Instant.ofEpochMilli(line.at(request, later).endMs()));
         }
         for (int racks = request.racks().size() - 1; racks > 0; racks--) {
-            Request less = new Request(request.name(), request.owner(), request.racks().subList(0, racks),
-                    request.workMs(), request.earliestMs(), request.latestMs(), request.noticeMs(),
-                    request.abortMs(), request.apart(), request.after(), request.freezes());
+            Request less = new Request(
+                    request.name(),
+                    request.owner(),
+                    request.racks().subList(0, racks),
+                    request.workMs(),
+                    request.earliestMs(),
+                    request.latestMs(),
+                    request.noticeMs(),
+                    request.abortMs(),
+                    request.apart(),
+                    request.after(),
+                    request.freezes());
             int at = search(less, line.first(less), line.last(less));
             if (at >= 0) {
                 into.add("would have a time with only " + String.join(" ", less.racks()) + ", at "
--- a/src/main/java/laneflow/maintenance/decision/Request.java
+++ b/src/main/java/laneflow/maintenance/decision/Request.java
@@ -18,8 +18,17 @@
  * @param after requests that have to be done before this one begins
  * @param freezes in which nothing of it is down
  */
-public record Request(String name, String owner, List<String> racks, long workMs, long earliestMs,
-        long latestMs, long noticeMs, long abortMs, Set<String> apart, List<String> after,
+public record Request(
+        String name,
+        String owner,
+        List<String> racks,
+        long workMs,
+        long earliestMs,
+        long latestMs,
+        long noticeMs,
+        long abortMs,
+        Set<String> apart,
+        List<String> after,
         List<Plan.Freeze> freezes) {
     public Request {
         racks = List.copyOf(racks);
@@ -29,19 +38,41 @@
     }
 
     /** One that nothing freezes. */
-    public Request(String name, String owner, List<String> racks, long workMs, long earliestMs, long latestMs,
-            long noticeMs, long abortMs, Set<String> apart, List<String> after) {
+    public Request(
+            String name,
+            String owner,
+            List<String> racks,
+            long workMs,
+            long earliestMs,
+            long latestMs,
+            long noticeMs,
+            long abortMs,
+            Set<String> apart,
+            List<String> after) {
         this(name, owner, racks, workMs, earliestMs, latestMs, noticeMs, abortMs, apart, after, List.of());
     }
 
     /** The same with those of a calendar's freezes that touch its time. */
     public Request within(List<Plan.Freeze> calendar) {
-        return new Request(name, owner, racks, workMs, earliestMs, latestMs, noticeMs, abortMs, apart, after,
+        return new Request(
+                name,
+                owner,
+                racks,
+                workMs,
+                earliestMs,
+                latestMs,
+                noticeMs,
+                abortMs,
+                apart,
+                after,
                 calendar.stream().filter(one -> one.meets(earliestMs, latestMs)).toList());
     }
 
     /** The first of its freezes that touches these instants, or null. */
     Plan.Freeze freeze(long fromMs, long toMs) {
-        return freezes.stream().filter(one -> one.meets(fromMs, toMs)).findFirst().orElse(null);
+        return freezes.stream()
+                .filter(one -> one.meets(fromMs, toMs))
+                .findFirst()
+                .orElse(null);
     }
 }
--- a/src/main/java/laneflow/maintenance/decision/Sending.java
+++ b/src/main/java/laneflow/maintenance/decision/Sending.java
@@ -25,8 +25,7 @@
      * @param busy endpoints that this policy bans and to which a call was out
      * @param lost endpoints that it can't reach
      */
-    public record Said(long policy, Set<String> busy, Set<String> lost) {
-    }
+    public record Said(long policy, Set<String> busy, Set<String> lost) {}
 
     private static final class Holder {
         private Said said;
@@ -88,7 +87,8 @@
             all.add("those that a former leader knew");
         }
         holders.forEach((who, holder) -> {
-            boolean ended = holder.said != null && holder.said.policy() == policy
+            boolean ended = holder.said != null
+                    && holder.said.policy() == policy
                     && !holder.said.busy().contains(endpoint);
             if (!ended && now < holder.at + outlives) {
                 all.add(who);
@@ -100,8 +100,10 @@
     /** True if all that are live have begun that policy. */
     public boolean hasBegun(long now, long policy) {
         // A leader that has just been elected has not heard of all yet.
-        return now > electedAt + live && holders.values().stream().allMatch(holder -> now - holder.at > live
-                || holder.said != null && holder.said.policy() == policy);
+        return now > electedAt + live
+                && holders.values().stream()
+                        .allMatch(holder ->
+                                now - holder.at > live || holder.said != null && holder.said.policy() == policy);
     }
 
     /** Endpoints that at least half of those that are live can't reach. */
--- a/src/main/java/laneflow/maintenance/decision/Timeline.java
+++ b/src/main/java/laneflow/maintenance/decision/Timeline.java
@@ -34,13 +34,20 @@
     private final Map<String, Window> windows = new LinkedHashMap<>();
     /** Flows are dear: answers are kept by span and what is left. */
     private final Map<List<Object>, Boolean> known = new HashMap<>();
+
     private final Map<List<Object>, byte[]> alone = new HashMap<>();
     private final Map<String, BitSet> starts = new HashMap<>();
     private long asked;
     private int flows;
 
-    Timeline(Planner.Times times, Fairness fairness, Forecast forecast, double[] accounts,
-            List<Freeze> freezes, List<Integer> lost, long lostUntilMs) {
+    Timeline(
+            Planner.Times times,
+            Fairness fairness,
+            Forecast forecast,
+            double[] accounts,
+            List<Freeze> freezes,
+            List<Integer> lost,
+            long lostUntilMs) {
         this.times = times;
         this.fairness = fairness;
         this.forecast = forecast;
@@ -92,8 +99,7 @@
 
     /** The last such step. */
     int last(Request request) {
-        return (int) Math.min(left.length, (request.latestMs() - times.fromMs()) / times.stepMs())
-                - length(request);
+        return (int) Math.min(left.length, (request.latestMs() - times.fromMs()) / times.stepMs()) - length(request);
     }
 
     Map<String, Window> windows() {
@@ -113,8 +119,7 @@
 
     private void lay(Window window, int sign) {
         int from = (int) Math.max(0, (window.startMs() - times.fromMs()) / times.stepMs());
-        int to = (int) Math.min(left.length, (window.endMs() - times.fromMs() + times.stepMs() - 1)
-                / times.stepMs());
+        int to = (int) Math.min(left.length, (window.endMs() - times.fromMs() + times.stepMs() - 1) / times.stepMs());
         for (int i = from; i < to; i++) {
             standing[i] -= sign;
             for (String rack : window.request().racks()) {
@@ -135,8 +140,7 @@
         List<Window> related = new ArrayList<>();
         for (Window other : windows.values()) {
             Request one = other.request();
-            if (request.after().contains(one.name()) || one.after().contains(request.name())
-                    || isApart(request, one)) {
+            if (request.after().contains(one.name()) || one.after().contains(request.name()) || isApart(request, one)) {
                 related.add(other);
             }
         }
@@ -144,8 +148,8 @@
     }
 
     private static boolean isApart(Request a, Request b) {
-        return a.apart().stream().anyMatch(b.apart()::contains) || a.racks().stream().anyMatch(
-                b.racks()::contains);
+        return a.apart().stream().anyMatch(b.apart()::contains)
+                || a.racks().stream().anyMatch(b.racks()::contains);
     }
 
     /** Why order or company forbid that time, in words; null if they don't. */
@@ -160,8 +164,12 @@
         for (int i = step; i < step + length(request); i++) {
             if (frozen[i]) {
                 long ms = ms(i);
-                return "freeze " + freezes.stream().filter(one -> one.fromMs() < ms + times.stepMs()
-                        && ms < one.toMs()).findFirst().orElseThrow().name();
+                return "freeze "
+                        + freezes.stream()
+                                .filter(one -> one.fromMs() < ms + times.stepMs() && ms < one.toMs())
+                                .findFirst()
+                                .orElseThrow()
+                                .name();
             }
         }
         Freeze own = request.freeze(from, to);
@@ -282,9 +290,11 @@
                         with.addAll(other.request().racks());
                     }
                 }
-                String racks = with.isEmpty() ? "" : ", with " + String.join(" ", with.subList(0,
-                        Math.min(5, with.size()))) + " down";
-                fairness.judge(dues.get(spans[i]), without, accounts).against().stream().limit(3)
+                String racks = with.isEmpty()
+                        ? ""
+                        : ", with " + String.join(" ", with.subList(0, Math.min(5, with.size()))) + " down";
+                fairness.judge(dues.get(spans[i]), without, accounts).against().stream()
+                        .limit(3)
                         .forEach(text -> all.add(text + racks));
                 break;
             }
--- a/src/main/java/laneflow/maintenance/decision/WindowLedger.java
+++ b/src/main/java/laneflow/maintenance/decision/WindowLedger.java
@@ -27,6 +27,7 @@
     public static final String NAME = "maintenance";
     /** The most windows that are not over. */
     public static final int MOST_OPEN = 1000;
+
     private static final String BANS = "bans";
 
     private final Windows windows = new Windows();
@@ -36,6 +37,7 @@
     private final SortedSet<String> own = new TreeSet<>();
     /** What each tenant has lost, as {@link Accounts#state} tells it. */
     private final SortedMap<String, double[]> accounts = new TreeMap<>();
+
     private Set<String> bans = Set.of();
     private Set<String> undecidedBans = Set.of();
     private long inForce;
@@ -54,8 +56,15 @@
      * @param racks the endpoints of racks that are away
      * @param windows a copy; nobody changes it
      */
-    public record View(long version, long inForce, boolean undecided, Set<String> bans, Set<String> own,
-            SortedMap<String, List<String>> racks, Windows windows, SortedMap<String, double[]> accounts) {
+    public record View(
+            long version,
+            long inForce,
+            boolean undecided,
+            Set<String> bans,
+            Set<String> own,
+            SortedMap<String, List<String>> racks,
+            Windows windows,
+            SortedMap<String, double[]> accounts) {
         /** True if the policy in force bans all of a rack that is away. */
         public boolean isBanned(String rack) {
             return racks.containsKey(rack) && bans.containsAll(racks.get(rack));
@@ -92,17 +101,21 @@
             Windows windows = new Windows();
             windows.restore(from);
             SortedMap<String, List<String>> racks = new TreeMap<>();
-            from.getAsJsonObject("racks").entrySet().forEach(one -> racks.put(one.getKey(),
-                    texts(one.getValue())));
-            return new View(from.get("version").getAsLong(), from.get("in_force").getAsLong(),
-                    from.get("undecided").getAsBoolean(), new TreeSet<>(texts(from.get(BANS))),
-                    new TreeSet<>(texts(from.get("own"))), racks, windows,
+            from.getAsJsonObject("racks").entrySet().forEach(one -> racks.put(one.getKey(), texts(one.getValue())));
+            return new View(
+                    from.get("version").getAsLong(),
+                    from.get("in_force").getAsLong(),
+                    from.get("undecided").getAsBoolean(),
+                    new TreeSet<>(texts(from.get(BANS))),
+                    new TreeSet<>(texts(from.get("own"))),
+                    racks,
+                    windows,
                     sums(from.getAsJsonObject("accounts")));
         }
     }
 
-    private static JsonObject state(JsonObject all, Map<String, List<String>> racks, Set<String> own,
-            Map<String, double[]> accounts) {
+    private static JsonObject state(
+            JsonObject all, Map<String, List<String>> racks, Set<String> own, Map<String, double[]> accounts) {
         JsonObject endpoints = new JsonObject();
         racks.forEach((rack, names) -> endpoints.add(rack, array(names)));
         all.add("racks", endpoints);
@@ -289,7 +302,8 @@
         if (policy.has(BANS)) {
             policy.getAsJsonArray(BANS).forEach(one -> {
                 // What no scheduler can read is turned down by them; here it bans nothing.
-                boolean named = one.isJsonObject() && one.getAsJsonObject().has("name")
+                boolean named = one.isJsonObject()
+                        && one.getAsJsonObject().has("name")
                         && one.getAsJsonObject().get("name").isJsonPrimitive();
                 if (named) {
                     all.add(one.getAsJsonObject().get("name").getAsString());
@@ -337,8 +351,14 @@
     }
 
     private void look() {
-        view = new View(version, inForce, undecided, bans, Collections.unmodifiableSet(new TreeSet<>(own)),
-                Collections.unmodifiableSortedMap(new TreeMap<>(racks)), windows.copy(one -> true),
+        view = new View(
+                version,
+                inForce,
+                undecided,
+                bans,
+                Collections.unmodifiableSet(new TreeSet<>(own)),
+                Collections.unmodifiableSortedMap(new TreeMap<>(racks)),
+                windows.copy(one -> true),
                 Collections.unmodifiableSortedMap(new TreeMap<>(accounts)));
     }
 
@@ -366,8 +386,7 @@
             windows.restore(new Windows().snapshot());
         } else {
             windows.restore(from);
-            from.getAsJsonObject("racks").entrySet().forEach(one -> racks.put(one.getKey(),
-                    texts(one.getValue())));
+            from.getAsJsonObject("racks").entrySet().forEach(one -> racks.put(one.getKey(), texts(one.getValue())));
             own.addAll(texts(from.get("own")));
             accounts.putAll(sums(from.getAsJsonObject("accounts")));
             version = from.get("version").getAsLong();
--- a/src/main/java/laneflow/maintenance/decision/Windows.java
+++ b/src/main/java/laneflow/maintenance/decision/Windows.java
@@ -21,12 +21,23 @@
 public final class Windows {
     /** The most windows that are kept; the oldest that are over give way. */
     public static final int MOST_KEPT = 5_000;
+
     private static final int MOST_REASONS = 16;
     private static final int MOST_REASON = 300;
 
     /** Where a window stands. Those from DONE on are final, but for POSTPONED, which is planned anew. */
     public enum State {
-        REQUESTED, PLANNED, ANNOUNCED, DRAINING, DOWN, OVERRUN, RETURNING, POSTPONED, DONE, REFUSED, ABORTED;
+        REQUESTED,
+        PLANNED,
+        ANNOUNCED,
+        DRAINING,
+        DOWN,
+        OVERRUN,
+        RETURNING,
+        POSTPONED,
+        DONE,
+        REFUSED,
+        ABORTED;
 
         /** True if nothing follows any more. */
         public boolean isFinal() {
@@ -71,14 +82,22 @@
      * @param outcome of its return: DONE, POSTPONED or ABORTED
      * @param reasons why it stands where it does, if not by plan
      */
-    public record Window(Request request, State state, long steps, long startMs, long leaveMs, boolean begun,
-            boolean callOff, State outcome, List<String> reasons) {
+    public record Window(
+            Request request,
+            State state,
+            long steps,
+            long startMs,
+            long leaveMs,
+            boolean begun,
+            boolean callOff,
+            State outcome,
+            List<String> reasons) {
         public String name() {
             return request.name();
         }
 
-        private Window with(State next, long start, long leave, boolean isBegun, boolean isCalledOff,
-                State end, List<String> why) {
+        private Window with(
+                State next, long start, long leave, boolean isBegun, boolean isCalledOff, State end, List<String> why) {
             return new Window(request, next, steps + 1, start, leave, isBegun, isCalledOff, end, why);
         }
     }
@@ -104,8 +123,15 @@
      * @param startMs its time, where it is planned; else as it was
      * @param outcome what its return is to end in
      */
-    public static JsonObject step(long token, Window from, State to, long away, long startMs,
-            State outcome, List<String> reasons, long nowMs) {
+    public static JsonObject step(
+            long token,
+            Window from,
+            State to,
+            long away,
+            long startMs,
+            State outcome,
+            List<String> reasons,
+            long nowMs) {
         JsonObject op = op("step", from.name());
         op.addProperty("token", token);
         op.addProperty("steps", from.steps());
@@ -115,8 +141,10 @@
         op.addProperty("outcome", outcome.word());
         op.addProperty("ms", nowMs);
         JsonArray texts = new JsonArray();
-        reasons.stream().limit(MOST_REASONS).map(text -> text.length() > MOST_REASON
-                ? text.substring(0, MOST_REASON) : text).forEach(texts::add);
+        reasons.stream()
+                .limit(MOST_REASONS)
+                .map(text -> text.length() > MOST_REASON ? text.substring(0, MOST_REASON) : text)
+                .forEach(texts::add);
         op.add("reasons", texts);
         return op;
     }
@@ -173,7 +201,8 @@
     private JsonObject request(Window known, Request request) {
         if (known != null) {
             // Asked again: the same request is the same window, another one needs another name.
-            return known.request().equals(request) ? told(known)
+            return known.request().equals(request)
+                    ? told(known)
                     : error("the name '" + request.name() + "' is that of another request");
         }
         forget();
@@ -185,7 +214,7 @@
 
     private void forget() {
         var oldest = windows.values().iterator();
-        for (int over = windows.size() + 1 - MOST_KEPT; over > 0 && oldest.hasNext();) {
+        for (int over = windows.size() + 1 - MOST_KEPT; over > 0 && oldest.hasNext(); ) {
             if (oldest.next().state().isFinal()) {
                 oldest.remove();
                 over--;
@@ -201,8 +230,8 @@
         token = by;
         State to = State.valueOf(op.get("to").getAsString().toUpperCase(Locale.ROOT));
         if (op.get("steps").getAsLong() != window.steps()) {
-            return error(window.name() + " has taken " + window.steps() + " steps, and is " + window.state()
-                    .word());
+            return error(window.name() + " has taken " + window.steps() + " steps, and is "
+                    + window.state().word());
         }
         if (!NEXT.getOrDefault(window.state(), Set.of()).contains(to)) {
             return error(window.name() + " is " + window.state().word() + " and can't become " + to.word());
@@ -212,9 +241,10 @@
             // Two that are fair alone may not be so together: each is judged beside all others or not at all.
             return error("what is away has changed since " + window.name() + " was judged");
         }
-        if (to == State.DOWN && (window.callOff() || !window.request().racks().stream().allMatch(isBanned))) {
-            return error(window.name() + (window.callOff() ? " was called off"
-                    : ": the policy in force does not ban all of its racks"));
+        if (to == State.DOWN
+                && (window.callOff() || !window.request().racks().stream().allMatch(isBanned))) {
+            return error(window.name()
+                    + (window.callOff() ? " was called off" : ": the policy in force does not ban all of its racks"));
         }
         if (to == State.RETURNING && window.state().isWorkedOn() && window.begun()) {
             return error(window.name() + ": its crew is at work and has not said that it has finished");
@@ -228,10 +258,10 @@
         long start = to == State.PLANNED ? op.get("start_ms").getAsLong() : window.startMs();
         long leave = to == State.DOWN ? op.get("ms").getAsLong() : to == State.PLANNED ? 0 : window.leaveMs();
         boolean keeps = window.callOff() && to != State.PLANNED;
-        State end = to == State.RETURNING ? keeps ? State.ABORTED : outcome : to == State.PLANNED ? State.DONE
-                : window.outcome();
-        return put(window.with(to, start, leave, to.isWorkedOn() && window.begun(), keeps, end, List.copyOf(
-                reasons)));
+        State end = to == State.RETURNING
+                ? keeps ? State.ABORTED : outcome
+                : to == State.PLANNED ? State.DONE : window.outcome();
+        return put(window.with(to, start, leave, to.isWorkedOn() && window.begun(), keeps, end, List.copyOf(reasons)));
     }
 
     private JsonObject begin(Window window) {
@@ -239,21 +269,23 @@
             return told(window);
         }
         if (window.state() != State.DOWN || window.callOff()) {
-            return error("no leave: " + window.name() + " is " + window.state().word() + (window.callOff()
-                    ? " and was called off" : ""));
+            return error("no leave: " + window.name() + " is " + window.state().word()
+                    + (window.callOff() ? " and was called off" : ""));
         }
-        return put(window.with(window.state(), window.startMs(), window.leaveMs(), true, false,
-                window.outcome(), window.reasons()));
+        return put(window.with(
+                window.state(), window.startMs(), window.leaveMs(), true, false, window.outcome(), window.reasons()));
     }
 
     private JsonObject finish(Window window) {
         if (!window.state().isWorkedOn()) {
             boolean over = window.state() == State.RETURNING || window.state().isFinal();
-            return over ? told(window) : error(window.name() + " is " + window.state().word());
+            return over
+                    ? told(window)
+                    : error(window.name() + " is " + window.state().word());
         }
         State end = window.callOff() ? State.ABORTED : State.DONE;
-        return put(window.with(State.RETURNING, window.startMs(), window.leaveMs(), false, window.callOff(),
-                end, window.reasons()));
+        return put(window.with(
+                State.RETURNING, window.startMs(), window.leaveMs(), false, window.callOff(), end, window.reasons()));
     }
 
     private JsonObject abort(Window window, long nowMs) {
@@ -261,15 +293,29 @@
         if (state.isFinal() || window.callOff()) {
             return told(window);
         }
-        if (window.begun() && state.isWorkedOn() && nowMs > window.leaveMs() + window.request().abortMs()) {
+        if (window.begun()
+                && state.isWorkedOn()
+                && nowMs > window.leaveMs() + window.request().abortMs()) {
             return error(window.name() + " is past its abort point: it has to be finished");
         }
         if (!state.isAway()) {
-            return put(window.with(State.ABORTED, window.startMs(), 0, false, true, State.ABORTED, List.of(
-                    "called off by its owner")));
+            return put(window.with(
+                    State.ABORTED,
+                    window.startMs(),
+                    0,
+                    false,
+                    true,
+                    State.ABORTED,
+                    List.of("called off by its owner")));
         }
         // Away already: it comes back in order. Who is at work there says when it can.
-        return put(window.with(state, window.startMs(), window.leaveMs(), window.begun(), true, State.ABORTED,
+        return put(window.with(
+                state,
+                window.startMs(),
+                window.leaveMs(),
+                window.begun(),
+                true,
+                State.ABORTED,
                 List.of("called off by its owner")));
     }
 
@@ -311,9 +357,11 @@
      * @param banned the racks that it bans
      */
     public List<String> missing(Set<String> banned) {
-        return windows.values().stream().filter(one -> one.state().isWorkedOn()
-                || one.state() == State.DRAINING).flatMap(one -> one.request().racks().stream())
-                .filter(rack -> !banned.contains(rack)).toList();
+        return windows.values().stream()
+                .filter(one -> one.state().isWorkedOn() || one.state() == State.DRAINING)
+                .flatMap(one -> one.request().racks().stream())
+                .filter(rack -> !banned.contains(rack))
+                .toList();
     }
 
     /** Counts the times at which a window's racks began or ended to be away. */
--- a/src/main/java/laneflow/membership/Members.java
+++ b/src/main/java/laneflow/membership/Members.java
@@ -69,12 +69,14 @@
     private final String build;
     /** Where others and operators come, or null where that is no address of one machine. */
     private final InetSocketAddress link;
+
     private Seal seal;
     private FileTime keysRead;
     private Swim swim;
     private Datagrams datagrams;
     /** As the traffic's thread has last said. */
     private volatile Standing standing;
+
     private long servedBefore;
     private long factsAt;
     private long spentNs;
@@ -83,6 +85,7 @@
     private boolean over;
     /** Null where nothing goes along. */
     private Cargo cargo;
+
     private long toldTwiceAt = Long.MIN_VALUE / 2;
 
     /**
@@ -93,9 +96,16 @@
      * @param standing how it stands with requests; asked on the traffic's thread
      * @param reading a thread that reads files
      */
-    public record Given(Loop loop, Loop traffic, Fleet fleet, MembersConfig config, Counters counters,
-            String zone, Supplier<Standing> standing, Executor reading, long seed) {
-    }
+    public record Given(
+            Loop loop,
+            Loop traffic,
+            Fleet fleet,
+            MembersConfig config,
+            Counters counters,
+            String zone,
+            Supplier<Standing> standing,
+            Executor reading,
+            long seed) {}
 
     /**
      * How a scheduler stands with requests at one instant.
@@ -105,8 +115,7 @@
      * @param load share of the requests that may be open
      * @param served requests answered so far
      */
-    public record Standing(long policy, Facts.Condition condition, double load, long served) {
-    }
+    public record Standing(long policy, Facts.Condition condition, double load, long served) {}
 
     /** What goes along with the view's datagrams for others than the view; on the loop. */
     public interface Cargo {
@@ -162,7 +171,8 @@
         times = new Times(config.period);
         zone = cut(given.zone(), Facts.MOST_ZONE);
         build = cut(given.fleet().self().build(), Facts.MOST_BUILD);
-        InetSocketAddress listens = Loop.address(given.fleet().address(given.fleet().self().name()));
+        InetSocketAddress listens =
+                Loop.address(given.fleet().address(given.fleet().self().name()));
         link = listens.getAddress().isAnyLocalAddress() ? null : listens;
         due = loop.deadlines().create(this::due);
         facts = loop.deadlines().create(this::facts);
@@ -193,10 +203,11 @@
         standing = first[0];
         loop.call(() -> {
             datagrams = opened;
-            Life life = Life.of(given.fleet().self().name(), System.currentTimeMillis(),
+            Life life = Life.of(
+                    given.fleet().self().name(),
+                    System.currentTimeMillis(),
                     config.advertise.getPort() == 0 ? opened.address() : config.advertise);
-            swim = new Swim(life, told(first[0]), config.seeds, times, wire, given.seed(),
-                    loop.micros(), this);
+            swim = new Swim(life, told(first[0]), config.seeds, times, wire, given.seed(), loop.micros(), this);
             given.fleet().handle(BULK, this::bulk);
             given.fleet().serve("/fleet", (verb, path, body, answer) -> {
                 if (verb.equals("GET") && path.equals("/fleet")) {
@@ -275,8 +286,7 @@
         byte[] datagram = seal.close(wire.write(message));
         counters.add("members.sent");
         counters.set("members.bytes", counters.get("members.bytes") + datagram.length);
-        counters.set("members.datagram_most", Math.max(datagram.length,
-                counters.get("members.datagram_most")));
+        counters.set("members.datagram_most", Math.max(datagram.length, counters.get("members.datagram_most")));
         if (!datagrams.send(to, datagram)) {
             counters.add("members.dropped");
         }
@@ -290,10 +300,10 @@
         }
         JsonArray pieces = new JsonArray();
         for (int i = 0; i < records.size(); i += RECORDS_A_PIECE) {
-            List<Update> some = new ArrayList<>(records.subList(i, Math.min(records.size(), i
-                    + RECORDS_A_PIECE)));
-            pieces.add(Base64.getEncoder().encodeToString(wire.write(new Message(Kind.NEWS,
-                    swim.self().life().id(), 0, 0, 0, null, some))));
+            List<Update> some = new ArrayList<>(records.subList(i, Math.min(records.size(), i + RECORDS_A_PIECE)));
+            pieces.add(Base64.getEncoder()
+                    .encodeToString(
+                            wire.write(new Message(Kind.NEWS, swim.self().life().id(), 0, 0, 0, null, some))));
         }
         JsonObject all = new JsonObject();
         all.addProperty("t", BULK);
@@ -394,12 +404,18 @@
 
     private Facts told(Standing standing) {
         long now = loop.micros();
-        double rate = factsAt == 0 ? 0 : (standing.served() - servedBefore) * MICROS
-                / Math.max(1, now - factsAt);
+        double rate = factsAt == 0 ? 0 : (standing.served() - servedBefore) * MICROS / Math.max(1, now - factsAt);
         servedBefore = standing.served();
         factsAt = now;
-        return new Facts(zone, build, link, standing.policy(), standing.condition(),
-                Facts.loadStep(standing.load()), Facts.rateStep(rate), false);
+        return new Facts(
+                zone,
+                build,
+                link,
+                standing.policy(),
+                standing.condition(),
+                Facts.loadStep(standing.load()),
+                Facts.rateStep(rate),
+                false);
     }
 
     private static String cut(String text, int most) {
@@ -445,8 +461,13 @@
         }
         if (!sameLife || before.state() != now.state()) {
             counters.add("members.to_" + now.state().name().toLowerCase(Locale.ROOT));
-            LOG.info("member {} life={} {} to {} ns={}", now.life().name(), now.life().generation(),
-                    sameLife ? before.state() : "NEW", now.state(), System.nanoTime());
+            LOG.info(
+                    "member {} life={} {} to {} ns={}",
+                    now.life().name(),
+                    now.life().generation(),
+                    sameLife ? before.state() : "NEW",
+                    now.state(),
+                    System.nanoTime());
         }
         counters.set("members.live", swim == null ? 1 : swim.size());
     }
@@ -456,7 +477,8 @@
         counters.add("members." + what);
         if (what.equals("name_taken_twice") && loop.micros() - toldTwiceAt > TOLD_AGAIN) {
             toldTwiceAt = loop.micros();
-            LOG.error("members: a name is taken twice; the elder process keeps it. This one is {}",
+            LOG.error(
+                    "members: a name is taken twice; the elder process keeps it. This one is {}",
                     swim == null ? "" : swim.self().life());
         }
     }
--- a/src/main/java/laneflow/membership/MembersConfig.java
+++ b/src/main/java/laneflow/membership/MembersConfig.java
@@ -18,6 +18,7 @@
     public final List<InetSocketAddress> seeds;
     /** Whose datagrams are read besides those of the seeds, and of members that are known. */
     public final List<AddressRange> allowed;
+
     public final Path keyFile;
     /** Microseconds between two probes. */
     public final long period;
--- a/src/main/java/laneflow/membership/decision/Comparison.java
+++ b/src/main/java/laneflow/membership/decision/Comparison.java
@@ -27,6 +27,7 @@
     private long askedAt;
     /** The part of the view that the next question begins with. */
     private int cursor;
+
     private int agreeing;
 
     Comparison(View view, Times times, Sizes sizes, Member self, Out out, long now) {
@@ -51,7 +52,8 @@
 
     /** A member's message: the next question goes on behind the records that it brings. */
     void heard(Message message) {
-        if (message.kind() == Kind.NEWS && message.updates().size() > 1
+        if (message.kind() == Kind.NEWS
+                && message.updates().size() > 1
                 && message.updates().get(message.updates().size() - 1) instanceof Full last) {
             cursor = View.bucket(last.life().name());
         }
@@ -69,8 +71,16 @@
             out.count("syncs");
             // Who is young knows little, and is told much at once.
             int known = now - begunAt < YOUNG_PERIODS * times.period() ? 0 : self.size();
-            out.send(sender.at(), new Message(Kind.SYNC, self.self().life().id(), view.digest(), cursor,
-                    known, view.buckets(), List.of()));
+            out.send(
+                    sender.at(),
+                    new Message(
+                            Kind.SYNC,
+                            self.self().life().id(),
+                            view.digest(),
+                            cursor,
+                            known,
+                            view.buckets(),
+                            List.of()));
         }
     }
 
@@ -96,8 +106,8 @@
             return;
         }
         int first = Math.floorMod(asked.seq(), View.BUCKETS);
-        all.sort(Comparator.comparingInt(one -> Math.floorMod(View.bucket(one.life().name()) - first,
-                View.BUCKETS)));
+        all.sort(Comparator.comparingInt(
+                one -> Math.floorMod(View.bucket(one.life().name()) - first, View.BUCKETS)));
         long missing = Math.max(0, self.size() - asked.target());
         pieces(to, all, (int) Math.min(PIECES_AT_FIRST, PIECES + missing));
     }
--- a/src/main/java/laneflow/membership/decision/Facts.java
+++ b/src/main/java/laneflow/membership/decision/Facts.java
@@ -14,14 +14,25 @@
  * @param rate requests served a second: n stands for under 2 to the n
  * @param late true while its loop runs late
  */
-public record Facts(String zone, String build, InetSocketAddress link, long policy, Condition condition,
-        int load, int rate, boolean late) {
+public record Facts(
+        String zone,
+        String build,
+        InetSocketAddress link,
+        long policy,
+        Condition condition,
+        int load,
+        int rate,
+        boolean late) {
     public static final int MOST_ZONE = 32;
     public static final int MOST_BUILD = 16;
     private static final int MOST_STEP = 15;
 
     /** Whether clients may come: yes, it drains, or it may not decide. */
-    public enum Condition { READY, DRAINING, FENCED }
+    public enum Condition {
+        READY,
+        DRAINING,
+        FENCED
+    }
 
     /** A share from 0 to 1 as a step. */
     public static int loadStep(double share) {
--- a/src/main/java/laneflow/membership/decision/Judgement.java
+++ b/src/main/java/laneflow/membership/decision/Judgement.java
@@ -21,17 +21,18 @@
     private static final int MOST_CALLED = 64;
     /** Before a burial it asks so often, three quarters of a probe apart. */
     private static final int LAST_CALLS = 2;
+
     private static final int LAST_CALL_PART = 3;
     private static final int LAST_CALL_OF = 4;
     /** So many shortest suspicions one can last whom others go on reaching. */
     private static final int MOST_SUSPICIONS = 8;
+
     private static final long LEAVING_PERIODS = 2;
     /** A slow member's own suspicions last longer by so many times at most: it may be cut off, and right. */
     private static final int MOST_SLOWED = 3;
 
     /** Something at an instant, void once the entry has another deadline; a last call goes before an end. */
-    private record Alarm(long at, Entry entry, long deadline, boolean lastCall) {
-    }
+    private record Alarm(long at, Entry entry, long deadline, boolean lastCall) {}
 
     private final View view;
     private final Times times;
@@ -97,14 +98,18 @@
         Entry entry = view.name(news.life().name());
         if (entry != null && entry.life().id() == news.life().id()) {
             sameLife(entry, news, sender, now);
-        } else if (news.state().isLive() && (entry == null ? view.live().size() < MOST_MEMBERS
-                : supersedes(news, entry))) {
+        } else if (news.state().isLive()
+                && (entry == null ? view.live().size() < MOST_MEMBERS : supersedes(news, entry))) {
             Full before = entry == null ? null : entry.full();
             Entry added = view.add(news, now);
             out.changed(before, added.full());
             self.spread(news.life().name(), added.record, now);
             if (news.state() == State.SUSPECT) {
-                suspect(added, news.incarnation(), sender == null ? 0 : sender.life().id(), now);
+                suspect(
+                        added,
+                        news.incarnation(),
+                        sender == null ? 0 : sender.life().id(),
+                        now);
             }
         }
     }
@@ -129,7 +134,10 @@
             if (news.state().isLive() && entry.state == State.DEAD && now - entry.toldAt >= times.period()) {
                 // Somebody holds it live: it is to hear that it was buried, and to begin anew.
                 entry.toldAt = now;
-                Claim claim = new Claim(news.life().id(), news.incarnation(), State.DEAD,
+                Claim claim = new Claim(
+                        news.life().id(),
+                        news.incarnation(),
+                        State.DEAD,
                         self.self().life().id());
                 self.spread(news.life().name(), claim, now);
                 // From others it is a suspicion only, which it would refute and stay buried here: behind a
@@ -144,8 +152,8 @@
         if (news.incarnation() > entry.record.incarnation()) {
             Full before = entry.full();
             view.heard(entry, news);
-            boolean cleared = entry.state == State.SUSPECT && news.state() == State.ALIVE
-                    && news.incarnation() > entry.suspected;
+            boolean cleared =
+                    entry.state == State.SUSPECT && news.state() == State.ALIVE && news.incarnation() > entry.suspected;
             if (cleared) {
                 view.turn(entry, State.ALIVE, now);
                 out.count("cleared");
@@ -155,7 +163,11 @@
         }
         if (news.state() != State.ALIVE) {
             entry.leaving |= news.state() == State.LEFT;
-            suspect(entry, news.incarnation(), sender == null ? 0 : sender.life().id(), now);
+            suspect(
+                    entry,
+                    news.incarnation(),
+                    sender == null ? 0 : sender.life().id(),
+                    now);
         }
     }
 
@@ -181,10 +193,12 @@
         }
         entry.suspected = Math.max(entry.suspected, incarnation);
         boolean added = entry.by.size() <= Times.CONFIRMATIONS && entry.accused(by);
-        long span = entry.leaving ? LEAVING_PERIODS * times.probe(0, probing.roundTrip())
+        long span = entry.leaving
+                ? LEAVING_PERIODS * times.probe(0, probing.roundTrip())
                 : times.suspicion(self.size(), entry.by.size() - 1, probing.roundTrip());
         // One that is slow itself blames late, unless others have found the same.
-        boolean alone = entry.by.size() == 1 && entry.by.contains(self.self().life().id());
+        boolean alone =
+                entry.by.size() == 1 && entry.by.contains(self.self().life().id());
         // Never behind the present: that would look as if this member had stood still.
         int slowed = alone ? Math.min(MOST_SLOWED, probing.score()) : 0;
         long deadline = Math.max(now, entry.suspectedAt + span * (1 + slowed));
@@ -192,8 +206,10 @@
             alarm(entry, deadline, now);
         }
         if (added) {
-            self.spread(entry.life().name(), new Claim(entry.life().id(), entry.suspected,
-                    entry.leaving ? State.LEFT : State.SUSPECT, by), now);
+            self.spread(
+                    entry.life().name(),
+                    new Claim(entry.life().id(), entry.suspected, entry.leaving ? State.LEFT : State.SUSPECT, by),
+                    now);
         }
     }
 
@@ -231,7 +247,9 @@
     void acked(Message message, long now) {
         Entry called = lastCalls.remove(message.seq());
         long least = times.least(self.size(), probing.roundTrip());
-        if (called != null && called.life().id() == message.target() && called.state == State.SUSPECT
+        if (called != null
+                && called.life().id() == message.target()
+                && called.state == State.SUSPECT
                 && called.deadline - called.suspectedAt < MOST_SUSPICIONS * least) {
             alarm(called, called.deadline + least / 2, now);
         }
@@ -242,8 +260,16 @@
         view.turn(entry, how, now);
         out.changed(before, entry.full());
         out.count(how == State.DEAD ? "buried" : "left");
-        self.spread(entry.life().name(), new Claim(entry.life().id(), entry.record.incarnation(), how,
-                how == State.LEFT ? entry.life().id() : self.self().life().id()), now);
+        self.spread(
+                entry.life().name(),
+                new Claim(
+                        entry.life().id(),
+                        entry.record.incarnation(),
+                        how,
+                        how == State.LEFT
+                                ? entry.life().id()
+                                : self.self().life().id()),
+                now);
         while (view.buried().size() > MOST_BURIED) {
             view.forget(view.buried().get(0));
         }
--- a/src/main/java/laneflow/membership/decision/Message.java
+++ b/src/main/java/laneflow/membership/decision/Message.java
@@ -14,8 +14,15 @@
  * @param buckets SYNC: digests of the parts of its view; else null
  * @param updates news that goes along; behind WHO or from one that nobody knows yet the first is its own
  */
-public record Message(Kind kind, long from, int digest, int seq, long target, int[] buckets,
-        List<Update> updates) {
+public record Message(Kind kind, long from, int digest, int seq, long target, int[] buckets, List<Update> updates) {
     /** WHO is a ping to one that is not known: its ack begins with its own record. */
-    public enum Kind { PING, WHO, ACK, NACK, PING_REQ, SYNC, NEWS }
+    public enum Kind {
+        PING,
+        WHO,
+        ACK,
+        NACK,
+        PING_REQ,
+        SYNC,
+        NEWS
+    }
 }
--- a/src/main/java/laneflow/membership/decision/Probing.java
+++ b/src/main/java/laneflow/membership/decision/Probing.java
@@ -18,6 +18,7 @@
     private static final int MOST_REMEMBERED = 64;
     /** So many probes more a period for each step that it is slower. */
     private static final int PROBES_MORE = 2;
+
     private static final long MOST_ROUND_TRIP = 4_000_000;
     private static final int SMOOTHING = 4;
 
@@ -42,8 +43,7 @@
     }
 
     /** Another's probe that one makes for it. */
-    private record Favour(InetSocketAddress to, int seq, long target, long until) {
-    }
+    private record Favour(InetSocketAddress to, int seq, long target, long until) {}
 
     private final View view;
     private final Times times;
@@ -54,9 +54,11 @@
     private final Map<Integer, Favour> favours = new LinkedHashMap<>();
     /** When the last own probes went out, by their numbers: late answers tell how long they take. */
     private final Map<Integer, Long> sentAt = new Recent<>(MOST_REMEMBERED);
+
     private int turn;
     /** Those of this period; more than one where others have failed. */
     private final List<Probe> probes = new ArrayList<>();
+
     private long againAt;
     private boolean again;
     private long othersAt;
@@ -191,8 +193,8 @@
     private void askOthers(Probe probe) {
         List<Entry> helpers = new ArrayList<>();
         for (int i = 0; i < Times.HELPERS; i++) {
-            Entry one = view.any(random, each -> each != probe.target && each.state == State.ALIVE
-                    && !helpers.contains(each));
+            Entry one = view.any(
+                    random, each -> each != probe.target && each.state == State.ALIVE && !helpers.contains(each));
             if (one != null) {
                 helpers.add(one);
                 self.send(one, Kind.PING_REQ, probe.seq, probe.id, List.of());
@@ -259,8 +261,7 @@
             return;
         }
         int number = self.number();
-        favours.put(number, new Favour(asker.at(), message.seq(), message.target(),
-                now + times.direct(0, roundTrip)));
+        favours.put(number, new Favour(asker.at(), message.seq(), message.target(), now + times.direct(0, roundTrip)));
         self.send(target, Kind.PING, number, message.target(), List.of());
         favours(now);
     }
--- a/src/main/java/laneflow/membership/decision/Seal.java
+++ b/src/main/java/laneflow/membership/decision/Seal.java
@@ -20,6 +20,7 @@
     public static final int MOST = 256;
     /** Bytes around the content. */
     public static final int AROUND = 22;
+
     private static final byte VERSION = 1;
     private static final int MAC = 16;
     private static final int BEFORE = AROUND - MAC;
@@ -27,8 +28,7 @@
     private static final int LEAST_KEY = 16;
     private static final int MOST_KEYS = 2;
 
-    private record Key(byte mark, Mac mac) {
-    }
+    private record Key(byte mark, Mac mac) {}
 
     private final List<Key> keys = new ArrayList<>();
     private int number;
--- a/src/main/java/laneflow/membership/decision/Swim.java
+++ b/src/main/java/laneflow/membership/decision/Swim.java
@@ -41,8 +41,7 @@
         }
 
         /** Such bytes from a member. */
-        default void extra(Full from, byte[] bytes) {
-        }
+        default void extra(Full from, byte[] bytes) {}
 
         /** Counts an event of that name. */
         void count(String what);
@@ -87,6 +86,7 @@
 
     /** Those that were asked who they are: address by number of the ping. */
     private final Map<Integer, InetSocketAddress> strangers = new Recent<>(MOST_ASKED);
+
     private final Map<InetSocketAddress, Long> askedAt = new HashMap<>();
 
     /**
@@ -94,8 +94,15 @@
      *
      * @param seeds where others may be; its own address among them is passed over
      */
-    public Swim(Life life, Facts facts, List<InetSocketAddress> seeds, Times times, Sizes sizes, long seed,
-            long now, Out out) {
+    public Swim(
+            Life life,
+            Facts facts,
+            List<InetSocketAddress> seeds,
+            Times times,
+            Sizes sizes,
+            long seed,
+            long now,
+            Out out) {
         this.out = out;
         this.sizes = sizes;
         this.times = times;
@@ -229,14 +236,14 @@
 
     /** The instant by which {@link #tick} is to be called. */
     public long next() {
-        return left ? nextGossip : Math.min(Math.min(probing.next(), judgement.next()),
-                Math.min(nextGossip, nextSeek));
+        return left ? nextGossip : Math.min(Math.min(probing.next(), judgement.next()), Math.min(nextGossip, nextSeek));
     }
 
     /** From then on {@link #tick} may be called if the member is awake: that spares it a wake. */
     public long early() {
-        return left ? nextGossip : Math.min(Math.min(probing.early(), judgement.next()),
-                Math.min(nextGossip, nextSeek));
+        return left
+                ? nextGossip
+                : Math.min(Math.min(probing.early(), judgement.next()), Math.min(nextGossip, nextSeek));
     }
 
     /** Does what is due. */
@@ -295,7 +302,8 @@
     /** Asks whoever is there who it is. */
     private void ask(InetSocketAddress at, long now) {
         Long before = askedAt.get(at);
-        if (before != null && now - before < times.period() / 2 || at.equals(self.life().at())) {
+        if (before != null && now - before < times.period() / 2
+                || at.equals(self.life().at())) {
             return;
         }
         askedAt.put(at, now);
@@ -312,7 +320,11 @@
             return;
         }
         entry.toldAt = now;
-        Claim claim = new Claim(entry.life().id(), entry.record.incarnation(), State.DEAD, self.life().id());
+        Claim claim = new Claim(
+                entry.life().id(),
+                entry.record.incarnation(),
+                State.DEAD,
+                self.life().id());
         if (asks) {
             strangers.put(++seq, entry.at());
             reply(entry.at(), Kind.WHO, seq, 0, List.of(self, claim));
@@ -352,7 +364,8 @@
         if (facts.equals(before) || left) {
             return;
         }
-        boolean urgent = facts.condition() != before.condition() || facts.policy() != before.policy()
+        boolean urgent = facts.condition() != before.condition()
+                || facts.policy() != before.policy()
                 || facts.late() != before.late();
         if (urgent || now - factsAt >= FACTS_PERIODS * times.period()) {
             factsAt = now;
@@ -374,8 +387,14 @@
         view.count(self);
         self = self.with(State.LEFT);
         view.count(self);
-        spread(self.life().name(), new Claim(self.life().id(), self.incarnation(), State.LEFT,
-                self.life().id()), now);
+        spread(
+                self.life().name(),
+                new Claim(
+                        self.life().id(),
+                        self.incarnation(),
+                        State.LEFT,
+                        self.life().id()),
+                now);
         gossip(now);
     }
 
@@ -432,12 +451,17 @@
             return null;
         }
         boolean answered = message.kind() == Kind.ACK && from.equals(strangers.get(message.seq()));
-        if (answered && !message.updates().isEmpty() && message.updates().get(0) instanceof Full own
-                && own.life().id() == message.from() && own.life().at().equals(from)) {
+        if (answered
+                && !message.updates().isEmpty()
+                && message.updates().get(0) instanceof Full own
+                && own.life().id() == message.from()
+                && own.life().at().equals(from)) {
             strangers.remove(message.seq());
             accept(own, null, now);
             Entry known = view.life(message.from());
-            Full holder = own.life().name().equals(self.life().name()) ? self : other(own.life().name());
+            Full holder = own.life().name().equals(self.life().name())
+                    ? self
+                    : other(own.life().name());
             if (known == null && holder != null) {
                 // Another holds the name: it is told who.
                 reply(from, Kind.NEWS, 0, 0, List.of(holder));
@@ -447,7 +471,8 @@
         if (outcast && message.kind() == Kind.NEWS) {
             return null;
         }
-        if (message.kind() == Kind.NEWS && message.updates().size() == 1
+        if (message.kind() == Kind.NEWS
+                && message.updates().size() == 1
                 && message.updates().get(0) instanceof Full holder
                 && holder.life().name().equals(self.life().name())) {
             sameName(holder, now);
@@ -467,8 +492,7 @@
                 // Whoever pings this very life takes it for a member.
                 outcast &= message.target() != self.life().id();
                 boolean meant = message.target() == self.life().id() || message.target() == 0;
-                send(sender, Kind.ACK, message.seq(), self.life().id(), meant && !remind ? List.of()
-                        : List.of(self));
+                send(sender, Kind.ACK, message.seq(), self.life().id(), meant && !remind ? List.of() : List.of(self));
             }
             case WHO -> send(sender, Kind.ACK, message.seq(), self.life().id(), List.of(self));
             case ACK -> {
@@ -522,7 +546,8 @@
             return;
         }
         if (update instanceof Full full) {
-            if (full.life().generation() < 0 || full.life().generation() > Life.MOST_GENERATION
+            if (full.life().generation() < 0
+                    || full.life().generation() > Life.MOST_GENERATION
                     || full.incarnation() < 0) {
                 out.count("spoilt");
             } else if (full.life().name().equals(self.life().name())) {
@@ -597,8 +622,11 @@
     private void send(Entry to, Kind kind, int number, long target, List<Update> before) {
         List<Update> updates = new ArrayList<>(before);
         if (to.state == State.SUSPECT) {
-            updates.add(new Claim(to.life().id(), to.suspected, State.SUSPECT, to.by.isEmpty() ? 0
-                    : to.by.iterator().next()));
+            updates.add(new Claim(
+                    to.life().id(),
+                    to.suspected,
+                    State.SUSPECT,
+                    to.by.isEmpty() ? 0 : to.by.iterator().next()));
         }
         int room = sizes.room(kind);
         for (Update one : updates) {
--- a/src/main/java/laneflow/membership/decision/Times.java
+++ b/src/main/java/laneflow/membership/decision/Times.java
@@ -13,10 +13,12 @@
     static final int HELPERS = 3;
     /** Members that news goes to at a time. */
     private static final int FANOUT = 3;
+
     private static final int MOST_FANOUT = 12;
     private static final int NEWS_A_MEMBER_MORE = 16;
     /** Suspicions of others that shorten one's own to the least. */
     static final int CONFIRMATIONS = 3;
+
     private static final int GOSSIPS_A_PERIOD = 5;
     private static final int REPEATS = 3;
     private static final int PARTS_OF_LEEWAY = 8;
--- a/src/main/java/laneflow/membership/decision/Update.java
+++ b/src/main/java/laneflow/membership/decision/Update.java
@@ -15,8 +15,7 @@
     }
 
     /** Bytes that go along for others than the view. */
-    record Extra(byte[] bytes) implements Update {
-    }
+    record Extra(byte[] bytes) implements Update {}
 
     /**
      * A claim about a life that the hearer may know.
@@ -26,6 +25,5 @@
      * @param state any but ALIVE: that is said by the member itself, in full
      * @param by the life of the member that found it out
      */
-    record Claim(long id, int incarnation, State state, long by) implements Update {
-    }
+    record Claim(long id, int incarnation, State state, long by) implements Update {}
 }
--- a/src/main/java/laneflow/membership/decision/View.java
+++ b/src/main/java/laneflow/membership/decision/View.java
@@ -30,13 +30,16 @@
         int suspected;
         /** Who found it silent, while it is suspected. */
         Set<Long> by = Set.of();
+
         long suspectedAt;
         long deadline;
         /** It is said to have left: it ends as that. */
         boolean leaving;
+
         long changedAt;
         /** When it was last told that it is buried. */
         long toldAt = Long.MIN_VALUE / 2;
+
         private int place = -1;
 
         /** That one found it silent as well; true if that is news. */
@@ -65,6 +68,7 @@
     private final Long2ObjectHashMap<Entry> lives = new Long2ObjectHashMap<>();
     /** How many known lives there are at each address. */
     private final Map<InetSocketAddress, Integer> places = new HashMap<>();
+
     private final List<Entry> live = new ArrayList<>();
     private final List<Entry> buried = new ArrayList<>();
     private final int[] buckets = new int[BUCKETS];
--- a/src/main/java/laneflow/membership/decision/Wire.java
+++ b/src/main/java/laneflow/membership/decision/Wire.java
@@ -35,6 +35,7 @@
     private static final int CLAIM_BYTES = SMALL + LONG + INT + SMALL + LONG;
     /** Bytes around those of an {@link Extra}. */
     static final int EXTRA_HEAD = SMALL + BYTES_HEAD;
+
     private static final int MOST_UPDATES = 32;
     private static final int CONDITIONS = Condition.values().length;
     private static final int STEP_BITS = 5;
@@ -55,8 +56,17 @@
     public int applyAsInt(Update update) {
         if (update instanceof Full full) {
             Facts facts = full.facts();
-            return SMALL + text(full.life().name()) + LONG + place(full.life().at()) + INT + SMALL
-                    + text(facts.zone()) + text(facts.build()) + place(facts.link()) + LONG + INT;
+            return SMALL
+                    + text(full.life().name())
+                    + LONG
+                    + place(full.life().at())
+                    + INT
+                    + SMALL
+                    + text(facts.zone())
+                    + text(facts.build())
+                    + place(facts.link())
+                    + LONG
+                    + INT;
         }
         return update instanceof Extra extra ? EXTRA_HEAD + extra.bytes().length : CLAIM_BYTES;
     }
@@ -90,8 +100,9 @@
             if (message.buckets() != null) {
                 to.packBinaryHeader(message.buckets().length * Integer.BYTES);
                 for (int bucket : message.buckets()) {
-                    to.addPayload(new byte[] {(byte) (bucket >> 24), (byte) (bucket >> 16),
-                        (byte) (bucket >> 8), (byte) bucket});
+                    to.addPayload(new byte[] {
+                        (byte) (bucket >> 24), (byte) (bucket >> 16), (byte) (bucket >> 8), (byte) bucket
+                    });
                 }
             }
             for (Update update : message.updates()) {
@@ -105,8 +116,11 @@
 
     private static void write(Update update, MessageBufferPacker to) throws IOException {
         if (update instanceof Claim claim) {
-            to.packInt(CLAIM).packLong(claim.id()).packInt(claim.incarnation())
-                    .packInt(claim.state().ordinal()).packLong(claim.by());
+            to.packInt(CLAIM)
+                    .packLong(claim.id())
+                    .packInt(claim.incarnation())
+                    .packInt(claim.state().ordinal())
+                    .packLong(claim.by());
             return;
         }
         if (update instanceof Extra extra) {
@@ -117,7 +131,9 @@
         Facts facts = full.facts();
         to.packInt(FULL).packString(full.life().name()).packLong(full.life().generation());
         write(full.life().at(), to);
-        to.packInt(full.incarnation()).packInt(full.state().ordinal()).packString(facts.zone())
+        to.packInt(full.incarnation())
+                .packInt(full.state().ordinal())
+                .packString(facts.zone())
                 .packString(facts.build());
         write(facts.link(), to);
         to.packLong(facts.policy());
@@ -211,8 +227,12 @@
         boolean late = packed % 2 == 1;
         Condition condition = Condition.values()[packed / 2 % CONDITIONS];
         int steps = packed / 2 / CONDITIONS;
-        return new Full(Life.of(name, generation, at), incarnation, state, new Facts(zone, build, link,
-                policy, condition, steps >> STEP_BITS, steps & (1 << STEP_BITS) - 1, late));
+        return new Full(
+                Life.of(name, generation, at),
+                incarnation,
+                state,
+                new Facts(
+                        zone, build, link, policy, condition, steps >> STEP_BITS, steps & (1 << STEP_BITS) - 1, late));
     }
 
     private static int natural(MessageUnpacker from) throws IOException {
--- a/src/main/java/laneflow/net/ArrivalTimes.java
+++ b/src/main/java/laneflow/net/ArrivalTimes.java
@@ -10,8 +10,7 @@
     private final ArrayDeque<Arrival> arrivals = new ArrayDeque<>();
 
     /** All bytes before that running number, behind those of the arrival before it, came at that instant. */
-    private record Arrival(long end, long instant) {
-    }
+    private record Arrival(long end, long instant) {}
 
     /**
      * Bytes up to that running number have arrived.
--- a/src/main/java/laneflow/net/Datagrams.java
+++ b/src/main/java/laneflow/net/Datagrams.java
@@ -20,6 +20,7 @@
     private static final Logger LOG = LoggerFactory.getLogger(Datagrams.class);
     /** Taken in a row: a flood must not hold up all else. */
     private static final int A_TURN = 64;
+
     private static final int RECEIVE_BUFFER = 256 * 1024;
 
     /** Takes a datagram; the bytes are the taker's only until it returns. */
--- a/src/main/java/laneflow/net/Link.java
+++ b/src/main/java/laneflow/net/Link.java
@@ -18,6 +18,7 @@
     private static final int READS = 8;
     /** What an ended connection still sends is passed over for so long, and up to so much. */
     private static final long LINGER = 1_000_000;
+
     private static final int MOST_PASSED_OVER = 256 * 1024;
     /** Bytes behind a full ring are dropped up to so much; those behind them stay unread. */
     private static final int MOST_DROPPED = 4 * 1024 * 1024;
@@ -28,6 +29,7 @@
     private final LinkHandler handler;
     /** Who accepted it; null where it was opened here. */
     private final Loop.Listener listener;
+
     private long handle;
     private StreamConnection connection;
     private StreamSourceConduit source;
@@ -41,6 +43,7 @@
     private final ArrivalTimes arrivals = new ArrivalTimes();
     /** What its first read takes in has been there since then, microseconds; negative: it has just come. */
     private long waitedSince = -1;
+
     private int dropped;
     private boolean peerEnded;
 
--- a/src/main/java/laneflow/net/LinkHandler.java
+++ b/src/main/java/laneflow/net/LinkHandler.java
@@ -3,19 +3,16 @@
 /** What the owner of a connection is told. */
 public interface LinkHandler {
     /** The connection is up; told of opened ones only. */
-    default void opened(Link link) {
-    }
+    default void opened(Link link) {}
 
     /** It did not come up. */
-    default void notOpened(Link link) {
-    }
+    default void notOpened(Link link) {}
 
     /** Bytes have come in; what is not taken from the ring stays there. */
     void received(Link link);
 
     /** All that was put into the outgoing ring is written, and the sending ended if that was asked. */
-    default void flushed(Link link) {
-    }
+    default void flushed(Link link) {}
 
     /**
      * Whether bytes that come while the incoming ring is full are read and dropped, so that the end of the
--- a/src/main/java/laneflow/net/Loop.java
+++ b/src/main/java/laneflow/net/Loop.java
@@ -44,6 +44,7 @@
     private static final Logger LOG = LoggerFactory.getLogger(Loop.class);
     /** Descriptors the virtual machine holds for itself: the jar, selectors, standard streams. */
     private static final int OWN_DESCRIPTORS = 64;
+
     private static final int BACKLOG = 512;
     private static final long MS = 1000;
     private static final Pattern FIGURES = Pattern.compile("[0-9.]+|[0-9a-fA-F:.]+");
@@ -57,6 +58,7 @@
     private final XnioIoThread thread;
     /** Most connections of either direction: clients must not leave calls without a descriptor. */
     private final int mostEachWay;
+
     private final Part accepted;
     private final Part outbound;
     private final List<Listener> listeners = new ArrayList<>();
@@ -85,12 +87,13 @@
         mostEachWay = Math.max(8, eachWay);
         accepted = new Part(mostEachWay);
         outbound = new Part(mostEachWay);
-        worker = Xnio.getInstance().createWorker(OptionMap.builder()
-                .set(Options.WORKER_NAME, name)
-                .set(Options.WORKER_IO_THREADS, 1)
-                .set(Options.WORKER_TASK_CORE_THREADS, 1)
-                .set(Options.WORKER_TASK_MAX_THREADS, 1)
-                .getMap());
+        worker = Xnio.getInstance()
+                .createWorker(OptionMap.builder()
+                        .set(Options.WORKER_NAME, name)
+                        .set(Options.WORKER_IO_THREADS, 1)
+                        .set(Options.WORKER_TASK_CORE_THREADS, 1)
+                        .set(Options.WORKER_TASK_MAX_THREADS, 1)
+                        .getMap());
         thread = worker.getIoThread();
         origin = System.currentTimeMillis() * 1000 - System.nanoTime() / 1000;
     }
@@ -237,12 +240,18 @@
         private final Deque<Waiting> waiting = new ArrayDeque<>();
 
         /** A connection, and since when it is known here, microseconds. */
-        private record Waiting(StreamConnection connection, long since) {
-        }
+        private record Waiting(StreamConnection connection, long since) {}
 
         /** On the passed socket, unless it is null. */
-        private Listener(ServerSocketChannel passed, InetSocketAddress at, int inLimit, int outLimit,
-                Part part, BooleanSupplier makeRoom, Supplier<LinkHandler> handlers) throws IOException {
+        private Listener(
+                ServerSocketChannel passed,
+                InetSocketAddress at,
+                int inLimit,
+                int outLimit,
+                Part part,
+                BooleanSupplier makeRoom,
+                Supplier<LinkHandler> handlers)
+                throws IOException {
             this.handlers = handlers;
             this.makeRoom = makeRoom;
             this.part = part;
@@ -250,10 +259,14 @@
             this.outLimit = outLimit;
             isPassed = passed != null;
             ChannelListener<AcceptingChannel<StreamConnection>> heard = accepting -> turn(this::accept);
-            OptionMap options = OptionMap.builder().set(Options.TCP_NODELAY, true)
-                    .set(Options.REUSE_ADDRESSES, true).set(Options.KEEP_ALIVE, true)
-                    .set(Options.BACKLOG, BACKLOG).getMap();
-            channel = isPassed ? PassedServer.on(worker, passed, heard, options)
+            OptionMap options = OptionMap.builder()
+                    .set(Options.TCP_NODELAY, true)
+                    .set(Options.REUSE_ADDRESSES, true)
+                    .set(Options.KEEP_ALIVE, true)
+                    .set(Options.BACKLOG, BACKLOG)
+                    .getMap();
+            channel = isPassed
+                    ? PassedServer.on(worker, passed, heard, options)
                     : worker.createStreamConnectionServer(at, heard, options);
         }
 
@@ -378,7 +391,7 @@
 
         /** Lets in who has connected already, and closes. */
         public void close() {
-            close(() -> { });
+            close(() -> {});
         }
 
         /**
@@ -417,8 +430,9 @@
      * Listens there once it is begun; each connection gets a handler of its own. Where there are too many,
      * makeRoom may close one, and tells whether it did.
      */
-    public Listener listen(InetSocketAddress at, int inLimit, int outLimit, BooleanSupplier makeRoom,
-            Supplier<LinkHandler> handlers) throws IOException {
+    public Listener listen(
+            InetSocketAddress at, int inLimit, int outLimit, BooleanSupplier makeRoom, Supplier<LinkHandler> handlers)
+            throws IOException {
         return new Listener(null, at, inLimit, outLimit, accepted, makeRoom, handlers);
     }
 
@@ -426,8 +440,14 @@
      * The same with a part of its own, so that nobody else's connections shut it, nor its own anybody's. Such
      * parts come out of what the virtual machine leaves of its descriptors, and are small.
      */
-    public Listener listenApart(InetSocketAddress at, int inLimit, int outLimit, int most,
-            BooleanSupplier makeRoom, Supplier<LinkHandler> handlers) throws IOException {
+    public Listener listenApart(
+            InetSocketAddress at,
+            int inLimit,
+            int outLimit,
+            int most,
+            BooleanSupplier makeRoom,
+            Supplier<LinkHandler> handlers)
+            throws IOException {
         return new Listener(null, at, inLimit, outLimit, new Part(most), makeRoom, handlers);
     }
 
@@ -437,8 +457,8 @@
     }
 
     /** Clients come from the listening socket that is this process's descriptor 0; not before it is begun. */
-    public Listener listenPassed(int inLimit, int outLimit, BooleanSupplier makeRoom,
-            Supplier<LinkHandler> handlers) throws IOException {
+    public Listener listenPassed(int inLimit, int outLimit, BooleanSupplier makeRoom, Supplier<LinkHandler> handlers)
+            throws IOException {
         if (!(System.inheritedChannel() instanceof ServerSocketChannel passed)) {
             throw new IOException("descriptor 0 is no listening socket, though one was said to be passed");
         }
@@ -446,8 +466,13 @@
     }
 
     /** The same on a listening socket that somebody else has opened. */
-    Listener listenOn(ServerSocketChannel passed, int inLimit, int outLimit, BooleanSupplier makeRoom,
-            Supplier<LinkHandler> handlers) throws IOException {
+    Listener listenOn(
+            ServerSocketChannel passed,
+            int inLimit,
+            int outLimit,
+            BooleanSupplier makeRoom,
+            Supplier<LinkHandler> handlers)
+            throws IOException {
         return new Listener(passed, null, inLimit, outLimit, accepted, makeRoom, handlers);
     }
 
@@ -467,8 +492,8 @@
         Link link = new Link(this, handler, inLimit, outLimit, null);
         link.handle(links.add(link));
         outbound.open++;
-        IoFuture<StreamConnection> future = thread.openStreamConnection(to, null,
-                OptionMap.create(Options.TCP_NODELAY, true));
+        IoFuture<StreamConnection> future =
+                thread.openStreamConnection(to, null, OptionMap.create(Options.TCP_NODELAY, true));
         link.opening(future);
         future.addNotifier((done, none) -> later(() -> connected(link, handler, future)), null);
         return link;
--- a/src/main/java/laneflow/net/Threads.java
+++ b/src/main/java/laneflow/net/Threads.java
@@ -10,8 +10,7 @@
 public final class Threads {
     private static final int IDLE_S = 10;
 
-    private Threads() {
-    }
+    private Threads() {}
 
     /** One that is not started yet. */
     public static Thread daemon(Runnable task, String name) {
@@ -22,8 +21,8 @@
 
     /** As many as there is work for, none waiting for another; beyond the most it is turned down. */
     public static ExecutorService atMost(int most, String name) {
-        return new ThreadPoolExecutor(0, most, IDLE_S, TimeUnit.SECONDS, new SynchronousQueue<>(),
-                task -> daemon(task, name));
+        return new ThreadPoolExecutor(
+                0, most, IDLE_S, TimeUnit.SECONDS, new SynchronousQueue<>(), task -> daemon(task, name));
     }
 
     /** One that does what it is given in that order. */
--- a/src/main/java/laneflow/ops/BanFile.java
+++ b/src/main/java/laneflow/ops/BanFile.java
@@ -68,7 +68,8 @@
     public void write(Set<String> names) throws IOException {
         StringBuilder body = new StringBuilder(FORMAT).append('\n');
         names.forEach(name -> body.append(name).append('\n'));
-        Path aside = file.resolveSibling(file.getFileName() + "." + ProcessHandle.current().pid());
+        Path aside = file.resolveSibling(
+                file.getFileName() + "." + ProcessHandle.current().pid());
         Files.writeString(aside, body + checksum(body.toString()) + "\n");
         Files.move(aside, file, StandardCopyOption.ATOMIC_MOVE, StandardCopyOption.REPLACE_EXISTING);
     }
--- a/src/main/java/laneflow/ops/Handover.java
+++ b/src/main/java/laneflow/ops/Handover.java
@@ -31,6 +31,7 @@
     static final String HELLO = "laneflow-handover 1";
     /** Without a line for so long the other one hangs: it is let go. Signs of life come every half second. */
     static final long SILENCE = 3_000_000;
+
     private static final long ALIVE = 500_000;
     /** The elder has so long to confirm before the younger goes on without its word. */
     private static final long CONFIRM = 500_000;
@@ -74,9 +75,18 @@
     }
 
     /** All of a scheduler, the one that has its clients while another one ends, or the one that ends. */
-    enum Role { ALONE, NEWER, OLDER }
+    enum Role {
+        ALONE,
+        NEWER,
+        OLDER
+    }
 
-    private enum Stage { MET, KNOWN, SERVING, HANDED }
+    private enum Stage {
+        MET,
+        KNOWN,
+        SERVING,
+        HANDED
+    }
 
     private static final class Other {
         final Pipe pipe;
@@ -287,8 +297,7 @@
     }
 
     private Other other(Pipe pipe) {
-        return elder != null && elder.pipe == pipe ? elder
-                : younger != null && younger.pipe == pipe ? younger : null;
+        return elder != null && elder.pipe == pipe ? elder : younger != null && younger.pipe == pipe ? younger : null;
     }
 
     // ---- orders ----
--- a/src/main/java/laneflow/ops/Meeting.java
+++ b/src/main/java/laneflow/ops/Meeting.java
@@ -56,11 +56,14 @@
     /** Looks, off the loop, whether another process has the place, and tells; null: nobody. */
     void seek(Consumer<SocketPipe> then) {
         Object own = server == null ? null : taken;
-        Threads.daemon(() -> {
-            Object there = key();
-            SocketPipe found = there == null || there.equals(own) ? null : connect();
-            loop.accept(() -> then.accept(found));
-        }, "handover-seek").start();
+        Threads.daemon(
+                        () -> {
+                            Object there = key();
+                            SocketPipe found = there == null || there.equals(own) ? null : connect();
+                            loop.accept(() -> then.accept(found));
+                        },
+                        "handover-seek")
+                .start();
     }
 
     /** True if starts to come find this process. */
@@ -125,25 +128,28 @@
 
         /** Begins to read; lines and, once, the end are told on the loop. */
         void read(BiConsumer<SocketPipe, String> line, Consumer<SocketPipe> end) {
-            Threads.daemon(() -> {
-                try {
-                    StringBuilder text = new StringBuilder();
-                    ByteBuffer bytes = ByteBuffer.allocate(MOST_LINE);
-                    while (channel.read(bytes) >= 0 && text.length() <= MOST_LINE) {
-                        text.append(StandardCharsets.UTF_8.decode(bytes.flip()));
-                        bytes.clear();
-                        for (int at = text.indexOf("\n"); at >= 0; at = text.indexOf("\n")) {
-                            String whole = text.substring(0, at);
-                            text.delete(0, at + 1);
-                            loop.accept(() -> line.accept(this, whole));
-                        }
-                    }
-                } catch (IOException e) {
-                    LOG.debug("handover: {}", e.toString());
-                }
-                close();
-                loop.accept(() -> end.accept(this));
-            }, "handover-read").start();
+            Threads.daemon(
+                            () -> {
+                                try {
+                                    StringBuilder text = new StringBuilder();
+                                    ByteBuffer bytes = ByteBuffer.allocate(MOST_LINE);
+                                    while (channel.read(bytes) >= 0 && text.length() <= MOST_LINE) {
+                                        text.append(StandardCharsets.UTF_8.decode(bytes.flip()));
+                                        bytes.clear();
+                                        for (int at = text.indexOf("\n"); at >= 0; at = text.indexOf("\n")) {
+                                            String whole = text.substring(0, at);
+                                            text.delete(0, at + 1);
+                                            loop.accept(() -> line.accept(this, whole));
+                                        }
+                                    }
+                                } catch (IOException e) {
+                                    LOG.debug("handover: {}", e.toString());
+                                }
+                                close();
+                                loop.accept(() -> end.accept(this));
+                            },
+                            "handover-read")
+                    .start();
         }
 
         @Override
@@ -164,14 +170,17 @@
         @Override
         public void close() {
             writer.shutdown();
-            Threads.daemon(() -> {
-                try {
-                    writer.awaitTermination(1, TimeUnit.SECONDS);
-                    channel.close();
-                } catch (IOException | InterruptedException e) {
-                    LOG.debug("handover: {}", e.toString());
-                }
-            }, "handover-close").start();
+            Threads.daemon(
+                            () -> {
+                                try {
+                                    writer.awaitTermination(1, TimeUnit.SECONDS);
+                                    channel.close();
+                                } catch (IOException | InterruptedException e) {
+                                    LOG.debug("handover: {}", e.toString());
+                                }
+                            },
+                            "handover-close")
+                    .start();
         }
     }
 }
--- a/src/main/java/laneflow/ops/Operations.java
+++ b/src/main/java/laneflow/ops/Operations.java
@@ -35,6 +35,7 @@
     private final Succession succession;
     /** Orders on workers so far. */
     private int changes;
+
     private final ExecutorService writer = Threads.inOrder("set-down");
 
     /**
@@ -44,7 +45,7 @@
      * @param stops whether the process is on its way to its end
      * @param end called when another process has all its clients: it may end
      */
-    public record Served(BooleanSupplier serves, BooleanSupplier stops, Runnable end) { }
+    public record Served(BooleanSupplier serves, BooleanSupplier stops, Runnable end) {}
 
     /**
      * Applies what was set down before.
@@ -52,19 +53,23 @@
      * @param folder outlives this process, or null
      * @param passed whether another process may be started beside it on the same listening socket
      */
-    public Operations(Loop loop, Scheduler scheduler, HttpFront front, Path folder, boolean passed,
-            Served served) throws InterruptedException {
+    public Operations(Loop loop, Scheduler scheduler, HttpFront front, Path folder, boolean passed, Served served)
+            throws InterruptedException {
         this.loop = loop;
         this.scheduler = scheduler;
         stops = served.stops();
         drain = new Drain(loop, front);
         bans = folder == null ? null : new BanFile(folder);
-        succession = folder == null || !passed ? null : new Succession(loop, scheduler, front, drain, this,
-                folder, served.serves(), served.end());
+        succession = folder == null || !passed
+                ? null
+                : new Succession(loop, scheduler, front, drain, this, folder, served.serves(), served.end());
         port = new OpsPort(loop);
-        port.add("check", (words, answer) -> answer.accept(served.serves().getAsBoolean()
-                && (succession == null || succession.isInPlace()) ? "done"
-                : "error it can't serve yet, or not any more"));
+        port.add(
+                "check",
+                (words, answer) -> answer.accept(
+                        served.serves().getAsBoolean() && (succession == null || succession.isInPlace())
+                                ? "done"
+                                : "error it can't serve yet, or not any more"));
         port.add("set-down ID", (words, answer) -> worker(true, words[1], answer));
         port.add("set-up ID", (words, answer) -> worker(false, words[1], answer));
         port.add("drain-on", (words, answer) -> drain(true, answer));
@@ -146,8 +151,13 @@
         if (succession == null) {
             answer.accept(text);
         } else {
-            succession.ordered(order, all -> answer.accept(all ? text
-                    : "error it holds here, but the other process of the upgrade has not confirmed it"));
+            succession.ordered(
+                    order,
+                    all -> answer.accept(
+                            all
+                                    ? text
+                                    : "error it holds here, but the other process of the upgrade"
+                                            + " has not confirmed it"));
         }
     }
 
@@ -181,16 +191,17 @@
     /** Reads again what is set down, behind whatever is being written; without a good file all stays. */
     void recall() {
         int asOf = changes;
-        writer.execute(() -> bans.find().ifPresent(names -> loop.later(() -> {
-            if (changes != asOf) {
-                // Ordered meanwhile, it is not in what was read.
-                recall();
-                return;
-            }
-            Set<String> before = new TreeSet<>(scheduler.destinations().down());
-            before.stream().filter(name -> !names.contains(name)).forEach(scheduler::setUp);
-            names.stream().filter(name -> !before.contains(name)).forEach(scheduler::setDown);
-        })));
+        writer.execute(() -> bans.find()
+                .ifPresent(names -> loop.later(() -> {
+                    if (changes != asOf) {
+                        // Ordered meanwhile, it is not in what was read.
+                        recall();
+                        return;
+                    }
+                    Set<String> before = new TreeSet<>(scheduler.destinations().down());
+                    before.stream().filter(name -> !names.contains(name)).forEach(scheduler::setUp);
+                    names.stream().filter(name -> !before.contains(name)).forEach(scheduler::setDown);
+                })));
     }
 
     /** What holds now, as orders. */
--- a/src/main/java/laneflow/ops/OpsPort.java
+++ b/src/main/java/laneflow/ops/OpsPort.java
@@ -28,6 +28,7 @@
     static final int MOST_LINE = 256;
     /** From coming up to the end of the line; callers are programs, and people who type ahead. */
     private static final long WITHIN = 3_000_000;
+
     private static final int RING = 4 * 1024;
 
     /** What a call does; its answer may come later, but comes. */
@@ -35,12 +36,13 @@
         void run(String[] words, Consumer<String> answer);
     }
 
-    private record Entry(int words, String form, Call call) { }
+    private record Entry(int words, String form, Call call) {}
 
     private final Loop loop;
     private final Map<String, Entry> calls = new TreeMap<>();
     /** Those connected, the stalest first. */
     private final List<Caller> callers = new ArrayList<>();
+
     private Loop.Listener listener;
 
     public OpsPort(Loop loop) {
@@ -136,7 +138,9 @@
                     return;
                 }
             }
-            String[] words = new String(line, 0, length, StandardCharsets.US_ASCII).strip().split(" +");
+            String[] words = new String(line, 0, length, StandardCharsets.US_ASCII)
+                    .strip()
+                    .split(" +");
             Entry entry = calls.get(words[0]);
             if (entry == null) {
                 answer("error known calls are " + forms());
--- a/src/main/java/laneflow/ops/Succession.java
+++ b/src/main/java/laneflow/ops/Succession.java
@@ -38,8 +38,15 @@
     private final Handover handover = new Handover(this);
     private final CountDownLatch known = new CountDownLatch(1);
 
-    Succession(Loop loop, Scheduler scheduler, HttpFront front, Drain drain, Operations operations,
-            Path folder, BooleanSupplier serves, Runnable end) {
+    Succession(
+            Loop loop,
+            Scheduler scheduler,
+            HttpFront front,
+            Drain drain,
+            Operations operations,
+            Path folder,
+            BooleanSupplier serves,
+            Runnable end) {
         this.loop = loop;
         this.scheduler = scheduler;
         this.front = front;
--- a/src/main/java/laneflow/policy/Leadership.java
+++ b/src/main/java/laneflow/policy/Leadership.java
@@ -31,6 +31,7 @@
     private static final Logger LOG = LoggerFactory.getLogger(Leadership.class);
     /** So end reasons that pass by themselves. */
     static final String ASK_AGAIN = "; ask again";
+
     private static final int ROUNDS_A_LEASE = 4;
     private static final int QUIET_PARTS = 2;
 
@@ -47,6 +48,7 @@
     private final Deadline look;
     /** How each scheduler is reached: by the link of its last renewal. */
     private final Map<String, Peer> routes = new HashMap<>();
+
     private final Map<Long, String> contents = new LinkedHashMap<>();
     private Lead lead;
     private View view;
@@ -55,14 +57,22 @@
     private Set<String> voters = Set.of();
     /** By which names they go; each grant tells. */
     private JsonArray voterNames = new JsonArray();
+
     private boolean looking;
     private boolean lookAgain;
     private boolean stopped;
     /** The store that this leader has last asked to begin. */
     private String invited = "";
 
-    Leadership(Loop loop, Fleet fleet, PolicyConfig config, Counters counters, Voting voting,
-            VoterGroup group, Policy policy, FleetTrial trial,
+    Leadership(
+            Loop loop,
+            Fleet fleet,
+            PolicyConfig config,
+            Counters counters,
+            Voting voting,
+            VoterGroup group,
+            Policy policy,
+            FleetTrial trial,
             Riders riders) {
         this.loop = loop;
         this.fleet = fleet;
@@ -108,8 +118,8 @@
             riders.leadsNoMore();
         } else if (lead == null || lead.term() != now) {
             counters.add("policy.elected");
-            lead = new Lead(now, policy.now(), new Lead.Times(config.lease, config.lease / QUIET_PARTS,
-                    config.prepare));
+            lead = new Lead(
+                    now, policy.now(), new Lead.Times(config.lease, config.lease / QUIET_PARTS, config.prepare));
             view = null;
             trial.begin(policy.now());
             riders.leads(now);
@@ -189,8 +199,7 @@
     }
 
     /** Both of one moment. */
-    private record Seen(View changes, Map<String, Object> parts) {
-    }
+    private record Seen(View changes, Map<String, Object> parts) {}
 
     private void confirmed(long submitted, View found) {
         View before = view;
@@ -199,9 +208,10 @@
         if (before != null && found.inForce() > before.inForce()) {
             trial.applied(policy.now(), before, found);
         }
-        boolean news = before == null || found.inForce() != before.inForce()
+        boolean news = before == null
+                || found.inForce() != before.inForce()
                 || (found.open() == null ? 0 : found.open().number())
-                != (before.open() == null ? 0 : before.open().number());
+                        != (before.open() == null ? 0 : before.open().number());
         if (news) {
             contents.clear();
             contents.put(found.inForce(), found.merged().toString());
@@ -336,7 +346,7 @@
         switch (step.ask()) {
             case APPLY -> ask(Ledger.apply(step.name(), System.currentTimeMillis()));
             case ABANDON -> ask(Ledger.abandon(step.name(), step.reasons(), System.currentTimeMillis()));
-            default -> { }
+            default -> {}
         }
         if (step.tell()) {
             tellAll(0);
@@ -373,10 +383,15 @@
         JsonObject worse = view == null || lead == null ? null : trial.look(policy.now());
         if (worse != null) {
             counters.add("policy.taken_back");
-            LOG.warn("policy: {} is taken back: {}", worse.get("of").getAsString(),
+            LOG.warn(
+                    "policy: {} is taken back: {}",
+                    worse.get("of").getAsString(),
                     worse.get("why").getAsString());
-            propose(worse.get("name").getAsString(), worse.getAsJsonObject("types"), "the trial: "
-                    + worse.get("why").getAsString(), answer -> { });
+            propose(
+                    worse.get("name").getAsString(),
+                    worse.getAsJsonObject("types"),
+                    "the trial: " + worse.get("why").getAsString(),
+                    answer -> {});
         }
     }
 
@@ -437,7 +452,10 @@
 
     /** The voter of that name, with its store, or null. */
     private String named(String name) {
-        return voters.stream().filter(id -> VoterId.parse(id).name().equals(name)).findFirst().orElse(null);
+        return voters.stream()
+                .filter(id -> VoterId.parse(id).name().equals(name))
+                .findFirst()
+                .orElse(null);
     }
 
     /** Reads the state as a majority holds it; null where it is not known. */
--- a/src/main/java/laneflow/policy/LeaseGate.java
+++ b/src/main/java/laneflow/policy/LeaseGate.java
@@ -34,8 +34,7 @@
      *
      * @param ready what was read and found sound of the policies that the leave names
      */
-    record Published(Leave leave, Map<Long, PolicyTypes.Prepared> ready) {
-    }
+    record Published(Leave leave, Map<Long, PolicyTypes.Prepared> ready) {}
 
     /** Told, on the traffic's thread, of what was adopted and what of it waits for a restart. */
     interface Adopted {
@@ -54,6 +53,7 @@
     private volatile Published published = new Published(Leave.NONE, Map.of());
     /** The policy that was adopted last, -1 before the first; written on the traffic's thread only. */
     private volatile long begun = -1;
+
     private long adopted;
     private boolean everDecided;
     private boolean left;
@@ -65,7 +65,12 @@
      * @param retuned tells the scheduler that settings have changed; the number of what comes under them
      * @param clock the lease's, which any thread may read
      */
-    LeaseGate(Loop traffic, Counters counters, IntSupplier retuned, PolicyConfig config, LongSupplier clock,
+    LeaseGate(
+            Loop traffic,
+            Counters counters,
+            IntSupplier retuned,
+            PolicyConfig config,
+            LongSupplier clock,
             Adopted news) {
         this.traffic = traffic;
         this.counters = counters;
@@ -127,8 +132,10 @@
 
     /** From the turn's instant on, which deadlines are set by and which lags behind now. */
     private long untilNext() {
-        return traffic.fresh() - traffic.micros()
-                + Math.max(0, published.leave().nextStart() - clock.getAsLong()) + 1;
+        return traffic.fresh()
+                - traffic.micros()
+                + Math.max(0, published.leave().nextStart() - clock.getAsLong())
+                + 1;
     }
 
     @Override
@@ -171,8 +178,14 @@
         counters.add("policy.begun");
         long fence = everDecided ? holds.leave().fence(now) : 0;
         counters.set("policy.fence_most_us", Math.max(fence, counters.get("policy.fence_most_us")));
-        LOG.info("policy begins number={} before={} last_decided_ns={} began_ns={} fence_us={} took_us={}",
-                number, before, lastDecidedNs, from, fence, (System.nanoTime() - from) / 1000);
+        LOG.info(
+                "policy begins number={} before={} last_decided_ns={} began_ns={} fence_us={} took_us={}",
+                number,
+                before,
+                lastDecidedNs,
+                from,
+                fence,
+                (System.nanoTime() - from) / 1000);
         everDecided = true;
         news.adopted(number, waits);
         return true;
--- a/src/main/java/laneflow/policy/Policy.java
+++ b/src/main/java/laneflow/policy/Policy.java
@@ -44,6 +44,7 @@
     private static final int RENEWALS_A_LEASE = 4;
     /** A voter that has not answered so many renewals is passed by for a lease. */
     private static final int MOST_UNANSWERED = 2;
+
     private static final int MOST_PREPARED = 4;
     private static final double TOLD_AFTER_PART = 0.1;
 
@@ -61,11 +62,13 @@
     private final Deadline renewal;
     /** What was read, by number; the own file is ready from the start. */
     private final TreeMap<Long, PolicyTypes.Prepared> prepared = new TreeMap<>();
+
     private final Set<Long> asked = new HashSet<>();
     private final Map<String, Long> passedBy = new LinkedHashMap<>();
     private Riders riders = new Riders(List.of());
     /** Null where this process does not vote. */
     private Leadership leadership;
+
     private String leader = "";
     private String target = "";
     private int unanswered;
@@ -79,6 +82,7 @@
     private long stoppedAt = Long.MAX_VALUE - 1;
     /** Whom to ask: those who vote, and those of the file. */
     private final List<String> voters;
+
     private JsonElement toldVoters;
     private boolean everDecided;
     private boolean left;
@@ -91,9 +95,16 @@
      * @param clock the lease's
      * @param tally has the classes' counts read, and told by {@link #tallied}
      */
-    record Parts(Loop loop, Fleet fleet, Counters counters, PolicyConfig config, PolicyTypes types,
-            Executor reading, long seed, LongSupplier clock, Runnable tally) {
-    }
+    record Parts(
+            Loop loop,
+            Fleet fleet,
+            Counters counters,
+            PolicyConfig config,
+            PolicyTypes types,
+            Executor reading,
+            long seed,
+            LongSupplier clock,
+            Runnable tally) {}
 
     /** One that may not decide yet. */
     Policy(Parts parts, LeaseGate gate) {
@@ -126,11 +137,13 @@
         leadership = own;
         fleet.handle("grant", this::granted);
         fleet.handle("content", (from, message) -> content(message));
-        fleet.watch(peer -> {
-            if (deciding() < 0) {
-                renewNow();
-            }
-        }, peer -> { });
+        fleet.watch(
+                peer -> {
+                    if (deciding() < 0) {
+                        renewNow();
+                    }
+                },
+                peer -> {});
         config.voters.forEach(fleet::dial);
         renew();
     }
@@ -213,8 +226,11 @@
         if (deciding() < 0 && everDecided && loop.micros() - stoppedAt > config.lease * TOLD_AFTER_PART) {
             stoppedAt = Long.MAX_VALUE - 1;
             counters.add("policy.lease_lost");
-            LOG.warn("policy: no leave to decide any more, {}", config.servesCutOff
-                    ? "served on by policy " + adopted + " as cut_off says" : "clients are turned away");
+            LOG.warn(
+                    "policy: no leave to decide any more, {}",
+                    config.servesCutOff
+                            ? "served on by policy " + adopted + " as cut_off says"
+                            : "clients are turned away");
         }
     }
 
@@ -251,8 +267,11 @@
             return;
         }
         long every = config.lease / RENEWALS_A_LEASE;
-        loop.deadlines().set(renewal, loop.micros() + every * 17 / 20, loop.micros() + every * 9 / 10
-                + random.nextLong(1 + every / 10));
+        loop.deadlines()
+                .set(
+                        renewal,
+                        loop.micros() + every * 17 / 20,
+                        loop.micros() + every * 9 / 10 + random.nextLong(1 + every / 10));
         tellLoss();
         if (leadership != null && leadership.leads()) {
             leader = fleet.self().name();
@@ -416,7 +435,8 @@
 
     /** A policy's content: it is read off the loop, and whether it is fit goes with the next renewal. */
     void content(JsonObject message) {
-        if (message.has("for") && !message.get("for").getAsString().equals(fleet.self().who())) {
+        if (message.has("for")
+                && !message.get("for").getAsString().equals(fleet.self().who())) {
             if (leadership != null) {
                 leadership.passBack(message);
             }
@@ -429,7 +449,8 @@
         }
         try {
             reading.execute(() -> {
-                PolicyTypes.Prepared read = types.read(JsonParser.parseString(text).getAsJsonObject());
+                PolicyTypes.Prepared read =
+                        types.read(JsonParser.parseString(text).getAsJsonObject());
                 back(() -> made(number, read));
             });
         } catch (RejectedExecutionException e) {
@@ -494,8 +515,13 @@
         JsonObject all = new JsonObject();
         all.addProperty("scheduler", fleet.self().name());
         all.addProperty("life", fleet.self().life());
-        all.addProperty("state", deciding >= 0 ? "deciding" : config.servesCutOff && everDecided
-                ? "cut off, serving" : config.servesCutOff ? "not decided yet, serving" : "not deciding");
+        all.addProperty(
+                "state",
+                deciding >= 0
+                        ? "deciding"
+                        : config.servesCutOff && everDecided
+                                ? "cut off, serving"
+                                : config.servesCutOff ? "not decided yet, serving" : "not deciding");
         all.addProperty("policy", adopted);
         all.addProperty("lease_ms", deciding >= 0 ? (lease.stop() - now()) / 1000 : 0);
         all.addProperty("leader", leader);
--- a/src/main/java/laneflow/policy/PolicyConfig.java
+++ b/src/main/java/laneflow/policy/PolicyConfig.java
@@ -40,8 +40,7 @@
         } else {
             for (String voter : voters) {
                 if (!voter.equals(fleet.name) && !fleet.peers.containsKey(voter)) {
-                    from.wrong("voters", "'" + voter
-                            + "' is neither this scheduler nor one of [fleet.peers]");
+                    from.wrong("voters", "'" + voter + "' is neither this scheduler nor one of [fleet.peers]");
                 }
             }
         }
--- a/src/main/java/laneflow/policy/PolicyPart.java
+++ b/src/main/java/laneflow/policy/PolicyPart.java
@@ -34,6 +34,7 @@
     private PolicyPort port;
     /** Null where this process does not vote. */
     private volatile Voting voting;
+
     private volatile boolean closed;
 
     /**
@@ -49,11 +50,21 @@
      * @param parts more that the voters agree on, by name; the same at all
      * @param riders what rides on renewals; the first is the one that builds before this one know
      */
-    public record Given(Loop loop, Loop traffic, Fleet fleet, Scheduler scheduler, Counters counters,
-            PolicyConfig config, Function<ResourceType, PolicyTypes> types, List<String> classes,
-            Executor reading, long seed, double clockRate, boolean upgrade, Map<String, Ledger.Part> parts,
-            List<Rider> riders) {
-    }
+    public record Given(
+            Loop loop,
+            Loop traffic,
+            Fleet fleet,
+            Scheduler scheduler,
+            Counters counters,
+            PolicyConfig config,
+            Function<ResourceType, PolicyTypes> types,
+            List<String> classes,
+            Executor reading,
+            long seed,
+            double clockRate,
+            boolean upgrade,
+            Map<String, Ledger.Part> parts,
+            List<Rider> riders) {}
 
     /**
      * Opens the store of votes where this process has one, and begins. From here on the scheduler decides
@@ -68,9 +79,18 @@
         traffic = given.traffic();
         LongSupplier clock = Policy.clock(loop, given.clockRate());
         gate = new LeaseGate(traffic, scheduler.counters(), scheduler::retuned, config, clock, this::adopted);
-        policy = new Policy(new Policy.Parts(loop, fleet, given.counters(), config,
-                given.types().apply(new BansType(scheduler::bar)), given.reading(), given.seed(), clock,
-                () -> pass(traffic, () -> tally(scheduler))), gate);
+        policy = new Policy(
+                new Policy.Parts(
+                        loop,
+                        fleet,
+                        given.counters(),
+                        config,
+                        given.types().apply(new BansType(scheduler::bar)),
+                        given.reading(),
+                        given.seed(),
+                        clock,
+                        () -> pass(traffic, () -> tally(scheduler))),
+                gate);
         Opened votes = null;
         boolean later = false;
         if (config.dir != null) {
@@ -89,8 +109,7 @@
         traffic.call(() -> scheduler.decideWhile(gate));
         loop.call(() -> {
             Leadership leadership = opened == null ? null : vote(given, opened);
-            port = new PolicyPort(fleet, policy, given.counters(), given.parts().keySet(),
-                    leadership);
+            port = new PolicyPort(fleet, policy, given.counters(), given.parts().keySet(), leadership);
             policy.carry(riders);
             policy.begin(leadership);
         });
@@ -158,11 +177,11 @@
     }
 
     /** A store of votes, with what an earlier life left in it, or null. */
-    private record Opened(VoteStore store, RestoredRaftState restored) {
-    }
+    private record Opened(VoteStore store, RestoredRaftState restored) {}
 
     private static Opened open(Given given) throws IOException {
-        VoteStore store = VoteStore.open(given.config().dir, given.fleet().self().name());
+        VoteStore store =
+                VoteStore.open(given.config().dir, given.fleet().self().name());
         try {
             return new Opened(store, store.restored());
         } catch (IOException e) {
@@ -174,8 +193,13 @@
     private Leadership vote(Given given, Opened votes) {
         VoterGroup[] group = new VoterGroup[1];
         Leadership[] leadership = new Leadership[1];
-        voting = new Voting(votes.store(), new Ledger(given.parts()), given.config().lease, loop::later,
-                (to, message) -> group[0].send(to, message), new Voting.News() {
+        voting = new Voting(
+                votes.store(),
+                new Ledger(given.parts()),
+                given.config().lease,
+                loop::later,
+                (to, message) -> group[0].send(to, message),
+                new Voting.News() {
                     @Override
                     public void role(int term, boolean leads, String leader, Set<String> voters) {
                         leadership[0].role(term, leads, leader, voters);
@@ -192,9 +216,16 @@
                     }
                 });
         group[0] = new VoterGroup(loop, given.fleet(), given.config(), given.counters(), voting);
-        leadership[0] = new Leadership(loop, given.fleet(), given.config(), given.counters(),
-                voting, group[0], policy, new FleetTrial(given.classes(), given.config().probation,
-                given.config().bound), riders);
+        leadership[0] = new Leadership(
+                loop,
+                given.fleet(),
+                given.config(),
+                given.counters(),
+                voting,
+                group[0],
+                policy,
+                new FleetTrial(given.classes(), given.config().probation, given.config().bound),
+                riders);
         leadership[0].begin();
         group[0].begin(votes.restored());
         group[0].linked();
--- a/src/main/java/laneflow/policy/PolicyPort.java
+++ b/src/main/java/laneflow/policy/PolicyPort.java
@@ -60,8 +60,12 @@
         } else if (path.equals("/policy/voters") && verb.equals("POST")) {
             atLeader(path, answer, () -> voters(body, answer));
         } else {
-            answer.say(get || verb.equals("POST") ? 404 : 405, TEXT, "", "known are GET /policy,"
-                    + " /policy/history, /policy/changes/NAME and POST /policy/changes, /policy/voters\n");
+            answer.say(
+                    get || verb.equals("POST") ? 404 : 405,
+                    TEXT,
+                    "",
+                    "known are GET /policy,"
+                            + " /policy/history, /policy/changes/NAME and POST /policy/changes, /policy/voters\n");
         }
     }
 
@@ -80,30 +84,37 @@
     }
 
     private void nobody(Answer answer) {
-        answer.say(503, TEXT, "Retry-After: 1\r\n",
+        answer.say(
+                503,
+                TEXT,
+                "Retry-After: 1\r\n",
                 "no voter leads now, or no majority answers it: nothing is"
-                + " known to be decided; asking again with the same name does no harm\n");
+                        + " known to be decided; asking again with the same name does no harm\n");
     }
 
     private void history(Answer answer) {
-        leadership.read(ledger -> {
-            JsonArray all = new JsonArray();
-            ledger.last(MOST_HISTORY).forEach(change -> all.add(change.json(false)));
-            return all;
-        }, found -> say(found, answer));
+        leadership.read(
+                ledger -> {
+                    JsonArray all = new JsonArray();
+                    ledger.last(MOST_HISTORY).forEach(change -> all.add(change.json(false)));
+                    return all;
+                },
+                found -> say(found, answer));
     }
 
     private void status(String name, Answer answer) {
-        leadership.read(ledger -> {
-            Change change = ledger.change(name);
-            return change == null ? new JsonObject() : change.json(true);
-        }, found -> {
-            if (found instanceof JsonObject one && one.size() == 0) {
-                answer.say(404, TEXT, "", "no change of the name '" + name + "' is known\n");
-            } else {
-                say(found, answer);
-            }
-        });
+        leadership.read(
+                ledger -> {
+                    Change change = ledger.change(name);
+                    return change == null ? new JsonObject() : change.json(true);
+                },
+                found -> {
+                    if (found instanceof JsonObject one && one.size() == 0) {
+                        answer.say(404, TEXT, "", "no change of the name '" + name + "' is known\n");
+                    } else {
+                        say(found, answer);
+                    }
+                });
     }
 
     private void say(Object found, Answer answer) {
@@ -116,7 +127,9 @@
 
     private void voters(byte[] body, Answer answer) {
         JsonObject asked = Policy.object(body);
-        String order = asked == null || asked.size() != 1 ? "" : asked.keySet().iterator().next();
+        String order = asked == null || asked.size() != 1
+                ? ""
+                : asked.keySet().iterator().next();
         JsonElement name = asked == null ? null : asked.get(order);
         if (name == null || !name.isJsonPrimitive() || !VOTERS.contains(order)) {
             answer.say(400, TEXT, "", "an object with one of " + VOTERS + ", the name of a voter\n");
--- a/src/main/java/laneflow/policy/PolicyTypes.java
+++ b/src/main/java/laneflow/policy/PolicyTypes.java
@@ -27,6 +27,7 @@
     public static final class Prepared {
         /** All that is wrong with it here; adopted is only what has none. */
         public final List<String> findings;
+
         private final List<ResourceType.Reading> readings;
 
         private Prepared(List<String> findings, List<ResourceType.Reading> readings) {
@@ -53,9 +54,9 @@
         List<ResourceType.Reading> readings = new ArrayList<>();
         for (String name : policy.keySet()) {
             if (!types.containsKey(name)) {
-                findings.add(name + ": " + fixed.getOrDefault(name,
-                        "is no type that is taken here; taken are "
-                        + String.join(", ", types.keySet())));
+                findings.add(name + ": "
+                        + fixed.getOrDefault(
+                                name, "is no type that is taken here; taken are " + String.join(", ", types.keySet())));
             }
         }
         for (ResourceType type : types.values()) {
@@ -68,8 +69,7 @@
         return new Prepared(findings, readings);
     }
 
-    private static ResourceType.Reading read(ResourceType type, JsonElement resources,
-            List<String> findings) {
+    private static ResourceType.Reading read(ResourceType type, JsonElement resources, List<String> findings) {
         try {
             ResourceType.Reading reading = type.read((JsonArray) resources);
             reading.findings.forEach(one -> findings.add(type.name() + ": " + one));
--- a/src/main/java/laneflow/policy/RaftCodec.java
+++ b/src/main/java/laneflow/policy/RaftCodec.java
@@ -14,9 +14,7 @@
 import io.microraft.model.log.LogEntry;
 import io.microraft.model.log.LogEntry.LogEntryBuilder;
 import io.microraft.model.log.RaftGroupMembersView;
-import io.microraft.model.log.RaftGroupMembersView.RaftGroupMembersViewBuilder;
 import io.microraft.model.log.SnapshotChunk;
-import io.microraft.model.log.SnapshotChunk.SnapshotChunkBuilder;
 import io.microraft.model.message.RaftMessage;
 import java.lang.reflect.InvocationTargetException;
 import java.lang.reflect.Method;
@@ -42,6 +40,7 @@
     private static final Map<Class<?>, Class<?>> BUILDERS = new LinkedHashMap<>();
     /** Asked on the voter's thread, and at the start on that which opens its store. */
     private static final Map<Class<?>, Shape> SHAPES = new ConcurrentHashMap<>();
+
     private static final RaftModelFactory MODELS = new DefaultRaftModelFactory();
     private static final String GROUP = "policy";
 
@@ -56,8 +55,7 @@
         }
     }
 
-    private RaftCodec() {
-    }
+    private RaftCodec() {}
 
     static RaftModelFactory models() {
         return MODELS;
@@ -116,7 +114,8 @@
         return builder.setMembers(readVoters(all.getAsJsonArray("members")))
                 .setVotingMembers(readVoters(all.getAsJsonArray("voting")))
                 .setEndpoint(VoterId.parse(all.get("endpoint").getAsString()))
-                .setMode(MembershipChangeMode.valueOf(all.get("mode").getAsString())).build();
+                .setMode(MembershipChangeMode.valueOf(all.get("mode").getAsString()))
+                .build();
     }
 
     static JsonArray voters(Collection<RaftEndpoint> all) {
@@ -147,8 +146,7 @@
     // ---- by the library's interfaces ----
 
     /** What a builder of the library's can be told, and the getter of that name. */
-    private record Field(String name, Method set, Method get, Type as) {
-    }
+    private record Field(String name, Method set, Method get, Type as) {}
 
     /** How a model is made and read; found out once, since messages go to and fro all the time. */
     private static final class Shape {
@@ -166,8 +164,11 @@
                 String name = set.getName();
                 if (name.startsWith("set") && !name.equals("setGroupId")) {
                     String bare = name.substring(3);
-                    Method get = only(type, one -> one.getParameterCount() == 0
-                            && (one.getName().equals("get" + bare) || one.getName().equals("is" + bare)));
+                    Method get = only(
+                            type,
+                            one -> one.getParameterCount() == 0
+                                    && (one.getName().equals("get" + bare)
+                                            || one.getName().equals("is" + bare)));
                     fields.add(new Field(bare, set, get, set.getGenericParameterTypes()[0]));
                 }
             }
--- a/src/main/java/laneflow/policy/Riders.java
+++ b/src/main/java/laneflow/policy/Riders.java
@@ -12,6 +12,7 @@
 final class Riders {
     /** Of the first that rode, by which builds before this one know it. */
     private static final String FIRST = "rider";
+
     private final List<Rider> all;
 
     Riders(List<Rider> all) {
--- a/src/main/java/laneflow/policy/VoteStore.java
+++ b/src/main/java/laneflow/policy/VoteStore.java
@@ -49,9 +49,10 @@
     private VoterId self;
     private boolean begun;
     private boolean failed;
-    private Consumer<String> whenItFails = why -> { };
+    private Consumer<String> whenItFails = why -> {};
     /** Counted in the database and, behind each commit, in a file beside it. */
     private long commits;
+
     private FileChannel witness;
 
     /** Another process has it open: it can be opened when that has ended. */
@@ -65,8 +66,7 @@
 
     private VoteStore(Path dir) throws IOException {
         this.dir = dir;
-        lock = FileChannel.open(dir.resolve("votes.lock"), StandardOpenOption.CREATE,
-                StandardOpenOption.WRITE);
+        lock = FileChannel.open(dir.resolve("votes.lock"), StandardOpenOption.CREATE, StandardOpenOption.WRITE);
         if (!FolderLock.take(lock)) {
             lock.close();
             throw new Taken(dir + ": another process votes with this store");
@@ -96,15 +96,17 @@
         run("PRAGMA synchronous=FULL");
         int format = Integer.parseInt(text("PRAGMA user_version"));
         if (format > FORMAT) {
-            throw new IOException(dir + ": the store of votes has format " + format
-                    + ", this build reads up to " + FORMAT);
+            throw new IOException(
+                    dir + ": the store of votes has format " + format + ", this build reads up to " + FORMAT);
         }
-        witness = FileChannel.open(dir.resolve("votes.witness"), StandardOpenOption.CREATE,
-                StandardOpenOption.READ, StandardOpenOption.WRITE);
+        witness = FileChannel.open(
+                dir.resolve("votes.witness"),
+                StandardOpenOption.CREATE,
+                StandardOpenOption.READ,
+                StandardOpenOption.WRITE);
         long seen = witnessed();
         if (format == 0 && seen > 0) {
-            throw new IOException(dir + ": the store of votes is empty, and held " + seen
-                    + " commits before");
+            throw new IOException(dir + ": the store of votes is empty, and held " + seen + " commits before");
         }
         if (format == 0) {
             byte[] mark = new byte[8];
@@ -127,8 +129,7 @@
         commits = counted == null ? 0 : Long.parseLong(counted);
         if (seen > commits) {
             // Where its log is damaged SQLite goes on without what that held, and says nothing.
-            throw new IOException(dir + ": " + (seen - commits) + " commits of the store of votes are"
-                    + " missing");
+            throw new IOException(dir + ": " + (seen - commits) + " commits of the store of votes are" + " missing");
         }
     }
 
@@ -152,16 +153,24 @@
             }
             String term = meta("term");
             JsonObject said = term == null ? new JsonObject() : json(term);
-            RaftTermPersistentState termState = term == null ? null : RaftCodec.models()
-                    .createRaftTermPersistentStateBuilder().setTerm(said.get("term").getAsInt())
-                    .setVotedFor(said.has("voted") ? VoterId.parse(said.get("voted").getAsString()) : null)
+            RaftTermPersistentState termState = term == null
+                    ? null
+                    : RaftCodec.models()
+                            .createRaftTermPersistentStateBuilder()
+                            .setTerm(said.get("term").getAsInt())
+                            .setVotedFor(
+                                    said.has("voted")
+                                            ? VoterId.parse(said.get("voted").getAsString())
+                                            : null)
+                            .build();
+            RaftEndpointPersistentState own = RaftCodec.models()
+                    .createRaftEndpointPersistentStateBuilder()
+                    .setLocalEndpoint(self)
+                    .setVoting(endpoint.equals("voting"))
                     .build();
-            RaftEndpointPersistentState own = RaftCodec.models().createRaftEndpointPersistentStateBuilder()
-                    .setLocalEndpoint(self).setVoting(endpoint.equals("voting")).build();
             SnapshotEntry snapshot = snapshot();
             long from = snapshot == null ? 0 : snapshot.getIndex();
-            return new RestoredRaftState(own, RaftCodec.readMembers(json(members)), termState, snapshot,
-                    entries(from));
+            return new RestoredRaftState(own, RaftCodec.readMembers(json(members)), termState, snapshot, entries(from));
         } catch (SQLException | RuntimeException e) {
             throw new IOException(dir + ": the store of votes can't be read: " + e.getMessage(), e);
         }
@@ -169,8 +178,9 @@
 
     private SnapshotEntry snapshot() throws SQLException, IOException {
         long newest = -1;
-        try (ResultSet rows = db.createStatement().executeQuery(
-                "SELECT idx FROM chunk GROUP BY idx HAVING count(*)=max(parts) ORDER BY idx DESC LIMIT 1")) {
+        try (ResultSet rows = db.createStatement()
+                .executeQuery(
+                        "SELECT idx FROM chunk GROUP BY idx HAVING count(*)=max(parts) ORDER BY idx DESC LIMIT 1")) {
             newest = rows.next() ? rows.getLong(1) : -1;
         }
         if (newest < 0) {
@@ -185,22 +195,31 @@
             while (rows.next()) {
                 check(rows.getLong(6), newest + " " + rows.getInt(3) + rows.getString(4) + rows.getString(5));
                 members = RaftCodec.readMembers(json(rows.getString(5)));
-                chunks.add(RaftCodec.models().createSnapshotChunkBuilder().setIndex(newest)
-                        .setTerm(rows.getInt(3)).setOperation(operation(rows.getString(4)))
-                        .setSnapshotChunkIndex(rows.getInt(1)).setSnapshotChunkCount(rows.getInt(2))
-                        .setGroupMembersView(members).build());
+                chunks.add(RaftCodec.models()
+                        .createSnapshotChunkBuilder()
+                        .setIndex(newest)
+                        .setTerm(rows.getInt(3))
+                        .setOperation(operation(rows.getString(4)))
+                        .setSnapshotChunkIndex(rows.getInt(1))
+                        .setSnapshotChunkCount(rows.getInt(2))
+                        .setGroupMembersView(members)
+                        .build());
             }
         }
-        return RaftCodec.models().createSnapshotEntryBuilder().setIndex(newest)
-                .setTerm(chunks.get(0).getTerm()).setSnapshotChunks(chunks).setGroupMembersView(
-                members).build();
+        return RaftCodec.models()
+                .createSnapshotEntryBuilder()
+                .setIndex(newest)
+                .setTerm(chunks.get(0).getTerm())
+                .setSnapshotChunks(chunks)
+                .setGroupMembersView(members)
+                .build();
     }
 
     private List<LogEntry> entries(long behind) throws SQLException, IOException {
         List<LogEntry> all = new ArrayList<>();
         long next = behind + 1;
-        try (PreparedStatement query = db.prepareStatement(
-                "SELECT idx, term, op, crc FROM entry WHERE idx>? ORDER BY idx")) {
+        try (PreparedStatement query =
+                db.prepareStatement("SELECT idx, term, op, crc FROM entry WHERE idx>? ORDER BY idx")) {
             query.setLong(1, behind);
             ResultSet rows = query.executeQuery();
             while (rows.next()) {
@@ -315,8 +334,7 @@
     @Override
     public void persistLogEntries(List<LogEntry> entries) throws IOException {
         write(false, () -> {
-            try (PreparedStatement insert = db.prepareStatement(
-                    "INSERT OR REPLACE INTO entry VALUES(?,?,?,?)")) {
+            try (PreparedStatement insert = db.prepareStatement("INSERT OR REPLACE INTO entry VALUES(?,?,?,?)")) {
                 for (LogEntry entry : entries) {
                     String op = RaftCodec.writeOperation(entry.getOperation()).toString();
                     insert.setLong(1, entry.getIndex());
@@ -334,8 +352,7 @@
         write(false, () -> {
             String op = RaftCodec.writeOperation(chunk.getOperation()).toString();
             String members = RaftCodec.writeMembers(chunk.getGroupMembersView()).toString();
-            try (PreparedStatement insert = db.prepareStatement(
-                    "INSERT OR REPLACE INTO chunk VALUES(?,?,?,?,?,?,?)")) {
+            try (PreparedStatement insert = db.prepareStatement("INSERT OR REPLACE INTO chunk VALUES(?,?,?,?,?,?,?)")) {
                 insert.setLong(1, chunk.getIndex());
                 insert.setInt(2, chunk.getSnapshotChunkIndex());
                 insert.setInt(3, chunk.getSnapshotChunkCount());
@@ -398,7 +415,8 @@
     }
 
     private String text(String query) throws SQLException {
-        try (Statement statement = db.createStatement(); ResultSet rows = statement.executeQuery(query)) {
+        try (Statement statement = db.createStatement();
+                ResultSet rows = statement.executeQuery(query)) {
             return rows.next() ? rows.getString(1) : "0";
         }
     }
--- a/src/main/java/laneflow/policy/VoterGroup.java
+++ b/src/main/java/laneflow/policy/VoterGroup.java
@@ -41,9 +41,11 @@
     private final Deadline tell;
     /** The stores of voters that are empty, as they have said, by name. */
     private final Map<String, String> empty = new HashMap<>();
+
     private final Map<String, String> marks = new HashMap<>();
     /** True where the file does not name this one as a voter. */
     private final boolean candidate;
+
     private String group = "";
     private boolean lost;
     private boolean removed;
@@ -69,7 +71,8 @@
             }
         });
         fleet.handle("join", (from, message) -> {
-            if (!voting.isBegun() && message.get("id").getAsString().equals(voting.self().text())) {
+            if (!voting.isBegun()
+                    && message.get("id").getAsString().equals(voting.self().text())) {
                 lost = false;
                 counters.set("policy.vote_lost", 0);
                 start(null, RaftCodec.readVoters(message.getAsJsonArray("first")));
@@ -180,8 +183,11 @@
             } else if (!lost && !candidate) {
                 lost = true;
                 counters.set("policy.vote_lost", 1);
-                LOG.error("policy: this store of votes is new, and the voters {} had another one of {}: it"
-                        + " does not vote until it is taken in anew", first, voting.self().name());
+                LOG.error(
+                        "policy: this store of votes is new, and the voters {} had another one of {}: it"
+                                + " does not vote until it is taken in anew",
+                        first,
+                        voting.self().name());
             }
             return;
         }
--- a/src/main/java/laneflow/policy/Voting.java
+++ b/src/main/java/laneflow/policy/Voting.java
@@ -61,13 +61,16 @@
     private static final int SECONDS_A_LEASE = 20;
     /** Behind what this class does itself: see {@link #watch}. */
     private static final int HEARTBEAT_TIMEOUT_S = 21;
+
     private static final int HEARTBEAT_PERIOD_S = 4;
     private static final int REPORT_PERIOD_S = 30;
     /** The library adds up to this noise; see {@link #schedule}. */
     private static final int ELECTION_TIMEOUT_MS = 8000;
+
     private static final int ELECTION_NOISE_MS = 100;
     /** The first voter misses a leader that is gone after this share of a lease, the last after this more. */
     private static final double MISSED_AFTER = 0.75;
+
     private static final double SPREAD = 0.25;
     private static final int WATCHES_A_LEASE = 10;
     private static final int STOOD_STILL = 3;
@@ -76,8 +79,7 @@
     private static final int MOST_PENDING = 256;
 
     /** Reads the state, at the leader; never written to the log. */
-    interface Look extends Function<Ledger, Object> {
-    }
+    interface Look extends Function<Ledger, Object> {}
 
     /** What it has to tell, on the loop's thread. */
     interface News {
@@ -101,9 +103,11 @@
     private final Random random = new Random();
     /** When the leader was last heard of, and how long it may be silent from then; on the voter's thread. */
     private long leaderHeardNs;
+
     private long leaderMaySilentNs;
     /** When it is to be looked for again. */
     private long watchAtNs;
+
     private volatile boolean leads;
     private final long origin = System.nanoTime();
     private final Ledger ledger;
@@ -112,9 +116,11 @@
     private Collection<RaftEndpoint> first = List.of();
     /** Names of voters that a link is up to; written by the loop. */
     private volatile Set<String> reachable = Set.of();
+
     private volatile boolean closed;
     /** Its store could not be written; set on the voter's thread. */
     private volatile boolean muted;
+
     private String said = "";
 
     /**
@@ -125,8 +131,12 @@
      * @param later runs a call on the loop
      * @param sender on the loop: sends a message to the scheduler of that name
      */
-    Voting(VoteStore store, Ledger ledger, long lease, Consumer<Runnable> later, BiConsumer<String,
-            JsonObject> sender,
+    Voting(
+            VoteStore store,
+            Ledger ledger,
+            long lease,
+            Consumer<Runnable> later,
+            BiConsumer<String, JsonObject> sender,
             News news) {
         this.store = store;
         this.ledger = ledger;
@@ -159,16 +169,24 @@
 
     /** Votes from now on, with what its store holds, or else as one of these first voters. */
     void begin(RestoredRaftState restored, Collection<RaftEndpoint> firstVoters) {
-        RaftNode.RaftNodeBuilder builder = RaftNode.newBuilder().setGroupId(RaftCodec.group())
-                .setConfig(RaftConfig.newBuilder().setLeaderElectionTimeoutMillis(ELECTION_TIMEOUT_MS)
+        RaftNode.RaftNodeBuilder builder = RaftNode.newBuilder()
+                .setGroupId(RaftCodec.group())
+                .setConfig(RaftConfig.newBuilder()
+                        .setLeaderElectionTimeoutMillis(ELECTION_TIMEOUT_MS)
                         .setLeaderHeartbeatTimeoutSecs(HEARTBEAT_TIMEOUT_S)
                         .setLeaderHeartbeatPeriodSecs(HEARTBEAT_PERIOD_S)
                         .setCommitCountToTakeSnapshot(COMMITS_A_SNAPSHOT)
                         .setMaxPendingLogEntryCount(MOST_PENDING)
-                        .setRaftNodeReportPublishPeriodSecs(REPORT_PERIOD_S).build())
-                .setExecutor(this).setTransport(this).setStateMachine(this).setStore(store)
-                .setModelFactory(RaftCodec.models()).setRaftNodeReportListener(this::report)
-                .setRandom(new Random(self.hashCode() ^ origin)).setClock(new Fast());
+                        .setRaftNodeReportPublishPeriodSecs(REPORT_PERIOD_S)
+                        .build())
+                .setExecutor(this)
+                .setTransport(this)
+                .setStateMachine(this)
+                .setStore(store)
+                .setModelFactory(RaftCodec.models())
+                .setRaftNodeReportListener(this::report)
+                .setRandom(new Random(self.hashCode() ^ origin))
+                .setClock(new Fast());
         if (restored != null) {
             builder.setRestoredState(restored);
             first = restored.getInitialGroupMembers().getVotingMembers();
@@ -223,11 +241,14 @@
                 if (failed == null) {
                     RaftNodeReport report = found.getResult();
                     LOG.info("policy: {} has not been heard of, another is to be elected", leader.getId());
-                    node.handle(RaftCodec.models().createTriggerLeaderElectionRequestBuilder()
-                            .setGroupId(RaftCodec.group()).setSender(leader).setTerm(
-                            report.getTerm().getTerm())
+                    node.handle(RaftCodec.models()
+                            .createTriggerLeaderElectionRequestBuilder()
+                            .setGroupId(RaftCodec.group())
+                            .setSender(leader)
+                            .setTerm(report.getTerm().getTerm())
                             .setLastLogTerm(report.getLog().getLastLogOrSnapshotTerm())
-                            .setLastLogIndex(report.getLog().getLastLogOrSnapshotIndex()).build());
+                            .setLastLogIndex(report.getLog().getLastLogOrSnapshotIndex())
+                            .build());
                 }
             });
         }
@@ -244,7 +265,9 @@
      */
     private double place() {
         TreeSet<String> others = new TreeSet<>();
-        node.getEffectiveMembers().getVotingMembers().forEach(one -> others.add(one.getId().toString()));
+        node.getEffectiveMembers()
+                .getVotingMembers()
+                .forEach(one -> others.add(one.getId().toString()));
         RaftEndpoint leader = node.getTerm().getLeaderEndpoint();
         if (leader != null) {
             others.remove(leader.getId().toString());
@@ -321,7 +344,7 @@
     /** On the loop: this one was taken out, and votes no more. */
     void leave() {
         closed = true;
-        onThread(() -> node.terminate(), () -> { });
+        onThread(() -> node.terminate(), () -> {});
         back(news::takenOut);
     }
 
@@ -332,20 +355,25 @@
      * @param term the answer is null if it is another by then
      */
     void look(int term, Look what, Consumer<Object> then) {
-        onThread(() -> node.<Object>query(what, QueryPolicy.LINEARIZABLE, Optional.empty(), Optional.empty())
-                .whenComplete((done, failed) -> {
-                    boolean still = failed == null && node.getTerm().getTerm() == term;
-                    back(() -> then.accept(still ? done.getResult() : null));
-                }), () -> then.accept(null));
+        onThread(
+                () -> node.<Object>query(what, QueryPolicy.LINEARIZABLE, Optional.empty(), Optional.empty())
+                        .whenComplete((done, failed) -> {
+                            boolean still = failed == null && node.getTerm().getTerm() == term;
+                            back(() -> then.accept(still ? done.getResult() : null));
+                        }),
+                () -> then.accept(null));
     }
 
     /** Puts an operation into the log; the answer comes on the loop, null where it is not known to be in. */
     void replicate(JsonObject operation, Consumer<JsonObject> then) {
-        onThread(() -> node.<Object>replicate(operation.toString()).whenComplete((done, failed) -> {
-            JsonObject answer = failed == null ? JsonParser.parseString((String) done.getResult())
-                    .getAsJsonObject() : null;
-            back(() -> then.accept(answer));
-        }), () -> then.accept(null));
+        onThread(
+                () -> node.<Object>replicate(operation.toString()).whenComplete((done, failed) -> {
+                    JsonObject answer = failed == null
+                            ? JsonParser.parseString((String) done.getResult()).getAsJsonObject()
+                            : null;
+                    back(() -> then.accept(answer));
+                }),
+                () -> then.accept(null));
     }
 
     /**
@@ -353,46 +381,62 @@
      * the new one listens before it votes. Tells null, or why it was not done; asked again it goes on.
      */
     void takeIn(VoterId by, Consumer<String> then) {
-        onThread(() -> {
-            RaftGroupMembers now = node.getCommittedMembers();
-            Optional<RaftEndpoint> former = now.getMembers().stream()
-                    .filter(one -> ((VoterId) one).name().equals(by.name()) && !one.equals(by)).findFirst();
-            CompletableFuture<Long> gone = former.isEmpty() ? CompletableFuture.completedFuture(
-                    now.getLogIndex())
-                    : change(former.get(), MembershipChangeMode.REMOVE_MEMBER, now.getLogIndex());
-            if (!now.getMembers().contains(by)) {
-                gone = gone.thenCompose(index -> change(by, MembershipChangeMode.ADD_LEARNER, index));
-            }
-            ended(gone.thenCompose(index -> change(by, MembershipChangeMode.ADD_OR_PROMOTE_TO_FOLLOWER,
-                    index)), then);
-        }, () -> then.accept("this process ends"));
+        onThread(
+                () -> {
+                    RaftGroupMembers now = node.getCommittedMembers();
+                    Optional<RaftEndpoint> former = now.getMembers().stream()
+                            .filter(one -> ((VoterId) one).name().equals(by.name()) && !one.equals(by))
+                            .findFirst();
+                    CompletableFuture<Long> gone = former.isEmpty()
+                            ? CompletableFuture.completedFuture(now.getLogIndex())
+                            : change(former.get(), MembershipChangeMode.REMOVE_MEMBER, now.getLogIndex());
+                    if (!now.getMembers().contains(by)) {
+                        gone = gone.thenCompose(index -> change(by, MembershipChangeMode.ADD_LEARNER, index));
+                    }
+                    ended(
+                            gone.thenCompose(
+                                    index -> change(by, MembershipChangeMode.ADD_OR_PROMOTE_TO_FOLLOWER, index)),
+                            then);
+                },
+                () -> then.accept("this process ends"));
     }
 
     /** Takes a voter out. Tells null, or why it was not done. */
     void takeOut(VoterId who, Consumer<String> then) {
-        onThread(() -> ended(change(who, MembershipChangeMode.REMOVE_MEMBER,
-                node.getCommittedMembers().getLogIndex()), why -> {
-                    if (why == null) {
-                        sender.accept(who.name(), removed(who));
-                    }
-                    then.accept(why);
-                }), () -> then.accept("this process ends"));
+        onThread(
+                () -> ended(
+                        change(
+                                who,
+                                MembershipChangeMode.REMOVE_MEMBER,
+                                node.getCommittedMembers().getLogIndex()),
+                        why -> {
+                            if (why == null) {
+                                sender.accept(who.name(), removed(who));
+                            }
+                            then.accept(why);
+                        }),
+                () -> then.accept("this process ends"));
     }
 
     /** Has another voter lead, so that this one can be taken out. */
     void stepDown() {
-        onThread(() -> other().ifPresent(node::transferLeadership), () -> { });
+        onThread(() -> other().ifPresent(node::transferLeadership), () -> {});
     }
 
     private Optional<RaftEndpoint> other() {
         return node.getEffectiveMembers().getVotingMembers().stream()
-                .filter(one -> !one.equals(self) && isReachable(one)).findFirst();
+                .filter(one -> !one.equals(self) && isReachable(one))
+                .findFirst();
     }
 
     private void ended(CompletableFuture<Long> change, Consumer<String> then) {
-        change.whenComplete((done, failed) -> back(() -> then.accept(failed == null ? null
-                : String.valueOf(failed.getCause() == null ? failed.getMessage()
-                : failed.getCause().getMessage()))));
+        change.whenComplete((done, failed) -> back(() -> then.accept(
+                failed == null
+                        ? null
+                        : String.valueOf(
+                                failed.getCause() == null
+                                        ? failed.getMessage()
+                                        : failed.getCause().getMessage()))));
     }
 
     private CompletableFuture<Long> change(RaftEndpoint who, MembershipChangeMode how, long index) {
@@ -434,9 +478,12 @@
         boolean leadsNow = report.getRole() == RaftRole.LEADER;
         leads = leadsNow;
         RaftEndpoint leader = report.getTerm().getLeaderEndpoint();
-        String name = leader == null ? "" : VoterId.parse(leader.getId().toString()).name();
+        String name =
+                leader == null ? "" : VoterId.parse(leader.getId().toString()).name();
         Set<String> voters = new TreeSet<>();
-        report.getEffectiveMembers().getVotingMembers().forEach(one -> voters.add(one.getId().toString()));
+        report.getEffectiveMembers()
+                .getVotingMembers()
+                .forEach(one -> voters.add(one.getId().toString()));
         String now = term + " " + leadsNow + " " + name + " " + voters;
         if (!now.equals(said)) {
             said = now;
@@ -528,8 +575,7 @@
         boolean election = ms >= ELECTION_TIMEOUT_MS && ms < ELECTION_TIMEOUT_MS + ELECTION_NOISE_MS;
         double times = election ? 1 + random.nextDouble() : 1;
         try {
-            thread.schedule(unlessMuted(task), (long) (unit.toNanos(delay) * times / speed),
-                    TimeUnit.NANOSECONDS);
+            thread.schedule(unlessMuted(task), (long) (unit.toNanos(delay) * times / speed), TimeUnit.NANOSECONDS);
         } catch (RejectedExecutionException e) {
             LOG.debug("closed");
         }
--- a/src/main/java/laneflow/policy/Words.java
+++ b/src/main/java/laneflow/policy/Words.java
@@ -11,8 +11,7 @@
 
 /** Renewals and grants as they go over the fleet's link. */
 final class Words {
-    private Words() {
-    }
+    private Words() {}
 
     static JsonObject renewal(Renewal said) {
         JsonObject all = new JsonObject();
@@ -36,8 +35,13 @@
         from.getAsJsonArray("ready").forEach(one -> ready.add(one.getAsLong()));
         List<String> reasons = new ArrayList<>();
         from.getAsJsonArray("reasons").forEach(one -> reasons.add(one.getAsString()));
-        return new Renewal(from.get("term").getAsInt(), from.get("seq").getAsLong(),
-                from.get("begun").getAsLong(), ready, from.get("refused").getAsLong(), reasons,
+        return new Renewal(
+                from.get("term").getAsInt(),
+                from.get("seq").getAsLong(),
+                from.get("begun").getAsLong(),
+                ready,
+                from.get("refused").getAsLong(),
+                reasons,
                 from.get("round_trip").getAsLong());
     }
 
@@ -64,8 +68,13 @@
     }
 
     static Grant grant(JsonObject from) {
-        return new Grant(from.get("term").getAsInt(), from.get("seq").getAsLong(),
-                from.get("now").getAsLong(), from.get("number").getAsLong(), from.get("from").getAsLong(),
-                from.get("until").getAsLong(), from.get("open").getAsLong());
+        return new Grant(
+                from.get("term").getAsInt(),
+                from.get("seq").getAsLong(),
+                from.get("now").getAsLong(),
+                from.get("number").getAsLong(),
+                from.get("from").getAsLong(),
+                from.get("until").getAsLong(),
+                from.get("open").getAsLong());
     }
 }
--- a/src/main/java/laneflow/policy/decision/Change.java
+++ b/src/main/java/laneflow/policy/decision/Change.java
@@ -20,10 +20,23 @@
  * it
  * @param endedMs the same of the decision, 0 before it
  */
-public record Change(String name, long number, String digest, JsonObject types, String by, State state,
-        List<String> reasons, long proposedMs, long endedMs) {
+public record Change(
+        String name,
+        long number,
+        String digest,
+        JsonObject types,
+        String by,
+        State state,
+        List<String> reasons,
+        long proposedMs,
+        long endedMs) {
     /** WAITING and OPEN are undecided; the others are final. */
-    public enum State { WAITING, OPEN, APPLIED, ABANDONED }
+    public enum State {
+        WAITING,
+        OPEN,
+        APPLIED,
+        ABANDONED
+    }
 
     public boolean isDecided() {
         return state == State.APPLIED || state == State.ABANDONED;
@@ -68,11 +81,15 @@
                 reasons.add(one.getAsString());
             }
         }
-        return new Change(from.get("name").getAsString(), from.get("number").getAsLong(),
-                from.get("digest").getAsString(), from.has("types") ? from.getAsJsonObject("types") : null,
+        return new Change(
+                from.get("name").getAsString(),
+                from.get("number").getAsLong(),
+                from.get("digest").getAsString(),
+                from.has("types") ? from.getAsJsonObject("types") : null,
                 from.get("by").getAsString(),
-                State.valueOf(from.get("state").getAsString().toUpperCase(java.util.Locale.ROOT)), reasons,
-                from.get("proposed_ms").getAsLong(), from.has("ended_ms") ? from.get("ended_ms").getAsLong()
-                : 0);
+                State.valueOf(from.get("state").getAsString().toUpperCase(java.util.Locale.ROOT)),
+                reasons,
+                from.get("proposed_ms").getAsLong(),
+                from.has("ended_ms") ? from.get("ended_ms").getAsLong() : 0);
     }
 }
--- a/src/main/java/laneflow/policy/decision/Grant.java
+++ b/src/main/java/laneflow/policy/decision/Grant.java
@@ -12,5 +12,4 @@
  * @param until and not from then on; 0: not at all
  * @param open the number of the change that is to be made ready, or 0
  */
-public record Grant(int term, long seq, long leaderNow, long number, long from, long until, long open) {
-}
+public record Grant(int term, long seq, long leaderNow, long number, long from, long until, long open) {}
--- a/src/main/java/laneflow/policy/decision/Lead.java
+++ b/src/main/java/laneflow/policy/decision/Lead.java
@@ -32,11 +32,14 @@
      * @param quiet a scheduler not heard of for so long is held to be away
      * @param prepare how long a scheduler that is heard may take to make a change ready
      */
-    public record Times(long lease, long quiet, long prepare) {
-    }
+    public record Times(long lease, long quiet, long prepare) {}
 
     /** What is to be asked of the voters. */
-    public enum Ask { NOTHING, APPLY, ABANDON }
+    public enum Ask {
+        NOTHING,
+        APPLY,
+        ABANDON
+    }
 
     /**
      * What is to be done now.
@@ -46,12 +49,10 @@
      * @param reasons why it is abandoned
      * @param tell true if all schedulers are to be told how things stand
      */
-    public record Step(Ask ask, String name, List<String> reasons, boolean tell) {
-    }
+    public record Step(Ask ask, String name, List<String> reasons, boolean tell) {}
 
     /** A grant that may still arrive, or that was obeyed last. */
-    private record Given(long seq, long number, long until) {
-    }
+    private record Given(long seq, long number, long until) {}
 
     private static final class Holder {
         private final List<Given> given = new ArrayList<>();
@@ -77,14 +78,17 @@
     private final Times times;
     /** Until then a scheduler may decide by a grant of a former leader. */
     private final long formerUntil;
+
     private final Map<String, Holder> holders = new TreeMap<>();
     private View view;
     private long confirmedAt;
     /** The policy in force has begun: nobody decides by one before it any more. */
     private boolean begun;
+
     private long beginAt;
     /** What schedulers still decide by while the policy in force has not begun; -1: not known. */
     private long before = -1;
+
     private long switchAt;
     private long openedAt;
     private long open;
@@ -189,8 +193,9 @@
         if (view == null || now >= confirmedAt + times.lease()) {
             return new Step(Ask.NOTHING, null, List.of(), false);
         }
-        holders.values().removeIf(holder -> now - holder.heardAt > FORGET_AFTER * times.lease()
-                && holder.mayDecide(Long.MAX_VALUE) <= now);
+        holders.values()
+                .removeIf(holder ->
+                        now - holder.heardAt > FORGET_AFTER * times.lease() && holder.mayDecide(Long.MAX_VALUE) <= now);
         return begun ? open(now) : begin(now);
     }
 
@@ -208,8 +213,7 @@
             } else if (!holder.ready.contains(open) && holder.mayDecide(Long.MAX_VALUE) > now) {
                 waits = true;
                 if (isHeard(now, holder) && now > openedAt + times.prepare()) {
-                    against.add(entry.getKey() + ": was not ready for it within " + times.prepare() / 1000
-                            + " ms");
+                    against.add(entry.getKey() + ": was not ready for it within " + times.prepare() / 1000 + " ms");
                 }
             }
         }
@@ -235,14 +239,20 @@
             }
             return begun(0);
         }
-        long latest = holders.values().stream().mapToLong(holder -> holder.mayDecide(number)).max().orElse(0);
+        long latest = holders.values().stream()
+                .mapToLong(holder -> holder.mayDecide(number))
+                .max()
+                .orElse(0);
         if (switchAt > 0 && latest <= switchAt || latest <= now) {
             return begun(Math.max(switchAt, now));
         }
         if (switchAt == 0 || now >= switchAt - hop(now) / 2) {
             // Whoever is away can't be told to end sooner than it would by itself: the others go on as long.
-            long away = holders.values().stream().filter(holder -> !isHeard(now, holder))
-                    .mapToLong(holder -> holder.mayDecide(number)).max().orElse(0);
+            long away = holders.values().stream()
+                    .filter(holder -> !isHeard(now, holder))
+                    .mapToLong(holder -> holder.mayDecide(number))
+                    .max()
+                    .orElse(0);
             switchAt = Math.max(now + hop(now), away);
             return new Step(Ask.NOTHING, null, List.of(), true);
         }
@@ -257,9 +267,14 @@
 
     /** Long enough for a word and its answer to everybody who is heard. */
     private long hop(long now) {
-        return Math.max(LEAST_HOP, ROUND_TRIPS * holders.values().stream()
-                .filter(holder -> isHeard(now, holder)).mapToLong(holder -> holder.roundTrip).max().orElse(
-                0));
+        return Math.max(
+                LEAST_HOP,
+                ROUND_TRIPS
+                        * holders.values().stream()
+                                .filter(holder -> isHeard(now, holder))
+                                .mapToLong(holder -> holder.roundTrip)
+                                .max()
+                                .orElse(0));
     }
 
     /** When to look again though nothing happens. */
@@ -268,8 +283,7 @@
             return Long.MAX_VALUE;
         }
         if (!begun) {
-            return before < 0 ? Math.max(now + 1000, Math.min(formerUntil, now + times.quiet()))
-                    : now + LEAST_HOP / 2;
+            return before < 0 ? Math.max(now + 1000, Math.min(formerUntil, now + times.quiet())) : now + LEAST_HOP / 2;
         }
         if (open == 0 || asked) {
             return Long.MAX_VALUE;
@@ -294,8 +308,8 @@
         List<String> names = new ArrayList<>();
         holders.forEach((name, holder) -> {
             boolean holdsOld = !begun && view != null && holder.mayDecide(view.inForce()) > now;
-            boolean unready = begun && open > 0 && !holder.ready.contains(open)
-                    && holder.mayDecide(Long.MAX_VALUE) > now;
+            boolean unready =
+                    begun && open > 0 && !holder.ready.contains(open) && holder.mayDecide(Long.MAX_VALUE) > now;
             if (holdsOld || unready) {
                 names.add(name);
             }
@@ -306,7 +320,10 @@
     /** All that it has heard of, with the policy each has begun and how long ago it was heard, in ms. */
     public List<Known> known(long now) {
         List<Known> all = new ArrayList<>();
-        holders.forEach((name, holder) -> all.add(new Known(name, holder.begun, (now - holder.heardAt) / 1000,
+        holders.forEach((name, holder) -> all.add(new Known(
+                name,
+                holder.begun,
+                (now - holder.heardAt) / 1000,
                 Math.max(0, holder.mayDecide(Long.MAX_VALUE) - now) / 1000)));
         all.sort(Comparator.comparing(Known::who));
         return all;
@@ -318,6 +335,5 @@
      * @param heardMs milliseconds since its last word
      * @param leaseMs milliseconds for which it may still decide, by the leader's reckoning
      */
-    public record Known(String who, long begun, long heardMs, long leaseMs) {
-    }
+    public record Known(String who, long begun, long heardMs, long leaseMs) {}
 }
--- a/src/main/java/laneflow/policy/decision/LeaderClock.java
+++ b/src/main/java/laneflow/policy/decision/LeaderClock.java
@@ -10,13 +10,16 @@
 public final class LeaderClock {
     /** Clocks' rates differ by no more than this share. */
     public static final double DRIFT = 0.001;
+
     private static final long NEVER = Long.MIN_VALUE;
 
     /** The leader's clock is at most the stamp plus what has passed here since, at the faster rate. */
     private long mostStamp;
+
     private long mostAt = NEVER;
     /** And at least this stamp plus what has passed here since, at the slower rate. */
     private long leastStamp;
+
     private long leastAt = NEVER;
 
     /** True once an exchange has bounded it from both sides. */
@@ -36,8 +39,9 @@
             leastStamp = stamp;
             leastAt = heardAt;
         }
-        if (sentAt >= 0 && (mostAt == NEVER
-                || stamp + (heardAt - sentAt) * (1 + DRIFT) < mostStamp + (heardAt - mostAt) * (1 + DRIFT))) {
+        if (sentAt >= 0
+                && (mostAt == NEVER
+                        || stamp + (heardAt - sentAt) * (1 + DRIFT) < mostStamp + (heardAt - mostAt) * (1 + DRIFT))) {
             mostStamp = stamp;
             mostAt = sentAt;
         }
--- a/src/main/java/laneflow/policy/decision/Lease.java
+++ b/src/main/java/laneflow/policy/decision/Lease.java
@@ -13,6 +13,7 @@
 public final class Lease {
     /** Clocks' rates differ by no more than this share. */
     public static final double DRIFT = LeaderClock.DRIFT;
+
     private static final long NEVER = Long.MIN_VALUE;
 
     private int term = -1;
@@ -32,7 +33,8 @@
      * @param heardAt now
      */
     public boolean take(Grant grant, long sentAt, long heardAt) {
-        if (grant.term() < term || grant.term() == term && grant.seq() <= seq
+        if (grant.term() < term
+                || grant.term() == term && grant.seq() <= seq
                 || grant.number() < Math.max(number, next)) {
             return false;
         }
--- a/src/main/java/laneflow/policy/decision/Ledger.java
+++ b/src/main/java/laneflow/policy/decision/Ledger.java
@@ -28,6 +28,7 @@
     public static final int MOST_CONTENT = 256 * 1024;
     /** The field of an operation that names the part that it is for; without it, it is on changes. */
     public static final String PART = "part";
+
     private static final String ONLY_ON = "only_on";
     private static final String NAME = "[A-Za-z0-9_.-]{1,64}";
     private static final int MOST_REASONS = 32;
@@ -37,6 +38,7 @@
     private final Map<String, Change> changes = new LinkedHashMap<>();
     /** Those of them that are undecided, in their order: the first one is open. */
     private final Map<String, Change> pending = new LinkedHashMap<>();
+
     private long opened;
     private long inForce;
     private JsonObject merged = new JsonObject();
@@ -53,9 +55,8 @@
      * @param openMerged what will be in force if that is applied, or null
      * @param waiting the names behind it
      */
-    public record View(long inForce, JsonObject merged, String digest, Change open, JsonObject openMerged,
-            List<String> waiting) {
-    }
+    public record View(
+            long inForce, JsonObject merged, String digest, Change open, JsonObject openMerged, List<String> waiting) {}
 
     /**
      * More that the voters agree on, beside changes: a state machine of its own. It has to be the same at all
@@ -74,8 +75,7 @@
         void restore(JsonObject from);
 
         /** What holds of the changes from now on; told behind a snapshot's restoring, too. */
-        default void changed(View now) {
-        }
+        default void changed(View now) {}
 
         /**
          * Why a change must not come into force, or null. Asked when it is proposed, and again when it is
@@ -131,8 +131,10 @@
     public static JsonObject abandon(String name, List<String> reasons, long nowMs) {
         JsonObject op = op("abandon", name, nowMs);
         JsonArray texts = new JsonArray();
-        reasons.stream().limit(MOST_REASONS).map(text -> text.length() > MOST_REASON
-                ? text.substring(0, MOST_REASON) : text).forEach(texts::add);
+        reasons.stream()
+                .limit(MOST_REASONS)
+                .map(text -> text.length() > MOST_REASON ? text.substring(0, MOST_REASON) : text)
+                .forEach(texts::add);
         op.add("reasons", texts);
         return op;
     }
@@ -159,8 +161,7 @@
             }
         }
         int length = types.toString().length();
-        return length <= MOST_CONTENT ? null : "types: " + length
-                + " characters, the most are " + MOST_CONTENT;
+        return length <= MOST_CONTENT ? null : "types: " + length + " characters, the most are " + MOST_CONTENT;
     }
 
     /**
@@ -198,8 +199,8 @@
             merged = merge(known.types());
             digest = Canonical.digest(merged);
         }
-        Change ended = known.ended(applies ? State.APPLIED : State.ABANDONED, reasons,
-                op.get("ms").getAsLong());
+        Change ended = known.ended(
+                applies ? State.APPLIED : State.ABANDONED, reasons, op.get("ms").getAsLong());
         changes.put(name, ended);
         pending.remove(name);
         openNext();
@@ -215,7 +216,8 @@
         }
         String of = Canonical.digest(types);
         if (known != null) {
-            return known.digest().equals(of) ? known.json(false)
+            return known.digest().equals(of)
+                    ? known.json(false)
                     : error("the name '" + name + "' is that of a change with another content");
         }
         if (pending.size() > MOST_WAITING) {
@@ -228,8 +230,16 @@
         if (against != null) {
             return error(against);
         }
-        Change added = new Change(name, 0, of, types, op.get("by").getAsString(), State.WAITING, List.of(),
-                op.get("ms").getAsLong(), 0);
+        Change added = new Change(
+                name,
+                0,
+                of,
+                types,
+                op.get("by").getAsString(),
+                State.WAITING,
+                List.of(),
+                op.get("ms").getAsLong(),
+                0);
         changes.put(name, added);
         pending.put(name, added);
         forget();
@@ -292,8 +302,7 @@
     private void look() {
         List<String> waiting = new ArrayList<>(pending.keySet());
         Change open = waiting.isEmpty() ? null : pending.get(waiting.remove(0));
-        view = new View(inForce, merged, digest, open, open == null ? null : merge(open.types()),
-                List.copyOf(waiting));
+        view = new View(inForce, merged, digest, open, open == null ? null : merge(open.types()), List.copyOf(waiting));
         parts.values().forEach(part -> part.changed(view));
     }
 
--- a/src/main/java/laneflow/policy/decision/Renewal.java
+++ b/src/main/java/laneflow/policy/decision/Renewal.java
@@ -15,6 +15,11 @@
  * @param reasons why it does
  * @param roundTrip microseconds that its last exchange with the leader took
  */
-public record Renewal(int heardTerm, long heardSeq, long begun, Set<Long> ready, long refused,
-        List<String> reasons, long roundTrip) {
-}
+public record Renewal(
+        int heardTerm,
+        long heardSeq,
+        long begun,
+        Set<Long> ready,
+        long refused,
+        List<String> reasons,
+        long roundTrip) {}
--- a/src/main/java/laneflow/task/Hooks.java
+++ b/src/main/java/laneflow/task/Hooks.java
@@ -26,6 +26,7 @@
     private static final String TASK = "hook/";
     /** A thread for each call under way, and one that comes back from it. */
     private static final int THREADS_A_HOOK = 2;
+
     private static final int SOON = 20_000;
 
     private final Loop loop;
@@ -34,6 +35,7 @@
     private final String self;
     /** One that hangs holds up no other's. */
     private final ExecutorService threads;
+
     private final List<One> all = new ArrayList<>();
 
     /** @param self this process, for the receiver's log */
@@ -120,9 +122,9 @@
                 socket.connect(to, (int) left);
                 left = left(act);
                 byte[] head = ("POST " + hook.path() + " HTTP/1.1\r\nHost: " + hook.at()
-                        + "\r\nContent-Length: 0"
-                        + "\r\nConnection: close\r\nTask: " + act.task() + "\r\nTask-Token: " + act.token()
-                        + "\r\nTask-Holder: " + self + "\r\nTask-Ends-Ms: " + left + "\r\n\r\n")
+                                + "\r\nContent-Length: 0"
+                                + "\r\nConnection: close\r\nTask: " + act.task() + "\r\nTask-Token: " + act.token()
+                                + "\r\nTask-Holder: " + self + "\r\nTask-Ends-Ms: " + left + "\r\n\r\n")
                         .getBytes(StandardCharsets.US_ASCII);
                 // Nothing stands between this look at the clock and the bytes; a process that is stopped
                 // here all the same is why each hook says what a late call does.
--- a/src/main/java/laneflow/task/Recovery.java
+++ b/src/main/java/laneflow/task/Recovery.java
@@ -64,13 +64,13 @@
     private final Thread thread;
     /** Names of stores that this process may take over now, as the loop saw it last. */
     private volatile Set<String> held = Set.of();
+
     private volatile boolean closed;
     private final Set<String> wanted = new HashSet<>();
     /** Since when a store has had no process; on the thread of recovery. */
     private final Map<String, Long> freeSince = new HashMap<>();
 
-    public Recovery(Loop loop, Tasks tasks, Counters counters, DurableJobs jobs, TaskConfig config,
-            String self) {
+    public Recovery(Loop loop, Tasks tasks, Counters counters, DurableJobs jobs, TaskConfig config, String self) {
         this.loop = loop;
         this.tasks = tasks;
         this.counters = counters;
@@ -135,8 +135,10 @@
     private List<String> names() throws IOException {
         List<String> names = new ArrayList<>();
         try (Stream<Path> all = Files.list(stores)) {
-            all.filter(Files::isDirectory).map(path -> path.getFileName().toString())
-                    .filter(name -> !name.equals(self) && Table.isName(name)).forEach(names::add);
+            all.filter(Files::isDirectory)
+                    .map(path -> path.getFileName().toString())
+                    .filter(name -> !name.equals(self) && Table.isName(name))
+                    .forEach(names::add);
         }
         return names;
     }
@@ -171,8 +173,8 @@
             if (now - freeSince.computeIfAbsent(name, first -> now) < afterNs) {
                 return;
             }
-            Act act = ask(then -> then.complete(tasks.begin(TASK + name, tasks.lease() / ACT_PARTS,
-                    Need.TOKEN_CHECKED)));
+            Act act =
+                    ask(then -> then.complete(tasks.begin(TASK + name, tasks.lease() / ACT_PARTS, Need.TOKEN_CHECKED)));
             if (act == null) {
                 return;
             }
@@ -184,8 +186,11 @@
                     // lock.
                     Files.move(from, to, StandardCopyOption.ATOMIC_MOVE);
                     counters.add("task.stores_adopted");
-                    LOG.info("recovery: {} has had no process for {} ms and is taken over by token {}", name,
-                            (now - freeSince.get(name)) / 1_000_000, act.token());
+                    LOG.info(
+                            "recovery: {} has had no process for {} ms and is taken over by token {}",
+                            name,
+                            (now - freeSince.get(name)) / 1_000_000,
+                            act.token());
                 }
             } finally {
                 loop.later(() -> tasks.ended(act));
--- a/src/main/java/laneflow/task/TaskConfig.java
+++ b/src/main/java/laneflow/task/TaskConfig.java
@@ -19,8 +19,7 @@
      * @param most microseconds after which a call is cut off
      * @param need what makes a call harmless that comes behind its lease
      */
-    public record Hook(String name, String at, String path, long every, long most, Need need) {
-    }
+    public record Hook(String name, String at, String path, long every, long most, Need need) {}
 
     public final List<Hook> hooks = new ArrayList<>();
     /** Where the stores of all schedulers' durable jobs lie, by their names; null: adopted by hand. */
@@ -53,18 +52,22 @@
             long every = one.whole("every_ms", 1000, 10, 86_400_000) * 1000;
             long most = one.whole("most_ms", 250, 1, 600_000) * 1000;
             if (most > lease / 2) {
-                one.wrong("most_ms", "is more than half of [policy] lease_ms: a call must be over within its"
-                        + " lease, and a renewed one has that much left for sure");
+                one.wrong(
+                        "most_ms",
+                        "is more than half of [policy] lease_ms: a call must be over within its"
+                                + " lease, and a renewed one has that much left for sure");
             }
             String late = one.word("late_calls", "", "checked", "harmless");
             if (late.isEmpty()) {
-                one.wrong("late_calls", "must say what becomes of a call that comes behind its lease, as of a"
-                        + " process that stood still: 'checked', its receiver turns down a Task-Token"
-                        + " below the highest it has seen; or 'harmless', twice is as good as once");
+                one.wrong(
+                        "late_calls",
+                        "must say what becomes of a call that comes behind its lease, as of a"
+                                + " process that stood still: 'checked', its receiver turns down a Task-Token"
+                                + " below the highest it has seen; or 'harmless', twice is as good as once");
             }
             one.close();
-            hooks.add(new Hook(name, at, path, every, most, late.equals("checked") ? Need.TOKEN_CHECKED
-                    : Need.HARMLESS_TWICE));
+            hooks.add(new Hook(
+                    name, at, path, every, most, late.equals("checked") ? Need.TOKEN_CHECKED : Need.HARMLESS_TWICE));
         });
         from.close();
     }
--- a/src/main/java/laneflow/task/TaskWords.java
+++ b/src/main/java/laneflow/task/TaskWords.java
@@ -14,8 +14,7 @@
 
 /** What holders and their leader say to each other, as it rides on renewals and grants. */
 final class TaskWords {
-    private TaskWords() {
-    }
+    private TaskWords() {}
 
     static JsonObject said(Said said) {
         JsonObject all = new JsonObject();
@@ -39,9 +38,14 @@
 
     static Said said(JsonObject from) {
         Wants all = from.has("line") ? new Wants(texts(from.get("line")), texts(from.get("spread"))) : null;
-        return new Said(from.get("term").getAsInt(), from.get("seq").getAsLong(),
+        return new Said(
+                from.get("term").getAsInt(),
+                from.get("seq").getAsLong(),
                 from.get("known").getAsInt(),
-                from.get("v").getAsLong(), from.get("wants").getAsString(), all, from.has("drains"),
+                from.get("v").getAsLong(),
+                from.get("wants").getAsString(),
+                all,
+                from.has("drains"),
                 from.has("gives") ? tokens(from.getAsJsonObject("gives")) : Map.of());
     }
 
@@ -62,9 +66,14 @@
     }
 
     static Word word(JsonObject from) {
-        return new Word(from.get("term").getAsInt(), from.get("seq").getAsLong(), from.get("now").getAsLong(),
-                from.get("until").getAsLong(), from.get("v").getAsLong(),
-                from.has("holds") ? tokens(from.getAsJsonObject("holds")) : null, from.has("missing"));
+        return new Word(
+                from.get("term").getAsInt(),
+                from.get("seq").getAsLong(),
+                from.get("now").getAsLong(),
+                from.get("until").getAsLong(),
+                from.get("v").getAsLong(),
+                from.has("holds") ? tokens(from.getAsJsonObject("holds")) : null,
+                from.has("missing"));
     }
 
     private static JsonObject tokens(Map<String, Long> from) {
--- a/src/main/java/laneflow/task/Tasks.java
+++ b/src/main/java/laneflow/task/Tasks.java
@@ -57,8 +57,7 @@
         this.fleet = fleet;
         this.counters = counters;
         look = loop.deadlines().create(this::step);
-        fleet.serve("/tasks", (verb, path, body, answer) ->
-                answer.say(200, "application/json", "", report() + "\n"));
+        fleet.serve("/tasks", (verb, path, body, answer) -> answer.say(200, "application/json", "", report() + "\n"));
     }
 
     /** The clock that acts are timed by, read now; on any thread. */
@@ -166,8 +165,7 @@
 
     @Override
     public void leads(int term) {
-        lead = new TaskLead(term, now(), new TaskLead.Times(lease(), lease() / QUIET_PARTS,
-                TURN_LEASES * lease()));
+        lead = new TaskLead(term, now(), new TaskLead.Times(lease(), lease() / QUIET_PARTS, TURN_LEASES * lease()));
     }
 
     @Override
@@ -220,8 +218,11 @@
                     LOG.warn("tasks: {}", answer.get("error").getAsString());
                 }
                 of.answered(now());
-                LOG.info("tasks: {} is {} after {} ms", op, answer == null ? "not known to be in the log"
-                        : "in the log", (now() - asked) / 1000);
+                LOG.info(
+                        "tasks: {} is {} after {} ms",
+                        op,
+                        answer == null ? "not known to be in the log" : "in the log",
+                        (now() - asked) / 1000);
             });
         }
         loop.deadlines().set(look, loop.micros() + Math.max(1, of.nextLook(now()) - now()));
--- a/src/main/java/laneflow/task/decision/Hold.java
+++ b/src/main/java/laneflow/task/decision/Hold.java
@@ -35,13 +35,13 @@
      *
      * @param endsBy it is cut off by then, by this process's clock
      */
-    public record Act(String task, long token, long endsBy, Need need) {
-    }
+    public record Act(String task, long token, long endsBy, Need need) {}
 
     private final LeaderClock clock = new LeaderClock();
     private final List<Act> running = new ArrayList<>();
     /** The latest token of each task that it has given up, for as long as it is told to hold it. */
     private final Map<String, Long> given = new HashMap<>();
+
     private SortedMap<String, Long> holds = Collections.emptySortedMap();
     private int term = -1;
     private long seq;
@@ -59,7 +59,8 @@
      * @param sentAt when the word that it answers went out, or a negative number: it answers none
      */
     public boolean take(Word word, long sentAt, long heardAt) {
-        if (word.term() < term || word.term() == term && word.seq() <= seq
+        if (word.term() < term
+                || word.term() == term && word.seq() <= seq
                 || sentAt < 0 && (word.term() > term || !clock.isKnown())
                 || word.holds() == null && (word.term() != knownTerm || word.version() != version)) {
             return false;
@@ -84,8 +85,7 @@
 
     /** What it has taken counts as obeyed once no act runs that it would not allow. */
     private void obey() {
-        boolean allowed = running.stream().allMatch(act -> act.token() == holds.getOrDefault(act.task(),
-                -1L));
+        boolean allowed = running.stream().allMatch(act -> act.token() == holds.getOrDefault(act.task(), -1L));
         if (allowed) {
             obeyedTerm = term;
             obeyedSeq = seq;
@@ -146,8 +146,7 @@
     public Said says(Wants wants, String digest, boolean draining) {
         Map<String, Long> gives = new TreeMap<>(given);
         running.forEach(act -> gives.remove(act.task(), act.token()));
-        return new Said(obeyedTerm, obeyedSeq, knownTerm, version, digest, wantsMissing ? wants : null,
-                draining,
-                gives);
+        return new Said(
+                obeyedTerm, obeyedSeq, knownTerm, version, digest, wantsMissing ? wants : null, draining, gives);
     }
 }
--- a/src/main/java/laneflow/task/decision/Said.java
+++ b/src/main/java/laneflow/task/decision/Said.java
@@ -15,6 +15,12 @@
  * @param draining it ends, and takes nothing new
  * @param gives tokens that it acts by no more, by task
  */
-public record Said(int heardTerm, long heardSeq, int knownTerm, long knownVersion, String wants, Wants all,
-        boolean draining, Map<String, Long> gives) {
-}
+public record Said(
+        int heardTerm,
+        long heardSeq,
+        int knownTerm,
+        long knownVersion,
+        String wants,
+        Wants all,
+        boolean draining,
+        Map<String, Long> gives) {}
--- a/src/main/java/laneflow/task/decision/Spread.java
+++ b/src/main/java/laneflow/task/decision/Spread.java
@@ -17,6 +17,7 @@
 public final class Spread {
     /** The most that one carries, in shares of even. */
     public static final double BOUND = 1.3;
+
     private static final long FNV_OFFSET = 0xcbf29ce484222325L;
     private static final long FNV_PRIME = 0x100000001b3L;
     private static final long MIX_1 = 0xbf58476d1ce4e5b9L;
@@ -68,7 +69,8 @@
     String place(String task, Collection<String> among) {
         List<String> ranked = new ArrayList<>(among);
         ranked.removeIf(who -> !loads.containsKey(who));
-        ranked.sort(Comparator.comparingLong((String who) -> rank(task, who)).reversed()
+        ranked.sort(Comparator.comparingLong((String who) -> rank(task, who))
+                .reversed()
                 .thenComparing(Comparator.naturalOrder()));
         String best = null;
         for (String who : ranked) {
--- a/src/main/java/laneflow/task/decision/Table.java
+++ b/src/main/java/laneflow/task/decision/Table.java
@@ -7,7 +7,6 @@
 import java.util.Collections;
 import java.util.LinkedHashSet;
 import java.util.List;
-import java.util.Map;
 import java.util.Set;
 import java.util.SortedMap;
 import java.util.TreeMap;
@@ -24,16 +23,19 @@
 public final class Table implements Ledger.Part {
     /** By this name it stands in the ledger. */
     public static final String NAME = "tasks";
+
     public static final int MOST_TASKS = 4096;
     /** Over all tasks together. */
     public static final int MOST_WANTS = 65_536;
     /** The longest note, in characters. */
     public static final int MOST_NOTE = 16 * 1024;
+
     private static final String TASK = "[A-Za-z0-9_.:/-]{1,128}";
 
     private final SortedMap<String, Task> tasks = new TreeMap<>();
     /** By process: the digest of what it wants. */
     private final SortedMap<String, String> wants = new TreeMap<>();
+
     private long tokens;
     private long version;
     private int wanted;
@@ -48,9 +50,7 @@
      * @param line the processes that want it; whoever gets it goes to the end
      * @param note what a holder has left for the next one, or empty
      */
-    public record Task(String name, boolean spread, String holder, long token, List<String> line,
-            String note) {
-    }
+    public record Task(String name, boolean spread, String holder, long token, List<String> line, String note) {}
 
     /**
      * The table at one moment; never changed.
@@ -58,12 +58,10 @@
      * @param version counts operations
      * @param wants by process: the digest of what it wants
      */
-    public record View(long version, SortedMap<String, Task> tasks, SortedMap<String, String> wants) {
-    }
+    public record View(long version, SortedMap<String, Task> tasks, SortedMap<String, String> wants) {}
 
     /** One that is to get a task whose token is that one still. */
-    public record Move(String task, long after, String to) {
-    }
+    public record Move(String task, long after, String to) {}
 
     public Table() {
         look();
@@ -165,8 +163,8 @@
             return "a task is named by up to 128 letters, digits, '_', '.', ':', '/' and '-'";
         }
         if (tasks.size() + unknown > MOST_TASKS || wanted + named.size() > MOST_WANTS) {
-            return "there are " + tasks.size() + " tasks, wanted " + wanted + " times: the most are "
-                    + MOST_TASKS + " and " + MOST_WANTS;
+            return "there are " + tasks.size() + " tasks, wanted " + wanted + " times: the most are " + MOST_TASKS
+                    + " and " + MOST_WANTS;
         }
         replace(op.get("who").getAsString(), all);
         return null;
@@ -179,8 +177,7 @@
                 List<String> line = new ArrayList<>(task.line());
                 line.remove(who);
                 wanted--;
-                keep(new Task(task.name(), task.spread(), task.holder(), task.token(), List.copyOf(line),
-                        task.note()));
+                keep(new Task(task.name(), task.spread(), task.holder(), task.token(), List.copyOf(line), task.note()));
             }
         }
         all.line().forEach(name -> join(name, false, who));
@@ -220,12 +217,15 @@
             JsonArray move = one.getAsJsonArray();
             Task task = tasks.get(move.get(0).getAsString());
             String to = move.get(2).getAsString();
-            if (task != null && task.token() == move.get(1).getAsLong() && task.line().contains(to)) {
+            if (task != null
+                    && task.token() == move.get(1).getAsLong()
+                    && task.line().contains(to)) {
                 List<String> line = new ArrayList<>(task.line());
                 line.remove(to);
                 line.add(to);
-                tasks.put(task.name(), new Task(task.name(), task.spread(), to, ++tokens, List.copyOf(line),
-                        task.note()));
+                tasks.put(
+                        task.name(),
+                        new Task(task.name(), task.spread(), to, ++tokens, List.copyOf(line), task.note()));
                 done++;
             }
         }
@@ -237,8 +237,8 @@
         Task task = tasks.get(op.get("task").getAsString());
         String text = op.get("text").getAsString();
         if (task == null || task.token() != op.get("token").getAsLong()) {
-            return "token " + op.get("token") + " is not the latest of '" + op.get("task").getAsString() + "'"
-                    + (task == null ? "" : ", that is " + task.token());
+            return "token " + op.get("token") + " is not the latest of '"
+                    + op.get("task").getAsString() + "'" + (task == null ? "" : ", that is " + task.token());
         }
         if (text.length() > MOST_NOTE) {
             return "a note has at most " + MOST_NOTE + " characters";
@@ -248,7 +248,9 @@
     }
 
     private void look() {
-        view = new View(version, Collections.unmodifiableSortedMap(new TreeMap<>(tasks)),
+        view = new View(
+                version,
+                Collections.unmodifiableSortedMap(new TreeMap<>(tasks)),
                 Collections.unmodifiableSortedMap(new TreeMap<>(wants)));
     }
 
@@ -294,12 +296,19 @@
                 JsonObject one = each.getAsJsonObject();
                 List<String> line = List.copyOf(texts(one.get("line")));
                 wanted += line.size();
-                tasks.put(one.get("name").getAsString(), new Task(one.get("name").getAsString(),
-                        one.get("spread").getAsBoolean(), one.get("holder").getAsString(),
-                        one.get("token").getAsLong(), line, one.get("note").getAsString()));
+                tasks.put(
+                        one.get("name").getAsString(),
+                        new Task(
+                                one.get("name").getAsString(),
+                                one.get("spread").getAsBoolean(),
+                                one.get("holder").getAsString(),
+                                one.get("token").getAsLong(),
+                                line,
+                                one.get("note").getAsString()));
             }
-            from.getAsJsonObject("wants").entrySet().forEach(one -> wants.put(one.getKey(),
-                    one.getValue().getAsString()));
+            from.getAsJsonObject("wants")
+                    .entrySet()
+                    .forEach(one -> wants.put(one.getKey(), one.getValue().getAsString()));
             tokens = from.get("tokens").getAsLong();
             version = from.get("version").getAsLong();
         }
--- a/src/main/java/laneflow/task/decision/TaskLead.java
+++ b/src/main/java/laneflow/task/decision/TaskLead.java
@@ -44,18 +44,14 @@
      * @param quiet a process not heard of for so long gets nothing new
      * @param turn how long one may hold a task of the line while others wait for it
      */
-    public record Times(long lease, long quiet, long turn) {
-    }
+    public record Times(long lease, long quiet, long turn) {}
 
     /** What is to be put into the voters' log, and who is to be told at once. */
-    public record Step(List<JsonObject> ops, Set<String> tell) {
-    }
+    public record Step(List<JsonObject> ops, Set<String> tell) {}
 
-    private record Given(long seq, long until, SortedMap<String, Long> holds) {
-    }
+    private record Given(long seq, long until, SortedMap<String, Long> holds) {}
 
-    private record Sent(long seq, long at) {
-    }
+    private record Sent(long seq, long at) {}
 
     private static final class Holder {
         private final List<Given> given = new ArrayList<>();
@@ -66,9 +62,11 @@
          * When it last said that it obeys a later word than before: one that hears nothing says so no more.
          */
         private long obeyedAt;
+
         private long obeyedSeq;
         /** When the word was given that it obeys; what was lost on the way to it prolongs nothing. */
         private long obeyedGivenAt;
+
         private final ArrayDeque<Sent> sent = new ArrayDeque<>();
         private long seq;
         private long version;
@@ -82,6 +80,7 @@
     private final Map<String, Holder> holders = new TreeMap<>();
     /** Tokens that this leader grants no more; only a new assignment gives the task again. */
     private final Map<String, Long> withdrawn = new HashMap<>();
+
     private final Map<String, String> why = new HashMap<>();
     private final Map<String, Long> since = new HashMap<>();
     private final Map<String, Long> passedBy = new HashMap<>();
@@ -92,6 +91,7 @@
     private Map<String, SortedMap<String, Long>> held = Map.of();
     /** Those that hold other tasks than they were told last. */
     private final Set<String> news = new TreeSet<>();
+
     private long confirmedAt;
     private boolean asked;
     private long answeredAt = Long.MAX_VALUE;
@@ -115,8 +115,10 @@
             return;
         }
         view = now;
-        withdrawn.entrySet().removeIf(one -> now.tasks().containsKey(one.getKey())
-                && now.tasks().get(one.getKey()).token() > one.getValue());
+        withdrawn
+                .entrySet()
+                .removeIf(one -> now.tasks().containsKey(one.getKey())
+                        && now.tasks().get(one.getKey()).token() > one.getValue());
         why.keySet().retainAll(withdrawn.keySet());
         since.keySet().retainAll(now.tasks().keySet());
         index();
@@ -137,7 +139,8 @@
     }
 
     private boolean isGranted(Task task) {
-        return task.token() > 0 && !departed.contains(task.holder())
+        return task.token() > 0
+                && !departed.contains(task.holder())
                 && withdrawn.getOrDefault(task.name(), 0L) < task.token();
     }
 
@@ -191,8 +194,7 @@
             holder.holds = holds;
             holder.version++;
         }
-        long until = Math.min(confirmedAt + times.lease(),
-                holder.obeyedGivenAt + (long) (times.lease() * LASTS_HEARD));
+        long until = Math.min(confirmedAt + times.lease(), holder.obeyedGivenAt + (long) (times.lease() * LASTS_HEARD));
         until = until > now && !holds.isEmpty() ? until : 0;
         holder.seq++;
         holder.sent.add(new Sent(holder.seq, now));
@@ -202,11 +204,17 @@
         holder.given.add(new Given(holder.seq, until, holds));
         Given last = holder.given.get(holder.given.size() - 1);
         holder.given.removeIf(one -> one != last && one.until() <= now);
-        boolean known = !whole && holder.said.knownTerm() == term
-                && holder.said.knownVersion() == holder.version;
-        return new Word(term, holder.seq, now, until, holder.version, known ? null : holder.holds,
-                !holder.said.wants().equals(view.wants().get(who)) && holder.said.all() == null
-                && !holder.said.wants().equals(Wants.NONE.digest()));
+        boolean known = !whole && holder.said.knownTerm() == term && holder.said.knownVersion() == holder.version;
+        return new Word(
+                term,
+                holder.seq,
+                now,
+                until,
+                holder.version,
+                known ? null : holder.holds,
+                !holder.said.wants().equals(view.wants().get(who))
+                        && holder.said.all() == null
+                        && !holder.said.wants().equals(Wants.NONE.digest()));
     }
 
     // ---- what follows ----
@@ -297,8 +305,9 @@
                 ops.add(Table.gone(who));
             }
         }
-        holders.values().removeIf(holder -> now - holder.heardAt > FORGET_AFTER * times.lease()
-                && holder.given.stream().allMatch(one -> one.until() <= now));
+        holders.values()
+                .removeIf(holder -> now - holder.heardAt > FORGET_AFTER * times.lease()
+                        && holder.given.stream().allMatch(one -> one.until() <= now));
         return ops;
     }
 
@@ -312,7 +321,10 @@
                 continue;
             }
             String reason = reason(now, task, live);
-            if (reason == null && task.spread() && settled && spread.isOver(task.holder())
+            if (reason == null
+                    && task.spread()
+                    && settled
+                    && spread.isOver(task.holder())
                     && spread.hasRoom(candidates(now, task, live))) {
                 spread.sheds(task.holder());
                 reason = "carried more than its share";
@@ -345,8 +357,7 @@
         if (!task.line().contains(task.holder())) {
             return "wants it no more";
         }
-        boolean waited = task.line().stream().anyMatch(who -> live.contains(who)
-                && !who.equals(task.holder()));
+        boolean waited = task.line().stream().anyMatch(who -> live.contains(who) && !who.equals(task.holder()));
         return !task.spread() && waited && now - from >= times.turn() ? "its turn was over" : null;
     }
 
@@ -382,8 +393,7 @@
                 continue;
             }
             List<String> among = candidates(now, task, live);
-            String to = task.spread() ? spread.place(task.name(), among) : among.isEmpty() ? null
-                    : among.get(0);
+            String to = task.spread() ? spread.place(task.name(), among) : among.isEmpty() ? null : among.get(0);
             if (to != null) {
                 moves.add(new Move(task.name(), task.token(), to));
             }
@@ -415,8 +425,7 @@
      * @param acts until when its holder may act, microseconds from now; 0: it may not
      * @param why it was taken from its last holder, or is held by nobody; empty where it is held
      */
-    public record Standing(Task task, boolean granted, long acts, String why) {
-    }
+    public record Standing(Task task, boolean granted, long acts, String why) {}
 
     /** All tasks, by name. */
     public List<Standing> standings(long now) {
@@ -424,15 +433,17 @@
         if (view != null) {
             for (Task task : view.tasks().values()) {
                 boolean granted = isGranted(task);
-                String reason = granted ? "" : task.token() == 0 ? "nobody has held it yet"
-                        : task.holder() + " " + why.getOrDefault(task.name(), "has left");
+                String reason = granted
+                        ? ""
+                        : task.token() == 0
+                                ? "nobody has held it yet"
+                                : task.holder() + " " + why.getOrDefault(task.name(), "has left");
                 if (!granted && candidates(now, task, liveBefore).isEmpty()) {
                     reason += "; nobody that is live wants it";
                 } else if (!granted && !isOver(now, task)) {
                     reason += "; it may act on it still";
                 }
-                all.add(new Standing(task, granted, granted ? Math.max(0, mayAct(task.name()) - now) : 0,
-                        reason));
+                all.add(new Standing(task, granted, granted ? Math.max(0, mayAct(task.name()) - now) : 0, reason));
             }
         }
         return all;
--- a/src/main/java/laneflow/task/decision/Word.java
+++ b/src/main/java/laneflow/task/decision/Word.java
@@ -14,7 +14,11 @@
  * @param holds the tasks that it holds, with their tokens; null: as that version was told before
  * @param wantsMissing the leader has not heard what it wants
  */
-public record Word(int term, long seq, long leaderNow, long until, long version, SortedMap<String,
-        Long> holds,
-        boolean wantsMissing) {
-}
+public record Word(
+        int term,
+        long seq,
+        long leaderNow,
+        long until,
+        long version,
+        SortedMap<String, Long> holds,
+        boolean wantsMissing) {}
--- a/src/main/java/laneflow/wire/Codes.java
+++ b/src/main/java/laneflow/wire/Codes.java
@@ -36,40 +36,57 @@
     static final int LIST_NUMBERS = 16;
     static final int OPTION_HINT = 1;
 
-    private Codes() {
-    }
+    private Codes() {}
 
     static Outcome outcome(int status) {
         switch (status) {
-            case 200: return Outcome.OK;
-            case 502: return Outcome.ERROR;
-            case 429: return Outcome.FULL;
-            case 408: return Outcome.TIMEOUT;
-            case 521: return Outcome.CONNECT_FAILED;
-            case 520: return Outcome.RESET;
-            case 444: return Outcome.CANCELLED;
-            case 409: return Outcome.MOOT;
+            case 200:
+                return Outcome.OK;
+            case 502:
+                return Outcome.ERROR;
+            case 429:
+                return Outcome.FULL;
+            case 408:
+                return Outcome.TIMEOUT;
+            case 521:
+                return Outcome.CONNECT_FAILED;
+            case 520:
+                return Outcome.RESET;
+            case 444:
+                return Outcome.CANCELLED;
+            case 409:
+                return Outcome.MOOT;
             // An outcome this build has not heard of proves nothing: it is read as one that may have run.
-            default: return Outcome.ERROR;
+            default:
+                return Outcome.ERROR;
         }
     }
 
     static State state(int code) throws WireException {
         switch (code) {
-            case 0: return State.DRAINING;
-            case 1: return State.READY;
-            case 2: return State.GONE;
-            default: throw new WireException("worker state " + code + " is unknown");
+            case 0:
+                return State.DRAINING;
+            case 1:
+                return State.READY;
+            case 2:
+                return State.GONE;
+            default:
+                throw new WireException("worker state " + code + " is unknown");
         }
     }
 
     static ListKind listKind(int code) throws WireException {
         switch (code) {
-            case 0: return ListKind.FAILED;
-            case 1: return ListKind.WHOLE;
-            case 2: return ListKind.CACHED;
-            case 4: return ListKind.CHANGES;
-            default: throw new WireException("list kind " + code + " is unknown");
+            case 0:
+                return ListKind.FAILED;
+            case 1:
+                return ListKind.WHOLE;
+            case 2:
+                return ListKind.CACHED;
+            case 4:
+                return ListKind.CHANGES;
+            default:
+                throw new WireException("list kind " + code + " is unknown");
         }
     }
 
--- a/src/main/java/laneflow/wire/SettingsReader.java
+++ b/src/main/java/laneflow/wire/SettingsReader.java
@@ -17,6 +17,7 @@
 public final class SettingsReader {
     /** The settings, and the names of the report's values in their order. */
     public final Settings settings = new Settings();
+
     public final String[] reportFields;
 
     private SettingsReader(JsonObject root) throws WireException {
@@ -54,8 +55,7 @@
                 throw new WireException("settings are not a JSON object");
             }
             return new SettingsReader(root.getAsJsonObject());
-        } catch (JsonParseException | IllegalStateException | UnsupportedOperationException
-                | NumberFormatException e) {
+        } catch (JsonParseException | IllegalStateException | UnsupportedOperationException | NumberFormatException e) {
             String why = String.valueOf(e.getMessage()).split("\n")[0];
             throw new WireException("settings can't be read: " + why);
         }
@@ -124,10 +124,14 @@
 
     private static Effect effect(String word) throws WireException {
         switch (word) {
-            case "pure": return Effect.SAFE;
-            case "token": return Effect.KEYED;
-            case "side_effect": return Effect.UNSAFE;
-            default: throw new WireException("class semantics '" + word + "' are unknown");
+            case "pure":
+                return Effect.SAFE;
+            case "token":
+                return Effect.KEYED;
+            case "side_effect":
+                return Effect.UNSAFE;
+            default:
+                throw new WireException("class semantics '" + word + "' are unknown");
         }
     }
 
@@ -136,13 +140,17 @@
     }
 
     private static ReportSource reports(String word) {
-        return word.equals("answers") ? ReportSource.ANSWERS
+        return word.equals("answers")
+                ? ReportSource.ANSWERS
                 : word.equals("probe") ? ReportSource.PROBES : ReportSource.NONE;
     }
 
     private static WeightSource weights(String word) {
-        return word.equals("nominal") ? WeightSource.NOMINAL : word.equals("rough") ? WeightSource.ROUGH
-                : word.equals("live") ? WeightSource.LIVE : WeightSource.NONE;
+        return word.equals("nominal")
+                ? WeightSource.NOMINAL
+                : word.equals("rough")
+                        ? WeightSource.ROUGH
+                        : word.equals("live") ? WeightSource.LIVE : WeightSource.NONE;
     }
 
     private static boolean has(JsonObject from, String key) {
--- a/src/main/java/laneflow/wire/WireHost.java
+++ b/src/main/java/laneflow/wire/WireHost.java
@@ -1,5 +1,10 @@
 package laneflow.wire;
 
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.OutputStream;
+import java.util.ArrayList;
+import java.util.List;
 import laneflow.decision.Dispatch;
 import laneflow.decision.Dispatch.ListKind;
 import laneflow.decision.Dispatch.LoadReport;
@@ -8,11 +13,6 @@
 import laneflow.decision.Dispatch.Request;
 import laneflow.decision.Dispatch.Worker;
 import laneflow.decision.Logic;
-import java.io.IOException;
-import java.io.InputStream;
-import java.io.OutputStream;
-import java.util.ArrayList;
-import java.util.List;
 import org.agrona.collections.Int2ObjectHashMap;
 
 /** Serves the simulator's wire: reads batches, hands events to the instances, writes the replies. */
@@ -49,8 +49,7 @@
                 seen++;
             }
             if (seen != records) {
-                throw new WireException("frame holds " + seen + " records and announces "
-                        + (records & 0xffffffffL));
+                throw new WireException("frame holds " + seen + " records and announces " + (records & 0xffffffffL));
             }
             reply.flush(out);
         }
@@ -89,8 +88,7 @@
             int number = record.u32();
             Instance instance = instances.get(number);
             if (instance == null) {
-                throw new WireException("event " + code + " for instance " + number
-                        + ", which has not started");
+                throw new WireException("event " + code + " for instance " + number + ", which has not started");
             }
             deliver(code, instance);
         }
--- a/src/main/java/org/xnio/nio/AcceptingThread.java
+++ b/src/main/java/org/xnio/nio/AcceptingThread.java
@@ -9,8 +9,7 @@
 public final class AcceptingThread {
     private static final long DELAY_MS = 1;
 
-    private AcceptingThread() {
-    }
+    private AcceptingThread() {}
 
     /** Runs a call on the worker's accepting thread, behind its next look at its listening sockets. */
     public static void afterNextLook(XnioWorker worker, Runnable call) {
--- a/src/main/java/org/xnio/nio/PassedServer.java
+++ b/src/main/java/org/xnio/nio/PassedServer.java
@@ -14,16 +14,18 @@
  * What is accepted there is a connection like all others, with its streams and conduits.
  */
 public final class PassedServer {
-    private PassedServer() {
-    }
+    private PassedServer() {}
 
     /** A server on that channel, suspended at first; the listener hears of each connection. */
-    public static AcceptingChannel<StreamConnection> on(XnioWorker worker, ServerSocketChannel channel,
-            ChannelListener<? super AcceptingChannel<StreamConnection>> listener, OptionMap options)
+    public static AcceptingChannel<StreamConnection> on(
+            XnioWorker worker,
+            ServerSocketChannel channel,
+            ChannelListener<? super AcceptingChannel<StreamConnection>> listener,
+            OptionMap options)
             throws IOException {
         channel.configureBlocking(false);
-        QueuedNioTcpServer2 server = new QueuedNioTcpServer2(
-                new NioTcpServer((NioXnioWorker) worker, channel, options, true));
+        QueuedNioTcpServer2 server =
+                new QueuedNioTcpServer2(new NioTcpServer((NioXnioWorker) worker, channel, options, true));
         server.setAcceptListener(listener);
         return server;
     }
