--- a/src/test/java/laneflow/decision/EffectTest.java
+++ b/src/test/java/laneflow/decision/EffectTest.java
@@ -2,15 +2,15 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
+import java.util.ArrayList;
+import java.util.List;
+import java.util.stream.Stream;
 import laneflow.decision.Dispatch.Effect;
 import laneflow.decision.Dispatch.Group;
 import laneflow.decision.Dispatch.ListKind;
 import laneflow.decision.Dispatch.Outcome;
 import laneflow.decision.Dispatch.Settings;
 import laneflow.decision.Dispatch.Worker;
-import java.util.ArrayList;
-import java.util.List;
-import java.util.stream.Stream;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.Arguments;
