--- a/src/test/java/laneflow/http/EndpointCrossingTest.java
+++ b/src/test/java/laneflow/http/EndpointCrossingTest.java
@@ -40,12 +40,13 @@
     private static final long STALE = 60_000;
     /** Longer than a last byte is held, and than an endpoint takes to say that it has a call. */
     private static final long HELD = 5_000;
+
     private static final long SILENT = 260_000;
 
     /** Clients of this test: their answers, and what is done within the turn of the next one. */
     private static final class Clients implements Front {
         private final BlockingQueue<String> answers = new LinkedBlockingQueue<>();
-        private Runnable onServed = () -> { };
+        private Runnable onServed = () -> {};
 
         @Override
         public String name() {
@@ -55,7 +56,7 @@
         @Override
         public void served(long tag, byte[] result) {
             Runnable then = onServed;
-            onServed = () -> { };
+            onServed = () -> {};
             then.run();
             answers.add("served");
         }
@@ -92,9 +93,10 @@
 
     /** On the loop's thread: takes a job in, with a body of three bytes. */
     private Request submit(Stand stand, int jobClass, String id, long within) {
-        Payload payload = new Payload("POST", "/" + CLASSES[jobClass], id, jobClass == POST ? "k" + id : null,
-                "pay".getBytes());
-        Request request = new Request(clients, 0, payload, jobClass, stand.serve.loop().fresh() + within);
+        Payload payload =
+                new Payload("POST", "/" + CLASSES[jobClass], id, jobClass == POST ? "k" + id : null, "pay".getBytes());
+        Request request =
+                new Request(clients, 0, payload, jobClass, stand.serve.loop().fresh() + within);
         stand.serve.scheduler().submit(request);
         return request;
     }
@@ -186,8 +188,13 @@
 
     /** On the loop's thread: the endpoint's drain counts as told so long ago that its grace is over. */
     private static void drainedLongAgo(Stand stand, String name) {
-        stand.serve.scheduler().list(stand.serve.scheduler().destinations().get(name).carrier, false,
-                List.of(draining(name)), stand.serve.loop().micros() - SECOND);
+        stand.serve
+                .scheduler()
+                .list(
+                        stand.serve.scheduler().destinations().get(name).carrier,
+                        false,
+                        List.of(draining(name)),
+                        stand.serve.loop().micros() - SECOND);
     }
 
     private static Stand withoutCancel(Endpoint endpoint) throws Exception {
--- a/src/test/java/laneflow/http/EndpointStoryTest.java
+++ b/src/test/java/laneflow/http/EndpointStoryTest.java
@@ -35,7 +35,8 @@
     @Test
     void aSecondAnswerIsNotTakenForTheNextRequests() throws Exception {
         Endpoint endpoint = new Endpoint("e1");
-        try (Stand stand = new Stand(null, endpoint); Peer client = stand.http()) {
+        try (Stand stand = new Stand(null, endpoint);
+                Peer client = stand.http()) {
             client.post("basket-check", "1", "", "");
             Peer call = endpoint.accept();
             call.message();
@@ -57,7 +58,8 @@
     @Test
     void anAnswerThatBeginsToComeIsTold() throws Exception {
         Endpoint endpoint = new Endpoint("e1");
-        try (Stand stand = new Stand(null, endpoint); Peer client = stand.http()) {
+        try (Stand stand = new Stand(null, endpoint);
+                Peer client = stand.http()) {
             client.post("basket-check", "1", "", "");
             Peer call = endpoint.accept();
             call.message();
@@ -82,7 +84,8 @@
     @Test
     void aSecondAnswerOnARestingConnectionEndsItAndAThirdIsNone() throws Exception {
         Endpoint endpoint = new Endpoint("e1");
-        try (Stand stand = new Stand(null, endpoint); Peer client = stand.http()) {
+        try (Stand stand = new Stand(null, endpoint);
+                Peer client = stand.http()) {
             client.post("basket-check", "1", "", "");
             Peer call = endpoint.accept();
             call.message();
@@ -110,7 +113,8 @@
     @Test
     void anAnswerThatNeverEndsIsCutOffByItsClientsTime() throws Exception {
         Endpoint endpoint = new Endpoint("e1");
-        try (Stand stand = new Stand(null, endpoint); Peer client = stand.http()) {
+        try (Stand stand = new Stand(null, endpoint);
+                Peer client = stand.http()) {
             long from = System.nanoTime();
             client.post("card-capture", "1", "Req-Deadline-Ms: 400\r\n", "pay");
             Peer drops = endpoint.accept();
@@ -136,7 +140,8 @@
     void anAnswerWithoutEndIsCutOffByItsBytesBeforeItsLastWordAndBehindIt() throws Exception {
         for (boolean behind : new boolean[] {false, true}) {
             Endpoint endpoint = new Endpoint("e1");
-            try (Stand stand = new Stand(null, endpoint); Peer client = stand.http()) {
+            try (Stand stand = new Stand(null, endpoint);
+                    Peer client = stand.http()) {
                 client.post("card-capture", "1", "", "pay");
                 Peer call = endpoint.accept();
                 call.message();
--- a/src/test/java/laneflow/http/HttpStoryTest.java
+++ b/src/test/java/laneflow/http/HttpStoryTest.java
@@ -30,9 +30,11 @@
     @Test
     void aRequestPassesThroughUnchangedHoweverItIsSplit() throws Exception {
         Endpoint endpoint = new Endpoint("e1");
-        try (Stand stand = new Stand(null, endpoint); Peer client = stand.http()) {
+        try (Stand stand = new Stand(null, endpoint);
+                Peer client = stand.http()) {
             String body = "x".repeat(40000);
-            client.write("POST /points-post?key=7f&a=%20b HTTP/1.1\r\nHost: o\r\nReq-").write("Id: 9b1f\r\n")
+            client.write("POST /points-post?key=7f&a=%20b HTTP/1.1\r\nHost: o\r\nReq-")
+                    .write("Id: 9b1f\r\n")
                     .write("Idempotency-Key: 5c0f\r\nContent-Length: 40000\r\n\r\n" + body.substring(0, 10));
             client.write(body.substring(10));
             Peer call = endpoint.accept();
@@ -57,7 +59,8 @@
     void aConnectionThatBreaksBehindTheLastByteMayHaveRunIt() throws Exception {
         Endpoint one = new Endpoint("e1");
         Endpoint two = new Endpoint("e2", one);
-        try (Stand stand = new Stand(null, one, two); Peer client = stand.http()) {
+        try (Stand stand = new Stand(null, one, two);
+                Peer client = stand.http()) {
             client.post("card-capture", "1", "", "pay");
             Peer call = one.accept();
             call.message();
@@ -79,7 +82,8 @@
         // The byte is held back for 2 ms only: a peer that is late sees it go out, and tries again.
         for (int i = 0; i < 30 && !refused; i++) {
             Endpoint endpoint = new Endpoint("e1");
-            try (Stand stand = new Stand(null, endpoint); Peer client = stand.http()) {
+            try (Stand stand = new Stand(null, endpoint);
+                    Peer client = stand.http()) {
                 client.post("card-capture", "1", "", "pay");
                 Peer call = endpoint.accept();
                 call.readTo("\r\n\r\npa");
@@ -95,7 +99,8 @@
     @Test
     void whatMustNotRunTwiceIsSentOnNoConnectionThatMayBeStale() throws Exception {
         Endpoint endpoint = new Endpoint("e1");
-        try (Stand stand = new Stand(null, endpoint); Peer client = stand.http()) {
+        try (Stand stand = new Stand(null, endpoint);
+                Peer client = stand.http()) {
             client.post("basket-check", "1", "", "");
             Peer kept = endpoint.accept();
             kept.message();
@@ -131,11 +136,18 @@
 
     @Test
     void nothingIsServedThatNoEndpointMadeForIt() throws Exception {
-        for (String word : new String[] {"{'state':'done','result':'x'}", "{'id':'2','state':'done','result':'x'}",
-            "{'id':'1','state':'done'}", "{'id':'1','state':'done','result':7}", "{id:'1',state:done,result:x}",
-            "{'id':'1','state':'done','result':'x'} x", "{'id':'1','state':'done','result':'\u00ff'}"}) {
+        for (String word : new String[] {
+            "{'state':'done','result':'x'}",
+            "{'id':'2','state':'done','result':'x'}",
+            "{'id':'1','state':'done'}",
+            "{'id':'1','state':'done','result':7}",
+            "{id:'1',state:done,result:x}",
+            "{'id':'1','state':'done','result':'x'} x",
+            "{'id':'1','state':'done','result':'\u00ff'}"
+        }) {
             Endpoint endpoint = new Endpoint("e1");
-            try (Stand stand = new Stand(null, endpoint); Peer client = stand.http()) {
+            try (Stand stand = new Stand(null, endpoint);
+                    Peer client = stand.http()) {
                 client.post("card-capture", "1", "", "pay");
                 Peer call = endpoint.accept();
                 call.message();
@@ -150,7 +162,8 @@
     void noEndpointMeansFailFastWithATimeToComeBack() throws Exception {
         Endpoint closed = new Endpoint("e1");
         closed.close();
-        try (Stand stand = new Stand(null, closed); Peer client = stand.http()) {
+        try (Stand stand = new Stand(null, closed);
+                Peer client = stand.http()) {
             client.post("card-capture", "1", "", "pay");
             String answer = client.message();
             assertTrue(answer.startsWith("HTTP/1.1 503 "), answer);
@@ -159,7 +172,8 @@
             assertEquals(1, stand.counter("clients.refused"));
             // As often as it comes again at once: it hears so each time, and nothing is kept of it.
             for (int i = 2; i < 300; i++) {
-                assertTrue(client.post("card-capture", "" + i, "", "pay").message().startsWith("HTTP/1.1 503 "));
+                assertTrue(
+                        client.post("card-capture", "" + i, "", "pay").message().startsWith("HTTP/1.1 503 "));
             }
             int[] open = new int[1];
             stand.serve.loop().call(() -> open[0] = stand.serve.scheduler().open());
@@ -171,7 +185,8 @@
     @Test
     void aDeclinedCallNeverRanAndBadBytesAreAFailedCall() throws Exception {
         Endpoint endpoint = new Endpoint("e1");
-        try (Stand stand = new Stand(null, endpoint); Peer client = stand.http()) {
+        try (Stand stand = new Stand(null, endpoint);
+                Peer client = stand.http()) {
             client.post("card-capture", "1", "", "pay");
             Peer call = endpoint.accept();
             call.message();
@@ -179,10 +194,14 @@
                     + "Content-Length: 0\r\n\r\n");
             assertTrue(client.message().startsWith("HTTP/1.1 503 "));
             stand.await("call.full", 1);
-            for (String garbage : new String[] {"HTTP/9 what\r\n\r\n", "HTTP/1.1 200 OK\r\n"
-                    + "Transfer-Encoding: chunked\r\n\r\n3\r\n{]\n\r\n", "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"}) {
+            for (String garbage : new String[] {
+                "HTTP/9 what\r\n\r\n",
+                "HTTP/1.1 200 OK\r\n" + "Transfer-Encoding: chunked\r\n\r\n3\r\n{]\n\r\n",
+                "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"
+            }) {
                 Endpoint other = new Endpoint("e2");
-                try (Stand next = new Stand(null, other); Peer nextClient = next.http()) {
+                try (Stand next = new Stand(null, other);
+                        Peer nextClient = next.http()) {
                     nextClient.post("card-capture", "1", "", "pay");
                     Peer bad = other.accept();
                     bad.message();
@@ -198,7 +217,9 @@
         Endpoint endpoint = new Endpoint("e1");
         try (Stand stand = new Stand(null, endpoint)) {
             String post = "POST /basket-check HTTP/1.1\r\nReq-Id: 1\r\n";
-            String[][] cases = {{"what\r\n\r\n", "400"}, {"POST /x HTTP/1.1\r\nNo colon\r\n\r\n", "400"},
+            String[][] cases = {
+                {"what\r\n\r\n", "400"},
+                {"POST /x HTTP/1.1\r\nNo colon\r\n\r\n", "400"},
                 {post + "Content-Length: 65537\r\n\r\n", "413"},
                 {post + "Content-Length: 1\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n", "400"},
                 {post + "Content-Length: 1\r\nTransfer-Encoding : chunked\r\n\r\n0\r\n\r\n", "400"},
@@ -207,17 +228,22 @@
                 {post + "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n", "400"},
                 {post + "Content-Length: 1\r\nContent-Length: 1\r\n\r\nx", "400"},
                 {post + "Content-Length: 1\r\nContent-Length: 2\r\n\r\nx", "400"},
-                {post + "Content-Length: -1\r\n\r\n", "400"}, {post + "Content-Length: +1\r\n\r\nx", "400"},
+                {post + "Content-Length: -1\r\n\r\n", "400"},
+                {post + "Content-Length: +1\r\n\r\nx", "400"},
                 {post + "Content-Length: 99999999999999999999\r\n\r\n", "400"},
                 {post + "Transfer-Encoding: chunked\r\n\r\nfffffffff\r\n", "400"},
-                {post + "X: a\r\n b\r\n\r\n", "400"}, {post + "X: a\rb\r\n\r\n", "400"},
-                {post + "X: a\u0001b\r\n\r\n", "400"}, {post + "Req-Id: 1\r\n\r\n", "400"},
+                {post + "X: a\r\n b\r\n\r\n", "400"},
+                {post + "X: a\rb\r\n\r\n", "400"},
+                {post + "X: a\u0001b\r\n\r\n", "400"},
+                {post + "Req-Id: 1\r\n\r\n", "400"},
                 {"POST /basket-check\u0001 HTTP/1.1\r\nReq-Id: 1\r\n\r\n", "400"},
-                {post + "Req-Kind: card-capture\r\n\r\n", "400"}, {post + "Req-Deadline-Ms: soon\r\n\r\n", "400"},
+                {post + "Req-Kind: card-capture\r\n\r\n", "400"},
+                {post + "Req-Deadline-Ms: soon\r\n\r\n", "400"},
                 {post + "Req-Deadline-Ms: -5\r\n\r\n", "400"},
                 {post + "Req-Extra: slots=999999999999999999\r\nContent-Length: 0\r\n\r\n", "400"},
                 {"POST /basket-check HTTP/1.1\r\nContent-Length: 0\r\n\r\n", "400"},
-                {"POST /no-class HTTP/1.1\r\nReq-Id: 1\r\nReq-Kind: no-class\r\n\r\n", "400"}};
+                {"POST /no-class HTTP/1.1\r\nReq-Id: 1\r\nReq-Kind: no-class\r\n\r\n", "400"}
+            };
             for (String[] each : cases) {
                 try (Peer client = stand.http()) {
                     String answer = client.write(each[0]).message();
@@ -230,7 +256,8 @@
 
     @Test
     void whatIsTooLongIsAnsweredThoughItsBytesGoOnComing() throws Exception {
-        try (Stand stand = new Stand(null); Peer client = stand.http()) {
+        try (Stand stand = new Stand(null);
+                Peer client = stand.http()) {
             client.write("POST /basket-check HTTP/1.1\r\nReq-Id: 1\r\nContent-Length: 60000000\r\n\r\n");
             // Closed with these unread, the connection would be reset and the answer lost on its way.
             client.write(new byte[200_000]);
@@ -242,8 +269,11 @@
 
     @Test
     void whoSaysNothingOrHalfAMessageIsEndedAndAKeptConnectionIsNot() throws Exception {
-        try (Stand stand = new Stand(null); Peer kept = stand.http(); Peer silent = stand.http();
-                Peer slow = stand.http(); Peer later = stand.http()) {
+        try (Stand stand = new Stand(null);
+                Peer kept = stand.http();
+                Peer silent = stand.http();
+                Peer slow = stand.http();
+                Peer later = stand.http()) {
             kept.write("GET /health/ready HTTP/1.1\r\n\r\n").message();
             later.write("GET /health/ready HTTP/1.1\r\n\r\n").message();
             // An empty line behind a body is no message begun.
@@ -264,7 +294,8 @@
             assertTrue(slow.message().startsWith("HTTP/1.1 408 "));
             assertTrue(later.message().startsWith("HTTP/1.1 408 "));
             assertTrue(System.nanoTime() - from < 3_000_000_000L);
-            assertTrue(kept.write("GET /health/ready HTTP/1.1\r\n\r\n").message().endsWith("ok\n"));
+            assertTrue(
+                    kept.write("GET /health/ready HTTP/1.1\r\n\r\n").message().endsWith("ok\n"));
             drops.interrupt();
             drops.join();
         }
@@ -273,7 +304,9 @@
     @Test
     void anOpenRequestsIdAgainIsAnErrorAndNeverASecondCall() throws Exception {
         Endpoint endpoint = new Endpoint("e1");
-        try (Stand stand = new Stand(null, endpoint); Peer client = stand.http(); Peer other = stand.http()) {
+        try (Stand stand = new Stand(null, endpoint);
+                Peer client = stand.http();
+                Peer other = stand.http()) {
             client.post("card-capture", "1", "", "pay");
             Peer call = endpoint.accept();
             call.message();
@@ -343,8 +376,9 @@
                 });
             }
             // Whatever became of each: taken and withdrawn, or never heard of.
-            assertEquals(stand.counter("http.taken"), stand.counter("http.withdrawn")
-                    + stand.counter("http.refused") + stand.counter("http.failed"));
+            assertEquals(
+                    stand.counter("http.taken"),
+                    stand.counter("http.withdrawn") + stand.counter("http.refused") + stand.counter("http.failed"));
             assertEquals(0, stand.counter("clients.lost"));
             Thread serves = new Thread(() -> {
                 for (boolean more = true; more; ) {
@@ -372,7 +406,8 @@
     @Test
     void anAnswerThatComesTooLateIsCountedAsLost() throws Exception {
         Endpoint endpoint = new Endpoint("e1");
-        try (Stand stand = new Stand(null, endpoint); Peer client = stand.http()) {
+        try (Stand stand = new Stand(null, endpoint);
+                Peer client = stand.http()) {
             client.post("basket-check", "1", "Req-Deadline-Ms: 1500\r\n", "");
             endpoint.accept().message();
             assertEquals(0, stand.counter("clients.late") + stand.counter("clients.lost"));
@@ -392,7 +427,8 @@
     @Test
     void aSilentEndpointIsAnsweredForBeforeTheClientGivesUp() throws Exception {
         Endpoint endpoint = new Endpoint("e1");
-        try (Stand stand = new Stand(null, endpoint); Peer client = stand.http()) {
+        try (Stand stand = new Stand(null, endpoint);
+                Peer client = stand.http()) {
             long from = System.nanoTime();
             client.post("card-capture", "1", "Req-Deadline-Ms: 300\r\n", "");
             Peer call = endpoint.accept();
@@ -409,10 +445,12 @@
         Endpoint discovery = new Endpoint("d");
         Endpoint one = new Endpoint("e1");
         Endpoint two = new Endpoint("e2");
-        try (Stand stand = new Stand(discovery, one); Peer client = stand.http()) {
+        try (Stand stand = new Stand(discovery, one);
+                Peer client = stand.http()) {
             Peer watch = discovery.accept();
             assertTrue(watch.readTo("\r\n\r\n").startsWith("GET /registry/instances?watch=1&after=1 "));
-            watch.says(Stand.list(2, false, one.host("Terminating"), two.host("Ready")).replace('"', '\''));
+            watch.says(Stand.list(2, false, one.host("Terminating"), two.host("Ready"))
+                    .replace('"', '\''));
             stand.await("discovery.lists", 1);
             client.post("basket-check", "1", "", "");
             Peer call = two.accept();
@@ -438,7 +476,8 @@
         Endpoint third = new Endpoint("d3");
         Endpoint one = new Endpoint("e1");
         Path file = folder.resolve("config.json");
-        try (Stand stand = new Stand(first, one); Peer client = stand.http()) {
+        try (Stand stand = new Stand(first, one);
+                Peer client = stand.http()) {
             Peer old = first.accept();
             old.readTo("\r\n\r\n");
             client.post("card-capture", "1", "", "pay");
@@ -473,7 +512,8 @@
     @Test
     void withNothingKnownItIsReadyOnceDiscoveryHasSpoken() throws Exception {
         Endpoint discovery = new Endpoint("d");
-        try (Stand stand = new Stand(discovery); Peer client = stand.http()) {
+        try (Stand stand = new Stand(discovery);
+                Peer client = stand.http()) {
             Peer watch = discovery.accept();
             watch.readTo("\r\n\r\n");
             client.write("GET /health/ready HTTP/1.1\r\n\r\n");
@@ -488,7 +528,8 @@
     @Test
     void aProbeThatIsSlowHoldsNoRequestUp() throws Exception {
         Endpoint endpoint = new Endpoint("e1");
-        try (Stand stand = Stand.probing(endpoint); Peer client = stand.http()) {
+        try (Stand stand = Stand.probing(endpoint);
+                Peer client = stand.http()) {
             client.post("card-capture", "1", "", "pay");
             Peer probe = endpoint.accept();
             assertTrue(probe.message().startsWith("GET /stats HTTP/1.1\r\n"));
@@ -509,7 +550,8 @@
     void aProbeThatIsNeverAnsweredGivesItsConnectionBack() throws Exception {
         for (String begun : new String[] {"", "HTTP/1.1 200 OK\r\nContent-Length: 15\r\n\r\nutil"}) {
             Endpoint endpoint = new Endpoint("e1");
-            try (Stand stand = Stand.probing(endpoint); Peer client = stand.http()) {
+            try (Stand stand = Stand.probing(endpoint);
+                    Peer client = stand.http()) {
                 client.post("card-capture", "1", "", "pay");
                 Peer probe = endpoint.accept();
                 probe.message();
@@ -529,7 +571,8 @@
     void whatComesBehindAWholeLastWordTakesNothingFromIt() throws Exception {
         for (boolean split : new boolean[] {true, false}) {
             Endpoint endpoint = new Endpoint("e1");
-            try (Stand stand = new Stand(null, endpoint); Peer client = stand.http()) {
+            try (Stand stand = new Stand(null, endpoint);
+                    Peer client = stand.http()) {
                 client.post("card-capture", "1", "", "pay");
                 Peer call = endpoint.accept();
                 call.message();
@@ -551,7 +594,9 @@
     @Test
     void aPlannedStopAnswersAllThatWasTaken() throws Exception {
         Endpoint endpoint = new Endpoint("e1");
-        try (Stand stand = new Stand(null, endpoint); Peer client = stand.http(); Peer idle = stand.http()) {
+        try (Stand stand = new Stand(null, endpoint);
+                Peer client = stand.http();
+                Peer idle = stand.http()) {
             idle.write("GET /health/ready HTTP/1.1\r\n\r\n").message();
             client.post("card-capture", "1", "", "");
             Peer call = endpoint.accept();
@@ -562,7 +607,9 @@
             stop.start();
             // New connections are still let in, and kept ones served.
             try (Peer late = stand.http()) {
-                assertTrue(late.write("GET /health/live HTTP/1.1\r\n\r\n").message().endsWith("ok\n"));
+                assertTrue(late.write("GET /health/live HTTP/1.1\r\n\r\n")
+                        .message()
+                        .endsWith("ok\n"));
                 call.says("{'id':'1','state':'done','result':'paid'}");
                 String answer = client.message();
                 assertTrue(answer.endsWith("paid") && !answer.contains("Connection: close"), answer);
@@ -585,7 +632,8 @@
 
     @Test
     void aPlannedStopOfOneThatTookNobodyOverSendsItsClientsAwayEarly() throws Exception {
-        try (Stand stand = new Stand(null); Peer idle = stand.http()) {
+        try (Stand stand = new Stand(null);
+                Peer idle = stand.http()) {
             idle.write("GET /health/ready HTTP/1.1\r\n\r\n").message();
             long from = System.nanoTime();
             new Thread(stand.serve::stop).start();
@@ -597,11 +645,13 @@
     @Test
     void anImportedDestinationSetIsLoaded() throws Exception {
         Endpoint endpoint = new Endpoint("t1");
-        Path conf = Files.writeString(folder.resolve("httpd.conf"),
+        Path conf = Files.writeString(
+                folder.resolve("httpd.conf"),
                 "BalancerMember balancer://tills http://" + endpoint.dial() + " route=t1\n");
         Path set = folder.resolve("set.json");
         assertEquals(0, Importer.run(List.of(conf.toString(), "-o", set.toString()), System.out, System.err));
-        try (Stand stand = Stand.loading(set); Peer client = stand.http()) {
+        try (Stand stand = Stand.loading(set);
+                Peer client = stand.http()) {
             client.post("card-capture", "1", "", "pay");
             Peer call = endpoint.accept();
             call.message();
@@ -618,7 +668,9 @@
             Peer[] idle = new Peer[12];
             for (int i = 0; i < idle.length; i++) {
                 idle[i] = stand.http();
-                assertTrue(idle[i].write("GET /health/ready HTTP/1.1\r\n\r\n").message().endsWith("ok\n"));
+                assertTrue(idle[i].write("GET /health/ready HTTP/1.1\r\n\r\n")
+                        .message()
+                        .endsWith("ok\n"));
             }
             assertTrue(idle[0].ended());
             idle[11].post("basket-check", "1", "", "");
@@ -632,8 +684,8 @@
     @Test
     void discoveryShortOfRoomIsNotAskedAgainAndAgain() throws Exception {
         Endpoint discovery = new Endpoint("d");
-        try (Stand stand = Stand.changed("'tick':0.005", "'tick':0.005,'discovery':'ask'", discovery,
-                new Endpoint("e1"))) {
+        try (Stand stand =
+                Stand.changed("'tick':0.005", "'tick':0.005,'discovery':'ask'", discovery, new Endpoint("e1"))) {
             long began = System.nanoTime();
             List<Long> waits = new java.util.ArrayList<>();
             for (int i = 0; i < 5; i++) {
--- a/src/test/java/laneflow/http/JobReaderTest.java
+++ b/src/test/java/laneflow/http/JobReaderTest.java
@@ -18,8 +18,14 @@
     }
 
     @ParameterizedTest
-    @CsvSource({"'Req-Owner: one\\r\\n', 0", "'req-owner:  zwölf\\r\\n', 1", "'Req-Owner: two\\r\\n', -1",
-        "'Req-Owner: ONE\\r\\n', -1", "'Req-Owner:\\r\\n', -1", "'', -1"})
+    @CsvSource({
+        "'Req-Owner: one\\r\\n', 0",
+        "'req-owner:  zwölf\\r\\n', 1",
+        "'Req-Owner: two\\r\\n', -1",
+        "'Req-Owner: ONE\\r\\n', -1",
+        "'Req-Owner:\\r\\n', -1",
+        "'', -1"
+    })
     void theOwnerIsTheTenantOfThatNameOrNobodyThatIsKnown(String header, int tenant) throws HttpException {
         Settings settings = new Settings();
         settings.classes = new JobClass[] {new JobClass()};
--- a/src/test/java/laneflow/http/JsonFramesTest.java
+++ b/src/test/java/laneflow/http/JsonFramesTest.java
@@ -15,8 +15,11 @@
 
 /** However a list is indented or split, the same objects come out. */
 class JsonFramesTest {
-    private static final String[] LISTS = {"{}", "{\"seq\":1}",
-        "{\n  \"seq\": 4,\r\n\t\"hosts\": [\n    {\"host\": \"a}{\", \"dial\": \"\\\"]\\\\\"}\n,\n\n  {}\n  ]\n}"};
+    private static final String[] LISTS = {
+        "{}",
+        "{\"seq\":1}",
+        "{\n  \"seq\": 4,\r\n\t\"hosts\": [\n    {\"host\": \"a}{\", \"dial\": \"\\\"]\\\\\"}\n,\n\n  {}\n  ]\n}"
+    };
 
     private final List<String> told = new ArrayList<>();
     private int blanks;
@@ -38,8 +41,10 @@
     });
 
     @Property(tries = 300)
-    void theSameObjectsHoweverTheyAreSplit(@ForAll @Size(max = 6) List<@IntRange(max = 2) Integer> which,
-            @ForAll @Size(min = 1, max = 5) List<@IntRange(min = 1, max = 40) Integer> pieces) throws Exception {
+    void theSameObjectsHoweverTheyAreSplit(
+            @ForAll @Size(max = 6) List<@IntRange(max = 2) Integer> which,
+            @ForAll @Size(min = 1, max = 5) List<@IntRange(min = 1, max = 40) Integer> pieces)
+            throws Exception {
         told.clear();
         blanks = 0;
         StringBuilder text = new StringBuilder();
--- a/src/test/java/laneflow/http/PlannedEndStoryTest.java
+++ b/src/test/java/laneflow/http/PlannedEndStoryTest.java
@@ -58,17 +58,18 @@
                     return;
                 }
                 new Thread(() -> {
-                    try {
-                        while (true) {
-                            String sent = call.message();
-                            int at = sent.indexOf("Req-Id: ") + 8;
-                            call.says("{'id':'" + sent.substring(at, sent.indexOf('\r', at))
-                                    + "','state':'done','result':'ok'}");
-                        }
-                    } catch (IOException e) {
-                        // The scheduler has let it go.
-                    }
-                }).start();
+                            try {
+                                while (true) {
+                                    String sent = call.message();
+                                    int at = sent.indexOf("Req-Id: ") + 8;
+                                    call.says("{'id':'" + sent.substring(at, sent.indexOf('\r', at))
+                                            + "','state':'done','result':'ok'}");
+                                }
+                            } catch (IOException e) {
+                                // The scheduler has let it go.
+                            }
+                        })
+                        .start();
             }
         });
         accepting.start();
--- a/src/test/java/laneflow/importer/ImporterTest.java
+++ b/src/test/java/laneflow/importer/ImporterTest.java
@@ -35,6 +35,7 @@
 
     @TempDir
     private Path folder;
+
     private final ByteArrayOutputStream out = new ByteArrayOutputStream();
     private final ByteArrayOutputStream notes = new ByteArrayOutputStream();
 
@@ -42,7 +43,9 @@
         Path file = Files.writeString(folder.resolve(name), text);
         List<String> args = new ArrayList<>(List.of(file.toString()));
         args.addAll(Arrays.asList(more));
-        return Importer.run(args, new PrintStream(out, true, StandardCharsets.UTF_8),
+        return Importer.run(
+                args,
+                new PrintStream(out, true, StandardCharsets.UTF_8),
                 new PrintStream(notes, true, StandardCharsets.UTF_8));
     }
 
@@ -55,9 +58,14 @@
         StringBuilder all = new StringBuilder();
         for (JsonElement each : JsonParser.parseString(text).getAsJsonObject().getAsJsonArray("hosts")) {
             JsonObject host = each.getAsJsonObject();
-            all.append(host.get("host").getAsString()).append(' ').append(host.get("dial").getAsString())
-                    .append(' ').append(host.get("health").getAsString()).append(' ')
-                    .append(host.get("share").getAsDouble()).append('\n');
+            all.append(host.get("host").getAsString())
+                    .append(' ')
+                    .append(host.get("dial").getAsString())
+                    .append(' ')
+                    .append(host.get("health").getAsString())
+                    .append(' ')
+                    .append(host.get("share").getAsDouble())
+                    .append('\n');
         }
         return all.toString();
     }
@@ -65,8 +73,9 @@
     @Test
     void readsBalancerMembers() throws IOException {
         assertEquals(0, run("httpd.conf", APACHE));
-        assertEquals("t1 10.0.0.1:8081 Ready 3.0\n10.0.0.2:80 10.0.0.2:80 Terminating 1.0\n"
-                + "10.0.0.4:1 10.0.0.4:1 Terminating 1.0\n[::1]:7 [::1]:7 Ready 1.0\n",
+        assertEquals(
+                "t1 10.0.0.1:8081 Ready 3.0\n10.0.0.2:80 10.0.0.2:80 Terminating 1.0\n"
+                        + "10.0.0.4:1 10.0.0.4:1 Terminating 1.0\n[::1]:7 [::1]:7 Ready 1.0\n",
                 hosts(out.toString(StandardCharsets.UTF_8)));
         assertTrue(notes().contains("httpd.conf:9: 10.0.0.3 skipped: AJP is not spoken here"), notes());
         assertTrue(notes().contains("httpd.conf:10: http://10.0.0.4:1 is a spare"), notes());
@@ -76,7 +85,8 @@
     void readsWorkersWithWhatTheyInherit() throws IOException {
         Path target = folder.resolve("set.json");
         assertEquals(0, run("workers.properties", JK, "--ajp-as-http", "-o", target.toString()));
-        assertEquals("a 10.0.1.1:8109 Ready 4.0\nb 10.0.1.2:8109 Terminating 1.0\nc 127.0.0.1:8009 Ready 1.0\n",
+        assertEquals(
+                "a 10.0.1.1:8109 Ready 4.0\nb 10.0.1.2:8109 Terminating 1.0\nc 127.0.0.1:8009 Ready 1.0\n",
                 hosts(Files.readString(target)));
     }
 
@@ -99,25 +109,28 @@
     }
 
     @ParameterizedTest
-    @CsvSource(delimiter = '|', value = {
-        "x.conf | BalancerMember http://10.0.0.1 | 1: BalancerMember belongs to no balancer",
-        "x.conf | #;<Proxy balancer://a>;BalancerMember http://10.0.0.1 loadfactor=0 | 3: loadfactor '0'",
-        "x.conf | <Proxy balancer://a>;BalancerMember 10.0.0.1 | 2: '10.0.0.1' is no address",
-        "x.conf | BalancerMember balancer://a http://till-1 | 1: 'till-1' is a name",
-        "x.conf | <Proxy balancer://a>;BalancerMember http://10.0.0.1 status=Q | 2: status 'Q'",
-        "x.conf | <Proxy balancer://a>;BalancerMember \"http://10.0.0.1 | 2: a quote is not closed",
-        "x.conf | <Proxy balancer://a> | 1: <Proxy> is not closed",
-        "x.conf | BalancerMember balancer://a http://10.0.0.1;BalancerMember balancer://a http://10.0.0.1:80 "
-            + "| 2: 10.0.0.1:80 is a member twice",
-        "x.conf | ServerName till | 1: no member that can be called",
-        "w.properties | worker.l.type=lb;worker.l.balance_workers=a | 2: member 'a' of 'l' is not defined",
-        "w.properties | worker.l.type=lb;worker.l.balance_workers=a;worker.a.lbfactor=x | 3: lbfactor 'x'",
-        "w.properties | worker.l.type=lb;worker.l.balance_workers=a;worker.a.port=http | 3: port 'http'",
-        "w.properties | worker.l.type=lb;worker.l.balance_workers=a;worker.a.activation=maybe | 3: activation",
-        "w.properties | worker.l.type=lb;worker.l.balance_workers=a;worker.a.reference=worker.a "
-            + "| 3: 'worker.a' refers to itself",
-        "w.properties | worker.a.host=$(nobody) | 1: $(nobody) is not defined",
-        "w.properties | worker.a | 1: 'worker.a' is not name=value"})
+    @CsvSource(
+            delimiter = '|',
+            value = {
+                "x.conf | BalancerMember http://10.0.0.1 | 1: BalancerMember belongs to no balancer",
+                "x.conf | #;<Proxy balancer://a>;BalancerMember http://10.0.0.1 loadfactor=0 | 3: loadfactor '0'",
+                "x.conf | <Proxy balancer://a>;BalancerMember 10.0.0.1 | 2: '10.0.0.1' is no address",
+                "x.conf | BalancerMember balancer://a http://till-1 | 1: 'till-1' is a name",
+                "x.conf | <Proxy balancer://a>;BalancerMember http://10.0.0.1 status=Q | 2: status 'Q'",
+                "x.conf | <Proxy balancer://a>;BalancerMember \"http://10.0.0.1 | 2: a quote is not closed",
+                "x.conf | <Proxy balancer://a> | 1: <Proxy> is not closed",
+                "x.conf | BalancerMember balancer://a http://10.0.0.1;BalancerMember balancer://a http://10.0.0.1:80 "
+                        + "| 2: 10.0.0.1:80 is a member twice",
+                "x.conf | ServerName till | 1: no member that can be called",
+                "w.properties | worker.l.type=lb;worker.l.balance_workers=a | 2: member 'a' of 'l' is not defined",
+                "w.properties | worker.l.type=lb;worker.l.balance_workers=a;worker.a.lbfactor=x | 3: lbfactor 'x'",
+                "w.properties | worker.l.type=lb;worker.l.balance_workers=a;worker.a.port=http | 3: port 'http'",
+                "w.properties | worker.l.type=lb;worker.l.balance_workers=a;worker.a.activation=maybe | 3: activation",
+                "w.properties | worker.l.type=lb;worker.l.balance_workers=a;worker.a.reference=worker.a "
+                        + "| 3: 'worker.a' refers to itself",
+                "w.properties | worker.a.host=$(nobody) | 1: $(nobody) is not defined",
+                "w.properties | worker.a | 1: 'worker.a' is not name=value"
+            })
     void whatCanNotBeTakenOverIsSaidWithItsPlace(String name, String text, String said) throws IOException {
         assertEquals(1, run(name, text.replace(';', '\n'), "--ajp-as-http"));
         assertTrue(notes().contains(name + ":" + said), notes());
--- a/src/test/java/laneflow/lab/measure/MaintenanceHistoryTest.java
+++ b/src/test/java/laneflow/lab/measure/MaintenanceHistoryTest.java
@@ -46,8 +46,13 @@
         for (int i = 1; i <= 4; i++) {
             racks.add(new Estate.Rack("a" + i, "a", List.of(new Estate.Part(1, 2, 0))));
         }
-        return new Fairness(new Estate(List.of("check"), new double[1], racks, List.of(new Estate.Tenant("shops", 1,
-                Set.of(), 1), new Estate.Tenant("mail", 1, Set.of(), 1))), Fairness.Terms.usual());
+        return new Fairness(
+                new Estate(
+                        List.of("check"),
+                        new double[1],
+                        racks,
+                        List.of(new Estate.Tenant("shops", 1, Set.of(), 1), new Estate.Tenant("mail", 1, Set.of(), 1))),
+                Fairness.Terms.usual());
     }
 
     private MaintenanceHistory checked(List<Shown> shown, List<Loss> losses, List<Long> befell) {
@@ -67,8 +72,13 @@
     void aDayOnWhichAllIsKeptHasNoFindings() {
         day(2, Set.of("a1"), 4000, 9000);
         works.add(new Work("w", List.of("a1"), 5000 * MS, 8000 * MS));
-        MaintenanceHistory history = checked(List.of(new Shown(1, "w", 1, "requested"), new Shown(2, "w", 2, "planned"),
-                new Shown(3, "w", 2, "planned")), List.of(), List.of());
+        MaintenanceHistory history = checked(
+                List.of(
+                        new Shown(1, "w", 1, "requested"),
+                        new Shown(2, "w", 2, "planned"),
+                        new Shown(3, "w", 2, "planned")),
+                List.of(),
+                List.of());
         assertEquals(List.of(), history.found());
         assertEquals(5000, history.awayMs());
     }
@@ -104,8 +114,14 @@
 
     @Test
     void aStepThatIsTakenTwiceOrTakenBackIsFound() {
-        MaintenanceHistory history = checked(List.of(new Shown(1, "w", 2, "planned"), new Shown(2, "w", 3, "announced"),
-                new Shown(3, "w", 3, "postponed"), new Shown(4, "w", 2, "planned")), List.of(), List.of());
+        MaintenanceHistory history = checked(
+                List.of(
+                        new Shown(1, "w", 2, "planned"),
+                        new Shown(2, "w", 3, "announced"),
+                        new Shown(3, "w", 3, "postponed"),
+                        new Shown(4, "w", 2, "planned")),
+                List.of(),
+                List.of());
         assertEquals(2, history.doubleSteps());
     }
 
@@ -130,6 +146,9 @@
         assertEquals(0, checked().unfair());
         Loss lost = new Loss("a2", 1000 * MS, 9000 * MS);
         assertTrue(checked(List.of(), List.of(lost), List.of(1000 * MS)).unfair() > 20);
-        assertEquals(0, checked(List.of(), List.of(new Loss("a2", 6000 * MS, 9000 * MS)), List.of(6000 * MS)).unfair());
+        assertEquals(
+                0,
+                checked(List.of(), List.of(new Loss("a2", 6000 * MS, 9000 * MS)), List.of(6000 * MS))
+                        .unfair());
     }
 }
--- a/src/test/java/laneflow/lab/measure/PolicyHistoryTest.java
+++ b/src/test/java/laneflow/lab/measure/PolicyHistoryTest.java
@@ -11,9 +11,11 @@
     private final PolicyHistory history = new PolicyHistory();
 
     private void begins(String who, long number, long before, long lastDecidedMs, long beganMs) {
-        history.log(who, "x INFO Policy - policy begins number=" + number + " before=" + before
-                + " last_decided_ns=" + lastDecidedMs * 1_000_000 + " began_ns=" + beganMs * 1_000_000
-                + " fence_us=1200 took_us=9\n");
+        history.log(
+                who,
+                "x INFO Policy - policy begins number=" + number + " before=" + before
+                        + " last_decided_ns=" + lastDecidedMs * 1_000_000 + " began_ns=" + beganMs * 1_000_000
+                        + " fence_us=1200 took_us=9\n");
     }
 
     private void sound() {
--- a/src/test/java/laneflow/lab/measure/TakenBackStoryTest.java
+++ b/src/test/java/laneflow/lab/measure/TakenBackStoryTest.java
@@ -22,7 +22,8 @@
     void whatMakesServiceWorseIsTakenBackEverywhere() throws Exception {
         int node = Crew.port();
         String common = "zones = [\"z\"]\n[classes.check]\nrepeat = \"safe\"\n[classes.capture]\n[endpoints.till]\n"
-                + "dial = \"127.0.0.1:" + node + "\"\n[policy]\nvoters = VOTERS\ndir = \"FOLDER\"\nprobation_ms = 3000\n";
+                + "dial = \"127.0.0.1:" + node
+                + "\"\n[policy]\nvoters = VOTERS\ndir = \"FOLDER\"\nprobation_ms = 3000\n";
         try (Rig rig = new Rig(folder, 3, 3, 5, common)) {
             rig.start("nodes", StandInNodes.class, String.valueOf(node), "", "5", "16", "2", "240");
             rig.startAll();
--- a/src/test/java/laneflow/lab/measure/TaskHistoryTest.java
+++ b/src/test/java/laneflow/lab/measure/TaskHistoryTest.java
@@ -15,8 +15,11 @@
 
     @Test
     void aSoundHistoryIsSound() {
-        TaskHistory history = new TaskHistory(List.of(call("a#1", 1, 0, 10), call("a#1", 1, 5, 12),
-                call("b#1", 2, 12, 20), new Call("t", 1, "a#1", true, false, 14, 14, false)));
+        TaskHistory history = new TaskHistory(List.of(
+                call("a#1", 1, 0, 10),
+                call("a#1", 1, 5, 12),
+                call("b#1", 2, 12, 20),
+                new Call("t", 1, "a#1", true, false, 14, 14, false)));
         assertEquals(List.of(), history.check());
         assertEquals(1, history.turnedDown());
         assertEquals(Set.of("t"), history.heldBy("a", 12));
@@ -26,8 +29,8 @@
 
     @Test
     void twoAtOnceAndAStaleTokenAreFound() {
-        TaskHistory history = new TaskHistory(List.of(call("a#1", 1, 0, 10), call("b#1", 2, 9, 20),
-                call("a#1", 1, 30, 40)));
+        TaskHistory history =
+                new TaskHistory(List.of(call("a#1", 1, 0, 10), call("b#1", 2, 9, 20), call("a#1", 1, 30, 40)));
         assertEquals(2, history.check().size());
         assertEquals(1, history.twoAtOnce());
         assertEquals(1, history.staleAccepted());
@@ -42,13 +45,14 @@
 
     @Test
     void workThatGoesOnBehindItsCutOffIsToldApart() {
-        TaskHistory history = new TaskHistory(List.of(new Call("t", 1, "a#1", false, true, 0, 10, true),
-                call("b#1", 2, 9, 20), call("c#1", 3, 15, 30)));
+        TaskHistory history = new TaskHistory(List.of(
+                new Call("t", 1, "a#1", false, true, 0, 10, true), call("b#1", 2, 9, 20), call("c#1", 3, 15, 30)));
         assertEquals(1, history.check().size());
         assertEquals(1, history.pastCutOff());
         assertEquals(1, history.twoAtOnce());
         // Read late from a connection that was closed long ago: by one that checks no tokens.
-        TaskHistory late = new TaskHistory(List.of(call("b#1", 2, 0, 10), new Call("t", 1, "a#1", false, true, 20, 30, true)));
+        TaskHistory late =
+                new TaskHistory(List.of(call("b#1", 2, 0, 10), new Call("t", 1, "a#1", false, true, 20, 30, true)));
         assertEquals(List.of(), late.check());
         assertEquals(1, late.pastCutOff());
     }
--- a/src/test/java/laneflow/lab/world/CapacityWorldTest.java
+++ b/src/test/java/laneflow/lab/world/CapacityWorldTest.java
@@ -50,8 +50,7 @@
         Result honest = day(Weighing.SPARING, 0, Fault.NONE);
         for (Fault lie : new Fault[] {Fault.LIAR_FREE, Fault.LIAR_FULL}) {
             Result lied = day(Weighing.SPARING, 0, lie);
-            assertTrue(lied.points() > honest.points() - 1, lie + ": " + lied.points() + " of " + honest
-                    .points());
+            assertTrue(lied.points() > honest.points() - 1, lie + ": " + lied.points() + " of " + honest.points());
         }
     }
 }
--- a/src/test/java/laneflow/lab/world/SettlePlotTest.java
+++ b/src/test/java/laneflow/lab/world/SettlePlotTest.java
@@ -62,8 +62,13 @@
             }
             System.out.printf("%d members: %.1f %.1f %.1f rounds%n", members, sum[0], sum[1], sum[2]);
         }
-        XYChart chart = new XYChartBuilder().width(800).height(480).title("Rounds until all hold one view (mean of "
-                + SEEDS + " seeds, virtual time)").xAxisTitle("members").yAxisTitle("rounds of 250 ms").build();
+        XYChart chart = new XYChartBuilder()
+                .width(800)
+                .height(480)
+                .title("Rounds until all hold one view (mean of " + SEEDS + " seeds, virtual time)")
+                .xAxisTitle("members")
+                .yAxisTitle("rounds of 250 ms")
+                .build();
         chart.getStyler().setXAxisLogarithmic(true);
         chart.getStyler().setYAxisMin(0.0);
         String[] names = {"all begin at once", "one crashes", "halves that were cut for 20 s heal"};
--- a/src/test/java/laneflow/maintenance/EstateReaderTest.java
+++ b/src/test/java/laneflow/maintenance/EstateReaderTest.java
@@ -22,14 +22,20 @@
             + "[tenants.shop]\nshare = 3\n[tenants.till]\nzones = [\"a\"]\nclasses = [\"quick\"]\n";
 
     private static Estate read(JsonObject platform, Findings findings) {
-        return EstateReader.read(platform.getAsJsonObject("settings"), platform.getAsJsonObject("known")
-                .getAsJsonArray("hosts"), findings);
+        return EstateReader.read(
+                platform.getAsJsonObject("settings"),
+                platform.getAsJsonObject("known").getAsJsonArray("hosts"),
+                findings);
     }
 
     private static void check(Estate estate) {
-        assertEquals(List.of("r1", "e3"), estate.racks().stream().map(Estate.Rack::name).toList());
+        assertEquals(
+                List.of("r1", "e3"),
+                estate.racks().stream().map(Estate.Rack::name).toList());
         assertEquals(12, estate.racks().get(0).slots());
-        assertEquals(List.of("shop", "till", "others"), estate.tenants().stream().map(Estate.Tenant::name).toList());
+        assertEquals(
+                List.of("shop", "till", "others"),
+                estate.tenants().stream().map(Estate.Tenant::name).toList());
         // In zone a shop, till and others share 12 slots by 3 to 1 to 1, in zone b two share by 3 to 1.
         assertEquals(12 * 0.6 + 12 * 0.75, estate.entitlement(0), 1e-9);
         assertEquals(12 * 0.2, estate.entitlement(1), 1e-9);
@@ -45,18 +51,20 @@
     @Test
     void thePlatformsWordsSayTheSame() {
         JsonObject platform = JsonParser.parseString("{\"settings\":{\"areas\":[\"a\",\"b\"],\"classes\":[{\"name\":"
-                + "\"quick\"},{\"name\":\"batch\"}],\"customers\":[{\"name\":\"shop\",\"portion\":3},{\"name\":\"till\","
-                + "\"portion\":1,\"zones\":[\"a\"],\"classes\":[\"quick\"]}]},\"known\":{\"hosts\":["
-                + "{\"host\":\"e1\",\"site\":\"a\",\"rack\":\"r1\",\"slots\":8},"
-                + "{\"host\":\"e2\",\"site\":\"a\",\"rack\":\"r1\",\"slots\":4},"
-                + "{\"host\":\"e3\",\"site\":\"b\",\"slots\":12}]}}").getAsJsonObject();
+                        + "\"quick\"},{\"name\":\"batch\"}],\"customers\":[{\"name\":\"shop\",\"portion\":3},{\"name\":\"till\","
+                        + "\"portion\":1,\"zones\":[\"a\"],\"classes\":[\"quick\"]}]},\"known\":{\"hosts\":["
+                        + "{\"host\":\"e1\",\"site\":\"a\",\"rack\":\"r1\",\"slots\":8},"
+                        + "{\"host\":\"e2\",\"site\":\"a\",\"rack\":\"r1\",\"slots\":4},"
+                        + "{\"host\":\"e3\",\"site\":\"b\",\"slots\":12}]}}")
+                .getAsJsonObject();
         check(read(platform, new Findings("settings")));
     }
 
     @Test
     void aBlockIsARack() {
-        JsonObject platform = JsonParser.parseString("{\"settings\":{\"classes\":[{\"name\":\"quick\"}]},\"known\":"
-                + "{\"hosts\":[{\"host\":\"s-1\",\"site\":\"a\",\"block\":3},{\"host\":\"s-2\",\"site\":\"a\",\"block\":3}]}}")
+        JsonObject platform = JsonParser.parseString(
+                        "{\"settings\":{\"classes\":[{\"name\":\"quick\"}]},\"known\":"
+                                + "{\"hosts\":[{\"host\":\"s-1\",\"site\":\"a\",\"block\":3},{\"host\":\"s-2\",\"site\":\"a\",\"block\":3}]}}")
                 .getAsJsonObject();
         Estate estate = read(platform, new Findings("settings"));
         assertEquals(2, estate.racks().get(estate.rack("3")).slots());
@@ -64,15 +72,21 @@
 
     @Test
     void everyReasonIsToldAtOnce() {
-        OperatorFile bad = OperatorFile.parse(FILE.replace("share = 3", "share = 0").replace("zones = [\"a\"]\nc",
-                "zones = [\"x\"]\nc").replace("slots = 8", "slots = -1"), "f.toml");
+        OperatorFile bad = OperatorFile.parse(
+                FILE.replace("share = 3", "share = 0")
+                        .replace("zones = [\"a\"]\nc", "zones = [\"x\"]\nc")
+                        .replace("slots = 8", "slots = -1"),
+                "f.toml");
         String all = bad.findings().all().toString();
-        for (String part : List.of("[tenants.shop] share: 0 is not between", "[tenants.till] zones: 'x' is none of",
+        for (String part : List.of(
+                "[tenants.shop] share: 0 is not between",
+                "[tenants.till] zones: 'x' is none of",
                 "[endpoints.e1] slots: -1 is not between")) {
             assertTrue(all.contains(part), part + " in " + all);
         }
         Findings findings = new Findings("f.toml");
-        OperatorFile apart = OperatorFile.parse(FILE.replace("zone = \"b\"\n", "zone = \"b\"\nrack = \"r1\"\n"), "f.toml");
+        OperatorFile apart =
+                OperatorFile.parse(FILE.replace("zone = \"b\"\n", "zone = \"b\"\nrack = \"r1\"\n"), "f.toml");
         assertNull(read(apart.platform(), findings));
         assertTrue(findings.all().toString().contains("'r1' stands in zone a by another endpoint"));
     }
--- a/src/test/java/laneflow/maintenance/MaintenanceConfigTest.java
+++ b/src/test/java/laneflow/maintenance/MaintenanceConfigTest.java
@@ -16,15 +16,18 @@
 /** The operators' file on windows: what is wrong is told, all of it, with its place. */
 class MaintenanceConfigTest {
     private static final String FLEET = "[fleet]\nlisten = \"127.0.0.1:0\"\n[policy]\nvoters = [\"n1\"]\ndir = \"v\"\n";
+
     @TempDir
     private Path folder;
 
     private Setup read(String tables) throws Exception {
         Path file = folder.resolve("f.toml");
-        Files.writeString(file, "name = \"n1\"\nlisten = \"127.0.0.1:0\"\nzones = [\"z\"]\n[classes.check]\n"
-                + "[endpoints.t1]\ndial = \"127.0.0.1:1\"\nrack = \"a\"\nslots = 4\n[endpoints.t2]\n"
-                + "dial = \"127.0.0.1:2\"\nrack = \"a\"\n[endpoints.t3]\ndial = \"127.0.0.1:3\"\n"
-                + "[tenants.shop]\nshare = 2\n" + tables);
+        Files.writeString(
+                file,
+                "name = \"n1\"\nlisten = \"127.0.0.1:0\"\nzones = [\"z\"]\n[classes.check]\n"
+                        + "[endpoints.t1]\ndial = \"127.0.0.1:1\"\nrack = \"a\"\nslots = 4\n[endpoints.t2]\n"
+                        + "dial = \"127.0.0.1:2\"\nrack = \"a\"\n[endpoints.t3]\ndial = \"127.0.0.1:3\"\n"
+                        + "[tenants.shop]\nshare = 2\n" + tables);
         return Setup.operators(file, null, null);
     }
 
@@ -42,7 +45,8 @@
         assertEquals(14 * 96, usual.planning.steps());
         assertEquals(1, usual.demand);
         MaintenanceConfig other = read(FLEET + "[tasks]\n[maintenance]\nstep_ms = 100\nahead_ms = 60000\n"
-                + "tolerance = 0.1\nsilent_ms = 7\n").maintenance();
+                        + "tolerance = 0.1\nsilent_ms = 7\n")
+                .maintenance();
         assertEquals(600, other.planning.steps());
         assertEquals(0.1, other.terms.tolerance());
         assertEquals(7000, other.silent);
@@ -50,11 +54,16 @@
 
     @Test
     void whatIsWrongIsToldAtOnce() {
-        String alone = wrong("[maintenance]\nstep_ms = 5\nahead_ms = 1000\ndemand = 2\nearly_ms = 1999\n"
-                + "more = 1\n");
-        for (String part : List.of("[maintenance] needs the table [policy]", "needs the table [tasks]",
-                "step_ms: 5 is not between", "ahead_ms: is 0 times step_ms", "demand: 2 is not between",
-                "early_ms: is less than two looks", "more: is unknown")) {
+        String alone =
+                wrong("[maintenance]\nstep_ms = 5\nahead_ms = 1000\ndemand = 2\nearly_ms = 1999\n" + "more = 1\n");
+        for (String part : List.of(
+                "[maintenance] needs the table [policy]",
+                "needs the table [tasks]",
+                "step_ms: 5 is not between",
+                "ahead_ms: is 0 times step_ms",
+                "demand: 2 is not between",
+                "early_ms: is less than two looks",
+                "more: is unknown")) {
             assertTrue(alone.contains(part), alone);
         }
         String serves = wrong(FLEET + "cut_off = \"serve\"\n[tasks]\n[maintenance]\n");
--- a/src/test/java/laneflow/maintenance/MaintenanceFaultStoryTest.java
+++ b/src/test/java/laneflow/maintenance/MaintenanceFaultStoryTest.java
@@ -50,8 +50,9 @@
         rig.partAll(List.of(cut));
         rig.await("another coordinates", () -> {
             int other = rig.leader();
-            return other >= 0 && other != cut && !rig.ask(other, "/maintenance", null).body().contains(
-                    "\"coordinator\":\"" + Rig.name(cut) + "#")
+            return other >= 0
+                    && other != cut
+                    && !rig.ask(other, "/maintenance", null).body().contains("\"coordinator\":\"" + Rig.name(cut) + "#")
                     && rig.ask(other, "/maintenance", null).body().contains("\"coordinator\":\"n");
         });
         rig.heal();
@@ -99,7 +100,9 @@
         tills.lose("till-2");
         tills.lose("till-3");
         await("power-a", "returning", "postponed", "refused", "planned");
-        assertTrue(shown("power-a").get("reasons").toString().contains("short"), shown("power-a").toString());
+        assertTrue(
+                shown("power-a").get("reasons").toString().contains("short"),
+                shown("power-a").toString());
         assertEquals(409, order("power-a", "begin").statusCode());
         tills.run(20);
         served("a");
--- a/src/test/java/laneflow/maintenance/MaintenanceStories.java
+++ b/src/test/java/laneflow/maintenance/MaintenanceStories.java
@@ -29,13 +29,16 @@
 
 /** What stories of windows begin with: schedulers as processes, endpoints that write their calls down, clients. */
 abstract class MaintenanceStories {
-    private static final Map<String, List<Integer>> RACKS = new TreeMap<>(Map.of("a", List.of(0, 1), "b", List.of(2),
-            "c", List.of(3), "d", List.of(4)));
+    private static final Map<String, List<Integer>> RACKS =
+            new TreeMap<>(Map.of("a", List.of(0, 1), "b", List.of(2), "c", List.of(3), "d", List.of(4)));
+
     @TempDir
     Path folder;
+
     Tills tills;
     Rig rig;
-    private final HttpClient client = HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).build();
+    private final HttpClient client =
+            HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).build();
     private volatile boolean over;
     private final List<Thread> clients = new ArrayList<>();
     final AtomicInteger served = new AtomicInteger();
@@ -50,13 +53,18 @@
         tills = new Tills(5, 20);
         StringBuilder file = new StringBuilder("zones = [\"z\"]\n[classes.check]\ndeadline_ms = 1500\n"
                 + "repeat = \"safe\"\n[tenants.shop]\nshare = 2\n[tenants.web]\n");
-        RACKS.forEach((rack, numbers) -> numbers.forEach(i -> file.append("[endpoints.till-").append(i)
-                .append("]\ndial = \"").append(tills.dial("till-" + i)).append("\"\nslots = 4\nrack = \"").append(rack)
+        RACKS.forEach((rack, numbers) -> numbers.forEach(i -> file.append("[endpoints.till-")
+                .append(i)
+                .append("]\ndial = \"")
+                .append(tills.dial("till-" + i))
+                .append("\"\nslots = 4\nrack = \"")
+                .append(rack)
                 .append("\"\n")));
         file.append("[policy]\nvoters = VOTERS\ndir = \"FOLDER\"\nlease_ms = 1000\n[tasks]\n[maintenance]\n"
-                + "lost_after = 1\nstep_ms = 400\nahead_ms = 60000\nreturn_ms = 200\nearly_ms = 500\nlate_ms = 4000\nlook_ms = 50\n"
-                + "drain_ms = 4000\ngive_back_ms = 4000\noverrun_ms = 100\nlost_ms = 60000\ndemand = 0.3\n"
-                + "tolerance = 0.1\nshortage = 0.05\n").append(more().contains("begin_ms") ? "" : "begin_ms = 6000\n")
+                        + "lost_after = 1\nstep_ms = 400\nahead_ms = 60000\nreturn_ms = 200\nearly_ms = 500\nlate_ms = 4000\nlook_ms = 50\n"
+                        + "drain_ms = 4000\ngive_back_ms = 4000\noverrun_ms = 100\nlost_ms = 60000\ndemand = 0.3\n"
+                        + "tolerance = 0.1\nshortage = 0.05\n")
+                .append(more().contains("begin_ms") ? "" : "begin_ms = 6000\n")
                 .append(more());
         rig = new Rig(folder, 3, 3, 7, file.toString());
         rig.startAll();
@@ -96,9 +104,13 @@
     private void ask(int i, String id) {
         for (int n = 0; !over; n++) {
             try {
-                HttpResponse<String> answer = client.send(HttpRequest.newBuilder(URI.create("http://127.0.0.1:"
-                        + rig.clientPort(i) + "/check")).timeout(Duration.ofSeconds(3)).header("Req-Id", id + n)
-                        .header("Req-Owner", "shop").POST(HttpRequest.BodyPublishers.ofString("x")).build(),
+                HttpResponse<String> answer = client.send(
+                        HttpRequest.newBuilder(URI.create("http://127.0.0.1:" + rig.clientPort(i) + "/check"))
+                                .timeout(Duration.ofSeconds(3))
+                                .header("Req-Id", id + n)
+                                .header("Req-Owner", "shop")
+                                .POST(HttpRequest.BodyPublishers.ofString("x"))
+                                .build(),
                         HttpResponse.BodyHandlers.ofString());
                 if (answer.statusCode() == 200) {
                     served.incrementAndGet();
@@ -117,8 +129,8 @@
 
     static Request window(String name, long workMs, String... racks) {
         long now = System.currentTimeMillis();
-        return new Request(name, "power crew", List.of(racks), workMs, now, now + 40_000, 0, workMs, Set.of(),
-                List.of());
+        return new Request(
+                name, "power crew", List.of(racks), workMs, now, now + 40_000, 0, workMs, Set.of(), List.of());
     }
 
     static String body(boolean dryRun, Request... all) {
@@ -176,7 +188,9 @@
     }
 
     void await(String name, String... states) throws IOException, InterruptedException {
-        rig.await(name + " is " + String.join(" or ", states), () -> List.of(states).contains(state(name)));
+        rig.await(
+                name + " is " + String.join(" or ", states),
+                () -> List.of(states).contains(state(name)));
     }
 
     /** The number of the scheduler that coordinates, once one does. */
@@ -206,7 +220,11 @@
 
     void quiet(long from, long to, String... racks) {
         for (String rack : racks) {
-            assertEquals(List.of(), tills.amid(endpoints(rack), from, to).stream().map(call -> call.till).toList(),
+            assertEquals(
+                    List.of(),
+                    tills.amid(endpoints(rack), from, to).stream()
+                            .map(call -> call.till)
+                            .toList(),
                     "calls to a rack that is down");
         }
     }
--- a/src/test/java/laneflow/maintenance/RequestFileTest.java
+++ b/src/test/java/laneflow/maintenance/RequestFileTest.java
@@ -22,17 +22,36 @@
     }
 
     private static List<Request> read(String earliest, String latest, String more) {
-        return RequestFile.read("name = \"fw\"\nowner = \"crew\"\nracks = [\"a1\"]\nwork_minutes = 60\n"
-                + "time_zone = \"Europe/Ljubljana\"\nearliest = \"" + earliest + "\"\nlatest = \"" + latest + "\"\n"
-                + more, "fw.toml", RACKS, UNTIL);
+        return RequestFile.read(
+                "name = \"fw\"\nowner = \"crew\"\nracks = [\"a1\"]\nwork_minutes = 60\n"
+                        + "time_zone = \"Europe/Ljubljana\"\nearliest = \"" + earliest + "\"\nlatest = \"" + latest
+                        + "\"\n"
+                        + more,
+                "fw.toml",
+                RACKS,
+                UNTIL);
     }
 
     @Test
     void allOfItIsRead() {
-        Request one = read("2026-12-10T22:00", "2026-12-11T06:00", "notice_minutes = 1440\nabort_minutes = 30\n"
-                + "apart = [\"power-3\"]\nafter = [\"other\"]").get(0);
-        assertEquals(new Request("fw", "crew", List.of("a1"), 3_600_000, ms("2026-12-10T21:00:00Z"),
-                ms("2026-12-11T05:00:00Z"), 86_400_000, 1_800_000, Set.of("power-3"), List.of("other")), one);
+        Request one = read(
+                        "2026-12-10T22:00",
+                        "2026-12-11T06:00",
+                        "notice_minutes = 1440\nabort_minutes = 30\n" + "apart = [\"power-3\"]\nafter = [\"other\"]")
+                .get(0);
+        assertEquals(
+                new Request(
+                        "fw",
+                        "crew",
+                        List.of("a1"),
+                        3_600_000,
+                        ms("2026-12-10T21:00:00Z"),
+                        ms("2026-12-11T05:00:00Z"),
+                        86_400_000,
+                        1_800_000,
+                        Set.of("power-3"),
+                        List.of("other")),
+                one);
     }
 
     @Test
@@ -47,57 +66,88 @@
         Request one = read("2026-03-29T02:30", "2026-03-29T05:00", "").get(0);
         assertEquals(ms("2026-03-29T01:30:00Z"), one.earliestMs());
         // Four hours by the clock on the wall are three of that night.
-        assertEquals(3 * 3_600_000L, read("2026-03-29T01:00", "2026-03-29T05:00", "").get(0).latestMs() - read(
-                "2026-03-29T01:00", "2026-03-29T05:00", "").get(0).earliestMs());
-        ConfigException e = assertThrows(ConfigException.class, () -> read("2026-03-29T01:30",
-                "2026-03-29T03:00", ""));
-        assertTrue(e.getMessage().contains("leaves 30 minutes from 2026-03-29T01:30 on for 60 of work"),
-                e.getMessage());
+        assertEquals(
+                3 * 3_600_000L,
+                read("2026-03-29T01:00", "2026-03-29T05:00", "").get(0).latestMs()
+                        - read("2026-03-29T01:00", "2026-03-29T05:00", "")
+                                .get(0)
+                                .earliestMs());
+        ConfigException e = assertThrows(ConfigException.class, () -> read("2026-03-29T01:30", "2026-03-29T03:00", ""));
+        assertTrue(
+                e.getMessage().contains("leaves 30 minutes from 2026-03-29T01:30 on for 60 of work"), e.getMessage());
     }
 
     @Test
     void whatComesEachMonthKeepsItsTimeOfDay() {
-        List<Request> all = read("2026-09-01T02:30", "2026-09-01T06:00",
-                "rule = \"FREQ=MONTHLY;BYDAY=-1SU;COUNT=3\"");
-        assertEquals(List.of("fw-20260927", "fw-20261025", "fw-20261129"), all.stream().map(Request::name).toList());
-        assertEquals(List.of(ms("2026-09-27T00:30:00Z"), ms("2026-10-25T00:30:00Z"), ms("2026-11-29T01:30:00Z")),
+        List<Request> all = read("2026-09-01T02:30", "2026-09-01T06:00", "rule = \"FREQ=MONTHLY;BYDAY=-1SU;COUNT=3\"");
+        assertEquals(
+                List.of("fw-20260927", "fw-20261025", "fw-20261129"),
+                all.stream().map(Request::name).toList());
+        assertEquals(
+                List.of(ms("2026-09-27T00:30:00Z"), ms("2026-10-25T00:30:00Z"), ms("2026-11-29T01:30:00Z")),
                 all.stream().map(Request::earliestMs).toList());
     }
 
     @Test
     void everyReasonIsToldAtOnce() {
-        ConfigException e = assertThrows(ConfigException.class, () -> RequestFile.read("name = \"a b\"\n"
-                + "racks = [\"a1\", \"a1\", \"x9\"]\nwork_minutes = 0\nabort_minutes = 5\nearliest = \"soon\"\n"
-                + "latest = \"2026-12-11T06:00\"\ntime_zone = \"Mars/Base\"\nafter = [\"a b\"]\nnotic = 3\n",
-                "fw.toml", RACKS, UNTIL));
-        for (String part : List.of("fw.toml: name: is up to 48", "owner: is missing", "'a1' is named twice",
-                "'x9' is not known", "work_minutes: 0 is not between", "abort_minutes: is behind the end",
-                "earliest: 'soon' is no local time", "time_zone: 'Mars/Base' is no zone",
-                "after: 'a b' can't come after itself", "notic: is unknown here")) {
+        ConfigException e = assertThrows(
+                ConfigException.class,
+                () -> RequestFile.read(
+                        "name = \"a b\"\n"
+                                + "racks = [\"a1\", \"a1\", \"x9\"]\nwork_minutes = 0\nabort_minutes = 5\nearliest = \"soon\"\n"
+                                + "latest = \"2026-12-11T06:00\"\ntime_zone = \"Mars/Base\"\nafter = [\"a b\"]\nnotic = 3\n",
+                        "fw.toml",
+                        RACKS,
+                        UNTIL));
+        for (String part : List.of(
+                "fw.toml: name: is up to 48",
+                "owner: is missing",
+                "'a1' is named twice",
+                "'x9' is not known",
+                "work_minutes: 0 is not between",
+                "abort_minutes: is behind the end",
+                "earliest: 'soon' is no local time",
+                "time_zone: 'Mars/Base' is no zone",
+                "after: 'a b' can't come after itself",
+                "notic: is unknown here")) {
             assertTrue(e.getMessage().contains(part), part + " in " + e.getMessage());
         }
     }
 
     @Test
     void rulesThatMakeNoSenseAreTurnedDown() {
-        for (String[] one : new String[][] {{"FREQ=OFTEN", "is no rule of RFC 5545"},
-                {"FREQ=HOURLY", "before the one before it has to end"},
-                {"FREQ=YEARLY;BYMONTH=2;BYMONTHDAY=30", "never happens within what is planned"}}) {
-            ConfigException e = assertThrows(ConfigException.class, () -> read("2026-09-01T02:30",
-                    "2026-09-01T06:00", "rule = \"" + one[0] + "\""));
+        for (String[] one : new String[][] {
+            {"FREQ=OFTEN", "is no rule of RFC 5545"},
+            {"FREQ=HOURLY", "before the one before it has to end"},
+            {"FREQ=YEARLY;BYMONTH=2;BYMONTHDAY=30", "never happens within what is planned"}
+        }) {
+            ConfigException e = assertThrows(
+                    ConfigException.class,
+                    () -> read("2026-09-01T02:30", "2026-09-01T06:00", "rule = \"" + one[0] + "\""));
             assertTrue(e.getMessage().contains(one[1]), e.getMessage());
         }
     }
 
     @Test
     void freezesRecurToo() {
-        List<Freeze> all = RequestFile.freezes("time_zone = \"Europe/Ljubljana\"\n[freezes.payday]\n"
-                + "from = \"2026-12-28T00:00\"\nto = \"2026-12-30T00:00\"\nrule = \"FREQ=MONTHLY;COUNT=2\"\n",
-                "calendar.toml", UNTIL);
-        assertEquals(List.of(new Freeze("payday", ms("2026-12-27T23:00:00Z"), ms("2026-12-29T23:00:00Z")),
-                new Freeze("payday", ms("2027-01-27T23:00:00Z"), ms("2027-01-29T23:00:00Z"))), all);
-        assertTrue(assertThrows(ConfigException.class, () -> RequestFile.freezes("time_zone = \"UTC\"\n"
-                + "[freezes.x]\nfrom = \"2026-12-28T00:00\"\nto = \"2026-12-27T00:00\"\n", "calendar.toml", UNTIL))
-                .getMessage().contains("[freezes.x] to: is not behind from"));
+        List<Freeze> all = RequestFile.freezes(
+                "time_zone = \"Europe/Ljubljana\"\n[freezes.payday]\n"
+                        + "from = \"2026-12-28T00:00\"\nto = \"2026-12-30T00:00\"\nrule = \"FREQ=MONTHLY;COUNT=2\"\n",
+                "calendar.toml",
+                UNTIL);
+        assertEquals(
+                List.of(
+                        new Freeze("payday", ms("2026-12-27T23:00:00Z"), ms("2026-12-29T23:00:00Z")),
+                        new Freeze("payday", ms("2027-01-27T23:00:00Z"), ms("2027-01-29T23:00:00Z"))),
+                all);
+        assertTrue(assertThrows(
+                        ConfigException.class,
+                        () -> RequestFile.freezes(
+                                "time_zone = \"UTC\"\n"
+                                        + "[freezes.x]\nfrom = \"2026-12-28T00:00\"\nto = \"2026-12-27T00:00\"\n",
+                                "calendar.toml",
+                                UNTIL))
+                .getMessage()
+                .contains("[freezes.x] to: is not behind from"));
     }
 }
--- a/src/test/java/laneflow/maintenance/RequestReaderTest.java
+++ b/src/test/java/laneflow/maintenance/RequestReaderTest.java
@@ -23,8 +23,18 @@
 
     @Test
     void whatIsWrittenIsRead() {
-        Request whole = new Request("w", "crew", List.of("a", "b"), 1000, 5, 9000, 10, 500, Set.of("power"),
-                List.of("v"), List.of(new Plan.Freeze("sale", 100, 200)));
+        Request whole = new Request(
+                "w",
+                "crew",
+                List.of("a", "b"),
+                1000,
+                5,
+                9000,
+                10,
+                500,
+                Set.of("power"),
+                List.of("v"),
+                List.of(new Plan.Freeze("sale", 100, 200)));
         JsonArray list = new JsonArray();
         list.add(Forms.write(whole));
         assertEquals(List.of(whole), read(list.toString()));
@@ -38,11 +48,22 @@
                 + "{'name':'x','owner':'c','racks':['a'],'work_ms':10,'earliest_ms':1,'latest_ms':5},"
                 + "{'name':'x','owner':'c','racks':[],'earliest_ms':'soon','latest_ms':5}]");
         String all = String.join("\n", findings.all());
-        for (String part : List.of("requests[0].name: is up to 64", "racks: 'a' is named twice", "'z' is not known",
-                "work_ms: 0 is not between 1", "requests[0].more: is unknown here", "abort_ms: is behind", "can't come after itself",
-                "freezes[0].to_ms: is not behind", "freezes[1]: is no object", "requests[1]: is no object",
-                "requests[2].latest_ms: leaves 4 ms for 10 of work", "requests[3].name: 'x' is there twice",
-                "requests[3].racks: names none", "requests[3].work_ms: is missing", "earliest_ms: must be a whole")) {
+        for (String part : List.of(
+                "requests[0].name: is up to 64",
+                "racks: 'a' is named twice",
+                "'z' is not known",
+                "work_ms: 0 is not between 1",
+                "requests[0].more: is unknown here",
+                "abort_ms: is behind",
+                "can't come after itself",
+                "freezes[0].to_ms: is not behind",
+                "freezes[1]: is no object",
+                "requests[1]: is no object",
+                "requests[2].latest_ms: leaves 4 ms for 10 of work",
+                "requests[3].name: 'x' is there twice",
+                "requests[3].racks: names none",
+                "requests[3].work_ms: is missing",
+                "earliest_ms: must be a whole")) {
             assertTrue(all.contains(part), part + "\n" + all);
         }
         assertEquals(List.of(), read("[]"));
--- a/src/test/java/laneflow/maintenance/Tills.java
+++ b/src/test/java/laneflow/maintenance/Tills.java
@@ -78,13 +78,16 @@
 
     /** Calls there that went on at any instant of that span. */
     List<Call> amid(List<String> these, long fromNs, long toNs) {
-        return calls.stream().filter(call -> these.contains(call.till) && call.beganNs < toNs && call.endedNs > fromNs)
+        return calls.stream()
+                .filter(call -> these.contains(call.till) && call.beganNs < toNs && call.endedNs > fromNs)
                 .toList();
     }
 
     /** How many began there since. */
     long since(String till, long ns) {
-        return calls.stream().filter(call -> call.till.equals(till) && call.beganNs > ns).count();
+        return calls.stream()
+                .filter(call -> call.till.equals(till) && call.beganNs > ns)
+                .count();
     }
 
     private static void daemon(Runnable work) {
@@ -119,8 +122,9 @@
                 String line = "{\"id\":\"" + id + "\",\"state\":\"done\",\"result\":\"" + name + "\"}\n";
                 // Over before its caller can know.
                 call[0].endedNs = System.nanoTime();
-                socket.getOutputStream().write(("HTTP/1.1 200 OK\r\nContent-Length: " + line.length() + "\r\n\r\n"
-                        + line).getBytes(StandardCharsets.UTF_8));
+                socket.getOutputStream()
+                        .write(("HTTP/1.1 200 OK\r\nContent-Length: " + line.length() + "\r\n\r\n" + line)
+                                .getBytes(StandardCharsets.UTF_8));
             }
         } catch (IOException | InterruptedException e) {
             if (call[0] != null) {
--- a/src/test/java/laneflow/maintenance/decision/AccountsTest.java
+++ b/src/test/java/laneflow/maintenance/decision/AccountsTest.java
@@ -25,8 +25,8 @@
     }
 
     @Property(tries = 200, seed = "7")
-    void aRestartAmidChangesNothing(@ForAll @IntRange(min = 1, max = 30) int steps,
-            @ForAll @DoubleRange(min = 0, max = 50) double lost) {
+    void aRestartAmidChangesNothing(
+            @ForAll @IntRange(min = 1, max = 30) int steps, @ForAll @DoubleRange(min = 0, max = 50) double lost) {
         Accounts one = new Accounts(HALF_LIFE);
         Accounts other = new Accounts(HALF_LIFE);
         for (int i = 0; i < steps; i++) {
@@ -52,8 +52,8 @@
     }
 
     @Property(tries = 200, seed = "7")
-    void whatNeverRanDoesNotCount(@ForAll @DoubleRange(min = 0, max = 100) double ran,
-            @ForAll @DoubleRange(min = 0, max = 1e6) double said) {
+    void whatNeverRanDoesNotCount(
+            @ForAll @DoubleRange(min = 0, max = 100) double ran, @ForAll @DoubleRange(min = 0, max = 1e6) double said) {
         Accounts accounts = new Accounts(HALF_LIFE);
         accounts.served("a", ran, DAY);
         double counted = accounts.proven("a", said, 0.1, DAY);
--- a/src/test/java/laneflow/maintenance/decision/DrawnPlan.java
+++ b/src/test/java/laneflow/maintenance/decision/DrawnPlan.java
@@ -48,18 +48,35 @@
             List<String> after = List.of();
             if (i > 5 && random.nextInt(8) == 0) {
                 Request before = requests.get(i - 5);
-                boolean inTime = Math.max(before.earliestMs(), FROM + 24 * HOUR) + before.workMs() + work
-                        + 24 * HOUR < latest;
+                boolean inTime =
+                        Math.max(before.earliestMs(), FROM + 24 * HOUR) + before.workMs() + work + 24 * HOUR < latest;
                 after = inTime ? List.of(before.name()) : after;
             }
-            requests.add(new Request("w" + i, "ops", down.stream().sorted().toList(), work, earliest, latest,
-                    24 * HOUR, work / 2, apart, after));
+            requests.add(new Request(
+                    "w" + i,
+                    "ops",
+                    down.stream().sorted().toList(),
+                    work,
+                    earliest,
+                    latest,
+                    24 * HOUR,
+                    work / 2,
+                    apart,
+                    after));
         }
     }
 
     Planner.Input input(List<Request> asked, Plan before, List<Plan.Freeze> freezes, List<String> lost) {
-        return new Planner.Input(new Planner.Times(FROM, HOUR / 4, 14 * 24 * 4, HOUR / 4, HOUR / 4, 0.02, 1500),
-                forecast, asked, List.of(), before, freezes, lost, FROM + 24 * HOUR, null);
+        return new Planner.Input(
+                new Planner.Times(FROM, HOUR / 4, 14 * 24 * 4, HOUR / 4, HOUR / 4, 0.02, 1500),
+                forecast,
+                asked,
+                List.of(),
+                before,
+                freezes,
+                lost,
+                FROM + 24 * HOUR,
+                null);
     }
 
     Planner.Input input() {
--- a/src/test/java/laneflow/maintenance/decision/FairnessTest.java
+++ b/src/test/java/laneflow/maintenance/decision/FairnessTest.java
@@ -17,18 +17,19 @@
 import net.jqwik.api.constraints.DoubleRange;
 import net.jqwik.api.constraints.IntRange;
 import net.jqwik.api.constraints.LongRange;
+import org.junit.jupiter.api.Test;
 import org.ojalgo.optimisation.Expression;
 import org.ojalgo.optimisation.ExpressionsBasedModel;
 import org.ojalgo.optimisation.Optimisation;
 import org.ojalgo.optimisation.Variable;
-import org.junit.jupiter.api.Test;
 
 /** Losses and fairness against what the terms promise, and against a linear program that knows no flow. */
 class FairnessTest {
     private static final Terms TERMS = Terms.usual();
 
     @Property(tries = 150, seed = "7")
-    void nothingDownIsNothingLost(@ForAll @LongRange(min = 0, max = 100_000) long seed,
+    void nothingDownIsNothingLost(
+            @ForAll @LongRange(min = 0, max = 100_000) long seed,
             @ForAll @DoubleRange(min = 0.1, max = 2) double load) {
         Drawn drawn = new Drawn(seed, 24, 9, false);
         Fairness fairness = new Fairness(drawn.estate, TERMS);
@@ -46,7 +47,8 @@
 
     /** What a tenant is due is found by sums over unions; the flow over its own parts says the same. */
     @Property(tries = 100, seed = "7")
-    void whatIsDueIsWhatTheOwnPartsCarry(@ForAll @LongRange(min = 0, max = 100_000) long seed,
+    void whatIsDueIsWhatTheOwnPartsCarry(
+            @ForAll @LongRange(min = 0, max = 100_000) long seed,
             @ForAll @DoubleRange(min = 0.3, max = 2.5) double load) {
         Drawn drawn = new Drawn(seed, 24, 5, false);
         Fairness fairness = new Fairness(drawn.estate, TERMS);
@@ -71,8 +73,8 @@
             }
             Placement own = new Placement(kinds, 2, room.length);
             own.set(asked, room);
-            double[] loss = Levels.fill(own, asked, new double[] {Math.max(asked[0], 1e-9), Math.max(asked[1],
-                    1e-9)}).loss();
+            double[] loss = Levels.fill(own, asked, new double[] {Math.max(asked[0], 1e-9), Math.max(asked[1], 1e-9)})
+                    .loss();
             if (kinds[0].places() == kinds[1].places()) {
                 assertEquals(asked[0] + asked[1] - loss[0] - loss[1], said[0], 0.02);
             } else {
@@ -82,8 +84,7 @@
     }
 
     /** The same question as a linear program: the smallest level at which losses of level x weight do. */
-    private static double levelByProgram(Fairness fairness, double[] due, double[] left,
-            double[] by) {
+    private static double levelByProgram(Fairness fairness, double[] due, double[] left, double[] by) {
         ExpressionsBasedModel model = new ExpressionsBasedModel();
         Variable level = model.newVariable("level").lower(0).weight(1);
         Expression[] room = new Expression[left.length];
@@ -112,8 +113,10 @@
     }
 
     @Property(tries = 40, seed = "7")
-    void theLargestLossIsAsSmallAsCanBe(@ForAll @LongRange(min = 0, max = 100_000) long seed,
-            @ForAll @DoubleRange(min = 0.5, max = 1.2) double load, @ForAll @IntRange(min = 1, max = 10) int down) {
+    void theLargestLossIsAsSmallAsCanBe(
+            @ForAll @LongRange(min = 0, max = 100_000) long seed,
+            @ForAll @DoubleRange(min = 0.5, max = 1.2) double load,
+            @ForAll @IntRange(min = 1, max = 10) int down) {
         Drawn drawn = new Drawn(seed, 20, 7, true);
         Fairness fairness = new Fairness(drawn.estate, TERMS);
         double[] due = fairness.due(drawn.demand(load));
@@ -138,8 +141,8 @@
 
     /** Max-min: whoever lost less could give nothing up for whoever lost more without losing as much. */
     @Property(tries = 60, seed = "7")
-    void nobodysLossCanBeEasedByOneWhoLosesLess(@ForAll @LongRange(min = 0, max = 100_000) long seed,
-            @ForAll @IntRange(min = 1, max = 8) int down) {
+    void nobodysLossCanBeEasedByOneWhoLosesLess(
+            @ForAll @LongRange(min = 0, max = 100_000) long seed, @ForAll @IntRange(min = 1, max = 8) int down) {
         Drawn drawn = new Drawn(seed, 20, 7, true);
         Fairness fairness = new Fairness(drawn.estate, TERMS);
         double[] due = fairness.due(drawn.demand(0.95));
@@ -178,8 +181,10 @@
     }
 
     @Property(tries = 150, seed = "7")
-    void theQuickAnswerIsTheWholeOne(@ForAll @LongRange(min = 0, max = 100_000) long seed,
-            @ForAll @DoubleRange(min = 0.4, max = 1.1) double load, @ForAll @IntRange(min = 1, max = 8) int down) {
+    void theQuickAnswerIsTheWholeOne(
+            @ForAll @LongRange(min = 0, max = 100_000) long seed,
+            @ForAll @DoubleRange(min = 0.4, max = 1.1) double load,
+            @ForAll @IntRange(min = 1, max = 8) int down) {
         Drawn drawn = new Drawn(seed, 24, 9, true);
         Fairness fairness = new Fairness(drawn.estate, new Terms(0.05, 0.2, 0.001, 1e9));
         double[] due = fairness.due(drawn.demand(load));
@@ -195,8 +200,8 @@
     }
 
     @Property(tries = 80, seed = "7")
-    void askingForMoreThanOnesPartMovesNothing(@ForAll @LongRange(min = 0, max = 100_000) long seed,
-            @ForAll @IntRange(min = 1, max = 6) int down) {
+    void askingForMoreThanOnesPartMovesNothing(
+            @ForAll @LongRange(min = 0, max = 100_000) long seed, @ForAll @IntRange(min = 1, max = 6) int down) {
         Drawn drawn = new Drawn(seed, 24, 6, true);
         Fairness fairness = new Fairness(drawn.estate, TERMS);
         double[][] demand = drawn.demand(0.8);
@@ -213,8 +218,8 @@
 
     /** Memory is counted as slots: a placement that holds by that holds by slots and memory apart. */
     @Property(tries = 60, seed = "7")
-    void memoryIsNeverOverbooked(@ForAll @LongRange(min = 0, max = 100_000) long seed,
-            @ForAll @IntRange(min = 0, max = 4) int down) {
+    void memoryIsNeverOverbooked(
+            @ForAll @LongRange(min = 0, max = 100_000) long seed, @ForAll @IntRange(min = 0, max = 4) int down) {
         Drawn drawn = new Drawn(seed, 20, 5, false);
         Fairness fairness = new Fairness(drawn.estate, TERMS);
         double[] due = fairness.due(drawn.demand(1));
@@ -236,10 +241,13 @@
     }
 
     private static Estate two(double memory) {
-        return new Estate(List.of("quick"), new double[] {memory}, List.of(
-                new Rack("r0", "a", List.of(new Part(1, 50, 50))), new Rack("r1", "b", List.of(
-                        new Part(1, 50, 50)))), List.of(new Tenant("bound", 1, Set.of("a"), 1),
-                        new Tenant("free", 1, Set.of(), 1)));
+        return new Estate(
+                List.of("quick"),
+                new double[] {memory},
+                List.of(
+                        new Rack("r0", "a", List.of(new Part(1, 50, 50))),
+                        new Rack("r1", "b", List.of(new Part(1, 50, 50)))),
+                List.of(new Tenant("bound", 1, Set.of("a"), 1), new Tenant("free", 1, Set.of(), 1)));
     }
 
     @Test
@@ -251,9 +259,11 @@
         Verdict verdict = fairness.judge(due, fairness.estate().without(List.of(0)), null);
         assertFalse(verdict.fair());
         assertArrayEquals(new double[] {25, 0}, verdict.loss(), 0.1);
-        assertTrue(verdict.against().get(0).startsWith("tenant bound loses 25.0 slots, its fair share is 0.5"),
+        assertTrue(
+                verdict.against().get(0).startsWith("tenant bound loses 25.0 slots, its fair share is 0.5"),
                 verdict.against().toString());
-        assertTrue(fairness.judge(due, fairness.estate().without(List.of(1)), null).fair());
+        assertTrue(
+                fairness.judge(due, fairness.estate().without(List.of(1)), null).fair());
     }
 
     @Test
--- a/src/test/java/laneflow/maintenance/decision/MaintenanceWorld.java
+++ b/src/test/java/laneflow/maintenance/decision/MaintenanceWorld.java
@@ -30,8 +30,15 @@
 
     /** What is done wrong on purpose, to see that it is found. */
     enum Broken {
-        NOTHING, JUDGED_APART, TOKENS_IGNORED, STEPS_IGNORED, LEAVE_BEFORE_BANS, SILENT_IS_CLEAR,
-        BANS_TAKEN_BACK, LOST_UNSEEN, NEVER_GIVEN_BACK
+        NOTHING,
+        JUDGED_APART,
+        TOKENS_IGNORED,
+        STEPS_IGNORED,
+        LEAVE_BEFORE_BANS,
+        SILENT_IS_CLEAR,
+        BANS_TAKEN_BACK,
+        LOST_UNSEEN,
+        NEVER_GIVEN_BACK
     }
 
     /** A promise is broken. */
@@ -79,13 +86,19 @@
             names.add("r" + i);
         }
         // Any rack may go while 24 of 40 slots are due, two while 18 are, not the largest while 30 are.
-        fairness = new Fairness(new Estate(List.of("quick"), new double[1], racks, List.of(
-                new Tenant("one", 1, Set.of(), 1), new Tenant("other", 1, Set.of(), 1))),
+        fairness = new Fairness(
+                new Estate(
+                        List.of("quick"),
+                        new double[1],
+                        racks,
+                        List.of(new Tenant("one", 1, Set.of(), 1), new Tenant("other", 1, Set.of(), 1))),
                 Fairness.Terms.usual());
-        coordinator = new Coordinator(fairness, new Planner.Times(START, 10 * MINUTE, 60, 5 * MINUTE, 5 * MINUTE, 0,
-                200), new Forecast(START, 60 * MINUTE, List.<double[][]>of(new double[][] {{9}, {9}})),
-                new Coordinator.Times(20 * MINUTE, 15 * MINUTE, 10 * MINUTE, 30 * MINUTE, 20 * MINUTE, 10 * MINUTE,
-                60 * MINUTE));
+        coordinator = new Coordinator(
+                fairness,
+                new Planner.Times(START, 10 * MINUTE, 60, 5 * MINUTE, 5 * MINUTE, 0, 200),
+                new Forecast(START, 60 * MINUTE, List.<double[][]>of(new double[][] {{9}, {9}})),
+                new Coordinator.Times(
+                        20 * MINUTE, 15 * MINUTE, 10 * MINUTE, 30 * MINUTE, 20 * MINUTE, 10 * MINUTE, 60 * MINUTE));
         demand.put(0L, 24.0);
         lost.put(0L, Set.of());
     }
@@ -93,8 +106,17 @@
     // ---- events ----
 
     void request(String name, String... racks) {
-        take(Windows.request(new Request(name, "ops", List.of(racks), 20 * MINUTE, now, now + 600 * MINUTE,
-                10 * MINUTE, 10 * MINUTE, Set.of(), List.of())));
+        take(Windows.request(new Request(
+                name,
+                "ops",
+                List.of(racks),
+                20 * MINUTE,
+                now,
+                now + 600 * MINUTE,
+                10 * MINUTE,
+                10 * MINUTE,
+                Set.of(),
+                List.of())));
     }
 
     /** A coordinator looks; what it decides is under way to the log. One that was followed acts late. */
@@ -120,8 +142,7 @@
         for (String rack : names) {
             boolean all = true;
             for (Scheduler one : schedulers) {
-                boolean silent = one.cut && (now > one.heardAt + LEASE + DEADLINE
-                        || broken == Broken.SILENT_IS_CLEAR);
+                boolean silent = one.cut && (now > one.heardAt + LEASE + DEADLINE || broken == Broken.SILENT_IS_CLEAR);
                 all &= silent || !one.cut && one.bans.contains(rack) && !one.calls.containsKey(rack);
             }
             if (all || broken == Broken.LEAVE_BEFORE_BANS) {
@@ -131,8 +152,14 @@
         Set<String> down = lost.lastEntry().getValue();
         Set<String> well = new HashSet<>(names);
         well.removeAll(down);
-        return new Coordinator.Facts(now, due(now), broken == Broken.LOST_UNSEEN ? Set.of() : down,
-                broken == Broken.LEAVE_BEFORE_BANS ? names : Set.copyOf(banned), clear, well, null);
+        return new Coordinator.Facts(
+                now,
+                due(now),
+                broken == Broken.LOST_UNSEEN ? Set.of() : down,
+                broken == Broken.LEAVE_BEFORE_BANS ? names : Set.copyOf(banned),
+                clear,
+                well,
+                null);
     }
 
     private double[] due(long at) {
@@ -182,7 +209,8 @@
 
     private JsonObject take(JsonObject op) {
         if (op.get("op").getAsString().equals("bans")) {
-            Set<String> bans = new TreeSet<>(List.of(op.get("racks").getAsString().split(" ")));
+            Set<String> bans =
+                    new TreeSet<>(List.of(op.get("racks").getAsString().split(" ")));
             bans.remove("");
             if (windows.missing(bans).isEmpty() || broken == Broken.BANS_TAKEN_BACK) {
                 banned = bans;
@@ -199,8 +227,7 @@
         } else if (step && broken == Broken.STEPS_IGNORED) {
             as.addProperty("steps", window.steps());
         }
-        JsonObject answer = windows.run(as, broken == Broken.LEAVE_BEFORE_BANS ? rack -> true
-                : banned::contains);
+        JsonObject answer = windows.run(as, broken == Broken.LEAVE_BEFORE_BANS ? rack -> true : banned::contains);
         if (step && !answer.has("error")) {
             stepped(op, window);
         }
@@ -223,10 +250,14 @@
         if (window.state() == State.DRAINING) {
             long at = op.get("ms").getAsLong();
             Set<Integer> out = new HashSet<>();
-            lost.floorEntry(at).getValue().forEach(rack -> out.add(fairness.estate().rack(rack)));
+            lost.floorEntry(at)
+                    .getValue()
+                    .forEach(rack -> out.add(fairness.estate().rack(rack)));
             for (Window one : windows.all()) {
                 if (one.state().isAway()) {
-                    one.request().racks().forEach(rack -> out.add(fairness.estate().rack(rack)));
+                    one.request()
+                            .racks()
+                            .forEach(rack -> out.add(fairness.estate().rack(rack)));
                 }
             }
             if (!fairness.isFair(due(at), fairness.estate().without(out), null)) {
@@ -288,7 +319,8 @@
         if (working.contains(name)) {
             working.remove(name);
             take(Windows.finish(name));
-        } else if (!take(Windows.begin(name)).has("error") && windows.window(name).state().isWorkedOn()) {
+        } else if (!take(Windows.begin(name)).has("error")
+                && windows.window(name).state().isWorkedOn()) {
             working.add(name);
         }
         look();
@@ -326,8 +358,8 @@
             for (String rack : windows.window(name).request().racks()) {
                 for (int i = 0; i < schedulers.size(); i++) {
                     if (schedulers.get(i).calls.containsKey(rack)) {
-                        throw new Violation("s" + i + " has a call at " + rack + ", where " + name
-                                + "'s crew is at work");
+                        throw new Violation(
+                                "s" + i + " has a call at " + rack + ", where " + name + "'s crew is at work");
                     }
                 }
             }
--- a/src/test/java/laneflow/maintenance/decision/PlannerTest.java
+++ b/src/test/java/laneflow/maintenance/decision/PlannerTest.java
@@ -45,18 +45,20 @@
                 }
             }
             boolean isNew = !out.isEmpty() && seen.add(List.of(drawn.forecast.at(ms), Set.copyOf(out)));
-            if (isNew && !fairness.isFair(dues.get(drawn.forecast.at(ms)), drawn.drawn.estate.without(out),
-                    null)) {
+            if (isNew && !fairness.isFair(dues.get(drawn.forecast.at(ms)), drawn.drawn.estate.without(out), null)) {
                 wrong.add("unfair at " + (ms - FROM) / HOUR + " h");
             }
         }
         for (Window one : plan.windows()) {
             Request request = one.request();
-            if (one.startMs() < request.earliestMs() || one.startMs() < FROM + request.noticeMs()
-                    || one.endMs() > request.latestMs() || one.endMs() - one.startMs() < request.workMs()) {
+            if (one.startMs() < request.earliestMs()
+                    || one.startMs() < FROM + request.noticeMs()
+                    || one.endMs() > request.latestMs()
+                    || one.endMs() - one.startMs() < request.workMs()) {
                 wrong.add(request.name() + " is out of its time");
             }
-            freezes.stream().filter(freeze -> one.meets(freeze.fromMs(), freeze.toMs()))
+            freezes.stream()
+                    .filter(freeze -> one.meets(freeze.fromMs(), freeze.toMs()))
                     .forEach(freeze -> wrong.add(request.name() + " is in a freeze"));
             for (String before : request.after()) {
                 Window first = plan.window(before);
@@ -67,7 +69,8 @@
             for (Window other : plan.windows()) {
                 boolean share = other.request().apart().stream().anyMatch(request.apart()::contains);
                 if (other != one && share && other.meets(one.startMs(), one.endMs())) {
-                    wrong.add(request.name() + " goes together with " + other.request().name());
+                    wrong.add(request.name() + " goes together with "
+                            + other.request().name());
                 }
             }
         }
@@ -94,32 +97,39 @@
         Window amid = free.get(free.size() / 2);
         List<Freeze> calendar = List.of(new Freeze("audit", amid.startMs() - 6 * HOUR, amid.endMs() + 6 * HOUR));
         List<Request> asked = new ArrayList<>();
-        drawn.requests.forEach(one -> asked.add(asked.size() % 2 == 0 || one.name().equals(amid.request().name())
-                ? one.within(calendar) : one));
+        drawn.requests.forEach(one -> asked.add(
+                asked.size() % 2 == 0 || one.name().equals(amid.request().name()) ? one.within(calendar) : one));
         Plan plan = Planner.plan(drawn.fairness, drawn.input(asked, null, List.of(), List.of()));
         Freeze audit = calendar.get(0);
         assertEquals(List.of(), wrong(drawn, plan, List.of()));
-        List<Window> within = plan.windows().stream().filter(one -> one.meets(audit.fromMs(), audit.toMs())).toList();
+        List<Window> within = plan.windows().stream()
+                .filter(one -> one.meets(audit.fromMs(), audit.toMs()))
+                .toList();
         assertTrue(within.stream().allMatch(one -> one.request().freezes().isEmpty()), within.toString());
         assertFalse(within.isEmpty());
-        Request bound = asked.stream().filter(one -> one.name().equals(amid.request().name())).findFirst()
+        Request bound = asked.stream()
+                .filter(one -> one.name().equals(amid.request().name()))
+                .findFirst()
                 .orElseThrow();
         assertEquals(calendar, bound.freezes());
         assertEquals(bound, Forms.request(Forms.write(bound)));
-        assertTrue(Planner.against(drawn.fairness, drawn.input(asked, null, List.of(), List.of()), bound,
-                amid.startMs()).contains("freeze audit"));
+        assertTrue(
+                Planner.against(drawn.fairness, drawn.input(asked, null, List.of(), List.of()), bound, amid.startMs())
+                        .contains("freeze audit"));
     }
 
     @Test
     void aCheckerThatFindsNothingWouldBeNone() {
         DrawnPlan drawn = drawn(1);
         List<Window> all = new ArrayList<>();
-        drawn.requests.forEach(one -> all.add(new Window(one, FROM + 60 * HOUR, FROM + 60 * HOUR
-                + one.workMs(), false)));
-        List<String> wrong = wrong(drawn, new Plan(all, new java.util.TreeMap<>(), 0, 0, 0), List.of(
-                new Freeze("one", FROM + 60 * HOUR, FROM + 61 * HOUR)));
-        for (String fault : List.of("unfair at", "is away twice", "is out of its time", "is in a freeze",
-                "goes together with")) {
+        drawn.requests.forEach(
+                one -> all.add(new Window(one, FROM + 60 * HOUR, FROM + 60 * HOUR + one.workMs(), false)));
+        List<String> wrong = wrong(
+                drawn,
+                new Plan(all, new java.util.TreeMap<>(), 0, 0, 0),
+                List.of(new Freeze("one", FROM + 60 * HOUR, FROM + 61 * HOUR)));
+        for (String fault :
+                List.of("unfair at", "is away twice", "is out of its time", "is in a freeze", "goes together with")) {
             assertTrue(wrong.stream().anyMatch(text -> text.contains(fault)), fault);
         }
     }
@@ -134,20 +144,25 @@
         for (long seed = 1; seed <= 6; seed++) {
             DrawnPlan drawn = drawn(seed);
             int mine = Planner.plan(drawn.fairness, drawn.input()).windows().size();
-            int theirs = Planner.firstCome(drawn.fairness, drawn.input(), false).windows().size();
+            int theirs = Planner.firstCome(drawn.fairness, drawn.input(), false)
+                    .windows()
+                    .size();
             assertTrue(mine >= theirs, "seed " + seed + ": " + mine + " and " + theirs);
             planned += mine;
-            Timeline line = new Timeline(drawn.input().times(), drawn.fairness, drawn.forecast, null, List.of(),
-                    List.of(), 0);
+            Timeline line =
+                    new Timeline(drawn.input().times(), drawn.fairness, drawn.forecast, null, List.of(), List.of(), 0);
             for (Request request : drawn.requests) {
                 int at = line.starts(request).nextSetBit(line.first(request));
                 possible += at >= 0 && at <= line.last(request) ? 1 : 0;
             }
             firstCome += theirs;
-            oneAtATime += Planner.firstCome(drawn.fairness, drawn.input(), true).windows().size();
+            oneAtATime += Planner.firstCome(drawn.fairness, drawn.input(), true)
+                    .windows()
+                    .size();
         }
-        assertTrue(possible - planned <= (possible - firstCome) * 2 / 3, planned + " of " + possible
-                + ", first come " + firstCome);
+        assertTrue(
+                possible - planned <= (possible - firstCome) * 2 / 3,
+                planned + " of " + possible + ", first come " + firstCome);
         assertTrue(planned > oneAtATime, planned + ", one at a time " + oneAtATime);
     }
 
@@ -177,17 +192,29 @@
     }
 
     private static Planner.Input input(double load, List<Freeze> freezes, Request... requests) {
-        return new Planner.Input(new Planner.Times(FROM, HOUR / 4, 40, 0, 0, 0, 100), new Forecast(FROM, HOUR,
-                List.<double[][]>of(new double[][] {{25 * load}, {75 * load}})), List.of(requests), List.of(), null, freezes,
-                List.of(), 0, null);
+        return new Planner.Input(
+                new Planner.Times(FROM, HOUR / 4, 40, 0, 0, 0, 100),
+                new Forecast(FROM, HOUR, List.<double[][]>of(new double[][] {{25 * load}, {75 * load}})),
+                List.of(requests),
+                List.of(),
+                null,
+                freezes,
+                List.of(),
+                0,
+                null);
     }
 
     /** Three racks of 50; one tenant may run in the first zone only. */
     private static Fairness three() {
-        return new Fairness(new Estate(List.of("quick"), new double[1], List.of(
-                new Rack("r0", "a", List.of(new Part(1, 50, 0))), new Rack("r1", "b", List.of(
-                        new Part(1, 50, 0))), new Rack("r2", "c", List.of(new Part(1, 50, 0)))), List.of(
-                        new Tenant("bound", 1, Set.of("a"), 1), new Tenant("free", 1, Set.of(), 1))),
+        return new Fairness(
+                new Estate(
+                        List.of("quick"),
+                        new double[1],
+                        List.of(
+                                new Rack("r0", "a", List.of(new Part(1, 50, 0))),
+                                new Rack("r1", "b", List.of(new Part(1, 50, 0))),
+                                new Rack("r2", "c", List.of(new Part(1, 50, 0)))),
+                        List.of(new Tenant("bound", 1, Set.of("a"), 1), new Tenant("free", 1, Set.of(), 1))),
                 Fairness.Terms.usual());
     }
 
@@ -202,37 +229,54 @@
     void aDryRunNamesWhoStandsAgainstATime() {
         Freeze freeze = new Freeze("year's end", FROM, FROM + HOUR);
         Planner.Input input = input(0.9, List.of(freeze), request("one", "r1"));
-        assertEquals(List.of("freeze year's end"), Planner.against(three(), input, request("two", "r2", "x"),
-                FROM));
+        assertEquals(List.of("freeze year's end"), Planner.against(three(), input, request("two", "r2", "x"), FROM));
         List<String> zone = Planner.against(three(), input, request("two", "r0"), FROM + 5 * HOUR);
-        assertTrue(zone.get(0).startsWith("tenant bound loses 22.5 slots, its fair share is 0.5 (full: zone a"),
+        assertTrue(
+                zone.get(0).startsWith("tenant bound loses 22.5 slots, its fair share is 0.5 (full: zone a"),
                 zone.toString());
         assertEquals(List.of(), Planner.against(three(), input, request("two", "r2"), FROM + 5 * HOUR));
         Plan plan = Planner.plan(three(), input(0.9, List.of(freeze), request("two", "r0")));
         assertNull(plan.window("two"));
-        assertTrue(plan.refused().get("two").stream().anyMatch(text -> text.startsWith("tenant bound loses")),
+        assertTrue(
+                plan.refused().get("two").stream().anyMatch(text -> text.startsWith("tenant bound loses")),
                 plan.refused().toString());
         // Nobody's window is moved for a question, and what is planned already stands in its way.
-        Planner.Input planned = new Planner.Input(input.times(), input.forecast(), List.of(request("one", "r1")),
-                List.of(), Planner.plan(three(), input), input.freezes(), List.of(), 0, null);
+        Planner.Input planned = new Planner.Input(
+                input.times(),
+                input.forecast(),
+                List.of(request("one", "r1")),
+                List.of(),
+                Planner.plan(three(), input),
+                input.freezes(),
+                List.of(),
+                0,
+                null);
         long at = planned.before().window("one").startMs();
-        assertTrue(Planner.against(three(), planned, request("two", "r2"), at).toString().contains(
-                "with r1 down"), Planner.against(three(), planned, request("two", "r2"), at).toString());
+        assertTrue(
+                Planner.against(three(), planned, request("two", "r2"), at)
+                        .toString()
+                        .contains("with r1 down"),
+                Planner.against(three(), planned, request("two", "r2"), at).toString());
     }
 
     /** Who is turned down hears by how little more it would have been given a time. */
     @Test
     void theSmallestChangeIsTold() {
         Freeze morning = new Freeze("morning", FROM, FROM + 5 * HOUR);
-        Request soon = new Request("soon", "ops", List.of("r1"), HOUR, FROM, FROM + 4 * HOUR, 0, 0, Set.of(),
-                List.of());
-        List<String> late = Planner.plan(three(), input(0.9, List.of(morning), soon)).refused().get("soon");
-        assertEquals("would have a time if it might end by " + java.time.Instant.ofEpochMilli(FROM + 6 * HOUR),
+        Request soon =
+                new Request("soon", "ops", List.of("r1"), HOUR, FROM, FROM + 4 * HOUR, 0, 0, Set.of(), List.of());
+        List<String> late = Planner.plan(three(), input(0.9, List.of(morning), soon))
+                .refused()
+                .get("soon");
+        assertEquals(
+                "would have a time if it might end by " + java.time.Instant.ofEpochMilli(FROM + 6 * HOUR),
                 late.get(late.size() - 1));
-        Request both = new Request("both", "ops", List.of("r1", "r2"), HOUR, FROM, FROM + 4 * HOUR, 0, 0, Set.of(),
-                List.of());
-        List<String> less = Planner.plan(three(), input(0.9, List.of(), both)).refused().get("both");
-        assertEquals("would have a time with only r1, at " + java.time.Instant.ofEpochMilli(FROM),
+        Request both =
+                new Request("both", "ops", List.of("r1", "r2"), HOUR, FROM, FROM + 4 * HOUR, 0, 0, Set.of(), List.of());
+        List<String> less =
+                Planner.plan(three(), input(0.9, List.of(), both)).refused().get("both");
+        assertEquals(
+                "would have a time with only r1, at " + java.time.Instant.ofEpochMilli(FROM),
                 less.get(less.size() - 1));
     }
 }
--- a/src/test/java/laneflow/maintenance/decision/SendingTest.java
+++ b/src/test/java/laneflow/maintenance/decision/SendingTest.java
@@ -15,6 +15,7 @@
     private static final long LONGEST = 5_000_000;
     /** Behind the time in which what only a former leader knew may go on. */
     private static final long LATER = 10_000_000;
+
     private final Sending sending = new Sending(0, LEASE, LONGEST);
 
     private static Said said(long policy, String... busy) {
@@ -61,7 +62,8 @@
         Sending successor = new Sending(LATER, LEASE, LONGEST);
         successor.heard(LATER, "n1", said(3));
         assertFalse(successor.sending(LATER + LEASE + LONGEST, 3, "till-0").isEmpty());
-        assertTrue(successor.sending(LATER + LEASE + LONGEST + 10_000, 3, "till-0").isEmpty());
+        assertTrue(
+                successor.sending(LATER + LEASE + LONGEST + 10_000, 3, "till-0").isEmpty());
     }
 
     @Test
--- a/src/test/java/laneflow/maintenance/decision/WindowLedgerTest.java
+++ b/src/test/java/laneflow/maintenance/decision/WindowLedgerTest.java
@@ -26,7 +26,10 @@
     private static JsonObject bans(String... names) {
         StringBuilder all = new StringBuilder();
         for (String name : names) {
-            all.append(all.isEmpty() ? "" : ",").append("{\"name\":\"").append(name).append("\"}");
+            all.append(all.isEmpty() ? "" : ",")
+                    .append("{\"name\":\"")
+                    .append(name)
+                    .append("\"}");
         }
         return JsonParser.parseString("{\"bans\":[" + all + "]}").getAsJsonObject();
     }
@@ -40,10 +43,19 @@
     }
 
     private JsonObject step(String name, State to) {
-        JsonObject step = Windows.step(token, window(name), to, view().windows().away(), 10, to == State.RETURNING
-                ? State.DONE : window(name).outcome(), List.of(), 10);
-        return ledger.run(to == State.DRAINING ? WindowLedger.drains(step, Map.of("a", List.of("a1", "a2"), "b",
-                List.of("b1"))) : WindowLedger.op(step));
+        JsonObject step = Windows.step(
+                token,
+                window(name),
+                to,
+                view().windows().away(),
+                10,
+                to == State.RETURNING ? State.DONE : window(name).outcome(),
+                List.of(),
+                10);
+        return ledger.run(
+                to == State.DRAINING
+                        ? WindowLedger.drains(step, Map.of("a", List.of("a1", "a2"), "b", List.of("b1")))
+                        : WindowLedger.op(step));
     }
 
     private void ok(JsonObject answer) {
@@ -86,9 +98,11 @@
         assertTrue(early.get("reasons").toString().contains("rack a is away"), early.toString());
         apply("bans", bans("a1", "a2"));
         for (JsonObject types : List.of(bans(), bans("a1"), bans("x"))) {
-            String error = ledger.run(Ledger.propose("back", types, "test", 3)).get("error").getAsString();
-            assertTrue(error.contains("bans have to hold " + (types.toString().contains("a1") ? "a2" : "a1, a2")),
-                    error);
+            String error = ledger.run(Ledger.propose("back", types, "test", 3))
+                    .get("error")
+                    .getAsString();
+            assertTrue(
+                    error.contains("bans have to hold " + (types.toString().contains("a1") ? "a2" : "a1, a2")), error);
         }
         // What names no bans, or holds these too, is nobody's harm.
         apply("limits", JsonParser.parseString("{\"limits\":[]}").getAsJsonObject());
@@ -158,9 +172,12 @@
         ok(ledger.run(WindowLedger.accounts(1, Map.of("shop", new double[] {1, 2, 3, 4}))));
         Ledger other = new Ledger(Map.of(WindowLedger.NAME, new WindowLedger()));
         other.restore(JsonParser.parseString(ledger.snapshot().toString()).getAsJsonObject());
-        assertEquals(view().windows().all(), ((View) other.part(WindowLedger.NAME)).windows().all());
-        assertEquals(ledger.snapshot().toString().replaceAll("\"version\":[0-9]+", ""), other.snapshot().toString()
-                .replaceAll("\"version\":[0-9]+", ""));
+        assertEquals(
+                view().windows().all(),
+                ((View) other.part(WindowLedger.NAME)).windows().all());
+        assertEquals(
+                ledger.snapshot().toString().replaceAll("\"version\":[0-9]+", ""),
+                other.snapshot().toString().replaceAll("\"version\":[0-9]+", ""));
         assertTrue(other.run(Ledger.propose("back", bans(), "test", 3)).has("error"));
         JsonObject earlier = ledger.snapshot();
         earlier.remove("parts");
--- a/src/test/java/laneflow/maintenance/decision/WindowOrdersTest.java
+++ b/src/test/java/laneflow/maintenance/decision/WindowOrdersTest.java
@@ -40,7 +40,9 @@
 
     /** From where the events begin. */
     private enum From {
-        ANNOUNCED(State.ANNOUNCED), DRAINING(State.DRAINING), DOWN(State.DOWN);
+        ANNOUNCED(State.ANNOUNCED),
+        DRAINING(State.DRAINING),
+        DOWN(State.DOWN);
 
         private final State state;
 
@@ -97,8 +99,7 @@
         assertEquals(1728, played);
     }
 
-    private record Days(int done, int turnedBack, int overruns) {
-    }
+    private record Days(int done, int turnedBack, int overruns) {}
 
     private static Days randomDays(Broken broken, int days, long seed) {
         int done = 0;
@@ -159,7 +160,10 @@
     }
 
     @ParameterizedTest
-    @EnumSource(value = Broken.class, names = {"NOTHING", "BANS_TAKEN_BACK"}, mode = EnumSource.Mode.EXCLUDE)
+    @EnumSource(
+            value = Broken.class,
+            names = {"NOTHING", "BANS_TAKEN_BACK"},
+            mode = EnumSource.Mode.EXCLUDE)
     void whatIsDoneWrongOnPurposeIsFound(Broken broken) {
         assertThrows(Violation.class, () -> randomDays(broken, 400, 7));
     }
--- a/src/test/java/laneflow/maintenance/decision/WindowsTest.java
+++ b/src/test/java/laneflow/maintenance/decision/WindowsTest.java
@@ -12,13 +12,14 @@
 
 /** The ledger of windows: what it takes, what it turns down and with which words. */
 class WindowsTest {
-    private static final Request REQUEST = new Request("w", "ops", List.of("r0"), 1000, 0, 9000, 100, 500, Set.of(),
-            List.of());
+    private static final Request REQUEST =
+            new Request("w", "ops", List.of("r0"), 1000, 0, 9000, 100, 500, Set.of(), List.of());
     private final Windows windows = new Windows();
 
     private JsonObject step(long token, State to) {
-        return windows.run(Windows.step(token, windows.window("w"), to, windows.away(), 1000, State.DONE, List.of(),
-                2000), rack -> true);
+        return windows.run(
+                Windows.step(token, windows.window("w"), to, windows.away(), 1000, State.DONE, List.of(), 2000),
+                rack -> true);
     }
 
     private void to(State... states) {
--- a/src/test/java/laneflow/membership/MembersConfigTest.java
+++ b/src/test/java/laneflow/membership/MembersConfigTest.java
@@ -16,6 +16,7 @@
 /** The operators' file on the view of the fleet. */
 class MembersConfigTest {
     private static final String FLEET = "[fleet]\nlisten = \"127.0.0.1:0\"\n";
+
     @TempDir
     private Path folder;
 
@@ -38,10 +39,18 @@
 
     @Test
     void whatIsWrongIsToldWithItsPlace() {
-        String said = assertThrows(ConfigException.class, () -> read("[members]\nlisten = \"0.0.0.0:9501\"\n"
-                + "seeds = [\"celje\"]\nallowed = [\"10.1.0.0\"]\nperiod_ms = 5\nkeys = 1\n")).getMessage();
-        for (String part : List.of("needs the table [fleet]", "advertise: is missing", "seeds: 'celje'",
-                "allowed: '10.1.0.0' is no range", "key_file: is missing", "5 is not between 20 and 60000",
+        String said = assertThrows(
+                        ConfigException.class,
+                        () -> read("[members]\nlisten = \"0.0.0.0:9501\"\n"
+                                + "seeds = [\"celje\"]\nallowed = [\"10.1.0.0\"]\nperiod_ms = 5\nkeys = 1\n"))
+                .getMessage();
+        for (String part : List.of(
+                "needs the table [fleet]",
+                "advertise: is missing",
+                "seeds: 'celje'",
+                "allowed: '10.1.0.0' is no range",
+                "key_file: is missing",
+                "5 is not between 20 and 60000",
                 "keys: is unknown")) {
             assertTrue(said.contains(part), part + " in " + said);
         }
--- a/src/test/java/laneflow/membership/MembersStoryTest.java
+++ b/src/test/java/laneflow/membership/MembersStoryTest.java
@@ -25,8 +25,10 @@
 class MembersStoryTest {
     private static final String FILE = "zones = [\"z\"]\n[classes.check]\n[endpoints.till]\ndial = \"127.0.0.1:1\"\n";
     private static final String POLICY = "[policy]\nvoters = VOTERS\ndir = \"FOLDER\"\n";
+
     @TempDir
     private Path folder;
+
     private Rig rig;
 
     private void fleet(int members, int voters, String file, int... seeds) throws IOException {
@@ -52,7 +54,9 @@
     }
 
     private void seen(int by, int whom, String state) throws IOException, InterruptedException {
-        rig.await(Rig.name(by) + " sees " + Rig.name(whom) + " " + state, () -> rig.standing(by, whom).equals(state));
+        rig.await(
+                Rig.name(by) + " sees " + Rig.name(whom) + " " + state,
+                () -> rig.standing(by, whom).equals(state));
     }
 
     private long count(String name, int... of) throws IOException, InterruptedException {
@@ -75,14 +79,21 @@
         rig.awaitSettled(10, rig.all());
         String[] at = new String[10];
         Arrays.setAll(at, rig::fleetAddress);
-        assertEquals(0, CliRun.of("fleet", "wait", "--members", "10", "--settled", "--at", String.join(",", at)).code());
+        assertEquals(
+                0,
+                CliRun.of("fleet", "wait", "--members", "10", "--settled", "--at", String.join(",", at))
+                        .code());
         // A loop that is late for a moment is news, and the view is settled again once it has been told on.
         rig.await("both are shown as settled", () -> {
             CliRun shown = CliRun.of("fleet", "show", "--at", at[3] + "," + at[4]);
-            return shown.code() == 0 && shown.text().contains("n4 sees 10 live, settled")
+            return shown.code() == 0
+                    && shown.text().contains("n4 sees 10 live, settled")
                     && shown.text().contains("n10 ");
         });
-        assertEquals(3, CliRun.of("fleet", "wait", "--members", "11", "--wait-ms", "200", "--at", at[0]).code());
+        assertEquals(
+                3,
+                CliRun.of("fleet", "wait", "--members", "11", "--wait-ms", "200", "--at", at[0])
+                        .code());
         // Half of them at one moment, the seed among them.
         for (int i = 0; i < 5; i++) {
             rig.kill(i);
@@ -228,10 +239,11 @@
                 foreign.send(new DatagramPacket(bytes, length, InetAddress.getLoopbackAddress(), rig.memberSocket(0)));
             }
             byte[] heard = rig.lastDatagram(1, 0);
-            foreign.send(new DatagramPacket(heard, heard.length, InetAddress.getLoopbackAddress(),
-                    rig.memberSocket(0)));
-            rig.await("all are counted", () -> rig.counter(0, "members.oversized") >= 2
-                    && rig.counter(0, "members.unsealed") >= 5);
+            foreign.send(
+                    new DatagramPacket(heard, heard.length, InetAddress.getLoopbackAddress(), rig.memberSocket(0)));
+            rig.await(
+                    "all are counted",
+                    () -> rig.counter(0, "members.oversized") >= 2 && rig.counter(0, "members.unsealed") >= 5);
             // The same again from where it came, and spoilt by one bit.
             long replayed = rig.counter(0, "members.replayed");
             long unsealed = rig.counter(0, "members.unsealed");
@@ -241,8 +253,10 @@
             byte[] spoilt = again.clone();
             spoilt[spoilt.length - 1] ^= 1;
             rig.inject(1, 0, spoilt);
-            rig.await("they are counted", () -> rig.counter(0, "members.replayed") > replayed
-                    && rig.counter(0, "members.unsealed") > unsealed);
+            rig.await(
+                    "they are counted",
+                    () -> rig.counter(0, "members.replayed") > replayed
+                            && rig.counter(0, "members.unsealed") > unsealed);
         }
         assertEquals(0, count("members.buried", 0, 1, 2));
         rig.awaitSettled(3, 0, 1, 2);
@@ -255,10 +269,14 @@
             Files.writeString(rig.keyFile(), keys);
             for (int i = 0; i < 3; i++) {
                 int one = i;
-                rig.await("it has read them", () -> rig.log(one).endsWith("keys were read again\n")
-                        || rig.log(one).lastIndexOf("keys were read again") > 0
-                        && rig.log(one).split("keys were read again", -1).length - 1
-                        >= java.util.List.of(first + second, second + first, second).indexOf(keys) + 1);
+                rig.await(
+                        "it has read them",
+                        () -> rig.log(one).endsWith("keys were read again\n")
+                                || rig.log(one).lastIndexOf("keys were read again") > 0
+                                        && rig.log(one).split("keys were read again", -1).length - 1
+                                                >= java.util.List.of(first + second, second + first, second)
+                                                                .indexOf(keys)
+                                                        + 1);
             }
         }
         assertEquals(0, count("members.buried", 0, 1, 2));
@@ -279,7 +297,8 @@
         rig.await("all are seen to decide by it", () -> {
             for (var one : rig.fleet(4).getAsJsonArray("members")) {
                 JsonObject member = one.getAsJsonObject();
-                if (member.get("policy").getAsLong() != 1 || !member.get("condition").getAsString().equals("ready")) {
+                if (member.get("policy").getAsLong() != 1
+                        || !member.get("condition").getAsString().equals("ready")) {
                     return false;
                 }
             }
@@ -294,7 +313,9 @@
         boolean[] named = {false};
         rig.await("it takes hold", () -> {
             JsonObject leads = rig.policy(leader).getAsJsonObject("leads");
-            named[0] |= leads != null && leads.has("waits_for") && leads.get("waits_for").toString().contains("n5#")
+            named[0] |= leads != null
+                    && leads.has("waits_for")
+                    && leads.get("waits_for").toString().contains("n5#")
                     && leads.get("waits_for").toString().contains("(suspect)");
             return rig.decides(leader, 2);
         });
--- a/src/test/java/laneflow/membership/decision/SwimDaysTest.java
+++ b/src/test/java/laneflow/membership/decision/SwimDaysTest.java
@@ -30,7 +30,8 @@
                 if (!before.state().isLive() && now.state().isLive()) {
                     broken.add("one came back without a new life: " + now);
                 }
-            } else if (before != null && now.life().at().equals(before.life().at())
+            } else if (before != null
+                    && now.life().at().equals(before.life().at())
                     && now.life().generation() <= before.life().generation()) {
                 broken.add("an earlier life followed a later one: " + before + " to " + now);
             }
@@ -100,8 +101,8 @@
         MemberWorld world = begun(world(members, seed));
         int half = members / 2;
         world.cut((from, to) -> from < half != to < half);
-        long parted = world.runUntil(() -> world.agree(i -> i < half) && world.agree(i -> i >= half), 20 * SECOND,
-                PERIOD / 5);
+        long parted = world.runUntil(
+                () -> world.agree(i -> i < half) && world.agree(i -> i >= half), 20 * SECOND, PERIOD / 5);
         assertTrue(parted >= 0, "each half settles by itself");
         // One goes and another is started anew meanwhile, on either side.
         world.crash(1);
@@ -121,8 +122,8 @@
         MemberWorld world = begun(world(members, 3));
         int first = members - part;
         world.cut((from, to) -> from < first != to < first);
-        long parted = world.runUntil(() -> world.agree(i -> i < first) && world.agree(i -> i >= first),
-                withinS * SECOND, PERIOD / 5);
+        long parted = world.runUntil(
+                () -> world.agree(i -> i < first) && world.agree(i -> i >= first), withinS * SECOND, PERIOD / 5);
         assertTrue(parted >= 0, "not settled in " + withinS + " s");
         world.cut((from, to) -> false);
         long found = world.runUntil(() -> world.agree(i -> true), 20 * SECOND, PERIOD / 5);
@@ -255,7 +256,9 @@
         world.crash(3);
         world.startWithClock(3, -86_400_000, 0, 1);
         settles(world, 20, "a clock that went back");
-        assertEquals(List.of(), broken.stream().filter(text -> !text.contains("earlier life")).toList());
+        assertEquals(
+                List.of(),
+                broken.stream().filter(text -> !text.contains("earlier life")).toList());
     }
 
     @Test
@@ -269,8 +272,8 @@
                 List<Update> claims = new ArrayList<>();
                 claims.add(new Update.Claim(victim.life().id(), incarnation, claimed, 42));
                 claims.add(new Update.Full(victim.life(), incarnation, claimed, victim.facts()));
-                claims.add(new Update.Full(Life.of("n5", Long.MAX_VALUE, victim.life().at()), 0, State.ALIVE,
-                        victim.facts()));
+                claims.add(new Update.Full(
+                        Life.of("n5", Long.MAX_VALUE, victim.life().at()), 0, State.ALIVE, victim.facts()));
                 long from = world.swim(1).self().life().id();
                 world.inject(2, world.address(1), new Message(Message.Kind.NEWS, from, 0, 0, 0, null, claims));
                 world.pass(6 * SECOND);
--- a/src/test/java/laneflow/membership/decision/SwimOrdersTest.java
+++ b/src/test/java/laneflow/membership/decision/SwimOrdersTest.java
@@ -59,9 +59,10 @@
     private void play(List<Integer> order, long gap) {
         MemberWorld world = new MemberWorld(3, new Times(PERIOD), 17 + played);
         world.watch((by, before, now) -> {
-            if (before != null && before.life().id() == now.life().id()
+            if (before != null
+                    && before.life().id() == now.life().id()
                     && (now.incarnation() < before.incarnation()
-                    || !before.state().isLive() && now.state().isLive())) {
+                            || !before.state().isLive() && now.state().isLive())) {
                 broken.add(order + ": " + before + " to " + now);
             }
         });
--- a/src/test/java/laneflow/membership/decision/WireTest.java
+++ b/src/test/java/laneflow/membership/decision/WireTest.java
@@ -31,9 +31,19 @@
     }
 
     private static Full largest() throws IOException {
-        return new Full(Life.of("n".repeat(Life.MOST_NAME), Life.MOST_GENERATION, at(16, 65535)), Integer.MAX_VALUE,
-                State.SUSPECT, new Facts("z".repeat(Facts.MOST_ZONE), "b".repeat(Facts.MOST_BUILD), at(16, 65534),
-                Long.MAX_VALUE, Facts.Condition.FENCED, 15, 30, true));
+        return new Full(
+                Life.of("n".repeat(Life.MOST_NAME), Life.MOST_GENERATION, at(16, 65535)),
+                Integer.MAX_VALUE,
+                State.SUSPECT,
+                new Facts(
+                        "z".repeat(Facts.MOST_ZONE),
+                        "b".repeat(Facts.MOST_BUILD),
+                        at(16, 65534),
+                        Long.MAX_VALUE,
+                        Facts.Condition.FENCED,
+                        15,
+                        30,
+                        true));
     }
 
     @Test
--- a/src/test/java/laneflow/net/LoopTest.java
+++ b/src/test/java/laneflow/net/LoopTest.java
@@ -29,13 +29,21 @@
     @Test
     void aCallThatFailsEndsTheWaitAndTheLoopGoesOn() throws Exception {
         IllegalStateException exception = new IllegalStateException("a fault");
-        assertSame(exception, assertThrows(IllegalStateException.class, () -> loop.call(() -> {
-            throw exception;
-        })));
+        assertSame(
+                exception,
+                assertThrows(
+                        IllegalStateException.class,
+                        () -> loop.call(() -> {
+                            throw exception;
+                        })));
         AssertionError error = new AssertionError("an expectation");
-        assertSame(error, assertThrows(AssertionError.class, () -> loop.call(() -> {
-            throw error;
-        })));
+        assertSame(
+                error,
+                assertThrows(
+                        AssertionError.class,
+                        () -> loop.call(() -> {
+                            throw error;
+                        })));
         List<String> ran = new ArrayList<>();
         loop.call(() -> ran.add("the next one"));
         assertEquals(List.of("the next one"), ran);
--- a/src/test/java/laneflow/net/Stand.java
+++ b/src/test/java/laneflow/net/Stand.java
@@ -34,8 +34,8 @@
             + "'limits':{'cancel':true,'connectTimeout':1,'connIdle':10,'maxAttempts':5,'maxRetryAfter':2,"
             + "'retryAfter':true},'reporting':{'fields':['busy','q','rate','x0'],'source':'answers'},"
             + "'rules':{'stopSendingWithin':0.5},'tick':0.005}";
-    private static final String OWN = ",'listen':'127.0.0.1:0','seed':'7','limits':{'sockets':1024},'settings':"
-            + SETTINGS + "}";
+    private static final String OWN =
+            ",'listen':'127.0.0.1:0','seed':'7','limits':{'sockets':1024},'settings':" + SETTINGS + "}";
     private static final String GEARMAN = "listen = '127.0.0.1:0'\n[functions.check]\nclass = 'basket-check'\n"
             + "[functions.capture]\nclass = 'card-capture'\n[functions.post]\nclass = 'points-post'\n"
             + "[functions.hasty]\nclass = 'card-capture'\ndeadline_ms = 300\n[functions.slow]\nclass = 'points-post'\ncost_ms = 3000\n";
@@ -57,8 +57,11 @@
         }
         Path file = Files.createTempFile("stand", ".json");
         try {
-            Files.writeString(file, json("{'known':" + list(1, true, hosts.toArray(new String[0]))
-                    + (discovery == null ? "" : ",'discovery':'" + discovery.dial() + "'") + OWN).replace("1024", "" + sockets));
+            Files.writeString(
+                    file,
+                    json("{'known':" + list(1, true, hosts.toArray(new String[0]))
+                                    + (discovery == null ? "" : ",'discovery':'" + discovery.dial() + "'") + OWN)
+                            .replace("1024", "" + sockets));
             serve = serve(Config.read(file, null));
         } finally {
             Files.delete(file);
@@ -71,15 +74,15 @@
         if (!text.contains(json(was))) {
             throw new IllegalArgumentException(was);
         }
-        return new Stand(serve(Config.parse(text.replace(json(was), json(is)).replaceFirst("\\{", discovery == null
-                ? "{" : json("{'discovery':'" + discovery.dial() + "',")))));
+        return new Stand(serve(Config.parse(text.replace(json(was), json(is))
+                .replaceFirst("\\{", discovery == null ? "{" : json("{'discovery':'" + discovery.dial() + "',")))));
     }
 
     /** The program with a second address, few descriptors, and that folder left to the next one. */
     public static Stand operated(Path folder, Endpoint... known) throws Exception {
         Config config = Config.parse(knowing(known).replace("1024", "160"));
-        return new Stand(new Serve(new Setup(config, null, null, null),
-                new Surroundings("127.0.0.1:0", folder, false)));
+        return new Stand(
+                new Serve(new Setup(config, null, null, null), new Surroundings("127.0.0.1:0", folder, false)));
     }
 
     /** A configuration of the platform's form with these endpoints known. */
@@ -116,9 +119,11 @@
     public static Stand probing(Endpoint endpoint) throws Exception {
         Path file = Files.createTempFile("stand", ".json");
         try {
-            Files.writeString(file, json("{'known':" + list(1, true, endpoint.host("Ready")) + OWN
-                    .replace("'source':'answers'", "'source':'probe'")
-                    .replace("'cancel':true", "'cancel':true,'probes':true")));
+            Files.writeString(
+                    file,
+                    json("{'known':" + list(1, true, endpoint.host("Ready"))
+                            + OWN.replace("'source':'answers'", "'source':'probe'")
+                                    .replace("'cancel':true", "'cancel':true,'probes':true")));
             return new Stand(serve(Config.read(file, null)));
         } finally {
             Files.delete(file);
@@ -133,9 +138,12 @@
                 + "[functions.kcapture]\nclass = 'card-capture'\ndurable = true\n[functions.kpost]\n"
                 + "class = 'points-post'\ndurable = true\n";
         List<String> classes = List.of(config.classNames);
-        Setup setup = new Setup(config, GearmanConfig.read(Table.parse(functions, findings), config.settings,
-                classes, config.zones), DurableConfig.read(Table.parse("dir = '" + folder + "'\n" + durable,
-                findings), config.settings, classes), null);
+        Setup setup = new Setup(
+                config,
+                GearmanConfig.read(Table.parse(functions, findings), config.settings, classes, config.zones),
+                DurableConfig.read(
+                        Table.parse("dir = '" + folder + "'\n" + durable, findings), config.settings, classes),
+                null);
         findings.raise();
         return new Stand(new Serve(setup));
     }
@@ -152,8 +160,11 @@
     /** The program with a Gearman front of that table, and nothing else known. */
     public static Stand gearman(String table) throws Exception {
         Config config = Config.parse(json("{'name':'n3'" + OWN));
-        return new Stand(new Serve(new Setup(config, GearmanConfig.parse(table, config.settings,
-                List.of(config.classNames), config.zones), null, null)));
+        return new Stand(new Serve(new Setup(
+                config,
+                GearmanConfig.parse(table, config.settings, List.of(config.classNames), config.zones),
+                null,
+                null)));
     }
 
     /** The same with a Gearman front that has these functions, and durable jobs in that folder unless null. */
@@ -161,9 +172,13 @@
         Config config = Config.parse(json("{'name':'n3'" + OWN));
         Findings findings = new Findings("the stand's file");
         List<String> classes = List.of(config.classNames);
-        Setup setup = new Setup(config, GearmanConfig.parse("listen = '127.0.0.1:0'\n" + functions,
-                config.settings, classes, config.zones), durable == null ? null : DurableConfig.read(
-                Table.parse("dir = '" + durable + "'\n", findings), config.settings, classes),
+        Setup setup = new Setup(
+                config,
+                GearmanConfig.parse("listen = '127.0.0.1:0'\n" + functions, config.settings, classes, config.zones),
+                durable == null
+                        ? null
+                        : DurableConfig.read(
+                                Table.parse("dir = '" + durable + "'\n", findings), config.settings, classes),
                 ControlConfig.read(Table.parse(control, findings)));
         findings.raise();
         return new Stand(new Serve(setup));
@@ -174,8 +189,11 @@
     }
 
     private static Serve serve(Config config) throws Exception {
-        return new Serve(new Setup(config, GearmanConfig.parse(GEARMAN, config.settings,
-                List.of(config.classNames), config.zones), null, null));
+        return new Serve(new Setup(
+                config,
+                GearmanConfig.parse(GEARMAN, config.settings, List.of(config.classNames), config.zones),
+                null,
+                null));
     }
 
     private static String json(String text) {
@@ -195,8 +213,8 @@
 
     /** A watch's answer that goes on behind this line. */
     public static String watching(String line) {
-        return "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
-                + Integer.toHexString(line.length() + 1) + "\r\n" + line + "\n\r\n";
+        return "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + Integer.toHexString(line.length() + 1) + "\r\n"
+                + line + "\n\r\n";
     }
 
     /** A client of the platform's front. */
@@ -301,7 +319,7 @@
         public final Socket socket;
         private final InputStream in;
         /** Told what this end says, for a transcript. */
-        private Consumer<String> noted = text -> { };
+        private Consumer<String> noted = text -> {};
 
         Peer(Socket socket) throws IOException {
             this.socket = socket;
@@ -393,7 +411,10 @@
             StringBuilder all = new StringBuilder();
             for (String line : lines) {
                 String text = line.replace('\'', '"') + "\n";
-                all.append(Integer.toHexString(text.length())).append("\r\n").append(text).append("\r\n");
+                all.append(Integer.toHexString(text.length()))
+                        .append("\r\n")
+                        .append(text)
+                        .append("\r\n");
             }
             return all.toString();
         }
--- a/src/test/java/laneflow/ops/HandoverTest.java
+++ b/src/test/java/laneflow/ops/HandoverTest.java
@@ -110,6 +110,7 @@
     private Process place;
     /** Where both write down what is ordered. */
     private final TreeSet<String> file = new TreeSet<>();
+
     private long now = 1_000_000;
     private final List<End> ends = new ArrayList<>();
 
--- a/src/test/java/laneflow/ops/OpsStoryTest.java
+++ b/src/test/java/laneflow/ops/OpsStoryTest.java
@@ -36,12 +36,23 @@
         try (Stand stand = Stand.operated(folder, new Endpoint("e1"))) {
             assertEquals("done", call(stand, "check"));
             assertEquals("done", call(stand, "check\r"));
-            for (String bad : new String[] {"", "checks", "check now", "set-down", "set-down e1 e2", "set-up e9",
-                    "set-down e9", "drain-on 3", "ch\u0001eck", "x".repeat(400)}) {
+            for (String bad : new String[] {
+                "",
+                "checks",
+                "check now",
+                "set-down",
+                "set-down e1 e2",
+                "set-up e9",
+                "set-down e9",
+                "drain-on 3",
+                "ch\u0001eck",
+                "x".repeat(400)
+            }) {
                 assertTrue(call(stand, bad).startsWith("error "), bad);
             }
             // A piece of a call, then another; and half a call that is left changes nothing.
-            try (Peer caller = stand.operator(); Peer half = stand.operator()) {
+            try (Peer caller = stand.operator();
+                    Peer half = stand.operator()) {
                 half.write("drain-on").close();
                 caller.write("che").write("ck").write("\n");
                 assertEquals("done\n", caller.readTo("\n"));
@@ -92,7 +103,8 @@
             }
         }
         assertEquals(Set.of("e1"), new BanFile(folder).read());
-        try (Stand next = Stand.operated(folder, one); Peer client = next.http()) {
+        try (Stand next = Stand.operated(folder, one);
+                Peer client = next.http()) {
             client.post("basket-check", "n1", "", "");
             assertTrue(client.message().startsWith("HTTP/1.1 503 "));
             assertEquals("done", call(next, "set-up e1"));
@@ -122,8 +134,14 @@
             bad[i] ^= 4;
             Files.write(file, bad);
             assertEquals(Set.of(), new BanFile(folder).read(), "byte " + i);
-            Files.write(file, Stream.of(good).map(b -> new String(b, StandardCharsets.US_ASCII)).findFirst()
-                    .orElseThrow().substring(0, i).getBytes(StandardCharsets.US_ASCII));
+            Files.write(
+                    file,
+                    Stream.of(good)
+                            .map(b -> new String(b, StandardCharsets.US_ASCII))
+                            .findFirst()
+                            .orElseThrow()
+                            .substring(0, i)
+                            .getBytes(StandardCharsets.US_ASCII));
             assertEquals(Set.of(), new BanFile(folder).read(), "cut at " + i);
         }
         try (Stand stand = Stand.operated(folder, new Endpoint("e1"))) {
@@ -134,7 +152,9 @@
     @Test
     void aDrainSendsClientsAwayWithoutCuttingARequestAndIsUndone() throws Exception {
         Endpoint endpoint = new Endpoint("e1");
-        try (Stand stand = Stand.operated(folder, endpoint); Peer idle = stand.http(); Peer slow = stand.http();
+        try (Stand stand = Stand.operated(folder, endpoint);
+                Peer idle = stand.http();
+                Peer slow = stand.http();
                 Peer half = stand.http()) {
             idle.write("GET /health/ready HTTP/1.1\r\nHost: o\r\n\r\n");
             assertTrue(idle.message().startsWith("HTTP/1.1 200 "));
@@ -163,7 +183,8 @@
             assertEquals("done", call(stand, "check"));
             assertEquals("done", call(stand, "drain-off"));
             assertEquals("done", call(stand, "drain-off"));
-            try (Peer client = stand.http(); Peer front = stand.http()) {
+            try (Peer client = stand.http();
+                    Peer front = stand.http()) {
                 front.write("GET /health/ready HTTP/1.1\r\nHost: o\r\n\r\n");
                 assertTrue(front.message().startsWith("HTTP/1.1 200 "));
                 // Kept again, also past the times of the drain: no timer of it is left.
@@ -179,7 +200,8 @@
     @Test
     void aProcessOnItsWayToItsEndTakesNoDrainBack() throws Exception {
         Endpoint endpoint = new Endpoint("e1");
-        try (Stand stand = Stand.operated(folder, endpoint); Peer client = stand.http()) {
+        try (Stand stand = Stand.operated(folder, endpoint);
+                Peer client = stand.http()) {
             client.post("card-capture", "1", "", "");
             Peer call = endpoint.accept();
             call.message();
@@ -199,7 +221,9 @@
     @Test
     void aDrainTakenBackHalfwayLeavesNothingBehind() throws Exception {
         Endpoint endpoint = new Endpoint("e1");
-        try (Stand stand = Stand.operated(folder, endpoint); Peer idle = stand.http(); Peer busy = stand.http()) {
+        try (Stand stand = Stand.operated(folder, endpoint);
+                Peer idle = stand.http();
+                Peer busy = stand.http()) {
             idle.write("GET /health/live HTTP/1.1\r\nHost: o\r\n\r\n").message();
             busy.post("card-capture", "1", "", "");
             Peer call = endpoint.accept();
@@ -210,7 +234,8 @@
             assertTrue(!busy.message().contains("Connection: close"));
             // Past the time at which the drain would have closed it.
             Thread.sleep(600);
-            assertTrue(idle.write("GET /health/ready HTTP/1.1\r\nHost: o\r\n\r\n").message()
+            assertTrue(idle.write("GET /health/ready HTTP/1.1\r\nHost: o\r\n\r\n")
+                    .message()
                     .startsWith("HTTP/1.1 200 "));
         }
     }
--- a/src/test/java/laneflow/ops/Platform.java
+++ b/src/test/java/laneflow/ops/Platform.java
@@ -18,6 +18,7 @@
 public final class Platform implements AutoCloseable {
     /** Where clients come. */
     public final int port;
+
     private final Process process;
     private final BufferedReader says;
     private final List<Started> started = new ArrayList<>();
@@ -45,9 +46,15 @@
     public Platform(Path folder, Path log, Map<String, String> environment, String... arguments)
             throws IOException, URISyntaxException {
         Path script = Path.of(Platform.class.getResource("platform.pl").toURI());
-        List<String> line = new ArrayList<>(List.of("perl", script.toString(),
-                ProcessHandle.current().info().command().orElseThrow(), "-XX:TieredStopAtLevel=1", "-Xmx72m",
-                "-cp", System.getProperty("java.class.path"), "laneflow.Main"));
+        List<String> line = new ArrayList<>(List.of(
+                "perl",
+                script.toString(),
+                ProcessHandle.current().info().command().orElseThrow(),
+                "-XX:TieredStopAtLevel=1",
+                "-Xmx72m",
+                "-cp",
+                System.getProperty("java.class.path"),
+                "laneflow.Main"));
         line.addAll(List.of(arguments));
         ProcessBuilder builder = new ProcessBuilder(line);
         builder.environment().putAll(environment);
--- a/src/test/java/laneflow/ops/UpgradeStoryTest.java
+++ b/src/test/java/laneflow/ops/UpgradeStoryTest.java
@@ -24,6 +24,7 @@
 class UpgradeStoryTest {
     @TempDir
     private Path folder;
+
     private Platform platform;
     private Endpoint endpoint;
 
@@ -220,6 +221,10 @@
     }
 
     private static void signal(String name, Started to) throws Exception {
-        assertEquals(0, new ProcessBuilder("kill", "-" + name, "" + to.handle().pid()).start().waitFor());
+        assertEquals(
+                0,
+                new ProcessBuilder("kill", "-" + name, "" + to.handle().pid())
+                        .start()
+                        .waitFor());
     }
 }
--- a/src/test/java/laneflow/policy/LeaseGateTest.java
+++ b/src/test/java/laneflow/policy/LeaseGateTest.java
@@ -29,20 +29,24 @@
 class LeaseGateTest {
     @TempDir
     private Path folder;
+
     private final Counters counters = new Counters();
     private final List<String> events = new ArrayList<>();
-    private final PolicyTypes types = new PolicyTypes(List.of(new BansType(names ->
-            events.add("adopt " + names))), Map.of());
+    private final PolicyTypes types =
+            new PolicyTypes(List.of(new BansType(names -> events.add("adopt " + names))), Map.of());
     private Loop traffic;
     private LeaseGate gate;
     /** On the traffic's thread, as the gate is. */
     private long now = 100;
-    private Runnable amidClock = () -> { };
+
+    private Runnable amidClock = () -> {};
 
     private PolicyConfig config() throws Exception {
         Path file = folder.resolve("f.toml");
-        Files.writeString(file, "name = \"n1\"\nlisten = \"127.0.0.1:0\"\n[classes.check]\n[fleet]\n"
-                + "listen = \"127.0.0.1:0\"\n[fleet.peers]\nn2 = \"127.0.0.1:1\"\n[policy]\nvoters = [\"n2\"]\n");
+        Files.writeString(
+                file,
+                "name = \"n1\"\nlisten = \"127.0.0.1:0\"\n[classes.check]\n[fleet]\n"
+                        + "listen = \"127.0.0.1:0\"\n[fleet.peers]\nn2 = \"127.0.0.1:1\"\n[policy]\nvoters = [\"n2\"]\n");
         return Setup.operators(file, null, null).policy();
     }
 
@@ -50,11 +54,17 @@
     void make() throws Exception {
         PolicyConfig config = config();
         traffic = new Loop(128);
-        traffic.call(() -> gate = new LeaseGate(traffic, counters, () -> 1, config, () -> {
-            long read = now;
-            amidClock.run();
-            return read;
-        }, (number, waits) -> events.add("told " + number)));
+        traffic.call(() -> gate = new LeaseGate(
+                traffic,
+                counters,
+                () -> 1,
+                config,
+                () -> {
+                    long read = now;
+                    amidClock.run();
+                    return read;
+                },
+                (number, waits) -> events.add("told " + number)));
     }
 
     @AfterEach
@@ -68,8 +78,8 @@
         JsonArray one = new JsonArray();
         one.add(JsonParser.parseString("{\"name\": \"till-3\"}"));
         bans.add("bans", one);
-        return new Published(new Leave(number, stop, next, nextStart, nextStop, 0),
-                Map.of(0L, own, 1L, types.read(bans)));
+        return new Published(
+                new Leave(number, stop, next, nextStart, nextStop, 0), Map.of(0L, own, 1L, types.read(bans)));
     }
 
     @Test
@@ -138,10 +148,16 @@
             long[] read = new long[1];
             LeaseGate[] own = new LeaseGate[1];
             PolicyConfig config = config();
-            traffic.call(() -> own[0] = new LeaseGate(traffic, counters, () -> 1, config, () -> {
-                read[0] = clock.getAsLong();
-                return read[0];
-            }, (number, waits) -> events.add("told " + number)));
+            traffic.call(() -> own[0] = new LeaseGate(
+                    traffic,
+                    counters,
+                    () -> 1,
+                    config,
+                    () -> {
+                        read[0] = clock.getAsLong();
+                        return read[0];
+                    },
+                    (number, waits) -> events.add("told " + number)));
             long[] stop = new long[1];
             control.call(() -> {
                 stop[0] = clock.getAsLong() + 300_000;
--- a/src/test/java/laneflow/policy/PolicyAmidStoryTest.java
+++ b/src/test/java/laneflow/policy/PolicyAmidStoryTest.java
@@ -68,8 +68,10 @@
         rig.awaitDeciding(0, rig.all());
         int leader = rig.leader();
         rig.term(leader);
-        rig.await("it is taken", () -> rig.propose(3, "amid", bans("x")) != null
-                || state(3, "amid").equals("applied"));
+        rig.await(
+                "it is taken",
+                () -> rig.propose(3, "amid", bans("x")) != null
+                        || state(3, "amid").equals("applied"));
         assertEquals(143, rig.ended(leader));
         decided(3, "amid", "applied");
         for (int i : rig.all()) {
@@ -91,7 +93,11 @@
         String many = "name".repeat(2000);
         StringBuilder names = new StringBuilder();
         for (int i = 0; i < 40; i++) {
-            names.append(i == 0 ? "" : ",").append("{\"name\":\"").append(many, 0, 100).append(i).append("\"}");
+            names.append(i == 0 ? "" : ",")
+                    .append("{\"name\":\"")
+                    .append(many, 0, 100)
+                    .append(i)
+                    .append("\"}");
         }
         long changes = 0;
         while (rig.policy(1).getAsJsonObject("voter").get("votes").getAsBoolean()) {
@@ -117,14 +123,14 @@
         rig.awaitDeciding(0, rig.all());
         int leader = rig.leader();
         // A stand-in for a build that knows neither the type nor newer words, and says more than is known here.
-        try (Peer old = Stand.peer("127.0.0.1", Integer.parseInt(rig.fleetAddress(leader).split(":")[1]))) {
+        try (Peer old = Stand.peer(
+                "127.0.0.1", Integer.parseInt(rig.fleetAddress(leader).split(":")[1]))) {
             old.write("POST /fleet/link HTTP/1.1\r\nHost: f\r\nTransfer-Encoding: chunked\r\n\r\n");
             says(old, "{'t':'hello','name':'old','life':'1','build':'0.1','from':1,'to':1,'extra':{'a':[1]}}");
             says(old, "{'t':'long-gone','x':1}");
             says(old, renewal(0, "[]"));
             hears(old, "\"t\":\"grant\"");
-            rig.proposeUntilTaken(leader, "new-type",
-                    "{\"module\":[{\"name\":\"module\",\"cross_each_way\":0.3}]}");
+            rig.proposeUntilTaken(leader, "new-type", "{\"module\":[{\"name\":\"module\",\"cross_each_way\":0.3}]}");
             hears(old, "\"t\":\"content\"");
             says(old, renewal(1, "['module: is no type that is taken here']"));
             decided(leader, "new-type", "abandoned");
@@ -136,8 +142,7 @@
         decided(leader, "next", "applied");
         rig.awaitDeciding(2, rig.all());
         // Where all know it, it takes hold.
-        rig.proposeUntilTaken(leader, "new-type-again",
-                    "{\"module\":[{\"name\":\"module\",\"cross_each_way\":0.3}]}");
+        rig.proposeUntilTaken(leader, "new-type-again", "{\"module\":[{\"name\":\"module\",\"cross_each_way\":0.3}]}");
         rig.awaitDeciding(3, rig.all());
         check();
     }
@@ -167,8 +172,8 @@
         rig.start(1);
         rig.start(3);
         Path config = rig.write(2);
-        try (Platform platform = new Platform(folder, folder.resolve(Rig.name(2) + ".log"), Map.of(), "serve",
-                "--config", config.toString())) {
+        try (Platform platform = new Platform(
+                folder, folder.resolve(Rig.name(2) + ".log"), Map.of(), "serve", "--config", config.toString())) {
             Started former = platform.launch();
             rig.await("it serves", () -> former.call("check").equals("done"));
             rig.awaitDeciding(0, rig.all());
@@ -183,7 +188,8 @@
             // Between two policies nothing comes to the till: ask once both decide by the new one.
             rig.awaitDeciding(3, rig.all());
             rig.await("the new one decides", () -> next.call("check").equals("done"));
-            try (Peer client = ask(platform.port, "u"); Peer call = till.accept()) {
+            try (Peer client = ask(platform.port, "u");
+                    Peer call = till.accept()) {
                 call.message();
                 answer(call, "u");
             }
@@ -191,7 +197,9 @@
             former.ended();
             // Its address and its store are the new one's now: it is asked there, and votes with what it had.
             rig.awaitDeciding(3, rig.all());
-            rig.await("it votes", () -> rig.policy(2).getAsJsonObject("voter").get("votes").getAsBoolean());
+            rig.await(
+                    "it votes",
+                    () -> rig.policy(2).getAsJsonObject("voter").get("votes").getAsBoolean());
             rig.kill(0);
             rig.proposeUntilTaken(1, "with-its-vote", bans("d"));
             rig.awaitDeciding(4, 1, 2, 3);
--- a/src/test/java/laneflow/policy/PolicyConfigTest.java
+++ b/src/test/java/laneflow/policy/PolicyConfigTest.java
@@ -31,12 +31,15 @@
     void aVoterAndAnotherAreRead() throws Exception {
         String fleet = "[fleet]\nlisten = \"127.0.0.1:0\"\n[fleet.peers]\nn2 = \"127.0.0.1:1\"\nn3 = \"127.0.0.1:2\"\n"
                 + "[policy]\ncut_off = \"serve\"\n";
-        PolicyConfig voter = read(fleet + "voters = [\"n1\", \"n2\", \"n3\"]\ndir = \"votes\"\n").policy();
+        PolicyConfig voter = read(fleet + "voters = [\"n1\", \"n2\", \"n3\"]\ndir = \"votes\"\n")
+                .policy();
         assertEquals(Path.of("votes"), voter.dir);
         assertTrue(voter.servesCutOff);
         assertEquals(1_000_000, voter.lease);
         // One that does not vote may be taken in: it has a place for its votes then.
-        assertEquals(Path.of("votes"), read(fleet + "voters = [\"n2\"]\ndir = \"votes\"\n").policy().dir);
+        assertEquals(
+                Path.of("votes"),
+                read(fleet + "voters = [\"n2\"]\ndir = \"votes\"\n").policy().dir);
         assertEquals(null, read(fleet + "voters = [\"n2\"]\n").policy().dir);
         assertEquals(null, read("").policy());
     }
@@ -47,11 +50,13 @@
         String fleet = "[fleet]\nlisten = \"127.0.0.1:0\"\n[fleet.peers]\nn2 = \"127.0.0.1:1\"\n[policy]\n";
         assertTrue(wrong(fleet + "voters = [\"n1\", \"n2\"]\ndir = \"d\"\n").contains("names 2 schedulers"));
         assertTrue(wrong(fleet + "voters = [\"n1\"]\n").contains("[policy] dir: is missing"));
-        String many = wrong(fleet + "voters = [\"n1\", \"n2\", \"n9\"]\ndir = \"d\"\nlease_ms = 5\ncut_off = \"maybe\"\n");
+        String many =
+                wrong(fleet + "voters = [\"n1\", \"n2\", \"n9\"]\ndir = \"d\"\nlease_ms = 5\ncut_off = \"maybe\"\n");
         for (String part : List.of("'n9' is neither", "5 is not between 100 and 600000", "'maybe' is none of")) {
             assertTrue(many.contains(part), many);
         }
         assertTrue(wrong("[fleet]\nlisten = \"here\"\nname = \"a b\"\n").contains("is no name"));
-        assertTrue(wrong(fleet.replace("127.0.0.1:1", "x") + "voters = [\"n2\"]\n").contains("[fleet.peers] n2"));
+        assertTrue(
+                wrong(fleet.replace("127.0.0.1:1", "x") + "voters = [\"n2\"]\n").contains("[fleet.peers] n2"));
     }
 }
--- a/src/test/java/laneflow/policy/PolicyStories.java
+++ b/src/test/java/laneflow/policy/PolicyStories.java
@@ -21,9 +21,12 @@
 abstract class PolicyStories {
     /** Long: a call that is out must outlast a change on a machine that is busy. */
     static final String CLASSES = "[classes.check]\naim_ms = 200\ndeadline_ms = 60000\nrepeat = \"safe\"\n";
+
     static final String POST = "[classes.post]\ndeadline_ms = 5000\nrepeat = \"safe\"\n";
+
     @TempDir
     Path folder;
+
     Endpoint till;
     Rig rig;
     final PolicyHistory history = new PolicyHistory();
@@ -61,7 +64,10 @@
     static String bans(String... names) {
         StringBuilder all = new StringBuilder();
         for (String name : names) {
-            all.append(all.isEmpty() ? "" : ",").append("{\"name\":\"").append(name).append("\"}");
+            all.append(all.isEmpty() ? "" : ",")
+                    .append("{\"name\":\"")
+                    .append(name)
+                    .append("\"}");
         }
         return "{\"bans\":[" + all + "]}";
     }
@@ -78,12 +84,18 @@
             history.log(Rig.name(i), rig.log(i));
             if (rig.isUp(i) || i == also) {
                 int at = i;
-                rig.await("its outcomes", () -> rig.ask(at, "/policy/history", null).statusCode() == 200);
-                JsonParser.parseString(rig.ask(i, "/policy/history", null).body()).getAsJsonArray().forEach(one -> {
-                    JsonObject change = one.getAsJsonObject();
-                    history.outcome(change.get("name").getAsString(), change.get("number").getAsLong(),
-                            change.get("state").getAsString());
-                });
+                rig.await(
+                        "its outcomes",
+                        () -> rig.ask(at, "/policy/history", null).statusCode() == 200);
+                JsonParser.parseString(rig.ask(i, "/policy/history", null).body())
+                        .getAsJsonArray()
+                        .forEach(one -> {
+                            JsonObject change = one.getAsJsonObject();
+                            history.outcome(
+                                    change.get("name").getAsString(),
+                                    change.get("number").getAsLong(),
+                                    change.get("state").getAsString());
+                        });
             }
         }
         assertEquals(List.of(), history.check());
@@ -118,8 +130,8 @@
     }
 
     static Peer ask(int port, String id) throws IOException {
-        return Stand.peer("127.0.0.1", port).write("POST /check HTTP/1.1\r\nHost: c\r\nReq-Id: " + id
-                + "\r\nContent-Length: 0\r\n\r\n");
+        return Stand.peer("127.0.0.1", port)
+                .write("POST /check HTTP/1.1\r\nHost: c\r\nReq-Id: " + id + "\r\nContent-Length: 0\r\n\r\n");
     }
 
     /** The till answers what came to it. */
@@ -129,7 +141,8 @@
 
     /** The answer to a request at a scheduler, its till answering at once. */
     String request(int i, String id) throws Exception {
-        try (Peer client = asking(i, id); Peer call = till.accept()) {
+        try (Peer client = asking(i, id);
+                Peer call = till.accept()) {
             call.message();
             answer(call, id);
             return client.message();
--- a/src/test/java/laneflow/policy/PolicyStoryTest.java
+++ b/src/test/java/laneflow/policy/PolicyStoryTest.java
@@ -4,7 +4,6 @@
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import com.google.gson.JsonObject;
 import java.nio.file.Files;
 import java.util.List;
 import laneflow.lab.rig.Rig;
@@ -29,12 +28,17 @@
         rig.awaitDeciding(1, rig.all());
         assertTrue(request(2, "r1").contains("Config-Version: policy=1"));
         // The same name is the same change; another content under it is none.
-        assertEquals("applied", rig.propose(1, "ban-9", bans("till-9")).get("state").getAsString());
-        assertTrue(rig.ask(1, "/policy/changes", "{\"name\":\"ban-9\",\"types\":" + bans("till") + "}").body()
+        assertEquals(
+                "applied", rig.propose(1, "ban-9", bans("till-9")).get("state").getAsString());
+        assertTrue(rig.ask(1, "/policy/changes", "{\"name\":\"ban-9\",\"types\":" + bans("till") + "}")
+                .body()
                 .contains("another content"));
         // One that turns it down abandons it for all, and says why.
-        rig.proposeUntilTaken(0, "post-safe", "{\"classes\":[{\"name\":\"check\",\"repeat\":\"safe\"},"
-                + "{\"name\":\"post\",\"repeat\":\"safe\"}]}");
+        rig.proposeUntilTaken(
+                0,
+                "post-safe",
+                "{\"classes\":[{\"name\":\"check\",\"repeat\":\"safe\"},"
+                        + "{\"name\":\"post\",\"repeat\":\"safe\"}]}");
         decided(2, "post-safe", "abandoned");
         String reasons = rig.change(1, "post-safe").get("reasons").toString();
         assertTrue(reasons.contains("n4#") && reasons.contains("'post' must not run twice here"), reasons);
@@ -71,8 +75,10 @@
             rig.kill(leader);
             int other = leader == 0 ? 1 : 0;
             // It was in the log, or it was not: then it is proposed again, by the same name.
-            rig.await("it is taken", () -> rig.propose(other, name, types) != null
-                    || state(other, name).equals("applied"));
+            rig.await(
+                    "it is taken",
+                    () -> rig.propose(other, name, types) != null
+                            || state(other, name).equals("applied"));
             decided(other, name, "applied");
             rig.start(leader);
             rig.awaitDeciding(round, rig.all());
@@ -129,7 +135,8 @@
         String answer = refused(4, "r1");
         assertTrue(answer.startsWith("HTTP/1.1 503 ") && answer.contains("Retry-After: 0.1"), answer);
         try (Peer client = Stand.peer("127.0.0.1", rig.clientPort(4))) {
-            assertTrue(client.write("GET /health/ready HTTP/1.1\r\n\r\n").message().startsWith("HTTP/1.1 503 "));
+            assertTrue(
+                    client.write("GET /health/ready HTTP/1.1\r\n\r\n").message().startsWith("HTTP/1.1 503 "));
         }
         // On the side without a majority nothing can be decided, and nothing is said to be.
         assertEquals("not known", state(leader, "behind-the-cut"));
@@ -214,11 +221,17 @@
         rig.wipe(1);
         rig.start(1);
         rig.awaitDeciding(1, rig.all());
-        rig.await("it says so", () -> rig.policy(1).getAsJsonObject("voter").get("lost").getAsBoolean());
+        rig.await(
+                "it says so",
+                () -> rig.policy(1).getAsJsonObject("voter").get("lost").getAsBoolean());
         // Taken in anew it votes: with it and one other there is a majority.
         assertEquals(409, rig.ask(0, "/policy/voters", "{\"replace\":\"n4\"}").statusCode());
-        rig.await("it is taken in", () -> rig.ask(0, "/policy/voters", "{\"replace\":\"n2\"}").statusCode() == 200);
-        rig.await("it votes", () -> rig.policy(1).getAsJsonObject("voter").get("votes").getAsBoolean());
+        rig.await(
+                "it is taken in",
+                () -> rig.ask(0, "/policy/voters", "{\"replace\":\"n2\"}").statusCode() == 200);
+        rig.await(
+                "it votes",
+                () -> rig.policy(1).getAsJsonObject("voter").get("votes").getAsBoolean());
         assertEquals(409, rig.ask(0, "/policy/voters", "{\"replace\":\"n2\"}").statusCode());
         rig.kill(2);
         rig.proposeUntilTaken(0, "with-the-new", bans("w"));
@@ -250,8 +263,10 @@
         rig.startAll();
         rig.awaitDeciding(0, rig.all());
         rig.disturb(0.3, 0.1, 200);
-        rig.await("it is taken", () -> rig.propose(0, "through", bans("x")) != null
-                || state(1, "through").equals("applied"));
+        rig.await(
+                "it is taken",
+                () -> rig.propose(0, "through", bans("x")) != null
+                        || state(1, "through").equals("applied"));
         rig.await("all decide by it, now and then", () -> state(1, "through").equals("applied"));
         rig.heal();
         rig.awaitDeciding(1, rig.all());
--- a/src/test/java/laneflow/policy/PolicyVotersStoryTest.java
+++ b/src/test/java/laneflow/policy/PolicyVotersStoryTest.java
@@ -72,7 +72,8 @@
     }
 
     private int order(String what, int voter) throws IOException, InterruptedException {
-        return rig.ask(4, "/policy/voters", "{\"" + what + "\":\"" + Rig.name(voter) + "\"}").statusCode();
+        return rig.ask(4, "/policy/voters", "{\"" + what + "\":\"" + Rig.name(voter) + "\"}")
+                .statusCode();
     }
 
     private JsonObject voter(int i) throws IOException, InterruptedException {
@@ -94,7 +95,9 @@
         try (Load load = new Load()) {
             // A fourth comes, and votes; asked again that is said.
             rig.await("it is taken in", () -> order("add", 3) == 200);
-            rig.await("it votes", () -> is(3, "votes") && voter(3).getAsJsonArray("voters").size() == 4);
+            rig.await(
+                    "it votes",
+                    () -> is(3, "votes") && voter(3).getAsJsonArray("voters").size() == 4);
             assertEquals(409, order("add", 3));
             assertEquals(409, order("remove", 4));
             // The one that leads goes: it hands over first.
@@ -123,7 +126,9 @@
         rig.await("it is told again", () -> is(gone, "removed"));
         rig.proposeUntilTaken(4, "still", bans("s"));
         decided(4, "still", "applied");
-        assertEquals(term, rig.policy(rig.leader()).getAsJsonObject("voter").get("term").getAsInt());
+        assertEquals(
+                term,
+                rig.policy(rig.leader()).getAsJsonObject("voter").get("term").getAsInt());
         // Its old store can't be taken in again; a new one can.
         assertEquals(409, order("add", gone));
         rig.kill(gone);
--- a/src/test/java/laneflow/policy/decision/FenceOrdersTest.java
+++ b/src/test/java/laneflow/policy/decision/FenceOrdersTest.java
@@ -40,7 +40,10 @@
 
     /** From where the events begin: a change about to be decided, decided, or left by its leader. */
     private enum From {
-        OPEN, APPLIED, LEADERLESS, BEGUN
+        OPEN,
+        APPLIED,
+        LEADERLESS,
+        BEGUN
     }
 
     private static FenceWorld world(Broken broken, From from) {
@@ -92,14 +95,18 @@
     }
 
     @ParameterizedTest
-    @EnumSource(value = From.class, names = {"APPLIED", "LEADERLESS"})
+    @EnumSource(
+            value = From.class,
+            names = {"APPLIED", "LEADERLESS"})
     void noOrderOfFiveEventsBreaksAPromise(From from) {
         orders(from, 5, new ArrayList<>());
         assertEquals(248_832, played);
     }
 
     @ParameterizedTest
-    @EnumSource(value = From.class, names = {"OPEN", "BEGUN"})
+    @EnumSource(
+            value = From.class,
+            names = {"OPEN", "BEGUN"})
     void noOrderOfFourEventsBreaksAPromise(From from) {
         orders(from, 4, new ArrayList<>());
         assertEquals(20_736, played);
--- a/src/test/java/laneflow/policy/decision/FenceWorld.java
+++ b/src/test/java/laneflow/policy/decision/FenceWorld.java
@@ -19,7 +19,11 @@
 
     /** What is done wrong on purpose, to see that it is found. */
     enum Broken {
-        NOTHING, A_DEPOSED_LEADER_IS_CONFIRMED, CLOCKS_RUN_APART, ACKNOWLEDGED_UNHEARD, LEFT_BUT_DECIDES,
+        NOTHING,
+        A_DEPOSED_LEADER_IS_CONFIRMED,
+        CLOCKS_RUN_APART,
+        ACKNOWLEDGED_UNHEARD,
+        LEFT_BUT_DECIDES,
         ELECTED_BEFORE_ITS_TIME
     }
 
@@ -40,6 +44,7 @@
         boolean up = true;
         /** It has ended in order: its life does not go on. */
         boolean left;
+
         long refuses;
         int life;
 
@@ -78,9 +83,8 @@
     }
 
     /** A message under way. */
-    private record Message(boolean renewal, Node node, int life, Leader leader, Renewal said, long sentAt,
-            Grant grant) {
-    }
+    private record Message(
+            boolean renewal, Node node, int life, Leader leader, Renewal said, long sentAt, Grant grant) {}
 
     final Broken broken;
     final List<Node> nodes = new ArrayList<>();
@@ -92,6 +96,7 @@
     int switches;
     /** Messages that have arrived. */
     int arrived;
+
     private long highest;
 
     FenceWorld(Broken broken, int schedulers) {
@@ -139,8 +144,14 @@
         from.lease.deciding(from.clock());
         Leader to = leaders.get(leaders.size() - 1 - back);
         long heard = from.lease.seq() + (broken == Broken.ACKNOWLEDGED_UNHEARD ? 5 : 0);
-        Renewal said = new Renewal(from.lease.term(), heard, from.lease.begun(), Set.copyOf(from.ready),
-                from.refuses, from.refuses > 0 ? List.of("it may not") : List.of(), 2_000);
+        Renewal said = new Renewal(
+                from.lease.term(),
+                heard,
+                from.lease.begun(),
+                Set.copyOf(from.ready),
+                from.refuses,
+                from.refuses > 0 ? List.of("it may not") : List.of(),
+                2_000);
         under.add(new Message(true, from, from.life, to, said, from.clock(), null));
     }
 
@@ -227,12 +238,13 @@
 
     private void follow(Leader leader) {
         Step step = leader.lead.step(leader.clock());
-        boolean leads = leader == leaders.get(leaders.size() - 1)
-                || broken == Broken.A_DEPOSED_LEADER_IS_CONFIRMED;
+        boolean leads = leader == leaders.get(leaders.size() - 1) || broken == Broken.A_DEPOSED_LEADER_IS_CONFIRMED;
         if (step.ask() == Lead.Ask.APPLY || step.ask() == Lead.Ask.ABANDON) {
             if (leads) {
-                ledger.run(step.ask() == Lead.Ask.APPLY ? Ledger.apply(step.name(), 0)
-                        : Ledger.abandon(step.name(), step.reasons(), 0));
+                ledger.run(
+                        step.ask() == Lead.Ask.APPLY
+                                ? Ledger.apply(step.name(), 0)
+                                : Ledger.abandon(step.name(), step.reasons(), 0));
                 leader.lead.confirmed(leader.clock(), ledger.view());
                 follow(leader);
             } else {
@@ -265,8 +277,10 @@
             if (deciding > ledger.view().inForce()) {
                 throw new Violation("decides by " + deciding + ", which is undecided");
             }
-            if (deciding > 0 && ledger.last(100).stream().noneMatch(change -> change.number() == deciding
-                    && change.state() == Change.State.APPLIED)) {
+            if (deciding > 0
+                    && ledger.last(100).stream()
+                            .noneMatch(
+                                    change -> change.number() == deciding && change.state() == Change.State.APPLIED)) {
                 throw new Violation("decides by " + deciding + ", which was abandoned");
             }
             if (deciding < highest) {
--- a/src/test/java/laneflow/policy/decision/LedgerTest.java
+++ b/src/test/java/laneflow/policy/decision/LedgerTest.java
@@ -28,10 +28,14 @@
         assertEquals(0, ledger.view().inForce());
         ledger.run(Ledger.apply("a", 6));
         propose("b", "{bans:[{name:'e2'}]}");
-        assertEquals(types("{limits:[{attempts:3}],bans:[{name:'e2'}]}"), ledger.view().openMerged());
+        assertEquals(
+                types("{limits:[{attempts:3}],bans:[{name:'e2'}]}"),
+                ledger.view().openMerged());
         ledger.run(Ledger.apply("b", 7));
         assertEquals(2, ledger.view().inForce());
-        assertEquals(types("{limits:[{attempts:3}],bans:[{name:'e2'}]}"), ledger.view().merged());
+        assertEquals(
+                types("{limits:[{attempts:3}],bans:[{name:'e2'}]}"),
+                ledger.view().merged());
         // An empty list gives a type back to the file.
         propose("c", "{limits:[]}");
         ledger.run(Ledger.apply("c", 8));
@@ -41,7 +45,9 @@
     @Test
     void theFirstDecisionStands() {
         propose("a", "{bans:[]}");
-        assertEquals("abandoned", ledger.run(Ledger.abandon("a", List.of("no"), 6)).get("state").getAsString());
+        assertEquals(
+                "abandoned",
+                ledger.run(Ledger.abandon("a", List.of("no"), 6)).get("state").getAsString());
         assertEquals("abandoned", ledger.run(Ledger.apply("a", 7)).get("state").getAsString());
         assertEquals(0, ledger.view().inForce());
         // Asked again, it is the same change, and the same answer.
@@ -53,7 +59,9 @@
     @Test
     void changesWaitTheirTurnAndNoMoreThanSo() {
         for (int i = 0; i <= Ledger.MOST_WAITING; i++) {
-            assertEquals(i == 0 ? "open" : "waiting", propose("c" + i, "{bans:[]}").get("state").getAsString());
+            assertEquals(
+                    i == 0 ? "open" : "waiting",
+                    propose("c" + i, "{bans:[]}").get("state").getAsString());
         }
         assertTrue(propose("late", "{bans:[]}").get("error").getAsString().contains("wait already"));
         assertEquals("waiting", ledger.run(Ledger.apply("c5", 1)).get("state").getAsString());
@@ -68,7 +76,9 @@
         assertTrue(propose("a b", "{bans:[]}").get("error").getAsString().startsWith("name:"));
         assertTrue(propose("a", "{}").get("error").getAsString().startsWith("types:"));
         assertTrue(propose("a", "{bans:{}}").get("error").getAsString().startsWith("types.bans:"));
-        assertTrue(propose("a", "{bans:['" + "x".repeat(Ledger.MOST_CONTENT) + "']}").get("error").getAsString()
+        assertTrue(propose("a", "{bans:['" + "x".repeat(Ledger.MOST_CONTENT) + "']}")
+                .get("error")
+                .getAsString()
                 .contains("the most are"));
         assertNull(ledger.view().open());
     }
@@ -88,7 +98,8 @@
             assertEquals(ledger.run(op), other.run(op));
             if (random.nextInt(50) == 0) {
                 Ledger again = new Ledger();
-                again.restore(JsonParser.parseString(other.snapshot().toString()).getAsJsonObject());
+                again.restore(
+                        JsonParser.parseString(other.snapshot().toString()).getAsJsonObject());
                 other = again;
             }
         }
--- a/src/test/java/laneflow/task/RecoveryStoryTest.java
+++ b/src/test/java/laneflow/task/RecoveryStoryTest.java
@@ -32,12 +32,15 @@
     private static final int JOBS = 40;
     private static final String BANNED =
             "{\"bans\":[{\"name\":\"till-0\"},{\"name\":\"till-1\"},{\"name\":\"till-2\"}]}";
+
     @TempDir
     Path folder;
+
     private Path stores;
     private Rig rig;
     private final int[] nodes = new int[3];
-    private final HttpClient client = HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).build();
+    private final HttpClient client =
+            HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).build();
 
     @BeforeEach
     void begin() throws Exception {
@@ -47,10 +50,12 @@
         }
         rig = new Rig(folder, 4, 3, 7, "");
         for (int i = 0; i < 4; i++) {
-            rig.file(i, "zones = [\"z\"]\n[classes.post]\ndeadline_ms = 3000\nrepeat = \"never\"\n"
-                    + Rig.endpoints(nodes) + "[policy]\nvoters = VOTERS\ndir = \"FOLDER\"\n[durable]\ndir = \""
-                    + stores.resolve(Rig.name(i)) + "\"\n[durable.classes.post]\n[tasks]\nstores = \"" + stores
-                    + "\"\nadopt_after_ms = 500\n");
+            rig.file(
+                    i,
+                    "zones = [\"z\"]\n[classes.post]\ndeadline_ms = 3000\nrepeat = \"never\"\n"
+                            + Rig.endpoints(nodes) + "[policy]\nvoters = VOTERS\ndir = \"FOLDER\"\n[durable]\ndir = \""
+                            + stores.resolve(Rig.name(i)) + "\"\n[durable.classes.post]\n[tasks]\nstores = \"" + stores
+                            + "\"\nadopt_after_ms = 500\n");
         }
         rig.startAll();
         rig.awaitDeciding(0, rig.all());
@@ -67,9 +72,13 @@
     }
 
     private void handIn(int at, int job) throws IOException, InterruptedException {
-        HttpResponse<String> answer = client.send(HttpRequest.newBuilder(URI.create("http://127.0.0.1:"
-                + rig.clientPort(at) + "/post")).header("Req-Id", "j" + job).header("Prefer", "respond-async")
-                .header("Idempotency-Key", "k" + job).POST(HttpRequest.BodyPublishers.ofString("j" + job)).build(),
+        HttpResponse<String> answer = client.send(
+                HttpRequest.newBuilder(URI.create("http://127.0.0.1:" + rig.clientPort(at) + "/post"))
+                        .header("Req-Id", "j" + job)
+                        .header("Prefer", "respond-async")
+                        .header("Idempotency-Key", "k" + job)
+                        .POST(HttpRequest.BodyPublishers.ofString("j" + job))
+                        .build(),
                 HttpResponse.BodyHandlers.ofString());
         assertEquals(202, answer.statusCode(), answer.body());
     }
@@ -101,12 +110,13 @@
         try {
             rig.await("all jobs have run", () -> new HashSet<>(runs(ran)).size() >= JOBS);
         } catch (IOException e) {
-            throw new IOException(new HashSet<>(runs(ran)).size() + " of " + JOBS + " jobs have run; "
-                    + counters(schedulers), e);
+            throw new IOException(
+                    new HashSet<>(runs(ran)).size() + " of " + JOBS + " jobs have run; " + counters(schedulers), e);
         }
         List<String> runs = runs(ran);
         assertEquals(JOBS, runs.size(), "some ran twice: " + runs);
-        assertTrue(runs.containsAll(IntStream.range(0, JOBS).mapToObj(i -> "j" + i).toList()), runs.toString());
+        assertTrue(
+                runs.containsAll(IntStream.range(0, JOBS).mapToObj(i -> "j" + i).toList()), runs.toString());
     }
 
     /** What has become of the jobs, as these schedulers count it. */
@@ -114,8 +124,13 @@
         StringBuilder counted = new StringBuilder();
         for (int i : schedulers) {
             counted.append(Rig.name(i));
-            for (String name : List.of("durable.open", "durable.taken_over", "durable.done", "durable.unknown",
-                    "durable.failed", "lease.given")) {
+            for (String name : List.of(
+                    "durable.open",
+                    "durable.taken_over",
+                    "durable.done",
+                    "durable.unknown",
+                    "durable.failed",
+                    "lease.given")) {
                 counted.append(' ').append(name).append('=').append(rig.counter(i, name));
             }
             counted.append("; ");
@@ -124,7 +139,9 @@
     }
 
     private static List<String> runs(Path ran) throws IOException {
-        return Ledger.read(ran).stream().filter(line -> line.event().equals("start")).map(Ledger.Line::job)
+        return Ledger.read(ran).stream()
+                .filter(line -> line.event().equals("start"))
+                .map(Ledger.Line::job)
                 .toList();
     }
 
@@ -153,9 +170,11 @@
     void oneThatStandsStillKeepsItsJobs() throws Exception {
         rig.stall(3);
         int leader = rig.leader();
-        rig.await("another may take it over, and its store is held", () ->
-                rig.ask(leader, "/tasks", null).body().contains("\"task\":\"recover/n4\",\"kind\":\"placed\",\"holder\""
-                        + ":\"n"));
+        rig.await(
+                "another may take it over, and its store is held",
+                () -> rig.ask(leader, "/tasks", null)
+                        .body()
+                        .contains("\"task\":\"recover/n4\",\"kind\":\"placed\",\"holder\"" + ":\"n"));
         Set<String> before = new HashSet<>();
         try (Stream<Path> all = Files.list(stores)) {
             all.forEach(path -> before.add(path.getFileName().toString()));
--- a/src/test/java/laneflow/task/TaskFaultsStoryTest.java
+++ b/src/test/java/laneflow/task/TaskFaultsStoryTest.java
@@ -33,6 +33,7 @@
 class TaskFaultsStoryTest {
     private static final int TASKS = 6;
     private static final long CUT_OFF_NS = 500_000_000;
+
     @TempDir
     Path folder;
 
@@ -53,7 +54,9 @@
     private static void called(Rig rig, StandInReceiver receiver, int by) throws IOException, InterruptedException {
         long from = System.nanoTime();
         rig.await("all tasks are called for by " + by, () -> {
-            List<Call> since = receiver.calls().stream().filter(call -> call.beganNs() > from && call.accepted()).toList();
+            List<Call> since = receiver.calls().stream()
+                    .filter(call -> call.beganNs() > from && call.accepted())
+                    .toList();
             return since.stream().map(Call::task).distinct().count() >= TASKS
                     && since.stream().map(Call::holder).distinct().count() >= by;
         });
@@ -62,20 +65,35 @@
     @Test
     void anActThatHangsIsCutOffAndHarmsNoOther() throws Exception {
         try (StandInReceiver receiver = new StandInReceiver(Crew.port(), 5);
-                Rig rig = new Rig(folder, 3, 3, 7, checked(receiver.port())
-                + TaskMeasure.hook("hang", receiver.port(), "/hang", 200, true))) {
+                Rig rig = new Rig(
+                        folder,
+                        3,
+                        3,
+                        7,
+                        checked(receiver.port()) + TaskMeasure.hook("hang", receiver.port(), "/hang", 200, true))) {
             rig.startAll();
             rig.awaitDeciding(0, rig.all());
             called(rig, receiver, 3);
             long from = System.nanoTime();
             String[] holder = {""};
             rig.await("it hangs three times at one holder, and every other task goes on meanwhile", () -> {
-                List<Call> since = receiver.calls().stream().filter(call -> call.beganNs() > from).toList();
-                List<Call> hung = since.stream().filter(call -> call.task().equals("hook/hang")).toList();
+                List<Call> since = receiver.calls().stream()
+                        .filter(call -> call.beganNs() > from)
+                        .toList();
+                List<Call> hung = since.stream()
+                        .filter(call -> call.task().equals("hook/hang"))
+                        .toList();
                 holder[0] = hung.isEmpty() ? "" : hung.get(hung.size() - 1).holder();
-                return hung.stream().filter(call -> call.holder().equals(holder[0])).count() >= 3
-                        && since.stream().filter(call -> !call.task().equals("hook/hang")).map(Call::task).distinct()
-                        .count() == TASKS;
+                return hung.stream()
+                                        .filter(call -> call.holder().equals(holder[0]))
+                                        .count()
+                                >= 3
+                        && since.stream()
+                                        .filter(call -> !call.task().equals("hook/hang"))
+                                        .map(Call::task)
+                                        .distinct()
+                                        .count()
+                                == TASKS;
             });
             for (Call call : receiver.calls()) {
                 if (call.task().equals("hook/hang")) {
@@ -84,13 +102,18 @@
                 }
             }
             int at = Integer.parseInt(holder[0].substring(1, holder[0].indexOf('#'))) - 1;
-            JsonObject all = JsonParser.parseString(rig.ask(at, "/tasks", null).body()).getAsJsonObject();
+            JsonObject all =
+                    JsonParser.parseString(rig.ask(at, "/tasks", null).body()).getAsJsonObject();
             Set<String> others = new HashSet<>(all.getAsJsonObject("holds").keySet());
             others.remove("hook/hang");
             assertTrue(!others.isEmpty(), all.toString());
-            rig.await("its holder calls for its others too", () -> others.stream().allMatch(task -> receiver.calls()
-                    .stream().anyMatch(call -> call.task().equals(task) && call.holder().equals(holder[0])
-                    && call.beganNs() > from)));
+            rig.await(
+                    "its holder calls for its others too",
+                    () -> others.stream()
+                            .allMatch(task -> receiver.calls().stream()
+                                    .anyMatch(call -> call.task().equals(task)
+                                            && call.holder().equals(holder[0])
+                                            && call.beganNs() > from)));
             assertEquals(List.of(), new TaskHistory(receiver.calls()).check());
         }
     }
@@ -105,8 +128,10 @@
             rig.awaitDeciding(0, rig.all());
             called(rig, receiver, 4);
             rig.partAll(List.of(3));
-            rig.await("it calls behind its lease and is turned down", () -> receiver.calls().stream().anyMatch(call ->
-                    !call.accepted() && name(call).equals(Rig.name(3))));
+            rig.await(
+                    "it calls behind its lease and is turned down",
+                    () -> receiver.calls().stream()
+                            .anyMatch(call -> !call.accepted() && name(call).equals(Rig.name(3))));
             TaskHistory history = new TaskHistory(receiver.calls());
             history.check();
             assertEquals(0, history.staleAccepted());
@@ -121,12 +146,14 @@
             rig.start(0);
             rig.start(1);
             Path file = rig.write(2);
-            try (Platform platform = new Platform(folder, folder.resolve("n3.log"), Map.of(), "serve", "--config",
-                    file.toString())) {
+            try (Platform platform =
+                    new Platform(folder, folder.resolve("n3.log"), Map.of(), "serve", "--config", file.toString())) {
                 Started former = platform.launch();
                 called(rig, receiver, 3);
                 Set<String> lives = new HashSet<>();
-                receiver.calls().stream().filter(call -> name(call).equals("n3")).forEach(call -> lives.add(call.holder()));
+                receiver.calls().stream()
+                        .filter(call -> name(call).equals("n3"))
+                        .forEach(call -> lives.add(call.holder()));
                 Started next = platform.launch();
                 called(rig, receiver, 4);
                 assertEquals(1, lives.size());
@@ -134,8 +161,8 @@
                 former.ended();
                 long ended = System.nanoTime();
                 called(rig, receiver, 3);
-                assertTrue(receiver.calls().stream().noneMatch(call -> lives.contains(call.holder())
-                        && call.beganNs() > ended));
+                assertTrue(receiver.calls().stream()
+                        .noneMatch(call -> lives.contains(call.holder()) && call.beganNs() > ended));
                 assertTrue(next.handle().isAlive());
             }
             assertEquals(List.of(), new TaskHistory(receiver.calls()).check());
@@ -167,7 +194,8 @@
         }
 
         private void pass(Socket from) {
-            try (from; Socket to = new Socket(InetAddress.getLoopbackAddress(), target)) {
+            try (from;
+                    Socket to = new Socket(InetAddress.getLoopbackAddress(), target)) {
                 StringBuilder text = new StringBuilder();
                 InputStream in = from.getInputStream();
                 while (text.indexOf("\r\n\r\n") < 0) {
@@ -196,7 +224,8 @@
 
     @Test
     void aCallOfAFormerLifeThatIsStillOnItsWayIsTurnedDown() throws Exception {
-        try (StandInReceiver receiver = new StandInReceiver(Crew.port(), 5); Held way = new Held(receiver.port());
+        try (StandInReceiver receiver = new StandInReceiver(Crew.port(), 5);
+                Held way = new Held(receiver.port());
                 Rig rig = new Rig(folder, 3, 3, 7, checked(way.server.getLocalPort()))) {
             rig.startAll();
             rig.awaitDeciding(0, rig.all());
@@ -210,11 +239,15 @@
             rig.awaitDeciding(0, killed);
             String task = field(way.head, "Task");
             long token = Long.parseLong(field(way.head, "Task-Token"));
-            rig.await("a later token has called for that task", () -> receiver.calls().stream().anyMatch(call ->
-                    call.task().equals(task) && call.token() > token && call.accepted()));
+            rig.await(
+                    "a later token has called for that task",
+                    () -> receiver.calls().stream()
+                            .anyMatch(call -> call.task().equals(task) && call.token() > token && call.accepted()));
             way.released.countDown();
-            rig.await("the old one is turned down", () -> receiver.calls().stream().anyMatch(call ->
-                    call.task().equals(task) && call.token() == token && !call.accepted()));
+            rig.await(
+                    "the old one is turned down",
+                    () -> receiver.calls().stream()
+                            .anyMatch(call -> call.task().equals(task) && call.token() == token && !call.accepted()));
             called(rig, receiver, 3);
             assertEquals(List.of(), new TaskHistory(receiver.calls()).check());
         }
--- a/src/test/java/laneflow/task/TaskStoryTest.java
+++ b/src/test/java/laneflow/task/TaskStoryTest.java
@@ -24,8 +24,10 @@
 /** Schedulers as processes that call for the fleet, with faults between; each ends with a look at all calls. */
 class TaskStoryTest {
     private static final int TASKS = 6;
+
     @TempDir
     Path folder;
+
     private StandInReceiver receiver;
     private Rig rig;
 
@@ -53,8 +55,9 @@
     private void called(String what, int by, Set<String> but) throws IOException, InterruptedException {
         long from = System.nanoTime();
         rig.await(what, () -> {
-            List<StandInReceiver.Call> since = receiver.calls().stream().filter(call -> call.beganNs() > from
-                    && call.accepted() && !but.contains(name(call))).toList();
+            List<StandInReceiver.Call> since = receiver.calls().stream()
+                    .filter(call -> call.beganNs() > from && call.accepted() && !but.contains(name(call)))
+                    .toList();
             return since.stream().map(StandInReceiver.Call::task).distinct().count() == TASKS
                     && since.stream().map(TaskStoryTest::name).distinct().count() >= by;
         });
@@ -111,8 +114,9 @@
         int leader = rig.leader();
         rig.stall(other(leader));
         rig.stall(other(other(leader)));
-        rig.await("the leader has no leave to act", () ->
-                tasks(leader).get("lease_ms").getAsLong() == 0);
+        rig.await(
+                "the leader has no leave to act",
+                () -> tasks(leader).get("lease_ms").getAsLong() == 0);
         long from = System.nanoTime();
         rig.wake(other(leader));
         rig.wake(other(other(leader)));
@@ -135,7 +139,9 @@
     @Test
     void operatorsSeeWhoHoldsWhatAndWhoWaits() throws Exception {
         String addresses = rig.fleetAddress(0) + "," + rig.fleetAddress(1) + "," + rig.fleetAddress(2);
-        rig.await("the leader tells of all tasks", () -> tasks(rig.leader()).getAsJsonArray("tasks").size() == TASKS);
+        rig.await(
+                "the leader tells of all tasks",
+                () -> tasks(rig.leader()).getAsJsonArray("tasks").size() == TASKS);
         for (JsonElement one : tasks(rig.leader()).getAsJsonArray("tasks")) {
             assertTrue(one.getAsJsonObject().get("token").getAsLong() > 0);
             assertEquals(3, one.getAsJsonObject().getAsJsonArray("line").size());
--- a/src/test/java/laneflow/task/decision/TaskOrdersTest.java
+++ b/src/test/java/laneflow/task/decision/TaskOrdersTest.java
@@ -63,7 +63,10 @@
 
     /** From where the events begin. */
     private enum From {
-        HELD, GIVEN_UP, DRAINING, LEADERLESS
+        HELD,
+        GIVEN_UP,
+        DRAINING,
+        LEADERLESS
     }
 
     private static TaskWorld world(From from) {
@@ -77,7 +80,7 @@
                 world.elect(false);
                 world.confirm(0);
             }
-            default -> { }
+            default -> {}
         }
         assertEquals("s0#0", world.table.view().tasks().get(TaskWorld.LINE).holder());
         assertEquals(1, world.begun);
@@ -193,8 +196,9 @@
     @Test
     void randomDaysKeepEveryPromiseAndEndSettled() {
         int[] counts = randomDays(Broken.NOTHING, 60, 3, 60, 4);
-        assertTrue(counts[0] > 200 && counts[1] > 2 && counts[2] > 100, counts[0] + " acts, " + counts[1]
-                + " turned down by their token, " + counts[2] + " moves");
+        assertTrue(
+                counts[0] > 200 && counts[1] > 2 && counts[2] > 100,
+                counts[0] + " acts, " + counts[1] + " turned down by their token, " + counts[2] + " moves");
     }
 
     /** A third of two hundred is killed at once: what they held is held by the others, evenly. */
@@ -209,7 +213,8 @@
         world.calm(10);
         java.util.Map<String, Integer> loads = new java.util.HashMap<>();
         for (Table.Task task : world.table.view().tasks().values()) {
-            int holder = Integer.parseInt(task.holder().substring(1, task.holder().indexOf('#')));
+            int holder =
+                    Integer.parseInt(task.holder().substring(1, task.holder().indexOf('#')));
             assertTrue(holder >= 66, task.name() + " is held by a dead one");
             if (task.spread()) {
                 assertEquals(task.token(), world.nodes.get(holder).hold.holds().get(task.name()));
@@ -226,11 +231,16 @@
     void whoIsHeardAndHearsNothingIsWaitedForNoLongerThanTheDead() {
         TaskWorld world = new TaskWorld(Broken.NOTHING, 5, 20);
         world.calm(8);
-        assertTrue(world.table.view().tasks().values().stream().anyMatch(task -> task.holder().equals("s1#0")));
+        assertTrue(world.table.view().tasks().values().stream()
+                .anyMatch(task -> task.holder().equals("s1#0")));
         world.nodes.get(1).deaf = true;
         world.calm(5);
-        assertEquals(List.of(), world.table.view().tasks().values().stream().filter(task -> task.holder().equals("s1#0"))
-                .map(Table.Task::name).toList());
+        assertEquals(
+                List.of(),
+                world.table.view().tasks().values().stream()
+                        .filter(task -> task.holder().equals("s1#0"))
+                        .map(Table.Task::name)
+                        .toList());
     }
 
     /** The case that decides the design: stopped between the look at the lease and the act. */
--- a/src/test/java/laneflow/task/decision/TaskWorld.java
+++ b/src/test/java/laneflow/task/decision/TaskWorld.java
@@ -26,8 +26,18 @@
 
     /** What is done wrong on purpose, to see that it is found. */
     enum Broken {
-        NOTHING, A_DEPOSED_LEADER_IS_CONFIRMED, CLOCKS_RUN_APART, ACKNOWLEDGED_AMID_AN_ACT, LEFT_BUT_ACTS,
-        ELECTED_BEFORE_ITS_TIME, NOT_CUT_OFF, GIVEN_UP_AMID_AN_ACT, NO_FENCE, NO_TURNS, NO_BOUND, NEVER_TAKEN
+        NOTHING,
+        A_DEPOSED_LEADER_IS_CONFIRMED,
+        CLOCKS_RUN_APART,
+        ACKNOWLEDGED_AMID_AN_ACT,
+        LEFT_BUT_ACTS,
+        ELECTED_BEFORE_ITS_TIME,
+        NOT_CUT_OFF,
+        GIVEN_UP_AMID_AN_ACT,
+        NO_FENCE,
+        NO_TURNS,
+        NO_BOUND,
+        NEVER_TAKEN
     }
 
     /** A promise is broken. */
@@ -48,11 +58,13 @@
         boolean stopped;
         /** What is said to it is lost; what it says is heard. */
         boolean deaf;
+
         boolean draining;
         int life;
         Wants wants;
         /** It has read its lease, stopped, and has its effect when it wakes. */
         Act stoppedAmid;
+
         final List<Running> running = new ArrayList<>();
 
         private Node(int number, double rate, Wants wants) {
@@ -71,8 +83,7 @@
     }
 
     /** An act under way outside: it ends by itself, whatever becomes of the process that began it. */
-    private record Running(Node by, int life, Act act, long overAt) {
-    }
+    private record Running(Node by, int life, Act act, long overAt) {}
 
     private final class Leader {
         private final int term;
@@ -82,7 +93,9 @@
         private Leader(int term, double rate) {
             this.term = term;
             this.rate = rate;
-            lead = new TaskLead(term, broken == Broken.ELECTED_BEFORE_ITS_TIME ? clock() - 3 * LEASE : clock(),
+            lead = new TaskLead(
+                    term,
+                    broken == Broken.ELECTED_BEFORE_ITS_TIME ? clock() - 3 * LEASE : clock(),
                     broken == Broken.NO_TURNS ? new TaskLead.Times(LEASE, LEASE / 2, Long.MAX_VALUE) : TIMES);
         }
 
@@ -91,8 +104,7 @@
         }
     }
 
-    private record Message(Said said, Node node, int life, Leader leader, long sentAt, Word word) {
-    }
+    private record Message(Said said, Node node, int life, Leader leader, long sentAt, Word word) {}
 
     final Broken broken;
     final List<Node> nodes = new ArrayList<>();
@@ -165,14 +177,28 @@
         }
         Said said = from.hold.says(from.wants, from.wants.digest(), from.draining);
         if (broken == Broken.ACKNOWLEDGED_AMID_AN_ACT) {
-            said = new Said(leaders.size(), said.heardSeq() + 50, said.knownTerm(), said.knownVersion(),
-                    said.wants(), said.all(), said.draining(), said.gives());
+            said = new Said(
+                    leaders.size(),
+                    said.heardSeq() + 50,
+                    said.knownTerm(),
+                    said.knownVersion(),
+                    said.wants(),
+                    said.all(),
+                    said.draining(),
+                    said.gives());
         }
         if (broken == Broken.GIVEN_UP_AMID_AN_ACT) {
             Map<String, Long> gives = new HashMap<>(said.gives());
             from.running.forEach(one -> gives.put(one.act.task(), one.act.token()));
-            said = new Said(said.heardTerm(), said.heardSeq(), said.knownTerm(), said.knownVersion(),
-                    said.wants(), said.all(), said.draining(), gives);
+            said = new Said(
+                    said.heardTerm(),
+                    said.heardSeq(),
+                    said.knownTerm(),
+                    said.knownVersion(),
+                    said.wants(),
+                    said.all(),
+                    said.draining(),
+                    gives);
         }
         under.add(new Message(said, from, from.life, leaders.get(leaders.size() - 1 - back), from.clock(), null));
     }
@@ -275,8 +301,7 @@
             node.stoppedAmid = null;
             if (broken == Broken.NO_FENCE || fence.admits(act.task(), act.token())) {
                 if (act.token() < accepted.getOrDefault(act.task(), 0L)) {
-                    throw new Violation("stale: token " + act.token() + " behind "
-                            + accepted.get(act.task()));
+                    throw new Violation("stale: token " + act.token() + " behind " + accepted.get(act.task()));
                 }
                 accepted.put(act.task(), act.token());
             } else {
@@ -352,8 +377,8 @@
             Word word = leader.lead.word(leader.clock(), who, true);
             Node node = nodes.get(Integer.parseInt(who.substring(1, who.indexOf('#'))));
             if (word != null) {
-                under.add(new Message(null, node, Integer.parseInt(who.substring(who.indexOf('#') + 1)), leader,
-                        -1, word));
+                under.add(new Message(
+                        null, node, Integer.parseInt(who.substring(who.indexOf('#') + 1)), leader, -1, word));
             }
         }
     }
@@ -385,8 +410,9 @@
             moved += task.token() > before && before > 0 ? 1 : 0;
             tokens.put(task.name(), task.token());
             if (!task.holder().isEmpty()) {
-                heldBy.computeIfAbsent(task.name(), name -> new HashSet<>()).add(Integer.parseInt(
-                        task.holder().substring(1, task.holder().indexOf('#'))));
+                heldBy.computeIfAbsent(task.name(), name -> new HashSet<>())
+                        .add(Integer.parseInt(
+                                task.holder().substring(1, task.holder().indexOf('#'))));
             }
         }
     }
@@ -408,7 +434,10 @@
         Map<String, Integer> loads = new HashMap<>();
         int spread = 0;
         for (Task task : table.view().tasks().values()) {
-            Node holder = nodes.stream().filter(node -> node.who().equals(task.holder())).findFirst().orElse(null);
+            Node holder = nodes.stream()
+                    .filter(node -> node.who().equals(task.holder()))
+                    .findFirst()
+                    .orElse(null);
             // What goes round may be on its way at this very instant.
             if (holder == null || task.spread() && holder.hold.token(task.name(), holder.clock()) != task.token()) {
                 throw new Violation("stuck: nobody can act on " + task.name());
@@ -469,10 +498,9 @@
     private void all(int number) {
         for (Task task : table.view().tasks().values()) {
             if (task.spread() && !task.holder().equals(nodes.get(number).who())) {
-                table.run(Table.assign(List.of(new Table.Move(task.name(), task.token(),
-                        nodes.get(number).who()))));
+                table.run(Table.assign(List.of(new Table.Move(
+                        task.name(), task.token(), nodes.get(number).who()))));
             }
         }
     }
-
 }
