--- a/Makefile
+++ b/Makefile
@@ -1,5 +1,5 @@
-# make build | test | lint | run | quickstart | fleet | conformance | measure WHAT=name SEED=n [SIZE=large] | plot | sites
-.PHONY: build test lint run quickstart fleet conformance measure plot sites clean
+# make build | test | lint | format | run | quickstart | fleet | conformance | measure WHAT=name SEED=n [SIZE=large] | plot | sites
+.PHONY: build test lint format run quickstart fleet conformance measure plot sites clean
 
 build:
 	mvn -q -DskipTests package
@@ -7,9 +7,13 @@
 test:
 	mvn -B verify
 
-# The compiler's own lint, any warning an error; the tests hold the length of lines and of the module.
+# The formatter's check, Checkstyle and the compiler's lint, any finding an error; 'make test' runs them too.
 lint:
-	mvn -q -B clean compile -Dmaven.compiler.failOnWarning=true
+	mvn -q -B spotless:check checkstyle:check clean compile
+
+# Puts all sources into the one form that the build asks for.
+format:
+	mvn -q -B spotless:apply
 
 # One scheduler by the platform's line; ROUTER_CONFIG names its configuration.
 run: build
--- a/src/main/java/laneflow/decision/Dispatch.java
+++ b/src/main/java/laneflow/decision/Dispatch.java
@@ -225,7 +225,10 @@
 
         /** Back to saying nothing. */
         public void clear() {
-            freeSlots = freeMemory = queue = rate = Double.NaN;
+            freeSlots = Double.NaN;
+            freeMemory = Double.NaN;
+            queue = Double.NaN;
+            rate = Double.NaN;
         }
     }
 
--- a/src/main/java/laneflow/decision/Logic.java
+++ b/src/main/java/laneflow/decision/Logic.java
@@ -536,7 +536,8 @@
             further.add(now, 1);
         }
         view.add(attempt);
-        view.doubt.triedAt = pools[view.zone].doubt.triedAt = now;
+        view.doubt.triedAt = now;
+        pools[view.zone].doubt.triedAt = now;
         if (now < view.warmAt) {
             view.coldLog.add(now, coldCost(job));
         }
--- a/src/main/java/laneflow/decision/WorkerView.java
+++ b/src/main/java/laneflow/decision/WorkerView.java
@@ -117,7 +117,8 @@
             peers.busy(report.freeSlots, report.rate * meanWork);
         }
         freeMemory = Double.isNaN(report.freeMemory) ? Double.POSITIVE_INFINITY : report.freeMemory;
-        double inReport = memoryInReport = 0;
+        double inReport = 0;
+        memoryInReport = 0;
         for (int i = 0; i < ownCount; i++) {
             if (own[i].sentAt <= now - REPORT_LAG && !own[i].lost) {
                 inReport += own[i].job.slots;
--- a/src/main/java/laneflow/gearman/Peer.java
+++ b/src/main/java/laneflow/gearman/Peer.java
@@ -218,6 +218,14 @@
     }
 
     private void take(Packet packet) throws Packet.Malformed {
+        if (!servesClient(packet) && !servesWorker(packet)) {
+            front.scheduler.counters().add("gearman.unsupported");
+            error("UNSUPPORTED", "packet type " + packet.type + " is not served here");
+        }
+    }
+
+    /** Serves a packet that a client or an administrator sends; false if it is none. */
+    private boolean servesClient(Packet packet) throws Packet.Malformed {
         byte[][] args;
         switch (packet.type) {
             case Packet.SUBMIT_JOB:
@@ -260,9 +268,6 @@
             case Packet.GET_STATUS_UNIQUE:
                 front.statusOf(this, Packet.text(packet.data()));
                 break;
-            case Packet.ALL_YOURS:
-                // A worker that serves this server alone: nothing follows from it here.
-                break;
             case Packet.GET_STATUS:
                 front.status(this, Packet.text(packet.data()));
                 break;
@@ -275,6 +280,19 @@
             case Packet.SET_CLIENT_ID:
                 clientId = Packet.text(packet.data()).replaceAll("\\s", "_");
                 break;
+            default:
+                return false;
+        }
+        return true;
+    }
+
+    /** Serves a packet that a worker sends; false if it is none. */
+    private boolean servesWorker(Packet packet) throws Packet.Malformed {
+        byte[][] args;
+        switch (packet.type) {
+            case Packet.ALL_YOURS:
+                // A worker that serves this server alone: nothing follows from it here.
+                break;
             case Packet.CAN_DO:
                 worker.canDo(Packet.text(packet.data()), 0);
                 break;
@@ -316,10 +334,9 @@
                 work(packet.type, packet.data(), new byte[0]);
                 break;
             default:
-                front.scheduler.counters().add("gearman.unsupported");
-                error("UNSUPPORTED", "packet type " + packet.type + " is not served here");
-                break;
+                return false;
         }
+        return true;
     }
 
     private void option(String name) {
--- a/src/main/java/laneflow/lab/measure/ConfigMeasure.java
+++ b/src/main/java/laneflow/lab/measure/ConfigMeasure.java
@@ -86,7 +86,7 @@
         }
     }
 
-    private int all() throws IOException, InterruptedException {
+    private void startAll() throws IOException, InterruptedException {
         for (int i = 0; i < NODES; i++) {
             nodes[i] = Crew.port();
         }
@@ -106,14 +106,12 @@
             hangs[i] = new HangLoad(ports[i], Map.of());
         }
         await(() -> control.streams() == SCHEDULERS, "streams");
-        publish(good(all(NODES)), true, true);
-        deadlines(true);
-        load(1);
-        List<Thread> hanging = hang();
-        double before = load(3);
-        int versions = large ? 600 : 100;
-        double[] during = new double[1];
-        Thread traffic = new Thread(() -> during[0] = quietLoad(versions * 0.1 + 3));
+    }
+
+    /** Publishes versions at an even pace while traffic runs; returns the share of it that was served. */
+    private double servedDuring(int versions) throws IOException, InterruptedException {
+        double[] served = new double[1];
+        Thread traffic = new Thread(() -> served[0] = quietLoad(versions * 0.1 + 3));
         traffic.start();
         long spacing = 100_000_000L;
         long from = System.nanoTime();
@@ -125,6 +123,29 @@
             one(i);
         }
         traffic.join();
+        return served[0];
+    }
+
+    /** Counts the schedulers that run another version than the last good one. */
+    private void countDisagreements() throws IOException, InterruptedException {
+        for (int i = 0; i < SCHEDULERS; i++) {
+            JsonObject report = JsonParser.parseString(body(get(i, "/config"))).getAsJsonObject();
+            JsonObject types = report.getAsJsonObject("types");
+            String version =
+                    types.getAsJsonObject(DestinationType.URL).get("version").getAsString();
+            disagree += version.equals(running) ? 0 : 1;
+        }
+    }
+
+    private int all() throws IOException, InterruptedException {
+        startAll();
+        publish(good(all(NODES)), true, true);
+        deadlines(true);
+        load(1);
+        List<Thread> hanging = hang();
+        double before = load(3);
+        int versions = large ? 600 : 100;
+        double during = servedDuring(versions);
         for (HangLoad load : hangs) {
             load.stop();
         }
@@ -138,13 +159,7 @@
             one(versions + i);
         }
         publish(good(all(NODES)), true, true);
-        for (int i = 0; i < SCHEDULERS; i++) {
-            JsonObject report = JsonParser.parseString(body(get(i, "/config"))).getAsJsonObject();
-            JsonObject types = report.getAsJsonObject("types");
-            String version =
-                    types.getAsJsonObject(DestinationType.URL).get("version").getAsString();
-            disagree += version.equals(running) ? 0 : 1;
-        }
+        countDisagreements();
         double rollback = rollback();
         long mixed = 0;
         long checked = 0;
@@ -172,7 +187,7 @@
                 lost,
                 disagree,
                 before * 100,
-                (before - during[0]) * 100,
+                (before - during) * 100,
                 adoptUs / 1e3,
                 adoptMostUs / 1e3,
                 stepMostUs / 1e3,
--- a/src/main/java/laneflow/net/Loop.java
+++ b/src/main/java/laneflow/net/Loop.java
@@ -478,7 +478,8 @@
 
     /** Connections come up only within that part of the descriptors: the rest is another process's. */
     public void share(double part) {
-        accepted.most = outbound.most = (int) (part * mostEachWay);
+        accepted.most = (int) (part * mostEachWay);
+        outbound.most = accepted.most;
         listeners.forEach(Listener::room);
     }
 
--- a/src/main/java/laneflow/wire/SettingsReader.java
+++ b/src/main/java/laneflow/wire/SettingsReader.java
@@ -88,7 +88,8 @@
     private void customers(JsonArray from) {
         settings.tenants = new Tenant[from.size()];
         for (int i = 0; i < settings.tenants.length; i++) {
-            Tenant tenant = settings.tenants[i] = new Tenant();
+            Tenant tenant = new Tenant();
+            settings.tenants[i] = tenant;
             JsonObject one = from.get(i).getAsJsonObject();
             tenant.name = text(one, "name", tenant.name);
             tenant.quota = number(one, "quotaPerS", 0);
--- a/src/test/java/laneflow/http/HttpStoryTest.java
+++ b/src/test/java/laneflow/http/HttpStoryTest.java
@@ -484,17 +484,17 @@
             Peer call = one.accept();
             call.message();
             // Half a file, and one that names no address: what runs stays as it is.
-            for (String bad : new String[] {"{\"disco", stand.config("discovery.svc")}) {
+            for (String bad : new String[] {"{\"disco", Stand.config("discovery.svc")}) {
                 reload(stand, Files.writeString(file, bad));
             }
             assertEquals(0, stand.counter("discovery.moves"));
-            reload(stand, Files.writeString(file, stand.config(second.dial())));
+            reload(stand, Files.writeString(file, Stand.config(second.dial())));
             Peer silent = second.accept();
             assertTrue(silent.readTo("\r\n\r\n").contains("after=0 "));
             old.write(Stand.watching(Stand.list(8, false, one.host("Terminating"))));
             stand.await("discovery.lists", 1);
             // Moved again before it has spoken: only the latest counts, and the oldest is still heard.
-            reload(stand, Files.writeString(file, stand.config(third.dial())));
+            reload(stand, Files.writeString(file, Stand.config(third.dial())));
             assertTrue(silent.ended());
             Peer now = third.accept();
             now.readTo("\r\n\r\n");
