--- a/src/main/java/laneflow/cli/JobsCommand.java
+++ b/src/main/java/laneflow/cli/JobsCommand.java
@@ -15,10 +15,10 @@
 import java.util.List;
 import java.util.Locale;
 import java.util.concurrent.Callable;
-import laneflow.durable.Care;
 import laneflow.durable.JobRow;
 import laneflow.durable.State;
 import laneflow.durable.Store;
+import laneflow.durable.StoreMaintenance;
 import laneflow.durable.decision.Attempt;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Model.CommandSpec;
@@ -71,7 +71,7 @@
             if (!Files.exists(dir.resolve("jobs.db"))) {
                 throw new IOException(dir + ": there is no store");
             }
-            return Store.open(dir, Care.NO_LIMIT);
+            return Store.open(dir, StoreMaintenance.NO_LIMIT);
         }
 
         protected void say(JsonElement element, String text) {
@@ -100,7 +100,7 @@
 
         protected static JsonObject json(JobRow row) {
             JsonObject to = new JsonObject();
-            to.addProperty("id", Care.hex(row.id()));
+            to.addProperty("id", StoreMaintenance.hex(row.id()));
             to.addProperty("state", row.state().name().toLowerCase(Locale.ROOT));
             to.addProperty("reason", row.reason());
             to.addProperty("class", row.jobClass());
@@ -157,7 +157,7 @@
                 } else {
                     out.printf(
                             FORM,
-                            Care.hex(row.id()),
+                            StoreMaintenance.hex(row.id()),
                             row.state().name().toLowerCase(Locale.ROOT),
                             row.jobClass(),
                             row.bodyBytes(),
@@ -192,7 +192,7 @@
         public Integer call() throws IOException {
             long wanted = id(id);
             try (Store store = open(dir)) {
-                JobRow row = Care.find(store, wanted);
+                JobRow row = StoreMaintenance.find(store, wanted);
                 if (row == null) {
                     throw new IOException(dir + ": no job " + id);
                 }
@@ -250,7 +250,7 @@
         public Integer call() throws IOException {
             long wanted = id(id);
             try (Store store = open(dir)) {
-                Care.cancel(store, wanted, System.currentTimeMillis());
+                StoreMaintenance.cancel(store, wanted, System.currentTimeMillis());
             }
             JsonObject said = new JsonObject();
             said.addProperty("cancelled", id);
@@ -329,10 +329,10 @@
 
         @Override
         public Integer call() throws IOException {
-            Care.Adopted adopted;
+            StoreMaintenance.Adopted adopted;
             try (Store dead = open(from);
-                    Store living = Store.open(into, Care.NO_LIMIT)) {
-                adopted = Care.adopt(dead, living);
+                    Store living = Store.open(into, StoreMaintenance.NO_LIMIT)) {
+                adopted = StoreMaintenance.adopt(dead, living);
             }
             JsonObject said = new JsonObject();
             said.addProperty("moved", adopted.moved());
--- a/src/main/java/laneflow/durable/Lane.java
+++ b/src/main/java/laneflow/durable/ClassQueue.java
@@ -5,34 +5,34 @@
 import laneflow.durable.decision.Pacer;
 
 /** The durable jobs of one class that wait, and how many of them may be at work. */
-final class Lane {
+final class ClassQueue {
     /** First whose window closes first, then the urgent, then the older. */
-    private static final Comparator<Held> ORDER = Comparator.<Held>comparingLong(job -> job.untilMs)
+    private static final Comparator<DurableJob> ORDER = Comparator.<DurableJob>comparingLong(job -> job.untilMs)
             .thenComparingInt(job -> -job.row.urgency())
-            .thenComparingLong(Held::id);
+            .thenComparingLong(DurableJob::id);
 
     final Pacer pacer;
     int atWork;
-    private final PriorityQueue<Held> ready = new PriorityQueue<>(ORDER);
+    private final PriorityQueue<DurableJob> ready = new PriorityQueue<>(ORDER);
     /** Refused ones, until their time has come. */
-    private final PriorityQueue<Held> later = new PriorityQueue<>(
-            Comparator.<Held>comparingLong(job -> job.notBefore).thenComparingLong(Held::id));
+    private final PriorityQueue<DurableJob> later = new PriorityQueue<>(
+            Comparator.<DurableJob>comparingLong(job -> job.notBefore).thenComparingLong(DurableJob::id));
 
-    Lane(int most) {
+    ClassQueue(int most) {
         pacer = new Pacer(most);
     }
 
-    void add(Held job, long now) {
+    void add(DurableJob job, long now) {
         job.inQueue = true;
         (job.notBefore > now ? later : ready).add(job);
     }
 
     /** The next job that may begin now, or null. */
-    Held next(long now) {
+    DurableJob next(long now) {
         while (!later.isEmpty() && later.peek().notBefore <= now) {
             ready.add(later.poll());
         }
-        for (Held job = ready.poll(); job != null; job = ready.poll()) {
+        for (DurableJob job = ready.poll(); job != null; job = ready.poll()) {
             job.inQueue = false;
             // What was cancelled or settled by a late word is passed over here: a heap is searched slowly.
             if (job.state == State.QUEUED && job.ending == null) {
--- a/src/main/java/laneflow/durable/Held.java
+++ b/src/main/java/laneflow/durable/DurableJob.java
@@ -12,7 +12,7 @@
 /**
  * A job in memory: its row, and while it is at work its request, its lease and what its endpoint has said.
  */
-final class Held {
+final class DurableJob {
     /** What was taken on; its body is left out once the job has ended. */
     JobRow row;
     /** By number, or -1 where the settings no longer name its class. */
@@ -54,7 +54,7 @@
 
     byte[] lateResult;
 
-    Held(JobRow row, int jobClass, DurableConfig.OfClass terms) {
+    DurableJob(JobRow row, int jobClass, DurableConfig.OfClass terms) {
         this.terms = terms;
         this.row = row;
         this.jobClass = jobClass;
--- a/src/main/java/laneflow/durable/DurableJobs.java
+++ b/src/main/java/laneflow/durable/DurableJobs.java
@@ -63,7 +63,7 @@
     private final Counters counters;
     private final Table table;
     private final Quota quota;
-    private final Lane[] lanes;
+    private final ClassQueue[] lanes;
     private final Deadlines.Deadline pump;
     private long latestMs;
     private long refusedBefore;
@@ -94,9 +94,9 @@
         counters = scheduler.counters();
         table = new Table(seed);
         quota = new Quota(config);
-        lanes = new Lane[config.classes.length];
+        lanes = new ClassQueue[config.classes.length];
         for (int i = 0; i < lanes.length; i++) {
-            lanes[i] = new Lane(config.mostAtWork);
+            lanes[i] = new ClassQueue(config.mostAtWork);
         }
         pump = deadlines.create(this::pump);
     }
@@ -116,9 +116,9 @@
         int orphans = 0;
         // The first ones must not begin before it is known whose window closes first.
         pumping = true;
-        List<Held> over = new ArrayList<>();
+        List<DurableJob> over = new ArrayList<>();
         for (JobRow row : rows) {
-            Held job = stand(row, over);
+            DurableJob job = stand(row, over);
             found[row.state().number]++;
             orphans += job.jobClass < 0 ? 1 : 0;
         }
@@ -140,8 +140,8 @@
     }
 
     /** A job that the store holds, at work nowhere now: it goes on from what is on record. */
-    private Held stand(JobRow row, List<Held> over) {
-        Held job = held(row);
+    private DurableJob stand(JobRow row, List<DurableJob> over) {
+        DurableJob job = held(row);
         table.add(job);
         if (job.state.isEnd()) {
             over.add(job);
@@ -190,7 +190,7 @@
                     here.add(row.id());
                     counters.add("durable.taken_over");
                     see(row.changedMs());
-                    List<Held> over = new ArrayList<>();
+                    List<DurableJob> over = new ArrayList<>();
                     stand(table.get(kept.key()) == null ? kept : kept.withoutKey(), over);
                     over.forEach(table::end);
                     pump();
@@ -203,15 +203,15 @@
         }
     }
 
-    private Held held(JobRow row) {
+    private DurableJob held(JobRow row) {
         int jobClass = config.classNames.indexOf(row.jobClass());
-        return new Held(row, jobClass, jobClass < 0 ? null : config.classes[jobClass]);
+        return new DurableJob(row, jobClass, jobClass < 0 ? null : config.classes[jobClass]);
     }
 
     /** A version of the settings: it holds for what comes from now on. Returns what waits for a restart. */
     public List<String> adopt(DurableConfig other) {
         List<String> later = config.adopt(other);
-        for (Lane lane : lanes) {
+        for (ClassQueue lane : lanes) {
             lane.pacer.most(config.mostAtWork);
         }
         pump();
@@ -227,7 +227,7 @@
 
     @Override
     public void submit(Submission given, Consumer<Word> answer) {
-        Held same = table.get(given.key());
+        DurableJob same = table.get(given.key());
         if (same != null) {
             boolean other = given.exact() && RowCodec.sum(given.payload().body()) != same.row.bodySum();
             counters.add(other ? "durable.key_conflict" : "durable.same");
@@ -276,7 +276,7 @@
                 "",
                 now,
                 given.notBeforeMs());
-        Held job = held(row);
+        DurableJob job = held(row);
         job.waiters = new ArrayList<>(1);
         job.waiters.add(answer);
         if (!journal.write(Op.accept(row), failure -> accepted(job, failure))) {
@@ -293,7 +293,7 @@
         answer.accept(new Word(why, 0, comeBack));
     }
 
-    private void accepted(Held job, StoreException failure) {
+    private void accepted(DurableJob job, StoreException failure) {
         List<Consumer<Word>> waiters = job.waiters;
         job.waiters = null;
         owed--;
@@ -314,7 +314,7 @@
     private void storeTrouble(StoreException failure) {
         counters.add(failure.kind == StoreException.Kind.FULL ? "durable.store_full" : "durable.store_broken");
         storeFullUntil = clock.micros() + STORE_PAUSE;
-        for (Lane lane : lanes) {
+        for (ClassQueue lane : lanes) {
             lane.pacer.hold(storeFullUntil);
         }
     }
@@ -326,7 +326,7 @@
 
     // ---- going out ----
 
-    private void queue(Held job) {
+    private void queue(DurableJob job) {
         job.state = State.QUEUED;
         waitForItsTime(job);
         if (!job.inQueue) {
@@ -336,7 +336,7 @@
     }
 
     /** Its instant is the wall clock's, which outlives the process; it is waited for by the loop's. */
-    private void waitForItsTime(Held job) {
+    private void waitForItsTime(DurableJob job) {
         long waits = job.row.notBeforeMs() - wall.getAsLong();
         if (job.row.notBeforeMs() > 0 && waits > 0) {
             job.notBefore = Math.max(job.notBefore, clock.micros() + waits * 1000);
@@ -353,9 +353,9 @@
         long now = clock.micros();
         lookAtLive(now);
         long again = Long.MAX_VALUE;
-        for (Lane lane : lanes) {
+        for (ClassQueue lane : lanes) {
             while (lane.pacer.room(now, lane.atWork)) {
-                Held job = lane.next(now);
+                DurableJob job = lane.next(now);
                 if (job == null) {
                     break;
                 }
@@ -375,7 +375,7 @@
         if (now - lookedAt >= LOOK) {
             long refused = counters.get("http.refused") + counters.get("gearman.refused");
             if (refused > refusedBefore) {
-                for (Lane lane : lanes) {
+                for (ClassQueue lane : lanes) {
                     lane.pacer.liveRefused(now);
                 }
             }
@@ -384,7 +384,7 @@
         }
     }
 
-    private void start(Lane lane, Held job) {
+    private void start(ClassQueue lane, DurableJob job) {
         long nowMs = wall.getAsLong();
         if (job.untilMs < Long.MAX_VALUE && (nowMs >= job.untilMs || nowMs < latestMs)) {
             // Its window closed while it waited for its turn.
@@ -431,7 +431,7 @@
     /** The lease goes to disk, and only then the call's first byte out. */
     @Override
     public void lease(OutboundCall call) {
-        Held job = table.get(call.request.tag);
+        DurableJob job = table.get(call.request.tag);
         if (job == null
                 || job.request != call.request
                 || draining
@@ -455,7 +455,7 @@
         }
     }
 
-    private void leased(Held job, OutboundCall call, StoreException failure) {
+    private void leased(DurableJob job, OutboundCall call, StoreException failure) {
         if (failure != null) {
             storeTrouble(failure);
             unleased(job, call);
@@ -478,7 +478,7 @@
         scheduler.open(call);
     }
 
-    private void unleased(Held job, OutboundCall call) {
+    private void unleased(DurableJob job, OutboundCall call) {
         job.know(call.lease, Known.NEVER_RAN);
         scheduler.ended(call, Outcome.MOOT, null, null);
     }
@@ -487,7 +487,7 @@
 
     @Override
     public void heard(OutboundCall call) {
-        Held job = table.get(call.request.tag);
+        DurableJob job = table.get(call.request.tag);
         if (job == null || job.call != call || !job.opened) {
             return;
         }
@@ -518,7 +518,7 @@
 
     @Override
     public void progress(long tag, long done, long of) {
-        Held job = table.get(tag);
+        DurableJob job = table.get(tag);
         if (job != null) {
             job.done = done;
             job.of = of;
@@ -527,7 +527,7 @@
 
     @Override
     public void callEnded(OutboundCall call, Outcome outcome) {
-        Held job = table.get(call.request.tag);
+        DurableJob job = table.get(call.request.tag);
         if (job == null || letGo || job.call != call || call.lease == 0) {
             return;
         }
@@ -561,7 +561,7 @@
 
     @Override
     public boolean late(long id, int lease, boolean served, byte[] result) {
-        Held job = table.get(id);
+        DurableJob job = table.get(id);
         Attempt attempt = job == null ? null : job.attempt(lease);
         if (attempt == null
                 || job.jobClass < 0
@@ -598,8 +598,8 @@
         return "durable";
     }
 
-    private Held over(long tag) {
-        Held job = table.get(tag);
+    private DurableJob over(long tag) {
+        DurableJob job = table.get(tag);
         if (job == null || job.request == null || letGo) {
             return null;
         }
@@ -611,7 +611,7 @@
 
     @Override
     public void served(long tag, byte[] result) {
-        Held job = over(tag);
+        DurableJob job = over(tag);
         if (job != null) {
             lanes[job.jobClass].pacer.served();
             end(job, State.DONE, "served", result);
@@ -621,7 +621,7 @@
 
     @Override
     public void failFast(long tag, double retryAfter) {
-        Held job = over(tag);
+        DurableJob job = over(tag);
         if (job != null) {
             // The time to come back is for clients, who wait anyway; here the pauses double instead.
             lanes[job.jobClass].pacer.refused(clock.micros());
@@ -632,7 +632,7 @@
 
     @Override
     public void failed(long tag) {
-        Held job = over(tag);
+        DurableJob job = over(tag);
         if (job != null) {
             settle(job, true);
             pump();
@@ -642,7 +642,7 @@
     // ---- the end, or again ----
 
     /** At work nowhere: what becomes of it is decided from the record. */
-    private void settle(Held job, boolean backoff) {
+    private void settle(DurableJob job, boolean backoff) {
         if (job.lateResult != null) {
             job.know(job.lateLease, Known.DONE);
             end(job, State.DONE, "served, told when its lease had run out", job.lateResult);
@@ -674,7 +674,7 @@
         }
     }
 
-    private void end(Held job, State state, String reason, byte[] result) {
+    private void end(DurableJob job, State state, String reason, byte[] result) {
         job.ending = state;
         job.reason = reason;
         long nowMs = wall.getAsLong();
@@ -684,7 +684,7 @@
         }
     }
 
-    private void ended(Held job, State state, long nowMs, byte[] result, StoreException failure) {
+    private void ended(DurableJob job, State state, long nowMs, byte[] result, StoreException failure) {
         if (failure != null) {
             storeTrouble(failure);
             if (failure.kind == StoreException.Kind.FULL && job.ending == state) {
@@ -721,7 +721,7 @@
         counters.set("durable.store_bytes", journal.usedBytes());
         long nowMs = wall.getAsLong();
         for (int i = 0; i < MOST_DROPS; i++) {
-            Held job = table.endedBefore(nowMs - config.retentionMs);
+            DurableJob job = table.endedBefore(nowMs - config.retentionMs);
             if (job == null) {
                 break;
             }
@@ -739,13 +739,13 @@
 
     @Override
     public View peek(long id) {
-        Held job = table.get(id);
+        DurableJob job = table.get(id);
         return job == null || job.waiters != null ? null : view(job, null);
     }
 
     @Override
     public void view(long id, Consumer<View> answer) {
-        Held job = table.get(id);
+        DurableJob job = table.get(id);
         if (job == null || job.waiters != null) {
             answer.accept(null);
         } else if (job.state != State.DONE) {
@@ -755,7 +755,7 @@
         }
     }
 
-    private View view(Held job, byte[] result) {
+    private View view(DurableJob job, byte[] result) {
         List<Try> tries = new ArrayList<>();
         for (Attempt attempt : job.attempts) {
             tries.add(new Try(
@@ -782,7 +782,7 @@
 
     @Override
     public void cancel(long id, Consumer<Cancelled> answer) {
-        Held job = table.get(id);
+        DurableJob job = table.get(id);
         if (job == null || job.waiters != null) {
             answer.accept(Cancelled.UNKNOWN);
         } else if (job.state != State.QUEUED
--- a/src/main/java/laneflow/durable/Care.java
+++ b/src/main/java/laneflow/durable/StoreMaintenance.java
@@ -10,7 +10,7 @@
 import laneflow.durable.decision.Attempt;
 
 /** What is done to a store while no scheduler runs on it. Blocks on the disk. */
-public final class Care {
+public final class StoreMaintenance {
     /** For those who only look, or must not be stopped by a limit that the scheduler sets itself. */
     public static final long NO_LIMIT = 1L << 42;
 
@@ -24,7 +24,7 @@
      */
     public record Adopted(int moved, int there, List<String> keysTaken) {}
 
-    private Care() {}
+    private StoreMaintenance() {}
 
     public static String hex(long id) {
         return Store.hex(id);
--- a/src/main/java/laneflow/durable/Table.java
+++ b/src/main/java/laneflow/durable/Table.java
@@ -14,9 +14,9 @@
 
     private static final int RANDOM_BITS = 20;
 
-    private final Long2ObjectHashMap<Held> byId = new Long2ObjectHashMap<>();
-    private final Map<String, Held> byKey = new HashMap<>();
-    private final ArrayDeque<Held> ended = new ArrayDeque<>();
+    private final Long2ObjectHashMap<DurableJob> byId = new Long2ObjectHashMap<>();
+    private final Map<String, DurableJob> byKey = new HashMap<>();
+    private final ArrayDeque<DurableJob> ended = new ArrayDeque<>();
     private final SplittableRandom random;
     private long last;
 
@@ -34,7 +34,7 @@
         return last;
     }
 
-    void add(Held job) {
+    void add(DurableJob job) {
         byId.put(job.id(), job);
         last = Math.max(last, job.id());
         if (!job.row.key().isEmpty()) {
@@ -42,24 +42,24 @@
         }
     }
 
-    void remove(Held job) {
+    void remove(DurableJob job) {
         byId.remove(job.id());
         if (!job.row.key().isEmpty()) {
             byKey.remove(job.row.key(), job);
         }
     }
 
-    Held get(long id) {
+    DurableJob get(long id) {
         return byId.get(id);
     }
 
     /** The job of that key; the empty one belongs to none. */
-    Held get(String key) {
+    DurableJob get(String key) {
         return key.isEmpty() ? null : byKey.get(key);
     }
 
     /** It has ended; one that ends again by a late word keeps its place. */
-    void end(Held job) {
+    void end(DurableJob job) {
         if (!job.retired) {
             job.retired = true;
             ended.add(job);
@@ -67,16 +67,16 @@
     }
 
     /** The next one that ended before then, taken out, or null. */
-    Held endedBefore(long wallMs) {
+    DurableJob endedBefore(long wallMs) {
         return !ended.isEmpty() && ended.peek().changedMs < wallMs ? ended.poll() : null;
     }
 
     /** It could not be dropped yet: it is the next one again. */
-    void keep(Held job) {
+    void keep(DurableJob job) {
         ended.addFirst(job);
     }
 
-    void forEach(Consumer<Held> call) {
+    void forEach(Consumer<DurableJob> call) {
         byId.values().forEach(call);
     }
 
--- a/src/main/java/laneflow/task/Recovery.java
+++ b/src/main/java/laneflow/task/Recovery.java
@@ -22,11 +22,11 @@
 import java.util.function.Consumer;
 import java.util.stream.Stream;
 import laneflow.core.Counters;
-import laneflow.durable.Care;
 import laneflow.durable.DurableJobs;
 import laneflow.durable.FolderLock;
 import laneflow.durable.JobRow;
 import laneflow.durable.Store;
+import laneflow.durable.StoreMaintenance;
 import laneflow.net.Loop;
 import laneflow.net.Threads;
 import laneflow.task.decision.Hold.Act;
@@ -219,7 +219,7 @@
     /** True once nothing is left there. */
     private boolean takeOver(Path dir) throws IOException, InterruptedException, TimeoutException {
         int taken = 0;
-        try (Store store = Store.open(dir, Care.NO_LIMIT)) {
+        try (Store store = Store.open(dir, StoreMaintenance.NO_LIMIT)) {
             List<JobRow> rows = new ArrayList<>();
             store.read(true, rows::add);
             for (int from = 0; from < rows.size(); from += BATCH) {
@@ -232,7 +232,7 @@
                     }
                 }
                 List<Long> here = ask(then -> jobs.takeOver(batch, results, then::complete));
-                Care.drop(store, here);
+                StoreMaintenance.drop(store, here);
                 taken += here.size();
                 if (here.size() < batch.size()) {
                     // The own store is full, or fails: the rest stays where it is.
--- a/src/test/java/laneflow/durable/CareTest.java
+++ b/src/test/java/laneflow/durable/StoreMaintenanceTest.java
@@ -22,7 +22,7 @@
 import org.junit.jupiter.api.io.TempDir;
 
 /** The tools for a store that no scheduler holds, as they are called. */
-class CareTest {
+class StoreMaintenanceTest {
     private final PrintStream real = System.out;
     private final PrintStream realErr = System.err;
     private String said = "";
@@ -72,7 +72,7 @@
 
     private Path store(String name, JobRow... rows) throws IOException {
         Path dir = folder.resolve(name);
-        try (Store store = Store.open(dir, Care.NO_LIMIT)) {
+        try (Store store = Store.open(dir, StoreMaintenance.NO_LIMIT)) {
             for (JobRow row : rows) {
                 store.write(List.of(Op.accept(row)));
             }
@@ -83,7 +83,7 @@
     @Test
     void jobsAreListedShownAndCancelled() throws Exception {
         Path dir = store("s", row(1, "a", (byte) 'x'), row(2, "b"));
-        try (Store store = Store.open(dir, Care.NO_LIMIT)) {
+        try (Store store = Store.open(dir, StoreMaintenance.NO_LIMIT)) {
             Attempt out = new Attempt(1, "till-1", 2000, 2500, Known.MAY_HAVE_RUN);
             store.write(List.of(Op.end(2, State.UNKNOWN, List.of(out), "it may have run", null, 3000)));
             assertEquals(1, run("jobs", "list", dir.toString()));
@@ -115,7 +115,7 @@
         Path dir = store("s", rows);
         assertEquals(0, run("jobs", "verify", dir.toString()));
         assertTrue(said.startsWith("sound"), said);
-        try (Store store = Store.open(dir, Care.NO_LIMIT)) {
+        try (Store store = Store.open(dir, StoreMaintenance.NO_LIMIT)) {
             for (int i = 1; i < 190; i++) {
                 store.write(List.of(Op.drop(i, 5)));
             }
@@ -139,8 +139,8 @@
         Path dead = store("dead", row(1, "a", (byte) 1), row(2, "b"), row(3, ""), row(4, "c"));
         Path living = store("living", row(9, "b"));
         Attempt out = new Attempt(1, "till-1", 2000, 2500, Known.OUT);
-        try (Store store = Store.open(dead, Care.NO_LIMIT);
-                Store other = Store.open(living, Care.NO_LIMIT)) {
+        try (Store store = Store.open(dead, StoreMaintenance.NO_LIMIT);
+                Store other = Store.open(living, StoreMaintenance.NO_LIMIT)) {
             store.write(List.of(
                     Op.move(3, State.RUNNING, List.of(out), 2000),
                     Op.end(4, State.DONE, List.of(out.with(Known.DONE)), "served", new byte[] {7}, 2100)));
@@ -156,7 +156,7 @@
                 adopted.get("keys_taken").getAsJsonArray().get(0).getAsString());
         assertEquals(0, run("jobs", "adopt", dead.toString(), living.toString()));
         assertTrue(said.startsWith("0 jobs moved"), said);
-        try (Store store = Store.open(living, Care.NO_LIMIT)) {
+        try (Store store = Store.open(living, StoreMaintenance.NO_LIMIT)) {
             List<JobRow> rows = new ArrayList<>();
             store.read(true, rows::add);
             assertEquals(5, rows.size());
