--- a/src/main/java/laneflow/assembly/Together.java
+++ b/src/main/java/laneflow/assembly/FleetSubsystem.java
@@ -37,8 +37,8 @@
 import org.slf4j.LoggerFactory;
 
 /** What schedulers do together, as part of the assembly: a scheduler by itself loads none of it. */
-final class Together implements Subsystem {
-    private static final Logger LOG = LoggerFactory.getLogger(Together.class);
+final class FleetSubsystem implements Subsystem {
+    private static final Logger LOG = LoggerFactory.getLogger(FleetSubsystem.class);
     private static final long AGAIN_NS = 20_000_000;
     private static final String CLOCK_RATE = "laneflow.lab.clock_rate";
     /** True to have all on the traffic's thread, for measurements of what that costs. */
@@ -80,7 +80,7 @@
      *
      * @param durability null where no jobs are kept
      */
-    Together(Setup setup, Subsystems.Core core, Durability durability) throws IOException, InterruptedException {
+    FleetSubsystem(Setup setup, Subsystems.Core core, Durability durability) throws IOException, InterruptedException {
         this.core = core;
         tellsPolicy = setup.policy() != null && setup.policy().tellPolicy;
         FleetConfig config = setup.fleet();
@@ -97,7 +97,7 @@
         byte[] life = new byte[6];
         SecureRandom random = new SecureRandom();
         random.nextBytes(life);
-        String build = Together.class.getPackage().getImplementationVersion();
+        String build = FleetSubsystem.class.getPackage().getImplementationVersion();
         fleet = new Fleet(
                 loop,
                 config,
--- a/src/main/java/laneflow/assembly/Hangup.java
+++ b/src/main/java/laneflow/assembly/HangupSignal.java
@@ -3,8 +3,8 @@
 import java.lang.reflect.Proxy;
 
 /** The hang-up signal, which asks a service to read its configuration again. */
-final class Hangup {
-    private Hangup() {}
+final class HangupSignal {
+    private HangupSignal() {}
 
     /**
      * Runs this at each SIGHUP, on a thread of the signal's own. Java has no other interface to signals, and
@@ -16,7 +16,7 @@
             Class<?> signal = Class.forName("sun.misc.Signal");
             Class<?> handler = Class.forName("sun.misc.SignalHandler");
             Object own = Proxy.newProxyInstance(
-                    Hangup.class.getClassLoader(), new Class<?>[] {handler}, (proxy, method, args) -> {
+                    HangupSignal.class.getClassLoader(), new Class<?>[] {handler}, (proxy, method, args) -> {
                         then.run();
                         return null;
                     });
--- a/src/main/java/laneflow/assembly/KeptSettings.java
+++ b/src/main/java/laneflow/assembly/PersistedSettings.java
@@ -16,11 +16,11 @@
  * Streamed settings of the last run: laid under the operators' file before a start reads it, so that what had
  * to wait for a restart holds from then on. Destination sets are not among them: they are adopted live.
  */
-final class KeptSettings {
-    private static final Logger LOG = LoggerFactory.getLogger(KeptSettings.class);
+final class PersistedSettings {
+    private static final Logger LOG = LoggerFactory.getLogger(PersistedSettings.class);
     private static final String[] TYPES = {"classes", "limits", "functions", "durable"};
 
-    private KeptSettings() {}
+    private PersistedSettings() {}
 
     /** The resources kept there, by type; what can't be read is logged and left out. */
     static Map<String, JsonArray> read(ControlConfig config) {
--- a/src/main/java/laneflow/assembly/Surroundings.java
+++ b/src/main/java/laneflow/assembly/ProcessEnvironment.java
@@ -10,13 +10,13 @@
  * @param scratch the folder that the process after this one finds as this one left it, or null
  * @param passed true if the clients' listening socket is descriptor 0
  */
-public record Surroundings(String ops, Path scratch, boolean passed) {
-    public static final Surroundings NONE = new Surroundings(null, null, false);
+public record ProcessEnvironment(String ops, Path scratch, boolean passed) {
+    public static final ProcessEnvironment NONE = new ProcessEnvironment(null, null, false);
 
     /** Those of this process. */
-    static Surroundings of(Map<String, String> environment) {
+    static ProcessEnvironment of(Map<String, String> environment) {
         String folder = environment.get("TMPDIR");
-        return new Surroundings(
+        return new ProcessEnvironment(
                 named(environment, "ROUTER_OPS"),
                 folder == null || folder.isEmpty() ? null : Path.of(folder),
                 named(environment, "ROUTER_PASSED_SOCKET") != null);
--- a/src/main/java/laneflow/assembly/Rehearsal.java
+++ b/src/main/java/laneflow/assembly/Rehearsal.java
@@ -26,7 +26,7 @@
     /** Starts, refuses one request, and ends. */
     public static void run() throws IOException, WireException, InterruptedException {
         Serve serve = new Serve(new Setup(Config.parse(CONFIG), null, null, null));
-        Hangup.handle(() -> {});
+        HangupSignal.handle(() -> {});
         InetSocketAddress at = serve.front().address();
         try (Socket client = new Socket(at.getAddress(), at.getPort())) {
             client.getOutputStream().write(REQUEST.getBytes(StandardCharsets.US_ASCII));
--- a/src/main/java/laneflow/assembly/Serve.java
+++ b/src/main/java/laneflow/assembly/Serve.java
@@ -68,11 +68,11 @@
 
     /** Starts to serve; returns once clients are let in. */
     public Serve(Setup setup) throws IOException, InterruptedException {
-        this(setup, Surroundings.NONE);
+        this(setup, ProcessEnvironment.NONE);
     }
 
     /** The same with what the environment names. */
-    public Serve(Setup setup, Surroundings around) throws IOException, InterruptedException {
+    public Serve(Setup setup, ProcessEnvironment around) throws IOException, InterruptedException {
         Config config = setup.config();
         GearmanConfig gearmanConfig = setup.gearman();
         loop = new Loop(config.sockets);
@@ -153,7 +153,7 @@
         // loop, one after the other: the last reading is of the newest file, however close signals come.
         ExecutorService reader = Threads.inOrder("reload");
         CompletableFuture<Serve> serving = new CompletableFuture<>();
-        if (!Hangup.handle(() -> reader.execute(() -> serving.join().reload(source)))) {
+        if (!HangupSignal.handle(() -> reader.execute(() -> serving.join().reload(source)))) {
             LOG.warn("SIGHUP is ignored, as under nohup: a moved discovery will not be followed");
         }
         // The machine ends when its hooks have returned. It is there before anybody is let in: a signal that
@@ -161,7 +161,7 @@
         Runtime.getRuntime().addShutdownHook(ending(serving));
         Serve serve;
         try {
-            serve = new Serve(setup, Surroundings.of(System.getenv()));
+            serve = new Serve(setup, ProcessEnvironment.of(System.getenv()));
         } catch (IOException | InterruptedException | RuntimeException e) {
             serving.completeExceptionally(e);
             throw e;
--- a/src/main/java/laneflow/assembly/Setup.java
+++ b/src/main/java/laneflow/assembly/Setup.java
@@ -75,14 +75,14 @@
         Map<String, JsonArray> streamed =
                 plain.control() == null || !plain.findings().isEmpty()
                         ? new HashMap<>()
-                        : KeptSettings.read(ControlConfig.read(plain.control()));
+                        : PersistedSettings.read(ControlConfig.read(plain.control()));
         if (plain.policy() != null) {
             // What the fleet decides is learned from it, not from a disk.
             FLEETS.forEach(streamed::remove);
         }
         if (!streamed.isEmpty()) {
-            Setup under =
-                    KeptSettings.unless(() -> operators(OperatorFile.read(file, streamed), platform, destinations));
+            Setup under = PersistedSettings.unless(
+                    () -> operators(OperatorFile.read(file, streamed), platform, destinations));
             if (under != null) {
                 return under;
             }
--- a/src/main/java/laneflow/assembly/Streaming.java
+++ b/src/main/java/laneflow/assembly/Streaming.java
@@ -59,7 +59,7 @@
         for (ResourceType type : StreamedTypes.all(setup, new Live())) {
             LastGood file = config.folder == null ? null : new LastGood(config.folder, type.name());
             types.put(type, file);
-            LastGood.Kept found = file == null ? null : KeptSettings.read(file);
+            LastGood.Kept found = file == null ? null : PersistedSettings.read(file);
             if (found != null) {
                 kept.put(type.name(), found);
             }
--- a/src/main/java/laneflow/assembly/Subsystems.java
+++ b/src/main/java/laneflow/assembly/Subsystems.java
@@ -35,7 +35,7 @@
             all.add(durability);
         }
         if (setup.fleet() != null) {
-            all.add(new Together(setup, core, durability));
+            all.add(new FleetSubsystem(setup, core, durability));
         }
         streaming = setup.control() == null ? null : new Streaming(setup, core, durability);
         if (streaming != null) {
--- a/src/test/java/laneflow/assembly/HangupTest.java
+++ b/src/test/java/laneflow/assembly/HangupTest.java
@@ -12,7 +12,7 @@
     @Test
     void eachHangUpIsHeardAndEndsNothing() throws Exception {
         Semaphore heard = new Semaphore(0);
-        assumeTrue(Hangup.handle(heard::release), "started with the signal ignored, as by nohup");
+        assumeTrue(HangupSignal.handle(heard::release), "started with the signal ignored, as by nohup");
         String self = String.valueOf(ProcessHandle.current().pid());
         for (int i = 0; i < 3; i++) {
             new ProcessBuilder("kill", "-HUP", self).start().waitFor();
--- a/src/test/java/laneflow/net/Stand.java
+++ b/src/test/java/laneflow/net/Stand.java
@@ -13,9 +13,9 @@
 import java.util.Arrays;
 import java.util.List;
 import java.util.function.Consumer;
+import laneflow.assembly.ProcessEnvironment;
 import laneflow.assembly.Serve;
 import laneflow.assembly.Setup;
-import laneflow.assembly.Surroundings;
 import laneflow.config.Findings;
 import laneflow.config.Table;
 import laneflow.control.ControlConfig;
@@ -82,7 +82,7 @@
     public static Stand operated(Path folder, Endpoint... known) throws Exception {
         Config config = Config.parse(knowing(known).replace("1024", "160"));
         return new Stand(
-                new Serve(new Setup(config, null, null, null), new Surroundings("127.0.0.1:0", folder, false)));
+                new Serve(new Setup(config, null, null, null), new ProcessEnvironment("127.0.0.1:0", folder, false)));
     }
 
     /** A configuration of the platform's form with these endpoints known. */
