--- a/src/main/java/laneflow/maintenance/Maintenance.java
+++ b/src/main/java/laneflow/maintenance/Maintenance.java
@@ -16,7 +16,7 @@
 import laneflow.maintenance.decision.Sending;
 import laneflow.maintenance.decision.WindowLedger;
 import laneflow.net.Loop;
-import laneflow.policy.Rider;
+import laneflow.policy.RenewalExtension;
 import laneflow.policy.decision.Ledger;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -27,7 +27,7 @@
  * things stand, and puts its orders into the log. On the control thread. Also where a file has no table for
  * windows: whoever decides by the fleet's policy has to say when it has stopped sending.
  */
-public final class Maintenance implements Rider {
+public final class Maintenance implements RenewalExtension {
     private static final Logger LOG = LoggerFactory.getLogger(Maintenance.class);
     private static final int LOST_AFTER = 3;
     private static final double HALF_MS = 60_000;
--- a/src/main/java/laneflow/maintenance/MaintenancePart.java
+++ b/src/main/java/laneflow/maintenance/MaintenancePart.java
@@ -5,7 +5,7 @@
 import laneflow.fleet.Fleet;
 import laneflow.net.Loop;
 import laneflow.net.Threads;
-import laneflow.policy.Rider.Carriage;
+import laneflow.policy.RenewalExtension.Carriage;
 import laneflow.task.Tasks;
 
 /** Windows put together at one scheduler: its part in coordinating, and its port. On the control thread. */
--- a/src/main/java/laneflow/maintenance/MaintenancePort.java
+++ b/src/main/java/laneflow/maintenance/MaintenancePort.java
@@ -20,7 +20,7 @@
 import laneflow.maintenance.decision.Windows;
 import laneflow.maintenance.decision.Windows.Window;
 import laneflow.net.Loop;
-import laneflow.policy.Rider.Carriage;
+import laneflow.policy.RenewalExtension.Carriage;
 
 /**
  * What operators and crews ask and say of windows, at the address where schedulers reach each other. All of
--- a/src/main/java/laneflow/policy/Leadership.java
+++ b/src/main/java/laneflow/policy/Leadership.java
@@ -43,7 +43,7 @@
     private final VoterGroup group;
     private final Policy policy;
     private final FleetTrial trial;
-    private final Riders riders;
+    private final RenewalExtensions riders;
     private final Deadline round;
     private final Deadline look;
     /** How each scheduler is reached: by the link of its last renewal. */
@@ -73,7 +73,7 @@
             VoterGroup group,
             Policy policy,
             FleetTrial trial,
-            Riders riders) {
+            RenewalExtensions riders) {
         this.loop = loop;
         this.fleet = fleet;
         this.config = config;
--- a/src/main/java/laneflow/policy/LeaseGate.java
+++ b/src/main/java/laneflow/policy/LeaseGate.java
@@ -11,7 +11,7 @@
 import laneflow.core.Deadlines.Deadline;
 import laneflow.core.Gate;
 import laneflow.net.Loop;
-import laneflow.policy.decision.Leave;
+import laneflow.policy.decision.LeaseSnapshot;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -34,7 +34,7 @@
      *
      * @param ready what was read and found sound of the policies that the leave names
      */
-    record Published(Leave leave, Map<Long, PolicyTypes.Prepared> ready) {}
+    record Published(LeaseSnapshot leave, Map<Long, PolicyTypes.Prepared> ready) {}
 
     /** Told, on the traffic's thread, of what was adopted and what of it waits for a restart. */
     interface Adopted {
@@ -50,7 +50,7 @@
     private final Adopted news;
     private final Deadline begin;
     private final TreeMap<Integer, Long> stamps = new TreeMap<>();
-    private volatile Published published = new Published(Leave.NONE, Map.of());
+    private volatile Published published = new Published(LeaseSnapshot.NONE, Map.of());
     /** The policy that was adopted last, -1 before the first; written on the traffic's thread only. */
     private volatile long begun = -1;
 
@@ -104,7 +104,7 @@
     }
 
     private boolean isAboutToBegin() {
-        Leave leave = published.leave();
+        LeaseSnapshot leave = published.leave();
         return leave.next() >= 0 && (leave.next() != adopted || !everDecided);
     }
 
--- a/src/main/java/laneflow/policy/Policy.java
+++ b/src/main/java/laneflow/policy/Policy.java
@@ -26,7 +26,7 @@
 import laneflow.net.Loop;
 import laneflow.policy.decision.Grant;
 import laneflow.policy.decision.Lease;
-import laneflow.policy.decision.Leave;
+import laneflow.policy.decision.LeaseSnapshot;
 import laneflow.policy.decision.Renewal;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -65,7 +65,7 @@
 
     private final Set<Long> asked = new HashSet<>();
     private final Map<String, Long> passedBy = new LinkedHashMap<>();
-    private Riders riders = new Riders(List.of());
+    private RenewalExtensions riders = new RenewalExtensions(List.of());
     /** Null where this process does not vote. */
     private Leadership leadership;
 
@@ -149,9 +149,9 @@
     }
 
     /** From now on that rides on renewals; before {@link #begin}. */
-    void carry(Riders with) {
+    void carry(RenewalExtensions with) {
         riders = with;
-        with.ride(new Rider.Carriage() {
+        with.ride(new RenewalExtension.Carriage() {
             @Override
             public long now() {
                 return Policy.this.now();
@@ -237,7 +237,7 @@
     /** What holds goes to where requests are taken, before this turn tells anybody that it is obeyed. */
     private void publish() {
         Map<Long, PolicyTypes.Prepared> ready = new HashMap<>();
-        Leave leave = lease.leave();
+        LeaseSnapshot leave = lease.leave();
         prepared.forEach((number, read) -> {
             if (read.findings.isEmpty() && (number == leave.number() || number == leave.next())) {
                 ready.put(number, read);
--- a/src/main/java/laneflow/policy/PolicyPart.java
+++ b/src/main/java/laneflow/policy/PolicyPart.java
@@ -30,7 +30,7 @@
     private final Loop traffic;
     private final Policy policy;
     private final LeaseGate gate;
-    private final Riders riders;
+    private final RenewalExtensions riders;
     private PolicyPort port;
     /** Null where this process does not vote. */
     private volatile Voting voting;
@@ -64,7 +64,7 @@
             double clockRate,
             boolean upgrade,
             Map<String, Ledger.Part> parts,
-            List<Rider> riders) {}
+            List<RenewalExtension> riders) {}
 
     /**
      * Opens the store of votes where this process has one, and begins. From here on the scheduler decides
@@ -72,7 +72,7 @@
      */
     public PolicyPart(Given given) throws InterruptedException {
         loop = given.loop();
-        riders = new Riders(given.riders());
+        riders = new RenewalExtensions(given.riders());
         PolicyConfig config = given.config();
         Fleet fleet = given.fleet();
         Scheduler scheduler = given.scheduler();
--- a/src/main/java/laneflow/policy/Rider.java
+++ b/src/main/java/laneflow/policy/RenewalExtension.java
@@ -8,7 +8,7 @@
  * What rides on renewals and grants, and on the voters' log, beside policy: no message and no question to a
  * majority is spent on it alone. All on the loop's thread.
  */
-public interface Rider {
+public interface RenewalExtension {
     /** What policy does for it. */
     interface Carriage {
         /** This process's clock for leases, read now; on any thread. */
--- a/src/main/java/laneflow/policy/Riders.java
+++ b/src/main/java/laneflow/policy/RenewalExtensions.java
@@ -9,34 +9,34 @@
 import laneflow.policy.decision.Ledger;
 
 /** All that rides on renewals and grants, as one: each has a field of its own in the messages. */
-final class Riders {
+final class RenewalExtensions {
     /** Of the first that rode, by which builds before this one know it. */
     private static final String FIRST = "rider";
 
-    private final List<Rider> all;
+    private final List<RenewalExtension> all;
 
-    Riders(List<Rider> all) {
+    RenewalExtensions(List<RenewalExtension> all) {
         this.all = List.copyOf(all);
     }
 
-    private String field(Rider one) {
+    private String field(RenewalExtension one) {
         return one == all.get(0) ? FIRST : FIRST + "-" + one.part();
     }
 
-    void ride(Rider.Carriage by) {
+    void ride(RenewalExtension.Carriage by) {
         all.forEach(one -> one.ride(by));
     }
 
     // ---- at a scheduler ----
 
     void say(JsonObject renewal) {
-        for (Rider one : all) {
+        for (RenewalExtension one : all) {
             add(renewal, one, one.says());
         }
     }
 
     void told(JsonObject grant, long sentAt, long heardAt) {
-        for (Rider one : all) {
+        for (RenewalExtension one : all) {
             if (grant.has(field(one))) {
                 one.told(grant.get(field(one)), sentAt, heardAt);
             }
@@ -50,7 +50,7 @@
     }
 
     void leadsNoMore() {
-        all.forEach(Rider::leadsNoMore);
+        all.forEach(RenewalExtension::leadsNoMore);
     }
 
     /** What stands in the ledger for each, by its part's name. */
@@ -65,7 +65,7 @@
     }
 
     void heard(String who, JsonObject renewal) {
-        for (Rider one : all) {
+        for (RenewalExtension one : all) {
             if (renewal.has(field(one))) {
                 one.heard(who, renewal.get(field(one)));
             }
@@ -73,12 +73,12 @@
     }
 
     void word(JsonObject grant, String who, boolean unasked) {
-        for (Rider one : all) {
+        for (RenewalExtension one : all) {
             add(grant, one, one.word(who, unasked));
         }
     }
 
-    private void add(JsonObject to, Rider one, JsonElement what) {
+    private void add(JsonObject to, RenewalExtension one, JsonElement what) {
         if (what != null) {
             to.add(field(one), what);
         }
@@ -90,7 +90,7 @@
 
     /** This process's own renewal, asked at that instant, and the answer to it: no message is needed. */
     void ride(String who, long asked, LongSupplier clock) {
-        for (Rider one : all) {
+        for (RenewalExtension one : all) {
             JsonElement said = one.says();
             if (said != null) {
                 one.heard(who, said);
--- a/src/main/java/laneflow/policy/decision/Lease.java
+++ b/src/main/java/laneflow/policy/decision/Lease.java
@@ -113,7 +113,7 @@
     }
 
     /** As it stands now, for whoever reads it on another thread. */
-    public Leave leave() {
-        return new Leave(number, stop, next, nextStart, nextStop, fence);
+    public LeaseSnapshot leave() {
+        return new LeaseSnapshot(number, stop, next, nextStart, nextStop, fence);
     }
 }
--- a/src/main/java/laneflow/policy/decision/Leave.java
+++ b/src/main/java/laneflow/policy/decision/LeaseSnapshot.java
@@ -11,9 +11,9 @@
  * @param nextStop when the leave for that ends
  * @param fence microseconds between the end of the policy before and the beginning of this one
  */
-public record Leave(long number, long stop, long next, long nextStart, long nextStop, long fence) {
+public record LeaseSnapshot(long number, long stop, long next, long nextStart, long nextStop, long fence) {
     /** None at all. */
-    public static final Leave NONE = new Leave(-1, Long.MIN_VALUE, -1, 0, 0, 0);
+    public static final LeaseSnapshot NONE = new LeaseSnapshot(-1, Long.MIN_VALUE, -1, 0, 0, 0);
 
     /** The policy by which it may decide at this instant, or -1: it may not decide. */
     public long deciding(long now) {
--- a/src/main/java/laneflow/task/Tasks.java
+++ b/src/main/java/laneflow/task/Tasks.java
@@ -12,7 +12,7 @@
 import laneflow.core.Deadlines.Deadline;
 import laneflow.fleet.Fleet;
 import laneflow.net.Loop;
-import laneflow.policy.Rider;
+import laneflow.policy.RenewalExtension;
 import laneflow.task.decision.Hold;
 import laneflow.task.decision.Hold.Act;
 import laneflow.task.decision.Hold.Need;
@@ -31,7 +31,7 @@
  * takes at most, and cuts it off by then; and says what makes an act harmless that comes behind its lease.
  * There is no way to ask whether a task is held and then to act on the answer.
  */
-public final class Tasks implements Rider {
+public final class Tasks implements RenewalExtension {
     private static final Logger LOG = LoggerFactory.getLogger(Tasks.class);
     private static final int TURN_LEASES = 30;
     private static final int QUIET_PARTS = 2;
--- a/src/test/java/laneflow/assembly/HangupTest.java
+++ b/src/test/java/laneflow/assembly/HangupSignalTest.java
@@ -8,7 +8,7 @@
 import org.junit.jupiter.api.Test;
 
 /** A hang-up must not end the machine, as it does where nobody handles it. */
-class HangupTest {
+class HangupSignalTest {
     @Test
     void eachHangUpIsHeardAndEndsNothing() throws Exception {
         Semaphore heard = new Semaphore(0);
--- a/src/test/java/laneflow/policy/LeaseGateTest.java
+++ b/src/test/java/laneflow/policy/LeaseGateTest.java
@@ -19,7 +19,7 @@
 import laneflow.core.Counters;
 import laneflow.net.Loop;
 import laneflow.policy.LeaseGate.Published;
-import laneflow.policy.decision.Leave;
+import laneflow.policy.decision.LeaseSnapshot;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -79,7 +79,7 @@
         one.add(JsonParser.parseString("{\"name\": \"till-3\"}"));
         bans.add("bans", one);
         return new Published(
-                new Leave(number, stop, next, nextStart, nextStop, 0), Map.of(0L, own, 1L, types.read(bans)));
+                new LeaseSnapshot(number, stop, next, nextStart, nextStop, 0), Map.of(0L, own, 1L, types.read(bans)));
     }
 
     @Test
@@ -204,7 +204,7 @@
     @Test
     void whatWasNotReadIsNotDecidedBy() throws Exception {
         traffic.call(() -> {
-            gate.publish(new Published(new Leave(7, 400, -1, 0, 0, 0), Map.of()));
+            gate.publish(new Published(new LeaseSnapshot(7, 400, -1, 0, 0, 0), Map.of()));
             assertFalse(gate.mayDecide());
             assertEquals(1, counters.get("policy.granted_unready"));
             gate.publish(holds(1, 400, -1, 0, 0));
--- a/src/test/java/laneflow/policy/decision/LeaveTest.java
+++ b/src/test/java/laneflow/policy/decision/LeaseSnapshotTest.java
@@ -7,7 +7,7 @@
 import org.junit.jupiter.api.Test;
 
 /** What is published of a lease says at every instant what the lease itself would. */
-class LeaveTest {
+class LeaseSnapshotTest {
     @Test
     void itSaysOfEveryInstantWhatTheLeaseDoes() {
         SplittableRandom random = new SplittableRandom(11);
@@ -22,7 +22,7 @@
                 long until = random.nextInt(6) == 0 ? 0 : now + random.nextLong(3000);
                 long from = random.nextBoolean() ? 0 : now + random.nextLong(600);
                 lease.take(new Grant(1, seq, now, number, from, until, 0), now - random.nextLong(200), now);
-                Leave leave = lease.leave();
+                LeaseSnapshot leave = lease.leave();
                 long begun = lease.begun();
                 for (long at = now; at < now + 1000; at += 1 + random.nextLong(90)) {
                     assertEquals(lease.deciding(at), leave.deciding(at), "day " + day + " seq " + seq);
