--- a/src/main/java/laneflow/capacity/CapacityPart.java
+++ b/src/main/java/laneflow/capacity/CapacityPart.java
@@ -7,8 +7,8 @@
 import java.util.Map;
 import java.util.SplittableRandom;
 import laneflow.capacity.decision.Capacity;
+import laneflow.capacity.decision.LoadEstimator;
 import laneflow.capacity.decision.News;
-import laneflow.capacity.decision.Weighing;
 import laneflow.core.Counters;
 import laneflow.core.Endpoint;
 import laneflow.core.Scheduler;
@@ -71,7 +71,7 @@
         this.zones = List.copyOf(zones);
         zone = scheduler.settings().zone;
         random = new SplittableRandom(seed);
-        capacity = new Capacity(number(fleet.self().name()), zone, Weighing.SPARING, this);
+        capacity = new Capacity(number(fleet.self().name()), zone, LoadEstimator.SPARING, this);
     }
 
     private static int number(String name) {
--- a/src/main/java/laneflow/capacity/decision/Capacity.java
+++ b/src/main/java/laneflow/capacity/decision/Capacity.java
@@ -67,10 +67,10 @@
 
     private final int self;
     private final int zone;
-    private final Weighing weighing;
+    private final LoadEstimator weighing;
     private final Out out;
-    private final Picture picture = new Picture();
-    private final Trust trust = new Trust();
+    private final CapacityTable picture = new CapacityTable();
+    private final SourceReliability trust = new SourceReliability();
     private final Demand demand = new Demand();
     private final Map<Integer, Size> sizes = new HashMap<>();
     private final Map<Integer, Integer> ready = new HashMap<>();
@@ -84,7 +84,7 @@
     private int asks = MOST_ASKS;
 
     /** @param self a number drawn from this scheduler's name, 16 bits, as all know it */
-    public Capacity(int self, int zone, Weighing weighing, Out out) {
+    public Capacity(int self, int zone, LoadEstimator weighing, Out out) {
         this.self = self & 0xffff;
         this.zone = zone;
         this.weighing = weighing;
@@ -102,21 +102,21 @@
      * @param bornMs when it last started, Unix milliseconds; 0: long ago
      */
     public void listed(long endpoint, int zone, int sort, String block, long bornMs) {
-        Seen before = picture.get(endpoint);
+        EndpointLoad before = picture.get(endpoint);
         if (before != null && before.bornMs == bornMs && before.zone == zone) {
             return;
         }
         unlisted(endpoint);
         ready.merge(zone, 1, Integer::sum);
         Size size = sizes.computeIfAbsent(sort, Size::new);
-        Seen seen = new Seen(endpoint, zone, block, size, bornMs);
+        EndpointLoad seen = new EndpointLoad(endpoint, zone, block, size, bornMs);
         seen.out = before == null ? 0 : before.out;
         picture.add(seen);
     }
 
     /** It drains, or is gone: what others say of it means nothing from now on. */
     public void unlisted(long endpoint) {
-        Seen seen = picture.get(endpoint);
+        EndpointLoad seen = picture.get(endpoint);
         if (seen != null) {
             ready.merge(seen.zone, -1, Integer::sum);
             picture.remove(endpoint);
@@ -126,7 +126,7 @@
     /** A call has gone out there. */
     public void sent(long now, long endpoint) {
         demand.sent(now);
-        Seen seen = picture.get(endpoint);
+        EndpointLoad seen = picture.get(endpoint);
         if (seen != null) {
             seen.sent(now);
         }
@@ -138,7 +138,7 @@
      * @param counted true where the call was taken in: what the endpoint says still counts it then
      */
     public void ended(long now, long endpoint, boolean counted, double free, double queue) {
-        Seen seen = picture.get(endpoint);
+        EndpointLoad seen = picture.get(endpoint);
         if (seen == null) {
             return;
         }
@@ -148,7 +148,7 @@
         seen.ended(now);
     }
 
-    private void own(long now, Seen seen, boolean counted, double free, double queue) {
+    private void own(long now, EndpointLoad seen, boolean counted, double free, double queue) {
         seen.size.own(free, queue >= 0);
         double slots = seen.size.slots();
         double waiting = queue > 0 ? queue : 0;
@@ -186,18 +186,18 @@
         return Math.max(0, slots - Steps.value(news.free())) + queue;
     }
 
-    private boolean isMine(long now, Seen seen) {
+    private boolean isMine(long now, EndpointLoad seen) {
         if (seen.zone != zone) {
             return false;
         }
         if (now - seen.sharedAt > SHARES_HOLD) {
             seen.sharedAt = now;
-            seen.mine = demand.isOwn(seen.id, zone, self, Cargo.demandStep(demand.own(now)));
+            seen.mine = demand.isOwn(seen.id, zone, self, CapacityMessage.demandStep(demand.own(now)));
         }
         return seen.mine;
     }
 
-    private Crowd crowd(Seen seen) {
+    private Crowd crowd(EndpointLoad seen) {
         return crowds.computeIfAbsent((long) seen.zone << 32 | seen.size.sort, key -> new Crowd());
     }
 
@@ -224,10 +224,10 @@
 
     /** Bytes for a datagram to a scheduler of that zone, as many as that at most; null: nothing to tell. */
     public byte[] tell(long now, int zone, int most) {
-        if (most < Cargo.HEAD + Cargo.ENTRY + Cargo.SOURCE) {
+        if (most < CapacityMessage.HEAD + CapacityMessage.ENTRY + CapacityMessage.SOURCE) {
             return null;
         }
-        List<Cargo.Entry> entries = picture.choose(now, zone, most - Cargo.HEAD, REPEATS);
+        List<CapacityMessage.Entry> entries = picture.choose(now, zone, most - CapacityMessage.HEAD, REPEATS);
         int wants = wants();
         if (wants >= 0) {
             // Each is asked for another part.
@@ -237,8 +237,9 @@
         return entries.isEmpty() && wants < 0 ? null : write(now, wants, entries);
     }
 
-    private byte[] write(long now, int wants, List<Cargo.Entry> entries) {
-        return new Cargo((int) (now / STAMP), Cargo.demandStep(demand.own(now)), wants, entries).write();
+    private byte[] write(long now, int wants, List<CapacityMessage.Entry> entries) {
+        return new CapacityMessage((int) (now / STAMP), CapacityMessage.demandStep(demand.own(now)), wants, entries)
+                .write();
     }
 
     // ---- hearing ----
@@ -250,9 +251,9 @@
      * @param zone its zone, -1: none that is known here
      */
     public void heard(long now, int teller, int zone, byte[] bytes, int most) {
-        Cargo cargo;
+        CapacityMessage cargo;
         try {
-            cargo = Cargo.read(bytes);
+            cargo = CapacityMessage.read(bytes);
         } catch (IOException e) {
             out.count("spoilt");
             return;
@@ -260,10 +261,10 @@
         if (teller == self) {
             return;
         }
-        demand.told(teller, zone, Cargo.demandOf(cargo.demand()), now);
+        demand.told(teller, zone, CapacityMessage.demandOf(cargo.demand()), now);
         long underWay = delays.computeIfAbsent(teller, key -> new Delays()).excess(now, cargo.stamp());
         if (underWay <= MOST_UNDER_WAY) {
-            for (Cargo.Entry entry : cargo.entries()) {
+            for (CapacityMessage.Entry entry : cargo.entries()) {
                 accept(now, teller, entry, underWay);
             }
         }
@@ -272,8 +273,8 @@
         }
     }
 
-    private void accept(long now, int teller, Cargo.Entry entry, long underWay) {
-        Seen seen = picture.byKey(entry.key());
+    private void accept(long now, int teller, CapacityMessage.Entry entry, long underWay) {
+        EndpointLoad seen = picture.byKey(entry.key());
         if (seen == null || entry.source() == self) {
             return;
         }
@@ -295,7 +296,7 @@
     }
 
     /** An own report of about the same instant says how right others are. */
-    private void compare(Seen seen, News news, double slots) {
+    private void compare(EndpointLoad seen, News news, double slots) {
         if (Math.abs(seen.ownAt - news.heardAt()) <= COMPARED_WITHIN) {
             double own = seen.ownOthers + seen.outAt(seen.ownAt);
             double moved = seen.outAt(news.heardAt()) - seen.outAt(seen.ownAt);
@@ -303,7 +304,7 @@
         }
     }
 
-    private void hand(long now, Seen seen, News news, double slots, double credit, double told) {
+    private void hand(long now, EndpointLoad seen, News news, double slots, double credit, double told) {
         double age = Math.max(0, now - news.heardAt()) / MICROS;
         Crowd crowd = crowd(seen);
         crowd.heard(Math.min(1, told / slots));
@@ -316,7 +317,7 @@
         long mixed = (news.heardAt() / ROUND ^ seen.id * 0x9E3779B97F4A7C15L ^ self * 0xD1B54A32D192ED03L)
                 * 0xBF58476D1CE4E5B9L;
         double draw = (mixed >>> 11) * 0x1p-53;
-        double held = weighing.others(new Weighing.Case(
+        double held = weighing.others(new LoadEstimator.Case(
                 told,
                 known,
                 slots,
@@ -354,7 +355,7 @@
         if (isNew() || ++answers > ANSWERS_A_ROUND) {
             return;
         }
-        for (List<Cargo.Entry> piece : picture.from(from, now, most - Cargo.HEAD, AT_ONCE)) {
+        for (List<CapacityMessage.Entry> piece : picture.from(from, now, most - CapacityMessage.HEAD, AT_ONCE)) {
             out.send(teller, write(now, -1, piece));
         }
     }
@@ -372,7 +373,7 @@
     }
 
     private interface Among {
-        boolean holds(Seen seen);
+        boolean holds(EndpointLoad seen);
     }
 
     /** What is old may have changed wholly: it counts by its weight, the rest as the mean of the like. */
@@ -381,9 +382,9 @@
         int heardOf = 0;
         double free = 0;
         double error = 0;
-        List<Seen> some = new ArrayList<>();
+        List<EndpointLoad> some = new ArrayList<>();
         picture.each().forEach(some::add);
-        for (Seen seen : some) {
+        for (EndpointLoad seen : some) {
             double slots = seen.size.slots();
             if (!among.holds(seen)) {
                 continue;
@@ -395,7 +396,7 @@
             if (seen.news != null) {
                 heardOf++;
                 double credit = seen.news.source() == self ? 1 : trust.credit(seen.news.source(), seen.news.teller());
-                weight = credit * Weighing.weight((now - seen.news.heardAt()) / MICROS);
+                weight = credit * LoadEstimator.weight((now - seen.news.heardAt()) / MICROS);
                 told = Math.min(slots, Steps.value(seen.news.free()));
             }
             double held = mean + weight * (told - mean);
@@ -422,7 +423,7 @@
 
     /** The newest news of that endpoint, or null. */
     public News news(long endpoint) {
-        Seen seen = picture.get(endpoint);
+        EndpointLoad seen = picture.get(endpoint);
         return seen == null ? null : seen.news;
     }
 }
--- a/src/main/java/laneflow/capacity/decision/Cargo.java
+++ b/src/main/java/laneflow/capacity/decision/CapacityMessage.java
@@ -16,7 +16,7 @@
  * @param demand calls a second that the sender makes: n stands for under 2 to the n
  * @param wants the part of all hashes, 0 to 255, from which on the sender asks for all; -1: it does not ask
  */
-record Cargo(int stamp, int demand, int wants, List<Entry> entries) {
+record CapacityMessage(int stamp, int demand, int wants, List<Entry> entries) {
     /** Whether an entry fits is counted by these. */
     static final int HEAD = 9;
 
@@ -79,7 +79,7 @@
      *
      * @throws IOException if it is none, or of a build that this one does not know
      */
-    static Cargo read(byte[] bytes) throws IOException {
+    static CapacityMessage read(byte[] bytes) throws IOException {
         try {
             ByteBuffer from = ByteBuffer.wrap(bytes);
             if (from.get() != VERSION) {
@@ -108,7 +108,7 @@
                 entries.add(new Entry(
                         key, load >> 4, load & Steps.MOST, rest >> 6 & Steps.MOST, rest >> 10, sources[source]));
             }
-            return new Cargo(stamp, demand, wants == NOT ? -1 : wants, entries);
+            return new CapacityMessage(stamp, demand, wants == NOT ? -1 : wants, entries);
         } catch (BufferUnderflowException e) {
             throw new IOException("capacity news that is cut off", e);
         }
--- a/src/main/java/laneflow/capacity/decision/Picture.java
+++ b/src/main/java/laneflow/capacity/decision/CapacityTable.java
@@ -11,29 +11,29 @@
  * changed most and is asked for most goes first, to those whose zone it is, a few times each. Its state is
  * bounded by the list: what is not on it is not kept.
  */
-final class Picture {
+final class CapacityTable {
     /** Of those to be told on so many are looked at for a datagram, in turn. */
     private static final int LOOKED_AT = 160;
 
     private static final double ZONE_SAY = 4;
     private static final double MICROS = 1e6;
 
-    private final Long2ObjectHashMap<Seen> all = new Long2ObjectHashMap<>();
+    private final Long2ObjectHashMap<EndpointLoad> all = new Long2ObjectHashMap<>();
     /** Null where two endpoints have one hash: news of either means nothing then. */
-    private final Int2ObjectHashMap<Seen> byKey = new Int2ObjectHashMap<>();
+    private final Int2ObjectHashMap<EndpointLoad> byKey = new Int2ObjectHashMap<>();
 
-    private final List<Seen> fresh = new ArrayList<>();
+    private final List<EndpointLoad> fresh = new ArrayList<>();
     private final double[] scores = new double[LOOKED_AT];
     private int cursor;
     private int[] keys = {};
     private boolean sorted;
     private int known;
 
-    Seen get(long id) {
+    EndpointLoad get(long id) {
         return all.get(id);
     }
 
-    Seen byKey(int key) {
+    EndpointLoad byKey(int key) {
         return byKey.get(key);
     }
 
@@ -46,11 +46,11 @@
         return known;
     }
 
-    Iterable<Seen> each() {
+    Iterable<EndpointLoad> each() {
         return all.values();
     }
 
-    void add(Seen seen) {
+    void add(EndpointLoad seen) {
         remove(seen.id);
         all.put(seen.id, seen);
         sorted = false;
@@ -62,7 +62,7 @@
     }
 
     void remove(long id) {
-        Seen seen = all.remove(id);
+        EndpointLoad seen = all.remove(id);
         if (seen != null) {
             known -= seen.news == null ? 0 : 1;
             quiet(seen);
@@ -74,7 +74,7 @@
     }
 
     /** Takes news in; false if what is known is as new. */
-    boolean merge(Seen seen, News news) {
+    boolean merge(EndpointLoad seen, News news) {
         News newer = News.merge(seen.news, news);
         if (newer == seen.news || newer.equals(seen.news)) {
             return false;
@@ -92,9 +92,9 @@
         return true;
     }
 
-    private void quiet(Seen seen) {
+    private void quiet(EndpointLoad seen) {
         if (seen.place >= 0) {
-            Seen last = fresh.remove(fresh.size() - 1);
+            EndpointLoad last = fresh.remove(fresh.size() - 1);
             if (last != seen) {
                 last.place = seen.place;
                 fresh.set(seen.place, last);
@@ -114,9 +114,9 @@
      * @param room bytes for entries and the sources that they name
      * @param repeats how often the same news is told
      */
-    List<Cargo.Entry> choose(long now, int zone, int room, int repeats) {
+    List<CapacityMessage.Entry> choose(long now, int zone, int room, int repeats) {
         int looked = Math.min(LOOKED_AT, fresh.size());
-        Seen[] some = new Seen[looked];
+        EndpointLoad[] some = new EndpointLoad[looked];
         for (int i = 0; i < looked; i++) {
             some[i] = fresh.get((cursor + i) % fresh.size());
         }
@@ -127,18 +127,18 @@
             scores[i] = score(some[i], now, zone);
         }
         Arrays.sort(order, (a, b) -> Double.compare(scores[b], scores[a]));
-        List<Cargo.Entry> entries = new ArrayList<>();
+        List<CapacityMessage.Entry> entries = new ArrayList<>();
         List<Integer> sources = new ArrayList<>();
         int left = room;
         for (int i : order) {
-            Seen seen = some[i];
-            Cargo.Entry entry = entry(seen, now);
+            EndpointLoad seen = some[i];
+            CapacityMessage.Entry entry = entry(seen, now);
             if (entry == null) {
                 quiet(seen);
                 continue;
             }
-            int bytes = Cargo.ENTRY + (sources.contains(entry.source()) ? 0 : Cargo.SOURCE);
-            if (bytes > left || sources.size() >= Cargo.MOST_SOURCES) {
+            int bytes = CapacityMessage.ENTRY + (sources.contains(entry.source()) ? 0 : CapacityMessage.SOURCE);
+            if (bytes > left || sources.size() >= CapacityMessage.MOST_SOURCES) {
                 break;
             }
             left -= bytes;
@@ -154,19 +154,23 @@
         return entries;
     }
 
-    private static double score(Seen seen, long now, int zone) {
+    private static double score(EndpointLoad seen, long now, int zone) {
         double age = (now - seen.news.heardAt()) / MICROS;
         double asked = 1 + seen.out + Steps.value(seen.news.calls());
-        return Weighing.weight(age) * (1 + seen.changed) * asked * (seen.zone == zone ? ZONE_SAY : 1) / (1 + seen.told);
+        return LoadEstimator.weight(age)
+                * (1 + seen.changed)
+                * asked
+                * (seen.zone == zone ? ZONE_SAY : 1)
+                / (1 + seen.told);
     }
 
     /** Null where it is too old to be told. */
-    private static Cargo.Entry entry(Seen seen, long now) {
+    private static CapacityMessage.Entry entry(EndpointLoad seen, long now) {
         News news = seen.news;
         int age = Steps.age(Math.max(0, now - news.heardAt()));
         return age > Steps.OLDEST
                 ? null
-                : new Cargo.Entry(seen.key, news.free(), news.queue(), news.calls(), age, news.source());
+                : new CapacityMessage.Entry(seen.key, news.free(), news.queue(), news.calls(), age, news.source());
     }
 
     private void sort() {
@@ -177,27 +181,27 @@
     }
 
     /** All that is known from that part of the hashes on, in their order, by datagrams of so much room. */
-    List<List<Cargo.Entry>> from(int part, long now, int room, int datagrams) {
+    List<List<CapacityMessage.Entry>> from(int part, long now, int room, int datagrams) {
         sort();
-        List<List<Cargo.Entry>> pieces = new ArrayList<>();
-        int first = Arrays.binarySearch(keys, part << Cargo.KEY_BITS - Cargo.PART_BITS);
+        List<List<CapacityMessage.Entry>> pieces = new ArrayList<>();
+        int first = Arrays.binarySearch(keys, part << CapacityMessage.KEY_BITS - CapacityMessage.PART_BITS);
         first = first < 0 ? -first - 1 : first;
-        List<Cargo.Entry> piece = new ArrayList<>();
+        List<CapacityMessage.Entry> piece = new ArrayList<>();
         List<Integer> sources = new ArrayList<>();
         int left = room;
         for (int i = 0; i < keys.length && pieces.size() < datagrams; i++) {
-            Seen seen = byKey.get(keys[(first + i) % keys.length]);
-            Cargo.Entry entry = seen == null || seen.news == null ? null : entry(seen, now);
+            EndpointLoad seen = byKey.get(keys[(first + i) % keys.length]);
+            CapacityMessage.Entry entry = seen == null || seen.news == null ? null : entry(seen, now);
             if (entry == null) {
                 continue;
             }
-            int bytes = Cargo.ENTRY + (sources.contains(entry.source()) ? 0 : Cargo.SOURCE);
-            if (bytes > left || sources.size() >= Cargo.MOST_SOURCES) {
+            int bytes = CapacityMessage.ENTRY + (sources.contains(entry.source()) ? 0 : CapacityMessage.SOURCE);
+            if (bytes > left || sources.size() >= CapacityMessage.MOST_SOURCES) {
                 pieces.add(piece);
                 piece = new ArrayList<>();
                 sources.clear();
                 left = room;
-                bytes = Cargo.ENTRY + Cargo.SOURCE;
+                bytes = CapacityMessage.ENTRY + CapacityMessage.SOURCE;
             }
             left -= bytes;
             if (!sources.contains(entry.source())) {
@@ -217,12 +221,12 @@
             return -1;
         }
         sort();
-        int first = Arrays.binarySearch(keys, from << Cargo.KEY_BITS - Cargo.PART_BITS);
+        int first = Arrays.binarySearch(keys, from << CapacityMessage.KEY_BITS - CapacityMessage.PART_BITS);
         first = first < 0 ? -first - 1 : first;
         for (int i = 0; i < keys.length; i++) {
-            Seen seen = byKey.get(keys[(first + i) % keys.length]);
+            EndpointLoad seen = byKey.get(keys[(first + i) % keys.length]);
             if (seen != null && seen.news == null) {
-                return seen.key >> Cargo.KEY_BITS - Cargo.PART_BITS;
+                return seen.key >> CapacityMessage.KEY_BITS - CapacityMessage.PART_BITS;
             }
         }
         return -1;
--- a/src/main/java/laneflow/capacity/decision/Demand.java
+++ b/src/main/java/laneflow/capacity/decision/Demand.java
@@ -50,7 +50,7 @@
      * schedulers of the zone, weighted by what each asks for, so that shares move little when demand does.
      */
     boolean isOwn(long endpoint, int zone, int self, int own) {
-        double mine = score(endpoint, self, Cargo.demandOf(own));
+        double mine = score(endpoint, self, CapacityMessage.demandOf(own));
         for (Map.Entry<Integer, Told> other : others.entrySet()) {
             if (other.getValue().zone == zone && score(endpoint, other.getKey(), other.getValue().perSecond) > mine) {
                 return false;
--- a/src/main/java/laneflow/capacity/decision/Seen.java
+++ b/src/main/java/laneflow/capacity/decision/EndpointLoad.java
@@ -1,7 +1,7 @@
 package laneflow.capacity.decision;
 
 /** One endpoint that is listed here: what was heard of it last, and the own calls there of late. */
-final class Seen {
+final class EndpointLoad {
     /** Own calls remembered, those that have ended included: as many as news may be older than. */
     private static final int CALLS = 16;
 
@@ -34,13 +34,13 @@
     private final long[] endedAt = new long[CALLS];
     private int calls;
 
-    Seen(long id, int zone, String block, Size size, long bornMs) {
+    EndpointLoad(long id, int zone, String block, Size size, long bornMs) {
         this.id = id;
         this.zone = zone;
         this.block = block;
         this.size = size;
         this.bornMs = bornMs;
-        key = Cargo.key(id, bornMs);
+        key = CapacityMessage.key(id, bornMs);
     }
 
     void sent(long now) {
--- a/src/main/java/laneflow/capacity/decision/Weighing.java
+++ b/src/main/java/laneflow/capacity/decision/LoadEstimator.java
@@ -5,7 +5,7 @@
  * free endpoint that is told to all is full when all have picked it: ways to see to that are of this form, so
  * that they can be played against each other ({@code laneflow.lab.world.CapacityWorld}).
  */
-public interface Weighing {
+public interface LoadEstimator {
     /**
      * News as it comes in.
      *
@@ -41,7 +41,7 @@
     }
 
     /** Between what was known and what is told, by the age of the news and the credit of who told it. */
-    Weighing BLEND = news -> news.known() + news.credit() * weight(news.age()) * (news.told() - news.known());
+    LoadEstimator BLEND = news -> news.known() + news.credit() * weight(news.age()) * (news.told() - news.known());
 
     /** So many times the measured overshoot is taken off the room that is told. */
     double DAMPING = 2;
@@ -50,7 +50,7 @@
      * The same, but of the room told beyond what was known so much the less is believed as room told before
      * was found gone: the more have picked the same endpoints, the less anybody makes of such news.
      */
-    Weighing DAMPED = news -> {
+    LoadEstimator DAMPED = news -> {
         double blend = BLEND.others(news);
         return Math.max(blend, Math.min(news.known(), blend + DAMPING * news.overshoot() * news.room()));
     };
@@ -66,7 +66,7 @@
      * by those who ask for more. All that believe the same news pick the same endpoints, so news of what is
      * known costs more than it gains (docs/capacity-gossip.md).
      */
-    Weighing SPARING = news -> news.known() + news.out() >= news.slots() - ALMOST
+    LoadEstimator SPARING = news -> news.known() + news.out() >= news.slots() - ALMOST
                     && news.told() < news.known()
                     && news.draw() < TOLD_MEAN * news.share()
             ? DAMPED.others(news)
--- a/src/main/java/laneflow/capacity/decision/Trust.java
+++ b/src/main/java/laneflow/capacity/decision/SourceReliability.java
@@ -9,7 +9,7 @@
  * older than it says, errs one way or more than all others do. Nobody is believed before some comparisons
  * as much as behind them, and nobody's word beside one's own report.
  */
-final class Trust {
+final class SourceReliability {
     /** So many sources are remembered, the least recently heard of go first. */
     private static final int MOST = 1024;
 
--- a/src/main/java/laneflow/lab/world/CapacityWorld.java
+++ b/src/main/java/laneflow/lab/world/CapacityWorld.java
@@ -8,7 +8,7 @@
 import java.util.PriorityQueue;
 import java.util.SplittableRandom;
 import laneflow.capacity.decision.Capacity;
-import laneflow.capacity.decision.Weighing;
+import laneflow.capacity.decision.LoadEstimator;
 import laneflow.core.Endpoint;
 import laneflow.decision.Dispatch;
 import laneflow.decision.Dispatch.JobClass;
@@ -67,7 +67,7 @@
             double load,
             double seconds,
             long seed,
-            Weighing news,
+            LoadEstimator news,
             boolean central,
             double lost,
             double delay,
--- a/src/test/java/laneflow/capacity/decision/CapacityTest.java
+++ b/src/test/java/laneflow/capacity/decision/CapacityTest.java
@@ -30,7 +30,7 @@
 
         private Site(int number, int endpoints) {
             this.number = number;
-            capacity = new Capacity(number, 0, Weighing.BLEND, this);
+            capacity = new Capacity(number, 0, LoadEstimator.BLEND, this);
             for (int i = 1; i <= endpoints; i++) {
                 capacity.listed(i, 0, 0, "b" + i % 2, 0);
             }
@@ -124,7 +124,7 @@
     void whatWasUnderWayForLongIsOldWhateverClocksShow() {
         knowSize();
         long wrong = 3_600_000_000L;
-        Capacity hourAhead = new Capacity(3, 0, Weighing.BLEND, one);
+        Capacity hourAhead = new Capacity(3, 0, LoadEstimator.BLEND, one);
         hourAhead.listed(7, 0, 0, "", 0);
         for (int i = 0; i < 3; i++) {
             hourAhead.sent(wrong + i, 7);
--- a/src/test/java/laneflow/capacity/decision/NewsTest.java
+++ b/src/test/java/laneflow/capacity/decision/NewsTest.java
@@ -68,23 +68,24 @@
             @ForAll @IntRange(min = -1, max = 255) int wants,
             @ForAll @Size(max = 30) List<@IntRange(max = 0xffffff) Integer> keys)
             throws IOException {
-        List<Cargo.Entry> entries = new ArrayList<>();
+        List<CapacityMessage.Entry> entries = new ArrayList<>();
         for (int key : keys) {
-            entries.add(new Cargo.Entry(key, key & 15, key >> 4 & 15, key >> 8 & 15, key >> 12 & 63, key % 61 * 1000));
+            entries.add(new CapacityMessage.Entry(
+                    key, key & 15, key >> 4 & 15, key >> 8 & 15, key >> 12 & 63, key % 61 * 1000));
         }
-        Cargo cargo = new Cargo(stamp, demand, wants, entries);
+        CapacityMessage cargo = new CapacityMessage(stamp, demand, wants, entries);
         byte[] bytes = cargo.write();
-        assertEquals(cargo, Cargo.read(bytes));
-        for (int cut = 0; cut < Math.min(bytes.length, Cargo.HEAD); cut++) {
+        assertEquals(cargo, CapacityMessage.read(bytes));
+        for (int cut = 0; cut < Math.min(bytes.length, CapacityMessage.HEAD); cut++) {
             byte[] less = java.util.Arrays.copyOf(bytes, cut);
-            assertThrows(IOException.class, () -> Cargo.read(less));
+            assertThrows(IOException.class, () -> CapacityMessage.read(less));
         }
     }
 
     @Property
     void garbageIsReadOrTurnedDownAndNothingElse(@ForAll @Size(max = 200) byte[] bytes) {
         try {
-            Cargo cargo = Cargo.read(bytes);
+            CapacityMessage cargo = CapacityMessage.read(bytes);
             assertTrue(cargo.demand() <= 31 && cargo.wants() <= 255);
         } catch (IOException e) {
             assertTrue(e.getMessage().startsWith("capacity news"));
--- a/src/test/java/laneflow/lab/world/CapacityWorldTest.java
+++ b/src/test/java/laneflow/lab/world/CapacityWorldTest.java
@@ -3,7 +3,7 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import laneflow.capacity.decision.Weighing;
+import laneflow.capacity.decision.LoadEstimator;
 import laneflow.lab.world.CapacityWorld.Day;
 import laneflow.lab.world.CapacityWorld.Fault;
 import laneflow.lab.world.CapacityWorld.Result;
@@ -11,7 +11,7 @@
 
 /** Days of a fleet in virtual time, with the module itself deciding: what news of capacity does to it. */
 class CapacityWorldTest {
-    private static Result day(Weighing news, double lost, Fault fault) {
+    private static Result day(LoadEstimator news, double lost, Fault fault) {
         return CapacityWorld.play(new Day(36, 180, 6, 1, 0.7, 4, 7, news, false, lost, 0.002, fault));
     }
 
@@ -26,12 +26,12 @@
         assertEquals(without.late, heard.late);
         assertEquals(without.refused, heard.refused);
         // Where all is lost it is the same.
-        Result lost = day(Weighing.SPARING, 1, Fault.NONE);
+        Result lost = day(LoadEstimator.SPARING, 1, Fault.NONE);
         assertEquals(without.inTime, lost.inTime);
         assertEquals(without.refused, lost.refused);
     }
 
-    private static Result fullDay(Weighing news) {
+    private static Result fullDay(LoadEstimator news) {
         return CapacityWorld.play(new Day(36, 180, 6, 1, 1.0, 4, 7, news, false, 0, 0.002, Fault.NONE));
     }
 
@@ -39,7 +39,7 @@
     @Test
     void newsLetsFewerBeRefusedWhileAnEndpointHasRoom() {
         Result without = fullDay(null);
-        Result with = fullDay(Weighing.SPARING);
+        Result with = fullDay(LoadEstimator.SPARING);
         assertTrue(without.idleRefused > 50 && with.news > 0, without.idleRefused + " and " + with.news);
         assertTrue(with.idleRefused < 0.8 * without.idleRefused, with.idleRefused + " of " + without.idleRefused);
         assertTrue(with.mostBytes <= 200);
@@ -47,9 +47,9 @@
 
     @Test
     void aLiarCostsLessThanAPoint() {
-        Result honest = day(Weighing.SPARING, 0, Fault.NONE);
+        Result honest = day(LoadEstimator.SPARING, 0, Fault.NONE);
         for (Fault lie : new Fault[] {Fault.LIAR_FREE, Fault.LIAR_FULL}) {
-            Result lied = day(Weighing.SPARING, 0, lie);
+            Result lied = day(LoadEstimator.SPARING, 0, lie);
             assertTrue(lied.points() > honest.points() - 1, lie + ": " + lied.points() + " of " + honest.points());
         }
     }
