--- a/src/main/java/laneflow/control/TypeRun.java
+++ b/src/main/java/laneflow/control/TypeRun.java
@@ -6,8 +6,8 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.Executor;
-import laneflow.control.decision.Track;
 import laneflow.control.decision.Version;
+import laneflow.control.decision.VersionTracker;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -19,7 +19,7 @@
     private static final Logger LOG = LoggerFactory.getLogger(TypeRun.class);
 
     final ResourceType type;
-    final Track track = new Track();
+    final VersionTracker track = new VersionTracker();
     /** What runs; null where nothing does that came by a version. Its content is never changed. */
     JsonArray running;
 
--- a/src/main/java/laneflow/control/decision/Track.java
+++ b/src/main/java/laneflow/control/decision/VersionTracker.java
@@ -12,7 +12,7 @@
  * that runs, with the reason; both carry the response's nonce. No I/O, no clock: the same messages in any
  * order end at the same version, the greatest that is acceptable and was not taken back.
  */
-public final class Track {
+public final class VersionTracker {
     /** Refusals remembered; the oldest is forgotten first, and its version would be looked at again. */
     private static final int MOST_REFUSED = 256;
 
--- a/src/main/java/laneflow/maintenance/Coordination.java
+++ b/src/main/java/laneflow/maintenance/Coordination.java
@@ -34,7 +34,7 @@
     private final Planning planning;
     private final Deadline due;
     private Rider rides;
-    private Picture picture;
+    private CoordinatorSnapshot picture;
     private long heardAt;
     private long token = -1;
     private boolean busy;
@@ -101,7 +101,7 @@
             return;
         }
         boolean first = picture == null;
-        picture = Picture.of(word, picture);
+        picture = CoordinatorSnapshot.of(word, picture);
         heardAt = loop.micros();
         if (ops != null && picture.done() >= id) {
             ops = null;
@@ -148,7 +148,7 @@
     }
 
     private void work() {
-        Picture of = picture;
+        CoordinatorSnapshot of = picture;
         long by = token;
         busy = true;
         try {
--- a/src/main/java/laneflow/maintenance/Picture.java
+++ b/src/main/java/laneflow/maintenance/CoordinatorSnapshot.java
@@ -18,7 +18,7 @@
  * @param demand slots asked for, by tenant and class; the last row is that of tenants that are not known
  * @param done the number of the coordinator's last word that was carried out
  */
-record Picture(
+record CoordinatorSnapshot(
         int term,
         WindowLedger.View view,
         Set<String> clear,
@@ -43,9 +43,9 @@
     }
 
     /** @param before the one had before, for its view, or null */
-    static Picture of(JsonObject from, Picture before) {
+    static CoordinatorSnapshot of(JsonObject from, CoordinatorSnapshot before) {
         WindowLedger.View view = from.has("view") ? WindowLedger.View.of(from.getAsJsonObject("view")) : before.view();
-        return new Picture(
+        return new CoordinatorSnapshot(
                 from.get("term").getAsInt(),
                 view,
                 texts(from, "clear"),
--- a/src/main/java/laneflow/maintenance/Maintenance.java
+++ b/src/main/java/laneflow/maintenance/Maintenance.java
@@ -172,9 +172,9 @@
         }
         JsonObject all = new JsonObject();
         all.addProperty("policy", seen.policy());
-        all.add("busy", Picture.texts(seen.busy()));
-        all.add("lost", Picture.texts(seen.lost()));
-        all.add("demand", Picture.rows(demand));
+        all.add("busy", CoordinatorSnapshot.texts(seen.busy()));
+        all.add("lost", CoordinatorSnapshot.texts(seen.lost()));
+        all.add("demand", CoordinatorSnapshot.rows(demand));
         if (coordination != null) {
             coordination.say(all);
         }
@@ -237,10 +237,12 @@
                 now,
                 who,
                 new Sending.Said(
-                        said.get("policy").getAsLong(), Picture.texts(said, "busy"), Picture.texts(said, "lost")));
+                        said.get("policy").getAsLong(),
+                        CoordinatorSnapshot.texts(said, "busy"),
+                        CoordinatorSnapshot.texts(said, "lost")));
         Follower follower = followers.computeIfAbsent(who, name -> new Follower());
         follower.heardAt = now;
-        follower.demand = Picture.rows(said.getAsJsonArray("demand"));
+        follower.demand = CoordinatorSnapshot.rows(said.getAsJsonArray("demand"));
         follower.token = said.has("token") ? said.get("token").getAsLong() : -1;
         follower.known = said.has("known") ? said.get("known").getAsString() : "";
         if (said.has("ops") && said.get("id").getAsLong() > follower.taken && follower.open == 0) {
@@ -282,7 +284,7 @@
         if (follower == null || follower.token < 0 || view == null) {
             return null;
         }
-        Picture picture = picture(follower.done);
+        CoordinatorSnapshot picture = picture(follower.done);
         return picture.json(follower.known.equals(term + "/" + view.version()));
     }
 
@@ -297,7 +299,7 @@
     // ---- what the leader knows ----
 
     /** Null where this process does not lead, or no majority has confirmed it yet. */
-    Picture picture(long done) {
+    CoordinatorSnapshot picture(long done) {
         if (sending == null || view == null) {
             return null;
         }
@@ -316,11 +318,12 @@
             if (now - one.heardAt <= by.lease()) {
                 demand = demand.length < one.demand.length ? larger(one.demand, demand) : demand;
                 if (demand != one.demand) {
-                    Picture.add(demand, one.demand);
+                    CoordinatorSnapshot.add(demand, one.demand);
                 }
             }
         }
-        return new Picture(term, view, clear, sending.hasBegun(now, view.inForce()), sending.lost(now), demand, done);
+        return new CoordinatorSnapshot(
+                term, view, clear, sending.hasBegun(now, view.inForce()), sending.lost(now), demand, done);
     }
 
     private static double[][] larger(double[][] form, double[][] with) {
@@ -328,7 +331,7 @@
         for (int i = 0; i < form.length; i++) {
             all[i] = new double[form[i].length];
         }
-        Picture.add(all, with);
+        CoordinatorSnapshot.add(all, with);
         return all;
     }
 
--- a/src/main/java/laneflow/maintenance/MaintenancePort.java
+++ b/src/main/java/laneflow/maintenance/MaintenancePort.java
@@ -124,7 +124,7 @@
             all.addProperty("policy", view.inForce());
             all.addProperty("away", view.windows().away());
             if (config != null) {
-                all.add("racks", Picture.texts(config.names()));
+                all.add("racks", CoordinatorSnapshot.texts(config.names()));
             }
             JsonArray windows = new JsonArray();
             view.windows().all().forEach(one -> windows.add(told(one)));
@@ -139,10 +139,12 @@
         JsonObject one = new JsonObject();
         one.addProperty("name", window.name());
         one.addProperty("owner", window.request().owner());
-        one.add("racks", Picture.texts(window.request().racks()));
+        one.add("racks", CoordinatorSnapshot.texts(window.request().racks()));
         all.entrySet().forEach(entry -> one.add(entry.getKey(), entry.getValue()));
         if (window.state() == Windows.State.DRAINING) {
-            one.add("sending", Picture.texts(rider.sends(window.request().racks())));
+            one.add(
+                    "sending",
+                    CoordinatorSnapshot.texts(rider.sends(window.request().racks())));
         }
         return one;
     }
@@ -208,7 +210,7 @@
                 return;
             }
         }
-        Picture picture = rider.picture(0);
+        CoordinatorSnapshot picture = rider.picture(0);
         if (picture == null) {
             nobody(answer);
             return;
--- a/src/main/java/laneflow/maintenance/Planning.java
+++ b/src/main/java/laneflow/maintenance/Planning.java
@@ -66,7 +66,7 @@
 
     // ---- facts ----
 
-    private Coordinator.Facts facts(Picture picture, long nowMs, double[] over) {
+    private Coordinator.Facts facts(CoordinatorSnapshot picture, long nowMs, double[] over) {
         WindowLedger.View view = picture.view();
         Set<String> lost = new HashSet<>();
         Set<String> banned = new HashSet<>();
@@ -107,16 +107,16 @@
         return new Coordinator.Facts(nowMs, fairness.due(demand(picture)), lost, banned, clear, well, over);
     }
 
-    private double[][] demand(Picture picture) {
+    private double[][] demand(CoordinatorSnapshot picture) {
         double[][] demand = new double[estate.tenants().size()][estate.classes().size()];
-        Picture.add(demand, picture.demand());
+        CoordinatorSnapshot.add(demand, picture.demand());
         return demand;
     }
 
     // ---- the coordinator ----
 
     /** What whoever holds that token has to have put into the log, in this order. */
-    List<JsonObject> orders(Picture picture, long byToken, long nowMs) {
+    List<JsonObject> orders(CoordinatorSnapshot picture, long byToken, long nowMs) {
         WindowLedger.View view = picture.view();
         if (byToken != token) {
             token = byToken;
@@ -219,7 +219,7 @@
     // ---- without deciding ----
 
     /** Which times these would get now, or who stands against them; nothing is decided. */
-    JsonArray dryRun(Picture picture, List<Request> requests, long nowMs) {
+    JsonArray dryRun(CoordinatorSnapshot picture, List<Request> requests, long nowMs) {
         Windows copy = picture.view().windows().copy(this::isKnown);
         requests.forEach(one -> copy.run(Windows.request(one), rack -> false));
         Accounts known = new Accounts(config.terms.halfLifeMs());
@@ -246,7 +246,7 @@
         one.addProperty("name", name);
         one.addProperty("state", state.word());
         one.addProperty("start_ms", startMs);
-        one.add("reasons", Picture.texts(reasons));
+        one.add("reasons", CoordinatorSnapshot.texts(reasons));
         return one;
     }
 }
--- a/src/test/java/laneflow/control/TrackTest.java
+++ b/src/test/java/laneflow/control/VersionTrackerTest.java
@@ -13,9 +13,9 @@
 import laneflow.control.decision.Probation.Counts;
 import laneflow.control.decision.Probation.Verdict;
 import laneflow.control.decision.Rollout;
-import laneflow.control.decision.Track;
-import laneflow.control.decision.Track.Kind;
 import laneflow.control.decision.Version;
+import laneflow.control.decision.VersionTracker;
+import laneflow.control.decision.VersionTracker.Kind;
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
 import net.jqwik.api.constraints.IntRange;
@@ -23,7 +23,7 @@
 import org.junit.jupiter.api.Test;
 
 /** The decisions on streamed versions, by cases and over messages in any order. */
-class TrackTest {
+class VersionTrackerTest {
     private static Version version(long number, String digest) {
         return new Version(number, digest);
     }
@@ -33,7 +33,7 @@
         return version.number() % 3 == 0;
     }
 
-    private static void hear(Track track, Version offered) {
+    private static void hear(VersionTracker track, Version offered) {
         if (track.whole(offered).kind() == Kind.LOOK) {
             if (bad(offered)) {
                 track.refuse(offered, "bad");
@@ -45,7 +45,7 @@
 
     @Test
     void eachMessageHasOneAnswer() {
-        Track track = new Track();
+        VersionTracker track = new VersionTracker();
         assertEquals(Kind.LOOK, track.whole(version(4, "aa")).kind());
         track.accept(version(4, "aa"));
         track.settle();
@@ -96,13 +96,13 @@
         for (int i = 0; i < numbers.size(); i++) {
             seen.add(version(numbers.get(i), "a" + i % 3));
         }
-        Track one = new Track();
+        VersionTracker one = new VersionTracker();
         seen.forEach(version -> hear(one, version));
         Random random = new Random(shuffle);
         List<Version> otherWay = new ArrayList<>(seen);
         otherWay.addAll(seen.subList(0, random.nextInt(seen.size())));
         Collections.shuffle(otherWay, random);
-        Track other = new Track();
+        VersionTracker other = new VersionTracker();
         otherWay.forEach(version -> hear(other, version));
         Version newest = seen.stream()
                 .filter(version -> !bad(version))
