--- a/src/main/java/laneflow/decision/Logic.java
+++ b/src/main/java/laneflow/decision/Logic.java
@@ -75,7 +75,7 @@
     private final Long2ObjectHashMap<WorkerView> views = new Long2ObjectHashMap<>();
     private final Jobs jobs = new Jobs();
     private final Long2ObjectHashMap<Kind> kinds = new Long2ObjectHashMap<>();
-    private final Long2ObjectHashMap<Crowd> crowds = new Long2ObjectHashMap<>();
+    private final Long2ObjectHashMap<ZoneLoad> crowds = new Long2ObjectHashMap<>();
     private final Pool[] pools; // The ready workers of each zone; the last, for no zone, stays empty.
     private final ArrayDeque<Job> held = new ArrayDeque<>(); // Wait for reports, in order of arrival.
     private final Calls calls = new Calls();
@@ -723,7 +723,7 @@
         return settings.zones > 1 && suspect(pool.doubt, now < pool.doubt.triedAt + ZONE_TRIAL);
     }
 
-    private boolean suspect(Doubt doubt, boolean onTrial) {
+    private boolean suspect(OutlierState doubt, boolean onTrial) {
         return doubt.strikes > 0 && (now < doubt.until || onTrial && doubt.triedAt >= doubt.until);
     }
 
@@ -749,7 +749,7 @@
         }
     }
 
-    private void accuse(Doubt doubt, int enough) {
+    private void accuse(OutlierState doubt, int enough) {
         if (++doubt.inRow >= enough && now >= doubt.until) {
             double time = Math.min(SUSPECT_LONGEST, SUSPECT_FIRST * Math.pow(2, doubt.strikes++));
             doubt.until = now + time * (1 + random.nextDouble()) / 2;
@@ -812,7 +812,7 @@
         view.zone = zone;
         view.kind = entry.kind;
         view.peers = kindOf(entry);
-        view.crowd = crowds.computeIfAbsent((long) entry.kind << 32 | entry.zone, key -> new Crowd());
+        view.crowd = crowds.computeIfAbsent((long) entry.kind << 32 | entry.zone, key -> new ZoneLoad());
         view.cell = entry.cell;
         view.classes = entry.classes;
         view.abilities = entry.abilities;
--- a/src/main/java/laneflow/decision/Doubt.java
+++ b/src/main/java/laneflow/decision/OutlierState.java
@@ -1,7 +1,7 @@
 package laneflow.decision;
 
 /** What speaks against a worker, or a zone as a whole: failures without a sign of life between. */
-final class Doubt {
+final class OutlierState {
     int inRow;
     /** Times it was left alone since the last sign of life. */
     int strikes;
--- a/src/main/java/laneflow/decision/Pool.java
+++ b/src/main/java/laneflow/decision/Pool.java
@@ -9,7 +9,7 @@
     /** Share of the attempts here that were answered 'full', of late. */
     double fullShare;
 
-    final Doubt doubt = new Doubt();
+    final OutlierState doubt = new OutlierState();
     private int turn;
 
     /** An empty pool; turns begin with the worker that {@code first} points to. */
--- a/src/main/java/laneflow/decision/WorkerView.java
+++ b/src/main/java/laneflow/decision/WorkerView.java
@@ -48,7 +48,7 @@
     double reportAt = Double.NEGATIVE_INFINITY;
     double othersInReport;
     double othersMean;
-    Crowd crowd;
+    ZoneLoad crowd;
     double freeMemory;
     double memoryInReport;
     double missed;
@@ -56,7 +56,7 @@
     double workRun;
     double timeRun;
     double fullUntil = Double.NEGATIVE_INFINITY;
-    final Doubt doubt = new Doubt();
+    final OutlierState doubt = new OutlierState();
     final SendLog coldLog = new SendLog();
 
     WorkerView(long id, Settings settings) {
--- a/src/main/java/laneflow/decision/Crowd.java
+++ b/src/main/java/laneflow/decision/ZoneLoad.java
@@ -1,7 +1,7 @@
 package laneflow.decision;
 
 /** The siblings' jobs on one zone's workers of one kind. */
-final class Crowd {
+final class ZoneLoad {
     /** Mean part of a worker's slots that they take, as last heard. */
     double load;
 
