--- a/src/main/java/laneflow/cli/JobsCommand.java
+++ b/src/main/java/laneflow/cli/JobsCommand.java
@@ -19,7 +19,7 @@
 import laneflow.durable.State;
 import laneflow.durable.Store;
 import laneflow.durable.StoreMaintenance;
-import laneflow.durable.decision.Attempt;
+import laneflow.durable.decision.AttemptRecord;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Model.CommandSpec;
 import picocli.CommandLine.Option;
@@ -110,7 +110,7 @@
             to.addProperty("accepted_ms", row.acceptedMs());
             to.addProperty("changed_ms", row.changedMs());
             JsonArray attempts = new JsonArray();
-            for (Attempt attempt : row.attempts()) {
+            for (AttemptRecord attempt : row.attempts()) {
                 JsonObject one = new JsonObject();
                 one.addProperty("lease", attempt.number());
                 one.addProperty("endpoint", attempt.endpoint());
@@ -215,7 +215,7 @@
                         .append(", ")
                         .append(row.bodyBytes())
                         .append(" bytes\n");
-                for (Attempt attempt : row.attempts()) {
+                for (AttemptRecord attempt : row.attempts()) {
                     text.append("  lease ")
                             .append(attempt.number())
                             .append(" at ")
--- a/src/main/java/laneflow/control/Warmup.java
+++ b/src/main/java/laneflow/control/Warmup.java
@@ -5,11 +5,11 @@
 import com.google.gson.JsonParser;
 import java.util.List;
 import laneflow.config.AddressRange;
+import laneflow.core.Attempt;
 import laneflow.core.Carrier;
 import laneflow.core.Counters;
 import laneflow.core.Deadlines;
 import laneflow.core.Endpoint;
-import laneflow.core.OutboundCall;
 import laneflow.core.Scheduler;
 import laneflow.decision.Dispatch.JobClass;
 import laneflow.decision.Dispatch.Settings;
@@ -75,12 +75,12 @@
     /** The carrier of endpoints that are never called. */
     private static final class Nobody implements Carrier {
         @Override
-        public void open(OutboundCall call) {
+        public void open(Attempt call) {
             throw new IllegalStateException("nobody asks here");
         }
 
         @Override
-        public boolean close(OutboundCall call) {
+        public boolean close(Attempt call) {
             throw new IllegalStateException("nobody asks here");
         }
 
--- a/src/main/java/laneflow/core/OutboundCall.java
+++ b/src/main/java/laneflow/core/Attempt.java
@@ -1,7 +1,7 @@
 package laneflow.core;
 
 /** One attempt of a request at one endpoint. */
-public final class OutboundCall {
+public final class Attempt {
     public final Request request;
     public final Endpoint endpoint;
     final int number;
@@ -12,7 +12,7 @@
     /** What its carrier keeps about it. */
     public Object attachment;
 
-    OutboundCall(Request request, Endpoint endpoint, int number, long sentAt) {
+    Attempt(Request request, Endpoint endpoint, int number, long sentAt) {
         this.request = request;
         this.endpoint = endpoint;
         this.number = number;
--- a/src/main/java/laneflow/core/Carrier.java
+++ b/src/main/java/laneflow/core/Carrier.java
@@ -3,13 +3,13 @@
 /** How outbound calls reach an endpoint. Ends are told by {@link Scheduler#ended}, exactly once a call. */
 public interface Carrier {
     /** Sends the call's request; before its first byte {@link Scheduler#mayBegin} is asked. */
-    void open(OutboundCall call);
+    void open(Attempt call);
 
     /**
      * Nobody waits for this call any more; its end is not to be told. True if it can't have run: its endpoint
      * has not got, and will not get, the request's last byte.
      */
-    boolean close(OutboundCall call);
+    boolean close(Attempt call);
 
     /**
      * Closes a call whose endpoint has not got the request's last byte; one that has got it goes on. Its end
@@ -17,7 +17,7 @@
      *
      * @return true if it was closed, and so can't have run; a carrier that can't tell leaves it
      */
-    default boolean closeUnsent(OutboundCall call) {
+    default boolean closeUnsent(Attempt call) {
         return false;
     }
 
--- a/src/main/java/laneflow/core/Front.java
+++ b/src/main/java/laneflow/core/Front.java
@@ -28,16 +28,16 @@
     }
 
     /** A call is to go out: it does once {@link Scheduler#open} is called, or ends unsent. */
-    default void lease(OutboundCall call) {}
+    default void lease(Attempt call) {}
 
     /** Under leases: a call has ended, and the request may go on. */
-    default void callEnded(OutboundCall call, Outcome outcome) {}
+    default void callEnded(Attempt call, Outcome outcome) {}
 
     /** Under leases: an endpoint's word on a call that had ended already. */
-    default void late(OutboundCall call, Outcome outcome, byte[] result) {}
+    default void late(Attempt call, Outcome outcome, byte[] result) {}
 
     /** Under leases: the endpoint is at it still. */
-    default void heard(OutboundCall call) {}
+    default void heard(Attempt call) {}
 
     /** An endpoint's word on how much is done. */
     default void progress(long tag, long done, long of) {}
--- a/src/main/java/laneflow/core/Request.java
+++ b/src/main/java/laneflow/core/Request.java
@@ -46,7 +46,7 @@
     /** A call of it was taken up by an endpoint's connection, whatever came of it. */
     boolean sentOn;
 
-    OutboundCall out;
+    Attempt out;
     Deadline backstop;
     private long mayHaveRunAt = Long.MAX_VALUE;
 
--- a/src/main/java/laneflow/core/Scheduler.java
+++ b/src/main/java/laneflow/core/Scheduler.java
@@ -44,7 +44,7 @@
     private final Dispatch module;
     private final DestinationSet destinations = new DestinationSet();
     private final SlotTable<Request> requests = new SlotTable<>();
-    private final SlotTable<OutboundCall> calls = new SlotTable<>();
+    private final SlotTable<Attempt> calls = new SlotTable<>();
     /** Events that came up while the module was at work: it must not be called from its own actions. */
     private final ArrayDeque<Runnable> events = new ArrayDeque<>();
 
@@ -305,7 +305,7 @@
      * is no cancelling of work, and so not a matter of whether the settings allow it.
      */
     private void closeUnsent(Request request) {
-        OutboundCall call = request.out;
+        Attempt call = request.out;
         if (call != null && call.endpoint.carrier.closeUnsent(call)) {
             endUnlessEnded(call, Outcome.MOOT);
         }
@@ -316,7 +316,7 @@
         if (!request.answered) {
             counters.add("core.overdue");
         }
-        OutboundCall call = request.out;
+        Attempt call = request.out;
         if (call != null) {
             close(call, Outcome.TIMEOUT);
         }
@@ -347,7 +347,7 @@
     private void giveUp(Request request) {
         counters.add("core.given_up");
         event(() -> module.abandoned(now(), request.handle));
-        OutboundCall call = request.out;
+        Attempt call = request.out;
         if (call != null) {
             close(call, Outcome.CANCELLED);
         }
@@ -360,7 +360,7 @@
      * Whether a call's first byte, or its last one where that was held back, may go out at this instant: the
      * connection may have come up late, or the call may have waited to be grabbed.
      */
-    public boolean mayBegin(OutboundCall call) {
+    public boolean mayBegin(Attempt call) {
         String kept = forbidsNow(call);
         if (kept != null) {
             counters.add("core.kept." + kept);
@@ -369,7 +369,7 @@
     }
 
     /** What has come to speak against a call since it was decided on; null if nothing has. */
-    private String forbidsNow(OutboundCall call) {
+    private String forbidsNow(Attempt call) {
         if (calls.get(call.handle) != call || call.request.answered) {
             // Its client has left or has its answer.
             return "answered";
@@ -384,7 +384,7 @@
     }
 
     /** Sends a call whose lease is on record; false if it has ended meanwhile. */
-    public boolean open(OutboundCall call) {
+    public boolean open(Attempt call) {
         boolean out = calls.get(call.handle) == call;
         if (out) {
             call.endpoint.carrier.open(call);
@@ -396,7 +396,7 @@
      * A call's lease has run out. What must not run twice is listened to on: its endpoint's late word is all
      * that can still settle it.
      */
-    public void expire(OutboundCall call) {
+    public void expire(Attempt call) {
         if (calls.get(call.handle) == call) {
             counters.add("lease.expired");
             if (call.request.type.effect != Effect.UNSAFE) {
@@ -407,7 +407,7 @@
     }
 
     /** The endpoint is at it still. */
-    public void heard(OutboundCall call) {
+    public void heard(Attempt call) {
         if (calls.get(call.handle) == call && call.request.front.leases()) {
             call.request.front.heard(call);
         }
@@ -433,7 +433,7 @@
     }
 
     /** The endpoint has started on it. */
-    public void started(OutboundCall call) {
+    public void started(Attempt call) {
         counters.add("call.started");
         note(call, Note.STARTED, 0);
         heard(call);
@@ -443,7 +443,7 @@
     }
 
     /** The endpoint has done a part of it. */
-    public void progress(OutboundCall call, long done, long of) {
+    public void progress(Attempt call, long done, long of) {
         note(call, Note.PROGRESS, of > 0 ? Math.min(1, Math.max(0, (double) done / of)) : 0);
         heard(call);
         if (!call.request.answered) {
@@ -452,19 +452,19 @@
     }
 
     /** The first bytes of its final line have come and the rest has not: the endpoint has done the job. */
-    public void answering(OutboundCall call) {
+    public void answering(Attempt call) {
         counters.add("call.answering");
         note(call, Note.ANSWERING, 0);
     }
 
-    private void note(OutboundCall call, Note note, double share) {
+    private void note(Attempt call, Note note, double share) {
         if (calls.get(call.handle) == call) {
             event(() -> module.note(now(), call.request.handle, call.number, call.endpoint.id, note, share));
         }
     }
 
     /** How a call ended; the result only where it was served. One that has ended already is passed over. */
-    public void ended(OutboundCall call, Outcome outcome, byte[] result, LoadReport report) {
+    public void ended(Attempt call, Outcome outcome, byte[] result, LoadReport report) {
         Request request = call.request;
         if (calls.get(call.handle) != call) {
             if (request.front.leases()) {
@@ -512,20 +512,20 @@
     }
 
     /** Gives a call up, which ended so unless its endpoint never had the whole of it; true if that is so. */
-    private boolean close(OutboundCall call, Outcome how) {
+    private boolean close(Attempt call, Outcome how) {
         boolean unsent = call.endpoint.carrier.close(call);
         endUnlessEnded(call, unsent ? Outcome.MOOT : how);
         return unsent;
     }
 
     /** A carrier that is told to close a call may find its answer there, and tell of that first. */
-    private void endUnlessEnded(OutboundCall call, Outcome how) {
+    private void endUnlessEnded(Attempt call, Outcome how) {
         if (calls.get(call.handle) == call) {
             ended(call, how, null, null);
         }
     }
 
-    private void release(OutboundCall call) {
+    private void release(Attempt call) {
         calls.remove(call.handle);
         if (call.request.out == call) {
             call.request.out = null;
@@ -535,7 +535,7 @@
         }
     }
 
-    private void tell(OutboundCall call, Outcome outcome, boolean over, LoadReport report) {
+    private void tell(Attempt call, Outcome outcome, boolean over, LoadReport report) {
         long id = call.request.handle;
         event(() -> module.outcome(now(), id, call.number, call.endpoint.id, outcome, over, report));
     }
@@ -593,7 +593,7 @@
                 event(() -> module.outcome(now(), id, attempt, worker, Outcome.MOOT, request == null, null));
                 return;
             }
-            OutboundCall call = new OutboundCall(request, endpoint, attempt, clock.micros());
+            Attempt call = new Attempt(request, endpoint, attempt, clock.micros());
             request.calls++;
             String kept = forbids(request, endpoint);
             if (kept != null) {
--- a/src/main/java/laneflow/durable/DurableJob.java
+++ b/src/main/java/laneflow/durable/DurableJob.java
@@ -3,11 +3,11 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.function.Consumer;
+import laneflow.core.Attempt;
 import laneflow.core.Deadlines.Deadline;
 import laneflow.core.Keeper.Word;
-import laneflow.core.OutboundCall;
 import laneflow.core.Request;
-import laneflow.durable.decision.Attempt;
+import laneflow.durable.decision.AttemptRecord;
 
 /**
  * A job in memory: its row, and while it is at work its request, its lease and what its endpoint has said.
@@ -23,7 +23,7 @@
     State state;
     String reason;
     long changedMs;
-    final List<Attempt> attempts;
+    final List<AttemptRecord> attempts;
     /** Those who wait for the word that it is on disk; null once it is. */
     List<Consumer<Word>> waiters;
     /** The end that is on its way to disk, or null. */
@@ -40,7 +40,7 @@
     boolean retired;
 
     Request request;
-    OutboundCall call;
+    Attempt call;
     Deadline lease;
     long leasedAt;
     long openedAt;
@@ -73,17 +73,17 @@
     }
 
     /** An attempt by its lease's number, or null. */
-    Attempt attempt(int number) {
+    AttemptRecord attempt(int number) {
         return number >= 1 && number <= attempts.size() ? attempts.get(number - 1) : null;
     }
 
-    void know(int number, Attempt.Known known) {
+    void know(int number, AttemptRecord.Known known) {
         attempts.set(number - 1, attempts.get(number - 1).with(known));
     }
 
     /** True if some attempt may have run. */
     boolean mayHaveRun() {
-        return attempts.stream().anyMatch(Attempt::mayHaveRun);
+        return attempts.stream().anyMatch(AttemptRecord::mayHaveRun);
     }
 
     @Override
--- a/src/main/java/laneflow/durable/DurableJobs.java
+++ b/src/main/java/laneflow/durable/DurableJobs.java
@@ -6,19 +6,19 @@
 import java.util.Map;
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
+import laneflow.core.Attempt;
 import laneflow.core.Clock;
 import laneflow.core.Counters;
 import laneflow.core.Deadlines;
 import laneflow.core.Front;
 import laneflow.core.Keeper;
-import laneflow.core.OutboundCall;
 import laneflow.core.Payload;
 import laneflow.core.Request;
 import laneflow.core.Scheduler;
 import laneflow.decision.Dispatch.JobClass;
 import laneflow.decision.Dispatch.Outcome;
-import laneflow.durable.decision.Attempt;
-import laneflow.durable.decision.Attempt.Known;
+import laneflow.durable.decision.AttemptRecord;
+import laneflow.durable.decision.AttemptRecord.Known;
 import laneflow.durable.decision.Quota;
 import laneflow.durable.decision.Settlement;
 import laneflow.durable.decision.Settlement.Verdict;
@@ -151,7 +151,7 @@
             quota.add(job.jobClass, row.bodyBytes());
         }
         // Its call died with the process that made it: it may have run.
-        for (Attempt attempt : row.attempts()) {
+        for (AttemptRecord attempt : row.attempts()) {
             if (attempt.known() == Known.OUT) {
                 job.know(attempt.number(), Known.MAY_HAVE_RUN);
             }
@@ -413,7 +413,7 @@
         request.unique = row.function().isEmpty() || row.key().isEmpty()
                 ? null
                 : row.key().substring("gearman/".length() + row.function().length() + 1);
-        for (Attempt attempt : job.attempts) {
+        for (AttemptRecord attempt : job.attempts) {
             if (attempt.mayHaveRun()) {
                 request.ranAt(now - (nowMs - attempt.leasedMs()) * 1000);
             }
@@ -430,18 +430,18 @@
 
     /** The lease goes to disk, and only then the call's first byte out. */
     @Override
-    public void lease(OutboundCall call) {
+    public void lease(Attempt call) {
         DurableJob job = table.get(call.request.tag);
         if (job == null
                 || job.request != call.request
                 || draining
-                || job.attempts.stream().filter(Attempt::mayHaveRun).count() >= MOST_ATTEMPTS) {
+                || job.attempts.stream().filter(AttemptRecord::mayHaveRun).count() >= MOST_ATTEMPTS) {
             scheduler.ended(call, Outcome.MOOT, null, null);
             return;
         }
         long nowMs = Math.max(wall.getAsLong(), latestMs);
-        Attempt attempt =
-                new Attempt(job.attempts.size() + 1, call.endpoint.name, nowMs, nowMs + job.terms.leaseMs, Known.OUT);
+        AttemptRecord attempt =
+                new AttemptRecord(job.attempts.size() + 1, call.endpoint.name, nowMs, nowMs + job.terms.leaseMs, Known.OUT);
         job.attempts.add(attempt);
         call.lease = attempt.number();
         job.call = call;
@@ -455,7 +455,7 @@
         }
     }
 
-    private void leased(DurableJob job, OutboundCall call, StoreException failure) {
+    private void leased(DurableJob job, Attempt call, StoreException failure) {
         if (failure != null) {
             storeTrouble(failure);
             unleased(job, call);
@@ -478,7 +478,7 @@
         scheduler.open(call);
     }
 
-    private void unleased(DurableJob job, OutboundCall call) {
+    private void unleased(DurableJob job, Attempt call) {
         job.know(call.lease, Known.NEVER_RAN);
         scheduler.ended(call, Outcome.MOOT, null, null);
     }
@@ -486,7 +486,7 @@
     // ---- at work ----
 
     @Override
-    public void heard(OutboundCall call) {
+    public void heard(Attempt call) {
         DurableJob job = table.get(call.request.tag);
         if (job == null || job.call != call || !job.opened) {
             return;
@@ -502,7 +502,7 @@
         // On disk it need not be exact: a third of a lease late only makes the record read shorter.
         if (now - job.recordedAt > of.leaseMs * 1000 / 3) {
             job.recordedAt = now;
-            Attempt attempt = job.attempt(call.lease);
+            AttemptRecord attempt = job.attempt(call.lease);
             long nowMs = wall.getAsLong();
             job.attempts.set(call.lease - 1, attempt.until(nowMs + (until - now) / 1000));
             journal.write(Op.move(job.id(), State.RUNNING, job.attempts, nowMs), this::noted);
@@ -526,7 +526,7 @@
     }
 
     @Override
-    public void callEnded(OutboundCall call, Outcome outcome) {
+    public void callEnded(Attempt call, Outcome outcome) {
         DurableJob job = table.get(call.request.tag);
         if (job == null || letGo || job.call != call || call.lease == 0) {
             return;
@@ -553,7 +553,7 @@
 
     /** A word on an attempt that had ended: it counts by its lease. */
     @Override
-    public void late(OutboundCall call, Outcome outcome, byte[] result) {
+    public void late(Attempt call, Outcome outcome, byte[] result) {
         if (outcome == Outcome.OK || outcome == Outcome.ERROR) {
             late(call.request.tag, call.lease, outcome == Outcome.OK, result);
         }
@@ -562,7 +562,7 @@
     @Override
     public boolean late(long id, int lease, boolean served, byte[] result) {
         DurableJob job = table.get(id);
-        Attempt attempt = job == null ? null : job.attempt(lease);
+        AttemptRecord attempt = job == null ? null : job.attempt(lease);
         if (attempt == null
                 || job.jobClass < 0
                 || !attempt.mayHaveRun()
@@ -757,7 +757,7 @@
 
     private View view(DurableJob job, byte[] result) {
         List<Try> tries = new ArrayList<>();
-        for (Attempt attempt : job.attempts) {
+        for (AttemptRecord attempt : job.attempts) {
             tries.add(new Try(
                     attempt.number(),
                     attempt.endpoint(),
--- a/src/main/java/laneflow/durable/JobRow.java
+++ b/src/main/java/laneflow/durable/JobRow.java
@@ -1,7 +1,7 @@
 package laneflow.durable;
 
 import java.util.List;
-import laneflow.durable.decision.Attempt;
+import laneflow.durable.decision.AttemptRecord;
 
 /**
  * A job as the store holds it: what was taken on, which never changes, and where it stands.
@@ -32,7 +32,7 @@
         int bodyBytes,
         byte[] body,
         State state,
-        List<Attempt> attempts,
+        List<AttemptRecord> attempts,
         String reason,
         long changedMs,
         long notBeforeMs) {
@@ -56,7 +56,7 @@
             int bodyBytes,
             byte[] body,
             State state,
-            List<Attempt> attempts,
+            List<AttemptRecord> attempts,
             String reason,
             long changedMs) {
         this(
@@ -110,7 +110,7 @@
     }
 
     /** The same where it stands now. */
-    public JobRow at(State now, List<Attempt> record, String why, long instantMs) {
+    public JobRow at(State now, List<AttemptRecord> record, String why, long instantMs) {
         return new JobRow(
                 id,
                 jobClass,
--- a/src/main/java/laneflow/durable/Op.java
+++ b/src/main/java/laneflow/durable/Op.java
@@ -1,7 +1,7 @@
 package laneflow.durable;
 
 import java.util.List;
-import laneflow.durable.decision.Attempt;
+import laneflow.durable.decision.AttemptRecord;
 
 /**
  * One change of the store. Ops of one batch are on disk all together or not at all.
@@ -10,7 +10,7 @@
  * @param result for END, where there is one
  */
 public record Op(
-        Kind kind, long id, JobRow row, State state, List<Attempt> attempts, String reason, byte[] result, long atMs) {
+        Kind kind, long id, JobRow row, State state, List<AttemptRecord> attempts, String reason, byte[] result, long atMs) {
 
     /** What an op does. */
     public enum Kind {
@@ -31,7 +31,7 @@
     }
 
     /** A lease, a heartbeat, or the way back into the queue. */
-    static Op move(long id, State state, List<Attempt> attempts, long atMs) {
+    static Op move(long id, State state, List<AttemptRecord> attempts, long atMs) {
         return new Op(Kind.MOVE, id, null, state, List.copyOf(attempts), "", null, atMs);
     }
 
@@ -41,7 +41,7 @@
     }
 
     /** Its end, with the result where it was served. */
-    static Op end(long id, State state, List<Attempt> attempts, String reason, byte[] result, long atMs) {
+    static Op end(long id, State state, List<AttemptRecord> attempts, String reason, byte[] result, long atMs) {
         return new Op(Kind.END, id, null, state, List.copyOf(attempts), reason, result, atMs);
     }
 
--- a/src/main/java/laneflow/durable/RowCodec.java
+++ b/src/main/java/laneflow/durable/RowCodec.java
@@ -10,8 +10,8 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.zip.CRC32C;
-import laneflow.durable.decision.Attempt;
-import laneflow.durable.decision.Attempt.Known;
+import laneflow.durable.decision.AttemptRecord;
+import laneflow.durable.decision.AttemptRecord.Known;
 
 /**
  * The forms on disk: attempts as JSON, which people with a SQL shell can read, and a CRC-32C over each row.
@@ -23,12 +23,12 @@
 
     private RowCodec() {}
 
-    static String attempts(List<Attempt> attempts) {
+    static String attempts(List<AttemptRecord> attempts) {
         if (attempts.isEmpty()) {
             return "";
         }
         JsonArray all = new JsonArray();
-        for (Attempt attempt : attempts) {
+        for (AttemptRecord attempt : attempts) {
             JsonObject one = new JsonObject();
             one.addProperty("n", attempt.number());
             one.addProperty("to", attempt.endpoint());
@@ -40,13 +40,13 @@
         return all.toString();
     }
 
-    static List<Attempt> attempts(String text) {
-        List<Attempt> attempts = new ArrayList<>();
+    static List<AttemptRecord> attempts(String text) {
+        List<AttemptRecord> attempts = new ArrayList<>();
         if (!text.isEmpty()) {
             try {
                 for (JsonElement element : JsonParser.parseString(text).getAsJsonArray()) {
                     JsonObject one = element.getAsJsonObject();
-                    attempts.add(new Attempt(
+                    attempts.add(new AttemptRecord(
                             one.get("n").getAsInt(),
                             one.get("to").getAsString(),
                             one.get("at").getAsLong(),
--- a/src/main/java/laneflow/durable/StoreMaintenance.java
+++ b/src/main/java/laneflow/durable/StoreMaintenance.java
@@ -7,7 +7,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
-import laneflow.durable.decision.Attempt;
+import laneflow.durable.decision.AttemptRecord;
 
 /** What is done to a store while no scheduler runs on it. Blocks on the disk. */
 public final class StoreMaintenance {
@@ -43,7 +43,7 @@
         if (row == null) {
             throw new IOException("no job " + hex(id));
         }
-        if (row.state().isEnd() || row.attempts().stream().anyMatch(Attempt::mayHaveRun)) {
+        if (row.state().isEnd() || row.attempts().stream().anyMatch(AttemptRecord::mayHaveRun)) {
             throw new IOException("job " + hex(id) + " has begun, or is at its end: " + row.state());
         }
         store.write(List.of(Op.end(id, State.CANCELLED, row.attempts(), "cancelled", null, nowMs)));
--- a/src/main/java/laneflow/durable/decision/Attempt.java
+++ b/src/main/java/laneflow/durable/decision/AttemptRecord.java
@@ -8,7 +8,7 @@
  * @param leasedMs when the lease was written, before the first byte; Unix time in milliseconds
  * @param endMs when the lease runs out, as far as heartbeats have prolonged it on record
  */
-public record Attempt(int number, String endpoint, long leasedMs, long endMs, Known known) {
+public record AttemptRecord(int number, String endpoint, long leasedMs, long endMs, Known known) {
 
     /** What is known of an attempt. */
     public enum Known {
@@ -24,12 +24,12 @@
         DONE
     }
 
-    public Attempt with(Known now) {
-        return new Attempt(number, endpoint, leasedMs, endMs, now);
+    public AttemptRecord with(Known now) {
+        return new AttemptRecord(number, endpoint, leasedMs, endMs, now);
     }
 
-    public Attempt until(long prolongedMs) {
-        return new Attempt(number, endpoint, leasedMs, prolongedMs, known);
+    public AttemptRecord until(long prolongedMs) {
+        return new AttemptRecord(number, endpoint, leasedMs, prolongedMs, known);
     }
 
     /** True unless it is proven that its endpoint never began. */
--- a/src/main/java/laneflow/durable/decision/Settlement.java
+++ b/src/main/java/laneflow/durable/decision/Settlement.java
@@ -40,15 +40,15 @@
      * @param most attempts that may have run, over the job's whole life
      */
     public static Verdict decide(
-            Effect effect, List<Attempt> attempts, long windowMs, long nowMs, long latestMs, int most) {
+            Effect effect, List<AttemptRecord> attempts, long windowMs, long nowMs, long latestMs, int most) {
         int ran = 0;
         long first = Long.MAX_VALUE;
         boolean failureSaid = true;
-        for (Attempt attempt : attempts) {
+        for (AttemptRecord attempt : attempts) {
             if (attempt.mayHaveRun()) {
                 ran++;
                 first = Math.min(first, attempt.leasedMs());
-                failureSaid &= attempt.known() == Attempt.Known.SAID_FAILED;
+                failureSaid &= attempt.known() == AttemptRecord.Known.SAID_FAILED;
             }
         }
         if (ran == 0) {
--- a/src/main/java/laneflow/gearman/GearmanCarrier.java
+++ b/src/main/java/laneflow/gearman/GearmanCarrier.java
@@ -2,9 +2,9 @@
 
 import java.util.HashMap;
 import java.util.Map;
+import laneflow.core.Attempt;
 import laneflow.core.Carrier;
 import laneflow.core.Endpoint;
-import laneflow.core.OutboundCall;
 import laneflow.decision.Dispatch.Outcome;
 
 /** Outbound calls to Gearman workers: a call waits at its worker until that grabs it. */
@@ -25,7 +25,7 @@
     }
 
     @Override
-    public void open(OutboundCall call) {
+    public void open(Attempt call) {
         Worker worker = workers.get(call.endpoint.name);
         if (worker == null) {
             front.loop.later(() -> front.scheduler.ended(call, Outcome.CONNECT_FAILED, null, null));
@@ -35,13 +35,13 @@
     }
 
     @Override
-    public boolean close(OutboundCall call) {
+    public boolean close(Attempt call) {
         Worker worker = workers.get(call.endpoint.name);
         return worker != null && worker.drop(call);
     }
 
     @Override
-    public boolean closeUnsent(OutboundCall call) {
+    public boolean closeUnsent(Attempt call) {
         Worker worker = workers.get(call.endpoint.name);
         return worker != null && worker.dropWaiting(call);
     }
--- a/src/main/java/laneflow/gearman/Worker.java
+++ b/src/main/java/laneflow/gearman/Worker.java
@@ -5,10 +5,10 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import laneflow.core.Attempt;
 import laneflow.core.Deadlines.Deadline;
 import laneflow.core.DestinationSet.Entry;
 import laneflow.core.Endpoint;
-import laneflow.core.OutboundCall;
 import laneflow.core.Scheduler;
 import laneflow.decision.Dispatch.LoadReport;
 import laneflow.decision.Dispatch.Outcome;
@@ -28,7 +28,7 @@
     /** What it has named that no class stands for here; a later version may map it. */
     private final Map<String, Integer> unmapped = new LinkedHashMap<>();
     /** Calls that wait to be grabbed. */
-    private final List<OutboundCall> queue = new ArrayList<>();
+    private final List<Attempt> queue = new ArrayList<>();
 
     private final ByteArrayOutputStream data = new ByteArrayOutputStream();
     private final Deadline limit;
@@ -40,9 +40,9 @@
     private String handle;
 
     private String lastHandle = "";
-    private OutboundCall call;
+    private Attempt call;
     /** The call of the job at work, where its lease has run out; null if there is none such. */
-    private OutboundCall outlived;
+    private Attempt outlived;
 
     Worker(GearmanFront front, Peer peer, String name) {
         this.front = front;
@@ -150,7 +150,7 @@
 
     /** Gives back what waits here: all of it, or what it has no function for. */
     private void handBack(Outcome outcome, boolean all) {
-        for (OutboundCall waiting : new ArrayList<>(queue)) {
+        for (Attempt waiting : new ArrayList<>(queue)) {
             if (queue.contains(waiting) && (all || function(waiting) == null)) {
                 queue.remove(waiting);
                 scheduler.ended(waiting, outcome, null, null);
@@ -161,7 +161,7 @@
     // ---- calls ----
 
     /** The function under which it can run the call's request, or null. */
-    private String function(OutboundCall of) {
+    private String function(Attempt of) {
         if (of.request.function != null) {
             return can(of.request.function) ? of.request.function : null;
         }
@@ -173,7 +173,7 @@
         return null;
     }
 
-    void offer(OutboundCall offered) {
+    void offer(Attempt offered) {
         if (function(offered) == null) {
             // Another function of the same class: it was never sent, and another worker may have it.
             front.loop.later(() -> scheduler.ended(offered, Outcome.MOOT, null, null));
@@ -209,7 +209,7 @@
     }
 
     /** Nobody waits for this call any more; what has been assigned runs on, unheard. */
-    boolean drop(OutboundCall given) {
+    boolean drop(Attempt given) {
         boolean waited = dropWaiting(given);
         if (call == given) {
             // Under a lease its late word still counts.
@@ -221,7 +221,7 @@
     }
 
     /** The same, unless it has been assigned: then it goes on, and this is false. */
-    boolean dropWaiting(OutboundCall given) {
+    boolean dropWaiting(Attempt given) {
         boolean waited = queue.remove(given);
         if (queue.isEmpty()) {
             front.loop.deadlines().cancel(wake);
@@ -240,7 +240,7 @@
     void grab(int form) {
         asleep = false;
         front.loop.deadlines().cancel(wake);
-        OutboundCall next = handle == null ? next() : null;
+        Attempt next = handle == null ? next() : null;
         if (next == null) {
             peer.send(Packet.NO_JOB);
             return;
@@ -274,8 +274,8 @@
     }
 
     /** The first call waiting that it can run now, under the rule on drains. */
-    private OutboundCall next() {
-        for (OutboundCall waiting : queue) {
+    private Attempt next() {
+        for (Attempt waiting : queue) {
             if (function(waiting) != null && scheduler.mayBegin(waiting)) {
                 queue.remove(waiting);
                 return waiting;
@@ -367,7 +367,7 @@
 
     /** It takes longer than it said it would; under a lease a late word still counts. */
     private void overLimit() {
-        OutboundCall slow = call;
+        Attempt slow = call;
         finish(Outcome.TIMEOUT, null);
         outlived = slow != null && slow.lease > 0 ? slow : null;
     }
@@ -375,7 +375,7 @@
     /** Tells how the call at work ended; the worker may be at it still. */
     private void finish(Outcome outcome, byte[] result) {
         front.loop.deadlines().cancel(limit);
-        OutboundCall ended = call != null ? call : outlived;
+        Attempt ended = call != null ? call : outlived;
         call = null;
         outlived = null;
         if (ended != null) {
@@ -408,7 +408,7 @@
         scheduler.list(front.carrier, false, List.of(entry));
         handle = null;
         finish(Outcome.RESET, null);
-        for (OutboundCall waiting : new ArrayList<>(queue)) {
+        for (Attempt waiting : new ArrayList<>(queue)) {
             queue.remove(waiting);
             // Not a connect that failed: three of those make a zone suspect, and workers leave as they like.
             scheduler.ended(waiting, Outcome.MOOT, null, null);
--- a/src/main/java/laneflow/http/Answer.java
+++ b/src/main/java/laneflow/http/Answer.java
@@ -14,7 +14,7 @@
 import java.nio.charset.CharacterCodingException;
 import java.nio.charset.StandardCharsets;
 import java.util.Collection;
-import laneflow.core.OutboundCall;
+import laneflow.core.Attempt;
 import laneflow.core.Scheduler;
 import laneflow.decision.Dispatch.LoadReport;
 import laneflow.decision.Dispatch.Outcome;
@@ -28,7 +28,7 @@
 
     private final Scheduler scheduler;
     /** Null for a probe. */
-    private final OutboundCall call;
+    private final Attempt call;
     /** The ids of the jobs sent before this call on its connection. */
     private final Collection<String> before;
 
@@ -44,7 +44,7 @@
     /** A line behind that has begun to come and is not whole. */
     private boolean answering;
 
-    Answer(Scheduler scheduler, OutboundCall call, Collection<String> before) {
+    Answer(Scheduler scheduler, Attempt call, Collection<String> before) {
         this.scheduler = scheduler;
         this.call = call;
         this.before = before;
--- a/src/main/java/laneflow/http/EndpointConnection.java
+++ b/src/main/java/laneflow/http/EndpointConnection.java
@@ -4,9 +4,9 @@
 import java.util.ArrayDeque;
 import java.util.Arrays;
 import java.util.List;
+import laneflow.core.Attempt;
 import laneflow.core.Deadlines.Deadline;
 import laneflow.core.Endpoint;
-import laneflow.core.OutboundCall;
 import laneflow.core.Payload;
 import laneflow.decision.Dispatch.Outcome;
 import laneflow.decision.Dispatch.State;
@@ -58,7 +58,7 @@
     /** When its last answer was whole; 0 before the first. */
     private long restedAt;
 
-    private OutboundCall call;
+    private Attempt call;
     private long probeAt;
     /** The request's last byte, while it is held back. */
     private byte[] held;
@@ -74,7 +74,7 @@
     private long taken;
     private long tail;
     /** The call that ended on it last, if its end proves that it never ran, or null. */
-    private OutboundCall endedUnrun;
+    private Attempt endedUnrun;
 
     EndpointConnection(HttpCarrier carrier, Endpoint endpoint) {
         this.carrier = carrier;
@@ -85,7 +85,7 @@
 
     // ---- what the carrier asks of it ----
 
-    void begin(OutboundCall given) {
+    void begin(Attempt given) {
         call = given;
         call.attachment = this;
         begin();
@@ -100,7 +100,7 @@
      * Nobody is to wait for the call any more; true if it can't have run. An answer that is there, unread, is
      * read first, and told: it was in time.
      */
-    boolean giveUp(OutboundCall given) {
+    boolean giveUp(Attempt given) {
         if (call == given) {
             readWhatIsThere();
         }
@@ -114,7 +114,7 @@
     }
 
     /** The same for a call whose endpoint has not got the request's last byte; another goes on. */
-    boolean giveUpUnsent(OutboundCall given) {
+    boolean giveUpUnsent(Attempt given) {
         boolean unsent = call == given && isUnsent();
         if (unsent) {
             call = null;
@@ -390,7 +390,7 @@
 
     /** Tells how the call ended, with the connection already put away: the next call may want it. */
     private void finish(Outcome how) {
-        OutboundCall ended = call;
+        Attempt ended = call;
         long probed = probeAt;
         if (ended != null) {
             remember(ended.request.payload.requestId());
--- a/src/main/java/laneflow/http/HttpCarrier.java
+++ b/src/main/java/laneflow/http/HttpCarrier.java
@@ -3,9 +3,9 @@
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.List;
+import laneflow.core.Attempt;
 import laneflow.core.Carrier;
 import laneflow.core.Endpoint;
-import laneflow.core.OutboundCall;
 import laneflow.core.Scheduler;
 import laneflow.decision.Dispatch.Effect;
 import laneflow.net.Loop;
@@ -50,18 +50,18 @@
     }
 
     @Override
-    public void open(OutboundCall call) {
+    public void open(Attempt call) {
         take(call.endpoint, !mayRepeat(call)).begin(call);
     }
 
     @Override
-    public boolean close(OutboundCall call) {
+    public boolean close(Attempt call) {
         // Without a connection it was never opened: its lease had not been written yet.
         return !(call.attachment instanceof EndpointConnection) || ((EndpointConnection) call.attachment).giveUp(call);
     }
 
     @Override
-    public boolean closeUnsent(OutboundCall call) {
+    public boolean closeUnsent(Attempt call) {
         return !(call.attachment instanceof EndpointConnection)
                 || ((EndpointConnection) call.attachment).giveUpUnsent(call);
     }
@@ -89,7 +89,7 @@
     }
 
     /** True if the call's job may run twice. */
-    boolean mayRepeat(OutboundCall call) {
+    boolean mayRepeat(Attempt call) {
         return scheduler.settings().classes[call.request.jobClass].effect != Effect.UNSAFE;
     }
 
--- a/src/test/java/laneflow/core/FleetDay.java
+++ b/src/test/java/laneflow/core/FleetDay.java
@@ -74,7 +74,7 @@
 
     static final class Out {
         Ask ask;
-        OutboundCall call;
+        Attempt call;
         FleetEndpoint machine;
         boolean begun;
         boolean over;
@@ -156,7 +156,7 @@
         }
 
         @Override
-        public void open(OutboundCall call) {
+        public void open(Attempt call) {
             Out out = new Out();
             out.ask = asks.get((int) call.request.tag);
             out.call = call;
@@ -173,7 +173,7 @@
         }
 
         @Override
-        public boolean close(OutboundCall call) {
+        public boolean close(Attempt call) {
             Out out = (Out) call.attachment;
             out.over = true;
             if (out.there && !out.running && drawn.cancel) {
--- a/src/test/java/laneflow/core/ReplacementTest.java
+++ b/src/test/java/laneflow/core/ReplacementTest.java
@@ -22,10 +22,10 @@
 
     private static final class Nobody implements Carrier {
         @Override
-        public void open(OutboundCall call) {}
+        public void open(Attempt call) {}
 
         @Override
-        public boolean close(OutboundCall call) {
+        public boolean close(Attempt call) {
             return false;
         }
 
--- a/src/test/java/laneflow/core/SchedulerTest.java
+++ b/src/test/java/laneflow/core/SchedulerTest.java
@@ -28,8 +28,8 @@
     private long now = 1_000_000_000L;
     private final Deadlines deadlines = new Deadlines();
     private final Counters counters = new Counters();
-    private final List<OutboundCall> calls = new ArrayList<>();
-    private final List<OutboundCall> closed = new ArrayList<>();
+    private final List<Attempt> calls = new ArrayList<>();
+    private final List<Attempt> closed = new ArrayList<>();
     private final List<String> answers = new ArrayList<>();
     private Runnable onOpen = () -> {};
     private Runnable onClose = () -> {};
@@ -377,7 +377,7 @@
     private boolean neverSent;
 
     @Override
-    public void open(OutboundCall call) {
+    public void open(Attempt call) {
         calls.add(call);
         Runnable then = onOpen;
         onOpen = () -> {};
@@ -385,14 +385,14 @@
     }
 
     @Override
-    public boolean close(OutboundCall call) {
+    public boolean close(Attempt call) {
         closed.add(call);
         onClose.run();
         return neverSent;
     }
 
     @Override
-    public boolean closeUnsent(OutboundCall call) {
+    public boolean closeUnsent(Attempt call) {
         if (neverSent) {
             closed.add(call);
         }
@@ -509,7 +509,7 @@
         endpoints("a", "b");
         for (int jobClass : new int[] {SAFE, KEYED, UNSAFE}) {
             submit(jobClass);
-            OutboundCall call = calls.get(jobClass);
+            Attempt call = calls.get(jobClass);
             onClose = () -> scheduler.ended(call, Outcome.OK, new byte[0], null);
             pass(5_000_000);
             assertEquals("served", answers.get(jobClass));
@@ -547,7 +547,7 @@
         Request request = new Request(this, 0, new Payload("", "", "r", "k", new byte[0]), KEYED, now + 60_000_000);
         scheduler.submit(request);
         scheduler.ended(calls.get(0), Outcome.RESET, null, null);
-        OutboundCall again = calls.get(1);
+        Attempt again = calls.get(1);
         now += 9_900_000;
         assertTrue(scheduler.mayBegin(again));
         // Its connection comes up, or its worker grabs it, when endpoints no longer drop a repeat.
--- a/src/test/java/laneflow/core/World.java
+++ b/src/test/java/laneflow/core/World.java
@@ -78,7 +78,7 @@
     /** A call, as the endpoint's side of its connection sees it. */
     private static final class Out {
         private Ask ask;
-        private OutboundCall call;
+        private Attempt call;
         /** Its first bytes have gone out, and the last one is held back. */
         private boolean parted;
 
@@ -148,7 +148,7 @@
         }
 
         @Override
-        public void open(OutboundCall call) {
+        public void open(Attempt call) {
             Out out = new Out();
             out.ask = asks.get((int) call.request.tag);
             out.call = call;
@@ -156,7 +156,7 @@
         }
 
         @Override
-        public boolean close(OutboundCall call) {
+        public boolean close(Attempt call) {
             boolean unsent = false;
             for (Out out : outs) {
                 if (out.call == call && broken != Broken.CLOSE_NOT_HEARD) {
@@ -168,7 +168,7 @@
         }
 
         @Override
-        public boolean closeUnsent(OutboundCall call) {
+        public boolean closeUnsent(Attempt call) {
             for (Out out : outs) {
                 if (out.call == call && !out.begun && broken != Broken.SENDS_REGARDLESS) {
                     return close(call);
--- a/src/test/java/laneflow/durable/DecisionTest.java
+++ b/src/test/java/laneflow/durable/DecisionTest.java
@@ -7,8 +7,8 @@
 import java.util.ArrayList;
 import java.util.List;
 import laneflow.decision.Dispatch.Effect;
-import laneflow.durable.decision.Attempt;
-import laneflow.durable.decision.Attempt.Known;
+import laneflow.durable.decision.AttemptRecord;
+import laneflow.durable.decision.AttemptRecord.Known;
 import laneflow.durable.decision.Pacer;
 import laneflow.durable.decision.Settlement;
 import laneflow.durable.decision.Settlement.Kind;
@@ -23,15 +23,15 @@
 class DecisionTest {
     private static final long WINDOW = 10_000;
 
-    private static List<Attempt> attempts(long at, Known... known) {
-        List<Attempt> all = new ArrayList<>();
+    private static List<AttemptRecord> attempts(long at, Known... known) {
+        List<AttemptRecord> all = new ArrayList<>();
         for (Known one : known) {
-            all.add(new Attempt(all.size() + 1, "e", at, at + 500, one));
+            all.add(new AttemptRecord(all.size() + 1, "e", at, at + 500, one));
         }
         return all;
     }
 
-    private static Verdict decide(Effect effect, long nowMs, List<Attempt> attempts) {
+    private static Verdict decide(Effect effect, long nowMs, List<AttemptRecord> attempts) {
         return Settlement.decide(effect, attempts, WINDOW, nowMs, 1000, 5);
     }
 
@@ -65,8 +65,8 @@
 
     @Test
     void aKeyGoesAgainInsideTheWindowOfItsEarliestAttempt() {
-        List<Attempt> two = attempts(1000, Known.NEVER_RAN, Known.MAY_HAVE_RUN);
-        two.add(new Attempt(3, "e", 9000, 9500, Known.MAY_HAVE_RUN));
+        List<AttemptRecord> two = attempts(1000, Known.NEVER_RAN, Known.MAY_HAVE_RUN);
+        two.add(new AttemptRecord(3, "e", 9000, 9500, Known.MAY_HAVE_RUN));
         Verdict inside = decide(Effect.KEYED, 10_999, two);
         assertEquals(Kind.AGAIN, inside.kind());
         assertEquals(11_000, inside.untilMs());
@@ -94,15 +94,15 @@
             @ForAll @Size(max = 7) List<Known> known,
             @ForAll @IntRange(max = 40_000) int nowMs,
             @ForAll @IntRange(max = 40_000) int latestMs) {
-        List<Attempt> all = new ArrayList<>();
+        List<AttemptRecord> all = new ArrayList<>();
         for (Known one : known) {
             int n = all.size() + 1;
-            all.add(new Attempt(n, "e", 1000L * n, 1000L * n + 500, one));
+            all.add(new AttemptRecord(n, "e", 1000L * n, 1000L * n + 500, one));
         }
-        boolean ran = all.stream().anyMatch(Attempt::mayHaveRun);
+        boolean ran = all.stream().anyMatch(AttemptRecord::mayHaveRun);
         long first = all.stream()
-                .filter(Attempt::mayHaveRun)
-                .mapToLong(Attempt::leasedMs)
+                .filter(AttemptRecord::mayHaveRun)
+                .mapToLong(AttemptRecord::leasedMs)
                 .min()
                 .orElse(0);
         Verdict verdict = Settlement.decide(effect, all, WINDOW, nowMs, latestMs, 5);
--- a/src/test/java/laneflow/durable/DurableJobsTest.java
+++ b/src/test/java/laneflow/durable/DurableJobsTest.java
@@ -10,6 +10,7 @@
 import java.util.concurrent.TimeUnit;
 import laneflow.config.Findings;
 import laneflow.config.Table;
+import laneflow.core.Attempt;
 import laneflow.core.Carrier;
 import laneflow.core.Counters;
 import laneflow.core.Deadlines;
@@ -18,7 +19,6 @@
 import laneflow.core.Keeper.Submission;
 import laneflow.core.Keeper.Taken;
 import laneflow.core.Keeper.Word;
-import laneflow.core.OutboundCall;
 import laneflow.core.Payload;
 import laneflow.core.Scheduler;
 import laneflow.decision.Dispatch.Effect;
@@ -26,8 +26,8 @@
 import laneflow.decision.Dispatch.JobClass;
 import laneflow.decision.Dispatch.Outcome;
 import laneflow.decision.Dispatch.Settings;
-import laneflow.durable.decision.Attempt;
-import laneflow.durable.decision.Attempt.Known;
+import laneflow.durable.decision.AttemptRecord;
+import laneflow.durable.decision.AttemptRecord.Known;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
@@ -44,7 +44,7 @@
     private final LinkedBlockingQueue<Runnable> news = new LinkedBlockingQueue<>();
     private final Semaphore writes = new Semaphore(0);
     private final List<Op> written = new ArrayList<>();
-    private final List<OutboundCall> calls = new ArrayList<>();
+    private final List<Attempt> calls = new ArrayList<>();
     private final List<Word> words = new ArrayList<>();
     private volatile StoreException.Kind fails;
     private final Journal journal = new Journal(this, news::add, 64);
@@ -122,12 +122,12 @@
     // ---- the wire ----
 
     @Override
-    public void open(OutboundCall call) {
+    public void open(Attempt call) {
         calls.add(call);
     }
 
     @Override
-    public boolean close(OutboundCall call) {
+    public boolean close(Attempt call) {
         return false;
     }
 
@@ -142,7 +142,7 @@
         jobs.submit(new Submission(jobClass, "", key, true, payload, Double.NaN, 1, 0, 0, 0), words::add);
     }
 
-    private static JobRow row(long id, String jobClass, Attempt... attempts) {
+    private static JobRow row(long id, String jobClass, AttemptRecord... attempts) {
         byte[] body = {1};
         return new JobRow(
                 id,
@@ -185,7 +185,7 @@
             Op lease = written.get(1);
             assertEquals(State.RUNNING, lease.state());
             assertEquals(
-                    new Attempt(1, "e1", 50_000, 55_000, Known.OUT),
+                    new AttemptRecord(1, "e1", 50_000, 55_000, Known.OUT),
                     lease.attempts().get(0));
         }
         // Its end is told as one only once that is on disk.
@@ -233,8 +233,8 @@
 
     @Test
     void recoveryDecidesByTheRecordAndTheClock() throws Exception {
-        Attempt old = new Attempt(1, "e1", 39_000, 40_000, Known.OUT);
-        Attempt young = new Attempt(1, "e1", 45_000, 46_000, Known.OUT);
+        AttemptRecord old = new AttemptRecord(1, "e1", 39_000, 40_000, Known.OUT);
+        AttemptRecord young = new AttemptRecord(1, "e1", 45_000, 46_000, Known.OUT);
         jobs.recover(
                 List.of(
                         row(1, "capture", young),
@@ -250,7 +250,7 @@
             for (Runnable run = news.poll(50, TimeUnit.MILLISECONDS); run != null; run = news.poll()) {
                 run.run();
             }
-            for (OutboundCall call : new ArrayList<>(calls)) {
+            for (Attempt call : new ArrayList<>(calls)) {
                 if (!out.contains(call.request.tag)) {
                     out.add(call.request.tag);
                     scheduler.ended(call, Outcome.OK, new byte[0], null);
@@ -275,7 +275,7 @@
 
     @Test
     void aClockThatWentBackClosesEveryWindow() throws Exception {
-        jobs.recover(List.of(row(3, "post", new Attempt(1, "e1", 45_000, 46_000, Known.OUT))), 50_001);
+        jobs.recover(List.of(row(3, "post", new AttemptRecord(1, "e1", 45_000, 46_000, Known.OUT))), 50_001);
         disk();
         assertEquals("unknown", jobs.peek(3).state());
         assertTrue(
--- a/src/test/java/laneflow/durable/StoreMaintenanceTest.java
+++ b/src/test/java/laneflow/durable/StoreMaintenanceTest.java
@@ -15,8 +15,8 @@
 import java.util.ArrayList;
 import java.util.List;
 import laneflow.cli.Cli;
-import laneflow.durable.decision.Attempt;
-import laneflow.durable.decision.Attempt.Known;
+import laneflow.durable.decision.AttemptRecord;
+import laneflow.durable.decision.AttemptRecord.Known;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
@@ -84,7 +84,7 @@
     void jobsAreListedShownAndCancelled() throws Exception {
         Path dir = store("s", row(1, "a", (byte) 'x'), row(2, "b"));
         try (Store store = Store.open(dir, StoreMaintenance.NO_LIMIT)) {
-            Attempt out = new Attempt(1, "till-1", 2000, 2500, Known.MAY_HAVE_RUN);
+            AttemptRecord out = new AttemptRecord(1, "till-1", 2000, 2500, Known.MAY_HAVE_RUN);
             store.write(List.of(Op.end(2, State.UNKNOWN, List.of(out), "it may have run", null, 3000)));
             assertEquals(1, run("jobs", "list", dir.toString()));
             assertTrue(said.contains("the store is held by process"), said);
@@ -138,7 +138,7 @@
     void aDeadSchedulersStoreIsAdoptedOnceHoweverOftenItIsAsked() throws Exception {
         Path dead = store("dead", row(1, "a", (byte) 1), row(2, "b"), row(3, ""), row(4, "c"));
         Path living = store("living", row(9, "b"));
-        Attempt out = new Attempt(1, "till-1", 2000, 2500, Known.OUT);
+        AttemptRecord out = new AttemptRecord(1, "till-1", 2000, 2500, Known.OUT);
         try (Store store = Store.open(dead, StoreMaintenance.NO_LIMIT);
                 Store other = Store.open(living, StoreMaintenance.NO_LIMIT)) {
             store.write(List.of(
--- a/src/test/java/laneflow/durable/StoreTest.java
+++ b/src/test/java/laneflow/durable/StoreTest.java
@@ -18,8 +18,8 @@
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
-import laneflow.durable.decision.Attempt;
-import laneflow.durable.decision.Attempt.Known;
+import laneflow.durable.decision.AttemptRecord;
+import laneflow.durable.decision.AttemptRecord.Known;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.api.io.TempDir;
@@ -86,7 +86,7 @@
 
     @Test
     void whatIsWrittenIsReadAgain() throws Exception {
-        Attempt attempt = new Attempt(1, "till-1", 200, 700, Known.DONE);
+        AttemptRecord attempt = new AttemptRecord(1, "till-1", 200, 700, Known.DONE);
         try (Store store = open()) {
             store.write(List.of(Op.accept(row(1, 10)), Op.accept(row(2, 0)), Op.accept(row(3, 5))));
             store.write(List.of(Op.move(1, State.RUNNING, List.of(attempt.with(Known.OUT)), 200)));
