--- a/src/main/java/laneflow/assembly/StreamedTypes.java
+++ b/src/main/java/laneflow/assembly/StreamedTypes.java
@@ -10,7 +10,7 @@
 import laneflow.control.DestinationType;
 import laneflow.control.ResourceType;
 import laneflow.control.SettingTypes;
-import laneflow.core.DestinationSet.Entry;
+import laneflow.core.EndpointSet.Entry;
 import laneflow.core.Replacement;
 import laneflow.decision.Dispatch.Settings;
 import laneflow.durable.DurableConfig;
--- a/src/main/java/laneflow/assembly/Streaming.java
+++ b/src/main/java/laneflow/assembly/Streaming.java
@@ -17,7 +17,7 @@
 import laneflow.control.ControlConfig;
 import laneflow.control.LastGood;
 import laneflow.control.ResourceType;
-import laneflow.core.DestinationSet.Entry;
+import laneflow.core.EndpointSet.Entry;
 import laneflow.core.Replacement;
 import laneflow.durable.DurableConfig;
 import laneflow.gearman.GearmanConfig;
--- a/src/main/java/laneflow/control/DestinationType.java
+++ b/src/main/java/laneflow/control/DestinationType.java
@@ -8,7 +8,7 @@
 import java.util.List;
 import java.util.Set;
 import laneflow.config.AddressRange;
-import laneflow.core.DestinationSet.Entry;
+import laneflow.core.EndpointSet.Entry;
 import laneflow.core.Replacement;
 import laneflow.decision.Dispatch.State;
 import laneflow.net.Loop;
--- a/src/main/java/laneflow/core/Endpoint.java
+++ b/src/main/java/laneflow/core/Endpoint.java
@@ -48,7 +48,7 @@
     }
 
     /** True if an entry says nothing new of it. */
-    boolean isAs(DestinationSet.Entry entry) {
+    boolean isAs(EndpointSet.Entry entry) {
         return state == entry.state
                 && dial.equals(entry.dial)
                 && zone == entry.zone
--- a/src/main/java/laneflow/core/DestinationSet.java
+++ b/src/main/java/laneflow/core/EndpointSet.java
@@ -16,7 +16,7 @@
  * The endpoints that may be called, by name, as their sources (discovery, connected workers, a file) tell of
  * them. A whole list speaks for its own source only, so the module is told of changes.
  */
-public final class DestinationSet {
+public final class EndpointSet {
     private final Map<String, Endpoint> byName = new HashMap<>();
     private final Map<Long, Endpoint> byId = new HashMap<>();
     /** The numbers of all that were ever listed: operators may speak of those that are gone. */
--- a/src/main/java/laneflow/core/Replacement.java
+++ b/src/main/java/laneflow/core/Replacement.java
@@ -3,7 +3,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Set;
-import laneflow.core.DestinationSet.Entry;
+import laneflow.core.EndpointSet.Entry;
 import laneflow.decision.Dispatch.State;
 
 /**
@@ -17,7 +17,7 @@
     static final int PART = 64;
 
     private final Scheduler scheduler;
-    private final DestinationSet destinations;
+    private final EndpointSet destinations;
     private final Carrier carrier;
     private final List<Entry> entries;
     private final Set<String> named;
@@ -31,7 +31,7 @@
     private int passed;
 
     Replacement(
-            Scheduler scheduler, DestinationSet destinations, Carrier carrier, List<Entry> entries, Set<String> named) {
+            Scheduler scheduler, EndpointSet destinations, Carrier carrier, List<Entry> entries, Set<String> named) {
         this.scheduler = scheduler;
         this.destinations = destinations;
         this.carrier = carrier;
--- a/src/main/java/laneflow/core/Scheduler.java
+++ b/src/main/java/laneflow/core/Scheduler.java
@@ -42,7 +42,7 @@
     private final Counters counters;
     private final Doer doer;
     private final Dispatch module;
-    private final DestinationSet destinations = new DestinationSet();
+    private final EndpointSet destinations = new EndpointSet();
     private final SlotTable<Request> requests = new SlotTable<>();
     private final SlotTable<Attempt> calls = new SlotTable<>();
     /** Events that came up while the module was at work: it must not be called from its own actions. */
@@ -73,14 +73,14 @@
     }
 
     /** Starts with the list of endpoints last held, or an empty one. */
-    public void start(Carrier carrier, List<DestinationSet.Entry> known) {
+    public void start(Carrier carrier, List<EndpointSet.Entry> known) {
         event(() -> module.start(now()));
         List<Dispatch.Worker> workers = destinations.apply(carrier, true, known, clock.micros());
         event(() -> module.list(now(), ListKind.CACHED, workers));
     }
 
     /** A source's word on its endpoints: changes, or all that it has. */
-    public void list(Carrier carrier, boolean whole, List<DestinationSet.Entry> entries) {
+    public void list(Carrier carrier, boolean whole, List<EndpointSet.Entry> entries) {
         list(carrier, whole, entries, clock.micros());
     }
 
@@ -90,7 +90,7 @@
      * @param toldAt since when, in microseconds of the clock, it may count as told: the grace of a drain runs
      *     from there
      */
-    public void list(Carrier carrier, boolean whole, List<DestinationSet.Entry> entries, long toldAt) {
+    public void list(Carrier carrier, boolean whole, List<EndpointSet.Entry> entries, long toldAt) {
         List<Dispatch.Worker> changes = destinations.apply(carrier, whole, entries, toldAt);
         if (!changes.isEmpty()) {
             event(() -> module.list(now(), ListKind.CHANGES, changes));
@@ -206,7 +206,7 @@
      *
      * @param named the names of all entries
      */
-    public Replacement replacement(Carrier carrier, List<DestinationSet.Entry> entries, Set<String> named) {
+    public Replacement replacement(Carrier carrier, List<EndpointSet.Entry> entries, Set<String> named) {
         return new Replacement(this, destinations, carrier, entries, named);
     }
 
@@ -224,7 +224,7 @@
         return tallies;
     }
 
-    public DestinationSet destinations() {
+    public EndpointSet destinations() {
         return destinations;
     }
 
--- a/src/main/java/laneflow/http/Config.java
+++ b/src/main/java/laneflow/http/Config.java
@@ -10,7 +10,7 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
-import laneflow.core.DestinationSet.Entry;
+import laneflow.core.EndpointSet.Entry;
 import laneflow.decision.Dispatch.Settings;
 import laneflow.decision.Dispatch.State;
 import laneflow.wire.SettingsReader;
--- a/src/test/java/laneflow/core/FleetEndpoint.java
+++ b/src/test/java/laneflow/core/FleetEndpoint.java
@@ -4,7 +4,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.stream.Stream;
-import laneflow.core.DestinationSet.Entry;
+import laneflow.core.EndpointSet.Entry;
 import laneflow.core.FleetDay.Out;
 import laneflow.decision.Dispatch.LoadReport;
 import laneflow.decision.Dispatch.Outcome;
--- a/src/test/java/laneflow/core/ReplacementTest.java
+++ b/src/test/java/laneflow/core/ReplacementTest.java
@@ -9,7 +9,7 @@
 import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.TreeMap;
-import laneflow.core.DestinationSet.Entry;
+import laneflow.core.EndpointSet.Entry;
 import laneflow.decision.Dispatch.JobClass;
 import laneflow.decision.Dispatch.Settings;
 import laneflow.decision.Dispatch.State;
--- a/src/test/java/laneflow/core/SchedulerTest.java
+++ b/src/test/java/laneflow/core/SchedulerTest.java
@@ -10,7 +10,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
-import laneflow.core.DestinationSet.Entry;
+import laneflow.core.EndpointSet.Entry;
 import laneflow.decision.Dispatch.Effect;
 import laneflow.decision.Dispatch.Group;
 import laneflow.decision.Dispatch.JobClass;
--- a/src/test/java/laneflow/core/World.java
+++ b/src/test/java/laneflow/core/World.java
@@ -5,7 +5,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
-import laneflow.core.DestinationSet.Entry;
+import laneflow.core.EndpointSet.Entry;
 import laneflow.decision.Dispatch.JobClass;
 import laneflow.decision.Dispatch.LoadReport;
 import laneflow.decision.Dispatch.Outcome;
--- a/src/test/java/laneflow/http/EndpointCrossingTest.java
+++ b/src/test/java/laneflow/http/EndpointCrossingTest.java
@@ -12,7 +12,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicReference;
 import laneflow.core.Deadlines;
-import laneflow.core.DestinationSet.Entry;
+import laneflow.core.EndpointSet.Entry;
 import laneflow.core.Front;
 import laneflow.core.Payload;
 import laneflow.core.Request;
