--- a/src/main/java/laneflow/assembly/Serve.java
+++ b/src/main/java/laneflow/assembly/Serve.java
@@ -15,7 +15,7 @@
 import laneflow.gearman.GearmanFront;
 import laneflow.http.Config;
 import laneflow.http.DiscoveryWatch;
-import laneflow.http.HttpCarrier;
+import laneflow.http.HttpConnector;
 import laneflow.http.HttpFront;
 import laneflow.http.OperatorPort;
 import laneflow.net.Loop;
@@ -25,7 +25,7 @@
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
-/** The real scheduler: the core, its fronts and carriers on one loop, from the start to the last answer. */
+/** The real scheduler: the core, its fronts and connectors on one loop, from the start to the last answer. */
 public final class Serve {
     private static final Logger LOG = LoggerFactory.getLogger(Serve.class);
     /** After a SIGTERM clients keep coming for up to 0.4 s. */
@@ -77,14 +77,14 @@
         GearmanConfig gearmanConfig = setup.gearman();
         loop = new Loop(config.sockets);
         scheduler = new Scheduler(config.settings, config.seed, loop, loop.deadlines(), counters);
-        HttpCarrier carrier = new HttpCarrier(loop, scheduler, config.connIdle);
+        HttpConnector connector = new HttpConnector(loop, scheduler, config.connIdle);
         front = new HttpFront(loop, scheduler, config.classNames);
-        watch = config.discovery == null ? null : new DiscoveryWatch(loop, scheduler, carrier, config);
+        watch = config.discovery == null ? null : new DiscoveryWatch(loop, scheduler, connector, config);
         gearman = gearmanConfig == null ? null : new GearmanFront(loop, scheduler, gearmanConfig, config.seed);
         subsystems =
-                new Subsystems(setup, new Subsystems.Core(loop, scheduler, carrier, front, gearman, around.passed()));
+                new Subsystems(setup, new Subsystems.Core(loop, scheduler, connector, front, gearman, around.passed()));
         loop.call(() -> {
-            scheduler.start(carrier, config.known.entries);
+            scheduler.start(connector, config.known.entries);
             if (watch != null) {
                 watch.begin();
             }
@@ -101,7 +101,7 @@
                         around.passed(),
                         new Operations.Served(this::serves, () -> stopping, this::replaced));
         if (gearman != null) {
-            carrier.mostBody(gearmanConfig.mostBody);
+            connector.mostBody(gearmanConfig.mostBody);
         }
         subsystems.begin();
         if (around.passed()) {
--- a/src/main/java/laneflow/assembly/Streaming.java
+++ b/src/main/java/laneflow/assembly/Streaming.java
@@ -113,7 +113,7 @@
     private final class Live implements StreamedTypes.Adopters {
         @Override
         public Replacement replacement(List<Entry> entries, Set<String> named) {
-            return core.scheduler().replacement(core.carrier(), entries, named);
+            return core.scheduler().replacement(core.connector(), entries, named);
         }
 
         @Override
--- a/src/main/java/laneflow/assembly/Subsystems.java
+++ b/src/main/java/laneflow/assembly/Subsystems.java
@@ -4,7 +4,7 @@
 import java.util.ArrayList;
 import java.util.Collections;
 import java.util.List;
-import laneflow.core.Carrier;
+import laneflow.core.Connector;
 import laneflow.core.Scheduler;
 import laneflow.gearman.GearmanFront;
 import laneflow.http.HttpFront;
@@ -27,7 +27,7 @@
      * @param upgrade true if the process before this one may still hold addresses and folders
      */
     record Core(
-            Loop loop, Scheduler scheduler, Carrier carrier, HttpFront front, GearmanFront gearman, boolean upgrade) {}
+            Loop loop, Scheduler scheduler, Connector connector, HttpFront front, GearmanFront gearman, boolean upgrade) {}
 
     Subsystems(Setup setup, Core core) throws IOException, InterruptedException {
         Durability durability = setup.durable() == null ? null : new Durability(setup.durable(), core);
--- a/src/main/java/laneflow/control/Warmup.java
+++ b/src/main/java/laneflow/control/Warmup.java
@@ -6,7 +6,7 @@
 import java.util.List;
 import laneflow.config.AddressRange;
 import laneflow.core.Attempt;
-import laneflow.core.Carrier;
+import laneflow.core.Connector;
 import laneflow.core.Counters;
 import laneflow.core.Deadlines;
 import laneflow.core.Endpoint;
@@ -31,7 +31,7 @@
         Settings settings = new Settings();
         settings.classes = new JobClass[] {new JobClass()};
         Scheduler scratch = new Scheduler(settings, 1, () -> 0, new Deadlines(), new Counters());
-        Carrier nobody = new Nobody();
+        Connector nobody = new Nobody();
         type = new DestinationType(
                 List.of("a"),
                 List.of("c"),
@@ -72,8 +72,8 @@
         return all.toString();
     }
 
-    /** The carrier of endpoints that are never called. */
-    private static final class Nobody implements Carrier {
+    /** The connector of endpoints that are never called. */
+    private static final class Nobody implements Connector {
         @Override
         public void open(Attempt call) {
             throw new IllegalStateException("nobody asks here");
--- a/src/main/java/laneflow/core/Attempt.java
+++ b/src/main/java/laneflow/core/Attempt.java
@@ -9,7 +9,7 @@
     long handle;
     /** The number of its lease, from 1; 0 where it has none. */
     public int lease;
-    /** What its carrier keeps about it. */
+    /** What its connector keeps about it. */
     public Object attachment;
 
     Attempt(Request request, Endpoint endpoint, int number, long sentAt) {
--- a/src/main/java/laneflow/core/Carrier.java
+++ b/src/main/java/laneflow/core/Connector.java
@@ -1,7 +1,7 @@
 package laneflow.core;
 
 /** How outbound calls reach an endpoint. Ends are told by {@link Scheduler#ended}, exactly once a call. */
-public interface Carrier {
+public interface Connector {
     /** Sends the call's request; before its first byte {@link Scheduler#mayBegin} is asked. */
     void open(Attempt call);
 
@@ -15,7 +15,7 @@
      * Closes a call whose endpoint has not got the request's last byte; one that has got it goes on. Its end
      * is not to be told.
      *
-     * @return true if it was closed, and so can't have run; a carrier that can't tell leaves it
+     * @return true if it was closed, and so can't have run; a connector that can't tell leaves it
      */
     default boolean closeUnsent(Attempt call) {
         return false;
--- a/src/main/java/laneflow/core/Endpoint.java
+++ b/src/main/java/laneflow/core/Endpoint.java
@@ -10,8 +10,8 @@
     /** The module's number for it: drawn from its name, and so the same at every scheduler. */
     public final long id;
 
-    public final Carrier carrier;
-    /** Where its carrier finds it; the core does not read this. */
+    public final Connector connector;
+    /** Where its connector finds it; the core does not read this. */
     public String dial = "";
 
     public int zone;
@@ -31,9 +31,9 @@
     /** When this scheduler was told that it drains or is gone. */
     long drainToldAt = Long.MAX_VALUE;
 
-    public Endpoint(String name, Carrier carrier) {
+    public Endpoint(String name, Connector connector) {
         this.name = name;
-        this.carrier = carrier;
+        this.connector = connector;
         // Shares of a cold endpoint's budget follow from the number, so all schedulers must agree on it.
         this.id = number(name);
     }
--- a/src/main/java/laneflow/core/EndpointSet.java
+++ b/src/main/java/laneflow/core/EndpointSet.java
@@ -62,7 +62,7 @@
     }
 
     /** Takes a list in, told at that instant, and returns what has changed, as the module reads it. */
-    List<Worker> apply(Carrier carrier, boolean whole, List<Entry> entries, long toldAt) {
+    List<Worker> apply(Connector connector, boolean whole, List<Entry> entries, long toldAt) {
         List<Worker> changes = new ArrayList<>();
         Map<String, Entry> listed = new HashMap<>();
         for (Entry entry : entries) {
@@ -72,12 +72,12 @@
                 if (entry.state == State.GONE) {
                     continue;
                 }
-                endpoint = new Endpoint(entry.name, carrier);
+                endpoint = new Endpoint(entry.name, connector);
                 everListed.add(endpoint.id);
                 byName.put(entry.name, endpoint);
                 byId.put(endpoint.id, endpoint);
             }
-            if (endpoint.carrier != carrier) {
+            if (endpoint.connector != connector) {
                 continue;
             }
             if (entry.state == State.GONE) {
@@ -96,7 +96,7 @@
         }
         if (whole) {
             for (Endpoint endpoint : byName.values()) {
-                if (endpoint.carrier == carrier && !listed.containsKey(endpoint.name) && endpoint.state != State.GONE) {
+                if (endpoint.connector == connector && !listed.containsKey(endpoint.name) && endpoint.state != State.GONE) {
                     changes.add(state(endpoint, State.GONE, toldAt));
                 }
             }
@@ -105,10 +105,10 @@
     }
 
     /** The endpoints of one source. */
-    List<Endpoint> of(Carrier carrier) {
+    List<Endpoint> of(Connector connector) {
         List<Endpoint> all = new ArrayList<>();
         for (Endpoint endpoint : byName.values()) {
-            if (endpoint.carrier == carrier) {
+            if (endpoint.connector == connector) {
                 all.add(endpoint);
             }
         }
--- a/src/main/java/laneflow/core/Payload.java
+++ b/src/main/java/laneflow/core/Payload.java
@@ -1,7 +1,7 @@
 package laneflow.core;
 
 /**
- * What a client hands in, in words that no wire owns; fronts and carriers read it, the core does not.
+ * What a client hands in, in words that no wire owns; fronts and connectors read it, the core does not.
  *
  * @param verb what is to be done with the target
  * @param target what is asked for, its parameters included
--- a/src/main/java/laneflow/core/Replacement.java
+++ b/src/main/java/laneflow/core/Replacement.java
@@ -18,7 +18,7 @@
 
     private final Scheduler scheduler;
     private final EndpointSet destinations;
-    private final Carrier carrier;
+    private final Connector connector;
     private final List<Entry> entries;
     private final Set<String> named;
     private final List<Entry> changed = new ArrayList<>();
@@ -31,10 +31,10 @@
     private int passed;
 
     Replacement(
-            Scheduler scheduler, EndpointSet destinations, Carrier carrier, List<Entry> entries, Set<String> named) {
+            Scheduler scheduler, EndpointSet destinations, Connector connector, List<Entry> entries, Set<String> named) {
         this.scheduler = scheduler;
         this.destinations = destinations;
-        this.carrier = carrier;
+        this.connector = connector;
         this.entries = entries;
         this.named = named;
     }
@@ -58,16 +58,16 @@
                 staged.add(entry.in(State.DRAINING));
             }
             // One of another source keeps what that says of it.
-            if (there == null ? entry.state != State.DRAINING : there.carrier == carrier && !there.isAs(entry)) {
+            if (there == null ? entry.state != State.DRAINING : there.connector == connector && !there.isAs(entry)) {
                 changed.add(entry);
             }
         }
-        scheduler.list(carrier, false, staged);
+        scheduler.list(connector, false, staged);
     }
 
     private void pass() {
         if (known == null) {
-            known = destinations.of(carrier);
+            known = destinations.of(connector);
         }
         for (int end = Math.min(known.size(), passed + PART); passed < end; passed++) {
             Endpoint endpoint = known.get(passed);
@@ -86,7 +86,7 @@
             continue;
         }
         changed.addAll(leaving);
-        scheduler.list(carrier, false, changed);
+        scheduler.list(connector, false, changed);
     }
 
     /** Behind it, in as many calls as it takes: forgets those that drained already; false once all are. */
@@ -95,7 +95,7 @@
         List<Entry> part = idle.subList(from, idle.size());
         // One that was named anew meanwhile is somebody's again.
         part.removeIf(gone -> destinations.get(gone.name) == null || destinations.get(gone.name).state == State.READY);
-        scheduler.list(carrier, false, new ArrayList<>(part));
+        scheduler.list(connector, false, new ArrayList<>(part));
         part.clear();
         return !idle.isEmpty();
     }
--- a/src/main/java/laneflow/core/Scheduler.java
+++ b/src/main/java/laneflow/core/Scheduler.java
@@ -73,15 +73,15 @@
     }
 
     /** Starts with the list of endpoints last held, or an empty one. */
-    public void start(Carrier carrier, List<EndpointSet.Entry> known) {
+    public void start(Connector connector, List<EndpointSet.Entry> known) {
         event(() -> module.start(now()));
-        List<Dispatch.Worker> workers = destinations.apply(carrier, true, known, clock.micros());
+        List<Dispatch.Worker> workers = destinations.apply(connector, true, known, clock.micros());
         event(() -> module.list(now(), ListKind.CACHED, workers));
     }
 
     /** A source's word on its endpoints: changes, or all that it has. */
-    public void list(Carrier carrier, boolean whole, List<EndpointSet.Entry> entries) {
-        list(carrier, whole, entries, clock.micros());
+    public void list(Connector connector, boolean whole, List<EndpointSet.Entry> entries) {
+        list(connector, whole, entries, clock.micros());
     }
 
     /**
@@ -90,8 +90,8 @@
      * @param toldAt since when, in microseconds of the clock, it may count as told: the grace of a drain runs
      *     from there
      */
-    public void list(Carrier carrier, boolean whole, List<EndpointSet.Entry> entries, long toldAt) {
-        List<Dispatch.Worker> changes = destinations.apply(carrier, whole, entries, toldAt);
+    public void list(Connector connector, boolean whole, List<EndpointSet.Entry> entries, long toldAt) {
+        List<Dispatch.Worker> changes = destinations.apply(connector, whole, entries, toldAt);
         if (!changes.isEmpty()) {
             event(() -> module.list(now(), ListKind.CHANGES, changes));
             // Replaced endpoints come under new names: kept, the old ones would pile up with every release.
@@ -206,8 +206,8 @@
      *
      * @param named the names of all entries
      */
-    public Replacement replacement(Carrier carrier, List<EndpointSet.Entry> entries, Set<String> named) {
-        return new Replacement(this, destinations, carrier, entries, named);
+    public Replacement replacement(Connector connector, List<EndpointSet.Entry> entries, Set<String> named) {
+        return new Replacement(this, destinations, connector, entries, named);
     }
 
     /**
@@ -306,7 +306,7 @@
      */
     private void closeUnsent(Request request) {
         Attempt call = request.out;
-        if (call != null && call.endpoint.carrier.closeUnsent(call)) {
+        if (call != null && call.endpoint.connector.closeUnsent(call)) {
             endUnlessEnded(call, Outcome.MOOT);
         }
     }
@@ -354,7 +354,7 @@
         doer.refuse(request.handle, settings.retryAfter ? settings.tick : 0);
     }
 
-    // ---- from carriers ----
+    // ---- from connectors ----
 
     /**
      * Whether a call's first byte, or its last one where that was held back, may go out at this instant: the
@@ -387,7 +387,7 @@
     public boolean open(Attempt call) {
         boolean out = calls.get(call.handle) == call;
         if (out) {
-            call.endpoint.carrier.open(call);
+            call.endpoint.connector.open(call);
         }
         return out;
     }
@@ -400,7 +400,7 @@
         if (calls.get(call.handle) == call) {
             counters.add("lease.expired");
             if (call.request.type.effect != Effect.UNSAFE) {
-                call.endpoint.carrier.close(call);
+                call.endpoint.connector.close(call);
             }
             endUnlessEnded(call, Outcome.TIMEOUT);
         }
@@ -513,12 +513,12 @@
 
     /** Gives a call up, which ended so unless its endpoint never had the whole of it; true if that is so. */
     private boolean close(Attempt call, Outcome how) {
-        boolean unsent = call.endpoint.carrier.close(call);
+        boolean unsent = call.endpoint.connector.close(call);
         endUnlessEnded(call, unsent ? Outcome.MOOT : how);
         return unsent;
     }
 
-    /** A carrier that is told to close a call may find its answer there, and tell of that first. */
+    /** A connector that is told to close a call may find its answer there, and tell of that first. */
     private void endUnlessEnded(Attempt call, Outcome how) {
         if (calls.get(call.handle) == call) {
             ended(call, how, null, null);
@@ -611,7 +611,7 @@
             if (request.front.leases()) {
                 request.front.lease(call);
             } else {
-                endpoint.carrier.open(call);
+                endpoint.connector.open(call);
             }
         }
 
@@ -675,7 +675,7 @@
             Endpoint endpoint = destinations.get(worker);
             if (endpoint != null) {
                 counters.add("probe.sent");
-                endpoint.carrier.probe(endpoint);
+                endpoint.connector.probe(endpoint);
             }
         }
 
@@ -683,7 +683,7 @@
         public void closeIdle(long worker) {
             Endpoint endpoint = destinations.get(worker);
             if (endpoint != null) {
-                endpoint.carrier.closeIdle(endpoint);
+                endpoint.connector.closeIdle(endpoint);
             }
         }
 
--- a/src/main/java/laneflow/core/package-info.java
+++ b/src/main/java/laneflow/core/package-info.java
@@ -3,7 +3,7 @@
  * protocol.
  *
  * <p>Everything here is owned by the I/O thread and is not synchronized. {@link
- * laneflow.core.Scheduler} connects the fronts, which submit requests, the carriers, which perform
+ * laneflow.core.Scheduler} connects the fronts, which submit requests, the connectors, which perform
  * attempts, and the decision module, which chooses. Instants and durations are microseconds on the
  * monotonic clock unless a name says otherwise.
  */
--- a/src/main/java/laneflow/durable/DurableJobs.java
+++ b/src/main/java/laneflow/durable/DurableJobs.java
@@ -543,7 +543,7 @@
         job.call = null;
         if (known == Known.MAY_HAVE_RUN && outcome == Outcome.TIMEOUT) {
             // Its late word is listened for, and not for ever: a silent endpoint would hold a descriptor.
-            deadlines.at(clock.micros() + job.terms.longestMs * 1000, () -> call.endpoint.carrier.close(call));
+            deadlines.at(clock.micros() + job.terms.longestMs * 1000, () -> call.endpoint.connector.close(call));
         }
         if (known == Known.NEVER_RAN) {
             // Unrecorded, a crash would leave it as one that may have run.
--- a/src/main/java/laneflow/gearman/GearmanCarrier.java
+++ b/src/main/java/laneflow/gearman/GearmanConnector.java
@@ -3,16 +3,16 @@
 import java.util.HashMap;
 import java.util.Map;
 import laneflow.core.Attempt;
-import laneflow.core.Carrier;
+import laneflow.core.Connector;
 import laneflow.core.Endpoint;
 import laneflow.decision.Dispatch.Outcome;
 
 /** Outbound calls to Gearman workers: a call waits at its worker until that grabs it. */
-final class GearmanCarrier implements Carrier {
+final class GearmanConnector implements Connector {
     private final GearmanFront front;
     private final Map<String, Worker> workers = new HashMap<>();
 
-    GearmanCarrier(GearmanFront front) {
+    GearmanConnector(GearmanFront front) {
         this.front = front;
     }
 
--- a/src/main/java/laneflow/gearman/GearmanFront.java
+++ b/src/main/java/laneflow/gearman/GearmanFront.java
@@ -38,7 +38,7 @@
     final Loop loop;
     final Scheduler scheduler;
     final GearmanConfig config;
-    final GearmanCarrier carrier;
+    final GearmanConnector connector;
     private final SplittableRandom random;
     private final SlotTable<Peer> peers = new SlotTable<>();
     private final SlotTable<Job> jobs = new SlotTable<>();
@@ -64,7 +64,7 @@
         this.scheduler = scheduler;
         this.config = config;
         random = new SplittableRandom(seed);
-        carrier = new GearmanCarrier(this);
+        connector = new GearmanConnector(this);
         queues = new Queues(config.mostQueued);
         config.functions.keySet().forEach(queues::row);
     }
--- a/src/main/java/laneflow/gearman/Worker.java
+++ b/src/main/java/laneflow/gearman/Worker.java
@@ -131,7 +131,7 @@
     private void list() {
         if (!listed) {
             listed = true;
-            front.carrier.add(name, this);
+            front.connector.add(name, this);
         }
         Entry entry = new Entry();
         entry.name = name;
@@ -145,7 +145,7 @@
         // Which of a class's functions it has: sent to one that has not, a job would come back unbegun.
         entry.abilities =
                 abilities.keySet().stream().mapToLong(Endpoint::number).sorted().toArray();
-        scheduler.list(front.carrier, false, List.of(entry));
+        scheduler.list(front.connector, false, List.of(entry));
     }
 
     /** Gives back what waits here: all of it, or what it has no function for. */
@@ -400,12 +400,12 @@
             return;
         }
         listed = false;
-        front.carrier.remove(name);
+        front.connector.remove(name);
         Entry entry = new Entry();
         entry.name = name;
         entry.zone = front.config.zone;
         entry.state = State.GONE;
-        scheduler.list(front.carrier, false, List.of(entry));
+        scheduler.list(front.connector, false, List.of(entry));
         handle = null;
         finish(Outcome.RESET, null);
         for (Attempt waiting : new ArrayList<>(queue)) {
--- a/src/main/java/laneflow/http/DiscoveryWatch.java
+++ b/src/main/java/laneflow/http/DiscoveryWatch.java
@@ -2,7 +2,7 @@
 
 import java.nio.charset.StandardCharsets;
 import java.util.SplittableRandom;
-import laneflow.core.Carrier;
+import laneflow.core.Connector;
 import laneflow.core.Deadlines.Deadline;
 import laneflow.core.Scheduler;
 import laneflow.net.Link;
@@ -48,7 +48,7 @@
 
     private final Loop loop;
     private final Scheduler scheduler;
-    private final Carrier carrier;
+    private final Connector connector;
     private final Config config;
     private final Deadline timer;
     private final SplittableRandom random;
@@ -71,10 +71,10 @@
     /** From then on clients may be asked for. */
     private long lookedAt = Long.MAX_VALUE;
 
-    public DiscoveryWatch(Loop loop, Scheduler scheduler, Carrier carrier, Config config) {
+    public DiscoveryWatch(Loop loop, Scheduler scheduler, Connector connector, Config config) {
         this.loop = loop;
         this.scheduler = scheduler;
-        this.carrier = carrier;
+        this.connector = connector;
         this.config = config;
         address = config.discovery;
         seq = config.known.seq;
@@ -316,7 +316,7 @@
                     return;
                 }
                 scheduler.counters().add("discovery.lists");
-                scheduler.list(carrier, listing.whole, listing.entries, since);
+                scheduler.list(connector, listing.whole, listing.entries, since);
             } catch (WireException e) {
                 throw new HttpException(400, e.getMessage());
             }
--- a/src/main/java/laneflow/http/EndpointConnection.java
+++ b/src/main/java/laneflow/http/EndpointConnection.java
@@ -46,7 +46,7 @@
     /** A probe has ended by then: unanswered for ever, each would keep a descriptor that calls need. */
     private static final long PROBE = 2_000_000;
 
-    private final HttpCarrier carrier;
+    private final HttpConnector connector;
     final Endpoint endpoint;
     final String dial;
     private final Deadline timer;
@@ -76,14 +76,14 @@
     /** The call that ended on it last, if its end proves that it never ran, or null. */
     private Attempt endedUnrun;
 
-    EndpointConnection(HttpCarrier carrier, Endpoint endpoint) {
-        this.carrier = carrier;
+    EndpointConnection(HttpConnector connector, Endpoint endpoint) {
+        this.connector = connector;
         this.endpoint = endpoint;
         this.dial = endpoint.dial;
-        timer = carrier.loop.deadlines().create(this::timeOut);
+        timer = connector.loop.deadlines().create(this::timeOut);
     }
 
-    // ---- what the carrier asks of it ----
+    // ---- what the connector asks of it ----
 
     void begin(Attempt given) {
         call = given;
@@ -92,7 +92,7 @@
     }
 
     void probe() {
-        probeAt = carrier.loop.micros();
+        probeAt = connector.loop.micros();
         begin();
     }
 
@@ -124,7 +124,7 @@
     }
 
     private long hold() {
-        long longest = (long) (LONGEST_HOLD_PART * carrier.connectTimeout);
+        long longest = (long) (LONGEST_HOLD_PART * connector.connectTimeout);
         return Math.max(SHORTEST_HOLD, Math.min(longest, cameUpIn));
     }
 
@@ -139,8 +139,8 @@
     }
 
     void shut() {
-        carrier.loop.deadlines().cancel(timer);
-        carrier.forget(this);
+        connector.loop.deadlines().cancel(timer);
+        connector.forget(this);
         if (link != null) {
             link.close();
         }
@@ -151,7 +151,7 @@
      * only behind the last byte, so what must not run twice is sent on no such connection.
      */
     boolean mayBeStale() {
-        return restedAt > 0 && carrier.loop.micros() - restedAt > FRESH;
+        return restedAt > 0 && connector.loop.micros() - restedAt > FRESH;
     }
 
     /** True if it is still up, with nothing there that nobody asked for: what came unread is read first. */
@@ -171,31 +171,31 @@
             write();
             return;
         }
-        carrier.count("endpoint.connects");
-        begunAt = carrier.loop.micros();
+        connector.count("endpoint.connects");
+        begunAt = connector.loop.micros();
         try {
-            if (!carrier.loop.hasRoom()) {
+            if (!connector.loop.hasRoom()) {
                 // Nothing was sent, and the endpoint is not to blame.
-                carrier.count("endpoint.no_room");
-                carrier.loop.later(() -> finish(Outcome.MOOT));
+                connector.count("endpoint.no_room");
+                connector.loop.later(() -> finish(Outcome.MOOT));
                 return;
             }
-            link = carrier.loop.connect(Loop.address(dial), IN_RING, carrier.outRing(), this);
-            expect(carrier.connectTimeout);
+            link = connector.loop.connect(Loop.address(dial), IN_RING, connector.outRing(), this);
+            expect(connector.connectTimeout);
         } catch (IllegalArgumentException e) {
             LOG.warn("{}: {}", endpoint, e.getMessage());
-            carrier.loop.later(() -> finish(Outcome.CONNECT_FAILED));
+            connector.loop.later(() -> finish(Outcome.CONNECT_FAILED));
         }
     }
 
     private void expect(long within) {
-        carrier.loop.deadlines().set(timer, carrier.loop.micros() + within);
+        connector.loop.deadlines().set(timer, connector.loop.micros() + within);
     }
 
     @Override
     public void opened(Link opened) {
         up = true;
-        cameUpIn = carrier.loop.micros() - begunAt;
+        cameUpIn = connector.loop.micros() - begunAt;
         write();
     }
 
@@ -213,7 +213,7 @@
             if (held != null) {
                 release();
             } else {
-                carrier.count("endpoint.silent");
+                connector.count("endpoint.silent");
                 finish(Outcome.TIMEOUT);
             }
         }
@@ -228,14 +228,14 @@
     // ---- a request ----
 
     private void write() {
-        carrier.loop.deadlines().cancel(timer);
-        answer = new Answer(carrier.scheduler, call, before);
+        connector.loop.deadlines().cancel(timer);
+        answer = new Answer(connector.scheduler, call, before);
         reader = new HttpReader(true, answer);
-        writtenAt = carrier.loop.micros();
+        writtenAt = connector.loop.micros();
         taken = 0;
         tail = 0;
         held = null;
-        if (carrier.scheduler.isDown(endpoint) || call != null && !carrier.scheduler.mayBegin(call)) {
+        if (connector.scheduler.isDown(endpoint) || call != null && !connector.scheduler.mayBegin(call)) {
             // Forbidden since it was decided: nothing has been written, and the endpoint is not to blame.
             finish(Outcome.MOOT);
             return;
@@ -243,7 +243,7 @@
         if (call == null) {
             link.out.put(ascii("GET /stats HTTP/1.1\r\nHost: " + dial + "\r\n\r\n"));
         } else if (!request(call.request.payload)) {
-            carrier.count("endpoint.no_time");
+            connector.count("endpoint.no_time");
             finish(Outcome.MOOT);
             return;
         }
@@ -258,9 +258,9 @@
     /** Puts the request in the outgoing ring; false, with nothing put, if its client's time is over. */
     private boolean request(Payload payload) {
         String key = payload.repeatKey();
-        int hold = mayBeStale() || !carrier.mayRepeat(call) ? 1 : 0;
+        int hold = mayBeStale() || !connector.mayRepeat(call) ? 1 : 0;
         // Counted anew, since a turn may last, and from when the last byte goes out.
-        long left = (call.request.deadline - carrier.loop.fresh() - hold * hold()) / MS;
+        long left = (call.request.deadline - connector.loop.fresh() - hold * hold()) / MS;
         if (left <= 0) {
             return false;
         }
@@ -279,7 +279,7 @@
 
     /** Nothing speaks against the connection: the request's last byte goes out, unless it must not now. */
     private void release() {
-        if (!carrier.scheduler.mayBegin(call)) {
+        if (!connector.scheduler.mayBegin(call)) {
             finish(Outcome.MOOT);
             return;
         }
@@ -294,9 +294,9 @@
     private void expectHead() {
         if (call == null) {
             expect(PROBE);
-        } else if (carrier.mayRepeat(call)) {
+        } else if (connector.mayRepeat(call)) {
             // The settings' word on when a path is dead.
-            expect(carrier.connectTimeout);
+            expect(connector.connectTimeout);
         }
     }
 
@@ -317,7 +317,7 @@
             read();
         } catch (HttpException | IllegalArgumentException e) {
             LOG.debug("{} sent what can't be read: {}", endpoint, e.getMessage());
-            carrier.count("endpoint.malformed");
+            connector.count("endpoint.malformed");
             // What comes behind a whole last word takes nothing from it, and what answers a request that it
             // has not had has not run it: how the bytes were split must not decide.
             Outcome how = held != null ? Outcome.MOOT : answer.outcome() != null ? answer.outcome() : Outcome.ERROR;
@@ -331,12 +331,12 @@
             }
         } else if (held != null && answer.hasHead()) {
             // It answers what it has not had: whatever it says is not about this request.
-            carrier.count("endpoint.malformed");
+            connector.count("endpoint.malformed");
             finish(Outcome.MOOT);
         } else if (answer.outcome() != null) {
             finish(answer.outcome());
         } else if (answer.hasHead() && call != null) {
-            carrier.loop.deadlines().cancel(timer);
+            connector.loop.deadlines().cancel(timer);
         }
     }
 
@@ -346,9 +346,9 @@
         reader.read(link.in);
         if (reader.isDone() && answer.isStray()) {
             // Taken for this call's, it would end a job that is at work with another one's verdict.
-            carrier.count("endpoint.second_answer");
+            connector.count("endpoint.second_answer");
             strayed = true;
-            answer = new Answer(carrier.scheduler, call, List.of());
+            answer = new Answer(connector.scheduler, call, List.of());
             reader = new HttpReader(true, answer);
             if (held == null) {
                 expectHead();
@@ -357,7 +357,7 @@
         }
         taken += there - link.in.size();
         tail += behind ? there - link.in.size() : 0;
-        double seconds = (carrier.loop.micros() - writtenAt) / 1e6;
+        double seconds = (connector.loop.micros() - writtenAt) / 1e6;
         if (taken > MOST_ANSWER + seconds * MOST_EACH_SECOND || tail > MOST_TAIL) {
             throw new HttpException(400, "an answer without end");
         }
@@ -374,7 +374,7 @@
             finish(Outcome.RESET);
         } else {
             // Without it none starts. A kept connection that has gone stale says nothing of its endpoint.
-            carrier.count("endpoint.stale");
+            connector.count("endpoint.stale");
             finish(restedAt > 0 ? Outcome.MOOT : Outcome.CONNECT_FAILED);
         }
     }
@@ -395,16 +395,16 @@
         if (ended != null) {
             remember(ended.request.payload.requestId());
         }
-        endedUnrun = carrier.scheduler.mayHaveRun(how) ? null : ended;
+        endedUnrun = connector.scheduler.mayHaveRun(how) ? null : ended;
         call = null;
         probeAt = 0;
         rest();
         if (ended != null) {
-            carrier.scheduler.ended(
+            connector.scheduler.ended(
                     ended, how, answer == null ? null : answer.result(), answer == null ? null : answer.report());
         } else if (probed > 0) {
-            carrier.scheduler.probed(
-                    endpoint, (carrier.loop.micros() - probed) / 1e6, how, answer == null ? null : answer.report());
+            connector.scheduler.probed(
+                    endpoint, (connector.loop.micros() - probed) / 1e6, how, answer == null ? null : answer.report());
         }
     }
 
@@ -429,12 +429,12 @@
                 || reader.isDone()
                         && (!link.in.isEmpty()
                                 || endpoint.state() != State.READY
-                                || carrier.scheduler.isDown(endpoint))) {
+                                || connector.scheduler.isDown(endpoint))) {
             shut();
         } else if (reader.isDone()) {
-            restedAt = carrier.loop.micros();
-            carrier.keep(this);
-            expect(carrier.idleLimit);
+            restedAt = connector.loop.micros();
+            connector.keep(this);
+            expect(connector.idleLimit);
         } else {
             expect(TAIL);
         }
--- a/src/main/java/laneflow/http/HttpCarrier.java
+++ b/src/main/java/laneflow/http/HttpConnector.java
@@ -4,7 +4,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import laneflow.core.Attempt;
-import laneflow.core.Carrier;
+import laneflow.core.Connector;
 import laneflow.core.Endpoint;
 import laneflow.core.Scheduler;
 import laneflow.decision.Dispatch.Effect;
@@ -14,7 +14,7 @@
  * Outbound calls over HTTP/1.1, one at a time on a connection, and the idle connections to each endpoint.
  * Nothing is ever sent again here: whether a call is repeated is the module's decision.
  */
-public final class HttpCarrier implements Carrier {
+public final class HttpConnector implements Connector {
     /** Part of the idle limit after which a connection is closed: later that might cross a request. */
     private static final double IDLE_PART = 0.7;
     /** Idle connections kept to one endpoint: each takes a little of what it can do. */
@@ -33,7 +33,7 @@
     private int outRing = 128 * 1024;
 
     /** @param idleSeconds after which endpoints close idle connections themselves */
-    public HttpCarrier(Loop loop, Scheduler scheduler, double idleSeconds) {
+    public HttpConnector(Loop loop, Scheduler scheduler, double idleSeconds) {
         this.loop = loop;
         this.scheduler = scheduler;
         idleLimit = (long) (idleSeconds * IDLE_PART * 1e6);
--- a/src/test/java/laneflow/core/FleetDay.java
+++ b/src/test/java/laneflow/core/FleetDay.java
@@ -88,8 +88,8 @@
         boolean running;
     }
 
-    /** A scheduler with its front and carrier. */
-    final class Node implements Front, Carrier {
+    /** A scheduler with its front and connector. */
+    final class Node implements Front, Connector {
         final int number;
         final Scheduler scheduler;
         final Map<String, Long> toldToStop = new HashMap<>();
--- a/src/test/java/laneflow/core/ReplacementTest.java
+++ b/src/test/java/laneflow/core/ReplacementTest.java
@@ -20,7 +20,7 @@
 class ReplacementTest {
     private static final int NAMES = 300;
 
-    private static final class Nobody implements Carrier {
+    private static final class Nobody implements Connector {
         @Override
         public void open(Attempt call) {}
 
@@ -52,9 +52,9 @@
     }
 
     /** The live ones, and where they are called. */
-    private static Map<String, String> live(Scheduler scheduler, Carrier carrier) {
+    private static Map<String, String> live(Scheduler scheduler, Connector connector) {
         Map<String, String> live = new TreeMap<>();
-        scheduler.destinations().of(carrier).stream()
+        scheduler.destinations().of(connector).stream()
                 .filter(one -> one.state() == State.READY)
                 .forEach(one -> live.put(one.name, one.dial));
         return live;
@@ -66,8 +66,8 @@
         Settings settings = new Settings();
         settings.classes = new JobClass[] {new JobClass()};
         Scheduler scheduler = new Scheduler(settings, 1, () -> 5, new Deadlines(), new Counters());
-        Carrier carrier = new Nobody();
-        Carrier other = new Nobody();
+        Connector connector = new Nobody();
+        Connector other = new Nobody();
         // Of another source, and listed by this one too: it stays the other's.
         Entry foreign = new Entry();
         foreign.name = "e7";
@@ -88,19 +88,19 @@
                     }
                 }
             }
-            Replacement replacement = scheduler.replacement(carrier, entries, named);
+            Replacement replacement = scheduler.replacement(connector, entries, named);
             // All steps, or only some of them: what is left is done with adopting.
             int most = random.nextInt(3) == 0 ? random.nextInt(5) : Integer.MAX_VALUE;
             for (int step = 0; step < most && replacement.step(); step++) {
-                assertEquals(holds, live(scheduler, carrier));
+                assertEquals(holds, live(scheduler, connector));
             }
             replacement.adopt();
-            assertEquals(next, live(scheduler, carrier));
+            assertEquals(next, live(scheduler, connector));
             while (replacement.tidy()) {
-                assertEquals(next, live(scheduler, carrier));
+                assertEquals(next, live(scheduler, connector));
             }
             Map<String, State> known = new TreeMap<>();
-            scheduler.destinations().of(carrier).forEach(one -> known.put(one.name, one.state()));
+            scheduler.destinations().of(connector).forEach(one -> known.put(one.name, one.state()));
             assertEquals(all, known);
             assertEquals("127.0.0.1:77", scheduler.destinations().get("e7").dial);
             holds = next;
--- a/src/test/java/laneflow/core/SchedulerTest.java
+++ b/src/test/java/laneflow/core/SchedulerTest.java
@@ -19,8 +19,8 @@
 import laneflow.decision.Dispatch.State;
 import org.junit.jupiter.api.Test;
 
-/** The core's rules, with a clock that the test sets, and a front and a carrier that write down. */
-class SchedulerTest implements NotingFront, Carrier {
+/** The core's rules, with a clock that the test sets, and a front and a connector that write down. */
+class SchedulerTest implements NotingFront, Connector {
     static final int SAFE = 0;
     static final int KEYED = 1;
     static final int UNSAFE = 2;
@@ -298,7 +298,7 @@
     @Test
     void aWholeListSpeaksForItsOwnSourceOnly() {
         endpoints("a");
-        Carrier other = new SchedulerTest();
+        Connector other = new SchedulerTest();
         scheduler.list(other, false, List.of(entry("w", State.READY)));
         scheduler.list(this, true, List.of(entry("b", State.READY)));
         assertNull(scheduler.destinations().get("a"));
@@ -373,7 +373,7 @@
         answers.add("refused");
     }
 
-    /** What this carrier says of calls that are given up: that their last byte never went out. */
+    /** What this connector says of calls that are given up: that their last byte never went out. */
     private boolean neverSent;
 
     @Override
@@ -409,7 +409,7 @@
         throw new AssertionError("no such rule in these settings");
     }
 
-    /** This carrier leaves the call where it is: its connection comes up when nobody waits any more. */
+    /** This connector leaves the call where it is: its connection comes up when nobody waits any more. */
     @Test
     void noCallBeginsOnceItsClientHasLeftThoughCancellingIsOff() {
         scheduler.settings().mayCancel = false;
--- a/src/test/java/laneflow/core/World.java
+++ b/src/test/java/laneflow/core/World.java
@@ -14,9 +14,9 @@
 import laneflow.decision.Dispatch.State;
 
 /**
- * Two schedulers of two zones and three endpoints, of which e2 is cold, on a clock and a carrier in memory. One
+ * Two schedulers of two zones and three endpoints, of which e2 is cold, on a clock and a connector in memory. One
  * event at a time is played on it, and behind each one the rules are read over what has happened, from what the
- * carrier and the fronts saw alone. {@link OrdersTest} plays every order.
+ * connector and the fronts saw alone. {@link OrdersTest} plays every order.
  */
 final class World {
     /** What a test breaks on purpose, to see that the rule's check speaks. */
@@ -90,8 +90,8 @@
         private long begunAt;
     }
 
-    /** A scheduler with its front and carrier. */
-    private final class Node implements Front, Carrier {
+    /** A scheduler with its front and connector. */
+    private final class Node implements Front, Connector {
         private final Deadlines deadlines = new Deadlines();
         private final Scheduler scheduler;
         private final Map<String, Long> toldToStop = new HashMap<>();
@@ -354,7 +354,7 @@
         }
     }
 
-    /** Asks as a carrier does before bytes go out, and ends the call if the core says no. */
+    /** Asks as a connector does before bytes go out, and ends the call if the core says no. */
     private boolean mayBegin(Out out) {
         boolean may = broken == Broken.GRACE_NOT_ASKED
                 || broken == Broken.SENDS_REGARDLESS
--- a/src/test/java/laneflow/durable/DurableJobsTest.java
+++ b/src/test/java/laneflow/durable/DurableJobsTest.java
@@ -11,7 +11,7 @@
 import laneflow.config.Findings;
 import laneflow.config.Table;
 import laneflow.core.Attempt;
-import laneflow.core.Carrier;
+import laneflow.core.Connector;
 import laneflow.core.Counters;
 import laneflow.core.Deadlines;
 import laneflow.core.Endpoint;
@@ -34,7 +34,7 @@
 
 /** The order of disk and wire, with a disk that writes when the test lets it, and a clock and wire that it holds. */
 @Timeout(30)
-class DurableJobsTest implements Carrier, Journal.Disk {
+class DurableJobsTest implements Connector, Journal.Disk {
     private static final int UNSAFE = 2;
     private long now = 1_000_000_000L;
     private long wallMs = 50_000;
--- a/src/test/java/laneflow/http/EndpointCrossingTest.java
+++ b/src/test/java/laneflow/http/EndpointCrossingTest.java
@@ -191,7 +191,7 @@
         stand.serve
                 .scheduler()
                 .list(
-                        stand.serve.scheduler().destinations().get(name).carrier,
+                        stand.serve.scheduler().destinations().get(name).connector,
                         false,
                         List.of(draining(name)),
                         stand.serve.loop().micros() - SECOND);
