--- a/src/main/java/laneflow/core/Gate.java
+++ b/src/main/java/laneflow/core/AdmissionGate.java
@@ -4,7 +4,7 @@
  * Whether this scheduler may decide on requests at all, where something outside it has a say in that. What it
  * may not decide on reaches no module: it is answered at once, with a time to come back.
  */
-public interface Gate {
+public interface AdmissionGate {
     /** Asked for each request when it is taken. */
     boolean mayDecide();
 
--- a/src/main/java/laneflow/core/Keeper.java
+++ b/src/main/java/laneflow/core/DurableJobService.java
@@ -7,7 +7,7 @@
  * Who keeps jobs beyond their client's connection, as the fronts see it. Fronts have none where durable jobs
  * are off. Answers come on the loop, at once or later.
  */
-public interface Keeper {
+public interface DurableJobService {
     /**
      * A job to be kept.
      *
--- a/src/main/java/laneflow/core/Scheduler.java
+++ b/src/main/java/laneflow/core/Scheduler.java
@@ -54,7 +54,7 @@
     private boolean atWork;
     private int epoch;
     /** Null where nobody else has a say. */
-    private Gate gate;
+    private AdmissionGate gate;
     /** Endpoints that the policy in force bans, beside those that operators have set down here. */
     private volatile Set<String> barred = Set.of();
 
@@ -197,7 +197,7 @@
     }
 
     /** From now on requests are decided on only while it lets them be. */
-    public void decideWhile(Gate condition) {
+    public void decideWhile(AdmissionGate condition) {
         gate = condition;
     }
 
--- a/src/main/java/laneflow/durable/DurableJob.java
+++ b/src/main/java/laneflow/durable/DurableJob.java
@@ -5,7 +5,7 @@
 import java.util.function.Consumer;
 import laneflow.core.Attempt;
 import laneflow.core.Deadlines.Deadline;
-import laneflow.core.Keeper.Word;
+import laneflow.core.DurableJobService.Word;
 import laneflow.core.Request;
 import laneflow.durable.decision.AttemptRecord;
 
--- a/src/main/java/laneflow/durable/DurableJobs.java
+++ b/src/main/java/laneflow/durable/DurableJobs.java
@@ -10,8 +10,8 @@
 import laneflow.core.Clock;
 import laneflow.core.Counters;
 import laneflow.core.Deadlines;
+import laneflow.core.DurableJobService;
 import laneflow.core.Front;
-import laneflow.core.Keeper;
 import laneflow.core.Payload;
 import laneflow.core.Request;
 import laneflow.core.Scheduler;
@@ -38,7 +38,7 @@
  *
  * <p>Everything here happens on the loop's thread; the disk belongs to {@link Journal}.
  */
-public final class DurableJobs implements Front, Keeper {
+public final class DurableJobs implements Front, DurableJobService {
     private static final Logger LOG = LoggerFactory.getLogger(DurableJobs.class);
     /** Attempts that may have run, over a job's whole life; the core's rule holds it within one request. */
     private static final int MOST_ATTEMPTS = 5;
--- a/src/main/java/laneflow/gearman/GearmanFront.java
+++ b/src/main/java/laneflow/gearman/GearmanFront.java
@@ -12,9 +12,9 @@
 import java.util.SplittableRandom;
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
+import laneflow.core.DurableJobService;
 import laneflow.core.Endpoint;
 import laneflow.core.Front;
-import laneflow.core.Keeper;
 import laneflow.core.Payload;
 import laneflow.core.Request;
 import laneflow.core.Scheduler;
@@ -52,7 +52,7 @@
     /** Null where operators may not end the program. */
     Runnable ending;
     /** Null where durable jobs are off. */
-    Keeper keeper;
+    DurableJobService keeper;
 
     private Loop.Listener listener;
     private boolean draining;
@@ -97,7 +97,7 @@
     }
 
     /** Background jobs of durable functions go there. */
-    public void keepIn(Keeper given) {
+    public void keepIn(DurableJobService given) {
         keeper = given;
     }
 
@@ -267,7 +267,7 @@
         String mark = unique.equals("-") ? digest(data) : unique;
         String key = mark.isEmpty() ? "" : "gearman/" + function.name() + "/" + mark;
         keeper.submit(
-                new Keeper.Submission(
+                new DurableJobService.Submission(
                         function.jobClass(),
                         function.name(),
                         key,
@@ -280,9 +280,9 @@
                         urgency,
                         notBeforeMs),
                 said -> {
-                    if (said.taken() == Keeper.Taken.YES) {
+                    if (said.taken() == DurableJobService.Taken.YES) {
                         word.is(Packet.JOB_CREATED, KEPT + hex(said.id()));
-                    } else if (said.taken() == Keeper.Taken.FULL) {
+                    } else if (said.taken() == DurableJobService.Taken.FULL) {
                         word.is(
                                 Packet.ERROR,
                                 "QUEUE_FULL",
@@ -369,7 +369,7 @@
     }
 
     void status(Peer client, String handle) {
-        Keeper.View view = keeper == null ? null : keeper.peek(kept(handle));
+        DurableJobService.View view = keeper == null ? null : keeper.peek(kept(handle));
         if (view != null) {
             boolean open = !view.ended();
             client.send(Packet.STATUS_RES, handle, open ? 1 : 0, open && view.atWork() ? 1 : 0, view.done(), view.of());
--- a/src/main/java/laneflow/http/HttpFront.java
+++ b/src/main/java/laneflow/http/HttpFront.java
@@ -13,8 +13,8 @@
 import java.util.function.BooleanSupplier;
 import java.util.function.IntFunction;
 import java.util.function.Supplier;
+import laneflow.core.DurableJobService;
 import laneflow.core.Front;
-import laneflow.core.Keeper;
 import laneflow.core.Request;
 import laneflow.core.Scheduler;
 import laneflow.core.SlotTable;
@@ -188,7 +188,7 @@
     }
 
     /** Jobs of clients that ask so are kept there. */
-    public void keepIn(Keeper keeper) {
+    public void keepIn(DurableJobService keeper) {
         kept = new KeptJobs(keeper);
     }
 
--- a/src/main/java/laneflow/http/KeptJobs.java
+++ b/src/main/java/laneflow/http/KeptJobs.java
@@ -7,10 +7,10 @@
 import java.nio.charset.StandardCharsets;
 import java.util.Base64;
 import java.util.Locale;
-import laneflow.core.Keeper;
-import laneflow.core.Keeper.Submission;
-import laneflow.core.Keeper.Try;
-import laneflow.core.Keeper.View;
+import laneflow.core.DurableJobService;
+import laneflow.core.DurableJobService.Submission;
+import laneflow.core.DurableJobService.Try;
+import laneflow.core.DurableJobService.View;
 import laneflow.core.Request;
 
 /**
@@ -23,9 +23,9 @@
     private static final String PATH = "/jobs/";
     private static final String JSON = "Content-Type: application/json\r\n";
 
-    private final Keeper keeper;
+    private final DurableJobService keeper;
 
-    KeptJobs(Keeper keeper) {
+    KeptJobs(DurableJobService keeper) {
         this.keeper = keeper;
     }
 
--- a/src/main/java/laneflow/policy/LeaseGate.java
+++ b/src/main/java/laneflow/policy/LeaseGate.java
@@ -7,9 +7,9 @@
 import java.util.concurrent.RejectedExecutionException;
 import java.util.function.IntSupplier;
 import java.util.function.LongSupplier;
+import laneflow.core.AdmissionGate;
 import laneflow.core.Counters;
 import laneflow.core.Deadlines.Deadline;
-import laneflow.core.Gate;
 import laneflow.net.Loop;
 import laneflow.policy.decision.LeaseSnapshot;
 import org.slf4j.Logger;
@@ -24,7 +24,7 @@
  *
  * <p>A policy is adopted here, as a whole and in one turn, and only then does the control thread hear of it.
  */
-final class LeaseGate implements Gate {
+final class LeaseGate implements AdmissionGate {
     private static final Logger LOG = LoggerFactory.getLogger(LeaseGate.class);
     private static final int MOST_STAMPS = 64;
     private static final double COME_BACK_PART = 0.1;
--- a/src/test/java/laneflow/core/SchedulerTest.java
+++ b/src/test/java/laneflow/core/SchedulerTest.java
@@ -458,7 +458,7 @@
     void aRequestHeldForAPolicyIsNotDecidedOnOnceItsClientHasLeft() {
         endpoints("a");
         boolean[] may = new boolean[1];
-        scheduler.decideWhile(new Gate() {
+        scheduler.decideWhile(new AdmissionGate() {
             @Override
             public boolean mayDecide() {
                 return may[0];
