--- a/src/main/java/laneflow/assembly/Subsystems.java
+++ b/src/main/java/laneflow/assembly/Subsystems.java
@@ -27,7 +27,12 @@
      * @param upgrade true if the process before this one may still hold addresses and folders
      */
     record Core(
-            Loop loop, Scheduler scheduler, Connector connector, HttpFront front, GearmanFront gearman, boolean upgrade) {}
+            Loop loop,
+            Scheduler scheduler,
+            Connector connector,
+            HttpFront front,
+            GearmanFront gearman,
+            boolean upgrade) {}
 
     Subsystems(Setup setup, Core core) throws IOException, InterruptedException {
         Durability durability = setup.durable() == null ? null : new Durability(setup.durable(), core);
--- a/src/main/java/laneflow/core/EndpointSet.java
+++ b/src/main/java/laneflow/core/EndpointSet.java
@@ -96,7 +96,9 @@
         }
         if (whole) {
             for (Endpoint endpoint : byName.values()) {
-                if (endpoint.connector == connector && !listed.containsKey(endpoint.name) && endpoint.state != State.GONE) {
+                if (endpoint.connector == connector
+                        && !listed.containsKey(endpoint.name)
+                        && endpoint.state != State.GONE) {
                     changes.add(state(endpoint, State.GONE, toldAt));
                 }
             }
--- a/src/main/java/laneflow/core/Replacement.java
+++ b/src/main/java/laneflow/core/Replacement.java
@@ -31,7 +31,11 @@
     private int passed;
 
     Replacement(
-            Scheduler scheduler, EndpointSet destinations, Connector connector, List<Entry> entries, Set<String> named) {
+            Scheduler scheduler,
+            EndpointSet destinations,
+            Connector connector,
+            List<Entry> entries,
+            Set<String> named) {
         this.scheduler = scheduler;
         this.destinations = destinations;
         this.connector = connector;
--- a/src/main/java/laneflow/durable/DurableJobs.java
+++ b/src/main/java/laneflow/durable/DurableJobs.java
@@ -440,8 +440,8 @@
             return;
         }
         long nowMs = Math.max(wall.getAsLong(), latestMs);
-        AttemptRecord attempt =
-                new AttemptRecord(job.attempts.size() + 1, call.endpoint.name, nowMs, nowMs + job.terms.leaseMs, Known.OUT);
+        AttemptRecord attempt = new AttemptRecord(
+                job.attempts.size() + 1, call.endpoint.name, nowMs, nowMs + job.terms.leaseMs, Known.OUT);
         job.attempts.add(attempt);
         call.lease = attempt.number();
         job.call = call;
--- a/src/main/java/laneflow/durable/Op.java
+++ b/src/main/java/laneflow/durable/Op.java
@@ -10,7 +10,14 @@
  * @param result for END, where there is one
  */
 public record Op(
-        Kind kind, long id, JobRow row, State state, List<AttemptRecord> attempts, String reason, byte[] result, long atMs) {
+        Kind kind,
+        long id,
+        JobRow row,
+        State state,
+        List<AttemptRecord> attempts,
+        String reason,
+        byte[] result,
+        long atMs) {
 
     /** What an op does. */
     public enum Kind {
--- a/src/test/java/laneflow/durable/DurableStoryTest.java
+++ b/src/test/java/laneflow/durable/DurableStoryTest.java
@@ -258,7 +258,8 @@
             store.write(List.of(Op.move(
                     row.id(),
                     State.RUNNING,
-                    List.of(new laneflow.durable.decision.AttemptRecord(1, old.endpoint(), then, then + 500, old.known())),
+                    List.of(new laneflow.durable.decision.AttemptRecord(
+                            1, old.endpoint(), then, then + 500, old.known())),
                     then)));
         }
         try (Stand stand = Stand.keeping(late, "[classes.points-post]\n", endpoint);
