One place points to the leader, one runs a process until it is killed

PolicyPort and MaintenancePort had the same answers for 'another leads' and 'nobody leads' (307, 503): LeaderRedirect. LastGoodTest and StoreTest started and killed a writer in the same lines: KilledProcess, with the same bytes to wait for. What is answered and asserted is the same. LastGoodTest, StoreTest, PolicyStoryTest, the maintenance stories and transcripts, SourceTest and ArchitectureTest pass.

--- a/src/main/java/laneflow/maintenance/MaintenancePort.java
+++ b/src/main/java/laneflow/maintenance/MaintenancePort.java
@@ -20,6 +20,7 @@
 import laneflow.maintenance.decision.Windows;
 import laneflow.maintenance.decision.Windows.Window;
 import laneflow.net.Loop;
+import laneflow.policy.LeaderRedirect;
 import laneflow.policy.RenewalExtension.Carriage;
 
 /**
@@ -31,6 +32,7 @@
     private static final String PATH = "/maintenance";
     private static final String REQUESTS = PATH + "/requests";
     private static final String WINDOWS = PATH + "/windows/";
+    private static final String ASK_AGAIN = "asking again does no harm";
     private static final String JSON = "application/json";
     private static final String TEXT = "text/plain";
 
@@ -83,22 +85,11 @@
             then.run();
             return;
         }
-        String leader = by.leader();
-        String at = leader.isEmpty() || leader.equals(fleet.self().name()) ? null : fleet.address(leader);
-        if (at == null) {
-            nobody(answer);
-        } else {
-            answer.say(307, TEXT, "Location: http://" + at + path + "\r\n", leader + " leads\n");
-        }
+        LeaderRedirect.answer(fleet, by.leader(), path, answer, ASK_AGAIN);
     }
 
     private void nobody(Answer answer) {
-        answer.say(
-                503,
-                TEXT,
-                "Retry-After: 1\r\n",
-                "no voter leads now, or no majority answers it:"
-                        + " nothing is known to be decided; asking again does no harm\n");
+        LeaderRedirect.unavailable(answer, ASK_AGAIN);
     }
 
     private void read(Answer answer, Consumer<WindowLedger.View> then) {
--- a/src/main/java/laneflow/policy/PolicyPort.java
+++ b/src/main/java/laneflow/policy/PolicyPort.java
@@ -23,6 +23,7 @@
     private static final List<String> VOTERS = List.of("add", "remove", "replace");
     private static final int MOST_HISTORY = 200;
     private static final String CHANGES = "/policy/changes";
+    private static final String ASK_AGAIN = "asking again with the same name does no harm";
 
     private final Fleet fleet;
     private final Policy policy;
@@ -75,21 +76,11 @@
             return;
         }
         String leader = leadership != null ? leadership.leader() : policy.leader();
-        String at = leader.isEmpty() || leader.equals(fleet.self().name()) ? null : fleet.address(leader);
-        if (at == null) {
-            nobody(answer);
-        } else {
-            answer.say(307, TEXT, "Location: http://" + at + path + "\r\n", leader + " leads\n");
-        }
+        LeaderRedirect.answer(fleet, leader, path, answer, ASK_AGAIN);
     }
 
     private void nobody(Answer answer) {
-        answer.say(
-                503,
-                TEXT,
-                "Retry-After: 1\r\n",
-                "no voter leads now, or no majority answers it: nothing is"
-                        + " known to be decided; asking again with the same name does no harm\n");
+        LeaderRedirect.unavailable(answer, ASK_AGAIN);
     }
 
     private void history(Answer answer) {
--- a/src/test/java/laneflow/control/LastGoodTest.java
+++ b/src/test/java/laneflow/control/LastGoodTest.java
@@ -14,6 +14,7 @@
 import java.util.Random;
 import laneflow.control.LastGood.Kept;
 import laneflow.control.decision.Version;
+import laneflow.testing.KilledProcess;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.api.io.TempDir;
@@ -74,23 +75,8 @@
         long last = 0;
         for (int i = 0; i < 6; i++) {
             Path said = folder.resolve("said");
-            Files.deleteIfExists(said);
-            Process process = new ProcessBuilder(
-                            Path.of(System.getProperty("java.home"), "bin", "java")
-                                    .toString(),
-                            "-cp",
-                            System.getProperty("java.class.path"),
-                            Writer.class.getName(),
-                            folder.toString(),
-                            String.valueOf(last))
-                    .redirectOutput(said.toFile())
-                    .redirectError(ProcessBuilder.Redirect.INHERIT)
-                    .start();
             long enough = 20 + random.nextInt(1500);
-            while (Files.size(said) < enough && process.isAlive()) {
-                Thread.sleep(1);
-            }
-            process.destroyForcibly().waitFor();
+            KilledProcess.run(said, enough, Writer.class, folder.toString(), String.valueOf(last));
             String[] lines = Files.readString(said).split("\n");
             long acknowledged = lines.length < 2 ? last : Long.parseLong(lines[lines.length - 2]);
             Kept found = file.read();
--- a/src/test/java/laneflow/durable/StoreTest.java
+++ b/src/test/java/laneflow/durable/StoreTest.java
@@ -20,6 +20,7 @@
 import java.util.concurrent.TimeUnit;
 import laneflow.durable.decision.AttemptRecord;
 import laneflow.durable.decision.AttemptRecord.Known;
+import laneflow.testing.KilledProcess;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.api.io.TempDir;
@@ -345,23 +346,8 @@
         long acknowledged = 0;
         for (int i = 0; i < 6; i++) {
             Path said = folder.resolve("said");
-            Files.deleteIfExists(said);
-            Process process = new ProcessBuilder(
-                            Path.of(System.getProperty("java.home"), "bin", "java")
-                                    .toString(),
-                            "-cp",
-                            System.getProperty("java.class.path"),
-                            Writer.class.getName(),
-                            folder.toString(),
-                            String.valueOf(acknowledged))
-                    .redirectOutput(said.toFile())
-                    .redirectError(ProcessBuilder.Redirect.INHERIT)
-                    .start();
             long enough = 100 + random.nextInt(4000);
-            while (Files.size(said) < enough && process.isAlive()) {
-                Thread.sleep(1);
-            }
-            process.destroyForcibly().waitFor();
+            KilledProcess.run(said, enough, Writer.class, folder.toString(), String.valueOf(acknowledged));
             List<String> lines = Files.readAllLines(said);
             for (String line : lines.subList(0, Math.max(0, lines.size() - 1))) {
                 acknowledged = Math.max(acknowledged, Long.parseLong(line));
--- /dev/null
+++ b/src/test/java/laneflow/testing/KilledProcess.java
@@ -0,0 +1,36 @@
+package laneflow.testing;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+
+/** A class of the tests that runs in a process of its own until it is killed amid what it does. */
+public final class KilledProcess {
+    private KilledProcess() {}
+
+    /**
+     * Starts it, kills it once its output has so many bytes, and returns when it has ended.
+     *
+     * @param output where its output goes; what is there is replaced
+     */
+    public static void run(Path output, long enoughBytes, Class<?> main, String... arguments)
+            throws IOException, InterruptedException {
+        Files.deleteIfExists(output);
+        List<String> command = new ArrayList<>();
+        command.add(Path.of(System.getProperty("java.home"), "bin", "java").toString());
+        command.add("-cp");
+        command.add(System.getProperty("java.class.path"));
+        command.add(main.getName());
+        command.addAll(List.of(arguments));
+        Process process = new ProcessBuilder(command)
+                .redirectOutput(output.toFile())
+                .redirectError(ProcessBuilder.Redirect.INHERIT)
+                .start();
+        while (Files.size(output) < enoughBytes && process.isAlive()) {
+            Thread.sleep(1);
+        }
+        process.destroyForcibly().waitFor();
+    }
+}
