A front is told 'refused', and pages speak of attempts and the endpoint set

Front.failFast is Front.refused, beside served and failed. The HTTP answer keeps its body 'fail-fast', which clients may read. Names and comments only. SourceTest, ArchitectureTest, SchedulerTest, HttpStoryTest, HttpTranscriptsTest, DurableJobsTest and the Gearman tests pass; spotless and Checkstyle find nothing.

--- a/src/main/java/laneflow/core/Connector.java
+++ b/src/main/java/laneflow/core/Connector.java
@@ -1,6 +1,6 @@
 package laneflow.core;
 
-/** How outbound calls reach an endpoint. Ends are told by {@link Scheduler#ended}, exactly once a call. */
+/** How attempts reach an endpoint. Ends are told by {@link Scheduler#ended}, exactly once a call. */
 public interface Connector {
     /** Sends the call's request; before its first byte {@link Scheduler#mayBegin} is asked. */
     void open(Attempt call);
--- a/src/main/java/laneflow/core/DurableJobService.java
+++ b/src/main/java/laneflow/core/DurableJobService.java
@@ -49,7 +49,7 @@
     enum Taken {
         /** It is on disk. */
         YES,
-        /** No room: fail-fast. */
+        /** No room: refused, to be tried again later. */
         FULL,
         /** The key belongs to another job. */
         OTHER,
--- a/src/main/java/laneflow/core/Endpoint.java
+++ b/src/main/java/laneflow/core/Endpoint.java
@@ -4,7 +4,7 @@
 import java.util.Arrays;
 import laneflow.decision.Dispatch.State;
 
-/** A worker, as the destination set holds it. */
+/** A worker, as the endpoint set holds it. */
 public final class Endpoint {
     public final String name;
     /** The module's number for it: drawn from its name, and so the same at every scheduler. */
--- a/src/main/java/laneflow/core/Front.java
+++ b/src/main/java/laneflow/core/Front.java
@@ -10,8 +10,8 @@
     /** An endpoint has done the job. */
     void served(long tag, byte[] result);
 
-    /** Fail-fast: not served, and trying again, after that many seconds if above 0, does no harm. */
-    void failFast(long tag, double retryAfter);
+    /** Refused: not served, and trying again, after that many seconds if above 0, does no harm. */
+    void refused(long tag, double retryAfter);
 
     /** Not served, and it may have had its effect. */
     void failed(long tag);
--- a/src/main/java/laneflow/core/Scheduler.java
+++ b/src/main/java/laneflow/core/Scheduler.java
@@ -21,7 +21,7 @@
 /**
  * The core: the life of every request, whichever wire it came on. It reports events to the module, carries
  * out the module's actions, and holds the rules itself whatever is asked of it: one final answer, one
- * outbound call at a time, no call to an endpoint later than the grace after the word of its drain, no
+ * attempt at a time, none to an endpoint later than the grace after the word of its drain, no
  * repeat of what may have run. Not thread-safe: one thread owns it.
  */
 public final class Scheduler {
@@ -262,7 +262,7 @@
             // It came under no state of the settings: nothing decided on it.
             request.epoch = -1;
             counters.add(request.front.name() + ".fenced");
-            request.front.failFast(request.tag, gate.comeBack());
+            request.front.refused(request.tag, gate.comeBack());
             return;
         }
         request.held = false;
@@ -647,7 +647,7 @@
             closeUnsent(request);
             counters.add(request.front.name() + ".refused");
             tallies[request.jobClass][REFUSED]++;
-            request.front.failFast(request.tag, retryAfter);
+            request.front.refused(request.tag, retryAfter);
         }
 
         @Override
@@ -695,7 +695,7 @@
 
         @Override
         public void watchList() {
-            // The sources of the destination set watch by themselves.
+            // The sources of the endpoint set watch by themselves.
         }
     }
 }
--- a/src/main/java/laneflow/durable/DurableJobs.java
+++ b/src/main/java/laneflow/durable/DurableJobs.java
@@ -620,7 +620,7 @@
     }
 
     @Override
-    public void failFast(long tag, double retryAfter) {
+    public void refused(long tag, double retryAfter) {
         DurableJob job = over(tag);
         if (job != null) {
             // The time to come back is for clients, who wait anyway; here the pauses double instead.
--- a/src/main/java/laneflow/gearman/GearmanConnector.java
+++ b/src/main/java/laneflow/gearman/GearmanConnector.java
@@ -7,7 +7,7 @@
 import laneflow.core.Endpoint;
 import laneflow.decision.Dispatch.Outcome;
 
-/** Outbound calls to Gearman workers: a call waits at its worker until that grabs it. */
+/** Attempts at Gearman workers: one waits at its worker until that grabs it. */
 final class GearmanConnector implements Connector {
     private final GearmanFront front;
     private final Map<String, Worker> workers = new HashMap<>();
--- a/src/main/java/laneflow/gearman/GearmanFront.java
+++ b/src/main/java/laneflow/gearman/GearmanFront.java
@@ -428,7 +428,7 @@
 
     /** The protocol has one word for both: a client can't be told when to come back. */
     @Override
-    public void failFast(long tag, double retryAfter) {
+    public void refused(long tag, double retryAfter) {
         failed(tag);
     }
 
--- a/src/main/java/laneflow/http/HttpConnector.java
+++ b/src/main/java/laneflow/http/HttpConnector.java
@@ -11,7 +11,7 @@
 import laneflow.net.Loop;
 
 /**
- * Outbound calls over HTTP/1.1, one at a time on a connection, and the idle connections to each endpoint.
+ * Attempts over HTTP/1.1, one at a time on a connection, and the idle connections to each endpoint.
  * Nothing is ever sent again here: whether a call is repeated is the module's decision.
  */
 public final class HttpConnector implements Connector {
--- a/src/main/java/laneflow/http/HttpFront.java
+++ b/src/main/java/laneflow/http/HttpFront.java
@@ -251,7 +251,7 @@
 
     void submit(Request request) {
         if (refusing) {
-            failFast(request.tag, scheduler.settings().retryAfter ? scheduler.settings().tick : 0);
+            refused(request.tag, scheduler.settings().retryAfter ? scheduler.settings().tick : 0);
             return;
         }
         scheduler.submit(request);
@@ -280,7 +280,7 @@
     }
 
     @Override
-    public void failFast(long tag, double retryAfter) {
+    public void refused(long tag, double retryAfter) {
         count("clients.refused");
         String when = retryAfter > 0 ? String.format(Locale.ROOT, "Retry-After: %.3f\r\n", retryAfter) : "";
         answer(tag, 503, "Service Unavailable", when, Client.ascii("fail-fast\n"));
--- a/src/test/java/laneflow/core/FleetDay.java
+++ b/src/test/java/laneflow/core/FleetDay.java
@@ -140,7 +140,7 @@
         }
 
         @Override
-        public void failFast(long tag, double retryAfter) {
+        public void refused(long tag, double retryAfter) {
             answer(tag, "refused");
         }
 
--- a/src/test/java/laneflow/core/GateTest.java
+++ b/src/test/java/laneflow/core/GateTest.java
@@ -37,7 +37,7 @@
     }
 
     @Override
-    public void failFast(long tag, double retryAfter) {
+    public void refused(long tag, double retryAfter) {
         answers.add("refused " + retryAfter);
     }
 
--- a/src/test/java/laneflow/core/SchedulerTest.java
+++ b/src/test/java/laneflow/core/SchedulerTest.java
@@ -369,7 +369,7 @@
     }
 
     @Override
-    public void failFast(long tag, double retryAfter) {
+    public void refused(long tag, double retryAfter) {
         answers.add("refused");
     }
 
--- a/src/test/java/laneflow/core/World.java
+++ b/src/test/java/laneflow/core/World.java
@@ -118,7 +118,7 @@
         }
 
         @Override
-        public void failFast(long tag, double retryAfter) {
+        public void refused(long tag, double retryAfter) {
             if (retryAfter <= 0) {
                 throw new Violation("come back", "a fail-fast says no time");
             }
--- a/src/test/java/laneflow/http/EndpointCrossingTest.java
+++ b/src/test/java/laneflow/http/EndpointCrossingTest.java
@@ -62,7 +62,7 @@
         }
 
         @Override
-        public void failFast(long tag, double retryAfter) {
+        public void refused(long tag, double retryAfter) {
             answers.add("refused");
         }
 
--- a/src/test/java/laneflow/http/HttpStoryTest.java
+++ b/src/test/java/laneflow/http/HttpStoryTest.java
@@ -159,7 +159,7 @@
     }
 
     @Test
-    void noEndpointMeansFailFastWithATimeToComeBack() throws Exception {
+    void noEndpointMeansARefusalWithATimeToComeBack() throws Exception {
         Endpoint closed = new Endpoint("e1");
         closed.close();
         try (Stand stand = new Stand(null, closed);
