Decision module: KindEstimates, DeadlineHeap, and constants that say what they are parts of

Renamed: Kind, Calls; in Logic topWorth to highestWorth, UNTOLD to UNHINTED_PART, COLD_AFRESH to COLD_SHARE_AFTER_RESTART, LATE_WAIT to LATE_WAIT_PART, CHANCE to QUEUE_CHANCE, SPREAD to NUMBER_SPREAD, HELD_LONG to REPORTS_OVERDUE. The module's tests, SourceTest and ArchitectureTest pass.

--- a/src/main/java/laneflow/decision/Calls.java
+++ b/src/main/java/laneflow/decision/DeadlineHeap.java
@@ -3,7 +3,7 @@
 import java.util.Arrays;
 
 /** Open requests by their last call: a binary heap. Ended ones stay until they come to the top. */
-final class Calls {
+final class DeadlineHeap {
     private Job[] heap = new Job[64];
     private int count;
 
--- a/src/main/java/laneflow/decision/Kind.java
+++ b/src/main/java/laneflow/decision/KindEstimates.java
@@ -1,7 +1,7 @@
 package laneflow.decision;
 
 /** What is seen of one kind of worker. */
-final class Kind {
+final class KindEstimates {
     /** Say of a job in the mean work of those that ran here. */
     private static final double WORK_GAIN = 0.02;
     /** Seconds of work at standard speed that a kind starts with: a lucky job must not make it look fast. */
--- a/src/main/java/laneflow/decision/Logic.java
+++ b/src/main/java/laneflow/decision/Logic.java
@@ -17,9 +17,9 @@
 public final class Logic implements Dispatch {
     private static final double IN_TIME = 0.9; // Share of a job's aim to fill: hints and speeds are guesses.
     /** Four times the square of the mean excess of a normal draw, in its spreads: 4 x 0.4 x 0.4. */
-    private static final double CHANCE = 0.64;
+    private static final double QUEUE_CHANCE = 0.64;
     /** Of the longest work that can be in time, for one untold: hurried classes would be refused for ever. */
-    private static final double UNTOLD = 0.5;
+    private static final double UNHINTED_PART = 0.5;
     /** Part of the wait its aim leaves that a class is given however little it is worth: none starves. */
     private static final double LEAST_WAIT = 0.2;
     /** Part of the time in which a slot comes free that work of little worth may wait: no queue grows so. */
@@ -27,7 +27,7 @@
     /** Times its own class's mean slack that a job may wait: heavy ones could bear more, light ones not. */
     private static final double OWN_SLACK = 1.5;
     /** Part of its running time that a late job may wait on the kind it is tied to, which others spare. */
-    private static final double LATE_WAIT = 0.3;
+    private static final double LATE_WAIT_PART = 0.3;
     /** Jobs waiting for each slot of a worker that answers 'full', at least: its waiting room is taken. */
     private static final double FULL_QUEUE = 1;
 
@@ -43,12 +43,12 @@
     /** Share used of what fells a cold worker: hints are rough, capacity is guessed from slots, not cores. */
     private static final double COLD_SHARE = 0.9;
     /** Of that, all that may be used while sends of before a restart still count at the worker. */
-    private static final double COLD_AFRESH = 0.5;
+    private static final double COLD_SHARE_AFTER_RESTART = 0.5;
 
     private static final double HINTS_UNSURE = 1; // A mean of so many hints may be twice the true one.
     private static final double COLD_JOBS = 2; // Mean jobs that a part of a cold budget holds at least.
     /** Any large prime: dispatchers of neighbouring numbers, maybe of one zone, share different workers. */
-    private static final long SPREAD = 7919;
+    private static final long NUMBER_SPREAD = 7919;
 
     static final double WAIT_MEMORY = 0.05; // Say of a start note in the waits seen and foreseen.
     private static final double SLACK_GAIN = 0.05; // Say of a request in its class's mean wait.
@@ -66,7 +66,7 @@
 
     private static final long LAST_CALL = 1;
     private static final long ASK_LIST = 2;
-    private static final long HELD_LONG = 3;
+    private static final long REPORTS_OVERDUE = 3;
     private static final long CLOSE_AGAIN = 4;
 
     private final Settings settings;
@@ -74,11 +74,11 @@
     private final SplittableRandom random;
     private final Long2ObjectHashMap<WorkerView> views = new Long2ObjectHashMap<>();
     private final Jobs jobs = new Jobs();
-    private final Long2ObjectHashMap<Kind> kinds = new Long2ObjectHashMap<>();
+    private final Long2ObjectHashMap<KindEstimates> kinds = new Long2ObjectHashMap<>();
     private final Long2ObjectHashMap<ZoneLoad> crowds = new Long2ObjectHashMap<>();
     private final Pool[] pools; // The ready workers of each zone; the last, for no zone, stays empty.
     private final ArrayDeque<Job> held = new ArrayDeque<>(); // Wait for reports, in order of arrival.
-    private final Calls calls = new Calls();
+    private final DeadlineHeap calls = new DeadlineHeap();
     /** Requests taken and further attempts made, as far back as their budget looks. */
     private final SendLog taken = new SendLog();
 
@@ -91,7 +91,7 @@
     private boolean askPending;
     private double meanHint; // Of the jobs seen here, 0 before the first: a guess for the siblings' jobs.
     private long hints; // Seen so far.
-    private double topWorth;
+    private double highestWorth;
     private final Shares shares;
     private final double[] slack; // Mean wait that each class's jobs can bear.
     private double part = 1; // Of this dispatcher's budgets, while another process works under its number.
@@ -187,9 +187,9 @@
 
     @Override
     public void retuned() {
-        topWorth = 0;
+        highestWorth = 0;
         for (JobClass type : settings.classes) {
-            topWorth = Math.max(topWorth, type.worth);
+            highestWorth = Math.max(highestWorth, type.worth);
         }
     }
 
@@ -231,7 +231,7 @@
         clock(at);
         if (token == LAST_CALL) {
             lastCalls();
-        } else if (token == HELD_LONG) {
+        } else if (token == REPORTS_OVERDUE) {
             placeHeld(Double.NaN);
         } else if (token == ASK_LIST) {
             askPending = false;
@@ -450,7 +450,7 @@
         double run = job.hint / view.speed(now);
         if (job.late) {
             // Start notes always come a little late: on its own kind a tied class would never find a slot.
-            double most = job.type.kind < 0 ? 0 : LATE_WAIT * run;
+            double most = job.type.kind < 0 ? 0 : LATE_WAIT_PART * run;
             return wait(view, job) > most || now + run > job.lastCall;
         }
         return wait(view, job) > mostWait(job, patience(job) - run, view.peers.slotTime());
@@ -463,7 +463,7 @@
 
     /** Where work must wait, worth goes first: a class waits the less the less its work is worth. */
     private double waitShare(Job job) {
-        return LEAST_WAIT + (1 - LEAST_WAIT) * job.worth / topWorth;
+        return LEAST_WAIT + (1 - LEAST_WAIT) * job.worth / highestWorth;
     }
 
     /**
@@ -507,7 +507,7 @@
         double over = jobsAhead + job.slots - slots;
         // Siblings' jobs not in a fresh report come by chance: the more are unseen, the likelier is a queue.
         double seen = 1 / (1 + (now - view.reportAt) / WorkerView.REPORT_AGE);
-        over = (over + Math.sqrt(over * over + CHANCE * others * (1 - seen * seen))) / 2;
+        over = (over + Math.sqrt(over * over + QUEUE_CHANCE * others * (1 - seen * seen))) / 2;
         if (over <= 0 || jobsAhead <= 0) {
             return 0;
         }
@@ -687,11 +687,11 @@
         double mean = meanHint * hints / (hints + HINTS_UNSURE);
         double cores = view.warmth(now) * view.peers.capacity();
         double n = settings.fallMultiple * cores * settings.fallWithin / mean;
-        double afresh = now < startedAt + settings.fallWithin ? COLD_AFRESH : 1;
+        double afresh = now < startedAt + settings.fallWithin ? COLD_SHARE_AFTER_RESTART : 1;
         double budget = afresh * COLD_SHARE * (n + 2 * Math.sqrt(n) + 2) * mean;
         double each = Math.max(COLD_JOBS * meanHint, budget / settings.dispatchers);
         long first = (view.id * 0x9E3779B97F4A7C15L ^ Double.doubleToLongBits(view.startedAt)) >>> 16;
-        long before = (settings.me * SPREAD + first) % settings.dispatchers;
+        long before = (settings.me * NUMBER_SPREAD + first) % settings.dispatchers;
         double mine = part * Math.min(each, budget - before * each);
         return view.coldLog.since(now - settings.fallWithin) + coldCost(job) <= mine;
     }
@@ -863,12 +863,12 @@
     }
 
     /** Workers of a kind registered with different sizes are not alike: each size learns for itself. */
-    private Kind kindOf(Worker entry) {
+    private KindEstimates kindOf(Worker entry) {
         long size = settings.weights == WeightSource.NOMINAL ? Float.floatToIntBits((float) entry.weight) : 0;
         long key = (long) entry.kind << 32 | size;
-        Kind kind = kinds.get(key);
+        KindEstimates kind = kinds.get(key);
         if (kind == null) {
-            kind = new Kind();
+            kind = new KindEstimates();
             for (JobClass type : settings.classes) {
                 kind.soleHost |= type.kind == entry.kind;
             }
@@ -911,7 +911,7 @@
         if (reports > 0) {
             job.heldAt = now;
             held.add(job);
-            out.wake(REPORT_WAIT, HELD_LONG);
+            out.wake(REPORT_WAIT, REPORTS_OVERDUE);
         }
     }
 
@@ -943,7 +943,7 @@
         JobClass type = settings.classes[request.jobClass];
         double call = request.deadline - LAST_CALL_TICKS * settings.tick;
         double aim = Math.min(type.aim / Math.max(0, 1 - IN_TIME * type.stretch), call - now);
-        double guess = Math.min(meanHint > 0 ? meanHint : 1, UNTOLD * Math.max(settings.tick, aim));
+        double guess = Math.min(meanHint > 0 ? meanHint : 1, UNHINTED_PART * Math.max(settings.tick, aim));
         double hint = Math.min(request.hint > 0 ? request.hint : guess, type.deadline);
         // The mean begins with the first one: any guess in its place keeps cold workers idle.
         meanHint += Math.max(1.0 / ++hints, HINT_GAIN) * (hint - meanHint);
--- a/src/main/java/laneflow/decision/WorkerView.java
+++ b/src/main/java/laneflow/decision/WorkerView.java
@@ -31,7 +31,7 @@
     final long id;
     int zone;
     int kind;
-    Kind peers;
+    KindEstimates peers;
     int cell;
     long classes;
     long[] abilities;
