A durable job's row is copied in one place

Four methods of JobRow named all 21 fields to change one to four of them, which the formatter made 90 lines. They share one private copy now. Behaviour is the same; the tests of durable jobs and SourceTest pass.

--- a/src/main/java/laneflow/durable/JobRow.java
+++ b/src/main/java/laneflow/durable/JobRow.java
@@ -85,89 +85,38 @@
 
     /** The same, not to be begun before that instant. */
     public JobRow notBefore(long instantMs) {
-        return new JobRow(
-                id,
-                jobClass,
-                function,
-                key,
-                target,
-                requestId,
-                repeatKey,
-                hint,
-                slots,
-                memory,
-                subject,
-                urgency,
-                acceptedMs,
-                bodySum,
-                bodyBytes,
-                body,
-                state,
-                attempts,
-                reason,
-                changedMs,
-                instantMs);
+        return with(key, body, state, attempts, reason, changedMs, instantMs);
     }
 
     /** The same where it stands now. */
     public JobRow at(State now, List<AttemptRecord> record, String why, long instantMs) {
-        return new JobRow(
-                id,
-                jobClass,
-                function,
-                key,
-                target,
-                requestId,
-                repeatKey,
-                hint,
-                slots,
-                memory,
-                subject,
-                urgency,
-                acceptedMs,
-                bodySum,
-                bodyBytes,
-                body,
-                now,
-                record,
-                why,
-                instantMs,
-                notBeforeMs);
+        return with(key, body, now, record, why, instantMs, notBeforeMs);
     }
 
     /** The same under no key. */
     JobRow withoutKey() {
-        return new JobRow(
-                id,
-                jobClass,
-                function,
-                "",
-                target,
-                requestId,
-                repeatKey,
-                hint,
-                slots,
-                memory,
-                subject,
-                urgency,
-                acceptedMs,
-                bodySum,
-                bodyBytes,
-                body,
-                state,
-                attempts,
-                reason,
-                changedMs,
-                notBeforeMs);
+        return with("", body, state, attempts, reason, changedMs, notBeforeMs);
     }
 
     /** The same with its body left out, as it is held in memory once it has ended. */
     JobRow withoutBody() {
+        return with(key, null, state, attempts, reason, changedMs, notBeforeMs);
+    }
+
+    /** The same job with all in it that can differ from row to row. */
+    private JobRow with(
+            String newKey,
+            byte[] newBody,
+            State newState,
+            List<AttemptRecord> newAttempts,
+            String newReason,
+            long newChangedMs,
+            long newNotBeforeMs) {
         return new JobRow(
                 id,
                 jobClass,
                 function,
-                key,
+                newKey,
                 target,
                 requestId,
                 repeatKey,
@@ -179,11 +128,11 @@
                 acceptedMs,
                 bodySum,
                 bodyBytes,
-                null,
-                state,
-                attempts,
-                reason,
-                changedMs,
-                notBeforeMs);
+                newBody,
+                newState,
+                newAttempts,
+                newReason,
+                newChangedMs,
+                newNotBeforeMs);
     }
 }
