LeaseGate keeps one number of what has begun; a row's dead constructor is gone

Read once more: LeaseGate held the adopted policy, whether there ever was one, and since today the same as a volatile number; the last alone says all three. The log's and the counter's words stay. JobRow.notBefore was called by nobody, and its short constructor by three tests only, which name the last field now. Behaviour and assertions are the same.

--- a/src/main/java/laneflow/durable/JobRow.java
+++ b/src/main/java/laneflow/durable/JobRow.java
@@ -37,70 +37,19 @@
         long changedMs,
         long notBeforeMs) {
 
-    /** One that may begin at once. */
-    public JobRow(
-            long id,
-            String jobClass,
-            String function,
-            String key,
-            String target,
-            String requestId,
-            String repeatKey,
-            double hint,
-            double slots,
-            double memory,
-            long subject,
-            int urgency,
-            long acceptedMs,
-            int bodySum,
-            int bodyBytes,
-            byte[] body,
-            State state,
-            List<AttemptRecord> attempts,
-            String reason,
-            long changedMs) {
-        this(
-                id,
-                jobClass,
-                function,
-                key,
-                target,
-                requestId,
-                repeatKey,
-                hint,
-                slots,
-                memory,
-                subject,
-                urgency,
-                acceptedMs,
-                bodySum,
-                bodyBytes,
-                body,
-                state,
-                attempts,
-                reason,
-                changedMs,
-                0);
-    }
-
-    /** The same, not to be begun before that instant. */
-    public JobRow notBefore(long instantMs) {
-        return with(key, body, state, attempts, reason, changedMs, instantMs);
-    }
-
     /** The same where it stands now. */
     public JobRow at(State now, List<AttemptRecord> record, String why, long instantMs) {
-        return with(key, body, now, record, why, instantMs, notBeforeMs);
+        return with(key, body, now, record, why, instantMs);
     }
 
     /** The same under no key. */
     JobRow withoutKey() {
-        return with("", body, state, attempts, reason, changedMs, notBeforeMs);
+        return with("", body, state, attempts, reason, changedMs);
     }
 
     /** The same with its body left out, as it is held in memory once it has ended. */
     JobRow withoutBody() {
-        return with(key, null, state, attempts, reason, changedMs, notBeforeMs);
+        return with(key, null, state, attempts, reason, changedMs);
     }
 
     /** The same job with all in it that can differ from row to row. */
@@ -110,8 +59,7 @@
             State newState,
             List<AttemptRecord> newAttempts,
             String newReason,
-            long newChangedMs,
-            long newNotBeforeMs) {
+            long newChangedMs) {
         return new JobRow(
                 id,
                 jobClass,
@@ -133,6 +81,6 @@
                 newAttempts,
                 newReason,
                 newChangedMs,
-                newNotBeforeMs);
+                notBeforeMs);
     }
 }
--- a/src/main/java/laneflow/policy/LeaseGate.java
+++ b/src/main/java/laneflow/policy/LeaseGate.java
@@ -54,8 +54,6 @@
     /** The policy that was adopted last, -1 before the first; written on the traffic's thread only. */
     private volatile long begun = -1;
 
-    private long adopted;
-    private boolean everDecided;
     private boolean left;
     private long lastDecidedNs;
 
@@ -105,7 +103,7 @@
 
     private boolean isAboutToBegin() {
         LeaseSnapshot leave = published.leave();
-        return leave.next() >= 0 && (leave.next() != adopted || !everDecided);
+        return leave.next() >= 0 && leave.next() != begun;
     }
 
     @Override
@@ -152,7 +150,7 @@
         VarHandle.fullFence();
         Published holds = published;
         long number = left ? -1 : holds.leave().deciding(now);
-        if (number >= 0 && (number != adopted || !everDecided) && !adopt(number, holds, now)) {
+        if (number >= 0 && number != begun && !adopt(number, holds, now)) {
             return -1;
         }
         return number;
@@ -167,33 +165,31 @@
             return false;
         }
         long from = System.nanoTime();
-        long before = adopted;
+        long before = begun;
         List<String> waits = next.adopt();
-        adopted = number;
         begun = number;
         stamps.put(retuned.getAsInt(), number);
         if (stamps.size() > MOST_STAMPS) {
             stamps.pollFirstEntry();
         }
         counters.add("policy.begun");
-        long fence = everDecided ? holds.leave().fence(now) : 0;
+        long fence = before >= 0 ? holds.leave().fence(now) : 0;
         counters.set("policy.fence_most_us", Math.max(fence, counters.get("policy.fence_most_us")));
         LOG.info(
                 "policy begins number={} before={} last_decided_ns={} began_ns={} fence_us={} took_us={}",
                 number,
-                before,
+                Math.max(0, before),
                 lastDecidedNs,
                 from,
                 fence,
                 (System.nanoTime() - from) / 1000);
-        everDecided = true;
         news.adopted(number, waits);
         return true;
     }
 
     /** The policy that was adopted last; 0: the file's own. */
     long number() {
-        return adopted;
+        return Math.max(0, begun);
     }
 
     /** The policy that requests of that epoch came under, for answers; empty where none has begun. */
--- a/src/test/java/laneflow/durable/DurableJobsTest.java
+++ b/src/test/java/laneflow/durable/DurableJobsTest.java
@@ -164,7 +164,8 @@
                 State.RUNNING,
                 List.of(attempts),
                 "",
-                1000);
+                1000,
+                0);
     }
 
     @Test
--- a/src/test/java/laneflow/durable/StoreMaintenanceTest.java
+++ b/src/test/java/laneflow/durable/StoreMaintenanceTest.java
@@ -67,7 +67,8 @@
                 State.QUEUED,
                 List.of(),
                 "",
-                1000);
+                1000,
+                0);
     }
 
     private Path store(String name, JobRow... rows) throws IOException {
--- a/src/test/java/laneflow/durable/StoreTest.java
+++ b/src/test/java/laneflow/durable/StoreTest.java
@@ -53,7 +53,8 @@
                 State.QUEUED,
                 List.of(),
                 "",
-                100);
+                100,
+                0);
     }
 
     private Store open() throws IOException {
