--- a/src/test/java/laneflow/capacity/CapacityFaultsStoryTest.java
+++ b/src/test/java/laneflow/capacity/CapacityFaultsStoryTest.java
@@ -102,15 +102,6 @@
         }
     }
 
-    /** Fills a slot until the story ends; a job that is refused, as one may be, fills none and is asked again. */
-    private int occupies(int scheduler) throws IOException {
-        int status = asks(scheduler, UNTIL_THE_END);
-        while (status == 503) {
-            status = asks(scheduler, UNTIL_THE_END);
-        }
-        return status;
-    }
-
     /** Jobs at these schedulers by turns, all at once; how many were answered with each of 200 and 503. */
     private int[] burst(int count, int micros, int... these) throws IOException, InterruptedException {
         List<Callable<Integer>> all = new ArrayList<>();
@@ -170,7 +161,7 @@
         });
         // Later the other half fills two of its slots, and sees that by a further job.
         for (int i = 0; i < 2; i++) {
-            clients.submit(() -> occupies(0));
+            clients.submit(() -> asks(0, UNTIL_THE_END));
         }
         rig.await("the other half holds it to be used", () -> {
             asks(0, QUICK);
