Each refusal has its reason: counters turned_away.*, and the load held at debug level

Needed to tell apart why short jobs were refused at an endpoint with room: outlier, slow start, own load, other schedulers' load, late starts or retries. The module says which check the endpoint that came nearest did not pass and what it held of it (slots, own and others' load, age of the report, wait foreseen); the core counts it, and logs it at debug level with the request's id. Decisions do not change.

--- a/src/main/java/laneflow/core/Scheduler.java
+++ b/src/main/java/laneflow/core/Scheduler.java
@@ -15,6 +15,7 @@
 import laneflow.decision.Dispatch.Outcome;
 import laneflow.decision.Dispatch.Settings;
 import laneflow.decision.Logic;
+import laneflow.decision.Refusal;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -650,6 +651,15 @@
             request.front.refused(request.tag, retryAfter);
         }
 
+        @Override
+        public void turnedAway(long id, Refusal refusal) {
+            counters.add("turned_away." + refusal.reason().name().toLowerCase(Locale.ROOT));
+            Request request = requests.get(id);
+            if (LOG.isDebugEnabled() && request != null) {
+                LOG.debug("{} turned away: {}", request.payload.requestId(), refusal);
+            }
+        }
+
         @Override
         public void fail(long id) {
             Request request = requests.get(id);
--- a/src/main/java/laneflow/decision/Dispatch.java
+++ b/src/main/java/laneflow/decision/Dispatch.java
@@ -287,6 +287,9 @@
         /** Final answer: not served, safe to try again, after that many seconds if above 0. */
         void refuse(long request, double retryAfter);
 
+        /** Told right before a request that was placed nowhere is refused or failed: which check it did not pass. */
+        default void turnedAway(long request, Refusal refusal) {}
+
         /** Final answer: not served, and it may have had its effect. */
         void fail(long request);
 
--- a/src/main/java/laneflow/decision/Logic.java
+++ b/src/main/java/laneflow/decision/Logic.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.SplittableRandom;
 import laneflow.decision.Job.Attempt;
+import laneflow.decision.Refusal.Reason;
 import org.agrona.collections.Long2ObjectHashMap;
 
 /**
@@ -206,7 +207,7 @@
         taken.add(now, 1);
         Job job = open(request);
         if (job.lastCall <= now) {
-            finish(job);
+            finish(job, Refusal.of(Reason.DEADLINE));
             return;
         }
         calls.push(job);
@@ -320,7 +321,7 @@
         if (view != null) {
             send(job, view);
         } else if (job.lastLook || !looksOnceMore(job)) {
-            finish(job);
+            finish(job, refusal(job));
         }
     }
 
@@ -440,11 +441,7 @@
 
     /** Full: the worker answered 'full', lacks the memory, or could not end the job within its aim. */
     private boolean full(WorkerView view, Job job) {
-        if (now < view.fullUntil) {
-            return true;
-        }
-        if (now - view.reportAt <= WorkerView.REPORT_AGE
-                && view.freeMemory + view.memoryInReport - view.ownMemory < job.memory) {
+        if (now < view.fullUntil || lacksMemory(view, job)) {
             return true;
         }
         double run = job.hint / view.speed(now);
@@ -456,6 +453,11 @@
         return wait(view, job) > mostWait(job, patience(job) - run, view.peers.slotTime());
     }
 
+    private boolean lacksMemory(WorkerView view, Job job) {
+        return now - view.reportAt <= WorkerView.REPORT_AGE
+                && view.freeMemory + view.memoryInReport - view.ownMemory < job.memory;
+    }
+
     /** Seconds the job can still take and be in time. */
     private double patience(Job job) {
         return IN_TIME * job.aim - (now - job.arrivedAt);
@@ -551,7 +553,7 @@
                 || job.attempts >= job.mostAttempts
                 || !mayRepeat(job)
                 || !withinBudget(job)) {
-            finish(job);
+            finish(job, Refusal.of(now >= job.lastCall ? Reason.DEADLINE : Reason.NO_RETRY));
         } else {
             place(job);
         }
@@ -559,8 +561,9 @@
 
     // ---- the final answer ----
 
-    private void finish(Job job) {
+    private void finish(Job job, Refusal refusal) {
         end(job);
+        out.turnedAway(job.id, refusal);
         if (mayRefuse(job)) {
             out.refuse(job.id, job.toldWhen ? comeBack(job) : 0);
         } else {
@@ -568,6 +571,59 @@
         }
     }
 
+    /** What kept a job that was placed nowhere from the home endpoint that passed most of the checks. */
+    private Refusal refusal(Job job) {
+        int home = homeZone(job);
+        Refusal nearest = Refusal.of(Reason.NO_ENDPOINT);
+        for (int i = 0; home >= 0 && i < pools[home].count; i++) {
+            WorkerView view = pools[home].ready[i];
+            Reason reason = runs(view, job) ? obstacle(view, job) : Reason.NO_ENDPOINT;
+            if (reason.compareTo(nearest.reason()) > 0) {
+                double most = mostWait(job, patience(job) - job.hint / view.speed(now), view.peers.slotTime());
+                double slots = view.peers.slots();
+                nearest = new Refusal(
+                        reason,
+                        view.id,
+                        view.ownSlots,
+                        view.others(now),
+                        slots,
+                        now - view.reportAt,
+                        wait(view, job),
+                        most);
+            }
+        }
+        return nearest;
+    }
+
+    private Reason obstacle(WorkerView view, Job job) {
+        if (job.tried(view)) {
+            return Reason.TRIED;
+        }
+        if (suspect(pools[view.zone]) || suspect(view)) {
+            return Reason.OUTLIER;
+        }
+        if (now < view.fullUntil) {
+            return Reason.DECLINED;
+        }
+        if (full(view, job)) {
+            return overload(view, job);
+        }
+        return effectAllows(job, view) ? Reason.SLOW_START : Reason.EFFECT;
+    }
+
+    private Reason overload(WorkerView view, Job job) {
+        if (lacksMemory(view, job)) {
+            return Reason.MEMORY;
+        }
+        if (patience(job) < job.hint / view.speed(now)) {
+            return Reason.TOO_LONG;
+        }
+        if (view.ownSlots + job.slots > view.peers.slots()) {
+            return Reason.OWN_LOAD;
+        }
+        return queueWait(view, job) > view.unseenWait(now) ? Reason.OTHERS_LOAD : Reason.LATE_STARTS;
+    }
+
     /**
      * Seconds after which a refused client should come back: at once where a home worker has room and only
      * attempts are used up, else after a part of the time its job still has, in which others end.
@@ -608,7 +664,7 @@
         while (calls.first() != null && (!calls.first().live || calls.first().lastCall <= now)) {
             Job job = calls.pop();
             if (job.live && !job.streaming) {
-                finish(job);
+                finish(job, Refusal.of(Reason.DEADLINE));
             }
             jobs.release(job);
         }
--- a/src/test/java/laneflow/decision/Rig.java
+++ b/src/test/java/laneflow/decision/Rig.java
@@ -1,7 +1,9 @@
 package laneflow.decision;
 
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.PriorityQueue;
 import laneflow.decision.Dispatch.Effect;
 import laneflow.decision.Dispatch.JobClass;
@@ -23,6 +25,7 @@
     final Settings settings;
     final Logic logic;
     final List<Action> actions = new ArrayList<>();
+    final Map<Long, Refusal> refusals = new HashMap<>();
     private final PriorityQueue<Timer> timers =
             new PriorityQueue<>((a, b) -> a.at != b.at ? Double.compare(a.at, b.at) : Long.compare(a.order, b.order));
     private long order;
@@ -210,6 +213,11 @@
         note("refuse", request, 0, retryAfter);
     }
 
+    @Override
+    public void turnedAway(long request, Refusal refusal) {
+        refusals.put(request, refusal);
+    }
+
     @Override
     public void fail(long request) {
         note("fail", request, 0, 0);
