Own jobs that a load report may count are not taken for other schedulers' jobs

Cause: own jobs sent less than 0.2 s before a report were held not to be in it, and counted once as own and once as other schedulers'; then 0.07 of a job by others was given the mean rest of own long jobs, 4 s. Nothing is sent while all is refused, so no report corrected it. Ruled out by each refusal's trace: outlier, full, slow start, late starts. Why it holds: what a report leaves open stays as it was held, within what the report allows, so it no longer hangs on a race of milliseconds; and a request with room beside own jobs waits for others' jobs alone.

--- a/src/main/java/laneflow/decision/Logic.java
+++ b/src/main/java/laneflow/decision/Logic.java
@@ -254,7 +254,7 @@
         WorkerView view = attempt.view;
         // Before it is settled: a report older than the job's end still counts it, and is not the siblings'.
         if (report != null) {
-            view.take(report, meanHint, now);
+            view.take(report, attempt, meanHint, now);
         }
         settle(attempt, outcome);
         judge(view, outcome);
@@ -273,7 +273,7 @@
         clock(at);
         WorkerView view = views.get(worker);
         if (view != null && report != null) {
-            view.take(report, meanHint, outcome == Outcome.MOOT ? now - took : now);
+            view.take(report, null, meanHint, outcome == Outcome.MOOT ? now - took : now);
         }
         placeHeld(view == null || outcome == Outcome.MOOT ? Double.NaN : view.probedAt);
     }
@@ -515,6 +515,10 @@
         }
         double speed = view.speed(now);
         double mean = (view.ownRemaining(now, speed) + others * meanHint) / jobsAhead;
+        if (view.ownSlots + job.slots <= slots) {
+            // It waits for siblings' jobs alone: these are not as long as the own ones that run beside them.
+            mean = Math.min(mean, meanHint);
+        }
         return over * mean / (slots * speed);
     }
 
--- a/src/main/java/laneflow/decision/WorkerView.java
+++ b/src/main/java/laneflow/decision/WorkerView.java
@@ -16,7 +16,7 @@
     static final double REPORT_STALE = 0.5;
 
     static final double MOST_TOLD = 4096; // Slots or waiting jobs that a report may tell of.
-    /** Seconds a report is taken before it arrives, about: own sends younger than that are not in it. */
+    /** Seconds that a report may have been taken before it arrives: own sends younger than that may be in it. */
     static final double REPORT_LAG = 0.2;
 
     static final double OTHERS_GAIN = 0.1; // Say of a new report in the mean of what siblings keep there.
@@ -107,7 +107,12 @@
         return warmth(now) * peers.speed(workRun, timeRun);
     }
 
-    void take(LoadReport report, double meanWork, double now) {
+    /**
+     * Takes a report in.
+     *
+     * @param ended the attempt whose end brought it, still counted here; null for one that came by itself
+     */
+    void take(LoadReport report, Attempt ended, double meanWork, double now) {
         // What no worker can have is spoilt: kept as the most seen it would blind its kind for good.
         if (!(report.freeSlots >= 0 && report.freeSlots <= MOST_TOLD) || report.queue > MOST_TOLD) {
             return;
@@ -118,16 +123,28 @@
         }
         freeMemory = Double.isNaN(report.freeMemory) ? Double.POSITIVE_INFINITY : report.freeMemory;
         double inReport = 0;
+        double maybeInReport = 0;
         memoryInReport = 0;
         for (int i = 0; i < ownCount; i++) {
-            if (own[i].sentAt <= now - REPORT_LAG && !own[i].lost) {
+            if (own[i].lost) {
+                continue;
+            }
+            if (own[i].sentAt <= now - REPORT_LAG) {
                 inReport += own[i].job.slots;
                 memoryInReport += own[i].job.memory;
+            } else if (own[i] != ended || !Double.isNaN(own[i].startedAt)) {
+                // One that ended without a start, such as one declined, never took a slot.
+                maybeInReport += own[i].job.slots;
             }
         }
         double queue = report.queue > 0 ? report.queue : 0;
         peers.tellsQueue |= report.queue >= 0;
-        taken(Math.max(0, peers.slots() - report.freeSlots + queue - inReport), now);
+        // Own jobs that the report may count or not: taken for siblings' too, they would fill the worker twice for
+        // as long as they run. Nothing would correct that where all else is refused, as no further report comes.
+        // So what the report leaves open stays as it was held before.
+        double most = Math.max(0, peers.slots() - report.freeSlots + queue - inReport);
+        double least = Math.max(0, most - maybeInReport);
+        taken(Math.min(most, Math.max(least, others(now))), now);
     }
 
     /** Siblings' jobs there, of which a report or an answer tells. */
