Test: a process with no list is not ready while discovery is away (fails)

Seen: with nothing known and discovery unreachable GET /health/ready answers 503 for as long as the outage lasts; the operators allow 30 s for each process and 10 s for nine in ten.

--- a/src/test/java/laneflow/http/DiscoveryStoryTest.java
+++ b/src/test/java/laneflow/http/DiscoveryStoryTest.java
@@ -270,6 +270,29 @@
         }
     }
 
+    /**
+     * A process starts anew with no list while discovery can't be reached. The operators allow each process 30 s
+     * until it is ready, and nine in ten 10 s. It used to stay unready for as long as discovery was away: clients
+     * that have nobody else found a closed door, where an answer at once would tell them when to come back.
+     */
+    @Test
+    void withNothingKnownAndDiscoveryAwayAProcessIsReadyWithinTenSeconds() throws Exception {
+        Endpoint discovery = new Endpoint("d");
+        discovery.close();
+        long start = System.nanoTime();
+        try (Stand stand = new Stand(discovery);
+                Peer client = stand.http()) {
+            String ready;
+            do {
+                // As often as the operators' front asks.
+                Thread.sleep(100);
+                ready = client.write("GET /health/ready HTTP/1.1\r\n\r\n").message();
+            } while (ready.startsWith("HTTP/1.1 503 ") && System.nanoTime() - start < 10_000_000_000L);
+            assertTrue(ready.startsWith("HTTP/1.1 200 "), ready);
+            assertEquals(0, stand.counter("discovery.lists"));
+        }
+    }
+
     /** Clients have a part of the descriptors, and the watch is none of them. */
     @Test
     void idleClientsThatFillTheDescriptorsKeepNoWatchOut() throws Exception {
