A process that knows no endpoint asks for clients 9 s after its start

Callers saw: with an empty list and discovery away a process was not ready for as long as the outage lasted; the operators allow 30 s for each, 10 s for nine in ten. Cause: Serve.serves decided both whether clients may come and whether another process's place may be taken, with no limit in time. The readiness has a limit now, taking a place has none, so a process that knows nothing replaces nobody.

--- a/src/main/java/laneflow/assembly/Serve.java
+++ b/src/main/java/laneflow/assembly/Serve.java
@@ -41,6 +41,12 @@
     /** So long before it clients are sent away: most of what has come until then still ends. */
     private static final long LEAVE_BEFORE = 1_300_000;
 
+    /**
+     * Microseconds after its start at which a process asks for clients even if it knows no endpoint. The operators
+     * want nine in ten processes to be ready within 10 s, and each within 30 s, however long discovery is away.
+     */
+    private static final long READY_AT_LATEST = 9_000_000;
+
     private static final long LOOK_AGAIN = 5_000;
     private static final long LONGEST_DRAIN_S = 30;
 
@@ -58,6 +64,9 @@
     private final Operations operations;
 
     private final CountDownLatch drained = new CountDownLatch(1);
+    /** From then on it is ready even if it knows no endpoint; the loop's own. */
+    private long readyAtLatest = Long.MAX_VALUE;
+
     private boolean stopping;
     private boolean leaving;
 
@@ -88,6 +97,7 @@
             if (watch != null) {
                 watch.begin();
             }
+            readyAtLatest = loop.micros() + READY_AT_LATEST;
             front.readyWhen(this::isReady);
         });
         String ops = around.ops() != null ? around.ops() : config.ops;
@@ -121,16 +131,26 @@
 
     /** Begun with nothing known, it would refuse all that comes before discovery's first word. */
     private boolean serves() {
-        return !stopping
-                && subsystems.isReady()
-                && (watch == null
-                        || watch.hasLooked()
-                                && (scheduler.destinations().size() > 0 || counters.get("discovery.lists") > 0));
+        return mayServe() && knowsEndpoints();
+    }
+
+    private boolean mayServe() {
+        return !stopping && subsystems.isReady();
+    }
+
+    private boolean knowsEndpoints() {
+        return watch == null
+                || watch.hasLooked() && (scheduler.destinations().size() > 0 || counters.get("discovery.lists") > 0);
     }
 
-    /** Where another process serves in its place, the scheduler stays ready whichever of them is asked. */
+    /**
+     * Where another process serves in its place, the scheduler stays ready whichever of them is asked. One that knows
+     * no endpoint for long asks for clients all the same: a refusal tells them when to come back, a closed door
+     * nothing. It takes no other process's place by that, as only {@link #serves} allows.
+     */
     private boolean isReady() {
-        return (serves() || operations != null && operations.isSuperseded())
+        boolean waitedLong = mayServe() && loop.micros() >= readyAtLatest;
+        return (serves() || waitedLong || operations != null && operations.isSuperseded())
                 && (operations == null || !operations.isDrained());
     }
 
