--- a/src/test/java/laneflow/http/DiscoveryStoryTest.java
+++ b/src/test/java/laneflow/http/DiscoveryStoryTest.java
@@ -110,6 +110,30 @@
         }
     }
 
+    /**
+     * A watch that was up to date falls silent, and the next one is accepted and says nothing at all. What the first
+     * one misses counts as told 6 s after its last word, and each of the two connections behind it may take 1 s to
+     * come up, so 4 s are left until the third watch asks. It used to ask after 5 s: the second watch had the 2.5 s
+     * in which a beat is missing, although nothing of an answer had come from an agent on this machine.
+     */
+    @Test
+    void aWatchThatOwesMissedNewsAndSaysNothingIsFollowedByAThirdInTime() throws Exception {
+        Endpoint discovery = new Endpoint("d");
+        Endpoint one = new Endpoint("e1");
+        try (Stand stand = new Stand(discovery, one)) {
+            Peer first = watch(discovery, "1");
+            first.write(HEAD + chunk("\n"));
+            long from = System.nanoTime();
+            Peer second = watch(discovery, "1");
+            Peer third = watch(discovery, "1");
+            assertTrue(seconds(from) < 4, "asked again " + seconds(from) + " s after the last word");
+            assertTrue(second.ended());
+            third.write(HEAD + chunk(Stand.list(2, false, one.host("Terminating"))));
+            stand.await("discovery.lists", 1);
+            assertEquals(2, stand.counter("discovery.silent"));
+        }
+    }
+
     /** What its agent holds counts from a process's first moment: before it has spoken nobody is asked for. */
     @Test
     void aNewProcessIsReadyOnceItsAgentHasSpokenOrHasNothingToSay() throws Exception {
