No attempt begins for a client whose end lies unread amid a stall

Callers saw: work begun for clients that had left, at workers that others could use, more than 0.1 s behind the close. Cause: a client's end was known only in its socket's own turn; the failure of its first attempt, or a connection that comes up, may be handled before it. Front.hasLeft looks at the client's connection before a further attempt, and before a call that comes up in a later turn than its decision; the request is withdrawn then. Open: a Gearman client's end.

--- a/src/main/java/laneflow/core/Scheduler.java
+++ b/src/main/java/laneflow/core/Scheduler.java
@@ -381,6 +381,10 @@
             // Its client has left or has its answer.
             return "answered";
         }
+        // In the turn of the decision that was looked at before it.
+        if (call.sentAt != clock.micros() && call.request.front.hasLeft(call.request.tag)) {
+            return "left";
+        }
         if (!mayBegin(call.endpoint)) {
             return "drain";
         }
@@ -601,6 +605,13 @@
                 return;
             }
             Attempt call = new Attempt(request, endpoint, attempt, clock.micros());
+            if (request.calls > 0 && request.front.hasLeft(request.tag)) {
+                // Its end may lie unread behind what brought this turn, which a stall can have made late.
+                counters.add("core.kept.left");
+                withdraw(request);
+                tell(call, Outcome.MOOT, true, null);
+                return;
+            }
             request.calls++;
             String kept = forbids(request, endpoint);
             if (kept != null) {
--- a/src/main/java/laneflow/http/Client.java
+++ b/src/main/java/laneflow/http/Client.java
@@ -299,6 +299,10 @@
         }
     }
 
+    boolean hasLeft() {
+        return link.hasPeerEnded();
+    }
+
     /** Which state of the settings its request came under. */
     int epoch() {
         return request == null ? 0 : request.epoch();
--- a/src/main/java/laneflow/http/HttpFront.java
+++ b/src/main/java/laneflow/http/HttpFront.java
@@ -274,6 +274,12 @@
         return "http";
     }
 
+    @Override
+    public boolean hasLeft(long tag) {
+        Client client = clients.get(tag);
+        return client == null || client.hasLeft();
+    }
+
     @Override
     public void served(long tag, byte[] result) {
         answer(tag, 200, "OK", "", result);
