Logic asks OutlierDetection, RetryPolicy and SlowStart; estimates of time stand apart

Need: decision.Logic held every concern of the module in one class of 1,114 lines. 'Doubt' and 'suspect' are now outlier and ejected, as elsewhere.

--- a/src/main/java/laneflow/decision/Logic.java
+++ b/src/main/java/laneflow/decision/Logic.java
@@ -17,8 +17,6 @@
  */
 public final class Logic implements Dispatch {
     private static final double IN_TIME = 0.9; // Share of a job's aim to fill: hints and speeds are guesses.
-    /** Four times the square of the mean excess of a normal draw, in its spreads: 4 x 0.4 x 0.4. */
-    private static final double QUEUE_CHANCE = 0.64;
     /** Of the longest work that can be in time, for one untold: hurried classes would be refused for ever. */
     private static final double UNHINTED_PART = 0.5;
     /** Part of the wait its aim leaves that a class is given however little it is worth: none starves. */
@@ -41,28 +39,9 @@
     private static final double LAST_CALL_TICKS = 2; // From the final answer to the client's giving up.
     /** Capacity of a worker nothing is known of, standard cores: a cold one must not be overestimated. */
     static final double UNKNOWN_CAPACITY = 0.5;
-    /** Share used of what fells a cold worker: hints are rough, capacity is guessed from slots, not cores. */
-    private static final double COLD_SHARE = 0.9;
-    /** Of that, all that may be used while sends of before a restart still count at the worker. */
-    private static final double COLD_SHARE_AFTER_RESTART = 0.5;
-
-    private static final double HINTS_UNSURE = 1; // A mean of so many hints may be twice the true one.
-    private static final double COLD_JOBS = 2; // Mean jobs that a part of a cold budget holds at least.
-    /** Any large prime: dispatchers of neighbouring numbers, maybe of one zone, share different workers. */
-    private static final long NUMBER_SPREAD = 7919;
 
     static final double WAIT_MEMORY = 0.05; // Say of a start note in the waits seen and foreseen.
     private static final double SLACK_GAIN = 0.05; // Say of a request in its class's mean wait.
-    private static final double HINT_GAIN = 0.02; // Say of a new request in the mean cost hint.
-
-    /** Seconds of the first suspicion of a worker; it doubles with each failure that follows on another. */
-    private static final double SUSPECT_FIRST = 0.5;
-
-    private static final int CONNECTIONS_LOST = 2; // Broken or silent in a row that make a worker suspect.
-    private static final int ZONE_FAILURES = 3; // Connects failed in a row that make a zone suspect.
-    private static final double ZONE_TRIAL = 1; // Seconds that a trial of a suspect zone keeps others off.
-    private static final double SUSPECT_LONGEST = 8; // Seconds: a worker that is back must be found.
-
     private static final double RETRY_PART = 0.15; // Of the time left, after which a refused job comes back.
 
     private static final long LAST_CALL = 1;
@@ -80,23 +59,20 @@
     private final Pool[] pools; // The ready workers of each zone; the last, for no zone, stays empty.
     private final ArrayDeque<Job> held = new ArrayDeque<>(); // Wait for reports, in order of arrival.
     private final DeadlineHeap calls = new DeadlineHeap();
-    /** Requests taken and further attempts made, as far back as their budget looks. */
-    private final SendLog taken = new SendLog();
-
-    private final SendLog further = new SendLog();
     /** Workers told to drain whose connections are to be closed once more. */
     private final ArrayDeque<WorkerView> closing = new ArrayDeque<>();
 
+    private final MeanHint meanHint = new MeanHint();
+    private final TimeEstimates times = new TimeEstimates(meanHint);
+    private final RetryPolicy retries;
+    private final SlowStart slowStart;
+    private final OutlierDetection outliers;
     private double callArmed = Double.POSITIVE_INFINITY;
     private int listRound;
     private boolean askPending;
-    private double meanHint; // Of the jobs seen here, 0 before the first: a guess for the siblings' jobs.
-    private long hints; // Seen so far.
     private double highestWorth;
     private final Shares shares;
     private final double[] slack; // Mean wait that each class's jobs can bear.
-    private double part = 1; // Of this dispatcher's budgets, while another process works under its number.
-    private double startedAt = Double.NEGATIVE_INFINITY;
     private double now = Double.NEGATIVE_INFINITY;
 
     /** A dispatcher with these settings and this seed; actions go to {@code out}. */
@@ -112,6 +88,9 @@
         this.settings = settings;
         this.out = out;
         this.random = new SplittableRandom(seed);
+        retries = new RetryPolicy(settings);
+        slowStart = new SlowStart(settings, meanHint);
+        outliers = new OutlierDetection(settings, random);
         pools = new Pool[settings.zones + 1];
         Arrays.setAll(pools, zone -> new Pool(random.nextInt()));
         shares = new Shares(settings);
@@ -125,7 +104,7 @@
     @Override
     public void start(double at) {
         clock(at);
-        startedAt = now;
+        slowStart.start(now);
         if (settings.listMustBeAsked) {
             out.watchList();
         }
@@ -183,7 +162,7 @@
     @Override
     public void share(double at, double of) {
         clock(at);
-        part = of;
+        slowStart.share(of);
     }
 
     @Override
@@ -203,8 +182,7 @@
         if (jobs.get(request.id) != null) {
             return;
         }
-        taken.count(now - settings.furtherWithin);
-        taken.add(now, 1);
+        retries.requestTaken(now);
         Job job = open(request);
         if (job.lastCall <= now) {
             finish(job, Refusal.of(Reason.DEADLINE));
@@ -254,7 +232,7 @@
         WorkerView view = attempt.view;
         // Before it is settled: a report older than the job's end still counts it, and is not the siblings'.
         if (report != null) {
-            view.take(report, attempt, meanHint, now);
+            view.take(report, attempt, meanHint.mean(), now);
         }
         settle(attempt, outcome);
         judge(view, outcome);
@@ -273,7 +251,7 @@
         clock(at);
         WorkerView view = views.get(worker);
         if (view != null && report != null) {
-            view.take(report, null, meanHint, outcome == Outcome.MOOT ? now - took : now);
+            view.take(report, null, meanHint.mean(), outcome == Outcome.MOOT ? now - took : now);
         }
         placeHeld(view == null || outcome == Outcome.MOOT ? Double.NaN : view.probedAt);
     }
@@ -294,7 +272,7 @@
         Attempt attempt = job == null ? null : job.outstanding(number);
         if (attempt != null) {
             attempt.heardAt = now;
-            pools[attempt.view.zone].doubt.clear();
+            pools[attempt.view.zone].outlier.clear();
             if (Double.isNaN(attempt.startedAt)) {
                 // Where no start is told, the first word comes a while after it: read as the start it would
                 // make every worker look fast, and cold ones be sent too much.
@@ -399,20 +377,20 @@
         Pool pool = pools[zone];
         // Told of the same room by old reports all herd: twice as often as told 'full', own work decides.
         boolean blind = random.nextDouble() < 2 * pool.fullShare;
-        for (int i = 0; i < pool.count && !suspect(pool); i++) {
+        for (int i = 0; i < pool.count && !outliers.isEjected(pool, now); i++) {
             WorkerView view = pool.ready[i];
             if (!runs(view, job)
                     || sparing && view.peers.soleHost
                     || job.tried(view)
-                    || suspect(view)
+                    || outliers.isEjected(view, now)
                     || full(view, job)
-                    || !effectAllows(job, view)
-                    || now < view.warmAt && !coldBudgetAllows(view, job)) {
+                    || !retries.effectAllows(job, view)
+                    || now < view.warmAt && !slowStart.allows(view, job, now)) {
                 continue;
             }
             double speed = view.speed(now);
             double time = (view.ownRemaining(now, speed) + job.work()) / (view.peers.slots() * speed)
-                    + (blind ? 0 : wait(view, job));
+                    + (blind ? 0 : times.wait(view, job, now));
             if (time < least) {
                 best = view;
                 least = time;
@@ -448,9 +426,9 @@
         if (job.late) {
             // Start notes always come a little late: on its own kind a tied class would never find a slot.
             double most = job.type.kind < 0 ? 0 : LATE_WAIT_PART * run;
-            return wait(view, job) > most || now + run > job.lastCall;
+            return times.wait(view, job, now) > most || now + run > job.lastCall;
         }
-        return wait(view, job) > mostWait(job, patience(job) - run, view.peers.slotTime());
+        return times.wait(view, job, now) > mostWait(job, patience(job) - run, view.peers.slotTime());
     }
 
     private boolean lacksMemory(WorkerView view, Job job) {
@@ -496,32 +474,6 @@
         }
     }
 
-    /** Seconds until this worker would start the job. */
-    private double wait(WorkerView view, Job job) {
-        return Math.max(0, queueWait(view, job) * view.peers.waitScale(now) + view.unseenWait(now));
-    }
-
-    /** Seconds that the work known of makes it wait: the mean job's rest for each one too many. */
-    private double queueWait(WorkerView view, Job job) {
-        double slots = view.peers.slots();
-        double others = view.others(now);
-        double jobsAhead = view.ownSlots + others;
-        double over = jobsAhead + job.slots - slots;
-        // Siblings' jobs not in a fresh report come by chance: the more are unseen, the likelier is a queue.
-        double seen = 1 / (1 + (now - view.reportAt) / WorkerView.REPORT_AGE);
-        over = (over + Math.sqrt(over * over + QUEUE_CHANCE * others * (1 - seen * seen))) / 2;
-        if (over <= 0 || jobsAhead <= 0) {
-            return 0;
-        }
-        double speed = view.speed(now);
-        double mean = (view.ownRemaining(now, speed) + others * meanHint) / jobsAhead;
-        if (view.ownSlots + job.slots <= slots) {
-            // It waits for siblings' jobs alone: these are not as long as the own ones that run beside them.
-            mean = Math.min(mean, meanHint);
-        }
-        return over * mean / (slots * speed);
-    }
-
     private void send(Job job, WorkerView view) {
         Attempt attempt = job.nextAttempt();
         attempt.view = view;
@@ -529,8 +481,8 @@
         attempt.startedAt = Double.NaN;
         attempt.heardAt = now;
         attempt.share = 0;
-        attempt.queueWait = queueWait(view, job);
-        attempt.wait = wait(view, job);
+        attempt.queueWait = times.queueWait(view, job, now);
+        attempt.wait = times.wait(view, job, now);
         // A silent machine shows only in what is overdue: a start, or the end where starts are not told.
         attempt.dueAt = now + attempt.wait + (settings.tellsStart ? 0 : job.hint / view.speed(now));
         attempt.lost = false;
@@ -539,24 +491,17 @@
         attempt.mayHaveRun = true;
         job.outstanding++;
         if (job.attempts > 1) {
-            further.add(now, 1);
+            retries.attemptedAgain(now);
         }
         view.add(attempt);
-        view.doubt.triedAt = now;
-        pools[view.zone].doubt.triedAt = now;
-        if (now < view.warmAt) {
-            view.coldLog.add(now, coldCost(job));
-        }
+        outliers.tried(view, pools[view.zone], now);
+        slowStart.sent(view, job, now);
         out.send(job.id, attempt.number, view.id);
     }
 
     /** What follows an attempt that did not serve the request. */
     private void next(Job job) {
-        if (job.streaming
-                || now >= job.lastCall
-                || job.attempts >= job.mostAttempts
-                || !mayRepeat(job)
-                || !withinBudget(job)) {
+        if (job.streaming || now >= job.lastCall || !retries.allowsAnother(job, now)) {
             finish(job, Refusal.of(now >= job.lastCall ? Reason.DEADLINE : Reason.NO_RETRY));
         } else {
             place(job);
@@ -568,7 +513,7 @@
     private void finish(Job job, Refusal refusal) {
         end(job);
         out.turnedAway(job.id, refusal);
-        if (mayRefuse(job)) {
+        if (retries.mayRefuse(job, now)) {
             out.refuse(job.id, job.toldWhen ? comeBack(job) : 0);
         } else {
             out.fail(job.id);
@@ -592,7 +537,7 @@
                         view.others(now),
                         slots,
                         now - view.reportAt,
-                        wait(view, job),
+                        times.wait(view, job, now),
                         most);
             }
         }
@@ -603,7 +548,7 @@
         if (job.tried(view)) {
             return Reason.TRIED;
         }
-        if (suspect(pools[view.zone]) || suspect(view)) {
+        if (outliers.isEjected(pools[view.zone], now) || outliers.isEjected(view, now)) {
             return Reason.OUTLIER;
         }
         if (now < view.fullUntil) {
@@ -612,7 +557,7 @@
         if (full(view, job)) {
             return overload(view, job);
         }
-        return effectAllows(job, view) ? Reason.SLOW_START : Reason.EFFECT;
+        return retries.effectAllows(job, view) ? Reason.SLOW_START : Reason.EFFECT;
     }
 
     private Reason overload(WorkerView view, Job job) {
@@ -625,7 +570,7 @@
         if (view.ownSlots + job.slots > view.peers.slots()) {
             return Reason.OWN_LOAD;
         }
-        return queueWait(view, job) > view.unseenWait(now) ? Reason.OTHERS_LOAD : Reason.LATE_STARTS;
+        return times.queueWait(view, job, now) > view.unseenWait(now) ? Reason.OTHERS_LOAD : Reason.LATE_STARTS;
     }
 
     /**
@@ -634,9 +579,9 @@
      */
     private double comeBack(Job job) {
         int home = homeZone(job);
-        for (int i = 0; home >= 0 && i < pools[home].count && !suspect(pools[home]); i++) {
+        for (int i = 0; home >= 0 && i < pools[home].count && !outliers.isEjected(pools[home], now); i++) {
             WorkerView view = pools[home].ready[i];
-            if (runs(view, job) && !suspect(view) && !full(view, job)) {
+            if (runs(view, job) && !outliers.isEjected(view, now) && !full(view, job)) {
                 return settings.tick;
             }
         }
@@ -683,109 +628,7 @@
         }
     }
 
-    // ---- guard: no effect twice ----
-
-    /** A further attempt: never for unsafe once one may have run; keyed only while its window lasts. */
-    private boolean mayRepeat(Job job) {
-        switch (job.type.effect) {
-            case SAFE:
-                return true;
-            case KEYED:
-                return !job.mayHaveRun() || now < job.firstMayHaveRun() + job.type.window;
-            default:
-                return !job.mayHaveRun();
-        }
-    }
-
-    /** A refusal tells the client that a repeat is harmless: only where that is so. */
-    private boolean mayRefuse(Job job) {
-        return job.type.effect == Effect.SAFE
-                || !job.mayHaveRun()
-                || job.type.effect == Effect.KEYED && job.type.group == Group.ALL && mayRepeat(job);
-    }
-
-    /** A keyed job that may have run stays with the workers that drop its repeats. */
-    private boolean effectAllows(Job job, WorkerView view) {
-        if (job.type.effect != Effect.KEYED || job.type.group == Group.ALL) {
-            return true;
-        }
-        for (int i = 0; i < job.attempts; i++) {
-            WorkerView earlier = job.attempt[i].view;
-            if (job.attempt[i].mayHaveRun
-                    && (job.type.group == Group.ZONE ? earlier.zone != view.zone : earlier.cell != view.cell)) {
-                return false;
-            }
-        }
-        return true;
-    }
-
-    // ---- guard: the budget of further attempts ----
-
-    /**
-     * Many answers 'full' or failures at once would multiply the load just when there is too much: where the
-     * settings ration further attempts, whatever the earlier ones came to, one more must leave every window
-     * within its ration. Times are read to the tick, on the careful side.
-     */
-    private boolean withinBudget(Job job) {
-        double since = now - job.furtherWithin;
-        int made = further.count(since - settings.tick);
-        int got = taken.count(since + settings.tick);
-        return job.furtherWithin <= 0 || made + 1 <= job.furtherFree + job.furtherShare * got;
-    }
-
-    // ---- guard: cold workers ----
-
-    /**
-     * Slow start: a cold worker falls over from the sum of all dispatchers' sends, and none sees the others'.
-     * What fells it, the n mean jobs that multiple x present capacity x span allow and what comes by chance
-     * (two roots of n, and two), is cut into parts that hold some jobs. They go to dispatchers in the order
-     * of their numbers, shifted by the worker's start, so all agree unasked. A budget that grows adds parts
-     * and changes none, so those of one span never add up to more. Every send counts. The dispatchers' zones
-     * are not told and may be one.
-     */
-    private boolean coldBudgetAllows(WorkerView view, Job job) {
-        double mean = meanHint * hints / (hints + HINTS_UNSURE);
-        double cores = view.warmth(now) * view.peers.capacity();
-        double n = settings.fallMultiple * cores * settings.fallWithin / mean;
-        double afresh = now < startedAt + settings.fallWithin ? COLD_SHARE_AFTER_RESTART : 1;
-        double budget = afresh * COLD_SHARE * (n + 2 * Math.sqrt(n) + 2) * mean;
-        double each = Math.max(COLD_JOBS * meanHint, budget / settings.dispatchers);
-        long first = (view.id * 0x9E3779B97F4A7C15L ^ Double.doubleToLongBits(view.startedAt)) >>> 16;
-        long before = (settings.me * NUMBER_SPREAD + first) % settings.dispatchers;
-        double mine = part * Math.min(each, budget - before * each);
-        return view.coldLog.since(now - settings.fallWithin) + coldCost(job) <= mine;
-    }
-
-    /**
-     * A light hint may be an error: of what fits into a small part the true work is more, and a cold worker
-     * filled by light hints would fall. Such a job counts as a mean one.
-     */
-    private double coldCost(Job job) {
-        return job.slots * Math.max(job.hint, meanHint);
-    }
-
-    // ---- guard: suspicion ----
-
-    /**
-     * A dead worker keeps its last report and one that fails fast looks idle: both draw ever more jobs. After
-     * a failure it is left alone, for longer each time; then one job tries it, until an answer clears it.
-     */
-    private boolean suspect(WorkerView view) {
-        return suspect(view.doubt, view.ownCount > 0);
-    }
-
-    /**
-     * Where a whole zone is gone, or the link to it, each of its workers would draw an attempt to be
-     * suspected. After some failed connects in a row the zone is left alone like a worker, where there is
-     * another one: the only zone has nobody to spare, and its other workers may be idle.
-     */
-    private boolean suspect(Pool pool) {
-        return settings.zones > 1 && suspect(pool.doubt, now < pool.doubt.triedAt + ZONE_TRIAL);
-    }
-
-    private boolean suspect(OutlierState doubt, boolean onTrial) {
-        return doubt.strikes > 0 && (now < doubt.until || onTrial && doubt.triedAt >= doubt.until);
-    }
+    // ---- guard: outlier detection ----
 
     private void judge(WorkerView view, Outcome outcome) {
         Pool pool = pools[view.zone];
@@ -796,23 +639,14 @@
                 // The only word of a queue: a worker believed to have none is tried in vain again and again.
                 view.taken((1 + FULL_QUEUE) * view.peers.slots(), now);
             }
-            view.doubt.clear();
-            pool.doubt.clear();
+            view.outlier.clear();
+            pool.outlier.clear();
         } else if (outcome == Outcome.RESET || outcome == Outcome.TIMEOUT) {
-            // One connection that breaks or falls silent says little of its worker; of a dead one all do.
-            accuse(view.doubt, CONNECTIONS_LOST);
-        } else if (outcome == Outcome.CONNECT_FAILED || outcome == Outcome.ERROR) {
-            accuse(view.doubt, 1);
-            if (outcome == Outcome.CONNECT_FAILED) {
-                accuse(pool.doubt, ZONE_FAILURES);
-            }
-        }
-    }
-
-    private void accuse(OutlierState doubt, int enough) {
-        if (++doubt.inRow >= enough && now >= doubt.until) {
-            double time = Math.min(SUSPECT_LONGEST, SUSPECT_FIRST * Math.pow(2, doubt.strikes++));
-            doubt.until = now + time * (1 + random.nextDouble()) / 2;
+            outliers.connectionLost(view, now);
+        } else if (outcome == Outcome.CONNECT_FAILED) {
+            outliers.connectFailed(view, pool, now);
+        } else if (outcome == Outcome.ERROR) {
+            outliers.answeredWithError(view, now);
         }
     }
 
@@ -829,7 +663,7 @@
                     && attempt.sentAt < started.sentAt - settings.connectTimeout
                     && !attempt.lost) {
                 view.lose(attempt);
-                if (settings.mayCancel && attempt.job.live && mayRepeat(attempt.job)) {
+                if (settings.mayCancel && attempt.job.live && retries.mayRepeat(attempt.job, now)) {
                     out.cancel(attempt.job.id, attempt.number);
                 }
             }
@@ -1003,10 +837,10 @@
         JobClass type = settings.classes[request.jobClass];
         double call = request.deadline - LAST_CALL_TICKS * settings.tick;
         double aim = Math.min(type.aim / Math.max(0, 1 - IN_TIME * type.stretch), call - now);
-        double guess = Math.min(meanHint > 0 ? meanHint : 1, UNHINTED_PART * Math.max(settings.tick, aim));
+        double guess =
+                Math.min(meanHint.mean() > 0 ? meanHint.mean() : 1, UNHINTED_PART * Math.max(settings.tick, aim));
         double hint = Math.min(request.hint > 0 ? request.hint : guess, type.deadline);
-        // The mean begins with the first one: any guess in its place keeps cold workers idle.
-        meanHint += Math.max(1.0 / ++hints, HINT_GAIN) * (hint - meanHint);
+        meanHint.add(hint);
         return jobs.open(request.id).open(request, settings, shares, now, call, hint);
     }
 
@@ -1019,20 +853,9 @@
         view.remove(attempt);
         boolean told = !Double.isNaN(attempt.startedAt);
         if (outcome == Outcome.OK && (told || !settings.tellsStart) && now >= view.warmAt) {
-            double took = told ? Math.min(now, attempt.answeredAt) - attempt.startedAt : runTime(attempt);
+            double took = told ? Math.min(now, attempt.answeredAt) - attempt.startedAt : times.run(attempt, now);
             view.peers.ran(attempt.job.hint, took);
             view.ran(attempt.job.hint, took);
         }
     }
-
-    /**
-     * Seconds that a job ran whose start is not told. With nothing learned a slow kind would count as a standard one,
-     * and its cold workers be sent too much; so the wait is taken as foreseen. But one that ended sooner than foreseen
-     * waited less: held to have run in no time it would make its kind look many times as fast.
-     */
-    private double runTime(Attempt attempt) {
-        double elapsed = Math.min(now, attempt.answeredAt) - attempt.sentAt;
-        double foreseenRun = attempt.job.hint / attempt.view.speed(now);
-        return Math.min(elapsed, Math.max(elapsed - attempt.wait, foreseenRun));
-    }
 }
--- a/src/main/java/laneflow/decision/Pool.java
+++ b/src/main/java/laneflow/decision/Pool.java
@@ -9,7 +9,7 @@
     /** Share of the attempts here that were answered 'full', of late. */
     double fullShare;
 
-    final OutlierState doubt = new OutlierState();
+    final OutlierState outlier = new OutlierState();
     private int turn;
 
     /** An empty pool; turns begin with the worker that {@code first} points to. */
--- a/src/main/java/laneflow/decision/WorkerView.java
+++ b/src/main/java/laneflow/decision/WorkerView.java
@@ -56,7 +56,7 @@
     double workRun;
     double timeRun;
     double fullUntil = Double.NEGATIVE_INFINITY;
-    final OutlierState doubt = new OutlierState();
+    final OutlierState outlier = new OutlierState();
     final SendLog coldLog = new SendLog();
 
     WorkerView(long id, Settings settings) {
@@ -201,7 +201,7 @@
     void forgetReport() {
         reportAt = Double.NEGATIVE_INFINITY;
         fullUntil = Double.NEGATIVE_INFINITY;
-        doubt.clear();
+        outlier.clear();
         othersInReport = 0;
     }
 }
--- a/src/test/java/laneflow/SourceTest.java
+++ b/src/test/java/laneflow/SourceTest.java
@@ -8,6 +8,7 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.List;
+import java.util.regex.Pattern;
 import java.util.stream.Stream;
 import org.junit.jupiter.api.Test;
 
@@ -15,11 +16,25 @@
 class SourceTest {
     private static final Path MODULE = Path.of("src/main/java/laneflow/decision/Logic.java");
 
+    /** All files that the deploy file names as the module's, together. */
     @Test
     void moduleStaysWithinItsSize() throws IOException {
-        long lines = Files.readAllLines(MODULE).stream()
-                .filter(line -> !line.isBlank())
-                .count();
+        String named = Files.readAllLines(Path.of("deploy/balancer.toml")).stream()
+                .filter(line -> line.startsWith("policy = "))
+                .findFirst()
+                .orElseThrow();
+        List<Path> policy = Pattern.compile("\"([^\"]+)\"")
+                .matcher(named)
+                .results()
+                .map(found -> Path.of(found.group(1)))
+                .toList();
+        assertTrue(policy.contains(MODULE), named);
+        long lines = 0;
+        for (Path file : policy) {
+            lines += Files.readAllLines(file).stream()
+                    .filter(line -> !line.isBlank())
+                    .count();
+        }
         assertTrue(lines <= 1000, lines + " non-blank lines");
     }
 
--- a/src/test/java/laneflow/decision/PropertyTest.java
+++ b/src/test/java/laneflow/decision/PropertyTest.java
@@ -74,9 +74,11 @@
     }
 
     private static int logged(Logic logic, String field) throws ReflectiveOperationException {
-        java.lang.reflect.Field f = Logic.class.getDeclaredField(field);
+        java.lang.reflect.Field retries = Logic.class.getDeclaredField("retries");
+        retries.setAccessible(true);
+        java.lang.reflect.Field f = RetryPolicy.class.getDeclaredField(field);
         f.setAccessible(true);
-        return ((SendLog) f.get(logic)).count(Double.NEGATIVE_INFINITY);
+        return ((SendLog) f.get(retries.get(logic))).count(Double.NEGATIVE_INFINITY);
     }
 
     private static int size(Logic logic, String field) throws ReflectiveOperationException {
