Test: of four configurations in a row the last is followed

The story passes on the code as it is; silent places in between, the first one heard until the last has spoken.

--- a/src/test/java/laneflow/http/DiscoveryStoryTest.java
+++ b/src/test/java/laneflow/http/DiscoveryStoryTest.java
@@ -250,6 +250,42 @@
         }
     }
 
+    /**
+     * Configurations come in quick succession: the places in between take the watch and say nothing. The last one is
+     * followed and owes its whole list, and the first one is heard until it has spoken.
+     */
+    @Test
+    void ofFourMovesInARowTheLastIsFollowed() throws Exception {
+        Endpoint discovery = new Endpoint("d");
+        Endpoint one = new Endpoint("e1");
+        Endpoint last = new Endpoint("d5");
+        try (Stand stand = new Stand(discovery, one)) {
+            Peer old = watch(discovery, "1");
+            old.write(HEAD + chunk("\n"));
+            List<Endpoint> between = List.of(new Endpoint("d2"), new Endpoint("d3"), new Endpoint("d4"));
+            for (Endpoint place : between) {
+                move(stand, place);
+                watch(place, "0");
+            }
+            move(stand, last);
+            Peer present = watch(last, "0");
+            old.write(chunk(Stand.list(2, false, one.host("Terminating"))));
+            stand.await("discovery.lists", 1);
+            present.write(HEAD + chunk(Stand.list(1, true, one.host("Ready"))));
+            stand.await("discovery.lists", 2);
+            assertTrue(old.ended());
+            assertEquals(4, stand.counter("discovery.moves"));
+            Peer client = stand.http().post("basket-check", "1", "", "");
+            Peer call = one.accept();
+            call.message();
+            call.says("{'id':'1','state':'done','result':'priced'}");
+            assertTrue(client.message().endsWith("priced"));
+            for (Endpoint place : between) {
+                place.close();
+            }
+        }
+    }
+
     private static void move(Stand stand, Endpoint to) {
         stand.serve.reload(() -> new Setup(Config.parse(Stand.config(to.dial())), null, null, null));
     }
