DiscoveryStoryTest: one check that a request is served at an endpoint

The story of four moves had written the round trip of a request again, as another story of the file has it; both call assertServedAt now, with the same expectations.

--- a/src/test/java/laneflow/http/DiscoveryStoryTest.java
+++ b/src/test/java/laneflow/http/DiscoveryStoryTest.java
@@ -102,11 +102,7 @@
             assertTrue(seconds(from) > 2 && seconds(from) < 4.4, "" + seconds(from));
             assertEquals(2, stand.counter("discovery.silent"));
             assertEquals(watches + 2, stand.counter("discovery.watches"));
-            Peer client = stand.http().post("basket-check", "1", "", "");
-            Peer call = endpoint.accept();
-            call.message();
-            call.says("{'id':'1','state':'done','result':'priced'}");
-            assertTrue(client.message().endsWith("priced"));
+            assertServedAt(endpoint, stand);
         }
     }
 
@@ -275,17 +271,22 @@
             stand.await("discovery.lists", 2);
             assertTrue(old.ended());
             assertEquals(4, stand.counter("discovery.moves"));
-            Peer client = stand.http().post("basket-check", "1", "", "");
-            Peer call = one.accept();
-            call.message();
-            call.says("{'id':'1','state':'done','result':'priced'}");
-            assertTrue(client.message().endsWith("priced"));
+            assertServedAt(one, stand);
             for (Endpoint place : between) {
                 place.close();
             }
         }
     }
 
+    /** A request is sent on to that endpoint, and its client has the answer. */
+    private static void assertServedAt(Endpoint endpoint, Stand stand) throws Exception {
+        Peer client = stand.http().post("basket-check", "1", "", "");
+        Peer call = endpoint.accept();
+        call.message();
+        call.says("{'id':'1','state':'done','result':'priced'}");
+        assertTrue(client.message().endsWith("priced"));
+    }
+
     private static void move(Stand stand, Endpoint to) {
         stand.serve.reload(() -> new Setup(Config.parse(Stand.config(to.dial())), null, null, null));
     }
