Review case 2: after a restart Gearman jobs get the receipt keys of jobs before it

Cause: the id of a Gearman job, its key too where it has no unique, comes from a generator seeded by the operators' file, which names no seed by default. Every process draws the same ids, so till nodes drop jobs behind a restart as repeats.

Change: the case's claim and script.

--- /dev/null
+++ b/review/2/run.sh
@@ -0,0 +1,4 @@
+#!/usr/bin/env bash
+# Exit code 0: the rule held, 1: it was broken, 2: the case could not run. TROUBLE=0: without the disruption.
+set -- review.restart.RepeatedKeys
+. "$(dirname "$0")/../lib/run"
