Review case 2: half of the clients name a unique of their own

Cause: a client of the keyed class might be expected to bring a key, and the test's clients brought none.

Change: every second job has a unique with a blank in it, which the front replaces by an id of its own as well.

--- a/review/2/RepeatedKeys.java
+++ b/review/2/RepeatedKeys.java
@@ -11,8 +11,9 @@
 import review.TillNode;
 
 /**
- * Gearman clients hand in jobs of the keyed class, each another receipt and without a unique. The scheduler is killed
- * between two of them and started again. Every job that is answered with WORK_COMPLETE must have run.
+ * Gearman clients hand in jobs of the keyed class, each another receipt, every second one with a unique of its own and
+ * the others without. The scheduler is killed between two of them and started again. Every job that is answered with
+ * WORK_COMPLETE must have run.
  */
 public final class RepeatedKeys {
     private static final String FUNCTION = "points_post";
@@ -73,8 +74,9 @@
                 lab.awaitReady(http);
             }
             String body = "receipt-" + i;
-            lab.record(body + " sent");
-            Gearman.Packet answer = submit(gearman, body);
+            String unique = i % 2 == 0 ? "till 4 " + body : "";
+            lab.record(body + " sent, unique '" + unique + "'");
+            Gearman.Packet answer = submit(gearman, unique, body);
             boolean completed = answer.type() == Gearman.WORK_COMPLETE;
             String result = completed ? answer.args().get(1) : "";
             boolean ran = runs.stream().anyMatch(run -> run.body().equals(body));
@@ -89,9 +91,9 @@
     }
 
     /** Hands in a foreground job and returns the packet that ends it. */
-    private static Gearman.Packet submit(int port, String body) throws IOException {
+    private static Gearman.Packet submit(int port, String unique, String body) throws IOException {
         try (Gearman client = new Gearman(port, 10_000)) {
-            client.send(Gearman.SUBMIT_JOB, FUNCTION, "", body);
+            client.send(Gearman.SUBMIT_JOB, FUNCTION, unique, body);
             Gearman.Packet packet = client.read();
             while (packet.type() != Gearman.WORK_COMPLETE && packet.type() != Gearman.WORK_FAIL) {
                 if (packet.type() == Gearman.ERROR) {
