Review case 1 made surer: bad clients beside the endless answers, and a seed for every script

Change: 100 bad clients stop in the middle of a request, stay and come again, as the standing test names them; the trouble lasts 24 s.

--- a/review/1/EndlessAnswers.java
+++ b/review/1/EndlessAnswers.java
@@ -23,7 +23,8 @@
 /**
  * A small deployment on its busiest day: 20 till nodes of four slots, and usual clients that hold a third of the
  * scheduler's 1,024 descriptors and send one request at a time. Then half of the answers are spoilt: their last line
- * does not end. Every request that was taken must have its final answer.
+ * does not end. Beside them some bad clients stop in the middle of a request and stay, and come again when they are
+ * turned away. Every request of a usual client that was taken must have its final answer.
  */
 public final class EndlessAnswers {
     private static final int NODES = 20;
@@ -41,8 +42,10 @@
     /** Each client waits this long between its requests: some 60 requests a second. */
     private static final int PAUSE_MS = 5000;
 
+    private static final int BAD_CLIENTS = 100;
+    private static final int HALF_BODY_BYTES = 60_000;
     private static final int CALM_MS = 8000;
-    private static final int TROUBLE_MS = 12_000;
+    private static final int TROUBLE_MS = 24_000;
     private static final int PIECE_BYTES = 1000;
     /** How fast a spoilt answer goes on. */
     private static final int SPOILT_BYTES_PER_SECOND = 128_000;
@@ -63,7 +66,7 @@
     }
 
     public static void main(String[] args) {
-        Lab.run(args[0], lab -> new EndlessAnswers(lab).run());
+        Lab.run(args, lab -> new EndlessAnswers(lab).run());
     }
 
     private boolean run() throws Exception {
@@ -102,10 +105,17 @@
         Thread.sleep(CALM_MS);
         report("calm", scheduler);
         spoiling = lab.trouble;
-        lab.record(lab.trouble ? "half of the answers are spoilt from now on" : "no trouble");
-        for (int i = 0; i < TROUBLE_MS / 2000; i++) {
+        for (int i = 0; i < BAD_CLIENTS && lab.trouble; i++) {
+            thread(this::badClient);
+        }
+        lab.record(
+                lab.trouble
+                        ? "from now on half of the answers are spoilt, and " + BAD_CLIENTS + " bad clients come"
+                        : "no trouble");
+        long begun = System.nanoTime();
+        for (long ms = 0; ms < TROUBLE_MS; ms = (System.nanoTime() - begun) / 1_000_000) {
             Thread.sleep(2000);
-            report("after " + 2 * (i + 1) + " s", scheduler);
+            report("after some " + (ms / 1000 + 2) + " s", scheduler);
         }
         ended = true;
         for (Thread client : clients) {
@@ -192,6 +202,27 @@
         closed(socket);
     }
 
+    /** Sends most of a request and stays; what it is answered is not looked at. Comes again once it is turned away. */
+    private void badClient() {
+        byte[] half = new byte[HALF_BODY_BYTES];
+        Arrays.fill(half, (byte) 'h');
+        while (!ended) {
+            try (Socket socket = new Socket()) {
+                socket.connect(new InetSocketAddress(InetAddress.getLoopbackAddress(), port), 2000);
+                socket.setSoTimeout(LOST_AFTER_MS);
+                String head = "POST /card-capture HTTP/1.1\r\nHost: o\r\nReq-Id: half\r\nReq-Deadline-Ms: " + DEADLINE_MS
+                        + "\r\nContent-Length: " + BODY_BYTES + "\r\n\r\n";
+                socket.getOutputStream().write(head.getBytes(StandardCharsets.US_ASCII));
+                socket.getOutputStream().write(half);
+                while (socket.getInputStream().read() >= 0) {
+                    continue;
+                }
+            } catch (IOException e) {
+                pause(100);
+            }
+        }
+    }
+
     private void count(String answer) {
         synchronized (answers) {
             answers.merge(answer, 1, Integer::sum);
@@ -226,7 +257,7 @@
         private final Random random;
 
         private Node(int number) throws IOException {
-            random = new Random(number);
+            random = new Random(lab.seed * 1000 + number);
             thread(this::accept);
         }
 
--- a/review/2/RepeatedKeys.java
+++ b/review/2/RepeatedKeys.java
@@ -24,7 +24,7 @@
     private RepeatedKeys() {}
 
     public static void main(String[] args) {
-        Lab.run(args[0], RepeatedKeys::run);
+        Lab.run(args, RepeatedKeys::run);
     }
 
     private static boolean run(Lab lab) throws Exception {
--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -1,4 +1,6 @@
 #!/usr/bin/env bash
 # Exit code 0: the rule held, 1: it was broken, 2: the case could not run. TROUBLE=0: without the disruption.
-set -- review.restart.RepeatedKeys
-. "$(dirname "$0")/../lib/run"
+# Arguments: none, or --seed N.
+lib=$(dirname "$0")/../lib
+set -- review.restart.RepeatedKeys "$@"
+. "$lib/run"
--- a/review/3/LostZone.java
+++ b/review/3/LostZone.java
@@ -31,7 +31,7 @@
     private LostZone() {}
 
     public static void main(String[] args) {
-        Lab.run(args[0], LostZone::run);
+        Lab.run(args, LostZone::run);
     }
 
     private static boolean run(Lab lab) throws Exception {
--- a/review/lib/Lab.java
+++ b/review/lib/Lab.java
@@ -35,21 +35,24 @@
     /** False with TROUBLE=0: the same run without the disruption. */
     public final boolean trouble = !"0".equals(System.getenv("TROUBLE"));
 
+    /** Of {@code --seed N}, 1 if it is left out; what a case draws follows from it. */
+    public final long seed;
+
     public final Path root;
     public final Path folder;
-    private final Path caseFolder;
     private final PrintWriter record;
     private final long startNanos = System.nanoTime();
     private final List<Process> processes = new CopyOnWriteArrayList<>();
     private final Set<Integer> ports = new HashSet<>();
 
-    /** Arguments: the case's folder. */
-    public Lab(String caseFolder) throws IOException {
-        this.caseFolder = Path.of(caseFolder).toAbsolutePath();
-        root = this.caseFolder.getParent().getParent();
+    /** Arguments: the case's folder, and the seed if there is one. */
+    private Lab(String[] args) throws IOException {
+        Path caseFolder = Path.of(args[0]).toAbsolutePath();
+        seed = args.length > 2 && args[1].equals("--seed") ? Long.parseLong(args[2]) : 1;
+        root = caseFolder.getParent().getParent();
         folder = Files.createTempDirectory("review-");
         record = new PrintWriter(
-                Files.newBufferedWriter(this.caseFolder.resolve("record.txt"), StandardCharsets.UTF_8), true);
+                Files.newBufferedWriter(caseFolder.resolve("record.txt"), StandardCharsets.UTF_8), true);
         Runtime.getRuntime().addShutdownHook(new Thread(this::endProcesses));
         Thread guard = new Thread(
                 () -> {
@@ -64,13 +67,13 @@
                 "guard");
         guard.setDaemon(true);
         guard.start();
-        record("trouble=" + (trouble ? 1 : 0));
+        record("trouble=" + (trouble ? 1 : 0) + " seed=" + seed);
     }
 
     /** Runs a case and exits with its verdict. */
-    public static void run(String caseFolder, Case body) {
+    public static void run(String[] args, Case body) {
         int code = COULD_NOT_RUN;
-        try (Lab lab = new Lab(caseFolder)) {
+        try (Lab lab = new Lab(args)) {
             try {
                 code = body.run(lab) ? HELD : BROKEN;
             } catch (Exception e) {
