Name jobs by random ids, not by the configured seed that every process repeats

Cause: GearmanFront drew request ids, which are the idempotency keys of jobs without a unique or with one that is no header value, from SplittableRandom(config.seed); the operators' file names no seed, so each process drew the same ids in the same order. Handles counted from 1 in each process: a worker's late word on the former process's handle ended the new job of that handle.

Change: what names a job outside the process is what its client named, or comes from core.UniqueIds, the system's random numbers. Keys that earlier builds stored are told by their form: replaced where the job never ran, not used again where it may have run (unknown), at a start and at a takeover.

--- a/src/main/java/laneflow/assembly/Serve.java
+++ b/src/main/java/laneflow/assembly/Serve.java
@@ -89,7 +89,7 @@
         HttpConnector connector = new HttpConnector(loop, scheduler, config.idleConnectionSeconds);
         front = new HttpFront(loop, scheduler, config.classNames);
         watch = config.discoveryAddress == null ? null : new DiscoveryWatch(loop, scheduler, connector, config);
-        gearman = gearmanConfig == null ? null : new GearmanFront(loop, scheduler, gearmanConfig, config.seed);
+        gearman = gearmanConfig == null ? null : new GearmanFront(loop, scheduler, gearmanConfig);
         subsystems = new Subsystems(
                 setup, new Subsystems.Core(loop, scheduler, connector, front, gearman, environment.socketPassed()));
         loop.call(() -> {
--- a/src/main/java/laneflow/core/Attempt.java
+++ b/src/main/java/laneflow/core/Attempt.java
@@ -18,9 +18,4 @@
         this.number = number;
         this.sentAt = sentAt;
     }
-
-    /** A handle that becomes invalid once the attempt has ended. */
-    public long handle() {
-        return handle;
-    }
 }
--- a/src/main/java/laneflow/durable/DurableJobs.java
+++ b/src/main/java/laneflow/durable/DurableJobs.java
@@ -15,6 +15,8 @@
 import laneflow.core.Payload;
 import laneflow.core.Request;
 import laneflow.core.Scheduler;
+import laneflow.core.UniqueIds;
+import laneflow.decision.Dispatch.Effect;
 import laneflow.decision.Dispatch.JobClass;
 import laneflow.decision.Dispatch.Outcome;
 import laneflow.durable.decision.AttemptRecord;
@@ -141,7 +143,8 @@
 
     /** Restores a stored job, which is not running anywhere, and continues it according to its record. */
     private DurableJob restore(JobRow row, List<DurableJob> endedJobs) {
-        DurableJob job = newJob(row);
+        boolean neverSent = row.attempts().stream().noneMatch(AttemptRecord::mayHaveRun);
+        DurableJob job = newJob(row.hasSeededKey() && neverSent ? row.withRepeatKey(UniqueIds.next()) : row);
         table.add(job);
         if (job.state.isEnd()) {
             endedJobs.add(job);
@@ -658,8 +661,10 @@
         }
         JobClass type = scheduler.settings().classes[job.jobClass];
         long nowMs = wallClock.getAsLong();
+        // Endpoints may know a seeded key from another job, whose result they would return for this one.
+        Effect effect = job.row.hasSeededKey() ? Effect.UNSAFE : type.effect;
         Verdict verdict = Settlement.decide(
-                type.effect, job.attempts, (long) (type.dedupWindow * 1000), nowMs, latestMs, MAX_ATTEMPTS);
+                effect, job.attempts, (long) (type.dedupWindow * 1000), nowMs, latestMs, MAX_ATTEMPTS);
         switch (verdict.kind()) {
             case REQUEUE:
                 job.untilMs = verdict.untilMs();
--- a/src/main/java/laneflow/durable/JobRow.java
+++ b/src/main/java/laneflow/durable/JobRow.java
@@ -36,25 +36,42 @@
         String reason,
         long changedMs,
         long notBeforeMs) {
+    /** Length of the request ids that earlier builds gave to Gearman jobs: 64 bits in hex digits. */
+    private static final int SEEDED_ID_LENGTH = 16;
+
+    /**
+     * Whether an earlier build drew the idempotency key from the configured seed, and used it as request id too. Such a
+     * key does not identify the job: schedulers with one configuration drew the same keys, after a restart again.
+     */
+    boolean hasSeededKey() {
+        return !function.isEmpty() && requestId.length() == SEEDED_ID_LENGTH && requestId.equals(repeatKey);
+    }
+
+    /** A copy with another idempotency key, which is its request id too. */
+    JobRow withRepeatKey(String newRepeatKey) {
+        return with(key, newRepeatKey, newRepeatKey, body, state, attempts, reason, changedMs);
+    }
 
     /** A copy in another state. */
     public JobRow withState(State newState, List<AttemptRecord> record, String newReason, long newChangedMs) {
-        return with(key, body, newState, record, newReason, newChangedMs);
+        return with(key, requestId, repeatKey, body, newState, record, newReason, newChangedMs);
     }
 
     /** A copy without a key. */
     JobRow withoutKey() {
-        return with("", body, state, attempts, reason, changedMs);
+        return with("", requestId, repeatKey, body, state, attempts, reason, changedMs);
     }
 
     /** A copy without the body, as ended jobs are held in memory. */
     JobRow withoutBody() {
-        return with(key, null, state, attempts, reason, changedMs);
+        return with(key, requestId, repeatKey, null, state, attempts, reason, changedMs);
     }
 
     /** A copy with other values of the fields that can change. */
     private JobRow with(
             String newKey,
+            String newRequestId,
+            String newRepeatKey,
             byte[] newBody,
             State newState,
             List<AttemptRecord> newAttempts,
@@ -66,8 +83,8 @@
                 function,
                 newKey,
                 target,
-                requestId,
-                repeatKey,
+                newRequestId,
+                newRepeatKey,
                 hint,
                 slots,
                 memory,
--- a/src/main/java/laneflow/gearman/GearmanFront.java
+++ b/src/main/java/laneflow/gearman/GearmanFront.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
 import java.security.MessageDigest;
 import java.security.NoSuchAlgorithmException;
 import java.util.ArrayList;
@@ -9,7 +10,6 @@
 import java.util.HexFormat;
 import java.util.List;
 import java.util.Map;
-import java.util.SplittableRandom;
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
 import laneflow.core.DurableJobService;
@@ -19,6 +19,7 @@
 import laneflow.core.Request;
 import laneflow.core.Scheduler;
 import laneflow.core.SlotTable;
+import laneflow.core.UniqueIds;
 import laneflow.decision.Dispatch.Effect;
 import laneflow.gearman.decision.Queues;
 import laneflow.net.Loop;
@@ -32,14 +33,14 @@
 public final class GearmanFront implements Front {
     private static final Logger LOG = LoggerFactory.getLogger(GearmanFront.class);
     private static final int MIN_OUTPUT_RING_BYTES = 1 << 20;
+    private static final String HANDLE_PREFIX = "H:laneflow:";
     /** Prefix of durable jobs' handles: the job id follows, and for workers a dot and the lease number. */
-    static final String DURABLE_HANDLE_PREFIX = "H:laneflow:d";
+    static final String DURABLE_HANDLE_PREFIX = HANDLE_PREFIX + "d";
 
     final Loop loop;
     final Scheduler scheduler;
     final GearmanConfig config;
     final GearmanConnector connector;
-    private final SplittableRandom random;
     private final SlotTable<Peer> peers = new SlotTable<>();
     private final SlotTable<Job> jobs = new SlotTable<>();
     private final Map<String, Job> byHandle = new HashMap<>();
@@ -56,14 +57,12 @@
 
     private Loop.Listener listener;
     private boolean draining;
-    private long handleCount;
     private long connectionCount;
 
-    public GearmanFront(Loop loop, Scheduler scheduler, GearmanConfig config, long seed) {
+    public GearmanFront(Loop loop, Scheduler scheduler, GearmanConfig config) {
         this.loop = loop;
         this.scheduler = scheduler;
         this.config = config;
-        random = new SplittableRandom(seed);
         connector = new GearmanConnector(this);
         queues = new Queues(config.maxQueued);
         config.functions.keySet().forEach(queues::counts);
@@ -181,7 +180,7 @@
             client.error("QUEUE_FULL", "as many jobs of this function and priority wait as may");
             return;
         }
-        Job job = new Job("H:laneflow:" + ++handleCount, function, unique, key, reducer, priority, background);
+        Job job = new Job(newHandle(), function, unique, key, reducer, priority, background);
         if (!background) {
             job.clients.add(client);
             client.awaitedJobs.add(job);
@@ -307,12 +306,27 @@
 
     /** The payload in the platform's HTTP form, since an HTTP endpoint may run the job. */
     private Payload payload(GearmanConfig.Function function, String unique, byte[] data) {
-        String id = hex(random.nextLong());
         boolean keyed = scheduler.settings().classes[function.jobClass()].effect == Effect.KEYED;
-        String repeatKey = !keyed ? null : unique.matches("[!-~]{1,128}") ? unique : id;
         long key = subject(unique);
         String target = "/" + config.className(function) + (key == 0 ? "" : "?key=" + hex(key));
-        return new Payload("POST", target, id, repeatKey, data);
+        return new Payload("POST", target, UniqueIds.next(), keyed ? idempotencyKey(unique) : null, data);
+    }
+
+    /**
+     * The key by which endpoints recognise repeats of a job: the client's unique id, so that the key is the same when
+     * the client submits the job again, also after a restart; a digest of it if it is no header value; or a new key if
+     * the client has named none.
+     */
+    private static String idempotencyKey(String unique) {
+        if (unique.isEmpty()) {
+            return UniqueIds.next();
+        }
+        return unique.matches("[!-~]{1,128}") ? unique : digest(unique.getBytes(StandardCharsets.UTF_8));
+    }
+
+    /** A handle for a job that is not durable. Workers and clients may still use handles of a former process. */
+    static String newHandle() {
+        return HANDLE_PREFIX + UniqueIds.next();
     }
 
     private long deadline(GearmanConfig.Function function) {
--- a/src/main/java/laneflow/gearman/Worker.java
+++ b/src/main/java/laneflow/gearman/Worker.java
@@ -260,7 +260,7 @@
                 ? job.handle
                 : next.lease > 0
                         ? String.format("%s%016x.%d", GearmanFront.DURABLE_HANDLE_PREFIX, next.request.tag, next.lease)
-                        : "H:laneflow:c" + Long.toHexString(next.handle());
+                        : GearmanFront.newHandle();
         resultData.reset();
         int seconds = abilities.get(function);
         if (seconds > 0) {
--- a/src/test/java/laneflow/durable/DurableJobsTest.java
+++ b/src/test/java/laneflow/durable/DurableJobsTest.java
@@ -4,7 +4,11 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
+import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.Semaphore;
 import java.util.concurrent.TimeUnit;
@@ -143,15 +147,20 @@
     }
 
     private static JobRow row(long id, String jobClass, AttemptRecord... attempts) {
+        return row(id, jobClass, "", "r", null, attempts);
+    }
+
+    private static JobRow row(
+            long id, String jobClass, String function, String requestId, String repeatKey, AttemptRecord... attempts) {
         byte[] body = {1};
         return new JobRow(
                 id,
                 jobClass,
-                "",
+                function,
                 "",
                 "/c",
-                "r",
-                null,
+                requestId,
+                repeatKey,
                 Double.NaN,
                 1,
                 0,
@@ -245,6 +254,23 @@
                         row(5, "check", old),
                         row(6, "gone", old)),
                 46_000);
+        List<Long> sentJobs = serveAll();
+        assertTrue(sentJobs.contains(3L) && sentJobs.contains(4L) && sentJobs.contains(5L), sentJobs.toString());
+        assertEquals(3, sentJobs.size());
+        assertEquals("unknown", jobs.peek(1).state());
+        assertEquals("unknown", jobs.peek(2).state());
+        // A job whose class is no longer configured is kept, and a late outcome for it does no harm.
+        assertEquals("queued", jobs.peek(6).state());
+        jobs.lateOutcome(6, 1, true, new byte[0]);
+        writes.release();
+        for (Runnable run = callbacks.poll(100, TimeUnit.MILLISECONDS); run != null; run = callbacks.poll()) {
+            run.run();
+        }
+        assertEquals("queued", jobs.peek(6).state());
+    }
+
+    /** Serves every call for a while; returns the jobs in the order in which they were sent. */
+    private List<Long> serveAll() throws InterruptedException {
         List<Long> sentJobs = new ArrayList<>();
         for (int i = 0; i < 12; i++) {
             writes.release();
@@ -260,18 +286,31 @@
             now += 100_000;
             deadlines.runDue(now);
         }
-        assertTrue(sentJobs.contains(3L) && sentJobs.contains(4L) && sentJobs.contains(5L), sentJobs.toString());
-        assertEquals(3, sentJobs.size());
-        assertEquals("unknown", jobs.peek(1).state());
-        assertEquals("unknown", jobs.peek(2).state());
-        // A job whose class is no longer configured is kept, and a late outcome for it does no harm.
-        assertEquals("queued", jobs.peek(6).state());
-        jobs.lateOutcome(6, 1, true, new byte[0]);
-        writes.release();
-        for (Runnable run = callbacks.poll(100, TimeUnit.MILLISECONDS); run != null; run = callbacks.poll()) {
-            run.run();
-        }
-        assertEquals("queued", jobs.peek(6).state());
+        return sentJobs;
+    }
+
+    /** Guards against jobs of an earlier build's store that have each other's keys, after an upgrade or a takeover. */
+    @Test
+    void keysThatAnEarlierBuildDrewFromItsSeedAreReplacedOrNotUsedAgain() throws Exception {
+        String seeded = "63cbe1e459320dd7";
+        AttemptRecord young = new AttemptRecord(1, "e1", 45_000, 46_000, Known.OUT);
+        jobs.recover(
+                List.of(
+                        row(1, "post", "kpost", seeded, seeded),
+                        row(2, "post", "kpost", seeded, seeded, young.withKnown(Known.NEVER_RAN)),
+                        row(3, "post", "kpost", seeded, seeded, young),
+                        row(4, "post", "kpost", seeded, "receipt-4", young),
+                        row(5, "post", "", seeded, seeded, young)),
+                46_000);
+        List<Long> sentJobs = serveAll();
+        assertEquals(Set.of(1L, 2L, 4L, 5L), new HashSet<>(sentJobs));
+        Map<Long, String> keys = new HashMap<>();
+        calls.forEach(call -> keys.put(call.request.tag, call.request.payload.repeatKey()));
+        assertEquals("receipt-4", keys.get(4L));
+        // An HTTP client's own key.
+        assertEquals(seeded, keys.get(5L));
+        assertEquals(4, new HashSet<>(keys.values()).size(), keys.toString());
+        assertEquals("unknown", jobs.peek(3).state());
     }
 
     @Test
