Bound the memory of all messages together, and end a process that can't go on

Cause: each message had a bound, all together had none: 480 connections may ask for ten times the heap. Bodies were held twice. Loop caught RuntimeException only, so an OutOfMemoryError at the end of a turn left the I/O thread in that turn for ever, and nothing ended the process.

Change: core.MessageMemory, half of the heap for ring buffers, bodies, lines, open requests and durable jobs. Requests and jobs beyond it are refused with 503 and Retry-After, or QUEUE_FULL; once connections exceed it nothing more is read in the turn, then those that hold most give way with an error.

--- a/src/main/java/laneflow/assembly/Durability.java
+++ b/src/main/java/laneflow/assembly/Durability.java
@@ -41,6 +41,7 @@
                 config,
                 journal,
                 System::currentTimeMillis,
+                loop.messageMemory().durableJobs(),
                 new SecureRandom().nextLong());
     }
 
--- a/src/main/java/laneflow/assembly/Serve.java
+++ b/src/main/java/laneflow/assembly/Serve.java
@@ -18,6 +18,7 @@
 import laneflow.http.HttpConnector;
 import laneflow.http.HttpFront;
 import laneflow.http.OperatorPort;
+import laneflow.net.FatalErrors;
 import laneflow.net.Loop;
 import laneflow.net.Threads;
 import laneflow.ops.Operations;
@@ -86,6 +87,7 @@
         GearmanConfig gearmanConfig = setup.gearman();
         loop = new Loop(config.maxSockets);
         scheduler = new Scheduler(config.settings, config.seed, loop, loop.deadlines(), counters);
+        scheduler.setMemory(loop.messageMemory().openRequests());
         HttpConnector connector = new HttpConnector(loop, scheduler, config.idleConnectionSeconds);
         front = new HttpFront(loop, scheduler, config.classNames);
         watch = config.discoveryAddress == null ? null : new DiscoveryWatch(loop, scheduler, connector, config);
@@ -170,6 +172,7 @@
 
     /** Runs the scheduler until a signal ends the process. */
     public static void run(Source source) throws IOException, WireException, InterruptedException {
+        FatalErrors.endProcessIfUncaught();
         Setup setup = source.read();
         // Without a handler a SIGHUP ends the JVM and loses all open requests. Configuration is read off the loop by
         // a single thread, so that the last of several signals reads the newest file.
--- a/src/main/java/laneflow/core/Request.java
+++ b/src/main/java/laneflow/core/Request.java
@@ -42,6 +42,9 @@
     /** It waits for the admission gate, which is about to open. */
     boolean held;
 
+    /** Bytes of memory counted for it while it is open. */
+    long heldBytes;
+
     int attemptCount;
     /** An attempt was taken up by an endpoint's connection, whatever its outcome. */
     boolean forwarded;
--- a/src/main/java/laneflow/core/Scheduler.java
+++ b/src/main/java/laneflow/core/Scheduler.java
@@ -44,6 +44,12 @@
      */
     private static final long MAX_STALL_MICROS = 150_000;
 
+    /** Memory that the core, the module and a front need for an open request beside its body, roughly. */
+    private static final long REQUEST_OVERHEAD_BYTES = 1024;
+
+    /** When a client that was refused for lack of memory should come back, in seconds. */
+    private static final double MEMORY_RETRY_AFTER = 0.5;
+
     private final Settings settings;
     private final Clock clock;
     private final Deadlines deadlines;
@@ -63,6 +69,8 @@
     private int epoch;
     /** Null if there is no gate: the scheduler always decides. */
     private AdmissionGate admissionGate;
+    /** Bounds the memory of open requests. */
+    private MessageMemory.Admission memory = new MessageMemory(Long.MAX_VALUE).openRequests();
     /** Endpoints banned by the policy in force, apart from those that operators have set down here. */
     private volatile Set<String> banned = Set.of();
 
@@ -209,6 +217,21 @@
         admissionGate = gate;
     }
 
+    /** Sets the memory that open requests may take up; without it there is no bound. */
+    public void setMemory(MessageMemory.Admission openRequests) {
+        memory = openRequests;
+    }
+
+    /** Whether there is memory for a request with a body of this length; else it would be refused. */
+    public boolean hasMemoryFor(int bodyBytes) {
+        return memory.hasRoomFor(REQUEST_OVERHEAD_BYTES + bodyBytes);
+    }
+
+    /** Seconds after which a client that was refused for lack of memory should come back; 0: it is not told. */
+    public double memoryRetryAfter() {
+        return settings.retryAfter ? Math.min(MEMORY_RETRY_AFTER, settings.maxRetryAfter) : 0;
+    }
+
     /**
      * Creates an update that replaces all endpoints of a source: prepared in steps, then adopted at once.
      *
@@ -274,6 +297,18 @@
             return;
         }
         request.held = false;
+        // The body of a leased job is held, and counted, by its front.
+        int bodyBytes = request.front.usesLeases() ? 0 : request.payload.body().length;
+        if (!hasMemoryFor(bodyBytes)) {
+            request.answered = true;
+            // No settings applied to it: no decision was made.
+            request.epoch = -1;
+            counters.add(request.front.name() + ".no_memory");
+            request.front.refused(request.tag, memoryRetryAfter());
+            return;
+        }
+        request.heldBytes = REQUEST_OVERHEAD_BYTES + bodyBytes;
+        memory.hold(request.heldBytes);
         request.handle = requests.add(request);
         request.acceptedAt = clock.micros();
         request.type = settings.classes[request.jobClass];
@@ -551,8 +586,15 @@
         if (attempt.request.openAttempt == attempt) {
             attempt.request.openAttempt = null;
         }
-        if (attempt.request.answered) {
-            deadlines.cancel(attempt.request.backstop);
+        releaseIfOver(attempt.request);
+    }
+
+    /** Releases what is kept for a request that has its answer and no attempt at an endpoint. */
+    private void releaseIfOver(Request request) {
+        if (request.answered && request.openAttempt == null) {
+            deadlines.cancel(request.backstop);
+            memory.release(request.heldBytes);
+            request.heldBytes = 0;
         }
     }
 
@@ -565,10 +607,8 @@
 
     private void finish(Request request) {
         request.answered = true;
-        if (request.openAttempt == null) {
-            deadlines.cancel(request.backstop);
-        }
         requests.remove(request.handle);
+        releaseIfOver(request);
     }
 
     private void answerFailed(Request request) {
--- a/src/main/java/laneflow/durable/DurableJobs.java
+++ b/src/main/java/laneflow/durable/DurableJobs.java
@@ -12,6 +12,7 @@
 import laneflow.core.Deadlines;
 import laneflow.core.DurableJobService;
 import laneflow.core.Front;
+import laneflow.core.MessageMemory;
 import laneflow.core.Payload;
 import laneflow.core.Request;
 import laneflow.core.Scheduler;
@@ -53,6 +54,8 @@
     private static final long MAX_BACKOFF = 5_000_000;
     /** How often the counters are checked for refused live requests. */
     private static final long REFUSAL_CHECK_INTERVAL = 100_000;
+    /** Memory that an open job needs beside its body, roughly. */
+    private static final long JOB_OVERHEAD_BYTES = 512;
     /** Above this fraction of the store's size no jobs are accepted: the rest is left for leases and results. */
     private static final double ACCEPT_FILL_LIMIT = 0.85;
 
@@ -62,6 +65,7 @@
     private final DurableConfig config;
     private final Journal journal;
     private final LongSupplier wallClock;
+    private final MessageMemory.Admission memory;
     private final Counters counters;
     private final JobTable table;
     private final Quota quota;
@@ -78,7 +82,12 @@
     private boolean detached;
     private boolean starting;
 
-    /** @param wallClock Unix time in milliseconds */
+    /**
+     * Creates the service without jobs.
+     *
+     * @param wallClock Unix time in milliseconds
+     * @param memory bounds the memory of open jobs, beside the limits of the configuration
+     */
     public DurableJobs(
             Clock clock,
             Deadlines deadlines,
@@ -86,6 +95,7 @@
             DurableConfig config,
             Journal journal,
             LongSupplier wallClock,
+            MessageMemory.Admission memory,
             long seed) {
         this.clock = clock;
         this.deadlines = deadlines;
@@ -93,6 +103,7 @@
         this.config = config;
         this.journal = journal;
         this.wallClock = wallClock;
+        this.memory = memory;
         counters = scheduler.counters();
         table = new JobTable(seed);
         quota = new Quota(config);
@@ -151,7 +162,7 @@
             return job;
         }
         if (job.jobClass >= 0) {
-            quota.add(job.jobClass, row.bodyBytes());
+            hold(job);
         }
         // The call was lost with the process that sent it, so the attempt may have run.
         for (AttemptRecord attempt : row.attempts()) {
@@ -187,6 +198,11 @@
                 completeOne.run();
                 continue;
             }
+            if (!row.state().isEnd() && !memory.hasRoomFor(JOB_OVERHEAD_BYTES + row.bodyBytes())) {
+                counters.add("durable.turned_down");
+                completeOne.run();
+                continue;
+            }
             JobRow adopted = table.get(row.key()) == null ? row : row.withoutKey();
             boolean queued = journal.write(Op.adopt(adopted, results.get(row.id())), failed -> {
                 if (failed == null) {
@@ -253,7 +269,7 @@
             reject(answer, SubmissionOutcome.FULL, Math.max(1, quota.retryAfterSeconds()));
             return;
         }
-        if (!quota.admits(submission.jobClass(), body.length)) {
+        if (!quota.admits(submission.jobClass(), body.length) || !memory.hasRoomFor(JOB_OVERHEAD_BYTES + body.length)) {
             reject(answer, SubmissionOutcome.FULL, quota.retryAfterSeconds());
             return;
         }
@@ -290,7 +306,18 @@
         }
         pendingAcks++;
         table.add(job);
-        quota.add(job.jobClass, body.length);
+        hold(job);
+    }
+
+    /** Counts an open job against the limits; recovered jobs are counted even beyond them. */
+    private void hold(DurableJob job) {
+        quota.add(job.jobClass, job.row.bodyBytes());
+        memory.hold(JOB_OVERHEAD_BYTES + job.row.bodyBytes());
+    }
+
+    private void release(DurableJob job) {
+        quota.remove(clock.micros(), job.jobClass, job.row.bodyBytes());
+        memory.release(JOB_OVERHEAD_BYTES + job.row.bodyBytes());
     }
 
     private void reject(Consumer<SubmissionResult> answer, SubmissionOutcome outcome, double retryAfter) {
@@ -310,7 +337,7 @@
             return;
         }
         table.remove(job);
-        quota.remove(clock.micros(), job.jobClass, job.row.bodyBytes());
+        release(job);
         onStoreFailure(failure);
         boolean full = failure.kind == StoreException.Kind.FULL;
         waiters.forEach(
@@ -715,7 +742,7 @@
         }
         counters.add("durable." + state.name().toLowerCase(Locale.ROOT));
         if (firstEnd) {
-            quota.remove(clock.micros(), job.jobClass, job.row.bodyBytes());
+            release(job);
             job.row = job.row.withoutBody();
         }
         table.addEnded(job);
--- a/src/main/java/laneflow/durable/Store.java
+++ b/src/main/java/laneflow/durable/Store.java
@@ -16,6 +16,7 @@
 import java.sql.Types;
 import java.util.List;
 import java.util.function.Consumer;
+import java.util.function.Predicate;
 import org.sqlite.SQLiteErrorCode;
 import org.sqlite.SQLiteException;
 
@@ -326,7 +327,27 @@
         });
     }
 
+    /**
+     * Reads the first jobs with their bodies, in the order of their ids, as long as the consumer returns true; fails
+     * at a damaged row.
+     */
+    public void readWhile(Predicate<JobRow> consumer) throws StoreException {
+        readWhile(true, consumer, damage -> {
+            throw new IllegalArgumentException(damage);
+        });
+    }
+
     private void read(boolean bodies, Consumer<JobRow> consumer, Consumer<String> damaged) throws StoreException {
+        readWhile(
+                bodies,
+                row -> {
+                    consumer.accept(row);
+                    return true;
+                },
+                damaged);
+    }
+
+    private void readWhile(boolean bodies, Predicate<JobRow> consumer, Consumer<String> damaged) throws StoreException {
         String sql = "SELECT job.id, class, function, key, target, request_id, repeat_key, hint, slots,"
                 + " memory, subject, urgency, accepted_ms, body_sum, job.sum, length(body),"
                 + " CASE WHEN ? OR coalesce(state, 0) < " + State.DONE.number + " THEN body END,"
@@ -335,9 +356,10 @@
         try (PreparedStatement query = db.prepareStatement(sql)) {
             query.setBoolean(1, bodies);
             try (ResultSet from = query.executeQuery()) {
-                while (from.next()) {
+                boolean more = true;
+                while (more && from.next()) {
                     try {
-                        consumer.accept(row(from));
+                        more = consumer.test(row(from));
                     } catch (IllegalArgumentException e) {
                         damaged.accept("job " + hex(from.getLong(1)) + ": " + e.getMessage());
                     }
--- a/src/main/java/laneflow/gearman/GearmanFront.java
+++ b/src/main/java/laneflow/gearman/GearmanFront.java
@@ -180,6 +180,11 @@
             client.error("QUEUE_FULL", "as many jobs of this function and priority wait as may");
             return;
         }
+        if (!scheduler.hasMemoryFor(data.length)) {
+            scheduler.counters().add("gearman.no_memory");
+            client.error("QUEUE_FULL", "no memory is left for another job: come back later");
+            return;
+        }
         Job job = new Job(newHandle(), function, unique, key, reducer, priority, background);
         if (!background) {
             job.clients.add(client);
--- a/src/main/java/laneflow/gearman/Peer.java
+++ b/src/main/java/laneflow/gearman/Peer.java
@@ -40,6 +40,8 @@
     /** Replies in request order, held while the first is not complete. */
     private final ArrayDeque<PendingReply> pendingReplies = new ArrayDeque<>();
 
+    private long pendingReplyBytes;
+
     Worker worker;
     /** Foreground jobs whose results this client waits for. */
     final Set<Job> awaitedJobs = new LinkedHashSet<>();
@@ -117,11 +119,19 @@
     final class PendingReply {
         private byte[] packet;
 
+        private void setPacket(byte[] complete) {
+            packet = complete;
+            pendingReplyBytes += complete.length;
+        }
+
         void complete(int type, Object... arguments) {
-            packet = Packet.response(type, arguments);
+            setPacket(Packet.response(type, arguments));
             while (!pendingReplies.isEmpty() && pendingReplies.peek().packet != null) {
-                write(pendingReplies.poll().packet);
+                byte[] next = pendingReplies.poll().packet;
+                pendingReplyBytes -= next.length;
+                write(next);
             }
+            updateHeldBytes();
             if (pendingReplies.size() < MAX_PENDING_REPLIES / 2) {
                 link.resumeReads();
             }
@@ -142,8 +152,9 @@
     private void enqueue(byte[] packet) {
         if (!pendingReplies.isEmpty()) {
             PendingReply reply = new PendingReply();
-            reply.packet = packet;
+            reply.setPacket(packet);
             pendingReplies.add(reply);
+            updateHeldBytes();
             return;
         }
         write(packet);
@@ -152,6 +163,29 @@
         }
     }
 
+    /** Counts what is held for this connection beside the rings: replies, and the assigned job's result so far. */
+    void updateHeldBytes() {
+        link.setHandlerBytes(pendingReplyBytes + worker.resultBytes());
+    }
+
+    /** Ends the connection: its peer reads no replies, or sends a packet or a result that there is no memory for. */
+    @Override
+    public void giveWay(Link source) {
+        front.scheduler.counters().add("gearman.gave_way_memory");
+        if (link.out.isEmpty()) {
+            closeAfterError("OUT_OF_MEMORY", "no memory is left for what this connection sends");
+        } else {
+            disconnect();
+        }
+    }
+
+    /** Ends a connection of which nothing more can be read. */
+    private void closeAfterError(String code, String text) {
+        error(code, text);
+        link.endOutputWhenFlushed();
+        front.loop.later(() -> disconnected(link));
+    }
+
     private void write(byte[] packet) {
         if (link.isClosed()) {
             return;
@@ -202,9 +236,7 @@
             // The start of the next packet is unknown.
             front.scheduler.counters().add("gearman.malformed");
             LOG.debug("{}: {}", clientId, e.getMessage());
-            error("MALFORMED", e.getMessage());
-            link.endOutputWhenFlushed();
-            front.loop.later(() -> disconnected(link));
+            closeAfterError("MALFORMED", e.getMessage());
         }
     }
 
--- a/src/main/java/laneflow/gearman/Worker.java
+++ b/src/main/java/laneflow/gearman/Worker.java
@@ -1,6 +1,5 @@
 package laneflow.gearman;
 
-import java.io.ByteArrayOutputStream;
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -14,6 +13,7 @@
 import laneflow.decision.Dispatch.Outcome;
 import laneflow.decision.Dispatch.State;
 import laneflow.gearman.decision.OutputForwarding;
+import laneflow.net.MessageBuffer;
 
 /** The worker role of a connection: an endpoint with one slot, from its first ability to its disconnect. */
 final class Worker {
@@ -30,7 +30,7 @@
     /** Attempts that wait to be grabbed. */
     private final List<Attempt> queue = new ArrayList<>();
 
-    private final ByteArrayOutputStream resultData = new ByteArrayOutputStream();
+    private final MessageBuffer resultData = new MessageBuffer();
     private final Deadline timeLimitTimer;
     private final Deadline drainTimer;
     private final Deadline grabTimer;
@@ -64,6 +64,11 @@
         return registered;
     }
 
+    /** The bytes of memory that the assigned job's result takes up so far. */
+    int resultBytes() {
+        return resultData.capacity();
+    }
+
     String describeFunctions() {
         StringBuilder names = new StringBuilder();
         abilities.keySet().forEach(function -> names.append(' ').append(function));
@@ -365,6 +370,7 @@
         } else if (assigned != null
                 || abandonedAttempt != null && resultData.size() + workData.length <= front.config.maxBodyBytes) {
             resultData.writeBytes(workData);
+            peer.updateHeldBytes();
         }
         if (assigned != null) {
             scheduler.stillRunning(assigned);
@@ -374,7 +380,9 @@
     private void complete(Outcome outcome) {
         previousHandle = handle;
         handle = null;
-        finish(outcome, outcome == Outcome.OK ? resultData.toByteArray() : null);
+        byte[] result = resultData.take();
+        peer.updateHeldBytes();
+        finish(outcome, outcome == Outcome.OK ? result : null);
         awaitGrab();
     }
 
--- a/src/main/java/laneflow/http/ClientConnection.java
+++ b/src/main/java/laneflow/http/ClientConnection.java
@@ -1,11 +1,11 @@
 package laneflow.http;
 
-import java.io.ByteArrayOutputStream;
 import java.nio.charset.StandardCharsets;
 import laneflow.core.Deadlines.Deadline;
 import laneflow.core.Request;
 import laneflow.net.Link;
 import laneflow.net.LinkHandler;
+import laneflow.net.MessageBuffer;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -29,7 +29,7 @@
 
     private final HttpFront front;
     private final HttpReader reader = new HttpReader(false, this);
-    private final ByteArrayOutputStream body = new ByteArrayOutputStream();
+    private final MessageBuffer body = new MessageBuffer();
     private final Deadline timer;
     private Link link;
     private long slot;
@@ -41,7 +41,7 @@
     private boolean responsePending;
 
     private boolean reading;
-    /** Input exceeded the ring while a response was pending: nothing after the ring's content can be parsed. */
+    /** Input was dropped while a response was pending: nothing after the ring's content can be parsed. */
     private boolean inputDropped;
     /** When the last byte of the current message arrived. */
     private long arrivedAt;
@@ -193,6 +193,27 @@
         return true;
     }
 
+    /**
+     * Ends what holds memory here: responses that the client does not read, requests sent ahead of a response, or a
+     * message that is still arriving, which is refused. The request that is being processed holds none here.
+     */
+    @Override
+    public void giveWay(Link source) {
+        if (link.isOutputEnded()) {
+            return;
+        }
+        front.count("http.gave_way_memory");
+        if (!link.out.isEmpty()) {
+            front.count("http.slow_reader");
+            link.close();
+            disconnected(link);
+        } else if (responsePending) {
+            link.dropRing();
+        } else {
+            rejectAndClose(503, "Service Unavailable", front.retryAfterHeader(), "no memory left for this request");
+        }
+    }
+
     private void unregister() {
         front.remove(slot);
         front.loop.deadlines().cancel(timer);
@@ -254,6 +275,7 @@
     public void head(HttpHead received) throws HttpException {
         head = received;
         body.reset();
+        updateHandlerBytes();
         String contentLength = head.header("content-length");
         if (contentLength != null && Long.parseLong(contentLength) > HttpFront.MAX_BODY_BYTES) {
             throw new HttpException(413, "body too long");
@@ -270,6 +292,18 @@
             throw new HttpException(413, "body too long");
         }
         body.writeBytes(bytes);
+        updateHandlerBytes();
+    }
+
+    private void updateHandlerBytes() {
+        link.setHandlerBytes(body.capacity());
+    }
+
+    /** Takes the body of the message, which the request holds from here on. */
+    private byte[] takeBody() {
+        byte[] content = body.take();
+        updateHandlerBytes();
+        return content;
     }
 
     @Override
@@ -291,8 +325,9 @@
         } else if (!head.methodOrVersion.equals("POST")) {
             respond(405, "Method Not Allowed", "", new byte[0]);
         } else {
+            byte[] content = takeBody();
             try {
-                if (front.submitDurable(this, slot, head, body.toByteArray(), arrivedAt)) {
+                if (front.submitDurable(this, slot, head, content, arrivedAt)) {
                     return;
                 }
                 if (link.hasPeerEnded()) {
@@ -300,7 +335,7 @@
                     front.count("http.left_before_turn");
                     return;
                 }
-                request = front.openRequest(slot, head, body.toByteArray(), arrivedAt);
+                request = front.openRequest(slot, head, content, arrivedAt);
             } catch (HttpException e) {
                 front.count("http.bad_request");
                 respond(e.status, e.reason(), "", ascii(e.getMessage() + "\n"));
@@ -327,8 +362,14 @@
 
     /** Sends the last response on a connection whose further input can't be parsed. */
     private void rejectAndClose(int status, String reason, String message) {
+        rejectAndClose(status, reason, "", message);
+    }
+
+    private void rejectAndClose(int status, String reason, String headers, String message) {
         head = null;
-        respond(status, reason, "", ascii(message + "\n"));
+        body.reset();
+        updateHandlerBytes();
+        respond(status, reason, headers, ascii(message + "\n"));
     }
 
     /** Sends the response to the current message. */
@@ -372,7 +413,7 @@
         startTimer(WRITE_TIMEOUT_US);
         link.flush();
         link.resumeReads();
-        if (!link.in.isEmpty() && !reading) {
+        if ((!link.in.isEmpty() || link.hasDroppedInput()) && !reading) {
             // Deferred: within the call that delivers the response the scheduler has not yet recorded the end of
             // the attempt, and the endpoint would appear busy to the next request.
             front.loop.later(this::readPending);
--- a/src/main/java/laneflow/http/EndpointConnection.java
+++ b/src/main/java/laneflow/http/EndpointConnection.java
@@ -318,14 +318,10 @@
         } catch (HttpException | IllegalArgumentException e) {
             LOG.debug("malformed response from {}: {}", endpoint, e.getMessage());
             connector.count("endpoint.malformed");
-            // Garbage after a complete outcome does not change it, and an endpoint that answers an incomplete
-            // request has not run it. Both must hold however the bytes are split.
-            Outcome outcome =
-                    heldByte != null ? Outcome.MOOT : response.outcome() != null ? response.outcome() : Outcome.ERROR;
-            link.close();
-            finish(outcome);
+            endUnread();
             return;
         }
+        link.setHandlerBytes(response.bufferedBytes());
         if (isIdle()) {
             if (reader.isDone()) {
                 keepOrClose();
@@ -341,6 +337,31 @@
         }
     }
 
+    /**
+     * Ends the attempt without reading further. What follows a complete outcome does not change it, and an endpoint
+     * that answers an incomplete request has not run it. Both must hold however the bytes are split.
+     */
+    private void endUnread() {
+        Outcome outcome =
+                heldByte != null ? Outcome.MOOT : response.outcome() != null ? response.outcome() : Outcome.ERROR;
+        link.close();
+        finish(outcome);
+    }
+
+    /** Ends an attempt whose request is not read by its endpoint, or whose response goes on for too long. */
+    @Override
+    public void giveWay(Link source) {
+        connector.count("endpoint.gave_way_memory");
+        if (isIdle()) {
+            close();
+        } else if (!link.out.isEmpty()) {
+            link.close();
+            finish(Outcome.MOOT);
+        } else {
+            endUnread();
+        }
+    }
+
     private void readResponse() throws HttpException {
         boolean afterOutcome = response.outcome() != null;
         int available = link.in.size();
--- a/src/main/java/laneflow/http/EndpointResponse.java
+++ b/src/main/java/laneflow/http/EndpointResponse.java
@@ -7,7 +7,6 @@
 import com.google.gson.Strictness;
 import com.google.gson.stream.JsonReader;
 import com.google.gson.stream.JsonToken;
-import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.io.StringReader;
 import java.nio.ByteBuffer;
@@ -18,6 +17,7 @@
 import laneflow.core.Scheduler;
 import laneflow.decision.Dispatch.LoadReport;
 import laneflow.decision.Dispatch.Outcome;
+import laneflow.net.MessageBuffer;
 
 /**
  * Reads an endpoint's response to one attempt or probe as it arrives. An attempt counts as served only by a
@@ -32,7 +32,7 @@
     /** Ids of the jobs sent on this connection before the attempt. */
     private final Collection<String> previousIds;
 
-    private final ByteArrayOutputStream lineBuffer = new ByteArrayOutputStream();
+    private final MessageBuffer lineBuffer = new MessageBuffer();
     private HttpHead head;
     private Outcome outcome;
     private byte[] result;
@@ -55,6 +55,11 @@
         return duplicate;
     }
 
+    /** The bytes of memory that the unfinished line takes up. */
+    int bufferedBytes() {
+        return lineBuffer.capacity();
+    }
+
     /** True once the final response head has arrived. */
     boolean hasHead() {
         return head != null;
@@ -124,8 +129,7 @@
             lineBuffer.reset();
             return;
         }
-        String text = decodeUtf8(lineBuffer.toByteArray()).strip();
-        lineBuffer.reset();
+        String text = decodeUtf8(lineBuffer.take()).strip();
         if (text.isEmpty()) {
             return;
         }
--- a/src/main/java/laneflow/http/HttpFront.java
+++ b/src/main/java/laneflow/http/HttpFront.java
@@ -298,8 +298,16 @@
     @Override
     public void refused(long tag, double retryAfter) {
         count("clients.refused");
-        String retryHeader = retryAfter > 0 ? String.format(Locale.ROOT, "Retry-After: %.3f\r\n", retryAfter) : "";
-        respond(tag, 503, "Service Unavailable", retryHeader, ClientConnection.ascii("fail-fast\n"));
+        respond(tag, 503, "Service Unavailable", retryAfterHeader(retryAfter), ClientConnection.ascii("fail-fast\n"));
+    }
+
+    private static String retryAfterHeader(double seconds) {
+        return seconds > 0 ? String.format(Locale.ROOT, "Retry-After: %.3f\r\n", seconds) : "";
+    }
+
+    /** The header by which a refusal for lack of memory tells when to come back, or nothing. */
+    String retryAfterHeader() {
+        return retryAfterHeader(scheduler.memoryRetryAfter());
     }
 
     @Override
--- a/src/main/java/laneflow/net/Link.java
+++ b/src/main/java/laneflow/net/Link.java
@@ -3,6 +3,7 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import laneflow.core.Deadlines.Deadline;
+import laneflow.core.MessageMemory;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import org.xnio.IoFuture;
@@ -30,7 +31,10 @@
     private final LinkHandler handler;
     /** The listener that accepted the connection; null for an outgoing one. */
     private final Loop.Listener listener;
+    /** The memory of the rings beyond their initial capacity, and of {@link #handlerBytes}. */
+    private final MessageMemory.Account memory;
 
+    private long handlerBytes;
     private long handle;
     private StreamConnection connection;
     private StreamSourceConduit source;
@@ -52,8 +56,9 @@
         this.loop = loop;
         this.handler = handler;
         this.listener = listener;
-        in = new Ring(inLimit);
-        out = new Ring(outLimit);
+        memory = loop.messageMemory().open(() -> handler.giveWay(this));
+        in = new Ring(inLimit, memory::add);
+        out = new Ring(outLimit, memory::add);
     }
 
     /** Returns the XNIO connection; null until it is established. */
@@ -131,11 +136,15 @@
         }
     }
 
-    /** Reads once; returns what the conduit returned, or 0 if the ring has no room. */
+    /** Reads once; returns what the conduit returned, or 0 if there is no room for more. */
     private int readOnce() throws IOException {
         if (lingerTimer == null && (droppedBytes > 0 || in.isFull() && handler.dropsInputBeyondRing())) {
             return dropInput();
         }
+        if (loop.messageMemory().isExceeded()) {
+            // It stays unread until the connections that hold most have given way, at the end of this turn.
+            return 0;
+        }
         int bytesRead = in.readFrom(source);
         if (bytesRead > 0) {
             arrivals.add(
@@ -160,6 +169,18 @@
         return droppedBytes > 0;
     }
 
+    /** Discards the input ring. Further input is dropped too, since it does not follow what was read before. */
+    public void dropRing() {
+        droppedBytes += in.size();
+        in.skip(in.size());
+    }
+
+    /** Sets how many bytes of messages the handler holds for this connection, beside the rings. */
+    public void setHandlerBytes(long bytes) {
+        memory.add(bytes - handlerBytes);
+        handlerBytes = bytes;
+    }
+
     /** Sets the arrival time of bytes that the first read finds, microseconds. */
     void setInputPendingSince(long instant) {
         inputPendingSince = instant;
@@ -307,6 +328,7 @@
             return;
         }
         closed = true;
+        memory.close();
         if (lingerTimer != null) {
             loop.deadlines().cancel(lingerTimer);
         }
--- a/src/main/java/laneflow/net/LinkHandler.java
+++ b/src/main/java/laneflow/net/LinkHandler.java
@@ -23,6 +23,12 @@
         return false;
     }
 
+    /**
+     * The process holds too many bytes of messages, and this connection holds most of them: the handler ends the
+     * message that is under way with an error, or the connection, and so releases its memory.
+     */
+    default void giveWay(Link link) {}
+
     /** The peer has ended or reset the connection; it is closed already, and its input was reported before. */
     void disconnected(Link link);
 }
--- a/src/main/java/laneflow/net/Loop.java
+++ b/src/main/java/laneflow/net/Loop.java
@@ -19,6 +19,7 @@
 import java.util.regex.Pattern;
 import laneflow.core.Clock;
 import laneflow.core.Deadlines;
+import laneflow.core.MessageMemory;
 import laneflow.core.SlotTable;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -54,6 +55,7 @@
     private static final int MAX_ACCEPTS_PER_TURN = 32;
 
     private final Deadlines deadlines = new Deadlines();
+    private final MessageMemory messageMemory = MessageMemory.ofHeap();
     private final SlotTable<Link> links = new SlotTable<>();
     private final XnioWorker worker;
     private final XnioIoThread thread;
@@ -97,6 +99,8 @@
                         .set(Options.WORKER_TASK_MAX_THREADS, 1)
                         .getMap());
         thread = worker.getIoThread();
+        thread.setUncaughtExceptionHandler((ended, error) -> FatalErrors.endProcess(error));
+        messageMemory.onExceeded(() -> later(messageMemory::relieve));
         clockOrigin = System.currentTimeMillis() * 1000 - System.nanoTime() / 1000;
     }
 
@@ -122,6 +126,11 @@
         return deadlines;
     }
 
+    /** The memory of the messages on this loop's connections. */
+    public MessageMemory messageMemory() {
+        return messageMemory;
+    }
+
     // ---- turns ----
 
     /** Handles an event on the loop's thread; the first event of a turn reads the clock. */
@@ -132,20 +141,26 @@
             // XNIO runs this task before its next select, which ends the turn.
             thread.execute(this::endTurn);
         }
+        handle(event);
+    }
+
+    /**
+     * Runs an event. If it fails, that must not fail all other requests, nor keep the turn from ending; but if the
+     * process can't go on, it ends.
+     */
+    private static void handle(Runnable event) {
         try {
             event.run();
-        } catch (RuntimeException e) {
-            // A bug in the handling of one event must not fail all other requests.
+        } catch (RuntimeException | Error e) {
+            if (FatalErrors.isFatal(e)) {
+                FatalErrors.endProcess(e);
+            }
             LOG.error("event failed", e);
         }
     }
 
     private void endTurn() {
-        try {
-            deadlines.runEarly(now);
-        } catch (RuntimeException e) {
-            LOG.error("event failed", e);
-        }
+        handle(() -> deadlines.runEarly(now));
         inTurn = false;
         long next = deadlines.next();
         if ((next < timerDueAt || mostlyIdle && next > timerDueAt) && !worker.isShutdown()) {
--- a/src/main/java/laneflow/net/Ring.java
+++ b/src/main/java/laneflow/net/Ring.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.nio.ByteBuffer;
+import java.util.function.IntConsumer;
 import org.xnio.conduits.StreamSinkConduit;
 import org.xnio.conduits.StreamSourceConduit;
 
@@ -10,6 +11,9 @@
     private static final int INITIAL_CAPACITY = 2048;
 
     private final int limit;
+    /** Receives each change of the capacity, in bytes. */
+    private final IntConsumer onCapacityChange;
+
     private byte[] bytes = new byte[INITIAL_CAPACITY];
     private ByteBuffer view = ByteBuffer.wrap(bytes);
     private int head;
@@ -18,10 +22,15 @@
 
     /** @param limit the maximum number of bytes, a power of two */
     public Ring(int limit) {
+        this(limit, change -> {});
+    }
+
+    Ring(int limit, IntConsumer onCapacityChange) {
         if (Integer.bitCount(limit) != 1 || limit < INITIAL_CAPACITY) {
             throw new IllegalArgumentException("limit " + limit);
         }
         this.limit = limit;
+        this.onCapacityChange = onCapacityChange;
     }
 
     public int size() {
@@ -138,6 +147,7 @@
     }
 
     private void replaceBuffer(byte[] buffer) {
+        onCapacityChange.accept(buffer.length - bytes.length);
         bytes = buffer;
         view = ByteBuffer.wrap(bytes);
     }
--- a/src/main/java/laneflow/task/Recovery.java
+++ b/src/main/java/laneflow/task/Recovery.java
@@ -26,6 +26,7 @@
 import laneflow.durable.FolderLock;
 import laneflow.durable.JobRow;
 import laneflow.durable.Store;
+import laneflow.durable.StoreException;
 import laneflow.durable.StoreMaintenance;
 import laneflow.net.Loop;
 import laneflow.net.Threads;
@@ -51,6 +52,9 @@
     private static final String TASK_PREFIX = "recover/";
     private static final String ADOPTED = "adopted";
     private static final int BATCH_SIZE = 128;
+    /** Bytes of bodies, and of results, after which a batch ends. */
+    private static final long BATCH_BYTES = 1 << 20;
+
     private static final int POLL_MS = 250;
     private static final int LOOP_TIMEOUT_S = 10;
     private static final int ADOPTIONS_PER_LEASE = 3;
@@ -221,22 +225,14 @@
     private boolean takeOver(Path dir) throws IOException, InterruptedException, TimeoutException {
         int taken = 0;
         try (Store store = Store.open(dir, StoreMaintenance.NO_LIMIT)) {
-            List<JobRow> rows = new ArrayList<>();
-            store.read(true, rows::add);
-            for (int from = 0; from < rows.size(); from += BATCH_SIZE) {
-                List<JobRow> batch = rows.subList(from, Math.min(rows.size(), from + BATCH_SIZE));
-                Map<Long, byte[]> results = new HashMap<>();
-                for (JobRow row : batch) {
-                    byte[] result = store.result(row.id());
-                    if (result != null) {
-                        results.put(row.id(), result);
-                    }
-                }
-                List<Long> stored = callOnLoop(then -> jobs.adoptJobs(batch, results, then::complete));
+            for (Batch batch = Batch.first(store); !batch.rows.isEmpty(); batch = Batch.first(store)) {
+                List<JobRow> rows = batch.rows;
+                Map<Long, byte[]> results = batch.results;
+                List<Long> stored = callOnLoop(then -> jobs.adoptJobs(rows, results, then::complete));
                 StoreMaintenance.drop(store, stored);
                 taken += stored.size();
-                if (stored.size() < batch.size()) {
-                    // This process's own store is full or has failed: the rest stays in the adopted one.
+                if (stored.size() < rows.size()) {
+                    // This process has no room for them, on disk or in memory: the rest stays in the adopted store.
                     return false;
                 }
             }
@@ -245,6 +241,35 @@
         return true;
     }
 
+    /** Some of the jobs of a store, with the results of those that have ended: not more than memory can hold. */
+    private record Batch(List<JobRow> rows, Map<Long, byte[]> results) {
+
+        /** Reads the first jobs of the store. */
+        static Batch first(Store store) throws StoreException {
+            List<JobRow> read = new ArrayList<>();
+            long[] bytes = new long[1];
+            store.readWhile(row -> {
+                read.add(row);
+                bytes[0] += row.bodyBytes();
+                return read.size() < BATCH_SIZE && bytes[0] < BATCH_BYTES;
+            });
+            Batch batch = new Batch(new ArrayList<>(), new HashMap<>());
+            bytes[0] = 0;
+            for (JobRow row : read) {
+                if (bytes[0] >= BATCH_BYTES) {
+                    break;
+                }
+                batch.rows.add(row);
+                byte[] result = store.result(row.id());
+                if (result != null) {
+                    batch.results.put(row.id(), result);
+                    bytes[0] += result.length;
+                }
+            }
+            return batch;
+        }
+    }
+
     private static void remove(Path dir) throws IOException {
         try (Stream<Path> all = Files.walk(dir)) {
             for (Path path : all.sorted(Comparator.reverseOrder()).toList()) {
--- a/src/test/java/laneflow/core/SchedulerPairModel.java
+++ b/src/test/java/laneflow/core/SchedulerPairModel.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -97,6 +98,7 @@
         private final Scheduler scheduler;
         private final Map<String, Long> drainNotifiedAt = new HashMap<>();
         private final Map<String, Long> setDownAt = new HashMap<>();
+        private final MessageMemory memory = new MessageMemory(1 << 30);
 
         private Node(int number, long seed) {
             scheduler = new Scheduler(
@@ -105,6 +107,7 @@
                     () -> now,
                     fault == Fault.TIMERS_LOST ? new Deadlines() : deadlines,
                     new Counters());
+            scheduler.setMemory(memory.openRequests());
             scheduler.start(this, new ArrayList<>(entries.values()));
         }
 
@@ -481,6 +484,7 @@
     // ---- invariants ----
 
     private void checkInvariants() {
+        Set<Node> busy = new HashSet<>();
         for (Client client : clients) {
             String label = CLASS_LABELS[client.jobClass] + clients.indexOf(client);
             boolean hasOpenAttempt = false;
@@ -519,9 +523,18 @@
             if (unanswered && client.node.deadlines.next() > client.request.deadline) {
                 throw new Violation("deadline set", label + " has no deadline set");
             }
+            if (unanswered || hasOpenAttempt) {
+                busy.add(client.node);
+            }
             if (!unanswered && hasOpenAttempt && now > client.request.deadline) {
                 throw new Violation("no open attempt left", "an attempt of " + label + " is still open");
             }
         }
+        for (Node node : nodes) {
+            if (busy.contains(node) != node.memory.used() > 0) {
+                throw new Violation(
+                        "memory", node.memory.used() + " bytes held, open requests: " + busy.contains(node));
+            }
+        }
     }
 }
--- a/src/test/java/laneflow/durable/DurableJobsTest.java
+++ b/src/test/java/laneflow/durable/DurableJobsTest.java
@@ -23,6 +23,7 @@
 import laneflow.core.DurableJobService.SubmissionResult;
 import laneflow.core.Endpoint;
 import laneflow.core.EndpointSet.Entry;
+import laneflow.core.MessageMemory;
 import laneflow.core.Payload;
 import laneflow.core.Scheduler;
 import laneflow.decision.Dispatch.Effect;
@@ -44,6 +45,7 @@
     private long wallMs = 50_000;
     private final Deadlines deadlines = new Deadlines();
     private final Counters counters = new Counters();
+    private final MessageMemory.Admission memory = new MessageMemory(1 << 20).durableJobs();
     private final Scheduler scheduler = new Scheduler(settings(), 7, () -> now, deadlines, counters);
     private final LinkedBlockingQueue<Runnable> callbacks = new LinkedBlockingQueue<>();
     private final Semaphore writes = new Semaphore(0);
@@ -79,7 +81,7 @@
         Entry entry = new Entry();
         entry.name = "e1";
         scheduler.start(this, List.of(entry));
-        return new DurableJobs(() -> now, deadlines, scheduler, config, journal, () -> wallMs, 7);
+        return new DurableJobs(() -> now, deadlines, scheduler, config, journal, () -> wallMs, memory, 7);
     }
 
     @AfterEach
