Keep a durable keyed job in the group that knows its key, over all its requests

Cause: RetryPolicy compares the places of one request's attempts. A durable job is sent as one request after the other, and a new one was told when the job may have run, not where; the core asked for the window only.

Change: a request carries where it may have run before (earlierRuns). The module and the core ask one rule, Dispatch.Group.includes, for every attempt. A lease records its endpoint's zone by name and its cell. Records of earlier builds have a name only: its place in the present list counts, else the job is sent nowhere until its window is over.

Evidence: the three new cases of DurableJobsTest failed before (a second call at e2; recovered jobs sent to {1=e1, 2=e1, 3=e2} where {1=e1, 2=e2} is owed). They pass behind it, and with the module's rule taken out on a scratch copy, so the core keeps it by itself too.

--- a/src/main/java/laneflow/assembly/Durability.java
+++ b/src/main/java/laneflow/assembly/Durability.java
@@ -9,6 +9,7 @@
 import laneflow.durable.JobRow;
 import laneflow.durable.Journal;
 import laneflow.durable.Store;
+import laneflow.durable.ZoneNames;
 import laneflow.net.Loop;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -26,7 +27,7 @@
     private final long openedAtNanos = System.nanoTime();
 
     /** Opens and reads the store on the calling thread. */
-    Durability(DurableConfig config, Subsystems.Core core) throws IOException {
+    Durability(DurableConfig config, ZoneNames zones, Subsystems.Core core) throws IOException {
         this.core = core;
         Loop loop = core.loop();
         Store store = Store.open(config.dir, config.maxStoreBytes);
@@ -42,6 +43,7 @@
                 journal,
                 System::currentTimeMillis,
                 loop.messageMemory().durableJobs(),
+                zones,
                 new SecureRandom().nextLong());
     }
 
--- a/src/main/java/laneflow/assembly/Subsystems.java
+++ b/src/main/java/laneflow/assembly/Subsystems.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import laneflow.core.Connector;
 import laneflow.core.Scheduler;
+import laneflow.durable.ZoneNames;
 import laneflow.gearman.GearmanFront;
 import laneflow.http.HttpFront;
 import laneflow.http.OperatorPort;
@@ -35,7 +36,9 @@
             boolean upgrade) {}
 
     Subsystems(Setup setup, Core core) throws IOException, InterruptedException {
-        Durability durability = setup.durable() == null ? null : new Durability(setup.durable(), core);
+        Durability durability = setup.durable() == null
+                ? null
+                : new Durability(setup.durable(), new ZoneNames(setup.config().zones), core);
         if (durability != null) {
             subsystems.add(durability);
         }
--- a/src/main/java/laneflow/core/Attempt.java
+++ b/src/main/java/laneflow/core/Attempt.java
@@ -1,11 +1,17 @@
 package laneflow.core;
 
+import laneflow.decision.Dispatch.EarlierRun;
+
 /** One attempt of a request at one endpoint. */
 public final class Attempt {
     public final Request request;
     public final Endpoint endpoint;
     final int number;
     final long sentAt;
+    /** Where its endpoint was when it was sent. */
+    private final int zone;
+
+    private final int cell;
     long handle;
     /** The number of its lease, from 1; 0 if it has none. */
     public int lease;
@@ -17,5 +23,12 @@
         this.endpoint = endpoint;
         this.number = number;
         this.sentAt = sentAt;
+        zone = endpoint.zone;
+        cell = endpoint.cell;
+    }
+
+    /** The run that it may have been. */
+    EarlierRun run() {
+        return new EarlierRun(Clock.seconds(sentAt), zone, cell);
     }
 }
--- a/src/main/java/laneflow/core/Request.java
+++ b/src/main/java/laneflow/core/Request.java
@@ -1,7 +1,11 @@
 package laneflow.core;
 
+import java.util.ArrayList;
+import java.util.List;
 import laneflow.core.Deadlines.Deadline;
 import laneflow.decision.Dispatch;
+import laneflow.decision.Dispatch.EarlierRun;
+import laneflow.decision.Dispatch.Effect;
 import laneflow.decision.Dispatch.JobClass;
 
 /** A client's request, from its arrival to its one final answer. */
@@ -52,6 +56,8 @@
     Attempt openAttempt;
     Deadline backstop;
     private long firstMayHaveRunAt = Long.MAX_VALUE;
+    /** Where attempts may have run, those before its submission included. */
+    private List<EarlierRun> possibleRuns = List.of();
 
     public Request(Front front, long tag, Payload payload, int jobClass, long deadline) {
         this.front = front;
@@ -72,14 +78,29 @@
 
     /**
      * Records, before submission, that an earlier attempt may have run: it was sent at that instant by another
-     * scheduler, or by this one before a restart.
+     * scheduler, or by this one before. Where is not known, so its group has no endpoint.
      */
     public void mayHaveRunSince(long instant) {
-        markMayHaveRun(instant);
+        mayHaveRunSince(instant, EarlierRun.UNKNOWN, EarlierRun.UNKNOWN);
     }
 
-    void markMayHaveRun(long sentAt) {
+    /** Records the same of an attempt at an endpoint in this zone and cell. Earlier attempts are recorded first. */
+    public void mayHaveRunSince(long instant, int zone, int cell) {
+        markMayHaveRun(instant, new EarlierRun(Clock.seconds(instant), zone, cell));
+    }
+
+    void markMayHaveRun(long sentAt, EarlierRun run) {
         firstMayHaveRunAt = Math.min(firstMayHaveRunAt, sentAt);
+        if (possibleRuns.isEmpty()) {
+            possibleRuns = new ArrayList<>(1);
+        }
+        possibleRuns.add(run);
+    }
+
+    /** Whether the endpoint would recognise a repeat of every attempt that may have run, by its key. */
+    boolean isKnownAt(Endpoint endpoint) {
+        return type.effect != Effect.KEYED
+                || possibleRuns.stream().allMatch(run -> type.group.includes(run, endpoint.zone, endpoint.cell));
     }
 
     /** The settings epoch in which it arrived; see {@link Scheduler#settingsChanged}. */
@@ -96,5 +117,6 @@
         target.slots = slots;
         target.memory = memory;
         target.ability = function == null ? 0 : Endpoint.stableId(function);
+        target.earlierRuns = List.copyOf(possibleRuns);
     }
 }
--- a/src/main/java/laneflow/core/Scheduler.java
+++ b/src/main/java/laneflow/core/Scheduler.java
@@ -427,7 +427,7 @@
         if (clock.currentMicros() >= attempt.request.deadline) {
             return "spent";
         }
-        return mayRepeat(attempt.request) ? null : "effect";
+        return mayRepeat(attempt.request, attempt.endpoint) ? null : "effect";
     }
 
     /** Sends an attempt whose lease is recorded; false if it has ended in the meantime. */
@@ -480,6 +480,10 @@
                         && clock.currentMicros() < request.firstMayHaveRunAt() + (long) (type.dedupWindow * 1e6);
     }
 
+    private boolean mayRepeat(Request request, Endpoint endpoint) {
+        return mayRepeat(request) && request.isKnownAt(endpoint);
+    }
+
     /** The endpoint has started the job. */
     public void started(Attempt attempt) {
         counters.add("call.started");
@@ -533,7 +537,7 @@
             attempt.endpoint.connectFailures = 0;
         }
         if (mayHaveRun(outcome)) {
-            request.markMayHaveRun(attempt.sentAt);
+            request.markMayHaveRun(attempt.sentAt, attempt.run());
         }
         request.forwarded |= outcome != Outcome.CONNECT_FAILED && outcome != Outcome.MOOT;
         if (request.front.usesLeases()) {
@@ -694,7 +698,7 @@
             if (clock.micros() >= request.deadline || request.attemptCount > request.maxAttempts) {
                 return "spent";
             }
-            return mayRepeat(request) ? null : "effect";
+            return mayRepeat(request, endpoint) ? null : "effect";
         }
 
         @Override
--- a/src/main/java/laneflow/decision/Dispatch.java
+++ b/src/main/java/laneflow/decision/Dispatch.java
@@ -38,7 +38,27 @@
     enum Group {
         ALL,
         ZONE,
-        CELL
+        CELL;
+
+        /** Whether a worker in this zone and cell recognizes a repeat of what may have run there. */
+        public boolean includes(EarlierRun run, int zone, int cell) {
+            return switch (this) {
+                case ALL -> true;
+                case ZONE -> run.zone == zone;
+                case CELL -> run.cell == cell;
+            };
+        }
+    }
+
+    /**
+     * An attempt of a request that may have run.
+     *
+     * @param at when it was sent; the unit and origin are those of whoever holds it
+     * @param zone its worker's zone, or {@link #UNKNOWN}, which is no worker's
+     * @param cell its worker's cell, or {@link #UNKNOWN}
+     */
+    record EarlierRun(double at, int zone, int cell) {
+        public static final int UNKNOWN = Integer.MIN_VALUE;
     }
 
     /**
@@ -221,6 +241,8 @@
         public double memory;
         /** The ability that a worker must have to run it; 0: none. */
         public long ability;
+        /** Attempts that may have run before it was submitted to this dispatcher, the earliest first. */
+        public List<EarlierRun> earlierRuns = List.of();
     }
 
     /** A worker's report of its load; NaN for each figure that it does not state. */
--- a/src/main/java/laneflow/decision/Job.java
+++ b/src/main/java/laneflow/decision/Job.java
@@ -1,6 +1,9 @@
 package laneflow.decision;
 
+import java.util.ArrayList;
 import java.util.Arrays;
+import java.util.List;
+import laneflow.decision.Dispatch.EarlierRun;
 import laneflow.decision.Dispatch.JobClass;
 import laneflow.decision.Dispatch.Request;
 import laneflow.decision.Dispatch.Settings;
@@ -25,6 +28,8 @@
     double hint;
     double slots;
     double memory;
+    /** Attempts that may have run before the request arrived. */
+    List<EarlierRun> earlierRuns = List.of();
     /** The limits in force when it arrived; later requests may have others. */
     int maxAttempts;
 
@@ -73,6 +78,7 @@
         slots = request.slots;
         memory = request.memory;
         ability = request.ability;
+        earlierRuns = request.earlierRuns;
         pendingReports = 0;
         probedBeforeRefusal = false;
         live = true;
@@ -116,6 +122,9 @@
     }
 
     boolean mayHaveRun() {
+        if (!earlierRuns.isEmpty()) {
+            return true;
+        }
         for (int i = 0; i < attempts; i++) {
             if (attempt[i].mayHaveRun) {
                 return true;
@@ -124,8 +133,22 @@
         return false;
     }
 
+    /** All attempts that may have run, those of before its arrival included. */
+    List<EarlierRun> possibleRuns() {
+        List<EarlierRun> runs = new ArrayList<>(earlierRuns);
+        for (int i = 0; i < attempts; i++) {
+            if (attempt[i].mayHaveRun) {
+                runs.add(new EarlierRun(attempt[i].sentAt, attempt[i].view.zone, attempt[i].view.cell));
+            }
+        }
+        return runs;
+    }
+
     /** When the earliest attempt that may have run was sent, or infinity. */
     double firstMayHaveRun() {
+        if (!earlierRuns.isEmpty()) {
+            return earlierRuns.get(0).at();
+        }
         for (int i = 0; i < attempts; i++) {
             if (attempt[i].mayHaveRun) {
                 return attempt[i].sentAt;
--- a/src/main/java/laneflow/decision/RetryPolicy.java
+++ b/src/main/java/laneflow/decision/RetryPolicy.java
@@ -56,17 +56,9 @@
 
     /** A keyed job that may have run is retried only on workers that drop its repeats. */
     boolean effectAllows(Job job, WorkerView view) {
-        if (job.type.effect != Effect.KEYED || job.type.group == Group.ALL) {
-            return true;
-        }
-        for (int i = 0; i < job.attempts; i++) {
-            WorkerView earlier = job.attempt[i].view;
-            if (job.attempt[i].mayHaveRun
-                    && (job.type.group == Group.ZONE ? earlier.zone != view.zone : earlier.cell != view.cell)) {
-                return false;
-            }
-        }
-        return true;
+        return job.type.effect != Effect.KEYED
+                || !job.mayHaveRun()
+                || job.possibleRuns().stream().allMatch(run -> job.type.group.includes(run, view.zone, view.cell));
     }
 
     /**
--- a/src/main/java/laneflow/durable/DurableJobs.java
+++ b/src/main/java/laneflow/durable/DurableJobs.java
@@ -11,6 +11,7 @@
 import laneflow.core.Counters;
 import laneflow.core.Deadlines;
 import laneflow.core.DurableJobService;
+import laneflow.core.Endpoint;
 import laneflow.core.Front;
 import laneflow.core.MessageMemory;
 import laneflow.core.Payload;
@@ -22,6 +23,7 @@
 import laneflow.decision.Dispatch.Outcome;
 import laneflow.durable.decision.AttemptRecord;
 import laneflow.durable.decision.AttemptRecord.Known;
+import laneflow.durable.decision.AttemptRecord.Place;
 import laneflow.durable.decision.Quota;
 import laneflow.durable.decision.Settlement;
 import laneflow.durable.decision.Settlement.Verdict;
@@ -66,6 +68,7 @@
     private final Journal journal;
     private final LongSupplier wallClock;
     private final MessageMemory.Admission memory;
+    private final ZoneNames zones;
     private final Counters counters;
     private final JobTable table;
     private final Quota quota;
@@ -87,6 +90,7 @@
      *
      * @param wallClock Unix time in milliseconds
      * @param memory bounds the memory of open jobs, beside the limits of the configuration
+     * @param zones the names of the zones, by which attempts record where they were sent
      */
     public DurableJobs(
             Clock clock,
@@ -96,6 +100,7 @@
             Journal journal,
             LongSupplier wallClock,
             MessageMemory.Admission memory,
+            ZoneNames zones,
             long seed) {
         this.clock = clock;
         this.deadlines = deadlines;
@@ -104,6 +109,7 @@
         this.journal = journal;
         this.wallClock = wallClock;
         this.memory = memory;
+        this.zones = zones;
         counters = scheduler.counters();
         table = new JobTable(seed);
         quota = new Quota(config);
@@ -452,7 +458,7 @@
                 : row.key().substring("gearman/".length() + row.function().length() + 1);
         for (AttemptRecord attempt : job.attempts) {
             if (attempt.mayHaveRun()) {
-                request.mayHaveRunSince(now - (nowMs - attempt.leasedMs()) * 1000);
+                addEarlierRun(request, attempt, now - (nowMs - attempt.leasedMs()) * 1000);
             }
         }
         job.request = request;
@@ -460,6 +466,22 @@
         scheduler.submit(request);
     }
 
+    /** Tells the core where an attempt may have run: a keyed job may run again only where its key is known. */
+    private void addEarlierRun(Request request, AttemptRecord attempt, long sentAt) {
+        Endpoint endpoint = scheduler.endpoints().get(attempt.endpoint());
+        if (attempt.place() != null) {
+            request.mayHaveRunSince(
+                    sentAt,
+                    zones.number(attempt.place().zone()),
+                    attempt.place().cell());
+        } else if (endpoint != null) {
+            // Earlier builds recorded the name only. An endpoint keeps its name and its place.
+            request.mayHaveRunSince(sentAt, endpoint.zone, endpoint.cell);
+        } else {
+            request.mayHaveRunSince(sentAt);
+        }
+    }
+
     @Override
     public boolean usesLeases() {
         return true;
@@ -478,7 +500,12 @@
         }
         long nowMs = Math.max(wallClock.getAsLong(), latestMs);
         AttemptRecord attempt = new AttemptRecord(
-                job.attempts.size() + 1, call.endpoint.name, nowMs, nowMs + job.classConfig.leaseMs, Known.OUT);
+                job.attempts.size() + 1,
+                call.endpoint.name,
+                nowMs,
+                nowMs + job.classConfig.leaseMs,
+                Known.OUT,
+                new Place(zones.name(call.endpoint.zone), call.endpoint.cell));
         job.attempts.add(attempt);
         call.lease = attempt.number();
         job.call = call;
--- a/src/main/java/laneflow/durable/RowCodec.java
+++ b/src/main/java/laneflow/durable/RowCodec.java
@@ -12,6 +12,7 @@
 import java.util.zip.CRC32C;
 import laneflow.durable.decision.AttemptRecord;
 import laneflow.durable.decision.AttemptRecord.Known;
+import laneflow.durable.decision.AttemptRecord.Place;
 
 /**
  * Encodes attempts as JSON, which is readable in a SQL shell, and computes a CRC-32C checksum per row. SQLite
@@ -34,6 +35,10 @@
             json.addProperty("at", attempt.leasedMs());
             json.addProperty("end", attempt.endMs());
             json.addProperty("known", KNOWN_NAMES[attempt.known().ordinal()]);
+            if (attempt.place() != null) {
+                json.addProperty("zone", attempt.place().zone());
+                json.addProperty("cell", attempt.place().cell());
+            }
             array.add(json);
         }
         return array.toString();
@@ -50,7 +55,12 @@
                             json.get("to").getAsString(),
                             json.get("at").getAsLong(),
                             json.get("end").getAsLong(),
-                            known(json.get("known").getAsString())));
+                            known(json.get("known").getAsString()),
+                            json.has("zone")
+                                    ? new Place(
+                                            json.get("zone").getAsString(),
+                                            json.get("cell").getAsInt())
+                                    : null));
                 }
             } catch (JsonParseException | IllegalStateException | NullPointerException e) {
                 throw new IllegalArgumentException("malformed attempts: " + e.getMessage(), e);
--- a/src/main/java/laneflow/durable/decision/AttemptRecord.java
+++ b/src/main/java/laneflow/durable/decision/AttemptRecord.java
@@ -7,8 +7,16 @@
  * @param endpoint the name of the endpoint that the attempt was sent to
  * @param leasedMs when the lease was written, before the first byte was sent; Unix time in milliseconds
  * @param endMs when the lease expires, including the heartbeat extensions recorded so far
+ * @param place where the endpoint was; null if an earlier build wrote the record
  */
-public record AttemptRecord(int number, String endpoint, long leasedMs, long endMs, Known known) {
+public record AttemptRecord(int number, String endpoint, long leasedMs, long endMs, Known known, Place place) {
+
+    /**
+     * The place of an endpoint, which tells the endpoints that share its memory of keys.
+     *
+     * @param zone the name of its zone: its number may differ in another process
+     */
+    public record Place(String zone, int cell) {}
 
     /** The known outcome of an attempt. */
     public enum Known {
@@ -24,12 +32,17 @@
         DONE
     }
 
+    /** Creates a record without a place. */
+    public AttemptRecord(int number, String endpoint, long leasedMs, long endMs, Known known) {
+        this(number, endpoint, leasedMs, endMs, known, null);
+    }
+
     public AttemptRecord withKnown(Known newKnown) {
-        return new AttemptRecord(number, endpoint, leasedMs, endMs, newKnown);
+        return new AttemptRecord(number, endpoint, leasedMs, endMs, newKnown, place);
     }
 
     public AttemptRecord withEndMs(long newEndMs) {
-        return new AttemptRecord(number, endpoint, leasedMs, newEndMs, known);
+        return new AttemptRecord(number, endpoint, leasedMs, newEndMs, known, place);
     }
 
     /** True unless the endpoint provably never started the attempt. */
--- a/src/test/java/laneflow/durable/DurableJobsTest.java
+++ b/src/test/java/laneflow/durable/DurableJobsTest.java
@@ -26,6 +26,7 @@
 import laneflow.core.MessageMemory;
 import laneflow.core.Payload;
 import laneflow.core.Scheduler;
+import laneflow.decision.Dispatch;
 import laneflow.decision.Dispatch.Effect;
 import laneflow.decision.Dispatch.Group;
 import laneflow.decision.Dispatch.JobClass;
@@ -33,13 +34,17 @@
 import laneflow.decision.Dispatch.Settings;
 import laneflow.durable.decision.AttemptRecord;
 import laneflow.durable.decision.AttemptRecord.Known;
+import laneflow.durable.decision.AttemptRecord.Place;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
 
 /** Tests the order of disk writes and calls, with a storage, a clock and a connector that the test controls. */
 @Timeout(30)
 class DurableJobsTest implements Connector, Journal.Storage {
+    private static final int KEYED = 1;
     private static final int UNSAFE = 2;
     private long now = 1_000_000_000L;
     private long wallMs = 50_000;
@@ -68,6 +73,7 @@
             type.deadline = 5;
         }
         settings.maxAttempts = 5;
+        settings.zones = 2;
         settings.mayCancel = true;
         settings.drainGrace = 0.5;
         return settings;
@@ -78,10 +84,31 @@
         DurableConfig config = DurableConfig.read(
                 Table.parse("dir = 'x'\n", findings), scheduler.settings(), List.of("check", "post", "capture"));
         findings.throwIfAny();
+        scheduler.start(this, List.of(entry("e1", 0)));
+        return new DurableJobs(
+                () -> now,
+                deadlines,
+                scheduler,
+                config,
+                journal,
+                () -> wallMs,
+                memory,
+                new ZoneNames(List.of("a", "b")),
+                7);
+    }
+
+    private static Entry entry(String name, int zone) {
         Entry entry = new Entry();
-        entry.name = "e1";
-        scheduler.start(this, List.of(entry));
-        return new DurableJobs(() -> now, deadlines, scheduler, config, journal, () -> wallMs, memory, 7);
+        entry.name = name;
+        entry.zone = zone;
+        entry.cell = zone;
+        return entry;
+    }
+
+    private void setState(String name, int zone, Dispatch.State state) {
+        Entry entry = entry(name, zone);
+        entry.state = state;
+        scheduler.list(this, false, List.of(entry));
     }
 
     @AfterEach
@@ -197,7 +224,7 @@
             Op lease = written.get(1);
             assertEquals(State.RUNNING, lease.state());
             assertEquals(
-                    new AttemptRecord(1, "e1", 50_000, 55_000, Known.OUT),
+                    new AttemptRecord(1, "e1", 50_000, 55_000, Known.OUT, new Place("a", 0)),
                     lease.attempts().get(0));
         }
         // The end becomes visible only once it is on disk.
@@ -275,20 +302,71 @@
     private List<Long> serveAll() throws InterruptedException {
         List<Long> sentJobs = new ArrayList<>();
         for (int i = 0; i < 12; i++) {
-            writes.release();
-            for (Runnable run = callbacks.poll(50, TimeUnit.MILLISECONDS); run != null; run = callbacks.poll()) {
-                run.run();
-            }
+            runFor(1);
             for (Attempt call : new ArrayList<>(calls)) {
                 if (!sentJobs.contains(call.request.tag)) {
                     sentJobs.add(call.request.tag);
                     scheduler.ended(call, Outcome.OK, new byte[0], null);
                 }
             }
+        }
+        return sentJobs;
+    }
+
+    /** Lets so many tenths of a second pass, in which all writes succeed. */
+    private void runFor(int tenths) throws InterruptedException {
+        for (int i = 0; i < tenths; i++) {
             now += 100_000;
             deadlines.runDue(now);
+            writes.release();
+            for (Runnable run = callbacks.poll(20, TimeUnit.MILLISECONDS); run != null; run = callbacks.poll()) {
+                run.run();
+            }
         }
-        return sentJobs;
+    }
+
+    /** Guards against a second run where the group of endpoints that knows the key is lost before it has answered. */
+    @ParameterizedTest
+    @EnumSource(
+            value = Group.class,
+            names = {"ZONE", "CELL"})
+    void keyedJobThatMayHaveRunStaysInItsGroup(Group group) throws Exception {
+        scheduler.settings().classes[KEYED].group = group;
+        submit(KEYED, "k");
+        completeWrite();
+        completeWrite();
+        assertEquals("e1", calls.get(0).endpoint.name);
+        setState("e2", 1, Dispatch.State.READY);
+        scheduler.ended(calls.get(0), Outcome.RESET, null, null);
+        setState("e1", 0, Dispatch.State.GONE);
+        runFor(12);
+        assertEquals(1, calls.size());
+        // Its group returns within the window.
+        setState("e3", 0, Dispatch.State.READY);
+        runFor(60);
+        assertEquals("e3", calls.get(1).endpoint.name);
+    }
+
+    /** Guards against the same behind a restart, also where the record is from a build that noted no place. */
+    @Test
+    void recoveredKeyedJobStaysInItsGroup() throws Exception {
+        scheduler.settings().classes[KEYED].group = Group.ZONE;
+        setState("e2", 1, Dispatch.State.READY);
+        AttemptRecord attempt = new AttemptRecord(1, "gone", 45_000, 46_000, Known.OUT, new Place("a", 0));
+        jobs.recover(
+                List.of(
+                        row(1, "post", attempt),
+                        row(2, "post", new AttemptRecord(1, "e2", 45_000, 46_000, Known.OUT)),
+                        row(3, "post", new AttemptRecord(1, "gone", 45_000, 46_000, Known.OUT))),
+                46_000);
+        serveAll();
+        serveAll();
+        Map<Long, String> endpoints = new HashMap<>();
+        calls.forEach(call -> endpoints.put(call.request.tag, call.endpoint.name));
+        assertEquals(Map.of(1L, "e1", 2L, "e2"), endpoints);
+        wallMs += 10_000;
+        runFor(12);
+        assertEquals("unknown", jobs.peek(3).state());
     }
 
     /** Guards against jobs of an earlier build's store that have each other's keys, after an upgrade or a takeover. */
--- a/src/test/java/laneflow/durable/StoreTest.java
+++ b/src/test/java/laneflow/durable/StoreTest.java
@@ -20,6 +20,7 @@
 import java.util.concurrent.TimeUnit;
 import laneflow.durable.decision.AttemptRecord;
 import laneflow.durable.decision.AttemptRecord.Known;
+import laneflow.durable.decision.AttemptRecord.Place;
 import laneflow.testing.KilledProcess;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
@@ -88,7 +89,7 @@
 
     @Test
     void writtenJobsAreReadBack() throws Exception {
-        AttemptRecord attempt = new AttemptRecord(1, "till-1", 200, 700, Known.DONE);
+        AttemptRecord attempt = new AttemptRecord(1, "till-1", 200, 700, Known.DONE, new Place("celje-1", 3));
         try (Store store = open()) {
             store.write(List.of(Op.accept(row(1, 10)), Op.accept(row(2, 0)), Op.accept(row(3, 5))));
             store.write(List.of(Op.update(1, State.RUNNING, List.of(attempt.withKnown(Known.OUT)), 200)));
