Count what a connection that gives way owes, and forget a worker's former result

What was seen, on reading the change again: a client closed for not reading its answers when memory is short was not counted in clients.lost, as it is where its buffer is full; a worker's result buffer that a new assignment empties stayed counted until the next word of the worker.

Change: both are counted.

--- a/src/main/java/laneflow/gearman/Worker.java
+++ b/src/main/java/laneflow/gearman/Worker.java
@@ -267,6 +267,7 @@
                         ? String.format("%s%016x.%d", GearmanFront.DURABLE_HANDLE_PREFIX, next.request.tag, next.lease)
                         : GearmanFront.newHandle();
         resultData.reset();
+        peer.updateHeldBytes();
         int seconds = abilities.get(function);
         if (seconds > 0) {
             front.loop.deadlines().set(timeLimitTimer, front.loop.micros() + seconds * 1_000_000L);
--- a/src/main/java/laneflow/http/ClientConnection.java
+++ b/src/main/java/laneflow/http/ClientConnection.java
@@ -205,6 +205,7 @@
         front.count("http.gave_way_memory");
         if (!link.out.isEmpty()) {
             front.count("http.slow_reader");
+            countUnanswered();
             link.close();
             disconnected(link);
         } else if (responsePending) {
--- a/src/test/java/laneflow/gearman/JobIdentityTest.java
+++ b/src/test/java/laneflow/gearman/JobIdentityTest.java
@@ -3,7 +3,6 @@
 import static laneflow.gearman.Gearman.expect;
 import static laneflow.gearman.Gearman.grab;
 import static laneflow.gearman.Gearman.send;
-import static laneflow.gearman.Gearman.submitBackground;
 import static org.junit.jupiter.api.Assertions.assertArrayEquals;
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertNotEquals;
@@ -52,42 +51,41 @@
         return message.substring(start, message.indexOf('\r', start));
     }
 
-    /** Guards against a job being dropped by its endpoint as a repeat of another process's job. */
-    @Test
-    void jobsOfSchedulersWithOneConfigurationHaveDifferentKeys() throws Exception {
+    /** Starts a scheduler with one and the same configuration but for its endpoint. */
+    private interface Start {
+        SchedulerHarness scheduler(int number, Endpoint endpoint) throws Exception;
+    }
+
+    private static void assertIdsAndKeysDiffer(Start start, int submission, String function) throws Exception {
         Set<String> ids = new HashSet<>();
         Set<String> keys = new HashSet<>();
         for (int i = 0; i < PROCESSES; i++) {
             Endpoint endpoint = new Endpoint("e1");
-            try (SchedulerHarness harness = new SchedulerHarness(null, endpoint)) {
-                send(harness.gearman(), Packet.SUBMIT_JOB, "post", "", "receipt " + i);
+            try (SchedulerHarness harness = start.scheduler(i, endpoint)) {
+                send(harness.gearman(), submission, function, "", "receipt " + i);
                 String message = serveNext(endpoint);
                 ids.add(header(message, "Req-Id"));
                 keys.add(header(message, "Idempotency-Key"));
             }
+            endpoint.close();
         }
         assertEquals(PROCESSES, ids.size(), ids.toString());
         assertEquals(PROCESSES, keys.size(), keys.toString());
     }
 
+    /** Guards against a job being dropped by its endpoint as a repeat of another process's job. */
+    @Test
+    void jobsOfSchedulersWithOneConfigurationHaveDifferentKeys() throws Exception {
+        assertIdsAndKeysDiffer((i, endpoint) -> new SchedulerHarness(null, endpoint), Packet.SUBMIT_JOB, "post");
+    }
+
     /** Guards against the same for durable jobs, whose keys are stored with them. */
     @Test
     void durableJobsOfSchedulersWithOneConfigurationHaveDifferentKeys() throws Exception {
-        Set<String> ids = new HashSet<>();
-        Set<String> keys = new HashSet<>();
-        for (int i = 0; i < PROCESSES; i++) {
-            Endpoint endpoint = new Endpoint("e1");
-            Path store = folder.resolve("store-" + i);
-            try (SchedulerHarness harness = SchedulerHarness.withDurableJobs(store, "", endpoint);
-                    Endpoint closedAfterwards = endpoint) {
-                submitBackground(harness.gearman(), "kpost", "", "receipt " + i);
-                String message = serveNext(closedAfterwards);
-                ids.add(header(message, "Req-Id"));
-                keys.add(header(message, "Idempotency-Key"));
-            }
-        }
-        assertEquals(PROCESSES, ids.size(), ids.toString());
-        assertEquals(PROCESSES, keys.size(), keys.toString());
+        assertIdsAndKeysDiffer(
+                (i, endpoint) -> SchedulerHarness.withDurableJobs(folder.resolve("store-" + i), "", endpoint),
+                Packet.SUBMIT_JOB_BG,
+                "kpost");
     }
 
     /** Guards against a second run of a job that its client submits again, under its unique id, after a restart. */
