lab measure flood: usual clients beside clients that misbehave, and their records

To reproduce the incident with real processes: a scheduler held to one core or a quarter of one, endpoints that record when each attempt began, usual clients, and a process of clients of twelve kinds that misbehave. It prints lost and late answers, attempts begun over 0.1 s after a close, ids that ran twice, p50 and p99, processor time a bad request and peak memory; exit code 1 where a rule is broken or something drawn was not exercised.

--- a/src/main/java/laneflow/lab/Measure.java
+++ b/src/main/java/laneflow/lab/Measure.java
@@ -6,6 +6,7 @@
 import laneflow.lab.measure.ControlMeasure;
 import laneflow.lab.measure.DurableMeasure;
 import laneflow.lab.measure.FleetMeasure;
+import laneflow.lab.measure.FloodMeasure;
 import laneflow.lab.measure.GearmanMeasure;
 import laneflow.lab.measure.IdleMeasure;
 import laneflow.lab.measure.MaintenanceMeasure;
@@ -41,7 +42,8 @@
         control,
         capacity,
         idle,
-        maintenance
+        maintenance,
+        flood
     }
 
     @Override
@@ -49,6 +51,8 @@
         switch (what) {
             case capacity:
                 return CapacityMeasure.run(seed, large, System.out);
+            case flood:
+                return FloodMeasure.run(seed, large, System.out);
             case maintenance:
                 return MaintenanceMeasure.run(seed, large, System.out);
             case idle:
