Bound what a connection uses of a turn, and begin nothing for an unseen client

Callers saw answers that came late or never while other clients sent at full speed, and attempts that began up to 1.07 s after their client had closed with much unread.

Cause: the loop that handles a connection's messages ended when its ring was empty, and asking whether the client had gone read more into that ring each time, so that a connection that was filled faster than it was emptied held the only I/O thread for as long as it liked. Tasks that put themselves back ran before the next select. Behind 4 MiB of dropped input reads were suspended, so the client's end was never seen.

Rule: no connection holds the loop. net.TurnAllowance bounds messages and time of a connection in a turn; what is left waits in net.DeferredInput behind all others, those that send too fast with 0.5 ms in each 2 ms for all of them together. One batch of accepts a turn, 64 pending at most. And nothing begins for a client unless it was seen to be there: Link.peerState reads in bounded work and drops what has no room; where the end may lie behind what is unread, the request is answered (429, or as refused or failed) in place of an attempt. Gearman clients are looked at too, before each attempt.

--- a/src/main/java/laneflow/core/Front.java
+++ b/src/main/java/laneflow/core/Front.java
@@ -23,9 +23,9 @@
     /** The request was not served, but may have been executed. */
     void failed(long tag);
 
-    /** True if the client's connection has ended, as already recorded or as found by checking it now. */
-    default boolean hasLeft(long tag) {
-        return false;
+    /** Looks at the client's connection now: nothing more begins unless the client is present. */
+    default ClientState clientState(long tag) {
+        return ClientState.PRESENT;
     }
 
     /** An endpoint has started the job. */
--- a/src/main/java/laneflow/core/Request.java
+++ b/src/main/java/laneflow/core/Request.java
@@ -42,6 +42,9 @@
 
     long handle;
     long acceptedAt;
+    /** When its client was last seen to be present, microseconds of the current time. */
+    long clientSeenAt;
+
     boolean answered;
     /** It waits for the admission gate, which is about to open. */
     boolean held;
--- a/src/main/java/laneflow/core/Scheduler.java
+++ b/src/main/java/laneflow/core/Scheduler.java
@@ -44,6 +44,12 @@
      */
     private static final long MAX_STALL_MICROS = 150_000;
 
+    /**
+     * How long a client that was seen to be present counts as present, in microseconds: far less than the time after
+     * its close in which an attempt may still begin.
+     */
+    private static final long CLIENT_SEEN_MICROS = 20_000;
+
     /** Memory that the core, the module and a front need for an open request beside its body, roughly. */
     private static final long REQUEST_OVERHEAD_BYTES = 1024;
 
@@ -311,6 +317,8 @@
         memory.hold(request.heldBytes);
         request.handle = requests.add(request);
         request.acceptedAt = clock.micros();
+        // The front has just looked.
+        request.clientSeenAt = clock.currentMicros();
         request.type = settings.classes[request.jobClass];
         request.maxAttempts = settings.maxAttempts;
         request.epoch = epoch;
@@ -417,9 +425,9 @@
             // The client has left or has been answered.
             return "answered";
         }
-        // In the decision's own turn the client was checked before the decision.
-        if (attempt.sentAt != clock.micros() && attempt.request.front.hasLeft(attempt.request.tag)) {
-            return "left";
+        ClientState client = clientState(attempt.request, attempt.sentAt == clock.micros());
+        if (client != ClientState.PRESENT) {
+            return client == ClientState.LEFT ? "left" : "unseen";
         }
         if (!maySend(attempt.endpoint)) {
             return "drain";
@@ -430,6 +438,23 @@
         return mayRepeat(attempt.request, attempt.endpoint) ? null : "effect";
     }
 
+    /**
+     * Whether anything may begin for the client of a request.
+     *
+     * @param lookedAt whether the client was looked at in this turn; that is enough unless the turn has become long
+     */
+    private ClientState clientState(Request request, boolean lookedAt) {
+        long now = clock.currentMicros();
+        if (lookedAt && now - request.clientSeenAt < CLIENT_SEEN_MICROS) {
+            return ClientState.PRESENT;
+        }
+        ClientState state = request.front.clientState(request.tag);
+        if (state == ClientState.PRESENT) {
+            request.clientSeenAt = now;
+        }
+        return state;
+    }
+
     /** Sends an attempt whose lease is recorded; false if it has ended in the meantime. */
     public boolean sendLeased(Attempt attempt) {
         boolean open = attempts.get(attempt.handle) == attempt;
@@ -659,11 +684,10 @@
                 return;
             }
             Attempt attempt = new Attempt(request, endpoint, number, clock.micros());
-            if (request.attemptCount > 0 && request.front.hasLeft(request.tag)) {
-                // The client's disconnect may still be unread in this turn, which a stall may have delayed.
-                counters.add("core.kept.left");
-                withdraw(request);
-                reportOutcome(attempt, Outcome.MOOT, true, null);
+            ClientState client =
+                    clientState(request, request.attemptCount == 0 && request.acceptedAt == clock.micros());
+            if (client != ClientState.PRESENT) {
+                endWithoutAttempt(attempt, client);
                 return;
             }
             request.attemptCount++;
@@ -687,6 +711,20 @@
             }
         }
 
+        /** Ends a request whose client has left, or may have: the latter gets its answer. */
+        private void endWithoutAttempt(Attempt attempt, ClientState client) {
+            Request request = attempt.request;
+            if (client == ClientState.LEFT) {
+                counters.add("core.kept.left");
+                withdraw(request);
+            } else {
+                counters.add("core.kept.unseen");
+                dispatch(() -> module.abandoned(now(), request.handle));
+                refuse(request.handle, memoryRetryAfter());
+            }
+            reportOutcome(attempt, Outcome.MOOT, true, null);
+        }
+
         /** Why this attempt may not be sent, whatever the module asks for; null if it may. */
         private String blockReason(Request request, Endpoint endpoint) {
             if (request.openAttempt != null) {
--- a/src/main/java/laneflow/gearman/GearmanFront.java
+++ b/src/main/java/laneflow/gearman/GearmanFront.java
@@ -12,6 +12,7 @@
 import java.util.Map;
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
+import laneflow.core.ClientState;
 import laneflow.core.DurableJobService;
 import laneflow.core.Endpoint;
 import laneflow.core.Front;
@@ -23,6 +24,7 @@
 import laneflow.decision.Dispatch.Effect;
 import laneflow.gearman.decision.Queues;
 import laneflow.net.Loop;
+import laneflow.net.PeerState;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -446,6 +448,19 @@
         return "gearman";
     }
 
+    /**
+     * A job is left by its clients once all of them have closed. Bulk submitters send far ahead of their replies, so a
+     * client whose end can't be seen counts as present.
+     */
+    @Override
+    public ClientState clientState(long tag) {
+        Job job = jobs.get(tag);
+        boolean hasClient = job == null
+                || job.background
+                || job.clients.stream().anyMatch(client -> client.peerState() != PeerState.ENDED);
+        return hasClient ? ClientState.PRESENT : ClientState.LEFT;
+    }
+
     @Override
     public void served(long tag, byte[] result) {
         Job job = jobs.get(tag);
--- a/src/main/java/laneflow/gearman/Peer.java
+++ b/src/main/java/laneflow/gearman/Peer.java
@@ -8,6 +8,7 @@
 import laneflow.gearman.decision.Schedule;
 import laneflow.net.Link;
 import laneflow.net.LinkHandler;
+import laneflow.net.PeerState;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -22,6 +23,8 @@
      * not restarted by received bytes. There is no limit between packets, where a worker may be silent.
      */
     private static final long PACKET_TIMEOUT_MICROS = 2_000_000;
+    /** How long a time-out waits for packets that are handled in a later turn. */
+    private static final long DEFERRED_RETRY_MICROS = 20_000;
     /** Packets above this size get more time, at {@link #MIN_BYTES_PER_SECOND}. */
     private static final int UNEXTENDED_BYTES = 64 * 1024;
 
@@ -87,6 +90,11 @@
     }
 
     private void packetTimedOut() {
+        if (link.hasMessagesWaiting()) {
+            // A whole packet may have been read, which is to be handled.
+            front.loop.deadlines().set(packetTimer, front.loop.micros() + DEFERRED_RETRY_MICROS);
+            return;
+        }
         front.scheduler.counters().add("gearman.slow_packet");
         disconnect();
     }
@@ -107,6 +115,16 @@
         disconnected(link);
     }
 
+    /** Whether the peer is still there; packets that are read to find out are handled after the current event. */
+    PeerState peerState() {
+        long before = link.in.size();
+        PeerState state = link.peerState();
+        if (link.in.size() > before) {
+            front.loop.later(() -> received(link));
+        }
+        return state;
+    }
+
     boolean isFlushed() {
         return link.out.isEmpty() && pendingReplies.isEmpty();
     }
@@ -211,7 +229,7 @@
     @Override
     public void received(Link from) {
         try {
-            while (!link.in.isEmpty() && !link.isClosed()) {
+            while (!link.in.isEmpty() && !link.isClosed() && link.mayHandleNext()) {
                 if (link.in.byteAt(0) != 0) {
                     if (!handleLine()) {
                         break;
--- a/src/main/java/laneflow/http/ClientConnection.java
+++ b/src/main/java/laneflow/http/ClientConnection.java
@@ -6,6 +6,7 @@
 import laneflow.net.Link;
 import laneflow.net.LinkHandler;
 import laneflow.net.MessageBuffer;
+import laneflow.net.PeerState;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -22,17 +23,24 @@
     private static final long NEW_CONNECTION_US = 200_000;
     /** Maximum idle time between messages. */
     private static final long IDLE_TIMEOUT_US = 120_000_000;
+    /** How long a time-out waits for input that is handled in a later turn. */
+    private static final long DEFERRED_RETRY_US = 20_000;
+    /** Responses in a row that reject a message; the connection closes with the last one. */
+    private static final int MAX_REJECTED = 16;
     /** A response this long after the request's deadline counts as lost, an earlier one as late. */
     private static final long LOST_AFTER_US = 500_000;
     /** Time within which the client must read a response. */
     private static final long WRITE_TIMEOUT_US = 10_000_000;
 
+    private static final String TOO_MUCH_SENT = "too much sent before an answer";
+
     private final HttpFront front;
     private final HttpReader reader = new HttpReader(false, this);
     private final MessageBuffer body = new MessageBuffer();
     private final Deadline timer;
     private Link link;
     private long slot;
+    /** The head of the message until it has been handled, else null. */
     private HttpHead head;
     private Request request;
     /** A message has begun; also true on a new connection, whose first message is due. */
@@ -53,6 +61,9 @@
     /** A response has been sent on this connection. */
     private boolean answered;
 
+    /** Responses in a row that rejected their messages. */
+    private int rejected;
+
     private long waitingSince;
     /** Orders connections that were accepted at the same instant, in one turn of the loop. */
     private final long acceptOrder;
@@ -85,6 +96,11 @@
         if (link.isClosed() || link.isOutputEnded() || timer.isSet() || responsePending && !wasPending) {
             return;
         }
+        if (link.hasMessagesWaiting()) {
+            // A whole message may have been read, which is to be answered.
+            front.loop.deadlines().set(timer, front.loop.micros() + DEFERRED_RETRY_US);
+            return;
+        }
         if (messageBegun && reader.isInsideMessage(link.in)) {
             front.count("http.slow_request");
             rejectAndClose(408, "Request Timeout", "message not ended in time");
@@ -114,7 +130,7 @@
         if (link.isOutputEnded()) {
             return 0;
         }
-        if (responsePending || !link.out.isEmpty()) {
+        if (responsePending || !link.out.isEmpty() || link.hasMessagesWaiting()) {
             return Integer.MAX_VALUE;
         }
         return !messageBegun ? 2 : front.loop.micros() - waitingSince > NEW_CONNECTION_US ? 1 : 3;
@@ -230,7 +246,11 @@
         }
         reading = true;
         try {
-            while (!responsePending && !link.in.isEmpty() && !link.isClosed() && !link.isOutputEnded()) {
+            while (!responsePending
+                    && !link.in.isEmpty()
+                    && !link.isClosed()
+                    && !link.isOutputEnded()
+                    && link.mayHandleNext()) {
                 reader.read(link.in);
                 if (!reader.isDone()) {
                     break;
@@ -249,9 +269,9 @@
             inputDropped = true;
             front.count("http.too_much_at_once");
         }
-        if (inputDropped && !responsePending && !link.isClosed()) {
+        if (inputDropped && !responsePending && !link.hasMessagesWaiting() && !link.isClosed()) {
             // The remainder of the message in the ring was discarded.
-            rejectAndClose(429, "Too Many Requests", "too much sent before an answer");
+            rejectAndClose(429, "Too Many Requests", TOO_MUCH_SENT);
         }
         if (!messageBegun && !responsePending && reader.isInsideMessage(link.in)) {
             messageBegun = true;
@@ -331,11 +351,17 @@
                 if (front.submitDurable(this, slot, head, content, arrivedAt)) {
                     return;
                 }
-                if (link.hasPeerEnded()) {
-                    // The client has closed; broken() follows.
+                PeerState peer = link.peerState();
+                if (peer == PeerState.ENDED) {
+                    // The client has closed; disconnected() follows.
                     front.count("http.left_before_turn");
                     return;
                 }
+                if (peer == PeerState.UNSEEN) {
+                    front.count("http.refused_unseen");
+                    rejectAndClose(429, "Too Many Requests", TOO_MUCH_SENT);
+                    return;
+                }
                 request = front.openRequest(slot, head, content, arrivedAt);
             } catch (HttpException e) {
                 front.count("http.bad_request");
@@ -346,8 +372,8 @@
         }
     }
 
-    boolean hasPeerEnded() {
-        return link.hasPeerEnded();
+    PeerState peerState() {
+        return link.peerState();
     }
 
     /** The settings epoch of the pending request; 0 without one. */
@@ -424,7 +450,7 @@
     /** True if all input that had arrived when responses began to close their connections is answered. */
     private boolean isDrained() {
         if (drainOffset < 0) {
-            link.hasPeerEnded();
+            link.peerState();
             drainOffset = link.in.consumedBytes() + link.in.size();
         }
         while (!link.in.isEmpty() && (link.in.byteAt(0) == '\r' || link.in.byteAt(0) == '\n')) {
--- a/src/main/java/laneflow/http/HttpFront.java
+++ b/src/main/java/laneflow/http/HttpFront.java
@@ -13,6 +13,7 @@
 import java.util.function.BooleanSupplier;
 import java.util.function.IntFunction;
 import java.util.function.Supplier;
+import laneflow.core.ClientState;
 import laneflow.core.DurableJobService;
 import laneflow.core.Front;
 import laneflow.core.Request;
@@ -285,9 +286,15 @@
     }
 
     @Override
-    public boolean hasLeft(long tag) {
+    public ClientState clientState(long tag) {
         ClientConnection client = clients.get(tag);
-        return client == null || client.hasPeerEnded();
+        return client == null
+                ? ClientState.LEFT
+                : switch (client.peerState()) {
+                    case CONNECTED -> ClientState.PRESENT;
+                    case ENDED -> ClientState.LEFT;
+                    case UNSEEN -> ClientState.UNSEEN;
+                };
     }
 
     @Override
--- /dev/null
+++ b/src/main/java/laneflow/net/DeferredInput.java
@@ -0,0 +1,67 @@
+package laneflow.net;
+
+import java.util.ArrayDeque;
+
+/**
+ * Connections whose input waits for a later turn, in order. Those that send faster than one connection is served are
+ * behind all others and share a small part of the processor's time, however many they are.
+ */
+final class DeferredInput {
+    /** Time between two rounds, in which the loop selects and serves all other events; milliseconds. */
+    private static final long INTERVAL_MS = 2;
+    /** Time in a round for connections that wait only because a turn had become long, microseconds. */
+    private static final long MAX_MICROS = 2_000;
+    /** Time in a round for connections that send too fast, microseconds. */
+    private static final long MAX_EXCESSIVE_MICROS = 500;
+
+    private final Loop loop;
+    private final ArrayDeque<Link> prompt = new ArrayDeque<>();
+    private final ArrayDeque<Link> excessive = new ArrayDeque<>();
+    private boolean scheduled;
+
+    DeferredInput(Loop loop) {
+        this.loop = loop;
+    }
+
+    /**
+     * Adds a connection, which is served once.
+     *
+     * @param isExcessive whether it sends faster than one connection is served
+     */
+    void add(Link link, boolean isExcessive) {
+        (isExcessive ? excessive : prompt).add(link);
+        schedule();
+    }
+
+    /** Whether connections wait that do not send too fast. */
+    boolean isBehind() {
+        return !prompt.isEmpty();
+    }
+
+    private void schedule() {
+        if (!scheduled) {
+            scheduled = true;
+            loop.afterMillis(INTERVAL_MS, this::runRound);
+        }
+    }
+
+    private void runRound() {
+        scheduled = false;
+        serve(prompt, MAX_MICROS);
+        serve(excessive, MAX_EXCESSIVE_MICROS);
+        if (!prompt.isEmpty() || !excessive.isEmpty()) {
+            schedule();
+        }
+    }
+
+    private void serve(ArrayDeque<Link> queue, long maxMicros) {
+        long end = loop.currentMicros() + maxMicros;
+        // Those that have to wait again come behind the ones that are here now.
+        for (int count = queue.size(); count > 0; count--) {
+            queue.remove().readDeferred();
+            if (loop.currentMicros() >= end) {
+                return;
+            }
+        }
+    }
+}
--- a/src/main/java/laneflow/net/Link.java
+++ b/src/main/java/laneflow/net/Link.java
@@ -22,8 +22,8 @@
 
     /** Input discarded after the output has ended; anything beyond it stays unread. */
     private static final int MAX_LINGER_BYTES = 256 * 1024;
-    /** Input dropped behind a full ring; anything beyond it stays unread. */
-    private static final int MAX_DROPPED_BYTES = 4 * 1024 * 1024;
+    /** How long a connection that has sent too fast is served behind all others, microseconds. */
+    private static final long EXCESSIVE_US = 1_000_000;
 
     public final Ring in;
     public final Ring out;
@@ -45,11 +45,19 @@
     private Deadline lingerTimer;
     private int lingerBytes;
     private boolean readsSuspended;
+    private final TurnAllowance allowance = new TurnAllowance();
+    /** Its input waits in {@link Loop#deferredInput}, and its socket is not read until then. */
+    private boolean inputDeferred;
+    /** The handler has left messages in the ring for a later turn. */
+    private boolean messagesWaiting;
+    /** Until then it is served behind all others. */
+    private long excessiveUntil = Long.MIN_VALUE;
+
     private final ArrivalTimes arrivals = new ArrivalTimes();
     /** Arrival time to record for the first read of an accepted connection, microseconds; negative: use the clock. */
     private long inputPendingSince = -1;
 
-    private int droppedBytes;
+    private long droppedBytes;
     private boolean peerEnded;
 
     Link(Loop loop, LinkHandler handler, int inLimit, int outLimit, Loop.Listener listener) {
@@ -100,17 +108,46 @@
         sink = established.getSinkChannel().getConduit();
         established.getSourceChannel().getReadSetter().set(channel -> loop.turn(this::readable));
         established.getSinkChannel().getWriteSetter().set(channel -> loop.turn(this::writable));
-        source.resumeReads();
+        updateReadInterest();
     }
 
     /** Reads input that is already available; the owner calls it before it closes a connection on a timeout. */
     public void readNow() {
         if (!closed && connection != null) {
-            readable();
+            readInput();
         }
     }
 
+    /** Handles the event that input is available. */
     void readable() {
+        if (inputDeferred) {
+            return;
+        }
+        if (isExcessive() || loop.isTurnLong()) {
+            deferInput();
+        } else {
+            readInput();
+        }
+    }
+
+    /** Handles input that has waited for this turn, first what has been read before. */
+    void readDeferred() {
+        if (closed || !inputDeferred) {
+            return;
+        }
+        inputDeferred = false;
+        updateReadInterest();
+        if (messagesWaiting && lingerTimer == null) {
+            messagesWaiting = false;
+            handler.received(this);
+        }
+        if (!closed && !inputDeferred) {
+            readInput();
+        }
+    }
+
+    private void readInput() {
+        allowance.enter(loop.turnNumber(), loop.currentMicros());
         try {
             for (int i = 0; i < MAX_READS_PER_TURN && !closed && !readsSuspended; i++) {
                 int bytesRead = readOnce();
@@ -124,6 +161,9 @@
                 } else {
                     break;
                 }
+                if (inputDeferred || allowance.isSpent(loop.currentMicros())) {
+                    break;
+                }
             }
         } catch (IOException e) {
             LOG.debug("read: {}", e.getMessage());
@@ -131,11 +171,59 @@
             return;
         }
         // Backpressure: no more is read than the ring can hold.
-        if (!closed && !readsSuspended && lingerTimer == null && in.isFull() && !handler.dropsInputBeyondRing()) {
+        boolean isHandlerBehind = in.isFull() && !messagesWaiting && !handler.dropsInputBeyondRing();
+        if (!closed && !readsSuspended && lingerTimer == null && isHandlerBehind) {
             suspendReads();
         }
     }
 
+    /**
+     * Whether the handler may handle another message of this connection in this turn. If not, it returns, and {@link
+     * LinkHandler#received} is called again in a later turn, behind the input of all other connections.
+     */
+    public boolean mayHandleNext() {
+        long now = loop.currentMicros();
+        allowance.enter(loop.turnNumber(), now);
+        if (allowance.takeMessage(now)) {
+            return true;
+        }
+        if (allowance.isExcessive()) {
+            markExcessive();
+        }
+        messagesWaiting = true;
+        deferInput();
+        return false;
+    }
+
+    /** True if messages that the handler has left in the ring wait for a later turn. */
+    public boolean hasMessagesWaiting() {
+        return messagesWaiting && !closed;
+    }
+
+    private boolean isExcessive() {
+        return loop.micros() < excessiveUntil;
+    }
+
+    private void markExcessive() {
+        excessiveUntil = loop.micros() + EXCESSIVE_US;
+    }
+
+    private void deferInput() {
+        if (!inputDeferred) {
+            inputDeferred = true;
+            updateReadInterest();
+            loop.deferredInput().add(this, isExcessive());
+        }
+    }
+
+    private void updateReadInterest() {
+        if (readsSuspended || inputDeferred) {
+            source.suspendReads();
+        } else {
+            source.resumeReads();
+        }
+    }
+
     /** Reads once; returns what the conduit returned, or 0 if there is no room for more. */
     private int readOnce() throws IOException {
         if (lingerTimer == null && (droppedBytes > 0 || in.isFull() && handler.dropsInputBeyondRing())) {
@@ -158,9 +246,7 @@
     private int dropInput() throws IOException {
         int bytesRead = source.read(loop.scratch());
         droppedBytes += Math.max(0, bytesRead);
-        if (droppedBytes > MAX_DROPPED_BYTES) {
-            suspendReads();
-        }
+        markExcessive();
         return bytesRead;
     }
 
@@ -192,18 +278,21 @@
     }
 
     /**
-     * Reads available input into the ring without notifying the handler, and returns whether the peer has ended or
-     * reset the connection behind it. If so, the handler is notified later.
+     * Reads available input into the ring without notifying the handler, within the bounds of a turn, and returns
+     * whether the peer has ended or reset the connection behind it. If so, the handler is notified later.
      */
-    public boolean hasPeerEnded() {
+    public PeerState peerState() {
         if (closed || peerEnded) {
-            return true;
+            return PeerState.ENDED;
         }
+        int bytesRead = 0;
         try {
-            int bytesRead;
-            do {
+            for (int i = 0; i < MAX_READS_PER_TURN; i++) {
                 bytesRead = readOnce();
-            } while (bytesRead > 0 && droppedBytes <= MAX_DROPPED_BYTES);
+                if (bytesRead <= 0) {
+                    break;
+                }
+            }
             peerEnded = bytesRead < 0;
         } catch (IOException e) {
             LOG.debug("read: {}", e.getMessage());
@@ -211,15 +300,16 @@
         }
         if (peerEnded) {
             loop.later(this::peerDisconnected);
+            return PeerState.ENDED;
         }
-        return peerEnded;
+        return bytesRead > 0 ? PeerState.UNSEEN : PeerState.CONNECTED;
     }
 
     /** Stops reading until {@link #resumeReads} is called. */
     public void suspendReads() {
         if (!closed && !readsSuspended) {
             readsSuspended = true;
-            source.suspendReads();
+            updateReadInterest();
         }
     }
 
@@ -227,7 +317,7 @@
     public void resumeReads() {
         if (!closed && readsSuspended) {
             readsSuspended = false;
-            source.resumeReads();
+            updateReadInterest();
         }
     }
 
--- a/src/main/java/laneflow/net/Loop.java
+++ b/src/main/java/laneflow/net/Loop.java
@@ -50,9 +50,17 @@
     private static final int BACKLOG = 512;
     private static final long MICROS_PER_MS = 1000;
     private static final Pattern NUMERIC_ADDRESS = Pattern.compile("[0-9.]+|[0-9a-fA-F:.]+");
-    private static final int SCRATCH_BYTES = 16 * 1024;
+    private static final int SCRATCH_BYTES = 64 * 1024;
     /** Connections accepted per turn, so that a flood of them does not starve open ones. */
     private static final int MAX_ACCEPTS_PER_TURN = 32;
+    /** Time after which no further connection is accepted in a turn, microseconds. */
+    private static final long MAX_ACCEPT_MICROS = 2_000;
+    /** Time between two batches of accepted connections, milliseconds. */
+    private static final long ACCEPT_INTERVAL_MS = 1;
+    /** Connections that are accepted and not admitted yet; more are left to the kernel's backlog. */
+    private static final int MAX_PENDING_CONNECTIONS = 64;
+    /** Length of a turn from which on input of further connections waits for the next one, microseconds. */
+    private static final long LONG_TURN_MICROS = 10_000;
 
     private final Deadlines deadlines = new Deadlines();
     private final MessageMemory messageMemory = MessageMemory.ofHeap();
@@ -65,10 +73,14 @@
     private final ConnectionLimit acceptedLimit;
     private final ConnectionLimit outboundLimit;
     private final List<Listener> listeners = new ArrayList<>();
-    private final ByteBuffer scratch = ByteBuffer.allocate(SCRATCH_BYTES);
+    private final ByteBuffer scratch = ByteBuffer.allocateDirect(SCRATCH_BYTES);
+    private final DeferredInput deferredInput = new DeferredInput(this);
     private final long clockOrigin;
     private final boolean mostlyIdle;
     private boolean inTurn;
+    /** Number of the current turn, or of the last one. */
+    private long turnNumber;
+
     private long now;
     private long timerDueAt = Long.MAX_VALUE;
     private XnioExecutor.Key timerKey;
@@ -117,6 +129,25 @@
         return clockOrigin + System.nanoTime() / 1000;
     }
 
+    /** Number of the current turn. */
+    long turnNumber() {
+        return turnNumber;
+    }
+
+    /** Whether the current turn has lasted so long that input which has not been read yet must wait for the next. */
+    boolean isTurnLong() {
+        return currentMicros() - now >= LONG_TURN_MICROS;
+    }
+
+    DeferredInput deferredInput() {
+        return deferredInput;
+    }
+
+    /** Runs an action on the loop's thread after a delay, in which the loop handles its other events. */
+    void afterMillis(long millis, Runnable action) {
+        thread.executeAfter(() -> turn(action), millis, TimeUnit.MILLISECONDS);
+    }
+
     /** Returns a cleared buffer for reading input that is discarded. */
     ByteBuffer scratch() {
         return scratch.clear();
@@ -137,6 +168,7 @@
     void turn(Runnable event) {
         if (!inTurn) {
             inTurn = true;
+            turnNumber++;
             now = Math.max(now, clockOrigin + System.nanoTime() / 1000);
             // XNIO runs this task before its next select, which ends the turn.
             thread.execute(this::endTurn);
@@ -252,6 +284,12 @@
         private final boolean isPassed;
         private boolean paused;
         private boolean full;
+        /** As many connections are pending as may. */
+        private boolean held;
+        /** The turn of the last batch of accepted connections. */
+        private long batchTurn;
+        /** A further batch of pending connections is due. */
+        private boolean continuing;
         /** Accepted connections that are admitted in the next task, or once there is room. */
         private final Deque<PendingConnection> pending = new ArrayDeque<>();
 
@@ -293,7 +331,7 @@
                     listeners.add(this);
                 }
                 paused = false;
-                if (!full) {
+                if (!full && !held) {
                     channel.resumeAccepts();
                 }
             });
@@ -309,42 +347,67 @@
         }
 
         private void acceptPending() {
-            if (acceptBatch()) {
-                later(this::acceptPending);
+            drainAcceptQueue();
+            // XNIO notifies of each connection: one batch a turn, so that those that have ended are closed in between.
+            boolean isFirstOfTurn = batchTurn != turnNumber;
+            batchTurn = turnNumber;
+            if ((!isFirstOfTurn || acceptBatch()) && !continuing) {
+                continuing = true;
+                afterMillis(ACCEPT_INTERVAL_MS, this::continueAccepting);
             }
         }
 
+        private void continueAccepting() {
+            continuing = false;
+            acceptPending();
+        }
+
         /** Admits some of the pending connections; true if more of them can be admitted. */
         private boolean acceptBatch() {
-            try {
-                drainAcceptQueue();
-                for (int i = 0; i < MAX_ACCEPTS_PER_TURN && !pending.isEmpty(); i++) {
-                    // Room is made only for a connection that is already pending: made in advance, it would close
-                    // one connection too many each time that the backlog runs empty.
-                    if (!limit.hasRoom() && !makeRoom.getAsBoolean()) {
-                        waitForRoom();
-                        return false;
-                    }
-                    admit(pending.remove());
+            long end = currentMicros() + MAX_ACCEPT_MICROS;
+            for (int i = 0; !pending.isEmpty() && (i == 0 || i < MAX_ACCEPTS_PER_TURN && mayAcceptMore(end)); i++) {
+                // Room is made only for a connection that is already pending: made in advance, it would close one
+                // connection too many each time that the backlog runs empty.
+                if (!limit.hasRoom() && !makeRoom.getAsBoolean()) {
+                    waitForRoom();
+                    return false;
                 }
-            } catch (IOException e) {
-                LOG.warn("accept: {}", e.getMessage());
-                return false;
+                admit(pending.remove());
             }
             return !pending.isEmpty();
         }
 
+        /** No more are accepted than are served: else they would take up all connections while they wait for that. */
+        private boolean mayAcceptMore(long end) {
+            return currentMicros() < end && !deferredInput.isBehind();
+        }
+
         /**
          * Takes over all connections that XNIO has accepted on its own thread, even if the socket is closed by now: for
          * connections left in its queue XNIO would call the accept listener again and again, without a pause.
          */
-        private void drainAcceptQueue() throws IOException {
+        private void drainAcceptQueue() {
             try {
                 for (StreamConnection next = channel.accept(); next != null; next = channel.accept()) {
                     pending.add(new PendingConnection(next, micros()));
                 }
+                holdAccepts(pending.size() >= MAX_PENDING_CONNECTIONS);
             } catch (ClosedChannelException e) {
                 LOG.trace("listener closed, accept queue empty", e);
+            } catch (IOException e) {
+                LOG.warn("accept: {}", e.getMessage());
+            }
+        }
+
+        /** Leaves further connections in the kernel's backlog, or lets XNIO accept them again. */
+        private void holdAccepts(boolean hold) {
+            if (hold != held && channel.isOpen()) {
+                held = hold;
+                if (hold) {
+                    channel.suspendAccepts();
+                } else if (!paused && !full) {
+                    channel.resumeAccepts();
+                }
             }
         }
 
@@ -391,7 +454,7 @@
         private void resumeIfFull() {
             if (full && channel.isOpen()) {
                 full = false;
-                if (!paused) {
+                if (!paused && !held) {
                     channel.resumeAccepts();
                 }
                 // No new connection may follow the pending ones to trigger this.
@@ -437,6 +500,7 @@
         private void closeNow(Runnable onRejected) {
             boolean more = !full;
             while (more) {
+                drainAcceptQueue();
                 more = acceptBatch();
             }
             full = false;
--- a/src/test/java/laneflow/core/SchedulerTest.java
+++ b/src/test/java/laneflow/core/SchedulerTest.java
@@ -128,8 +128,8 @@
     private boolean clientHasLeft;
 
     @Override
-    public boolean hasLeft(long tag) {
-        return clientHasLeft;
+    public ClientState clientState(long tag) {
+        return clientHasLeft ? ClientState.LEFT : ClientState.PRESENT;
     }
 
     /**
