Run an id once, whichever connection, front or process it comes to again

What callers saw: an id whose client had left amid its run was sent on a second time when it came again, on another connection or at the other process of an upgrade. A card payment ran twice.

Cause: an id was forgotten in the moment in which its client left, while the endpoint was still at its request. Two processes of an upgrade knew nothing of each other's ids.

Rule: an id that may run, or has run within 60 s or its class's key window, is refused (409, DUPLICATE_UNIQUE). core.RequestIds keeps it, asked by Scheduler.takeId for live and durable requests of both fronts; an id that never ran is forgotten with its request. It takes a 16th of the heap at most; ids that may not run any more are dropped first, then none is taken (503, QUEUE_FULL). The processes of an upgrade tell each other what they take. Gearman names are held only where their clients left, since they may be used again once answered.

With a restart ids are lost as before: nothing survives it on the platform.

--- a/src/main/java/laneflow/assembly/Serve.java
+++ b/src/main/java/laneflow/assembly/Serve.java
@@ -9,6 +9,7 @@
 import java.util.concurrent.TimeoutException;
 import java.util.function.BooleanSupplier;
 import laneflow.core.Counters;
+import laneflow.core.RequestIds;
 import laneflow.core.Scheduler;
 import laneflow.decision.Dispatch.JobClass;
 import laneflow.gearman.GearmanConfig;
@@ -88,6 +89,7 @@
         loop = new Loop(config.maxSockets);
         scheduler = new Scheduler(config.settings, config.seed, loop, loop.deadlines(), counters);
         scheduler.setMemory(loop.messageMemory().openRequests());
+        scheduler.setRequestIds(RequestIds.ofHeap());
         HttpConnector connector = new HttpConnector(loop, scheduler, config.idleConnectionSeconds);
         front = new HttpFront(loop, scheduler, config.classNames);
         watch = config.discoveryAddress == null ? null : new DiscoveryWatch(loop, scheduler, connector, config);
--- a/src/main/java/laneflow/core/Request.java
+++ b/src/main/java/laneflow/core/Request.java
@@ -52,6 +52,13 @@
     /** Bytes of memory counted for it while it is open. */
     long heldBytes;
 
+    /** Its id among those that must not run again, see {@link RequestIds}; null if it is not held. */
+    String heldId;
+    /** The id may be used again once the client has its answer. */
+    boolean isIdReusable;
+    /** Its client has left. */
+    boolean withdrawn;
+
     int attemptCount;
     /** An attempt was taken up by an endpoint's connection, whatever its outcome. */
     boolean forwarded;
--- a/src/main/java/laneflow/core/Scheduler.java
+++ b/src/main/java/laneflow/core/Scheduler.java
@@ -77,6 +77,8 @@
     private AdmissionGate admissionGate;
     /** Bounds the memory of open requests. */
     private MessageMemory.Admission memory = new MessageMemory(Long.MAX_VALUE).openRequests();
+
+    private RequestIds requestIds = new RequestIds(Integer.MAX_VALUE);
     /** Endpoints banned by the policy in force, apart from those that operators have set down here. */
     private volatile Set<String> banned = Set.of();
 
@@ -228,6 +230,63 @@
         memory = openRequests;
     }
 
+    /** Sets the table of request ids; without it there is no bound on their number. */
+    public void setRequestIds(RequestIds ids) {
+        requestIds = ids;
+    }
+
+    public RequestIds requestIds() {
+        return requestIds;
+    }
+
+    /**
+     * Takes the id under which a request must not run twice; it is held until the request can't run any more, and for a
+     * while after that. Called before {@link #submit}, or {@link #idNotUsed} is called if it isn't submitted.
+     */
+    public RequestIds.Admission takeId(Request request, String id) {
+        RequestIds.Admission admission = requestIds.take(id, clock.micros(), request.deadline);
+        if (admission == RequestIds.Admission.TAKEN) {
+            request.heldId = id;
+        } else {
+            counters.add(
+                    request.front.name() + (admission == RequestIds.Admission.FULL ? ".ids_full" : ".id_repeated"));
+        }
+        return admission;
+    }
+
+    /** Takes an id that may be used again once its client has the answer, as names that clients give to their jobs. */
+    public RequestIds.Admission takeReusableId(Request request, String id) {
+        request.isIdReusable = true;
+        return takeId(request, id);
+    }
+
+    /** Forgets the id of a request that was not submitted or never ran. */
+    public void idNotUsed(Request request) {
+        if (request.heldId != null) {
+            requestIds.forget(request.heldId);
+            request.heldId = null;
+        }
+    }
+
+    /** The id of a request that another component runs from here on is held as if it had run. */
+    public void idHandedOver(Request request) {
+        endId(request);
+    }
+
+    private void endId(Request request) {
+        if (request.heldId != null) {
+            requestIds.end(request.heldId, request.deadline, keyedUntil(request));
+            request.heldId = null;
+        }
+    }
+
+    /** The end of the time in which endpoints drop repeats of the request by its key; 0 without one. */
+    private static long keyedUntil(Request request) {
+        return request.type != null && request.type.effect == Effect.KEYED && request.mayHaveRun()
+                ? request.firstMayHaveRunAt() + (long) (request.type.dedupWindow * 1e6)
+                : 0;
+    }
+
     /** Whether there is memory for a request with a body of this length; else it would be refused. */
     public boolean hasMemoryFor(int bodyBytes) {
         return memory.hasRoomFor(REQUEST_OVERHEAD_BYTES + bodyBytes);
@@ -296,6 +355,7 @@
                 return;
             }
             request.answered = true;
+            idNotUsed(request);
             // No settings applied to it: no decision was made.
             request.epoch = -1;
             counters.add(request.front.name() + ".fenced");
@@ -307,6 +367,7 @@
         int bodyBytes = request.front.usesLeases() ? 0 : request.payload.body().length;
         if (!hasMemoryFor(bodyBytes)) {
             request.answered = true;
+            idNotUsed(request);
             // No settings applied to it: no decision was made.
             request.epoch = -1;
             counters.add(request.front.name() + ".no_memory");
@@ -341,9 +402,11 @@
         if (request.answered) {
             return;
         }
+        request.withdrawn = true;
         counters.add(request.front.name() + ".withdrawn");
         if (request.held) {
             request.answered = true;
+            idNotUsed(request);
             return;
         }
         finish(request);
@@ -553,6 +616,9 @@
             }
             return;
         }
+        if (mayHaveRun(outcome)) {
+            request.markMayHaveRun(attempt.sentAt, attempt.run());
+        }
         remove(attempt);
         counters.add("call." + outcome.name().toLowerCase(Locale.ROOT));
         if (outcome == Outcome.CONNECT_FAILED) {
@@ -561,9 +627,6 @@
         } else if (outcome != Outcome.MOOT) {
             attempt.endpoint.connectFailures = 0;
         }
-        if (mayHaveRun(outcome)) {
-            request.markMayHaveRun(attempt.sentAt, attempt.run());
-        }
         request.forwarded |= outcome != Outcome.CONNECT_FAILED && outcome != Outcome.MOOT;
         if (request.front.usesLeases()) {
             request.front.attemptEnded(attempt, outcome);
@@ -624,6 +687,12 @@
             deadlines.cancel(request.backstop);
             memory.release(request.heldBytes);
             request.heldBytes = 0;
+            boolean mayRunUnseen = !request.isIdReusable || request.withdrawn;
+            if (request.mayHaveRun() && mayRunUnseen) {
+                endId(request);
+            } else {
+                idNotUsed(request);
+            }
         }
     }
 
--- a/src/main/java/laneflow/gearman/GearmanFront.java
+++ b/src/main/java/laneflow/gearman/GearmanFront.java
@@ -35,6 +35,11 @@
 public final class GearmanFront implements Front {
     private static final Logger LOG = LoggerFactory.getLogger(GearmanFront.class);
     private static final int MIN_OUTPUT_RING_BYTES = 1 << 20;
+    /** Tells names of jobs from the ids of other fronts, which have no control characters. */
+    private static final String ID_PREFIX = "gearman\0";
+    /** Longer names are held as their digest. */
+    private static final int MAX_ID_LENGTH = 128;
+
     private static final String HANDLE_PREFIX = "H:laneflow:";
     /** Prefix of durable jobs' handles: the job id follows, and for workers a dot and the lease number. */
     static final String DURABLE_HANDLE_PREFIX = HANDLE_PREFIX + "d";
@@ -188,11 +193,16 @@
             return;
         }
         Job job = new Job(newHandle(), function, unique, key, reducer, priority, background);
+        job.slot = jobs.add(job);
+        job.request = request(job, data);
+        if (key != null && !takeId(client, job.request, key)) {
+            jobs.remove(job.slot);
+            return;
+        }
         if (!background) {
             job.clients.add(client);
             client.awaitedJobs.add(job);
         }
-        job.slot = jobs.add(job);
         byHandle.put(job.handle, job);
         if (key != null) {
             byCoalescingKey.put(key, job);
@@ -201,11 +211,25 @@
         queues.recordQueued(name, priority);
         // Sent before the core gets the request, because its answer may come synchronously and must follow this packet.
         client.send(Packet.JOB_CREATED, job.handle);
-        job.request = request(job, data);
         job.request.urgency = Queues.NORMAL - priority;
         scheduler.submit(job.request);
     }
 
+    /** Takes the name of a job; false, with an error, if its clients have left a job of that name that may run. */
+    private boolean takeId(Peer client, Request request, String key) {
+        String id = ID_PREFIX + (key.length() > MAX_ID_LENGTH ? digest(key.getBytes(StandardCharsets.UTF_8)) : key);
+        switch (scheduler.takeReusableId(request, id)) {
+            case TAKEN:
+                return true;
+            case FULL:
+                client.error("QUEUE_FULL", "as many unique ids are at work as can be kept");
+                return false;
+            default:
+                client.error("DUPLICATE_UNIQUE", "a job of this name has been left by its clients, and may have run");
+                return false;
+        }
+    }
+
     /** Accepts a scheduled background job, for durable functions only, since it may be due days from now. */
     void submitScheduled(Peer client, String name, String unique, byte[] data, LongSupplier when) {
         GearmanConfig.Function function = config.function(name);
--- a/src/main/java/laneflow/http/ClientConnection.java
+++ b/src/main/java/laneflow/http/ClientConnection.java
@@ -365,7 +365,8 @@
                 request = front.openRequest(slot, head, content, arrivedAt);
             } catch (HttpException e) {
                 front.count("http.bad_request");
-                respond(e.status, e.reason(), "", ascii(e.getMessage() + "\n"));
+                String headers = e.status == 503 ? front.retryAfterHeader() : "";
+                respond(e.status, e.reason(), headers, ascii(e.getMessage() + "\n"));
                 return;
             }
             front.submit(request);
@@ -411,7 +412,6 @@
             if (lateness > 0) {
                 front.count(lateness > LOST_AFTER_US ? "clients.lost" : "clients.late");
             }
-            front.releaseId(request);
             request = null;
         }
         if (!front.closesAfterResponse()) {
--- a/src/main/java/laneflow/http/DurableJobHandler.java
+++ b/src/main/java/laneflow/http/DurableJobHandler.java
@@ -7,6 +7,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.Base64;
 import java.util.Locale;
+import java.util.function.Consumer;
 import laneflow.core.DurableJobService;
 import laneflow.core.DurableJobService.AttemptView;
 import laneflow.core.DurableJobService.JobView;
@@ -43,7 +44,8 @@
         return false;
     }
 
-    void submit(ClientConnection client, Request request, String jobClass) {
+    /** @param onOutcome receives whether the job is stored, before the client is answered */
+    void submit(ClientConnection client, Request request, String jobClass, Consumer<Boolean> onOutcome) {
         String key = request.payload.repeatKey();
         Submission submission = new Submission(
                 request.jobClass,
@@ -57,6 +59,7 @@
                 request.subject,
                 0);
         service.submit(submission, result -> {
+            onOutcome.accept(result.outcome() == DurableJobService.SubmissionOutcome.ACCEPTED);
             switch (result.outcome()) {
                 case ACCEPTED:
                     String id = hex(result.id());
--- a/src/main/java/laneflow/http/HttpException.java
+++ b/src/main/java/laneflow/http/HttpException.java
@@ -17,6 +17,7 @@
             case 409 -> "Conflict";
             case 413 -> "Content Too Large";
             case 429 -> "Too Many Requests";
+            case 503 -> "Service Unavailable";
             case 431 -> "Request Header Fields Too Large";
             default -> "Bad Request";
         };
--- a/src/main/java/laneflow/http/HttpFront.java
+++ b/src/main/java/laneflow/http/HttpFront.java
@@ -5,11 +5,9 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
-import java.util.Set;
 import java.util.function.BooleanSupplier;
 import java.util.function.IntFunction;
 import java.util.function.Supplier;
@@ -37,9 +35,6 @@
     private final Scheduler scheduler;
     private final JobReader jobReader;
     private final SlotTable<ClientConnection> clients = new SlotTable<>();
-    /** Ids of open requests: a request with an id that is open is rejected, not sent a second time. */
-    private final Set<String> openRequestIds = new HashSet<>();
-
     private BooleanSupplier readiness = () -> true;
     private Loop.Listener listener;
     private final String[] classNames;
@@ -224,7 +219,14 @@
         Request request = jobReader.read(this, slot, head, body, arrivedAt);
         boolean isDurable = durableJobs.wantsDurable(head, request);
         if (isDurable) {
-            durableJobs.submit(client, request, classNames[request.jobClass]);
+            takeId(request);
+            durableJobs.submit(client, request, classNames[request.jobClass], isStored -> {
+                if (isStored) {
+                    scheduler.idHandedOver(request);
+                } else {
+                    scheduler.idNotUsed(request);
+                }
+            });
         }
         return isDurable;
     }
@@ -254,27 +256,34 @@
     /** Parses the request of a message and reserves its id; the caller submits it. */
     Request openRequest(long slot, HttpHead head, byte[] body, long arrivedAt) throws HttpException {
         Request request = jobReader.read(this, slot, head, body, arrivedAt);
-        if (!openRequestIds.add(request.payload.requestId())) {
-            throw new HttpException(409, "this Req-Id is at work");
-        }
+        takeId(request);
         return request;
     }
 
+    /** Takes the request's id, so that it runs once, whichever connection it comes to again. */
+    private void takeId(Request request) throws HttpException {
+        switch (scheduler.takeId(request, request.payload.requestId())) {
+            case OPEN:
+                throw new HttpException(409, "this Req-Id is at work");
+            case RAN:
+                throw new HttpException(409, "this Req-Id has run, or may run yet");
+            case FULL:
+                throw new HttpException(503, "as many Req-Ids are at work as can be kept");
+            default:
+                break;
+        }
+    }
+
     void submit(Request request) {
         if (refusingNewRequests) {
+            scheduler.idNotUsed(request);
             refused(request.tag, scheduler.settings().retryAfter ? scheduler.settings().tick : 0);
             return;
         }
         scheduler.submit(request);
     }
 
-    /** Releases the id of a request that has ended. */
-    void releaseId(Request request) {
-        openRequestIds.remove(request.payload.requestId());
-    }
-
     void withdraw(Request request) {
-        releaseId(request);
         scheduler.withdraw(request);
     }
 
--- a/src/main/java/laneflow/ops/Handover.java
+++ b/src/main/java/laneflow/ops/Handover.java
@@ -7,6 +7,8 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.function.Consumer;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /**
  * The protocol between two processes of one scheduler while one replaces the other: which of them accepts clients, what
@@ -21,13 +23,14 @@
  *   (can serve, accepts clients)
  *   serving               ------------->   stops accepting clients, sends its own away
  *                         <-------------   handed
- *   either side: alive; tell N ORDER, confirmed with held N
+ *   either side: alive; tell N ORDER, confirmed with held N; taken ID MILLISECONDS
  * </pre>
  *
  * <p>Both processes accept clients from the same listening socket, so it is harmless if both accept but not if neither
  * does: a process in doubt accepts. If the successor disconnects or goes silent, the predecessor accepts clients again.
  */
 final class Handover {
+    private static final Logger LOG = LoggerFactory.getLogger(Handover.class);
     static final String HELLO = "laneflow-handover 1";
     /** A peer that has sent nothing for this long is assumed to hang and is disconnected. */
     static final long SILENCE_TIMEOUT_US = 3_000_000;
@@ -75,6 +78,12 @@
 
         /** Returns the orders of operators that are in force. */
         List<String> currentOrders();
+
+        /** Returns the ids that must not run again, each with the milliseconds for which its request may run. */
+        List<String> heldIds();
+
+        /** Holds an id that the other process has taken: its request may run for so many milliseconds. */
+        void learnId(String id, long milliseconds);
     }
 
     /** The only process of a scheduler, the one that accepts its clients while another ends, or the one that ends. */
@@ -214,6 +223,8 @@
             handleOrder(now, peer, fields[1], fields[2]);
         } else if (fields[0].equals("held") && fields.length == 2) {
             handleConfirmation(peer, fields[1]);
+        } else if (fields[0].equals("taken") && fields.length == 3) {
+            handleTaken(fields[1], fields[2]);
         } else if (peer == successor && message.equals("serving") && peer.stage == Stage.SYNCED) {
             peer.stage = Stage.HANDED_OVER;
             callbacks.acceptClients(false);
@@ -239,8 +250,10 @@
             peer.connection.send(HELLO);
             callbacks.currentOrders().forEach(order -> peer.connection.send("order " + order));
             peer.connection.send("known");
+            sendHeldIds(peer);
         } else if (message.equals("known")) {
             peer.stage = Stage.SYNCED;
+            sendHeldIds(peer);
             offerToServe(now);
         } else if (message.startsWith("order ")) {
             callbacks.applyOrder(message.substring(6));
@@ -310,6 +323,29 @@
                 : successor != null && successor.connection == connection ? successor : null;
     }
 
+    // ---- request ids ----
+
+    private void sendHeldIds(Peer peer) {
+        callbacks.heldIds().forEach(held -> peer.connection.send("taken " + held));
+    }
+
+    /** Tells the peers that a request with this id may run here, so that it does not run there too. */
+    void announceTaken(String id, long milliseconds) {
+        for (Peer peer : new Peer[] {predecessor, successor}) {
+            if (peer != null && peer.stage != Stage.CONNECTED) {
+                peer.connection.send("taken " + id + " " + milliseconds);
+            }
+        }
+    }
+
+    private void handleTaken(String id, String milliseconds) {
+        try {
+            callbacks.learnId(id, Long.parseLong(milliseconds));
+        } catch (NumberFormatException e) {
+            LOG.warn("the other process has named an id without a time");
+        }
+    }
+
     // ---- orders ----
 
     /**
--- a/src/main/java/laneflow/ops/Upgrade.java
+++ b/src/main/java/laneflow/ops/Upgrade.java
@@ -1,6 +1,7 @@
 package laneflow.ops;
 
 import java.nio.file.Path;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
@@ -17,6 +18,7 @@
 final class Upgrade implements Handover.Callbacks {
     private static final Logger LOG = LoggerFactory.getLogger(Upgrade.class);
     private static final long POLL_INTERVAL_US = 50_000;
+    private static final long MICROS_PER_MS = 1000;
     /** A predecessor that has not sent its orders by then is assumed to hang. */
     private static final long ORDERS_TIMEOUT_MS = 1_000;
     /** The newer process's share of the requests that may be sent to cold endpoints. */
@@ -57,6 +59,19 @@
         socket = new HandoverSocket(folder, loop::later);
         pollTimer = loop.deadlines().create(this::poll);
         shareTimer = loop.deadlines().create(this::applySendShare);
+        scheduler.requestIds().onTaken(this::announceTaken);
+    }
+
+    private void announceTaken(String id, long mayRunUntil) {
+        // Only HTTP clients go over to another process.
+        if (id.indexOf('\0') >= 0) {
+            return;
+        }
+        handover.announceTaken(id, millisUntil(mayRunUntil));
+    }
+
+    private long millisUntil(long instant) {
+        return Math.max(0, (instant - loop.micros()) / MICROS_PER_MS + 1);
     }
 
     /** Connects to the process that serves already, if there is one, and waits briefly for its orders. */
@@ -196,4 +211,21 @@
     public List<String> currentOrders() {
         return operations.currentOrders();
     }
+
+    @Override
+    public List<String> heldIds() {
+        List<String> held = new ArrayList<>();
+        scheduler.requestIds().forEach((id, mayRunUntil) -> {
+            if (id.indexOf('\0') < 0) {
+                held.add(id + " " + millisUntil(mayRunUntil));
+            }
+        });
+        return held;
+    }
+
+    @Override
+    public void learnId(String id, long milliseconds) {
+        long now = loop.micros();
+        scheduler.requestIds().learn(id, now, now + milliseconds * MICROS_PER_MS);
+    }
 }
--- a/src/test/java/laneflow/lab/measure/FloodStoryTest.java
+++ b/src/test/java/laneflow/lab/measure/FloodStoryTest.java
@@ -23,7 +23,6 @@
     /** Longer than a request may stay unanswered. */
     private static final int FLOOD_MS = 7_000;
 
-
     @TempDir
     private Path folder;
 
@@ -78,4 +77,12 @@
         assertEquals(0, report.lateAttempts(), FloodScenario.line(report));
         assertEquals(0, report.lost(), FloodScenario.line(report));
     }
+
+    /** Guards against an id running again when it comes back while, or after, its first client's request runs. */
+    @ParameterizedTest
+    @CsvSource({"card-capture, 0", "card-capture, 3", "points-post, 0"})
+    void anIdThatComesAgainRunsOnce(String jobClass, int busyProcesses) throws Exception {
+        Report report = play(Kind.REPEATS_ID, 8, busyProcesses, jobClass, Behaviour.serving(400));
+        assertEquals(0, report.ranTwice(), FloodScenario.line(report));
+    }
 }
--- a/src/test/java/laneflow/ops/HandoverTest.java
+++ b/src/test/java/laneflow/ops/HandoverTest.java
@@ -79,6 +79,16 @@
         public List<String> currentOrders() {
             return bans.stream().map(name -> "set-down " + name).toList();
         }
+
+        @Override
+        public List<String> heldIds() {
+            return List.of();
+        }
+
+        @Override
+        public void learnId(String id, long milliseconds) {
+            throw new AssertionError("no id was taken");
+        }
     }
 
     /** One end of a connection; what it sends is queued at the other end until it is delivered. */
--- a/src/test/java/laneflow/ops/UpgradeStoryTest.java
+++ b/src/test/java/laneflow/ops/UpgradeStoryTest.java
@@ -22,6 +22,9 @@
 /** Upgrades with real processes on one passed socket; the old and the new process are killed at various steps. */
 @Timeout(300)
 class UpgradeStoryTest {
+    /** Time in which one process has told the other what it has taken. */
+    private static final int HANDOVER_MS = 100;
+
     @TempDir
     private Path folder;
 
@@ -144,6 +147,32 @@
         assertServed(client(), "n2", false);
     }
 
+    /** Guards against an id that runs at one process and is sent on by the other when it comes again there. */
+    @Test
+    void anIdRunsAtOneOfTheTwoProcessesOnly() throws Exception {
+        start();
+        Peer oldClient = client();
+        assertServed(oldClient, "k1", false);
+        Peer leaving = client().post("card-capture", "o1", "", "");
+        endpoint.accept().message();
+        leaving.close();
+        start();
+        Peer newClient = client();
+        assertStatus("409", newClient.post("card-capture", "o1", "", ""));
+        assertStatus("409", newClient.post("card-capture", "k1", "", ""));
+        // Also what each of them takes while both serve.
+        Peer other = client().post("card-capture", "n1", "", "");
+        endpoint.accept().message();
+        Thread.sleep(HANDOVER_MS);
+        assertStatus("409", oldClient.post("card-capture", "n1", "", ""));
+        other.close();
+    }
+
+    private static void assertStatus(String status, Peer client) throws IOException {
+        String answer = client.message();
+        assertTrue(answer.startsWith("HTTP/1.1 " + status + " "), answer);
+    }
+
     @Test
     void oldProcessServesWhenNewOneIsKilledAtAnyStep() throws Exception {
         SchedulerProcess predecessor = start();
