Count names and heads as memory, share it in upgrades, and never hold reading

What callers saw: Gearman workers that announce ever new functions end the process, and every request with it.

Cause: names that a worker announces had a number (1,000) and no length, and were in no account; the heads of messages counted as bytes on their connection and not as the objects that they become, and were held until the response. A connection that failed to give way left MessageMemory.exceeded set, so that nothing was read any more. Both processes of an upgrade took the whole account.

Evidence: MemoryStoryTest.workersThatAnnounceEverNewFunctionsAreEnded on: java.lang.OutOfMemoryError in a heap of 24 MB, nothing listens. The mark that stays set was found by reading and is shown by MessageMemoryTest.

Rule: what a peer can make grow by names has a length and is in the account of messages. Names have 512 characters at most and are counted with their entries, a client's name for itself 128; heads count their fields and are released once handled. The mark is cleared whatever a connection does.

--- a/src/main/java/laneflow/core/MessageMemory.java
+++ b/src/main/java/laneflow/core/MessageMemory.java
@@ -26,7 +26,8 @@
     private static final double OPEN_REQUESTS_SHARE = 2.0 / 3;
     private static final double DURABLE_JOBS_SHARE = 0.25;
 
-    private final long limit;
+    private final long fullLimit;
+    private long limit;
     private final Admission openRequests;
     private final Admission durableJobs;
     private final Set<Account> accounts = new LinkedHashSet<>();
@@ -41,9 +42,15 @@
 
     /** @param limit bytes that all messages may hold together */
     public MessageMemory(long limit) {
+        fullLimit = limit;
         this.limit = limit;
-        openRequests = new Admission((long) (OPEN_REQUESTS_SHARE * limit));
-        durableJobs = new Admission((long) (DURABLE_JOBS_SHARE * limit));
+        openRequests = new Admission(OPEN_REQUESTS_SHARE);
+        durableJobs = new Admission(DURABLE_JOBS_SHARE);
+    }
+
+    /** Leaves a part of the memory to another process, which serves beside this one; what is held already stays. */
+    public void limitShare(double share) {
+        limit = Math.max((long) (share * fullLimit), used);
     }
 
     /** Creates the accounting for a process that uses all of the JVM's heap. */
@@ -86,14 +93,17 @@
         List<Account> largestFirst = new ArrayList<>(accounts);
         largestFirst.sort(
                 Comparator.comparingLong((Account account) -> account.bytes).reversed());
-        for (Account account : largestFirst) {
-            if (used <= limit || account.bytes < MIN_GIVE_WAY_BYTES) {
-                break;
+        try {
+            for (Account account : largestFirst) {
+                if (used <= limit || account.bytes < MIN_GIVE_WAY_BYTES) {
+                    break;
+                }
+                account.holder.giveWay();
             }
-            account.holder.giveWay();
+        } finally {
+            // Even if the limit is still exceeded: what is left can't give way, and its ends must be heard of.
+            exceeded = false;
         }
-        // Even if the limit is still exceeded: what is left can't give way, and its ends must be heard of.
-        exceeded = false;
     }
 
     private void count(long bytes) {
@@ -137,16 +147,16 @@
 
     /** What is held until its own end and can't give way, up to a maximum. */
     public final class Admission {
-        private final long max;
+        private final double share;
         private long bytes;
 
-        private Admission(long max) {
-            this.max = max;
+        private Admission(double share) {
+            this.share = share;
         }
 
         /** Whether so many bytes more fit. */
         public boolean hasRoomFor(long more) {
-            return bytes + more <= max;
+            return bytes + more <= (long) (share * limit);
         }
 
         /** Counts bytes as held, even beyond the maximum. */
--- a/src/main/java/laneflow/gearman/GearmanConfig.java
+++ b/src/main/java/laneflow/gearman/GearmanConfig.java
@@ -16,7 +16,8 @@
 public final class GearmanConfig {
     private static final double HOUR_MS = 3_600_000;
     private static final int MAX_UNMAPPED_FUNCTIONS = 10_000;
-    private static final int MAX_NAME_LENGTH = 512;
+    /** Length of the longest function name that is taken. */
+    static final int MAX_NAME_LENGTH = 512;
 
     /**
      * A Gearman function; background jobs of a durable function survive a restart.
--- a/src/main/java/laneflow/gearman/Peer.java
+++ b/src/main/java/laneflow/gearman/Peer.java
@@ -16,6 +16,7 @@
 final class Peer implements LinkHandler {
     private static final Logger LOG = LoggerFactory.getLogger(Peer.class);
     private static final int MAX_LINE_BYTES = 1024;
+    private static final int MAX_CLIENT_ID_LENGTH = 128;
     /** Replies per connection that may wait for the store before reads are held. */
     private static final int MAX_PENDING_REPLIES = 4096;
     /**
@@ -181,9 +182,9 @@
         }
     }
 
-    /** Counts what is held for this connection beside the rings: replies, and the assigned job's result so far. */
+    /** Counts what is held for this connection beside the rings: replies, and what its worker holds. */
     void updateHeldBytes() {
-        link.setHandlerBytes(pendingReplyBytes + worker.resultBytes());
+        link.setHandlerBytes(pendingReplyBytes + worker.heldBytes());
     }
 
     /** Ends the connection: its peer reads no replies, or sends a packet or a result that there is no memory for. */
@@ -338,7 +339,8 @@
                 setOption(Packet.text(packet.data()));
                 break;
             case Packet.SET_CLIENT_ID:
-                clientId = Packet.text(packet.data()).replaceAll("\\s", "_");
+                String id = Packet.text(packet.data()).replaceAll("\\s", "_");
+                clientId = id.substring(0, Math.min(id.length(), MAX_CLIENT_ID_LENGTH));
                 break;
             default:
                 return false;
--- a/src/main/java/laneflow/gearman/Worker.java
+++ b/src/main/java/laneflow/gearman/Worker.java
@@ -4,6 +4,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import laneflow.core.Attempt;
 import laneflow.core.Deadlines.Deadline;
 import laneflow.core.Endpoint;
@@ -18,6 +19,8 @@
 /** The worker role of a connection: an endpoint with one slot, from its first ability to its disconnect. */
 final class Worker {
     private static final int MAX_UNMAPPED = 1000;
+    /** Memory for a function's entry beside the text of its name, roughly. */
+    private static final int BYTES_PER_NAME = 160;
 
     private final GearmanFront front;
     private final Scheduler scheduler;
@@ -34,6 +37,9 @@
     private final Deadline timeLimitTimer;
     private final Deadline drainTimer;
     private final Deadline grabTimer;
+    /** Bytes of memory that the names of its functions take up, roughly. */
+    private long nameBytes;
+
     private boolean registered;
     private boolean asleep;
     /** The handle of the assigned job, kept even after its attempt was abandoned; null if there is none. */
@@ -64,9 +70,9 @@
         return registered;
     }
 
-    /** The bytes of memory that the assigned job's result takes up so far. */
-    int resultBytes() {
-        return resultData.capacity();
+    /** The bytes of memory that it takes up: the assigned job's result so far, and the names of its functions. */
+    long heldBytes() {
+        return resultData.capacity() + nameBytes;
     }
 
     String describeFunctions() {
@@ -78,8 +84,13 @@
     // ---- abilities ----
 
     void canDo(String function, int seconds) {
+        if (function.length() > GearmanConfig.MAX_NAME_LENGTH) {
+            front.scheduler.counters().add("gearman.name_too_long");
+            return;
+        }
         if (front.config.function(function) == null && unmapped.size() < MAX_UNMAPPED) {
             unmapped.put(function, seconds);
+            updateNameBytes();
         }
         // Unmapped functions are never assigned.
         if (front.config.function(function) != null) {
@@ -87,10 +98,22 @@
                 front.queues.adjustWorkers(function, 1);
             }
             front.loop.deadlines().cancel(drainTimer);
+            updateNameBytes();
             publish();
         }
     }
 
+    private static long bytesOf(Set<String> names) {
+        return names.stream()
+                .mapToLong(function -> function.length() + BYTES_PER_NAME)
+                .sum();
+    }
+
+    private void updateNameBytes() {
+        nameBytes = bytesOf(abilities.keySet()) + bytesOf(unmapped.keySet());
+        peer.updateHeldBytes();
+    }
+
     /** Applies a new configuration, which may map functions announced earlier. */
     void functionsChanged() {
         List<String> mapped = new ArrayList<>(unmapped.keySet());
@@ -100,6 +123,7 @@
 
     void cantDo(String function) {
         unmapped.remove(function);
+        updateNameBytes();
         if (abilities.remove(function) != null) {
             front.queues.adjustWorkers(function, -1);
             publish();
@@ -114,6 +138,7 @@
     void reset() {
         forgetAbilities();
         unmapped.clear();
+        updateNameBytes();
         if (registered) {
             publish();
             startDrain();
--- a/src/main/java/laneflow/http/ClientConnection.java
+++ b/src/main/java/laneflow/http/ClientConnection.java
@@ -42,6 +42,9 @@
     private long slot;
     /** The head of the message until it has been handled, else null. */
     private HttpHead head;
+    /** Whether the connection stays open after the current message. */
+    private boolean keepsAlive;
+
     private Request request;
     /** A message has begun; also true on a new connection, whose first message is due. */
     private boolean messageBegun = true;
@@ -256,6 +259,7 @@
                     break;
                 }
                 handleMessage();
+                releaseHead();
             }
         } catch (HttpException e) {
             // The end of a malformed message is unknown, so nothing after it can be parsed.
@@ -295,6 +299,7 @@
     @Override
     public void head(HttpHead received) throws HttpException {
         head = received;
+        keepsAlive = received.isKeepAlive();
         body.reset();
         updateHandlerBytes();
         String contentLength = head.header("content-length");
@@ -317,7 +322,13 @@
     }
 
     private void updateHandlerBytes() {
-        link.setHandlerBytes(body.capacity());
+        link.setHandlerBytes(body.capacity() + (head == null ? 0 : head.memoryBytes()));
+    }
+
+    /** The head has been handled: it is not held until the response. */
+    private void releaseHead() {
+        head = null;
+        updateHandlerBytes();
     }
 
     /** Takes the body of the message, which the request holds from here on. */
@@ -394,9 +405,9 @@
     }
 
     private void rejectAndClose(int status, String reason, String headers, String message) {
-        head = null;
+        keepsAlive = false;
         body.reset();
-        updateHandlerBytes();
+        releaseHead();
         respond(status, reason, headers, ascii(message + "\n"));
     }
 
@@ -417,7 +428,11 @@
         if (!front.closesAfterResponse()) {
             drainOffset = -1;
         }
-        boolean closes = head == null || !head.isKeepAlive() || front.closesAfterResponse() && isDrained();
+        rejected = status >= 400 && status < 500 ? rejected + 1 : 0;
+        if (rejected == MAX_REJECTED) {
+            front.count("http.rejected_too_often");
+        }
+        boolean closes = !keepsAlive || rejected >= MAX_REJECTED || front.closesAfterResponse() && isDrained();
         String responseHead = "HTTP/1.1 " + status + " " + reason + "\r\n" + headers
                 + "Content-Length: " + content.length + "\r\n"
                 + (closes ? "Connection: close\r\n\r\n" : "\r\n");
--- a/src/main/java/laneflow/http/HttpHead.java
+++ b/src/main/java/laneflow/http/HttpHead.java
@@ -9,6 +9,8 @@
 /** The start line and the headers of one message. */
 final class HttpHead {
     private static final int MAX_HEADERS = 100;
+    /** Memory for the objects of a header beside its text, roughly. */
+    private static final int BYTES_PER_HEADER = 160;
     /** Headers that may occur only once, beside all that begin with {@code req-}. */
     private static final Set<String> SINGLE_HEADERS =
             Set.of("content-length", "transfer-encoding", "host", "idempotency-key", "srv-declined", "srv-load");
@@ -19,8 +21,11 @@
     final String targetOrStatus;
     final String versionOrReason;
     private final Map<String, String> headers = new HashMap<>();
+    /** Length of the head as it was received, bytes. */
+    private final int length;
 
-    private HttpHead(String methodOrVersion, String targetOrStatus, String versionOrReason) {
+    private HttpHead(String methodOrVersion, String targetOrStatus, String versionOrReason, int length) {
+        this.length = length;
         this.methodOrVersion = methodOrVersion;
         this.targetOrStatus = targetOrStatus;
         this.versionOrReason = versionOrReason;
@@ -37,7 +42,7 @@
             String line = text.substring(
                     lineStart, lineEnd > lineStart && text.charAt(lineEnd - 1) == '\r' ? lineEnd - 1 : lineEnd);
             if (head == null) {
-                head = parseStartLine(line, response);
+                head = parseStartLine(line, response, bytes.length);
             } else if (!line.isEmpty()) {
                 head.addHeader(line);
             }
@@ -49,7 +54,7 @@
         return head;
     }
 
-    private static HttpHead parseStartLine(String line, boolean response) throws HttpException {
+    private static HttpHead parseStartLine(String line, boolean response, int length) throws HttpException {
         int firstSpace = line.indexOf(' ');
         int secondSpace = line.indexOf(' ', firstSpace + 1);
         String first = firstSpace < 0 ? line : line.substring(0, firstSpace);
@@ -62,7 +67,7 @@
         if (!valid) {
             throw new HttpException(400, "start line");
         }
-        return new HttpHead(first, second, third);
+        return new HttpHead(first, second, third, length);
     }
 
     private static boolean isStatus(String text) {
@@ -141,6 +146,11 @@
         return headers.get(name);
     }
 
+    /** The bytes of memory that it takes up, roughly: its text, and the objects of each header. */
+    int memoryBytes() {
+        return length + headers.size() * BYTES_PER_HEADER;
+    }
+
     int status() {
         return Integer.parseInt(targetOrStatus);
     }
--- a/src/main/java/laneflow/net/Loop.java
+++ b/src/main/java/laneflow/net/Loop.java
@@ -568,8 +568,9 @@
         return new Listener(passed, null, inLimit, outLimit, acceptedLimit, makeRoom, handlers);
     }
 
-    /** Limits connections to a fraction of the maximum; the rest belongs to another process. */
+    /** Limits connections and messages to a fraction of the maximum; the rest belongs to another process. */
     public void limitShare(double fraction) {
+        messageMemory.limitShare(fraction);
         acceptedLimit.max = (int) (fraction * maxPerDirection);
         outboundLimit.max = acceptedLimit.max;
         listeners.forEach(Listener::resumeIfFull);
--- a/src/test/java/laneflow/core/MessageMemoryTest.java
+++ b/src/test/java/laneflow/core/MessageMemoryTest.java
@@ -2,6 +2,7 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.util.ArrayList;
@@ -60,4 +61,30 @@
         memory.durableJobs().release(90_000);
         assertEquals(4000, memory.used());
     }
+
+    /** Guards against reading being held for ever because a connection fails to give way. */
+    @Test
+    void aConnectionThatFailsToGiveWayDoesNotHoldReading() {
+        Account failing = memory.open(() -> {
+            throw new IllegalStateException("can't give way");
+        });
+        failing.add(130_000);
+        assertTrue(memory.isExceeded());
+        assertThrows(IllegalStateException.class, memory::relieve);
+        assertFalse(memory.isExceeded());
+    }
+
+    /** Guards against two processes of an upgrade that each hold as much as one may. */
+    @Test
+    void aShareOfTheMemoryIsLeftToAnotherProcess() {
+        memory.limitShare(0.25);
+        assertTrue(memory.openRequests().hasRoomFor(20_000));
+        assertFalse(memory.openRequests().hasRoomFor(20_001));
+        account(31_000);
+        assertTrue(memory.isExceeded());
+        memory.relieve();
+        memory.limitShare(1);
+        account(31_000);
+        assertFalse(memory.isExceeded());
+    }
 }
--- a/src/test/java/laneflow/net/MemoryStoryTest.java
+++ b/src/test/java/laneflow/net/MemoryStoryTest.java
@@ -190,6 +190,35 @@
         assertServes();
     }
 
+    /** Guards against workers that announce ever new functions, whose names fill the memory. */
+    @Test
+    void workersThatAnnounceEverNewFunctionsAreEnded() throws Exception {
+        String padding = "n".repeat(480);
+        int told = 0;
+        for (int i = 0; i < 60; i++) {
+            Peer worker = connect(gearman);
+            try {
+                for (int name = 0; name < 900; name++) {
+                    Gearman.send(worker, Gearman.type("CAN_DO"), i + "." + name + padding);
+                }
+                Gearman.send(worker, Gearman.type("ECHO_REQ"), "listed");
+            } catch (IOException e) {
+                // Ended while it announced.
+                continue;
+            }
+        }
+        for (Peer worker : peers) {
+            try {
+                told += Gearman.next(worker).args()[0].equals("OUT_OF_MEMORY") ? 1 : 0;
+            } catch (IOException e) {
+                // Ended before its error was read.
+                continue;
+            }
+        }
+        assertServes();
+        assertTrue(told > 0);
+    }
+
     @Test
     void durableJobsBeyondTheMemoryAreRefusedAndAcceptedOnesAreKept() throws Exception {
         Peer client = connect(http);
