Close no connection for silence while its input can't be read

What callers could see: a request that had come to an idle connection was closed with it, unanswered, if its client had to give way, or a time-out came, in a turn in which the account of messages was exceeded and nothing was read.

Rule: a connection is not closed for having sent nothing while what it has sent can't be read, or waits for a later turn; Link.isInputWaiting says so to both fronts.

--- a/src/main/java/laneflow/gearman/Peer.java
+++ b/src/main/java/laneflow/gearman/Peer.java
@@ -91,8 +91,8 @@
     }
 
     private void packetTimedOut() {
-        if (link.hasMessagesWaiting()) {
-            // A whole packet may have been read, which is to be handled.
+        if (link.isInputWaiting()) {
+            // A whole packet may have come, which is to be handled.
             front.loop.deadlines().set(packetTimer, front.loop.micros() + DEFERRED_RETRY_MICROS);
             return;
         }
--- a/src/main/java/laneflow/http/ClientConnection.java
+++ b/src/main/java/laneflow/http/ClientConnection.java
@@ -99,8 +99,8 @@
         if (link.isClosed() || link.isOutputEnded() || timer.isSet() || responsePending && !wasPending) {
             return;
         }
-        if (link.hasMessagesWaiting()) {
-            // A whole message may have been read, which is to be answered.
+        if (link.isInputWaiting()) {
+            // A whole message may have come, which is to be answered.
             front.loop.deadlines().set(timer, front.loop.micros() + DEFERRED_RETRY_US);
             return;
         }
@@ -133,7 +133,7 @@
         if (link.isOutputEnded()) {
             return 0;
         }
-        if (responsePending || !link.out.isEmpty() || link.hasMessagesWaiting()) {
+        if (responsePending || !link.out.isEmpty() || link.isInputWaiting()) {
             return Integer.MAX_VALUE;
         }
         return !messageBegun ? 2 : front.loop.micros() - waitingSince > NEW_CONNECTION_US ? 1 : 3;
@@ -192,7 +192,7 @@
         if (!isBusy()) {
             link.readNow();
         }
-        if (!link.isClosed() && !link.isOutputEnded() && !isBusy()) {
+        if (!link.isClosed() && !link.isOutputEnded() && !isBusy() && !link.isInputWaiting()) {
             closeGracefully();
         }
     }
--- a/src/main/java/laneflow/net/Link.java
+++ b/src/main/java/laneflow/net/Link.java
@@ -195,6 +195,14 @@
         return false;
     }
 
+    /**
+     * True if messages may wait for a later turn: the handler has left them in the ring, or nothing is read at present.
+     * A connection is then not closed for having sent nothing.
+     */
+    public boolean isInputWaiting() {
+        return !closed && (messagesWaiting || loop.messageMemory().isExceeded());
+    }
+
     /** True if messages that the handler has left in the ring wait for a later turn. */
     public boolean hasMessagesWaiting() {
         return messagesWaiting && !closed;
--- a/src/main/java/laneflow/net/Loop.java
+++ b/src/main/java/laneflow/net/Loop.java
@@ -145,7 +145,9 @@
 
     /** Runs an action on the loop's thread after a delay, in which the loop handles its other events. */
     void afterMillis(long millis, Runnable action) {
-        thread.executeAfter(() -> turn(action), millis, TimeUnit.MILLISECONDS);
+        if (!worker.isShutdown()) {
+            thread.executeAfter(() -> turn(action), millis, TimeUnit.MILLISECONDS);
+        }
     }
 
     /** Returns a cleared buffer for reading input that is discarded. */
--- a/src/test/java/laneflow/http/ClientStoryTest.java
+++ b/src/test/java/laneflow/http/ClientStoryTest.java
@@ -13,6 +13,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.Callable;
+import laneflow.core.MessageMemory;
 import laneflow.net.SchedulerHarness;
 import laneflow.net.SchedulerHarness.Endpoint;
 import laneflow.net.SchedulerHarness.Peer;
@@ -600,4 +601,28 @@
             assertEquals(-1, client.socket.getInputStream().read());
         }
     }
+
+    /** Guards against a connection being closed with a request that was not read while memory was short. */
+    @Test
+    void aRequestThatCanNotBeReadNowKeepsItsConnection() throws Exception {
+        try (SchedulerHarness harness = new SchedulerHarness(null);
+                Peer client = harness.http()) {
+            client.write("GET /health/live HTTP/1.1\r\nHost: o\r\n\r\n");
+            assertTrue(client.message().startsWith("HTTP/1.1 200 "));
+            boolean[] madeRoom = new boolean[1];
+            harness.serve.loop().call(() -> {
+                try {
+                    client.write("GET /health/live HTTP/1.1\r\nHost: o\r\n\r\n");
+                } catch (IOException e) {
+                    throw new IllegalStateException(e);
+                }
+                MessageMemory memory = harness.serve.loop().messageMemory();
+                memory.openRequests().hold(Long.MAX_VALUE / 2);
+                madeRoom[0] = harness.serve.front().makeRoom();
+                memory.openRequests().release(Long.MAX_VALUE / 2);
+            });
+            assertFalse(madeRoom[0]);
+            assertTrue(client.message().startsWith("HTTP/1.1 200 "));
+        }
+    }
 }
