--- a/src/main/java/laneflow/lab/measure/FloodMeasure.java
+++ b/src/main/java/laneflow/lab/measure/FloodMeasure.java
@@ -145,6 +145,10 @@
                     Math.max(0, usedMs) * 2000 / Math.max(1, sent.get(0) + sent.get(1)) / 2,
                     peakMb,
                     round.quarter || round.event != Event.NONE ? "none" : report.p99() < aimMs ? "met" : "missed");
+            if (!holds) {
+                scenario.describeLostSince(from).forEach(out::println);
+                out.println(scenario.log());
+            }
             return holds;
         } finally {
             FileTree.delete(folder);
--- a/src/main/java/laneflow/lab/measure/FloodScenario.java
+++ b/src/main/java/laneflow/lab/measure/FloodScenario.java
@@ -279,6 +279,21 @@
         return jobClass.equals("card-capture");
     }
 
+    /** A line for each usual request that was lost, with when it was sent after that instant, nanoseconds. */
+    List<String> describeLostSince(long nanos) {
+        return usualClients.since(nanos).stream()
+                .filter(answer -> answer.isLost() && isOwed(answer.sentAt()))
+                .map(answer -> String.format(
+                        Locale.ROOT,
+                        "lost: %s sent at %.3f s, ended after %.0f ms, status %d, %s",
+                        answer.id(),
+                        (answer.sentAt() - nanos) / 1e9,
+                        answer.tookMs(),
+                        answer.status(),
+                        answer.ending()))
+                .toList();
+    }
+
     /** False for what a client sends behind its request, all of it under one id. */
     private static boolean isUnique(String id) {
         return !id.endsWith("further");
