Serve the input that waits even where another connection fails

What callers would see: messages that wait for a later turn wait for ever if handling those of another connection throws, until some further connection has to wait.

Cause: DeferredInput.runRound set its next round at its end only, and an exception ended it before.

Rule: a failed event ends only itself; the next round is set in any case.

--- a/src/main/java/laneflow/net/DeferredInput.java
+++ b/src/main/java/laneflow/net/DeferredInput.java
@@ -47,10 +47,14 @@
 
     private void runRound() {
         scheduled = false;
-        serve(prompt, MAX_MICROS);
-        serve(excessive, MAX_EXCESSIVE_MICROS);
-        if (!prompt.isEmpty() || !excessive.isEmpty()) {
-            schedule();
+        try {
+            serve(prompt, MAX_MICROS);
+            serve(excessive, MAX_EXCESSIVE_MICROS);
+        } finally {
+            // A connection that fails must not keep the others waiting.
+            if (!prompt.isEmpty() || !excessive.isEmpty()) {
+                schedule();
+            }
         }
     }
 
