End the threads that write files with the scheduler they belong to

In production such a write may be cut short by the JVM's exit.

Cause: Streaming and Operations write on daemon threads that nobody waited for.

Change: Threads.finish and Threads.abort end an executor and wait for its current task; Streaming and Operations do so in close and halt. An order to set an endpoint down that comes behind that is answered with an error.

--- a/src/main/java/laneflow/assembly/Serve.java
+++ b/src/main/java/laneflow/assembly/Serve.java
@@ -237,6 +237,9 @@
     public void halt() throws InterruptedException {
         loop.stop();
         subsystems.halt();
+        if (operations != null) {
+            operations.halt();
+        }
     }
 
     public HttpFront front() {
@@ -284,6 +287,9 @@
             String[] counterLine = new String[1];
             loop.call(() -> counterLine[0] = counters.line());
             subsystems.close();
+            if (operations != null) {
+                operations.close();
+            }
             LOG.info("{}", counterLine[0]);
             loop.stop();
         } catch (InterruptedException e) {
--- a/src/main/java/laneflow/assembly/Streaming.java
+++ b/src/main/java/laneflow/assembly/Streaming.java
@@ -39,6 +39,10 @@
     /** Null where operators use the clients' port. */
     private final OperatorPort port;
 
+    private final ExecutorService reader = boundedExecutor("config-reader");
+    /** Writes the last good versions and the history. */
+    private final ExecutorService fileWriter = boundedExecutor("config-files");
+
     Streaming(Setup setup, Subsystems.Core core, Durability durability) {
         this.setup = setup;
         this.core = core;
@@ -68,8 +72,8 @@
                 setup.config().name,
                 token,
                 List.of(setup.config().classNames),
-                boundedExecutor("config-reader"),
-                boundedExecutor("config-files"),
+                reader,
+                fileWriter,
                 System::currentTimeMillis,
                 new SecureRandom().nextLong());
         core.loop().call(() -> {
@@ -93,6 +97,18 @@
         }
     }
 
+    @Override
+    public void close() throws InterruptedException {
+        Threads.abort(reader);
+        Threads.finish(fileWriter);
+    }
+
+    @Override
+    public void halt() throws InterruptedException {
+        Threads.abort(reader);
+        Threads.abort(fileWriter);
+    }
+
     /** The operators' port, or null. */
     OperatorPort port() {
         return port;
@@ -107,7 +123,15 @@
                 TimeUnit.SECONDS,
                 new ArrayBlockingQueue<>(MAX_QUEUED_TASKS),
                 task -> Threads.daemon(task, name),
-                (task, executor) -> LOG.error("{}: the queue is full, a task is dropped", name));
+                (task, executor) -> onRejected(name, executor));
+    }
+
+    private static void onRejected(String name, ExecutorService executor) {
+        if (executor.isShutdown()) {
+            LOG.debug("{}: the scheduler ends, a task is dropped", name);
+        } else {
+            LOG.error("{}: the queue is full, a task is dropped", name);
+        }
     }
 
     /** Applies resources to the running scheduler. */
--- a/src/main/java/laneflow/ops/Operations.java
+++ b/src/main/java/laneflow/ops/Operations.java
@@ -131,6 +131,10 @@
 
     /** Replies once the bans are stored for the next process. They are in force here even if that fails. */
     private void persistBans(String order, Consumer<String> answer) {
+        if (banWriter.isShutdown()) {
+            answer.accept("error the process ends: the order is not written down");
+            return;
+        }
         Set<String> names = new TreeSet<>(scheduler.endpoints().downNames());
         banWriter.execute(() -> {
             String outcome = "done";
@@ -191,6 +195,9 @@
 
     /** Applies the stored bans again, after pending writes; without a valid file nothing changes. */
     void reloadBans() {
+        if (banWriter.isShutdown()) {
+            return;
+        }
         int changesBeforeRead = banChanges;
         banWriter.execute(() -> banFile.tryRead()
                 .ifPresent(names -> loop.later(() -> {
@@ -214,4 +221,14 @@
         }
         return orders;
     }
+
+    /** Completes the orders that are being written. On any thread except the loop. */
+    public void close() throws InterruptedException {
+        Threads.finish(banWriter);
+    }
+
+    /** Writes nothing more, as in a power failure. On any thread except the loop. */
+    public void halt() throws InterruptedException {
+        Threads.abort(banWriter);
+    }
 }
--- a/src/test/java/laneflow/control/ControlStoryTest.java
+++ b/src/test/java/laneflow/control/ControlStoryTest.java
@@ -14,8 +14,11 @@
 
 import com.google.gson.JsonObject;
 import java.io.IOException;
+import java.nio.file.DirectoryStream;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.Set;
+import java.util.TreeSet;
 import laneflow.net.SchedulerHarness;
 import laneflow.net.SchedulerHarness.Endpoint;
 import laneflow.net.SchedulerHarness.Peer;
@@ -244,4 +247,37 @@
             assertFalse(exchange(peer, held.replace("0.0", "1.0")).has("error_detail"));
         }
     }
+
+    /** Guards against files that a scheduler which has ended still writes: the next one may read them, or their folder is gone. */
+    @Test
+    void nothingIsWrittenOnceTheSchedulerHasEnded() throws Exception {
+        for (int round = 0; round < 20; round++) {
+            Endpoint service = new Endpoint("control");
+            Endpoint endpoint = new Endpoint("e1");
+            try (SchedulerHarness harness = SchedulerHarness.withControlStream(control(service, ""))) {
+                Peer peer = acceptStream(service);
+                receiveSubscriptions(peer);
+                exchange(peer, version("1-aa", "x1", resource(endpoint)));
+            }
+            Set<String> left = folderContent();
+            Thread.sleep(30);
+            assertEquals(left, folderContent(), "round " + round);
+            service.close();
+            endpoint.close();
+            for (String file : left) {
+                Files.delete(folder.resolve(file.substring(0, file.indexOf(' '))));
+            }
+        }
+    }
+
+    /** Names and sizes of the files that schedulers have written. */
+    private Set<String> folderContent() throws IOException {
+        Set<String> content = new TreeSet<>();
+        try (DirectoryStream<Path> files = Files.newDirectoryStream(folder)) {
+            for (Path file : files) {
+                content.add(file.getFileName() + " " + Files.size(file));
+            }
+        }
+        return content;
+    }
 }
