Listener and ConnectionLimit in files of their own

Listening sockets, and the limit on open connections, are classes of their own now, as a ground for the mend of a listener that closes while accepting is held. No behaviour changes; LoopTest, NoDelayTest, DeferredInputTest, PlannedEndStoryTest and ArchitectureTest pass.

--- a/src/main/java/laneflow/gearman/GearmanFront.java
+++ b/src/main/java/laneflow/gearman/GearmanFront.java
@@ -23,6 +23,7 @@
 import laneflow.core.UniqueIds;
 import laneflow.decision.Dispatch.Effect;
 import laneflow.gearman.decision.Queues;
+import laneflow.net.Listener;
 import laneflow.net.Loop;
 import laneflow.net.PeerState;
 import org.slf4j.Logger;
@@ -62,7 +63,7 @@
     /** Null where durable jobs are disabled. */
     DurableJobService durableJobs;
 
-    private Loop.Listener listener;
+    private Listener listener;
     private boolean draining;
     private long connectionCount;
 
--- a/src/main/java/laneflow/http/HttpFront.java
+++ b/src/main/java/laneflow/http/HttpFront.java
@@ -17,6 +17,7 @@
 import laneflow.core.Request;
 import laneflow.core.Scheduler;
 import laneflow.core.SlotTable;
+import laneflow.net.Listener;
 import laneflow.net.Loop;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -36,7 +37,7 @@
     private final JobReader jobReader;
     private final SlotTable<ClientConnection> clients = new SlotTable<>();
     private BooleanSupplier readiness = () -> true;
-    private Loop.Listener listener;
+    private Listener listener;
     private final String[] classNames;
     private final Map<String, Supplier<String>> reports = new HashMap<>();
     /** Null if durable jobs are disabled. */
--- a/src/main/java/laneflow/http/OperatorPort.java
+++ b/src/main/java/laneflow/http/OperatorPort.java
@@ -9,6 +9,7 @@
 import laneflow.core.Deadlines.Deadline;
 import laneflow.net.Link;
 import laneflow.net.LinkHandler;
+import laneflow.net.Listener;
 import laneflow.net.Loop;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -27,7 +28,7 @@
 
     private final Loop loop;
     private final Map<String, Supplier<String>> reports = new TreeMap<>();
-    private Loop.Listener listener;
+    private Listener listener;
     private int openConnections;
 
     public OperatorPort(Loop loop) {
--- a/src/main/java/laneflow/http/StreamPort.java
+++ b/src/main/java/laneflow/http/StreamPort.java
@@ -7,6 +7,7 @@
 import laneflow.core.Deadlines.Deadline;
 import laneflow.net.Link;
 import laneflow.net.LinkHandler;
+import laneflow.net.Listener;
 import laneflow.net.Loop;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -44,7 +45,7 @@
     private final long silenceTimeout;
     private final int maxLineBytes;
     private final Handler handler;
-    private Loop.Listener listener;
+    private Listener listener;
 
     /**
      * Creates a port; {@link #listen} opens it.
--- a/src/main/java/laneflow/net/Link.java
+++ b/src/main/java/laneflow/net/Link.java
@@ -30,7 +30,7 @@
     private final Loop loop;
     private final LinkHandler handler;
     /** The listener that accepted the connection; null for an outgoing one. */
-    private final Loop.Listener listener;
+    private final Listener listener;
     /** The memory of the rings beyond their initial capacity, and of {@link #handlerBytes}. */
     private final MessageMemory.Account memory;
 
@@ -60,7 +60,7 @@
     private long droppedBytes;
     private boolean peerEnded;
 
-    Link(Loop loop, LinkHandler handler, int inLimit, int outLimit, Loop.Listener listener) {
+    Link(Loop loop, LinkHandler handler, int inLimit, int outLimit, Listener listener) {
         this.loop = loop;
         this.handler = handler;
         this.listener = listener;
@@ -93,7 +93,7 @@
         return closed;
     }
 
-    Loop.Listener listener() {
+    Listener listener() {
         return listener;
     }
 
@@ -380,7 +380,7 @@
         lingerTimer = loop.deadlines().at(loop.micros() + LINGER_US, this::peerDisconnected);
         resumeReads();
         if (listener != null) {
-            listener.resumeFullListeners();
+            loop.resumeFullListeners();
         }
     }
 
--- a/src/main/java/laneflow/net/Loop.java
+++ b/src/main/java/laneflow/net/Loop.java
@@ -5,11 +5,8 @@
 import java.net.InetSocketAddress;
 import java.net.UnknownHostException;
 import java.nio.ByteBuffer;
-import java.nio.channels.ClosedChannelException;
 import java.nio.channels.ServerSocketChannel;
-import java.util.ArrayDeque;
 import java.util.ArrayList;
-import java.util.Deque;
 import java.util.List;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.FutureTask;
@@ -23,7 +20,6 @@
 import laneflow.core.SlotTable;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
-import org.xnio.ChannelListener;
 import org.xnio.IoFuture;
 import org.xnio.IoUtils;
 import org.xnio.OptionMap;
@@ -33,9 +29,6 @@
 import org.xnio.XnioExecutor;
 import org.xnio.XnioIoThread;
 import org.xnio.XnioWorker;
-import org.xnio.channels.AcceptingChannel;
-import org.xnio.nio.AcceptingThread;
-import org.xnio.nio.PassedServer;
 
 /**
  * An event loop with one I/O thread, its clock, its connections and its deadlines. The state that belongs to the loop
@@ -47,18 +40,9 @@
     /** File descriptors that the JVM holds for itself: the jar, selectors, standard streams. */
     private static final int RESERVED_DESCRIPTORS = 64;
 
-    private static final int BACKLOG = 512;
     private static final long MICROS_PER_MS = 1000;
     private static final Pattern NUMERIC_ADDRESS = Pattern.compile("[0-9.]+|[0-9a-fA-F:.]+");
     private static final int SCRATCH_BYTES = 64 * 1024;
-    /** Connections accepted per turn, so that a flood of them does not starve open ones. */
-    private static final int MAX_ACCEPTS_PER_TURN = 32;
-    /** Time after which no further connection is accepted in a turn, microseconds. */
-    private static final long MAX_ACCEPT_MICROS = 2_000;
-    /** Time between two batches of accepted connections, milliseconds. */
-    private static final long ACCEPT_INTERVAL_MS = 1;
-    /** Connections that are accepted and not admitted yet; more are left to the kernel's backlog. */
-    private static final int MAX_PENDING_CONNECTIONS = 64;
     /** Length of a turn from which on input of further connections waits for the next one, microseconds. */
     private static final long LONG_TURN_MICROS = 10_000;
 
@@ -261,258 +245,6 @@
         }
     }
 
-    /** A limit on open connections, and how many are open under it. */
-    private static final class ConnectionLimit {
-        private int max;
-        private int open;
-
-        private ConnectionLimit(int max) {
-            this.max = max;
-        }
-
-        private boolean hasRoom() {
-            return open < max;
-        }
-    }
-
-    /** A listening socket and the connections that it accepts. */
-    public final class Listener {
-        private final AcceptingChannel<StreamConnection> channel;
-        private final Supplier<LinkHandler> handlers;
-        private final int inLimit;
-        private final int outLimit;
-        private final BooleanSupplier makeRoom;
-        private final ConnectionLimit limit;
-        private final boolean isPassed;
-        private boolean paused;
-        private boolean full;
-        /** As many connections are pending as may. */
-        private boolean held;
-        /** The turn of the last batch of accepted connections. */
-        private long batchTurn;
-        /** A further batch of pending connections is due. */
-        private boolean continuing;
-        /** Accepted connections that are admitted in the next task, or once there is room. */
-        private final Deque<PendingConnection> pending = new ArrayDeque<>();
-
-        /** @param acceptedAt when the connection was taken from XNIO's queue, microseconds */
-        private record PendingConnection(StreamConnection connection, long acceptedAt) {}
-
-        /** Listens on the passed socket, or opens one at the address if {@code passed} is null. */
-        private Listener(
-                ServerSocketChannel passed,
-                InetSocketAddress address,
-                int inLimit,
-                int outLimit,
-                ConnectionLimit limit,
-                BooleanSupplier makeRoom,
-                Supplier<LinkHandler> handlers)
-                throws IOException {
-            this.handlers = handlers;
-            this.makeRoom = makeRoom;
-            this.limit = limit;
-            this.inLimit = inLimit;
-            this.outLimit = outLimit;
-            isPassed = passed != null;
-            ChannelListener<AcceptingChannel<StreamConnection>> acceptListener = accepting -> turn(this::acceptPending);
-            OptionMap options = OptionMap.builder()
-                    .set(Options.TCP_NODELAY, true)
-                    .set(Options.REUSE_ADDRESSES, true)
-                    .set(Options.KEEP_ALIVE, true)
-                    .set(Options.BACKLOG, BACKLOG)
-                    .getMap();
-            channel = isPassed
-                    ? PassedServer.wrap(worker, passed, acceptListener, options)
-                    : worker.createStreamConnectionServer(address, acceptListener, options);
-        }
-
-        /** Starts or resumes accepting connections. */
-        public void begin() {
-            later(() -> {
-                if (!listeners.contains(this)) {
-                    listeners.add(this);
-                }
-                paused = false;
-                if (!full && !held) {
-                    channel.resumeAccepts();
-                }
-            });
-        }
-
-        /**
-         * Leaves new connections to other processes that listen on the same socket; connections accepted already are
-         * still admitted.
-         */
-        public void pause() {
-            paused = true;
-            channel.suspendAccepts();
-        }
-
-        private void acceptPending() {
-            drainAcceptQueue();
-            // XNIO notifies of each connection: one batch a turn, so that those that have ended are closed in between.
-            boolean isFirstOfTurn = batchTurn != turnNumber;
-            batchTurn = turnNumber;
-            if ((!isFirstOfTurn || acceptBatch()) && !continuing) {
-                continuing = true;
-                afterMillis(ACCEPT_INTERVAL_MS, this::continueAccepting);
-            }
-        }
-
-        private void continueAccepting() {
-            continuing = false;
-            acceptPending();
-        }
-
-        /** Admits some of the pending connections; true if more of them can be admitted. */
-        private boolean acceptBatch() {
-            long end = currentMicros() + MAX_ACCEPT_MICROS;
-            for (int i = 0; !pending.isEmpty() && (i == 0 || i < MAX_ACCEPTS_PER_TURN && mayAcceptMore(end)); i++) {
-                // Room is made only for a connection that is already pending: made in advance, it would close one
-                // connection too many each time that the backlog runs empty.
-                if (!limit.hasRoom() && !makeRoom.getAsBoolean()) {
-                    waitForRoom();
-                    return false;
-                }
-                admit(pending.remove());
-            }
-            return !pending.isEmpty();
-        }
-
-        /** No more are accepted than are served: else they would take up all connections while they wait for that. */
-        private boolean mayAcceptMore(long end) {
-            return currentMicros() < end && !deferredInput.isBehind();
-        }
-
-        /**
-         * Takes over all connections that XNIO has accepted on its own thread, even if the socket is closed by now: for
-         * connections left in its queue XNIO would call the accept listener again and again, without a pause.
-         */
-        private void drainAcceptQueue() {
-            try {
-                for (StreamConnection next = channel.accept(); next != null; next = channel.accept()) {
-                    pending.add(new PendingConnection(next, micros()));
-                }
-                holdAccepts(pending.size() >= MAX_PENDING_CONNECTIONS);
-            } catch (ClosedChannelException e) {
-                LOG.trace("listener closed, accept queue empty", e);
-            } catch (IOException e) {
-                LOG.warn("accept: {}", e.getMessage());
-            }
-        }
-
-        /** Leaves further connections in the kernel's backlog, or lets XNIO accept them again. */
-        private void holdAccepts(boolean hold) {
-            if (hold != held && channel.isOpen()) {
-                held = hold;
-                if (hold) {
-                    channel.suspendAccepts();
-                } else if (!paused && !full) {
-                    channel.resumeAccepts();
-                }
-            }
-        }
-
-        /** Leaves pending connections, and those in the backlog, waiting until another connection closes. */
-        private void waitForRoom() {
-            if (channel.isOpen()) {
-                full = true;
-                channel.suspendAccepts();
-            } else {
-                rejectPending();
-            }
-        }
-
-        private void admit(PendingConnection next) {
-            limit.open++;
-            LinkHandler handler = handlers.get();
-            Link link = new Link(Loop.this, handler, inLimit, outLimit, this);
-            link.assignHandle(links.add(link));
-            link.attach(next.connection);
-            handler.opened(link);
-            // The client has mostly sent its request already: left unread, the connection would count as silent.
-            link.setInputPendingSince(next.acceptedAt);
-            link.readable();
-            link.setInputPendingSince(-1);
-        }
-
-        private int rejectPending() {
-            int count = pending.size();
-            pending.forEach(each -> IoUtils.safeClose(each.connection));
-            pending.clear();
-            return count;
-        }
-
-        private void connectionClosed() {
-            limit.open--;
-            resumeFullListeners();
-        }
-
-        /** Lets listeners that are full try again: a connection has closed, or may be displaced from now on. */
-        void resumeFullListeners() {
-            listeners.forEach(Listener::resumeIfFull);
-        }
-
-        private void resumeIfFull() {
-            if (full && channel.isOpen()) {
-                full = false;
-                if (!paused && !held) {
-                    channel.resumeAccepts();
-                }
-                // No new connection may follow the pending ones to trigger this.
-                later(this::acceptPending);
-            }
-        }
-
-        /** True while connections wait because the limit is reached. */
-        public boolean isFull() {
-            return full;
-        }
-
-        public InetSocketAddress address() {
-            return channel.getLocalAddress(InetSocketAddress.class);
-        }
-
-        /** Admits connections that clients have established already, and closes the socket. */
-        public void close() {
-            close(() -> {});
-        }
-
-        /**
-         * Admits connections that clients have established already, and closes the socket. A passed socket is only
-         * paused: closing it would detach the process's log.
-         *
-         * @param onRejected runs for each established connection that there was no room for
-         */
-        public void close(Runnable onRejected) {
-            if (isPassed) {
-                pause();
-            } else if (full) {
-                closeNow(onRejected);
-            } else {
-                // XNIO's accept thread may not have accepted all connections in the kernel's backlog yet.
-                AcceptingThread.afterNextSelect(worker, () -> {
-                    if (!worker.isShutdown()) {
-                        later(() -> closeNow(onRejected));
-                    }
-                });
-            }
-        }
-
-        private void closeNow(Runnable onRejected) {
-            boolean more = !full;
-            while (more) {
-                drainAcceptQueue();
-                more = acceptBatch();
-            }
-            full = false;
-            for (int count = rejectPending(); count > 0; count--) {
-                onRejected.run();
-            }
-            IoUtils.safeClose(channel);
-        }
-    }
-
     /**
      * Creates a listener, which accepts connections once {@link Listener#begin} is called.
      *
@@ -526,7 +258,7 @@
             BooleanSupplier makeRoom,
             Supplier<LinkHandler> handlers)
             throws IOException {
-        return new Listener(null, address, inLimit, outLimit, acceptedLimit, makeRoom, handlers);
+        return new Listener(this, worker, null, address, inLimit, outLimit, acceptedLimit, makeRoom, handlers);
     }
 
     /**
@@ -541,7 +273,16 @@
             BooleanSupplier makeRoom,
             Supplier<LinkHandler> handlers)
             throws IOException {
-        return new Listener(null, address, inLimit, outLimit, new ConnectionLimit(maxConnections), makeRoom, handlers);
+        return new Listener(
+                this,
+                worker,
+                null,
+                address,
+                inLimit,
+                outLimit,
+                new ConnectionLimit(maxConnections),
+                makeRoom,
+                handlers);
     }
 
     /** Opens a UDP socket for datagrams of up to {@code maxBytes}. */
@@ -567,15 +308,27 @@
             BooleanSupplier makeRoom,
             Supplier<LinkHandler> handlers)
             throws IOException {
-        return new Listener(passed, null, inLimit, outLimit, acceptedLimit, makeRoom, handlers);
+        return new Listener(this, worker, passed, null, inLimit, outLimit, acceptedLimit, makeRoom, handlers);
+    }
+
+    void addListener(Listener listener) {
+        if (!listeners.contains(listener)) {
+            listeners.add(listener);
+        }
+    }
+
+    /** Lets listeners that are full try again: a connection has closed, or may be displaced from now on. */
+    void resumeFullListeners() {
+        listeners.forEach(Listener::resumeIfFull);
     }
 
     /** Limits connections and messages to a fraction of the maximum; the rest belongs to another process. */
     public void limitShare(double fraction) {
         messageMemory.limitShare(fraction);
-        acceptedLimit.max = (int) (fraction * maxPerDirection);
-        outboundLimit.max = acceptedLimit.max;
-        listeners.forEach(Listener::resumeIfFull);
+        int share = (int) (fraction * maxPerDirection);
+        acceptedLimit.setMax(share);
+        outboundLimit.setMax(share);
+        resumeFullListeners();
     }
 
     /** True if another outgoing connection may be opened. */
@@ -585,9 +338,8 @@
 
     /** Opens a connection; the handler is notified when it is established or has failed. */
     public Link connect(InetSocketAddress to, int inLimit, int outLimit, LinkHandler handler) {
-        Link link = new Link(this, handler, inLimit, outLimit, null);
-        link.assignHandle(links.add(link));
-        outboundLimit.open++;
+        Link link = newLink(handler, inLimit, outLimit, null);
+        outboundLimit.opened();
         IoFuture<StreamConnection> future =
                 thread.openStreamConnection(to, null, OptionMap.create(Options.TCP_NODELAY, true));
         link.setPendingConnect(future);
@@ -595,6 +347,13 @@
         return link;
     }
 
+    /** Creates a connection in the table; the listener is null for an outgoing one. */
+    Link newLink(LinkHandler handler, int inLimit, int outLimit, Listener listener) {
+        Link link = new Link(this, handler, inLimit, outLimit, listener);
+        link.assignHandle(links.add(link));
+        return link;
+    }
+
     private void connected(Link link, LinkHandler handler, IoFuture<StreamConnection> future) {
         boolean isUp = future.getStatus() == IoFuture.Status.DONE;
         if (link.isClosed()) {
@@ -624,7 +383,7 @@
         if (link.listener() != null) {
             link.listener().connectionClosed();
         } else {
-            outboundLimit.open--;
+            outboundLimit.closed();
         }
     }
 
--- a/src/main/java/laneflow/ops/OpsPort.java
+++ b/src/main/java/laneflow/ops/OpsPort.java
@@ -11,6 +11,7 @@
 import laneflow.core.Deadlines.Deadline;
 import laneflow.net.Link;
 import laneflow.net.LinkHandler;
+import laneflow.net.Listener;
 import laneflow.net.Loop;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -44,7 +45,7 @@
     /** Connected callers, the oldest first. */
     private final List<Caller> callers = new ArrayList<>();
 
-    private Loop.Listener listener;
+    private Listener listener;
 
     public OpsPort(Loop loop) {
         this.loop = loop;
--- a/src/test/java/laneflow/net/DeferredInputTest.java
+++ b/src/test/java/laneflow/net/DeferredInputTest.java
@@ -45,8 +45,7 @@
     @Test
     void aConnectionThatFailsDoesNotKeepOthersWaiting() throws Exception {
         Loop loop = new Loop(200);
-        Loop.Listener listener =
-                loop.listen(new InetSocketAddress("127.0.0.1", 0), 2048, 2048, () -> false, Handler::new);
+        Listener listener = loop.listen(new InetSocketAddress("127.0.0.1", 0), 2048, 2048, () -> false, Handler::new);
         listener.begin();
         Socket[] sockets = new Socket[CONNECTIONS];
         for (int i = 0; i < CONNECTIONS; i++) {
--- a/src/test/java/laneflow/net/NoDelayTest.java
+++ b/src/test/java/laneflow/net/NoDelayTest.java
@@ -53,7 +53,7 @@
         Loop loop = new Loop("test", 8, true);
         try (ServerSocketChannel passed = ServerSocketChannel.open()) {
             InetSocketAddress any = new InetSocketAddress(InetAddress.getLoopbackAddress(), 0);
-            Loop.Listener own = loop.listen(any, RING, RING, () -> false, RecordingHandler::new);
+            Listener own = loop.listen(any, RING, RING, () -> false, RecordingHandler::new);
             own.begin();
             assertNoDelay(loop, own.address());
             passed.bind(any);
