Serve the backlog of a listener that closes, also while accepting is held

What callers saw: 0.55 s behind a SIGTERM, in a crowd, connections that the kernel had established were reset with their requests unread.

Cause: accepting is held while 64 connections wait, and Listener.close took only what XNIO had accepted by then; without room it closed at once.

Change: the close goes on accepting in bounded batches until the backlog is empty, as many have been admitted as fit it, or a deadline 0.15 s before the SIGKILL. The process waits for that.

ClientStoryTest names the new deadline.

--- a/src/main/java/laneflow/assembly/Serve.java
+++ b/src/main/java/laneflow/assembly/Serve.java
@@ -40,6 +40,8 @@
     private static final long KILL_MARGIN_US = 700_000;
     /** How long before the SIGKILL open requests are abandoned, so that their clients still get an answer. */
     private static final long ANSWER_MARGIN_US = 300_000;
+    /** How long before the SIGKILL clients that have connected stop waiting for room: they are still to be refused. */
+    private static final long ADMISSION_MARGIN_US = 150_000;
     /** How long before the SIGKILL connections are drained: most requests accepted by then still complete. */
     private static final long DRAIN_MARGIN_US = 1_300_000;
 
@@ -310,7 +312,7 @@
         }
         long nowUs = loop.micros();
         long killUs = nowUs + (long) (Math.min(maxDeadlineS, KILL_WAIT_CAP_S) * 1e6) + KILL_MARGIN_US;
-        loop.deadlines().at(nowUs + ACCEPT_DURATION_US, this::stopAccepting);
+        loop.deadlines().at(nowUs + ACCEPT_DURATION_US, () -> stopAccepting(killUs - ADMISSION_MARGIN_US));
         // A scheduler that has just taken over another one's clients may be the last of its zone: the clients have no
         // other one yet. Otherwise clients are sent away early, so that they settle elsewhere before the next scheduler
         // stops.
@@ -336,10 +338,10 @@
         scheduler.abandonSince(acceptedSince);
     }
 
-    private void stopAccepting() {
-        front.stopAccepting();
+    private void stopAccepting(long deadlineUs) {
+        front.stopAccepting(deadlineUs);
         if (gearman != null) {
-            gearman.stopAccepting();
+            gearman.stopAccepting(deadlineUs);
         }
     }
 
@@ -355,10 +357,11 @@
     private void checkDrained() {
         boolean noClientsLeft = drainingConnections || front.hasNoClients() && gearman == null;
         if (noClientsLeft
+                && !front.isClosingListener()
                 && !subsystems.hasPendingAnswers()
                 && scheduler.openRequests() == 0
                 && front.busyConnections() == 0
-                && (gearman == null || gearman.unflushedConnections() == 0)) {
+                && (gearman == null || !gearman.isClosingListener() && gearman.unflushedConnections() == 0)) {
             drained.countDown();
         } else {
             loop.deadlines().at(loop.micros() + DRAIN_POLL_US, this::checkDrained);
--- a/src/main/java/laneflow/core/Counters.java
+++ b/src/main/java/laneflow/core/Counters.java
@@ -13,6 +13,14 @@
         counts.merge(name, 1L, Long::sum);
     }
 
+    /** Adds a number of events; a counter without any is not listed. */
+    public void add(String name, long events) {
+        assert owner.isCurrent() : "counters used outside their loop's thread";
+        if (events > 0) {
+            counts.merge(name, events, Long::sum);
+        }
+    }
+
     /** Sets a counter to a value. */
     public void set(String name, long value) {
         counts.put(name, value);
--- a/src/main/java/laneflow/gearman/GearmanFront.java
+++ b/src/main/java/laneflow/gearman/GearmanFront.java
@@ -119,9 +119,18 @@
         draining = true;
     }
 
-    /** Stops accepting connections; open ones continue. */
-    public void stopAccepting() {
-        listener.close();
+    /**
+     * Stops accepting connections once those that are established already are admitted; open ones continue.
+     *
+     * @param deadline when the listener is closed at the latest, although connections wait for room; microseconds
+     */
+    public void stopAccepting(long deadline) {
+        listener.close(deadline, rejected -> scheduler.counters().add("gearman.closed_unanswered", rejected));
+    }
+
+    /** True while connections established before {@link #stopAccepting} are not all admitted. */
+    public boolean isClosingListener() {
+        return listener.isClosing();
     }
 
     /** The number of connections with unwritten or pending replies. */
--- a/src/main/java/laneflow/http/HttpFront.java
+++ b/src/main/java/laneflow/http/HttpFront.java
@@ -122,10 +122,24 @@
         return first[0];
     }
 
-    /** Closes the listener; connected clients are served on. */
-    public void stopAccepting() {
-        // Connections accepted by the kernel that never got room here.
-        listener.close(() -> count("clients.closed_unanswered"));
+    /**
+     * Closes the listener once the clients that have connected already are admitted; these are served on.
+     *
+     * @param deadline when it is closed at the latest, although clients wait for room; microseconds
+     */
+    public void stopAccepting(long deadline) {
+        listener.close(deadline, rejected -> {
+            scheduler.counters().add("clients.closed_unanswered", rejected);
+            if (closingAfterResponses) {
+                // They came behind the beginning of the drain.
+                closeIdle(0, 0);
+            }
+        });
+    }
+
+    /** True while clients that connected before {@link #stopAccepting} are not all admitted. */
+    public boolean isClosingListener() {
+        return listener.isClosing();
     }
 
     /** True if no client is connected. */
--- a/src/main/java/laneflow/net/Listener.java
+++ b/src/main/java/laneflow/net/Listener.java
@@ -7,7 +7,9 @@
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.function.BooleanSupplier;
+import java.util.function.IntConsumer;
 import java.util.function.Supplier;
+import laneflow.core.Deadlines.Deadline;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import org.xnio.ChannelListener;
@@ -50,6 +52,16 @@
     private long batchTurn;
     /** A further batch of pending connections is due. */
     private boolean continuing;
+    /** {@link #close} has been called. */
+    private boolean closing;
+    /** Connections that are still admitted before the socket closes even if more are in the backlog. */
+    private int admissionsBeforeClose;
+
+    /** {@link #closeOnceBacklogIsEmpty} is due. */
+    private boolean awaitingBacklog;
+
+    private Deadline closeDeadline;
+    private IntConsumer closeCallback;
     /** Accepted connections that are admitted in the next task, or once there is room. */
     private final Deque<PendingConnection> pending = new ArrayDeque<>();
 
@@ -136,6 +148,7 @@
                 return false;
             }
             admit(pending.remove());
+            admissionsBeforeClose--;
         }
         return !pending.isEmpty();
     }
@@ -147,12 +160,15 @@
 
     /**
      * Takes over all connections that XNIO has accepted on its own thread, even if the socket is closed by now: for
-     * connections left in its queue XNIO would call the accept listener again and again, without a pause.
+     * connections left in its queue XNIO would call the accept listener again and again, without a pause. Returns how
+     * many there were.
      */
-    private void drainAcceptQueue() {
+    private int drainAcceptQueue() {
+        int count = 0;
         try {
             for (StreamConnection next = channel.accept(); next != null; next = channel.accept()) {
                 pending.add(new PendingConnection(next, loop.micros()));
+                count++;
             }
             holdAccepts(pending.size() >= MAX_PENDING_CONNECTIONS);
         } catch (ClosedChannelException e) {
@@ -160,6 +176,7 @@
         } catch (IOException e) {
             LOG.warn("accept: {}", e.getMessage());
         }
+        return count;
     }
 
     /** Leaves further connections in the kernel's backlog, or lets XNIO accept them again. */
@@ -217,6 +234,9 @@
             }
             // No new connection may follow the pending ones to trigger this.
             loop.later(this::acceptPending);
+            if (closing) {
+                awaitBacklog();
+            }
         }
     }
 
@@ -229,42 +249,72 @@
         return channel.getLocalAddress(InetSocketAddress.class);
     }
 
-    /** Admits connections that clients have established already, and closes the socket. */
-    public void close() {
-        close(() -> {});
-    }
-
     /**
-     * Admits connections that clients have established already, and closes the socket. A passed socket is only
-     * paused: closing it would detach the process's log.
+     * Admits the connections that clients have established already, in the same bounded batches as before, and closes
+     * the socket once none is left in the kernel's backlog. A passed socket is only paused: closing it would detach the
+     * process's log.
      *
-     * @param onRejected runs for each established connection that there was no room for
+     * @param deadline when the socket is closed at the latest, although connections wait for room; microseconds
+     * @param onClosed is told how many established connections were closed unread
      */
-    public void close(Runnable onRejected) {
+    public void close(long deadline, IntConsumer onClosed) {
         if (isPassed) {
             pause();
-        } else if (full) {
-            closeNow(onRejected);
-        } else {
-            // XNIO's accept thread may not have accepted all connections in the kernel's backlog yet.
-            AcceptingThread.afterNextSelect(worker, () -> {
-                if (!worker.isShutdown()) {
-                    loop.later(() -> closeNow(onRejected));
-                }
-            });
+            return;
+        }
+        if (closing || !channel.isOpen()) {
+            return;
         }
+        closing = true;
+        closeCallback = onClosed;
+        // The backlog is served in order: whoever comes behind so many came later than this call.
+        admissionsBeforeClose = BACKLOG + pending.size();
+        closeDeadline = loop.deadlines().at(deadline, this::closeNow);
+        awaitBacklog();
     }
 
-    private void closeNow(Runnable onRejected) {
-        boolean more = !full;
-        while (more) {
+    /** True from the call of {@link #close} until the socket is closed. */
+    public boolean isClosing() {
+        return closing && channel.isOpen();
+    }
+
+    /** Looks at the backlog again once XNIO's accept thread has had the opportunity to empty it. */
+    private void awaitBacklog() {
+        if (awaitingBacklog) {
+            return;
+        }
+        awaitingBacklog = true;
+        AcceptingThread.afterNextSelect(worker, () -> {
+            if (!worker.isShutdown()) {
+                loop.later(this::closeOnceBacklogIsEmpty);
+            }
+        });
+    }
+
+    private void closeOnceBacklogIsEmpty() {
+        awaitingBacklog = false;
+        if (!channel.isOpen()) {
+            return;
+        }
+        boolean wasAccepting = !held && !full;
+        boolean hasArrivals = drainAcceptQueue() > 0;
+        acceptBatch();
+        boolean isBacklogEmpty = wasAccepting && !hasArrivals && pending.isEmpty();
+        if (isBacklogEmpty || admissionsBeforeClose <= 0) {
+            closeNow();
+        } else if (!full) {
+            awaitBacklog();
+        }
+    }
+
+    private void closeNow() {
+        loop.deadlines().cancel(closeDeadline);
+        drainAcceptQueue();
+        while (!full && acceptBatch()) {
             drainAcceptQueue();
-            more = acceptBatch();
         }
         full = false;
-        for (int count = rejectPending(); count > 0; count--) {
-            onRejected.run();
-        }
         IoUtils.safeClose(channel);
+        closeCallback.accept(rejectPending());
     }
 }
--- a/src/test/java/laneflow/http/ClientStoryTest.java
+++ b/src/test/java/laneflow/http/ClientStoryTest.java
@@ -472,7 +472,7 @@
                 for (int i = 0; i < client.length; i++) {
                     client[i] = harness.http().write("GET /health/live HTTP/1.1\r\n\r\n");
                 }
-                harness.serve.front().stopAccepting();
+                harness.serve.front().stopAccepting(harness.serve.loop().currentMicros() + 3_000_000);
             });
             for (Peer each : client) {
                 assertTrue(each.message().endsWith("ok\n"));
