Count connections before they are accepted, so that a crowd fits the descriptors

What callers saw: nothing yet; the platform ends a process that goes over limits.sockets. Found while looking for what else a crowd uses up.

Cause: XNIO accepts on its own thread, up to 128 a select, until the loop's thread holds it up; the limit on connections was asked only on the loop's thread.

Evidence: with sockets 256 and a quarter of a core, 900 connections at once took 311 descriptors; with 1,024 and 1,500 connections 769, 480 of them admitted.

Change: the listener's limit and 8 is XNIO's high water mark, kept up to date in upgrades. FloodStoryTest and the flood measure check descriptors.

--- a/src/main/java/laneflow/lab/measure/FloodMeasure.java
+++ b/src/main/java/laneflow/lab/measure/FloodMeasure.java
@@ -124,12 +124,16 @@
             peakMb = Math.max(peakMb, scenario.peakMemoryMb());
             FloodScenario.Report report = scenario.reportSince(from);
             boolean exercised = sent.stream().allMatch(count -> count > 0) && idsHalfway > 0 && report.answered() > 0;
-            boolean holds = report.holds() && exercised && scenario.isAlive() && peakMb < FloodScenario.MEMORY_MB;
+            boolean holds = report.holds()
+                    && exercised
+                    && scenario.isAlive()
+                    && peakMb < FloodScenario.MEMORY_MB
+                    && scenario.peakDescriptors() < FloodScenario.SOCKETS;
             double aimMs = 2 * calm.p50() + AIM_SLACK_MS;
             out.printf(
                     Locale.ROOT,
                     "%s beside=%d %s + %d %s core=%s class=%s %s event=%s calm_p50_ms=%.0f calm_p99_ms=%.0f %s"
-                            + " us_per_bad_request=%.1f peak_mb=%.0f aim=%s%n",
+                            + " us_per_bad_request=%.1f peak_mb=%.0f descriptors=%d aim=%s%n",
                     holds ? "held" : exercised ? "BROKEN" : "NOT EXERCISED",
                     round.firstCount,
                     round.first,
@@ -144,6 +148,7 @@
                     FloodScenario.line(report),
                     Math.max(0, usedMs) * 2000 / Math.max(1, sent.get(0) + sent.get(1)) / 2,
                     peakMb,
+                    scenario.peakDescriptors(),
                     round.quarter || round.event != Event.NONE ? "none" : report.p99() < aimMs ? "met" : "missed");
             if (!holds) {
                 scenario.describeLostSince(from).forEach(out::println);
--- a/src/main/java/laneflow/lab/measure/FloodScenario.java
+++ b/src/main/java/laneflow/lab/measure/FloodScenario.java
@@ -1,5 +1,6 @@
 package laneflow.lab.measure;
 
+import java.io.File;
 import java.io.IOException;
 import java.io.InputStream;
 import java.net.Socket;
@@ -14,6 +15,7 @@
 import java.util.concurrent.TimeUnit;
 import laneflow.lab.rig.ChildProcesses;
 import laneflow.lab.standin.TimedEndpoints;
+import laneflow.net.Threads;
 
 /**
  * A scheduler's process on one core, or on a part of one, with endpoints, usual clients, and clients that misbehave;
@@ -31,7 +33,10 @@
     /** Clients may come for so long after a SIGTERM. */
     private static final long LATE_CLIENTS_NS = 400_000_000;
 
-    private static final int SOCKETS = 1024;
+    /** The file descriptors that the scheduler is configured with. */
+    static final int SOCKETS = 1024;
+
+    private static final int DESCRIPTOR_SAMPLING_MS = 20;
     /** An attempt may begin this long after its client has closed. */
     private static final long LATE_ATTEMPT_NS = 100_000_000;
 
@@ -69,7 +74,9 @@
     private final int port;
     private final String jobClass;
     private final int memoryMb;
-    private Process scheduler;
+    private final Thread descriptorSampler = Threads.daemon(this::sampleDescriptors, "descriptors");
+    private volatile Process scheduler;
+    private volatile int peakDescriptors;
     private UsualClients usualClients;
     private final List<Absence> absences = new ArrayList<>();
     private int restarts;
@@ -103,6 +110,24 @@
                             .start());
         }
         startScheduler();
+        descriptorSampler.start();
+    }
+
+    private void sampleDescriptors() {
+        try {
+            while (true) {
+                String[] open = new File("/proc/" + pid() + "/fd").list();
+                peakDescriptors = Math.max(peakDescriptors, open == null ? 0 : open.length);
+                Thread.sleep(DESCRIPTOR_SAMPLING_MS);
+            }
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    /** The most file descriptors that the process was seen to hold. */
+    int peakDescriptors() {
+        return peakDescriptors;
     }
 
     private void startScheduler() throws IOException, InterruptedException {
@@ -355,6 +380,7 @@
 
     @Override
     public void close() throws IOException, InterruptedException {
+        descriptorSampler.interrupt();
         stopUsualClients();
         processes.close();
         for (Process burner : burners) {
--- a/src/main/java/laneflow/net/ConnectionLimit.java
+++ b/src/main/java/laneflow/net/ConnectionLimit.java
@@ -9,6 +9,10 @@
         this.max = max;
     }
 
+    int max() {
+        return max;
+    }
+
     void setMax(int newMax) {
         max = newMax;
     }
--- a/src/main/java/laneflow/net/Listener.java
+++ b/src/main/java/laneflow/net/Listener.java
@@ -34,6 +34,11 @@
     private static final long ACCEPT_INTERVAL_MS = 1;
     /** Connections that are accepted and not admitted yet; more are left to the kernel's backlog. */
     private static final int MAX_PENDING_CONNECTIONS = 64;
+    /**
+     * Connections accepted beyond the limit on open ones: they wait for room, and make it by taking the place of idle
+     * ones. These descriptors come out of those that the loop reserves.
+     */
+    private static final int MAX_WAITING_FOR_ROOM = 8;
 
     private final Loop loop;
     private final XnioWorker worker;
@@ -52,6 +57,8 @@
     private long batchTurn;
     /** A further batch of pending connections is due. */
     private boolean continuing;
+    /** Connections taken over from XNIO so far. */
+    private long arrivals;
     /** {@link #close} has been called. */
     private boolean closing;
     /** Connections that are still admitted before the socket closes even if more are in the backlog. */
@@ -95,12 +102,34 @@
                 .set(Options.REUSE_ADDRESSES, true)
                 .set(Options.KEEP_ALIVE, true)
                 .set(Options.BACKLOG, BACKLOG)
+                .set(Options.CONNECTION_HIGH_WATER, maxAccepted())
+                .set(Options.CONNECTION_LOW_WATER, maxAccepted())
                 .getMap();
         channel = isPassed
                 ? PassedServer.wrap(worker, passed, acceptListener, options)
                 : worker.createStreamConnectionServer(address, acceptListener, options);
     }
 
+    /** Connections that XNIO's accept thread may hold open, whatever the loop is doing meanwhile. */
+    private int maxAccepted() {
+        return limit.max() + MAX_WAITING_FOR_ROOM;
+    }
+
+    /** Applies a changed limit to the connections that are accepted from now on. */
+    void updateLimit() {
+        if (!channel.isOpen()) {
+            return;
+        }
+        try {
+            // XNIO requires that the low mark never exceeds the high one.
+            channel.setOption(Options.CONNECTION_LOW_WATER, 0);
+            channel.setOption(Options.CONNECTION_HIGH_WATER, maxAccepted());
+            channel.setOption(Options.CONNECTION_LOW_WATER, maxAccepted());
+        } catch (IOException e) {
+            LOG.warn("the limit on accepted connections can't be changed: {}", e.getMessage());
+        }
+    }
+
     /** Starts or resumes accepting connections. */
     public void begin() {
         loop.later(() -> {
@@ -160,15 +189,13 @@
 
     /**
      * Takes over all connections that XNIO has accepted on its own thread, even if the socket is closed by now: for
-     * connections left in its queue XNIO would call the accept listener again and again, without a pause. Returns how
-     * many there were.
+     * connections left in its queue XNIO would call the accept listener again and again, without a pause.
      */
-    private int drainAcceptQueue() {
-        int count = 0;
+    private void drainAcceptQueue() {
         try {
             for (StreamConnection next = channel.accept(); next != null; next = channel.accept()) {
                 pending.add(new PendingConnection(next, loop.micros()));
-                count++;
+                arrivals++;
             }
             holdAccepts(pending.size() >= MAX_PENDING_CONNECTIONS);
         } catch (ClosedChannelException e) {
@@ -176,7 +203,6 @@
         } catch (IOException e) {
             LOG.warn("accept: {}", e.getMessage());
         }
-        return count;
     }
 
     /** Leaves further connections in the kernel's backlog, or lets XNIO accept them again. */
@@ -284,22 +310,29 @@
             return;
         }
         awaitingBacklog = true;
+        long arrivalsBefore = arrivals;
+        boolean isAccepting = !held && !full;
         AcceptingThread.afterNextSelect(worker, () -> {
             if (!worker.isShutdown()) {
-                loop.later(this::closeOnceBacklogIsEmpty);
+                loop.later(() -> closeOnceBacklogIsEmpty(isAccepting, arrivalsBefore));
             }
         });
     }
 
-    private void closeOnceBacklogIsEmpty() {
+    /**
+     * Closes the socket if the backlog was found empty.
+     *
+     * @param wasAccepting whether XNIO's accept thread was to accept connections
+     * @param arrivalsBefore number of arrivals before it had the opportunity
+     */
+    private void closeOnceBacklogIsEmpty(boolean wasAccepting, long arrivalsBefore) {
         awaitingBacklog = false;
         if (!channel.isOpen()) {
             return;
         }
-        boolean wasAccepting = !held && !full;
-        boolean hasArrivals = drainAcceptQueue() > 0;
+        drainAcceptQueue();
         acceptBatch();
-        boolean isBacklogEmpty = wasAccepting && !hasArrivals && pending.isEmpty();
+        boolean isBacklogEmpty = wasAccepting && arrivals == arrivalsBefore && pending.isEmpty();
         if (isBacklogEmpty || admissionsBeforeClose <= 0) {
             closeNow();
         } else if (!full) {
--- a/src/main/java/laneflow/net/Loop.java
+++ b/src/main/java/laneflow/net/Loop.java
@@ -328,6 +328,7 @@
         int share = (int) (fraction * maxPerDirection);
         acceptedLimit.setMax(share);
         outboundLimit.setMax(share);
+        listeners.forEach(Listener::updateLimit);
         resumeFullListeners();
     }
 
--- a/src/test/java/laneflow/lab/measure/FloodStoryTest.java
+++ b/src/test/java/laneflow/lab/measure/FloodStoryTest.java
@@ -38,6 +38,7 @@
             scenario.stopUsualClients();
             assertTrue(scenario.isAlive(), scenario.log());
             assertTrue(scenario.peakMemoryMb() < FloodScenario.MEMORY_MB, "held " + scenario.peakMemoryMb() + " MB");
+            assertTrue(scenario.peakDescriptors() < FloodScenario.SOCKETS, scenario.peakDescriptors() + " descriptors");
             return scenario.reportSince(from);
         }
     }
