Answer what came behind the 16th rejected message before the connection closes

What callers saw: nothing reported. A sound request that a client had sent behind 16 rejected ones was closed unanswered, although it had been taken.

Cause: the connection was closed with the 16th rejection, whatever had been read.

Evidence: ClientStoryTest#aSoundRequestBehindRejectedOnesIsAnswered and #aConnectionThatOnlySendsRejectedMessagesIsClosed failed before (16 answers of 40).

Change: the close waits, as at a planned end, until all that had arrived by then is answered; a request that is not rejected keeps the connection open.

--- a/src/main/java/laneflow/http/ClientConnection.java
+++ b/src/main/java/laneflow/http/ClientConnection.java
@@ -25,7 +25,7 @@
     private static final long IDLE_TIMEOUT_US = 120_000_000;
     /** How long a time-out waits for input that is handled in a later turn. */
     private static final long DEFERRED_RETRY_US = 20_000;
-    /** Responses in a row that reject a message; the connection closes with the last one. */
+    /** Responses in a row that reject a message; the connection closes once what it has sent by then is answered. */
     private static final int MAX_REJECTED = 16;
     /** A response this long after the request's deadline counts as lost, an earlier one as late. */
     private static final long LOST_AFTER_US = 500_000;
@@ -57,8 +57,8 @@
     /** When the last byte of the current message arrived. */
     private long arrivedAt;
     /**
-     * While responses close their connections: offset of the end of the input that had arrived when that was
-     * first seen. Messages that begin before it are still answered. Otherwise negative.
+     * While the connection is to close: offset of the end of the input that had arrived when that was first seen.
+     * Messages that begin before it are still answered. Otherwise negative.
      */
     private long drainOffset = -1;
     /** A response has been sent on this connection. */
@@ -446,14 +446,15 @@
             }
             request = null;
         }
-        if (!front.closesAfterResponse()) {
-            drainOffset = -1;
-        }
         rejected = status >= 400 && status < 500 ? rejected + 1 : 0;
         if (rejected == MAX_REJECTED) {
             front.count("http.rejected_too_often");
         }
-        boolean closes = !keepsAlive || rejected >= MAX_REJECTED || front.closesAfterResponse() && isDrained();
+        boolean isClosing = rejected >= MAX_REJECTED || front.closesAfterResponse();
+        if (!isClosing) {
+            drainOffset = -1;
+        }
+        boolean closes = !keepsAlive || isClosing && isDrained();
         String responseHead = "HTTP/1.1 " + status + " " + reason + "\r\n" + headers
                 + "Content-Length: " + content.length + "\r\n"
                 + (closes ? "Connection: close\r\n\r\n" : "\r\n");
@@ -483,7 +484,7 @@
         }
     }
 
-    /** True if all input that had arrived when responses began to close their connections is answered. */
+    /** True if all input that had arrived when the connection was first to close is answered. */
     private boolean isDrained() {
         if (drainOffset < 0) {
             link.peerState();
--- a/src/test/java/laneflow/http/ClientStoryTest.java
+++ b/src/test/java/laneflow/http/ClientStoryTest.java
@@ -575,6 +575,40 @@
         }
     }
 
+    /** Guards against a sound request that is closed unanswered since those before it on its connection were rejected. */
+    @Test
+    void aSoundRequestBehindRejectedOnesIsAnswered() throws Exception {
+        Endpoint endpoint = new Endpoint("e1");
+        try (SchedulerHarness harness = new SchedulerHarness(null, endpoint);
+                Peer client = harness.http()) {
+            client.write("POST /basket-check HTTP/1.1\r\nContent-Length: 0\r\n\r\n".repeat(40) + jobRequest("0", ""));
+            for (int i = 0; i < 40; i++) {
+                assertTrue(client.message().startsWith("HTTP/1.1 400 "), "answer " + i);
+            }
+            Peer call = endpoint.accept();
+            call.message();
+            call.respond(doneStatus("0"));
+            assertTrue(client.message().endsWith("r0"));
+        }
+    }
+
+    /** Guards against a connection that stays open however many messages in a row are rejected. */
+    @Test
+    void aConnectionThatOnlySendsRejectedMessagesIsClosed() throws Exception {
+        try (SchedulerHarness harness = new SchedulerHarness(null);
+                Peer client = harness.http()) {
+            client.write("POST /basket-check HTTP/1.1\r\nContent-Length: 0\r\n\r\n".repeat(40));
+            String answer = client.message();
+            int answers = 1;
+            for (; !answer.contains("Connection: close"); answer = client.message()) {
+                answers++;
+            }
+            assertEquals(40, answers);
+            assertEquals(-1, client.socket.getInputStream().read());
+            assertEquals(1, harness.counter("http.rejected_too_often"));
+        }
+    }
+
     /** Buffered requests are answered; the first incomplete one is rejected and the connection closed. */
     @Test
     void excessivePipeliningIsAnsweredAsFarAsBufferedThenRejected() throws Exception {
