Never serve discovery and endpoints behind floods of clients

Found on re-reading.

Cause: Link.markExcessive did not ask who had opened the connection.

Evidence: DeferredInputTest#onlyAcceptedConnectionsAreServedBehindAllOthers failed before (the outgoing connection was marked).

Change: only accepted connections are marked; outgoing ones keep their bound of time and steps a turn.

--- a/src/main/java/laneflow/net/Link.java
+++ b/src/main/java/laneflow/net/Link.java
@@ -228,13 +228,18 @@
         return messagesWaiting && !closed;
     }
 
-    /** True if the peer sends faster than one connection is served, so that it is served behind all others. */
+    /**
+     * True if the peer sends faster than one connection is served, so that it is served behind all others. Never true
+     * of outgoing connections: floods of clients must not delay what discovery and endpoints say.
+     */
     public boolean isExcessive() {
         return loop.micros() < excessiveUntil;
     }
 
     private void markExcessive() {
-        excessiveUntil = loop.micros() + EXCESSIVE_US;
+        if (listener != null) {
+            excessiveUntil = loop.micros() + EXCESSIVE_US;
+        }
     }
 
     private void deferInput() {
