Counters for why clients' connections are closed, and for clients that left waiting

What on-call saw: a connection that was closed behind an answer in a crowd, or as clients were sent away, and a client that left amid its request, could not be told apart from the counters.

No other behaviour changes.

--- a/src/main/java/laneflow/http/ClientConnection.java
+++ b/src/main/java/laneflow/http/ClientConnection.java
@@ -209,6 +209,7 @@
             link.readNow();
         }
         if (!link.isClosed() && !link.isOutputEnded() && !isBusy() && !link.isInputWaiting()) {
+            front.count("http.closed_for_drain");
             closeGracefully();
         }
     }
@@ -465,6 +466,7 @@
             return;
         }
         if (closes) {
+            countClose();
             // Busy until the response is written, so that the process does not exit before.
             responsePending = true;
             startTimer(WRITE_TIMEOUT_US);
@@ -484,6 +486,13 @@
         }
     }
 
+    /** Counts why a response closes a connection that its client would keep, unless its messages are rejected. */
+    private void countClose() {
+        if (keepsAlive && rejected < MAX_REJECTED) {
+            front.count(front.isFull() ? "http.closed_when_full" : "http.closed_for_drain");
+        }
+    }
+
     /** True if all input that had arrived when the connection was first to close is answered. */
     private boolean isDrained() {
         if (drainOffset < 0) {
@@ -511,6 +520,7 @@
     public void disconnected(Link brokenLink) {
         unregister();
         if (request != null) {
+            front.count("http.left_waiting");
             Request withdrawn = request;
             request = null;
             front.withdraw(withdrawn);
--- a/src/main/java/laneflow/http/HttpFront.java
+++ b/src/main/java/laneflow/http/HttpFront.java
@@ -201,9 +201,14 @@
         scheduler.counters().add(name);
     }
 
+    /** True while clients wait for room. */
+    boolean isFull() {
+        return listener.isFull();
+    }
+
     /** True if connections are to be closed after their responses. */
     boolean closesAfterResponse() {
-        return closingAfterResponses || listener.isFull();
+        return closingAfterResponses || isFull();
     }
 
     /** Enables durable jobs, for clients that ask for them. */
