--- a/src/main/java/laneflow/lab/measure/FloodMeasure.java
+++ b/src/main/java/laneflow/lab/measure/FloodMeasure.java
@@ -152,6 +152,7 @@
                     round.quarter || round.event != Event.NONE ? "none" : report.p99() < aimMs ? "met" : "missed");
             if (!holds) {
                 scenario.describeLostSince(from).forEach(out::println);
+                scenario.describeLateSince(from).forEach(out::println);
                 out.println(scenario.log());
             }
             return holds;
--- a/src/main/java/laneflow/lab/measure/FloodScenario.java
+++ b/src/main/java/laneflow/lab/measure/FloodScenario.java
@@ -77,6 +77,9 @@
     private final Thread descriptorSampler = Threads.daemon(this::sampleDescriptors, "descriptors");
     private volatile Process scheduler;
     private volatile int peakDescriptors;
+    /** The longest time that this process, which plays the endpoints, was seen to stand still; nanoseconds. */
+    private volatile long longestPauseNs;
+
     private UsualClients usualClients;
     private final List<Absence> absences = new ArrayList<>();
     private int restarts;
@@ -115,10 +118,14 @@
 
     private void sampleDescriptors() {
         try {
+            long wokenAt = System.nanoTime();
             while (true) {
                 String[] open = new File("/proc/" + pid() + "/fd").list();
                 peakDescriptors = Math.max(peakDescriptors, open == null ? 0 : open.length);
                 Thread.sleep(DESCRIPTOR_SAMPLING_MS);
+                longestPauseNs =
+                        Math.max(longestPauseNs, System.nanoTime() - wokenAt - DESCRIPTOR_SAMPLING_MS * 1_000_000L);
+                wokenAt = System.nanoTime();
             }
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
@@ -283,12 +290,11 @@
         double worst = 0;
         for (Map.Entry<String, List<TimedEndpoints.Run>> request :
                 endpoints.runs().entrySet()) {
-            // The first run of an id that comes again has its client; its repeat waits for an answer.
-            Long closedNanos = request.getKey().startsWith("repeats") ? null : closedAtOf(request.getKey());
+            Long closedNanos = closedAtOf(request.getKey());
             int ran = 0;
             for (TimedEndpoints.Run run : request.getValue()) {
                 ran += run.ran() && (isNeverRepeated() || !run.broken()) ? 1 : 0;
-                if (closedNanos != null && run.beganAt() > nanos && run.beganAt() - closedNanos > LATE_ATTEMPT_NS) {
+                if (isLate(run, closedNanos, nanos)) {
                     late++;
                     worst = Math.max(worst, (run.beganAt() - closedNanos) / 1e6);
                 }
@@ -324,7 +330,35 @@
         return !id.endsWith("further");
     }
 
+    private static boolean isLate(TimedEndpoints.Run run, Long closedNanos, long since) {
+        return closedNanos != null && run.beganAt() > since && run.beganAt() - closedNanos > LATE_ATTEMPT_NS;
+    }
+
+    /** A line for each attempt that began too late after its client had closed, and one for this process. */
+    List<String> describeLateSince(long nanos) {
+        List<String> lines = new ArrayList<>();
+        endpoints.runs().forEach((id, runs) -> {
+            Long closedNanos = closedAtOf(id);
+            for (TimedEndpoints.Run run : runs) {
+                if (isLate(run, closedNanos, nanos)) {
+                    lines.add(String.format(
+                            Locale.ROOT,
+                            "late: %s closed at %.3f s, attempt began at %.3f s",
+                            id,
+                            (closedNanos - nanos) / 1e9,
+                            (run.beganAt() - nanos) / 1e9));
+                }
+            }
+        });
+        lines.add(String.format(Locale.ROOT, "longest pause of the endpoints: %.0f ms", longestPauseNs / 1e6));
+        return lines;
+    }
+
+    /** When the client of an id closed; null if it did not, or if the id comes again and its repeat has a client. */
     private Long closedAtOf(String id) {
+        if (id.startsWith("repeats")) {
+            return null;
+        }
         int end = id.indexOf('_', id.indexOf('.'));
         return end < 0 ? null : closedAt.get(id.substring(0, end + 1));
     }
