Tell a listener of the limit that was set before it began

The newer process of an upgrade sets its share of the connections before it listens, and its listener kept the mark of the whole, so a crowd could take more descriptors than its share.

Cause: only listeners that had begun were told of a changed limit.

Evidence: ListenerTest#aLimitThatWasSetBeforeAListenerBeganHoldsForIt saw 300 descriptors for 31 before the change.

Change: a listener takes the limit when it begins.

--- a/src/main/java/laneflow/net/Listener.java
+++ b/src/main/java/laneflow/net/Listener.java
@@ -134,6 +134,8 @@
     public void begin() {
         loop.later(() -> {
             loop.addListener(this);
+            // The limit may have changed before: only listeners that have begun are told of changes.
+            updateLimit();
             paused = false;
             if (!full && !held) {
                 channel.resumeAccepts();
