Tests of upgrades: a port that no other test's connection can take

Cause, from the log: the newer process ended with 'Address already in use' when it opened its operators' port; the older one saw it go 0.4 s behind its start. The test's platform had chosen that port among the ephemeral ones and released it, so a connection of a test beside could take it.

Change: it takes a reserved port below the ephemeral range, as the other stories do. No check changes; tests only.

--- a/src/test/java/laneflow/ops/Platform.java
+++ b/src/test/java/laneflow/ops/Platform.java
@@ -3,7 +3,6 @@
 import java.io.BufferedReader;
 import java.io.IOException;
 import java.io.InputStreamReader;
-import java.net.ServerSocket;
 import java.net.URISyntaxException;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Path;
@@ -11,6 +10,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
+import laneflow.lab.rig.ChildProcesses;
 import laneflow.net.SchedulerHarness;
 import laneflow.net.SchedulerHarness.Peer;
 
@@ -67,10 +67,8 @@
 
     /** Starts a scheduler without waiting until it can serve. */
     public SchedulerProcess launch() throws IOException {
-        int opsPort;
-        try (ServerSocket free = new ServerSocket(0)) {
-            opsPort = free.getLocalPort();
-        }
+        // Not an ephemeral port: another test's connection could take it before the process listens.
+        int opsPort = ChildProcesses.freePort();
         process.getOutputStream().write(("start 127.0.0.1:" + opsPort + "\n").getBytes(StandardCharsets.US_ASCII));
         process.getOutputStream().flush();
         long pid = Long.parseLong(output.readLine().substring(4));
