--- a/review/lib-2/Till.java
+++ b/review/lib-2/Till.java
@@ -33,6 +33,8 @@
     final AtomicInteger running = new AtomicInteger();
     /** How long a job runs. */
     volatile long runMs;
+    /** What each result has at its end. */
+    volatile String padding = "";
     /** Whether runs are not written down. */
     volatile boolean quiet;
 
@@ -122,7 +124,7 @@
                 chunk(
                         out,
                         "{\"id\":\"" + id + "\",\"from\":\"" + name + "\",\"state\":\"done\",\"result\":\"done " + run.body
-                                + "\"}\n");
+                                + padding + "\"}\n");
                 out.write(Host.bytes("0\r\n\r\n"));
                 out.flush();
             }
