--- a/review/lib-2/AdoptionOfEndedJobs.java
+++ b/review/lib-2/AdoptionOfEndedJobs.java
@@ -132,6 +132,12 @@
                 // The next scheduler adopts both stores.
                 Thread.sleep(10_000);
                 for (int i = 1; i < SCHEDULERS; i++) {
+                    if (processes[i].isAlive()) {
+                        Map<String, String> headers = new LinkedHashMap<>();
+                        headers.put("Req-Id", "behind-" + i);
+                        host.say("client at n" + (i + 1) + ": POST /basket-check, heard "
+                                + Http.call(client[i], "POST", "/basket-check", headers, Host.bytes("x"), 7000).first);
+                    }
                     host.say("n" + (i + 1) + (processes[i].isAlive() ? " runs" : " has ended, exit code " + processes[i].exitValue()));
                 }
             }
