Durable jobs that wait at a worker have no lease, so they no longer end as unknown

Cause: the lease was written, and its time began, when the attempt was put into the worker's queue. Scheduler.leaseExpired ended it as TIMEOUT without asking the connector whether it had gone out, and the record on disk said OUT, so a kill or a takeover read it so too.

Evidence: GET /jobs/ID of such a job has one attempt leased 2 ms after its acceptance, may_have_run; the worker's ledger has no such job.

Change: the rule is that a lease measures work, not waiting. Connectors whose attempts wait (Connector.queuesAttempts) ask for the lease when an attempt is about to be sent (Scheduler.lease, Worker.answerGrabs); it begins when the call goes out (DurableJobs.sending). What was never sent ends as moot whatever ended its wait, and key windows count from the call that went out (Attempt.sentAt). A waiting job can be cancelled, goes to a worker that becomes idle or joins, and is placed anew after lease_ms. What waits at a worker that is set down, or for a function that it has not announced again, is returned. Blocked attempts no longer wake a worker in a loop.

--- a/src/main/java/laneflow/core/Attempt.java
+++ b/src/main/java/laneflow/core/Attempt.java
@@ -7,8 +7,11 @@
     public final Request request;
     public final Endpoint endpoint;
     final int number;
-    final long sentAt;
-    /** Where its endpoint was when it was sent. */
+    /** When it was handed to its endpoint's connector, where it may wait; microseconds of the clock. */
+    public final long handedOverAt;
+    /** The latest instant at which its connector was allowed to send it; until then that of {@link #handedOverAt}. */
+    long sentAt;
+    /** Where its endpoint was when it was handed over. */
     private final int zone;
 
     private final int cell;
@@ -18,11 +21,12 @@
     /** The connector's own state for this attempt. */
     public Object attachment;
 
-    Attempt(Request request, Endpoint endpoint, int number, long sentAt) {
+    Attempt(Request request, Endpoint endpoint, int number, long handedOverAt) {
         this.request = request;
         this.endpoint = endpoint;
         this.number = number;
-        this.sentAt = sentAt;
+        this.handedOverAt = handedOverAt;
+        sentAt = handedOverAt;
         zone = endpoint.zone;
         cell = endpoint.cell;
     }
--- a/src/main/java/laneflow/core/Connector.java
+++ b/src/main/java/laneflow/core/Connector.java
@@ -5,6 +5,14 @@
     /** Sends the attempt's request; {@link Scheduler#maySend} is asked before its first byte. */
     void open(Attempt attempt);
 
+    /**
+     * Whether attempts may wait here until their endpoint asks for them. Such a connector asks for an attempt's lease
+     * by {@link Scheduler#lease} when it is about to send it; for others the lease is recorded before {@link #open}.
+     */
+    default boolean queuesAttempts() {
+        return false;
+    }
+
     /**
      * Closes an attempt that nobody waits for any more; its end is not reported.
      *
--- a/src/main/java/laneflow/core/Front.java
+++ b/src/main/java/laneflow/core/Front.java
@@ -1,5 +1,6 @@
 package laneflow.core;
 
+import java.util.function.Consumer;
 import laneflow.decision.Dispatch.Outcome;
 
 /**
@@ -32,15 +33,24 @@
     default void started(long tag) {}
 
     /**
-     * Whether attempts need a lease: if so, each one is passed to {@link #recordLease} first and sent by
-     * {@link Scheduler#sendLeased}.
+     * Whether attempts need a lease: if so, each one is passed to {@link #recordLease} before its first byte is sent.
      */
     default boolean usesLeases() {
         return false;
     }
 
-    /** Records the lease of an attempt, which is sent by {@link Scheduler#sendLeased} or ends unsent. */
-    default void recordLease(Attempt attempt) {}
+    /**
+     * Records the lease of an attempt that is about to be sent.
+     *
+     * @param answer gets true once the lease is recorded; false if there is none, and the attempt has ended
+     */
+    default void recordLease(Attempt attempt, Consumer<Boolean> answer) {}
+
+    /** With leases: the attempt may be sent from now on, so its lease begins. */
+    default void sending(Attempt attempt) {}
+
+    /** With leases: an attempt of the request waits unsent at an endpoint that is busy, and another one has room. */
+    default void reconsider(long tag) {}
 
     /** With leases: an attempt has ended; the request itself may continue. */
     default void attemptEnded(Attempt attempt, Outcome outcome) {}
--- a/src/main/java/laneflow/core/Scheduler.java
+++ b/src/main/java/laneflow/core/Scheduler.java
@@ -1,10 +1,12 @@
 package laneflow.core;
 
 import java.util.ArrayDeque;
+import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Locale;
 import java.util.Set;
+import java.util.function.Consumer;
 import laneflow.decision.Dispatch;
 import laneflow.decision.Dispatch.Effect;
 import laneflow.decision.Dispatch.Group;
@@ -50,6 +52,9 @@
      */
     private static final long CLIENT_SEEN_MICROS = 20_000;
 
+    /** Why an attempt is not sent whose client can't be looked at now, as a counter's suffix. */
+    private static final String CLIENT_UNSEEN = "unseen";
+
     /** Memory that the core, the module and a front need for an open request beside its body, roughly. */
     private static final long REQUEST_OVERHEAD_BYTES = 1024;
 
@@ -127,6 +132,7 @@
     public void setDown(String name) {
         endpoints.setDown(name, true);
         dispatch(() -> module.setDown(now(), Endpoint.stableId(name)));
+        returnQueued();
     }
 
     /** Sets the share of the scheduler's work that this process does; the rest is still with its predecessor. */
@@ -151,6 +157,7 @@
                 dispatch(() -> module.setDown(now(), Endpoint.stableId(name)));
             }
         }
+        returnQueued();
         for (String name : before) {
             Endpoint returning = names.contains(name) ? null : endpoints.get(name);
             if (returning != null) {
@@ -163,6 +170,17 @@
         }
     }
 
+    /** Ends the attempts that wait in queues of endpoints that are down now: they never ran, and go elsewhere. */
+    private void returnQueued() {
+        List<Attempt> blocked = new ArrayList<>();
+        attempts.forEach(attempt -> {
+            if (attempt.endpoint.connector.queuesAttempts() && isDown(attempt.endpoint)) {
+                blocked.add(attempt);
+            }
+        });
+        blocked.forEach(this::endIfUnsent);
+    }
+
     /** The banned endpoints; may be called on any thread. */
     public Set<String> banned() {
         return banned;
@@ -419,8 +437,13 @@
      * it. This cancels no work, so it does not depend on whether the settings allow cancelling.
      */
     private void closeUnsent(Request request) {
-        Attempt attempt = request.openAttempt;
-        if (attempt != null && attempt.endpoint.connector.closeUnsent(attempt)) {
+        if (request.openAttempt != null) {
+            endIfUnsent(request.openAttempt);
+        }
+    }
+
+    private void endIfUnsent(Attempt attempt) {
+        if (attempt.endpoint.connector.closeUnsent(attempt)) {
             endIfOpen(attempt, Outcome.MOOT);
         }
     }
@@ -478,8 +501,19 @@
         String reason = blockReasonNow(attempt);
         if (reason != null) {
             counters.add("core.kept." + reason);
+            return false;
+        }
+        attempt.sentAt = clock.currentMicros();
+        if (attempt.request.front.usesLeases()) {
+            attempt.request.front.sending(attempt);
         }
-        return reason == null;
+        return true;
+    }
+
+    /** Whether an attempt that may not be sent now may be later; else it never ran here and must go elsewhere. */
+    public boolean maySendLater(Attempt attempt) {
+        String reason = blockReasonNow(attempt);
+        return reason == null || reason.equals(CLIENT_UNSEEN);
     }
 
     /** Why an attempt may not be sent any more, as a counter's suffix; null if it may. */
@@ -488,9 +522,9 @@
             // The client has left or has been answered.
             return "answered";
         }
-        ClientState client = clientState(attempt.request, attempt.sentAt == clock.micros());
+        ClientState client = clientState(attempt.request, attempt.handedOverAt == clock.micros());
         if (client != ClientState.PRESENT) {
-            return client == ClientState.LEFT ? "left" : "unseen";
+            return client == ClientState.LEFT ? "left" : CLIENT_UNSEEN;
         }
         if (!maySend(attempt.endpoint)) {
             return "drain";
@@ -518,27 +552,42 @@
         return state;
     }
 
-    /** Sends an attempt whose lease is recorded; false if it has ended in the meantime. */
-    public boolean sendLeased(Attempt attempt) {
-        boolean open = attempts.get(attempt.handle) == attempt;
-        if (open) {
-            attempt.endpoint.connector.open(attempt);
+    /**
+     * Asks for the lease of an attempt that is about to be sent.
+     *
+     * @param answer gets true if the attempt may be sent, at once if its front uses no leases; false if it has ended
+     */
+    public void lease(Attempt attempt, Consumer<Boolean> answer) {
+        if (!attempt.request.front.usesLeases()) {
+            answer.accept(true);
+            return;
+        }
+        attempt.request.front.recordLease(
+                attempt, granted -> answer.accept(granted && attempts.get(attempt.handle) == attempt));
+    }
+
+    /** Tells that an endpoint has room for an attempt that waits unsent at another one. */
+    public void reconsider(Attempt attempt) {
+        if (attempts.get(attempt.handle) == attempt && !attempt.request.answered) {
+            attempt.request.front.reconsider(attempt.request.tag);
         }
-        return open;
     }
 
     /**
-     * Ends an attempt whose lease has expired. For a class that must not run twice the connection stays open:
-     * only a late result from the endpoint can still settle the job.
+     * Ends an attempt whose lease has expired: as moot if it was never sent. For a class that must not run twice the
+     * connection stays open once it was sent: only a late result from the endpoint can still settle the job.
      */
     public void leaseExpired(Attempt attempt) {
-        if (attempts.get(attempt.handle) == attempt) {
-            counters.add("lease.expired");
-            if (attempt.request.type.effect != Effect.UNSAFE) {
-                attempt.endpoint.connector.close(attempt);
-            }
-            endIfOpen(attempt, Outcome.TIMEOUT);
+        if (attempts.get(attempt.handle) != attempt) {
+            return;
         }
+        counters.add("lease.expired");
+        if (attempt.request.type.effect != Effect.UNSAFE) {
+            close(attempt, Outcome.TIMEOUT);
+            return;
+        }
+        endIfUnsent(attempt);
+        endIfOpen(attempt, Outcome.TIMEOUT);
     }
 
     /** The endpoint is still working on the attempt. */
@@ -773,11 +822,15 @@
             if (attemptListener != null) {
                 attemptListener.sent(endpoint);
             }
-            if (request.front.usesLeases()) {
-                request.front.recordLease(attempt);
-            } else {
+            if (endpoint.connector.queuesAttempts()) {
                 endpoint.connector.open(attempt);
+                return;
             }
+            lease(attempt, mayOpen -> {
+                if (mayOpen) {
+                    endpoint.connector.open(attempt);
+                }
+            });
         }
 
         /** Ends a request whose client has left, or may have: the latter gets its answer. */
--- a/src/main/java/laneflow/durable/DurableJob.java
+++ b/src/main/java/laneflow/durable/DurableJob.java
@@ -26,7 +26,7 @@
     List<Consumer<SubmissionResult>> waiters;
     /** The final state that is being written to disk, or null. */
     State pendingEnd;
-    /** No attempt begins before this time; loop time in microseconds, as leasedAt, sentAt and leaseRecordedAt. */
+    /** No attempt begins before this time; loop time in microseconds, as the times of the lease below. */
     long notBefore;
     /** No attempt may begin from this time on: the end of the key's deduplication window; Unix time in ms. */
     long untilMs = Long.MAX_VALUE;
@@ -38,12 +38,18 @@
     boolean inRetention;
 
     Request request;
+    /** The attempt that has a lease, or whose lease is being written; null while none is to be sent. */
     Attempt call;
-    Deadline lease;
+    /** Limits the lease of the call, or the wait for one. */
+    Deadline timer;
+
+    long leaseAskedAt;
+    long leaseWriteMicros;
     long leasedAt;
-    long sentAt;
     long leaseRecordedAt;
+    /** Whether the call's lease is on disk, so that it may be sent. */
     boolean sent;
+
     boolean heartbeatSeen;
     long progressDone;
     long progressTotal;
@@ -70,6 +76,11 @@
         return request != null;
     }
 
+    /** Whether it has been handed to the core, and no call of it has been sent or is about to be. */
+    boolean isWaiting() {
+        return request != null && call == null;
+    }
+
     /** The attempt with this lease number, or null. */
     AttemptRecord attempt(int number) {
         return number >= 1 && number <= attempts.size() ? attempts.get(number - 1) : null;
--- a/src/main/java/laneflow/durable/DurableJobs.java
+++ b/src/main/java/laneflow/durable/DurableJobs.java
@@ -36,8 +36,10 @@
  * running job is a request of the core, dispatched by the same module under the same rules. In addition, a job
  * is acknowledged only after it is on disk, and a call is sent only after its lease is on disk.
  *
- * <p>A lease consists of an attempt's number, endpoint and time. It ends with the outcome of the call, or
- * expires; an outcome that arrives later is matched by the lease's number. {@link Settlement} then decides what
+ * <p>A lease consists of an attempt's number, endpoint and time. It measures work: it is recorded when the call is
+ * about to be sent, however long the call has waited for its endpoint, and a call without one has not run. It ends with
+ * the outcome of the call, or expires; an outcome that arrives later is matched by the lease's number.
+ * {@link Settlement} then decides what
  * happens to the job from the stored record alone, so this process and the next one decide the same.
  *
  * <p>Runs on the loop's thread; {@link Journal} does the disk I/O. Times are in microseconds of the loop's clock,
@@ -444,9 +446,9 @@
         JobRow row = job.row;
         Payload payload = new Payload("POST", row.target(), row.requestId(), row.repeatKey(), row.body());
         long now = clock.micros();
-        // The request's deadline is after the longest possible lease, so that the lease always expires first.
-        Request request = new Request(
-                this, job.id(), payload, job.jobClass, now + job.classConfig.maxLeaseMs * 1000 + DEADLINE_MARGIN);
+        // Time for the longest wait, which is shorter than the longest lease, and for a whole lease behind it.
+        long deadline = now + 2 * job.classConfig.maxLeaseMs * 1000 + DEADLINE_MARGIN;
+        Request request = new Request(this, job.id(), payload, job.jobClass, deadline);
         request.hint = row.hint();
         request.slots = row.slots();
         request.memory = row.memory();
@@ -463,9 +465,53 @@
         }
         job.request = request;
         job.call = null;
+        job.sent = false;
+        limitWait(job);
         scheduler.submit(request);
     }
 
+    /** Queues the job again, to be placed anew, if none of its calls is sent for as long as a lease. */
+    private void limitWait(DurableJob job) {
+        setTimer(job, clock.micros() + job.classConfig.leaseMs * 1000);
+    }
+
+    private void setTimer(DurableJob job, long at) {
+        if (job.timer == null) {
+            job.timer = deadlines.create(() -> timeUp(job));
+        }
+        deadlines.set(job.timer, at);
+    }
+
+    private void timeUp(DurableJob job) {
+        if (job.call != null) {
+            scheduler.leaseExpired(job.call);
+        } else if (job.isWaiting() && !detached) {
+            requeue(job);
+        }
+    }
+
+    /** Takes a job back that has a request but no call with a lease: nothing of it is under way. */
+    private void takeBack(DurableJob job) {
+        Request request = job.request;
+        finishRequest(job.id());
+        scheduler.withdraw(request);
+    }
+
+    private void requeue(DurableJob job) {
+        counters.add("durable.requeued_unsent");
+        takeBack(job);
+        settle(job, false);
+        startReady();
+    }
+
+    @Override
+    public void reconsider(long tag) {
+        DurableJob job = table.get(tag);
+        if (job != null && job.isWaiting() && !detached && !draining) {
+            requeue(job);
+        }
+    }
+
     /** Tells the core where an attempt may have run: a keyed job may run again only where its key is known. */
     private void addEarlierRun(Request request, AttemptRecord attempt, long sentAt) {
         Endpoint endpoint = scheduler.endpoints().get(attempt.endpoint());
@@ -489,15 +535,24 @@
 
     /** Writes the lease to disk; the call's first byte is sent only after that. */
     @Override
-    public void recordLease(Attempt call) {
+    public void recordLease(Attempt call, Consumer<Boolean> answer) {
         DurableJob job = table.get(call.request.tag);
         if (job == null
                 || job.request != call.request
                 || draining
                 || job.attempts.stream().filter(AttemptRecord::mayHaveRun).count() >= MAX_ATTEMPTS) {
             scheduler.ended(call, Outcome.MOOT, null, null);
+            answer.accept(false);
             return;
         }
+        if (clock.micros() + job.classConfig.maxLeaseMs * 1000 + DEADLINE_MARGIN > call.request.deadline) {
+            // The request's deadline would cut the lease short: a new request has time for a whole one.
+            requeue(job);
+            scheduler.ended(call, Outcome.MOOT, null, null);
+            answer.accept(false);
+            return;
+        }
+        job.leaseAskedAt = clock.micros();
         long nowMs = Math.max(wallClock.getAsLong(), latestMs);
         AttemptRecord attempt = new AttemptRecord(
                 job.attempts.size() + 1,
@@ -514,37 +569,52 @@
         job.state = State.RUNNING;
         job.changedMs = nowMs;
         Op op = Op.update(job.id(), State.RUNNING, job.attempts, nowMs);
-        if (!journal.write(op, failure -> onLeaseWritten(job, call, failure))) {
-            abortUnleased(job, call);
+        if (job.timer != null) {
+            deadlines.cancel(job.timer);
+        }
+        if (!journal.write(op, failure -> onLeaseWritten(job, call, failure, answer))) {
+            abortUnleased(job, call, answer);
         }
     }
 
-    private void onLeaseWritten(DurableJob job, Attempt call, StoreException failure) {
+    private void onLeaseWritten(DurableJob job, Attempt call, StoreException failure, Consumer<Boolean> answer) {
         if (failure != null) {
             onStoreFailure(failure);
-            abortUnleased(job, call);
+            abortUnleased(job, call, answer);
             return;
         }
         recordTimestamp(job.attempt(call.lease).leasedMs());
         if (job.call != call || detached) {
+            answer.accept(false);
             return;
         }
         long now = clock.micros();
         job.sent = true;
-        job.leasedAt = now;
-        job.sentAt = now;
+        job.leaseWriteMicros = now - job.leaseAskedAt;
         job.leaseRecordedAt = now;
-        if (job.lease == null) {
-            job.lease = deadlines.create(() -> scheduler.leaseExpired(job.call));
-        }
-        deadlines.set(job.lease, now + job.classConfig.leaseMs * 1000);
+        beginLease(job, now);
         counters.add("lease.given");
-        scheduler.sendLeased(call);
+        answer.accept(true);
     }
 
-    private void abortUnleased(DurableJob job, Attempt call) {
+    private void beginLease(DurableJob job, long now) {
+        job.leasedAt = now;
+        setTimer(job, now + job.classConfig.leaseMs * 1000);
+    }
+
+    /** The call goes out now: what it took to connect is not part of its lease. */
+    @Override
+    public void sending(Attempt call) {
+        DurableJob job = table.get(call.request.tag);
+        if (job != null && job.call == call && job.sent && !job.heartbeatSeen) {
+            beginLease(job, clock.micros());
+        }
+    }
+
+    private void abortUnleased(DurableJob job, Attempt call, Consumer<Boolean> answer) {
         job.setKnown(call.lease, Known.NEVER_RAN);
         scheduler.ended(call, Outcome.MOOT, null, null);
+        answer.accept(false);
     }
 
     // ---- running ----
@@ -558,11 +628,12 @@
         long now = clock.micros();
         if (!job.heartbeatSeen) {
             job.heartbeatSeen = true;
-            classQueues[job.jobClass].limiter.onStarted(now, now - job.sentAt);
+            // Waits at the endpoint count, the disk's write does not.
+            classQueues[job.jobClass].limiter.onStarted(now, now - call.handedOverAt - job.leaseWriteMicros);
         }
         DurableConfig.ClassConfig classConfig = config.classes[job.jobClass];
         long until = Math.min(now + classConfig.leaseMs * 1000, job.leasedAt + classConfig.maxLeaseMs * 1000);
-        deadlines.set(job.lease, until);
+        setTimer(job, until);
         // The recorded end may lag by a third of a lease: the record then only shows a shorter lease.
         if (now - job.leaseRecordedAt > classConfig.leaseMs * 1000 / 3) {
             job.leaseRecordedAt = now;
@@ -595,9 +666,6 @@
         if (job == null || detached || job.call != call || call.lease == 0) {
             return;
         }
-        if (job.lease != null) {
-            deadlines.cancel(job.lease);
-        }
         Known known = !job.sent || outcome.neverRan
                 ? Known.NEVER_RAN
                 : outcome == Outcome.OK
@@ -605,6 +673,8 @@
                         : outcome == Outcome.ERROR ? Known.SAID_FAILED : Known.MAY_HAVE_RUN;
         job.setKnown(call.lease, known);
         job.call = null;
+        job.sent = false;
+        limitWait(job);
         if (known == Known.MAY_HAVE_RUN && outcome == Outcome.TIMEOUT) {
             // Wait for a late outcome, but not forever: a silent endpoint would hold a file descriptor.
             deadlines.at(clock.micros() + job.classConfig.maxLeaseMs * 1000, () -> call.endpoint.connector.close(call));
@@ -638,6 +708,10 @@
             return attempt != null;
         }
         counters.add("lease.late");
+        if (served && job.isWaiting()) {
+            // A newer attempt has not been sent: there is no need for it.
+            takeBack(job);
+        }
         if (job.hasRequest()) {
             // A newer attempt is running and its outcome takes precedence; this one counts only if that
             // attempt does not succeed.
@@ -670,6 +744,9 @@
         }
         job.request = null;
         job.call = null;
+        if (job.timer != null) {
+            deadlines.cancel(job.timer);
+        }
         classQueues[job.jobClass].running--;
         return job;
     }
@@ -852,13 +929,16 @@
         DurableJob job = table.get(id);
         if (job == null || job.waiters != null) {
             answer.accept(CancelOutcome.NOT_FOUND);
-        } else if (job.state != State.QUEUED
+        } else if (job.state.isEnd()
                 || job.pendingEnd != null
-                || job.hasRequest()
+                || job.call != null
                 || job.mayHaveRun()
                 || job.jobClass < 0) {
             answer.accept(CancelOutcome.ALREADY_STARTED);
         } else {
+            if (job.isWaiting()) {
+                takeBack(job);
+            }
             job.pendingEnd = State.CANCELLED;
             job.reason = "cancelled";
             long nowMs = wallClock.getAsLong();
--- a/src/main/java/laneflow/gearman/GearmanConnector.java
+++ b/src/main/java/laneflow/gearman/GearmanConnector.java
@@ -1,5 +1,6 @@
 package laneflow.gearman;
 
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.Map;
 import laneflow.core.Attempt;
@@ -34,16 +35,45 @@
         }
     }
 
+    @Override
+    public boolean queuesAttempts() {
+        return true;
+    }
+
+    /** Whether no worker was ever assigned the attempt. */
+    static boolean isUnsent(Attempt attempt) {
+        return attempt.attachment == null;
+    }
+
     @Override
     public boolean close(Attempt attempt) {
         Worker worker = workers.get(attempt.endpoint.name);
-        return worker != null && worker.detach(attempt);
+        if (worker != null) {
+            worker.detach(attempt);
+        }
+        return isUnsent(attempt);
     }
 
     @Override
     public boolean closeUnsent(Attempt attempt) {
         Worker worker = workers.get(attempt.endpoint.name);
-        return worker != null && worker.removeQueued(attempt);
+        if (worker != null) {
+            worker.removeQueued(attempt);
+        }
+        return isUnsent(attempt);
+    }
+
+    /**
+     * Has the durable job that has waited longest at busy workers, among those that this idle one can run, placed anew.
+     * Live requests stay where they were placed.
+     */
+    void reconsiderLongestWaiting(Worker idle) {
+        workers.values().stream()
+                .filter(Worker::isBusy)
+                .flatMap(Worker::queuedDurable)
+                .filter(idle::canRun)
+                .min(Comparator.comparingLong((Attempt attempt) -> attempt.handedOverAt))
+                .ifPresent(front.scheduler::reconsider);
     }
 
     @Override
--- a/src/main/java/laneflow/gearman/Worker.java
+++ b/src/main/java/laneflow/gearman/Worker.java
@@ -1,10 +1,12 @@
 package laneflow.gearman;
 
+import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.stream.Stream;
 import laneflow.core.Attempt;
 import laneflow.core.Deadlines.Deadline;
 import laneflow.core.Endpoint;
@@ -19,6 +21,8 @@
 /** The worker role of a connection: an endpoint with one slot, from its first ability to its disconnect. */
 final class Worker {
     private static final int MAX_UNMAPPED = 1000;
+    /** GRAB_JOB packets that wait for one lease; further ones get NO_JOB at once. Workers send one at a time. */
+    private static final int MAX_UNANSWERED_GRABS = 16;
     /** Memory for a function's entry beside the text of its name, roughly. */
     private static final int BYTES_PER_NAME = 160;
 
@@ -47,6 +51,10 @@
 
     private String previousHandle = "";
     private Attempt assigned;
+    /** Taken from the queue for a GRAB_JOB that is not answered yet, until its lease is recorded; else null. */
+    private Attempt leasing;
+    /** The answers that GRAB_JOB packets wait for, as types of JOB_ASSIGN, the first being that of {@link #leasing}. */
+    private final ArrayDeque<Integer> unansweredGrabs = new ArrayDeque<>();
     /**
      * The attempt of the assigned job if abandoned or timed out under a lease: a late outcome still counts. Else null.
      */
@@ -58,7 +66,7 @@
         this.peer = peer;
         this.name = name;
         timeLimitTimer = front.loop.deadlines().create(this::timeLimitExceeded);
-        drainTimer = front.loop.deadlines().create(() -> returnQueued(Outcome.MOOT, true));
+        drainTimer = front.loop.deadlines().create(() -> returnQueued(Outcome.MOOT, abilities.isEmpty()));
         grabTimer = front.loop.deadlines().create(() -> returnQueued(Outcome.CONNECT_FAILED, true));
     }
 
@@ -97,9 +105,11 @@
             if (abilities.put(function, seconds) == null) {
                 front.queues.adjustWorkers(function, 1);
             }
-            front.loop.deadlines().cancel(drainTimer);
             updateNameBytes();
             publish();
+            if (asleep && hasRunnable()) {
+                wake();
+            }
         }
     }
 
@@ -147,7 +157,8 @@
 
     /**
      * Starts a drain once no abilities are left. Client libraries reset and then announce their abilities anew,
-     * so queued attempts are returned only after the grace period; until then only announced functions are assigned.
+     * so queued attempts are returned only after the grace period, those whose functions were not announced again;
+     * until then only announced functions are assigned.
      */
     private void startDrain() {
         front.loop.deadlines().cancel(grabTimer);
@@ -236,55 +247,124 @@
      * connection to a crashed machine need not break, and attempts queued there would wait for their deadline.
      */
     private void awaitGrab() {
-        if (handle == null && !queue.isEmpty() && !grabTimer.isSet()) {
+        if (!isBusy() && !queue.isEmpty() && !grabTimer.isSet()) {
             long delayMicros = (long) (scheduler.settings().connectTimeout * 1e6);
             front.loop.deadlines().set(grabTimer, front.loop.micros() + delayMicros);
         }
     }
 
-    /**
-     * Abandons the attempt; true if it was still queued. An assigned job runs on; without a lease its outcome is
-     * ignored.
-     */
-    boolean detach(Attempt attempt) {
-        boolean wasQueued = removeQueued(attempt);
+    /** Whether it runs a job, or is about to be assigned one. */
+    boolean isBusy() {
+        return handle != null || leasing != null;
+    }
+
+    boolean canRun(Attempt attempt) {
+        return functionFor(attempt) != null;
+    }
+
+    /** The attempts of durable jobs that wait to be grabbed. */
+    Stream<Attempt> queuedDurable() {
+        return queue.stream().filter(attempt -> attempt.request.front.usesLeases());
+    }
+
+    /** Abandons the attempt. An assigned job runs on; without a lease its outcome is ignored. */
+    void detach(Attempt attempt) {
+        removeQueued(attempt);
         if (assigned == attempt) {
             // Under a lease a late outcome still counts.
             abandonedAttempt = attempt.lease > 0 ? attempt : null;
             assigned = null;
             front.loop.deadlines().cancel(timeLimitTimer);
         }
-        return wasQueued;
     }
 
-    /** Removes the attempt if it is still queued; false if it has been assigned, which leaves it running. */
-    boolean removeQueued(Attempt attempt) {
-        boolean wasQueued = queue.remove(attempt);
+    /** Removes the attempt if it is still queued; one that has been assigned runs on. */
+    void removeQueued(Attempt attempt) {
+        queue.remove(attempt);
         if (queue.isEmpty()) {
             front.loop.deadlines().cancel(grabTimer);
         }
-        return wasQueued;
     }
 
     void preSleep() {
-        asleep = queue.isEmpty();
-        if (!asleep) {
+        asleep = true;
+        if (!hasRunnable() && !isBusy()) {
+            front.connector.reconsiderLongestWaiting(this);
+        }
+        if (asleep && hasRunnable()) {
             wake();
         }
     }
 
+    private boolean hasRunnable() {
+        return queue.stream().anyMatch(this::canRun);
+    }
+
     /** Assigns the next attempt with this JOB_ASSIGN packet type: _UNIQ adds the unique id, _ALL also the reducer. */
     void grab(int assignType) {
         asleep = false;
         front.loop.deadlines().cancel(grabTimer);
-        Attempt next = handle == null ? pollRunnable() : null;
-        if (next == null) {
+        if (unansweredGrabs.size() >= MAX_UNANSWERED_GRABS) {
             peer.send(Packet.NO_JOB);
             return;
         }
+        unansweredGrabs.add(assignType);
+        answerGrabs();
+    }
+
+    /** Answers the waiting GRAB_JOB packets in order, up to one whose attempt needs a lease first. */
+    private void answerGrabs() {
+        while (!unansweredGrabs.isEmpty() && leasing == null) {
+            Attempt next = isBusy() ? null : nextRunnable();
+            if (next == null) {
+                unansweredGrabs.remove();
+                peer.send(Packet.NO_JOB);
+            } else {
+                leasing = next;
+                front.loop.deadlines().cancel(grabTimer);
+                scheduler.lease(next, granted -> onLease(next, granted));
+            }
+        }
+    }
+
+    private Attempt nextRunnable() {
+        Attempt next = pollRunnable();
+        if (next == null) {
+            front.connector.reconsiderLongestWaiting(this);
+            next = pollRunnable();
+        }
+        return next;
+    }
+
+    private void onLease(Attempt attempt, boolean granted) {
+        if (leasing != attempt) {
+            // The worker has left meanwhile, and the attempt has ended.
+            return;
+        }
+        // Writing a lease takes time, in which an attempt may become one that may not be sent.
+        if (granted && canRun(attempt) && (attempt.lease == 0 || scheduler.maySend(attempt))) {
+            leasing = null;
+            assign(attempt, unansweredGrabs.remove());
+            answerGrabs();
+            return;
+        }
+        if (granted) {
+            scheduler.ended(attempt, Outcome.MOOT, null, null);
+        }
+        // Not in this call: all queued attempts may be denied their leases, one after the other.
+        front.loop.later(() -> {
+            if (leasing == attempt) {
+                leasing = null;
+                answerGrabs();
+            }
+        });
+    }
+
+    private void assign(Attempt next, int assignType) {
         Job job = front.job(next.request);
         String function = functionFor(next);
         assigned = next;
+        next.attachment = this;
         abandonedAttempt = null;
         handle = job != null
                 ? job.handle
@@ -311,13 +391,24 @@
         scheduler.started(next);
     }
 
-    /** Removes and returns the first queued attempt that the worker can run and the drain rules allow, or null. */
+    /**
+     * Removes and returns the first queued attempt that the worker can run and the core's rules allow, or null. Those
+     * that will not be allowed any more are returned to the scheduler: left here, they would wake the worker again and
+     * again.
+     */
     private Attempt pollRunnable() {
-        for (Attempt queued : queue) {
-            if (functionFor(queued) != null && scheduler.maySend(queued)) {
+        for (Attempt queued : new ArrayList<>(queue)) {
+            if (!queue.contains(queued) || !canRun(queued)) {
+                continue;
+            }
+            if (scheduler.maySend(queued)) {
                 queue.remove(queued);
                 return queued;
             }
+            if (!scheduler.maySendLater(queued)) {
+                queue.remove(queued);
+                scheduler.ended(queued, Outcome.MOOT, null, null);
+            }
         }
         return null;
     }
@@ -433,7 +524,7 @@
     /** The load as known from the connection: a worker has one slot. */
     private LoadReport loadReport() {
         LoadReport report = new LoadReport();
-        report.freeSlots = handle == null ? 1 : 0;
+        report.freeSlots = isBusy() ? 0 : 1;
         report.queue = queue.size();
         return report;
     }
@@ -454,11 +545,14 @@
         entry.state = State.GONE;
         scheduler.list(front.connector, false, List.of(entry));
         handle = null;
+        unansweredGrabs.clear();
         finish(Outcome.RESET, null);
-        for (Attempt queued : new ArrayList<>(queue)) {
-            queue.remove(queued);
-            // Not CONNECT_FAILED: three of those make a zone suspect, and workers may disconnect at any time.
-            scheduler.ended(queued, Outcome.MOOT, null, null);
+        // Not CONNECT_FAILED: three of those make a zone suspect, and workers may disconnect at any time.
+        if (leasing != null) {
+            Attempt unsent = leasing;
+            leasing = null;
+            scheduler.ended(unsent, Outcome.MOOT, null, null);
         }
+        returnQueued(Outcome.MOOT, true);
     }
 }
--- a/src/test/java/laneflow/durable/DurableJobsTest.java
+++ b/src/test/java/laneflow/durable/DurableJobsTest.java
@@ -61,7 +61,7 @@
     private final Journal journal = new Journal(this, callbacks::add, 64);
     private final DurableJobs jobs = jobs();
 
-    private static Settings settings() {
+    static Settings settings() {
         Settings settings = new Settings();
         settings.classes = new JobClass[3];
         for (Effect effect : Effect.values()) {
--- a/src/test/java/laneflow/durable/DurableStoryTest.java
+++ b/src/test/java/laneflow/durable/DurableStoryTest.java
@@ -130,6 +130,75 @@
         }
     }
 
+    /** A worker that has served so many jobs of a function that as many may be at work at a time. */
+    private static Peer warmWorker(SchedulerHarness harness, Peer client, String function, int jobs)
+            throws IOException {
+        Peer worker = worker(harness, function);
+        for (int i = 0; i < jobs; i++) {
+            submitBackground(client, function, "", "warm-up");
+            send(worker, Gearman.COMPLETE, grab(worker)[0], "ok");
+            preSleep(worker);
+        }
+        return worker;
+    }
+
+    /** Guards against ending a job as unknown that no worker ever had: it waited longer than a lease at a busy one. */
+    @Test
+    void jobsThatWaitLongerThanALeaseAtABusyWorkerRunOnce() throws Exception {
+        try (SchedulerHarness harness = SchedulerHarness.withDurableJobs(folder, SHORT_LEASES);
+                Peer client = harness.gearman()) {
+            Peer worker = warmWorker(harness, client, "kcapture", 4);
+            submitBackground(client, "kcapture", "", "long");
+            String[] running = grab(worker);
+            List<String> waiting = new ArrayList<>();
+            for (int i = 0; i < 3; i++) {
+                waiting.add(id(submitBackground(client, "kcapture", "", "next")));
+            }
+            for (int i = 0; i < 20; i++) {
+                Thread.sleep(100);
+                send(worker, Gearman.STATUS, running[0], "1", "2");
+            }
+            send(worker, Gearman.COMPLETE, running[0], "ok");
+            for (int i = 0; i < waiting.size(); i++) {
+                preSleep(worker);
+                send(worker, Gearman.COMPLETE, grab(worker)[0], "ok");
+            }
+            Peer http = harness.http();
+            for (String id : waiting) {
+                assertTrue(!awaitState(http, id, "done").contains("\"lease\":2"));
+            }
+            assertEquals(0, harness.counter("lease.expired"));
+        }
+    }
+
+    /** Guards against jobs that stay behind a stalled worker while another one is idle. */
+    @Test
+    void waitingJobsGoToAWorkerThatJoinsAndSurviveAKill() throws Exception {
+        List<String> waiting = new ArrayList<>();
+        try (SchedulerHarness harness = SchedulerHarness.withDurableJobs(folder, "");
+                Peer client = harness.gearman();
+                Peer http = harness.http()) {
+            Peer stalled = warmWorker(harness, client, "kcapture", 4);
+            submitBackground(client, "kcapture", "", "stalled");
+            grab(stalled);
+            for (int i = 0; i < 3; i++) {
+                waiting.add(id(submitBackground(client, "kcapture", "", "next " + i)));
+            }
+            assertTrue(http.write("DELETE /jobs/" + waiting.remove(2) + " HTTP/1.1\r\n\r\n")
+                    .message()
+                    .startsWith("HTTP/1.1 204 "));
+            Peer joining = worker(harness, "kcapture");
+            String[] job = grab(joining);
+            assertEquals("next 0", job[4]);
+            send(joining, Gearman.COMPLETE, job[0], "ok");
+            awaitState(http, waiting.remove(0), "done");
+        }
+        try (SchedulerHarness harness = SchedulerHarness.withDurableJobs(folder, "");
+                Peer http = harness.http()) {
+            awaitState(http, waiting.get(0), "queued");
+        }
+    }
+
     @Test
     void lateOutcomeOfAStalledWorkerSettlesAnUnknownJob() throws Exception {
         try (SchedulerHarness harness = SchedulerHarness.withDurableJobs(folder, SHORT_LEASES);
