A background job takes a free slot however late it ends, in place of being refused

Cause: the module refuses what can't end within its class's aim. One long job without a hint makes its worker look slow; it refuses each job as too_long, and so never learns better. Nobody waits for a durable job, so its aim is none.

Change: Dispatch.Request.background, set by fronts that use leases. Such a job may take a slot that is free now, as classes whose late answers have worth do. Live requests are decided on as before.

--- a/src/main/java/laneflow/core/Request.java
+++ b/src/main/java/laneflow/core/Request.java
@@ -127,6 +127,7 @@
         target.slots = slots;
         target.memory = memory;
         target.ability = function == null ? 0 : Endpoint.stableId(function);
+        target.background = front.usesLeases();
         target.earlierRuns = List.copyOf(possibleRuns);
     }
 }
--- a/src/main/java/laneflow/decision/Dispatch.java
+++ b/src/main/java/laneflow/decision/Dispatch.java
@@ -241,6 +241,8 @@
         public double memory;
         /** The ability that a worker must have to run it; 0: none. */
         public long ability;
+        /** Nobody waits for its answer: if it can't be in time, it still takes a slot that is free now. */
+        public boolean background;
         /** Attempts that may have run before it was submitted to this dispatcher, the earliest first. */
         public List<EarlierRun> earlierRuns = List.of();
     }
--- a/src/main/java/laneflow/decision/Job.java
+++ b/src/main/java/laneflow/decision/Job.java
@@ -28,6 +28,8 @@
     double hint;
     double slots;
     double memory;
+    /** Nobody waits for its answer. */
+    boolean background;
     /** Attempts that may have run before the request arrived. */
     List<EarlierRun> earlierRuns = List.of();
     /** The limits in force when it arrived; later requests may have others. */
@@ -78,6 +80,7 @@
         slots = request.slots;
         memory = request.memory;
         ability = request.ability;
+        background = request.background;
         earlierRuns = request.earlierRuns;
         pendingReports = 0;
         probedBeforeRefusal = false;
--- a/src/main/java/laneflow/decision/Logic.java
+++ b/src/main/java/laneflow/decision/Logic.java
@@ -322,7 +322,7 @@
             view = pickNeighbour(job, home);
         }
         // No worker can finish it in time, but a late answer has some worth: it may take a slot that is free now.
-        if (view == null && home >= 0 && job.type.lateWorth > 0) {
+        if (view == null && home >= 0 && (job.type.lateWorth > 0 || job.background)) {
             job.acceptLate = true;
             view = pickSparingSoleHosts(job, home);
             job.acceptLate = false;
@@ -428,7 +428,7 @@
         double run = job.hint / view.speed(now);
         if (job.acceptLate) {
             // Start notes always arrive slightly late: without a margin a tied class never finds a slot on its kind.
-            double most = job.type.kind < 0 ? 0 : LATE_WAIT_SHARE * run;
+            double most = job.type.kind < 0 && !job.background ? 0 : LATE_WAIT_SHARE * run;
             return times.wait(view, job, now) > most || now + run > job.answerDeadline;
         }
         return times.wait(view, job, now) > maxWait(job, timeLeft(job) - run, view.kindEstimates.slotTime());
--- a/src/test/java/laneflow/decision/GuardTest.java
+++ b/src/test/java/laneflow/decision/GuardTest.java
@@ -1105,6 +1105,24 @@
         }
     }
 
+    /** Guards against background jobs that are refused for good at an idle worker which one long job made look slow. */
+    @Test
+    void backgroundJobTakesAFreeSlotHoweverLateItEnds() {
+        for (boolean background : new boolean[] {false, true}) {
+            Settings settings = LogicHarness.settings(Effect.SAFE);
+            settings.classes[0].aim = 0.1;
+            settings.classes[0].stretch = 0.5;
+            LogicHarness harness = new LogicHarness(settings).workers(0, 1);
+            for (long id = 5; id < 7; id++) {
+                Dispatch.Request request = harness.request(id);
+                request.background = background;
+                harness.logic.request(harness.now, request);
+            }
+            assertEquals(background ? 1 : 0, harness.sends(5).size());
+            assertEquals("refuse", harness.answers(6), "no slot is free for the second");
+        }
+    }
+
     @Test
     void lateJobOfATiedClassAcceptsAShortWaitOnItsKind() {
         for (int kind : new int[] {-1, 1}) {
