A takeover asks for memory before it reads, and holds ended jobs without bodies

Cause: a job that ends here drops its body and a start reads none of ended jobs, but an adopted one was kept with its body until its retention was over. Memory was asked for open jobs only, and only when a batch was in memory already.

Change: the rule is that what is read from a store is asked for before it is read. Recovery reads rows without bodies and the lengths of results, the loop reserves memory for as many of the first jobs as fit (durable.Adoption), then they are read, written and released. An ended job is held without its body however it came (DurableJobs.newJob). 'jobs adopt' reads in batches. Keys and targets of open jobs count as memory. The adoption has a file of its own.

--- a/src/main/java/laneflow/durable/DurableJob.java
+++ b/src/main/java/laneflow/durable/DurableJob.java
@@ -76,6 +76,9 @@
         return request != null;
     }
 
+    /** Bytes counted for it in the memory of durable jobs. */
+    long heldBytes;
+
     /** Whether it has been handed to the core, and no call of it has been sent or is about to be. */
     boolean isWaiting() {
         return request != null && call == null;
--- a/src/main/java/laneflow/durable/DurableJobs.java
+++ b/src/main/java/laneflow/durable/DurableJobs.java
@@ -3,7 +3,6 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Locale;
-import java.util.Map;
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
 import laneflow.core.Attempt;
@@ -58,8 +57,6 @@
     private static final long MAX_BACKOFF = 5_000_000;
     /** How often the counters are checked for refused live requests. */
     private static final long REFUSAL_CHECK_INTERVAL = 100_000;
-    /** Memory that an open job needs beside its body, roughly. */
-    private static final long JOB_OVERHEAD_BYTES = 512;
     /** Above this fraction of the store's size no jobs are accepted: the rest is left for leases and results. */
     private static final double ACCEPT_FILL_LIMIT = 0.85;
 
@@ -73,6 +70,7 @@
     private final ZoneNames zones;
     private final Counters counters;
     private final JobTable table;
+    private final Adoption adoption;
     private final Quota quota;
     private final ClassQueue[] classQueues;
     private final Deadlines.Deadline startTimer;
@@ -114,6 +112,7 @@
         this.zones = zones;
         counters = scheduler.counters();
         table = new JobTable(seed);
+        adoption = new Adoption(this, journal, memory);
         quota = new Quota(config);
         classQueues = new ClassQueue[config.classes.length];
         for (int i = 0; i < classQueues.length; i++) {
@@ -185,54 +184,39 @@
         return job;
     }
 
-    /**
-     * Adopts jobs from the store of a scheduler that is gone, while this one is running. The listener receives,
-     * on the loop's thread, the ids of the jobs that are on disk here afterwards, including those that were
-     * already present. The caller must offer the others again.
-     *
-     * @param results the results of jobs that have ended, by job id
-     */
-    public void adoptJobs(List<JobRow> rows, Map<Long, byte[]> results, Consumer<List<Long>> listener) {
-        List<Long> stored = new ArrayList<>();
-        int[] remaining = {rows.size()};
-        Runnable completeOne = () -> {
-            if (--remaining[0] == 0) {
-                listener.accept(stored);
-            }
-        };
-        for (JobRow row : rows) {
-            if (table.get(row.id()) != null) {
-                stored.add(row.id());
-                completeOne.run();
-                continue;
-            }
-            if (!row.state().isEnd() && !memory.hasRoomFor(JOB_OVERHEAD_BYTES + row.bodyBytes())) {
-                counters.add("durable.turned_down");
-                completeOne.run();
-                continue;
-            }
-            JobRow adopted = table.get(row.key()) == null ? row : row.withoutKey();
-            boolean queued = journal.write(Op.adopt(adopted, results.get(row.id())), failed -> {
-                if (failed == null) {
-                    stored.add(row.id());
-                    counters.add("durable.taken_over");
-                    recordTimestamp(row.changedMs());
-                    List<DurableJob> endedJobs = new ArrayList<>();
-                    restore(table.get(adopted.key()) == null ? adopted : adopted.withoutKey(), endedJobs);
-                    endedJobs.forEach(table::addEnded);
-                    startReady();
-                }
-                completeOne.run();
-            });
-            if (!queued) {
-                completeOne.run();
-            }
-        }
+    /** Takes over jobs of other schedulers' stores. */
+    public Adoption adoption() {
+        return adoption;
+    }
+
+    boolean has(long id) {
+        return table.get(id) != null;
+    }
+
+    /** The job without its key if another job here has that key. */
+    JobRow withFreeKey(JobRow row) {
+        return table.get(row.key()) == null ? row : row.withoutKey();
     }
 
+    /** Adds a job that is on disk here now, and continues it. */
+    void addAdopted(JobRow row) {
+        counters.add("durable.taken_over");
+        recordTimestamp(row.changedMs());
+        List<DurableJob> endedJobs = new ArrayList<>();
+        restore(withFreeKey(row), endedJobs);
+        endedJobs.forEach(table::addEnded);
+        startReady();
+    }
+
+    void countRejected() {
+        counters.add("durable.turned_down");
+    }
+
+    /** Creates the state of a job, however it came here; one that has ended is held without its body. */
     private DurableJob newJob(JobRow row) {
         int jobClass = config.classNames.indexOf(row.jobClass());
-        return new DurableJob(row, jobClass, jobClass < 0 ? null : config.classes[jobClass]);
+        JobRow held = row.state().isEnd() ? row.withoutBody() : row;
+        return new DurableJob(held, jobClass, jobClass < 0 ? null : config.classes[jobClass]);
     }
 
     /** Applies new settings to jobs submitted from now on. Returns the changes that need a restart. */
@@ -277,10 +261,6 @@
             reject(answer, SubmissionOutcome.FULL, Math.max(1, quota.retryAfterSeconds()));
             return;
         }
-        if (!quota.admits(submission.jobClass(), body.length) || !memory.hasRoomFor(JOB_OVERHEAD_BYTES + body.length)) {
-            reject(answer, SubmissionOutcome.FULL, quota.retryAfterSeconds());
-            return;
-        }
         long now = wallClock.getAsLong();
         Payload payload = submission.payload();
         JobRow row = new JobRow(
@@ -305,6 +285,10 @@
                 "",
                 now,
                 submission.notBeforeMs());
+        if (!quota.admits(submission.jobClass(), body.length) || !memory.hasRoomFor(row.openBytes())) {
+            reject(answer, SubmissionOutcome.FULL, quota.retryAfterSeconds());
+            return;
+        }
         DurableJob job = newJob(row);
         job.waiters = new ArrayList<>(1);
         job.waiters.add(answer);
@@ -320,16 +304,18 @@
     /** Counts an open job against the limits; recovered jobs are counted even beyond them. */
     private void hold(DurableJob job) {
         quota.add(job.jobClass, job.row.bodyBytes());
-        memory.hold(JOB_OVERHEAD_BYTES + job.row.bodyBytes());
+        job.heldBytes = job.row.openBytes();
+        memory.hold(job.heldBytes);
     }
 
     private void release(DurableJob job) {
         quota.remove(clock.micros(), job.jobClass, job.row.bodyBytes());
-        memory.release(JOB_OVERHEAD_BYTES + job.row.bodyBytes());
+        memory.release(job.heldBytes);
+        job.heldBytes = 0;
     }
 
     private void reject(Consumer<SubmissionResult> answer, SubmissionOutcome outcome, double retryAfter) {
-        counters.add("durable.turned_down");
+        countRejected();
         answer.accept(new SubmissionResult(outcome, 0, retryAfter));
     }
 
--- a/src/main/java/laneflow/durable/JobRow.java
+++ b/src/main/java/laneflow/durable/JobRow.java
@@ -36,6 +36,8 @@
         String reason,
         long changedMs,
         long notBeforeMs) {
+    /** Memory that an open job needs beside its body and texts, in bytes, roughly. */
+    private static final long OVERHEAD_BYTES = 512;
     /** Length of the request ids that earlier builds gave to Gearman jobs: 64 bits in hex digits. */
     private static final int SEEDED_ID_LENGTH = 16;
 
@@ -47,6 +49,12 @@
         return !function.isEmpty() && requestId.length() == SEEDED_ID_LENGTH && requestId.equals(repeatKey);
     }
 
+    /** Memory that the job takes up while it is open, in bytes, its body included even if it was not read. */
+    long openBytes() {
+        int texts = key.length() + target.length() + requestId.length() + (repeatKey == null ? 0 : repeatKey.length());
+        return OVERHEAD_BYTES + texts + bodyBytes;
+    }
+
     /** A copy with another idempotency key, which is its request id too. */
     JobRow withRepeatKey(String newRepeatKey) {
         return with(key, newRepeatKey, newRepeatKey, body, state, attempts, reason, changedMs);
--- a/src/main/java/laneflow/durable/Store.java
+++ b/src/main/java/laneflow/durable/Store.java
@@ -316,28 +316,32 @@
 
     // ---- reading ----
 
+    /** Which jobs are read with their bodies. */
+    public enum Bodies {
+        NONE,
+        OF_OPEN_JOBS,
+        ALL
+    }
+
     /**
      * Reads all jobs in the order of their ids, and fails at the first row that is damaged.
      *
      * @param bodies whether to read the bodies of ended jobs too
      */
     public void read(boolean bodies, Consumer<JobRow> consumer) throws StoreException {
-        read(bodies, consumer, damage -> {
+        read(bodies ? Bodies.ALL : Bodies.OF_OPEN_JOBS, consumer, damage -> {
             throw new IllegalArgumentException(damage);
         });
     }
 
-    /**
-     * Reads the first jobs with their bodies, in the order of their ids, as long as the consumer returns true; fails
-     * at a damaged row.
-     */
-    public void readWhile(Predicate<JobRow> consumer) throws StoreException {
-        readWhile(true, consumer, damage -> {
+    /** Reads the first jobs, in the order of their ids, while the consumer returns true; fails at a damaged row. */
+    public void readWhile(Bodies bodies, Predicate<JobRow> consumer) throws StoreException {
+        readWhile(bodies, consumer, damage -> {
             throw new IllegalArgumentException(damage);
         });
     }
 
-    private void read(boolean bodies, Consumer<JobRow> consumer, Consumer<String> damaged) throws StoreException {
+    private void read(Bodies bodies, Consumer<JobRow> consumer, Consumer<String> damaged) throws StoreException {
         readWhile(
                 bodies,
                 row -> {
@@ -347,14 +351,15 @@
                 damaged);
     }
 
-    private void readWhile(boolean bodies, Predicate<JobRow> consumer, Consumer<String> damaged) throws StoreException {
+    private void readWhile(Bodies bodies, Predicate<JobRow> consumer, Consumer<String> damaged) throws StoreException {
         String sql = "SELECT job.id, class, function, key, target, request_id, repeat_key, hint, slots,"
                 + " memory, subject, urgency, accepted_ms, body_sum, job.sum, length(body),"
-                + " CASE WHEN ? OR coalesce(state, 0) < " + State.DONE.number + " THEN body END,"
+                + " CASE WHEN ? OR ? AND coalesce(state, 0) < " + State.DONE.number + " THEN body END,"
                 + " state, attempts, reason, changed_ms, state.sum, not_before_ms"
                 + " FROM job LEFT JOIN state ON state.id = job.id ORDER BY job.id";
         try (PreparedStatement query = db.prepareStatement(sql)) {
-            query.setBoolean(1, bodies);
+            query.setBoolean(1, bodies == Bodies.ALL);
+            query.setBoolean(2, bodies == Bodies.OF_OPEN_JOBS);
             try (ResultSet from = query.executeQuery()) {
                 boolean more = true;
                 while (more && from.next()) {
@@ -437,6 +442,18 @@
         }
     }
 
+    /** The length of a job's result in bytes; 0 if there is none. */
+    public long resultBytes(long id) throws StoreException {
+        try (PreparedStatement query = db.prepareStatement("SELECT length(body) FROM result WHERE id=?")) {
+            query.setLong(1, id);
+            try (ResultSet from = query.executeQuery()) {
+                return from.next() ? from.getLong(1) : 0;
+            }
+        } catch (SQLException e) {
+            throw toStoreException(e);
+        }
+    }
+
     /** The latest recorded wall-clock time. */
     public long latestMs() {
         return latestMs;
@@ -473,7 +490,7 @@
             return;
         }
         read(
-                true,
+                Bodies.ALL,
                 row -> {
                     try {
                         if (row.state() == State.DONE && result(row.id()) == null) {
--- a/src/main/java/laneflow/durable/StoreMaintenance.java
+++ b/src/main/java/laneflow/durable/StoreMaintenance.java
@@ -69,15 +69,15 @@
                 keys.put(row.key(), row.id());
             }
         });
-        List<JobRow> rows = new ArrayList<>();
-        source.read(true, rows::add);
         int moved = 0;
         int alreadyPresent = 0;
         List<String> keyConflicts = new ArrayList<>();
-        for (int from = 0; from < rows.size(); from += BATCH) {
+        for (StoredBatch batch = StoredBatch.read(source, BATCH);
+                !batch.rows().isEmpty();
+                batch = StoredBatch.read(source, BATCH)) {
             List<Op> inserts = new ArrayList<>();
             List<Op> deletes = new ArrayList<>();
-            for (JobRow row : rows.subList(from, Math.min(rows.size(), from + BATCH))) {
+            for (JobRow row : batch.rows()) {
                 deletes.add(Op.drop(row.id(), row.changedMs()));
                 if (ids.contains(row.id())) {
                     alreadyPresent++;
@@ -89,7 +89,7 @@
                     adopted = row.withoutKey();
                 }
                 inserts.add(Op.accept(adopted));
-                byte[] result = source.result(row.id());
+                byte[] result = batch.results().get(row.id());
                 if (result != null) {
                     inserts.add(Op.end(row.id(), row.state(), row.attempts(), row.reason(), result, row.changedMs()));
                 } else if (row.state() != State.QUEUED || !row.attempts().isEmpty()) {
--- a/src/main/java/laneflow/task/Recovery.java
+++ b/src/main/java/laneflow/task/Recovery.java
@@ -22,12 +22,14 @@
 import java.util.function.Consumer;
 import java.util.stream.Stream;
 import laneflow.core.Counters;
+import laneflow.durable.Adoption.Head;
+import laneflow.durable.Adoption.Reservation;
 import laneflow.durable.DurableJobs;
 import laneflow.durable.FolderLock;
-import laneflow.durable.JobRow;
 import laneflow.durable.Store;
 import laneflow.durable.StoreException;
 import laneflow.durable.StoreMaintenance;
+import laneflow.durable.StoredBatch;
 import laneflow.net.Loop;
 import laneflow.net.Threads;
 import laneflow.task.decision.TaskHolder.Action;
@@ -52,8 +54,6 @@
     private static final String TASK_PREFIX = "recover/";
     private static final String ADOPTED = "adopted";
     private static final int BATCH_SIZE = 128;
-    /** Bytes of bodies, and of results, after which a batch ends. */
-    private static final long BATCH_BYTES = 1 << 20;
 
     private static final int POLL_MS = 250;
     private static final int LOOP_TIMEOUT_S = 10;
@@ -133,6 +133,9 @@
         loop.later(() -> call.accept(reply));
         try {
             return reply.get(LOOP_TIMEOUT_S, TimeUnit.SECONDS);
+        } catch (TimeoutException e) {
+            reply.cancel(false);
+            throw e;
         } catch (ExecutionException e) {
             throw new IllegalStateException(e);
         }
@@ -225,49 +228,49 @@
     private boolean takeOver(Path dir) throws IOException, InterruptedException, TimeoutException {
         int taken = 0;
         try (Store store = Store.open(dir, StoreMaintenance.NO_LIMIT)) {
-            for (Batch batch = Batch.first(store); !batch.rows.isEmpty(); batch = Batch.first(store)) {
-                List<JobRow> rows = batch.rows;
-                Map<Long, byte[]> results = batch.results;
-                List<Long> stored = callOnLoop(then -> jobs.adoptJobs(rows, results, then::complete));
-                StoreMaintenance.drop(store, stored);
+            List<Head> heads = StoredBatch.heads(store, BATCH_SIZE);
+            while (!heads.isEmpty()) {
+                Reservation reservation = reserve(heads);
+                List<Long> stored = takeOver(store, reservation);
                 taken += stored.size();
-                if (stored.size() < rows.size()) {
+                if (stored.isEmpty() || stored.size() < reservation.jobs()) {
                     // This process has no room for them, on disk or in memory: the rest stays in the adopted store.
                     return false;
                 }
+                heads = StoredBatch.heads(store, BATCH_SIZE);
             }
         }
         LOG.info("recovery: took over {} jobs of {}", taken, dir.getFileName());
         return true;
     }
 
-    /** Some of the jobs of a store, with the results of those that have ended: not more than memory can hold. */
-    private record Batch(List<JobRow> rows, Map<Long, byte[]> results) {
-
-        /** Reads the first jobs of the store. */
-        static Batch first(Store store) throws StoreException {
-            List<JobRow> read = new ArrayList<>();
-            long[] bytes = new long[1];
-            store.readWhile(row -> {
-                read.add(row);
-                bytes[0] += row.bodyBytes();
-                return read.size() < BATCH_SIZE && bytes[0] < BATCH_BYTES;
-            });
-            Batch batch = new Batch(new ArrayList<>(), new HashMap<>());
-            bytes[0] = 0;
-            for (JobRow row : read) {
-                if (bytes[0] >= BATCH_BYTES) {
-                    break;
-                }
-                batch.rows.add(row);
-                byte[] result = store.result(row.id());
-                if (result != null) {
-                    batch.results.put(row.id(), result);
-                    bytes[0] += result.length;
-                }
+    /** Reserves memory for the first jobs of a store; a reservation that comes too late is released. */
+    private Reservation reserve(List<Head> heads) throws InterruptedException, TimeoutException {
+        return callOnLoop(then -> {
+            Reservation made = jobs.adoption().reserve(heads);
+            if (!then.complete(made)) {
+                jobs.adoption().release(made);
             }
-            return batch;
+        });
+    }
+
+    /** Takes over the first jobs of a store, for which memory is reserved; returns the ids of those that are here. */
+    private List<Long> takeOver(Store store, Reservation reservation)
+            throws IOException, InterruptedException, TimeoutException {
+        if (reservation.jobs() == 0) {
+            return List.of();
+        }
+        StoredBatch batch;
+        try {
+            batch = StoredBatch.read(store, reservation.jobs());
+        } catch (StoreException e) {
+            loop.later(() -> jobs.adoption().release(reservation));
+            throw e;
         }
+        List<Long> stored =
+                callOnLoop(then -> jobs.adoption().adopt(reservation, batch.rows(), batch.results(), then::complete));
+        StoreMaintenance.drop(store, stored);
+        return stored;
     }
 
     private static void remove(Path dir) throws IOException {
--- a/src/test/java/laneflow/durable/LeaseOrderTest.java
+++ b/src/test/java/laneflow/durable/LeaseOrderTest.java
@@ -152,7 +152,14 @@
                 flush();
                 List<JobRow> adopted = List.copyOf(rows.values());
                 startProcess(Map.of());
-                jobs.adoptJobs(adopted, Map.of(), stored -> {});
+                Adoption adoption = jobs.adoption();
+                adoption.adopt(
+                        adoption.reserve(adopted.stream()
+                                .map(row -> new Adoption.Head(row, 0))
+                                .toList()),
+                        adopted,
+                        Map.of(),
+                        stored -> {});
                 break;
         }
         deadlines.runDue(now);
--- a/src/test/java/laneflow/task/RecoveryStoryTest.java
+++ b/src/test/java/laneflow/task/RecoveryStoryTest.java
@@ -15,6 +15,7 @@
 import java.util.Set;
 import java.util.stream.IntStream;
 import java.util.stream.Stream;
+import laneflow.durable.StoredJobs;
 import laneflow.lab.rig.ChildProcesses;
 import laneflow.lab.rig.Rig;
 import laneflow.lab.standin.RunLog;
@@ -30,6 +31,9 @@
  */
 class RecoveryStoryTest {
     private static final int JOBS = 40;
+    /** With bodies of 60,000 bytes more than the heap of a scheduler. */
+    private static final int ENDED_JOBS = 2500;
+
     private static final String BANNED =
             "{\"bans\":[{\"name\":\"till-0\"},{\"name\":\"till-1\"},{\"name\":\"till-2\"}]}";
 
@@ -168,6 +172,26 @@
         assertAllRunOnce(rig.allExcept(Set.of(3, killedAdopter)));
     }
 
+    /** Guards against an adopter that runs out of memory over the bodies and results of jobs that have ended. */
+    @Test
+    void endedJobsOfALargeStoreAreTakenOverWithinTheHeap() throws Exception {
+        StoredJobs.writeEnded(folder.resolve("dead"), "post", ENDED_JOBS, 60_000);
+        Files.move(folder.resolve("dead"), stores.resolve("dead"));
+        rig.await("all its jobs are taken over", () -> takenOver() >= ENDED_JOBS);
+        for (int i : rig.all()) {
+            assertTrue(rig.isUp(i), Rig.name(i) + " has ended");
+        }
+        assertEquals(ENDED_JOBS, takenOver());
+    }
+
+    private long takenOver() throws IOException, InterruptedException {
+        long sum = 0;
+        for (int i : rig.all()) {
+            sum += rig.counter(i, "durable.taken_over");
+        }
+        return sum;
+    }
+
     @Test
     void aSuspendedSchedulerKeepsItsJobs() throws Exception {
         rig.suspend(3);
